Check the settings and place requests under a load bound

Placement ranks by weighted rendezvous hash and takes the remembered server, or the less loaded of the first two ranks for a new chat, while it is under its bound.

--- /dev/null
+++ b/src/decisions/chooseBackendServer/index.ts
@@ -0,0 +1,62 @@
+/**
+ * Bounded-load placement with a memory of where a chat went. The load bound
+ * rules; within it a returning chat goes back to the server that holds its
+ * prefix, and a new chat takes the less loaded of its first ranks.
+ */
+import { computeLoadBounds, type LoadedCandidate } from '../computeLoadBounds/index.js'
+import { rankBackendServers } from '../rankBackendServers/index.js'
+
+export type PlacementDemand = {
+  /** Key of the chat; the same on every turn. */
+  readonly chatKey: string
+  /** Server that served the chat last, as far as anybody remembers. */
+  readonly rememberedBackendServer?: string
+  readonly isNewChat: boolean
+}
+
+export type PlacementOptions = {
+  /** Multiple of the weighted mean load that placement aims at. */
+  readonly loadTarget: number
+  /** How many first ranks a new chat chooses among; 1 takes the ranking as it is. */
+  readonly newChatChoices?: number
+}
+
+const DEFAULT_NEW_CHAT_CHOICES = 2
+
+/**
+ * Chooses the backend server for one request.
+ *
+ * The choice is, in this order: the remembered server; for a new chat the
+ * least loaded of its first ranks; the first rank. Each counts only while it
+ * is under its load bound, else the ranking is walked on. Should every
+ * candidate be over its bound, which late counts alone can make it seem, the
+ * one with the least load for its weight is taken.
+ *
+ * @param demand - The chat to place.
+ * @param candidates - The servers that may get new work, with their load.
+ * @param options - Load target, and choices for a new chat (2 by default).
+ * @returns The chosen candidate; `undefined` when there is none.
+ *
+ * @example
+ * chooseBackendServer({ chatKey: 'chat-1', isNewChat: true }, [{ name: 'engine-1', weight: 8, inFlight: 0 }], { loadTarget: 1.26 })
+ * // => { name: 'engine-1', weight: 8, inFlight: 0 }
+ */
+export const chooseBackendServer = <Candidate extends LoadedCandidate>(
+  demand: PlacementDemand,
+  candidates: readonly Candidate[],
+  options: PlacementOptions
+): Candidate | undefined => {
+  const bounds = computeLoadBounds(candidates, options.loadTarget)
+  const isUnderBound = (candidate: Candidate): boolean => candidate.inFlight < (bounds.get(candidate.name) ?? 0)
+  const remembered = candidates.find(({ name }) => name === demand.rememberedBackendServer)
+  if (remembered !== undefined && isUnderBound(remembered)) return remembered
+  const open = rankBackendServers(demand.chatKey, candidates).filter(isUnderBound)
+  if (open.length === 0) return findLeastLoaded(candidates)
+  const choices = demand.isNewChat ? options.newChatChoices ?? DEFAULT_NEW_CHAT_CHOICES : 1
+  return findLeastLoaded(open.slice(0, choices))
+}
+
+const loadPerWeight = (candidate: LoadedCandidate): number => candidate.inFlight / candidate.weight
+
+const findLeastLoaded = <Candidate extends LoadedCandidate>(candidates: readonly Candidate[]): Candidate | undefined =>
+  candidates.reduce<Candidate | undefined>((least, candidate) => least === undefined || loadPerWeight(candidate) < loadPerWeight(least) ? candidate : least, undefined)
--- /dev/null
+++ b/src/hashing/index.ts
@@ -0,0 +1,2 @@
+/** Hashes that every node computes alike. */
+export * from './hashText/index.js'
--- /dev/null
+++ b/src/settings/parseRouterSettings/index.ts
@@ -0,0 +1,96 @@
+import { failure, success } from '../../kernel/index.js'
+import type { Result, RouterSettings } from '../../types/index.js'
+import { routerSettingDefinitions, type SettingDefinition } from '../routerSettingDefinitions/index.js'
+
+/** One setting that is missing, unknown or out of range. */
+export type SettingProblem = {
+  readonly flag: string
+  readonly environmentVariable: string
+  readonly message: string
+}
+
+/** Texts of settings by name, as flags or a file gave them. */
+export type SettingTexts = Readonly<Partial<Record<string, string>>>
+
+const ENVIRONMENT_PREFIX = 'DOTTERELSPOKE_'
+
+const splitWords = (name: string): readonly string[] => name.replace(/([A-Z])/g, ' $1').toLowerCase().split(' ')
+
+/**
+ * Gives the command-line flag of a setting.
+ *
+ * @param name - Name of the setting in camelCase.
+ * @returns The flag in kebab-case.
+ *
+ * @example
+ * formatFlag('nodeId') // => '--node-id'
+ */
+export const formatFlag = (name: string): string => `--${splitWords(name).join('-')}`
+
+/**
+ * Gives the environment variable of a setting.
+ *
+ * @param name - Name of the setting in camelCase.
+ * @returns The variable's name.
+ *
+ * @example
+ * formatEnvironmentVariable('nodeId') // => 'DOTTERELSPOKE_NODE_ID'
+ */
+export const formatEnvironmentVariable = (name: string): string => `${ENVIRONMENT_PREFIX}${splitWords(name).join('_').toUpperCase()}`
+
+const describeProblem = (definition: SettingDefinition, message: string): SettingProblem => ({
+  flag: definition.secret === true ? `${formatFlag(definition.name)}-file` : formatFlag(definition.name),
+  environmentVariable: formatEnvironmentVariable(definition.name),
+  message
+})
+
+const findUnknownVariables = (environment: SettingTexts): readonly SettingProblem[] => {
+  const known = new Set(routerSettingDefinitions.map((definition) => formatEnvironmentVariable(definition.name)))
+  return Object.keys(environment)
+    .filter((variable) => variable.startsWith(ENVIRONMENT_PREFIX) && !known.has(variable) && !toolVariables.has(variable))
+    .map((variable) => ({ flag: '', environmentVariable: variable, message: 'is not a setting' }))
+}
+
+/** Variables that the operator commands read, and that may stand in the same environment. */
+const toolVariables: ReadonlySet<string> = new Set([
+  'DOTTERELSPOKE_OPERATOR', 'DOTTERELSPOKE_ROUTERS', 'DOTTERELSPOKE_FLEET_KEY_FILE', 'DOTTERELSPOKE_OPERATOR_TOKEN_FILE'
+])
+
+const findCrossProblems = (settings: RouterSettings): readonly SettingProblem[] => {
+  if (settings.deadAfterMs > settings.suspectAfterMs) return []
+  const definition = routerSettingDefinitions.find((candidate) => candidate.name === 'deadAfterMs')
+  return definition === undefined ? [] : [describeProblem(definition, 'must be more than the time after which a peer is suspected')]
+}
+
+/**
+ * Checks the settings of a router and gives them their types.
+ *
+ * A flag goes before its environment variable, and that before the default.
+ * Every problem is reported, not just the first, with the flag and the
+ * environment variable that set it.
+ *
+ * @param flags - Texts of the settings given as flags, by setting name.
+ * @param environment - The environment variables of the process.
+ * @returns The settings, or all problems.
+ *
+ * @example
+ * parseRouterSettings({ nodeId: 'router-1' }, process.env)
+ */
+export const parseRouterSettings = (flags: SettingTexts, environment: SettingTexts): Result<RouterSettings, readonly SettingProblem[]> => {
+  const problems: SettingProblem[] = [...findUnknownVariables(environment)]
+  const values: Record<string, unknown> = {}
+  for (const definition of routerSettingDefinitions) {
+    const text = flags[definition.name] ?? environment[formatEnvironmentVariable(definition.name)] ?? definition.defaultText
+    if (text === undefined) {
+      problems.push(describeProblem(definition, 'must be given'))
+      continue
+    }
+    const parsed = definition.schema.safeParse(text)
+    if (parsed.success) values[definition.name] = parsed.data
+    else problems.push(describeProblem(definition, parsed.error.issues[0]?.message ?? 'is not valid'))
+  }
+  if (problems.length > 0) return failure(problems)
+  const settings = values as RouterSettings
+  const crossProblems = findCrossProblems(settings)
+  return crossProblems.length > 0 ? failure(crossProblems) : success(settings)
+}
--- a/src/types/settings.ts
+++ b/src/types/settings.ts
@@ -17,6 +17,7 @@
   readonly peerPort: number
   /** Address that peers use for this node, when it differs from the listener's. */
   readonly advertisedHost: string
+  readonly advertisedPort: number
   readonly seedPeers: readonly PeerAddress[]
   readonly platformUrl: string
   readonly fleetKey: string
