--- /dev/null
+++ b/src/adapters/promMetrics/index.ts
@@ -0,0 +1,91 @@
+/**
+ * Prometheus metrics of a node, through prom-client. One table has the help
+ * text and labels of each; docs/OPERATING.md says what to do about them.
+ */
+import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { CounterName, GaugeName, GaugeReading, HistogramName, MetricLabels, Metrics } from '../../types/index.js'
+
+type MetricText = { readonly help: string, readonly labels: readonly string[] }
+
+const METRIC_PREFIX = 'dotterelspoke_'
+
+const counterTexts: Readonly<Record<CounterName, MetricText>> = {
+  requests_accepted: { help: 'Requests accepted from callers', labels: [] },
+  requests_finished: { help: 'Accepted requests by final outcome and reason', labels: ['outcome', 'reason'] },
+  attempts: { help: 'Attempts at backend servers by outcome', labels: ['backend_server', 'outcome'] },
+  retries: { help: 'What was decided after a failed attempt', labels: ['decision'] },
+  prompt_tokens: { help: 'Prompt tokens by whether the prefix cache held them', labels: ['cache'] },
+  completion_tokens: { help: 'Tokens generated', labels: [] },
+  platform_calls: { help: 'Calls to the platform by kind and outcome', labels: ['call', 'outcome'] },
+  peer_sent_bytes: { help: 'Bytes sent to peers by kind of message', labels: ['kind'] },
+  claims: { help: 'Claims of idempotency keys by outcome', labels: ['outcome'] },
+  directory_lookups: { help: 'Look-ups of where a chat was last served', labels: ['outcome'] },
+  load_probes: { help: 'Reads of load reports by outcome', labels: ['outcome'] }
+}
+
+const histogramTexts: Readonly<Record<HistogramName, MetricText>> = {
+  first_token_seconds: { help: 'Time to the first byte of an answer', labels: [] },
+  between_tokens_seconds: { help: 'Time between events of a stream', labels: [] },
+  queue_wait_seconds: { help: 'Time that a request waited for its share', labels: [] },
+  request_duration_seconds: { help: 'Time from acceptance to the final outcome', labels: ['outcome'] }
+}
+
+const gaugeTexts: Readonly<Record<GaugeName, MetricText>> = {
+  requests_open: { help: 'Accepted requests without a final outcome yet', labels: [] },
+  requests_unaccounted: { help: 'Accepted requests that fell out of the sum of outcomes; anything but 0 is an alarm', labels: [] },
+  configuration_generation: { help: 'Generation of the configuration in force', labels: [] },
+  members: { help: 'Routers by state, as this one sees them', labels: ['state'] },
+  backend_server_in_flight: { help: 'Estimated requests in flight from the whole fleet', labels: ['backend_server'] },
+  backend_server_ejected: { help: '1 while the backend server is ejected', labels: ['backend_server'] },
+  backend_server_leaving: { help: '1 while the backend server is leaving', labels: ['backend_server'] },
+  queue_length: { help: 'Requests that wait for their share', labels: [] },
+  load_skew: { help: 'Highest load over the weighted mean, by service', labels: ['service'] }
+}
+
+/** Seconds; from 1 ms to about two minutes, each bucket twice the one before. */
+const DURATION_BUCKETS = Array.from({ length: 18 }, (_, exponent) => 0.001 * 2 ** exponent)
+
+const mapValues = <Key extends string, Text, Value>(texts: Readonly<Record<Key, Text>>, create: (key: Key, text: Text) => Value): Readonly<Record<Key, Value>> =>
+  Object.fromEntries(Object.entries(texts).map(([key, text]) => [key, create(key as Key, text as Text)])) as Record<Key, Value>
+
+export type PromMetrics = Metrics & {
+  /** All metrics in the Prometheus text format. */
+  readonly render: () => Promise<string>
+  readonly contentType: string
+}
+
+/**
+ * Creates the metrics of one node, with a registry of its own.
+ *
+ * @returns The metrics, and how to render them.
+ *
+ * @example
+ * createPromMetrics().count('requests_accepted')
+ */
+export const createPromMetrics = (): PromMetrics => {
+  const registry = new Registry()
+  const registers = [registry]
+  collectDefaultMetrics({ register: registry })
+  const counters = mapValues(counterTexts, (name, { help, labels }) =>
+    new Counter({ name: `${METRIC_PREFIX}${name}_total`, help, labelNames: [...labels], registers }))
+  const histograms = mapValues(histogramTexts, (name, { help, labels }) =>
+    new Histogram({ name: `${METRIC_PREFIX}${name}`, help, labelNames: [...labels], buckets: DURATION_BUCKETS, registers }))
+  const readers = new Map<GaugeName, () => readonly GaugeReading[]>()
+  mapValues(gaugeTexts, (name, { help, labels }) => new Gauge({
+    name: `${METRIC_PREFIX}${name}`,
+    help,
+    labelNames: [...labels],
+    registers,
+    collect () {
+      this.reset()
+      for (const { value, labels: values } of readers.get(name)?.() ?? []) this.set(values ?? {}, value)
+    }
+  }))
+  return {
+    count: (name, labels: MetricLabels = {}, by = 1) => counters[name].inc(labels, by),
+    observe: (name, seconds, labels: MetricLabels = {}) => histograms[name].observe(labels, seconds),
+    readGauge: (name, read) => { readers.set(name, read) },
+    render: () => registry.metrics(),
+    contentType: registry.contentType
+  }
+}
--- a/src/decisions/chooseBackendServer/index.ts
+++ b/src/decisions/chooseBackendServer/index.ts
@@ -3,20 +3,18 @@
  * rules; within it a returning chat goes back to the server that holds its
  * prefix, and a new chat takes the less loaded of its first ranks.
  */
+import type { PlacementDemand } from '../../types/index.js'
 import { computeLoadBounds, type LoadedCandidate } from '../computeLoadBounds/index.js'
 import { rankBackendServers } from '../rankBackendServers/index.js'
 
-export type PlacementDemand = {
-  /** Key of the chat; the same on every turn. */
-  readonly chatKey: string
-  /** Server that served the chat last, as far as anybody remembers. */
-  readonly rememberedBackendServer?: string
-  readonly isNewChat: boolean
-}
+/** The part of a demand that decides within one service. */
+export type ChatDemand = Omit<PlacementDemand, 'service'>
 
 export type PlacementOptions = {
   /** Multiple of the weighted mean load that placement aims at. */
   readonly loadTarget: number
+  /** Multiple of the weighted mean load that must hold; the same as `loadTarget` by default. */
+  readonly loadLimit?: number
   /** How many first ranks a new chat chooses among; 1 takes the ranking as it is. */
   readonly newChatChoices?: number
 }
@@ -34,26 +32,30 @@
  *
  * @param demand - The chat to place.
  * @param candidates - The servers that may get new work, with their load.
- * @param options - Load target, and choices for a new chat (2 by default).
- * @returns The chosen candidate; `undefined` when there is none.
+ * @param options - Load target and limit, and choices for a new chat (2 by default).
+ * @returns The chosen candidate; `undefined` when there is none under the limit.
  *
  * @example
- * chooseBackendServer({ chatKey: 'chat-1', isNewChat: true }, [{ name: 'engine-1', weight: 8, inFlight: 0 }], { loadTarget: 1.26 })
+ * chooseBackendServer({ chatKey: 'chat-1', isNewChat: true, excluded: new Set() }, [{ name: 'engine-1', weight: 8, inFlight: 0 }], { loadTarget: 1.26 })
  * // => { name: 'engine-1', weight: 8, inFlight: 0 }
  */
 export const chooseBackendServer = <Candidate extends LoadedCandidate>(
-  demand: PlacementDemand,
+  demand: ChatDemand,
   candidates: readonly Candidate[],
   options: PlacementOptions
 ): Candidate | undefined => {
-  const bounds = computeLoadBounds(candidates, options.loadTarget)
-  const isUnderBound = (candidate: Candidate): boolean => candidate.inFlight < (bounds.get(candidate.name) ?? 0)
-  const remembered = candidates.find(({ name }) => name === demand.rememberedBackendServer)
-  if (remembered !== undefined && isUnderBound(remembered)) return remembered
-  const open = rankBackendServers(demand.chatKey, candidates).filter(isUnderBound)
-  if (open.length === 0) return findLeastLoaded(candidates)
+  const allowed = candidates.filter(({ name }) => !demand.excluded.has(name))
+  const underTarget = selectUnderBound(allowed, candidates, options.loadTarget)
+  if (underTarget.length === 0) return findLeastLoaded(selectUnderBound(allowed, candidates, options.loadLimit ?? options.loadTarget))
+  const remembered = underTarget.find(({ name }) => name === demand.hintedBackendServer)
+  if (remembered !== undefined) return remembered
   const choices = demand.isNewChat ? options.newChatChoices ?? DEFAULT_NEW_CHAT_CHOICES : 1
-  return findLeastLoaded(open.slice(0, choices))
+  return findLeastLoaded(rankBackendServers(demand.chatKey, underTarget).slice(0, choices))
+}
+
+const selectUnderBound = <Candidate extends LoadedCandidate>(allowed: readonly Candidate[], all: readonly Candidate[], multiple: number): readonly Candidate[] => {
+  const bounds = computeLoadBounds(all, multiple)
+  return allowed.filter((candidate) => candidate.inFlight < (bounds.get(candidate.name) ?? 0))
 }
 
 const loadPerWeight = (candidate: LoadedCandidate): number => candidate.inFlight / candidate.weight
--- a/src/decisions/chooseBackendServer/test.ts
+++ b/src/decisions/chooseBackendServer/test.ts
@@ -5,47 +5,60 @@
 const createCandidates = (inFlight: Readonly<Record<string, number>>) =>
   Object.entries(inFlight).map(([name, count]) => ({ name, weight: 8, inFlight: count }))
 
+const excluded: ReadonlySet<string> = new Set()
 const options = { loadTarget: 1.25 }
 
 describe('chooseBackendServer', () => {
   it('chooses nothing when there is no candidate', () => {
-    expect(chooseBackendServer({ chatKey: 'chat', isNewChat: true }, [], options)).toBeUndefined()
+    expect(chooseBackendServer({ chatKey: 'chat', isNewChat: true, excluded }, [], options)).toBeUndefined()
   })
 
   it('takes a chat back to the server that it is remembered on', () => {
     const candidates = createCandidates({ a: 4, b: 4, c: 4 })
-    const choice = chooseBackendServer({ chatKey: 'chat', isNewChat: false, rememberedBackendServer: 'b' }, candidates, options)
+    const choice = chooseBackendServer({ chatKey: 'chat', isNewChat: false, excluded, hintedBackendServer: 'b' }, candidates, options)
     expect(choice?.name).toBe('b')
   })
 
   it('passes over the remembered server when it is at its bound', () => {
     const candidates = createCandidates({ a: 2, b: 20, c: 2 })
-    const choice = chooseBackendServer({ chatKey: 'chat', isNewChat: false, rememberedBackendServer: 'b' }, candidates, options)
+    const choice = chooseBackendServer({ chatKey: 'chat', isNewChat: false, excluded, hintedBackendServer: 'b' }, candidates, options)
     expect(choice?.name).not.toBe('b')
   })
 
   it('ignores a remembered server that is no candidate', () => {
     const candidates = createCandidates({ a: 0 })
-    const choice = chooseBackendServer({ chatKey: 'chat', isNewChat: false, rememberedBackendServer: 'gone' }, candidates, options)
+    const choice = chooseBackendServer({ chatKey: 'chat', isNewChat: false, excluded, hintedBackendServer: 'gone' }, candidates, options)
     expect(choice?.name).toBe('a')
   })
 
   it('takes the first rank for a returning chat that nobody remembers', () => {
     const candidates = createCandidates({ a: 4, b: 4, c: 4 })
-    const choice = chooseBackendServer({ chatKey: 'chat', isNewChat: false }, candidates, options)
+    const choice = chooseBackendServer({ chatKey: 'chat', isNewChat: false, excluded }, candidates, options)
     expect(choice).toBe(rankBackendServers('chat', candidates)[0])
   })
 
   it('takes the less loaded of the first two ranks for a new chat', () => {
     const ranked = rankBackendServers('chat', createCandidates({ a: 0, b: 0, c: 0 })).map(({ name }) => name)
     const candidates = ranked.map((name, rank) => ({ name, weight: 8, inFlight: [5, 4, 0][rank] ?? 0 }))
-    const choice = chooseBackendServer({ chatKey: 'chat', isNewChat: true }, candidates, { loadTarget: 3 })
+    const choice = chooseBackendServer({ chatKey: 'chat', isNewChat: true, excluded }, candidates, { loadTarget: 3 })
     expect(choice?.name).toBe(ranked[1])
   })
 
   it('weighs the load by the slots of a server', () => {
     const candidates = [{ name: 'small', weight: 1, inFlight: 2 }, { name: 'large', weight: 8, inFlight: 4 }]
-    const choice = chooseBackendServer({ chatKey: 'chat', isNewChat: true }, candidates, { loadTarget: 10 })
+    const choice = chooseBackendServer({ chatKey: 'chat', isNewChat: true, excluded }, candidates, { loadTarget: 10 })
     expect(choice?.name).toBe('large')
   })
+
+  it('counts an excluded server for the mean but does not choose it', () => {
+    const candidates = createCandidates({ a: 0, b: 9, c: 9 })
+    const choice = chooseBackendServer({ chatKey: 'chat', isNewChat: true, excluded: new Set(['a']) }, candidates, { loadTarget: 1.25, loadLimit: 1.5 })
+    expect(['b', 'c']).toContain(choice?.name)
+  })
+
+  it('chooses nothing when every server that is left is at the limit', () => {
+    const candidates = createCandidates({ a: 0, b: 12, c: 12 })
+    const choice = chooseBackendServer({ chatKey: 'chat', isNewChat: true, excluded: new Set(['a']) }, candidates, { loadTarget: 1.25, loadLimit: 1.4 })
+    expect(choice).toBeUndefined()
+  })
 })
--- /dev/null
+++ b/src/services/placement/index.ts
@@ -0,0 +1,79 @@
+/**
+ * Chooses backend servers for the requests of this node, from the
+ * configuration in force, the health of the servers and the load view.
+ */
+import { chooseBackendServer } from '../../decisions/chooseBackendServer/index.js'
+import type { RunningService } from '../../kernel/index.js'
+import type {
+  BackendHealth, BackendPlacement, BackendServer, BackendServerState, BackendService, Configuration, ConfigurationHolder, LoadView
+} from '../../types/index.js'
+
+export type PlacementDependencies = {
+  readonly configuration: Pick<ConfigurationHolder, 'current'>
+  readonly backendHealth: Pick<BackendHealth, 'status'>
+  readonly loadView: Pick<LoadView, 'estimateInFlight'>
+}
+
+/** A configured server with its weight and load at this moment. */
+export type PlacedServer = {
+  readonly name: string
+  readonly weight: number
+  readonly inFlight: number
+  readonly backendServer: BackendServer
+}
+
+const NO_SERVER_RETRY_MS = 1_000
+const FULL_RETRY_MS = 250
+
+const getsNewWork: Readonly<Record<BackendServerState, boolean>> = {
+  live: true,
+  slowStart: true,
+  ejected: false,
+  leaving: false,
+  unreachable: false
+}
+
+const findService = (configuration: Configuration | undefined, name: string): BackendService | undefined =>
+  configuration?.sheet.services.find((service) => service.name === name)
+
+/**
+ * Lists the servers of a service that may get new work, with their load.
+ *
+ * @param service - Name of the service.
+ * @param dependencies - Configuration, health and load of this node.
+ * @returns The servers, in the order of the sheet.
+ */
+export const listPlacedServers = (service: string, dependencies: PlacementDependencies): readonly PlacedServer[] => {
+  const servers = dependencies.configuration.current()?.sheet.backendServers ?? []
+  return servers
+    .filter((backendServer) => backendServer.service === service)
+    .map((backendServer) => ({ backendServer, status: dependencies.backendHealth.status(backendServer.name) }))
+    .filter(({ status }) => getsNewWork[status.state])
+    .map(({ backendServer, status }) => ({
+      name: backendServer.name,
+      weight: backendServer.slots * status.weightShare,
+      inFlight: dependencies.loadView.estimateInFlight(backendServer.name),
+      backendServer
+    }))
+}
+
+/**
+ * Creates the placement service.
+ *
+ * @param dependencies - Configuration, health and load of this node.
+ * @returns The service for the kernel.
+ */
+export const createPlacement = (dependencies: PlacementDependencies): RunningService<BackendPlacement> => ({
+  api: {
+    choose: (demand) => {
+      const service = findService(dependencies.configuration.current(), demand.service)
+      const servers = service === undefined ? [] : listPlacedServers(demand.service, dependencies)
+      const isAnyLeft = servers.some(({ name }) => !demand.excluded.has(name))
+      if (service === undefined || !isAnyLeft) return { kind: 'none', reason: 'noBackendServer', retryAfterMs: NO_SERVER_RETRY_MS }
+      const { loadTarget, loadLimit } = service
+      const chosen = chooseBackendServer(demand, servers, { loadTarget, loadLimit })
+      if (chosen === undefined) return { kind: 'none', reason: 'queueFull', retryAfterMs: FULL_RETRY_MS }
+      return { kind: 'chosen', backendServer: chosen.backendServer }
+    }
+  }
+})
--- /dev/null
+++ b/src/types/metrics.ts
@@ -0,0 +1,27 @@
+/**
+ * What a node measures of itself, by name. Services count and observe through
+ * `Metrics`; the adapter turns it into Prometheus metrics.
+ */
+
+export type CounterName =
+  | 'requests_accepted' | 'requests_finished' | 'attempts' | 'retries'
+  | 'prompt_tokens' | 'completion_tokens' | 'platform_calls' | 'peer_sent_bytes'
+  | 'claims' | 'directory_lookups' | 'load_probes'
+
+export type HistogramName = 'first_token_seconds' | 'between_tokens_seconds' | 'queue_wait_seconds' | 'request_duration_seconds'
+
+export type GaugeName =
+  | 'requests_open' | 'requests_unaccounted' | 'configuration_generation' | 'members'
+  | 'backend_server_in_flight' | 'backend_server_ejected' | 'backend_server_leaving' | 'queue_length' | 'load_skew'
+
+export type MetricLabels = Readonly<Record<string, string>>
+
+export type GaugeReading = { readonly value: number, readonly labels?: MetricLabels }
+
+export type Metrics = {
+  readonly count: (name: CounterName, labels?: MetricLabels, by?: number) => void
+  /** Records a duration in seconds. */
+  readonly observe: (name: HistogramName, seconds: number, labels?: MetricLabels) => void
+  /** Sets how a gauge is read whenever the metrics are asked for. */
+  readonly readGauge: (name: GaugeName, read: () => readonly GaugeReading[]) => void
+}
--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -117,6 +117,30 @@
 
 export type AdmissionRefusal = { readonly reason: RefusalReason, readonly retryAfterMs: number }
 
+/** What placement needs to know of a request. */
+export type PlacementDemand = {
+  readonly service: string
+  readonly chatKey: string
+  /** From a verified hint or the chat directory; advice only. */
+  readonly hintedBackendServer?: string
+  readonly isNewChat: boolean
+  /** Backend servers that this request has already failed on. */
+  readonly excluded: ReadonlySet<string>
+}
+
+export type Placement =
+  | { readonly kind: 'chosen', readonly backendServer: BackendServer }
+  | { readonly kind: 'none', readonly reason: 'noBackendServer' | 'queueFull', readonly retryAfterMs: number }
+
+/**
+ * Chooses the backend server of one attempt. The caller counts the attempt in
+ * the load view before anything else runs, so that a burst of requests does
+ * not choose on the same counts.
+ */
+export type BackendPlacement = {
+  readonly choose: (demand: PlacementDemand) => Placement
+}
+
 /** What became of every request that was accepted: accepted = complete + refused + unknown + open. */
 export type RequestLedger = {
   readonly accepted: number
@@ -142,6 +166,7 @@
   readonly configuration: ConfigurationHolder
   readonly claims: Claims
   readonly admission: Admission
+  readonly placement: BackendPlacement
   readonly dispatch: Dispatch
 }
 
