Read the sheet, split it into chunks and hold a generation

The sheet is checked whole, with line and cell of every fault. Records are bucketed by their name, so that a changed row changes one chunk. The node's holder takes a root from the platform or a peer, fetches and checks its chunks and only ever moves upwards. Not tested yet: the holder itself.

--- /dev/null
+++ b/src/decisions/parseSheet/_lib/sheetColumns.ts
@@ -0,0 +1,39 @@
+/**
+ * The columns of a sheet, which of them each record kind uses, and where its
+ * records go in a `Sheet`.
+ */
+import type { Sheet, SheetColumn, SheetRecordKind } from '../../../types/index.js'
+
+export const sheetColumns: readonly SheetColumn[] = [
+  'record', 'name', 'weight', 'keySha256', 'kind', 'loadLimit', 'loadTarget', 'service', 'url',
+  'availabilityZone', 'slots', 'model', 'path', 'repeatable', 'backendIdempotent', 'deadlineSeconds',
+  'priority', 'backendServer', 'startsAt', 'endsAt'
+]
+
+export const recordLists: Readonly<Record<SheetRecordKind, keyof Sheet>> = {
+  clientAccount: 'clientAccounts',
+  service: 'services',
+  backendServer: 'backendServers',
+  route: 'routes',
+  plannedStop: 'plannedStops'
+}
+
+export const recordKinds = Object.keys(recordLists) as readonly SheetRecordKind[]
+
+export const recordColumns: Readonly<Record<SheetRecordKind, readonly SheetColumn[]>> = {
+  clientAccount: ['record', 'name', 'weight', 'keySha256'],
+  service: ['record', 'name', 'kind', 'loadLimit', 'loadTarget'],
+  backendServer: ['record', 'name', 'service', 'url', 'availabilityZone', 'slots'],
+  route: ['record', 'name', 'service', 'model', 'path', 'repeatable', 'backendIdempotent', 'deadlineSeconds', 'priority'],
+  plannedStop: ['record', 'name', 'backendServer', 'startsAt', 'endsAt']
+}
+
+/** A row of the file: its cells by column, trimmed. */
+export type SheetRow = {
+  readonly line: number
+  readonly cells: ReadonlyMap<SheetColumn, string>
+}
+
+export const isSheetColumn = (name: string): name is SheetColumn => (sheetColumns as readonly string[]).includes(name)
+
+export const isRecordKind = (name: string): name is SheetRecordKind => (recordKinds as readonly string[]).includes(name)
--- /dev/null
+++ b/src/decisions/splitSheetIntoChunks/index.ts
@@ -0,0 +1,65 @@
+/**
+ * Splitting of a sheet into chunks under their content hash. A record's bucket
+ * follows from its kind and name alone, so a changed row changes one chunk and
+ * a node fetches only that one.
+ */
+import { canonicalizeSheet } from '../canonicalizeSheet/index.js'
+import type { ConfigurationChunk, Sheet } from '../../types/index.js'
+
+/** Chunks near this size make a changed row cheap; the list of their hashes in the root grows as they shrink. */
+const TARGET_CHUNK_BYTES = 16_384
+const MAXIMUM_BUCKETS = 4_096
+const BUCKET_HASH_DIGITS = 8
+
+/** Hexadecimal hash of a text's UTF-8 form or of bytes, uniform over its digits. */
+export type HashContent = (content: string | Uint8Array) => string
+
+/**
+ * Splits a sheet into chunks.
+ *
+ * The number of buckets is a power of two. It stays as it was while chunks
+ * are between a quarter of and twice the target size, so that a sheet whose
+ * size swings about a threshold does not change all of its chunks each time.
+ *
+ * @param sheet - A sound sheet.
+ * @param hashContent - The content hash, SHA-256 in the fleet.
+ * @param previousBuckets - Number of chunks of the sheet that this one replaces.
+ * @returns The chunks in bucket order; empty buckets are chunks too.
+ *
+ * @example
+ * splitSheetIntoChunks(sheet, computeSha256).map(({ hash }) => hash)
+ */
+export const splitSheetIntoChunks = (sheet: Sheet, hashContent: HashContent, previousBuckets?: number): readonly ConfigurationChunk[] => {
+  const lines = listLines(canonicalizeSheet(sheet))
+  const bytes = lines.reduce((sum, { text }) => sum + text.length + 1, 0)
+  const count = chooseBucketCount(bytes, previousBuckets)
+  const buckets: string[][] = Array.from({ length: count }, () => [])
+  for (const { key, text } of lines) buckets[chooseBucket(hashContent(key), count)]!.push(text)
+  return buckets.map((bucket) => toChunk(bucket, hashContent))
+}
+
+type RecordLine = { readonly key: string, readonly text: string }
+
+const listLines = (sheet: Sheet): readonly RecordLine[] => (Object.keys(sheet) as (keyof Sheet)[]).sort().flatMap((list) =>
+  sheet[list].map((record) => ({ key: `${list} ${record.name}`, text: `["${list}",${stringifyWithSortedKeys(record)}]` })))
+
+/** Records are flat, so that a list of their own keys covers all that is written. */
+const stringifyWithSortedKeys = (record: object): string => JSON.stringify(record, Object.keys(record).sort())
+
+const chooseBucketCount = (bytes: number, previous?: number): number => {
+  if (previous !== undefined && isPowerOfTwo(previous) && isKept(bytes / previous, previous)) return previous
+  const needed = Math.max(1, bytes / TARGET_CHUNK_BYTES)
+  return Math.min(MAXIMUM_BUCKETS, 2 ** Math.ceil(Math.log2(needed)))
+}
+
+const isKept = (chunkBytes: number, previous: number): boolean =>
+  chunkBytes <= TARGET_CHUNK_BYTES * 2 && (previous === 1 || chunkBytes >= TARGET_CHUNK_BYTES / 4)
+
+const isPowerOfTwo = (value: number): boolean => value >= 1 && value <= MAXIMUM_BUCKETS && Number.isInteger(Math.log2(value))
+
+const chooseBucket = (hash: string, count: number): number => parseInt(hash.slice(0, BUCKET_HASH_DIGITS), 16) % count
+
+const toChunk = (lines: readonly string[], hashContent: HashContent): ConfigurationChunk => {
+  const bytes = new TextEncoder().encode(`{"format":1,"records":[${lines.join(',\n')}]}`)
+  return { hash: hashContent(bytes), bytes }
+}
--- a/src/kernel/index.ts
+++ b/src/kernel/index.ts
@@ -1,4 +1,7 @@
 /** The kernel and the small helpers that every layer uses. */
+export * from './computeSha256/index.js'
 export * from './createKernel/index.js'
 export * from './failure/index.js'
+export * from './formatIsoTime/index.js'
+export * from './parseIsoTime/index.js'
 export * from './success/index.js'
--- /dev/null
+++ b/src/services/configuration/_lib/createChunkFetcher.ts
@@ -0,0 +1,55 @@
+/**
+ * Fetching of one chunk: from peers in the zone first, since their links cost
+ * nothing, then from other zones' peers, then from the platform.
+ */
+import { failure, success } from '../../../kernel/index.js'
+import type { Member, PeerTransport, Platform, RandomSource, Result } from '../../../types/index.js'
+import { choosePeers } from './choosePeers.js'
+
+/** Gives the bytes of a chunk that belongs to a generation, with their hash checked. */
+export type ChunkFetcher = (hash: string, generation: number) => Promise<Result<Uint8Array, string>>
+
+export type ChunkFetcherDependencies = {
+  readonly platform: Platform
+  readonly peerTransport: PeerTransport
+  readonly peers: () => readonly Member[]
+  readonly random: RandomSource
+  readonly hashContent: (content: string | Uint8Array) => string
+}
+
+export type ChunkFetcherOptions = { readonly nodeId: string, readonly availabilityZone: string, readonly peerTimeoutMs: number }
+
+export const createChunkFetcher = (dependencies: ChunkFetcherDependencies, options: ChunkFetcherOptions): ChunkFetcher => {
+  const { platform, peerTransport, hashContent } = dependencies
+
+  /** Bytes damaged on the way or at a peer have another hash; the next source is asked. */
+  const check = (hash: string, source: string, bytes: Uint8Array | undefined): Result<Uint8Array, string> => {
+    if (bytes === undefined) return failure(`${source} does not have it`)
+    if (hashContent(bytes) !== hash) return failure(`${source} sent bytes of another hash`)
+    return success(bytes)
+  }
+
+  const askPeer = async (hash: string, peer: Member): Promise<Result<Uint8Array, string>> => {
+    const reply = await peerTransport.request(peer.address, { kind: 'chunkRequest', hash }, options.peerTimeoutMs)
+    if (!reply.ok) return failure(`${peer.nodeId}: ${reply.error.kind}`)
+    return check(hash, peer.nodeId, reply.value.kind === 'chunk' ? reply.value.bytes : undefined)
+  }
+
+  const askPlatform = async (hash: string): Promise<Result<Uint8Array, string>> => {
+    const object = await platform.readObject(`configuration/chunks/${hash}`)
+    if (!object.ok) return failure(`platform: ${object.error.kind}`)
+    return check(hash, 'platform', object.value?.bytes)
+  }
+
+  return async (hash, generation) => {
+    const problems: string[] = []
+    for (const peer of choosePeers(dependencies.peers(), generation, options, dependencies.random)) {
+      const bytes = await askPeer(hash, peer)
+      if (bytes.ok) return bytes
+      problems.push(bytes.error)
+    }
+    const bytes = await askPlatform(hash)
+    if (bytes.ok) return bytes
+    return failure(`chunk ${hash.slice(0, 12)} could not be fetched: ${[...problems, bytes.error].join(', ')}`)
+  }
+}
--- /dev/null
+++ b/src/services/configuration/_lib/createInstaller.ts
@@ -0,0 +1,78 @@
+/**
+ * The generation in force with its chunks, and the one way to replace it: all
+ * chunks of a higher root fetched, checked and decoded, then one assignment.
+ */
+import { decodeChunk, type ChunkRecord } from '../../../decisions/decodeChunk/index.js'
+import { joinChunksToSheet } from '../../../decisions/joinChunksToSheet/index.js'
+import { failure, success } from '../../../kernel/index.js'
+import type { Configuration, ConfigurationRoot, Result } from '../../../types/index.js'
+import type { ChunkFetcher } from './createChunkFetcher.js'
+
+export type FoundRoot = { readonly root: ConfigurationRoot, readonly bytes: Uint8Array }
+
+export type Installer = {
+  readonly current: () => Configuration | undefined
+  readonly generation: () => number
+  readonly applyId: () => string | undefined
+  /** Gives the new configuration, `undefined` when the root is not higher, or why it could not be put in force. */
+  readonly install: (found: FoundRoot) => Promise<Result<Configuration | undefined, string>>
+  readonly readRoot: () => Uint8Array | undefined
+  readonly readChunk: (hash: string) => Uint8Array | undefined
+}
+
+type KnownChunk = { readonly bytes: Uint8Array, readonly records: readonly ChunkRecord[] }
+
+type InForce = FoundRoot & { readonly configuration: Configuration }
+
+/** Fetches in flight at once while a node takes in a generation. */
+const CONCURRENT_FETCHES = 8
+
+export const createInstaller = (fetchChunk: ChunkFetcher): Installer => {
+  const chunks = new Map<string, KnownChunk>()
+  let inForce: InForce | undefined
+
+  /** Chunks of failed attempts go as soon as another root is tried, so that failures cannot fill the memory. */
+  const dropUnused = (root: ConfigurationRoot): void => {
+    const used = new Set([...root.chunks, ...inForce?.root.chunks ?? []])
+    for (const hash of chunks.keys()) if (!used.has(hash)) chunks.delete(hash)
+  }
+
+  const fetchInto = async (hash: string, generation: number): Promise<string | undefined> => {
+    const bytes = await fetchChunk(hash, generation)
+    if (!bytes.ok) return bytes.error
+    const records = decodeChunk(bytes.value)
+    if (!records.ok) return `chunk ${hash.slice(0, 12)}: ${records.error.message}`
+    chunks.set(hash, { bytes: bytes.value, records: records.value })
+    return undefined
+  }
+
+  const fetchMissing = async (root: ConfigurationRoot): Promise<string | undefined> => {
+    const missing = [...new Set(root.chunks)].filter((hash) => !chunks.has(hash))
+    while (missing.length > 0) {
+      const batch = missing.splice(0, CONCURRENT_FETCHES)
+      const problems = await Promise.all(batch.map((hash) => fetchInto(hash, root.generation)))
+      const problem = problems.find((candidate) => candidate !== undefined)
+      if (problem !== undefined) return problem
+    }
+    return undefined
+  }
+
+  return {
+    current: () => inForce?.configuration,
+    generation: () => inForce?.root.generation ?? 0,
+    applyId: () => inForce?.root.applyId,
+    install: async ({ root, bytes }) => {
+      if (root.generation <= (inForce?.root.generation ?? 0)) return success(undefined)
+      dropUnused(root)
+      const problem = await fetchMissing(root)
+      if (problem !== undefined) return failure(problem)
+      const sheet = joinChunksToSheet(root.chunks.map((hash) => chunks.get(hash)?.records ?? []))
+      const { generation, appliedBy, appliedAt, applyId } = root
+      inForce = { root, bytes, configuration: { generation, appliedBy, appliedAt, applyId, sheet } }
+      dropUnused(root)
+      return success(inForce.configuration)
+    },
+    readRoot: () => inForce?.bytes,
+    readChunk: (hash) => chunks.get(hash)?.bytes
+  }
+}
--- /dev/null
+++ b/src/services/configuration/_lib/createPlatformWatch.ts
@@ -0,0 +1,102 @@
+/**
+ * How a node hears of a new root from the platform. A few nodes a zone hold a
+ * watch; the others read the root now and then, in case that no peer tells
+ * them. All of them read it when they start.
+ */
+import { computeBackoff, type BackoffRange } from '../../../decisions/computeBackoff/index.js'
+import { failure, success } from '../../../kernel/index.js'
+import type { Platform, PlatformError, RandomSource, Result } from '../../../types/index.js'
+import type { FoundRoot } from './createInstaller.js'
+import { ROOT_NAME, type RootReader } from './createRootReader.js'
+import type { Sleeper } from './createSleeper.js'
+
+export type PlatformWatch = {
+  /** Runs until stopped. */
+  readonly run: () => Promise<void>
+  /** Looks again whether this node should hold a watch. */
+  readonly reconsider: () => void
+  /** What the platform last said of the root, in words, for a node that has none. */
+  readonly state: () => string
+}
+
+export type PlatformWatchOptions = BackoffRange & { readonly watchTimeoutMs: number, readonly pollIntervalMs: number }
+
+export type PlatformWatchDependencies = {
+  readonly platform: Platform
+  readonly reader: RootReader
+  readonly sleeper: Sleeper
+  readonly random: RandomSource
+  readonly isWatcher: () => boolean
+  readonly isRunning: () => boolean
+  /** Generation in force here, 0 for none. */
+  readonly generation: () => number
+  /** Called with each root read, and the generation that was in force here before the read began. */
+  readonly onRoot: (found: FoundRoot, generationBefore: number) => void
+}
+
+export const createPlatformWatch = (dependencies: PlatformWatchDependencies, options: PlatformWatchOptions): PlatformWatch => {
+  const { platform, reader, sleeper, random, isWatcher, isRunning } = dependencies
+  const hasConfiguration = (): boolean => dependencies.generation() > 0
+  let state = 'the platform has not answered yet'
+  let revision: number | undefined
+  let failures = 0
+  let watchedLast = false
+
+  const readRoot = async (): Promise<Result<undefined, string>> => {
+    const generationBefore = dependencies.generation()
+    const found = await reader.readFromPlatform()
+    if (!found.ok) return found
+    state = 'no sheet has been applied yet'
+    if (found.value !== undefined) dependencies.onRoot(found.value, generationBefore)
+    return success(undefined)
+  }
+
+  /** The list gives the revision to watch from; the root is read after it, so that no change falls between. */
+  const beginWatch = async (): Promise<Result<undefined, string>> => {
+    const list = await platform.listObjects(ROOT_NAME, { limit: 1 })
+    if (!list.ok) return describeError(list.error)
+    const read = await readRoot()
+    if (read.ok) revision = list.value.revision
+    return read
+  }
+
+  const continueWatch = async (from: number): Promise<Result<undefined, string>> => {
+    const events = await platform.watchObjects(ROOT_NAME, from, options.watchTimeoutMs)
+    if (!events.ok) {
+      // After any failure the watch starts afresh: a platform restored from a
+      // backup may count revisions from a lower number and never reach ours.
+      revision = undefined
+      return events.error.kind === 'revisionGone' ? success(undefined) : describeError(events.error)
+    }
+    revision = events.value.revision < from ? undefined : events.value.revision
+    return events.value.changes.length === 0 ? success(undefined) : readRoot()
+  }
+
+  const watch = (): Promise<Result<undefined, string>> => {
+    watchedLast = true
+    return revision === undefined ? beginWatch() : continueWatch(revision)
+  }
+
+  const poll = async (): Promise<Result<undefined, string>> => {
+    watchedLast = false
+    revision = undefined
+    const read = await readRoot()
+    if (read.ok || hasConfiguration()) await sleeper.sleep(options.pollIntervalMs * (0.5 + random.next()))
+    return hasConfiguration() ? success(undefined) : read
+  }
+
+  return {
+    run: async () => {
+      while (isRunning()) {
+        const outcome = await (isWatcher() ? watch() : poll())
+        failures = outcome.ok ? 0 : failures + 1
+        if (!outcome.ok) state = outcome.error
+        if (!outcome.ok) await sleeper.sleep(computeBackoff(failures, options, random.next()))
+      }
+    },
+    reconsider: () => { if (isWatcher() && !watchedLast) sleeper.wake() },
+    state: () => state
+  }
+}
+
+const describeError = (error: PlatformError): Result<undefined, string> => failure(`platform: ${error.kind}`)
--- /dev/null
+++ b/src/services/configuration/index.ts
@@ -0,0 +1,218 @@
+/**
+ * The configuration in force on this node.
+ *
+ * A node learns of a new generation from the platform or from any peer's
+ * heartbeat, fetches the root and the chunks it lacks, checks their hashes and
+ * switches in one step. It only ever moves upwards: a platform restored from a
+ * backup, or a peer that lags, changes nothing here.
+ */
+import { computeBackoff } from '../../decisions/computeBackoff/index.js'
+import { isZoneWatcher } from '../../decisions/isZoneWatcher/index.js'
+import { choosePeers } from './_lib/choosePeers.js'
+import { createChunkFetcher } from './_lib/createChunkFetcher.js'
+import { createInstaller, type FoundRoot, type Installer } from './_lib/createInstaller.js'
+import { createPlatformWatch } from './_lib/createPlatformWatch.js'
+import { createRootReader } from './_lib/createRootReader.js'
+import { createSleeper } from './_lib/createSleeper.js'
+import type { RunningService } from '../../kernel/index.js'
+import type { Clock, Configuration, ConfigurationHolder, ConfigurationRoot, Logger, Member, PeerTransport, Platform, RandomSource } from '../../types/index.js'
+
+export type ConfigurationDependencies = {
+  readonly platform: Platform
+  readonly peerTransport: PeerTransport
+  /** The members that are known; this node is left out when it is among them. */
+  readonly peers: () => readonly Member[]
+  /** Calls the listener whenever a peer's state or generation may have changed. */
+  readonly onPeerChange: (listener: () => void) => void
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly logger: Logger
+  /** SHA-256 as hexadecimal digits. */
+  readonly hashContent: (content: string | Uint8Array) => string
+}
+
+export type ConfigurationOptions = {
+  readonly nodeId: string
+  readonly availabilityZone: string
+  readonly watchTimeoutMs: number
+  readonly peerTimeoutMs: number
+  /** Nodes of a zone that hold a watch at the platform; the others hear from them. 2 by default. */
+  readonly watchersPerZone?: number
+  /** How often a node without a watch reads the root. A minute by default. */
+  readonly pollIntervalMs?: number
+  readonly minimumBackoffMs?: number
+  readonly maximumBackoffMs?: number
+  /** Fetches after a peer's news are spread over this time, so that they find several holders. */
+  readonly fetchSpreadMs?: number
+}
+
+const DEFAULTS = {
+  watchersPerZone: 2,
+  pollIntervalMs: 60_000,
+  minimumBackoffMs: 250,
+  maximumBackoffMs: 2_000,
+  fetchSpreadMs: 400
+}
+
+const MAXIMUM_REASON_LENGTH = 500
+
+/**
+ * Creates the holder of the configuration in force.
+ *
+ * It answers peers that ask for the root or a chunk. `start` returns at once;
+ * until the first configuration is there `current()` is `undefined` and
+ * `pending()` says why, with generation 0 when none has been heard of.
+ *
+ * @param dependencies - Platform, peers, clock, random source, logger and hash.
+ * @param options - Name and zone of the node; times in milliseconds.
+ * @returns The service for the kernel.
+ *
+ * @example
+ * const { api, start } = createConfiguration(dependencies, { nodeId: 'router-1', availabilityZone: 'venkov-a', watchTimeoutMs: 30000, peerTimeoutMs: 500 })
+ * await start?.()
+ * api.generation() // => 0 until the first configuration was fetched
+ */
+export const createConfiguration = (dependencies: ConfigurationDependencies, options: ConfigurationOptions): RunningService<ConfigurationHolder> => {
+  const { clock, random, logger, platform, peerTransport, peers } = dependencies
+  const settings = { ...DEFAULTS, ...options }
+  const listeners: ((configuration: Configuration) => void)[] = []
+  const refreshSleeper = createSleeper(clock)
+  const watchSleeper = createSleeper(clock)
+  const reader = createRootReader(platform, peerTransport, settings.peerTimeoutMs)
+  const installer = createInstaller(createChunkFetcher(dependencies, settings))
+  let offered: FoundRoot | undefined
+  let divergence: string | undefined
+  let problems: readonly string[] = []
+  let running = false
+  let refreshing = false
+  let soughtGeneration = 0
+
+  const others = (): readonly Member[] => peers().filter(({ nodeId, state }) => nodeId !== settings.nodeId && state !== 'dead')
+  const highestHeard = (): number => Math.max(offered?.root.generation ?? 0, ...others().map(({ generation }) => generation))
+  const isRunning = (): boolean => running
+  const isBehind = (): boolean => highestHeard() > installer.generation()
+
+  const install = async (found: FoundRoot): Promise<readonly string[]> => {
+    const outcome = await installer.install(found)
+    if (!outcome.ok) return [outcome.error]
+    if (outcome.value !== undefined) announce(outcome.value)
+    return []
+  }
+
+  const announce = (configuration: Configuration): void => {
+    const { generation, appliedBy, applyId } = configuration
+    logger.info('configuration in force', { generation, appliedBy, applyId })
+    for (const listener of listeners) listener(configuration)
+  }
+
+  /** Asks peers that have a higher generation, until one of them has brought this node up to what was heard of. */
+  const installFromPeers = async (): Promise<readonly string[]> => {
+    const found: string[] = []
+    for (const peer of choosePeers(others(), installer.generation() + 1, settings, random)) {
+      if (!isBehind()) return []
+      const root = await reader.readFromPeer(peer)
+      if (!root.ok) found.push(root.error)
+      else if (root.value !== undefined) found.push(...await install(root.value))
+    }
+    return found
+  }
+
+  const installFromPlatform = async (): Promise<readonly string[]> => {
+    const root = await reader.readFromPlatform()
+    if (!root.ok) return [root.error]
+    return root.value === undefined ? ['the platform has no root'] : install(root.value)
+  }
+
+  const attempt = async (): Promise<void> => {
+    soughtGeneration = highestHeard()
+    const found: string[] = offered === undefined ? [] : [...await install(offered)]
+    if (isBehind()) found.push(...await installFromPeers())
+    if (isBehind()) found.push(...await installFromPlatform())
+    problems = found
+  }
+
+  const refresh = async (): Promise<void> => {
+    if (refreshing) return
+    refreshing = true
+    for (let failures = 0; isRunning() && isBehind(); failures += 1) {
+      if (failures > 0) await refreshSleeper.sleep(computeBackoff(failures, settings, random.next()))
+      await attempt()
+    }
+    refreshing = false
+  }
+
+  /** A retry that waits out its backoff is woken by news of a generation that it did not seek yet. */
+  const onNews = (): void => {
+    if (!running || !isBehind()) return
+    if (refreshing && highestHeard() > soughtGeneration) refreshSleeper.wake()
+    refresh()
+  }
+
+  const onRoot = (found: FoundRoot, generationBefore: number): void => {
+    divergence = describeDivergence(found.root, generationBefore, installer)
+    if (divergence !== undefined) logger.error(divergence, { generation: installer.generation() })
+    if (found.root.generation <= (offered?.root.generation ?? 0)) return
+    offered = found
+    onNews()
+  }
+
+  const watch = createPlatformWatch({
+    platform,
+    reader,
+    random,
+    sleeper: watchSleeper,
+    isWatcher: () => isZoneWatcher(settings, others(), settings.watchersPerZone),
+    isRunning,
+    generation: installer.generation,
+    onRoot
+  }, settings)
+
+  const readPending: ConfigurationHolder['pending'] = () => {
+    const generation = highestHeard()
+    if (isBehind()) return { generation, reason: problems.length === 0 ? 'being fetched' : [...new Set(problems)].join('; ').slice(0, MAXIMUM_REASON_LENGTH) }
+    if (installer.generation() === 0) return { generation: 0, reason: watch.state() }
+    return divergence === undefined ? undefined : { generation: installer.generation(), reason: divergence }
+  }
+
+  peerTransport.handle('rootRequest', () => replyWith('root', 'root', installer.readRoot()))
+  peerTransport.handle('chunkRequest', ({ hash }) => replyWith('chunk', 'bytes', installer.readChunk(hash)))
+  dependencies.onPeerChange(() => {
+    watch.reconsider()
+    if (running && isBehind()) clock.setTimer(random.next() * settings.fetchSpreadMs, onNews)
+  })
+
+  return {
+    api: {
+      current: installer.current,
+      generation: installer.generation,
+      onChange: (listener) => { listeners.push(listener) },
+      pending: readPending
+    },
+    start: () => {
+      running = true
+      watch.run()
+      onNews()
+    },
+    stop: () => {
+      running = false
+      refreshSleeper.stop()
+      watchSleeper.stop()
+    }
+  }
+}
+
+const replyWith = <Kind extends 'root' | 'chunk', Field extends string>(kind: Kind, field: Field, bytes: Uint8Array | undefined): { readonly kind: Kind } =>
+  bytes === undefined ? { kind } : { kind, [field]: bytes }
+
+/**
+ * A platform that lost the latest accepted root, restored from a backup, can
+ * accept another under the same or a lower number. This node stays where it
+ * is and says so; `sheet apply` then goes above what the fleet has. A root is
+ * only held against the generation from before it was read: a reply that was
+ * under way while a peer brought news is merely late.
+ */
+const describeDivergence = (root: ConfigurationRoot, generationBefore: number, installer: Pick<Installer, 'generation' | 'applyId'>): string | undefined => {
+  if (root.generation < generationBefore) return `the platform is back at generation ${root.generation}, below the one in force`
+  if (root.generation !== installer.generation() || root.applyId === installer.applyId()) return undefined
+  return `the platform has another configuration under generation ${root.generation}, applied by ${root.appliedBy}`
+}
--- a/src/types/configuration.ts
+++ b/src/types/configuration.ts
@@ -84,3 +84,42 @@
   readonly column: number
   readonly message: string
 }
+
+/** A fault of one record, before its place in the file is known. */
+export type SheetFault = {
+  readonly record: keyof Sheet
+  /** Position of the record in its list, from 0. */
+  readonly index: number
+  readonly column: SheetColumn
+  readonly message: string
+}
+
+/** The columns of a sheet's header row, in the order in which they are written. */
+export type SheetColumn =
+  | 'record' | 'name' | 'weight' | 'keySha256' | 'kind' | 'loadLimit' | 'loadTarget' | 'service' | 'url'
+  | 'availabilityZone' | 'slots' | 'model' | 'path' | 'repeatable' | 'backendIdempotent' | 'deadlineSeconds'
+  | 'priority' | 'backendServer' | 'startsAt' | 'endsAt'
+
+/** Values of the `record` column. */
+export type SheetRecordKind = 'clientAccount' | 'service' | 'backendServer' | 'route' | 'plannedStop'
+
+/** One accepted generation, as the root object remembers it. */
+export type AppliedGeneration = {
+  readonly generation: number
+  readonly applyId: string
+  readonly appliedBy: string
+  /** Wall-clock milliseconds since 1970. */
+  readonly appliedAt: number
+  readonly sheetHash: string
+}
+
+/** The object `configuration/root`: its conditional update is the acceptance of a sheet. */
+export type ConfigurationRoot = AppliedGeneration & {
+  /** Content hashes of the chunks, in bucket order. */
+  readonly chunks: readonly string[]
+  /** Generations before this one, newest first, bounded. */
+  readonly history: readonly AppliedGeneration[]
+}
+
+/** A part of a sheet under its content hash. */
+export type ConfigurationChunk = { readonly hash: string, readonly bytes: Uint8Array }
