--- /dev/null
+++ b/src/emulator/createManualClock/index.ts
@@ -0,0 +1,104 @@
+/** A clock that moves only when told to, for benches and tests in one process. */
+import type { Clock } from '../../types/index.js'
+
+export type ManualClock = Clock & {
+  /** Moves time forward and runs the timers that fall due, in their order. */
+  readonly advance: (durationMs: number) => void
+  /** Runs timers until none is left or `limitMs` has passed; returns the time that passed. */
+  readonly runUntilIdle: (limitMs: number) => number
+}
+
+/** `callback` goes when the timer runs or is cancelled. */
+type PendingTimer = { readonly dueAt: number, readonly order: number, callback: (() => void) | undefined }
+
+/**
+ * Creates a clock that stands still until it is advanced.
+ *
+ * Timers due at the same time run in the order in which they were set, so a
+ * run with a seeded random source repeats exactly.
+ *
+ * @param startAt - Wall-clock time at the start, in milliseconds since 1970.
+ * @returns The clock, with `advance` to move it.
+ *
+ * @example
+ * const clock = createManualClock()
+ * clock.setTimer(10, () => console.log('due'))
+ * clock.advance(10) // prints "due"
+ */
+export const createManualClock = (startAt = 0): ManualClock => {
+  const heap: PendingTimer[] = []
+  let now = 0
+  let order = 0
+
+  const runNext = (limit: number): boolean => {
+    if (heap[0] === undefined || heap[0].dueAt > limit) return false
+    const timer = popEarliest(heap)
+    if (timer.callback === undefined) return true
+    now = Math.max(now, timer.dueAt)
+    timer.callback()
+    timer.callback = undefined
+    return true
+  }
+
+  const runAllDue = (limit: number): void => {
+    while (runNext(limit));
+  }
+
+  return {
+    now: () => now,
+    wallTime: () => startAt + now,
+    setTimer: (delayMs, callback) => {
+      const timer: PendingTimer = { dueAt: now + Math.max(0, delayMs), order: order++, callback }
+      pushTimer(heap, timer)
+      return { cancel: () => { timer.callback = undefined } }
+    },
+    advance: (durationMs) => {
+      const target = now + durationMs
+      runAllDue(target)
+      now = target
+    },
+    runUntilIdle: (limitMs) => {
+      const startedAt = now
+      runAllDue(startedAt + limitMs)
+      return now - startedAt
+    }
+  }
+}
+
+const isEarlier = (left: PendingTimer, right: PendingTimer): boolean =>
+  left.dueAt < right.dueAt || (left.dueAt === right.dueAt && left.order < right.order)
+
+const swap = (heap: PendingTimer[], left: number, right: number): void => {
+  const kept = heap[left]!
+  heap[left] = heap[right]!
+  heap[right] = kept
+}
+
+const pushTimer = (heap: PendingTimer[], timer: PendingTimer): void => {
+  heap.push(timer)
+  let index = heap.length - 1
+  while (index > 0) {
+    const parent = (index - 1) >> 1
+    if (!isEarlier(heap[index]!, heap[parent]!)) return
+    swap(heap, index, parent)
+    index = parent
+  }
+}
+
+const popEarliest = (heap: PendingTimer[]): PendingTimer => {
+  const earliest = heap[0]!
+  const last = heap.pop()!
+  if (heap.length === 0) return earliest
+  heap[0] = last
+  let index = 0
+  while (true) {
+    const left = 2 * index + 1
+    const right = left + 1
+    let smallest = index
+    if (left < heap.length && isEarlier(heap[left]!, heap[smallest]!)) smallest = left
+    if (right < heap.length && isEarlier(heap[right]!, heap[smallest]!)) smallest = right
+    if (smallest === index) return earliest
+    swap(heap, index, smallest)
+    index = smallest
+  }
+}
