Claim keys at most once through the platform's log

Cause: a request that may not be repeated must have one sender, without a consensus group and without trusting time-outs. Keys hash to shards; a shard is a log of batches that are created only where none exists, and its fold names one claimant. A release voids its claim id for good, in whichever order the two reach the log, so a lost reply never blocks a key or frees a sent one.

Ruled out: long leases on key ranges (a paused holder doubles an order), and timed guards for pruning (a suspended VM's clock may stand still).

--- /dev/null
+++ b/src/services/claims/_lib/answerNotKept.ts
@@ -0,0 +1,17 @@
+import type { StoredAnswer } from '../../../types/index.js'
+
+const CONFLICT_STATUS = 409
+
+/** What a repeat gets when the request was completed and its answer was too large to keep: it ran, and does not run again. */
+export const answerNotKept = (): StoredAnswer => ({
+  status: CONFLICT_STATUS,
+  headers: { 'content-type': 'application/json', 'x-should-retry': 'false' },
+  body: new TextEncoder().encode(JSON.stringify({
+    error: {
+      message: 'The request with this idempotency key was completed. Its answer was too large to keep.',
+      type: 'invalid_request_error',
+      code: 'answerNotKept',
+      outcome: 'complete'
+    }
+  }))
+})
--- /dev/null
+++ b/src/services/claims/_lib/codecs.ts
@@ -0,0 +1,85 @@
+/**
+ * The bytes of the claim log: batches, snapshots, floors, and the entries and
+ * records that routers send each other. What is read is checked in shape, so
+ * that a damaged object makes its shard unavailable and is never folded.
+ */
+import { decode, encode } from 'cbor-x'
+import { z } from 'zod'
+import type { ClaimBatch, ClaimEntry, ClaimRecord } from '../../../decisions/foldClaims/index.js'
+
+const storedAnswer = z.object({
+  status: z.number(),
+  headers: z.record(z.string(), z.string()),
+  body: z.instanceof(Uint8Array)
+})
+
+const claimEntry = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('claim'), keyId: z.string(), claimId: z.string(), bodyHash: z.string(), holder: z.string() }),
+  z.object({ kind: z.literal('release'), keyId: z.string(), claimId: z.string() }),
+  z.object({ kind: z.literal('completion'), keyId: z.string(), claimId: z.string(), answer: storedAnswer.optional() })
+])
+
+const claimBatch = z.object({
+  batchId: z.string(),
+  writtenAt: z.number(),
+  forgetBefore: z.number(),
+  entries: z.array(claimEntry)
+})
+
+const claimRecord = z.object({
+  claimId: z.string(),
+  bodyHash: z.string(),
+  holder: z.string(),
+  writtenAt: z.number(),
+  state: z.enum(['open', 'complete']),
+  answer: storedAnswer.optional()
+})
+
+const claimSnapshot = z.object({
+  /** The first sequence number that is not folded into the snapshot. */
+  floor: z.number(),
+  forgetBefore: z.number(),
+  records: z.array(z.tuple([z.string(), claimRecord])),
+  releases: z.array(z.tuple([z.string(), z.number()]))
+})
+
+const claimFloor = z.object({ floor: z.number() })
+
+const claimLayout = z.object({ shards: z.number().int().min(1) })
+
+export type ClaimSnapshot = {
+  readonly floor: number
+  readonly forgetBefore: number
+  readonly records: readonly (readonly [string, ClaimRecord])[]
+  readonly releases: readonly (readonly [string, number])[]
+}
+
+export type ClaimFloor = { readonly floor: number }
+
+/** Number of shards, fixed in the platform: nodes that counted differently would look for a key in different logs. */
+export type ClaimLayout = { readonly shards: number }
+
+type Codec<Value> = {
+  readonly encode: (value: Value) => Uint8Array
+  /** Gives `undefined` for bytes that are damaged or of another shape. */
+  readonly decode: (bytes: Uint8Array) => Value | undefined
+}
+
+const createCodec = <Value>(schema: z.ZodType<unknown>): Codec<Value> => ({
+  encode: (value) => encode(value),
+  decode: (bytes) => {
+    try {
+      const parsed = schema.safeParse(decode(bytes))
+      return parsed.success ? parsed.data as Value : undefined
+    } catch {
+      return undefined
+    }
+  }
+})
+
+export const entryCodec = createCodec<ClaimEntry>(claimEntry)
+export const batchCodec = createCodec<ClaimBatch>(claimBatch)
+export const recordCodec = createCodec<ClaimRecord>(claimRecord)
+export const snapshotCodec = createCodec<ClaimSnapshot>(claimSnapshot)
+export const floorCodec = createCodec<ClaimFloor>(claimFloor)
+export const layoutCodec = createCodec<ClaimLayout>(claimLayout)
--- /dev/null
+++ b/src/services/claims/_lib/createBackgroundEntries.ts
@@ -0,0 +1,72 @@
+/**
+ * Releases and completions on their way to the log. Nobody waits for them with
+ * a deadline, so they are tried again until the platform takes them. Lost ones
+ * (this node dies) leave a key claimed with an unknown outcome, which is safe.
+ */
+import type { ClaimCompletionEntry, ClaimReleaseEntry } from '../../../decisions/foldClaims/index.js'
+import type { ClaimsDependencies } from '../index.js'
+import type { EntryRouter } from './createEntryRouter.js'
+
+export type BackgroundEntry = ClaimReleaseEntry | ClaimCompletionEntry
+
+/** Beyond this, the oldest is given up: an outage must not fill the node's memory. */
+const MAXIMUM_ENTRIES = 5_000
+
+/** What stopping allows for a last try, in pauses of an outage. */
+const STOP_ATTEMPTS = 2
+
+export type BackgroundEntries = {
+  /** Resolves once the entry is in the log, or was given up. */
+  readonly add: (entry: BackgroundEntry) => Promise<void>
+  readonly find: (keyId: string) => BackgroundEntry | undefined
+  readonly stop: () => Promise<void>
+}
+
+export const createBackgroundEntries = (dependencies: ClaimsDependencies, router: EntryRouter): BackgroundEntries => {
+  const { clock, logger, options } = dependencies
+  const waiting = new Map<string, { readonly entry: BackgroundEntry, readonly settle: () => void }>()
+  let isStopping = false
+
+  const giveUp = (claimId: string): void => {
+    waiting.get(claimId)?.settle()
+    waiting.delete(claimId)
+  }
+
+  const pause = (): Promise<void> => new Promise((resolve) => { clock.setTimer(options.outagePauseMs, resolve) })
+
+  const write = async (entry: BackgroundEntry): Promise<void> => {
+    let attemptsWhileStopping = 0
+    while (waiting.has(entry.claimId)) {
+      const result = await router.submit(entry, false)
+      if (result.ok) break
+      if (isStopping) attemptsWhileStopping += 1
+      if (attemptsWhileStopping >= STOP_ATTEMPTS) break
+      await pause()
+    }
+    giveUp(entry.claimId)
+  }
+
+  const dropOldest = (): void => {
+    const [oldest] = waiting.keys()
+    if (waiting.size < MAXIMUM_ENTRIES || oldest === undefined) return
+    logger.warn('a claim entry was given up because too many wait for the platform', { claimId: oldest })
+    giveUp(oldest)
+  }
+
+  const add = (entry: BackgroundEntry): Promise<void> => {
+    dropOldest()
+    return new Promise((resolve) => {
+      waiting.set(entry.claimId, { entry, settle: resolve })
+      write(entry)
+    })
+  }
+
+  return {
+    add,
+    find: (keyId) => [...waiting.values()].map(({ entry }) => entry).find((entry) => entry.keyId === keyId),
+    stop: async () => {
+      isStopping = true
+      while (waiting.size > 0) await pause()
+    }
+  }
+}
--- /dev/null
+++ b/src/services/claims/_lib/createShardQueue.ts
@@ -0,0 +1,148 @@
+/**
+ * Gathers the entries that come in for one shard and commits them in batches,
+ * one at a time and at most one each flush interval, so that the writes a
+ * second at the platform do not grow with the request rate.
+ */
+import { failure, success } from '../../../kernel/index.js'
+import type { ClaimEntry, ClaimRecord } from '../../../decisions/foldClaims/index.js'
+import type { Clock, Platform, Result } from '../../../types/index.js'
+import type { ShardLog, ShardLogError } from './createShardLog.js'
+import { pruneShard } from './pruneShard.js'
+import type { PlatformGate } from './createPlatformGate.js'
+
+const MAXIMUM_BATCH_ENTRIES = 500
+
+/** Keeps a batch with answers far below the platform's limit of a megabyte. */
+const MAXIMUM_BATCH_BYTES = 400_000
+
+/** Beyond this, entries are refused: a queue that never empties helps nobody. */
+const MAXIMUM_QUEUED_ENTRIES = 10_000
+
+/** What holds the entry's key once the entry was taken to the log. */
+export type EntryVerdict = { readonly record?: ClaimRecord | undefined }
+
+export type ShardQueue = {
+  readonly submit: (entry: ClaimEntry) => Promise<Result<EntryVerdict, ShardLogError>>
+  readonly findRecord: (keyId: string) => ClaimRecord | undefined
+  readonly isIdle: () => boolean
+}
+
+export type ShardQueueDependencies = {
+  readonly clock: Clock
+  readonly platform: Platform
+  readonly gate: PlatformGate
+  readonly log: ShardLog
+}
+
+export type ShardQueueOptions = {
+  readonly shard: number
+  readonly flushIntervalMs: number
+  /** Batches after which the shard is folded into its snapshot. */
+  readonly pruneEvery: number
+  readonly isPruner: () => boolean
+}
+
+type QueuedEntry = {
+  readonly entry: ClaimEntry
+  readonly settle: (result: Result<EntryVerdict, ShardLogError>) => void
+}
+
+const measureEntry = (entry: ClaimEntry): number =>
+  entry.keyId.length + (entry.kind === 'completion' ? entry.answer?.body.byteLength ?? 0 : 0)
+
+/**
+ * Creates the queue before one shard's log.
+ *
+ * @param dependencies - Clock, platform, gate and the shard's log.
+ * @param options - Shard number, flush interval in milliseconds, pruning.
+ * @returns The queue; it starts with the first entry and needs no stop.
+ */
+export const createShardQueue = (dependencies: ShardQueueDependencies, options: ShardQueueOptions): ShardQueue => {
+  const { clock, platform, gate, log } = dependencies
+  let queued: QueuedEntry[] = []
+  let isFlushing = false
+  let isScheduled = false
+  let isPruning = false
+  let lastFlushAt = -Infinity
+  let prunedThrough: number | undefined
+
+  const takeBatch = (): readonly QueuedEntry[] => {
+    let bytes = 0
+    let count = 0
+    for (const { entry } of queued) {
+      bytes += measureEntry(entry)
+      if (count > 0 && (bytes > MAXIMUM_BATCH_BYTES || count >= MAXIMUM_BATCH_ENTRIES)) break
+      count += 1
+    }
+    const batch = queued.slice(0, count)
+    queued = queued.slice(count)
+    return batch
+  }
+
+  const isBlocked = (entry: ClaimEntry): boolean => {
+    if (entry.kind !== 'claim') return false
+    const record = log.findRecord(entry.keyId)
+    return record !== undefined && record.claimId !== entry.claimId
+  }
+
+  /** A claim that finds its key held needs no write, once the log was read to its end. */
+  const commit = async (entries: readonly ClaimEntry[]): Promise<Result<undefined, ShardLogError>> => {
+    if (entries.some(isBlocked)) {
+      const synchronized = await log.synchronize()
+      if (!synchronized.ok) return synchronized
+    }
+    const needed = entries.filter((entry) => !isBlocked(entry))
+    return needed.length === 0 ? success(undefined) : await log.append(needed)
+  }
+
+  const prune = async (): Promise<void> => {
+    if (isPruning || !options.isPruner()) return
+    prunedThrough ??= Math.max(0, log.nextSequence() - options.pruneEvery)
+    if (log.nextSequence() - prunedThrough < options.pruneEvery) return
+    const snapshot = log.toSnapshot()
+    if (snapshot === undefined) return
+    isPruning = true
+    prunedThrough = snapshot.floor
+    await pruneShard(platform, options.shard, snapshot)
+    isPruning = false
+  }
+
+  const settleBatch = (batch: readonly QueuedEntry[], result: Result<undefined, ShardLogError>): void => {
+    for (const { entry, settle } of batch) {
+      settle(result.ok ? success({ record: log.findRecord(entry.keyId) }) : failure(result.error))
+    }
+  }
+
+  const flush = async (): Promise<void> => {
+    isScheduled = false
+    isFlushing = true
+    lastFlushAt = clock.now()
+    const batch = takeBatch()
+    const result = await commit(batch.map(({ entry }) => entry))
+    gate.record(result.ok)
+    settleBatch(batch, result)
+    if (result.ok) prune()
+    isFlushing = false
+    schedule()
+  }
+
+  const schedule = (): void => {
+    if (isFlushing || isScheduled || queued.length === 0) return
+    isScheduled = true
+    const delay = Math.max(0, lastFlushAt + options.flushIntervalMs - clock.now())
+    clock.setTimer(delay, () => { flush() })
+  }
+
+  return {
+    submit: (entry) => new Promise((resolve) => {
+      if (queued.length >= MAXIMUM_QUEUED_ENTRIES) {
+        resolve(failure({ kind: 'notWritten', message: 'too many claims are waiting for the platform' }))
+        return
+      }
+      queued.push({ entry, settle: resolve })
+      schedule()
+    }),
+    findRecord: (keyId) => log.findRecord(keyId),
+    isIdle: () => !isFlushing && !isPruning && queued.length === 0
+  }
+}
--- /dev/null
+++ b/src/services/claims/_lib/createShardState.ts
@@ -0,0 +1,56 @@
+/**
+ * One shard's folded records, held in place. `foldClaims` decides each change;
+ * this module applies it, and drops what the retention has made void.
+ */
+import { foldClaims } from '../../../decisions/foldClaims/index.js'
+import type { ClaimBatch, ClaimChanges, ClaimRecord } from '../../../decisions/foldClaims/index.js'
+import type { ClaimSnapshot } from './codecs.js'
+
+export type ShardState = {
+  readonly fold: (batch: ClaimBatch) => void
+  readonly findRecord: (keyId: string) => ClaimRecord | undefined
+  readonly isReleased: (claimId: string) => boolean
+  readonly toSnapshot: (floor: number) => ClaimSnapshot
+}
+
+export const createShardState = (snapshot?: ClaimSnapshot): ShardState => {
+  const records = new Map<string, ClaimRecord>(snapshot?.records ?? [])
+  const releases = new Map<string, number>(snapshot?.releases ?? [])
+  let forgetBefore = snapshot?.forgetBefore ?? 0
+
+  const apply = (changes: ClaimChanges): void => {
+    forgetBefore = changes.forgetBefore
+    for (const [claimId, writtenAt] of changes.releases) releases.set(claimId, writtenAt)
+    for (const [keyId, record] of changes.records) {
+      records.delete(keyId)
+      if (record !== undefined) records.set(keyId, record)
+    }
+  }
+
+  // Entries lie in the order of their writing, so the oldest come first. A
+  // writer's slow clock may hide an old one behind a younger one; it stays a
+  // little longer in memory, and `findRecord` does not show it.
+  const dropForgotten = (): void => {
+    for (const [keyId, record] of records) {
+      if (record.writtenAt >= forgetBefore) break
+      records.delete(keyId)
+    }
+    for (const [claimId, writtenAt] of releases) {
+      if (writtenAt >= forgetBefore) break
+      releases.delete(claimId)
+    }
+  }
+
+  return {
+    fold: (batch) => {
+      apply(foldClaims({ forgetBefore, records, releases }, batch))
+      dropForgotten()
+    },
+    findRecord: (keyId) => {
+      const record = records.get(keyId)
+      return record === undefined || record.writtenAt < forgetBefore ? undefined : record
+    },
+    isReleased: (claimId) => releases.has(claimId),
+    toSnapshot: (floor) => ({ floor, forgetBefore, records: [...records], releases: [...releases] })
+  }
+}
--- /dev/null
+++ b/src/services/claims/index.ts
@@ -0,0 +1,146 @@
+/**
+ * At-most-once claims. Before a request that may not be repeated is sent, its
+ * key is claimed in a log that the platform keeps; the fold of the log names
+ * one claimant, and only that one sends.
+ *
+ * Nobody takes a claim over on a time-out: a claimant that was paused and
+ * wakes is still the only sender. The price is that a claimant that dies after
+ * its claim leaves the key with an unknown outcome until the retention ends.
+ */
+import type { ClaimRecord } from '../../decisions/foldClaims/index.js'
+import type { ClaimKey, ClaimOutcome, Claims, Clock, Logger, Membership, PeerTransport, Platform, RandomSource, StoredAnswer } from '../../types/index.js'
+import type { RunningService } from '../../kernel/index.js'
+import { answerNotKept } from './_lib/answerNotKept.js'
+import { createBackgroundEntries } from './_lib/createBackgroundEntries.js'
+import { createEntryRouter } from './_lib/createEntryRouter.js'
+import { createOpenClaims } from './_lib/createOpenClaims.js'
+import type { EndedClaim, OpenClaim, OpenClaimEnd } from './_lib/createOpenClaims.js'
+import { createOutcomeExchange } from './_lib/createOutcomeExchange.js'
+import { formatKeyId } from './_lib/formatKeyId.js'
+
+export type ClaimsOptions = {
+  /** Number of shards for the first node ever; later nodes take it from the platform. */
+  readonly shards: number
+  /** Least milliseconds between two writes to one shard by one node. */
+  readonly flushIntervalMs: number
+  /** Milliseconds after which a claim is forgotten: the horizon of the promise. */
+  readonly retentionMs: number
+  readonly peerTimeoutMs: number
+  /** Answers with a larger body are not kept for repeats. */
+  readonly maximumAnswerBytes: number
+  /** Milliseconds between attempts while the platform is down. */
+  readonly outagePauseMs: number
+  /** Batches of a shard after which it is folded into its snapshot. */
+  readonly pruneEvery: number
+}
+
+export type ClaimsDependencies = {
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly platform: Platform
+  readonly transport: PeerTransport
+  readonly membership: Membership
+  readonly logger: Logger
+  readonly options: ClaimsOptions
+}
+
+/**
+ * Creates the claims service of one node.
+ *
+ * @param dependencies - What the service works with, and its options.
+ * @returns The service; `stop` writes out what still waits, as far as the platform lets it.
+ *
+ * @example
+ * const { api } = createClaims(dependencies)
+ * const outcome = await api.claim({ clientAccount: 'deli', idempotencyKey: 'order-1' }, bodyHash)
+ * if (outcome.kind === 'granted') await send()
+ */
+export const createClaims = (dependencies: ClaimsDependencies): RunningService<Claims> => {
+  const { clock, random, membership, options } = dependencies
+  const router = createEntryRouter(dependencies)
+  const background = createBackgroundEntries(dependencies, router)
+  const openClaims = createOpenClaims()
+  const exchange = createOutcomeExchange(dependencies, background)
+
+  const judgeRecord = async (key: ClaimKey, record: ClaimRecord, bodyHash: string): Promise<ClaimOutcome> => {
+    if (record.bodyHash !== bodyHash) return { kind: 'keyReused' }
+    if (record.state === 'complete') return { kind: 'answered', answer: record.answer ?? answerNotKept() }
+    const answer = await exchange.askHolder(key, record)
+    if (answer !== undefined) return { kind: 'answered', answer }
+    return { kind: 'claimedElsewhere', holder: record.holder }
+  }
+
+  const claimFirst = async (key: ClaimKey, keyId: string, bodyHash: string): Promise<ClaimOutcome> => {
+    const claimId = random.nextId()
+    const holder = membership.self().nodeId
+    openClaims.open(keyId, claimId, bodyHash)
+    const result = await router.submit({ kind: 'claim', keyId, claimId, bodyHash, holder }, true)
+    if (result.ok && result.value.record?.claimId === claimId) return { kind: 'granted', claimId }
+    // From here on this claim id is never sent under, so its release is true
+    // whether the claim is in the log, gets there later, or never does.
+    if (!result.ok && result.error.kind === 'outcomeUnknown') background.add({ kind: 'release', keyId, claimId })
+    openClaims.end(keyId, claimId, { kind: 'released' })
+    if (!result.ok) return { kind: 'unavailable', message: result.error.message }
+    if (result.value.record === undefined) return { kind: 'unavailable', message: 'the claim was not taken into the log' }
+    return await judgeRecord(key, result.value.record, bodyHash)
+  }
+
+  const whenEndedOrLate = (open: OpenClaim, waitUntil: number): Promise<OpenClaimEnd | undefined> =>
+    new Promise((resolve) => {
+      const timer = clock.setTimer(Math.max(0, waitUntil - clock.now()), () => { resolve(undefined) })
+      open.whenEnded.then((end) => {
+        timer.cancel()
+        resolve(end)
+      })
+    })
+
+  const judgeEnded = (ended: EndedClaim, bodyHash: string): ClaimOutcome => {
+    if (ended.bodyHash !== bodyHash) return { kind: 'keyReused' }
+    if (ended.end.kind === 'completed') return { kind: 'answered', answer: ended.end.answer }
+    return { kind: 'claimedElsewhere', holder: membership.self().nodeId }
+  }
+
+  const joinOpen = async (open: OpenClaim, bodyHash: string, waitUntil: number | undefined): Promise<ClaimOutcome | 'released'> => {
+    if (open.bodyHash !== bodyHash) return { kind: 'keyReused' }
+    const end = waitUntil === undefined ? undefined : await whenEndedOrLate(open, waitUntil)
+    if (end?.kind === 'completed') return { kind: 'answered', answer: end.answer }
+    if (end?.kind === 'released') return 'released'
+    return { kind: 'claimedElsewhere', holder: membership.self().nodeId }
+  }
+
+  const claim = async (key: ClaimKey, bodyHash: string, waitUntil?: number): Promise<ClaimOutcome> => {
+    const keyId = formatKeyId(key)
+    for (;;) {
+      const ended = openClaims.findEnded(keyId)
+      if (ended !== undefined) return judgeEnded(ended, bodyHash)
+      const open = openClaims.find(keyId)
+      if (open === undefined) return await claimFirst(key, keyId, bodyHash)
+      const joined = await joinOpen(open, bodyHash, waitUntil)
+      if (joined !== 'released') return joined
+    }
+  }
+
+  const release = async (key: ClaimKey, claimId: string): Promise<void> => {
+    const keyId = formatKeyId(key)
+    const written = background.add({ kind: 'release', keyId, claimId })
+    openClaims.end(keyId, claimId, { kind: 'released' })
+    await written
+  }
+
+  const complete = async (key: ClaimKey, claimId: string, answer: StoredAnswer): Promise<void> => {
+    const keyId = formatKeyId(key)
+    const isKept = answer.body.byteLength <= options.maximumAnswerBytes
+    const written = background.add({ kind: 'completion', keyId, claimId, answer: isKept ? answer : undefined })
+    openClaims.end(keyId, claimId, { kind: 'completed', answer })
+    await written
+  }
+
+  const recordUnknown = (key: ClaimKey, claimId: string): void => {
+    openClaims.end(formatKeyId(key), claimId, { kind: 'unknown' })
+  }
+
+  return {
+    api: { claim, release, complete, recordUnknown },
+    stop: () => background.stop()
+  }
+}
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -70,7 +70,8 @@
   | { readonly kind: 'root', readonly root?: Uint8Array }
   | { readonly kind: 'chunk', readonly bytes?: Uint8Array }
   | { readonly kind: 'directoryEntry', readonly backendServer?: string }
-  | { readonly kind: 'claimAppended', readonly accepted: readonly boolean[] }
+  /** For each entry whether its claim holds the key, and the encoded record that does; empty bytes when none does. */
+  | { readonly kind: 'claimAppended', readonly accepted: readonly boolean[], readonly records?: readonly Uint8Array[] }
   | { readonly kind: 'claimRefused', readonly message: string }
   | { readonly kind: 'claimOutcome', readonly outcome?: Uint8Array }
 
--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -90,11 +90,18 @@
 }
 
 export type Claims = {
-  readonly claim: (key: ClaimKey, bodyHash: string) => Promise<ClaimOutcome>
+  /**
+   * Asks to be the one sender of a key. A repeat of a key that is in flight on
+   * this node waits for its answer until `waitUntil` (the clock's monotonic
+   * milliseconds); without it, the repeat is told `claimedElsewhere` at once.
+   */
+  readonly claim: (key: ClaimKey, bodyHash: string, waitUntil?: number) => Promise<ClaimOutcome>
   /** Gives a claim back; only for a request that was surely not sent. */
   readonly release: (key: ClaimKey, claimId: string) => Promise<void>
   /** Records the final answer of a claimed request, so that a repeat gets it again. */
   readonly complete: (key: ClaimKey, claimId: string, answer: StoredAnswer) => Promise<void>
+  /** Ends the wait of repeats for a request that was sent and whose outcome will stay unknown. */
+  readonly recordUnknown?: (key: ClaimKey, claimId: string) => void
 }
 
 export type AdmissionTicket = { readonly finish: (tokensUsed: number) => void }
