--- /dev/null
+++ b/src/adapters/peerTcp/_lib/createConnection.ts
@@ -0,0 +1,142 @@
+/**
+ * One TCP connection between two routers: frames in and out, with the
+ * handshake first. The encoder and decoder live as long as the connection, so
+ * that the field names of a message are sent once and referred to afterwards.
+ */
+import type { Socket } from 'node:net'
+import { Encoder } from 'cbor-x'
+import { createFrameReader, withLength } from './createFrameReader.js'
+import { createNonce, isNonce, isProof, prove } from './handshake.js'
+import type { Role } from './handshake.js'
+import type { Clock } from '../../../types/index.js'
+
+const HANDSHAKE_FRAME_BYTES = 512
+
+export type SendOutcome = 'sent' | 'queueFull' | 'tooLarge' | 'closed'
+
+export type Connection = {
+  readonly send: (frame: unknown, kind: string) => SendOutcome
+  readonly close: () => void
+}
+
+export type ConnectionOptions = {
+  readonly socket: Socket
+  readonly role: Role
+  readonly fleetKey: string
+  readonly clock: Clock
+  readonly maximumFrameBytes: number
+  readonly maximumQueueBytes: number
+  readonly handshakeTimeoutMs: number
+  readonly countBytes: (kind: string, bytes: number) => void
+  readonly onReady: () => void
+  readonly onFrame: (frame: unknown) => void
+  /** Called once, with why; also when the handshake fails. */
+  readonly onClose: (reason: string) => void
+}
+
+type Handshake = { readonly start: () => void, readonly accept: (frame: unknown) => boolean }
+
+/** Runs the handshake on a socket, then carries frames until either side closes. */
+export const createConnection = (options: ConnectionOptions): Connection => {
+  const { socket, clock, maximumFrameBytes, maximumQueueBytes, countBytes } = options
+  const codec = new Encoder({ sequential: true })
+  let isReady = false
+  let isClosed = false
+
+  const close = (reason: string): void => {
+    if (isClosed) return
+    isClosed = true
+    handshakeTimer.cancel()
+    socket.destroy()
+    options.onClose(reason)
+  }
+
+  const write = (frame: unknown, kind: string): SendOutcome => {
+    if (isClosed) return 'closed'
+    if (socket.writableLength > maximumQueueBytes) return 'queueFull'
+    const bytes = codec.encode(frame)
+    if (bytes.length > maximumFrameBytes) {
+      // The encoder may have introduced field names in this frame that the other
+      // side will now never see; later frames would be read wrongly. A new
+      // connection starts with a new encoder.
+      close('a frame to send was too large')
+      return 'tooLarge'
+    }
+    const framed = withLength(bytes)
+    socket.write(framed)
+    countBytes(kind, framed.length)
+    return 'sent'
+  }
+
+  const finishHandshake = (): boolean => {
+    isReady = true
+    handshakeTimer.cancel()
+    reader.setMaximum(maximumFrameBytes)
+    options.onReady()
+    return true
+  }
+
+  const acceptFrame = (bytes: Buffer): void => {
+    if (isClosed) return
+    const frame = decodeFrame(codec, bytes)
+    if (frame === undefined) return close('a frame could not be decoded')
+    if (isReady) return options.onFrame(frame)
+    if (!handshake.accept(frame)) close('the peer did not prove the fleet key')
+  }
+
+  const reader = createFrameReader(HANDSHAKE_FRAME_BYTES, acceptFrame)
+  const createHandshake = options.role === 'dialer' ? createDialerHandshake : createListenerHandshake
+  const handshake = createHandshake(options.fleetKey, (frame) => { write(frame, 'handshake') }, finishHandshake)
+  // A peer that connects and says nothing would hold a connection for ever.
+  const handshakeTimer = clock.setTimer(options.handshakeTimeoutMs, () => close('the handshake timed out'))
+
+  socket.setNoDelay(true)
+  socket.on('data', (chunk) => { if (!reader.push(chunk)) close('a frame claimed too many bytes') })
+  socket.on('error', (error) => close(error.message))
+  socket.on('close', () => close('the connection was closed'))
+  handshake.start()
+  return { send: write, close: () => close('closed here') }
+}
+
+const decodeFrame = (codec: Encoder, bytes: Buffer): unknown => {
+  try {
+    const frame: unknown = codec.decode(bytes)
+    return typeof frame === 'object' && frame !== null ? frame : undefined
+  } catch {
+    return undefined
+  }
+}
+
+const createListenerHandshake = (fleetKey: string, write: (frame: unknown) => void, finish: () => boolean): Handshake => {
+  const ownNonce = createNonce()
+  return {
+    start: () => write({ nonce: ownNonce }),
+    accept: (frame) => {
+      const { nonce, proof } = frame as { readonly nonce?: unknown, readonly proof?: unknown }
+      if (!isNonce(nonce)) return false
+      if (!isProof(prove(fleetKey, 'dialer', nonce, ownNonce), proof)) return false
+      write({ proof: prove(fleetKey, 'listener', nonce, ownNonce) })
+      return finish()
+    }
+  }
+}
+
+const createDialerHandshake = (fleetKey: string, write: (frame: unknown) => void, finish: () => boolean): Handshake => {
+  const ownNonce = createNonce()
+  let listenerNonce: Uint8Array | undefined
+  const answerChallenge = (nonce: unknown): boolean => {
+    if (!isNonce(nonce)) return false
+    listenerNonce = nonce
+    write({ nonce: ownNonce, proof: prove(fleetKey, 'dialer', ownNonce, nonce) })
+    return true
+  }
+  return {
+    start: () => {},
+    accept: (frame) => {
+      const { nonce, proof } = frame as { readonly nonce?: unknown, readonly proof?: unknown }
+      if (listenerNonce === undefined) return answerChallenge(nonce)
+      if (!isProof(prove(fleetKey, 'listener', ownNonce, listenerNonce), proof)) return false
+      return finish()
+    }
+  }
+}
--- /dev/null
+++ b/src/adapters/peerTcp/_lib/createFrameReader.ts
@@ -0,0 +1,66 @@
+/**
+ * Cuts a TCP byte stream into frames: a 4-byte big-endian length, then so many
+ * bytes. Chunks are joined once per frame, not once per chunk.
+ */
+
+const LENGTH_BYTES = 4
+
+export type FrameReader = {
+  /** Takes the next bytes; gives `false` when a frame claims more than it may have. */
+  readonly push: (chunk: Uint8Array) => boolean
+  readonly setMaximum: (bytes: number) => void
+}
+
+/** Calls `onFrame` with each whole frame, in order, each in memory of its own. */
+export const createFrameReader = (initialMaximum: number, onFrame: (frame: Buffer) => void): FrameReader => {
+  let maximum = initialMaximum
+  let chunks: Uint8Array[] = []
+  let held = 0
+  let needed = LENGTH_BYTES
+  let inLength = true
+
+  const hasNeeded = (): boolean => held >= needed
+
+  const takeNeeded = (): Buffer => {
+    const joined = chunks.length === 1 ? Buffer.from(chunks[0]!) : Buffer.concat(chunks, held)
+    const rest = joined.subarray(needed)
+    chunks = rest.length === 0 ? [] : [rest]
+    held = rest.length
+    return joined.subarray(0, needed)
+  }
+
+  const readLength = (): boolean => {
+    needed = takeNeeded().readUInt32BE(0)
+    inLength = false
+    return needed <= maximum
+  }
+
+  const readBody = (): boolean => {
+    const frame = takeNeeded()
+    needed = LENGTH_BYTES
+    inLength = true
+    onFrame(frame)
+    return true
+  }
+
+  return {
+    setMaximum: (bytes) => { maximum = bytes },
+    push: (chunk) => {
+      chunks.push(chunk)
+      held += chunk.length
+      while (hasNeeded()) {
+        const isValid = inLength ? readLength() : readBody()
+        if (!isValid) return false
+      }
+      return true
+    }
+  }
+}
+
+/** Puts the length in front of a frame's bytes. */
+export const withLength = (bytes: Uint8Array): Buffer => {
+  const framed = Buffer.allocUnsafe(LENGTH_BYTES + bytes.length)
+  framed.writeUInt32BE(bytes.length, 0)
+  framed.set(bytes, LENGTH_BYTES)
+  return framed
+}
--- /dev/null
+++ b/src/adapters/peerTcp/_lib/createPeerLink.ts
@@ -0,0 +1,128 @@
+/**
+ * The outgoing side towards one peer: dials when there is something to send,
+ * holds a bounded queue meanwhile, backs off after a failure, and hangs up
+ * when idle. Losing a link fails its open requests and drops its queue.
+ */
+import { connect } from 'node:net'
+import { createConnection } from './createConnection.js'
+import type { Connection, ConnectionOptions } from './createConnection.js'
+import { failure, success } from '../../../kernel/index.js'
+import type { Clock, PeerAddress, PeerError, PeerMessage, PeerReply, RandomSource, Result, Timer } from '../../../types/index.js'
+
+export type LinkOptions = Pick<ConnectionOptions, 'fleetKey' | 'maximumFrameBytes' | 'maximumQueueBytes' | 'handshakeTimeoutMs' | 'countBytes'> & {
+  readonly address: PeerAddress
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly maximumQueueLength: number
+  readonly idleTimeoutMs: number
+  readonly initialBackoffMs: number
+  readonly maximumBackoffMs: number
+  /** Called when the link hung up on its own and holds nothing. */
+  readonly onIdle: () => void
+}
+
+export type PeerLink = {
+  readonly send: (message: PeerMessage) => void
+  readonly request: (message: PeerMessage, timeoutMs: number) => Promise<Result<PeerReply, PeerError>>
+  readonly close: () => void
+}
+
+type OutgoingFrame = { readonly id?: number, readonly message: PeerMessage }
+
+type IncomingFrame = { readonly id?: unknown, readonly reply?: PeerReply, readonly problem?: string }
+
+type PendingRequest = { readonly settle: (result: Result<PeerReply, PeerError>) => void }
+
+/** Creates the link; nothing is dialled before the first message. */
+export const createPeerLink = (options: LinkOptions): PeerLink => {
+  const { address, clock, random } = options
+  const pending = new Map<number, PendingRequest>()
+  let connection: Connection | undefined
+  let isReady = false
+  let queue: OutgoingFrame[] = []
+  let nextId = 1
+  let failures = 0
+  let retryAt = -Infinity
+  let lastUsedAt = clock.now()
+  let idleTimer: Timer | undefined
+
+  const failPending = (error: PeerError): void => {
+    for (const { settle } of [...pending.values()]) settle(failure(error))
+  }
+
+  const onClose = (reason: string): void => {
+    if (!isReady) failures += 1
+    connection = undefined
+    isReady = false
+    queue = []
+    idleTimer?.cancel()
+    // A peer that is down would otherwise be dialled at each heartbeat of each
+    // router; the random part keeps a fleet from dialling it at the same moment.
+    const ceiling = Math.min(options.maximumBackoffMs, options.initialBackoffMs * 2 ** Math.max(0, failures - 1))
+    retryAt = failures === 0 ? clock.now() : clock.now() + ceiling * (0.5 + random.next() / 2)
+    failPending({ kind: 'unreachable', message: reason })
+  }
+
+  const checkIdle = (): void => {
+    const idleMs = clock.now() - lastUsedAt
+    if (pending.size === 0 && idleMs >= options.idleTimeoutMs) {
+      connection?.close()
+      return options.onIdle()
+    }
+    idleTimer = clock.setTimer(Math.max(1, options.idleTimeoutMs - idleMs), checkIdle)
+  }
+
+  const onReady = (): void => {
+    isReady = true
+    failures = 0
+    const waiting = queue
+    queue = []
+    for (const frame of waiting) connection?.send(frame, frame.message.kind)
+    checkIdle()
+  }
+
+  const onFrame = (frame: unknown): void => {
+    const { id, reply, problem } = frame as IncomingFrame
+    const request = typeof id === 'number' ? pending.get(id) : undefined
+    if (request === undefined) return
+    if (reply === undefined) return request.settle(failure({ kind: 'unhandled', message: String(problem) }))
+    request.settle(success(reply))
+  }
+
+  const dial = (): void => {
+    const socket = connect({ host: address.host, port: address.port })
+    connection = createConnection({ ...options, socket, role: 'dialer', onReady, onFrame, onClose })
+  }
+
+  const transmit = (frame: OutgoingFrame): 'sent' | 'unreachable' => {
+    lastUsedAt = clock.now()
+    if (connection === undefined && clock.now() < retryAt) return 'unreachable'
+    if (connection === undefined) dial()
+    if (isReady) return connection?.send(frame, frame.message.kind) === 'sent' ? 'sent' : 'unreachable'
+    if (queue.length >= options.maximumQueueLength) return 'unreachable'
+    queue.push(frame)
+    return 'sent'
+  }
+
+  const request: PeerLink['request'] = (message, timeoutMs) => new Promise((resolve) => {
+    const id = nextId++
+    const settle = (result: Result<PeerReply, PeerError>): void => {
+      if (!pending.delete(id)) return
+      timer.cancel()
+      resolve(result)
+    }
+    const timer = clock.setTimer(timeoutMs, () => settle(failure({ kind: 'timeout' })))
+    pending.set(id, { settle })
+    if (transmit({ id, message }) === 'unreachable') settle(failure({ kind: 'unreachable', message: 'no connection, or its queue is full' }))
+  })
+
+  return {
+    send: (message) => { transmit({ message }) },
+    request,
+    close: () => {
+      idleTimer?.cancel()
+      connection?.close()
+      failPending({ kind: 'unreachable', message: 'the transport was closed' })
+    }
+  }
+}
--- /dev/null
+++ b/src/adapters/peerTcp/_lib/dispatchFrame.ts
@@ -0,0 +1,31 @@
+/**
+ * What the listening side does with a message: find the handler of its kind,
+ * run it, and answer when the sender waits for a reply.
+ */
+import type { PeerMessage, PeerReply } from '../../../types/index.js'
+
+export type PeerHandler = (message: PeerMessage) => PeerReply | Promise<PeerReply>
+
+export type PeerHandlers = Map<string, PeerHandler>
+
+export type ReplyFrame = { readonly id: number, readonly reply?: PeerReply, readonly problem?: string }
+
+type RequestFrame = { readonly id?: unknown, readonly message?: { readonly kind?: unknown } }
+
+/** Runs the handler; `respond` is called once when the frame has an id. Never throws. */
+export const dispatchFrame = async (handlers: PeerHandlers, frame: unknown, respond: (reply: ReplyFrame, kind: string) => void): Promise<void> => {
+  const { id, message } = frame as RequestFrame
+  const kind = typeof message?.kind === 'string' ? message.kind : 'unknown'
+  const answer = await runHandler(handlers.get(kind), message as PeerMessage)
+  if (typeof id !== 'number') return
+  respond({ id, ...answer }, `${kind}Reply`)
+}
+
+const runHandler = async (handler: PeerHandler | undefined, message: PeerMessage): Promise<Omit<ReplyFrame, 'id'>> => {
+  if (handler === undefined) return { problem: 'no handler for this kind of message' }
+  try {
+    return { reply: await handler(message) }
+  } catch (error) {
+    return { problem: error instanceof Error ? error.message : 'the handler failed' }
+  }
+}
--- /dev/null
+++ b/src/adapters/peerTcp/index.ts
@@ -0,0 +1,143 @@
+/**
+ * The peer transport over TCP: length-prefixed `cbor-x` frames between routers
+ * that have proved the fleet key to each other. A connection carries requests
+ * one way, from the router that dialled it, and the replies back.
+ */
+import { createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+import { setSizeLimits } from 'cbor-x'
+import { createConnection } from './_lib/createConnection.js'
+import type { Connection } from './_lib/createConnection.js'
+import { createPeerLink } from './_lib/createPeerLink.js'
+import type { PeerLink } from './_lib/createPeerLink.js'
+import { dispatchFrame } from './_lib/dispatchFrame.js'
+import type { PeerHandler, PeerHandlers } from './_lib/dispatchFrame.js'
+import type { Clock, Logger, PeerAddress, PeerTransport, RandomSource } from '../../types/index.js'
+
+export type PeerTcpOptions = {
+  readonly host: string
+  /** 0 lets the operating system choose. */
+  readonly port: number
+  /** Host that peers are told to dial, when it is not the listener's. */
+  readonly advertisedHost?: string
+  readonly fleetKey: string
+  readonly maximumFrameBytes: number
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly logger?: Logger
+  readonly handshakeTimeoutMs?: number
+  /** Messages held for a peer while it is being dialled; 256 by default. */
+  readonly maximumQueueLength?: number
+  /** Bytes waiting in a socket above which messages to that peer are dropped; 1 MiB by default. */
+  readonly maximumQueueBytes?: number
+  readonly maximumConnections?: number
+  readonly idleTimeoutMs?: number
+  readonly initialBackoffMs?: number
+  readonly maximumBackoffMs?: number
+}
+
+export type PeerTcp = PeerTransport & {
+  /** Opens the listener. Rejects when the port can't be had. */
+  readonly listen: () => Promise<PeerAddress>
+  /** What peers dial; the port is the real one once `listen` has resolved. */
+  readonly address: () => PeerAddress
+  /** Bytes written since the start by message kind; a reply counts as `<kind>Reply`. */
+  readonly bytesSent: () => ReadonlyMap<string, number>
+}
+
+const DEFAULTS = {
+  handshakeTimeoutMs: 2000,
+  maximumQueueLength: 256,
+  maximumQueueBytes: 1024 * 1024,
+  maximumConnections: 1024,
+  idleTimeoutMs: 60_000,
+  initialBackoffMs: 100,
+  maximumBackoffMs: 2000
+}
+
+/** A decoded array or map of a frame can't claim more entries than this. */
+const MAXIMUM_ENTRIES = 1_000_000
+
+/**
+ * Creates the transport of one router.
+ *
+ * A malformed frame, a wrong key or a frame over the limit closes the
+ * connection it came on and nothing else. Messages to a peer that can't be
+ * reached are dropped; requests to it fail with `unreachable`.
+ *
+ * @param options - Where to listen, the fleet key, the limits in bytes and milliseconds, the clock and the random source.
+ * @returns The transport; call `listen` before peers can reach it.
+ *
+ * @example
+ * const transport = createPeerTcp({ host: '127.0.0.1', port: 0, fleetKey, maximumFrameBytes: 1_048_576, clock, random })
+ * transport.handle('rootRequest', () => ({ kind: 'root' }))
+ * const { port } = await transport.listen()
+ */
+export const createPeerTcp = (options: PeerTcpOptions): PeerTcp => {
+  const settings = { ...DEFAULTS, ...options }
+  setSizeLimits({ maxArraySize: MAXIMUM_ENTRIES, maxMapSize: MAXIMUM_ENTRIES, maxObjectSize: MAXIMUM_ENTRIES })
+  const handlers: PeerHandlers = new Map()
+  const links = new Map<string, PeerLink>()
+  const accepted = new Set<Connection>()
+  const sentBytes = new Map<string, number>()
+  let isClosed = false
+
+  const countBytes = (kind: string, bytes: number): void => {
+    sentBytes.set(kind, (sentBytes.get(kind) ?? 0) + bytes)
+  }
+
+  const accept = (socket: Socket): void => {
+    const connection: Connection = createConnection({
+      ...settings,
+      socket,
+      role: 'listener',
+      countBytes,
+      onReady: () => {},
+      onFrame: (frame) => { dispatchFrame(handlers, frame, (reply, kind) => { connection.send(reply, kind) }) },
+      onClose: (reason) => {
+        accepted.delete(connection)
+        options.logger?.debug('peer connection closed', { remote: socket.remoteAddress, reason })
+      }
+    })
+    accepted.add(connection)
+  }
+
+  const server = createServer(accept)
+  server.maxConnections = settings.maximumConnections
+
+  const linkTo = (address: PeerAddress): PeerLink => {
+    const name = `${address.host}:${address.port}`
+    const known = links.get(name)
+    if (known !== undefined) return known
+    const link = createPeerLink({ ...settings, address, countBytes, onIdle: () => { links.delete(name) } })
+    links.set(name, link)
+    return link
+  }
+
+  const address = (): PeerAddress => {
+    const bound = server.address() as AddressInfo | null
+    return { host: options.advertisedHost ?? options.host, port: bound?.port ?? options.port }
+  }
+
+  return {
+    listen: () => new Promise((resolve, reject) => {
+      server.once('error', reject)
+      server.listen(options.port, options.host, () => resolve(address()))
+    }),
+    address,
+    bytesSent: () => sentBytes,
+    send: (to, message) => { if (!isClosed) linkTo(to).send(message) },
+    request: (to, message, timeoutMs) => {
+      if (isClosed) return Promise.resolve({ ok: false, error: { kind: 'unreachable', message: 'the transport is closed' } })
+      return linkTo(to).request(message, timeoutMs)
+    },
+    handle: (kind, handler) => { handlers.set(kind, handler as PeerHandler) },
+    close: async () => {
+      isClosed = true
+      const closing = server.listening ? new Promise<void>((resolve) => { server.close(() => resolve()) }) : Promise.resolve()
+      for (const link of links.values()) link.close()
+      for (const connection of [...accepted]) connection.close()
+      await closing
+    }
+  }
+}
--- /dev/null
+++ b/src/decisions/mergeMember/index.ts
@@ -0,0 +1,31 @@
+/**
+ * The order among records of one router, by which every router arrives at the
+ * same view whatever the order in which rumours reach it.
+ */
+import type { Member, MemberState } from '../../types/index.js'
+
+const PRECEDENCE: Readonly<Record<MemberState, number>> = { live: 0, suspect: 1, leaving: 2, dead: 3 }
+
+/**
+ * Merges what is known of a member with a record that was heard.
+ *
+ * The higher incarnation wins. Within one incarnation the worse state wins, so
+ * that only the member itself, by a higher incarnation, can take a suspicion
+ * or a leaving mark back; and the generation only grows. The merge is
+ * commutative, associative and idempotent.
+ *
+ * @param known - The record so far; `undefined` when the member is new here.
+ * @param heard - A record of the same member.
+ * @returns The record to keep; `known` itself when nothing changed.
+ *
+ * @example
+ * mergeMember({ ...member, state: 'suspect' }, { ...member, incarnation: member.incarnation + 1 }).state // => 'live'
+ */
+export const mergeMember = (known: Member | undefined, heard: Member): Member => {
+  if (known === undefined) return heard
+  if (heard.incarnation !== known.incarnation) return heard.incarnation > known.incarnation ? heard : known
+  const isWorse = PRECEDENCE[heard.state] > PRECEDENCE[known.state]
+  const winner = isWorse ? heard : known
+  const generation = Math.max(known.generation, heard.generation)
+  return winner.generation === generation ? winner : { ...winner, generation }
+}
--- /dev/null
+++ b/src/emulator/createManualClock/test.ts
@@ -0,0 +1,30 @@
+import { describe, expect, it } from 'vitest'
+import { createManualClock } from './index.js'
+
+describe('createManualClock', () => {
+  it('runs timers in order of their time, each once', async () => {
+    const clock = createManualClock()
+    const ran: string[] = []
+    clock.setTimer(7, () => ran.push('late'))
+    clock.setTimer(3, () => ran.push('early'))
+    await clock.advance(10)
+    await clock.advance(10)
+    expect(ran).toEqual(['early', 'late'])
+  })
+
+  it('does not run a cancelled timer', async () => {
+    const clock = createManualClock()
+    const ran: string[] = []
+    clock.setTimer(3, () => ran.push('cancelled')).cancel()
+    await clock.advance(5)
+    expect(ran).toEqual([])
+  })
+
+  it('runs a timer that a timer sets within the same advance', async () => {
+    const clock = createManualClock()
+    const times: number[] = []
+    clock.setTimer(2, () => clock.setTimer(0, () => clock.setTimer(3, () => times.push(clock.now()))))
+    await clock.advance(5)
+    expect(times).toEqual([5])
+  })
+})
--- /dev/null
+++ b/src/emulator/createMemoryPeerNetwork/index.ts
@@ -0,0 +1,138 @@
+/**
+ * A network of peer transports inside one process, for tests, the bench and
+ * harnesses that host many nodes. Messages are encoded and decoded with
+ * `cbor-x` as on TCP, so that nodes share no objects and bytes can be counted;
+ * the delay runs on the clock that is handed in.
+ */
+import { Encoder } from 'cbor-x'
+import { failure, success } from '../../kernel/index.js'
+import type { Clock, PeerAddress, PeerError, PeerMessage, PeerReply, PeerTransport, Result } from '../../types/index.js'
+
+export type MemoryPeerNetworkOptions = {
+  readonly clock: Clock
+  /** One-way delay in milliseconds; 1 by default. */
+  readonly delayMs?: (from: PeerAddress, to: PeerAddress) => number
+  /** Whether this one message is lost; none by default. */
+  readonly isLost?: (from: PeerAddress, to: PeerAddress, kind: string) => boolean
+}
+
+export type MemoryPeerTransport = PeerTransport & {
+  readonly address: () => PeerAddress
+  /** Bytes sent since the start by message kind, with the 4 bytes of a frame's length. */
+  readonly bytesSent: () => ReadonlyMap<string, number>
+  readonly messagesSent: () => number
+}
+
+export type MemoryPeerNetwork = {
+  readonly createTransport: (address: PeerAddress) => MemoryPeerTransport
+  /** Drops what goes either way between two addresses, also what is under way. */
+  readonly cut: (one: PeerAddress, other: PeerAddress) => void
+  readonly heal: (one: PeerAddress, other: PeerAddress) => void
+  readonly healAll: () => void
+}
+
+type Handler = (message: PeerMessage) => PeerReply | Promise<PeerReply>
+
+type Station = { readonly handlers: Map<string, Handler>, readonly count: (kind: string, bytes: number) => void }
+
+type Frame = { readonly id?: number, readonly message?: PeerMessage, readonly reply?: PeerReply, readonly problem?: string }
+
+type Codec = { readonly encoder: Encoder, readonly decoder: Encoder }
+
+const FRAME_LENGTH_BYTES = 4
+const DEFAULT_DELAY_MS = 1
+
+const nameOf = (address: PeerAddress): string => `${address.host}:${address.port}`
+const pairOf = (from: PeerAddress, to: PeerAddress): string => `${nameOf(from)}>${nameOf(to)}`
+
+/**
+ * Creates an empty network; each node gets a transport at its own address.
+ *
+ * @param options - The clock, the one-way delay in milliseconds and the loss.
+ * @returns The network, with links that can be cut and healed.
+ *
+ * @example
+ * const network = createMemoryPeerNetwork({ clock })
+ * const transport = network.createTransport({ host: 'node-1', port: 1 })
+ */
+export const createMemoryPeerNetwork = (options: MemoryPeerNetworkOptions): MemoryPeerNetwork => {
+  const { clock } = options
+  const stations = new Map<string, Station>()
+  const cuts = new Set<string>()
+  const codecs = new Map<string, Codec>()
+
+  const codecOf = (pair: string): Codec => {
+    const known = codecs.get(pair)
+    if (known !== undefined) return known
+    const codec = { encoder: new Encoder({ sequential: true }), decoder: new Encoder({ sequential: true }) }
+    codecs.set(pair, codec)
+    return codec
+  }
+
+  const transfer = (from: PeerAddress, to: PeerAddress, kind: string, frame: Frame, deliver: (frame: Frame) => void): void => {
+    const pair = pairOf(from, to)
+    if (cuts.has(pair) || !stations.has(nameOf(to))) return
+    if (options.isLost?.(from, to, kind) === true) return
+    const codec = codecOf(pair)
+    const bytes = codec.encoder.encode(frame)
+    stations.get(nameOf(from))?.count(kind, bytes.length + FRAME_LENGTH_BYTES)
+    const received = codec.decoder.decode(bytes) as Frame
+    clock.setTimer(options.delayMs?.(from, to) ?? DEFAULT_DELAY_MS, () => { if (!cuts.has(pair)) deliver(received) })
+  }
+
+  const runHandler = async (to: PeerAddress, message: PeerMessage): Promise<Frame> => {
+    const handler = stations.get(nameOf(to))?.handlers.get(message.kind)
+    if (handler === undefined) return { problem: 'no handler for this kind of message' }
+    try {
+      return { reply: await handler(message) }
+    } catch (error) {
+      return { problem: error instanceof Error ? error.message : 'the handler failed' }
+    }
+  }
+
+  const request = (from: PeerAddress, to: PeerAddress, message: PeerMessage, timeoutMs: number): Promise<Result<PeerReply, PeerError>> =>
+    new Promise((resolve) => {
+      if (!stations.has(nameOf(to))) return resolve(failure({ kind: 'unreachable', message: 'nothing listens there' }))
+      const timer = clock.setTimer(timeoutMs, () => resolve(failure({ kind: 'timeout' })))
+      const settle = (frame: Frame): void => {
+        timer.cancel()
+        resolve(frame.reply === undefined ? failure({ kind: 'unhandled', message: String(frame.problem) }) : success(frame.reply))
+      }
+      transfer(from, to, message.kind, { id: 1, message }, async (frame) => {
+        const answer = await runHandler(to, frame.message as PeerMessage)
+        transfer(to, from, `${message.kind}Reply`, { id: 1, ...answer }, settle)
+      })
+    })
+
+  const createTransport = (address: PeerAddress): MemoryPeerTransport => {
+    const handlers = new Map<string, Handler>()
+    const sentBytes = new Map<string, number>()
+    let sentMessages = 0
+    const count = (kind: string, bytes: number): void => {
+      sentBytes.set(kind, (sentBytes.get(kind) ?? 0) + bytes)
+      sentMessages += 1
+    }
+    stations.set(nameOf(address), { handlers, count })
+    return {
+      address: () => address,
+      bytesSent: () => sentBytes,
+      messagesSent: () => sentMessages,
+      send: (to, message) => {
+        transfer(address, to, message.kind, { message }, (frame) => { runHandler(to, frame.message as PeerMessage) })
+      },
+      request: (to, message, timeoutMs) => request(address, to, message, timeoutMs),
+      handle: (kind, handler) => { handlers.set(kind, handler as Handler) },
+      close: async () => { stations.delete(nameOf(address)) }
+    }
+  }
+
+  return {
+    createTransport,
+    cut: (one, other) => { cuts.add(pairOf(one, other)).add(pairOf(other, one)) },
+    heal: (one, other) => {
+      cuts.delete(pairOf(one, other))
+      cuts.delete(pairOf(other, one))
+    },
+    healAll: () => cuts.clear()
+  }
+}
--- /dev/null
+++ b/src/services/membership/index.ts
@@ -0,0 +1,239 @@
+/**
+ * Membership: which routers there are and how they stand. Heartbeats with
+ * incarnation numbers, watched by a few peers, and rumours that carry what
+ * was noticed. Views may differ for seconds; nothing that must hold rests on
+ * their being equal.
+ */
+import { createRumours } from './_lib/createRumours.js'
+import { createSilence } from './_lib/createSilence.js'
+import { mergeMember } from '../../decisions/mergeMember/index.js'
+import { refuteRumour } from '../../decisions/refuteRumour/index.js'
+import { selectHeartbeatTargets } from '../../decisions/selectHeartbeatTargets/index.js'
+import type { HeartbeatFanOut } from '../../decisions/selectHeartbeatTargets/index.js'
+import type { RunningService } from '../../kernel/index.js'
+import type { HeartbeatExchange } from '../heartbeatExchange/index.js'
+import type { VmList } from '../vmList/index.js'
+import type { Clock, Heartbeat, Logger, Member, Membership, PeerAddress, PeerTransport, RandomSource, RouterSettings, Timer } from '../../types/index.js'
+
+export type MembershipDependencies = {
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly transport: PeerTransport
+  readonly exchange: HeartbeatExchange
+  readonly vmList: VmList
+  readonly logger?: Logger
+}
+
+export type MembershipOptions = {
+  readonly settings: Pick<RouterSettings, 'nodeId' | 'availabilityZone' | 'seedPeers' | 'heartbeatIntervalMs' | 'suspectAfterMs' | 'deadAfterMs'>
+  /** What peers dial; asked for once at the start, when the listener has its port. */
+  readonly address: () => PeerAddress
+  /** The configuration generation in force here. */
+  readonly generation?: () => number
+  readonly fanOut?: HeartbeatFanOut
+  /** How long a dead member is remembered; an hour by default. */
+  readonly forgetAfterMs?: number
+}
+
+export const DEFAULT_FAN_OUT: HeartbeatFanOut = { fullMeshPeers: 12, zoneWatchers: 2, remoteWatchers: 1, randomZonePeers: 1, randomRemotePeers: 1 }
+
+const DEFAULT_FORGET_AFTER_MS = 3_600_000
+/** Members in one heartbeat to a newcomer; the rest follow in more heartbeats. */
+const MEMBERS_PER_WELCOME = 64
+const STRANGERS_PER_TICK_ALONE = 8
+const STRANGERS_PER_TICK = 1
+/** Ticks missed in a row from which this process must have been paused. */
+const PAUSE_TICKS = 3
+
+const isSame = (one: PeerAddress, other: PeerAddress): boolean => one.host === other.host && one.port === other.port
+
+/**
+ * Creates the membership of one router.
+ *
+ * @param dependencies - Clock, random source, transport, the heartbeat exchange and the VM list.
+ * @param options - Settings (milliseconds), the own address and generation, and the fan-out.
+ * @returns A service that sends heartbeats from its start to its stop.
+ *
+ * @example
+ * const membership = createMembership({ clock, random, transport, exchange, vmList }, { settings, address: transport.address })
+ * await membership.start?.()
+ * membership.api.liveMembers() // => [this router]
+ */
+export const createMembership = (dependencies: MembershipDependencies, options: MembershipOptions): RunningService<Membership> => {
+  const { clock, random, transport, exchange, vmList, logger } = dependencies
+  const { settings } = options
+  const fanOut = options.fanOut ?? DEFAULT_FAN_OUT
+  const peers = new Map<string, Member>()
+  const changedAt = new Map<string, number>()
+  const rumours = createRumours()
+  const silence = createSilence()
+  const listeners: (() => void)[] = []
+  let timer: Timer | undefined
+  let lastTickAt = clock.now()
+  // Wall time, so that a restarted router, which kept nothing, stands above its former life.
+  let ownRecord: Member = {
+    nodeId: settings.nodeId,
+    incarnation: clock.wallTime(),
+    address: { host: '', port: 0 },
+    availabilityZone: settings.availabilityZone,
+    state: 'live',
+    generation: 0
+  }
+
+  const self = (): Member => {
+    const generation = options.generation?.() ?? 0
+    if (generation !== ownRecord.generation) ownRecord = { ...ownRecord, generation }
+    return ownRecord
+  }
+
+  const notify = (): void => { for (const listen of listeners) listen() }
+
+  const keep = (member: Member): void => {
+    const before = peers.get(member.nodeId)
+    if (before === member) return
+    peers.set(member.nodeId, member)
+    if (before?.state === member.state && before.incarnation === member.incarnation) return
+    changedAt.set(member.nodeId, clock.now())
+    rumours.add(member.nodeId)
+    logger?.info('member changed', { member: member.nodeId, state: member.state, incarnation: member.incarnation })
+    notify()
+  }
+
+  const hearOfSelf = (heard: Member): void => {
+    const refuted = refuteRumour(self(), heard)
+    if (refuted === ownRecord) return
+    ownRecord = refuted
+    logger?.warn('refuted a rumour about this node', { state: heard.state, incarnation: refuted.incarnation })
+  }
+
+  const hear = (member: Member): void => {
+    if (member.nodeId === settings.nodeId) return hearOfSelf(member)
+    const known = peers.get(member.nodeId)
+    if (known === undefined && member.state === 'dead') return
+    keep(mergeMember(known, member))
+  }
+
+  const sendTo = (receiver: Member, news: readonly Member[]): void => {
+    const isOldNews = (member: Member): boolean => member.nodeId === receiver.nodeId && member.state === 'live'
+    const rumoursToTell = news.filter((member) => !isOldNews(member))
+    transport.send(receiver.address, { kind: 'heartbeat', member: self(), rumours: rumoursToTell, ...exchange.collect(receiver) })
+  }
+
+  const sendBare = (address: PeerAddress, news: readonly Member[], membersWanted = false): void => {
+    transport.send(address, { kind: 'heartbeat', member: self(), rumours: news, ...(membersWanted ? { membersWanted } : {}) })
+  }
+
+  const welcome = (newcomer: Member): void => {
+    const all = [...peers.values()].filter((member) => member.nodeId !== newcomer.nodeId)
+    for (let start = 0; start < all.length; start += MEMBERS_PER_WELCOME) sendBare(newcomer.address, all.slice(start, start + MEMBERS_PER_WELCOME))
+  }
+
+  const onHeartbeat = (heartbeat: Heartbeat): void => {
+    const { member } = heartbeat
+    if (member.nodeId === settings.nodeId) return hearOfSelf(member)
+    hear(member)
+    silence.heard(member.nodeId, clock.now())
+    const held = peers.get(member.nodeId)
+    // The sender is up, yet the fleet holds it suspect or dead: it was paused or
+    // cut off, and its own record can't win. Telling it lets it refute.
+    if (held !== undefined && held.state !== member.state) sendBare(member.address, [held])
+    for (const rumour of heartbeat.rumours) hear(rumour)
+    if (heartbeat.membersWanted === true) welcome(member)
+    exchange.deliver(heartbeat)
+  }
+
+  const reachablePeers = (): readonly Member[] => [...peers.values()].filter((peer) => peer.state !== 'dead')
+
+  const suspectSilent = (now: number): void => {
+    for (const nodeId of silence.findSilent(now, settings.suspectAfterMs)) {
+      const peer = peers.get(nodeId)
+      if (peer?.state === 'live') keep({ ...peer, state: 'suspect' })
+      // A leaving router goes silent by design, without standing suspect first.
+      if (peer?.state === 'leaving' && silence.findSilent(now, settings.deadAfterMs).includes(nodeId)) keep({ ...peer, state: 'dead' })
+    }
+  }
+
+  const declareDead = (now: number): void => {
+    const graceMs = settings.deadAfterMs - settings.suspectAfterMs
+    for (const [nodeId, peer] of peers) {
+      const since = changedAt.get(nodeId) ?? now
+      if (peer.state === 'suspect' && now - since >= graceMs) keep({ ...peer, state: 'dead' })
+      if (peer.state === 'dead' && now - since >= (options.forgetAfterMs ?? DEFAULT_FORGET_AFTER_MS)) forget(nodeId)
+    }
+  }
+
+  const forget = (nodeId: string): void => {
+    peers.delete(nodeId)
+    changedAt.delete(nodeId)
+  }
+
+  /** Addresses at which a router may live that is not among the members that are up. */
+  const findStrangers = (): readonly PeerAddress[] => {
+    const listed = (vmList.current() ?? []).filter((vm) => vm.kind === 'router').map((vm) => parseAddress(vm.address))
+    const dead = [...peers.values()].filter((peer) => peer.state === 'dead').map((peer) => peer.address)
+    const known = [self().address, ...reachablePeers().map((peer) => peer.address)]
+    const candidates = [...settings.seedPeers, ...listed, ...dead]
+    return candidates.filter((address) => !known.some((other) => isSame(other, address)))
+  }
+
+  // Two sides of a healed partition hold each other dead and send no heartbeats
+  // to each other. Knocking at addresses of the dead and of the seeds, a few at
+  // each tick, brings them together again.
+  const knock = (): void => {
+    const isAlone = reachablePeers().length === 0
+    const strangers = [...findStrangers()]
+    const count = isAlone ? STRANGERS_PER_TICK_ALONE : STRANGERS_PER_TICK
+    for (let knocked = 0; knocked < count && strangers.length > 0; knocked++) {
+      const [address] = strangers.splice(Math.floor(random.next() * strangers.length), 1)
+      sendBare(address!, [], isAlone)
+    }
+  }
+
+  const tell = (): void => {
+    const targets = selectHeartbeatTargets(self(), reachablePeers(), fanOut, random.next)
+    silence.watch(targets.watched.map((peer) => peer.nodeId), clock.now())
+    const news = rumours.take(peers, random.next)
+    for (const receiver of [...targets.watchers, ...targets.picked]) sendTo(receiver, news)
+  }
+
+  const tick = (): void => {
+    const now = clock.now()
+    // After a pause of this process every peer looks silent, though it is this
+    // router that heard nothing. Judging them now would declare the fleet dead.
+    if (now - lastTickAt > PAUSE_TICKS * settings.heartbeatIntervalMs) silence.forgive(now)
+    lastTickAt = now
+    suspectSilent(now)
+    declareDead(now)
+    tell()
+    knock()
+    timer = clock.setTimer(settings.heartbeatIntervalMs, tick)
+  }
+
+  return {
+    api: {
+      self,
+      members: () => [self(), ...peers.values()],
+      liveMembers: () => [self(), ...peers.values()].filter((member) => member.state === 'live'),
+      announceLeaving: () => {
+        ownRecord = { ...self(), state: 'leaving', incarnation: ownRecord.incarnation + 1 }
+        tell()
+        notify()
+      },
+      onChange: (listener) => { listeners.push(listener) }
+    },
+    start: () => {
+      ownRecord = { ...ownRecord, address: options.address() }
+      transport.handle('heartbeat', (heartbeat) => {
+        onHeartbeat(heartbeat)
+        return { kind: 'none' }
+      })
+      tick()
+    },
+    stop: () => timer?.cancel()
+  }
+}
+
+const parseAddress = (text: string): PeerAddress => {
+  const colon = text.lastIndexOf(':')
+  return { host: text.slice(0, colon), port: Number(text.slice(colon + 1)) }
+}
--- /dev/null
+++ b/src/services/membership/test.ts
@@ -0,0 +1,182 @@
+import { describe, expect, it } from 'vitest'
+import { createMembership } from './index.js'
+import { createHeartbeatExchange } from '../heartbeatExchange/index.js'
+import { createManualClock } from '../../emulator/createManualClock/index.js'
+import { createMemoryPeerNetwork } from '../../emulator/createMemoryPeerNetwork/index.js'
+import { createSeededRandom } from '../../adapters/seededRandom/index.js'
+import type { Clock, PeerAddress, Vm } from '../../types/index.js'
+
+const HEARTBEAT_MS = 500
+const SETTINGS = { heartbeatIntervalMs: HEARTBEAT_MS, suspectAfterMs: 2000, deadAfterMs: 6000 }
+/** Long enough that silence has become death everywhere. */
+const SETTLE_MS = 20_000
+
+const addressOf = (name: string): PeerAddress => ({ host: name, port: 1 })
+
+const createFleet = (nodeNames: readonly string[], zones: readonly string[] = ['venkov-a']) => {
+  const clock = createManualClock()
+  const network = createMemoryPeerNetwork({ clock })
+  const pausedUntil = new Map<string, number>()
+  let vms: readonly Vm[] | undefined
+  // Timers of a paused node run when it wakes, as after SIGSTOP and SIGCONT.
+  const createPausableClock = (name: string): Clock => ({
+    ...clock,
+    setTimer: (delayMs, callback) => {
+      const run = (): void => {
+        const wakesAt = pausedUntil.get(name) ?? 0
+        if (clock.now() >= wakesAt) return callback()
+        clock.setTimer(wakesAt - clock.now(), run)
+      }
+      return clock.setTimer(delayMs, run)
+    }
+  })
+  const startNode = (name: string, seeds: readonly string[] = nodeNames) => {
+    const transport = network.createTransport(addressOf(name))
+    const service = createMembership({
+      clock: createPausableClock(name),
+      random: createSeededRandom(nodeNames.indexOf(name) + 1),
+      transport,
+      exchange: createHeartbeatExchange(),
+      vmList: { current: () => vms, onRead: () => {} }
+    }, {
+      settings: { ...SETTINGS, nodeId: name, availabilityZone: zones[nodeNames.indexOf(name) % zones.length]!, seedPeers: seeds.map(addressOf) },
+      address: () => addressOf(name)
+    })
+    service.start?.()
+    const stop = async (): Promise<void> => {
+      await service.stop?.()
+      await transport.close()
+    }
+    return { name, membership: service.api, stop }
+  }
+  const setVms = (names: readonly string[]): void => {
+    vms = names.map((name) => ({ name, kind: 'router', address: `${name}:1`, availabilityZone: 'venkov-a', state: 'live' }))
+  }
+  const pause = (name: string, ms: number): void => {
+    pausedUntil.set(name, clock.now() + ms)
+    for (const other of nodeNames) if (other !== name) network.cut(addressOf(name), addressOf(other))
+    clock.setTimer(ms, () => { for (const other of nodeNames) network.heal(addressOf(name), addressOf(other)) })
+  }
+  return { clock, network, startNode, setVms, pause, startAll: () => nodeNames.map((name) => startNode(name)) }
+}
+
+type Node = ReturnType<ReturnType<typeof createFleet>['startNode']>
+
+const liveNames = (node: Node): readonly string[] => node.membership.liveMembers().map((member) => member.nodeId).sort()
+
+const stateOf = (node: Node, name: string) => node.membership.members().find((member) => member.nodeId === name)?.state
+
+const FOUR = ['node-1', 'node-2', 'node-3', 'node-4']
+const TWENTY = Array.from({ length: 20 }, (_, index) => `node-${String(index).padStart(2, '0')}`)
+
+describe('createMembership', () => {
+  it.each([
+    { size: 'small', names: FOUR, zones: ['venkov-a'] },
+    { size: 'larger than the full mesh', names: TWENTY, zones: ['venkov-a', 'venkov-b', 'venkov-c'] }
+  ])('makes every node of a $size fleet known to every other', async ({ names, zones }) => {
+    const fleet = createFleet(names, zones)
+    const nodes = fleet.startAll()
+    await fleet.clock.advance(SETTLE_MS)
+    for (const node of nodes) expect(liveNames(node)).toEqual(names)
+  })
+
+  it('finds peers from the VM list alone', async () => {
+    const fleet = createFleet(FOUR)
+    const nodes = FOUR.map((name) => fleet.startNode(name, []))
+    fleet.setVms(FOUR)
+    await fleet.clock.advance(SETTLE_MS)
+    for (const node of nodes) expect(liveNames(node)).toEqual(FOUR)
+  })
+
+  it.each([
+    { size: 'small', names: FOUR, zones: ['venkov-a'] },
+    { size: 'larger than the full mesh', names: TWENTY, zones: ['venkov-a', 'venkov-b', 'venkov-c'] }
+  ])('declares a stopped node of a $size fleet dead everywhere', async ({ names, zones }) => {
+    const fleet = createFleet(names, zones)
+    const nodes = fleet.startAll()
+    await fleet.clock.advance(SETTLE_MS)
+    await nodes[0]!.stop()
+    await fleet.clock.advance(SETTLE_MS)
+    for (const node of nodes.slice(1)) expect(stateOf(node, names[0]!)).toBe('dead')
+  })
+
+  it('keeps a stopped node dead although the lagging VM list still has it', async () => {
+    const fleet = createFleet(FOUR)
+    const nodes = fleet.startAll()
+    fleet.setVms(FOUR)
+    await fleet.clock.advance(SETTLE_MS)
+    await nodes[0]!.stop()
+    await fleet.clock.advance(SETTLE_MS)
+    expect(liveNames(nodes[1]!)).toEqual(['node-2', 'node-3', 'node-4'])
+  })
+
+  // A router is stopped by SIGSTOP for longer than it takes to be declared dead.
+  // It wakes, believes all is as before, and its peers hold it dead. Its next
+  // heartbeat would lose against their record for ever, unless it hears of that
+  // and comes back with a higher incarnation.
+  it('takes a paused node back after it wakes', async () => {
+    const fleet = createFleet(FOUR)
+    const nodes = fleet.startAll()
+    await fleet.clock.advance(SETTLE_MS)
+    fleet.pause('node-1', SETTLE_MS)
+    await fleet.clock.advance(SETTLE_MS - 1)
+    expect(stateOf(nodes[1]!, 'node-1')).toBe('dead')
+    await fleet.clock.advance(5000)
+    expect(liveNames(nodes[1]!)).toEqual(FOUR)
+  })
+
+  // The woken router heard nobody while it slept. If it judged its peers by that
+  // silence, it would spread the rumour that the whole fleet is dead.
+  it('suspects nobody on waking from a pause', async () => {
+    const fleet = createFleet(FOUR)
+    const nodes = fleet.startAll()
+    await fleet.clock.advance(SETTLE_MS)
+    fleet.pause('node-1', SETTLE_MS)
+    const states: (string | undefined)[] = []
+    nodes[0]!.membership.onChange(() => states.push(...FOUR.slice(1).map((name) => stateOf(nodes[0]!, name))))
+    await fleet.clock.advance(SETTLE_MS + 5000)
+    expect(states.filter((state) => state !== 'live')).toEqual([])
+  })
+
+  it('puts a restarted node above its former life', async () => {
+    const fleet = createFleet(FOUR)
+    const nodes = fleet.startAll()
+    await fleet.clock.advance(SETTLE_MS)
+    const before = nodes[0]!.membership.self().incarnation
+    await nodes[0]!.stop()
+    await fleet.clock.advance(SETTLE_MS)
+    const restarted = fleet.startNode('node-1')
+    await fleet.clock.advance(SETTLE_MS)
+    expect(restarted.membership.self().incarnation).toBeGreaterThan(before)
+    expect(liveNames(nodes[1]!)).toEqual(FOUR)
+  })
+
+  // Two zones lose each other for longer than it takes to be declared dead; each
+  // goes on alone. When the link is back, nobody sends heartbeats to the other
+  // side any more, as both hold it dead.
+  it.each([
+    { size: 'small', names: FOUR, zones: ['venkov-a', 'venkov-b'] },
+    { size: 'larger than the full mesh', names: TWENTY, zones: ['venkov-a', 'venkov-b'] }
+  ])('brings the halves of a $size fleet together after a partition', async ({ names, zones }) => {
+    const fleet = createFleet(names, zones)
+    const nodes = fleet.startAll()
+    await fleet.clock.advance(SETTLE_MS)
+    const [even, odd] = [0, 1].map((half) => names.filter((_, index) => index % 2 === half))
+    for (const one of even!) for (const other of odd!) fleet.network.cut(addressOf(one), addressOf(other))
+    await fleet.clock.advance(SETTLE_MS)
+    expect(liveNames(nodes[0]!)).toEqual(even)
+    fleet.network.healAll()
+    await fleet.clock.advance(2 * SETTLE_MS)
+    for (const node of nodes) expect(liveNames(node)).toEqual(names)
+  })
+
+  it('gives a leaving node no more work, and still knows it', async () => {
+    const fleet = createFleet(FOUR)
+    const nodes = fleet.startAll()
+    await fleet.clock.advance(SETTLE_MS)
+    nodes[0]!.membership.announceLeaving()
+    await fleet.clock.advance(2 * HEARTBEAT_MS)
+    expect(liveNames(nodes[1]!)).toEqual(['node-2', 'node-3', 'node-4'])
+    expect(stateOf(nodes[1]!, 'node-1')).toBe('leaving')
+  })
+})
--- /dev/null
+++ b/src/services/vmList/index.ts
@@ -0,0 +1,60 @@
+/**
+ * The platform's list of VMs, read on a timer and shared by the services that
+ * need it. The list lags, and the last good one is kept while the platform is
+ * down, so it is a hint about who may exist and never proof that one is gone.
+ */
+import type { RunningService } from '../../kernel/index.js'
+import type { Clock, Platform, RandomSource, Timer, Vm } from '../../types/index.js'
+
+export type VmList = {
+  /** The last list that was read; `undefined` before the first. */
+  readonly current: () => readonly Vm[] | undefined
+  readonly onRead: (listener: (vms: readonly Vm[]) => void) => void
+}
+
+export type VmListDependencies = {
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly platform: Pick<Platform, 'listVms'>
+}
+
+export type VmListOptions = { readonly intervalMs: number }
+
+/** Routers that start together would otherwise read the list at the same moments. */
+const JITTER = 0.25
+
+/**
+ * Creates the reader of the VM list.
+ *
+ * @param dependencies - Clock, random source and platform.
+ * @param options - Milliseconds between two reads.
+ * @returns A service that reads at its start and then on the timer, one read at a time.
+ *
+ * @example
+ * const vmList = createVmList({ clock, random, platform }, { intervalMs: 5000 })
+ */
+export const createVmList = ({ clock, random, platform }: VmListDependencies, { intervalMs }: VmListOptions): RunningService<VmList> => {
+  const listeners: ((vms: readonly Vm[]) => void)[] = []
+  let current: readonly Vm[] | undefined
+  let timer: Timer | undefined
+  let isStopped = false
+
+  const read = async (): Promise<void> => {
+    const result = await platform.listVms()
+    if (isStopped) return
+    if (result.ok) {
+      current = result.value
+      for (const listen of listeners) listen(result.value)
+    }
+    timer = clock.setTimer(intervalMs * (1 + JITTER * (random.next() - 0.5)), () => { read() })
+  }
+
+  return {
+    api: { current: () => current, onRead: (listener) => { listeners.push(listener) } },
+    start: () => { read() },
+    stop: () => {
+      isStopped = true
+      timer?.cancel()
+    }
+  }
+}
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -41,8 +41,12 @@
   readonly backendServer: string
   readonly epoch: number
   readonly leaving: boolean
+  /** Whose word it is; each source has its own epochs, and one that says leaving is enough. */
+  readonly source?: LeavingSource
 }
 
+export type LeavingSource = 'vmList' | 'backendServer'
+
 /** Work in flight and queued of one client account at one router, in tokens. */
 export type AccountUsage = { readonly clientAccount: string, readonly tokens: number }
 
@@ -57,6 +61,10 @@
     readonly load?: LoadDigest
     readonly leavingMarks?: readonly LeavingMark[]
     readonly accountUsage?: readonly AccountUsage[]
+    /** The sender knows no peers yet and asks for the whole list of members. */
+    readonly membersWanted?: boolean
+    /** The sender missed a digest and asks this receiver for full counts. */
+    readonly loadWanted?: boolean
   }
   | { readonly kind: 'rootRequest' }
   | { readonly kind: 'chunkRequest', readonly hash: string }
@@ -83,6 +91,11 @@
 
 export type PeerMessageOf<Kind extends PeerMessageKind> = Extract<PeerMessage, { readonly kind: Kind }>
 
+export type Heartbeat = PeerMessageOf<'heartbeat'>
+
+/** What services add to a heartbeat for one receiver; membership itself fills the rest. */
+export type HeartbeatParts = Partial<Pick<Heartbeat, 'load' | 'leavingMarks' | 'accountUsage' | 'loadWanted'>>
+
 export type PeerTransport = {
   /** One way, best effort: dropped when the peer cannot be reached or its queue is full. */
   readonly send: (address: PeerAddress, message: PeerMessage) => void
