Admit requests in weighted fair order of work

Cause: accounts that surge must not take a full pool from the others. Waiting requests go in order of decayed work over weight, fleet-wide through the few largest users that each node publishes; overnight work has a set share; queues are bounded, and the account furthest over its share is refused first.

--- /dev/null
+++ b/src/services/admission/_lib/createServiceQueue.ts
@@ -0,0 +1,197 @@
+/**
+ * Admission to one service: grants while this node has slots there, queues in
+ * weighted fair order of work when it has none, and refuses what the queue
+ * cannot hold or serve in time.
+ */
+import { failure, success } from '../../../kernel/index.js'
+import { findOverShare } from '../../../decisions/findOverShare/index.js'
+import type { QueuedContender } from '../../../decisions/findOverShare/index.js'
+import { shareFairly } from '../../../decisions/shareFairly/index.js'
+import type { AdmissionDemand, AdmissionRefusal, AdmissionTicket, Clock, RefusalReason, Result, Timer } from '../../../types/index.js'
+import type { AdmissionOptions } from '../index.js'
+import { createDrainRate } from './createDrainRate.js'
+import type { UsageBook } from './createUsageBook.js'
+import { createWaitingList } from './createWaitingList.js'
+import type { WaitingAccount, WaitingList, WaitingRequest } from './createWaitingList.js'
+
+const MINIMUM_RETRY_AFTER_MS = 250
+
+const MAXIMUM_RETRY_AFTER_MS = 60_000
+
+/** The accounts of the usage book that stand for the two classes as wholes. */
+const CLASS_OVERNIGHT = '\u0000overnight'
+const CLASS_ALL = '\u0000all'
+
+export type ServiceQueueDependencies = {
+  readonly clock: Clock
+  readonly usage: UsageBook
+  /** Work by class; kept apart from `usage`, which is published. */
+  readonly classUsage: UsageBook
+  readonly slotsForNode: () => number
+  readonly findWeight: (clientAccount: string) => number
+  readonly recordWait: (waitMs: number) => void
+}
+
+export type ServiceQueue = {
+  readonly admit: (demand: AdmissionDemand) => Promise<Result<AdmissionTicket, AdmissionRefusal>>
+  readonly length: () => number
+}
+
+/**
+ * Creates the queue of one service.
+ *
+ * @param service - Name of the service.
+ * @param dependencies - Clock, usage, slots and weights.
+ * @param options - Bounds and shares.
+ * @returns The queue.
+ */
+export const createServiceQueue = (service: string, dependencies: ServiceQueueDependencies, options: AdmissionOptions): ServiceQueue => {
+  const { clock, usage, classUsage, slotsForNode, findWeight, recordWait } = dependencies
+  const interactive = createWaitingList()
+  const overnight = createWaitingList()
+  const drainRate = createDrainRate(clock, options.usageHalfLifeMs)
+  let running = 0
+  let pollTimer: Timer | undefined
+
+  const countWaiting = (): number => interactive.length() + overnight.length()
+
+  const describe = (account: WaitingAccount): QueuedContender => ({
+    ...account,
+    weight: findWeight(account.clientAccount),
+    usage: usage.measureFleet(service, account.clientAccount)
+  })
+
+  const charge = (demand: AdmissionDemand, tokens: number): void => {
+    usage.charge(service, demand.clientAccount, tokens)
+    classUsage.charge(service, CLASS_ALL, tokens)
+    if (demand.overnight) classUsage.charge(service, CLASS_OVERNIGHT, tokens)
+  }
+
+  const createTicket = (demand: AdmissionDemand): AdmissionTicket => {
+    let isFinished = false
+    running += 1
+    charge(demand, demand.tokens)
+    return {
+      finish: (tokensUsed) => {
+        if (isFinished) return
+        isFinished = true
+        running -= 1
+        charge(demand, tokensUsed - demand.tokens)
+        drainRate.record(tokensUsed)
+        pump()
+      }
+    }
+  }
+
+  /** Overnight work goes first only while it has had less than its set share. */
+  const selectList = (): WaitingList => {
+    if (interactive.length() === 0) return overnight
+    if (overnight.length() === 0) return interactive
+    const share = classUsage.measureFleet(service, CLASS_OVERNIGHT)
+    return share < options.overnightShare * classUsage.measureFleet(service, CLASS_ALL) ? overnight : interactive
+  }
+
+  const takeNext = (): WaitingRequest | undefined => {
+    const list = selectList()
+    const next = shareFairly(list.accounts().map(describe))
+    return next === undefined ? undefined : list.takeOldest(next)
+  }
+
+  const pump = (): void => {
+    while (countWaiting() > 0 && running < slotsForNode()) {
+      const request = takeNext()
+      if (request === undefined) break
+      recordWait(clock.now() - request.since)
+      request.settle(success(createTicket(request.demand)))
+    }
+    pollWhileWaiting()
+  }
+
+  // Slots also come free at other nodes and with new backend servers, which
+  // nobody announces here; while somebody waits, the queue looks again.
+  const pollWhileWaiting = (): void => {
+    if (countWaiting() === 0 || pollTimer !== undefined) return
+    pollTimer = clock.setTimer(options.pollIntervalMs, () => {
+      pollTimer = undefined
+      pump()
+    })
+  }
+
+  const estimateWaitMs = (demand: AdmissionDemand): number => {
+    const waiting = [...interactive.accounts(), ...(demand.overnight ? overnight.accounts() : [])]
+    const others = waiting.filter((account) => account.clientAccount !== demand.clientAccount)
+    const ownTokens = waiting.find((account) => account.clientAccount === demand.clientAccount)?.queuedTokens ?? 0
+    const weight = findWeight(demand.clientAccount)
+    const allWeights = others.reduce((sum, account) => sum + findWeight(account.clientAccount), weight)
+    const tokensAhead = Math.min(
+      ownTokens * allWeights / weight,
+      waiting.reduce((sum, account) => sum + account.queuedTokens, 0)
+    )
+    return drainRate.estimateMs(tokensAhead)
+  }
+
+  const refuse = (demand: AdmissionDemand, reason: RefusalReason): Result<AdmissionTicket, AdmissionRefusal> => {
+    const waitMs = estimateWaitMs(demand)
+    return failure({ reason, retryAfterMs: Math.min(MAXIMUM_RETRY_AFTER_MS, Math.max(MINIMUM_RETRY_AFTER_MS, Math.ceil(waitMs))) })
+  }
+
+  const listOf = (demand: AdmissionDemand): WaitingList => demand.overnight ? overnight : interactive
+
+  const isAccountFull = (demand: AdmissionDemand): boolean =>
+    (listOf(demand).find(demand.clientAccount)?.length ?? 0) >= options.maximumQueuedPerAccount
+
+  /** Makes room for the newcomer at the cost of the account furthest over its share; false when that is its own. */
+  const makeRoom = (demand: AdmissionDemand): boolean => {
+    const overnightWorst = findOverShare(overnight.accounts().map(describe))
+    if (!demand.overnight && overnightWorst !== undefined) return evict(overnight, overnightWorst)
+    if (demand.overnight && overnightWorst === undefined) return false
+    const list = listOf(demand)
+    const known = list.find(demand.clientAccount)
+    const newcomer = { clientAccount: demand.clientAccount, waitingSince: clock.now(), queuedTokens: (known?.queuedTokens ?? 0) + demand.tokens, length: 0 }
+    const contenders = [...list.accounts().filter((account) => account.clientAccount !== demand.clientAccount), newcomer]
+    const worst = findOverShare(contenders.map(describe))
+    return worst !== undefined && worst !== demand.clientAccount && evict(list, worst)
+  }
+
+  const evict = (list: WaitingList, clientAccount: string): boolean => {
+    const evicted = list.takeNewest(clientAccount)
+    evicted?.settle(refuse(evicted.demand, 'overShare'))
+    return evicted !== undefined
+  }
+
+  const enqueue = (demand: AdmissionDemand): Promise<Result<AdmissionTicket, AdmissionRefusal>> => new Promise((resolve) => {
+    const list = listOf(demand)
+    const leave = (reason: RefusalReason): void => {
+      if (list.remove(request)) request.settle(refuse(demand, reason))
+    }
+    const timer = clock.setTimer(Math.max(0, demand.deadlineAt - clock.now()), () => { leave('deadline') })
+    const cancel = (): void => { leave('cancelled') }
+    const request: WaitingRequest = {
+      demand,
+      since: clock.now(),
+      settle: (result) => {
+        timer.cancel()
+        demand.signal.removeEventListener('abort', cancel)
+        resolve(result)
+      }
+    }
+    demand.signal.addEventListener('abort', cancel)
+    list.add(request)
+    pump()
+  })
+
+  const admit = async (demand: AdmissionDemand): Promise<Result<AdmissionTicket, AdmissionRefusal>> => {
+    if (demand.signal.aborted) return refuse(demand, 'cancelled')
+    if (clock.now() >= demand.deadlineAt) return refuse(demand, 'deadline')
+    if (countWaiting() === 0 && running < slotsForNode()) {
+      recordWait(0)
+      return success(createTicket(demand))
+    }
+    if (clock.now() + estimateWaitMs(demand) >= demand.deadlineAt) return refuse(demand, 'deadline')
+    if (isAccountFull(demand)) return refuse(demand, 'queueFull')
+    if (countWaiting() >= options.maximumQueued && !makeRoom(demand)) return refuse(demand, 'overShare')
+    return await enqueue(demand)
+  }
+
+  return { admit, length: countWaiting }
+}
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -43,8 +43,8 @@
   readonly leaving: boolean
 }
 
-/** Work in flight and queued of one client account at one router, in tokens. */
-export type AccountUsage = { readonly clientAccount: string, readonly tokens: number }
+/** Work that one router lately started for one client account on one service, in tokens, decayed with time. */
+export type AccountUsage = { readonly clientAccount: string, readonly service?: string, readonly tokens: number }
 
 export type ClaimKey = { readonly clientAccount: string, readonly idempotencyKey: string }
 
