--- /dev/null
+++ b/src/adapters/backendHttp/_lib/createExchange.ts
@@ -0,0 +1,115 @@
+/**
+ * One request and its answer on a pooled connection, as a handler of undici's
+ * dispatch. It notes the one fact that decides "not run": whether the request
+ * was handed to a connected socket before it failed.
+ */
+import type { IncomingHttpHeaders } from 'node:http'
+import type { Dispatcher } from 'undici'
+import { failure } from '../../../kernel/failure/index.js'
+import { success } from '../../../kernel/success/index.js'
+import type { BackendAnswer, BackendError, Headers, Result } from '../../../types/index.js'
+import { createBodyQueue } from './createBodyQueue.js'
+
+const FIRST_FINAL_STATUS = 200
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
+
+export type Exchange = {
+  readonly handler: Dispatcher.DispatchHandler
+  readonly answer: Promise<Result<BackendAnswer, BackendError>>
+  readonly abort: (reason: Error) => void
+}
+
+const joinHeaders = (headers: IncomingHttpHeaders): Headers => {
+  const joined: Record<string, string> = {}
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined) continue
+    const separator = name === 'set-cookie' ? '\n' : ', '
+    joined[name.toLowerCase()] = Array.isArray(value) ? value.join(separator) : value
+  }
+  return joined
+}
+
+/**
+ * Guards against a truncated answer that looks whole: a body that only the
+ * close of its connection ends looks alike when the server died. Without a
+ * declared length or chunks, its end proves nothing.
+ */
+const hasProvableEnd = (method: string, status: number, headers: Headers): boolean =>
+  method === 'HEAD' ||
+  BODILESS_STATUSES.has(status) ||
+  headers['content-length'] !== undefined ||
+  (headers['transfer-encoding'] ?? '').toLowerCase().includes('chunked')
+
+export const createExchange = (method: string): Exchange => {
+  let controller: Dispatcher.DispatchController | undefined
+  let aborted: Error | undefined
+  let isWritten = false
+  let isEndProvable = true
+  let settle: (result: Result<BackendAnswer, BackendError>) => void = () => {}
+  const answer = new Promise<Result<BackendAnswer, BackendError>>((resolve) => { settle = resolve })
+
+  const describeError = (error: Error): BackendError => {
+    if (!isWritten) return { kind: 'notSent', message: error.message }
+    return aborted === undefined ? { kind: 'noAnswer', message: error.message } : { kind: 'cancelled' }
+  }
+
+  const abort = (reason: Error): void => {
+    aborted ??= reason
+    settle(failure(describeError(reason)))
+    queue.finish({ kind: 'cut', message: reason.message })
+    controller?.abort(reason)
+  }
+
+  const queue = createBodyQueue({
+    pause: () => controller?.pause(),
+    resume: () => controller?.resume(),
+    abandon: () => abort(new Error('the reader left the answer'))
+  })
+
+  /**
+   * undici calls this just before it writes to a connected socket. From here on
+   * the request may have run, even if the write itself fails: a kept-alive
+   * socket that the server has closed takes bytes as readily as a live one.
+   */
+  const onRequestStart = (started: Dispatcher.DispatchController): void => {
+    if (isWritten) {
+      started.abort(new Error('the request was already written once'))
+      return
+    }
+    controller = started
+    if (aborted !== undefined) {
+      started.abort(aborted)
+      return
+    }
+    isWritten = true
+  }
+
+  const onResponseStart = (_: Dispatcher.DispatchController, status: number, rawHeaders: IncomingHttpHeaders): void => {
+    if (status < FIRST_FINAL_STATUS) return
+    const headers = joinHeaders(rawHeaders)
+    isEndProvable = hasProvableEnd(method, status, headers)
+    settle(success({
+      status,
+      headers,
+      body: queue.body,
+      abort: () => abort(new Error('the answer was dropped'))
+    }))
+  }
+
+  return {
+    answer,
+    abort,
+    handler: {
+      onRequestStart,
+      onResponseStart,
+      onResponseData: (_, chunk) => queue.push(chunk),
+      onResponseEnd: () => {
+        queue.finish(isEndProvable ? { kind: 'end' } : { kind: 'cut', message: 'only the close of the connection ended the body' })
+      },
+      onResponseError: (_, error) => {
+        settle(failure(describeError(error)))
+        queue.finish({ kind: 'cut', message: error.message })
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/adapters/callerHttp/index.ts
@@ -0,0 +1,171 @@
+/**
+ * The listener for callers. It bounds what a connection may send and how long
+ * it may take, hands each request to dispatch, and writes the final answer.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify'
+import { describeRefusal } from '../../decisions/describeRefusal/index.js'
+import type { CallerAnswer, Clock, Dispatch, Logger, PeerAddress, RandomSource } from '../../types/index.js'
+import { readCallerRequest } from './_lib/readCallerRequest.js'
+import { writeAnswer } from './_lib/writeAnswer.js'
+
+export type CallerHttpDependencies = {
+  readonly dispatch: Dispatch
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly logger: Logger
+}
+
+export type CallerHttpOptions = {
+  readonly host: string
+  /** 0 takes any free port. */
+  readonly port: number
+  readonly maximumBodyBytes: number
+  /** Bytes of all headers together; 32,768 by default. */
+  readonly maximumHeaderBytes?: number
+  /** Time for a caller to send all headers, in milliseconds; 10,000 by default. */
+  readonly headerTimeoutMs?: number
+  /** Time for a caller to send the whole request, in milliseconds; 60,000 by default. */
+  readonly requestTimeoutMs?: number
+  /** Longest wait for a caller that does not read its answer, in milliseconds; 30,000 by default. */
+  readonly writeTimeoutMs?: number
+  /** How long an unused connection stays open, in milliseconds; 15,000 by default. */
+  readonly idleTimeoutMs?: number
+  /** Open connections; 10,000 by default. */
+  readonly maximumConnections?: number
+}
+
+export type CallerHttp = {
+  readonly listen: () => Promise<PeerAddress>
+  /** Where it listens; `undefined` before `listen`. */
+  readonly address: () => PeerAddress | undefined
+  /** What `/readyz` says to a balancer. The listener serves either way. */
+  readonly setReady: (isReady: boolean) => void
+  /** Takes no new connection, lets requests in flight end, then closes. */
+  readonly close: () => Promise<void>
+}
+
+export const LIVE_PATH = '/livez'
+export const READY_PATH = '/readyz'
+
+const DEFAULTS = {
+  maximumHeaderBytes: 32_768,
+  headerTimeoutMs: 10_000,
+  requestTimeoutMs: 60_000,
+  writeTimeoutMs: 30_000,
+  idleTimeoutMs: 15_000,
+  maximumConnections: 10_000
+}
+
+const BODY_TOO_LARGE = 'FST_ERR_CTP_BODY_TOO_LARGE'
+const METHODS_WITHOUT_BODY: ReadonlySet<string> = new Set(['GET', 'HEAD'])
+
+const refuse = (reason: 'badRequest' | 'bodyTooLarge' | 'backendFailed', message: string): CallerAnswer =>
+  ({ kind: 'refused', refusal: describeRefusal(reason === 'backendFailed' ? 'unknown' : 'not-run', reason, message) })
+
+const declaresBody = (message: IncomingMessage): boolean =>
+  message.headers['transfer-encoding'] !== undefined || Number(message.headers['content-length'] ?? 0) > 0
+
+/** Aborts when the connection ends before the answer was written to its end. */
+const watchHangUp = (response: ServerResponse): AbortSignal => {
+  const controller = new AbortController()
+  response.once('close', () => {
+    if (!response.writableFinished) controller.abort(new Error('the caller hung up'))
+  })
+  return controller.signal
+}
+
+type MalformedHandler = (error: { readonly code?: string, readonly message: string }, request: FastifyRequest, reply: FastifyReply) => Promise<void>
+
+const createServer = (options: CallerHttpOptions & typeof DEFAULTS, refuseMalformed: MalformedHandler): FastifyInstance => {
+  const server = fastify({
+    frameworkErrors: async (error, request, reply) => { await refuseMalformed(error, request as FastifyRequest, reply as FastifyReply) },
+    bodyLimit: options.maximumBodyBytes,
+    requestTimeout: options.requestTimeoutMs,
+    keepAliveTimeout: options.idleTimeoutMs,
+    http: { maxHeaderSize: options.maximumHeaderBytes, headersTimeout: options.headerTimeoutMs, insecureHTTPParser: false },
+    exposeHeadRoutes: false,
+    forceCloseConnections: 'idle',
+    return503OnClosing: false,
+    logger: false
+  })
+  server.server.maxConnections = options.maximumConnections
+  server.removeAllContentTypeParsers()
+  server.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body))
+  server.setErrorHandler(refuseMalformed)
+  return server
+}
+
+/**
+ * Creates the HTTP listener for callers.
+ *
+ * Every path but `/livez` and `/readyz` goes to dispatch as it came. A caller
+ * that hangs up aborts its request. A stream that fails ends with an error
+ * event and a destroyed socket, so that it can't be taken for a whole answer.
+ *
+ * @param dependencies - Dispatch and what the machine gives.
+ * @param options - Address, sizes in bytes and times in milliseconds.
+ * @returns The listener; it serves after `listen`.
+ *
+ * @example
+ * const callerHttp = createCallerHttp({ dispatch, clock, random, logger }, { host: '127.0.0.1', port: 0, maximumBodyBytes: 1_000_000 })
+ * const { port } = await callerHttp.listen()
+ */
+export const createCallerHttp = (dependencies: CallerHttpDependencies, options: CallerHttpOptions): CallerHttp => {
+  const settings = { ...DEFAULTS, ...options }
+  const { dispatch, clock, random, logger } = dependencies
+  let isReady = false
+  let isClosing = false
+  let address: PeerAddress | undefined
+
+  const write = async (reply: FastifyReply, requestId: string, answer: CallerAnswer): Promise<void> => {
+    if (isClosing && !reply.raw.headersSent) reply.raw.setHeader('connection', 'close')
+    await writeAnswer({ response: reply.raw, requestId, clock, writeTimeoutMs: settings.writeTimeoutMs }, answer)
+  }
+
+  const answerRequest = async (request: FastifyRequest, requestId: string, signal: AbortSignal): Promise<CallerAnswer> => {
+    if (METHODS_WITHOUT_BODY.has(request.method) && declaresBody(request.raw)) return refuse('badRequest', `a ${request.method} request has no body`)
+    try {
+      return await dispatch.handle(readCallerRequest(request.raw, request.body, requestId), signal)
+    } catch (error) {
+      logger.error('dispatch broke an invariant', { requestId, error: String(error) })
+      return refuse('backendFailed', 'the router failed')
+    }
+  }
+
+  const serve = async (request: FastifyRequest, reply: FastifyReply): Promise<void> => {
+    reply.hijack()
+    const signal = watchHangUp(reply.raw)
+    const requestId = random.nextId()
+    await write(reply, requestId, await answerRequest(request, requestId, signal))
+  }
+
+  const refuseMalformed: MalformedHandler = async (error, _request, reply) => {
+    reply.hijack()
+    reply.raw.setHeader('connection', 'close')
+    const answer = error.code === BODY_TOO_LARGE ? refuse('bodyTooLarge', error.message) : refuse('badRequest', error.message)
+    await write(reply, random.nextId(), answer)
+  }
+
+  const server = createServer(settings, refuseMalformed)
+  server.get(LIVE_PATH, async () => 'live\n')
+  server.get(READY_PATH, async (_request, reply) => await reply.code(isReady ? 200 : 503).send(isReady ? 'ready\n' : 'not ready\n'))
+  server.setNotFoundHandler(serve)
+
+  return {
+    listen: async () => {
+      await server.listen({ host: settings.host, port: settings.port })
+      const bound = server.server.address() as AddressInfo
+      address = { host: bound.address, port: bound.port }
+      return address
+    },
+    address: () => address,
+    setReady: (ready) => { isReady = ready },
+    close: async () => {
+      isReady = false
+      isClosing = true
+      await server.close()
+    }
+  }
+}
--- /dev/null
+++ b/src/decisions/planRetry/index.ts
@@ -0,0 +1,98 @@
+/**
+ * What to do after a failed attempt: retry elsewhere, resume the stream on the
+ * same backend server, or give the caller its final answer.
+ */
+import type { RefusalOutcome, RefusalReason } from '../../types/index.js'
+import type { AttemptState } from '../advanceAttempt/index.js'
+
+export type FailedAttempt = Extract<AttemptState, { readonly stage: 'failed' }>
+
+export type RetrySituation = {
+  readonly attempt: FailedAttempt
+  /** Whether an earlier attempt of the same request may have run. */
+  readonly mayHaveRunBefore: boolean
+  /** Whether the request may be run a second time. */
+  readonly repeatable: boolean
+  /** Whether any byte of an answer was passed to the caller. */
+  readonly delivered: boolean
+  /** Whether the backend server can send the rest of this stream. */
+  readonly resumable: boolean
+  readonly attempts: number
+  readonly resumes: number
+  /** Time until the caller's deadline, in milliseconds. */
+  readonly remainingMs: number
+  readonly budgetAvailable: boolean
+  /** In [0, 1), for jitter. */
+  readonly random: number
+}
+
+export type RetryLimits = {
+  readonly maximumAttempts: number
+  readonly maximumResumes: number
+  /** Upper bound of the first delay, in milliseconds; doubles with each attempt. */
+  readonly baseDelayMs: number
+  readonly maximumDelayMs: number
+}
+
+export type RetryPlan =
+  | { readonly kind: 'retryElsewhere', readonly delayMs: number }
+  | { readonly kind: 'resume', readonly delayMs: number }
+  | { readonly kind: 'refuse', readonly outcome: RefusalOutcome, readonly reason: RefusalReason }
+
+const drawDelay = (limits: RetryLimits, tries: number, random: number): number => {
+  const bound = Math.min(limits.maximumDelayMs, limits.baseDelayMs * 2 ** Math.max(0, tries - 1))
+  return Math.floor(random * bound)
+}
+
+const canResume = (situation: RetrySituation, limits: RetryLimits): boolean =>
+  situation.attempt.failedAt === 'answering' && situation.resumable && situation.resumes < limits.maximumResumes
+
+/** A caller that has seen bytes of one answer must not be given another one behind them. */
+const canRunElsewhere = (situation: RetrySituation, limits: RetryLimits): boolean => {
+  const allowed = situation.attempt.execution === 'notRun' || situation.repeatable
+  return allowed && !situation.delivered && situation.attempts < limits.maximumAttempts && situation.budgetAvailable
+}
+
+const refuse = (situation: RetrySituation): RetryPlan => {
+  const mayHaveRun = situation.mayHaveRunBefore || situation.attempt.execution === 'mayHaveRun'
+  const reasonWithTime = situation.attempt.failedAt === 'answering' ? 'answerIncomplete' : 'backendFailed'
+  return {
+    kind: 'refuse',
+    outcome: mayHaveRun ? 'unknown' : 'not-run',
+    reason: situation.remainingMs <= 0 ? 'deadline' : reasonWithTime
+  }
+}
+
+/**
+ * Plans what follows a failed attempt.
+ *
+ * | failed | may be repeated | may not be repeated |
+ * |---|---|---|
+ * | surely not run | elsewhere | elsewhere |
+ * | sent, no answer | elsewhere | refuse, unknown |
+ * | in mid-answer | resume, else elsewhere unless the caller has bytes, else refuse | resume, else refuse, unknown |
+ *
+ * Going elsewhere is bounded by the attempts, the retry budget and the
+ * deadline; the delay has full jitter, and a delay that would end after the
+ * deadline is a refusal at once, not a wait. Resuming makes a backend server
+ * do no work twice, so it takes nothing from the budget.
+ *
+ * @param situation - The failed attempt and what is known of its request.
+ * @param limits - Bounds on tries and on delays.
+ * @returns The plan; delays are in milliseconds.
+ *
+ * @example
+ * planRetry({ attempt: { stage: 'failed', failedAt: 'sent', execution: 'mayHaveRun' }, repeatable: false, ...rest }, limits)
+ * // => { kind: 'refuse', outcome: 'unknown', reason: 'backendFailed' }
+ */
+export const planRetry = (situation: RetrySituation, limits: RetryLimits): RetryPlan => {
+  if (canResume(situation, limits)) {
+    const delayMs = drawDelay(limits, situation.resumes, situation.random)
+    if (delayMs < situation.remainingMs) return { kind: 'resume', delayMs }
+  }
+  if (canRunElsewhere(situation, limits)) {
+    const delayMs = drawDelay(limits, situation.attempts, situation.random)
+    if (delayMs < situation.remainingMs) return { kind: 'retryElsewhere', delayMs }
+  }
+  return refuse(situation)
+}
--- /dev/null
+++ b/src/services/dispatch/_lib/attemptEnd.ts
@@ -0,0 +1,39 @@
+/** How one attempt at a backend server ended. */
+import { advanceAttempt, type AttemptEvent, type AttemptState } from '../../../decisions/advanceAttempt/index.js'
+import type { FailedAttempt } from '../../../decisions/planRetry/index.js'
+import type { AttemptOutcome, StoredAnswer } from '../../../types/index.js'
+
+export type AttemptEnd =
+  | {
+    readonly kind: 'delivered'
+    /** Set when the whole answer was small enough to keep. */
+    readonly stored?: StoredAnswer
+    /** Tokens that the answer reports as used. */
+    readonly tokens?: number
+    readonly outcome: AttemptOutcome
+  }
+  | {
+    readonly kind: 'failed'
+    readonly attempt: FailedAttempt
+    readonly message: string
+    /** What the failure says of the backend server; nothing when the caller or the deadline ended it. */
+    readonly outcome?: AttemptOutcome
+  }
+  /** The caller stopped reading a stream. */
+  | { readonly kind: 'callerLeft', readonly attempt: FailedAttempt }
+
+/** Folds the events of an attempt that failed. */
+export const failAfter = (...events: readonly AttemptEvent[]): FailedAttempt => {
+  const start: AttemptState = { stage: 'notSent' }
+  const state = events.reduce<AttemptState>(advanceAttempt, start)
+  if (state.stage !== 'failed') throw new Error(`an attempt that failed is ${state.stage}`)
+  return state
+}
+
+const REPORTED_TOKENS = /"total_tokens"\s*:\s*([0-9]{1,9})/
+
+/** Reads the use that an answer reports, without parsing all of it. */
+export const readReportedTokens = (text: string): number | undefined => {
+  const match = REPORTED_TOKENS.exec(text)
+  return match === null ? undefined : Number(match[1])
+}
--- /dev/null
+++ b/src/services/dispatch/_lib/createReply.ts
@@ -0,0 +1,113 @@
+/**
+ * The way of an answer to its caller. The request runs on its own and pushes
+ * into the reply, so that its deadline holds and its fate is counted even when
+ * the caller stops reading or never starts.
+ */
+import type { AnswerPart, CallerAnswer, Headers, Refusal } from '../../../types/index.js'
+
+const HIGH_WATER_BYTES = 65_536
+
+export type Reply = {
+  readonly answer: Promise<CallerAnswer>
+  readonly sendWhole: (status: number, headers: Headers, body: Uint8Array) => void
+  readonly startStream: (status: number, headers: Headers) => void
+  /** Waits while the caller is slow; resolves false when it has left or the signal aborts. */
+  readonly sendData: (bytes: Uint8Array, signal: AbortSignal) => Promise<boolean>
+  readonly endStream: () => void
+  /** The final answer when there is no complete one, before or in mid-stream. */
+  readonly refuse: (refusal: Refusal) => void
+  /** Whether the caller may have seen a part of an answer. */
+  readonly hasStarted: () => boolean
+}
+
+type PartQueue = {
+  readonly parts: AnswerPart[]
+  readonly wakeReader: () => void
+  readonly waitForRoom: (signal: AbortSignal) => Promise<boolean>
+  readonly iterable: AsyncIterable<AnswerPart>
+}
+
+/** Resolves when `wake` is called or the signal aborts, and leaves no listener behind. */
+const waitForWake = (signal: AbortSignal, keepWake: (wake: () => void) => void): Promise<void> => new Promise((resolve) => {
+  const wake = (): void => {
+    signal.removeEventListener('abort', wake)
+    resolve()
+  }
+  signal.addEventListener('abort', wake)
+  keepWake(wake)
+})
+
+const createPartQueue = (): PartQueue => {
+  const parts: AnswerPart[] = []
+  const reader = { hasLeft: false }
+  let wakeReader = (): void => {}
+  let wakeWriter = (): void => {}
+
+  const queuedBytes = (): number => parts.reduce((sum, part) => sum + (part.kind === 'data' ? part.bytes.length : 0), 0)
+
+  const waitForRoom = async (signal: AbortSignal): Promise<boolean> => {
+    while (!reader.hasLeft && !signal.aborted && queuedBytes() > HIGH_WATER_BYTES) {
+      await waitForWake(signal, (wake) => { wakeWriter = wake })
+    }
+    return !reader.hasLeft && !signal.aborted
+  }
+
+  const next = async (): Promise<IteratorResult<AnswerPart>> => {
+    while (!reader.hasLeft) {
+      const part = parts.shift()
+      wakeWriter()
+      if (part === undefined) {
+        await new Promise<void>((resolve) => { wakeReader = resolve })
+        continue
+      }
+      if (part.kind !== 'data') reader.hasLeft = true
+      return { done: false, value: part }
+    }
+    return { done: true, value: undefined }
+  }
+
+  const leave = async (): Promise<IteratorResult<AnswerPart>> => {
+    reader.hasLeft = true
+    wakeWriter()
+    wakeReader()
+    return { done: true, value: undefined }
+  }
+
+  return {
+    parts,
+    wakeReader: () => wakeReader(),
+    waitForRoom,
+    iterable: { [Symbol.asyncIterator]: () => ({ next, return: leave }) }
+  }
+}
+
+export const createReply = (): Reply => {
+  let settle: (answer: CallerAnswer) => void = () => {}
+  const answer = new Promise<CallerAnswer>((resolve) => { settle = resolve })
+  const queue = createPartQueue()
+  let isStreaming = false
+
+  const push = (part: AnswerPart): void => {
+    queue.parts.push(part)
+    queue.wakeReader()
+  }
+
+  return {
+    answer,
+    sendWhole: (status, headers, body) => settle({ kind: 'whole', status, headers, body }),
+    startStream: (status, headers) => {
+      isStreaming = true
+      settle({ kind: 'stream', status, headers, parts: queue.iterable })
+    },
+    sendData: async (bytes, signal) => {
+      push({ kind: 'data', bytes })
+      return await queue.waitForRoom(signal)
+    },
+    endStream: () => push({ kind: 'end' }),
+    refuse: (refusal) => {
+      if (isStreaming) push({ kind: 'failed', refusal })
+      else settle({ kind: 'refused', refusal })
+    },
+    hasStarted: () => isStreaming
+  }
+}
--- /dev/null
+++ b/src/services/dispatch/_lib/createRequestScope.ts
@@ -0,0 +1,70 @@
+/**
+ * How long one request may go on: until its deadline, or until its caller
+ * hangs up. Everything that waits for the request waits within its scope.
+ */
+import type { Clock } from '../../../types/index.js'
+
+export type RequestEnd = 'deadline' | 'hungUp'
+
+export type RequestScope = {
+  /** Aborts at the deadline or when the caller hangs up. */
+  readonly signal: AbortSignal
+  /** Why the signal was aborted; `undefined` before. */
+  readonly ended: () => RequestEnd | undefined
+  readonly remainingMs: () => number
+  readonly deadlineAt: number
+  /** From now on a caller that hangs up does not end the request. */
+  readonly outliveCaller: () => void
+  /** Resolves with `undefined` when the scope ends first. */
+  readonly race: <Value>(promise: Promise<Value>) => Promise<Value | undefined>
+  /** Resolves false when the scope ends first. */
+  readonly wait: (delayMs: number) => Promise<boolean>
+  readonly close: () => void
+}
+
+export const createRequestScope = (clock: Clock, deadlineMs: number, callerSignal: AbortSignal): RequestScope => {
+  const controller = new AbortController()
+  const deadlineAt = clock.now() + deadlineMs
+  let ended: RequestEnd | undefined
+
+  const end = (cause: RequestEnd): void => {
+    if (ended !== undefined) return
+    ended = cause
+    controller.abort(new Error(cause))
+  }
+
+  const onHangUp = (): void => end('hungUp')
+  const timer = clock.setTimer(deadlineMs, () => end('deadline'))
+  if (callerSignal.aborted) end('hungUp')
+  callerSignal.addEventListener('abort', onHangUp, { once: true })
+
+  const race = <Value>(promise: Promise<Value>): Promise<Value | undefined> => {
+    if (controller.signal.aborted) return Promise.resolve(undefined)
+    return new Promise((resolve, reject) => {
+      const onAbort = (): void => resolve(undefined)
+      controller.signal.addEventListener('abort', onAbort, { once: true })
+      promise.then(resolve, reject).finally(() => controller.signal.removeEventListener('abort', onAbort))
+    })
+  }
+
+  return {
+    signal: controller.signal,
+    ended: () => ended,
+    remainingMs: () => deadlineAt - clock.now(),
+    deadlineAt,
+    outliveCaller: () => callerSignal.removeEventListener('abort', onHangUp),
+    race,
+    wait: async (delayMs) => {
+      let wake = (): void => {}
+      const elapsed = new Promise<true>((resolve) => { wake = () => resolve(true) })
+      const delay = clock.setTimer(delayMs, wake)
+      const isElapsed = await race(elapsed)
+      delay.cancel()
+      return isElapsed ?? false
+    },
+    close: () => {
+      timer.cancel()
+      callerSignal.removeEventListener('abort', onHangUp)
+    }
+  }
+}
--- /dev/null
+++ b/src/services/dispatch/_lib/relayBody.ts
@@ -0,0 +1,69 @@
+/**
+ * Passes on an answer that is not a stream of events. It is collected and
+ * checked first, so that a cut one can be replaced by another attempt; one
+ * that is too large to collect is passed on as it comes.
+ */
+import type { BackendAnswer, BackendServer, Headers } from '../../../types/index.js'
+import { failAfter, readReportedTokens, type AttemptEnd } from './attemptEnd.js'
+import { describeAnswerHeaders } from './describeExchange.js'
+import { mayRepeat, type RequestContext } from './requestContext.js'
+
+const FIRST_SERVER_ERROR = 500
+
+const failCut = (message: string): AttemptEnd =>
+  ({ kind: 'failed', attempt: failAfter('written', 'answerStarted', 'cut'), message, outcome: 'failed' })
+
+/** A backend server's error answer is whole, but the request may have run; a client library must not repeat it. */
+const describeDoubt = (context: RequestContext, status: number): Headers =>
+  status >= FIRST_SERVER_ERROR && !mayRepeat(context) ? { 'x-request-outcome': 'unknown', 'x-should-retry': 'false' } : {}
+
+const isBrokenJson = (context: RequestContext, answer: BackendAnswer, text: string): boolean => {
+  const isJson = (answer.headers['content-type'] ?? '').startsWith('application/json')
+  if (context.routed.serviceKind !== 'model' || !isJson) return false
+  try {
+    JSON.parse(text)
+    return false
+  } catch {
+    return true
+  }
+}
+
+const deliverWhole = (context: RequestContext, answer: BackendAnswer, headers: Headers, body: Buffer): AttemptEnd => {
+  const text = context.routed.serviceKind === 'model' ? body.toString('utf8') : ''
+  if (isBrokenJson(context, answer, text)) return failCut('the answer is not whole JSON')
+  context.reply.sendWhole(answer.status, headers, body)
+  const tokens = readReportedTokens(text)
+  return {
+    kind: 'delivered',
+    stored: { status: answer.status, headers, body },
+    outcome: answer.status >= FIRST_SERVER_ERROR ? 'failed' : 'complete',
+    ...(tokens === undefined ? {} : { tokens })
+  }
+}
+
+const isEventStream = (headers: Headers): boolean => (headers['content-type'] ?? '').startsWith('text/event-stream')
+
+export const relayBody = async (context: RequestContext, backendServer: BackendServer, answer: BackendAnswer): Promise<AttemptEnd> => {
+  const { reply, scope, limits } = context
+  const headers = { ...describeAnswerHeaders(context, backendServer, answer), ...describeDoubt(context, answer.status) }
+  const bufferBytes = isEventStream(answer.headers) ? 0 : limits.answerBufferBytes
+  const chunks: Uint8Array[] = []
+  let size = 0
+
+  for await (const part of answer.body) {
+    if (part.kind === 'cut') return failCut(part.message)
+    if (part.kind === 'end') break
+    size += part.bytes.length
+    if (size <= bufferBytes) {
+      chunks.push(part.bytes)
+      continue
+    }
+    if (!reply.hasStarted()) reply.startStream(answer.status, headers)
+    const isTaken = await reply.sendData(Buffer.concat([...chunks.splice(0), part.bytes]), scope.signal)
+    if (!isTaken) return { kind: 'callerLeft', attempt: failAfter('written', 'answerStarted', 'cancelled') }
+  }
+
+  if (!reply.hasStarted()) return deliverWhole(context, answer, headers, Buffer.concat(chunks))
+  reply.endStream()
+  return { kind: 'delivered', outcome: 'complete' }
+}
--- /dev/null
+++ b/src/services/dispatch/_lib/relayEvents.ts
@@ -0,0 +1,106 @@
+/**
+ * Passes on an engine's stream of events: whole events only, each one once and
+ * in order. A stream that is cut is resumed on the same backend server.
+ */
+import { createParser, type EventSourceMessage } from 'eventsource-parser'
+import { orderStreamEvent, type StreamPosition } from '../../../decisions/orderStreamEvent/index.js'
+import type { BackendAnswer, BackendServer, Headers } from '../../../types/index.js'
+import { failAfter, readReportedTokens, type AttemptEnd } from './attemptEnd.js'
+import type { RetryPlanner } from './createRetryPlanner.js'
+import { describeAnswerHeaders } from './describeExchange.js'
+import { requestResume } from './requestResume.js'
+import type { RequestContext } from './requestContext.js'
+
+const END_MARKER = '[DONE]'
+/** One event larger than this is a fault of the engine. */
+const MAXIMUM_EVENT_CHARACTERS = 4_000_000
+/** After the end marker only the end of the body is left to read, to keep the connection. */
+const CLOSING_TIMEOUT_MS = 1_000
+
+type ConnectionEnd = 'whole' | 'cut' | 'callerLeft'
+
+/** What has been passed on, over all connections of the stream. */
+type StreamProgress = {
+  position: StreamPosition
+  tokens: number | undefined
+  isWhole: boolean
+}
+
+const writeEvent = ({ id, event, data }: EventSourceMessage): Uint8Array => {
+  const lines = [
+    ...(id === undefined ? [] : [`id: ${id}`]),
+    ...(event === undefined ? [] : [`event: ${event}`]),
+    ...data.split('\n').map((line) => `data: ${line}`)
+  ]
+  return Buffer.from(`${lines.join('\n')}\n\n`)
+}
+
+/** The end marker may come without a number; all else follows the numbers. */
+const judge = (progress: StreamProgress, event: EventSourceMessage): ReturnType<typeof orderStreamEvent> =>
+  event.data === END_MARKER && event.id === undefined
+    ? { kind: 'forward', position: progress.position }
+    : orderStreamEvent(progress.position, event.id)
+
+const forwardEvent = async (context: RequestContext, headers: Headers, status: number, progress: StreamProgress, event: EventSourceMessage): Promise<ConnectionEnd | undefined> => {
+  const { reply, scope } = context
+  const verdict = judge(progress, event)
+  if (verdict.kind === 'drop') return undefined
+  if (verdict.kind === 'gap') return 'cut'
+  progress.position = verdict.position
+  progress.tokens = readReportedTokens(event.data) ?? progress.tokens
+  if (!reply.hasStarted()) reply.startStream(status, headers)
+  const isTaken = await reply.sendData(writeEvent(event), scope.signal)
+  if (!isTaken) return 'callerLeft'
+  return event.data === END_MARKER ? 'whole' : undefined
+}
+
+const relayConnection = async (context: RequestContext, headers: Headers, answer: BackendAnswer, progress: StreamProgress): Promise<ConnectionEnd> => {
+  const events: EventSourceMessage[] = []
+  const decoder = new TextDecoder()
+  const parser = createParser({ onEvent: (event) => { events.push(event) }, maxBufferSize: MAXIMUM_EVENT_CHARACTERS })
+  for await (const part of answer.body) {
+    if (part.kind !== 'data') return progress.isWhole ? 'whole' : 'cut'
+    if (progress.isWhole) continue
+    parser.feed(decoder.decode(part.bytes, { stream: true }))
+    for (const event of events.splice(0)) {
+      const end = await forwardEvent(context, headers, answer.status, progress, event)
+      if (end === 'whole') {
+        progress.isWhole = true
+        context.reply.endStream()
+        context.dependencies.clock.setTimer(CLOSING_TIMEOUT_MS, answer.abort)
+        break
+      }
+      if (end !== undefined) return end
+    }
+  }
+  return progress.isWhole ? 'whole' : 'cut'
+}
+
+const resume = async (context: RequestContext, planner: RetryPlanner, backendServer: BackendServer, progress: StreamProgress): Promise<BackendAnswer | undefined> => {
+  const { scope, reply } = context
+  const cut = failAfter('written', 'answerStarted', 'cut')
+  let isResumable = progress.position.numbered !== false
+  for (let resumes = 0; ; resumes += 1) {
+    const plan = planner.plan(cut, { isResumable, resumes })
+    if (plan.kind !== 'resume' || !await scope.wait(plan.delayMs)) return undefined
+    const resumed = await requestResume(context, backendServer, progress.position.lastId)
+    if (resumed.kind === 'resumed') return resumed.answer
+    // With nothing passed on yet, another backend server answers sooner than a dead one comes back.
+    isResumable = resumed.kind === 'failed' && reply.hasStarted()
+  }
+}
+
+export const relayEvents = async (context: RequestContext, planner: RetryPlanner, backendServer: BackendServer, first: BackendAnswer): Promise<AttemptEnd> => {
+  const progress: StreamProgress = { position: { lastId: 0 }, tokens: undefined, isWhole: false }
+  const headers = describeAnswerHeaders(context, backendServer, first)
+  let idleResumes = 0
+  for (let answer: BackendAnswer | undefined = first; answer !== undefined && idleResumes <= context.limits.maximumResumes;) {
+    const before = progress.position.lastId
+    const end = await relayConnection(context, headers, answer, progress)
+    if (end === 'whole') return { kind: 'delivered', outcome: 'complete', ...(progress.tokens === undefined ? {} : { tokens: progress.tokens }) }
+    if (end === 'callerLeft') return { kind: 'callerLeft', attempt: failAfter('written', 'answerStarted', 'cancelled') }
+    idleResumes = progress.position.lastId > before ? 0 : idleResumes + 1
+    answer = context.scope.signal.aborted ? undefined : await resume(context, planner, backendServer, progress)
+  }
+  return { kind: 'failed', attempt: failAfter('written', 'answerStarted', 'cut'), message: 'the stream ended without its end marker', outcome: 'failed' }
+}
--- /dev/null
+++ b/src/services/dispatch/_lib/runAttempt.ts
@@ -0,0 +1,104 @@
+/**
+ * One attempt at one backend server: send, check whose answer came, pass it
+ * on. Load and health are recorded once for each attempt.
+ */
+import type { AttemptOutcome, BackendAnswer, BackendError, BackendServer } from '../../../types/index.js'
+import { failAfter, type AttemptEnd } from './attemptEnd.js'
+import type { RetryPlanner } from './createRetryPlanner.js'
+import { describeBackendRequest, describeCancel } from './describeExchange.js'
+import { relayBody } from './relayBody.js'
+import { relayEvents } from './relayEvents.js'
+import { mayRepeat, type RequestContext } from './requestContext.js'
+
+const REFUSED_STATUS = 503
+const LEAVING = 'leaving'
+/** Errors of a server that fails as a whole, which another one need not share. */
+const UNAVAILABLE_STATUSES: ReadonlySet<number> = new Set([502, 503, 504])
+const CANCEL_TIMEOUT_MS = 2_000
+
+const sendFailures: { readonly [Kind in BackendError['kind']]: (error: Extract<BackendError, { kind: Kind }>) => AttemptEnd } = {
+  notSent: ({ message }) => ({ kind: 'failed', attempt: failAfter('notSent'), message, outcome: 'notSent' }),
+  noAnswer: ({ message }) => ({ kind: 'failed', attempt: failAfter('written', 'cut'), message, outcome: 'failed' }),
+  cancelled: () => ({ kind: 'failed', attempt: failAfter('written', 'cancelled'), message: 'cancelled' })
+}
+
+const describeSendFailure = (error: BackendError): AttemptEnd => {
+  const describe = sendFailures[error.kind] as (error: BackendError) => AttemptEnd
+  return describe(error)
+}
+
+/**
+ * Guards against crossed answers: a server that mixes up its connections sends
+ * one caller's answer to another. It shows as a foreign or missing request id;
+ * nothing of such an answer goes further, and its connection is dropped since
+ * the next answer on it would be crossed too.
+ */
+const isForeign = (context: RequestContext, answer: BackendAnswer): boolean =>
+  answer.headers['x-request-id'] !== context.routed.request.requestId
+
+const refuseByBackend = (context: RequestContext, backendServer: BackendServer, reason: string): AttemptEnd => {
+  if (reason === LEAVING) context.dependencies.backendHealth.markLeaving(backendServer.name)
+  return { kind: 'failed', attempt: failAfter('written', 'refusedByBackend'), message: `${backendServer.name} refused: ${reason}`, outcome: 'refused' }
+}
+
+const isModelStream = (context: RequestContext, answer: BackendAnswer): boolean =>
+  context.routed.serviceKind === 'model' && (answer.headers['content-type'] ?? '').startsWith('text/event-stream')
+
+const exchange = async (context: RequestContext, planner: RetryPlanner, backendServer: BackendServer): Promise<AttemptEnd> => {
+  const { dependencies, scope } = context
+  const sent = await dependencies.backendClient.send(describeBackendRequest(context, backendServer), scope.signal)
+  if (!sent.ok) return describeSendFailure(sent.error)
+  const answer = sent.value
+  if (isForeign(context, answer)) {
+    answer.abort()
+    return { kind: 'failed', attempt: failAfter('written', 'crossedAnswer'), message: 'the answer belongs to another request', outcome: 'failed' }
+  }
+  const notRun = answer.headers['x-not-run']
+  if (answer.status === REFUSED_STATUS && notRun !== undefined) {
+    answer.abort()
+    return refuseByBackend(context, backendServer, notRun)
+  }
+  if (UNAVAILABLE_STATUSES.has(answer.status) && mayRepeat(context)) {
+    answer.abort()
+    return { kind: 'failed', attempt: failAfter('written', 'cut'), message: `${backendServer.name} answered ${answer.status}`, outcome: 'failed' }
+  }
+  return isModelStream(context, answer)
+    ? await relayEvents(context, planner, backendServer, answer)
+    : await relayBody(context, backendServer, answer)
+}
+
+/** Frees the engine's slot at once; without it the stream would run on for its grace period. */
+const cancelOnEngine = (context: RequestContext, backendServer: BackendServer): void => {
+  const { backendClient, clock } = context.dependencies
+  const controller = new AbortController()
+  const timer = clock.setTimer(CANCEL_TIMEOUT_MS, () => controller.abort())
+  backendClient.send(describeCancel(context, backendServer, CANCEL_TIMEOUT_MS), controller.signal)
+    .then(async (sent) => {
+      if (!sent.ok) return
+      for await (const part of sent.value.body) if (part.kind !== 'data') break
+    })
+    .finally(() => timer.cancel())
+}
+
+const mayStillRun = (end: AttemptEnd): boolean =>
+  end.kind !== 'delivered' && end.attempt.execution === 'mayHaveRun'
+
+const readOutcome = (context: RequestContext, end: AttemptEnd): AttemptOutcome | undefined => {
+  if (end.kind === 'callerLeft' || (end.kind === 'failed' && context.scope.signal.aborted)) return undefined
+  return end.outcome
+}
+
+export const runAttempt = async (context: RequestContext, planner: RetryPlanner, backendServer: BackendServer): Promise<AttemptEnd> => {
+  const { loadView, backendHealth } = context.dependencies
+  planner.startAttempt()
+  loadView.recordStart(backendServer.name)
+  try {
+    const end = await exchange(context, planner, backendServer)
+    const outcome = readOutcome(context, end)
+    if (outcome !== undefined) backendHealth.recordAttempt(backendServer.name, outcome)
+    if (context.routed.serviceKind === 'model' && mayStillRun(end)) cancelOnEngine(context, backendServer)
+    return end
+  } finally {
+    loadView.recordEnd(backendServer.name)
+  }
+}
--- a/src/types/request.ts
+++ b/src/types/request.ts
@@ -4,7 +4,10 @@
  */
 import type { Result } from './result.js'
 
-/** Lower-case header names; a repeated header has its values joined by a comma. */
+/**
+ * Lower-case header names; a repeated header has its values joined by a comma.
+ * Only `set-cookie` is joined by line feeds, since its values hold commas.
+ */
 export type Headers = Readonly<Record<string, string>>
 
 export type CallerRequest = {
@@ -63,6 +66,7 @@
   | { readonly kind: 'notSent', readonly message: string }
   /** The request was written, at least in part; it may have run. */
   | { readonly kind: 'noAnswer', readonly message: string }
+  /** Aborted by the signal after it was written, at least in part. Aborted earlier, it is `notSent`. */
   | { readonly kind: 'cancelled' }
 
 export type BackendBodyPart =
