--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -90,11 +90,18 @@
 }
 
 export type Claims = {
-  readonly claim: (key: ClaimKey, bodyHash: string) => Promise<ClaimOutcome>
+  /**
+   * Asks to be the one sender of a key. A repeat of a key that is in flight on
+   * this node waits for its answer until `waitUntil` (the clock's monotonic
+   * milliseconds); without it, the repeat is told `claimedElsewhere` at once.
+   */
+  readonly claim: (key: ClaimKey, bodyHash: string, waitUntil?: number) => Promise<ClaimOutcome>
   /** Gives a claim back; only for a request that was surely not sent. */
   readonly release: (key: ClaimKey, claimId: string) => Promise<void>
   /** Records the final answer of a claimed request, so that a repeat gets it again. */
   readonly complete: (key: ClaimKey, claimId: string, answer: StoredAnswer) => Promise<void>
+  /** Ends the wait of repeats for a request that was sent and whose outcome will stay unknown. */
+  readonly recordUnknown?: (key: ClaimKey, claimId: string) => void
 }
 
 export type AdmissionTicket = { readonly finish: (tokensUsed: number) => void }
@@ -117,6 +124,30 @@
 
 export type AdmissionRefusal = { readonly reason: RefusalReason, readonly retryAfterMs: number }
 
+/** What placement needs to know of a request. */
+export type PlacementDemand = {
+  readonly service: string
+  readonly chatKey: string
+  /** From a verified hint or the chat directory; advice only. */
+  readonly hintedBackendServer?: string
+  readonly isNewChat: boolean
+  /** Backend servers that this request has already failed on. */
+  readonly excluded: ReadonlySet<string>
+}
+
+export type Placement =
+  | { readonly kind: 'chosen', readonly backendServer: BackendServer }
+  | { readonly kind: 'none', readonly reason: 'noBackendServer' | 'queueFull', readonly retryAfterMs: number }
+
+/**
+ * Chooses the backend server of one attempt. The caller counts the attempt in
+ * the load view before anything else runs, so that a burst of requests does
+ * not choose on the same counts.
+ */
+export type BackendPlacement = {
+  readonly choose: (demand: PlacementDemand) => Placement
+}
+
 /** What became of every request that was accepted: accepted = complete + refused + unknown + open. */
 export type RequestLedger = {
   readonly accepted: number
@@ -142,6 +173,7 @@
   readonly configuration: ConfigurationHolder
   readonly claims: Claims
   readonly admission: Admission
+  readonly placement: BackendPlacement
   readonly dispatch: Dispatch
 }
 
