--- /dev/null
+++ b/src/decisions/advanceEjection/index.ts
@@ -0,0 +1,146 @@
+/**
+ * Ejection of a backend server that fails or flaps: out for a time that
+ * doubles with each ejection, then back with a small share of its slots that
+ * grows, and out again at the first failure while it does.
+ */
+import type { AttemptOutcome } from '../../types/index.js'
+
+export type EjectionPhase = 'live' | 'ejected' | 'slowStart'
+
+export type Ejection = {
+  readonly phase: EjectionPhase
+  /** Why it is or was out: failed requests, or connections that could not be made. */
+  readonly cause: 'failed' | 'unreachable'
+  /** Attempts that failed in a row. */
+  readonly failures: number
+  /** Connections that could not be made in a row, for attempts or probes. */
+  readonly refusals: number
+  /** Probes without an answer in a row. */
+  readonly silences: number
+  /** Moving average of failures among attempts, 0 to 1. */
+  readonly failureRate: number
+  /** Ejections that are not forgiven yet. */
+  readonly ejections: number
+  /** Monotonic milliseconds at which the phase began. */
+  readonly since: number
+  /** Monotonic milliseconds until which it is ejected. */
+  readonly until: number
+}
+
+/** How an attempt or a probe went, or the passing of time alone. A probe that could not connect is `notSent`. */
+export type EjectionEvent = AttemptOutcome | 'probeAnswered' | 'probeUnanswered' | 'tick'
+
+export type EjectionLimits = {
+  /** Failed attempts in a row that eject. */
+  readonly failures: number
+  /** Connections refused in a row after which the server is unreachable. */
+  readonly refusals: number
+  /** Unanswered probes in a row that eject. */
+  readonly silences: number
+  /** Share of failed attempts above which a server is ejected that fails and succeeds by turns. */
+  readonly failureRate: number
+  readonly holdMs: number
+  readonly maximumHoldMs: number
+  readonly slowStartMs: number
+  /** Time without an ejection after which earlier ones no longer count. */
+  readonly forgiveAfterMs: number
+}
+
+/** Share of its slots that a server comes back with. */
+export const FIRST_WEIGHT_SHARE = 0.1
+
+const RATE_STEP = 0.1
+
+const NO_FAILURES = { failures: 0, refusals: 0, silences: 0, failureRate: 0 }
+
+type Handler = (ejection: Ejection, now: number, limits: EjectionLimits) => Ejection
+
+/**
+ * Gives the state of a server that nothing is known of.
+ *
+ * @returns A live state without failures.
+ *
+ * @example
+ * createEjection().phase // => 'live'
+ */
+export const createEjection = (): Ejection =>
+  ({ phase: 'live', cause: 'failed', ...NO_FAILURES, ejections: 0, since: 0, until: 0 })
+
+/**
+ * Advances the ejection of one server by one event.
+ *
+ * @param ejection - The state so far.
+ * @param event - What happened.
+ * @param now - Monotonic time in milliseconds.
+ * @param limits - Numbers of failures and times in milliseconds.
+ * @returns The new state; the same one when nothing changed.
+ *
+ * @example
+ * advanceEjection(createEjection(), 'complete', 0, limits).phase // => 'live'
+ */
+export const advanceEjection = (ejection: Ejection, event: EjectionEvent, now: number, limits: EjectionLimits): Ejection =>
+  handlers[event](advanceTime(ejection, now, limits), now, limits)
+
+const advanceTime: Handler = (ejection, now, limits) => {
+  if (ejection.phase === 'ejected' && now >= ejection.until) {
+    return { ...ejection, phase: 'slowStart', since: ejection.until, ...NO_FAILURES }
+  }
+  if (ejection.phase === 'slowStart' && now >= ejection.since + limits.slowStartMs) return { ...ejection, phase: 'live', since: now }
+  const isForgiven = ejection.phase === 'live' && ejection.ejections > 0 && now >= ejection.since + limits.forgiveAfterMs
+  return isForgiven ? { ...ejection, ejections: 0 } : ejection
+}
+
+const eject = (ejection: Ejection, cause: Ejection['cause'], now: number, limits: EjectionLimits): Ejection => {
+  const holdMs = Math.min(limits.maximumHoldMs, limits.holdMs * 2 ** ejection.ejections)
+  return { ...ejection, phase: 'ejected', cause, ejections: ejection.ejections + 1, since: now, until: now + holdMs }
+}
+
+const fail = (failed: Ejection, cause: Ejection['cause'], isOverLimit: boolean, now: number, limits: EjectionLimits): Ejection => {
+  // A server that still fails when its time is up would come back only to fail
+  // again. Failures of requests that were under way count no second ejection.
+  if (failed.phase === 'ejected') return { ...failed, cause, until: Math.max(failed.until, now + limits.holdMs) }
+  return failed.phase === 'slowStart' || isOverLimit ? eject(failed, cause, now, limits) : failed
+}
+
+const handlers: Readonly<Record<EjectionEvent, Handler>> = {
+  tick: (ejection) => ejection,
+  refused: (ejection) => ejection,
+  complete: (ejection) => {
+    if (ejection.failures === 0 && ejection.refusals === 0 && ejection.failureRate === 0) return ejection
+    return { ...ejection, failures: 0, refusals: 0, failureRate: ejection.failureRate * (1 - RATE_STEP) }
+  },
+  failed: (ejection, now, limits) => {
+    const failures = ejection.failures + 1
+    const failureRate = ejection.failureRate + RATE_STEP * (1 - ejection.failureRate)
+    const isOverLimit = failures >= limits.failures || failureRate > limits.failureRate
+    return fail({ ...ejection, failures, failureRate }, 'failed', isOverLimit, now, limits)
+  },
+  notSent: (ejection, now, limits) => {
+    const refusals = ejection.refusals + 1
+    return fail({ ...ejection, refusals }, 'unreachable', refusals >= limits.refusals, now, limits)
+  },
+  // An answered probe proves that the server can be reached, not that requests succeed there.
+  probeAnswered: (ejection) => ejection.refusals === 0 && ejection.silences === 0 ? ejection : { ...ejection, refusals: 0, silences: 0 },
+  probeUnanswered: (ejection, now, limits) => {
+    const silences = ejection.silences + 1
+    return fail({ ...ejection, silences }, 'failed', silences >= limits.silences, now, limits)
+  }
+}
+
+/**
+ * Gives the share of its slots that a server may get work for.
+ *
+ * @param ejection - State of the server.
+ * @param now - Monotonic time in milliseconds.
+ * @param limits - The length of the slow start in milliseconds.
+ * @returns 0 while ejected, growing to 1 during slow start, else 1.
+ *
+ * @example
+ * computeWeightShare(createEjection(), 0, limits) // => 1
+ */
+export const computeWeightShare = (ejection: Ejection, now: number, limits: EjectionLimits): number => {
+  if (ejection.phase === 'live') return 1
+  if (ejection.phase === 'ejected') return 0
+  const progress = Math.min(1, Math.max(0, now - ejection.since) / limits.slowStartMs)
+  return FIRST_WEIGHT_SHARE + (1 - FIRST_WEIGHT_SHARE) * progress
+}
--- /dev/null
+++ b/src/services/backendHealth/_lib/createProbes.ts
@@ -0,0 +1,79 @@
+/**
+ * Reads the load reports of those backend servers that this node is to probe.
+ */
+import { selectProbers } from '../../../decisions/selectProbers/index.js'
+import type { ProbeBudget } from '../../../decisions/selectProbers/index.js'
+import type { BackendClient, BackendError, BackendServer, Clock, LoadReport, Member, RandomSource, Result, Timer } from '../../../types/index.js'
+
+export type ProbesDependencies = {
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly backendClient: Pick<BackendClient, 'readLoad'>
+  readonly onReport: (backendServer: BackendServer, result: Result<LoadReport, BackendError>) => void
+}
+
+export type ProbesOptions = ProbeBudget & { readonly nodeId: string, readonly timeoutMs: number }
+
+export type Probes = {
+  /** Takes in a new set of routers or servers, and decides anew whom to probe. */
+  readonly assign: (servers: readonly BackendServer[], routers: readonly Member[]) => void
+  /** Whether this node is the first of the routers responsible for a server. */
+  readonly isFirst: (backendServer: string) => boolean
+  readonly stop: () => void
+}
+
+type Assignment = { readonly server: BackendServer, readonly intervalMs: number, readonly isFirst: boolean }
+
+const JITTER = 0.2
+
+export const createProbes = (dependencies: ProbesDependencies, options: ProbesOptions): Probes => {
+  const { clock, random, backendClient, onReport } = dependencies
+  const timers = new Map<string, Timer>()
+  let assignments: ReadonlyMap<string, Assignment> = new Map()
+  let isStopped = false
+
+  const probe = async (name: string): Promise<void> => {
+    const assignment = assignments.get(name)
+    timers.delete(name)
+    if (assignment === undefined) return
+    const result = await backendClient.readLoad(assignment.server.url, options.timeoutMs)
+    const current = assignments.get(name)
+    if (isStopped || current === undefined) return
+    onReport(current.server, result)
+    if (timers.has(name)) return
+    schedule(name, current.intervalMs * (1 + JITTER * (random.next() - 0.5)))
+  }
+
+  const schedule = (name: string, delayMs: number): void => {
+    timers.set(name, clock.setTimer(delayMs, () => { probe(name) }))
+  }
+
+  const assignZone = (servers: readonly BackendServer[], routers: readonly Member[]): readonly Assignment[] => {
+    const { byServer, intervalMs } = selectProbers(servers, routers, options)
+    return servers.flatMap((server) => {
+      const rank = byServer.get(server.name)!.findIndex((router) => router.nodeId === options.nodeId)
+      return rank === -1 ? [] : [{ server, intervalMs, isFirst: rank === 0 }]
+    })
+  }
+
+  return {
+    assign: (servers, routers) => {
+      const zones = [...new Set(servers.map((server) => server.availabilityZone))]
+      const assigned = zones.flatMap((zone) => {
+        const near = routers.filter((router) => router.availabilityZone === zone)
+        return assignZone(servers.filter((server) => server.availabilityZone === zone), near.length === 0 ? routers : near)
+      })
+      const before = assignments
+      assignments = new Map(assigned.map((assignment) => [assignment.server.name, assignment]))
+      for (const { server } of assigned) {
+        // Spread over the interval, so that servers are not all read at one moment.
+        if (!before.has(server.name) && !timers.has(server.name)) schedule(server.name, options.intervalMs * random.next())
+      }
+    },
+    isFirst: (backendServer) => assignments.get(backendServer)?.isFirst === true,
+    stop: () => {
+      isStopped = true
+      for (const timer of timers.values()) timer.cancel()
+    }
+  }
+}
--- /dev/null
+++ b/src/services/chatDirectory/index.ts
@@ -0,0 +1,106 @@
+/**
+ * The chat directory: which backend server served a chat last. Each chat's
+ * entry lives at one router, found by rendezvous over the live ones. It is
+ * advice only: a lost entry costs a cache miss, never an answer.
+ */
+import { LRUCache } from 'lru-cache'
+import { rankMembers } from '../../decisions/rankMembers/index.js'
+import { hashText } from '../../hashing/index.js'
+import type { RunningService } from '../../kernel/index.js'
+import type { ChatDirectory, Clock, Member, Membership, Metrics, PeerTransport, RouterSettings } from '../../types/index.js'
+
+export type ChatDirectoryDependencies = {
+  readonly clock: Clock
+  readonly transport: PeerTransport
+  readonly membership: Pick<Membership, 'self' | 'liveMembers'>
+  readonly metrics?: Metrics
+}
+
+export type ChatDirectoryOptions = {
+  readonly settings: Pick<RouterSettings, 'directoryEntries' | 'directoryTtlMs' | 'peerTimeoutMs'>
+}
+
+const SECOND_SEED = 1
+const SECOND_HASH_BITS = 21
+const HASH_BITS = 32
+
+/** 53 bits of hash, as much as a number holds: two of 200,000 chats are alike once in some 450,000 fills. */
+const hashChatKey = (chatKey: string): number =>
+  hashText(chatKey) * 2 ** SECOND_HASH_BITS + (hashText(chatKey, SECOND_SEED) >>> (HASH_BITS - SECOND_HASH_BITS))
+
+/**
+ * Creates the directory of one node.
+ *
+ * An entry is the hash of the chat's key and the index of a server's name, so
+ * that its size does not depend on the length of either.
+ *
+ * @param dependencies - Clock, transport and membership.
+ * @param options - Most entries, their life time and the time-out of a look-up, in milliseconds.
+ * @returns The service for the kernel; it answers peers from its start on.
+ *
+ * @example
+ * const { api } = createChatDirectory({ clock, transport, membership }, { settings })
+ * api.store('chat-1', 'engine-1')
+ * await api.lookUp('chat-1') // => 'engine-1'
+ */
+export const createChatDirectory = (dependencies: ChatDirectoryDependencies, { settings }: ChatDirectoryOptions): RunningService<ChatDirectory> => {
+  const { clock, transport, membership, metrics } = dependencies
+  const serverNames: string[] = []
+  const serverIndexes = new Map<string, number>()
+  const entries = settings.directoryEntries === 0
+    ? undefined
+    : new LRUCache<number, number>({ max: settings.directoryEntries, ttl: settings.directoryTtlMs, ttlResolution: 0, perf: { now: () => clock.now() + 1 } })
+
+  const indexOf = (backendServer: string): number => {
+    const known = serverIndexes.get(backendServer)
+    if (known !== undefined) return known
+    const index = serverNames.push(backendServer) - 1
+    serverIndexes.set(backendServer, index)
+    return index
+  }
+
+  const storeHere = (chatKey: string, backendServer: string): void => {
+    entries?.set(hashChatKey(chatKey), indexOf(backendServer))
+  }
+
+  const lookUpHere = (chatKey: string): string | undefined => {
+    const index = entries?.get(hashChatKey(chatKey))
+    return index === undefined ? undefined : serverNames[index]
+  }
+
+  const findOwner = (chatKey: string): Member => rankMembers(chatKey, membership.liveMembers())[0] ?? membership.self()
+
+  const isSelf = (member: Member): boolean => member.nodeId === membership.self().nodeId
+
+  const askOwner = async (owner: Member, chatKey: string): Promise<string | undefined> => {
+    const result = await transport.request(owner.address, { kind: 'directoryLookup', chatKey }, settings.peerTimeoutMs)
+    if (!result.ok) metrics?.count('directory_lookups', { outcome: result.error.kind })
+    return result.ok && result.value.kind === 'directoryEntry' ? result.value.backendServer : undefined
+  }
+
+  return {
+    api: {
+      lookUp: async (chatKey) => {
+        const owner = findOwner(chatKey)
+        const found = isSelf(owner) ? lookUpHere(chatKey) : await askOwner(owner, chatKey)
+        metrics?.count('directory_lookups', { outcome: found === undefined ? 'miss' : 'hit' })
+        return found
+      },
+      store: (chatKey, backendServer) => {
+        const owner = findOwner(chatKey)
+        if (isSelf(owner)) return storeHere(chatKey, backendServer)
+        transport.send(owner.address, { kind: 'directoryStore', chatKey, backendServer })
+      }
+    },
+    start: () => {
+      transport.handle('directoryStore', ({ chatKey, backendServer }) => {
+        storeHere(chatKey, backendServer)
+        return { kind: 'none' }
+      })
+      transport.handle('directoryLookup', ({ chatKey }) => {
+        const backendServer = lookUpHere(chatKey)
+        return backendServer === undefined ? { kind: 'directoryEntry' } : { kind: 'directoryEntry', backendServer }
+      })
+    }
+  }
+}
--- /dev/null
+++ b/src/services/loadView/_lib/createPeerCounts.ts
@@ -0,0 +1,51 @@
+/**
+ * The last counts of every source, and their sum by backend server, kept up to
+ * date digest by digest so that reading a sum costs one look-up.
+ */
+import { mergeLoadDigest } from '../../../decisions/mergeLoadDigest/index.js'
+import type { LoadRecord } from '../../../decisions/mergeLoadDigest/index.js'
+import type { LoadDigest } from '../../../types/index.js'
+
+export type PeerCounts = {
+  readonly sum: (backendServer: string) => number
+  readonly apply: (digest: LoadDigest) => void
+  readonly hasGap: (source: string) => boolean
+  readonly forget: (source: string) => void
+  readonly sources: () => readonly string[]
+}
+
+/** Calls `onChange` with each backend server whose sum changed. */
+export const createPeerCounts = (onChange: (backendServer: string) => void): PeerCounts => {
+  const records = new Map<string, LoadRecord>()
+  const sums = new Map<string, number>()
+
+  const shift = (backendServer: string, difference: number): void => {
+    if (difference === 0) return
+    const sum = (sums.get(backendServer) ?? 0) + difference
+    if (sum === 0) sums.delete(backendServer)
+    else sums.set(backendServer, sum)
+    onChange(backendServer)
+  }
+
+  const replace = (before: LoadRecord['counts'], after: LoadRecord['counts']): void => {
+    for (const [backendServer, inFlight] of after) shift(backendServer, inFlight - (before.get(backendServer) ?? 0))
+    for (const [backendServer, inFlight] of before) if (!after.has(backendServer)) shift(backendServer, -inFlight)
+  }
+
+  return {
+    sum: (backendServer) => sums.get(backendServer) ?? 0,
+    apply: (digest) => {
+      const known = records.get(digest.source)
+      const merged = mergeLoadDigest(known, digest)
+      if (merged === known) return
+      records.set(digest.source, merged)
+      replace(known?.counts ?? new Map(), merged.counts)
+    },
+    hasGap: (source) => records.get(source)?.hasGap === true,
+    forget: (source) => {
+      replace(records.get(source)?.counts ?? new Map(), new Map())
+      records.delete(source)
+    },
+    sources: () => [...records.keys()]
+  }
+}
