--- a/src/emulator/createManualClock/test.ts
+++ b/src/emulator/createManualClock/test.ts
@@ -7,8 +7,8 @@
     const ran: string[] = []
     clock.setTimer(7, () => ran.push('late'))
     clock.setTimer(3, () => ran.push('early'))
-    await clock.advance(10)
-    await clock.advance(10)
+    await clock.advanceAndSettle(10)
+    await clock.advanceAndSettle(10)
     expect(ran).toEqual(['early', 'late'])
   })
 
@@ -16,7 +16,7 @@
     const clock = createManualClock()
     const ran: string[] = []
     clock.setTimer(3, () => ran.push('cancelled')).cancel()
-    await clock.advance(5)
+    await clock.advanceAndSettle(5)
     expect(ran).toEqual([])
   })
 
@@ -24,7 +24,7 @@
     const clock = createManualClock()
     const times: number[] = []
     clock.setTimer(2, () => clock.setTimer(0, () => clock.setTimer(3, () => times.push(clock.now()))))
-    await clock.advance(5)
+    await clock.advanceAndSettle(5)
     expect(times).toEqual([5])
   })
 })
--- a/src/services/membership/test.ts
+++ b/src/services/membership/test.ts
@@ -76,7 +76,7 @@
   ])('makes every node of a $size fleet known to every other', async ({ names, zones }) => {
     const fleet = createFleet(names, zones)
     const nodes = fleet.startAll()
-    await fleet.clock.advance(SETTLE_MS)
+    await fleet.clock.advanceAndSettle(SETTLE_MS)
     for (const node of nodes) expect(liveNames(node)).toEqual(names)
   })
 
@@ -84,7 +84,7 @@
     const fleet = createFleet(FOUR)
     const nodes = FOUR.map((name) => fleet.startNode(name, []))
     fleet.setVms(FOUR)
-    await fleet.clock.advance(SETTLE_MS)
+    await fleet.clock.advanceAndSettle(SETTLE_MS)
     for (const node of nodes) expect(liveNames(node)).toEqual(FOUR)
   })
 
@@ -94,9 +94,9 @@
   ])('declares a stopped node of a $size fleet dead everywhere', async ({ names, zones }) => {
     const fleet = createFleet(names, zones)
     const nodes = fleet.startAll()
-    await fleet.clock.advance(SETTLE_MS)
+    await fleet.clock.advanceAndSettle(SETTLE_MS)
     await nodes[0]!.stop()
-    await fleet.clock.advance(SETTLE_MS)
+    await fleet.clock.advanceAndSettle(SETTLE_MS)
     for (const node of nodes.slice(1)) expect(stateOf(node, names[0]!)).toBe('dead')
   })
 
@@ -104,9 +104,9 @@
     const fleet = createFleet(FOUR)
     const nodes = fleet.startAll()
     fleet.setVms(FOUR)
-    await fleet.clock.advance(SETTLE_MS)
+    await fleet.clock.advanceAndSettle(SETTLE_MS)
     await nodes[0]!.stop()
-    await fleet.clock.advance(SETTLE_MS)
+    await fleet.clock.advanceAndSettle(SETTLE_MS)
     expect(liveNames(nodes[1]!)).toEqual(['node-2', 'node-3', 'node-4'])
   })
 
@@ -117,11 +117,11 @@
   it('takes a paused node back after it wakes', async () => {
     const fleet = createFleet(FOUR)
     const nodes = fleet.startAll()
-    await fleet.clock.advance(SETTLE_MS)
+    await fleet.clock.advanceAndSettle(SETTLE_MS)
     fleet.pause('node-1', SETTLE_MS)
-    await fleet.clock.advance(SETTLE_MS - 1)
+    await fleet.clock.advanceAndSettle(SETTLE_MS - 1)
     expect(stateOf(nodes[1]!, 'node-1')).toBe('dead')
-    await fleet.clock.advance(5000)
+    await fleet.clock.advanceAndSettle(5000)
     expect(liveNames(nodes[1]!)).toEqual(FOUR)
   })
 
@@ -130,23 +130,23 @@
   it('suspects nobody on waking from a pause', async () => {
     const fleet = createFleet(FOUR)
     const nodes = fleet.startAll()
-    await fleet.clock.advance(SETTLE_MS)
+    await fleet.clock.advanceAndSettle(SETTLE_MS)
     fleet.pause('node-1', SETTLE_MS)
     const states: (string | undefined)[] = []
     nodes[0]!.membership.onChange(() => states.push(...FOUR.slice(1).map((name) => stateOf(nodes[0]!, name))))
-    await fleet.clock.advance(SETTLE_MS + 5000)
+    await fleet.clock.advanceAndSettle(SETTLE_MS + 5000)
     expect(states.filter((state) => state !== 'live')).toEqual([])
   })
 
   it('puts a restarted node above its former life', async () => {
     const fleet = createFleet(FOUR)
     const nodes = fleet.startAll()
-    await fleet.clock.advance(SETTLE_MS)
+    await fleet.clock.advanceAndSettle(SETTLE_MS)
     const before = nodes[0]!.membership.self().incarnation
     await nodes[0]!.stop()
-    await fleet.clock.advance(SETTLE_MS)
+    await fleet.clock.advanceAndSettle(SETTLE_MS)
     const restarted = fleet.startNode('node-1')
-    await fleet.clock.advance(SETTLE_MS)
+    await fleet.clock.advanceAndSettle(SETTLE_MS)
     expect(restarted.membership.self().incarnation).toBeGreaterThan(before)
     expect(liveNames(nodes[1]!)).toEqual(FOUR)
   })
@@ -160,22 +160,22 @@
   ])('brings the halves of a $size fleet together after a partition', async ({ names, zones }) => {
     const fleet = createFleet(names, zones)
     const nodes = fleet.startAll()
-    await fleet.clock.advance(SETTLE_MS)
+    await fleet.clock.advanceAndSettle(SETTLE_MS)
     const [even, odd] = [0, 1].map((half) => names.filter((_, index) => index % 2 === half))
     for (const one of even!) for (const other of odd!) fleet.network.cut(addressOf(one), addressOf(other))
-    await fleet.clock.advance(SETTLE_MS)
+    await fleet.clock.advanceAndSettle(SETTLE_MS)
     expect(liveNames(nodes[0]!)).toEqual(even)
     fleet.network.healAll()
-    await fleet.clock.advance(2 * SETTLE_MS)
+    await fleet.clock.advanceAndSettle(2 * SETTLE_MS)
     for (const node of nodes) expect(liveNames(node)).toEqual(names)
   })
 
   it('gives a leaving node no more work, and still knows it', async () => {
     const fleet = createFleet(FOUR)
     const nodes = fleet.startAll()
-    await fleet.clock.advance(SETTLE_MS)
+    await fleet.clock.advanceAndSettle(SETTLE_MS)
     nodes[0]!.membership.announceLeaving()
-    await fleet.clock.advance(2 * HEARTBEAT_MS)
+    await fleet.clock.advanceAndSettle(2 * HEARTBEAT_MS)
     expect(liveNames(nodes[1]!)).toEqual(['node-2', 'node-3', 'node-4'])
     expect(stateOf(nodes[1]!, 'node-1')).toBe('leaving')
   })
