Assemble a node from its services, and the router daemon

The kernel starts the services in dependency order; the daemon adds the real adapters and a shutdown that fails readiness first and lets requests end.

--- /dev/null
+++ b/src/bench/placement/_lib/createBenchRouter.ts
@@ -0,0 +1,66 @@
+/** The parts of a router that placement rests on, over a peer network in memory. */
+import type { MemoryPeerNetwork } from '../../../emulator/createMemoryPeerNetwork/index.js'
+import { createChatDirectory } from '../../../services/chatDirectory/index.js'
+import { createHeartbeatExchange } from '../../../services/heartbeatExchange/index.js'
+import { createLoadView } from '../../../services/loadView/index.js'
+import { createMembership } from '../../../services/membership/index.js'
+import type { ChatDirectory, Clock, LoadView, PeerAddress, RandomSource } from '../../../types/index.js'
+
+export type BenchRouterOptions = {
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly network: MemoryPeerNetwork
+  readonly address: PeerAddress
+  readonly availabilityZone: string
+  readonly nodeId: string
+  readonly seedPeers: readonly PeerAddress[]
+  readonly heartbeatIntervalMs?: number
+}
+
+export type BenchRouter = {
+  readonly loadView: LoadView
+  readonly chatDirectory: ChatDirectory
+  readonly start: () => Promise<void>
+  /** Bytes sent to peers so far, with 40 bytes of TCP and IP headers a message. */
+  readonly readControlBytes: () => number
+}
+
+const HEADER_BYTES = 40
+const DEFAULT_HEARTBEAT_MS = 250
+
+/**
+ * Creates a router of the bench.
+ *
+ * @param options - Clock, random source, network, and who it is.
+ * @returns The router, not yet started.
+ */
+export const createBenchRouter = (options: BenchRouterOptions): BenchRouter => {
+  const { clock, random, network, address, nodeId, availabilityZone, seedPeers } = options
+  const settings = {
+    nodeId,
+    availabilityZone,
+    seedPeers,
+    heartbeatIntervalMs: options.heartbeatIntervalMs ?? DEFAULT_HEARTBEAT_MS,
+    suspectAfterMs: 1_500,
+    deadAfterMs: 4_000,
+    loadReportIntervalMs: 1_000,
+    directoryEntries: 200_000,
+    directoryTtlMs: 7_200_000,
+    peerTimeoutMs: 250
+  }
+  const transport = network.createTransport(address)
+  const exchange = createHeartbeatExchange()
+  const vmList = { current: () => undefined, onRead: () => {} }
+  const membership = createMembership({ clock, random, transport, exchange, vmList }, { settings, address: () => address })
+  const loadView = createLoadView({ clock, membership: membership.api, exchange }, { settings })
+  const chatDirectory = createChatDirectory({ clock, transport, membership: membership.api }, { settings })
+  return {
+    loadView: loadView.api,
+    chatDirectory: chatDirectory.api,
+    start: async () => {
+      await chatDirectory.start?.()
+      await membership.start?.()
+    },
+    readControlBytes: () => [...transport.bytesSent().values()].reduce((sum, bytes) => sum + bytes, 0) + HEADER_BYTES * transport.messagesSent()
+  }
+}
--- /dev/null
+++ b/src/bench/placement/_lib/deployments.ts
@@ -0,0 +1,59 @@
+/** The fleets that the placement bench runs: the brief's two, and a step towards the design size. */
+
+export type Deployment = {
+  readonly name: string
+  readonly availabilityZones: readonly string[]
+  readonly routers: number
+  readonly engines: number
+  readonly slots: number
+  readonly cacheTokensPerEngine: number
+  readonly clientAccounts: number
+  /** Chats begun a second over the whole fleet. */
+  readonly chatsPerSecond: number
+  /** One-way delay between availability zones, in milliseconds. */
+  readonly zoneDelayMs: number
+  readonly loadLimit: number
+  readonly loadTarget: number
+}
+
+export const deployments: readonly Deployment[] = [
+  {
+    name: 'kiosk',
+    availabilityZones: ['venkov-a', 'venkov-b', 'venkov-c'],
+    routers: 9,
+    engines: 12,
+    slots: 24,
+    cacheTokensPerEngine: 120_000,
+    clientAccounts: 10,
+    chatsPerSecond: 9,
+    zoneDelayMs: 5,
+    loadLimit: 1.5,
+    loadTarget: 1.26
+  },
+  {
+    name: 'strathmore',
+    availabilityZones: ['scot-central-a', 'scot-central-b', 'scot-central-c'],
+    routers: 9,
+    engines: 6,
+    slots: 24,
+    cacheTokensPerEngine: 120_000,
+    clientAccounts: 10,
+    chatsPerSecond: 4.5,
+    zoneDelayMs: 4,
+    loadLimit: 1.5,
+    loadTarget: 1.26
+  },
+  {
+    name: 'step to design size',
+    availabilityZones: ['a', 'b', 'c', 'd'],
+    routers: 36,
+    engines: 60,
+    slots: 24,
+    cacheTokensPerEngine: 120_000,
+    clientAccounts: 200,
+    chatsPerSecond: 45,
+    zoneDelayMs: 5,
+    loadLimit: 1.5,
+    loadTarget: 1.26
+  }
+]
--- /dev/null
+++ b/src/bench/placement/_lib/policies.ts
@@ -0,0 +1,53 @@
+/** The ways to choose a backend server that the bench compares. */
+import { chooseBackendServer } from '../../../decisions/chooseBackendServer/index.js'
+import type { LoadedCandidate } from '../../../decisions/computeLoadBounds/index.js'
+import { rankBackendServers } from '../../../decisions/rankBackendServers/index.js'
+import type { RandomSource } from '../../../types/index.js'
+
+export type PolicyDemand = {
+  readonly chatKey: string
+  readonly isNewChat: boolean
+  readonly hintedBackendServer?: string
+  readonly candidates: readonly LoadedCandidate[]
+  readonly random: RandomSource
+  readonly loadTarget: number
+  readonly loadLimit: number
+}
+
+export type Policy = {
+  readonly choose: (demand: PolicyDemand) => LoadedCandidate | undefined
+  /** Where the chat was served last is looked up. */
+  readonly usesMemory: boolean
+  /** Loads and memory are exact and instant, as if one router saw everything. */
+  readonly knowsAll: boolean
+}
+
+const NONE: ReadonlySet<string> = new Set()
+
+const pickRandom = ({ candidates, random }: PolicyDemand): LoadedCandidate | undefined => candidates[Math.floor(random.next() * candidates.length)]
+
+const pickLessLoaded = (one: LoadedCandidate | undefined, other: LoadedCandidate | undefined): LoadedCandidate | undefined => {
+  if (one === undefined || other === undefined) return one ?? other
+  return other.inFlight / other.weight < one.inFlight / one.weight ? other : one
+}
+
+const createBounded = (options: { readonly atLimit?: boolean, readonly usesMemory: boolean, readonly newChatChoices: number, readonly knowsAll?: boolean }): Policy => ({
+  usesMemory: options.usesMemory,
+  knowsAll: options.knowsAll === true,
+  choose: (demand) => chooseBackendServer({ ...demand, excluded: NONE }, demand.candidates, {
+    loadTarget: options.atLimit === true ? demand.loadLimit : demand.loadTarget,
+    loadLimit: demand.loadLimit,
+    newChatChoices: options.newChatChoices
+  })
+})
+
+export const policies: Readonly<Record<string, Policy>> = {
+  random: { usesMemory: false, knowsAll: false, choose: pickRandom },
+  'plain rendezvous': { usesMemory: false, knowsAll: false, choose: ({ chatKey, candidates }) => rankBackendServers(chatKey, candidates)[0] },
+  'least of two': { usesMemory: false, knowsAll: false, choose: (demand) => pickLessLoaded(pickRandom(demand), pickRandom(demand)) },
+  'bounded at the limit': createBounded({ atLimit: true, usesMemory: false, newChatChoices: 1 }),
+  'bounded at the target': createBounded({ usesMemory: false, newChatChoices: 1 }),
+  'bounded, memory': createBounded({ usesMemory: true, newChatChoices: 1 }),
+  'bounded, memory, two choices': createBounded({ usesMemory: true, newChatChoices: 2 }),
+  'unlimited knowledge': createBounded({ atLimit: true, usesMemory: true, newChatChoices: 2, knowsAll: true })
+}
--- /dev/null
+++ b/src/cli/createProgram/index.ts
@@ -0,0 +1,35 @@
+import { Command } from 'commander'
+import { version } from '../../version.js'
+import { exitCodes } from '../exitCodes.js'
+import { createRouterCommand } from '../router/index.js'
+import { createSettingsCommand } from '../settings/index.js'
+
+const createVersionCommand = (): Command => new Command('version')
+  .description('Prints the version')
+  .action(() => { console.log(version) })
+
+/** Commander ends with 1 for a wrong flag; the project's code for that is 2. */
+const exitWithProjectCode = (command: Command): void => {
+  command.exitOverride((error) => process.exit(error.exitCode === 0 ? exitCodes.success : exitCodes.usage))
+  command.commands.forEach(exitWithProjectCode)
+}
+
+/**
+ * Creates the whole command line.
+ *
+ * @returns The program, ready to parse arguments.
+ *
+ * @example
+ * await createProgram().parseAsync(['node', 'dotterelspoke', 'version'])
+ */
+export const createProgram = (): Command => {
+  const program = new Command('dotterelspoke')
+    .description('A router fleet for model-backed applications whose chats return after pauses')
+    .version(version)
+    .showHelpAfterError()
+    .addCommand(createRouterCommand())
+    .addCommand(createSettingsCommand())
+    .addCommand(createVersionCommand())
+  exitWithProjectCode(program)
+  return program
+}
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,5 @@
+#!/usr/bin/env node
+/** The command line of dotterelspoke. */
+import { createProgram } from './createProgram/index.js'
+
+await createProgram().parseAsync()
--- /dev/null
+++ b/src/daemon/startRouter/index.ts
@@ -0,0 +1,109 @@
+/**
+ * The router daemon: a node with the real adapters, from its listeners to a
+ * shutdown that cuts off no request in flight.
+ */
+import { createBackendHttp } from '../../adapters/backendHttp/index.js'
+import { createCallerHttp } from '../../adapters/callerHttp/index.js'
+import { countPlatformCalls } from '../../adapters/countedPlatform/index.js'
+import { createOperatorHttp } from '../../adapters/operatorHttp/index.js'
+import { createPeerTcp } from '../../adapters/peerTcp/index.js'
+import { createPlatformHttp } from '../../adapters/platformHttp/index.js'
+import { createPromMetrics } from '../../adapters/promMetrics/index.js'
+import { createSystemClock } from '../../adapters/systemClock/index.js'
+import { createSystemRandom } from '../../adapters/systemRandom/index.js'
+import { createWinstonLogger } from '../../adapters/winstonLogger/index.js'
+import { createRouterNode } from '../../node/createRouterNode/index.js'
+import type { Clock, Logger, PeerAddress, RouterSettings } from '../../types/index.js'
+
+export type RouterAddresses = {
+  /** Origin for callers. */
+  readonly caller: string
+  /** Origin for operators. */
+  readonly operator: string
+  /** `host:port` for peers. */
+  readonly peer: string
+}
+
+export type Router = {
+  readonly addresses: RouterAddresses
+  /** Fails the readiness, finishes what is in flight, and closes everything. */
+  readonly stop: () => Promise<void>
+}
+
+export type RouterOptions = {
+  /** Where logs go; standard error by default. */
+  readonly logger?: Logger
+}
+
+const formatAddress = ({ host, port }: PeerAddress): string => `${host}:${port}`
+
+const wait = (clock: Clock, delayMs: number): Promise<void> => new Promise((resolve) => { clock.setTimer(delayMs, resolve) })
+
+/**
+ * Starts a router.
+ *
+ * Stopping goes in the order that lets no caller see an error: the readiness
+ * fails and peers are told while requests are still taken, so that a balancer
+ * has time to turn away; then nothing new is taken and what is in flight runs
+ * to its end; then the rest is closed.
+ *
+ * @param settings - Checked settings.
+ * @param options - The logger.
+ * @returns The running router.
+ *
+ * @example
+ * const router = await startRouter(settings)
+ * console.log(router.addresses.caller)
+ */
+export const startRouter = async (settings: RouterSettings, options: RouterOptions = {}): Promise<Router> => {
+  const clock = createSystemClock()
+  const random = createSystemRandom()
+  const metrics = createPromMetrics()
+  const logger = options.logger ?? createWinstonLogger({ level: settings.logLevel, fields: { node: settings.nodeId } })
+  const platform = countPlatformCalls(createPlatformHttp({ url: settings.platformUrl, timeoutMs: settings.platformTimeoutMs }), metrics)
+  const backendClient = createBackendHttp(settings)
+  const transport = createPeerTcp({ ...settings, host: settings.peerHost, port: settings.peerPort, clock, random, logger })
+  const listener = await transport.listen()
+  const peerAddress: PeerAddress = {
+    host: settings.advertisedHost === '' ? listener.host : settings.advertisedHost,
+    port: settings.advertisedPort === 0 ? listener.port : settings.advertisedPort
+  }
+  const node = createRouterNode({ settings, clock, random, platform, transport, peerAddress: () => peerAddress, backendClient, logger, metrics })
+  await node.start()
+  const dispatch = node.resolve('dispatch')
+  const callerHttp = createCallerHttp({ dispatch, clock, random, logger }, { host: settings.callerHost, port: settings.callerPort, maximumBodyBytes: settings.maximumBodyBytes })
+  const operatorHttp = createOperatorHttp({
+    host: settings.operatorHost,
+    port: settings.operatorPort,
+    operatorToken: settings.operatorToken,
+    readStatus: node.status,
+    renderMetrics: metrics.render,
+    metricsContentType: metrics.contentType
+  })
+  const caller = await callerHttp.listen()
+  const operator = await operatorHttp.listen()
+  node.resolve('configuration').onChange(() => callerHttp.setReady(node.status().ready))
+  callerHttp.setReady(node.status().ready)
+  logger.info('router started', { caller: formatAddress(caller), operator, peer: formatAddress(peerAddress) })
+
+  const shutDown = async (): Promise<void> => {
+    logger.info('router stopping', { open: dispatch.ledger().open })
+    node.beginLeaving()
+    callerHttp.setReady(false)
+    await wait(clock, settings.shutdownDelayMs)
+    const ended = Promise.all([callerHttp.close(), dispatch.whenIdle()])
+    await Promise.race([ended, wait(clock, settings.shutdownGraceMs)])
+    logger.info('router stopped', { open: dispatch.ledger().open })
+    await node.stop()
+    await Promise.all([operatorHttp.close(), transport.close(), backendClient.close(), platform.close()])
+  }
+
+  let stopping: Promise<void> | undefined
+  return {
+    addresses: { caller: `http://${formatAddress(caller)}`, operator, peer: formatAddress(peerAddress) },
+    stop: () => {
+      stopping ??= shutDown()
+      return stopping
+    }
+  }
+}
--- a/src/kernel/createKernel/index.ts
+++ b/src/kernel/createKernel/index.ts
@@ -21,6 +21,7 @@
   readonly register: <Name extends keyof Services>(definition: ServiceDefinition<Services, Name>) => void
   /** Finds a service by its name. Throws when it was not created: a broken invariant of the assembly. */
   readonly resolve: <Name extends keyof Services>(name: Name) => Services[Name]
+  readonly isRunning: (name: keyof Services) => boolean
   readonly start: () => Promise<void>
   /** Stops what was started, in reverse order. A second call waits for the first. */
   readonly stop: () => Promise<void>
@@ -69,6 +70,7 @@
       definitions.set(definition.name, definition)
     },
     resolve,
+    isRunning: (name) => running.has(name),
     start: async () => {
       for (const definition of orderByDependency(definitions)) {
         const service = definition.create(resolve)
--- /dev/null
+++ b/src/node/createRouterNode/_lib/countSlotsForNode.ts
@@ -0,0 +1,17 @@
+import { listPlacedServers, type PlacementDependencies } from '../../../services/placement/index.js'
+import type { LoadView } from '../../../types/index.js'
+
+/**
+ * Counts the slots of a service that this node may have in use: those of all
+ * usable servers, less what other nodes have in flight there. Without any
+ * usable server there is no bound, so that a request goes on to placement and
+ * is refused at once instead of waiting for its deadline.
+ */
+export const countSlotsForNode = (service: string, dependencies: PlacementDependencies & { readonly loadView: Pick<LoadView, 'ownInFlight'> }): number => {
+  const servers = listPlacedServers(service, dependencies)
+  if (servers.length === 0) return Infinity
+  return servers.reduce((sum, { name, weight, inFlight }) => {
+    const others = Math.max(0, inFlight - dependencies.loadView.ownInFlight(name))
+    return sum + Math.max(0, weight - others)
+  }, 0)
+}
--- a/src/types/settings.ts
+++ b/src/types/settings.ts
@@ -39,8 +39,10 @@
   readonly connectTimeoutMs: number
   readonly answerIdleTimeoutMs: number
   readonly shutdownGraceMs: number
+  readonly shutdownDelayMs: number
   readonly claimShards: number
   readonly claimFlushIntervalMs: number
   readonly claimRetentionMs: number
+  readonly maximumAnswerBytes: number
   readonly logLevel: string
 }
