Add the stand-ins of the model engine and the plain service

One core, driven by the clock that it is handed, models batching, prefill, decode, priorities and the prefix cache; a server gives it the OpenAI form with numbered events, resume and cancel. Faults of both kinds of server are one table of wrappers around the writer of an answer.

A second, control port takes the fault orders: a server that refuses connections could not be told to stop through its own.

--- /dev/null
+++ b/src/cli/emulate/index.ts
@@ -0,0 +1,134 @@
+/** `dotterelspoke emulate`: the stand-ins of the platform and of backend servers as processes. */
+import { Command, InvalidArgumentError } from 'commander'
+import { createSystemClock } from '../../adapters/systemClock/index.js'
+import type { EmulatedServer } from '../../emulator/_lib/listen.js'
+import { DEFAULT_MODEL_ENGINE_OPTIONS } from '../../emulator/createModelEngine/index.js'
+import { createModelEngineServer } from '../../emulator/createModelEngineServer/index.js'
+import { createPlainServiceServer } from '../../emulator/createPlainServiceServer/index.js'
+import { createPlatformServer } from '../../emulator/createPlatformServer/index.js'
+
+type Address = { readonly host: string, readonly port: number }
+
+type EngineFlags = Address & {
+  readonly slots: number
+  readonly maximumWaiting: number
+  readonly prefillRate: number
+  readonly decodeInterval: number
+  readonly decodeIntervalPerRequest: number
+  readonly cacheTokens: number
+  readonly loadLag: number
+  readonly grace: number
+}
+
+type ServiceFlags = Address & { readonly delay: number, readonly slots: number, readonly loadLag: number }
+
+const HIGHEST_PORT = 65_535
+
+const EXAMPLES = `
+Each prints one line of JSON when it listens, and stops on SIGTERM or SIGINT:
+  {"kind":"engine","listening":"http://127.0.0.1:41873","control":"http://127.0.0.1:38211"}
+
+Examples:
+  dotterelspoke emulate platform --port 7000
+  dotterelspoke emulate engine --slots 8 --cache-tokens 50000
+  dotterelspoke emulate service --delay 20
+  curl -X POST http://127.0.0.1:38211/faults -H 'content-type: application/json' \\
+    -d '{"fault":"cutAnswer","count":1,"after":5}'
+
+docs/INTERFACES.md lists the faults of each.
+`
+
+/**
+ * Creates the command `emulate` with one subcommand for each stand-in.
+ *
+ * @returns A command to add to the program.
+ *
+ * @example
+ * await createEmulateCommand().parseAsync(['platform', '--port', '7000'], { from: 'user' })
+ */
+export const createEmulateCommand = (): Command =>
+  new Command('emulate')
+    .description('run a stand-in of the platform or of a backend server, for tests and trials')
+    .addHelpText('after', EXAMPLES)
+    .addCommand(createPlatformCommand())
+    .addCommand(createEngineCommand())
+    .addCommand(createServiceCommand())
+
+const createPlatformCommand = (): Command =>
+  addAddress(new Command('platform'))
+    .description('a versioned object store in memory, with watches and a VM list')
+    .action(async ({ host, port }: Address) => {
+      await run('platform', createPlatformServer({ clock: createSystemClock(), host, port }))
+    })
+
+const createEngineCommand = (): Command => {
+  const defaults = DEFAULT_MODEL_ENGINE_OPTIONS
+  return addAddress(new Command('engine'))
+    .description('a model engine that batches, caches prefixes and streams; its answers follow from the prompt')
+    .option('--slots <count>', 'requests in the batch at once', parseWhole, defaults.slots)
+    .option('--maximum-waiting <count>', 'requests that may wait for a slot', parseWhole, defaults.maximumWaiting)
+    .option('--prefill-rate <tokens>', 'prompt tokens a second', parsePositive, defaults.prefillTokensPerSecond)
+    .option('--decode-interval <ms>', 'milliseconds between tokens of a request alone in the batch', parsePositive, defaults.decodeIntervalMs)
+    .option('--decode-interval-per-request <ms>', 'milliseconds that each further request adds', parsePositive, defaults.decodeIntervalPerRequestMs)
+    .option('--cache-tokens <count>', 'tokens that the prefix cache holds', parseWhole, defaults.cacheTokens)
+    .option('--load-lag <ms>', 'milliseconds by which the load report is late', parsePositive, defaults.loadLagMs)
+    .option('--grace <ms>', 'milliseconds for which a stream that nobody reads is kept', parsePositive, defaults.graceMs)
+    .action(async (flags: EngineFlags) => {
+      const engine = {
+        slots: flags.slots,
+        maximumWaiting: flags.maximumWaiting,
+        prefillTokensPerSecond: flags.prefillRate,
+        decodeIntervalMs: flags.decodeInterval,
+        decodeIntervalPerRequestMs: flags.decodeIntervalPerRequest,
+        cacheTokens: flags.cacheTokens,
+        loadLagMs: flags.loadLag,
+        graceMs: flags.grace
+      }
+      await run('engine', createModelEngineServer({ clock: createSystemClock(), host: flags.host, port: flags.port, engine }))
+    })
+}
+
+const createServiceCommand = (): Command =>
+  addAddress(new Command('service'))
+    .description('a plain service that records orders and looks up stock')
+    .option('--delay <ms>', 'milliseconds that each call takes', parsePositive, 5)
+    .option('--slots <count>', 'calls at once', parseWhole, 256)
+    .option('--load-lag <ms>', 'milliseconds by which the load report is late', parsePositive, 250)
+    .action(async ({ host, port, delay, slots, loadLag }: ServiceFlags) => {
+      await run('service', createPlainServiceServer({ clock: createSystemClock(), host, port, delayMs: delay, slots, loadLagMs: loadLag }))
+    })
+
+const addAddress = (command: Command): Command =>
+  command
+    .option('--host <address>', 'IP number to listen on', '127.0.0.1')
+    .option('--port <number>', 'port to listen on; 0 takes a free one', parsePort, 0)
+
+const run = async (kind: string, starting: Promise<EmulatedServer>): Promise<void> => {
+  const server = await starting
+  process.stdout.write(`${JSON.stringify({ kind, listening: server.url, control: server.controlUrl })}\n`)
+  await new Promise<void>((resolve) => {
+    process.once('SIGTERM', resolve)
+    process.once('SIGINT', resolve)
+  })
+  await server.close()
+  // Timers of jobs that are cut off here would keep the process alive.
+  process.exit(0)
+}
+
+const parseWhole = (text: string): number => {
+  const value = Number(text)
+  if (!Number.isInteger(value) || value < 1) throw new InvalidArgumentError('a whole number above 0 is needed')
+  return value
+}
+
+const parsePositive = (text: string): number => {
+  const value = Number(text)
+  if (!Number.isFinite(value) || value < 0 || text.trim() === '') throw new InvalidArgumentError('a number from 0 is needed')
+  return value
+}
+
+const parsePort = (text: string): number => {
+  const value = Number(text)
+  if (!Number.isInteger(value) || value < 0 || value > HIGHEST_PORT || text.trim() === '') throw new InvalidArgumentError('a port from 0 to 65535 is needed')
+  return value
+}
--- /dev/null
+++ b/src/emulator/_lib/createAnswerWriter.ts
@@ -0,0 +1,138 @@
+/** Writes an answer piece by piece to a raw response, and the faults that spoil one on its way. */
+import type { ServerResponse } from 'node:http'
+import type { Clock } from '../../types/index.js'
+import type { FaultSetting } from '../createFaultSwitches/index.js'
+import type { BackendFault, BackendFaults } from './backendFaults.js'
+
+/** A piece is one event of a stream, or some bytes of a whole answer. */
+export type AnswerWriter = {
+  readonly head: (status: number, headers: Readonly<Record<string, string>>) => void
+  readonly piece: (text: string) => void
+  readonly end: () => void
+}
+
+type AnswerFault = Extract<BackendFault, 'lateAnswer' | 'cutAnswer' | 'truncateAnswer' | 'freezeAnswer' | 'duplicateEvent'>
+
+type FaultContext = { readonly response: ServerResponse, readonly clock: Clock, readonly setting: FaultSetting }
+
+const WHOLE_ANSWER_PIECE = 16
+
+const ignore = (): void => {}
+
+const createPlainWriter = (response: ServerResponse): AnswerWriter => ({
+  head: (status, headers) => { response.writeHead(status, headers) },
+  piece: (text) => { response.write(text) },
+  end: () => { response.end() }
+})
+
+/** Lets `after` pieces through, then runs `stop` once in place of all that follows. */
+const stopAfter = (writer: AnswerWriter, after: number, stop: () => void): AnswerWriter => {
+  let left = after
+  let stopped = false
+  const stopOnce = (): void => {
+    if (stopped) return
+    stopped = true
+    stop()
+  }
+  return {
+    head: writer.head,
+    piece: (text) => {
+      if (left > 0) writer.piece(text)
+      else stopOnce()
+      left -= 1
+    },
+    end: stopOnce
+  }
+}
+
+const withoutLength = (writer: AnswerWriter): AnswerWriter => ({
+  ...writer,
+  head: (status, headers) => {
+    const { 'content-length': _length, ...rest } = headers
+    writer.head(status, rest)
+  }
+})
+
+const delay = (writer: AnswerWriter, clock: Clock, ms: number): AnswerWriter => {
+  let held: (() => void)[] | undefined
+  let passed = false
+  const run = (action: () => void): void => {
+    if (passed) return action()
+    if (held === undefined) {
+      held = []
+      clock.setTimer(ms, () => {
+        passed = true
+        held?.forEach((heldAction) => heldAction())
+      })
+    }
+    held.push(action)
+  }
+  return {
+    head: (status, headers) => run(() => writer.head(status, headers)),
+    piece: (text) => run(() => writer.piece(text)),
+    end: () => run(writer.end)
+  }
+}
+
+const repeatPiece = (writer: AnswerWriter, after: number): AnswerWriter => {
+  let index = 0
+  return {
+    ...writer,
+    piece: (text) => {
+      writer.piece(text)
+      if (index === after) writer.piece(text)
+      index += 1
+    }
+  }
+}
+
+// The pieces before the cut are flushed first: a destroyed socket drops what
+// is still buffered, and the cut would come earlier than was asked for. A cut
+// before the first piece lets no byte out, not even the status line.
+const cutConnection = (response: ServerResponse, after: number): void => {
+  const destroy = (): void => { response.socket?.destroy() }
+  if (after === 0) destroy()
+  else response.write('', destroy)
+}
+
+const ANSWER_FAULTS: Readonly<Record<AnswerFault, (writer: AnswerWriter, context: FaultContext) => AnswerWriter>> = {
+  duplicateEvent: (writer, { setting }) => repeatPiece(withoutLength(writer), setting.after),
+  freezeAnswer: (writer, { setting }) => stopAfter(writer, setting.after, ignore),
+  truncateAnswer: (writer, { response, setting }) => stopAfter(withoutLength(writer), setting.after, () => response.end()),
+  cutAnswer: (writer, { response, setting }) => stopAfter(writer, setting.after, () => cutConnection(response, setting.after)),
+  lateAnswer: (writer, { clock, setting }) => delay(writer, clock, setting.ms)
+}
+
+/**
+ * Creates a writer of one answer, spoilt by the faults that are on.
+ *
+ * @param response - Where the answer goes.
+ * @param faults - Each fault that is on is used up by one.
+ * @param clock - Times a late answer.
+ * @returns The writer.
+ *
+ * @example
+ * const writer = createAnswerWriter(reply.raw, faults, clock)
+ */
+export const createAnswerWriter = (response: ServerResponse, faults: BackendFaults, clock: Clock): AnswerWriter =>
+  (Object.keys(ANSWER_FAULTS) as AnswerFault[]).reduce((writer, fault) => {
+    const setting = faults.take(fault)
+    return setting === undefined ? writer : ANSWER_FAULTS[fault](writer, { response, clock, setting })
+  }, createPlainWriter(response))
+
+/**
+ * Writes a whole answer, in small pieces so that a fault can strike inside it.
+ *
+ * @param writer - Where it goes.
+ * @param status - HTTP status.
+ * @param headers - Headers besides the content length.
+ * @param body - The whole body.
+ *
+ * @example
+ * writeWhole(writer, 200, { 'content-type': 'application/json' }, '{}')
+ */
+export const writeWhole = (writer: AnswerWriter, status: number, headers: Readonly<Record<string, string>>, body: string): void => {
+  writer.head(status, { ...headers, 'content-length': String(Buffer.byteLength(body)) })
+  for (let start = 0; start < body.length; start += WHOLE_ANSWER_PIECE) writer.piece(body.slice(start, start + WHOLE_ANSWER_PIECE))
+  writer.end()
+}
--- /dev/null
+++ b/src/emulator/_lib/createBackendFrame.ts
@@ -0,0 +1,117 @@
+/** What both kinds of backend server stand-in share: control routes, load report, faults of connections. */
+import fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify'
+import type { Clock, LoadReport, RequestPriority } from '../../types/index.js'
+import type { Journal } from '../createJournal/index.js'
+import { isDown, type BackendFaults } from './backendFaults.js'
+import { listen, type EmulatedServer, type ListenAddress } from './listen.js'
+import { createControlServer, registerControlRoutes } from './registerControlRoutes.js'
+
+export type BackendFrame = {
+  readonly server: FastifyInstance
+  readonly listen: (address: ListenAddress) => Promise<EmulatedServer>
+}
+
+export type BackendFrameOptions = {
+  readonly clock: Clock
+  readonly faults: BackendFaults
+  readonly journal: Journal
+  readonly report: () => LoadReport
+}
+
+/** What a router tells of a request in its headers. */
+export type RequestHeaders = {
+  readonly requestId: string
+  readonly idempotencyKey: string | undefined
+  readonly clientAccount: string
+  readonly priority: RequestPriority
+}
+
+const BODY_LIMIT = 10_000_000
+
+/**
+ * Creates a server without routes of its own.
+ *
+ * @param options - Clock, faults, and what the control routes show.
+ * @returns The server to add routes to, and how to let it listen.
+ *
+ * @example
+ * const frame = createBackendFrame({ clock, faults, journal, report })
+ */
+export const createBackendFrame = ({ clock, faults, journal, report }: BackendFrameOptions): BackendFrame => {
+  const server = fastify({ bodyLimit: BODY_LIMIT, forceCloseConnections: true, routerOptions: { maxParamLength: 1000 } })
+  const control = { faults, pages: { '/journal': () => ({ entries: journal.entries() }) } }
+  registerControlRoutes(server, control)
+
+  server.server.on('connection', (socket) => {
+    if (!isDown(faults, clock)) return
+    faults.take('refuseConnections')
+    socket.resetAndDestroy()
+  })
+  // An idle connection kept from before would let requests through to a
+  // server that is meant to be unreachable.
+  faults.onChange(() => {
+    if (isDown(faults, clock)) server.server.closeIdleConnections()
+  })
+  server.addHook('onRequest', async (request, reply) => {
+    if (!isDown(faults, clock)) return
+    dropConnection(request, reply)
+  })
+
+  server.get('/load', async (_request, reply) => {
+    if (faults.take('unresponsiveLoad') !== undefined) return reply.hijack()
+    const figures = report()
+    return { ...figures, leaving: figures.leaving || faults.peek('leaving') !== undefined }
+  })
+
+  return { server, listen: (address) => listen(server, createControlServer(control), address) }
+}
+
+/**
+ * Reads the headers by which a router describes a request.
+ *
+ * @param request - The request.
+ * @returns Its fields, with defaults for a caller that is no router.
+ *
+ * @example
+ * const { requestId } = readRequestHeaders(request)
+ */
+export const readRequestHeaders = (request: FastifyRequest): RequestHeaders => {
+  const read = (name: string): string | undefined => {
+    const value = request.headers[name]
+    return Array.isArray(value) ? value[0] : value
+  }
+  return {
+    requestId: read('x-request-id') ?? `unnamed-${request.id}`,
+    idempotencyKey: read('idempotency-key'),
+    clientAccount: read('x-client-account') ?? '',
+    priority: read('x-priority') === 'overnight' ? 'overnight' : 'interactive'
+  }
+}
+
+/**
+ * Sends the documented refusal, which alone proves that a request was not run.
+ *
+ * @param reply - Where it goes.
+ * @param requestId - Echoed.
+ * @param reason - Why.
+ * @returns The reply.
+ *
+ * @example
+ * return refuseNotRun(reply, requestId, 'leaving')
+ */
+export const refuseNotRun = (reply: FastifyReply, requestId: string, reason: string): FastifyReply =>
+  reply.code(503).headers({ 'x-not-run': reason, 'x-request-id': requestId }).send({ error: { message: `not run: ${reason}`, code: reason } })
+
+/**
+ * Resets the connection of a request without any answer.
+ *
+ * @param request - The request.
+ * @param reply - Taken out of the server's hands.
+ *
+ * @example
+ * dropConnection(request, reply)
+ */
+export const dropConnection = (request: FastifyRequest, reply: FastifyReply): void => {
+  reply.hijack()
+  request.raw.socket.resetAndDestroy()
+}
--- /dev/null
+++ b/src/emulator/composeAnswer/test.ts
@@ -0,0 +1,32 @@
+import { describe, expect, it } from 'vitest'
+import { composeAnswer, hashPrefixes } from './index.js'
+
+const chat = (...contents: readonly string[]) => contents.map((content) => ({ role: 'user', content }))
+
+describe('composeAnswer', () => {
+  it('gives the same answer to the same chat', () => {
+    expect(composeAnswer(chat('a', 'b'))).toEqual(composeAnswer(chat('a', 'b')))
+  })
+
+  it.each([[chat('b', 'a')], [chat('a')], [chat('a', 'B')], [[]]])('gives another answer to the chat %j', (messages) => {
+    expect(composeAnswer(messages).text).not.toBe(composeAnswer(chat('a', 'b')).text)
+  })
+
+  it('holds the beginning of the last message', () => {
+    expect(composeAnswer(chat('x', 'Is there ravioli?')).text).toContain('"Is there ravioli?"')
+  })
+
+  it.each([[1, 'length'], [10, 'length'], [100_000, 'stop']])('with room for %i tokens ends by %s', (room, reason) => {
+    const answer = composeAnswer(chat('a'), room)
+    expect(answer.finishReason).toBe(reason)
+    expect(answer.tokens.join('')).toBe(answer.text)
+    expect(answer.tokens.length).toBeLessThanOrEqual(room)
+  })
+})
+
+describe('hashPrefixes', () => {
+  it('has common hashes up to where chats part', () => {
+    const [left, right] = [hashPrefixes(chat('a', 'b', 'c')), hashPrefixes(chat('a', 'b', 'd'))]
+    expect([left[1] === right[1], left[2] === right[2]]).toEqual([true, false])
+  })
+})
--- /dev/null
+++ b/src/emulator/createModelEngine/_lib/createJob.ts
@@ -0,0 +1,115 @@
+/** One request in the engine: its tokens so far, who listens, and how long it is kept. */
+import type { Clock, RequestPriority, Timer } from '../../../types/index.js'
+import type { ChatMessage, ComposedAnswer } from '../../composeAnswer/index.js'
+import type { JournalRecord } from '../../createJournal/index.js'
+
+export type EngineRequest = {
+  readonly requestId: string
+  readonly idempotencyKey?: string | undefined
+  readonly clientAccount: string
+  readonly path: string
+  readonly messages: readonly ChatMessage[]
+  readonly maximumTokens?: number | undefined
+  readonly priority: RequestPriority
+}
+
+export type JobUsage = { readonly promptTokens: number, readonly cachedTokens: number }
+
+export type JobOutcome = 'complete' | 'cancelled'
+
+/** Called whenever tokens were added, and once when the job ended. */
+export type JobListener = () => void
+
+export type EngineJob = {
+  readonly request: EngineRequest
+  readonly answer: ComposedAnswer
+  /** Tokens generated so far. */
+  readonly emitted: () => number
+  readonly outcome: () => JobOutcome | undefined
+  /** Known once the prefill has begun. */
+  readonly usage: () => JobUsage
+  /** Listens until the returned function is called; a job that nobody listens to ends after its grace period. */
+  readonly listen: (listener: JobListener) => () => void
+  readonly cancel: () => void
+}
+
+export type RunningJob = EngineJob & {
+  readonly start: (usage: JobUsage) => void
+  readonly emitToken: () => void
+  readonly isComplete: () => boolean
+  readonly finish: (outcome: JobOutcome) => void
+}
+
+export type JobDependencies = {
+  readonly answer: ComposedAnswer
+  readonly record: JournalRecord
+  readonly graceMs: number
+  readonly cancel: () => void
+  /** Lets the engine drop the job, after which it cannot be resumed. */
+  readonly forget: () => void
+}
+
+/**
+ * Creates a job that waits for its slot.
+ *
+ * @param clock - Runs the grace period.
+ * @param request - What was asked.
+ * @param dependencies - The answer to generate, and the engine's side of the job.
+ * @returns The job.
+ *
+ * @example
+ * const job = createJob(clock, request, dependencies)
+ */
+export const createJob = (clock: Clock, request: EngineRequest, dependencies: JobDependencies): RunningJob => {
+  const { answer, record, graceMs, cancel, forget } = dependencies
+  const listeners = new Set<JobListener>()
+  let emitted = 0
+  let outcome: JobOutcome | undefined
+  let usage: JobUsage = { promptTokens: 0, cachedTokens: 0 }
+  let graceTimer: Timer | undefined
+
+  const announce = (): void => {
+    for (const listener of [...listeners]) listener()
+  }
+
+  const endGrace = (): void => {
+    cancel()
+    forget()
+  }
+
+  const startGrace = (): void => {
+    graceTimer?.cancel()
+    graceTimer = clock.setTimer(graceMs, endGrace)
+  }
+
+  return {
+    request,
+    answer,
+    emitted: () => emitted,
+    outcome: () => outcome,
+    usage: () => usage,
+    listen: (listener) => {
+      listeners.add(listener)
+      graceTimer?.cancel()
+      return () => {
+        if (listeners.delete(listener) && listeners.size === 0) startGrace()
+      }
+    },
+    cancel,
+    start: (known) => {
+      usage = known
+      record.setOutcome('running')
+    },
+    emitToken: () => {
+      emitted += 1
+      announce()
+    },
+    isComplete: () => emitted >= answer.tokens.length,
+    finish: (reached) => {
+      outcome = reached
+      record.setOutcome(reached)
+      announce()
+      if (listeners.size === 0) startGrace()
+    }
+  }
+}
--- /dev/null
+++ b/src/emulator/createModelEngine/index.ts
@@ -0,0 +1,189 @@
+/**
+ * The core of the model engine stand-in: continuous batching in finite slots,
+ * a queue by priority, prefill and decode time, and a prefix cache. Time comes
+ * in with the clock, so a bench can run many engines on a manual one.
+ */
+import { failure, success } from '../../kernel/index.js'
+import type { Clock, LoadReport, Result } from '../../types/index.js'
+import { composeAnswer } from '../composeAnswer/index.js'
+import { countTokens } from '../countTokens/index.js'
+import { createJournal, type Journal } from '../createJournal/index.js'
+import { createLaggingLoad } from '../createLaggingLoad/index.js'
+import { createJob, type EngineJob, type EngineRequest, type RunningJob } from './_lib/createJob.js'
+import { createPrefixCache } from './_lib/createPrefixCache.js'
+
+export type { EngineJob, EngineRequest, JobListener, JobUsage } from './_lib/createJob.js'
+
+export type ModelEngineOptions = {
+  /** Requests in the batch at once. */
+  readonly slots: number
+  /** Requests that may wait for a slot; one more is refused as overloaded. */
+  readonly maximumWaiting: number
+  readonly prefillTokensPerSecond: number
+  /** Time between two tokens of a request that is alone in the batch, in milliseconds. */
+  readonly decodeIntervalMs: number
+  /** What each further request in the batch adds to it, in milliseconds. */
+  readonly decodeIntervalPerRequestMs: number
+  readonly cacheTokens: number
+  readonly loadLagMs: number
+  /** How long a stream that nobody reads is kept for a resume, in milliseconds. */
+  readonly graceMs: number
+}
+
+export type EngineRefusal = { readonly reason: 'leaving' | 'overloaded' }
+
+export type ModelEngine = {
+  readonly submit: (request: EngineRequest) => Result<EngineJob, EngineRefusal>
+  /** The latest job of a request, while it runs or is kept. */
+  readonly find: (requestId: string) => EngineJob | undefined
+  readonly report: () => LoadReport
+  readonly setLeaving: (leaving: boolean) => void
+  readonly journal: Journal
+  /** Requests in the batch and waiting now, without the report's lag. */
+  readonly load: () => { readonly running: number, readonly waiting: number }
+  readonly cachedTokens: () => number
+}
+
+export const DEFAULT_MODEL_ENGINE_OPTIONS: ModelEngineOptions = {
+  slots: 16,
+  maximumWaiting: 64,
+  prefillTokensPerSecond: 20_000,
+  decodeIntervalMs: 10,
+  decodeIntervalPerRequestMs: 0.5,
+  cacheTokens: 200_000,
+  loadLagMs: 250,
+  graceMs: 10_000
+}
+
+const MILLISECONDS_PER_SECOND = 1000
+
+/**
+ * Creates an idle engine.
+ *
+ * A step of the batch gives each request in it one token; the more requests,
+ * the longer the step. Prefills run one after another, at a cost in proportion
+ * to the prompt tokens that the cache does not hold. Interactive requests get
+ * a free slot before overnight ones.
+ *
+ * @param clock - Drives prefills, steps and grace periods.
+ * @param options - Sizes and rates; see `DEFAULT_MODEL_ENGINE_OPTIONS`.
+ * @returns The engine.
+ *
+ * @example
+ * const engine = createModelEngine(createManualClock(), { slots: 2 })
+ * engine.submit({ requestId: 'r1', clientAccount: 'a', path: '/v1/chat/completions', messages: [], priority: 'interactive' })
+ */
+export const createModelEngine = (clock: Clock, options: Partial<ModelEngineOptions> = {}): ModelEngine => {
+  const settings = { ...DEFAULT_MODEL_ENGINE_OPTIONS, ...options }
+  const cache = createPrefixCache(settings.cacheTokens)
+  const journal = createJournal(clock)
+  const laggingLoad = createLaggingLoad(clock, settings.loadLagMs)
+  const waiting: Record<EngineRequest['priority'], RunningJob[]> = { interactive: [], overnight: [] }
+  const batch = new Set<RunningJob>()
+  const decoding = new Set<RunningJob>()
+  const kept = new Map<string, RunningJob>()
+  let prefillFreeAt = 0
+  let stepping = false
+  let leaving = false
+
+  const countWaiting = (): number => waiting.interactive.length + waiting.overnight.length
+  const load = () => ({ running: batch.size, waiting: countWaiting() })
+  const recordLoad = (): void => laggingLoad.record(load())
+
+  const scheduleStep = (): void => {
+    if (stepping || decoding.size === 0) return
+    stepping = true
+    const interval = settings.decodeIntervalMs + (decoding.size - 1) * settings.decodeIntervalPerRequestMs
+    const members = [...decoding]
+    clock.setTimer(interval, () => runStep(members))
+  }
+
+  const runStep = (members: readonly RunningJob[]): void => {
+    stepping = false
+    for (const job of members) {
+      if (!decoding.has(job)) continue
+      job.emitToken()
+      if (job.isComplete()) completeJob(job)
+    }
+    scheduleStep()
+  }
+
+  const completeJob = (job: RunningJob): void => {
+    cache.store([...job.request.messages, { role: 'assistant', content: job.answer.text }])
+    leaveBatch(job)
+    job.finish('complete')
+  }
+
+  const leaveBatch = (job: RunningJob): void => {
+    batch.delete(job)
+    decoding.delete(job)
+    fillSlots()
+    recordLoad()
+  }
+
+  const fillSlots = (): void => {
+    while (batch.size < settings.slots) {
+      const job = waiting.interactive.shift() ?? waiting.overnight.shift()
+      if (job === undefined) return
+      startPrefill(job)
+    }
+  }
+
+  const startPrefill = (job: RunningJob): void => {
+    batch.add(job)
+    const cachedTokens = cache.use(job.request.messages)
+    const promptTokens = job.request.messages.reduce((sum, { content }) => sum + countTokens(content), 0)
+    job.start({ promptTokens, cachedTokens })
+    const cost = (promptTokens - cachedTokens) / settings.prefillTokensPerSecond * MILLISECONDS_PER_SECOND
+    prefillFreeAt = Math.max(clock.now(), prefillFreeAt) + cost
+    clock.setTimer(prefillFreeAt - clock.now(), () => startDecode(job))
+  }
+
+  const startDecode = (job: RunningJob): void => {
+    if (!batch.has(job)) return
+    cache.store(job.request.messages)
+    decoding.add(job)
+    scheduleStep()
+  }
+
+  const cancelJob = (job: RunningJob): void => {
+    if (job.outcome() !== undefined) return
+    const queue = waiting[job.request.priority]
+    const index = queue.indexOf(job)
+    if (index !== -1) queue.splice(index, 1)
+    leaveBatch(job)
+    job.finish('cancelled')
+  }
+
+  const refuse = (): EngineRefusal | undefined => {
+    if (leaving) return { reason: 'leaving' }
+    if (batch.size >= settings.slots && countWaiting() >= settings.maximumWaiting) return { reason: 'overloaded' }
+    return undefined
+  }
+
+  return {
+    submit: (request) => {
+      const refusal = refuse()
+      if (refusal !== undefined) return failure(refusal)
+      const { requestId, idempotencyKey, clientAccount, path } = request
+      const job: RunningJob = createJob(clock, request, {
+        answer: composeAnswer(request.messages, request.maximumTokens),
+        record: journal.add({ requestId, idempotencyKey, clientAccount, path, outcome: 'queued' }),
+        graceMs: settings.graceMs,
+        cancel: () => cancelJob(job),
+        forget: () => { if (kept.get(requestId) === job) kept.delete(requestId) }
+      })
+      kept.set(requestId, job)
+      waiting[request.priority].push(job)
+      fillSlots()
+      recordLoad()
+      return success(job)
+    },
+    find: (requestId) => kept.get(requestId),
+    report: () => ({ ...laggingLoad.read(), slots: settings.slots, leaving }),
+    setLeaving: (value) => { leaving = value },
+    journal,
+    load,
+    cachedTokens: cache.tokens
+  }
+}
--- /dev/null
+++ b/src/emulator/createModelEngine/test.ts
@@ -0,0 +1,123 @@
+import { describe, expect, it } from 'vitest'
+import { composeAnswer } from '../composeAnswer/index.js'
+import { createManualClock } from '../createManualClock/index.js'
+import { createModelEngine, type EngineJob, type EngineRequest, type ModelEngineOptions } from './index.js'
+
+const buildRequest = (requestId: string, changes: Partial<EngineRequest> = {}): EngineRequest => ({
+  requestId,
+  clientAccount: 'kiosk',
+  path: '/v1/chat/completions',
+  messages: [{ role: 'user', content: `question ${requestId}` }],
+  maximumTokens: 4,
+  priority: 'interactive',
+  ...changes
+})
+
+const startEngine = (options: Partial<ModelEngineOptions> = {}) => {
+  const clock = createManualClock()
+  const engine = createModelEngine(clock, { prefillTokensPerSecond: 1000, decodeIntervalMs: 10, decodeIntervalPerRequestMs: 5, ...options })
+  const submit = (request: EngineRequest): EngineJob => {
+    const submitted = engine.submit(request)
+    if (!submitted.ok) throw new Error(`refused: ${submitted.error.reason}`)
+    return submitted.value
+  }
+  return { clock, engine, submit }
+}
+
+describe('createModelEngine', () => {
+  it('generates the whole composed answer, token by token', () => {
+    const { clock, submit } = startEngine()
+    const request = buildRequest('a')
+    const job = submit(request)
+    const seen: number[] = []
+    job.listen(() => seen.push(job.emitted()))
+    clock.runUntilIdle(10_000)
+    expect([seen, job.outcome()]).toEqual([[1, 2, 3, 4, 4], 'complete'])
+    expect(job.answer).toEqual(composeAnswer(request.messages, 4))
+  })
+
+  it('takes longer a token the more requests share the batch', () => {
+    const timeToFinish = (count: number): number => {
+      const { clock, submit } = startEngine({ prefillTokensPerSecond: Infinity })
+      let finishedAt = 0
+      for (let index = 0; index < count; index += 1) submit(buildRequest(`r${index}`)).listen(() => { finishedAt = clock.now() })
+      clock.runUntilIdle(10_000)
+      return finishedAt
+    }
+    // One step of 10 ms for the first alone, three of 20 ms for all, one of 15 ms for the last two.
+    expect([timeToFinish(1), timeToFinish(3)]).toEqual([40, 85])
+  })
+
+  it('queues beyond its slots, interactive work before overnight work', () => {
+    const { clock, engine, submit } = startEngine({ slots: 1 })
+    const order: string[] = []
+    const track = (requestId: string, priority: EngineRequest['priority']): void => {
+      const job = submit(buildRequest(requestId, { priority }))
+      job.listen(() => { if (job.outcome() === 'complete') order.push(requestId) })
+    }
+    track('first', 'overnight')
+    track('night', 'overnight')
+    track('day', 'interactive')
+    expect(engine.load()).toEqual({ running: 1, waiting: 2 })
+    clock.runUntilIdle(10_000)
+    expect(order).toEqual(['first', 'day', 'night'])
+  })
+
+  it('finds the earlier turns of a chat in its cache', () => {
+    const { clock, submit } = startEngine()
+    const first = buildRequest('a', { messages: [{ role: 'user', content: 'x'.repeat(400) }] })
+    const answer = submit(first).answer.text
+    clock.runUntilIdle(10_000)
+    const second = submit(buildRequest('b', { messages: [...first.messages, { role: 'assistant', content: answer }, { role: 'user', content: 'next' }] }))
+    expect(second.usage()).toEqual({ promptTokens: 100 + Math.ceil(answer.length / 4) + 1, cachedTokens: 100 + Math.ceil(answer.length / 4) })
+  })
+
+  it('forgets the chat used least lately when the cache is full', () => {
+    const { clock, submit } = startEngine({ cacheTokens: 250 })
+    const ask = (name: string): number => {
+      const job = submit(buildRequest(name, { messages: [{ role: 'user', content: name.repeat(400) }], maximumTokens: 1 }))
+      clock.runUntilIdle(10_000)
+      return job.usage().cachedTokens
+    }
+    expect(['a', 'b', 'a', 'c', 'a', 'b'].map(ask)).toEqual([0, 0, 100, 0, 100, 0])
+  })
+
+  it.each([
+    ['leaving', (engine: ReturnType<typeof startEngine>['engine']) => engine.setLeaving(true)],
+    ['overloaded', (engine: ReturnType<typeof startEngine>['engine']) => { engine.submit(buildRequest('x')); engine.submit(buildRequest('y')) }]
+  ])('refuses when %s, and leaves what it refused out of the journal', (reason, prepare) => {
+    const { engine } = startEngine({ slots: 1, maximumWaiting: 1 })
+    prepare(engine)
+    expect(engine.submit(buildRequest('refused'))).toEqual({ ok: false, error: { reason } })
+    expect(engine.journal.entries().map(({ requestId }) => requestId)).not.toContain('refused')
+  })
+
+  it('reports its load late, but at once that it is leaving', () => {
+    const { clock, engine, submit } = startEngine({ loadLagMs: 1000 })
+    submit(buildRequest('a', { maximumTokens: 1000 }))
+    engine.setLeaving(true)
+    expect(engine.report()).toMatchObject({ running: 0, leaving: true, ageMs: 1000 })
+    clock.advance(1000)
+    expect(engine.report()).toMatchObject({ running: 1, leaving: true })
+  })
+
+  // A router that loses its connection may resume for the grace period; the
+  // engine must not go on for ever for a router that never comes back.
+  it('cancels and forgets a job that nobody listens to any more after the grace period', () => {
+    const { clock, engine, submit } = startEngine({ graceMs: 15 })
+    const job = submit(buildRequest('a', { maximumTokens: 100 }))
+    job.listen(() => {})()
+    clock.advance(14)
+    expect([job.outcome(), engine.find('a')]).toEqual([undefined, job])
+    clock.advance(1)
+    expect([job.outcome(), engine.find('a'), engine.load().running]).toEqual(['cancelled', undefined, 0])
+  })
+
+  it('gives a cancelled job\'s slot to the next', () => {
+    const { engine, submit } = startEngine({ slots: 1 })
+    const first = submit(buildRequest('a'))
+    submit(buildRequest('b'))
+    first.cancel()
+    expect(engine.journal.entries().map(({ requestId, outcome }) => [requestId, outcome])).toEqual([['a', 'cancelled'], ['b', 'running']])
+  })
+})
--- /dev/null
+++ b/src/emulator/createPlainServiceServer/index.ts
@@ -0,0 +1,119 @@
+/** The stand-in of a plain service: it records orders and looks up stock. */
+import type { FastifyReply, FastifyRequest } from 'fastify'
+import { hashText } from '../../hashing/index.js'
+import type { Clock } from '../../types/index.js'
+import { createAnswerWriter, writeWhole } from '../_lib/createAnswerWriter.js'
+import { createBackendFaults, type BackendFaults } from '../_lib/backendFaults.js'
+import { createBackendFrame, readRequestHeaders, refuseNotRun } from '../_lib/createBackendFrame.js'
+import type { EmulatedServer, ListenAddress } from '../_lib/listen.js'
+import { createJournal, type Journal } from '../createJournal/index.js'
+import { createLaggingLoad } from '../createLaggingLoad/index.js'
+
+export type PlainServiceServerOptions = ListenAddress & {
+  readonly clock: Clock
+  /** Time that each call takes, in milliseconds; 5 by default. */
+  readonly delayMs?: number | undefined
+  /** Calls at once; further ones are refused as overloaded; 256 by default. */
+  readonly slots?: number | undefined
+  readonly loadLagMs?: number | undefined
+}
+
+export type PlainServiceServer = EmulatedServer & {
+  readonly faults: BackendFaults
+  readonly journal: Journal
+}
+
+type ServiceAnswer = { readonly status: number, readonly body: unknown }
+
+const DEFAULT_DELAY_MS = 5
+const DEFAULT_SLOTS = 256
+const DEFAULT_LOAD_LAG_MS = 250
+const LARGEST_STOCK = 500
+
+/**
+ * Gives the answer of a stock lookup, which follows from its path alone.
+ *
+ * @param path - Path with query.
+ * @returns The body of the answer.
+ *
+ * @example
+ * lookUpStock('/stock/ravioli') // => { path: '/stock/ravioli', quantity: ... }
+ */
+export const lookUpStock = (path: string): { readonly path: string, readonly quantity: number } =>
+  ({ path, quantity: hashText(path) % LARGEST_STOCK })
+
+/**
+ * Starts a plain service stand-in.
+ *
+ * `GET` on any path is a lookup; `POST` and `PUT` on any path record an order
+ * each time they run, whatever their idempotency key: a request that ran twice
+ * is two entries of the journal. An answer to an order holds the body that came.
+ *
+ * @param options - Clock, address, delay and slots.
+ * @returns The listening server, its journal and its faults.
+ *
+ * @example
+ * const server = await createPlainServiceServer({ clock: createSystemClock(), delayMs: 20 })
+ */
+export const createPlainServiceServer = async (options: PlainServiceServerOptions): Promise<PlainServiceServer> => {
+  const { clock, delayMs = DEFAULT_DELAY_MS, slots = DEFAULT_SLOTS } = options
+  const faults = createBackendFaults()
+  const journal = createJournal(clock)
+  const load = createLaggingLoad(clock, options.loadLagMs ?? DEFAULT_LOAD_LAG_MS)
+  const frame = createBackendFrame({ clock, faults, journal, report: () => ({ ...load.read(), slots, leaving: false }) })
+  let running = 0
+  let orders = 0
+
+  const changeRunning = (by: number): void => {
+    running += by
+    load.record({ running, waiting: 0 })
+  }
+
+  const perform = (request: FastifyRequest, requestId: string): ServiceAnswer => {
+    if (request.method === 'GET') return { status: 200, body: lookUpStock(request.url) }
+    orders += 1
+    return { status: 201, body: { order: orders, requestId, path: request.url, received: request.body ?? null } }
+  }
+
+  const answerWhenDone = (request: FastifyRequest, reply: FastifyReply): void => {
+    const { requestId, idempotencyKey, clientAccount } = readRequestHeaders(request)
+    const record = journal.add({ requestId, idempotencyKey, clientAccount, path: request.url, outcome: 'running' })
+    const reset = faults.take('resetAfterRead') !== undefined
+    const echoed = faults.take('crossedAnswer') === undefined ? requestId : `${requestId}-crossed`
+    const writer = createAnswerWriter(reply.raw, faults, clock)
+    changeRunning(1)
+    reply.hijack()
+    clock.setTimer(delayMs, () => {
+      changeRunning(-1)
+      const { status, body } = perform(request, echoed)
+      record.setOutcome('complete')
+      if (reset) request.raw.socket.resetAndDestroy()
+      else writeWhole(writer, status, { 'content-type': 'application/json', 'x-request-id': echoed }, JSON.stringify(body))
+    })
+  }
+
+  frame.server.removeAllContentTypeParsers()
+  frame.server.addContentTypeParser('*', { parseAs: 'string' }, (request, body, done) => done(null, parseBody(request, String(body))))
+  frame.server.route({
+    method: ['GET', 'POST', 'PUT'],
+    url: '/*',
+    handler: async (request, reply) => {
+      const { requestId } = readRequestHeaders(request)
+      if (faults.peek('leaving') !== undefined) return refuseNotRun(reply, requestId, 'leaving')
+      if (running >= slots || faults.take('overloaded') !== undefined) return refuseNotRun(reply, requestId, 'overloaded')
+      answerWhenDone(request, reply)
+    }
+  })
+
+  return { ...await frame.listen(options), faults, journal }
+}
+
+// An order's body is recorded as it came; only the control route reads JSON.
+const parseBody = (request: FastifyRequest, body: string): unknown => {
+  if (request.url !== '/faults') return body
+  try {
+    return JSON.parse(body)
+  } catch {
+    return undefined
+  }
+}
