--- a/src/emulator/createManualClock/index.ts
+++ b/src/emulator/createManualClock/index.ts
@@ -4,10 +4,20 @@
 export type ManualClock = Clock & {
   /** Moves time forward and runs the timers that fall due, in their order. */
   readonly advance: (durationMs: number) => void
+  /** The same, and lets promises settle after each timer, for code that awaits between its timers. */
+  readonly advanceAndSettle: (durationMs: number) => Promise<void>
   /** Runs timers until none is left or `limitMs` has passed; returns the time that passed. */
   readonly runUntilIdle: (limitMs: number) => number
 }
 
+const DEFAULT_WALL_TIME = 1_700_000_000_000
+/** Promise chains that are longer go on after the next timer. */
+const PROMISE_ROUNDS = 8
+
+const settlePromises = async (): Promise<void> => {
+  for (let round = 0; round < PROMISE_ROUNDS; round++) await Promise.resolve()
+}
+
 /** `callback` goes when the timer runs or is cancelled. */
 type PendingTimer = { readonly dueAt: number, readonly order: number, callback: (() => void) | undefined }
 
@@ -25,7 +35,7 @@
  * clock.setTimer(10, () => console.log('due'))
  * clock.advance(10) // prints "due"
  */
-export const createManualClock = (startAt = 0): ManualClock => {
+export const createManualClock = (startAt = DEFAULT_WALL_TIME): ManualClock => {
   const heap: PendingTimer[] = []
   let now = 0
   let order = 0
@@ -57,6 +67,12 @@
       runAllDue(target)
       now = target
     },
+    advanceAndSettle: async (durationMs) => {
+      const target = now + durationMs
+      await settlePromises()
+      while (runNext(target)) await settlePromises()
+      now = target
+    },
     runUntilIdle: (limitMs) => {
       const startedAt = now
       runAllDue(startedAt + limitMs)
