Apply sheets under a conditional root, with an audit trail

The write of the root alone accepts; a lost reply is settled by repeating it under the same condition and by the root's history of apply ids. Entries of the audit trail are written before the change is tried, so that no accepted change lacks one.

The holder's tests brought out a lost change: a watch announced a root, the read after it failed, and the watch went on behind that revision. It starts afresh after any failure now.

--- a/src/services/configuration/_lib/createPlatformWatch.ts
+++ b/src/services/configuration/_lib/createPlatformWatch.ts
@@ -60,16 +60,18 @@
     return read
   }
 
+  /**
+   * After any failure the watch starts afresh. A root that was announced but
+   * could not be read would otherwise not be announced again, and a platform
+   * restored from a backup may count revisions from a lower number.
+   */
   const continueWatch = async (from: number): Promise<Result<undefined, string>> => {
     const events = await platform.watchObjects(ROOT_NAME, from, options.watchTimeoutMs)
-    if (!events.ok) {
-      // After any failure the watch starts afresh: a platform restored from a
-      // backup may count revisions from a lower number and never reach ours.
-      revision = undefined
-      return events.error.kind === 'revisionGone' ? success(undefined) : describeError(events.error)
-    }
-    revision = events.value.revision < from ? undefined : events.value.revision
-    return events.value.changes.length === 0 ? success(undefined) : readRoot()
+    revision = undefined
+    if (!events.ok) return describeError(events.error)
+    const read = events.value.changes.length === 0 ? success(undefined) : await readRoot()
+    if (read.ok && events.value.revision >= from) revision = events.value.revision
+    return read
   }
 
   const watch = (): Promise<Result<undefined, string>> => {
--- /dev/null
+++ b/src/services/configuration/test.ts
@@ -0,0 +1,269 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { createConfigurationFleet, type ConfigurationFleet, type FleetNode } from '../../../test/_lib/createConfigurationFleet.js'
+import type { PlatformFault } from '../../../test/_lib/createFaultyPlatform.js'
+import { createSheet } from '../../../test/_lib/createSheet.js'
+
+const createStartedFleet = (size: number, zones?: number, seed?: number): ConfigurationFleet => {
+  const fleet = createConfigurationFleet(size, zones, seed)
+  for (const node of fleet.nodes) node.start()
+  return fleet
+}
+
+const failPlatform = (nodes: readonly FleetNode[], fault: PlatformFault): void => {
+  for (const node of nodes) node.platform.setFaults(() => fault)
+}
+
+const apply = async (fleet: ConfigurationFleet, weight: number, against: number): Promise<void> => {
+  expect(await fleet.operator.apply(createSheet(weight), against)).toMatchObject({ kind: 'applied' })
+}
+
+const cutOff = (fleet: ConfigurationFleet, node: FleetNode): void => {
+  for (const other of fleet.nodes) if (other !== node) fleet.cut(node, other)
+}
+
+const damageChunks = async (fleet: ConfigurationFleet): Promise<void> => {
+  const list = await fleet.platform.listObjects('configuration/chunks/')
+  if (!list.ok) return
+  for (const { name, version } of list.value.objects) await fleet.platform.updateObject(name, new Uint8Array([0]), version)
+}
+
+const deleteChunks = async (fleet: ConfigurationFleet): Promise<void> => {
+  const list = await fleet.platform.listObjects('configuration/chunks/')
+  if (!list.ok) return
+  for (const { name, version } of list.value.objects) await fleet.platform.deleteObject(name, version)
+}
+
+describe('configuration in force', () => {
+  it('says that no sheet has been applied while there is none', async () => {
+    const fleet = createStartedFleet(1)
+    await fleet.run(1_000)
+    expect(fleet.nodes[0]!.holder().current()).toBeUndefined()
+    expect(fleet.nodes[0]!.holder().pending()).toEqual({ generation: 0, reason: 'no sheet has been applied yet' })
+  })
+
+  it.each([1, 9, 45])('is everywhere within 4 s of its acceptance at %i nodes', async (size) => {
+    const fleet = createStartedFleet(size)
+    await fleet.run(2_000)
+    await apply(fleet, 1, 0)
+    await fleet.run(4_000)
+    expect(new Set(fleet.generations())).toEqual(new Set([1]))
+    await apply(fleet, 2, 1)
+    await fleet.run(4_000)
+    expect(new Set(fleet.generations())).toEqual(new Set([2]))
+    expect(fleet.nodes[0]!.holder().current()?.sheet).toEqual(createSheet(2))
+  })
+
+  it('is announced once a generation', async () => {
+    const fleet = createStartedFleet(3)
+    const heard: number[] = []
+    fleet.nodes[2]!.holder().onChange(({ generation }) => heard.push(generation))
+    await apply(fleet, 1, 0)
+    await fleet.run(4_000)
+    await apply(fleet, 2, 1)
+    await fleet.run(4_000)
+    expect(heard).toEqual([1, 2])
+  })
+
+  it('is watched by two nodes of a zone only', async () => {
+    const fleet = createStartedFleet(12)
+    await fleet.run(90_000)
+    const watchers = fleet.nodes.filter(({ platform }) => platform.calls().slice(-1)[0]?.operation === 'watchObjects')
+    expect(watchers).toHaveLength(6)
+  })
+})
+
+describe('configuration under faults', () => {
+  // A VM is replaced while the platform is down. It has no disk and cannot
+  // read the root; its peers have the generation, and it must serve with it.
+  it.each<PlatformFault>(['unavailable', 'hang'])('a node that boots while the platform is "%s" takes what its peers have', async (fault) => {
+    const fleet = createStartedFleet(3)
+    await apply(fleet, 1, 0)
+    await fleet.run(4_000)
+    failPlatform(fleet.nodes, fault)
+    fleet.nodes[2]!.stop()
+    fleet.nodes[2]!.start()
+    await fleet.run(4_000)
+    expect(fleet.generations()).toEqual([1, 1, 1])
+  })
+
+  it('a node that boots with neither platform nor peers serves nothing and says why', async () => {
+    const fleet = createConfigurationFleet(1)
+    failPlatform(fleet.nodes, 'unavailable')
+    fleet.nodes[0]!.start()
+    await fleet.run(2_000)
+    expect(fleet.nodes[0]!.holder().pending()).toEqual({ generation: 0, reason: 'platform: unavailable' })
+  })
+
+  // One node cannot reach the platform when a sheet is accepted. It hears the
+  // number in a heartbeat and must get root and chunks from a peer.
+  it('a node without platform gets a new generation from its peers', async () => {
+    const fleet = createStartedFleet(3)
+    await apply(fleet, 1, 0)
+    await fleet.run(4_000)
+    failPlatform([fleet.nodes[1]!], 'unavailable')
+    await apply(fleet, 2, 1)
+    await fleet.run(4_000)
+    expect(fleet.generations()).toEqual([2, 2, 2])
+  })
+
+  // A zone is cut off from all others and from the platform; a sheet is
+  // accepted outside. The zone keeps its last generation, and has the new one
+  // within seconds of the healing.
+  it('a zone that is cut off keeps its generation and catches up when healed', async () => {
+    const fleet = createStartedFleet(6)
+    await apply(fleet, 1, 0)
+    await fleet.run(4_000)
+    const zone = fleet.nodes.filter(({ availabilityZone }) => availabilityZone === 'venkov-a')
+    for (const inside of zone) for (const outside of fleet.nodes) if (!zone.includes(outside)) fleet.cut(inside, outside)
+    failPlatform(zone, 'hang')
+    await apply(fleet, 2, 1)
+    await fleet.run(10_000)
+    expect(fleet.generations()).toEqual([1, 2, 2, 1, 2, 2])
+    fleet.heal()
+    await fleet.run(4_000)
+    expect(new Set(fleet.generations())).toEqual(new Set([2]))
+  })
+
+  // A chunk is damaged or gone at the platform. The root is accepted but the
+  // sheet cannot be had: nodes keep what they have, say why, and take the
+  // generation that mends it.
+  it.each([
+    ['damaged', damageChunks, 'sent bytes of another hash'],
+    ['missing', deleteChunks, 'does not have it']
+  ])('a chunk that is %s at the platform leaves the last generation in force and says so', async (_, spoil, reason) => {
+    const fleet = createStartedFleet(3)
+    await apply(fleet, 1, 0)
+    await fleet.run(4_000)
+    failPlatform(fleet.nodes, 'unavailable')
+    await apply(fleet, 2, 1)
+    await spoil(fleet)
+    failPlatform(fleet.nodes, 'none')
+    await fleet.run(10_000)
+    expect(fleet.generations()).toEqual([1, 1, 1])
+    expect(fleet.nodes[0]!.holder().pending()).toMatchObject({ generation: 2, reason: expect.stringContaining(reason) })
+  })
+
+  // The platform's chunks are damaged, but one node had fetched them before;
+  // its peers must get the true bytes from it.
+  it('a damaged chunk is taken from a peer that has the true one', async () => {
+    const fleet = createStartedFleet(2, 1)
+    await apply(fleet, 1, 0)
+    await fleet.run(4_000)
+    await damageChunks(fleet)
+    fleet.nodes[1]!.stop()
+    fleet.nodes[1]!.start()
+    await fleet.run(8_000)
+    expect(fleet.generations()).toEqual([1, 1])
+  })
+
+  // The platform is restored from a backup: it serves generation 1 again while
+  // 2 is in force. No node may go back, a restarted one must get 2 from its
+  // peers, and the nodes must say that the platform is behind.
+  it('never goes back when the platform serves an older root', async () => {
+    const fleet = createStartedFleet(3)
+    await apply(fleet, 1, 0)
+    await fleet.run(4_000)
+    const older = await fleet.readRootBytes()
+    await apply(fleet, 2, 1)
+    await fleet.run(4_000)
+    await fleet.overwriteRoot(older)
+    fleet.nodes[2]!.stop()
+    fleet.nodes[2]!.start()
+    await fleet.run(10_000)
+    expect(fleet.generations()).toEqual([2, 2, 2])
+    expect(fleet.nodes[0]!.holder().pending()).toMatchObject({ reason: expect.stringContaining('the platform is back at generation 1') })
+  })
+
+  // After such a restore an operator who reaches no router applies again: the
+  // platform takes another sheet under a number that the fleet has already.
+  // Nodes keep theirs and say that the number stands for two sheets.
+  it('says that the platform has another sheet under the generation in force', async () => {
+    const fleet = createStartedFleet(1)
+    await apply(fleet, 1, 0)
+    await fleet.run(4_000)
+    const older = await fleet.readRootBytes()
+    await apply(fleet, 2, 1)
+    await fleet.run(4_000)
+    await fleet.overwriteRoot(older)
+    await apply(fleet, 3, 1)
+    await fleet.run(4_000)
+    expect(fleet.nodes[0]!.holder().current()?.sheet).toEqual(createSheet(2))
+    expect(fleet.nodes[0]!.holder().pending()).toMatchObject({ generation: 2, reason: expect.stringContaining('another configuration under generation 2') })
+  })
+
+  // A watch is open while the platform goes down for minutes and comes back
+  // with a newer root. The nodes must not wait for the next poll.
+  it('takes a generation within seconds after a long outage', async () => {
+    const fleet = createStartedFleet(4, 1)
+    await apply(fleet, 1, 0)
+    await fleet.run(4_000)
+    failPlatform(fleet.nodes, 'unavailable')
+    await apply(fleet, 2, 1)
+    await fleet.run(300_000)
+    expect(fleet.generations()).toContain(1)
+    failPlatform(fleet.nodes, 'none')
+    await fleet.run(4_000)
+    expect(new Set(fleet.generations())).toEqual(new Set([2]))
+  })
+})
+
+describe('watch at the platform', () => {
+  // A watch announces a new root, and the platform fails at the very read that
+  // follows. Nobody announces that root again; the node must not wait for the
+  // next change of the sheet, which may come tomorrow.
+  it('reads a root again whose first read failed', async () => {
+    const fleet = createStartedFleet(1)
+    await apply(fleet, 1, 0)
+    await fleet.run(4_000)
+    let reads = 0
+    fleet.nodes[0]!.platform.setFaults(({ name, operation }) => name === 'configuration/root' && operation === 'readObject' && reads++ === 0 ? 'unavailable' : 'none')
+    await apply(fleet, 2, 1)
+    await fleet.run(4_000)
+    expect(fleet.generations()).toEqual([2])
+  })
+})
+
+type Step = (fleet: ConfigurationFleet, roots: Uint8Array[]) => Promise<void>
+
+const steps: Readonly<Record<string, Step>> = {
+  apply: async (fleet, roots) => {
+    const plan = await fleet.operator.store.readRoot()
+    const generation = plan.ok ? plan.value?.root.generation ?? 0 : 0
+    const fleetGeneration = Math.max(...fleet.generations())
+    await fleet.operator.apply(createSheet(1 + roots.length), generation, { fleetGeneration })
+    roots.push(await fleet.readRootBytes())
+  },
+  restore: async (fleet, roots) => { if (roots[0] !== undefined) await fleet.overwriteRoot(roots[Math.floor(roots.length / 2)]!) },
+  platformDown: async (fleet) => failPlatform(fleet.nodes, 'unavailable'),
+  platformUp: async (fleet) => failPlatform(fleet.nodes, 'none'),
+  cut: async (fleet) => cutOff(fleet, fleet.nodes[0]!),
+  heal: async (fleet) => fleet.heal(),
+  restart: async (fleet) => {
+    fleet.nodes[1]!.stop()
+    fleet.nodes[1]!.start()
+  }
+}
+
+describe('any order of events', () => {
+  it('never lowers the generation of a running node, and ends with the last one everywhere', async () => {
+    await fc.assert(fc.asyncProperty(fc.array(fc.constantFrom(...Object.keys(steps)), { maxLength: 20 }), fc.nat(1_000), async (names, seed) => {
+      const fleet = createStartedFleet(4, 2, seed)
+      const roots: Uint8Array[] = []
+      let before = fleet.generations()
+      for (const name of names) {
+        await steps[name]!(fleet, roots)
+        if (name === 'restart') before = fleet.generations()
+        await fleet.run(1_000)
+        const after = fleet.generations()
+        after.forEach((generation, index) => expect(generation).toBeGreaterThanOrEqual(before[index]!))
+        before = after
+      }
+      for (const name of ['platformUp', 'heal', 'apply']) await steps[name]!(fleet, roots)
+      await fleet.run(8_000)
+      const root = await fleet.operator.store.readRoot()
+      const accepted = root.ok ? root.value?.root.generation : undefined
+      expect(fleet.generations()).toEqual(Array(4).fill(accepted))
+    }), { seed: 20_261_202, numRuns: 60 })
+  })
+})
--- /dev/null
+++ b/src/services/configurationStore/_lib/writeRoot.ts
@@ -0,0 +1,67 @@
+/**
+ * The conditional write of the root, which accepts a sheet, and what to make of
+ * a lost reply.
+ *
+ * After a lost reply the same write is repeated under the same condition: the
+ * object can leave the expected version only once, so that whichever of the
+ * two took effect, the other cannot any more. When the version has moved on,
+ * the root and its history tell whether it was this apply that moved it.
+ */
+import { decodeRoot } from '../../../decisions/decodeRoot/index.js'
+import { encodeRoot } from '../../../decisions/encodeRoot/index.js'
+import type { ConfigurationRoot, ObjectVersion, Platform, PlatformError, Result } from '../../../types/index.js'
+
+export const ROOT_NAME = 'configuration/root'
+
+export type RootWrite =
+  | { readonly kind: 'accepted', readonly replacedBy?: ConfigurationRoot }
+  /** Another root is there; this one surely never was. */
+  | { readonly kind: 'lost', readonly winner?: ConfigurationRoot }
+  /** Surely never written. */
+  | { readonly kind: 'notWritten', readonly message: string }
+  | { readonly kind: 'unknown', readonly message: string }
+
+const MAXIMUM_TRIES = 6
+
+export const writeRoot = async (platform: Platform, root: ConfigurationRoot, expected: ObjectVersion | undefined, waitToRetry: (failures: number) => Promise<void>): Promise<RootWrite> => {
+  const bytes = encodeRoot(root)
+  const write = (): Promise<Result<ObjectVersion, PlatformError>> =>
+    expected === undefined ? platform.createObject(ROOT_NAME, bytes) : platform.updateObject(ROOT_NAME, bytes, expected)
+  let wasLost = false
+  let message = ''
+  for (let tries = 1; tries <= MAXIMUM_TRIES; tries += 1) {
+    const written = await write()
+    if (written.ok) return { kind: 'accepted' }
+    if (written.error.kind === 'conflict') return settleConflict(platform, root, wasLost, waitToRetry)
+    message = 'message' in written.error ? written.error.message : written.error.kind
+    if (written.error.kind === 'outcomeUnknown') wasLost = true
+    else if (!wasLost) return { kind: 'notWritten', message }
+    if (tries < MAXIMUM_TRIES) await waitToRetry(tries)
+  }
+  return { kind: 'unknown', message }
+}
+
+const settleConflict = async (platform: Platform, root: ConfigurationRoot, wasLost: boolean, waitToRetry: (failures: number) => Promise<void>): Promise<RootWrite> => {
+  let message = ''
+  for (let tries = 1; tries <= MAXIMUM_TRIES; tries += 1) {
+    const found = await platform.readObject(ROOT_NAME)
+    if (found.ok) return judge(root, found.value?.bytes, wasLost)
+    message = `the root could not be read back: ${found.error.kind}`
+    if (tries < MAXIMUM_TRIES) await waitToRetry(tries)
+  }
+  return wasLost ? { kind: 'unknown', message } : { kind: 'lost' }
+}
+
+const judge = (root: ConfigurationRoot, bytes: Uint8Array | undefined, wasLost: boolean): RootWrite => {
+  const found = bytes === undefined ? undefined : decodeRoot(bytes)
+  if (found === undefined || !found.ok) return wasLost ? { kind: 'unknown', message: 'the platform has no readable root' } : { kind: 'lost' }
+  const winner = found.value
+  if (winner.applyId === root.applyId) return { kind: 'accepted' }
+  if (winner.history.some(({ applyId }) => applyId === root.applyId)) return { kind: 'accepted', replacedBy: winner }
+  if (!wasLost || reachesBack(winner, root.generation)) return { kind: 'lost', winner }
+  return { kind: 'unknown', message: `generation ${winner.generation} is in force and no longer remembers generation ${root.generation}` }
+}
+
+/** Whether the history is long enough to name who took a generation. */
+const reachesBack = (winner: ConfigurationRoot, generation: number): boolean =>
+  [winner, ...winner.history].some((applied) => applied.generation <= generation)
--- /dev/null
+++ b/src/services/configurationStore/test.ts
@@ -0,0 +1,210 @@
+import { beforeEach, describe, expect, it } from 'vitest'
+import { createHastyClock, createOperator, type Operator } from '../../../test/_lib/createOperator.js'
+import { createFaultyPlatform, type FaultyPlatform, type PlatformCall, type PlatformFault } from '../../../test/_lib/createFaultyPlatform.js'
+import { createSheet } from '../../../test/_lib/createSheet.js'
+import { createMemoryPlatform, type MemoryPlatform } from '../../emulator/createMemoryPlatform/index.js'
+
+let memory: MemoryPlatform
+let faulty: FaultyPlatform
+let jana: Operator
+let petr: Operator
+
+beforeEach(() => {
+  const clock = createHastyClock()
+  memory = createMemoryPlatform(clock)
+  faulty = createFaultyPlatform(memory)
+  jana = createOperator('jana', faulty, clock)
+  petr = createOperator('petr', memory, clock)
+})
+
+const isRootWrite = ({ operation, name }: PlatformCall): boolean => name === 'configuration/root' && (operation === 'createObject' || operation === 'updateObject')
+
+/** Faults of the writes of the root, one after the other; the last goes on. */
+const failRootWrites = (...faults: readonly PlatformFault[]): void => {
+  let writes = 0
+  faulty.setFaults((call) => isRootWrite(call) ? faults[Math.min(writes++, faults.length - 1)]! : 'none')
+}
+
+const readGeneration = async (): Promise<number> => {
+  const root = await petr.store.readRoot()
+  return root.ok ? root.value?.root.generation ?? 0 : NaN
+}
+
+const listOutcomes = async (): Promise<readonly string[]> => {
+  const audit = await petr.auditTrail.read(100)
+  return audit.ok ? audit.value.entries.map(({ applyId, outcome }) => `${applyId} ${outcome}`) : []
+}
+
+describe('applySheet', () => {
+  it('puts the first sheet in force as generation 1', async () => {
+    expect(await jana.apply(createSheet(), 0)).toMatchObject({ kind: 'applied', generation: 1, isAuditSettled: true })
+    const current = await petr.store.readCurrent()
+    expect(current.ok && current.value?.sheet).toEqual(createSheet())
+  })
+
+  it('says that an equal sheet changes nothing, and writes nothing', async () => {
+    await jana.apply(createSheet(), 0)
+    const revision = memory.revision()
+    expect(await petr.apply(createSheet(), 1)).toEqual({ kind: 'unchanged', generation: 1 })
+    expect(memory.revision()).toBe(revision)
+  })
+
+  // Two operators plan on generation 1. Petr's apply is accepted first; Jana's
+  // comes with the number that she planned against. She must hear of Petr and
+  // of what her sheet would change now, and Petr's sheet must stay in force.
+  it('refuses a sheet planned against an older generation, and says who won', async () => {
+    await jana.apply(createSheet(1), 0)
+    await petr.apply(createSheet(2), 1)
+    expect(await jana.apply(createSheet(3), 1)).toMatchObject({ kind: 'conflict', inForce: { generation: 2, appliedBy: 'petr' }, differences: [{ name: 'account-0' }] })
+    expect(await readGeneration()).toBe(2)
+  })
+
+  // Petr's apply lands in the moment between Jana's reading of the root and
+  // her write. Only the condition of the write can tell.
+  it('refuses a sheet when another is accepted just before the root is written', async () => {
+    await jana.apply(createSheet(1), 0)
+    let raced = false
+    faulty.setFaults(async (call): Promise<PlatformFault> => {
+      if (isRootWrite(call) && !raced) {
+        raced = true
+        await petr.apply(createSheet(2), 1)
+      }
+      return 'none'
+    })
+    expect(await jana.apply(createSheet(3), 1)).toMatchObject({ kind: 'conflict', inForce: { appliedBy: 'petr' }, differences: [{ name: 'account-0' }] })
+    expect(await listOutcomes()).toEqual(['jana-1 accepted', 'jana-2 refused', 'petr-1 accepted'])
+  })
+
+  // The reply to the write of the root is lost, before or after it took
+  // effect. The operator must get the truth, and nothing may be applied twice.
+  it.each<[string, readonly PlatformFault[], string, number]>([
+    ['the write took effect', ['lostAfter', 'none'], 'applied', 2],
+    ['the write was lost and the repeat took effect', ['lostBefore', 'none'], 'applied', 2],
+    ['both replies were lost after the first took effect', ['lostAfter', 'lostAfter', 'none'], 'applied', 2],
+    ['the platform then was down for good', ['lostBefore', 'unavailable'], 'outcomeUnknown', 1],
+    ['the platform was down from the start', ['unavailable'], 'unavailable', 1]
+  ])('after a lost reply tells the truth when %s', async (_, faults, kind, generation) => {
+    await jana.apply(createSheet(1), 0)
+    failRootWrites(...faults)
+    expect(await jana.apply(createSheet(2), 1)).toMatchObject({ kind })
+    expect(await readGeneration()).toBe(generation)
+  })
+
+  // Jana's write takes effect but its reply is lost, and Petr, who saw her
+  // generation, applies his at once. The root shows Petr alone; Jana must hear
+  // that hers was accepted and replaced, not that it was refused.
+  it('finds its own acceptance after a lost reply and a later generation', async () => {
+    await jana.apply(createSheet(1), 0)
+    let writes = 0
+    faulty.setFaults(async (call): Promise<PlatformFault> => {
+      if (!isRootWrite(call)) return 'none'
+      writes += 1
+      if (writes === 2) await petr.apply(createSheet(3), 2)
+      return writes === 1 ? 'lostAfter' : 'none'
+    })
+    expect(await jana.apply(createSheet(2), 1)).toMatchObject({ kind: 'applied', generation: 2, replacedBy: { generation: 3, appliedBy: 'petr' } })
+  })
+
+  // Jana's write is lost before the platform saw it, and Petr wins meanwhile.
+  // Her repeat meets his version; her outcome is known: not accepted.
+  it('finds that it lost after a lost write and a racing operator', async () => {
+    await jana.apply(createSheet(1), 0)
+    let writes = 0
+    faulty.setFaults(async (call): Promise<PlatformFault> => {
+      if (!isRootWrite(call)) return 'none'
+      writes += 1
+      if (writes === 2) await petr.apply(createSheet(3), 1)
+      return writes === 1 ? 'lostBefore' : 'none'
+    })
+    expect(await jana.apply(createSheet(2), 1)).toMatchObject({ kind: 'conflict', inForce: { appliedBy: 'petr' } })
+  })
+
+  it('does not apply a second time under the same apply id', async () => {
+    await jana.apply(createSheet(1), 0, { applyId: 'mine' })
+    await petr.apply(createSheet(2), 1)
+    expect(await jana.apply(createSheet(1), 0, { applyId: 'mine' })).toMatchObject({ kind: 'applied', generation: 1, replacedBy: { generation: 2 } })
+    expect(await readGeneration()).toBe(2)
+  })
+
+  // The platform was restored from a backup of generation 1 while the fleet
+  // has 7 in force, and nodes never move down: a generation 2 would be
+  // accepted and never be in force anywhere.
+  it('goes above the generation of the fleet after the platform was restored', async () => {
+    await jana.apply(createSheet(1), 0)
+    expect(await jana.apply(createSheet(1), 1, { fleetGeneration: 7 })).toMatchObject({ kind: 'applied', generation: 8 })
+  })
+
+  it.each(['audit/', 'configuration/chunks/'])('accepts nothing when %s cannot be written', async (prefix) => {
+    await jana.apply(createSheet(1), 0)
+    faulty.setFaults(({ operation, name }) => name.startsWith(prefix) && operation !== 'listObjects' ? 'unavailable' : 'none')
+    expect(await jana.apply(createSheet(2), 1)).toMatchObject({ kind: 'unavailable' })
+    expect(await readGeneration()).toBe(1)
+  })
+
+  it('says that the platform is damaged when a chunk has other bytes', async () => {
+    await jana.apply(createSheet(1), 0)
+    const list = await memory.listObjects('configuration/chunks/')
+    const chunk = list.ok ? list.value.objects[0]! : undefined
+    await memory.updateObject(chunk!.name, new Uint8Array([1]), chunk!.version)
+    expect(await jana.store.readCurrent()).toMatchObject({ ok: false, error: { kind: 'damaged' } })
+  })
+})
+
+describe('sweep of chunks', () => {
+  const countChunks = async (): Promise<number> => {
+    const list = await memory.listObjects('configuration/chunks/')
+    return list.ok ? list.value.objects.length : NaN
+  }
+
+  it('keeps the chunks of the generation in force and the one before', async () => {
+    for (let weight = 1; weight <= 5; weight += 1) await jana.apply(createSheet(weight), weight - 1)
+    expect(await countChunks()).toBe(2)
+  })
+
+  // Petr goes back to an older sheet whose chunk is still at the platform, to
+  // be swept. Jana's sweep, planned before, comes after he wrote his chunks
+  // and before his root: it must not take the chunk away from under him.
+  it('leaves a chunk that another operator is about to use again', async () => {
+    for (let weight = 1; weight <= 2; weight += 1) await petr.apply(createSheet(weight), weight - 1)
+    const slow = createFaultyPlatform(memory)
+    const slowPetr = createOperator('slowPetr', slow, createHastyClock())
+    let nested: Promise<unknown> | undefined
+    faulty.setFaults(async ({ operation }): Promise<PlatformFault> => {
+      if (operation === 'deleteObject' && nested === undefined) {
+        nested = slowPetr.apply(createSheet(1), 3)
+        await nested
+      }
+      return 'none'
+    })
+    await jana.apply(createSheet(3), 2)
+    expect(await nested).toMatchObject({ kind: 'applied', generation: 4 })
+    expect(await petr.store.readCurrent()).toMatchObject({ ok: true, value: { root: { generation: 4 } } })
+  })
+})
+
+describe('audit trail', () => {
+  // Jana's machine stops right after the write of the root: her entry says
+  // "attempted" although the sheet is in force. The next change settles it.
+  it('settles the entry of an operator whose machine stopped', async () => {
+    await petr.apply(createSheet(1), 0)
+    let isAccepted = false
+    faulty.setFaults((call) => {
+      if (isAccepted) return 'hang'
+      isAccepted = isRootWrite(call)
+      return 'none'
+    })
+    const applying = jana.apply(createSheet(2), 1)
+    await Promise.race([applying, new Promise((resolve) => setTimeout(resolve, 20))])
+    expect(await listOutcomes()).toEqual(['petr-1 accepted', 'jana-1 attempted'])
+    await petr.apply(createSheet(3), 2)
+    expect(await listOutcomes()).toEqual(['petr-1 accepted', 'jana-1 accepted', 'petr-2 accepted'])
+  })
+
+  it('keeps a refused change with its reason and without whole key hashes', async () => {
+    await petr.apply(createSheet(1), 0)
+    await jana.apply(createSheet(2), 0)
+    const audit = await petr.auditTrail.read(1)
+    expect(audit).toMatchObject({ ok: true, value: { entries: [{ operator: 'jana', outcome: 'refused', reason: 'planned against generation 0, but generation 1 is in force', generationFrom: 0, generationTo: 2 }] } })
+    expect(JSON.stringify(audit)).not.toContain(createSheet().clientAccounts[0]!.keyHashes[0])
+  })
+})
--- a/src/types/index.ts
+++ b/src/types/index.ts
@@ -1,4 +1,5 @@
 /** The shared types of the library, all read-only. */
+export type * from './audit.js'
 export type * from './configuration.js'
 export type * from './environment.js'
 export type * from './metrics.js'
--- /dev/null
+++ b/test/_lib/createConfigurationFleet.ts
@@ -0,0 +1,136 @@
+/**
+ * Several configuration holders over one platform and a network in memory. In
+ * place of the membership service each node sees the others' generation every
+ * half second, unless the link between them is cut.
+ */
+import { createSeededRandom } from '../../src/adapters/seededRandom/index.js'
+import { createManualClock } from '../../src/emulator/createManualClock/index.js'
+import { createMemoryPeerNetwork } from '../../src/emulator/createMemoryPeerNetwork/index.js'
+import { createMemoryPlatform } from '../../src/emulator/createMemoryPlatform/index.js'
+import { computeSha256 } from '../../src/kernel/index.js'
+import { createConfiguration } from '../../src/services/configuration/index.js'
+import { createFaultyPlatform, type FaultyPlatform } from './createFaultyPlatform.js'
+import { createHastyClock, createOperator, type Operator } from './createOperator.js'
+import type { ConfigurationHolder, Logger, Member, PeerAddress, Platform } from '../../src/types/index.js'
+
+export type FleetNode = {
+  readonly nodeId: string
+  readonly availabilityZone: string
+  readonly holder: () => ConfigurationHolder
+  readonly platform: FaultyPlatform
+  readonly start: () => void
+  /** Forgets everything, as a VM that was replaced; `start` brings it back. */
+  readonly stop: () => void
+  readonly member: () => Member
+  readonly see: (member: Member) => void
+}
+
+export type ConfigurationFleet = {
+  readonly nodes: readonly FleetNode[]
+  readonly platform: Platform
+  readonly operator: Operator
+  readonly run: (durationMs: number) => Promise<void>
+  readonly generations: () => readonly number[]
+  readonly cut: (one: FleetNode, other: FleetNode) => void
+  readonly heal: () => void
+  /** Puts older bytes back as the root, as a restore from a backup does. */
+  readonly overwriteRoot: (bytes: Uint8Array) => Promise<void>
+  readonly readRootBytes: () => Promise<Uint8Array>
+}
+
+const GOSSIP_INTERVAL_MS = 500
+const silentLogger: Logger = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
+
+export const createConfigurationFleet = (size: number, zones = 3, seed = 1): ConfigurationFleet => {
+  const clock = createManualClock()
+  const network = createMemoryPeerNetwork({ clock })
+  const platform = createMemoryPlatform(clock)
+  const cuts = new Set<string>()
+
+  const createNode = (index: number): FleetNode => {
+    const nodeId = `router-${index}`
+    const availabilityZone = `venkov-${'abcdefgh'[index % zones]}`
+    const address: PeerAddress = { host: nodeId, port: 1 }
+    const faulty = createFaultyPlatform(platform)
+    const seen = new Map<string, Member>()
+    let listeners: (() => void)[] = []
+    let starts = 0
+    let service: ReturnType<typeof createConfiguration> | undefined
+
+    const build = (): ReturnType<typeof createConfiguration> => createConfiguration({
+      platform: faulty,
+      peerTransport: network.createTransport(address),
+      peers: () => [...seen.values()],
+      onPeerChange: (listener) => { listeners.push(listener) },
+      clock,
+      random: createSeededRandom(seed * 1000 + index + starts * 100),
+      logger: silentLogger,
+      hashContent: computeSha256
+    }, { nodeId, availabilityZone, watchTimeoutMs: 30_000, peerTimeoutMs: 200 })
+
+    return {
+      nodeId,
+      availabilityZone,
+      platform: faulty,
+      holder: () => service!.api,
+      start: () => {
+        starts += 1
+        service = build()
+        service.start?.()
+      },
+      stop: () => {
+        service?.stop?.()
+        service = undefined
+        listeners = []
+        seen.clear()
+      },
+      member: () => ({ nodeId, incarnation: starts, address, availabilityZone, state: service === undefined ? 'dead' : 'live', generation: service?.api.generation() ?? 0 }),
+      see: (member) => {
+        seen.set(member.nodeId, member)
+        for (const listener of listeners) listener()
+      }
+    }
+  }
+
+  const nodes = Array.from({ length: size }, (_, index) => createNode(index))
+  const isCut = (one: FleetNode, other: FleetNode): boolean => cuts.has(`${one.nodeId} ${other.nodeId}`) || cuts.has(`${other.nodeId} ${one.nodeId}`)
+
+  const gossip = (): void => {
+    for (const node of nodes) {
+      if (node.member().state === 'dead') continue
+      for (const other of nodes) if (other !== node && !isCut(node, other)) node.see(other.member())
+    }
+  }
+
+  const readRootBytes = async (): Promise<Uint8Array> => {
+    const found = await platform.readObject('configuration/root')
+    if (!found.ok || found.value === undefined) throw new Error('the platform has no root')
+    return found.value.bytes
+  }
+
+  return {
+    nodes,
+    platform,
+    operator: createOperator('jana', platform, createHastyClock()),
+    run: async (durationMs) => {
+      for (let passed = 0; passed < durationMs; passed += GOSSIP_INTERVAL_MS) {
+        gossip()
+        await clock.advanceAndSettle(GOSSIP_INTERVAL_MS)
+      }
+    },
+    generations: () => nodes.map((node) => node.member().generation),
+    cut: (one, other) => {
+      cuts.add(`${one.nodeId} ${other.nodeId}`)
+      network.cut(one.member().address, other.member().address)
+    },
+    heal: () => {
+      cuts.clear()
+      network.healAll()
+    },
+    overwriteRoot: async (bytes) => {
+      const found = await platform.readObject('configuration/root')
+      if (found.ok && found.value !== undefined) await platform.updateObject('configuration/root', bytes, found.value.version)
+    },
+    readRootBytes
+  }
+}
