Prove at-most-once claims under faults and random interleavings

Found while testing: a release and the next claim of the same key in one batch left the key to nobody; the queue now keeps such claims in the batch.

--- a/src/services/claims/_lib/createEntryRouter.ts
+++ b/src/services/claims/_lib/createEntryRouter.ts
@@ -21,6 +21,8 @@
 /** Shards whose records a node keeps; a dropped one is read again when it is needed. */
 const MAXIMUM_SHARDS_HELD = 256
 
+const DEFAULT_KEPT_BATCHES = 16
+
 const NO_BYTES = new Uint8Array(0)
 
 export type EntryRouter = {
@@ -50,8 +52,8 @@
     const known = queues.get(shard)
     if (known !== undefined) return known
     const log = createShardLog({ clock, random, platform, logger }, shard, { retentionMs: options.retentionMs })
-    const { flushIntervalMs, pruneEvery } = options
-    const queue = createShardQueue({ clock, platform, gate, log }, { shard, flushIntervalMs, pruneEvery, isPruner: () => isOwnShard(shard) })
+    const { flushIntervalMs, pruneEvery, keptBatches = DEFAULT_KEPT_BATCHES } = options
+    const queue = createShardQueue({ clock, platform, gate, log }, { shard, flushIntervalMs, pruneEvery, keptBatches, isPruner: () => isOwnShard(shard) })
     queues.set(shard, queue)
     return queue
   }
--- a/src/services/claims/_lib/createShardQueue.ts
+++ b/src/services/claims/_lib/createShardQueue.ts
@@ -39,6 +39,7 @@
   readonly flushIntervalMs: number
   /** Batches after which the shard is folded into its snapshot. */
   readonly pruneEvery: number
+  readonly keptBatches: number
   readonly isPruner: () => boolean
 }
 
@@ -79,14 +80,15 @@
     return batch
   }
 
-  const isBlocked = (entry: ClaimEntry): boolean => {
-    if (entry.kind !== 'claim') return false
+  const isHeldByOther = (entry: ClaimEntry): boolean => {
     const record = log.findRecord(entry.keyId)
     return record !== undefined && record.claimId !== entry.claimId
   }
 
   /** A claim that finds its key held needs no write, once the log was read to its end. */
   const commit = async (entries: readonly ClaimEntry[]): Promise<Result<undefined, ShardLogError>> => {
+    const released = new Set(entries.filter((entry) => entry.kind === 'release').map((entry) => entry.keyId))
+    const isBlocked = (entry: ClaimEntry): boolean => entry.kind === 'claim' && !released.has(entry.keyId) && isHeldByOther(entry)
     if (entries.some(isBlocked)) {
       const synchronized = await log.synchronize()
       if (!synchronized.ok) return synchronized
@@ -103,7 +105,7 @@
     if (snapshot === undefined) return
     isPruning = true
     prunedThrough = snapshot.floor
-    await pruneShard(platform, options.shard, snapshot)
+    await pruneShard(platform, options.shard, snapshot, options.keptBatches)
     isPruning = false
   }
 
--- a/src/services/claims/_lib/pruneShard.ts
+++ b/src/services/claims/_lib/pruneShard.ts
@@ -10,9 +10,6 @@
 import type { ClaimSnapshot } from './codecs.js'
 import { batchName, floorName, shardPrefix, snapshotName } from './objectNames.js'
 
-/** Batches kept below the snapshot's end, so that nodes a little behind need not load it. */
-const KEPT_BATCHES = 16
-
 /** Below the platform's limit of a megabyte, with room for a wider encoding. */
 const MAXIMUM_SNAPSHOT_BYTES = 900_000
 
@@ -56,15 +53,17 @@
  * @param platform - The object API.
  * @param shard - Shard number.
  * @param snapshot - The shard's fold, checked against the floor.
+ * @param keptBatches - Batches kept below the snapshot's end, so that nodes a
+ *   little behind need not load it.
  * @returns `pruned`; `failed` when a step was not confirmed; `tooLarge` when
  *   the snapshot does not fit an object, in which case the log just grows.
  */
-export const pruneShard = async (platform: Platform, shard: number, snapshot: ClaimSnapshot): Promise<PruneOutcome> => {
+export const pruneShard = async (platform: Platform, shard: number, snapshot: ClaimSnapshot, keptBatches: number): Promise<PruneOutcome> => {
   const bytes = encodeWithinLimit(snapshot)
   if (bytes === undefined) return 'tooLarge'
   const isSaved = await raise(platform, snapshotName(shard), snapshot.floor, (stored) => snapshotCodec.decode(stored)?.floor, bytes)
   if (!isSaved) return 'failed'
-  const floor = Math.max(0, snapshot.floor - KEPT_BATCHES)
+  const floor = Math.max(0, snapshot.floor - keptBatches)
   const isRaised = await raise(platform, floorName(shard), floor, (stored) => floorCodec.decode(stored)?.floor, floorCodec.encode({ floor }))
   if (!isRaised) return 'failed'
   await deleteBelow(platform, shard, floor)
--- a/src/services/claims/index.ts
+++ b/src/services/claims/index.ts
@@ -8,7 +8,7 @@
  * its claim leaves the key with an unknown outcome until the retention ends.
  */
 import type { ClaimRecord } from '../../decisions/foldClaims/index.js'
-import type { ClaimKey, ClaimOutcome, Claims, Clock, Logger, Membership, PeerTransport, Platform, RandomSource, StoredAnswer } from '../../types/index.js'
+import type { ClaimKey, ClaimOutcome, Claims, Clock, Logger, Membership, Metrics, PeerTransport, Platform, RandomSource, StoredAnswer } from '../../types/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import { answerNotKept } from './_lib/answerNotKept.js'
 import { createBackgroundEntries } from './_lib/createBackgroundEntries.js'
@@ -32,6 +32,8 @@
   readonly outagePauseMs: number
   /** Batches of a shard after which it is folded into its snapshot. */
   readonly pruneEvery: number
+  /** Batches kept below a snapshot's end, for nodes a little behind; 16 by default. */
+  readonly keptBatches?: number
 }
 
 export type ClaimsDependencies = {
@@ -41,6 +43,7 @@
   readonly transport: PeerTransport
   readonly membership: Membership
   readonly logger: Logger
+  readonly metrics?: Metrics
   readonly options: ClaimsOptions
 }
 
@@ -56,7 +59,7 @@
  * if (outcome.kind === 'granted') await send()
  */
 export const createClaims = (dependencies: ClaimsDependencies): RunningService<Claims> => {
-  const { clock, random, membership, options } = dependencies
+  const { clock, random, membership, metrics, options } = dependencies
   const router = createEntryRouter(dependencies)
   const background = createBackgroundEntries(dependencies, router)
   const openClaims = createOpenClaims()
@@ -108,7 +111,7 @@
     return { kind: 'claimedElsewhere', holder: membership.self().nodeId }
   }
 
-  const claim = async (key: ClaimKey, bodyHash: string, waitUntil?: number): Promise<ClaimOutcome> => {
+  const decideClaim = async (key: ClaimKey, bodyHash: string, waitUntil: number | undefined): Promise<ClaimOutcome> => {
     const keyId = formatKeyId(key)
     for (;;) {
       const ended = openClaims.findEnded(keyId)
@@ -120,6 +123,12 @@
     }
   }
 
+  const claim = async (key: ClaimKey, bodyHash: string, waitUntil?: number): Promise<ClaimOutcome> => {
+    const outcome = await decideClaim(key, bodyHash, waitUntil)
+    metrics?.count('claims', { outcome: outcome.kind })
+    return outcome
+  }
+
   const release = async (key: ClaimKey, claimId: string): Promise<void> => {
     const keyId = formatKeyId(key)
     const written = background.add({ kind: 'release', keyId, claimId })
--- /dev/null
+++ b/test/_lib/createClaimNodes.ts
@@ -0,0 +1,119 @@
+/** Nodes with a claims service each, over one platform in memory and a direct peer transport. */
+import { createSeededRandom } from '../../src/adapters/seededRandom/index.js'
+import { createManualClock } from '../../src/emulator/createManualClock/index.js'
+import { createMemoryPlatform } from '../../src/emulator/createMemoryPlatform/index.js'
+import { failure, success } from '../../src/kernel/index.js'
+import { createClaims } from '../../src/services/claims/index.js'
+import type { ClaimsOptions } from '../../src/services/claims/index.js'
+import type { Claims, Logger, Member, Membership, PeerMessage, PeerReply, PeerTransport, Platform } from '../../src/types/index.js'
+import { createFaultyPlatform } from './createFaultyPlatform.js'
+import type { FaultyPlatform } from './createFaultyPlatform.js'
+
+export type ClaimNode = {
+  readonly nodeId: string
+  readonly claims: Claims
+  readonly platform: FaultyPlatform
+  /** Whether peers reach this node. */
+  readonly setReachable: (isReachable: boolean) => void
+}
+
+export type ClaimNodes = {
+  readonly nodes: readonly ClaimNode[]
+  /** The store itself, without faults. */
+  readonly platform: Platform
+  /** Creates a node without memory in a former one's place. */
+  readonly restart: (nodeId: string) => ClaimNode
+  /** Lets time and promises go on until the promise settles. */
+  readonly settle: <Value>(promise: Promise<Value>) => Promise<Value>
+  readonly run: (ms: number) => Promise<void>
+}
+
+const WALL_TIME = 1_700_000_000_000
+const MAXIMUM_SETTLE_MS = 20_000
+
+const silentLogger: Logger = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
+
+export const claimOptions: ClaimsOptions = {
+  shards: 1,
+  flushIntervalMs: 5,
+  retentionMs: 3_600_000,
+  peerTimeoutMs: 50,
+  maximumAnswerBytes: 1_000,
+  outagePauseMs: 20,
+  pruneEvery: 1_000_000
+}
+
+type Station = { readonly handlers: Map<string, (message: never) => PeerReply | Promise<PeerReply>>, isReachable: boolean }
+
+export const createClaimNodes = (count: number, overrides: Partial<ClaimsOptions> = {}, seed = 1): ClaimNodes => {
+  const clock = createManualClock(WALL_TIME)
+  const platform = createMemoryPlatform(clock)
+  const random = createSeededRandom(seed)
+  const stations = new Map<number, Station>()
+  const members: readonly Member[] = Array.from({ length: count }, (_, index) => ({
+    nodeId: `router-${index}`,
+    incarnation: 1,
+    address: { host: 'node', port: index },
+    availabilityZone: 'venkov-a',
+    state: 'live',
+    generation: 1
+  }))
+
+  const createTransport = (port: number): PeerTransport => {
+    const station: Station = { handlers: new Map(), isReachable: true }
+    stations.set(port, station)
+    return {
+      send: () => {},
+      request: async (address, message: PeerMessage, timeoutMs) => {
+        const target = stations.get(address.port)
+        const handler = target?.handlers.get(message.kind)
+        if (target?.isReachable !== true || handler === undefined) return failure({ kind: 'unreachable', message: 'cut' })
+        return await new Promise((resolve) => {
+          clock.setTimer(timeoutMs, () => { resolve(failure({ kind: 'timeout' })) })
+          Promise.resolve(handler(message as never)).then((reply) => { resolve(success(reply)) })
+        })
+      },
+      handle: (kind, handler) => { station.handlers.set(kind, handler as never) },
+      close: async () => {}
+    }
+  }
+
+  const startNode = (index: number): ClaimNode => {
+    const self = members[index]!
+    const faulty = createFaultyPlatform(platform)
+    const membership: Membership = {
+      self: () => self,
+      members: () => members,
+      liveMembers: () => members,
+      announceLeaving: () => {},
+      onChange: () => {}
+    }
+    const transport = createTransport(index)
+    const { api } = createClaims({ clock, random, platform: faulty, transport, membership, logger: silentLogger, options: { ...claimOptions, ...overrides } })
+    return { nodeId: self.nodeId, claims: api, platform: faulty, setReachable: (isReachable) => { stations.get(index)!.isReachable = isReachable } }
+  }
+
+  const run = async (ms: number): Promise<void> => {
+    for (let passed = 0; passed < ms; passed += 1) {
+      await clock.advance(1)
+      await new Promise((resolve) => { setImmediate(resolve) })
+    }
+  }
+
+  const settle = async <Value>(promise: Promise<Value>): Promise<Value> => {
+    const progress = { isSettled: false }
+    const note = (): void => { progress.isSettled = true }
+    promise.then(note, note)
+    for (let passed = 0; !progress.isSettled && passed < MAXIMUM_SETTLE_MS; passed += 1) await run(1)
+    if (!progress.isSettled) throw new Error('the promise does not settle')
+    return await promise
+  }
+
+  return {
+    nodes: members.map((_, index) => startNode(index)),
+    platform,
+    restart: (nodeId) => startNode(members.findIndex((member) => member.nodeId === nodeId)),
+    settle,
+    run
+  }
+}
