Test that no node builds on a stray batch in a pruned place

Cause: comparing the floor only with the number just written would miss a stray batch that was folded before it. Trial: with that weaker comparison the new case grants an order a second time; with the guard as it is, it does not.

--- /dev/null
+++ b/src/services/claims/_lib/createShardLog.test.ts
@@ -0,0 +1,87 @@
+import { describe, expect, it } from 'vitest'
+import type { ClaimEntry } from '../../../decisions/foldClaims/index.js'
+import { createSeededRandom } from '../../../adapters/seededRandom/index.js'
+import { createManualClock } from '../../../emulator/createManualClock/index.js'
+import { createMemoryPlatform } from '../../../emulator/createMemoryPlatform/index.js'
+import { batchCodec } from './codecs.js'
+import { createShardLog } from './createShardLog.js'
+import type { ShardLog } from './createShardLog.js'
+import { batchName, floorName, snapshotName } from './objectNames.js'
+import { pruneShard } from './pruneShard.js'
+
+const SHARD = 0
+
+const createClaim = (keyId: string, claimId: string): ClaimEntry => ({ kind: 'claim', keyId, claimId, bodyHash: 'hash', holder: claimId })
+
+const createLogs = () => {
+  const clock = createManualClock(1_700_000_000_000)
+  const platform = createMemoryPlatform(clock)
+  const random = createSeededRandom(1)
+  const logger = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
+  const createLog = (): ShardLog => createShardLog({ clock, random, platform, logger }, SHARD, { retentionMs: 3_600_000 })
+  return { platform, createLog }
+}
+
+const strayBatch = batchCodec.encode({ batchId: 'stray', writtenAt: 1_700_000_000_000, forgetBefore: 0, entries: [createClaim('other key', 'stray')] })
+
+describe('createShardLog', () => {
+  // An order is claimed in batch 1, which is folded into the snapshot and
+  // deleted. A writer that slept all the while puts its own batch 1 there. A
+  // node that knew batch 0 only reads that one as if it were the true batch,
+  // and would grant the order a second time from a history without it.
+  it('does not build on a stray batch that took a pruned place', async () => {
+    const { platform, createLog } = createLogs()
+    const behind = createLog()
+    const ahead = createLog()
+    await behind.append([createClaim('first key', 'behind')])
+    await ahead.append([createClaim('order', 'ahead')])
+    await pruneShard(platform, SHARD, ahead.toSnapshot()!, 0)
+    await ahead.append([createClaim('later key', 'ahead')])
+    expect((await platform.createObject(batchName(SHARD, 1), strayBatch)).ok).toBe(true)
+    await behind.append([createClaim('order', 'behind')])
+    expect(behind.findRecord('order')?.claimId).toBe('ahead')
+  })
+
+  it('deletes no batch while the floor is not confirmed', async () => {
+    const { platform, createLog } = createLogs()
+    const log = createLog()
+    await log.append([createClaim('order', 'log')])
+    const withoutFloor = { ...platform, createObject: async (name: string, bytes: Uint8Array) => name === floorName(SHARD) ? { ok: false, error: { kind: 'outcomeUnknown', message: '' } } as const : platform.createObject(name, bytes) }
+    expect(await pruneShard(withoutFloor, SHARD, log.toSnapshot()!, 0)).toBe('failed')
+    expect(await platform.readObject(batchName(SHARD, 0))).toMatchObject({ value: { name: batchName(SHARD, 0) } })
+  })
+
+  it('never lowers a snapshot', async () => {
+    const { platform, createLog } = createLogs()
+    const log = createLog()
+    await log.append([createClaim('order', 'log')])
+    const older = log.toSnapshot()!
+    await log.append([createClaim('later key', 'log')])
+    await pruneShard(platform, SHARD, log.toSnapshot()!, 0)
+    await pruneShard(platform, SHARD, older, 0)
+    const late = createLog()
+    await late.synchronize()
+    expect(late.findRecord('later key')?.claimId).toBe('log')
+  })
+
+  it('folds nothing from a damaged batch', async () => {
+    const { platform, createLog } = createLogs()
+    await platform.createObject(batchName(SHARD, 0), new Uint8Array([1, 2, 3]))
+    expect(await createLog().append([createClaim('order', 'log')])).toMatchObject({ ok: false })
+  })
+
+  it('folds nothing onto a damaged snapshot', async () => {
+    const { platform, createLog } = createLogs()
+    await platform.createObject(snapshotName(SHARD), new Uint8Array([1, 2, 3]))
+    expect(await createLog().append([createClaim('order', 'log')])).toMatchObject({ ok: false, error: { kind: 'notWritten' } })
+  })
+
+  it('reads more batches than one append may lose races', async () => {
+    const { createLog } = createLogs()
+    const writer = createLog()
+    for (let index = 0; index < 200; index += 1) await writer.append([createClaim(`key ${index}`, 'writer')])
+    const late = createLog()
+    expect((await late.append([createClaim('order', 'late')])).ok).toBe(true)
+    expect(late.findRecord('key 199')?.claimId).toBe('writer')
+  })
+})
