--- a/src/services/configuration/test.ts
+++ b/src/services/configuration/test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import { createConfigurationFleet, type ConfigurationFleet, type FleetNode } from '../../../test/_lib/createConfigurationFleet.js'
-import type { PlatformFault } from '../../../test/_lib/createFaultyPlatform.js'
+import type { PlatformFault } from '../../../test/_lib/createInterruptedPlatform.js'
 import { createSheet } from '../../../test/_lib/createSheet.js'
 
 const createStartedFleet = (size: number, zones?: number, seed?: number): ConfigurationFleet => {
--- a/src/services/configurationStore/test.ts
+++ b/src/services/configurationStore/test.ts
@@ -1,18 +1,18 @@
 import { beforeEach, describe, expect, it } from 'vitest'
 import { createHastyClock, createOperator, type Operator } from '../../../test/_lib/createOperator.js'
-import { createFaultyPlatform, type FaultyPlatform, type PlatformCall, type PlatformFault } from '../../../test/_lib/createFaultyPlatform.js'
+import { createInterruptedPlatform, type InterruptedPlatform, type PlatformCall, type PlatformFault } from '../../../test/_lib/createInterruptedPlatform.js'
 import { createSheet } from '../../../test/_lib/createSheet.js'
 import { createMemoryPlatform, type MemoryPlatform } from '../../emulator/createMemoryPlatform/index.js'
 
 let memory: MemoryPlatform
-let faulty: FaultyPlatform
+let faulty: InterruptedPlatform
 let jana: Operator
 let petr: Operator
 
 beforeEach(() => {
   const clock = createHastyClock()
   memory = createMemoryPlatform(clock)
-  faulty = createFaultyPlatform(memory)
+  faulty = createInterruptedPlatform(memory)
   jana = createOperator('jana', faulty, clock)
   petr = createOperator('petr', memory, clock)
 })
@@ -166,7 +166,7 @@
   // and before his root: it must not take the chunk away from under him.
   it('leaves a chunk that another operator is about to use again', async () => {
     for (let weight = 1; weight <= 2; weight += 1) await petr.apply(createSheet(weight), weight - 1)
-    const slow = createFaultyPlatform(memory)
+    const slow = createInterruptedPlatform(memory)
     const slowPetr = createOperator('slowPetr', slow, createHastyClock())
     let nested: Promise<unknown> | undefined
     faulty.setFaults(async ({ operation }): Promise<PlatformFault> => {
