--- a/src/services/dispatch/_lib/attemptEnd.ts
+++ b/src/services/dispatch/_lib/attemptEnd.ts
@@ -2,14 +2,14 @@
 import { advanceAttempt, type AttemptEvent, type AttemptState } from '../../../decisions/advanceAttempt/index.js'
 import type { FailedAttempt } from '../../../decisions/planRetry/index.js'
 import type { AttemptOutcome, StoredAnswer } from '../../../types/index.js'
+import type { TokenUsage } from './readTokenUsage.js'
 
 export type AttemptEnd =
   | {
     readonly kind: 'delivered'
     /** Set when the whole answer was small enough to keep. */
     readonly stored?: StoredAnswer
-    /** Tokens that the answer reports as used. */
-    readonly tokens?: number
+    readonly usage?: TokenUsage
     readonly outcome: AttemptOutcome
   }
   | {
@@ -29,11 +29,3 @@
   if (state.stage !== 'failed') throw new Error(`an attempt that failed is ${state.stage}`)
   return state
 }
-
-const REPORTED_TOKENS = /"total_tokens"\s*:\s*([0-9]{1,9})/
-
-/** Reads the use that an answer reports, without parsing all of it. */
-export const readReportedTokens = (text: string): number | undefined => {
-  const match = REPORTED_TOKENS.exec(text)
-  return match === null ? undefined : Number(match[1])
-}
--- a/src/services/dispatch/_lib/createRequestScope.ts
+++ b/src/services/dispatch/_lib/createRequestScope.ts
@@ -12,6 +12,7 @@
   /** Why the signal was aborted; `undefined` before. */
   readonly ended: () => RequestEnd | undefined
   readonly remainingMs: () => number
+  readonly elapsedMs: () => number
   readonly deadlineAt: number
   /** From now on a caller that hangs up does not end the request. */
   readonly outliveCaller: () => void
@@ -24,7 +25,8 @@
 
 export const createRequestScope = (clock: Clock, deadlineMs: number, callerSignal: AbortSignal): RequestScope => {
   const controller = new AbortController()
-  const deadlineAt = clock.now() + deadlineMs
+  const startedAt = clock.now()
+  const deadlineAt = startedAt + deadlineMs
   let ended: RequestEnd | undefined
 
   const end = (cause: RequestEnd): void => {
@@ -51,6 +53,7 @@
     signal: controller.signal,
     ended: () => ended,
     remainingMs: () => deadlineAt - clock.now(),
+    elapsedMs: () => clock.now() - startedAt,
     deadlineAt,
     outliveCaller: () => callerSignal.removeEventListener('abort', onHangUp),
     race,
--- a/src/services/dispatch/_lib/relayBody.ts
+++ b/src/services/dispatch/_lib/relayBody.ts
@@ -4,8 +4,9 @@
  * that is too large to collect is passed on as it comes.
  */
 import type { BackendAnswer, BackendServer, Headers } from '../../../types/index.js'
-import { failAfter, readReportedTokens, type AttemptEnd } from './attemptEnd.js'
+import { failAfter, type AttemptEnd } from './attemptEnd.js'
 import { describeAnswerHeaders } from './describeExchange.js'
+import { readTokenUsage } from './readTokenUsage.js'
 import { mayRepeat, type RequestContext } from './requestContext.js'
 
 const FIRST_SERVER_ERROR = 500
@@ -32,12 +33,12 @@
   const text = context.routed.serviceKind === 'model' ? body.toString('utf8') : ''
   if (isBrokenJson(context, answer, text)) return failCut('the answer is not whole JSON')
   context.reply.sendWhole(answer.status, headers, body)
-  const tokens = readReportedTokens(text)
+  const usage = readTokenUsage(text)
   return {
     kind: 'delivered',
     stored: { status: answer.status, headers, body },
     outcome: answer.status >= FIRST_SERVER_ERROR ? 'failed' : 'complete',
-    ...(tokens === undefined ? {} : { tokens })
+    ...(usage === undefined ? {} : { usage })
   }
 }
 
--- a/src/services/dispatch/_lib/relayEvents.ts
+++ b/src/services/dispatch/_lib/relayEvents.ts
@@ -5,11 +5,12 @@
 import { createParser, type EventSourceMessage } from 'eventsource-parser'
 import { orderStreamEvent, type StreamPosition } from '../../../decisions/orderStreamEvent/index.js'
 import type { BackendAnswer, BackendServer, Headers } from '../../../types/index.js'
-import { failAfter, readReportedTokens, type AttemptEnd } from './attemptEnd.js'
+import { failAfter, type AttemptEnd } from './attemptEnd.js'
 import type { RetryPlanner } from './createRetryPlanner.js'
 import { describeAnswerHeaders } from './describeExchange.js'
-import { requestResume } from './requestResume.js'
+import { readTokenUsage, type TokenUsage } from './readTokenUsage.js'
 import type { RequestContext } from './requestContext.js'
+import { requestResume } from './requestResume.js'
 
 const END_MARKER = '[DONE]'
 /** One event larger than this is a fault of the engine. */
@@ -22,7 +23,9 @@
 /** What has been passed on, over all connections of the stream. */
 type StreamProgress = {
   position: StreamPosition
-  tokens: number | undefined
+  usage: TokenUsage | undefined
+  /** On the request's own time line, in milliseconds. */
+  lastEventAt: number | undefined
   isWhole: boolean
 }
 
@@ -41,13 +44,21 @@
     ? { kind: 'forward', position: progress.position }
     : orderStreamEvent(progress.position, event.id)
 
+const observePace = ({ dependencies, scope }: RequestContext, progress: StreamProgress): void => {
+  const now = scope.elapsedMs()
+  if (progress.lastEventAt === undefined) dependencies.metrics.observe('first_token_seconds', now / 1_000)
+  else dependencies.metrics.observe('between_tokens_seconds', (now - progress.lastEventAt) / 1_000)
+  progress.lastEventAt = now
+}
+
 const forwardEvent = async (context: RequestContext, headers: Headers, status: number, progress: StreamProgress, event: EventSourceMessage): Promise<ConnectionEnd | undefined> => {
   const { reply, scope } = context
   const verdict = judge(progress, event)
   if (verdict.kind === 'drop') return undefined
   if (verdict.kind === 'gap') return 'cut'
   progress.position = verdict.position
-  progress.tokens = readReportedTokens(event.data) ?? progress.tokens
+  progress.usage = readTokenUsage(event.data) ?? progress.usage
+  observePace(context, progress)
   if (!reply.hasStarted()) reply.startStream(status, headers)
   const isTaken = await reply.sendData(writeEvent(event), scope.signal)
   if (!isTaken) return 'callerLeft'
@@ -83,6 +94,7 @@
   for (let resumes = 0; ; resumes += 1) {
     const plan = planner.plan(cut, { isResumable, resumes })
     if (plan.kind !== 'resume' || !await scope.wait(plan.delayMs)) return undefined
+    context.dependencies.metrics.count('retries', { decision: plan.kind })
     const resumed = await requestResume(context, backendServer, progress.position.lastId)
     if (resumed.kind === 'resumed') return resumed.answer
     // With nothing passed on yet, another backend server answers sooner than a dead one comes back.
@@ -91,13 +103,13 @@
 }
 
 export const relayEvents = async (context: RequestContext, planner: RetryPlanner, backendServer: BackendServer, first: BackendAnswer): Promise<AttemptEnd> => {
-  const progress: StreamProgress = { position: { lastId: 0 }, tokens: undefined, isWhole: false }
+  const progress: StreamProgress = { position: { lastId: 0 }, usage: undefined, lastEventAt: undefined, isWhole: false }
   const headers = describeAnswerHeaders(context, backendServer, first)
   let idleResumes = 0
   for (let answer: BackendAnswer | undefined = first; answer !== undefined && idleResumes <= context.limits.maximumResumes;) {
     const before = progress.position.lastId
     const end = await relayConnection(context, headers, answer, progress)
-    if (end === 'whole') return { kind: 'delivered', outcome: 'complete', ...(progress.tokens === undefined ? {} : { tokens: progress.tokens }) }
+    if (end === 'whole') return { kind: 'delivered', outcome: 'complete', ...(progress.usage === undefined ? {} : { usage: progress.usage }) }
     if (end === 'callerLeft') return { kind: 'callerLeft', attempt: failAfter('written', 'answerStarted', 'cancelled') }
     idleResumes = progress.position.lastId > before ? 0 : idleResumes + 1
     answer = context.scope.signal.aborted ? undefined : await resume(context, planner, backendServer, progress)
--- a/src/services/dispatch/_lib/requestContext.ts
+++ b/src/services/dispatch/_lib/requestContext.ts
@@ -3,7 +3,7 @@
 import type { RetryLimits } from '../../../decisions/planRetry/index.js'
 import type {
   Admission, BackendClient, BackendHealth, BackendPlacement, ChatDirectory, Claims, Clock, ConfigurationHolder,
-  LoadView, Logger, RandomSource
+  LoadView, Logger, Metrics, RandomSource
 } from '../../../types/index.js'
 import type { Reply } from './createReply.js'
 import type { RequestScope } from './createRequestScope.js'
@@ -14,6 +14,7 @@
   readonly clock: Clock
   readonly random: RandomSource
   readonly logger: Logger
+  readonly metrics: Metrics
   readonly backendClient: BackendClient
   readonly configuration: ConfigurationHolder
   readonly admission: Admission
--- a/src/services/dispatch/_lib/runAttempt.ts
+++ b/src/services/dispatch/_lib/runAttempt.ts
@@ -89,12 +89,13 @@
 }
 
 export const runAttempt = async (context: RequestContext, planner: RetryPlanner, backendServer: BackendServer): Promise<AttemptEnd> => {
-  const { loadView, backendHealth } = context.dependencies
+  const { loadView, backendHealth, metrics } = context.dependencies
   planner.startAttempt()
   loadView.recordStart(backendServer.name)
   try {
     const end = await exchange(context, planner, backendServer)
     const outcome = readOutcome(context, end)
+    metrics.count('attempts', { backend_server: backendServer.name, outcome: outcome ?? 'cancelled' })
     if (outcome !== undefined) backendHealth.recordAttempt(backendServer.name, outcome)
     if (context.routed.serviceKind === 'model' && mayStillRun(end)) cancelOnEngine(context, backendServer)
     return end
--- a/src/services/dispatch/_lib/runAttempts.ts
+++ b/src/services/dispatch/_lib/runAttempts.ts
@@ -4,11 +4,12 @@
 import type { Refusal, RefusalOutcome, RefusalReason, StoredAnswer } from '../../../types/index.js'
 import type { AttemptEnd } from './attemptEnd.js'
 import { createRetryPlanner, type RetryPlanner } from './createRetryPlanner.js'
+import type { TokenUsage } from './readTokenUsage.js'
 import { mayRepeat, type RequestContext } from './requestContext.js'
 import { runAttempt } from './runAttempt.js'
 
 export type RequestResult =
-  | { readonly kind: 'complete', readonly stored?: StoredAnswer, readonly tokens?: number }
+  | { readonly kind: 'complete', readonly stored?: StoredAnswer, readonly usage?: TokenUsage }
   | { readonly kind: 'refused', readonly refusal: Refusal }
 
 const findHint = async ({ dependencies, hintAuthenticator, routed, scope }: RequestContext): Promise<{ readonly backendServer?: string, readonly isFromCaller: boolean }> => {
@@ -37,10 +38,10 @@
     : refuse(context, outcome, 'deadline', 'the deadline has passed')
 }
 
-const completeWith = ({ stored, tokens }: Extract<AttemptEnd, { kind: 'delivered' }>): RequestResult => ({
+const completeWith = ({ stored, usage }: Extract<AttemptEnd, { kind: 'delivered' }>): RequestResult => ({
   kind: 'complete',
   ...(stored === undefined ? {} : { stored }),
-  ...(tokens === undefined ? {} : { tokens })
+  ...(usage === undefined ? {} : { usage })
 })
 
 /**
@@ -54,19 +55,20 @@
   const hint = await findHint(context)
 
   for (;;) {
-    const placement = await scope.race(dependencies.placement.choose({
+    if (scope.signal.aborted) return refuseEnded(context, planner)
+    const placement = dependencies.placement.choose({
       service: routed.route.service,
       chatKey: routed.chatKey,
       isNewChat: routed.isNewChat,
       excluded: planner.excluded,
       ...(hint.backendServer === undefined ? {} : { hintedBackendServer: hint.backendServer })
-    }))
-    if (placement === undefined) return refuseEnded(context, planner)
+    })
     if (placement.kind === 'none') {
       const outcome = planner.mayHaveRun() ? 'unknown' : 'not-run'
       return refuse(context, outcome, placement.reason, 'no backend server takes the request', placement.retryAfterMs)
     }
     const { backendServer } = placement
+    // The attempt counts as load before anything else can run, so that a burst does not choose one server for all.
     const end = await runAttempt(context, planner, backendServer)
     if (end.kind === 'delivered') {
       const isKnownToCaller = hint.isFromCaller && hint.backendServer === backendServer.name
@@ -77,6 +79,7 @@
     if (scope.signal.aborted) return refuseEnded(context, planner)
     if (end.kind === 'callerLeft') return refuse(context, 'unknown', 'cancelled', 'the caller left')
     const plan = planner.plan(end.attempt)
+    dependencies.metrics.count('retries', { decision: plan.kind })
     if (plan.kind !== 'retryElsewhere') {
       const { outcome, reason } = plan.kind === 'refuse' ? plan : { outcome: 'unknown' as const, reason: 'answerIncomplete' as const }
       return refuse(context, outcome, reason, end.message)
--- a/src/services/dispatch/_lib/runRequest.ts
+++ b/src/services/dispatch/_lib/runRequest.ts
@@ -1,11 +1,18 @@
 /** One routed request from admission to its final answer. */
 import { describeRefusal } from '../../../decisions/describeRefusal/index.js'
-import type { AdmissionDemand } from '../../../types/index.js'
+import type { AdmissionDemand, Refusal, RefusalReason } from '../../../types/index.js'
 import type { RequestFate } from './createLedger.js'
+import type { TokenUsage } from './readTokenUsage.js'
 import type { RequestContext } from './requestContext.js'
 import { runAttempts, type RequestResult } from './runAttempts.js'
 import { runClaimed } from './runClaimed.js'
 
+/** What the ledger and the metrics keep of a finished request. */
+export type RequestEnding = { readonly fate: RequestFate, readonly reason: RefusalReason | 'none' }
+
+export const describeEnding = ({ outcome, reason }: Refusal): RequestEnding =>
+  ({ fate: outcome === 'not-run' ? 'refused' : 'unknown', reason })
+
 const describeDemand = ({ routed, scope }: RequestContext): AdmissionDemand => ({
   clientAccount: routed.clientAccount.name,
   service: routed.route.service,
@@ -23,8 +30,23 @@
   return await runClaimed(context, idempotencyKey)
 }
 
+const recordUsage = ({ dependencies }: RequestContext, usage: TokenUsage): void => {
+  const { metrics } = dependencies
+  metrics.count('prompt_tokens', { cache: 'hit' }, usage.cachedTokens)
+  metrics.count('prompt_tokens', { cache: 'miss' }, Math.max(0, usage.promptTokens - usage.cachedTokens))
+  metrics.count('completion_tokens', {}, usage.completionTokens)
+}
+
+/** Tokens to charge: as reported, or as estimated where an answer does not report them. */
+const countTokens = (context: RequestContext, result: RequestResult): number => {
+  if (result.kind !== 'complete') return 0
+  if (result.usage === undefined) return context.routed.tokens
+  recordUsage(context, result.usage)
+  return result.usage.promptTokens + result.usage.completionTokens
+}
+
 const runWithTicket = async (context: RequestContext): Promise<RequestResult> => {
-  const { dependencies, routed, scope, limits } = context
+  const { dependencies, scope, limits } = context
   const admitting = dependencies.admission.admit(describeDemand(context))
   const admitted = await scope.race(admitting)
   if (admitted === undefined) {
@@ -40,16 +62,16 @@
   let tokensUsed = 0
   try {
     const result = await runAdmitted(context)
-    tokensUsed = result.kind === 'complete' ? result.tokens ?? routed.tokens : 0
+    tokensUsed = countTokens(context, result)
     return result
   } finally {
     admitted.value.finish(tokensUsed)
   }
 }
 
-export const runRequest = async (context: RequestContext): Promise<RequestFate> => {
+export const runRequest = async (context: RequestContext): Promise<RequestEnding> => {
   const result = await runWithTicket(context)
-  if (result.kind === 'complete') return 'complete'
+  if (result.kind === 'complete') return { fate: 'complete', reason: 'none' }
   context.reply.refuse(result.refusal)
-  return result.refusal.outcome === 'not-run' ? 'refused' : 'unknown'
+  return describeEnding(result.refusal)
 }
--- a/src/services/dispatch/index.ts
+++ b/src/services/dispatch/index.ts
@@ -4,9 +4,10 @@
  * caller is told in the end.
  */
 import { describeRefusal } from '../../decisions/describeRefusal/index.js'
+import type { RunningService } from '../../kernel/index.js'
 import type { CallerAnswer, CallerRequest, Dispatch } from '../../types/index.js'
 import { createHintAuthenticator } from './_lib/createAuthenticator.js'
-import { createLedger, type RequestFate } from './_lib/createLedger.js'
+import { createLedger } from './_lib/createLedger.js'
 import { createReply, type Reply } from './_lib/createReply.js'
 import { createRequestScope } from './_lib/createRequestScope.js'
 import { createRetryAllowance } from './_lib/createRetryAllowance.js'
@@ -14,7 +15,7 @@
 import { indexConfiguration, type ConfigurationIndex } from './_lib/indexConfiguration.js'
 import { authenticateCaller, MODELS_PATH, readRoutedRequest, type RoutedRequest } from './_lib/readRoutedRequest.js'
 import type { DispatchDependencies, DispatchLimits, RequestContext } from './_lib/requestContext.js'
-import { runRequest } from './_lib/runRequest.js'
+import { describeEnding, runRequest, type RequestEnding } from './_lib/runRequest.js'
 
 export type { DispatchDependencies } from './_lib/requestContext.js'
 
@@ -46,20 +47,21 @@
  *
  * @param dependencies - The services and the backend client that it uses.
  * @param options - Limits; times in milliseconds, sizes in bytes.
- * @returns The service.
+ * @returns The service for the kernel.
  *
  * @example
- * const dispatch = createDispatch(dependencies, { fleetKey, retryShare: 0.1, maximumAttempts: 3 })
+ * const { api: dispatch } = createDispatch(dependencies, { fleetKey, retryShare: 0.1, maximumAttempts: 3 })
  * const answer = await dispatch.handle(request, signal)
  */
-export const createDispatch = (dependencies: DispatchDependencies, options: DispatchOptions): Dispatch => {
+export const createDispatch = (dependencies: DispatchDependencies, options: DispatchOptions): RunningService<Dispatch> => {
+  const { clock, metrics } = dependencies
   const { fleetKey, retryShare, ...given } = options
   const limits: DispatchLimits = { ...DEFAULT_LIMITS, ...given }
   const hintAuthenticator = createHintAuthenticator(fleetKey)
   const retryAllowance = createRetryAllowance(retryShare)
   const ledger = createLedger()
 
-  const run = async (routed: RoutedRequest, callerSignal: AbortSignal, reply: Reply): Promise<RequestFate> => {
+  const run = async (routed: RoutedRequest, callerSignal: AbortSignal, reply: Reply): Promise<RequestEnding> => {
     const scope = createRequestScope(dependencies.clock, routed.deadlineMs, callerSignal)
     const context: RequestContext = { dependencies, limits, hintAuthenticator, retryAllowance, routed, scope, reply }
     try {
@@ -67,37 +69,48 @@
     } catch (error) {
       // A broken invariant of one request: the caller is told, the others go on.
       dependencies.logger.error('a request failed inside the router', { requestId: routed.request.requestId, error: String(error) })
-      reply.refuse(describeRefusal('unknown', 'backendFailed', 'the router failed'))
-      return 'unknown'
+      const refusal = describeRefusal('unknown', 'backendFailed', 'the router failed')
+      reply.refuse(refusal)
+      return describeEnding(refusal)
     } finally {
       scope.close()
     }
   }
 
-  const answerIndexed = (index: ConfigurationIndex, request: CallerRequest, callerSignal: AbortSignal, settle: (fate: RequestFate) => void): CallerAnswer | Promise<CallerAnswer> => {
+  const accept = (): ((ending: RequestEnding) => void) => {
+    const settle = ledger.open()
+    const startedAt = clock.now()
+    metrics.count('requests_accepted')
+    return ({ fate, reason }) => {
+      settle(fate)
+      metrics.count('requests_finished', { outcome: fate, reason })
+      metrics.observe('request_duration_seconds', (clock.now() - startedAt) / 1_000, { outcome: fate })
+    }
+  }
+
+  const answerIndexed = (index: ConfigurationIndex, request: CallerRequest, callerSignal: AbortSignal, finish: (ending: RequestEnding) => void): CallerAnswer | Promise<CallerAnswer> => {
     if (isModelList(request) && authenticateCaller(index, request) !== undefined) {
-      settle('complete')
+      finish({ fate: 'complete', reason: 'none' })
       return describeModels(index)
     }
     const routed = readRoutedRequest(index, request)
     if (!routed.ok) {
-      settle('refused')
+      finish(describeEnding(routed.error))
       return { kind: 'refused', refusal: routed.error }
     }
     const reply = createReply()
-    run(routed.value, callerSignal, reply).then(settle)
+    run(routed.value, callerSignal, reply).then(finish)
     return reply.answer
   }
 
-  return {
-    handle: async (request, signal) => {
-      const settle = ledger.open()
-      const configuration = dependencies.configuration.current()
-      if (configuration !== undefined) return await answerIndexed(indexConfiguration(configuration), request, signal, settle)
-      settle('refused')
-      return { kind: 'refused', refusal: describeRefusal('not-run', 'noConfiguration', 'no configuration is in force here yet', limits.comeBackAfterMs) }
-    },
-    ledger: ledger.read,
-    whenIdle: ledger.whenIdle
+  const handle: Dispatch['handle'] = async (request, signal) => {
+    const finish = accept()
+    const configuration = dependencies.configuration.current()
+    if (configuration !== undefined) return await answerIndexed(indexConfiguration(configuration), request, signal, finish)
+    const refusal = describeRefusal('not-run', 'noConfiguration', 'no configuration is in force here yet', limits.comeBackAfterMs)
+    finish(describeEnding(refusal))
+    return { kind: 'refused', refusal }
   }
+
+  return { api: { handle, ledger: ledger.read, whenIdle: ledger.whenIdle } }
 }
