--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -4,6 +4,7 @@
 import type { Bench, Table } from './types.js'
 
 const benches: Readonly<Record<string, () => Promise<Bench>>> = {
+  placement: async () => (await import('./placement/index.js')).runPlacementBench
 }
 
 const DEFAULT_SEED = 20_261_202
--- a/src/cli/createProgram/index.ts
+++ b/src/cli/createProgram/index.ts
@@ -1,5 +1,6 @@
 import { Command } from 'commander'
 import { version } from '../../version.js'
+import { createEmulateCommand } from '../emulate/index.js'
 import { exitCodes } from '../exitCodes.js'
 import { createRouterCommand } from '../router/index.js'
 import { createSettingsCommand } from '../settings/index.js'
@@ -27,6 +28,7 @@
     .description('A router fleet for model-backed applications whose chats return after pauses')
     .version(version)
     .showHelpAfterError()
+    .addCommand(createEmulateCommand())
     .addCommand(createRouterCommand())
     .addCommand(createSettingsCommand())
     .addCommand(createVersionCommand())
--- a/src/node/createRouterNode/index.ts
+++ b/src/node/createRouterNode/index.ts
@@ -4,7 +4,7 @@
  * another harness with many nodes in one process drive the same code.
  */
 import { createHash } from 'node:crypto'
-import { createKernel, type Kernel, type RunningService } from '../../kernel/index.js'
+import { createKernel, type Kernel } from '../../kernel/index.js'
 import { createAdmission } from '../../services/admission/index.js'
 import { createBackendHealth, type RunningBackendHealth } from '../../services/backendHealth/index.js'
 import { createChatDirectory } from '../../services/chatDirectory/index.js'
@@ -157,7 +157,7 @@
 }
 
 const registerRequestServices = (kernel: Kernel<RouterServices>, dependencies: RouterNodeDependencies): void => {
-  const { settings, clock, random, platform, transport, backendClient, logger } = dependencies
+  const { settings, clock, random, platform, transport, backendClient, logger, metrics } = dependencies
   kernel.register({
     name: 'claims',
     dependsOn: ['membership'],
@@ -182,21 +182,20 @@
   kernel.register({
     name: 'dispatch',
     dependsOn: ['configuration', 'admission', 'claims', 'placement', 'loadView', 'backendHealth', 'chatDirectory'],
-    create: (resolve): RunningService<NodeServices['dispatch']> => ({
-      api: createDispatch({
-        clock,
-        random,
-        logger,
-        backendClient,
-        configuration: resolve('configuration'),
-        admission: resolve('admission'),
-        claims: resolve('claims'),
-        placement: resolve('placement'),
-        loadView: resolve('loadView'),
-        backendHealth: resolve('backendHealth'),
-        chatDirectory: resolve('chatDirectory')
-      }, { fleetKey: settings.fleetKey, retryShare: settings.retryShare, maximumAttempts: settings.maximumAttempts })
-    })
+    create: (resolve) => createDispatch({
+      clock,
+      random,
+      logger,
+      metrics,
+      backendClient,
+      configuration: resolve('configuration'),
+      admission: resolve('admission'),
+      claims: resolve('claims'),
+      placement: resolve('placement'),
+      loadView: resolve('loadView'),
+      backendHealth: resolve('backendHealth'),
+      chatDirectory: resolve('chatDirectory')
+    }, { fleetKey: settings.fleetKey, retryShare: settings.retryShare, maximumAttempts: settings.maximumAttempts })
   })
 }
 
