--- a/src/cli/createProgram/index.ts
+++ b/src/cli/createProgram/index.ts
@@ -1,5 +1,6 @@
 import { Command } from 'commander'
 import { version } from '../../version.js'
+import { createDemoCommand } from '../demo/index.js'
 import { createEmulateCommand } from '../emulate/index.js'
 import { exitCodes } from '../exitCodes.js'
 import { createRouterCommand } from '../router/index.js'
@@ -28,6 +29,7 @@
     .description('A router fleet for model-backed applications whose chats return after pauses')
     .version(version)
     .showHelpAfterError()
+    .addCommand(createDemoCommand())
     .addCommand(createEmulateCommand())
     .addCommand(createRouterCommand())
     .addCommand(createSettingsCommand())
--- a/src/daemon/startRouter/index.ts
+++ b/src/daemon/startRouter/index.ts
@@ -39,6 +39,14 @@
 
 const wait = (clock: Clock, delayMs: number): Promise<void> => new Promise((resolve) => { clock.setTimer(delayMs, resolve) })
 
+const waitAtMost = (clock: Clock, ended: Promise<unknown>, limitMs: number): Promise<void> => new Promise((resolve) => {
+  const timer = clock.setTimer(limitMs, resolve)
+  ended.then(() => {
+    timer.cancel()
+    resolve()
+  })
+})
+
 /**
  * Starts a router.
  *
@@ -62,7 +70,15 @@
   const logger = options.logger ?? createWinstonLogger({ level: settings.logLevel, fields: { node: settings.nodeId } })
   const platform = countPlatformCalls(createPlatformHttp({ url: settings.platformUrl, timeoutMs: settings.platformTimeoutMs }), metrics)
   const backendClient = createBackendHttp(settings)
-  const transport = createPeerTcp({ ...settings, host: settings.peerHost, port: settings.peerPort, clock, random, logger })
+  const transport = createPeerTcp({
+    host: settings.peerHost,
+    port: settings.peerPort,
+    fleetKey: settings.fleetKey,
+    maximumFrameBytes: settings.maximumFrameBytes,
+    clock,
+    random,
+    logger
+  })
   const listener = await transport.listen()
   const peerAddress: PeerAddress = {
     host: settings.advertisedHost === '' ? listener.host : settings.advertisedHost,
@@ -91,8 +107,7 @@
     node.beginLeaving()
     callerHttp.setReady(false)
     await wait(clock, settings.shutdownDelayMs)
-    const ended = Promise.all([callerHttp.close(), dispatch.whenIdle()])
-    await Promise.race([ended, wait(clock, settings.shutdownGraceMs)])
+    await waitAtMost(clock, Promise.all([callerHttp.close(), dispatch.whenIdle()]), settings.shutdownGraceMs)
     logger.info('router stopped', { open: dispatch.ledger().open })
     await node.stop()
     await Promise.all([operatorHttp.close(), transport.close(), backendClient.close(), platform.close()])
