Plan the load of returning chats, plain calls and overnight work

The load tool needs to know who sends what when before it sends anything, so that a run repeats by its seed. The plan is made as it is read; a chat's history holds the answers of the stand-in engine, which follow from the prompt.

--- /dev/null
+++ b/src/load/planLoad/_lib/createChoice.ts
@@ -0,0 +1,48 @@
+/** Choices by weight, prepared once and drawn from many times. */
+import type { RandomSource } from '../../../types/index.js'
+
+export type Choice<Value> = (random: RandomSource) => Value
+
+/**
+ * Prepares a choice in which each value comes in proportion to its weight.
+ *
+ * @param values - At least one value, of which at least one has a weight above 0.
+ * @param weigh - The weight of a value, from 0.
+ * @returns Draws a value.
+ *
+ * @example
+ * createWeightedChoice(['a', 'b'], (value) => value === 'a' ? 1 : 0)(random) // => 'a'
+ */
+export const createWeightedChoice = <Value>(values: readonly Value[], weigh: (value: Value) => number): Choice<Value> => {
+  let total = 0
+  const bounds = values.map((value) => {
+    total += weigh(value)
+    return total
+  })
+  if (!(total > 0)) throw new Error('a choice needs a value with a weight above 0')
+  return (random) => values[findFirstAbove(bounds, random.next() * total)]!
+}
+
+/**
+ * Prepares a choice of a rank under a Zipf law.
+ *
+ * @param count - How many ranks there are, at least 1.
+ * @param exponent - 0 makes all ranks alike; 1 gives rank n one nth of the first.
+ * @returns Draws a rank, from 0.
+ *
+ * @example
+ * createZipfChoice(10, 1)(random) // => most often 0
+ */
+export const createZipfChoice = (count: number, exponent: number): Choice<number> =>
+  createWeightedChoice(Array.from({ length: count }, (_, rank) => rank), (rank) => 1 / (rank + 1) ** exponent)
+
+const findFirstAbove = (bounds: readonly number[], value: number): number => {
+  let low = 0
+  let high = bounds.length - 1
+  while (low < high) {
+    const middle = (low + high) >> 1
+    if (bounds[middle]! > value) high = middle
+    else low = middle + 1
+  }
+  return low
+}
--- /dev/null
+++ b/src/load/planLoad/test.ts
@@ -0,0 +1,81 @@
+import { describe, expect, it } from 'vitest'
+import { createSeededRandom } from '../../adapters/seededRandom/index.js'
+import { composeAnswer } from '../../emulator/composeAnswer/index.js'
+import { DEFAULT_LOAD_PLAN, planLoad, type LoadPlanOptions, type PlannedRequest, type RequestKind } from './index.js'
+
+type PlannedChat = Extract<PlannedRequest, { readonly kind: 'chat' | 'overnight' }>
+
+const plan = (changes: Partial<LoadPlanOptions> = {}, seed = 1): readonly PlannedRequest[] =>
+  [...planLoad({ ...DEFAULT_LOAD_PLAN, rate: 200, ...changes }, createSeededRandom(seed))]
+
+const only = (kind: RequestKind): LoadPlanOptions['mix'] => ({ chat: 0, overnight: 0, lookup: 0, order: 0, [kind]: 1 })
+
+const isChat = (request: PlannedRequest): request is PlannedChat => request.kind === 'chat'
+
+const countBy = (values: readonly (string | number)[]): ReadonlyMap<string | number, number> =>
+  values.reduce((counts, value) => counts.set(value, (counts.get(value) ?? 0) + 1), new Map<string | number, number>())
+
+describe('planLoad', () => {
+  it('repeats itself for the same seed and not for another', () => {
+    expect(plan()).toEqual(plan())
+    expect(plan()).not.toEqual(plan({}, 2))
+  })
+
+  it('sends in the order of time, within its duration, at about its rate', () => {
+    const times = plan({ durationMs: 20_000 }).map(({ atMs }) => atMs)
+    expect(times).toEqual([...times].sort((left, right) => left - right))
+    expect(times.at(-1)).toBeLessThan(20_000)
+    expect(times.length).toBeGreaterThan(3700)
+    expect(times.length).toBeLessThan(4300)
+  })
+
+  it('ends after its number of requests', () => {
+    expect(plan({ maximumRequests: 7 })).toHaveLength(7)
+  })
+
+  it.each([[{ durationMs: 0 }], [{ maximumRequests: 0 }]])('plans nothing for %j', (changes) => {
+    expect(plan(changes)).toEqual([])
+  })
+
+  it('mixes the kinds by their weights', () => {
+    const kinds = countBy(plan({ durationMs: 50_000, mix: { chat: 60, overnight: 0, lookup: 30, order: 10 } }).map(({ kind }) => kind))
+    expect(kinds.get('overnight')).toBeUndefined()
+    expect(kinds.get('chat')! / kinds.get('order')!).toBeGreaterThan(4.5)
+    expect(kinds.get('chat')! / kinds.get('order')!).toBeLessThan(7.5)
+  })
+
+  it('needs at least one kind', () => {
+    expect(() => plan({ mix: { chat: 0, overnight: 0, lookup: 0, order: 0 } })).toThrow(/weight/)
+  })
+
+  it('gives the first account most of a skewed load', () => {
+    const counts = countBy(plan({ accounts: 5, accountSkew: 1, mix: only('lookup') }).map(({ account }) => account))
+    expect([...counts.keys()].sort()).toEqual([0, 1, 2, 3, 4])
+    expect(counts.get(0)! / counts.get(4)!).toBeGreaterThan(3)
+  })
+
+  it('goes on with a chat by its whole history, with the answers of the stand-in engine', () => {
+    const turns = plan().filter(isChat)
+    const second = turns.find(({ turn }) => turn === 2)!
+    const first = turns.find(({ chatId, turn }) => chatId === second.chatId && turn === 1)!
+    const answer = { role: 'assistant', content: composeAnswer(first.messages, first.maximumTokens).text }
+    expect(second.messages.slice(0, -1)).toEqual([...first.messages, answer])
+    expect([second.account, second.atMs > first.atMs]).toEqual([first.account, true])
+  })
+
+  it('pauses between the turns of a chat, and ends it after its last', () => {
+    const turns = plan({ mix: only('chat'), maximumTurns: 3, meanThinkTimeMs: 100 }).filter(isChat)
+    expect(Math.max(...turns.map(({ turn }) => turn))).toBe(3)
+    const keys = turns.map(({ chatId, turn }) => `${chatId} ${turn}`)
+    expect(new Set(keys).size).toBe(keys.length)
+  })
+
+  it('opens a chat each time when none returns', () => {
+    expect(plan({ returningShare: 0 }).filter(isChat).every(({ turn }) => turn === 1)).toBe(true)
+  })
+
+  it('gives each order an idempotency key of its own', () => {
+    const keys = plan({ mix: only('order') }).map((request) => request.kind === 'order' ? request.idempotencyKey : '')
+    expect(new Set(keys).size).toBe(keys.length)
+  })
+})
