Add the load tool

Users need to see first-token times, cache reuse and skew under a load like theirs, and whether every answer is whole and its own.

Ruled out: a closed loop, which slows down with the system and so hides what a slow system does to its callers.

--- /dev/null
+++ b/src/load/runLoad/index.ts
@@ -0,0 +1,112 @@
+/** Runs a planned load as an open loop: each request goes out at its time, whatever became of the others. */
+import { Agent } from 'undici'
+import type { Clock } from '../../types/index.js'
+import { createLoadRecorder, type LoadSummary } from '../createLoadRecorder/index.js'
+import type { PlannedRequest } from '../planLoad/index.js'
+import { sendPlannedRequest } from '../sendPlannedRequest/index.js'
+
+export type LoadRunOptions = {
+  readonly clock: Clock
+  /** Origins of the routers, taken in turn. */
+  readonly routers: readonly string[]
+  /** The key of each client account of the plan. */
+  readonly keys: readonly string[]
+  /** Whether the hint of an answer is sent back with the next turn of its chat. */
+  readonly sendChatHints: boolean
+  /** How long a request may take, in milliseconds. */
+  readonly timeoutMs: number
+  /** Beyond so many open requests a planned one is skipped, and counted as that. */
+  readonly maximumOpen: number
+  readonly onProgress?: (progress: LoadProgress) => void
+  /** Ends the sending; what is open is waited for. */
+  readonly signal?: AbortSignal
+}
+
+export type LoadProgress = { readonly elapsedMs: number, readonly summary: LoadSummary, readonly open: number }
+
+const SKEW_SAMPLE_MS = 100
+const PROGRESS_MS = 1000
+const SENDS_IN_ONE_TURN = 16
+const MAXIMUM_HINTS = 100_000
+
+/**
+ * Sends the planned requests to the routers and adds up what came of them.
+ *
+ * Latencies count from when a request was sent; how far this process was
+ * behind the plan by then is reported beside them.
+ *
+ * @param plan - Requests in the order of their times.
+ * @param options - Where to send, as whom, and the bounds.
+ * @returns The sums, once every request has its outcome.
+ *
+ * @example
+ * await runLoad(planLoad(DEFAULT_LOAD_PLAN, random), { clock, routers: [url], keys: [key], sendChatHints: true, timeoutMs: 60_000, maximumOpen: 1000 })
+ */
+export const runLoad = async (plan: Iterable<PlannedRequest>, options: LoadRunOptions): Promise<LoadSummary> => {
+  const { clock, routers, keys } = options
+  const dispatcher = new Agent({ connections: null, pipelining: 1 })
+  const recorder = createLoadRecorder()
+  const hints = new Map<string, string>()
+  const open = new Set<Promise<void>>()
+  const startedAt = clock.now()
+  const elapsed = (): number => clock.now() - startedAt
+  let sent = 0
+  let started = 0
+
+  const keepHint = (planned: PlannedRequest, hint: string | undefined): void => {
+    if (!options.sendChatHints || hint === undefined || planned.kind !== 'chat') return
+    hints.set(planned.chatId, hint)
+    if (hints.size > MAXIMUM_HINTS) hints.delete(hints.keys().next().value!)
+  }
+
+  const send = async (planned: PlannedRequest): Promise<void> => {
+    const target = { dispatcher, url: routers[sent++ % routers.length]!, key: keys[planned.account % keys.length]! }
+    const chatHint = planned.kind === 'chat' ? hints.get(planned.chatId) : undefined
+    const result = await sendPlannedRequest(planned, target, { clock, timeoutMs: options.timeoutMs, chatHint, onServedBy: recorder.recordServing })
+    keepHint(planned, result.chatHint)
+    recorder.recordResult(planned, result)
+  }
+
+  const start = (planned: PlannedRequest): void => {
+    recorder.recordSendingDelay(elapsed() - planned.atMs)
+    if (open.size >= options.maximumOpen) return recorder.recordSkipped()
+    const sending = send(planned).finally(() => open.delete(sending))
+    open.add(sending)
+  }
+
+  const stopSampling = repeat(clock, SKEW_SAMPLE_MS, recorder.sampleSkew)
+  const stopProgress = repeat(clock, PROGRESS_MS, () => options.onProgress?.({ elapsedMs: elapsed(), summary: recorder.summarise(elapsed()), open: open.size }))
+  for (const planned of plan) {
+    const aheadMs = planned.atMs - elapsed()
+    // Also when behind the plan, answers must be read between the sends.
+    if (aheadMs > 0 || started % SENDS_IN_ONE_TURN === 0) await wait(clock, Math.max(0, aheadMs), options.signal)
+    if (options.signal?.aborted === true) break
+    start(planned)
+    started += 1
+  }
+  await Promise.all(open)
+  stopSampling()
+  stopProgress()
+  await dispatcher.destroy()
+  return recorder.summarise(elapsed())
+}
+
+const wait = (clock: Clock, delayMs: number, signal: AbortSignal | undefined): Promise<void> =>
+  new Promise((resolve) => {
+    const finish = (): void => {
+      timer.cancel()
+      signal?.removeEventListener('abort', finish)
+      resolve()
+    }
+    const timer = clock.setTimer(delayMs, finish)
+    signal?.addEventListener('abort', finish)
+  })
+
+const repeat = (clock: Clock, intervalMs: number, action: () => void): () => void => {
+  let timer = clock.setTimer(intervalMs, run)
+  function run (): void {
+    action()
+    timer = clock.setTimer(intervalMs, run)
+  }
+  return () => timer.cancel()
+}
--- /dev/null
+++ b/src/load/sendPlannedRequest/_lib/createAnswerReader.ts
@@ -0,0 +1,148 @@
+/** Reads an answer as it arrives: its text, when its tokens came, its usage, and a refusal inside a stream. */
+import { createParser } from 'eventsource-parser'
+import { z } from 'zod'
+import type { Clock } from '../../../types/index.js'
+
+export type ReadRefusal = { readonly outcome: 'refusedNotRun' | 'refusedUnknown', readonly reason: string }
+
+export type AnswerRead = {
+  /** The body as it came. */
+  readonly body: string
+  /** Text of the events of a stream, joined. */
+  readonly content: string
+  readonly hasEndMarker: boolean
+  readonly refusal?: ReadRefusal
+  readonly firstTokenMs?: number
+  readonly betweenTokensMs: readonly number[]
+  readonly promptTokens?: number
+  readonly cachedTokens?: number
+}
+
+export type AnswerReader = {
+  readonly add: (chunk: Buffer) => void
+  readonly read: () => AnswerRead
+}
+
+const END_MARKER = '[DONE]'
+
+const usageSchema = z.object({
+  prompt_tokens: z.number(),
+  prompt_tokens_details: z.object({ cached_tokens: z.number() })
+})
+
+const refusalSchema = z.object({ error: z.object({ code: z.string().nullish(), outcome: z.enum(['not-run', 'unknown']) }) })
+
+const chunkSchema = z.object({
+  choices: z.array(z.object({ delta: z.object({ content: z.string().nullish() }) })),
+  usage: usageSchema.nullish()
+})
+
+/**
+ * Takes a refusal out of a parsed body or event.
+ *
+ * @param parsed - Any JSON value.
+ * @returns The refusal, or nothing when the value is none.
+ *
+ * @example
+ * readRefusal({ error: { code: 'deadline', outcome: 'not-run' } }) // => { outcome: 'refusedNotRun', reason: 'deadline' }
+ */
+export const readRefusal = (parsed: unknown): ReadRefusal | undefined => {
+  const refusal = refusalSchema.safeParse(parsed)
+  if (!refusal.success) return undefined
+  const { code, outcome } = refusal.data.error
+  return { outcome: outcome === 'not-run' ? 'refusedNotRun' : 'refusedUnknown', reason: code ?? 'none given' }
+}
+
+/**
+ * Takes the usage out of a parsed answer or event.
+ *
+ * @param usage - The value of its `usage`.
+ * @returns Prompt tokens, and those of them that were cached; nothing when absent.
+ *
+ * @example
+ * readUsage({ prompt_tokens: 9, prompt_tokens_details: { cached_tokens: 4 } }) // => { promptTokens: 9, cachedTokens: 4 }
+ */
+export const readUsage = (usage: unknown): { readonly promptTokens: number, readonly cachedTokens: number } | undefined => {
+  const parsed = usageSchema.safeParse(usage)
+  if (!parsed.success) return undefined
+  return { promptTokens: parsed.data.prompt_tokens, cachedTokens: parsed.data.prompt_tokens_details.cached_tokens }
+}
+
+/**
+ * Creates a reader of one answer.
+ *
+ * @param clock - Times the tokens.
+ * @param startedAt - When the request was sent, by that clock.
+ * @returns The reader.
+ *
+ * @example
+ * createAnswerReader(clock, clock.now()).read().body // => ''
+ */
+export const createAnswerReader = (clock: Clock, startedAt: number): AnswerReader => {
+  const chunks: Buffer[] = []
+  const decoder = new TextDecoder()
+  const betweenTokensMs: number[] = []
+  let content = ''
+  let hasEndMarker = false
+  let refusal: ReadRefusal | undefined
+  let usage: ReturnType<typeof readUsage>
+  let firstTokenMs: number | undefined
+  let lastTokenAt = startedAt
+
+  const addToken = (text: string): void => {
+    content += text
+    const now = clock.now()
+    if (firstTokenMs === undefined) firstTokenMs = now - startedAt
+    else betweenTokensMs.push(now - lastTokenAt)
+    lastTokenAt = now
+  }
+
+  const addEvent = (data: string): void => {
+    if (data === END_MARKER) {
+      hasEndMarker = true
+      return
+    }
+    const parsed = parseJson(data)
+    refusal ??= readRefusal(parsed)
+    const chunk = chunkSchema.safeParse(parsed)
+    if (!chunk.success) return
+    usage = readUsage(chunk.data.usage) ?? usage
+    const text = chunk.data.choices[0]?.delta.content
+    if (typeof text === 'string' && text !== '') addToken(text)
+  }
+
+  const parser = createParser({ onEvent: ({ data }) => addEvent(data) })
+
+  return {
+    add: (chunk) => {
+      chunks.push(chunk)
+      parser.feed(decoder.decode(chunk, { stream: true }))
+    },
+    read: () => ({
+      body: Buffer.concat(chunks).toString('utf8'),
+      content,
+      hasEndMarker,
+      betweenTokensMs,
+      ...refusal === undefined ? {} : { refusal },
+      ...firstTokenMs === undefined ? {} : { firstTokenMs },
+      ...usage
+    })
+  }
+}
+
+/**
+ * Parses JSON that may be none.
+ *
+ * @param text - Any text.
+ * @returns The value, or `undefined`.
+ *
+ * @example
+ * parseJson('{') // => undefined
+ */
+export const parseJson = (text: string): unknown => {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
