Count tokens a second, and the skew of model engines alone, in the load tool

A trial against a router, two engines and a plain service showed a skew of 1.61 at the median, because the plain service's short calls lowered the mean. Only model engines are compared now.

--- a/src/load/createLoadRecorder/index.ts
+++ b/src/load/createLoadRecorder/index.ts
@@ -22,6 +22,9 @@
   readonly skipped: number
   readonly durationMs: number
   readonly requestsPerSecond: number
+  /** Tokens of complete answers. */
+  readonly completionTokens: number
+  readonly tokensPerSecond: number
   readonly outcomes: OutcomeSummary
   readonly outcomesByKind: Readonly<Record<string, OutcomeSummary>>
   /** How often each reason came, as `<outcome>: <reason>`. */
@@ -45,20 +48,22 @@
     readonly requestShare: number
   }
   readonly backendServers: Readonly<Record<string, number>>
-  /** Open answers of the fullest backend server over their mean, sampled through the run. */
+  /** Open answers of the fullest model engine over their mean, sampled through the run. */
   readonly skew: { readonly samples: number, readonly p50: number, readonly p99: number, readonly max: number }
 }
 
 export type LoadRecorder = {
   readonly recordSkipped: () => void
   readonly recordSendingDelay: (delayMs: number) => void
-  readonly recordServing: (backendServer: string) => void
+  /** Notes that a backend server has begun to answer. */
+  readonly recordServing: (kind: RequestKind, backendServer: string) => void
   readonly recordResult: (planned: PlannedRequest, sent: SentRequest) => void
   /** Takes one sample of how the open answers spread over the backend servers. */
   readonly sampleSkew: () => void
   readonly summarise: (durationMs: number) => LoadSummary
 }
 
+const MILLISECONDS_PER_SECOND = 1000
 const MICROSECONDS_PER_MILLISECOND = 1000
 const SKEW_SCALE = 1000
 const HIGHEST_MICROSECONDS = 3_600_000_000
@@ -88,6 +93,7 @@
   let skipped = 0
   let promptTokens = 0
   let cachedTokens = 0
+  let completionTokens = 0
   let returning = 0
   let returningCached = 0
 
@@ -105,6 +111,7 @@
 
   const recordCache = (planned: PlannedRequest, sent: SentRequest): void => {
     if (sent.promptTokens === undefined || sent.cachedTokens === undefined) return
+    completionTokens += sent.completionTokens ?? 0
     promptTokens += sent.promptTokens
     cachedTokens += sent.cachedTokens
     if (planned.kind !== 'chat' || planned.turn === 1) return
@@ -115,12 +122,12 @@
   return {
     recordSkipped: () => { skipped += 1 },
     recordSendingDelay: (delayMs) => record(sendingDelay, delayMs),
-    recordServing: (backendServer) => {
+    recordServing: (kind, backendServer) => {
       add(served, backendServer, 1)
-      add(open, backendServer, 1)
+      if (isChatKind(kind)) add(open, backendServer, 1)
     },
     recordResult: (planned, sent) => {
-      if (sent.servedBy !== undefined) add(open, sent.servedBy, -1)
+      if (sent.servedBy !== undefined && isChatKind(planned.kind)) add(open, sent.servedBy, -1)
       recordOutcome(planned.kind, sent)
       if (sent.outcome !== 'complete') return
       recordLatencies(planned, sent)
@@ -139,7 +146,9 @@
         sent,
         skipped,
         durationMs,
-        requestsPerSecond: durationMs > 0 ? sent * 1000 / durationMs : 0,
+        requestsPerSecond: perSecond(sent, durationMs),
+        completionTokens,
+        tokensPerSecond: perSecond(completionTokens, durationMs),
         outcomes: total,
         outcomesByKind: Object.fromEntries(outcomes),
         reasons: Object.fromEntries(reasons),
@@ -176,7 +185,8 @@
   histogram.recordValue(Math.min(HIGHEST_MICROSECONDS, Math.max(0, Math.round(milliseconds * MICROSECONDS_PER_MILLISECOND))))
 
 const summariseLatency = (histogram: Histogram): LatencySummary => {
-  const inMilliseconds = (value: number): number => value / MICROSECONDS_PER_MILLISECOND
+  // A quantile is the top of its bucket, which may lie above the maximum.
+  const inMilliseconds = (value: number): number => Math.min(value, histogram.maxValue) / MICROSECONDS_PER_MILLISECOND
   if (histogram.totalCount === 0) return { count: 0, mean: 0, p50: 0, p95: 0, p99: 0, max: 0 }
   return {
     count: histogram.totalCount,
@@ -195,6 +205,8 @@
 
 const add = (counts: Map<string, number>, name: string, by: number): void => { counts.set(name, (counts.get(name) ?? 0) + by) }
 
+const perSecond = (count: number, durationMs: number): number => durationMs > 0 ? count * MILLISECONDS_PER_SECOND / durationMs : 0
+
 const share = (part: number, whole: number): number => whole === 0 ? 0 : part / whole
 
 const sumOutcomes = (summaries: readonly OutcomeSummary[]): OutcomeSummary =>
--- a/src/load/formatLoadSummary/index.ts
+++ b/src/load/formatLoadSummary/index.ts
@@ -22,7 +22,7 @@
  * console.log(formatLoadSummary(await runLoad(plan, options)))
  */
 export const formatLoadSummary = (summary: LoadSummary): string => [
-  `${summary.sent} requests in ${(summary.durationMs / 1000).toFixed(1)} s (${summary.requestsPerSecond.toFixed(1)} a second), ${summary.skipped} skipped`,
+  `${summary.sent} requests in ${(summary.durationMs / 1000).toFixed(1)} s (${summary.requestsPerSecond.toFixed(1)} a second), ${summary.tokensPerSecond.toFixed(0)} tokens a second, ${summary.skipped} skipped`,
   formatTable(['kind', 'complete', 'refused, not run', 'refused, unknown', 'broken', 'wrong'], listOutcomes(summary)),
   formatTable(['latency (ms)', 'count', 'mean', 'p50', 'p95', 'p99', 'max'], LATENCY_NAMES.map(([name, title]) => describeLatency(title, summary.latencies[name]))),
   formatTable(['cache', 'share', 'of'], [
@@ -30,7 +30,7 @@
     ['returning chats whose history was cached', formatShare(summary.cache.requestShare), `${summary.cache.returning} requests`]
   ]),
   formatTable(['backend server', 'answers'], Object.entries(summary.backendServers)),
-  `open answers, fullest server over the mean: p50 ${summary.skew.p50.toFixed(2)}, p99 ${summary.skew.p99.toFixed(2)}, max ${summary.skew.max.toFixed(2)} (${summary.skew.samples} samples)`,
+  `open answers, fullest model engine over the mean: p50 ${summary.skew.p50.toFixed(2)}, p99 ${summary.skew.p99.toFixed(2)}, max ${summary.skew.max.toFixed(2)} (${summary.skew.samples} samples)`,
   ...Object.keys(summary.reasons).length === 0 ? [] : [formatTable(['outcome and reason', 'count'], Object.entries(summary.reasons))]
 ].join('\n')
 
--- a/src/load/runLoad/index.ts
+++ b/src/load/runLoad/index.ts
@@ -62,7 +62,7 @@
   const send = async (planned: PlannedRequest): Promise<void> => {
     const target = { dispatcher, url: routers[sent++ % routers.length]!, key: keys[planned.account % keys.length]! }
     const chatHint = planned.kind === 'chat' ? hints.get(planned.chatId) : undefined
-    const result = await sendPlannedRequest(planned, target, { clock, timeoutMs: options.timeoutMs, chatHint, onServedBy: recorder.recordServing })
+    const result = await sendPlannedRequest(planned, target, { clock, timeoutMs: options.timeoutMs, chatHint, onServedBy: (backendServer) => recorder.recordServing(planned.kind, backendServer) })
     keepHint(planned, result.chatHint)
     recorder.recordResult(planned, result)
   }
--- a/src/load/sendPlannedRequest/_lib/checkAnswer.ts
+++ b/src/load/sendPlannedRequest/_lib/checkAnswer.ts
@@ -11,6 +11,7 @@
   readonly reason?: string
   readonly promptTokens?: number
   readonly cachedTokens?: number
+  readonly completionTokens?: number
 }
 
 type PlannedOf<Kind extends PlannedRequest['kind']> = Extract<PlannedRequest, { readonly kind: Kind }>
--- a/src/load/sendPlannedRequest/_lib/createAnswerReader.ts
+++ b/src/load/sendPlannedRequest/_lib/createAnswerReader.ts
@@ -5,6 +5,8 @@
 
 export type ReadRefusal = { readonly outcome: 'refusedNotRun' | 'refusedUnknown', readonly reason: string }
 
+export type AnswerUsage = { readonly promptTokens: number, readonly cachedTokens: number, readonly completionTokens: number }
+
 export type AnswerRead = {
   /** The body as it came. */
   readonly body: string
@@ -16,6 +18,7 @@
   readonly betweenTokensMs: readonly number[]
   readonly promptTokens?: number
   readonly cachedTokens?: number
+  readonly completionTokens?: number
 }
 
 export type AnswerReader = {
@@ -27,6 +30,7 @@
 
 const usageSchema = z.object({
   prompt_tokens: z.number(),
+  completion_tokens: z.number(),
   prompt_tokens_details: z.object({ cached_tokens: z.number() })
 })
 
@@ -57,15 +61,17 @@
  * Takes the usage out of a parsed answer or event.
  *
  * @param usage - The value of its `usage`.
- * @returns Prompt tokens, and those of them that were cached; nothing when absent.
+ * @returns Tokens of the prompt, those of them that were cached, and those generated; nothing when absent.
  *
  * @example
- * readUsage({ prompt_tokens: 9, prompt_tokens_details: { cached_tokens: 4 } }) // => { promptTokens: 9, cachedTokens: 4 }
+ * readUsage({ prompt_tokens: 9, completion_tokens: 2, prompt_tokens_details: { cached_tokens: 4 } })
+ * // => { promptTokens: 9, cachedTokens: 4, completionTokens: 2 }
  */
-export const readUsage = (usage: unknown): { readonly promptTokens: number, readonly cachedTokens: number } | undefined => {
+export const readUsage = (usage: unknown): AnswerUsage | undefined => {
   const parsed = usageSchema.safeParse(usage)
   if (!parsed.success) return undefined
-  return { promptTokens: parsed.data.prompt_tokens, cachedTokens: parsed.data.prompt_tokens_details.cached_tokens }
+  const { prompt_tokens: promptTokens, completion_tokens: completionTokens, prompt_tokens_details: details } = parsed.data
+  return { promptTokens, cachedTokens: details.cached_tokens, completionTokens }
 }
 
 /**
@@ -85,7 +91,7 @@
   let content = ''
   let hasEndMarker = false
   let refusal: ReadRefusal | undefined
-  let usage: ReturnType<typeof readUsage>
+  let usage: AnswerUsage | undefined
   let firstTokenMs: number | undefined
   let lastTokenAt = startedAt
 
--- a/src/load/sendPlannedRequest/index.ts
+++ b/src/load/sendPlannedRequest/index.ts
@@ -30,6 +30,7 @@
   readonly wholeMs: number
   readonly promptTokens?: number
   readonly cachedTokens?: number
+  readonly completionTokens?: number
 }
 
 export type LoadTarget = {
@@ -120,7 +121,8 @@
   betweenTokensMs: read.betweenTokensMs,
   ...read.firstTokenMs === undefined ? {} : { firstTokenMs: read.firstTokenMs },
   ...read.promptTokens === undefined ? {} : { promptTokens: read.promptTokens },
-  ...read.cachedTokens === undefined ? {} : { cachedTokens: read.cachedTokens }
+  ...read.cachedTokens === undefined ? {} : { cachedTokens: read.cachedTokens },
+  ...read.completionTokens === undefined ? {} : { completionTokens: read.completionTokens }
 })
 
 const describeError = (error: unknown): string => {
