Let a stopped router's process end

A router told to stop with nothing in flight closed its listeners and then stayed for its whole grace period (10 minutes by default): the timer that bounds the wait was left pending and kept the process alive. It is cancelled now once the requests in flight have ended.

The new test hangs into its time-out (15 s in that run) with the old code and passes with the new.

--- a/src/daemon/startRouter/index.ts
+++ b/src/daemon/startRouter/index.ts
@@ -39,6 +39,15 @@
 
 const wait = (clock: Clock, delayMs: number): Promise<void> => new Promise((resolve) => { clock.setTimer(delayMs, resolve) })
 
+// A timer that is left pending keeps the process alive: a router that had
+// nothing in flight would otherwise stay for its whole grace period, without a
+// listener, and whoever replaces the VM would wait for it.
+const waitAtMost = (clock: Clock, limitMs: number, ending: Promise<unknown>): Promise<void> =>
+  new Promise((resolve, reject) => {
+    const timer = clock.setTimer(limitMs, resolve)
+    ending.then(() => resolve(), reject).finally(timer.cancel)
+  })
+
 /**
  * Starts a router.
  *
@@ -91,8 +100,7 @@
     node.beginLeaving()
     callerHttp.setReady(false)
     await wait(clock, settings.shutdownDelayMs)
-    const ended = Promise.all([callerHttp.close(), dispatch.whenIdle()])
-    await Promise.race([ended, wait(clock, settings.shutdownGraceMs)])
+    await waitAtMost(clock, settings.shutdownGraceMs, Promise.all([callerHttp.close(), dispatch.whenIdle()]))
     logger.info('router stopped', { open: dispatch.ledger().open })
     await node.stop()
     await Promise.all([operatorHttp.close(), transport.close(), backendClient.close(), platform.close()])
