Add the bench of the router's own cost

Users ask what a router adds and takes. One run asks the same client at the same engines, direct and through one router process: latency by turns, one request at a time, and throughput, processor time and memory with 64 requests open.

--- /dev/null
+++ b/src/bench/routerCost/_lib/askChat.ts
@@ -0,0 +1,58 @@
+/** The lean client of this bench: it counts events instead of reading them, so that it costs little beside what it measures. */
+import type { Dispatcher } from 'undici'
+
+export type ChatTarget = { readonly origin: string, readonly key: string, readonly model: string }
+
+export type ChatTimes = {
+  readonly firstByteMs: number
+  readonly wholeMs: number
+  /** Events of the stream; 1 for a whole answer. */
+  readonly events: number
+}
+
+export type ChatShape = { readonly stream: boolean, readonly maximumTokens: number }
+
+const LINE_FEED = 10
+const END = Buffer.from('data: [DONE]\n\n')
+const END_OF_WHOLE = Buffer.from('}}}')
+
+/**
+ * Asks one question and times the answer.
+ *
+ * @param dispatcher - Connections to use.
+ * @param target - A router or an engine.
+ * @param shape - Streamed or whole, and how long.
+ * @param question - Opening of a chat of its own.
+ * @returns The times in milliseconds. Throws when the answer is not complete: a bench on failures measures nothing.
+ *
+ * @example
+ * await askChat(agent, target, { stream: true, maximumTokens: 32 }, 'question 1')
+ */
+export const askChat = async (dispatcher: Dispatcher, target: ChatTarget, shape: ChatShape, question: string): Promise<ChatTimes> => {
+  const startedAt = performance.now()
+  const response = await dispatcher.request({
+    origin: target.origin,
+    path: '/v1/chat/completions',
+    method: 'POST',
+    headers: { 'content-type': 'application/json', authorization: `Bearer ${target.key}` },
+    body: JSON.stringify({ model: target.model, messages: [{ role: 'user', content: question }], max_tokens: shape.maximumTokens, stream: shape.stream })
+  })
+  let firstByteMs: number | undefined
+  let lineFeeds = 0
+  let tail = Buffer.alloc(0)
+  for await (const chunk of response.body as AsyncIterable<Buffer>) {
+    firstByteMs ??= performance.now() - startedAt
+    lineFeeds += countLineFeeds(chunk)
+    tail = Buffer.concat([tail, chunk]).subarray(-END.byteLength)
+  }
+  const isWhole = tail.subarray(-END.byteLength).equals(END) || tail.subarray(-END_OF_WHOLE.byteLength).equals(END_OF_WHOLE)
+  if (response.statusCode !== 200 || !isWhole) throw new Error(`status ${response.statusCode}, and an answer that ends in ${tail.toString()}`)
+  // An event has a line for its number, one for its data, and an empty one.
+  return { firstByteMs: firstByteMs ?? 0, wholeMs: performance.now() - startedAt, events: shape.stream ? lineFeeds / 3 : 1 }
+}
+
+const countLineFeeds = (chunk: Buffer): number => {
+  let count = 0
+  for (let index = chunk.indexOf(LINE_FEED); index !== -1; index = chunk.indexOf(LINE_FEED, index + 1)) count += 1
+  return count
+}
--- /dev/null
+++ b/src/bench/routerCost/index.ts
@@ -0,0 +1,161 @@
+/**
+ * What one router process costs: the latency that it adds, and the processor
+ * time and memory that it takes, against the same client at the same engines
+ * without it, in the same run.
+ */
+import { Agent } from 'undici'
+import { askChat, type ChatShape, type ChatTarget, type ChatTimes } from './_lib/askChat.js'
+import { pickQuantile } from './_lib/pickQuantile.js'
+import { readProcessFigures } from './_lib/readProcessFigures.js'
+import { startRig, type Rig } from './_lib/startRig.js'
+import type { Bench, Cell, Table } from '../types.js'
+
+type Path = 'direct' | 'router'
+
+type Workload = { readonly title: string, readonly shape: ChatShape }
+
+type Throughput = {
+  readonly requestsPerSecond: number
+  readonly eventsPerSecond: number
+  readonly cpuSeconds: number
+  readonly requests: number
+  readonly events: number
+  readonly seconds: number
+  readonly memoryMegabytes: number
+}
+
+type Ask = (path: Path, shape: ChatShape) => Promise<ChatTimes>
+
+const WARM_UP_MS = 2000
+const CONCURRENCY = 64
+
+const LATENCY_WORKLOADS: readonly Workload[] = [
+  { title: 'whole answer of 1 token', shape: { stream: false, maximumTokens: 1 } },
+  { title: 'stream of 16 tokens', shape: { stream: true, maximumTokens: 16 } }
+]
+
+const THROUGHPUT_WORKLOADS: readonly Workload[] = [
+  { title: 'whole answers of 1 token', shape: { stream: false, maximumTokens: 1 } },
+  { title: 'streams of up to 200 tokens', shape: { stream: true, maximumTokens: 200 } }
+]
+
+/**
+ * Runs the bench.
+ *
+ * Latency is taken one request at a time, direct and through the router by
+ * turns, so that both see the same machine. Throughput is taken with a fixed
+ * number of requests open. The client is one process too: where direct and
+ * routed throughput are close, the client is the limit, and the processor time
+ * for each request or event is the figure to go by.
+ *
+ * @param options - `fast` takes fewer requests; `seed` names the questions.
+ * @returns Tables of latency, throughput and memory.
+ *
+ * @example
+ * await runRouterCostBench({ fast: true, seed: 1 })
+ */
+export const runRouterCostBench: Bench = async ({ fast, seed }) => {
+  const rig = await startRig()
+  const agent = new Agent({ connections: null, pipelining: 1 })
+  const ask = createAsk(rig, agent, seed)
+  try {
+    for (const { shape } of THROUGHPUT_WORKLOADS) await runClosedLoop(rig, () => ask('router', shape), WARM_UP_MS)
+    const idle = await readProcessFigures(rig.operatorUrl)
+    const latency = await measureLatency(ask, fast ? 200 : 2000)
+    const throughput = await measureThroughput(rig, ask, fast ? 3000 : 10_000)
+    return [latency, throughput, { title: 'memory of the router process after the warm-up', columns: ['MB'], rows: [[round(idle.memoryMegabytes)]] }]
+  } finally {
+    await agent.destroy()
+    await rig.stop()
+  }
+}
+
+const createAsk = (rig: Rig, agent: Agent, seed: number): Ask => {
+  let asked = 0
+  const pickOrigin = (path: Path): string => path === 'router' ? rig.routerUrl : rig.engineUrls[asked % rig.engineUrls.length]!
+  return (path, shape) => {
+    asked += 1
+    const target: ChatTarget = { origin: pickOrigin(path), key: rig.key, model: rig.model }
+    return askChat(agent, target, shape, `question ${seed}-${asked}`)
+  }
+}
+
+const askBoth = async (ask: Ask, shape: ChatShape): Promise<Readonly<Record<Path, ChatTimes>>> => {
+  const direct = await ask('direct', shape)
+  const router = await ask('router', shape)
+  return { direct, router }
+}
+
+const measureLatency = async (ask: Ask, count: number): Promise<Table> => {
+  const rows: Cell[][] = []
+  for (const { title, shape } of LATENCY_WORKLOADS) {
+    const pairs: Readonly<Record<Path, ChatTimes>>[] = []
+    for (let index = 0; index < count; index += 1) pairs.push(await askBoth(ask, shape))
+    rows.push(describeLatency(`${title}, first byte`, pairs, ({ firstByteMs }) => firstByteMs))
+    rows.push(describeLatency(`${title}, to its end`, pairs, ({ wholeMs }) => wholeMs))
+  }
+  return {
+    title: `latency in ms, one request at a time, ${count} each`,
+    columns: ['answer', 'direct p50', 'router p50', 'added p50', 'direct p99', 'router p99', 'added p99'],
+    rows
+  }
+}
+
+const describeLatency = (title: string, pairs: readonly Readonly<Record<Path, ChatTimes>>[], read: (times: ChatTimes) => number): Cell[] => {
+  const direct = pairs.map((pair) => read(pair.direct))
+  const router = pairs.map((pair) => read(pair.router))
+  const cells = [0.5, 0.99].flatMap((quantile) => {
+    const [without, through] = [pickQuantile(direct, quantile), pickQuantile(router, quantile)]
+    return [round(without), round(through), round(through - without)]
+  })
+  return [title, ...cells]
+}
+
+const measureThroughput = async (rig: Rig, ask: Ask, durationMs: number): Promise<Table> => {
+  const rows: Cell[][] = []
+  for (const { title, shape } of THROUGHPUT_WORKLOADS) {
+    for (const path of ['direct', 'router'] as const) {
+      rows.push(describeThroughput(title, path, await runClosedLoop(rig, () => ask(path, shape), durationMs)))
+    }
+  }
+  return {
+    title: `throughput with ${CONCURRENCY} requests open, ${durationMs / 1000} s each; processor time and memory are the router's`,
+    columns: ['answers', 'path', 'requests/s', 'events/s', 'cores used', 'CPU µs/request', 'CPU µs/event', 'MB'],
+    rows
+  }
+}
+
+const runClosedLoop = async (rig: Rig, askOnce: () => Promise<ChatTimes>, durationMs: number): Promise<Throughput> => {
+  const before = await readProcessFigures(rig.operatorUrl)
+  const startedAt = performance.now()
+  let requests = 0
+  let events = 0
+  const work = async (): Promise<void> => {
+    while (performance.now() - startedAt < durationMs) {
+      const times = await askOnce()
+      requests += 1
+      events += times.events
+    }
+  }
+  await Promise.all(Array.from({ length: CONCURRENCY }, work))
+  const seconds = (performance.now() - startedAt) / 1000
+  const after = await readProcessFigures(rig.operatorUrl)
+  return {
+    requests,
+    events,
+    seconds,
+    requestsPerSecond: requests / seconds,
+    eventsPerSecond: events / seconds,
+    cpuSeconds: after.cpuSeconds - before.cpuSeconds,
+    memoryMegabytes: after.memoryMegabytes
+  }
+}
+
+const describeThroughput = (title: string, path: Path, result: Throughput): Cell[] => {
+  const rates = [title, path, Math.round(result.requestsPerSecond), Math.round(result.eventsPerSecond)]
+  if (path === 'direct') return [...rates, '', '', '', '']
+  const microseconds = result.cpuSeconds * 1e6
+  return [...rates, round(result.cpuSeconds / result.seconds), round(microseconds / result.requests), round(microseconds / result.events), round(result.memoryMegabytes)]
+}
+
+const round = (value: number): number => Number(value.toFixed(2))
