--- /dev/null
+++ b/src/cli/_lib/askRouters.ts
@@ -0,0 +1,54 @@
+/** Asking every known router for its status, all at once. */
+import type { OperatorClient } from '../../adapters/operatorClient/index.js'
+import type { RouterAnswer } from '../../decisions/judgeRollout/index.js'
+import type { NodeStatus, Platform, Vm } from '../../types/index.js'
+import type { CommandEnvironment } from './commandEnvironment.js'
+import { createRouterClient, type RouterFlags } from './platformSession.js'
+
+export type RouterStatuses = {
+  readonly answers: readonly RouterAnswer[]
+  readonly statuses: readonly NodeStatus[]
+  /** `undefined` when the platform's list could not be read. */
+  readonly vms: readonly Vm[] | undefined
+}
+
+const MAXIMUM_REQUESTS = 32
+
+export const askRouters = async (environment: CommandEnvironment, flags: RouterFlags, platform: Platform): Promise<RouterStatuses> => {
+  const list = await platform.listVms()
+  const vms = list.ok ? list.value : undefined
+  const urls = findRouterUrls(environment, flags, vms ?? [])
+  const client = createRouterClient(environment, flags)
+  try {
+    return { vms, ...await askAll(client, urls) }
+  } finally {
+    await client.close()
+  }
+}
+
+const askAll = async (client: OperatorClient, urls: readonly string[]): Promise<Pick<RouterStatuses, 'answers' | 'statuses'>> => {
+  const answers: RouterAnswer[] = []
+  const statuses: NodeStatus[] = []
+  for (let start = 0; start < urls.length; start += MAXIMUM_REQUESTS) {
+    await Promise.all(urls.slice(start, start + MAXIMUM_REQUESTS).map(async (url) => {
+      const status = await client.readStatus(url)
+      if (!status.ok) return answers.push({ kind: 'unreachable', url, message: status.error })
+      statuses.push(status.value)
+      return answers.push({ kind: 'answered', url, report: status.value })
+    }))
+  }
+  return { answers, statuses }
+}
+
+/** URLs that were given stand alone; else the VM list with the port that all routers use. */
+export const findRouterUrls = (environment: CommandEnvironment, flags: RouterFlags, vms: readonly Vm[]): readonly string[] => {
+  const given = flags.router ?? environment.readVariable('DOTTERELSPOKE_ROUTER_URLS')?.split(',') ?? []
+  const urls = given.map((url) => url.trim()).filter((url) => URL.canParse(url))
+  if (urls.length > 0) return [...new Set(urls)]
+  const port = flags.operatorPort ?? environment.readVariable('DOTTERELSPOKE_OPERATOR_PORT')
+  if (port === undefined) return []
+  return vms.filter(({ kind }) => kind === 'router').map(({ address }) => `http://${address.replace(/:\d+$/, '')}:${port}`)
+}
+
+export const highestGeneration = (answers: readonly RouterAnswer[]): number =>
+  Math.max(0, ...answers.map((answer) => answer.kind === 'answered' ? answer.report.generation : 0))
--- /dev/null
+++ b/src/cli/drain/index.ts
@@ -0,0 +1,136 @@
+/** `dotterelspoke drain`: stops new work for one backend server, as a change of the configuration. */
+import { Command } from 'commander'
+import { editPlannedStop, type DrainEdit } from '../../decisions/editPlannedStop/index.js'
+import type { Rollout } from '../../decisions/judgeRollout/index.js'
+import { parseIsoTime } from '../../kernel/index.js'
+import type { ApplyOutcome } from '../../services/configurationStore/index.js'
+import type { BackendServerState, NodeStatus } from '../../types/index.js'
+import { askRouters, highestGeneration } from '../_lib/askRouters.js'
+import { createProcessEnvironment, type CommandEnvironment } from '../_lib/commandEnvironment.js'
+import { addOperatorFlag, addPlatformFlags, addRouterFlags, readOperatorName, refuseUsage, withPlatform, type PlatformFlags, type PlatformSession, type RouterFlags } from '../_lib/platformSession.js'
+import { renderRollout } from '../_lib/render.js'
+import { reportOutcome } from '../_lib/reportOutcome.js'
+import { waitForRollout } from '../_lib/waitForRollout.js'
+import { exitCodes } from '../exitCodes.js'
+
+type DrainFlags = PlatformFlags & RouterFlags & {
+  readonly as?: string
+  readonly startsAt?: string
+  readonly endsAt?: string
+  readonly cancel?: boolean
+  readonly wait?: string
+}
+
+/** Edits of different records commute, so that a lost race is planned anew; so many losses in a row mean that something else is wrong. */
+const MAXIMUM_TRIES = 5
+const MAXIMUM_WAIT_SECONDS = 86_400
+
+const OUT_OF_WORK: ReadonlySet<BackendServerState> = new Set(['leaving', 'unreachable'])
+
+/**
+ * Creates the command.
+ *
+ * @param environment - What the command takes from the process.
+ * @returns The command for the program.
+ *
+ * @example
+ * await createDrainCommand().parseAsync(['model-3', '--as', 'jana'], { from: 'user' })
+ */
+export const createDrainCommand = (environment: CommandEnvironment = createProcessEnvironment()): Command => {
+  const command = new Command('drain')
+    .description('Stops new work for a backend server; requests in flight run to their end')
+    .argument('<backendServer>', 'name in the sheet')
+    .option('--starts-at <time>', 'ISO 8601 with offset; now by default')
+    .option('--ends-at <time>', 'ISO 8601 with offset; without it the drain lasts until cancelled')
+    .option('--cancel', 'end the drain')
+    .option('--wait <seconds>', 'wait until every router has it in force and the last request there has ended')
+  return addRouterFlags(addOperatorFlag(addPlatformFlags(command)))
+    .addHelpText('after', '\nExample:\n  dotterelspoke drain model-3 --as jana --wait 600 --operator-port 9000\n\nA later sheet without the drain\'s row ends the drain; `sheet apply` says so.\n\nExit codes: 0 accepted (with --wait: drained), 1 nothing to drain or cancel, 2 wrong settings, 3 lost the race too often,\n4 platform unavailable and surely not accepted, 5 outcome unknown, 6 accepted, but not confirmed as drained in time.')
+    .action((backendServer: string, flags: DrainFlags) => runDrain(environment, backendServer, flags))
+}
+
+const runDrain = async (environment: CommandEnvironment, backendServer: string, flags: DrainFlags): Promise<void> => {
+  const operator = readOperatorName(environment, flags)
+  const edit = readEdit(environment, backendServer, flags)
+  const wait = flags.wait === undefined ? 0 : Number(flags.wait)
+  if (!(wait >= 0 && wait <= MAXIMUM_WAIT_SECONDS)) return refuseUsage(environment, `--wait must be seconds from 0 to ${MAXIMUM_WAIT_SECONDS}`)
+  if (operator === undefined || edit === undefined) return
+  await withPlatform(environment, flags, async (session) => {
+    const outcome = await applyEdit(environment, flags, session, edit, operator)
+    if (outcome === undefined) return
+    const { text, exitCode } = reportOutcome(outcome)
+    environment.setExitCode(exitCode)
+    environment.print(flags.json ? JSON.stringify(outcome) : text)
+    if (exitCode === exitCodes.success && flags.wait !== undefined) await waitUntilDrained(environment, flags, session, edit, outcome, wait)
+  })
+}
+
+const readEdit = (environment: CommandEnvironment, backendServer: string, flags: DrainFlags): DrainEdit | undefined => {
+  if (flags.cancel) return { kind: 'cancel', backendServer }
+  const startsAt = flags.startsAt === undefined ? environment.clock.wallTime() : parseIsoTime(flags.startsAt)
+  const endsAt = flags.endsAt === undefined ? undefined : parseIsoTime(flags.endsAt)
+  const isUnreadable = startsAt === undefined || (flags.endsAt !== undefined && endsAt === undefined)
+  if (isUnreadable) return refuseUsage(environment, 'times must be ISO 8601 with their offset, such as 2026-03-02T22:00:00+01:00')
+  return { kind: 'start', backendServer, startsAt, ...(endsAt === undefined ? {} : { endsAt }) }
+}
+
+/** `undefined` after a refusal has been printed. */
+const applyEdit = async (environment: CommandEnvironment, flags: DrainFlags, { platform, store }: PlatformSession, edit: DrainEdit, operator: string): Promise<ApplyOutcome | undefined> => {
+  let outcome: ApplyOutcome | undefined
+  for (let tries = 1; tries <= MAXIMUM_TRIES; tries += 1) {
+    const current = await store.readCurrent()
+    if (!current.ok) return current.error
+    if (current.value === undefined) return refuseEdit(environment, 'no sheet has been applied yet')
+    const sheet = editPlannedStop(current.value.sheet, edit)
+    if (!sheet.ok) return refuseEdit(environment, sheet.error.message)
+    const { answers } = await askRouters(environment, flags, platform)
+    outcome = await store.applySheet({
+      sheet: sheet.value,
+      plannedAgainst: current.value.root.generation,
+      appliedBy: operator,
+      applyId: environment.random.nextId(),
+      action: `drain ${edit.kind} ${edit.backendServer}`,
+      fleetGeneration: highestGeneration(answers)
+    })
+    if (outcome.kind !== 'conflict') return outcome
+  }
+  return outcome
+}
+
+const refuseEdit = (environment: CommandEnvironment, message: string): undefined => {
+  environment.printError(message)
+  environment.setExitCode(exitCodes.failure)
+  return undefined
+}
+
+/**
+ * A router that was not asked may have requests in flight, and one that does
+ * not see the stop yet may send more: each must answer, count the server as
+ * out of work, and have nothing in flight there.
+ */
+const isDrained = (statuses: readonly NodeStatus[], { nodes }: Rollout, backendServer: string): boolean => {
+  const isAsked = nodes.every(({ state }) => state === 'inForce' || state === 'gone')
+  const isOut = statuses.every(({ backendServers }) => backendServers.some((server) => server.backendServer === backendServer && OUT_OF_WORK.has(server.state)))
+  return isAsked && isOut && countInFlight(statuses, backendServer) === 0
+}
+
+const countInFlight = (statuses: readonly NodeStatus[], backendServer: string): number => statuses
+  .flatMap(({ backendServers }) => backendServers)
+  .filter((server) => server.backendServer === backendServer)
+  .reduce((sum, { ownInFlight }) => sum + ownInFlight, 0)
+
+const waitUntilDrained = async (environment: CommandEnvironment, flags: DrainFlags, { platform }: PlatformSession, edit: DrainEdit, outcome: ApplyOutcome, waitSeconds: number): Promise<void> => {
+  if (outcome.kind !== 'applied' && outcome.kind !== 'unchanged') return
+  const isDone = (statuses: readonly NodeStatus[], rollout: Rollout): boolean => edit.kind === 'cancel' || isDrained(statuses, rollout, edit.backendServer)
+  const result = await waitForRollout(environment, flags, platform, { generation: outcome.generation, waitSeconds, isDone })
+  const inFlight = countInFlight(result.statuses, edit.backendServer)
+  if (flags.json) environment.print(JSON.stringify({ rollout: result.rollout, inFlight, isDone: result.isDone }))
+  else environment.print(`${renderRollout(result.rollout)}\n${describeDrain(edit, inFlight, result.statuses.length, result.isDone)}`)
+  if (!result.isDone) environment.setExitCode(exitCodes.notInForce)
+}
+
+const describeDrain = (edit: DrainEdit, inFlight: number, asked: number, isDone: boolean): string => {
+  if (edit.kind === 'cancel') return isDone ? 'the drain has ended everywhere' : 'the end of the drain is NOT confirmed everywhere'
+  if (isDone) return `drained: no request in flight to ${edit.backendServer} from any router`
+  return `NOT confirmed as drained: ${inFlight} requests in flight to ${edit.backendServer} from the ${asked} routers that answered`
+}
--- /dev/null
+++ b/src/cli/sheet/index.ts
@@ -0,0 +1,23 @@
+/** `dotterelspoke sheet`: the operators' sheet, from check to in force everywhere. */
+import { Command } from 'commander'
+import { createProcessEnvironment, type CommandEnvironment } from '../_lib/commandEnvironment.js'
+import { createApplyCommand } from './_lib/applyCommand.js'
+import { createCheckCommand, createHistoryCommand, createPlanCommand, createShowCommand, createStatusCommand } from './_lib/readingCommands.js'
+
+/**
+ * Creates the command with its subcommands.
+ *
+ * @param environment - What the commands take from the process.
+ * @returns The command for the program.
+ *
+ * @example
+ * await createSheetCommand().parseAsync(['check', 'sheet.csv'], { from: 'user' })
+ */
+export const createSheetCommand = (environment: CommandEnvironment = createProcessEnvironment()): Command => new Command('sheet')
+  .description('Checks, plans and applies the sheet; shows where it is in force')
+  .addCommand(createCheckCommand(environment))
+  .addCommand(createPlanCommand(environment))
+  .addCommand(createApplyCommand(environment))
+  .addCommand(createStatusCommand(environment))
+  .addCommand(createHistoryCommand(environment))
+  .addCommand(createShowCommand(environment))
--- /dev/null
+++ b/src/decisions/editPlannedStop/index.ts
@@ -0,0 +1,59 @@
+/** Adding and removing the planned stop of one backend server. */
+import { failure, success } from '../../kernel/index.js'
+import type { PlannedStop, Result, Sheet } from '../../types/index.js'
+
+export type DrainEdit =
+  | { readonly kind: 'start', readonly backendServer: string, readonly startsAt: number, readonly endsAt?: number }
+  | { readonly kind: 'cancel', readonly backendServer: string }
+
+export type DrainEditError =
+  | { readonly kind: 'unknownBackendServer', readonly message: string }
+  | { readonly kind: 'noDrain', readonly message: string }
+  | { readonly kind: 'endsBeforeStart', readonly message: string }
+
+const NAME_PREFIX = 'drain-'
+
+/**
+ * Changes the planned stop that a drain stands for.
+ *
+ * A drain has one planned stop, named after its backend server, so that a
+ * second drain of the same server replaces the first. Stops of other names
+ * come from the planners' sheet and are left alone.
+ *
+ * @param sheet - The sheet in force.
+ * @param edit - What to start or cancel; times in milliseconds since 1970.
+ * @returns The changed sheet, or why it cannot be changed.
+ *
+ * @example
+ * editPlannedStop(sheet, { kind: 'start', backendServer: 'model-1', startsAt: 0 })
+ */
+export const editPlannedStop = (sheet: Sheet, edit: DrainEdit): Result<Sheet, DrainEditError> => {
+  const known = sheet.backendServers.some(({ name }) => name === edit.backendServer)
+  if (!known) return failure({ kind: 'unknownBackendServer', message: `there is no backend server "${edit.backendServer}" in the configuration in force` })
+  return handlers[edit.kind](sheet, edit as never)
+}
+
+/** Whether a planned stop was made by a drain, not by the planners' sheet. */
+export const isDrain = (name: string): boolean => name.startsWith(NAME_PREFIX)
+
+const nameDrain = (backendServer: string): string => `${NAME_PREFIX}${backendServer}`
+
+type Start = Extract<DrainEdit, { readonly kind: 'start' }>
+
+const start = (sheet: Sheet, { backendServer, startsAt, endsAt }: Start): Result<Sheet, DrainEditError> => {
+  if (endsAt !== undefined && endsAt <= startsAt) return failure({ kind: 'endsBeforeStart', message: 'the drain must end after it starts' })
+  const plannedStop: PlannedStop = { name: nameDrain(backendServer), backendServer, startsAt, ...(endsAt === undefined ? {} : { endsAt }) }
+  return success({ ...sheet, plannedStops: [...withoutDrain(sheet, backendServer), plannedStop] })
+}
+
+const cancel = (sheet: Sheet, { backendServer }: DrainEdit): Result<Sheet, DrainEditError> => {
+  const plannedStops = withoutDrain(sheet, backendServer)
+  if (plannedStops.length < sheet.plannedStops.length) return success({ ...sheet, plannedStops })
+  const others = plannedStops.filter((stop) => stop.backendServer === backendServer).map(({ name }) => name)
+  const hint = others.length === 0 ? '' : `; the sheet plans ${others.join(', ')}, which a new sheet must take out`
+  return failure({ kind: 'noDrain', message: `backend server "${backendServer}" has no drain to cancel${hint}` })
+}
+
+const withoutDrain = (sheet: Sheet, backendServer: string): readonly PlannedStop[] => sheet.plannedStops.filter(({ name }) => name !== nameDrain(backendServer))
+
+const handlers: { readonly [Kind in DrainEdit['kind']]: (sheet: Sheet, edit: Extract<DrainEdit, { readonly kind: Kind }>) => Result<Sheet, DrainEditError> } = { start, cancel }
