Use one faulty platform in the tests of claims and configuration

It lets a chooser act first and covers watches too. With its late writes the store has one more test: a root that arrives after its repeat must fail.

--- a/src/services/configuration/test.ts
+++ b/src/services/configuration/test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import { createConfigurationFleet, type ConfigurationFleet, type FleetNode } from '../../../test/_lib/createConfigurationFleet.js'
-import type { PlatformFault } from '../../../test/_lib/createInterruptedPlatform.js'
+import type { CallFault } from '../../../test/_lib/createFaultyPlatform.js'
 import { createSheet } from '../../../test/_lib/createSheet.js'
 
 const createStartedFleet = (size: number, zones?: number, seed?: number): ConfigurationFleet => {
@@ -10,8 +10,8 @@
   return fleet
 }
 
-const failPlatform = (nodes: readonly FleetNode[], fault: PlatformFault): void => {
-  for (const node of nodes) node.platform.setFaults(() => fault)
+const failPlatform = (nodes: readonly FleetNode[], fault: CallFault): void => {
+  for (const node of nodes) node.platform.setFault(() => fault)
 }
 
 const apply = async (fleet: ConfigurationFleet, weight: number, against: number): Promise<void> => {
@@ -68,7 +68,7 @@
   it('is watched by two nodes of a zone only', async () => {
     const fleet = createStartedFleet(12)
     await fleet.run(90_000)
-    const watchers = fleet.nodes.filter(({ platform }) => platform.calls().slice(-1)[0]?.operation === 'watchObjects')
+    const watchers = fleet.nodes.filter(({ platform }) => platform.calls().at(-1) === 'watch')
     expect(watchers).toHaveLength(6)
   })
 })
@@ -76,7 +76,7 @@
 describe('configuration under faults', () => {
   // A VM is replaced while the platform is down. It has no disk and cannot
   // read the root; its peers have the generation, and it must serve with it.
-  it.each<PlatformFault>(['unavailable', 'hang'])('a node that boots while the platform is "%s" takes what its peers have', async (fault) => {
+  it.each<CallFault>(['refused', 'paused'])('a node that boots while the platform is "%s" takes what its peers have', async (fault) => {
     const fleet = createStartedFleet(3)
     await apply(fleet, 1, 0)
     await fleet.run(4_000)
@@ -89,7 +89,7 @@
 
   it('a node that boots with neither platform nor peers serves nothing and says why', async () => {
     const fleet = createConfigurationFleet(1)
-    failPlatform(fleet.nodes, 'unavailable')
+    failPlatform(fleet.nodes, 'refused')
     fleet.nodes[0]!.start()
     await fleet.run(2_000)
     expect(fleet.nodes[0]!.holder().pending()).toEqual({ generation: 0, reason: 'platform: unavailable' })
@@ -101,7 +101,7 @@
     const fleet = createStartedFleet(3)
     await apply(fleet, 1, 0)
     await fleet.run(4_000)
-    failPlatform([fleet.nodes[1]!], 'unavailable')
+    failPlatform([fleet.nodes[1]!], 'refused')
     await apply(fleet, 2, 1)
     await fleet.run(4_000)
     expect(fleet.generations()).toEqual([2, 2, 2])
@@ -116,7 +116,7 @@
     await fleet.run(4_000)
     const zone = fleet.nodes.filter(({ availabilityZone }) => availabilityZone === 'venkov-a')
     for (const inside of zone) for (const outside of fleet.nodes) if (!zone.includes(outside)) fleet.cut(inside, outside)
-    failPlatform(zone, 'hang')
+    failPlatform(zone, 'paused')
     await apply(fleet, 2, 1)
     await fleet.run(10_000)
     expect(fleet.generations()).toEqual([1, 2, 2, 1, 2, 2])
@@ -135,7 +135,7 @@
     const fleet = createStartedFleet(3)
     await apply(fleet, 1, 0)
     await fleet.run(4_000)
-    failPlatform(fleet.nodes, 'unavailable')
+    failPlatform(fleet.nodes, 'refused')
     await apply(fleet, 2, 1)
     await spoil(fleet)
     failPlatform(fleet.nodes, 'none')
@@ -198,7 +198,7 @@
     const fleet = createStartedFleet(4, 1)
     await apply(fleet, 1, 0)
     await fleet.run(4_000)
-    failPlatform(fleet.nodes, 'unavailable')
+    failPlatform(fleet.nodes, 'refused')
     await apply(fleet, 2, 1)
     await fleet.run(300_000)
     expect(fleet.generations()).toContain(1)
@@ -217,7 +217,7 @@
     await apply(fleet, 1, 0)
     await fleet.run(4_000)
     let reads = 0
-    fleet.nodes[0]!.platform.setFaults(({ name, operation }) => name === 'configuration/root' && operation === 'readObject' && reads++ === 0 ? 'unavailable' : 'none')
+    fleet.nodes[0]!.platform.setFault((call, name) => name === 'configuration/root' && call === 'read' && reads++ === 0 ? 'refused' : 'none')
     await apply(fleet, 2, 1)
     await fleet.run(4_000)
     expect(fleet.generations()).toEqual([2])
@@ -235,7 +235,7 @@
     roots.push(await fleet.readRootBytes())
   },
   restore: async (fleet, roots) => { if (roots[0] !== undefined) await fleet.overwriteRoot(roots[Math.floor(roots.length / 2)]!) },
-  platformDown: async (fleet) => failPlatform(fleet.nodes, 'unavailable'),
+  platformDown: async (fleet) => failPlatform(fleet.nodes, 'refused'),
   platformUp: async (fleet) => failPlatform(fleet.nodes, 'none'),
   cut: async (fleet) => cutOff(fleet, fleet.nodes[0]!),
   heal: async (fleet) => fleet.heal(),
--- a/src/services/configurationStore/test.ts
+++ b/src/services/configurationStore/test.ts
@@ -1,28 +1,28 @@
 import { beforeEach, describe, expect, it } from 'vitest'
 import { createHastyClock, createOperator, type Operator } from '../../../test/_lib/createOperator.js'
-import { createInterruptedPlatform, type InterruptedPlatform, type PlatformCall, type PlatformFault } from '../../../test/_lib/createInterruptedPlatform.js'
+import { createFaultyPlatform, type CallFault, type FaultyPlatform } from '../../../test/_lib/createFaultyPlatform.js'
 import { createSheet } from '../../../test/_lib/createSheet.js'
 import { createMemoryPlatform, type MemoryPlatform } from '../../emulator/createMemoryPlatform/index.js'
 
 let memory: MemoryPlatform
-let faulty: InterruptedPlatform
+let faulty: FaultyPlatform
 let jana: Operator
 let petr: Operator
 
 beforeEach(() => {
   const clock = createHastyClock()
   memory = createMemoryPlatform(clock)
-  faulty = createInterruptedPlatform(memory)
+  faulty = createFaultyPlatform(memory)
   jana = createOperator('jana', faulty, clock)
   petr = createOperator('petr', memory, clock)
 })
 
-const isRootWrite = ({ operation, name }: PlatformCall): boolean => name === 'configuration/root' && (operation === 'createObject' || operation === 'updateObject')
+const isRootWrite = (call: string, name: string): boolean => name === 'configuration/root' && (call === 'create' || call === 'update')
 
 /** Faults of the writes of the root, one after the other; the last goes on. */
-const failRootWrites = (...faults: readonly PlatformFault[]): void => {
+const failRootWrites = (...faults: readonly CallFault[]): void => {
   let writes = 0
-  faulty.setFaults((call) => isRootWrite(call) ? faults[Math.min(writes++, faults.length - 1)]! : 'none')
+  faulty.setFault((call, name) => isRootWrite(call, name) ? faults[Math.min(writes++, faults.length - 1)]! : 'none')
 }
 
 const readGeneration = async (): Promise<number> => {
@@ -64,8 +64,8 @@
   it('refuses a sheet when another is accepted just before the root is written', async () => {
     await jana.apply(createSheet(1), 0)
     let raced = false
-    faulty.setFaults(async (call): Promise<PlatformFault> => {
-      if (isRootWrite(call) && !raced) {
+    faulty.setFault(async (call, name): Promise<CallFault> => {
+      if (isRootWrite(call, name) && !raced) {
         raced = true
         await petr.apply(createSheet(2), 1)
       }
@@ -77,12 +77,12 @@
 
   // The reply to the write of the root is lost, before or after it took
   // effect. The operator must get the truth, and nothing may be applied twice.
-  it.each<[string, readonly PlatformFault[], string, number]>([
-    ['the write took effect', ['lostAfter', 'none'], 'applied', 2],
-    ['the write was lost and the repeat took effect', ['lostBefore', 'none'], 'applied', 2],
-    ['both replies were lost after the first took effect', ['lostAfter', 'lostAfter', 'none'], 'applied', 2],
-    ['the platform then was down for good', ['lostBefore', 'unavailable'], 'outcomeUnknown', 1],
-    ['the platform was down from the start', ['unavailable'], 'unavailable', 1]
+  it.each<[string, readonly CallFault[], string, number]>([
+    ['the write took effect', ['replyLost', 'none'], 'applied', 2],
+    ['the write was lost and the repeat took effect', ['late', 'none'], 'applied', 2],
+    ['both replies were lost after the first took effect', ['replyLost', 'replyLost', 'none'], 'applied', 2],
+    ['the platform then was down for good', ['late', 'refused'], 'outcomeUnknown', 1],
+    ['the platform was down from the start', ['refused'], 'unavailable', 1]
   ])('after a lost reply tells the truth when %s', async (_, faults, kind, generation) => {
     await jana.apply(createSheet(1), 0)
     failRootWrites(...faults)
@@ -96,11 +96,11 @@
   it('finds its own acceptance after a lost reply and a later generation', async () => {
     await jana.apply(createSheet(1), 0)
     let writes = 0
-    faulty.setFaults(async (call): Promise<PlatformFault> => {
-      if (!isRootWrite(call)) return 'none'
+    faulty.setFault(async (call, name): Promise<CallFault> => {
+      if (!isRootWrite(call, name)) return 'none'
       writes += 1
       if (writes === 2) await petr.apply(createSheet(3), 2)
-      return writes === 1 ? 'lostAfter' : 'none'
+      return writes === 1 ? 'replyLost' : 'none'
     })
     expect(await jana.apply(createSheet(2), 1)).toMatchObject({ kind: 'applied', generation: 2, replacedBy: { generation: 3, appliedBy: 'petr' } })
   })
@@ -110,15 +110,26 @@
   it('finds that it lost after a lost write and a racing operator', async () => {
     await jana.apply(createSheet(1), 0)
     let writes = 0
-    faulty.setFaults(async (call): Promise<PlatformFault> => {
-      if (!isRootWrite(call)) return 'none'
+    faulty.setFault(async (call, name): Promise<CallFault> => {
+      if (!isRootWrite(call, name)) return 'none'
       writes += 1
       if (writes === 2) await petr.apply(createSheet(3), 1)
-      return writes === 1 ? 'lostBefore' : 'none'
+      return writes === 1 ? 'late' : 'none'
     })
     expect(await jana.apply(createSheet(2), 1)).toMatchObject({ kind: 'conflict', inForce: { appliedBy: 'petr' } })
   })
 
+  // Jana's write is held up on the way and her repeat takes effect; Petr goes on
+  // from there. Then the held-up write arrives at last. It must fail.
+  it('is not undone by a write that arrives late', async () => {
+    await jana.apply(createSheet(1), 0)
+    failRootWrites('late', 'none')
+    expect(await jana.apply(createSheet(2), 1)).toMatchObject({ kind: 'applied', generation: 2 })
+    await petr.apply(createSheet(3), 2)
+    await faulty.deliverLate()
+    expect(await petr.store.readCurrent()).toMatchObject({ ok: true, value: { root: { generation: 3, appliedBy: 'petr' } } })
+  })
+
   it('does not apply a second time under the same apply id', async () => {
     await jana.apply(createSheet(1), 0, { applyId: 'mine' })
     await petr.apply(createSheet(2), 1)
@@ -136,7 +147,7 @@
 
   it.each(['audit/', 'configuration/chunks/'])('accepts nothing when %s cannot be written', async (prefix) => {
     await jana.apply(createSheet(1), 0)
-    faulty.setFaults(({ operation, name }) => name.startsWith(prefix) && operation !== 'listObjects' ? 'unavailable' : 'none')
+    faulty.setFault((call, name) => name.startsWith(prefix) && call !== 'list' ? 'refused' : 'none')
     expect(await jana.apply(createSheet(2), 1)).toMatchObject({ kind: 'unavailable' })
     expect(await readGeneration()).toBe(1)
   })
@@ -166,11 +177,11 @@
   // and before his root: it must not take the chunk away from under him.
   it('leaves a chunk that another operator is about to use again', async () => {
     for (let weight = 1; weight <= 2; weight += 1) await petr.apply(createSheet(weight), weight - 1)
-    const slow = createInterruptedPlatform(memory)
+    const slow = createFaultyPlatform(memory)
     const slowPetr = createOperator('slowPetr', slow, createHastyClock())
     let nested: Promise<unknown> | undefined
-    faulty.setFaults(async ({ operation }): Promise<PlatformFault> => {
-      if (operation === 'deleteObject' && nested === undefined) {
+    faulty.setFault(async (call): Promise<CallFault> => {
+      if (call === 'delete' && nested === undefined) {
         nested = slowPetr.apply(createSheet(1), 3)
         await nested
       }
@@ -188,9 +199,9 @@
   it('settles the entry of an operator whose machine stopped', async () => {
     await petr.apply(createSheet(1), 0)
     let isAccepted = false
-    faulty.setFaults((call) => {
-      if (isAccepted) return 'hang'
-      isAccepted = isRootWrite(call)
+    faulty.setFault((call, name) => {
+      if (isAccepted) return 'paused'
+      isAccepted = isRootWrite(call, name)
       return 'none'
     })
     const applying = jana.apply(createSheet(2), 1)
--- a/test/_lib/createConfigurationFleet.ts
+++ b/test/_lib/createConfigurationFleet.ts
@@ -9,7 +9,7 @@
 import { createMemoryPlatform } from '../../src/emulator/createMemoryPlatform/index.js'
 import { computeSha256 } from '../../src/kernel/index.js'
 import { createConfiguration } from '../../src/services/configuration/index.js'
-import { createInterruptedPlatform, type InterruptedPlatform } from './createInterruptedPlatform.js'
+import { createFaultyPlatform, type FaultyPlatform } from './createFaultyPlatform.js'
 import { createHastyClock, createOperator, type Operator } from './createOperator.js'
 import type { ConfigurationHolder, Logger, Member, PeerAddress, Platform } from '../../src/types/index.js'
 
@@ -17,7 +17,7 @@
   readonly nodeId: string
   readonly availabilityZone: string
   readonly holder: () => ConfigurationHolder
-  readonly platform: InterruptedPlatform
+  readonly platform: FaultyPlatform
   readonly start: () => void
   /** Forgets everything, as a VM that was replaced; `start` brings it back. */
   readonly stop: () => void
@@ -51,7 +51,7 @@
     const nodeId = `router-${index}`
     const availabilityZone = `venkov-${'abcdefgh'[index % zones]}`
     const address: PeerAddress = { host: nodeId, port: 1 }
-    const faulty = createInterruptedPlatform(platform)
+    const faulty = createFaultyPlatform(platform)
     const seen = new Map<string, Member>()
     let listeners: (() => void)[] = []
     let starts = 0
--- a/test/_lib/createFaultyPlatform.ts
+++ b/test/_lib/createFaultyPlatform.ts
@@ -14,18 +14,21 @@
   | 'paused'
 
 export type FaultyPlatform = Platform & {
-  /** Chooses the fault of each call from now on. */
-  readonly setFault: (choose: (call: string, name: string) => CallFault) => void
+  /** Chooses the fault of each call from now on; may do something first, such as another operator's write. */
+  readonly setFault: (choose: (call: string, name: string) => CallFault | Promise<CallFault>) => void
   readonly resume: () => void
   readonly deliverLate: () => Promise<void>
   /** Calls that wait for `resume`. */
   readonly pausedCalls: () => number
+  /** The kind of every call so far, in order. */
+  readonly calls: () => readonly string[]
 }
 
 type Call<Value> = () => Promise<Result<Value, PlatformError>>
 
 export const createFaultyPlatform = (platform: Platform): FaultyPlatform => {
-  let chooseFault = (_call: string, _name: string): CallFault => 'none'
+  let chooseFault: (call: string, name: string) => CallFault | Promise<CallFault> = () => 'none'
+  const calls: string[] = []
   let paused: (() => void)[] = []
   let late: Call<unknown>[] = []
 
@@ -47,7 +50,8 @@
         return await call()
       }
     }
-    return await faults[chooseFault(kind, name)]()
+    calls.push(kind)
+    return await faults[await chooseFault(kind, name)]()
   }
 
   return {
@@ -57,6 +61,7 @@
     updateObject: (name, bytes, expected) => pass('update', name, true, () => platform.updateObject(name, bytes, expected)),
     deleteObject: (name, expected) => pass('delete', name, true, () => platform.deleteObject(name, expected)),
     listObjects: (prefix, options) => pass('list', prefix, false, () => platform.listObjects(prefix, options)),
+    watchObjects: (prefix, revision, timeoutMs) => pass('watch', prefix, false, () => platform.watchObjects(prefix, revision, timeoutMs)),
     setFault: (choose) => { chooseFault = choose },
     resume: () => {
       const resumed = paused
@@ -68,6 +73,7 @@
       late = []
       for (const call of delivered) await call()
     },
-    pausedCalls: () => paused.length
+    pausedCalls: () => paused.length,
+    calls: () => calls
   }
 }
