--- a/src/services/configuration/test.ts
+++ b/src/services/configuration/test.ts
@@ -4,6 +4,9 @@
 import type { CallFault } from '../../../test/_lib/createFaultyPlatform.js'
 import { createSheet } from '../../../test/_lib/createSheet.js'
 
+/** Nodes that start know no peers and all hold a watch; those that need not give it up when it times out. */
+const WATCH_TIMEOUT_MS = 30_000
+
 const createStartedFleet = (size: number, zones?: number, seed?: number): ConfigurationFleet => {
   const fleet = createConfigurationFleet(size, zones, seed)
   for (const node of fleet.nodes) node.start()
@@ -224,6 +227,52 @@
   })
 })
 
+describe('sources of a generation', () => {
+  // A node got 1 from the platform and 2 from its peers. It hears of 3 from a
+  // peer that it cannot ask, while the platform fails reads of the root. What
+  // it still holds of the platform's old answer must not take it back to 1.
+  it('does not fall back to an older root when a newer one cannot be had', async () => {
+    const fleet = createStartedFleet(3)
+    await apply(fleet, 1, 0)
+    await fleet.run(4_000)
+    fleet.nodes[0]!.platform.setFault((_, name) => name === 'configuration/root' ? 'refused' : 'none')
+    await apply(fleet, 2, 1)
+    await fleet.run(4_000)
+    cutOff(fleet, fleet.nodes[0]!)
+    fleet.nodes[0]!.see({ ...fleet.nodes[1]!.member(), generation: 3 })
+    await fleet.run(4_000)
+    expect(fleet.nodes[0]!.holder().current()?.sheet).toEqual(createSheet(2))
+    expect(fleet.nodes[0]!.holder().pending()).toMatchObject({ generation: 3, reason: expect.stringContaining('platform: unavailable') })
+  })
+
+  // A node without a watch hears of a generation from a peer that goes away
+  // before it can be asked. The platform has it too.
+  it('asks the platform when the peer it heard of a generation from is gone', async () => {
+    const fleet = createStartedFleet(3, 1)
+    await apply(fleet, 1, 0)
+    await fleet.run(WATCH_TIMEOUT_MS + 4_000)
+    cutOff(fleet, fleet.nodes[2]!)
+    await apply(fleet, 2, 1)
+    fleet.nodes[2]!.see({ ...fleet.nodes[0]!.member(), generation: 2 })
+    await fleet.run(4_000)
+    expect(fleet.generations()).toEqual([2, 2, 2])
+  })
+
+  // Both watchers of a zone are replaced at once. The node that only heard
+  // from them must take up the watch, not wait for its next poll.
+  it('takes up the watch when the watchers of its zone are dead', async () => {
+    const fleet = createStartedFleet(3, 1)
+    await apply(fleet, 1, 0)
+    await fleet.run(WATCH_TIMEOUT_MS + 4_000)
+    fleet.nodes[0]!.stop()
+    fleet.nodes[1]!.stop()
+    await fleet.run(1_000)
+    await apply(fleet, 2, 1)
+    await fleet.run(2_000)
+    expect(fleet.generations()).toEqual([0, 0, 2])
+  })
+})
+
 type Step = (fleet: ConfigurationFleet, roots: Uint8Array[]) => Promise<void>
 
 const steps: Readonly<Record<string, Step>> = {
