--- /dev/null
+++ b/src/bench/configuration/_lib/measureSheet.ts
@@ -0,0 +1,77 @@
+/** Bytes and time of the work on one sheet, on this machine. */
+import { compareSheets } from '../../../decisions/compareSheets/index.js'
+import { decodeChunk, type ChunkRecord } from '../../../decisions/decodeChunk/index.js'
+import { encodeRoot } from '../../../decisions/encodeRoot/index.js'
+import { joinChunksToSheet } from '../../../decisions/joinChunksToSheet/index.js'
+import { parseSheet } from '../../../decisions/parseSheet/index.js'
+import { serializeSheet } from '../../../decisions/serializeSheet/index.js'
+import { splitSheetIntoChunks } from '../../../decisions/splitSheetIntoChunks/index.js'
+import { computeSha256 } from '../../../kernel/index.js'
+import type { ConfigurationChunk } from '../../../types/index.js'
+import { createBenchSheet } from './createBenchSheet.js'
+
+export type SheetMeasurement = {
+  readonly csvBytes: number
+  readonly chunks: number
+  readonly chunkBytes: number
+  readonly largestChunkBytes: number
+  readonly rootBytes: number
+  readonly changedChunks: number
+  readonly changedBytes: number
+  readonly checkMs: number
+  readonly splitMs: number
+  readonly compareMs: number
+  /** A node that boots: all chunks hashed and decoded, then joined. */
+  readonly bootMs: number
+  /** A node that takes in one changed row: one chunk hashed and decoded, then all joined. */
+  readonly changeMs: number
+}
+
+const REPEATS = 7
+const HISTORY_LENGTH = 64
+
+const measure = (work: () => unknown): number => {
+  const times = Array.from({ length: REPEATS }, () => {
+    const startedAt = performance.now()
+    work()
+    return performance.now() - startedAt
+  })
+  return times.sort((one, other) => one - other)[Math.floor(REPEATS / 2)]!
+}
+
+const decode = ({ bytes, hash }: ConfigurationChunk): readonly ChunkRecord[] => {
+  const records = decodeChunk(bytes)
+  if (!records.ok || computeSha256(bytes) !== hash) throw new Error('a chunk that was just written cannot be read')
+  return records.value
+}
+
+const sumBytes = (chunks: readonly ConfigurationChunk[]): number => chunks.reduce((sum, { bytes }) => sum + bytes.length, 0)
+
+const measureRoot = (chunks: readonly ConfigurationChunk[]): number => {
+  const applied = { generation: 1, applyId: 'a'.repeat(24), appliedBy: 'operator', appliedAt: 1_700_000_000_000, sheetHash: 'b'.repeat(64) }
+  return encodeRoot({ ...applied, chunks: chunks.map(({ hash }) => hash), history: Array(HISTORY_LENGTH).fill(applied) }).length
+}
+
+export const measureSheet = (accounts: number): SheetMeasurement => {
+  const sheet = createBenchSheet(accounts)
+  const changed = createBenchSheet(accounts, 2)
+  const csv = serializeSheet(sheet)
+  const chunks = splitSheetIntoChunks(sheet, computeSha256)
+  const known = new Set(chunks.map(({ hash }) => hash))
+  const changedChunks = splitSheetIntoChunks(changed, computeSha256, chunks.length).filter(({ hash }) => !known.has(hash))
+  const decoded = chunks.map(decode)
+  return {
+    csvBytes: csv.length,
+    chunks: chunks.length,
+    chunkBytes: sumBytes(chunks),
+    largestChunkBytes: Math.max(...chunks.map(({ bytes }) => bytes.length)),
+    rootBytes: measureRoot(chunks),
+    changedChunks: changedChunks.length,
+    changedBytes: sumBytes(changedChunks),
+    checkMs: measure(() => parseSheet(csv)),
+    splitMs: measure(() => splitSheetIntoChunks(sheet, computeSha256)),
+    compareMs: measure(() => compareSheets(sheet, changed)),
+    bootMs: measure(() => joinChunksToSheet(chunks.map(decode))),
+    changeMs: measure(() => joinChunksToSheet([...decoded.slice(1), ...changedChunks.map(decode)]))
+  }
+}
--- /dev/null
+++ b/src/bench/configuration/index.ts
@@ -0,0 +1,50 @@
+/** Measures the configuration: work on sheets of growing size, and how a change spreads over growing fleets. */
+import type { BenchOptions, Cell, Table } from '../types.js'
+import { measureRollout, type RolloutMeasurement } from './_lib/measureRollout.js'
+import { measureSheet } from './_lib/measureSheet.js'
+
+const SHEET_SIZES = [1_000, 4_000, 17_000]
+const FAST_SHEET_SIZES = [1_000, 4_000]
+const FLEETS = [{ nodes: 9, zones: 3 }, { nodes: 45, zones: 3 }, { nodes: 360, zones: 8 }]
+const FAST_FLEETS = FLEETS.slice(0, 2)
+const SEEDS_PER_FLEET = 3
+
+/**
+ * Runs the bench.
+ *
+ * @param options - `fast` leaves out the largest sizes; `seed` of the random sources.
+ * @returns One table of bytes, one of times on this machine, one of the spreading on a manual clock.
+ *
+ * @example
+ * const tables = await runConfigurationBench({ fast: true, seed: 1 })
+ */
+export const runConfigurationBench = async ({ fast, seed }: BenchOptions): Promise<readonly Table[]> => {
+  const sheets = (fast ? FAST_SHEET_SIZES : SHEET_SIZES).map((accounts) => ({ accounts, ...measureSheet(accounts) }))
+  const rollouts: RolloutMeasurement[] = []
+  for (const fleet of fast ? FAST_FLEETS : FLEETS) {
+    for (let run = 0; run < SEEDS_PER_FLEET; run += 1) rollouts.push(await measureRollout({ ...fleet, seed: seed + run }))
+  }
+  return [
+    {
+      title: 'Bytes of a sheet with 600 backend servers and 33 routes; the root with a full history',
+      columns: ['client accounts', 'CSV', 'chunks', 'all chunks', 'largest chunk', 'root', 'chunks of one changed row', 'fetched for one changed row'],
+      rows: sheets.map((sheet): readonly Cell[] => [sheet.accounts, sheet.csvBytes, sheet.chunks, sheet.chunkBytes, sheet.largestChunkBytes, sheet.rootBytes, sheet.changedChunks, sheet.rootBytes + sheet.changedBytes])
+    },
+    {
+      title: 'Milliseconds of one core for a sheet, median of 7',
+      columns: ['client accounts', 'read and check', 'split', 'compare', 'boot of a node', 'one changed row at a node'],
+      rows: sheets.map((sheet): readonly Cell[] => [sheet.accounts, ...[sheet.checkMs, sheet.splitMs, sheet.compareMs, sheet.bootMs, sheet.changeMs].map((time) => time.toFixed(1))])
+    },
+    {
+      title: 'From acceptance to in force, in milliseconds of a manual clock, and calls of all nodes at the platform',
+      columns: ['nodes', 'zones', 'half have it', '99 % have it', 'all have it', 'root reads', 'chunk reads', 'watches renewed', 'calls a second while idle'],
+      rows: rollouts.map(toRolloutRow)
+    }
+  ]
+}
+
+const toRolloutRow = (rollout: RolloutMeasurement): readonly Cell[] => {
+  const { delaysMs } = rollout
+  const at = (share: number): number => delaysMs[Math.ceil(share * delaysMs.length) - 1] ?? NaN
+  return [rollout.nodes, rollout.zones, at(0.5), at(0.99), at(1), rollout.rootReads, rollout.chunkReads, rollout.watchers, rollout.steadyCallsPerSecond.toFixed(2)]
+}
--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -4,6 +4,7 @@
 import type { Bench, Table } from './types.js'
 
 const benches: Readonly<Record<string, () => Promise<Bench>>> = {
+  configuration: async () => (await import('./configuration/index.js')).runConfigurationBench,
   placement: async () => (await import('./placement/index.js')).runPlacementBench
 }
 
