--- a/src/services/configurationStore/index.ts
+++ b/src/services/configurationStore/index.ts
@@ -74,7 +74,8 @@
   readonly hashContent: (content: string | Uint8Array) => string
 }
 
-const MAXIMUM_HISTORY = 64
+/** Enough to settle a lost reply; every node fetches the root at each change, so that it stays short. */
+const MAXIMUM_HISTORY = 16
 const RETRY = { minimumBackoffMs: 200, maximumBackoffMs: 3_000 }
 
 type Prepared = { readonly root: ConfigurationRoot, readonly listed: ChunkVersions, readonly entry: AuditEntry, readonly changes: readonly SheetChange[] }
