--- a/src/cli/_lib/askRouters.ts
+++ b/src/cli/_lib/askRouters.ts
@@ -1,6 +1,7 @@
 /** Asking every known router for its status, all at once. */
 import type { OperatorClient } from '../../adapters/operatorClient/index.js'
 import type { RouterAnswer } from '../../decisions/judgeRollout/index.js'
+import { mapInBatches } from '../../kernel/index.js'
 import type { NodeStatus, Platform, Vm } from '../../types/index.js'
 import type { CommandEnvironment } from './commandEnvironment.js'
 import { createRouterClient, type RouterFlags } from './platformSession.js'
@@ -27,17 +28,11 @@
 }
 
 const askAll = async (client: OperatorClient, urls: readonly string[]): Promise<Pick<RouterStatuses, 'answers' | 'statuses'>> => {
-  const answers: RouterAnswer[] = []
-  const statuses: NodeStatus[] = []
-  for (let start = 0; start < urls.length; start += MAXIMUM_REQUESTS) {
-    await Promise.all(urls.slice(start, start + MAXIMUM_REQUESTS).map(async (url) => {
-      const status = await client.readStatus(url)
-      if (!status.ok) return answers.push({ kind: 'unreachable', url, message: status.error })
-      statuses.push(status.value)
-      return answers.push({ kind: 'answered', url, report: status.value })
-    }))
+  const replies = await mapInBatches(urls, MAXIMUM_REQUESTS, async (url) => ({ url, status: await client.readStatus(url) }))
+  return {
+    answers: replies.map(({ url, status }) => status.ok ? { kind: 'answered', url, report: status.value } : { kind: 'unreachable', url, message: status.error }),
+    statuses: replies.flatMap(({ status }) => status.ok ? [status.value] : [])
   }
-  return { answers, statuses }
 }
 
 /** URLs that were given stand alone; else the VM list with the port that all routers use. */
--- a/src/services/auditTrail/index.ts
+++ b/src/services/auditTrail/index.ts
@@ -5,7 +5,7 @@
  * same one.
  */
 import { z } from 'zod'
-import { failure, success } from '../../kernel/index.js'
+import { mapInBatches, success } from '../../kernel/index.js'
 import type { AuditEntry, AuditOutcome, ConfigurationRoot, ObjectVersion, Platform, PlatformError, Result } from '../../types/index.js'
 
 const PREFIX = 'audit/'
@@ -14,6 +14,7 @@
 const MAXIMUM_PRUNED_AT_ONCE = 100
 const MAXIMUM_WRITE_TRIES = 3
 const MAXIMUM_SETTLED_AT_ONCE = 20
+const CONCURRENT_READS = 8
 
 export type AuditListing = { readonly entries: readonly AuditEntry[], readonly unreadable: number }
 
@@ -124,15 +125,11 @@
     read: async (limit) => {
       const names = await list()
       if (!names.ok) return names
-      const entries: AuditEntry[] = []
-      let unreadable = 0
-      for (const { name } of names.value.slice(-limit)) {
-        const entry = await readEntry(name)
-        if (!entry.ok) return failure(entry.error)
-        if (entry.value === undefined) unreadable += 1
-        else entries.push(entry.value)
-      }
-      return success({ entries, unreadable })
+      const read = await mapInBatches(names.value.slice(-limit), CONCURRENT_READS, ({ name }) => readEntry(name))
+      const failed = read.find((entry) => !entry.ok)
+      if (failed !== undefined && !failed.ok) return failed
+      const entries = read.flatMap((entry) => entry.ok && entry.value !== undefined ? [entry.value] : [])
+      return success({ entries, unreadable: read.length - entries.length })
     }
   }
 }
--- a/src/services/configurationStore/_lib/createChunkStore.ts
+++ b/src/services/configurationStore/_lib/createChunkStore.ts
@@ -12,7 +12,7 @@
  */
 import { decodeChunk, type ChunkRecord } from '../../../decisions/decodeChunk/index.js'
 import { joinChunksToSheet } from '../../../decisions/joinChunksToSheet/index.js'
-import { failure, success } from '../../../kernel/index.js'
+import { failure, mapInBatches, success } from '../../../kernel/index.js'
 import type { ConfigurationChunk, ConfigurationRoot, ObjectVersion, Platform, PlatformError, Result, Sheet } from '../../../types/index.js'
 
 export type ChunkVersions = ReadonlyMap<string, ObjectVersion>
@@ -70,7 +70,7 @@
       return success(versions)
     },
     readSheet: async (root) => {
-      const chunks = await mapInBatches([...new Set(root.chunks)], readChunk)
+      const chunks = await mapInBatches([...new Set(root.chunks)], CONCURRENT_CALLS, readChunk)
       const failed = chunks.find((chunk) => !chunk.ok)
       if (failed !== undefined && !failed.ok) return failed
       return success(joinChunksToSheet(chunks.flatMap((chunk) => chunk.ok ? [chunk.value] : [])))
@@ -78,21 +78,13 @@
     write: async (chunks, root, listed) => {
       const inForce = new Set(root?.chunks)
       const needed = new Map(chunks.filter(({ hash }) => !inForce.has(hash)).map((chunk) => [chunk.hash, chunk]))
-      const written = await mapInBatches([...needed.values()], (chunk) => writeChunk(chunk, listed.get(chunk.hash)))
+      const written = await mapInBatches([...needed.values()], CONCURRENT_CALLS, (chunk) => writeChunk(chunk, listed.get(chunk.hash)))
       return written.find((outcome) => !outcome.ok) ?? success(undefined)
     },
     sweep: async (listed, roots) => {
       const needed = new Set(roots.flatMap((root) => root?.chunks ?? []))
       const unneeded = [...listed].filter(([hash]) => !needed.has(hash))
-      await mapInBatches(unneeded, ([hash, version]) => platform.deleteObject(`${PREFIX}${hash}`, version))
+      await mapInBatches(unneeded, CONCURRENT_CALLS, ([hash, version]) => platform.deleteObject(`${PREFIX}${hash}`, version))
     }
   }
 }
-
-const mapInBatches = async <Item, Value>(items: readonly Item[], map: (item: Item) => Promise<Value>): Promise<readonly Value[]> => {
-  const values: Value[] = []
-  for (let start = 0; start < items.length; start += CONCURRENT_CALLS) {
-    values.push(...await Promise.all(items.slice(start, start + CONCURRENT_CALLS).map(map)))
-  }
-  return values
-}
