Pause between watches that end at once

A platform that sheds load by ending waiting watches was asked again without a pause; with the pause the failures still began anew with each begun watch (361 calls in 60 s of a manual clock, under 200 now).

--- a/src/services/configuration/_lib/createPlatformWatch.ts
+++ b/src/services/configuration/_lib/createPlatformWatch.ts
@@ -5,7 +5,7 @@
  */
 import { computeBackoff, type BackoffRange } from '../../../decisions/computeBackoff/index.js'
 import { failure, success } from '../../../kernel/index.js'
-import type { Platform, PlatformError, RandomSource, Result } from '../../../types/index.js'
+import type { Clock, Platform, PlatformError, RandomSource, Result } from '../../../types/index.js'
 import type { FoundRoot } from './createInstaller.js'
 import { ROOT_NAME, type RootReader } from './createRootReader.js'
 import type { Sleeper } from './createSleeper.js'
@@ -25,6 +25,7 @@
   readonly platform: Platform
   readonly reader: RootReader
   readonly sleeper: Sleeper
+  readonly clock: Clock
   readonly random: RandomSource
   readonly isWatcher: () => boolean
   readonly isRunning: () => boolean
@@ -35,7 +36,7 @@
 }
 
 export const createPlatformWatch = (dependencies: PlatformWatchDependencies, options: PlatformWatchOptions): PlatformWatch => {
-  const { platform, reader, sleeper, random, isWatcher, isRunning } = dependencies
+  const { platform, reader, sleeper, clock, random, isWatcher, isRunning } = dependencies
   const hasConfiguration = (): boolean => dependencies.generation() > 0
   let state = 'the platform has not answered yet'
   let revision: number | undefined
@@ -63,14 +64,20 @@
   /**
    * After any failure the watch starts afresh. A root that was announced but
    * could not be read would otherwise not be announced again, and a platform
-   * restored from a backup may count revisions from a lower number.
+   * restored from a backup may count revisions from a lower number. A platform
+   * that ends waiting watches at once counts as failing, so that it is not
+   * asked without a pause.
    */
   const continueWatch = async (from: number): Promise<Result<undefined, string>> => {
+    const startedAt = clock.now()
     const events = await platform.watchObjects(ROOT_NAME, from, options.watchTimeoutMs)
     revision = undefined
     if (!events.ok) return describeError(events.error)
+    if (events.value.changes.length === 0 && clock.now() - startedAt < options.minimumBackoffMs) return failure('platform: the watch ended at once')
     const read = events.value.changes.length === 0 ? success(undefined) : await readRoot()
-    if (read.ok && events.value.revision >= from) revision = events.value.revision
+    if (!read.ok) return read
+    failures = 0
+    if (events.value.revision >= from) revision = events.value.revision
     return read
   }
 
@@ -83,17 +90,23 @@
     watchedLast = false
     revision = undefined
     const read = await readRoot()
+    if (read.ok) failures = 0
     if (read.ok || hasConfiguration()) await sleeper.sleep(options.pollIntervalMs * (0.5 + random.next()))
     return hasConfiguration() ? success(undefined) : read
   }
 
+  /** A watch that could be begun does not count as recovery: only one that was waited out, or that brought news, does. */
+  const backOff = (problem: string): Promise<void> => {
+    state = problem
+    failures += 1
+    return sleeper.sleep(computeBackoff(failures, options, random.next()))
+  }
+
   return {
     run: async () => {
       while (isRunning()) {
         const outcome = await (isWatcher() ? watch() : poll())
-        failures = outcome.ok ? 0 : failures + 1
-        if (!outcome.ok) state = outcome.error
-        if (!outcome.ok) await sleeper.sleep(computeBackoff(failures, options, random.next()))
+        if (!outcome.ok) await backOff(outcome.error)
       }
     },
     reconsider: () => { if (isWatcher() && !watchedLast) sleeper.wake() },
--- a/src/services/configuration/index.ts
+++ b/src/services/configuration/index.ts
@@ -159,6 +159,7 @@
   const watch = createPlatformWatch({
     platform,
     reader,
+    clock,
     random,
     sleeper: watchSleeper,
     isWatcher: () => isZoneWatcher(settings, others(), settings.watchersPerZone),
--- a/src/services/configuration/test.ts
+++ b/src/services/configuration/test.ts
@@ -227,6 +227,17 @@
   })
 })
 
+describe('platform under strain', () => {
+  // The platform sheds load by ending waiting watches at once. A node that
+  // renewed its watch without a pause would add thousands of calls a second.
+  it('is not asked without a pause when it ends watches at once', async () => {
+    const fleet = createConfigurationFleet(1, 1, 1, { watchObjects: async () => ({ ok: true, value: { revision: 0, changes: [] } }) })
+    fleet.nodes[0]!.start()
+    await fleet.run(60_000)
+    expect(fleet.nodes[0]!.platform.calls().length).toBeLessThan(200)
+  })
+})
+
 describe('sources of a generation', () => {
   // A node got 1 from the platform and 2 from its peers. It hears of 3 from a
   // peer that it cannot ask, while the platform fails reads of the root. What
--- a/test/_lib/createConfigurationFleet.ts
+++ b/test/_lib/createConfigurationFleet.ts
@@ -41,10 +41,10 @@
 const GOSSIP_INTERVAL_MS = 500
 const silentLogger: Logger = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
 
-export const createConfigurationFleet = (size: number, zones = 3, seed = 1): ConfigurationFleet => {
+export const createConfigurationFleet = (size: number, zones = 3, seed = 1, changes: Partial<Platform> = {}): ConfigurationFleet => {
   const clock = createManualClock()
   const network = createMemoryPeerNetwork({ clock })
-  const platform = createMemoryPlatform(clock)
+  const platform = { ...createMemoryPlatform(clock), ...changes }
   const cuts = new Set<string>()
 
   const createNode = (index: number): FleetNode => {
