--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -5,7 +5,9 @@
 
 const benches: Readonly<Record<string, () => Promise<Bench>>> = {
   placement: async () => (await import('./placement/index.js')).runPlacementBench,
-  routerCost: async () => (await import('./routerCost/index.js')).runRouterCostBench
+  routerCost: async () => (await import('./routerCost/index.js')).runRouterCostBench,
+  configuration: async () => (await import('./configuration/index.js')).runConfigurationBench,
+  placement: async () => (await import('./placement/index.js')).runPlacementBench
 }
 
 const DEFAULT_SEED = 20_261_202
