--- /dev/null
+++ b/test/_lib/createFaultProxy.ts
@@ -0,0 +1,132 @@
+/** A TCP proxy on loopback that does to its connections what networks and dying machines do. */
+import { connect, createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+
+export type LinkFault =
+  | { readonly kind: 'none' }
+  /** Closes new connections at once with a reset, and cuts the open ones. */
+  | { readonly kind: 'refuse' }
+  /** Accepts and holds everything back until another fault is set, as a cut link does to open connections. */
+  | { readonly kind: 'blackhole' }
+  /** Holds each piece of data back for so many milliseconds each way. */
+  | { readonly kind: 'delay', readonly ms: number }
+  /** Resets a connection after so many bytes towards the client, or towards the server. */
+  | { readonly kind: 'cutAfter', readonly direction: 'toClient' | 'toServer', readonly bytes: number }
+  /** Holds back what goes one way; the other way works. */
+  | { readonly kind: 'holdDirection', readonly direction: 'toClient' | 'toServer' }
+
+export type FaultProxy = {
+  readonly port: number
+  readonly address: string
+  readonly url: string
+  /** Sets the fault of connections old and new. */
+  readonly setFault: (fault: LinkFault) => void
+  /** Resets every open connection, once. */
+  readonly resetAll: () => void
+  readonly connections: () => number
+  readonly close: () => Promise<void>
+}
+
+type Direction = 'toClient' | 'toServer'
+
+type Piece = { readonly from: Socket, readonly to: Socket, readonly bytes: Buffer, readonly direction: Direction, readonly passed: { bytes: number }, readonly hold: (action: () => void) => void, readonly retry: () => void }
+
+const resetPair = (from: Socket, to: Socket): void => {
+  from.resetAndDestroy()
+  to.resetAndDestroy()
+}
+
+const write = ({ from, to, bytes, passed }: Piece): void => {
+  passed.bytes += bytes.byteLength
+  if (to.destroyed) return
+  if (to.write(bytes)) return
+  from.pause()
+  to.once('drain', () => from.resume())
+}
+
+const writeUntilCut = (piece: Piece, limit: number): void => {
+  const room = limit - piece.passed.bytes
+  if (piece.bytes.byteLength < room) return write(piece)
+  if (room <= 0) return resetPair(piece.from, piece.to)
+  piece.passed.bytes = limit
+  piece.to.write(piece.bytes.subarray(0, room), () => { resetPair(piece.from, piece.to) })
+}
+
+const forwards: { readonly [Kind in LinkFault['kind']]: (piece: Piece, fault: Extract<LinkFault, { kind: Kind }>) => void } = {
+  none: write,
+  refuse: ({ from, to }) => { resetPair(from, to) },
+  blackhole: ({ hold, retry }) => { hold(retry) },
+  delay: (piece, { ms }) => { setTimeout(() => { write(piece) }, ms) },
+  cutAfter: (piece, { direction, bytes }) => { direction === piece.direction ? writeUntilCut(piece, bytes) : write(piece) },
+  holdDirection: (piece, { direction }) => { direction === piece.direction ? piece.hold(piece.retry) : write(piece) }
+}
+
+/**
+ * Starts a proxy before a loopback port.
+ *
+ * @param targetPort - Port that connections are passed on to.
+ * @returns The proxy, without a fault.
+ */
+export const createFaultProxy = async (targetPort: number): Promise<FaultProxy> => {
+  let fault: LinkFault = { kind: 'none' }
+  let held: (() => void)[] = []
+  const sockets = new Set<Socket>()
+  const hold = (action: () => void): void => { held.push(action) }
+  const isHeld = (direction: Direction): boolean => fault.kind === 'blackhole' || (fault.kind === 'holdDirection' && fault.direction === direction)
+
+  const track = (socket: Socket): void => {
+    sockets.add(socket)
+    socket.setNoDelay(true)
+    socket.on('error', () => {})
+    socket.on('close', () => sockets.delete(socket))
+  }
+
+  const forward = (from: Socket, to: Socket, direction: Direction): void => {
+    const passed = { bytes: 0 }
+    const pass = (bytes: Buffer): void => {
+      const handler = forwards[fault.kind] as (piece: Piece, fault: LinkFault) => void
+      handler({ from, to, bytes, direction, passed, hold, retry: () => { pass(bytes) } }, fault)
+    }
+    const passOrHold = (action: () => void): void => { isHeld(direction) ? hold(() => { passOrHold(action) }) : action() }
+    from.on('data', pass)
+    from.on('end', () => { passOrHold(() => { to.end() }) })
+    from.on('close', () => { passOrHold(() => { to.destroy() }) })
+  }
+
+  const server = createServer({ allowHalfOpen: true }, (client) => {
+    track(client)
+    if (fault.kind === 'refuse') {
+      client.resetAndDestroy()
+      return
+    }
+    const upstream = connect({ host: '127.0.0.1', port: targetPort, allowHalfOpen: true })
+    track(upstream)
+    upstream.on('error', () => client.resetAndDestroy())
+    forward(client, upstream, 'toServer')
+    forward(upstream, client, 'toClient')
+  })
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  const { port } = server.address() as AddressInfo
+
+  const resetAll = (): void => { for (const socket of [...sockets]) socket.resetAndDestroy() }
+
+  return {
+    port,
+    address: `127.0.0.1:${port}`,
+    url: `http://127.0.0.1:${port}`,
+    setFault: (next) => {
+      fault = next
+      const released = held
+      held = []
+      for (const action of released) action()
+      if (next.kind === 'refuse') resetAll()
+    },
+    resetAll,
+    connections: () => sockets.size / 2,
+    close: async () => {
+      held = []
+      resetAll()
+      await new Promise<void>((resolve) => { server.close(() => { resolve() }) })
+    }
+  }
+}
