--- /dev/null
+++ b/src/services/admission/test.ts
@@ -0,0 +1,227 @@
+import { describe, expect, it } from 'vitest'
+import { createManualClock } from '../../emulator/createManualClock/index.js'
+import type { AdmissionDemand, AdmissionRefusal, AdmissionTicket, Configuration, Result } from '../../types/index.js'
+import { createAdmission, defaultAdmissionOptions } from './index.js'
+import type { AdmissionOptions } from './index.js'
+
+const FAR_AWAY_MS = 1_000_000
+
+type Outcome = Result<AdmissionTicket, AdmissionRefusal>
+
+const createConfiguration = (weights: Readonly<Record<string, number>>): Configuration => ({
+  generation: 1,
+  appliedBy: 'test',
+  appliedAt: 0,
+  applyId: 'apply',
+  sheet: {
+    clientAccounts: Object.entries(weights).map(([name, weight]) => ({ name, weight, keyHashes: [] })),
+    services: [],
+    backendServers: [],
+    routes: [],
+    plannedStops: []
+  }
+})
+
+const createPool = (slots: number, options: Partial<AdmissionOptions> = {}, weights: Readonly<Record<string, number>> = {}) => {
+  const clock = createManualClock()
+  const pool = { slots }
+  const configuration = createConfiguration(weights)
+  const { api } = createAdmission({ clock, configuration: { current: () => configuration }, slotsForNode: () => pool.slots }, { ...defaultAdmissionOptions, ...options })
+  const admitted: string[] = []
+  const tickets: AdmissionTicket[] = []
+  const ask = (clientAccount: string, overrides: Partial<AdmissionDemand> = {}): Promise<Outcome> => {
+    const demand = { clientAccount, service: 'desk', tokens: 100, overnight: false, deadlineAt: clock.now() + FAR_AWAY_MS, signal: new AbortController().signal, ...overrides }
+    return api.admit(demand).then((outcome) => {
+      if (outcome.ok) {
+        admitted.push(clientAccount)
+        tickets.push(outcome.value)
+      }
+      return outcome
+    })
+  }
+  const settle = async (): Promise<void> => { await new Promise((resolve) => { setImmediate(resolve) }) }
+  const finishOldest = async (tokens = 100): Promise<void> => {
+    tickets.shift()?.finish(tokens)
+    await settle()
+  }
+  return { clock, api, pool, admitted, tickets, ask, settle, finishOldest }
+}
+
+const repeat = <Value>(count: number, run: () => Value): readonly Value[] => Array.from({ length: count }, run)
+
+const count = (names: readonly string[], name: string): number => names.filter((other) => other === name).length
+
+const reasonOf = (outcome: Outcome): string => outcome.ok ? 'admitted' : outcome.error.reason
+
+describe('createAdmission', () => {
+  it('admits at once while there are slots', async () => {
+    const { ask } = createPool(2)
+    expect(await Promise.all([ask('a'), ask('a')])).toMatchObject([{ ok: true }, { ok: true }])
+  })
+
+  it('counts a finish once', async () => {
+    const { ask, tickets, admitted, settle } = createPool(1)
+    repeat(3, () => ask('a'))
+    await settle()
+    const first = tickets[0]!
+    first.finish(100)
+    first.finish(100)
+    await settle()
+    expect(admitted.length).toBe(2)
+  })
+
+  it('takes waiting accounts by turns though one has far more waiting', async () => {
+    const { ask, admitted, settle, finishOldest } = createPool(1)
+    repeat(20, () => ask('surging'))
+    repeat(5, () => ask('calm'))
+    await settle()
+    for (let turn = 0; turn < 10; turn += 1) await finishOldest()
+    expect(count(admitted, 'calm')).toBe(5)
+  })
+
+  it('shares work and not requests', async () => {
+    const { ask, admitted, settle, finishOldest } = createPool(1)
+    repeat(40, () => ask('large', { tokens: 300 }))
+    repeat(40, () => ask('small', { tokens: 100 }))
+    await settle()
+    for (let turn = 0; turn < 39; turn += 1) await finishOldest(admitted.at(-1) === 'large' ? 300 : 100)
+    expect(count(admitted, 'small') / count(admitted, 'large')).toBeCloseTo(3, 0)
+  })
+
+  it('shares by weight', async () => {
+    const { ask, admitted, settle, finishOldest } = createPool(1, {}, { heavy: 3, light: 1 })
+    repeat(40, () => ask('heavy'))
+    repeat(40, () => ask('light'))
+    await settle()
+    for (let turn = 0; turn < 39; turn += 1) await finishOldest()
+    expect(count(admitted, 'heavy')).toBe(30)
+  })
+
+  // Two routers share one pool. A surging account spreads over both; counted
+  // at each router alone, it would get as much as the calm one at each.
+  it('counts what an account uses at other nodes', async () => {
+    const { api, ask, admitted, settle, finishOldest } = createPool(1)
+    api.mergeUsage('other router', [{ clientAccount: 'surging', service: 'desk', tokens: 1_000 }])
+    repeat(20, () => ask('surging'))
+    repeat(10, () => ask('calm'))
+    await settle()
+    for (let turn = 0; turn < 9; turn += 1) await finishOldest()
+    expect(count(admitted, 'surging')).toBe(1)
+  })
+
+  it('forgets the word of a node that is silent', async () => {
+    const { clock, api, ask, admitted, settle, finishOldest } = createPool(1)
+    api.mergeUsage('other router', [{ clientAccount: 'surging', service: 'desk', tokens: 1_000 }])
+    clock.advance(defaultAdmissionOptions.peerUsageMaximumAgeMs + 1)
+    repeat(5, () => ask('surging'))
+    repeat(5, () => ask('calm'))
+    await settle()
+    for (let turn = 0; turn < 5; turn += 1) await finishOldest()
+    expect(count(admitted, 'surging')).toBe(3)
+  })
+
+  it('publishes the largest users alone', async () => {
+    const { api, ask, settle } = createPool(10, { publishedAccounts: 2 })
+    ask('small', { tokens: 1 })
+    ask('large', { tokens: 900 })
+    ask('middle', { tokens: 90 })
+    await settle()
+    expect(api.usage()).toEqual([{ service: 'desk', clientAccount: 'large', tokens: 900 }, { service: 'desk', clientAccount: 'middle', tokens: 90 }])
+  })
+
+  it('gives overnight work its set share under interactive load', async () => {
+    const { ask, admitted, settle, finishOldest } = createPool(1, { overnightShare: 0.25 })
+    repeat(60, () => ask('desk'))
+    repeat(60, () => ask('summaries', { overnight: true }))
+    await settle()
+    for (let turn = 0; turn < 39; turn += 1) await finishOldest()
+    expect(count(admitted, 'summaries')).toBe(10)
+  })
+
+  it('takes up slots that come free elsewhere', async () => {
+    const { clock, pool, ask, admitted, settle } = createPool(0)
+    ask('a')
+    pool.slots = 1
+    clock.advance(defaultAdmissionOptions.pollIntervalMs)
+    await settle()
+    expect(admitted).toEqual(['a'])
+  })
+})
+
+describe('createAdmission when the queue is full', () => {
+  it('bounds what one account may have waiting', async () => {
+    const { ask } = createPool(0, { maximumQueuedPerAccount: 2 })
+    ask('a')
+    ask('a')
+    expect(reasonOf(await ask('a'))).toBe('queueFull')
+  })
+
+  it('refuses the account furthest over its share, with when to come back', async () => {
+    const { ask } = createPool(0, { maximumQueued: 3 })
+    const surging = repeat(3, () => ask('surging'))
+    ask('calm')
+    const refused = await surging[2]!
+    expect(refused).toMatchObject({ ok: false, error: { reason: 'overShare' } })
+    expect(!refused.ok && refused.error.retryAfterMs).toBeGreaterThan(0)
+  })
+
+  it('refuses a newcomer that is itself furthest over its share', async () => {
+    const { ask } = createPool(0, { maximumQueued: 2 })
+    ask('calm')
+    ask('surging')
+    expect(reasonOf(await ask('surging'))).toBe('overShare')
+  })
+
+  it('refuses waiting overnight work before interactive work', async () => {
+    const { ask } = createPool(0, { maximumQueued: 1 })
+    const overnight = ask('summaries', { overnight: true })
+    ask('desk')
+    expect(reasonOf(await overnight)).toBe('overShare')
+  })
+
+  it('refuses overnight work when interactive work fills the queue', async () => {
+    const { ask } = createPool(0, { maximumQueued: 1 })
+    ask('desk')
+    expect(reasonOf(await ask('summaries', { overnight: true }))).toBe('overShare')
+  })
+})
+
+describe('createAdmission and time', () => {
+  it('refuses what is past its deadline', async () => {
+    const { clock, ask } = createPool(1)
+    expect(reasonOf(await ask('a', { deadlineAt: clock.now() }))).toBe('deadline')
+  })
+
+  it('refuses at the deadline what still waits', async () => {
+    const { clock, ask, settle } = createPool(0)
+    const waiting = ask('a', { deadlineAt: clock.now() + 10 })
+    await settle()
+    clock.advance(10)
+    expect(reasonOf(await waiting)).toBe('deadline')
+  })
+
+  it('refuses at once what the queue cannot serve in time', async () => {
+    const { clock, ask, settle, finishOldest } = createPool(1)
+    repeat(20, () => ask('a'))
+    await settle()
+    for (let turn = 0; turn < 5; turn += 1) {
+      clock.advance(1_000)
+      await finishOldest()
+    }
+    const refused = await ask('a', { deadlineAt: clock.now() + 2_000 })
+    expect(reasonOf(refused)).toBe('deadline')
+  })
+
+  it('lets a caller who hangs up leave the queue', async () => {
+    const { ask, admitted, settle, finishOldest } = createPool(1)
+    const hangUp = new AbortController()
+    ask('a')
+    const waiting = ask('a', { signal: hangUp.signal })
+    ask('b')
+    await settle()
+    hangUp.abort()
+    expect(reasonOf(await waiting)).toBe('cancelled')
+    await finishOldest()
+    expect(admitted).toEqual(['a', 'b'])
+  })
+})
--- a/src/services/claims/test.ts
+++ b/src/services/claims/test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import { createClaimNodes } from '../../../test/_lib/createClaimNodes.js'
 import type { ClaimNode, ClaimNodes } from '../../../test/_lib/createClaimNodes.js'
-import type { CallFault } from '../../../test/_lib/createFaultyPlatform.js'
+import type { CallFault } from '../../../test/_lib/createPausablePlatform.js'
 import { selectShardWriter } from '../../decisions/selectShardWriter/index.js'
 import type { ClaimOutcome, StoredAnswer } from '../../types/index.js'
 
--- a/test/_lib/createClaimNodes.ts
+++ b/test/_lib/createClaimNodes.ts
@@ -6,13 +6,13 @@
 import { createClaims } from '../../src/services/claims/index.js'
 import type { ClaimsOptions } from '../../src/services/claims/index.js'
 import type { Claims, Logger, Member, Membership, PeerMessage, PeerReply, PeerTransport, Platform } from '../../src/types/index.js'
-import { createFaultyPlatform } from './createFaultyPlatform.js'
-import type { FaultyPlatform } from './createFaultyPlatform.js'
+import { createPausablePlatform } from './createPausablePlatform.js'
+import type { PausablePlatform } from './createPausablePlatform.js'
 
 export type ClaimNode = {
   readonly nodeId: string
   readonly claims: Claims
-  readonly platform: FaultyPlatform
+  readonly platform: PausablePlatform
   /** Whether peers reach this node. */
   readonly setReachable: (isReachable: boolean) => void
 }
@@ -80,7 +80,7 @@
 
   const startNode = (index: number): ClaimNode => {
     const self = members[index]!
-    const faulty = createFaultyPlatform(platform)
+    const faulty = createPausablePlatform(platform)
     const membership: Membership = {
       self: () => self,
       members: () => members,
