--- a/src/services/claims/interleavings.test.ts
+++ b/src/services/claims/interleavings.test.ts
@@ -6,7 +6,7 @@
 import { describe, expect, it } from 'vitest'
 import { createClaimNodes } from '../../../test/_lib/createClaimNodes.js'
 import type { ClaimNode, ClaimNodes } from '../../../test/_lib/createClaimNodes.js'
-import type { CallFault } from '../../../test/_lib/createPausablePlatform.js'
+import type { CallFault } from '../../../test/_lib/createFaultyPlatform.js'
 
 const NODES = 3
 const KEYS = ['order-1', 'order-2']
--- a/test/_lib/createFaultyPlatform.ts
+++ b/test/_lib/createFaultyPlatform.ts
@@ -1,45 +1,73 @@
-/** A platform in front of another one that fails as a test tells it to. */
+/** A platform seen over a bad link: calls refused, replies lost, writes that arrive late, callers paused. */
 import { failure } from '../../src/kernel/index.js'
 import type { Platform, PlatformError, Result } from '../../src/types/index.js'
 
-/** `lostAfter` loses the reply of a write that took effect, `lostBefore` the write itself. */
-export type PlatformFault = 'none' | 'unavailable' | 'lostBefore' | 'lostAfter' | 'hang'
-
-export type PlatformCall = { readonly operation: keyof Platform, readonly name: string }
+export type CallFault =
+  | 'none'
+  /** Refused; surely without effect. */
+  | 'refused'
+  /** The call takes effect, its reply is lost. */
+  | 'replyLost'
+  /** The caller is told that the outcome is unknown; the call takes effect when `deliverLate` is called. */
+  | 'late'
+  /** The call waits until `resume`, then goes on as if nothing had happened. */
+  | 'paused'
 
 export type FaultyPlatform = Platform & {
-  /** Decides each call's fault; may do something first, such as another operator's write. */
-  readonly setFaults: (choose: (call: PlatformCall) => PlatformFault | Promise<PlatformFault>) => void
-  readonly calls: () => readonly PlatformCall[]
+  /** Chooses the fault of each call from now on. */
+  readonly setFault: (choose: (call: string, name: string) => CallFault) => void
+  readonly resume: () => void
+  readonly deliverLate: () => Promise<void>
+  /** Calls that wait for `resume`. */
+  readonly pausedCalls: () => number
 }
 
-const lost = { kind: 'outcomeUnknown', message: 'the reply was lost' } as const
-const unavailable = { kind: 'unavailable', message: 'the platform is down' } as const
+type Call<Value> = () => Promise<Result<Value, PlatformError>>
 
-export const createFaultyPlatform = (inner: Platform): FaultyPlatform => {
-  let choose: (call: PlatformCall) => PlatformFault | Promise<PlatformFault> = () => 'none'
-  const calls: PlatformCall[] = []
+export const createFaultyPlatform = (platform: Platform): FaultyPlatform => {
+  let chooseFault = (_call: string, _name: string): CallFault => 'none'
+  let paused: (() => void)[] = []
+  let late: Call<unknown>[] = []
 
-  const run = async <Value>(operation: keyof Platform, name: string, call: () => Promise<Result<Value, PlatformError>>): Promise<Result<Value, PlatformError>> => {
-    calls.push({ operation, name })
-    const fault = await choose({ operation, name })
-    if (fault === 'hang') return new Promise(() => {})
-    if (fault === 'unavailable') return failure(unavailable)
-    if (fault === 'lostBefore') return failure(lost)
-    const result = await call()
-    return fault === 'lostAfter' ? failure(lost) : result
+  const pass = async <Value>(kind: string, name: string, isWrite: boolean, call: Call<Value>): Promise<Result<Value, PlatformError>> => {
+    const lost = failure<PlatformError>(isWrite ? { kind: 'outcomeUnknown', message: 'reply lost' } : { kind: 'unavailable', message: 'reply lost' })
+    const faults: Readonly<Record<CallFault, Call<Value>>> = {
+      none: call,
+      refused: async () => failure({ kind: 'unavailable', message: 'refused' }),
+      replyLost: async () => {
+        await call()
+        return lost
+      },
+      late: async () => {
+        late.push(call)
+        return lost
+      },
+      paused: async () => {
+        await new Promise<void>((resolve) => { paused.push(resolve) })
+        return await call()
+      }
+    }
+    return await faults[chooseFault(kind, name)]()
   }
 
   return {
-    readObject: (name) => run('readObject', name, () => inner.readObject(name)),
-    createObject: (name, bytes) => run('createObject', name, () => inner.createObject(name, bytes)),
-    updateObject: (name, bytes, expected) => run('updateObject', name, () => inner.updateObject(name, bytes, expected)),
-    deleteObject: (name, expected) => run('deleteObject', name, () => inner.deleteObject(name, expected)),
-    listObjects: (prefix, options) => run('listObjects', prefix, () => inner.listObjects(prefix, options)),
-    watchObjects: (prefix, revision, timeoutMs) => run('watchObjects', prefix, () => inner.watchObjects(prefix, revision, timeoutMs)),
-    listVms: () => run('listVms', '', () => inner.listVms()),
-    close: async () => {},
-    setFaults: (next) => { choose = next },
-    calls: () => calls
+    ...platform,
+    readObject: (name) => pass('read', name, false, () => platform.readObject(name)),
+    createObject: (name, bytes) => pass('create', name, true, () => platform.createObject(name, bytes)),
+    updateObject: (name, bytes, expected) => pass('update', name, true, () => platform.updateObject(name, bytes, expected)),
+    deleteObject: (name, expected) => pass('delete', name, true, () => platform.deleteObject(name, expected)),
+    listObjects: (prefix, options) => pass('list', prefix, false, () => platform.listObjects(prefix, options)),
+    setFault: (choose) => { chooseFault = choose },
+    resume: () => {
+      const resumed = paused
+      paused = []
+      for (const go of resumed) go()
+    },
+    deliverLate: async () => {
+      const delivered = late
+      late = []
+      for (const call of delivered) await call()
+    },
+    pausedCalls: () => paused.length
   }
 }
