Let repeats of a claimed key wait for its answer until their deadline

Cause: a repeat that reaches the node where the first is in flight was told "unknown" at once; it now gets the answer, or the truth as soon as the first ends without one.

--- a/src/services/dispatch/_lib/runClaimed.ts
+++ b/src/services/dispatch/_lib/runClaimed.ts
@@ -47,6 +47,9 @@
   const result = await runAttempts(context)
   recordAnswer(context, key, claimId, result)
   const isUnsent = result.kind === 'refused' && result.refusal.outcome === 'not-run'
+  const isUnknown = result.kind === 'refused' && !isUnsent
+  // Repeats that wait here for this answer would otherwise wait until their deadlines.
+  if (isUnknown) context.dependencies.claims.recordUnknown?.(key, claimId)
   if (isUnsent) await waitAtMost(context, release(context, key, claimId), RELEASE_WAIT_MS)
   return result
 }
@@ -73,7 +76,7 @@
   const key: ClaimKey = { clientAccount: routed.clientAccount.name, idempotencyKey }
   const { method, body } = routed.request
   const bodyHash = hashHex(JSON.stringify([method, routed.path]), '\n', body)
-  const claiming = dependencies.claims.claim(key, bodyHash)
+  const claiming = dependencies.claims.claim(key, bodyHash, scope.deadlineAt)
   const outcome = await scope.race(claiming)
   if (outcome === undefined) {
     // A claim that is granted too late has nothing behind it.
