--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -4,10 +4,10 @@
 import type { Bench, Table } from './types.js'
 
 const benches: Readonly<Record<string, () => Promise<Bench>>> = {
-  placement: async () => (await import('./placement/index.js')).runPlacementBench,
-  routerCost: async () => (await import('./routerCost/index.js')).runRouterCostBench,
   configuration: async () => (await import('./configuration/index.js')).runConfigurationBench,
-  placement: async () => (await import('./placement/index.js')).runPlacementBench
+  fairness: async () => (await import('./fairness/index.js')).runFairnessBench,
+  placement: async () => (await import('./placement/index.js')).runPlacementBench,
+  routerCost: async () => (await import('./routerCost/index.js')).runRouterCostBench
 }
 
 const DEFAULT_SEED = 20_261_202
