Prove retries, resumes and refusals against a backend that breaks

Fault cases in tables run through the real listener and client against a bare TCP backend: resets, cuts at every stage, crossed ids, missing end markers, overlaps and gaps of resumed streams, deadlines and hang-ups.

Found by the table: an engine that leaves out the same event for ever was asked five times instead of four, and the last answer was never dropped; fruitless resumes now count in one place. 45 cases pass.

--- a/src/adapters/callerHttp/index.ts
+++ b/src/adapters/callerHttp/index.ts
@@ -46,7 +46,7 @@
   readonly close: () => Promise<void>
 }
 
-export const LIVE_PATH = '/livez'
+export const LIVE_PATH = '/healthz'
 export const READY_PATH = '/readyz'
 
 const DEFAULTS = {
@@ -100,7 +100,7 @@
 /**
  * Creates the HTTP listener for callers.
  *
- * Every path but `/livez` and `/readyz` goes to dispatch as it came. A caller
+ * Every path but `/healthz` and `/readyz` goes to dispatch as it came. A caller
  * that hangs up aborts its request. A stream that fails ends with an error
  * event and a destroyed socket, so that it can't be taken for a whole answer.
  *
--- /dev/null
+++ b/src/decisions/normalisePath/test.ts
@@ -0,0 +1,28 @@
+import { describe, expect, it } from 'vitest'
+import { normalisePath } from './index.js'
+
+describe('normalisePath', () => {
+  it.each([
+    ['/', '/', ''],
+    ['/orders?x=/../y', '/orders', '?x=/../y'],
+    ['/%6frders/%7Ea', '/orders/~a', ''],
+    ['/a%20b%c3%a9', '/a%20b%C3%A9', ''],
+    ['/..a/b..', '/..a/b..', ''],
+    ['/a%252e%252e/b', '/a%252e%252e/b', '']
+  ])('normalises %s', (target, path, query) => {
+    expect(normalisePath(target)).toEqual({ ok: true, value: { path, query } })
+  })
+
+  /*
+   * A caller reaches a route that may not be repeated under the rules of one
+   * that may: the router reads the path one way, the backend server another.
+   */
+  it.each([
+    [''], ['orders'], ['*'], ['http://other/orders'], ['//other/orders'], ['/a//b'], ['/a/../orders'], ['/a/./b'], ['/a/..'],
+    ['/a/%2e%2e/orders'], ['/a/.%2E/orders'], ['/a%2forders'], ['/a%5corders'], ['/a\\orders'], ['/orders;x=1'], ['/a/..;/orders'],
+    ['/orders%3bx'], ['/orders%00'], ['/orders%'], ['/orders%zz'], ['/orders#x'], ['/orders?x#y'], ['/orders x'], ['/ordé'], ['/\u0000'],
+    [`/${'a'.repeat(9_000)}`]
+  ])('refuses %s', (target) => {
+    expect(normalisePath(target).ok).toBe(false)
+  })
+})
--- /dev/null
+++ b/src/decisions/selectReturnedHeaders/test.ts
@@ -0,0 +1,12 @@
+import { describe, expect, it } from 'vitest'
+import { selectReturnedHeaders } from './index.js'
+
+describe('selectReturnedHeaders', () => {
+  it.each(['connection', 'transfer-encoding', 'content-length', 'x-request-id', 'x-served-by', 'x-chat-hint', 'x-request-outcome', 'x-should-retry', 'x-not-run'])('withholds %s', (name) => {
+    expect(selectReturnedHeaders({ [name]: 'x', etag: 'e' })).toEqual({ etag: 'e' })
+  })
+
+  it('keeps the cookies of a plain service but not one in the name of ours', () => {
+    expect(selectReturnedHeaders({ 'set-cookie': 'a=1; Path=/\ndotterelspoke-chat=forged\nb=2' })).toEqual({ 'set-cookie': 'a=1; Path=/\nb=2' })
+  })
+})
--- a/src/services/dispatch/_lib/relayEvents.ts
+++ b/src/services/dispatch/_lib/relayEvents.ts
@@ -87,32 +87,36 @@
   return progress.isWhole ? 'whole' : 'cut'
 }
 
-const resume = async (context: RequestContext, planner: RetryPlanner, backendServer: BackendServer, progress: StreamProgress): Promise<BackendAnswer | undefined> => {
-  const { scope, reply } = context
+type Resumed = { readonly answer: BackendAnswer, readonly resumes: number }
+
+/** Resumes that bring no new event count towards the limit; `made` of them were in vain already. */
+const resume = async (context: RequestContext, planner: RetryPlanner, backendServer: BackendServer, progress: StreamProgress, made: number): Promise<Resumed | undefined> => {
+  const { dependencies, scope, reply } = context
   const cut = failAfter('written', 'answerStarted', 'cut')
   let isResumable = progress.position.numbered !== false
-  for (let resumes = 0; ; resumes += 1) {
+  for (let resumes = made; !scope.signal.aborted; resumes += 1) {
     const plan = planner.plan(cut, { isResumable, resumes })
     if (plan.kind !== 'resume' || !await scope.wait(plan.delayMs)) return undefined
-    context.dependencies.metrics.count('retries', { decision: plan.kind })
+    dependencies.metrics.count('retries', { decision: plan.kind })
     const resumed = await requestResume(context, backendServer, progress.position.lastId)
-    if (resumed.kind === 'resumed') return resumed.answer
+    if (resumed.kind === 'resumed') return { answer: resumed.answer, resumes: resumes + 1 }
     // With nothing passed on yet, another backend server answers sooner than a dead one comes back.
     isResumable = resumed.kind === 'failed' && reply.hasStarted()
   }
+  return undefined
 }
 
 export const relayEvents = async (context: RequestContext, planner: RetryPlanner, backendServer: BackendServer, first: BackendAnswer): Promise<AttemptEnd> => {
   const progress: StreamProgress = { position: { lastId: 0 }, usage: undefined, lastEventAt: undefined, isWhole: false }
   const headers = describeAnswerHeaders(context, backendServer, first)
-  let idleResumes = 0
-  for (let answer: BackendAnswer | undefined = first; answer !== undefined && idleResumes <= context.limits.maximumResumes;) {
+  let current: Resumed | undefined = { answer: first, resumes: 0 }
+  while (current !== undefined) {
     const before = progress.position.lastId
-    const end = await relayConnection(context, headers, answer, progress)
+    const end = await relayConnection(context, headers, current.answer, progress)
     if (end === 'whole') return { kind: 'delivered', outcome: 'complete', ...(progress.usage === undefined ? {} : { usage: progress.usage }) }
     if (end === 'callerLeft') return { kind: 'callerLeft', attempt: failAfter('written', 'answerStarted', 'cancelled') }
-    idleResumes = progress.position.lastId > before ? 0 : idleResumes + 1
-    answer = context.scope.signal.aborted ? undefined : await resume(context, planner, backendServer, progress)
+    const hasMovedOn = progress.position.lastId > before
+    current = await resume(context, planner, backendServer, progress, hasMovedOn ? 0 : current.resumes)
   }
   return { kind: 'failed', attempt: failAfter('written', 'answerStarted', 'cut'), message: 'the stream ended without its end marker', outcome: 'failed' }
 }
--- /dev/null
+++ b/test/_lib/callRouter.ts
@@ -0,0 +1,45 @@
+/** Requests as callers make them, and all that a caller can see of the answer. */
+import { CALLER_KEY, MODEL } from './createDispatchHarness.js'
+
+export type RequestKind = 'chatStream' | 'chatWhole' | 'stock' | 'order' | 'settlement'
+
+export type SeenAnswer = {
+  readonly status: number
+  readonly headers: Headers
+  readonly text: string
+  /** The connection failed before the end of the body. */
+  readonly isBroken: boolean
+}
+
+const describeChat = (stream: boolean): string =>
+  JSON.stringify({ model: MODEL, stream, messages: [{ role: 'system', content: 's' }, { role: 'user', content: 'u' }] })
+
+const requests: { readonly [Kind in RequestKind]: { readonly path: string, readonly body: string, readonly headers: Readonly<Record<string, string>> } } = {
+  chatStream: { path: '/v1/chat/completions', body: describeChat(true), headers: { 'content-type': 'application/json' } },
+  chatWhole: { path: '/v1/chat/completions', body: describeChat(false), headers: { 'content-type': 'application/json' } },
+  stock: { path: '/stock/penne?size=2', body: 'q', headers: {} },
+  order: { path: '/stock/orders', body: 'o', headers: { 'idempotency-key': 'order-1' } },
+  settlement: { path: '/settlements', body: 's', headers: { 'idempotency-key': 'settlement-1' } }
+}
+
+const readBody = async (response: Response): Promise<Pick<SeenAnswer, 'text' | 'isBroken'>> => {
+  const decoder = new TextDecoder()
+  let text = ''
+  try {
+    for await (const chunk of response.body ?? []) text += decoder.decode(chunk, { stream: true })
+    return { text, isBroken: false }
+  } catch {
+    return { text, isBroken: true }
+  }
+}
+
+export const callRouter = async (url: string, kind: RequestKind, headers: Readonly<Record<string, string>> = {}, signal?: AbortSignal): Promise<SeenAnswer> => {
+  const request = requests[kind]
+  const response = await fetch(url + request.path, {
+    method: 'POST',
+    body: request.body,
+    headers: { authorization: `Bearer ${CALLER_KEY}`, ...request.headers, ...headers },
+    ...(signal === undefined ? {} : { signal })
+  })
+  return { status: response.status, headers: response.headers, ...await readBody(response) }
+}
--- a/test/_lib/createDispatchHarness.ts
+++ b/test/_lib/createDispatchHarness.ts
@@ -10,7 +10,7 @@
 import { failure, success } from '../../src/kernel/index.js'
 import { createDispatch, type DispatchDependencies, type DispatchOptions } from '../../src/services/dispatch/index.js'
 import type {
-  AdmissionRefusal, BackendServer, ClaimOutcome, Configuration, Dispatch, Logger, Metrics, Route, StoredAnswer
+  AdmissionRefusal, BackendClient, BackendServer, ClaimOutcome, Configuration, Dispatch, Logger, Metrics, Route, StoredAnswer
 } from '../../src/types/index.js'
 
 export const CALLER_KEY = 'sk-test'
@@ -66,6 +66,8 @@
   readonly claimOutcome?: ClaimOutcome
   readonly admissionRefusal?: AdmissionRefusal
   readonly directoryEntry?: string
+  /** In place of the real client. */
+  readonly backendClient?: BackendClient
 }
 
 export type DispatchHarness = {
@@ -124,7 +126,7 @@
   const recorded: Recorded = { started: [], ended: [], outcomes: [], marked: [], released: [], completed: [], stored: [], hints: [], finishedTickets: 0 }
   const clock = createSystemClock()
   const random = createSeededRandom(7)
-  const backendClient = createBackendHttp({ connectTimeoutMs: 2_000, answerIdleTimeoutMs: 30_000 })
+  const backendClient = options.backendClient ?? createBackendHttp({ connectTimeoutMs: 2_000, answerIdleTimeoutMs: 30_000 })
   const dependencies = { clock, random, logger: SILENT_LOGGER, metrics: NO_METRICS, backendClient, ...createFakes(options, configuration, recorded) }
   const { api: dispatch } = createDispatch(dependencies, { fleetKey: 'fleet', retryShare: 0.1, maximumAttempts: 3, baseDelayMs: 2, ...options.dispatch })
   const callerHttp = createCallerHttp({ dispatch, clock, random, logger: SILENT_LOGGER }, { host: '127.0.0.1', port: 0, maximumBodyBytes: 100_000, ...options.callerHttp })
--- /dev/null
+++ b/test/requestFaults.test.ts
@@ -0,0 +1,209 @@
+import { afterEach, describe, expect, it } from 'vitest'
+import { callRouter, type RequestKind } from './_lib/callRouter.js'
+import { createDispatchHarness, type DispatchHarness, type HarnessOptions } from './_lib/createDispatchHarness.js'
+import {
+  answerEvents, answerEventsThenCut, answerEventsThenWait, answerThenCut, answerWhole, createRawBackend, cutInHeaders, END_EVENT,
+  findClosedOrigin, formatEvent, refuseWith, resetConnection, stayedSilent, type RawBackend, type RawStep
+} from './_lib/createRawBackend.js'
+
+type Setting = { readonly harness: DispatchHarness, readonly backends: readonly RawBackend[] }
+
+type Expected = {
+  readonly status: number
+  /** A complete answer, or what the refusal says. */
+  readonly fate: 'complete' | 'not-run' | 'unknown'
+  readonly code?: string
+  /** Requests that each backend server got. */
+  readonly requests: readonly number[]
+  readonly isBroken?: boolean
+}
+
+let closers: (() => Promise<void>)[] = []
+
+afterEach(async () => {
+  for (const close of closers.reverse()) await close()
+  closers = []
+})
+
+const start = async (scripts: readonly (readonly RawStep[])[], options: Partial<HarnessOptions> = {}): Promise<Setting> => {
+  const backends = await Promise.all(scripts.map((steps) => createRawBackend(...steps)))
+  closers.push(...backends.map(({ close }) => close))
+  const harness = await createDispatchHarness({ origins: backends.map(({ url }) => url), ...options })
+  closers.push(harness.close)
+  return { harness, backends }
+}
+
+const e1 = formatEvent(1, 'one')
+const e2 = formatEvent(2, 'two')
+const e3 = formatEvent(3, 'three')
+const wholeStream = e1 + e2 + e3 + END_EVENT
+const whole = answerWhole('{"ok":true}')
+const events = answerEvents([e1, e2, e3, END_EVENT])
+const foreign = answerWhole('{"secret":1}', { 'x-request-id': 'another' })
+const anonymous = answerWhole('{"secret":1}', { 'x-request-id': '' })
+const shortBody = answerThenCut({ 'content-type': 'application/json', 'content-length': '50' }, '{"ok":')
+const openChunks = answerThenCut({ 'content-type': 'application/json', 'transfer-encoding': 'chunked' }, '5\r\n{"ok"\r\n')
+const untilClose = answerThenCut({ 'content-type': 'application/json' }, '{"ok":true}')
+
+const complete = (requests: readonly number[]): Expected => ({ status: 200, fate: 'complete', requests })
+const unknown = (requests: readonly number[], code = 'backendFailed'): Expected => ({ status: 502, fate: 'unknown', code, requests })
+const notRun = (requests: readonly number[], code: string): Expected => ({ status: 503, fate: 'not-run', code, requests })
+
+const readFate = (status: number, text: string): string =>
+  status < 300 ? 'complete' : JSON.parse(text).error.outcome
+
+describe('a request whose first backend server fails', () => {
+  it.each<[string, RequestKind, readonly (readonly RawStep[])[], Expected]>([
+    ['reset after reading, repeatable', 'stock', [[resetConnection], [whole]], complete([1, 1])],
+    ['reset after reading, order', 'order', [[resetConnection], [whole]], unknown([1, 0])],
+    ['reset after reading, the backend servers know the key', 'settlement', [[resetConnection], [whole]], complete([1, 1])],
+    ['cut in the headers, repeatable', 'stock', [[cutInHeaders], [whole]], complete([1, 1])],
+    ['cut in the headers, order', 'order', [[cutInHeaders], [whole]], unknown([1, 0])],
+    ['body shorter than declared, repeatable', 'stock', [[shortBody], [whole]], complete([1, 1])],
+    ['body shorter than declared, order', 'order', [[shortBody], [whole]], unknown([1, 0], 'answerIncomplete')],
+    ['chunks without the last one', 'stock', [[openChunks], [whole]], complete([1, 1])],
+    ['chunks without the last one, order', 'order', [[openChunks], [whole]], unknown([1, 0], 'answerIncomplete')],
+    ['body that only the close ends, order', 'order', [[untilClose], [whole]], unknown([1, 0], 'answerIncomplete')],
+    ['model answer that is no whole JSON', 'chatWhole', [[answerWhole('{"ok":')], [whole]], complete([1, 1])],
+    ['documented refusal, repeatable', 'stock', [[refuseWith('overloaded')], [whole]], complete([1, 1])],
+    ['documented refusal, order', 'order', [[refuseWith('leaving')], [whole]], complete([1, 1])],
+    ['documented refusal by all, order', 'order', [[refuseWith('leaving')], [refuseWith('overloaded')]], notRun([1, 1], 'noBackendServer')],
+    ['refusal with another request\'s id, order', 'order', [[answerWhole('{}', { 'x-not-run': 'leaving', 'x-request-id': 'another' }, 503)], [whole]], unknown([1, 0])],
+    ['undocumented 503, repeatable', 'stock', [[answerWhole('{}', {}, 503)], [whole]], complete([1, 1])],
+    ['crossed answer, repeatable', 'stock', [[foreign], [whole]], complete([1, 1])],
+    ['crossed answer, order', 'order', [[foreign], [whole]], unknown([1, 0])],
+    ['answer without an id, order', 'order', [[anonymous], [whole]], unknown([1, 0])],
+    ['sent and failed on all', 'stock', [[resetConnection], [resetConnection]], { status: 503, fate: 'unknown', code: 'noBackendServer', requests: [1, 1] }],
+    ['fails more often than attempts allow', 'stock', Array.from({ length: 4 }, () => [resetConnection]), unknown([1, 1, 1, 0])]
+  ])('%s', async (_name, kind, scripts, expected) => {
+    const { harness, backends } = await start(scripts)
+    const answer = await callRouter(harness.url, kind)
+    expect(answer.isBroken).toBe(false)
+    expect({ status: answer.status, fate: readFate(answer.status, answer.text), requests: backends.map(({ requests }) => requests.filter(({ method }) => method === 'POST').length) })
+      .toEqual({ status: expected.status, fate: expected.fate, requests: expected.requests })
+    if (expected.code !== undefined) expect(JSON.parse(answer.text).error.code).toBe(expected.code)
+    else expect(answer.text).toBe('{"ok":true}')
+    await harness.dispatch.whenIdle()
+    expect(harness.recorded.ended).toEqual(harness.recorded.started)
+  })
+
+  it.each<[RequestKind, string | null]>([['stock', null], ['order', 'false']])('tells a client library whether a repeat is safe: %s', async (kind, shouldRetry) => {
+    const { harness } = await start([[resetConnection]], { dispatch: { maximumAttempts: 1 } })
+    const { headers } = await callRouter(harness.url, kind)
+    expect(headers.get('x-should-retry')).toBe(shouldRetry)
+    expect(headers.get('retry-after')).toBe(shouldRetry === null ? '1' : null)
+    expect(headers.get('x-request-outcome')).toBe('unknown')
+  })
+
+  it('gives the claim back when every server refused the connection', async () => {
+    const { harness } = await start([], { origins: [await findClosedOrigin(), await findClosedOrigin()] })
+    const answer = await callRouter(harness.url, 'order')
+    expect(readFate(answer.status, answer.text)).toBe('not-run')
+    expect(harness.recorded).toMatchObject({ released: ['claim-1'], outcomes: ['backend-1 notSent', 'backend-2 notSent'] })
+  })
+
+  it('marks a backend server that refuses since it leaves', async () => {
+    const { harness } = await start([[refuseWith('leaving')], [whole]])
+    await callRouter(harness.url, 'stock')
+    expect(harness.recorded).toMatchObject({ marked: ['backend-1'], outcomes: ['backend-1 refused', 'backend-2 complete'] })
+  })
+
+  it('keeps the claim and the answer of an order that ran', async () => {
+    const { harness } = await start([[whole]])
+    await callRouter(harness.url, 'order')
+    expect(harness.recorded.released).toEqual([])
+    expect(harness.recorded.completed.map(({ body }) => Buffer.from(body).toString())).toEqual(['{"ok":true}'])
+  })
+})
+
+describe('a stream', () => {
+  /*
+   * A shopkeeper reads an answer that stops in mid-sentence and takes it for
+   * the whole one, or reads a sentence twice: the engine's connection broke
+   * after some events, and the rest came from another connection.
+   */
+  it.each<[string, readonly (readonly RawStep[])[], Expected]>([
+    ['whole', [[events]], complete([1])],
+    ['cut and resumed', [[answerEventsThenCut([e1, e2]), answerEvents([e3, END_EVENT])]], complete([2])],
+    ['resumed with an overlap', [[answerEventsThenCut([e1, e2]), answerEvents([e1, e2, e3, END_EVENT])]], complete([2])],
+    ['cut inside an event', [[answerEventsThenCut([e1, e2.slice(0, 20)]), answerEvents([e2, e3, END_EVENT])]], complete([2])],
+    ['cut twice', [[answerEventsThenCut([e1]), answerEventsThenCut([e2]), answerEvents([e3, END_EVENT])]], complete([3])],
+    ['resumed at the second try', [[answerEventsThenCut([e1]), resetConnection, answerEvents([e2, e3, END_EVENT])]], complete([3])],
+    ['with every event twice', [[answerEvents([e1, e1, e2, e2, e3, e3, END_EVENT])]], complete([1])],
+    ['with an event left out once', [[answerEventsThenWait([e1, e3]), answerEvents([e2, e3, END_EVENT])]], complete([2])],
+    ['well-formed but without its end marker', [[answerEvents([e1, e2]), answerEvents([e3, END_EVENT])]], complete([2])],
+    ['crossed at the resume', [[answerEventsThenCut([e1, e2]), answerEvents([e3, END_EVENT], { 'x-request-id': 'another' }), answerEvents([e3, END_EVENT])]], complete([3])],
+    ['cut before its first event', [[answerEventsThenCut([]), resetConnection], [events]], complete([2, 1])],
+    ['resumed but gone', [[answerEventsThenCut([e1]), answerWhole('{}', {}, 404)], [events]], { ...unknown([2, 0]), status: 200, isBroken: true }],
+    ['resumed on a dead server', [[answerEventsThenCut([e1]), resetConnection], [events]], { ...unknown([4, 0]), status: 200, isBroken: true }],
+    ['that leaves the same event out for ever', [[answerEvents([e1, e3, END_EVENT])]], { ...unknown([4]), status: 200, isBroken: true }]
+  ])('%s', async (_name, scripts, expected) => {
+    const { harness, backends } = await start(scripts)
+    const answer = await callRouter(harness.url, 'chatStream')
+    expect(answer.status).toBe(expected.status)
+    expect(answer.isBroken).toBe(expected.isBroken ?? false)
+    if (expected.fate === 'complete') expect(answer.text).toBe(wholeStream)
+    else {
+      expect(answer.text).not.toContain('[DONE]')
+      expect(answer.text).toContain('"code":"answerIncomplete","outcome":"unknown"')
+    }
+    await harness.dispatch.whenIdle()
+    expect(backends.map(({ requests }) => requests.filter(({ method }) => method !== 'DELETE').length)).toEqual(expected.requests)
+    expect(harness.dispatch.ledger()).toMatchObject({ accepted: 1, [expected.fate]: 1, open: 0 })
+    expect(harness.recorded.ended).toEqual(harness.recorded.started)
+  })
+
+  it('is cancelled on the engine when its caller hangs up', async () => {
+    const { harness, backends } = await start([[answerEventsThenWait([e1]), whole]])
+    const controller = new AbortController()
+    const response = await fetch(`${harness.url}/v1/chat/completions`, {
+      method: 'POST',
+      body: JSON.stringify({ model: 'm', stream: true, messages: [{ role: 'user', content: 'u' }] }),
+      headers: { authorization: 'Bearer sk-test' },
+      signal: controller.signal
+    })
+    await response.body?.getReader().read()
+    controller.abort()
+    await harness.dispatch.whenIdle()
+    await expect.poll(() => backends[0]?.requests.map(({ method, path }) => `${method} ${path}`)[1]).toMatch(/^DELETE \/v1\/streams\/[0-9a-z-]+$/)
+    expect(harness.dispatch.ledger()).toMatchObject({ unknown: 1, open: 0 })
+    expect(harness.recorded.outcomes).toEqual([])
+  })
+
+  it('ends with an error when the deadline passes in its middle', async () => {
+    const { harness } = await start([[answerEventsThenWait([e1])]])
+    const answer = await callRouter(harness.url, 'chatStream', { 'x-deadline-ms': '300' })
+    expect(answer).toMatchObject({ status: 200, isBroken: true })
+    expect(answer.text).toContain('"code":"deadline"')
+  })
+})
+
+describe('a request that passes its deadline', () => {
+  it.each<[string, RequestKind, string | null]>([['repeatable', 'stock', '1'], ['order', 'order', null]])('gets its final answer at once: %s', async (_name, kind, retryAfter) => {
+    const { harness } = await start([[stayedSilent], [whole]])
+    const answer = await callRouter(harness.url, kind, { 'x-deadline-ms': '300' })
+    expect(JSON.parse(answer.text).error).toMatchObject({ code: 'deadline', outcome: 'unknown' })
+    expect(answer.status).toBe(504)
+    expect(answer.headers.get('retry-after')).toBe(retryAfter)
+    expect(harness.recorded.released).toEqual([])
+  })
+})
+
+describe('an order whose caller hangs up', () => {
+  /*
+   * A chef's connection drops while the order is under way; the chef asks again
+   * with the same key and must get the answer of the first order, so its
+   * answer is fetched and kept although nobody waits for it.
+   */
+  it('is run to its end and its answer kept', async () => {
+    let finish = (): void => {}
+    const { harness, backends } = await start([[(socket, request) => { finish = () => whole(socket, request) }]])
+    const controller = new AbortController()
+    const asked = callRouter(harness.url, 'order', {}, controller.signal).catch(() => undefined)
+    await expect.poll(() => backends[0]?.requests.length).toBe(1)
+    controller.abort()
+    await asked
+    finish()
+    await expect.poll(() => harness.recorded.completed.length).toBe(1)
+  })
+})
