--- a/src/adapters/backendHttp/_lib/createBodyQueue.ts
+++ b/src/adapters/backendHttp/_lib/createBodyQueue.ts
@@ -7,10 +7,12 @@
 
 const HIGH_WATER_BYTES = 262_144
 
+export type LastPart = Extract<BackendBodyPart, { kind: 'end' | 'cut' }>
+
 export type BodyQueue = {
   readonly push: (bytes: Uint8Array) => void
   /** Adds the last part; later ones are ignored. */
-  readonly finish: (part: Extract<BackendBodyPart, { kind: 'end' | 'cut' }>) => void
+  readonly finish: (part: LastPart) => void
   readonly body: AsyncIterable<BackendBodyPart>
 }
 
--- a/src/adapters/backendHttp/_lib/createExchange.ts
+++ b/src/adapters/backendHttp/_lib/createExchange.ts
@@ -8,7 +8,7 @@
 import { failure } from '../../../kernel/failure/index.js'
 import { success } from '../../../kernel/success/index.js'
 import type { BackendAnswer, BackendError, Headers, Result } from '../../../types/index.js'
-import { createBodyQueue } from './createBodyQueue.js'
+import { createBodyQueue, type LastPart } from './createBodyQueue.js'
 
 const FIRST_FINAL_STATUS = 200
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
@@ -40,7 +40,11 @@
   headers['content-length'] !== undefined ||
   (headers['transfer-encoding'] ?? '').toLowerCase().includes('chunked')
 
-export const createExchange = (method: string): Exchange => {
+/**
+ * @param method - Of the request; an answer to HEAD has no body.
+ * @param onEnd - Runs once, when nothing more can come of the exchange.
+ */
+export const createExchange = (method: string, onEnd: () => void): Exchange => {
   let controller: Dispatcher.DispatchController | undefined
   let aborted: Error | undefined
   let isWritten = false
@@ -53,10 +57,15 @@
     return aborted === undefined ? { kind: 'noAnswer', message: error.message } : { kind: 'cancelled' }
   }
 
+  const finish = (part: LastPart): void => {
+    queue.finish(part)
+    onEnd()
+  }
+
   const abort = (reason: Error): void => {
     aborted ??= reason
     settle(failure(describeError(reason)))
-    queue.finish({ kind: 'cut', message: reason.message })
+    finish({ kind: 'cut', message: reason.message })
     controller?.abort(reason)
   }
 
@@ -104,11 +113,11 @@
       onResponseStart,
       onResponseData: (_, chunk) => queue.push(chunk),
       onResponseEnd: () => {
-        queue.finish(isEndProvable ? { kind: 'end' } : { kind: 'cut', message: 'only the close of the connection ended the body' })
+        finish(isEndProvable ? { kind: 'end' } : { kind: 'cut', message: 'only the close of the connection ended the body' })
       },
       onResponseError: (_, error) => {
         settle(failure(describeError(error)))
-        queue.finish({ kind: 'cut', message: error.message })
+        finish({ kind: 'cut', message: error.message })
       }
     }
   }
--- a/src/adapters/backendHttp/index.ts
+++ b/src/adapters/backendHttp/index.ts
@@ -80,8 +80,8 @@
   })
 
   const dispatch = (request: BackendRequest, signal: AbortSignal): Promise<Result<BackendAnswer, BackendError>> => {
-    const exchange = createExchange(request.method)
     const onAbort = (): void => exchange.abort(new Error('the request was aborted'))
+    const exchange = createExchange(request.method, () => signal.removeEventListener('abort', onAbort))
     signal.addEventListener('abort', onAbort, { once: true })
     agent.dispatch({
       origin: new URL(request.url).origin,
--- /dev/null
+++ b/src/adapters/backendHttp/test.ts
@@ -0,0 +1,144 @@
+import { afterEach, describe, expect, it } from 'vitest'
+import {
+  answerThenCut, answerWhole, createRawBackend, cutInHeaders, findClosedOrigin, resetConnection, stayedSilent,
+  type RawBackend, type RawStep
+} from '../../../test/_lib/createRawBackend.js'
+import type { BackendAnswer, BackendClient, BackendRequest } from '../../types/index.js'
+import { createBackendHttp } from './index.js'
+
+let closers: (() => Promise<void>)[] = []
+
+afterEach(async () => {
+  for (const close of closers.reverse()) await close()
+  closers = []
+})
+
+const startClient = (): BackendClient => {
+  const client = createBackendHttp({ connectTimeoutMs: 2_000, answerIdleTimeoutMs: 30_000 })
+  closers.push(client.close)
+  return client
+}
+
+const startBackend = async (...steps: readonly RawStep[]): Promise<RawBackend> => {
+  const backend = await createRawBackend(...steps)
+  closers.push(backend.close)
+  return backend
+}
+
+const createRequest = (url: string): BackendRequest =>
+  ({ requestId: 'r1', url, method: 'POST', path: '/p?q=1', headers: { 'x-request-id': 'r1' }, body: Buffer.from('body'), timeoutMs: 20_000 })
+
+const readBody = async (answer: BackendAnswer): Promise<string> => {
+  let text = ''
+  for await (const part of answer.body) text += part.kind === 'data' ? Buffer.from(part.bytes).toString() : `|${part.kind}`
+  return text
+}
+
+const never = new AbortController().signal
+
+const writeRaw = (text: string): RawStep => (socket) => { socket.end(text) }
+
+describe('send', () => {
+  it.each<[string, RawStep, string]>([
+    ['reset after reading', resetConnection, 'noAnswer'],
+    ['closed after reading', (socket) => { socket.end() }, 'noAnswer'],
+    ['cut in the headers', cutInHeaders, 'noAnswer'],
+    ['not HTTP', writeRaw('hello\r\n\r\n'), 'noAnswer'],
+    ['length and chunks at once', writeRaw('HTTP/1.1 200 OK\r\ncontent-length: 2\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n'), 'noAnswer'],
+    ['two lengths', writeRaw('HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nabc'), 'noAnswer'],
+    ['headers over the limit', writeRaw(`HTTP/1.1 200 OK\r\nx: ${'y'.repeat(40_000)}\r\n\r\n`), 'noAnswer']
+  ])('reports an answer that was %s as %s', async (_name, step, kind) => {
+    const backend = await startBackend(step)
+    const result = await startClient().send(createRequest(backend.url), never)
+    expect(result).toMatchObject({ ok: false, error: { kind } })
+    expect(backend.requests.length).toBe(1)
+  })
+
+  it('reports a refused connection as not sent', async () => {
+    const result = await startClient().send(createRequest(await findClosedOrigin()), never)
+    expect(result).toMatchObject({ ok: false, error: { kind: 'notSent' } })
+  })
+
+  it('reports an aborted request as not sent before it was written, and as cancelled after', async () => {
+    const backend = await startBackend(stayedSilent)
+    const client = startClient()
+    const controller = new AbortController()
+    const sent = client.send(createRequest(backend.url), controller.signal)
+    await expect.poll(() => backend.requests.length).toBe(1)
+    controller.abort()
+    expect(await sent).toMatchObject({ error: { kind: 'cancelled' } })
+    expect(await client.send(createRequest(backend.url), controller.signal)).toMatchObject({ error: { kind: 'notSent' } })
+    expect(backend.requests.length).toBe(1)
+  })
+
+  it.each<[string, RawStep, string]>([
+    ['whole', answerWhole('{"a":1}'), '{"a":1}|end'],
+    ['empty', answerWhole('', {}, 204), '|end'],
+    ['whole after an interim answer', (socket, request) => {
+      socket.write('HTTP/1.1 103 Early Hints\r\n\r\n')
+      answerWhole('{}')(socket, request)
+    }, '{}|end'],
+    ['shorter than declared', answerThenCut({ 'content-length': '9' }, 'abc'), 'abc|cut'],
+    ['without its last chunk', answerThenCut({ 'transfer-encoding': 'chunked' }, '3\r\nabc\r\n'), 'abc|cut'],
+    ['cut inside a chunk', answerThenCut({ 'transfer-encoding': 'chunked' }, '9\r\nabc'), 'abc|cut'],
+    ['with a broken chunk', answerThenCut({ 'transfer-encoding': 'chunked' }, '3\r\nabc\r\nzz\r\n'), 'abc|cut'],
+    ['ended by the close alone', answerThenCut({}, 'abc'), 'abc|cut']
+  ])('gives a body that is %s', async (_name, step, expected) => {
+    const backend = await startBackend(step)
+    const result = await startClient().send(createRequest(backend.url), never)
+    expect(result.ok && await readBody(result.value)).toBe(expected)
+  })
+
+  /*
+   * A settlement is refused as "not run", is entered again, and is charged
+   * twice: it went out on a kept-alive connection that the server was closing,
+   * and the error came from the socket although the server had read it.
+   */
+  it('never says "not sent" of a request that the backend server has read', async () => {
+    const closeAfter: RawStep = (socket, request) => {
+      answerWhole('{}')(socket, request)
+      socket.destroySoon()
+    }
+    const backend = await startBackend(closeAfter)
+    const client = startClient()
+    let unsent = 0
+    for (let round = 0; round < 50; round += 1) {
+      const result = await client.send(createRequest(backend.url), never)
+      if (result.ok) await readBody(result.value)
+      else if (result.error.kind === 'notSent') unsent += 1
+    }
+    expect(backend.requests.length + unsent).toBeLessThanOrEqual(50)
+  })
+
+  it('drops the connection of an answer that is not wanted', async () => {
+    let isClosed = false
+    const backend = await startBackend((socket, request) => {
+      socket.on('close', () => { isClosed = true })
+      answerThenWait(socket, request)
+    })
+    const result = await startClient().send(createRequest(backend.url), never)
+    if (result.ok) result.value.abort()
+    await expect.poll(() => isClosed).toBe(true)
+  })
+
+  const answerThenWait: RawStep = (socket) => { socket.write('HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc') }
+})
+
+describe('readLoad', () => {
+  it('reads a load report', async () => {
+    const report = { running: 3, waiting: 1, slots: 8, leaving: false, ageMs: 250 }
+    const backend = await startBackend(answerWhole(JSON.stringify(report)))
+    expect(await startClient().readLoad(backend.url, 5_000)).toEqual({ ok: true, value: report })
+  })
+
+  it.each<[string, RawStep]>([
+    ['not JSON', answerWhole('load')],
+    ['without its fields', answerWhole('{"running":1}')],
+    ['negative', answerWhole('{"running":-1,"waiting":0,"slots":1,"leaving":false,"ageMs":0}')],
+    ['an error', answerWhole('{}', {}, 500)],
+    ['cut', answerThenCut({ 'content-length': '99' }, '{"running":1')]
+  ])('refuses a report that is %s', async (_name, step) => {
+    const backend = await startBackend(step)
+    expect((await startClient().readLoad(backend.url, 5_000)).ok).toBe(false)
+  })
+})
