--- a/src/services/dispatch/_lib/createRequestScope.ts
+++ b/src/services/dispatch/_lib/createRequestScope.ts
@@ -37,6 +37,7 @@
 
   const onHangUp = (): void => end('hungUp')
   const timer = clock.setTimer(deadlineMs, () => end('deadline'))
+  if (deadlineMs <= 0) end('deadline')
   if (callerSignal.aborted) end('hungUp')
   callerSignal.addEventListener('abort', onHangUp, { once: true })
 
--- a/src/services/dispatch/_lib/readModelRequest.ts
+++ b/src/services/dispatch/_lib/readModelRequest.ts
@@ -12,7 +12,7 @@
   readonly tokens: number
 }
 
-const message = z.looseObject({ role: z.string(), content: z.unknown() })
+const message = z.looseObject({ role: z.string(), content: z.unknown().optional() })
 
 const chatCompletion = z.looseObject({
   model: z.string().min(1).max(200),
--- a/test/_lib/createDispatchHarness.ts
+++ b/test/_lib/createDispatchHarness.ts
@@ -70,11 +70,14 @@
   readonly backendClient?: BackendClient
 }
 
-export type DispatchHarness = {
-  readonly url: string
-  readonly port: number
+export type TestDispatch = {
   readonly dispatch: Dispatch
   readonly recorded: Recorded
+  readonly dependencies: DispatchDependencies
+}
+
+export type DispatchHarness = TestDispatch & {
+  readonly url: string
   readonly close: () => Promise<void>
 }
 
@@ -121,21 +124,32 @@
   }
 })
 
-export const createDispatchHarness = async (options: HarnessOptions): Promise<DispatchHarness> => {
+/** Dispatch with its fakes alone, without a listener. */
+export const createTestDispatch = (options: HarnessOptions): TestDispatch => {
   const configuration = 'configuration' in options ? options.configuration : createConfiguration(options.origins)
   const recorded: Recorded = { started: [], ended: [], outcomes: [], marked: [], released: [], completed: [], stored: [], hints: [], finishedTickets: 0 }
-  const clock = createSystemClock()
-  const random = createSeededRandom(7)
-  const backendClient = options.backendClient ?? createBackendHttp({ connectTimeoutMs: 2_000, answerIdleTimeoutMs: 30_000 })
-  const dependencies = { clock, random, logger: SILENT_LOGGER, metrics: NO_METRICS, backendClient, ...createFakes(options, configuration, recorded) }
+  const dependencies: DispatchDependencies = {
+    clock: createSystemClock(),
+    random: createSeededRandom(7),
+    logger: SILENT_LOGGER,
+    metrics: NO_METRICS,
+    backendClient: options.backendClient ?? createBackendHttp({ connectTimeoutMs: 2_000, answerIdleTimeoutMs: 30_000 }),
+    ...createFakes(options, configuration, recorded)
+  }
   const { api: dispatch } = createDispatch(dependencies, { fleetKey: 'fleet', retryShare: 0.1, maximumAttempts: 3, baseDelayMs: 2, ...options.dispatch })
-  const callerHttp = createCallerHttp({ dispatch, clock, random, logger: SILENT_LOGGER }, { host: '127.0.0.1', port: 0, maximumBodyBytes: 100_000, ...options.callerHttp })
+  return { dispatch, recorded, dependencies }
+}
+
+export const createDispatchHarness = async (options: HarnessOptions): Promise<DispatchHarness> => {
+  const { dispatch, recorded, dependencies } = createTestDispatch(options)
+  const { clock, random, logger, backendClient } = dependencies
+  const callerHttp = createCallerHttp({ dispatch, clock, random, logger }, { host: '127.0.0.1', port: 0, maximumBodyBytes: 100_000, ...options.callerHttp })
   const { port } = await callerHttp.listen()
   return {
     url: `http://127.0.0.1:${port}`,
-    port,
     dispatch,
     recorded,
+    dependencies,
     close: async () => {
       await dispatch.whenIdle()
       await callerHttp.close()
