Give up attempts on servers that vanished, keep streams for repeats

A VM that dies without closing its connections held its requests until their deadline. An attempt without an answer is now given up once the load probes have lost the server too, and only where the request may be repeated. Silence alone was ruled out as the sign: a busy engine is silent as well.

A stream on a route that may not be repeated is kept for a repeat of its key, which until now was told 'unknown' of a request that had completed.

--- a/src/services/dispatch/_lib/relayEvents.ts
+++ b/src/services/dispatch/_lib/relayEvents.ts
@@ -9,8 +9,9 @@
 import type { RetryPlanner } from './createRetryPlanner.js'
 import { describeAnswerHeaders } from './describeExchange.js'
 import { readTokenUsage, type TokenUsage } from './readTokenUsage.js'
-import type { RequestContext } from './requestContext.js'
+import { mayRepeat, type RequestContext } from './requestContext.js'
 import { requestResume } from './requestResume.js'
+import { isUnreachable } from './watchReachability.js'
 
 const END_MARKER = '[DONE]'
 /** One event larger than this is a fault of the engine. */
@@ -27,6 +28,9 @@
   /** On the request's own time line, in milliseconds. */
   lastEventAt: number | undefined
   isWhole: boolean
+  /** The whole stream so far, where a repeat may ask for it; dropped when it grows too large. */
+  kept: Uint8Array[] | undefined
+  keptBytes: number
 }
 
 const writeEvent = ({ id, event, data }: EventSourceMessage): Uint8Array => {
@@ -44,6 +48,22 @@
     ? { kind: 'forward', position: progress.position }
     : orderStreamEvent(progress.position, event.id)
 
+const keepEvent = ({ limits }: RequestContext, progress: StreamProgress, bytes: Uint8Array): void => {
+  progress.keptBytes += bytes.length
+  if (progress.keptBytes > limits.answerBufferBytes) progress.kept = undefined
+  progress.kept?.push(bytes)
+}
+
+const startProgress = (context: RequestContext): StreamProgress =>
+  ({ position: { lastId: 0 }, usage: undefined, lastEventAt: undefined, isWhole: false, kept: mayRepeat(context) ? undefined : [], keptBytes: 0 })
+
+const deliver = (headers: Headers, status: number, { usage, kept }: StreamProgress): AttemptEnd => ({
+  kind: 'delivered',
+  outcome: 'complete',
+  ...(usage === undefined ? {} : { usage }),
+  ...(kept === undefined ? {} : { stored: { status, headers, body: Buffer.concat(kept) } })
+})
+
 const observePace = ({ dependencies, scope }: RequestContext, progress: StreamProgress): void => {
   const now = scope.elapsedMs()
   if (progress.lastEventAt === undefined) dependencies.metrics.observe('first_token_seconds', now / 1_000)
@@ -60,7 +80,9 @@
   progress.usage = readTokenUsage(event.data) ?? progress.usage
   observePace(context, progress)
   if (!reply.hasStarted()) reply.startStream(status, headers)
-  const isTaken = await reply.sendData(writeEvent(event), scope.signal)
+  const bytes = writeEvent(event)
+  keepEvent(context, progress, bytes)
+  const isTaken = await reply.sendData(bytes, scope.signal)
   if (!isTaken) return 'callerLeft'
   return event.data === END_MARKER ? 'whole' : undefined
 }
@@ -93,7 +115,8 @@
 const resume = async (context: RequestContext, planner: RetryPlanner, backendServer: BackendServer, progress: StreamProgress, made: number): Promise<Resumed | undefined> => {
   const { dependencies, scope, reply } = context
   const cut = failAfter('written', 'answerStarted', 'cut')
-  let isResumable = progress.position.numbered !== false
+  const isWorthAsking = reply.hasStarted() || !isUnreachable(context, backendServer)
+  let isResumable = progress.position.numbered !== false && isWorthAsking
   for (let resumes = made; !scope.signal.aborted; resumes += 1) {
     const plan = planner.plan(cut, { isResumable, resumes })
     if (plan.kind !== 'resume' || !await scope.wait(plan.delayMs)) return undefined
@@ -107,13 +130,13 @@
 }
 
 export const relayEvents = async (context: RequestContext, planner: RetryPlanner, backendServer: BackendServer, first: BackendAnswer): Promise<AttemptEnd> => {
-  const progress: StreamProgress = { position: { lastId: 0 }, usage: undefined, lastEventAt: undefined, isWhole: false }
+  const progress = startProgress(context)
   const headers = describeAnswerHeaders(context, backendServer, first)
   let current: Resumed | undefined = { answer: first, resumes: 0 }
   while (current !== undefined) {
     const before = progress.position.lastId
     const end = await relayConnection(context, headers, current.answer, progress)
-    if (end === 'whole') return { kind: 'delivered', outcome: 'complete', ...(progress.usage === undefined ? {} : { usage: progress.usage }) }
+    if (end === 'whole') return deliver(headers, first.status, progress)
     if (end === 'callerLeft') return { kind: 'callerLeft', attempt: failAfter('written', 'answerStarted', 'cancelled') }
     const hasMovedOn = progress.position.lastId > before
     current = await resume(context, planner, backendServer, progress, hasMovedOn ? 0 : current.resumes)
--- a/src/services/dispatch/_lib/requestContext.ts
+++ b/src/services/dispatch/_lib/requestContext.ts
@@ -28,6 +28,8 @@
 export type DispatchLimits = RetryLimits & {
   /** Whole answers up to this size are checked before any byte of them is passed on. */
   readonly answerBufferBytes: number
+  /** How often an attempt without an answer asks whether its backend server can still be reached. */
+  readonly reachabilityCheckMs: number
   /** What a refusal says when nothing better is known, in milliseconds. */
   readonly comeBackAfterMs: number
 }
--- a/src/services/dispatch/_lib/runAttempt.ts
+++ b/src/services/dispatch/_lib/runAttempt.ts
@@ -9,6 +9,7 @@
 import { relayBody } from './relayBody.js'
 import { relayEvents } from './relayEvents.js'
 import { mayRepeat, type RequestContext } from './requestContext.js'
+import { watchReachability, type ReachabilityWatch } from './watchReachability.js'
 
 const REFUSED_STATUS = 503
 const LEAVING = 'leaving'
@@ -22,7 +23,8 @@
   cancelled: () => ({ kind: 'failed', attempt: failAfter('written', 'cancelled'), message: 'cancelled' })
 }
 
-const describeSendFailure = (error: BackendError): AttemptEnd => {
+const describeSendFailure = (error: BackendError, watch: ReachabilityWatch): AttemptEnd => {
+  if (error.kind === 'cancelled' && watch.isLost()) return { kind: 'failed', attempt: failAfter('written', 'cut'), message: 'the backend server became unreachable', outcome: 'failed' }
   const describe = sendFailures[error.kind] as (error: BackendError) => AttemptEnd
   return describe(error)
 }
@@ -44,10 +46,9 @@
 const isModelStream = (context: RequestContext, answer: BackendAnswer): boolean =>
   context.routed.serviceKind === 'model' && (answer.headers['content-type'] ?? '').startsWith('text/event-stream')
 
-const exchange = async (context: RequestContext, planner: RetryPlanner, backendServer: BackendServer): Promise<AttemptEnd> => {
-  const { dependencies, scope } = context
-  const sent = await dependencies.backendClient.send(describeBackendRequest(context, backendServer), scope.signal)
-  if (!sent.ok) return describeSendFailure(sent.error)
+const exchange = async (context: RequestContext, planner: RetryPlanner, backendServer: BackendServer, watch: ReachabilityWatch): Promise<AttemptEnd> => {
+  const sent = await context.dependencies.backendClient.send(describeBackendRequest(context, backendServer), watch.signal)
+  if (!sent.ok) return describeSendFailure(sent.error, watch)
   const answer = sent.value
   if (isForeign(context, answer)) {
     answer.abort()
@@ -92,14 +93,16 @@
   const { loadView, backendHealth, metrics } = context.dependencies
   planner.startAttempt()
   loadView.recordStart(backendServer.name)
+  const watch = watchReachability(context, backendServer)
   try {
-    const end = await exchange(context, planner, backendServer)
+    const end = await exchange(context, planner, backendServer, watch)
     const outcome = readOutcome(context, end)
     metrics.count('attempts', { backend_server: backendServer.name, outcome: outcome ?? 'cancelled' })
     if (outcome !== undefined) backendHealth.recordAttempt(backendServer.name, outcome)
     if (context.routed.serviceKind === 'model' && mayStillRun(end)) cancelOnEngine(context, backendServer)
     return end
   } finally {
+    watch.stop()
     loadView.recordEnd(backendServer.name)
   }
 }
--- a/src/services/dispatch/_lib/runClaimed.ts
+++ b/src/services/dispatch/_lib/runClaimed.ts
@@ -13,6 +13,13 @@
   readonly [Kind in ClaimOutcome['kind']]: (context: RequestContext, key: ClaimKey, outcome: Extract<ClaimOutcome, { kind: Kind }>) => Promise<RequestResult>
 }
 
+/**
+ * A repeat joins an open request of its key until just before its own
+ * deadline. At the deadline itself it would be refused as not run, though the
+ * request that it joined may be running.
+ */
+const JOIN_MARGIN_MS = 50
+
 /** A refusal waits so long for its claim to be given back, so that an early repeat finds the key free. */
 const RELEASE_WAIT_MS = 250
 
@@ -73,7 +80,7 @@
   const key: ClaimKey = { clientAccount: routed.clientAccount.name, idempotencyKey }
   const { method, body } = routed.request
   const bodyHash = hashHex(JSON.stringify([method, routed.path]), '\n', body)
-  const claiming = dependencies.claims.claim(key, bodyHash)
+  const claiming = dependencies.claims.claim(key, bodyHash, scope.deadlineAt - JOIN_MARGIN_MS)
   const outcome = await scope.race(claiming)
   if (outcome === undefined) {
     // A claim that is granted too late has nothing behind it.
--- a/src/services/dispatch/index.ts
+++ b/src/services/dispatch/index.ts
@@ -32,6 +32,7 @@
   baseDelayMs: 50,
   maximumDelayMs: 1_000,
   answerBufferBytes: 8_388_608,
+  reachabilityCheckMs: 1_000,
   comeBackAfterMs: 1_000
 }
 
--- a/test/_lib/createDispatchHarness.ts
+++ b/test/_lib/createDispatchHarness.ts
@@ -36,6 +36,7 @@
       backendServers,
       routes: [
         createRoute({ name: 'chat', service: 'all', model: MODEL }),
+        createRoute({ name: 'agent', service: 'all', model: 'agent', repeatable: false }),
         createRoute({ name: 'stock', service: 'all', path: '/stock' }),
         createRoute({ name: 'orders', service: 'all', path: '/stock/orders', repeatable: false }),
         createRoute({ name: 'settlements', service: 'all', path: '/settlements', repeatable: false, backendIdempotent: true })
@@ -66,6 +67,8 @@
   readonly claimOutcome?: ClaimOutcome
   readonly admissionRefusal?: AdmissionRefusal
   readonly directoryEntry?: string
+  /** Backend servers that the load probes have lost. */
+  readonly unreachable?: readonly string[]
   /** In place of the real client. */
   readonly backendClient?: BackendClient
 }
@@ -111,7 +114,7 @@
     applyDigest: () => {}
   },
   backendHealth: {
-    status: (backendServer) => ({ backendServer, state: 'live', weightShare: 1, inFlight: 0, ownInFlight: 0 }),
+    status: (backendServer) => ({ backendServer, state: options.unreachable?.includes(backendServer) === true ? 'unreachable' : 'live', weightShare: 1, inFlight: 0, ownInFlight: 0 }),
     statuses: () => [],
     recordAttempt: (name, outcome) => { recorded.outcomes.push(`${name} ${outcome}`) },
     markLeaving: (name) => { recorded.marked.push(name) },
--- a/test/requestFaults.test.ts
+++ b/test/requestFaults.test.ts
@@ -189,6 +189,42 @@
   })
 })
 
+describe('a backend server that vanishes without closing its connections', () => {
+  /*
+   * A chef waits on the line for a minute and then gets an error, though five
+   * other servers were idle: the server's VM had died, and nothing on the
+   * connection said so.
+   */
+  it.each<[RequestKind, number, readonly number[]]>([['stock', 200, [1, 1]], ['chatWhole', 200, [1, 1]], ['order', 504, [1, 0]]])('is given up for a request that may be repeated alone: %s', async (kind, status, requests) => {
+    const { harness, backends } = await start([[stayedSilent], [whole]], { unreachable: ['backend-1'], dispatch: { reachabilityCheckMs: 20 } })
+    const answer = await callRouter(harness.url, kind, { 'x-deadline-ms': kind === 'order' ? '300' : '15000' })
+    expect([answer.status, backends.map((backend) => backend.requests.filter(({ method }) => method === 'POST').length)]).toEqual([status, requests])
+  })
+
+  it('is waited for as long as the load probes reach it', async () => {
+    let finish = (): void => {}
+    const { harness, backends } = await start([[(socket, request) => { finish = () => whole(socket, request) }], [whole]], { dispatch: { reachabilityCheckMs: 5 } })
+    const asked = callRouter(harness.url, 'stock')
+    await expect.poll(() => backends[0]?.requests.length).toBe(1)
+    await new Promise((resolve) => setTimeout(resolve, 60))
+    finish()
+    expect((await asked).headers.get('x-served-by')).toBe('backend-1')
+  })
+})
+
+describe('a stream that may not be repeated', () => {
+  it('is kept whole for a repeat of its key', async () => {
+    const { harness } = await start([[events]])
+    await fetch(`${harness.url}/v1/chat/completions`, {
+      method: 'POST',
+      body: JSON.stringify({ model: 'agent', stream: true, messages: [{ role: 'user', content: 'u' }] }),
+      headers: { authorization: 'Bearer sk-test', 'idempotency-key': 'k' }
+    }).then((response) => response.text())
+    await harness.dispatch.whenIdle()
+    expect(harness.recorded.completed.map(({ body }) => Buffer.from(body).toString())).toEqual([wholeStream])
+  })
+})
+
 describe('an order whose caller hangs up', () => {
   /*
    * A chef's connection drops while the order is under way; the chef asks again
