--- a/src/adapters/backendHttp/_lib/createExchange.ts
+++ b/src/adapters/backendHttp/_lib/createExchange.ts
@@ -4,7 +4,7 @@
  * was handed to a connected socket before it failed.
  */
 import type { IncomingHttpHeaders } from 'node:http'
-import type { Dispatcher } from 'undici'
+import { errors, type Dispatcher } from 'undici'
 import { failure } from '../../../kernel/failure/index.js'
 import { success } from '../../../kernel/success/index.js'
 import type { BackendAnswer, BackendError, Headers, Result } from '../../../types/index.js'
@@ -117,7 +117,7 @@
       },
       onResponseError: (_, error) => {
         settle(failure(describeError(error)))
-        finish({ kind: 'cut', message: error.message })
+        finish({ kind: 'cut', message: error.message, isIdle: error instanceof errors.BodyTimeoutError })
       }
     }
   }
--- a/src/services/dispatch/_lib/relayEvents.ts
+++ b/src/services/dispatch/_lib/relayEvents.ts
@@ -4,7 +4,7 @@
  */
 import { createParser, type EventSourceMessage } from 'eventsource-parser'
 import { orderStreamEvent, type StreamPosition } from '../../../decisions/orderStreamEvent/index.js'
-import type { BackendAnswer, BackendServer, Headers } from '../../../types/index.js'
+import type { BackendAnswer, BackendBodyPart, BackendServer, Headers } from '../../../types/index.js'
 import { failAfter, type AttemptEnd } from './attemptEnd.js'
 import type { RetryPlanner } from './createRetryPlanner.js'
 import { describeAnswerHeaders } from './describeExchange.js'
@@ -19,7 +19,8 @@
 /** After the end marker only the end of the body is left to read, to keep the connection. */
 const CLOSING_TIMEOUT_MS = 1_000
 
-type ConnectionEnd = 'whole' | 'cut' | 'callerLeft'
+/** `idle`: silent for too long, which a busy engine may be. */
+type ConnectionEnd = 'whole' | 'cut' | 'idle' | 'callerLeft'
 
 /** What has been passed on, over all connections of the stream. */
 type StreamProgress = {
@@ -87,12 +88,17 @@
   return event.data === END_MARKER ? 'whole' : undefined
 }
 
+const describeLastPart = ({ isWhole }: StreamProgress, part: Exclude<BackendBodyPart, { kind: 'data' }>): ConnectionEnd => {
+  if (isWhole) return 'whole'
+  return part.kind === 'cut' && part.isIdle === true ? 'idle' : 'cut'
+}
+
 const relayConnection = async (context: RequestContext, headers: Headers, answer: BackendAnswer, progress: StreamProgress): Promise<ConnectionEnd> => {
   const events: EventSourceMessage[] = []
   const decoder = new TextDecoder()
   const parser = createParser({ onEvent: (event) => { events.push(event) }, maxBufferSize: MAXIMUM_EVENT_CHARACTERS })
   for await (const part of answer.body) {
-    if (part.kind !== 'data') return progress.isWhole ? 'whole' : 'cut'
+    if (part.kind !== 'data') return describeLastPart(progress, part)
     if (progress.isWhole) continue
     parser.feed(decoder.decode(part.bytes, { stream: true }))
     for (const event of events.splice(0)) {
@@ -139,7 +145,9 @@
     if (end === 'whole') return deliver(headers, first.status, progress)
     if (end === 'callerLeft') return { kind: 'callerLeft', attempt: failAfter('written', 'answerStarted', 'cancelled') }
     const hasMovedOn = progress.position.lastId > before
-    current = await resume(context, planner, backendServer, progress, hasMovedOn ? 0 : current.resumes)
+    const inVain = hasMovedOn ? 0 : current.resumes
+    // An engine that answers the resume and is silent again works through its queue; only the deadline ends that.
+    current = await resume(context, planner, backendServer, progress, end === 'idle' ? Math.max(0, inVain - 1) : inVain)
   }
   return { kind: 'failed', attempt: failAfter('written', 'answerStarted', 'cut'), message: 'the stream ended without its end marker', outcome: 'failed' }
 }
--- a/src/types/request.ts
+++ b/src/types/request.ts
@@ -73,7 +73,12 @@
   | { readonly kind: 'data', readonly bytes: Uint8Array }
   | { readonly kind: 'end' }
   /** The connection failed, or the body ended short of its declared length. */
-  | { readonly kind: 'cut', readonly message: string }
+  | {
+    readonly kind: 'cut'
+    readonly message: string
+    /** Set when the connection was only silent for too long. */
+    readonly isIdle?: boolean
+  }
 
 export type BackendAnswer = {
   readonly status: number
--- a/test/requestFaults.test.ts
+++ b/test/requestFaults.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, describe, expect, it } from 'vitest'
+import { createBackendHttp } from '../src/adapters/backendHttp/index.js'
 import { callRouter, type RequestKind } from './_lib/callRouter.js'
 import { createDispatchHarness, type DispatchHarness, type HarnessOptions } from './_lib/createDispatchHarness.js'
 import {
@@ -153,6 +154,18 @@
     expect(harness.recorded.ended).toEqual(harness.recorded.started)
   })
 
+  /*
+   * A batch of the night fails although its engine was only busy: the stream
+   * was silent for longer than a connection may be, again and again.
+   */
+  it('waits for a busy engine beyond the idle time-out', async () => {
+    const silent = answerEventsThenWait([])
+    const backendClient = createBackendHttp({ connectTimeoutMs: 2_000, answerIdleTimeoutMs: 40 })
+    const { harness, backends } = await start([[silent, silent, silent, silent, silent, events], [events]], { backendClient })
+    const answer = await callRouter(harness.url, 'chatStream')
+    expect([answer.text, backends.map(({ requests }) => requests.length)]).toEqual([wholeStream, [6, 0]])
+  })
+
   it('is cancelled on the engine when its caller hangs up', async () => {
     const { harness, backends } = await start([[answerEventsThenWait([e1]), whole]])
     const controller = new AbortController()
@@ -178,6 +191,17 @@
   })
 })
 
+describe('an answer too large to be collected', () => {
+  it.each<[string, RawStep, string, boolean]>([
+    ['whole', whole, '{"ok":true}', false],
+    ['cut', shortBody, '{"ok":', true]
+  ])('is passed on as it comes, and broken off when it is not whole: %s', async (_name, step, text, isBroken) => {
+    const { harness } = await start([[step], [whole]], { dispatch: { answerBufferBytes: 3 } })
+    expect(await callRouter(harness.url, 'stock')).toMatchObject({ status: 200, text, isBroken })
+    expect(harness.dispatch.ledger()).toMatchObject({ complete: isBroken ? 0 : 1, unknown: isBroken ? 1 : 0 })
+  })
+})
+
 describe('a request that passes its deadline', () => {
   it.each<[string, RequestKind, string | null]>([['repeatable', 'stock', '1'], ['order', 'order', null]])('gets its final answer at once: %s', async (_name, kind, retryAfter) => {
     const { harness } = await start([[stayedSilent], [whole]])
