Bound the bodies of all open requests together

Each body was bounded, but 10,000 connections with 4 MB each were not: room is now taken before the first byte is read, and without it the request is refused as not run. An answer that cannot be written closes its connection instead of leaving the caller waiting, and an unused connection outlives a balancer's.

--- a/src/adapters/callerHttp/index.ts
+++ b/src/adapters/callerHttp/index.ts
@@ -7,6 +7,7 @@
 import fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify'
 import { describeRefusal } from '../../decisions/describeRefusal/index.js'
 import type { CallerAnswer, Clock, Dispatch, Logger, PeerAddress, RandomSource } from '../../types/index.js'
+import { createBodyBudget } from './_lib/createBodyBudget.js'
 import { readCallerRequest } from './_lib/readCallerRequest.js'
 import { writeAnswer } from './_lib/writeAnswer.js'
 
@@ -30,8 +31,10 @@
   readonly requestTimeoutMs?: number
   /** Longest wait for a caller that does not read its answer, in milliseconds; 30,000 by default. */
   readonly writeTimeoutMs?: number
-  /** How long an unused connection stays open, in milliseconds; 15,000 by default. */
+  /** How long an unused connection stays open, in milliseconds; 75,000 by default, longer than a balancer keeps one. */
   readonly idleTimeoutMs?: number
+  /** Bodies of all open requests together; 268,435,456 by default. */
+  readonly maximumBufferedBytes?: number
   /** Open connections; 10,000 by default. */
   readonly maximumConnections?: number
 }
@@ -54,15 +57,22 @@
   headerTimeoutMs: 10_000,
   requestTimeoutMs: 60_000,
   writeTimeoutMs: 30_000,
-  idleTimeoutMs: 15_000,
+  idleTimeoutMs: 75_000,
+  maximumBufferedBytes: 268_435_456,
   maximumConnections: 10_000
 }
 
 const BODY_TOO_LARGE = 'FST_ERR_CTP_BODY_TOO_LARGE'
 const METHODS_WITHOUT_BODY: ReadonlySet<string> = new Set(['GET', 'HEAD'])
 
-const refuse = (reason: 'badRequest' | 'bodyTooLarge' | 'backendFailed', message: string): CallerAnswer =>
-  ({ kind: 'refused', refusal: describeRefusal(reason === 'backendFailed' ? 'unknown' : 'not-run', reason, message) })
+const FULL_RETRY_MS = 1_000
+
+const refuse = (reason: 'badRequest' | 'bodyTooLarge', message: string): CallerAnswer =>
+  ({ kind: 'refused', refusal: describeRefusal('not-run', reason, message) })
+
+/** What a request may take of the body budget; one of unknown length may take the most. */
+const readBodyBytes = ({ headers }: IncomingMessage, maximumBytes: number): number =>
+  headers['transfer-encoding'] === undefined ? Math.min(Number(headers['content-length'] ?? 0), maximumBytes) : maximumBytes
 
 const declaresBody = (message: IncomingMessage): boolean =>
   message.headers['transfer-encoding'] !== undefined || Number(message.headers['content-length'] ?? 0) > 0
@@ -115,13 +125,20 @@
 export const createCallerHttp = (dependencies: CallerHttpDependencies, options: CallerHttpOptions): CallerHttp => {
   const settings = { ...DEFAULTS, ...options }
   const { dispatch, clock, random, logger } = dependencies
+  const budget = createBodyBudget(settings.maximumBufferedBytes)
   let isReady = false
   let isClosing = false
   let address: PeerAddress | undefined
 
   const write = async (reply: FastifyReply, requestId: string, answer: CallerAnswer): Promise<void> => {
     if (isClosing && !reply.raw.headersSent) reply.raw.setHeader('connection', 'close')
-    await writeAnswer({ response: reply.raw, requestId, clock, writeTimeoutMs: settings.writeTimeoutMs }, answer)
+    try {
+      await writeAnswer({ response: reply.raw, requestId, clock, writeTimeoutMs: settings.writeTimeoutMs }, answer)
+    } catch (error) {
+      // A header that cannot be written; without this the caller would wait for ever.
+      logger.error('an answer could not be written', { requestId, error: String(error) })
+      reply.raw.destroy()
+    }
   }
 
   const answerRequest = async (request: FastifyRequest, requestId: string, signal: AbortSignal): Promise<CallerAnswer> => {
@@ -130,7 +147,7 @@
       return await dispatch.handle(readCallerRequest(request.raw, request.body, requestId), signal)
     } catch (error) {
       logger.error('dispatch broke an invariant', { requestId, error: String(error) })
-      return refuse('backendFailed', 'the router failed')
+      return { kind: 'refused', refusal: describeRefusal('unknown', 'backendFailed', 'the router failed') }
     }
   }
 
@@ -148,7 +165,19 @@
     await write(reply, random.nextId(), answer)
   }
 
+  const takeBody = async (request: FastifyRequest, reply: FastifyReply): Promise<void> => {
+    const bytes = readBodyBytes(request.raw, settings.maximumBodyBytes)
+    if (budget.take(bytes)) {
+      reply.raw.once('close', () => budget.giveBack(bytes))
+      return
+    }
+    reply.hijack()
+    reply.raw.setHeader('connection', 'close')
+    await write(reply, random.nextId(), { kind: 'refused', refusal: describeRefusal('not-run', 'queueFull', 'too much is being sent at once', FULL_RETRY_MS) })
+  }
+
   const server = createServer(settings, refuseMalformed)
+  server.addHook('onRequest', takeBody)
   server.get(LIVE_PATH, async () => 'live\n')
   server.get(READY_PATH, async (_request, reply) => await reply.code(isReady ? 200 : 503).send(isReady ? 'ready\n' : 'not ready\n'))
   server.setNotFoundHandler(serve)
--- a/src/adapters/callerHttp/test.ts
+++ b/src/adapters/callerHttp/test.ts
@@ -108,6 +108,25 @@
     expect([answer.status, answer.headers.get('x-request-outcome'), handled.length]).toEqual([413, 'not-run', 0])
   })
 
+  it('refuses a body that finds no room, and takes it when there is room again', async () => {
+    let finish: (answer: CallerAnswer) => void = () => {}
+    const answers = new Promise<CallerAnswer>((resolve) => { finish = resolve })
+    const { url, handled } = await startListener(() => answers, { maximumBufferedBytes: 1_500 })
+    const send = (): Promise<Response> => fetch(url, { method: 'POST', body: 'x'.repeat(900) })
+    const first = send()
+    await expect.poll(() => handled.length).toBe(1)
+    const second = await send()
+    expect([second.status, second.headers.get('x-request-outcome'), second.headers.get('retry-after')]).toEqual([503, 'not-run', '1'])
+    finish(OK)
+    await first
+    await expect.poll(async () => (await send()).status).toBe(200)
+  })
+
+  it('closes the connection when an answer cannot be written', async () => {
+    const { port } = await startListener(() => ({ ...OK, headers: { 'x-bad': 'a\nb' } }))
+    expect(await exchangeRaw(port, formatRequest('GET / HTTP/1.1', 'Host: h'))).toBe('')
+  })
+
   it('writes a refusal with its outcome and when to come back', async () => {
     const { url } = await startListener(() => ({ kind: 'refused', refusal: REFUSAL }))
     const answer = await fetch(url)
--- a/src/services/dispatch/_lib/createRequestScope.ts
+++ b/src/services/dispatch/_lib/createRequestScope.ts
@@ -42,7 +42,10 @@
   callerSignal.addEventListener('abort', onHangUp, { once: true })
 
   const race = <Value>(promise: Promise<Value>): Promise<Value | undefined> => {
-    if (controller.signal.aborted) return Promise.resolve(undefined)
+    if (controller.signal.aborted) {
+      promise.catch(() => undefined)
+      return Promise.resolve(undefined)
+    }
     return new Promise((resolve, reject) => {
       const onAbort = (): void => resolve(undefined)
       controller.signal.addEventListener('abort', onAbort, { once: true })
