--- a/src/services/dispatch/_lib/relayBody.ts
+++ b/src/services/dispatch/_lib/relayBody.ts
@@ -18,11 +18,17 @@
 const describeDoubt = (context: RequestContext, status: number): Headers =>
   status >= FIRST_SERVER_ERROR && !mayRepeat(context) ? { 'x-request-outcome': 'unknown', 'x-should-retry': 'false' } : {}
 
-const isBrokenJson = (context: RequestContext, answer: BackendAnswer, text: string): boolean => {
+/**
+ * Guards against an answer that its server cut short but ended properly, so
+ * that length and chunks look right. It shows as JSON that does not parse.
+ * A plain service may answer with JSON's content type and no body at all.
+ */
+const isBrokenJson = (context: RequestContext, answer: BackendAnswer, body: Buffer): boolean => {
   const isJson = (answer.headers['content-type'] ?? '').startsWith('application/json')
-  if (context.routed.serviceKind !== 'model' || !isJson) return false
+  const mayBeEmpty = context.routed.serviceKind === 'plain'
+  if (!isJson || (mayBeEmpty && body.length === 0)) return false
   try {
-    JSON.parse(text)
+    JSON.parse(body.toString('utf8'))
     return false
   } catch {
     return true
@@ -30,10 +36,9 @@
 }
 
 const deliverWhole = (context: RequestContext, answer: BackendAnswer, headers: Headers, body: Buffer): AttemptEnd => {
-  const text = context.routed.serviceKind === 'model' ? body.toString('utf8') : ''
-  if (isBrokenJson(context, answer, text)) return failCut('the answer is not whole JSON')
+  if (isBrokenJson(context, answer, body)) return failCut('the answer is not whole JSON')
   context.reply.sendWhole(answer.status, headers, body)
-  const usage = readTokenUsage(text)
+  const usage = context.routed.serviceKind === 'model' ? readTokenUsage(body.toString('utf8')) : undefined
   return {
     kind: 'delivered',
     stored: { status: answer.status, headers, body },
