--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -7,6 +7,7 @@
   configuration: async () => (await import('./configuration/index.js')).runConfigurationBench,
   fairness: async () => (await import('./fairness/index.js')).runFairnessBench,
   placement: async () => (await import('./placement/index.js')).runPlacementBench,
+  requests: async () => (await import('./requests/index.js')).runRequestsBench,
   routerCost: async () => (await import('./routerCost/index.js')).runRouterCostBench
 }
 
