--- a/src/adapters/peerTcp/_lib/createConnection.ts
+++ b/src/adapters/peerTcp/_lib/createConnection.ts
@@ -39,7 +39,9 @@
 /** Runs the handshake on a socket, then carries frames until either side closes. */
 export const createConnection = (options: ConnectionOptions): Connection => {
   const { socket, clock, maximumFrameBytes, maximumQueueBytes, countBytes } = options
-  const codec = new Encoder({ sequential: true })
+  // Two, as each keeps the field names of its own direction; one for both would mix them up.
+  const encoder = new Encoder({ sequential: true })
+  const decoder = new Encoder({ sequential: true })
   let isReady = false
   let isClosed = false
 
@@ -54,7 +56,7 @@
   const write = (frame: unknown, kind: string): SendOutcome => {
     if (isClosed) return 'closed'
     if (socket.writableLength > maximumQueueBytes) return 'queueFull'
-    const bytes = codec.encode(frame)
+    const bytes = encoder.encode(frame)
     if (bytes.length > maximumFrameBytes) {
       // The encoder may have introduced field names in this frame that the other
       // side will now never see; later frames would be read wrongly. A new
@@ -78,7 +80,7 @@
 
   const acceptFrame = (bytes: Buffer): void => {
     if (isClosed) return
-    const frame = decodeFrame(codec, bytes)
+    const frame = decodeFrame(decoder, bytes)
     if (frame === undefined) return close('a frame could not be decoded')
     if (isReady) return options.onFrame(frame)
     if (!handshake.accept(frame)) close('the peer did not prove the fleet key')
@@ -98,9 +100,9 @@
   return { send: write, close: () => close('closed here') }
 }
 
-const decodeFrame = (codec: Encoder, bytes: Buffer): unknown => {
+const decodeFrame = (decoder: Encoder, bytes: Buffer): unknown => {
   try {
-    const frame: unknown = codec.decode(bytes)
+    const frame: unknown = decoder.decode(bytes)
     return typeof frame === 'object' && frame !== null ? frame : undefined
   } catch {
     return undefined
--- /dev/null
+++ b/src/adapters/peerTcp/test.ts
@@ -0,0 +1,126 @@
+import { connect } from 'node:net'
+import type { Socket } from 'node:net'
+import { Encoder } from 'cbor-x'
+import { afterEach, describe, expect, it } from 'vitest'
+import { createPeerTcp } from './index.js'
+import { withLength } from './_lib/createFrameReader.js'
+import { createSystemClock } from '../systemClock/index.js'
+import { createSystemRandom } from '../systemRandom/index.js'
+
+const clock = createSystemClock()
+const random = createSystemRandom()
+const TIMEOUT_MS = 20_000
+const MAXIMUM_FRAME_BYTES = 4096
+
+const opened: { readonly close: () => Promise<void> }[] = []
+const sockets: Socket[] = []
+
+const openTransport = async (options: { readonly fleetKey?: string, readonly port?: number, readonly handshakeTimeoutMs?: number } = {}) => {
+  const transport = createPeerTcp({ host: '127.0.0.1', port: 0, fleetKey: 'the right key', maximumFrameBytes: MAXIMUM_FRAME_BYTES, initialBackoffMs: 1, maximumBackoffMs: 1, clock, random, ...options })
+  transport.handle('directoryLookup', ({ chatKey }) => ({ kind: 'directoryEntry', backendServer: chatKey }))
+  await transport.listen()
+  opened.push(transport)
+  return transport
+}
+
+const openSocket = (port: number): Socket => {
+  const socket = connect(port, '127.0.0.1')
+  // A socket that nobody reads never reports its close.
+  socket.resume()
+  socket.on('error', () => {})
+  sockets.push(socket)
+  return socket
+}
+
+const waitForClose = (socket: Socket): Promise<void> => new Promise((resolve) => { socket.once('close', () => resolve()) })
+
+afterEach(async () => {
+  for (const socket of sockets.splice(0)) socket.destroy()
+  for (const transport of opened.splice(0)) await transport.close()
+})
+
+const lookup = { kind: 'directoryLookup', chatKey: 'chat-1' } as const
+
+describe('createPeerTcp', () => {
+  it('refuses a peer with another fleet key', async () => {
+    const listener = await openTransport()
+    const stranger = await openTransport({ fleetKey: 'a wrong key' })
+    const result = await stranger.request(listener.address(), lookup, TIMEOUT_MS)
+    expect(result).toMatchObject({ ok: false, error: { kind: 'unreachable' } })
+  })
+
+  // Somebody without the key connects twice and answers the challenge of the one
+  // connection with what the other sends. If proofs did not name the role, the
+  // router would prove the key to itself and let the stranger in.
+  it('takes no reflected proof', async () => {
+    const listener = await openTransport()
+    const socket = openSocket(listener.address().port)
+    const closed = waitForClose(socket)
+    socket.once('data', (frame) => socket.write(frame))
+    await closed
+    expect(socket.destroyed).toBe(true)
+  })
+
+  it.each([
+    { case: 'a frame that claims more bytes than a handshake may have', bytes: Buffer.from([0, 0, 2, 1]) },
+    { case: 'a frame that is not CBOR', bytes: withLength(Buffer.from([0xff, 0xff])) },
+    { case: 'a proof of the wrong shape', bytes: withLength(new Encoder().encode({ nonce: 'text', proof: 7 })) },
+    { case: 'an empty frame', bytes: withLength(Buffer.alloc(0)) }
+  ])('closes a connection on $case, and serves others on', async ({ bytes }) => {
+    const listener = await openTransport()
+    const peer = await openTransport()
+    const socket = openSocket(listener.address().port)
+    const closed = waitForClose(socket)
+    socket.write(bytes)
+    await closed
+    const result = await peer.request(listener.address(), lookup, TIMEOUT_MS)
+    expect(result.ok).toBe(true)
+  })
+
+  it('closes a connection that never proves the key', async () => {
+    const listener = await openTransport({ handshakeTimeoutMs: 20 })
+    const socket = openSocket(listener.address().port)
+    await waitForClose(socket)
+    expect(socket.destroyed).toBe(true)
+  })
+
+  // A message over the frame limit is refused by the sender. Its field names may
+  // have entered the encoder, though the receiver never saw them; if the same
+  // connection went on, the next message would be read wrongly.
+  it('goes on after a message that is too large', async () => {
+    const listener = await openTransport()
+    const peer = await openTransport()
+    await peer.request(listener.address(), lookup, TIMEOUT_MS)
+    const refused = await peer.request(listener.address(), { kind: 'directoryStore', chatKey: 'x'.repeat(2 * MAXIMUM_FRAME_BYTES), backendServer: '' }, TIMEOUT_MS)
+    expect(refused.ok).toBe(false)
+    const result = await peer.request(listener.address(), lookup, TIMEOUT_MS)
+    expect(result).toEqual({ ok: true, value: { kind: 'directoryEntry', backendServer: 'chat-1' } })
+  })
+
+  // A router is restarted at the same address while a peer holds a connection to
+  // its former life. The peer's next request may fail; later ones must not.
+  it('reconnects to a peer that came back', async () => {
+    const peer = await openTransport()
+    const first = await openTransport()
+    const { port } = first.address()
+    await peer.request(first.address(), lookup, TIMEOUT_MS)
+    await first.close()
+    const second = await openTransport({ port })
+    let result = await peer.request(second.address(), lookup, TIMEOUT_MS)
+    while (!result.ok) {
+      await new Promise((resolve) => { setTimeout(resolve, 5) })
+      result = await peer.request(second.address(), lookup, TIMEOUT_MS)
+    }
+    expect(result.ok).toBe(true)
+  })
+
+  it('fails open requests when the connection is lost', async () => {
+    const listener = await openTransport()
+    listener.handle('rootRequest', () => new Promise(() => {}))
+    const peer = await openTransport()
+    await peer.request(listener.address(), lookup, TIMEOUT_MS)
+    const open = peer.request(listener.address(), { kind: 'rootRequest' }, TIMEOUT_MS)
+    await listener.close()
+    expect(await open).toMatchObject({ ok: false, error: { kind: 'unreachable' } })
+  })
+})
