--- /dev/null
+++ b/src/services/dispatch/index.ts
@@ -0,0 +1,116 @@
+/**
+ * The way of every request through the node: who asks, along which route, may
+ * it run now, on which backend server, what follows a failure, and what the
+ * caller is told in the end.
+ */
+import { describeRefusal } from '../../decisions/describeRefusal/index.js'
+import type { RunningService } from '../../kernel/index.js'
+import type { CallerAnswer, CallerRequest, Dispatch } from '../../types/index.js'
+import { createHintAuthenticator } from './_lib/createAuthenticator.js'
+import { createLedger } from './_lib/createLedger.js'
+import { createReply, type Reply } from './_lib/createReply.js'
+import { createRequestScope } from './_lib/createRequestScope.js'
+import { createRetryAllowance } from './_lib/createRetryAllowance.js'
+import { describeModels } from './_lib/describeModels.js'
+import { indexConfiguration, type ConfigurationIndex } from './_lib/indexConfiguration.js'
+import { authenticateCaller, MODELS_PATH, readRoutedRequest, type RoutedRequest } from './_lib/readRoutedRequest.js'
+import type { DispatchDependencies, DispatchLimits, RequestContext } from './_lib/requestContext.js'
+import { describeEnding, runRequest, type RequestEnding } from './_lib/runRequest.js'
+
+export type { DispatchDependencies } from './_lib/requestContext.js'
+
+export type DispatchOptions = Partial<DispatchLimits> & {
+  /** The secret that all routers share; the key of chat hints is derived from it. */
+  readonly fleetKey: string
+  /** Retries allowed per first attempt, for example 0.1. */
+  readonly retryShare: number
+  readonly maximumAttempts: number
+}
+
+const DEFAULT_LIMITS = {
+  maximumResumes: 3,
+  baseDelayMs: 50,
+  maximumDelayMs: 1_000,
+  answerBufferBytes: 8_388_608,
+  comeBackAfterMs: 1_000
+}
+
+const isModelList = (request: CallerRequest): boolean =>
+  request.method === 'GET' && request.path.split('?')[0] === MODELS_PATH
+
+/**
+ * Creates the dispatch service.
+ *
+ * A request that is accepted ends in exactly one of: a complete answer, a
+ * refusal that says it did not run, or one that says that its outcome is
+ * unknown. The ledger counts them; a sum that does not hold is a lost request.
+ *
+ * @param dependencies - The services and the backend client that it uses.
+ * @param options - Limits; times in milliseconds, sizes in bytes.
+ * @returns The service for the kernel.
+ *
+ * @example
+ * const { api: dispatch } = createDispatch(dependencies, { fleetKey, retryShare: 0.1, maximumAttempts: 3 })
+ * const answer = await dispatch.handle(request, signal)
+ */
+export const createDispatch = (dependencies: DispatchDependencies, options: DispatchOptions): RunningService<Dispatch> => {
+  const { clock, metrics } = dependencies
+  const { fleetKey, retryShare, ...given } = options
+  const limits: DispatchLimits = { ...DEFAULT_LIMITS, ...given }
+  const hintAuthenticator = createHintAuthenticator(fleetKey)
+  const retryAllowance = createRetryAllowance(retryShare)
+  const ledger = createLedger()
+
+  const run = async (routed: RoutedRequest, callerSignal: AbortSignal, reply: Reply): Promise<RequestEnding> => {
+    const scope = createRequestScope(dependencies.clock, routed.deadlineMs, callerSignal)
+    const context: RequestContext = { dependencies, limits, hintAuthenticator, retryAllowance, routed, scope, reply }
+    try {
+      return await runRequest(context)
+    } catch (error) {
+      // A broken invariant of one request: the caller is told, the others go on.
+      dependencies.logger.error('a request failed inside the router', { requestId: routed.request.requestId, error: String(error) })
+      const refusal = describeRefusal('unknown', 'backendFailed', 'the router failed')
+      reply.refuse(refusal)
+      return describeEnding(refusal)
+    } finally {
+      scope.close()
+    }
+  }
+
+  const accept = (): ((ending: RequestEnding) => void) => {
+    const settle = ledger.open()
+    const startedAt = clock.now()
+    metrics.count('requests_accepted')
+    return ({ fate, reason }) => {
+      settle(fate)
+      metrics.count('requests_finished', { outcome: fate, reason })
+      metrics.observe('request_duration_seconds', (clock.now() - startedAt) / 1_000, { outcome: fate })
+    }
+  }
+
+  const answerIndexed = (index: ConfigurationIndex, request: CallerRequest, callerSignal: AbortSignal, finish: (ending: RequestEnding) => void): CallerAnswer | Promise<CallerAnswer> => {
+    if (isModelList(request) && authenticateCaller(index, request) !== undefined) {
+      finish({ fate: 'complete', reason: 'none' })
+      return describeModels(index)
+    }
+    const routed = readRoutedRequest(index, request)
+    if (!routed.ok) {
+      finish(describeEnding(routed.error))
+      return { kind: 'refused', refusal: routed.error }
+    }
+    const reply = createReply()
+    run(routed.value, callerSignal, reply).then(finish)
+    return reply.answer
+  }
+
+  const handle: Dispatch['handle'] = async (request, signal) => {
+    const finish = accept()
+    const configuration = dependencies.configuration.current()
+    if (configuration !== undefined) return await answerIndexed(indexConfiguration(configuration), request, signal, finish)
+    const refusal = describeRefusal('not-run', 'noConfiguration', 'no configuration is in force here yet', limits.comeBackAfterMs)
+    finish(describeEnding(refusal))
+    return { kind: 'refused', refusal }
+  }
+
+  return { api: { handle, ledger: ledger.read, whenIdle: ledger.whenIdle } }
+}
