Test the view of peers and backend servers under failures

The test of two nodes that read one report showed an excess counted twice until the next report, when the publisher's counts arrive at the other. What the peers' counts grew by since the report is now taken off there.

--- a/src/adapters/peerTcp/index.ts
+++ b/src/adapters/peerTcp/index.ts
@@ -12,7 +12,7 @@
 import type { PeerLink } from './_lib/createPeerLink.js'
 import { dispatchFrame } from './_lib/dispatchFrame.js'
 import type { PeerHandler, PeerHandlers } from './_lib/dispatchFrame.js'
-import type { Clock, Logger, PeerAddress, PeerTransport, RandomSource } from '../../types/index.js'
+import type { Clock, Logger, Metrics, PeerAddress, PeerTransport, RandomSource } from '../../types/index.js'
 
 export type PeerTcpOptions = {
   readonly host: string
@@ -25,6 +25,7 @@
   readonly clock: Clock
   readonly random: RandomSource
   readonly logger?: Logger
+  readonly metrics?: Metrics
   readonly handshakeTimeoutMs?: number
   /** Messages held for a peer while it is being dialled; 256 by default. */
   readonly maximumQueueLength?: number
@@ -84,6 +85,7 @@
 
   const countBytes = (kind: string, bytes: number): void => {
     sentBytes.set(kind, (sentBytes.get(kind) ?? 0) + bytes)
+    options.metrics?.count('peer_sent_bytes', { kind }, bytes)
   }
 
   const accept = (socket: Socket): void => {
--- /dev/null
+++ b/src/decisions/advanceEjection/test.ts
@@ -0,0 +1,71 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { advanceEjection, computeWeightShare, createEjection, FIRST_WEIGHT_SHARE } from './index.js'
+import type { EjectionEvent, EjectionLimits } from './index.js'
+
+const SEED = 20_263
+const LIMITS: EjectionLimits = { failures: 3, refusals: 2, silences: 3, failureRate: 0.4, holdMs: 1000, maximumHoldMs: 8000, slowStartMs: 4000, forgiveAfterMs: 60_000 }
+const EVENTS: readonly EjectionEvent[] = ['complete', 'failed', 'notSent', 'refused', 'probeAnswered', 'probeUnanswered', 'tick']
+
+const advanceAll = (events: readonly EjectionEvent[], now = 0, start = createEjection()) =>
+  events.reduce((ejection, event) => advanceEjection(ejection, event, now, LIMITS), start)
+
+describe('advanceEjection', () => {
+  it.each<{ case: string, events: EjectionEvent[], phase: string }>([
+    { case: 'two failures', events: ['failed', 'failed'], phase: 'live' },
+    { case: 'three failures', events: ['failed', 'failed', 'failed'], phase: 'ejected' },
+    { case: 'failures with a success in between', events: ['failed', 'failed', 'complete', 'failed', 'failed'], phase: 'live' },
+    { case: 'two refused connections', events: ['notSent', 'notSent'], phase: 'ejected' },
+    { case: 'refused connections with an answered probe in between', events: ['notSent', 'probeAnswered', 'notSent'], phase: 'live' },
+    { case: 'failed requests with answered probes in between', events: ['failed', 'probeAnswered', 'failed', 'probeAnswered', 'failed'], phase: 'ejected' },
+    { case: 'three unanswered probes', events: ['probeUnanswered', 'probeUnanswered', 'probeUnanswered'], phase: 'ejected' },
+    { case: 'documented refusals', events: ['refused', 'refused', 'refused', 'refused'], phase: 'live' },
+    { case: 'more failures than successes by turns', events: Array.from({ length: 30 }, (_, index) => index % 3 === 0 ? 'complete' : 'failed'), phase: 'ejected' }
+  ])('is $phase after $case', ({ events, phase }) => {
+    expect(advanceAll(events).phase).toBe(phase)
+  })
+
+  // A server flaps: it comes back, takes work, fails again. With the same time
+  // out each round, it would fail the same share of requests for ever.
+  it('doubles the time out of a flapping server up to a bound', () => {
+    let ejection = advanceAll(['failed', 'failed', 'failed'])
+    const holds = [ejection.until - ejection.since]
+    for (let round = 0; round < 4; round++) {
+      ejection = advanceEjection(ejection, 'failed', ejection.until, LIMITS)
+      holds.push(ejection.until - ejection.since)
+    }
+    expect(holds).toEqual([1000, 2000, 4000, 8000, 8000])
+  })
+
+  it('comes back slowly and is live in the end', () => {
+    const ejected = advanceAll(['notSent', 'notSent'])
+    const back = advanceEjection(ejected, 'tick', 1000, LIMITS)
+    expect([1000, 3000, 5000].map((now) => computeWeightShare(back, now, LIMITS))).toEqual([FIRST_WEIGHT_SHARE, 0.55, 1])
+    expect(advanceEjection(back, 'tick', 5000, LIMITS).phase).toBe('live')
+  })
+
+  it('stays out while connections are still refused', () => {
+    const ejected = advanceAll(['notSent', 'notSent'])
+    expect(advanceEjection(ejected, 'notSent', 900, LIMITS).until).toBe(1900)
+  })
+
+  it('forgives earlier ejections after a quiet time', () => {
+    const back = advanceAll(['tick', 'tick', 'tick'], 100_000, advanceAll(['notSent', 'notSent']))
+    const later = advanceEjection(back, 'tick', 200_000, LIMITS)
+    expect(later.ejections).toBe(0)
+  })
+
+  it('always lets a server back in, whatever happened before', () => {
+    fc.assert(fc.property(fc.array(fc.tuple(fc.constantFrom(...EVENTS), fc.nat({ max: 5000 })), { maxLength: 60 }), (history) => {
+      let now = 0
+      let ejection = createEjection()
+      for (const [event, pause] of history) {
+        now += pause
+        ejection = advanceEjection(ejection, event, now, LIMITS)
+      }
+      now += LIMITS.maximumHoldMs
+      ejection = advanceEjection(ejection, 'tick', now, LIMITS)
+      expect(computeWeightShare(ejection, now, LIMITS)).toBeGreaterThan(0)
+    }), { seed: SEED })
+  })
+})
--- /dev/null
+++ b/src/decisions/mergeMember/test.ts
@@ -0,0 +1,56 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { mergeMember } from './index.js'
+import { refuteRumour } from '../refuteRumour/index.js'
+import type { Member, MemberState } from '../../types/index.js'
+
+const SEED = 20_262
+const STATES: readonly MemberState[] = ['live', 'suspect', 'leaving', 'dead']
+
+const createMember = (changes: Partial<Member> = {}): Member =>
+  ({ nodeId: 'node-1', incarnation: 5, address: { host: 'node-1', port: 1 }, availabilityZone: 'venkov-a', state: 'live', generation: 0, ...changes })
+
+const memberArbitrary = fc.record({ incarnation: fc.nat({ max: 3 }), state: fc.constantFrom(...STATES), generation: fc.nat({ max: 3 }) }).map(createMember)
+
+describe('mergeMember', () => {
+  it('gives the same record in whatever order rumours arrive', () => {
+    fc.assert(fc.property(fc.array(memberArbitrary, { minLength: 1, maxLength: 6 }), fc.infiniteStream(fc.nat()), (records, picks) => {
+      const shuffled = [...records]
+      for (let index = shuffled.length - 1; index > 0; index--) {
+        const other = picks.next().value % (index + 1)
+        const kept = shuffled[index]!
+        shuffled[index] = shuffled[other]!
+        shuffled[other] = kept
+      }
+      const mergeAll = (all: readonly Member[]) => [...all, ...all].reduce<Member | undefined>(mergeMember, undefined)
+      expect(mergeAll(shuffled)).toEqual(mergeAll(records))
+    }), { seed: SEED })
+  })
+
+  it.each([
+    { known: { state: 'live' }, heard: { state: 'suspect' }, state: 'suspect' },
+    { known: { state: 'suspect' }, heard: { state: 'live' }, state: 'suspect' },
+    { known: { state: 'suspect' }, heard: { state: 'live', incarnation: 6 }, state: 'live' },
+    { known: { state: 'leaving' }, heard: { state: 'suspect' }, state: 'leaving' },
+    { known: { state: 'leaving' }, heard: { state: 'dead' }, state: 'dead' },
+    { known: { state: 'dead' }, heard: { state: 'live', incarnation: 6 }, state: 'live' },
+    { known: { state: 'live' }, heard: { state: 'dead', incarnation: 4 }, state: 'live' }
+  ] as const)('makes $state of $known and $heard', ({ known, heard, state }) => {
+    expect(mergeMember(createMember(known), createMember(heard)).state).toBe(state)
+  })
+})
+
+describe('refuteRumour', () => {
+  it('wins against any rumour about this node', () => {
+    fc.assert(fc.property(memberArbitrary, memberArbitrary, (record, rumour) => {
+      const self = { ...record, state: 'live' as const }
+      const refuted = refuteRumour(self, rumour)
+      expect(mergeMember(rumour, refuted).state).toBe('live')
+    }), { seed: SEED })
+  })
+
+  it('keeps the incarnation when the rumour is true', () => {
+    const self = createMember()
+    expect(refuteRumour(self, createMember())).toBe(self)
+  })
+})
--- a/src/services/loadView/index.ts
+++ b/src/services/loadView/index.ts
@@ -31,7 +31,7 @@
   readonly fullEveryTurns?: number
 }
 
-type Excess = { readonly requests: number, readonly until: number }
+type Excess = { readonly requests: number, readonly peerSum: number, readonly until: number }
 
 const DEFAULT_FULL_EVERY_TURNS = 120
 /** Report intervals that an excess is believed for without a new report. */
@@ -88,9 +88,16 @@
 
   const readExcess = (backendServer: string): number => {
     const excess = excesses.get(backendServer)
-    return excess === undefined || clock.now() >= excess.until ? 0 : excess.requests
+    if (excess === undefined || clock.now() >= excess.until) return 0
+    if (isOwnToPublish(backendServer)) return excess.requests
+    // The router that publishes the excess may just have done so: what the peers'
+    // counts grew by since the report may be the same requests.
+    return Math.max(0, excess.requests - Math.max(0, peerCounts.sum(backendServer) - excess.peerSum))
   }
 
+  /** Without a publisher each node keeps the excess that it saw to itself. */
+  const isOwnToPublish = (backendServer: string): boolean => dependencies.publishesExcess?.(backendServer) ?? true
+
   const changeOwn = (backendServer: string, difference: number): void => {
     const inFlight = readOwn(backendServer) + difference
     if (inFlight < 0) throw new Error(`more requests ended than started on ${backendServer}`)
@@ -105,7 +112,7 @@
     if (report.ageMs > windowMs) return
     const requests = Math.max(0, report.running + report.waiting - findRecentMaximum(backendServer).read(now))
     if (requests === 0) excesses.delete(backendServer)
-    else excesses.set(backendServer, { requests, until: now + EXCESS_INTERVALS * settings.loadReportIntervalMs })
+    else excesses.set(backendServer, { requests, peerSum: peerCounts.sum(backendServer), until: now + EXCESS_INTERVALS * settings.loadReportIntervalMs })
   }
 
   const readPublished = (): ReadonlyMap<string, number> => {
