--- /dev/null
+++ b/src/decisions/findForwardTargets/test.ts
@@ -0,0 +1,14 @@
+import { describe, expect, it } from 'vitest'
+import { findForwardTargets } from './index.js'
+
+describe('findForwardTargets', () => {
+  it.each([1, 2, 3, 7, 45])('reaches each of %i routers exactly once', (size) => {
+    const ranked = Array.from({ length: size }, (_, index) => index)
+    const reached = ranked.flatMap((self) => findForwardTargets(ranked, self, 2))
+    expect([ranked[0], ...reached].sort((one, other) => one! - other!)).toEqual(ranked)
+  })
+
+  it('gives nothing to forward to a router that is not ranked', () => {
+    expect(findForwardTargets(['a', 'b'], 'c', 2)).toEqual([])
+  })
+})
--- /dev/null
+++ b/src/decisions/packLoadCounts/test.ts
@@ -0,0 +1,23 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { packLoadCounts, unpackLoadCounts } from './index.js'
+
+const SEED = 20_264
+
+describe('packLoadCounts', () => {
+  it('gives back what was packed', () => {
+    const entries = fc.uniqueArray(fc.tuple(fc.nat({ max: 0xffff }), fc.integer({ min: 1, max: 0xffff })), { selector: ([index]) => index })
+    fc.assert(fc.property(entries, (pairs) => {
+      const counts = new Map(pairs)
+      expect(unpackLoadCounts(packLoadCounts(counts))).toEqual(counts)
+    }), { seed: SEED })
+  })
+
+  it.each([
+    { counts: [[1, 0]], bytes: 0 },
+    { counts: [[1, 255], [2, 1]], bytes: 2 },
+    { counts: [[1, 256], [2, 1]], bytes: 4 }
+  ] as const)('needs $bytes bytes for the counts of $counts', ({ counts, bytes }) => {
+    expect(packLoadCounts(new Map(counts.map(([index, count]) => [index, count] as const))).inFlight.byteLength).toBe(bytes)
+  })
+})
--- /dev/null
+++ b/src/services/fleetLoad/_lib/createSnapshotStore.ts
@@ -0,0 +1,40 @@
+/**
+ * The last snapshot of each source, dropped when it gets old.
+ */
+import { unpackLoadCounts } from '../../../decisions/packLoadCounts/index.js'
+import type { LoadSnapshot } from '../../../types/index.js'
+
+export type SnapshotStore = {
+  /** Takes a snapshot in; gives `false` when a newer one of the same maker is here. */
+  readonly put: (snapshot: LoadSnapshot, now: number) => boolean
+  /** The sum over all sources, by place in the sheet. */
+  readonly sum: (now: number) => ReadonlyMap<number, number>
+}
+
+type Entry = { readonly snapshot: LoadSnapshot, readonly counts: ReadonlyMap<number, number>, readonly at: number }
+
+export const createSnapshotStore = (maximumAgeMs: number): SnapshotStore => {
+  const entries = new Map<string, Entry>()
+
+  const isOutdated = (entry: Entry | undefined, snapshot: LoadSnapshot): boolean =>
+    entry !== undefined && entry.snapshot.nodeId === snapshot.nodeId && entry.snapshot.sequence >= snapshot.sequence
+
+  return {
+    put: (snapshot, now) => {
+      if (isOutdated(entries.get(snapshot.source), snapshot)) return false
+      entries.set(snapshot.source, { snapshot, counts: unpackLoadCounts(snapshot), at: now })
+      return true
+    },
+    sum: (now) => {
+      const sums = new Map<number, number>()
+      for (const [source, { counts, at }] of entries) {
+        if (now - at > maximumAgeMs) {
+          entries.delete(source)
+          continue
+        }
+        for (const [index, inFlight] of counts) sums.set(index, (sums.get(index) ?? 0) + inFlight)
+      }
+      return sums
+    }
+  }
+}
--- /dev/null
+++ b/src/services/fleetLoad/_lib/createZoneRanks.ts
@@ -0,0 +1,41 @@
+/**
+ * Who sums and who forwards the load of one zone's backend servers: the live
+ * routers of each zone, ranked once per change of the membership.
+ */
+import { rankMembers } from '../../../decisions/rankMembers/index.js'
+import { groupBy } from '../../../kernel/groupBy/index.js'
+import type { Member, Membership } from '../../../types/index.js'
+
+export type ZoneRanks = {
+  /** The routers of a zone in the order of their responsibility for a zone of servers. */
+  readonly rank: (routerZone: string, serverZone: string) => readonly Member[]
+  readonly zones: () => readonly string[]
+}
+
+export const createZoneRanks = (membership: Pick<Membership, 'liveMembers' | 'onChange'>): ZoneRanks => {
+  let byZone: ReadonlyMap<string, readonly Member[]> | undefined
+  let ranks = new Map<string, readonly Member[]>()
+
+  membership.onChange(() => { byZone = undefined })
+
+  const readByZone = (): ReadonlyMap<string, readonly Member[]> => {
+    if (byZone !== undefined) return byZone
+    ranks = new Map()
+    const grouped = groupBy(membership.liveMembers(), (member) => member.availabilityZone)
+    byZone = grouped
+    return grouped
+  }
+
+  return {
+    zones: () => [...readByZone().keys()],
+    rank: (routerZone, serverZone) => {
+      const routers = readByZone().get(routerZone) ?? []
+      const key = `${routerZone} ${serverZone}`
+      const known = ranks.get(key)
+      if (known !== undefined) return known
+      const ranked = rankMembers(`load of ${serverZone}`, routers, routers.length)
+      ranks.set(key, ranked)
+      return ranked
+    }
+  }
+}
--- /dev/null
+++ b/src/services/fleetLoad/index.ts
@@ -0,0 +1,195 @@
+/**
+ * Load counts in a fleet too large for every router to send to every other.
+ * For the backend servers of each availability zone, one router of each zone
+ * sums what the routers of its zone have in flight there; these exchange their
+ * sums, and each passes the fleet's total on through a tree within its zone.
+ */
+import { createSnapshotStore } from './_lib/createSnapshotStore.js'
+import type { SnapshotStore } from './_lib/createSnapshotStore.js'
+import { createZoneRanks } from './_lib/createZoneRanks.js'
+import { findForwardTargets } from '../../decisions/findForwardTargets/index.js'
+import { packLoadCounts, unpackLoadCounts } from '../../decisions/packLoadCounts/index.js'
+import { groupBy } from '../../kernel/groupBy/index.js'
+import type { RunningService } from '../../kernel/index.js'
+import type { Clock, ConfigurationHolder, LoadSnapshot, Member, Membership, PeerTransport, Timer } from '../../types/index.js'
+
+export type FleetLoad = {
+  /** Whether the fleet is so large that load travels this way and not with heartbeats. */
+  readonly isInUse: () => boolean
+  /** Requests in flight from other routers; 0 before the first snapshot. */
+  readonly readOthers: (backendServer: string) => number
+  readonly onChange: (listener: (backendServer: string) => void) => void
+}
+
+export type FleetLoadDependencies = {
+  readonly clock: Clock
+  readonly transport: PeerTransport
+  readonly membership: Pick<Membership, 'self' | 'liveMembers' | 'onChange'>
+  readonly configuration: Pick<ConfigurationHolder, 'current'>
+  /** What this node publishes: requests in flight by backend server. */
+  readonly readCounts: () => ReadonlyMap<string, number>
+}
+
+export type FleetLoadOptions = {
+  /** Peers up to which load travels with heartbeats instead. */
+  readonly fullMeshPeers: number
+  /** Time between two snapshots, in milliseconds. */
+  readonly periodMs?: number
+  /** Copies of a snapshot that one router passes on at most. */
+  readonly fanOut?: number
+}
+
+type Others = { readonly at: number, readonly inFlight: number }
+
+const DEFAULT_PERIOD_MS = 1000
+const DEFAULT_FAN_OUT = 2
+/** Periods after which the last snapshot of a silent source no longer counts. */
+const MAXIMUM_AGE_PERIODS = 4
+/** Shares of the period by wall time at which each stage runs, so that it finds the one before done. */
+const STAGES = { node: 0, zone: 0.3, fleet: 0.6 }
+
+/**
+ * Creates the load exchange of one node for a large fleet.
+ *
+ * Snapshots are whole and periodic: a lost one, or a router that sums and
+ * dies, leaves old counts for a few periods and nothing to repair. A router
+ * takes sums only from the one that it ranks first itself, so that two which
+ * both believe to be first are not added up.
+ *
+ * @param dependencies - Clock, transport, membership, configuration and the own counts.
+ * @param options - Sizes and the period in milliseconds.
+ * @returns The service for the kernel, which publishes from its start to its stop.
+ *
+ * @example
+ * const { api } = createFleetLoad({ clock, transport, membership, configuration, readCounts }, { fullMeshPeers: 12 })
+ * api.readOthers('engine-1') // => 0
+ */
+export const createFleetLoad = (dependencies: FleetLoadDependencies, options: FleetLoadOptions): RunningService<FleetLoad> => {
+  const { clock, transport, membership, configuration } = dependencies
+  const periodMs = options.periodMs ?? DEFAULT_PERIOD_MS
+  const fanOut = options.fanOut ?? DEFAULT_FAN_OUT
+  const maximumAgeMs = MAXIMUM_AGE_PERIODS * periodMs
+  const ranks = createZoneRanks(membership)
+  const stores: Readonly<Record<'node' | 'zone', Map<string, SnapshotStore>>> = { node: new Map(), zone: new Map() }
+  const othersByServer = new Map<string, Others>()
+  const listeners: ((backendServer: string) => void)[] = []
+  const timers = new Map<string, Timer>()
+  let lastSent: ReadonlyMap<string, number> = new Map()
+  let sequence = clock.wallTime()
+
+  const isInUse = (): boolean => membership.liveMembers().length - 1 > options.fullMeshPeers
+
+  const listServers = () => configuration.current()?.sheet.backendServers ?? []
+
+  const listServerZones = (): readonly string[] => [...new Set(listServers().map((server) => server.availabilityZone))]
+
+  const ownZone = (): string => membership.self().availabilityZone
+
+  const isSelf = (member: Member | undefined): boolean => member?.nodeId === membership.self().nodeId
+
+  const findStore = (scope: 'node' | 'zone', serverZone: string): SnapshotStore => {
+    const known = stores[scope].get(serverZone)
+    if (known !== undefined) return known
+    const store = createSnapshotStore(maximumAgeMs)
+    stores[scope].set(serverZone, store)
+    return store
+  }
+
+  const createSnapshot = (scope: LoadSnapshot['scope'], source: string, serverZone: string, counts: ReadonlyMap<number, number>): LoadSnapshot => {
+    sequence += 1
+    const { nodeId } = membership.self()
+    return { scope, source, nodeId, serverZone, sequence, generation: configuration.current()?.generation ?? 0, ...packLoadCounts(counts) }
+  }
+
+  const sendOrTake = (receiver: Member | undefined, snapshot: LoadSnapshot): void => {
+    if (receiver === undefined) return
+    if (isSelf(receiver)) return take(snapshot)
+    transport.send(receiver.address, { kind: 'loadSnapshot', snapshot })
+  }
+
+  const publishNode = (): void => {
+    const counts = dependencies.readCounts()
+    const byZone = groupBy(listServers().map((server, index) => ({ server, index })), ({ server }) => server.availabilityZone)
+    lastSent = new Map(counts)
+    for (const [serverZone, servers] of byZone) {
+      const byIndex = new Map(servers.map(({ server, index }) => [index, counts.get(server.name) ?? 0]))
+      sendOrTake(ranks.rank(ownZone(), serverZone)[0], createSnapshot('node', membership.self().nodeId, serverZone, byIndex))
+    }
+  }
+
+  const listSummedZones = (): readonly string[] => listServerZones().filter((serverZone) => isSelf(ranks.rank(ownZone(), serverZone)[0]))
+
+  const publishZone = (): void => {
+    for (const serverZone of listSummedZones()) {
+      const snapshot = createSnapshot('zone', ownZone(), serverZone, findStore('node', serverZone).sum(clock.now()))
+      for (const routerZone of ranks.zones()) sendOrTake(ranks.rank(routerZone, serverZone)[0], snapshot)
+    }
+  }
+
+  const publishFleet = (): void => {
+    for (const serverZone of listSummedZones()) {
+      take(createSnapshot('fleet', ownZone(), serverZone, findStore('zone', serverZone).sum(clock.now())))
+    }
+  }
+
+  const forward = (snapshot: LoadSnapshot): void => {
+    const ranked = ranks.rank(ownZone(), snapshot.serverZone)
+    const self = ranked.find(isSelf)
+    if (self === undefined) return
+    for (const receiver of findForwardTargets(ranked, self, fanOut)) transport.send(receiver.address, { kind: 'loadSnapshot', snapshot })
+  }
+
+  const takeFleet = (snapshot: LoadSnapshot): void => {
+    if (ranks.rank(ownZone(), snapshot.serverZone)[0]?.nodeId !== snapshot.nodeId) return
+    const counts = unpackLoadCounts(snapshot)
+    listServers().forEach(({ name, availabilityZone }, index) => {
+      if (availabilityZone !== snapshot.serverZone) return
+      // The total holds what this node itself sent last; only the rest is of others.
+      const inFlight = Math.max(0, (counts.get(index) ?? 0) - (lastSent.get(name) ?? 0))
+      othersByServer.set(name, { at: clock.now(), inFlight })
+      for (const listen of listeners) listen(name)
+    })
+    forward(snapshot)
+  }
+
+  const takers: Readonly<Record<LoadSnapshot['scope'], (snapshot: LoadSnapshot) => void>> = {
+    node: (snapshot) => { findStore('node', snapshot.serverZone).put(snapshot, clock.now()) },
+    zone: (snapshot) => { findStore('zone', snapshot.serverZone).put(snapshot, clock.now()) },
+    fleet: takeFleet
+  }
+
+  const take = (snapshot: LoadSnapshot): void => {
+    // Places in the sheet mean other servers in another generation. Generations
+    // differ for seconds at most; until then the last counts stand.
+    if (snapshot.generation === configuration.current()?.generation) takers[snapshot.scope](snapshot)
+  }
+
+  const schedule = (stage: keyof typeof STAGES, publish: () => void): void => {
+    const phase = (clock.wallTime() - STAGES[stage] * periodMs) % periodMs
+    timers.set(stage, clock.setTimer(periodMs - phase, () => {
+      if (isInUse()) publish()
+      schedule(stage, publish)
+    }))
+  }
+
+  return {
+    api: {
+      isInUse,
+      readOthers: (backendServer) => {
+        const others = othersByServer.get(backendServer)
+        return others === undefined || clock.now() - others.at > maximumAgeMs ? 0 : others.inFlight
+      },
+      onChange: (listener) => { listeners.push(listener) }
+    },
+    start: () => {
+      transport.handle('loadSnapshot', ({ snapshot }) => {
+        take(snapshot)
+        return { kind: 'none' }
+      })
+      schedule('node', publishNode)
+      schedule('zone', publishZone)
+      schedule('fleet', publishFleet)
+    },
+    stop: () => { for (const timer of timers.values()) timer.cancel() }
+  }
+}
--- a/src/services/loadView/index.ts
+++ b/src/services/loadView/index.ts
@@ -9,6 +9,7 @@
 import { createRecentMaximum } from './_lib/createRecentMaximum.js'
 import type { RecentMaximum } from './_lib/createRecentMaximum.js'
 import type { RunningService } from '../../kernel/index.js'
+import type { FleetLoad } from '../fleetLoad/index.js'
 import type { HeartbeatExchange } from '../heartbeatExchange/index.js'
 import type { Clock, Heartbeat, HeartbeatParts, LoadReport, LoadView, Member, Membership, RouterSettings } from '../../types/index.js'
 
@@ -22,10 +23,13 @@
    * counted more than once.
    */
   readonly publishesExcess?: (backendServer: string) => boolean
-  /** Whether digests go to this receiver with heartbeats; to all by default. */
-  readonly sendsTo?: (receiver: Member) => boolean
+  /** Takes the place of the digests in heartbeats when the fleet is large. */
+  readonly fleetLoad?: FleetLoad
 }
 
+/** `publishedCounts` is for the exchange in a large fleet: what this node tells others of its load. */
+export type RunningLoadView = RunningService<LoadView> & { readonly publishedCounts: () => ReadonlyMap<string, number> }
+
 export type LoadViewOptions = {
   readonly settings: Pick<RouterSettings, 'nodeId' | 'loadReportIntervalMs' | 'deadAfterMs'>
   readonly fullEveryTurns?: number
@@ -56,8 +60,8 @@
  * api.recordStart('engine-1')
  * api.estimateInFlight('engine-1') // => 1
  */
-export const createLoadView = (dependencies: LoadViewDependencies, options: LoadViewOptions): RunningService<LoadView> => {
-  const { clock, membership, exchange } = dependencies
+export const createLoadView = (dependencies: LoadViewDependencies, options: LoadViewOptions): RunningLoadView => {
+  const { clock, membership, exchange, fleetLoad } = dependencies
   const { settings } = options
   const windowMs = 2 * settings.loadReportIntervalMs
   const own = new Map<string, number>()
@@ -67,7 +71,12 @@
 
   const readOwn = (backendServer: string): number => own.get(backendServer) ?? 0
 
-  const readKnown = (backendServer: string): number => readOwn(backendServer) + peerCounts.sum(backendServer)
+  const isInLargeFleet = (): boolean => fleetLoad?.isInUse() === true
+
+  const readPeers = (backendServer: string): number =>
+    isInLargeFleet() ? fleetLoad!.readOthers(backendServer) : peerCounts.sum(backendServer)
+
+  const readKnown = (backendServer: string): number => readOwn(backendServer) + readPeers(backendServer)
 
   const findRecentMaximum = (backendServer: string): RecentMaximum => {
     const known = recentMaxima.get(backendServer)
@@ -92,7 +101,7 @@
     if (isOwnToPublish(backendServer)) return excess.requests
     // The router that publishes the excess may just have done so: what the peers'
     // counts grew by since the report may be the same requests.
-    return Math.max(0, excess.requests - Math.max(0, peerCounts.sum(backendServer) - excess.peerSum))
+    return Math.max(0, excess.requests - Math.max(0, readPeers(backendServer) - excess.peerSum))
   }
 
   /** Without a publisher each node keeps the excess that it saw to itself. */
@@ -112,7 +121,7 @@
     if (report.ageMs > windowMs) return
     const requests = Math.max(0, report.running + report.waiting - findRecentMaximum(backendServer).read(now))
     if (requests === 0) excesses.delete(backendServer)
-    else excesses.set(backendServer, { requests, peerSum: peerCounts.sum(backendServer), until: now + EXCESS_INTERVALS * settings.loadReportIntervalMs })
+    else excesses.set(backendServer, { requests, peerSum: readPeers(backendServer), until: now + EXCESS_INTERVALS * settings.loadReportIntervalMs })
   }
 
   const readPublished = (): ReadonlyMap<string, number> => {
@@ -157,8 +166,8 @@
   }
 
   const contribute = (receiver: Member): HeartbeatParts => {
-    const isReceiver = dependencies.sendsTo?.(receiver) ?? true
-    const load = isReceiver ? receivers.next(receiver.nodeId, readPublished()) : undefined
+    if (isInLargeFleet()) return {}
+    const load = receivers.next(receiver.nodeId, readPublished())
     return {
       ...(load === undefined ? {} : { load }),
       ...(peerCounts.hasGap(receiver.nodeId) ? { loadWanted: true } : {})
@@ -168,8 +177,10 @@
   exchange.addContributor(contribute)
   exchange.addListener(applyHeartbeat)
   membership.onChange(dropGone)
+  fleetLoad?.onChange(noteKnown)
 
   return {
+    publishedCounts: readPublished,
     api: {
       recordStart: (backendServer) => changeOwn(backendServer, 1),
       recordEnd: (backendServer) => changeOwn(backendServer, -1),
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -36,6 +36,28 @@
   readonly counts: readonly LoadCount[]
 }
 
+/**
+ * Load of the backend servers of one availability zone, in a large fleet: the
+ * requests of one router, the sum of one zone's routers, or the sum of all
+ * zones. It is always whole, so a lost one is made good by the next.
+ */
+export type LoadSnapshot = {
+  readonly scope: 'node' | 'zone' | 'fleet'
+  /** Node that counted, or zone that was summed. */
+  readonly source: string
+  /** Node that made it. */
+  readonly nodeId: string
+  /** Availability zone of the backend servers. */
+  readonly serverZone: string
+  /** Grows from one snapshot of a node to the next. */
+  readonly sequence: number
+  /** Configuration generation whose sheet the indexes refer to. */
+  readonly generation: number
+  /** Places of the backend servers in the sheet; those left out have no load. */
+  readonly indexes: Uint16Array
+  readonly inFlight: Uint8Array | Uint16Array
+}
+
 /** A mark that a backend server is leaving; a higher epoch alone replaces it. */
 export type LeavingMark = {
   readonly backendServer: string
@@ -66,6 +88,7 @@
     /** The sender missed a digest and asks this receiver for full counts. */
     readonly loadWanted?: boolean
   }
+  | { readonly kind: 'loadSnapshot', readonly snapshot: LoadSnapshot }
   | { readonly kind: 'rootRequest' }
   | { readonly kind: 'chunkRequest', readonly hash: string }
   | { readonly kind: 'directoryStore', readonly chatKey: string, readonly backendServer: string }
