--- /dev/null
+++ b/src/bench/controlTraffic/index.ts
@@ -0,0 +1,148 @@
+/**
+ * What knowing each other costs the routers: bytes, processor time and memory
+ * of control traffic by size of the fleet, how exact the load counts are, and
+ * how long news takes to reach every node.
+ */
+import { createFleet } from './createFleet.js'
+import type { Fleet, FleetNode, FleetSize } from './createFleet.js'
+import { runTraffic } from './runTraffic.js'
+import type { Bench, Table } from '../types.js'
+
+const SIZES: readonly FleetSize[] = [
+  { nodes: 9, servers: 12, zones: 3 },
+  { nodes: 45, servers: 75, zones: 3 },
+  { nodes: 90, servers: 150, zones: 3 },
+  { nodes: 180, servers: 300, zones: 4 },
+  { nodes: 360, servers: 600, zones: 8 }
+]
+
+/** Sizes of the fast setting: today's, and one beyond the full mesh. */
+const FAST_SIZES = SIZES.slice(0, 2)
+
+const START_SPREAD_MS = 1000
+const WARM_UP_MS = 20_000
+const MEASURED_MS = 20_000
+const FAST_MEASURED_MS = 10_000
+const STEP_MS = 50
+const LONGEST_WAIT_MS = 30_000
+const MS_PER_SECOND = 1000
+const BYTES_PER_KILOBYTE = 1000
+const MICROSECONDS_PER_MS = 1000
+
+const round = (value: number, digits = 2): number => Number(value.toFixed(digits))
+
+const mean = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length)
+
+const startFleet = async (size: FleetSize, seed: number): Promise<Fleet> => {
+  const fleet = createFleet(size, seed)
+  for (let index = 0; index < size.nodes; index++) {
+    fleet.startNode(index)
+    await fleet.clock.advanceAndSettle(Math.floor(START_SPREAD_MS / size.nodes))
+  }
+  return fleet
+}
+
+const totalBytes = (node: FleetNode): number => [...node.transport.bytesSent().values()].reduce((sum, bytes) => sum + bytes, 0)
+
+type Mark = { readonly bytes: number, readonly heartbeat: number, readonly snapshot: number, readonly messages: number, readonly probes: number }
+
+const takeMark = (node: FleetNode): Mark => ({
+  bytes: totalBytes(node),
+  heartbeat: node.transport.bytesSent().get('heartbeat') ?? 0,
+  snapshot: node.transport.bytesSent().get('loadSnapshot') ?? 0,
+  messages: node.transport.messagesSent(),
+  probes: node.readProbes()
+})
+
+const perSecond = (before: readonly Mark[], after: readonly Mark[], field: keyof Mark, ms: number): readonly number[] =>
+  after.map((mark, index) => (mark[field] - before[index]![field]) / (ms / MS_PER_SECOND))
+
+/** Relative errors of all estimates of all nodes, at one moment. */
+const measureErrors = (fleet: Fleet): readonly number[] => {
+  const truths = fleet.servers.map(({ name }) => ({ name, truth: fleet.countTruth(name) })).filter(({ truth }) => truth > 0)
+  return fleet.nodes.flatMap((node) => truths.map(({ name, truth }) => Math.abs(node.loadView.estimateInFlight(name) - truth) / truth))
+}
+
+const measureSteady = async (fleet: Fleet, size: FleetSize, ms: number): Promise<readonly (string | number)[]> => {
+  const traffic = runTraffic(fleet)
+  await fleet.clock.advanceAndSettle(WARM_UP_MS)
+  const before = fleet.nodes.map(takeMark)
+  const startedUsage = process.cpuUsage()
+  await fleet.clock.advanceAndSettle(ms)
+  const usage = process.cpuUsage(startedUsage)
+  const after = fleet.nodes.map(takeMark)
+  const errors = [...measureErrors(fleet)].sort((one, other) => one - other)
+  traffic.stop()
+  const kilobytes = (field: keyof Mark): readonly number[] => perSecond(before, after, field, ms).map((bytes) => bytes / BYTES_PER_KILOBYTE)
+  const nodeSeconds = size.nodes * ms / MS_PER_SECOND
+  return [
+    size.nodes, size.servers, size.zones,
+    round(mean(kilobytes('heartbeat'))), round(mean(kilobytes('snapshot'))), round(mean(kilobytes('bytes'))), round(Math.max(...kilobytes('bytes'))),
+    round(mean(perSecond(before, after, 'messages', ms)), 1), round(mean(perSecond(before, after, 'probes', ms)), 1),
+    round((usage.user + usage.system) / MICROSECONDS_PER_MS / nodeSeconds),
+    round(process.memoryUsage().heapUsed / BYTES_PER_KILOBYTE / BYTES_PER_KILOBYTE / size.nodes),
+    round(100 * mean(errors), 1), round(100 * (errors[Math.floor(errors.length * 0.99)] ?? 0), 1)
+  ]
+}
+
+/** Moves the clock until the condition holds; gives the milliseconds, or a text when it never did. */
+const waitUntil = async (fleet: Fleet, isTrue: () => boolean): Promise<number | string> => {
+  const startedAt = fleet.clock.now()
+  while (fleet.clock.now() - startedAt < LONGEST_WAIT_MS) {
+    if (isTrue()) return fleet.clock.now() - startedAt
+    await fleet.clock.advanceAndSettle(STEP_MS)
+  }
+  return `over ${LONGEST_WAIT_MS}`
+}
+
+const findState = (node: FleetNode, name: string): string | undefined =>
+  node.membership.members().find((member) => member.nodeId === name)?.state
+
+const measureNews = async (fleet: Fleet, size: FleetSize): Promise<readonly (string | number)[]> => {
+  const [leavingServer] = fleet.servers
+  fleet.nodes[0]!.backendHealth.markLeaving(leavingServer!.name)
+  const leaving = await waitUntil(fleet, () => fleet.nodes.every((node) => node.backendHealth.status(leavingServer!.name).state === 'leaving'))
+  const joined = fleet.startNode(size.nodes)
+  const join = await waitUntil(fleet, () => fleet.nodes.every((node) => node === joined || findState(node, joined.name) === 'live'))
+  const lost = fleet.nodes[Math.floor(size.nodes / 2)]!
+  await lost.stop()
+  const death = await waitUntil(fleet, () => fleet.nodes.every((node) => node === lost || findState(node, lost.name) === 'dead'))
+  const wrongly = fleet.nodes.filter((node) => node !== lost && node.membership.liveMembers().length !== size.nodes).length
+  return [size.nodes, leaving, join, death, wrongly]
+}
+
+/**
+ * Runs the measurement.
+ *
+ * Nodes run in one process on a manual clock; bytes are those of the frames,
+ * without TCP and IP headers, and processor time includes the network in
+ * memory, the clock and the requests that the bench makes up.
+ *
+ * @param options - `fast` measures the two smallest sizes; `seed` fixes the run.
+ * @returns One table of steady traffic, one of how fast news spreads.
+ *
+ * @example
+ * const [steady] = await runControlTrafficBench({ fast: true, seed: 1 })
+ */
+export const runControlTrafficBench: Bench = async ({ fast, seed }) => {
+  const steady: (readonly (string | number)[])[] = []
+  const news: (readonly (string | number)[])[] = []
+  for (const size of fast ? FAST_SIZES : SIZES) {
+    const fleet = await startFleet(size, seed)
+    steady.push(await measureSteady(fleet, size, fast ? FAST_MEASURED_MS : MEASURED_MS))
+    news.push(await measureNews(fleet, size))
+  }
+  const tables: readonly Table[] = [
+    {
+      title: 'Control traffic of a node, steady, at the peak rate of requests',
+      columns: ['nodes', 'servers', 'zones', 'heartbeat KB/s', 'loadSnapshot KB/s', 'all KB/s', 'all KB/s (worst node)', 'messages/s', 'probes/s', 'CPU ms/s', 'heap MB', 'load error %', 'load error % (p99)'],
+      rows: steady
+    },
+    {
+      title: 'Time until every node knows (ms); nodes with a wrong list of members afterwards',
+      columns: ['nodes', 'server leaving', 'node joined', 'node dead', 'wrong lists'],
+      rows: news
+    }
+  ]
+  return tables
+}
--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -4,7 +4,8 @@
 import type { Bench, Table } from './types.js'
 
 const benches: Readonly<Record<string, () => Promise<Bench>>> = {
-  placement: async () => (await import('./placement/index.js')).runPlacementBench
+  placement: async () => (await import('./placement/index.js')).runPlacementBench,
+  controlTraffic: async () => (await import('./controlTraffic/index.js')).runControlTrafficBench
 }
 
 const DEFAULT_SEED = 20_261_202
--- /dev/null
+++ b/src/decisions/selectHeartbeatTargets/_lib/orderAsRing.ts
@@ -0,0 +1,11 @@
+/** The order of members on the ring from which watchers are found. */
+import { hashText } from '../../../hashing/index.js'
+import type { Member } from '../../../types/index.js'
+
+type Placed = { readonly member: Member, readonly hash: number }
+
+const compare = (one: Placed, other: Placed): number =>
+  one.hash - other.hash || (one.member.nodeId < other.member.nodeId ? -1 : 1)
+
+export const orderAsRing = (members: readonly Member[]): readonly Member[] =>
+  members.map((member) => ({ member, hash: hashText(member.nodeId) })).sort(compare).map(({ member }) => member)
--- a/src/decisions/selectHeartbeatTargets/index.ts
+++ b/src/decisions/selectHeartbeatTargets/index.ts
@@ -3,7 +3,7 @@
  * large one it is a few fixed watchers, who notice its silence, and a few
  * others picked at random, who carry news on.
  */
-import { compareByRing } from './_lib/compareByRing.js'
+import { orderAsRing } from './_lib/orderAsRing.js'
 import type { Member } from '../../types/index.js'
 
 export type HeartbeatFanOut = {
@@ -45,7 +45,7 @@
  */
 export const selectHeartbeatTargets = (self: Member, peers: readonly Member[], fanOut: HeartbeatFanOut, nextRandom: () => number): HeartbeatTargets => {
   if (peers.length <= fanOut.fullMeshPeers) return { watchers: peers, watched: peers, picked: [] }
-  const ring = [...peers, self].sort(compareByRing)
+  const ring = orderAsRing([...peers, self])
   const isNear = (one: Member, other: Member): boolean => one.availabilityZone === other.availabilityZone
   const isFar = (one: Member, other: Member): boolean => !isNear(one, other)
   const zoneRing = ring.filter((member) => isNear(member, self))
--- /dev/null
+++ b/src/services/fleetLoad/test.ts
@@ -0,0 +1,123 @@
+import { describe, expect, it } from 'vitest'
+import { createFleetLoad } from './index.js'
+import { createManualClock } from '../../emulator/createManualClock/index.js'
+import { createMemoryPeerNetwork } from '../../emulator/createMemoryPeerNetwork/index.js'
+import type { Configuration, Member } from '../../types/index.js'
+
+const PERIOD_MS = 1000
+const ZONES = ['venkov-a', 'venkov-b']
+/** Two stages take one period, and the sums of the first one may be empty. */
+const SETTLE_MS = 3 * PERIOD_MS
+
+const createMember = (index: number): Member =>
+  ({ nodeId: `node-${index}`, incarnation: 1, address: { host: `node-${index}`, port: 1 }, availabilityZone: ZONES[index % 2]!, state: 'live', generation: 1 })
+
+const createConfiguration = (generation: number): Configuration => ({
+  generation,
+  appliedBy: 'operator',
+  appliedAt: 0,
+  applyId: 'apply',
+  sheet: {
+    clientAccounts: [],
+    services: [],
+    routes: [],
+    plannedStops: [],
+    backendServers: [0, 1, 2].map((index) => ({ name: `engine-${index}`, service: 'chat', url: `http://engine-${index}`, availabilityZone: ZONES[index % 2]!, slots: 8 }))
+  }
+})
+
+const createFleet = (size: number, fullMeshPeers = 2) => {
+  const clock = createManualClock()
+  const network = createMemoryPeerNetwork({ clock })
+  const members = Array.from({ length: size }, (_, index) => createMember(index))
+  const dead = new Set<string>()
+  const listeners: (() => void)[] = []
+  const nodes = members.map((self) => {
+    const counts = new Map<string, number>()
+    let configuration = createConfiguration(1)
+    const transport = network.createTransport(self.address)
+    const service = createFleetLoad({
+      clock,
+      transport,
+      membership: { self: () => self, liveMembers: () => members.filter((member) => !dead.has(member.nodeId)), onChange: (listener) => { listeners.push(listener) } },
+      configuration: { current: () => configuration },
+      readCounts: () => counts
+    }, { fullMeshPeers, periodMs: PERIOD_MS })
+    service.start?.()
+    const kill = async (): Promise<void> => {
+      await service.stop?.()
+      await transport.close()
+      dead.add(self.nodeId)
+      for (const listen of listeners) listen()
+    }
+    return { self, counts, kill, fleetLoad: service.api, upgrade: () => { configuration = createConfiguration(2) } }
+  })
+  const readAll = (server: string): readonly number[] => nodes.filter(({ self }) => !dead.has(self.nodeId)).map(({ fleetLoad }) => fleetLoad.readOthers(server))
+  return { clock, network, nodes, readAll, isDead: (nodeId: string) => dead.has(nodeId) }
+}
+
+describe('createFleetLoad', () => {
+  it('tells every node what all others have in flight', async () => {
+    const { clock, nodes, readAll } = createFleet(9)
+    nodes.forEach(({ counts }, index) => counts.set('engine-1', index + 1))
+    await clock.advanceAndSettle(SETTLE_MS)
+    expect(readAll('engine-1')).toEqual(nodes.map((_, index) => 45 - (index + 1)))
+  })
+
+  it('follows counts that fall to nothing', async () => {
+    const { clock, nodes, readAll } = createFleet(6)
+    for (const { counts } of nodes) counts.set('engine-0', 300)
+    await clock.advanceAndSettle(SETTLE_MS)
+    for (const { counts } of nodes) counts.clear()
+    await clock.advanceAndSettle(SETTLE_MS)
+    expect(new Set(readAll('engine-0'))).toEqual(new Set([0]))
+  })
+
+  it('stays out of use in a small fleet', async () => {
+    const { clock, nodes, readAll } = createFleet(3)
+    for (const { counts } of nodes) counts.set('engine-0', 5)
+    await clock.advanceAndSettle(SETTLE_MS)
+    expect(nodes[0]!.fleetLoad.isInUse()).toBe(false)
+    expect(new Set(readAll('engine-0'))).toEqual(new Set([0]))
+  })
+
+  // Routers that sum the load die one after the other. Each time the next in
+  // rank takes over, and what the dead ones had in flight is no longer counted.
+  it('goes on when routers that sum die', async () => {
+    const { clock, nodes, readAll, isDead } = createFleet(8)
+    for (const { counts } of nodes) counts.set('engine-2', 1)
+    for (const node of nodes.slice(0, 4)) {
+      await node.kill()
+      await clock.advanceAndSettle(SETTLE_MS)
+    }
+    await clock.advanceAndSettle(4 * PERIOD_MS)
+    expect(nodes.filter(({ self }) => isDead(self.nodeId))).toHaveLength(4)
+    expect(new Set(readAll('engine-2'))).toEqual(new Set([3]))
+  })
+
+  // Two zones lose each other. Each must go on with its own counts, and those of
+  // the other zone must not stay for ever.
+  it('drops the counts of a zone that is cut off', async () => {
+    const { clock, network, nodes, readAll } = createFleet(8)
+    for (const { counts } of nodes) counts.set('engine-0', 1)
+    await clock.advanceAndSettle(SETTLE_MS)
+    for (const one of nodes) {
+      for (const other of nodes) if (one.self.availabilityZone !== other.self.availabilityZone) network.cut(one.self.address, other.self.address)
+    }
+    await clock.advanceAndSettle(8 * PERIOD_MS)
+    expect(new Set(readAll('engine-0'))).toEqual(new Set([3]))
+  })
+
+  // A new sheet moves the places of the servers. A count read at an old place
+  // would be charged to another server.
+  it('takes no snapshot of another generation', async () => {
+    const { clock, nodes } = createFleet(4)
+    for (const { counts } of nodes) counts.set('engine-0', 1)
+    nodes[0]!.upgrade()
+    await clock.advanceAndSettle(SETTLE_MS)
+    expect(nodes[0]!.fleetLoad.readOthers('engine-0')).toBe(0)
+    for (const node of nodes.slice(1)) node.upgrade()
+    await clock.advanceAndSettle(SETTLE_MS)
+    expect(nodes[0]!.fleetLoad.readOthers('engine-0')).toBe(3)
+  })
+})
