--- a/src/node/createRouterNode/index.ts
+++ b/src/node/createRouterNode/index.ts
@@ -11,9 +11,10 @@
 import { createClaims } from '../../services/claims/index.js'
 import { createConfiguration } from '../../services/configuration/index.js'
 import { createDispatch } from '../../services/dispatch/index.js'
+import { createFleetLoad, type FleetLoad } from '../../services/fleetLoad/index.js'
 import { createHeartbeatExchange, type HeartbeatExchange } from '../../services/heartbeatExchange/index.js'
-import { createLoadView } from '../../services/loadView/index.js'
-import { createMembership } from '../../services/membership/index.js'
+import { createLoadView, type RunningLoadView } from '../../services/loadView/index.js'
+import { createMembership, DEFAULT_FAN_OUT } from '../../services/membership/index.js'
 import { createPlacement } from '../../services/placement/index.js'
 import { createVmList, type VmList } from '../../services/vmList/index.js'
 import type {
@@ -41,6 +42,7 @@
 export type RouterServices = NodeServices & {
   readonly heartbeatExchange: HeartbeatExchange
   readonly vmList: VmList
+  readonly fleetLoad: FleetLoad
 }
 
 export type RouterNode = {
@@ -98,17 +100,33 @@
 }
 
 const registerLoadServices = (kernel: Kernel<RouterServices>, dependencies: RouterNodeDependencies): void => {
-  const { settings, clock, random, backendClient, logger, metrics } = dependencies
+  const { settings, clock, random, transport, backendClient, logger, metrics } = dependencies
   let health: RunningBackendHealth | undefined
+  let loadView: RunningLoadView | undefined
   kernel.register({
-    name: 'loadView',
-    dependsOn: ['membership', 'heartbeatExchange'],
-    create: (resolve) => createLoadView({
+    name: 'fleetLoad',
+    dependsOn: ['membership', 'configuration'],
+    create: (resolve) => createFleetLoad({
       clock,
+      transport,
       membership: resolve('membership'),
-      exchange: resolve('heartbeatExchange'),
-      publishesExcess: (backendServer) => health?.publishesExcess(backendServer) ?? false
-    }, { settings })
+      configuration: resolve('configuration'),
+      readCounts: () => loadView?.publishedCounts() ?? new Map()
+    }, { fullMeshPeers: DEFAULT_FAN_OUT.fullMeshPeers })
+  })
+  kernel.register({
+    name: 'loadView',
+    dependsOn: ['membership', 'heartbeatExchange', 'fleetLoad'],
+    create: (resolve) => {
+      loadView = createLoadView({
+        clock,
+        membership: resolve('membership'),
+        exchange: resolve('heartbeatExchange'),
+        fleetLoad: resolve('fleetLoad'),
+        publishesExcess: (backendServer) => health?.publishesExcess(backendServer) ?? false
+      }, { settings })
+      return loadView
+    }
   })
   kernel.register({
     name: 'backendHealth',
