--- a/src/cli/createProgram/index.ts
+++ b/src/cli/createProgram/index.ts
@@ -1,10 +1,15 @@
 import { Command } from 'commander'
 import { version } from '../../version.js'
+import { createProcessEnvironment } from '../_lib/commandEnvironment.js'
+import { createAuditCommand } from '../audit/index.js'
 import { createDemoCommand } from '../demo/index.js'
+import { createDrainCommand } from '../drain/index.js'
 import { createEmulateCommand } from '../emulate/index.js'
 import { exitCodes } from '../exitCodes.js'
+import { createLoadCommand } from '../load/index.js'
 import { createRouterCommand } from '../router/index.js'
 import { createSettingsCommand } from '../settings/index.js'
+import { createSheetCommand } from '../sheet/index.js'
 
 const createVersionCommand = (): Command => new Command('version')
   .description('Prints the version')
@@ -25,14 +30,19 @@
  * await createProgram().parseAsync(['node', 'dotterelspoke', 'version'])
  */
 export const createProgram = (): Command => {
+  const environment = createProcessEnvironment()
   const program = new Command('dotterelspoke')
     .description('A router fleet for model-backed applications whose chats return after pauses')
     .version(version)
     .showHelpAfterError()
+    .addCommand(createAuditCommand(environment))
     .addCommand(createDemoCommand())
+    .addCommand(createDrainCommand(environment))
     .addCommand(createEmulateCommand())
+    .addCommand(createLoadCommand())
     .addCommand(createRouterCommand())
     .addCommand(createSettingsCommand())
+    .addCommand(createSheetCommand(environment))
     .addCommand(createVersionCommand())
   exitWithProjectCode(program)
   return program
