Place new chats apart from returning ones

Cause: a returning chat was displaced whenever its server stood above the target, although new chats, which have no prefix to lose, had filled it. What is left above the limit comes from counts that are 250 ms old.

--- a/src/bench/placement/_lib/policies.ts
+++ b/src/bench/placement/_lib/policies.ts
@@ -31,14 +31,28 @@
   return other.inFlight / other.weight < one.inFlight / one.weight ? other : one
 }
 
-const createBounded = (options: { readonly atLimit?: boolean, readonly usesMemory: boolean, readonly newChatChoices: number, readonly knowsAll?: boolean }): Policy => ({
+type BoundedOptions = {
+  /** Aims at the limit itself. */
+  readonly atLimit?: boolean
+  readonly usesMemory: boolean
+  readonly newChatChoices: number
+  /** New chats have a lower target of their own. */
+  readonly splitsTarget?: boolean
+  readonly knowsAll?: boolean
+}
+
+const createBounded = (options: BoundedOptions): Policy => ({
   usesMemory: options.usesMemory,
   knowsAll: options.knowsAll === true,
-  choose: (demand) => chooseBackendServer({ ...demand, excluded: NONE }, demand.candidates, {
-    loadTarget: options.atLimit === true ? demand.loadLimit : demand.loadTarget,
-    loadLimit: demand.loadLimit,
-    newChatChoices: options.newChatChoices
-  })
+  choose: (demand) => {
+    const loadTarget = options.atLimit === true ? demand.loadLimit : demand.loadTarget
+    return chooseBackendServer({ ...demand, excluded: NONE }, demand.candidates, {
+      loadTarget,
+      loadLimit: demand.loadLimit,
+      newChatChoices: options.newChatChoices,
+      ...(options.splitsTarget === true ? {} : { newChatLoadTarget: loadTarget })
+    })
+  }
 })
 
 export const policies: Readonly<Record<string, Policy>> = {
@@ -49,5 +63,6 @@
   'bounded at the target': createBounded({ usesMemory: false, newChatChoices: 1 }),
   'bounded, memory': createBounded({ usesMemory: true, newChatChoices: 1 }),
   'bounded, memory, two choices': createBounded({ usesMemory: true, newChatChoices: 2 }),
+  'bounded, memory, new chats apart': createBounded({ usesMemory: true, newChatChoices: 4, splitsTarget: true }),
   'unlimited knowledge': createBounded({ atLimit: true, usesMemory: true, newChatChoices: 2, knowsAll: true })
 }
--- a/src/bench/placement/index.ts
+++ b/src/bench/placement/index.ts
@@ -13,7 +13,7 @@
 
 const FULL: Times = { warmUpMs: 180_000, measuredMs: 300_000 }
 const FAST: Times = { warmUpMs: 60_000, measuredMs: 60_000 }
-const CHOSEN_POLICY = 'bounded, memory, two choices'
+const CHOSEN_POLICY = 'bounded, memory, new chats apart'
 const TARGETS = [1.1, 1.2, 1.26, 1.32, 1.4, 1.5]
 const SETTLE_MS = 5_000
 
--- a/src/decisions/chooseBackendServer/test.ts
+++ b/src/decisions/chooseBackendServer/test.ts
@@ -37,13 +37,19 @@
     expect(choice).toBe(rankBackendServers('chat', candidates)[0])
   })
 
-  it('takes the less loaded of the first two ranks for a new chat', () => {
+  it('takes the less loaded of as many first ranks as a new chat may choose among', () => {
     const ranked = rankBackendServers('chat', createCandidates({ a: 0, b: 0, c: 0 })).map(({ name }) => name)
     const candidates = ranked.map((name, rank) => ({ name, weight: 8, inFlight: [5, 4, 0][rank] ?? 0 }))
-    const choice = chooseBackendServer({ chatKey: 'chat', isNewChat: true, excluded }, candidates, { loadTarget: 3 })
+    const choice = chooseBackendServer({ chatKey: 'chat', isNewChat: true, excluded }, candidates, { loadTarget: 3, newChatLoadTarget: 3, newChatChoices: 2 })
     expect(choice?.name).toBe(ranked[1])
   })
 
+  it('keeps a new chat off a server that a returning chat may still use', () => {
+    const candidates = createCandidates({ a: 10, b: 8, c: 8 })
+    const place = (isNewChat: boolean) => chooseBackendServer({ chatKey: 'chat', isNewChat, excluded, hintedBackendServer: 'a' }, candidates, { loadTarget: 1.4 })
+    expect([place(false)?.name, place(true)?.name]).toEqual(['a', expect.not.stringMatching('a')])
+  })
+
   it('weighs the load by the slots of a server', () => {
     const candidates = [{ name: 'small', weight: 1, inFlight: 2 }, { name: 'large', weight: 8, inFlight: 4 }]
     const choice = chooseBackendServer({ chatKey: 'chat', isNewChat: true, excluded }, candidates, { loadTarget: 10 })
