Let at most one fault spoil an answer on its way

With cutAnswer and truncateAnswer on at once, both struck the same answer, the cut wrote to a response that the truncation had ended, and the stand-in's process died. Now the first fault of the table strikes and the others wait for later answers.

--- a/src/emulator/_lib/createAnswerWriter.ts
+++ b/src/emulator/_lib/createAnswerWriter.ts
@@ -104,21 +104,25 @@
 }
 
 /**
- * Creates a writer of one answer, spoilt by the faults that are on.
+ * Creates a writer of one answer. At most one of the faults that are on spoils
+ * it, the first in the order of the table; the others wait for later answers,
+ * so that with several on, each can be told from the others.
  *
  * @param response - Where the answer goes.
- * @param faults - Each fault that is on is used up by one.
+ * @param faults - The fault that strikes is used up by one.
  * @param clock - Times a late answer.
  * @returns The writer.
  *
  * @example
  * const writer = createAnswerWriter(reply.raw, faults, clock)
  */
-export const createAnswerWriter = (response: ServerResponse, faults: BackendFaults, clock: Clock): AnswerWriter =>
-  (Object.keys(ANSWER_FAULTS) as AnswerFault[]).reduce((writer, fault) => {
-    const setting = faults.take(fault)
-    return setting === undefined ? writer : ANSWER_FAULTS[fault](writer, { response, clock, setting })
-  }, createPlainWriter(response))
+export const createAnswerWriter = (response: ServerResponse, faults: BackendFaults, clock: Clock): AnswerWriter => {
+  const writer = createPlainWriter(response)
+  const fault = (Object.keys(ANSWER_FAULTS) as AnswerFault[]).find((name) => faults.peek(name) !== undefined)
+  const setting = fault === undefined ? undefined : faults.take(fault)
+  if (fault === undefined || setting === undefined) return writer
+  return ANSWER_FAULTS[fault](writer, { response, clock, setting })
+}
 
 /**
  * Writes a whole answer, in small pieces so that a fault can strike inside it.
