--- a/src/load/runLoad/index.ts
+++ b/src/load/runLoad/index.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '../../types/index.js'
 import { createLoadRecorder, type LoadSummary } from '../createLoadRecorder/index.js'
 import type { PlannedRequest } from '../planLoad/index.js'
-import { sendPlannedRequest } from '../sendPlannedRequest/index.js'
+import { sendPlannedRequest, type SentRequest } from '../sendPlannedRequest/index.js'
 
 export type LoadRunOptions = {
   readonly clock: Clock
@@ -17,6 +17,8 @@
   readonly timeoutMs: number
   /** Beyond so many open requests a planned one is skipped, and counted as that. */
   readonly maximumOpen: number
+  /** Told of every outcome, for those who compare it with what ran. */
+  readonly onResult?: (planned: PlannedRequest, sent: SentRequest) => void
   readonly onProgress?: (progress: LoadProgress) => void
   /** Ends the sending; what is open is waited for. */
   readonly signal?: AbortSignal
@@ -65,6 +67,7 @@
     const result = await sendPlannedRequest(planned, target, { clock, timeoutMs: options.timeoutMs, chatHint, onServedBy: (backendServer) => recorder.recordServing(planned.kind, backendServer) })
     keepHint(planned, result.chatHint)
     recorder.recordResult(planned, result)
+    options.onResult?.(planned, result)
   }
 
   const start = (planned: PlannedRequest): void => {
--- a/src/load/sendPlannedRequest/index.ts
+++ b/src/load/sendPlannedRequest/index.ts
@@ -21,6 +21,8 @@
   readonly outcome: LoadOutcome
   /** The refusal's reason, or what was broken or wrong. */
   readonly reason?: string
+  /** The identifier that the router gave the request. */
+  readonly requestId?: string
   readonly servedBy?: string
   /** Sent back with the next turn of the chat. */
   readonly chatHint?: string
@@ -47,6 +49,8 @@
   readonly onServedBy?: (backendServer: string) => void
 }
 
+type AnswerLabels = Pick<SentRequest, 'requestId' | 'servedBy' | 'chatHint'>
+
 type WireRequest = { readonly method: 'GET' | 'POST', readonly path: string, readonly headers: Readonly<Record<string, string>>, readonly body: string | null }
 
 const JSON_TYPE = { 'content-type': 'application/json' }
@@ -69,7 +73,7 @@
 export const sendPlannedRequest = async (planned: PlannedRequest, target: LoadTarget, options: SendOptions): Promise<SentRequest> => {
   const startedAt = options.clock.now()
   const reader = createAnswerReader(options.clock, startedAt)
-  const headers: { servedBy?: string, chatHint?: string } = {}
+  let headers: AnswerLabels = {}
   const finish = (check: AnswerCheck): SentRequest => ({ ...headers, ...describeTimes(reader.read(), options.clock.now() - startedAt), ...check })
 
   try {
@@ -80,7 +84,7 @@
       headersTimeout: 0,
       bodyTimeout: 0
     })
-    Object.assign(headers, readHeaders(response.headers))
+    headers = readLabels(response.headers)
     if (headers.servedBy !== undefined) options.onServedBy?.(headers.servedBy)
     for await (const chunk of response.body) reader.add(chunk as Buffer)
     return finish(checkAnswer(planned, response.statusCode, reader.read()))
@@ -108,9 +112,10 @@
   }
 }
 
-const readHeaders = (headers: Readonly<Record<string, string | string[] | undefined>>): { servedBy?: string, chatHint?: string } => {
-  const { 'x-served-by': servedBy, 'x-chat-hint': chatHint } = headers
+const readLabels = (headers: Readonly<Record<string, string | string[] | undefined>>): AnswerLabels => {
+  const { 'x-request-id': requestId, 'x-served-by': servedBy, 'x-chat-hint': chatHint } = headers
   return {
+    ...typeof requestId === 'string' ? { requestId } : {},
     ...typeof servedBy === 'string' ? { servedBy } : {},
     ...typeof chatHint === 'string' ? { chatHint } : {}
   }
