--- /dev/null
+++ b/src/bench/_lib/startProcess.ts
@@ -0,0 +1,109 @@
+/** Runs the built command line as processes of their own, and never leaves one behind. */
+import { spawn } from 'node:child_process'
+import { createInterface } from 'node:readline'
+import { fileURLToPath } from 'node:url'
+
+export type Ready = Readonly<Record<string, unknown>>
+
+export type RunningProcess = {
+  readonly pid: number
+  /** The JSON line with which the process said that it listens. */
+  readonly ready: Ready
+  /** The last lines of its log. */
+  readonly logLines: () => readonly string[]
+  readonly terminate: () => void
+  /** SIGSTOP: paused, with its connections left open. */
+  readonly pause: () => void
+  readonly resume: () => void
+  /** SIGKILL, resolved when the process is gone. */
+  readonly kill: () => Promise<void>
+  readonly whenExited: Promise<number | null>
+}
+
+export type FinishedCommand = { readonly code: number | null, readonly stdout: string, readonly stderr: string }
+
+/** The built program, found alike from the sources and from what is built of them. */
+const MAIN = fileURLToPath(new URL('../../../dist/cli/main.js', import.meta.url))
+const KEPT_LOG_LINES = 200
+
+const spawned = new Set<number>()
+
+process.on('exit', () => {
+  for (const pid of spawned) {
+    try {
+      process.kill(pid, 'SIGKILL')
+    } catch {
+      // It was gone already.
+    }
+  }
+})
+
+const spawnMain = (commandArguments: readonly string[], environment: Readonly<Record<string, string>>) => {
+  const child = spawn(process.execPath, [MAIN, ...commandArguments], { env: { ...process.env, ...environment }, stdio: ['ignore', 'pipe', 'pipe'] })
+  const pid = child.pid
+  if (pid === undefined) throw new Error(`cannot start ${commandArguments.join(' ')}`)
+  spawned.add(pid)
+  const whenExited = new Promise<number | null>((resolve) => {
+    child.on('exit', (code) => {
+      spawned.delete(pid)
+      resolve(code)
+    })
+  })
+  const signal = (name: NodeJS.Signals): void => { if (spawned.has(pid)) process.kill(pid, name) }
+  return { child, pid, whenExited, signal }
+}
+
+/**
+ * Starts a daemon and waits until it says that it listens.
+ *
+ * @param commandArguments - What follows `dotterelspoke` on the command line.
+ * @param environment - Variables added to the environment.
+ * @returns The process.
+ */
+export const startProcess = async (commandArguments: readonly string[], environment: Readonly<Record<string, string>> = {}): Promise<RunningProcess> => {
+  const { child, pid, whenExited, signal } = spawnMain(commandArguments, environment)
+  const logLines: string[] = []
+  const keep = (line: string): void => {
+    logLines.push(line)
+    if (logLines.length > KEPT_LOG_LINES) logLines.shift()
+  }
+  createInterface({ input: child.stderr }).on('line', keep)
+  const ready = await new Promise<Ready>((resolve, reject) => {
+    createInterface({ input: child.stdout }).on('line', (line) => {
+      if (line.startsWith('{')) resolve(JSON.parse(line) as Ready)
+      else keep(line)
+    })
+    whenExited.then((code) => { reject(new Error(`${commandArguments.join(' ')} ended with ${code}:\n${logLines.join('\n')}`)) })
+  })
+  return {
+    pid,
+    ready,
+    logLines: () => logLines,
+    terminate: () => { signal('SIGTERM') },
+    pause: () => { signal('SIGSTOP') },
+    resume: () => { signal('SIGCONT') },
+    kill: async () => {
+      signal('SIGKILL')
+      await whenExited
+    },
+    whenExited
+  }
+}
+
+/**
+ * Runs a command to its end.
+ *
+ * @param commandArguments - What follows `dotterelspoke` on the command line.
+ * @param environment - Variables added to the environment.
+ * @returns Exit code and output.
+ */
+export const runCommand = async (commandArguments: readonly string[], environment: Readonly<Record<string, string>> = {}): Promise<FinishedCommand> => {
+  const { child, whenExited } = spawnMain(commandArguments, environment)
+  const output = { stdout: '', stderr: '' }
+  child.stdout.on('data', (bytes: Buffer) => { output.stdout += bytes.toString() })
+  child.stderr.on('data', (bytes: Buffer) => { output.stderr += bytes.toString() })
+  const closed = new Promise<void>((resolve) => { child.on('close', () => { resolve() }) })
+  const code = await whenExited
+  await closed
+  return { code, ...output }
+}
--- a/src/bench/routerCost/_lib/startRig.ts
+++ b/src/bench/routerCost/_lib/startRig.ts
@@ -6,7 +6,7 @@
 import { createAuditTrail } from '../../../services/auditTrail/index.js'
 import { createConfigurationStore } from '../../../services/configurationStore/index.js'
 import type { Sheet } from '../../../types/index.js'
-import { startProcess, type StartedProcess } from './startProcess.js'
+import { startProcess, type RunningProcess } from '../../_lib/startProcess.js'
 
 export type Rig = {
   readonly engineUrls: readonly string[]
@@ -37,14 +37,17 @@
  * const rig = await startRig()
  */
 export const startRig = async (): Promise<Rig> => {
-  const started: StartedProcess[] = []
-  const start = async (args: readonly string[], environment: Readonly<Record<string, string>> = {}): Promise<StartedProcess> => {
+  const started: RunningProcess[] = []
+  const start = async (args: readonly string[], environment: Readonly<Record<string, string>> = {}): Promise<RunningProcess> => {
     const child = await startProcess(args, environment)
     started.push(child)
     return child
   }
   const stop = async (): Promise<void> => {
-    for (const child of started.splice(0).reverse()) await child.stop()
+    for (const child of started.splice(0).reverse()) {
+      child.terminate()
+      await child.whenExited
+    }
   }
 
   try {
