--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -4,8 +4,12 @@
 import type { Bench, Table } from './types.js'
 
 const benches: Readonly<Record<string, () => Promise<Bench>>> = {
+  configuration: async () => (await import('./configuration/index.js')).runConfigurationBench,
+  controlTraffic: async () => (await import('./controlTraffic/index.js')).runControlTrafficBench,
   fairness: async () => (await import('./fairness/index.js')).runFairnessBench,
-  placement: async () => (await import('./placement/index.js')).runPlacementBench
+  placement: async () => (await import('./placement/index.js')).runPlacementBench,
+  requests: async () => (await import('./requests/index.js')).runRequestsBench,
+  routerCost: async () => (await import('./routerCost/index.js')).runRouterCostBench
 }
 
 const DEFAULT_SEED = 20_261_202
