--- a/src/adapters/peerTcp/index.ts
+++ b/src/adapters/peerTcp/index.ts
@@ -118,7 +118,7 @@
 
   const address = (): PeerAddress => {
     const bound = server.address() as AddressInfo | null
-    return { host: options.advertisedHost ?? options.host, port: bound?.port ?? options.port }
+    return { host: options.advertisedHost === undefined || options.advertisedHost === '' ? options.host : options.advertisedHost, port: bound?.port ?? options.port }
   }
 
   return {
--- a/test/_lib/startFleet.ts
+++ b/test/_lib/startFleet.ts
@@ -3,6 +3,8 @@
  * plain services, model engines and routers, with every link between them
  * through a fault proxy of its own.
  */
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
 import { createPlatformHttp } from '../../src/adapters/platformHttp/index.js'
 import { createSystemClock } from '../../src/adapters/systemClock/index.js'
 import { createSystemRandom } from '../../src/adapters/systemRandom/index.js'
@@ -63,7 +65,7 @@
   readonly routerFlags?: readonly string[]
 }
 
-export const CALLER_KEY = 'the key of deli-1'
+export const CALLER_KEY = 'key-of-deli-1'
 export const MODEL = 'order-desk-8b'
 
 const ZONES = ['scot-central-a', 'scot-central-b', 'scot-central-c']
@@ -72,7 +74,7 @@
 const ENVIRONMENT = { DOTTERELSPOKE_FLEET_KEY: 'fleet key of the tests', DOTTERELSPOKE_OPERATOR_TOKEN: OPERATOR_TOKEN }
 
 /** Quick enough that a test does not wait long for a time-out. */
-const ROUTER_FLAGS = ['--caller-port', '0', '--operator-port', '0', '--peer-port', '0', '--platform-timeout-ms', '500', '--watch-timeout-ms', '2000', '--shutdown-delay-ms', '100', '--log-level', 'warn']
+const ROUTER_FLAGS = ['--caller-port', '0', '--operator-port', '0', '--platform-timeout-ms', '500', '--watch-timeout-ms', '2000', '--shutdown-delay-ms', '100', '--log-level', 'warn']
 
 const zoneOf = (index: number): string => ZONES[index % ZONES.length]!
 
@@ -94,8 +96,20 @@
   }
 }
 
-const startBackend = async (kind: 'service' | 'engine', service: string, index: number, flags: readonly string[]): Promise<FleetBackend> => {
-  const process = await startProcess(['emulate', kind, ...flags])
+/** The router prints the port that peers dial, which is the proxy's; so its own has to be known beforehand. */
+const findFreePort = async (): Promise<number> => {
+  const server = createServer()
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  const { port } = server.address() as AddressInfo
+  await new Promise((resolve) => { server.close(resolve) })
+  return port
+}
+
+/** Notes a process to be ended with the fleet, from the moment it runs. */
+type Keep = <Item extends { readonly process: RunningProcess }>(item: Item) => Item
+
+const startBackend = async (kind: 'service' | 'engine', service: string, index: number, flags: readonly string[], keep: Keep): Promise<FleetBackend> => {
+  const { process } = keep({ process: await startProcess(['emulate', kind, ...flags]) })
   const link = await createFaultProxy(portOf(process.ready['listening']))
   const server = { name: `${service}-${index + 1}`, service, url: link.url, availabilityZone: zoneOf(index), slots: SLOTS }
   return { server, process, link, ...createControl(process) }
@@ -129,13 +143,16 @@
 
 type RouterLinks = { readonly platformLink: FaultProxy, readonly peerLink: FaultProxy }
 
-const startRouter = async (index: number, { platformLink, peerLink }: RouterLinks, seeds: string, flags: readonly string[]): Promise<FleetRouter> => {
+const startRouter = async (index: number, { platformLink, peerLink }: RouterLinks, seeds: string, flags: readonly string[], keep: Keep): Promise<FleetRouter> => {
   const nodeId = `router-${index + 1}`
-  const process = await startProcess([
-    'router', '--node-id', nodeId, '--availability-zone', zoneOf(index), '--platform-url', platformLink.url,
-    '--seed-peers', seeds, '--advertised-port', String(peerLink.port), ...ROUTER_FLAGS, ...flags
-  ], ENVIRONMENT)
-  peerLink.setTarget(portOf(`http://${String(process.ready['peer'])}`))
+  const peerPort = await findFreePort()
+  peerLink.setTarget(peerPort)
+  const { process } = keep({
+    process: await startProcess([
+      'router', '--node-id', nodeId, '--availability-zone', zoneOf(index), '--platform-url', platformLink.url,
+      '--seed-peers', seeds, '--peer-port', String(peerPort), '--advertised-port', String(peerLink.port), ...ROUTER_FLAGS, ...flags
+    ], ENVIRONMENT)
+  })
   const operator = String(process.ready['operator'])
   const readStatus = async (): Promise<NodeStatus> =>
     await (await fetch(`${operator}/status`, { headers: { authorization: `Bearer ${OPERATOR_TOKEN}` } })).json() as NodeStatus
@@ -157,7 +174,7 @@
   const { routers: routerCount = 2, services: serviceCount = 1, engines: engineCount = 0 } = options
   const stops: (() => Promise<void>)[] = []
   const stop = async (): Promise<void> => { for (const end of stops.reverse()) await end() }
-  const keep = <Item extends { readonly process: RunningProcess }>(item: Item): Item => {
+  const keep: Keep = (item) => {
     stops.push(() => item.process.kill())
     return item
   }
@@ -170,21 +187,17 @@
     keep({ process: platformProcess })
     const platformUrl = String(platformProcess.ready['listening'])
     const platformPort = portOf(platformUrl)
-    const services = await Promise.all(Array.from({ length: serviceCount }, (_, index) => startBackend('service', 'ordering', index, options.serviceFlags ?? [])))
-    const engines = await Promise.all(Array.from({ length: engineCount }, (_, index) => startBackend('engine', 'order-desk', index, options.engineFlags ?? [])))
+    const services = await Promise.all(Array.from({ length: serviceCount }, (_, index) => startBackend('service', 'ordering', index, options.serviceFlags ?? [], keep)))
+    const engines = await Promise.all(Array.from({ length: engineCount }, (_, index) => startBackend('engine', 'order-desk', index, options.engineFlags ?? [], keep)))
     const backends = [...services, ...engines]
-    for (const backend of backends) {
-      keep(backend)
-      keepLink(backend.link)
-    }
+    for (const backend of backends) keepLink(backend.link)
     await applySheet(platformUrl, createSheet(backends))
     const links: RouterLinks[] = []
     for (let index = 0; index < routerCount; index += 1) {
       links.push({ platformLink: keepLink(await createFaultProxy(platformPort)), peerLink: keepLink(await createFaultProxy(0)) })
     }
     const seeds = links.map(({ peerLink }) => peerLink.address).join(',')
-    const routers = await Promise.all(links.map((link, index) => startRouter(index, link, seeds, options.routerFlags ?? [])))
-    routers.forEach(keep)
+    const routers = await Promise.all(links.map((link, index) => startRouter(index, link, seeds, options.routerFlags ?? [], keep)))
     for (const router of routers) await waitFor(`${router.nodeId} to settle`, async () => isSettled(await router.readStatus(), routerCount, backends.length))
     const readJournals = async (): Promise<readonly JournalEntry[]> => (await Promise.all(backends.map((backend) => backend.readJournal()))).flat()
     return { routers, services, engines, platform: { process: platformProcess, setFault: createControl(platformProcess).setFault }, readJournals, stop }
--- a/test/_lib/startProcess.ts
+++ b/test/_lib/startProcess.ts
@@ -26,7 +26,7 @@
 
 const spawned = new Set<number>()
 
-process.on('exit', () => {
+const killAll = (): void => {
   for (const pid of spawned) {
     try {
       process.kill(pid, 'SIGKILL')
@@ -34,6 +34,12 @@
       // It was gone already.
     }
   }
+}
+
+process.on('exit', killAll)
+process.on('SIGTERM', () => {
+  killAll()
+  process.exit(1)
 })
 
 const spawnMain = (commandArguments: readonly string[], environment: Readonly<Record<string, string>>) => {
