--- a/test/_lib/sendOrder.ts
+++ b/test/_lib/sendOrder.ts
@@ -22,6 +22,15 @@
   return { kind: 'refused', outcome, reason: String(error?.code), status: response.status }
 }
 
+const send = async (key: string, url: string, init: RequestInit): Promise<OrderEnd> => {
+  try {
+    const response = await fetch(url, { ...init, signal: AbortSignal.timeout(CALLER_TIMEOUT_MS) })
+    return { key, requestId: response.headers.get('x-request-id') ?? undefined, end: await readEnd(response) }
+  } catch {
+    return { key, requestId: undefined, end: { kind: 'cut' } }
+  }
+}
+
 /**
  * Sends one order and waits for its end.
  *
@@ -29,17 +38,28 @@
  * @param key - Idempotency key; the body follows from it.
  * @returns What the caller was told.
  */
-export const sendOrder = async (caller: string, key: string): Promise<OrderEnd> => {
+export const sendOrder = (caller: string, key: string): Promise<OrderEnd> => send(key, `${caller}/orders/${key}`, {
+  method: 'POST',
+  headers: { authorization: `Bearer ${CALLER_KEY}`, 'idempotency-key': key, 'content-type': 'text/plain' },
+  body: `pasta for ${key}`
+})
+
+/**
+ * Sends one stock lookup, which may be repeated, and waits for its end.
+ *
+ * @param caller - Origin of a router.
+ * @param name - What is looked up.
+ * @returns What the caller was told.
+ */
+export const sendLookup = (caller: string, name: string): Promise<OrderEnd> =>
+  send(`lookup ${name}`, `${caller}/stock/${name}`, { headers: { authorization: `Bearer ${CALLER_KEY}` } })
+
+const isWhole = (body: string): boolean => {
   try {
-    const response = await fetch(`${caller}/orders/${key}`, {
-      method: 'POST',
-      headers: { authorization: `Bearer ${CALLER_KEY}`, 'idempotency-key': key, 'content-type': 'text/plain' },
-      body: `pasta for ${key}`,
-      signal: AbortSignal.timeout(CALLER_TIMEOUT_MS)
-    })
-    return { key, requestId: response.headers.get('x-request-id') ?? undefined, end: await readEnd(response) }
+    JSON.parse(body)
+    return true
   } catch {
-    return { key, requestId: undefined, end: { kind: 'cut' } }
+    return false
   }
 }
 
@@ -52,10 +72,17 @@
   const falseRefusals = ends
     .filter(({ requestId, end }) => end.kind === 'refused' && end.outcome === 'not-run' && requestId !== undefined && ranRequests.has(requestId))
     .map(({ key }) => `${key} was refused as not run, but ran`)
-  const falseAnswers = ends
-    .filter(({ key, end }) => end.kind === 'answered' && end.status < 300 && !runs.has(key))
+  const answers = ends.filter(({ end }) => end.kind === 'answered' && end.status < 300)
+  const falseAnswers = answers
+    .filter(({ key, requestId }) => !runs.has(key) && (requestId === undefined || !ranRequests.has(requestId)))
     .map(({ key }) => `${key} was answered, but never ran`)
-  return [...doubled, ...falseRefusals, ...falseAnswers]
+  const foreignAnswers = answers
+    .filter(({ key, end }) => end.kind === 'answered' && !end.body.includes(key.replace('lookup ', '')))
+    .map(({ key }) => `${key} got somebody else's answer`)
+  const truncated = answers
+    .filter(({ end }) => end.kind === 'answered' && !isWhole(end.body))
+    .map(({ key }) => `${key} got a part of its answer as if it were whole`)
+  return [...doubled, ...falseRefusals, ...falseAnswers, ...foreignAnswers, ...truncated]
 }
 
 /** Sums that do not add up, of the routers that still run. */
--- a/test/_lib/startFleet.ts
+++ b/test/_lib/startFleet.ts
@@ -43,6 +43,7 @@
   /** The link of all routers to it. */
   readonly link: FaultProxy
   readonly setFault: (fault: Readonly<Record<string, unknown>>) => Promise<void>
+  readonly clearFaults: () => Promise<void>
   readonly readJournal: () => Promise<readonly JournalEntry[]>
 }
 
@@ -89,6 +90,7 @@
   const control = String(process.ready['control'])
   return {
     setFault: (fault: Readonly<Record<string, unknown>>) => post(`${control}/faults`, fault),
+    clearFaults: async (): Promise<void> => { await fetch(`${control}/faults`, { method: 'DELETE' }) },
     readJournal: async (): Promise<readonly JournalEntry[]> => {
       const { entries } = await (await fetch(`${control}/journal`)).json() as { readonly entries: readonly JournalEntry[] }
       return entries
