--- a/src/services/dispatch/_lib/runClaimed.ts
+++ b/src/services/dispatch/_lib/runClaimed.ts
@@ -54,6 +54,9 @@
   const result = await runAttempts(context)
   recordAnswer(context, key, claimId, result)
   const isUnsent = result.kind === 'refused' && result.refusal.outcome === 'not-run'
+  const isUnknown = result.kind === 'refused' && !isUnsent
+  // Repeats that wait here for this answer would otherwise wait until their deadlines.
+  if (isUnknown) context.dependencies.claims.recordUnknown?.(key, claimId)
   if (isUnsent) await waitAtMost(context, release(context, key, claimId), RELEASE_WAIT_MS)
   return result
 }
