--- a/src/bench/controlTraffic/createFleet.ts
+++ b/src/bench/controlTraffic/createFleet.ts
@@ -9,12 +9,13 @@
 import type { MemoryPeerTransport } from '../../emulator/createMemoryPeerNetwork/index.js'
 import { success } from '../../kernel/index.js'
 import { createBackendHealth } from '../../services/backendHealth/index.js'
+import { createChatDirectory } from '../../services/chatDirectory/index.js'
 import { createFleetLoad } from '../../services/fleetLoad/index.js'
 import { createHeartbeatExchange } from '../../services/heartbeatExchange/index.js'
 import { createLoadView } from '../../services/loadView/index.js'
 import type { RunningLoadView } from '../../services/loadView/index.js'
 import { createMembership, DEFAULT_FAN_OUT } from '../../services/membership/index.js'
-import type { BackendHealth, BackendServer, Configuration, LoadView, Membership, PeerAddress, RandomSource } from '../../types/index.js'
+import type { BackendHealth, BackendServer, ChatDirectory, Configuration, LoadView, Membership, PeerAddress, RandomSource } from '../../types/index.js'
 
 export type FleetSize = { readonly nodes: number, readonly servers: number, readonly zones: number }
 
@@ -23,6 +24,7 @@
   readonly membership: Membership
   readonly loadView: LoadView
   readonly backendHealth: BackendHealth
+  readonly chatDirectory: ChatDirectory
   readonly transport: MemoryPeerTransport
   readonly readProbes: () => number
   readonly stop: () => Promise<void>
@@ -38,7 +40,9 @@
   readonly countTruth: (backendServer: string) => number
 }
 
-const SETTINGS = { heartbeatIntervalMs: 250, suspectAfterMs: 1500, deadAfterMs: 4000, loadReportIntervalMs: 1000, connectTimeoutMs: 1000 }
+/** Small, since the directory sets its memory aside at the start: 360 of the usual size would not fit in one process. */
+const DIRECTORY_ENTRIES = 1000
+const SETTINGS = { heartbeatIntervalMs: 250, suspectAfterMs: 1500, deadAfterMs: 4000, loadReportIntervalMs: 1000, connectTimeoutMs: 1000, peerTimeoutMs: 250, directoryEntries: DIRECTORY_ENTRIES, directoryTtlMs: 7_200_000 }
 const SEED_COUNT = 3
 const SLOTS = 64
 const NEAR_DELAY_MS = 1
@@ -91,13 +95,14 @@
     const backendHealth = createBackendHealth(
       { clock, random: nodeRandom, exchange, vmList, configuration: holder, backendClient, membership: membership.api, loadView: loadView.api }, { settings }
     )
-    const services = [membership, fleetLoad, loadView, backendHealth]
+    const chatDirectory = createChatDirectory({ clock, transport, membership: membership.api }, { settings })
+    const services = [membership, fleetLoad, loadView, backendHealth, chatDirectory]
     for (const service of services) service.start?.()
     const stop = async (): Promise<void> => {
       for (const service of services) await service.stop?.()
       await transport.close()
     }
-    const node = { name, membership: membership.api, loadView: loadView.api, backendHealth: backendHealth.api, transport, readProbes: () => probes, stop }
+    const node = { name, membership: membership.api, loadView: loadView.api, backendHealth: backendHealth.api, chatDirectory: chatDirectory.api, transport, readProbes: () => probes, stop }
     nodes.push(node)
     return node
   }
--- a/src/bench/controlTraffic/runTraffic.ts
+++ b/src/bench/controlTraffic/runTraffic.ts
@@ -7,6 +7,10 @@
 const REQUESTS_PER_NODE_SECOND = 3400 / 360
 const MEAN_DURATION_MS = 10_000
 const MS_PER_SECOND = 1000
+/** Chats that the requests of the run belong to. */
+const CHATS = 100_000
+/** Length of the chat keys that dispatch hands over. */
+const CHAT_KEY_LENGTH = 64
 
 export const runTraffic = (fleet: Fleet): Traffic => {
   const { clock, random, servers } = fleet
@@ -16,8 +20,14 @@
 
   const startRequest = (node: FleetNode): void => {
     const server = servers[Math.floor(random.next() * servers.length)]!.name
+    const chatKey = String(Math.floor(random.next() * CHATS)).padStart(CHAT_KEY_LENGTH, '0')
+    // Nobody reads the reply: only its bytes count here.
+    node.chatDirectory.lookUp(chatKey)
     node.loadView.recordStart(server)
-    clock.setTimer(drawExponential(MEAN_DURATION_MS), () => node.loadView.recordEnd(server))
+    clock.setTimer(drawExponential(MEAN_DURATION_MS), () => {
+      node.loadView.recordEnd(server)
+      node.chatDirectory.store(chatKey, server)
+    })
   }
 
   const arrive = (node: FleetNode): void => {
--- a/src/services/backendHealth/_lib/createProbes.ts
+++ b/src/services/backendHealth/_lib/createProbes.ts
@@ -3,6 +3,7 @@
  */
 import { selectProbers } from '../../../decisions/selectProbers/index.js'
 import type { ProbeBudget } from '../../../decisions/selectProbers/index.js'
+import { groupBy } from '../../../kernel/groupBy/index.js'
 import type { BackendClient, BackendError, BackendServer, Clock, LoadReport, Member, RandomSource, Result, Timer } from '../../../types/index.js'
 
 export type ProbesDependencies = {
@@ -58,10 +59,12 @@
 
   return {
     assign: (servers, routers) => {
-      const zones = [...new Set(servers.map((server) => server.availabilityZone))]
-      const assigned = zones.flatMap((zone) => {
-        const near = routers.filter((router) => router.availabilityZone === zone)
-        return assignZone(servers.filter((server) => server.availabilityZone === zone), near.length === 0 ? routers : near)
+      const routersByZone = groupBy(routers, (router) => router.availabilityZone)
+      const isNear = (near: readonly Member[]): boolean => near.some((router) => router.nodeId === options.nodeId)
+      const assigned = [...groupBy(servers, (server) => server.availabilityZone)].flatMap(([zone, zoneServers]) => {
+        const near = routersByZone.get(zone)
+        if (near === undefined) return assignZone(zoneServers, routers)
+        return isNear(near) ? assignZone(zoneServers, near) : []
       })
       const before = assignments
       assignments = new Map(assigned.map((assignment) => [assignment.server.name, assignment]))
--- a/src/services/backendHealth/index.ts
+++ b/src/services/backendHealth/index.ts
@@ -84,6 +84,7 @@
   const board = createLeavingBoard({ clearAfterMs: CLEAR_AFTER_MS, newsMs: NEWS_MS })
   let held: ReadonlySet<string> | undefined
   let timer: Timer | undefined
+  let isAssignmentOld = true
 
   const listServers = (): readonly BackendServer[] => configuration.current()?.sheet.backendServers ?? []
 
@@ -167,12 +168,20 @@
     probesPerSecond: options.probesPerSecond ?? DEFAULT_PROBES_PER_SECOND
   })
 
-  const assignProbes = (): void => probes.assign(listServers(), membership.liveMembers())
+  const markAssignmentOld = (): void => { isAssignmentOld = true }
+
+  // A burst of changes, as when a zone is lost, then costs one assignment and not one for each.
+  const assignProbes = (): void => {
+    if (!isAssignmentOld) return
+    isAssignmentOld = false
+    probes.assign(listServers(), membership.liveMembers())
+  }
 
   const tick = (): void => {
     for (const backendServer of ejections.keys()) advance(backendServer, 'tick')
     // Planned stops begin and end by the clock alone.
     held = undefined
+    assignProbes()
     timer = clock.setTimer(TICK_MS, tick)
   }
 
@@ -180,7 +189,7 @@
     const names = new Set(listServers().map((server) => server.name))
     for (const backendServer of ejections.keys()) if (!names.has(backendServer)) ejections.delete(backendServer)
     held = undefined
-    assignProbes()
+    markAssignmentOld()
     const vms = vmList.current()
     if (vms !== undefined) onVms(vms)
   }
@@ -207,7 +216,7 @@
       })
       exchange.addListener((heartbeat) => mergeLeavingMarks(heartbeat.leavingMarks ?? []))
       configuration.onChange(onConfiguration)
-      membership.onChange(assignProbes)
+      membership.onChange(markAssignmentOld)
       vmList.onRead(onVms)
       onConfiguration()
       tick()
--- a/src/services/chatDirectory/index.ts
+++ b/src/services/chatDirectory/index.ts
@@ -24,10 +24,17 @@
 const SECOND_HASH_BITS = 21
 const HASH_BITS = 32
 
+const RADIX = 36
+
 /** 53 bits of hash, as much as a number holds: two of 200,000 chats are alike once in some 450,000 fills. */
 const hashChatKey = (chatKey: string): number =>
   hashText(chatKey) * 2 ** SECOND_HASH_BITS + (hashText(chatKey, SECOND_SEED) >>> (HASH_BITS - SECOND_HASH_BITS))
 
+/** What peers send of a chat's key, which may be long: the hash, in 11 characters at most. */
+const shortenChatKey = (chatKey: string): string => hashChatKey(chatKey).toString(RADIX)
+
+const readShortKey = (shortKey: string): number => Number.parseInt(shortKey, RADIX)
+
 /**
  * Creates the directory of one node.
  *
@@ -59,21 +66,21 @@
     return index
   }
 
-  const storeHere = (chatKey: string, backendServer: string): void => {
-    entries?.set(hashChatKey(chatKey), indexOf(backendServer))
+  const storeHere = (shortKey: string, backendServer: string): void => {
+    entries?.set(readShortKey(shortKey), indexOf(backendServer))
   }
 
-  const lookUpHere = (chatKey: string): string | undefined => {
-    const index = entries?.get(hashChatKey(chatKey))
+  const lookUpHere = (shortKey: string): string | undefined => {
+    const index = entries?.get(readShortKey(shortKey))
     return index === undefined ? undefined : serverNames[index]
   }
 
-  const findOwner = (chatKey: string): Member => rankMembers(chatKey, membership.liveMembers())[0] ?? membership.self()
+  const findOwner = (shortKey: string): Member => rankMembers(shortKey, membership.liveMembers())[0] ?? membership.self()
 
   const isSelf = (member: Member): boolean => member.nodeId === membership.self().nodeId
 
-  const askOwner = async (owner: Member, chatKey: string): Promise<string | undefined> => {
-    const result = await transport.request(owner.address, { kind: 'directoryLookup', chatKey }, settings.peerTimeoutMs)
+  const askOwner = async (owner: Member, shortKey: string): Promise<string | undefined> => {
+    const result = await transport.request(owner.address, { kind: 'directoryLookup', chatKey: shortKey }, settings.peerTimeoutMs)
     if (!result.ok) metrics?.count('directory_lookups', { outcome: result.error.kind })
     return result.ok && result.value.kind === 'directoryEntry' ? result.value.backendServer : undefined
   }
@@ -81,15 +88,17 @@
   return {
     api: {
       lookUp: async (chatKey) => {
-        const owner = findOwner(chatKey)
-        const found = isSelf(owner) ? lookUpHere(chatKey) : await askOwner(owner, chatKey)
+        const shortKey = shortenChatKey(chatKey)
+        const owner = findOwner(shortKey)
+        const found = isSelf(owner) ? lookUpHere(shortKey) : await askOwner(owner, shortKey)
         metrics?.count('directory_lookups', { outcome: found === undefined ? 'miss' : 'hit' })
         return found
       },
       store: (chatKey, backendServer) => {
-        const owner = findOwner(chatKey)
-        if (isSelf(owner)) return storeHere(chatKey, backendServer)
-        transport.send(owner.address, { kind: 'directoryStore', chatKey, backendServer })
+        const shortKey = shortenChatKey(chatKey)
+        const owner = findOwner(shortKey)
+        if (isSelf(owner)) return storeHere(shortKey, backendServer)
+        transport.send(owner.address, { kind: 'directoryStore', chatKey: shortKey, backendServer })
       }
     },
     start: () => {
