--- a/src/services/configuration/test.ts
+++ b/src/services/configuration/test.ts
@@ -1,17 +1,20 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import { createConfigurationFleet, type ConfigurationFleet, type FleetNode } from '../../../test/_lib/createConfigurationFleet.js'
-import type { PlatformFault } from '../../../test/_lib/createInterruptedPlatform.js'
+import type { CallFault } from '../../../test/_lib/createFaultyPlatform.js'
 import { createSheet } from '../../../test/_lib/createSheet.js'
 
+/** Nodes that start know no peers and all hold a watch; those that need not give it up when it times out. */
+const WATCH_TIMEOUT_MS = 30_000
+
 const createStartedFleet = (size: number, zones?: number, seed?: number): ConfigurationFleet => {
   const fleet = createConfigurationFleet(size, zones, seed)
   for (const node of fleet.nodes) node.start()
   return fleet
 }
 
-const failPlatform = (nodes: readonly FleetNode[], fault: PlatformFault): void => {
-  for (const node of nodes) node.platform.setFaults(() => fault)
+const failPlatform = (nodes: readonly FleetNode[], fault: CallFault): void => {
+  for (const node of nodes) node.platform.setFault(() => fault)
 }
 
 const apply = async (fleet: ConfigurationFleet, weight: number, against: number): Promise<void> => {
@@ -68,7 +71,7 @@
   it('is watched by two nodes of a zone only', async () => {
     const fleet = createStartedFleet(12)
     await fleet.run(90_000)
-    const watchers = fleet.nodes.filter(({ platform }) => platform.calls().slice(-1)[0]?.operation === 'watchObjects')
+    const watchers = fleet.nodes.filter(({ platform }) => platform.calls().at(-1) === 'watch')
     expect(watchers).toHaveLength(6)
   })
 })
@@ -76,7 +79,7 @@
 describe('configuration under faults', () => {
   // A VM is replaced while the platform is down. It has no disk and cannot
   // read the root; its peers have the generation, and it must serve with it.
-  it.each<PlatformFault>(['unavailable', 'hang'])('a node that boots while the platform is "%s" takes what its peers have', async (fault) => {
+  it.each<CallFault>(['refused', 'paused'])('a node that boots while the platform is "%s" takes what its peers have', async (fault) => {
     const fleet = createStartedFleet(3)
     await apply(fleet, 1, 0)
     await fleet.run(4_000)
@@ -89,7 +92,7 @@
 
   it('a node that boots with neither platform nor peers serves nothing and says why', async () => {
     const fleet = createConfigurationFleet(1)
-    failPlatform(fleet.nodes, 'unavailable')
+    failPlatform(fleet.nodes, 'refused')
     fleet.nodes[0]!.start()
     await fleet.run(2_000)
     expect(fleet.nodes[0]!.holder().pending()).toEqual({ generation: 0, reason: 'platform: unavailable' })
@@ -101,7 +104,7 @@
     const fleet = createStartedFleet(3)
     await apply(fleet, 1, 0)
     await fleet.run(4_000)
-    failPlatform([fleet.nodes[1]!], 'unavailable')
+    failPlatform([fleet.nodes[1]!], 'refused')
     await apply(fleet, 2, 1)
     await fleet.run(4_000)
     expect(fleet.generations()).toEqual([2, 2, 2])
@@ -116,7 +119,7 @@
     await fleet.run(4_000)
     const zone = fleet.nodes.filter(({ availabilityZone }) => availabilityZone === 'venkov-a')
     for (const inside of zone) for (const outside of fleet.nodes) if (!zone.includes(outside)) fleet.cut(inside, outside)
-    failPlatform(zone, 'hang')
+    failPlatform(zone, 'paused')
     await apply(fleet, 2, 1)
     await fleet.run(10_000)
     expect(fleet.generations()).toEqual([1, 2, 2, 1, 2, 2])
@@ -135,7 +138,7 @@
     const fleet = createStartedFleet(3)
     await apply(fleet, 1, 0)
     await fleet.run(4_000)
-    failPlatform(fleet.nodes, 'unavailable')
+    failPlatform(fleet.nodes, 'refused')
     await apply(fleet, 2, 1)
     await spoil(fleet)
     failPlatform(fleet.nodes, 'none')
@@ -198,7 +201,7 @@
     const fleet = createStartedFleet(4, 1)
     await apply(fleet, 1, 0)
     await fleet.run(4_000)
-    failPlatform(fleet.nodes, 'unavailable')
+    failPlatform(fleet.nodes, 'refused')
     await apply(fleet, 2, 1)
     await fleet.run(300_000)
     expect(fleet.generations()).toContain(1)
@@ -217,13 +220,70 @@
     await apply(fleet, 1, 0)
     await fleet.run(4_000)
     let reads = 0
-    fleet.nodes[0]!.platform.setFaults(({ name, operation }) => name === 'configuration/root' && operation === 'readObject' && reads++ === 0 ? 'unavailable' : 'none')
+    fleet.nodes[0]!.platform.setFault((call, name) => name === 'configuration/root' && call === 'read' && reads++ === 0 ? 'refused' : 'none')
     await apply(fleet, 2, 1)
     await fleet.run(4_000)
     expect(fleet.generations()).toEqual([2])
   })
 })
 
+describe('platform under strain', () => {
+  // The platform sheds load by ending waiting watches at once. A node that
+  // renewed its watch without a pause would add thousands of calls a second.
+  it('is not asked without a pause when it ends watches at once', async () => {
+    const fleet = createConfigurationFleet(1, 1, 1, { watchObjects: async () => ({ ok: true, value: { revision: 0, changes: [] } }) })
+    fleet.nodes[0]!.start()
+    await fleet.run(60_000)
+    expect(fleet.nodes[0]!.platform.calls().length).toBeLessThan(200)
+  })
+})
+
+describe('sources of a generation', () => {
+  // A node got 1 from the platform and 2 from its peers. It hears of 3 from a
+  // peer that it cannot ask, while the platform fails reads of the root. What
+  // it still holds of the platform's old answer must not take it back to 1.
+  it('does not fall back to an older root when a newer one cannot be had', async () => {
+    const fleet = createStartedFleet(3)
+    await apply(fleet, 1, 0)
+    await fleet.run(4_000)
+    fleet.nodes[0]!.platform.setFault((_, name) => name === 'configuration/root' ? 'refused' : 'none')
+    await apply(fleet, 2, 1)
+    await fleet.run(4_000)
+    cutOff(fleet, fleet.nodes[0]!)
+    fleet.nodes[0]!.see({ ...fleet.nodes[1]!.member(), generation: 3 })
+    await fleet.run(4_000)
+    expect(fleet.nodes[0]!.holder().current()?.sheet).toEqual(createSheet(2))
+    expect(fleet.nodes[0]!.holder().pending()).toMatchObject({ generation: 3, reason: expect.stringContaining('platform: unavailable') })
+  })
+
+  // A node without a watch hears of a generation from a peer that goes away
+  // before it can be asked. The platform has it too.
+  it('asks the platform when the peer it heard of a generation from is gone', async () => {
+    const fleet = createStartedFleet(3, 1)
+    await apply(fleet, 1, 0)
+    await fleet.run(WATCH_TIMEOUT_MS + 4_000)
+    cutOff(fleet, fleet.nodes[2]!)
+    await apply(fleet, 2, 1)
+    fleet.nodes[2]!.see({ ...fleet.nodes[0]!.member(), generation: 2 })
+    await fleet.run(4_000)
+    expect(fleet.generations()).toEqual([2, 2, 2])
+  })
+
+  // Both watchers of a zone are replaced at once. The node that only heard
+  // from them must take up the watch, not wait for its next poll.
+  it('takes up the watch when the watchers of its zone are dead', async () => {
+    const fleet = createStartedFleet(3, 1)
+    await apply(fleet, 1, 0)
+    await fleet.run(WATCH_TIMEOUT_MS + 4_000)
+    fleet.nodes[0]!.stop()
+    fleet.nodes[1]!.stop()
+    await fleet.run(1_000)
+    await apply(fleet, 2, 1)
+    await fleet.run(2_000)
+    expect(fleet.generations()).toEqual([0, 0, 2])
+  })
+})
+
 type Step = (fleet: ConfigurationFleet, roots: Uint8Array[]) => Promise<void>
 
 const steps: Readonly<Record<string, Step>> = {
@@ -235,7 +295,7 @@
     roots.push(await fleet.readRootBytes())
   },
   restore: async (fleet, roots) => { if (roots[0] !== undefined) await fleet.overwriteRoot(roots[Math.floor(roots.length / 2)]!) },
-  platformDown: async (fleet) => failPlatform(fleet.nodes, 'unavailable'),
+  platformDown: async (fleet) => failPlatform(fleet.nodes, 'refused'),
   platformUp: async (fleet) => failPlatform(fleet.nodes, 'none'),
   cut: async (fleet) => cutOff(fleet, fleet.nodes[0]!),
   heal: async (fleet) => fleet.heal(),
--- a/src/services/dispatch/_lib/createRequestScope.ts
+++ b/src/services/dispatch/_lib/createRequestScope.ts
@@ -37,11 +37,15 @@
 
   const onHangUp = (): void => end('hungUp')
   const timer = clock.setTimer(deadlineMs, () => end('deadline'))
+  if (deadlineMs <= 0) end('deadline')
   if (callerSignal.aborted) end('hungUp')
   callerSignal.addEventListener('abort', onHangUp, { once: true })
 
   const race = <Value>(promise: Promise<Value>): Promise<Value | undefined> => {
-    if (controller.signal.aborted) return Promise.resolve(undefined)
+    if (controller.signal.aborted) {
+      promise.catch(() => undefined)
+      return Promise.resolve(undefined)
+    }
     return new Promise((resolve, reject) => {
       const onAbort = (): void => resolve(undefined)
       controller.signal.addEventListener('abort', onAbort, { once: true })
--- a/test/_lib/createDispatchHarness.ts
+++ b/test/_lib/createDispatchHarness.ts
@@ -10,7 +10,7 @@
 import { failure, success } from '../../src/kernel/index.js'
 import { createDispatch, type DispatchDependencies, type DispatchOptions } from '../../src/services/dispatch/index.js'
 import type {
-  AdmissionRefusal, BackendServer, ClaimOutcome, Configuration, Dispatch, Logger, Metrics, Route, StoredAnswer
+  AdmissionRefusal, BackendClient, BackendServer, ClaimOutcome, Configuration, Dispatch, Logger, Metrics, Route, StoredAnswer
 } from '../../src/types/index.js'
 
 export const CALLER_KEY = 'sk-test'
@@ -36,6 +36,7 @@
       backendServers,
       routes: [
         createRoute({ name: 'chat', service: 'all', model: MODEL }),
+        createRoute({ name: 'agent', service: 'all', model: 'agent', repeatable: false }),
         createRoute({ name: 'stock', service: 'all', path: '/stock' }),
         createRoute({ name: 'orders', service: 'all', path: '/stock/orders', repeatable: false }),
         createRoute({ name: 'settlements', service: 'all', path: '/settlements', repeatable: false, backendIdempotent: true })
@@ -66,13 +67,20 @@
   readonly claimOutcome?: ClaimOutcome
   readonly admissionRefusal?: AdmissionRefusal
   readonly directoryEntry?: string
+  /** Backend servers that the load probes have lost. */
+  readonly unreachable?: readonly string[]
+  /** In place of the real client. */
+  readonly backendClient?: BackendClient
 }
 
-export type DispatchHarness = {
-  readonly url: string
-  readonly port: number
+export type TestDispatch = {
   readonly dispatch: Dispatch
   readonly recorded: Recorded
+  readonly dependencies: DispatchDependencies
+}
+
+export type DispatchHarness = TestDispatch & {
+  readonly url: string
   readonly close: () => Promise<void>
 }
 
@@ -106,7 +114,7 @@
     applyDigest: () => {}
   },
   backendHealth: {
-    status: (backendServer) => ({ backendServer, state: 'live', weightShare: 1, inFlight: 0, ownInFlight: 0 }),
+    status: (backendServer) => ({ backendServer, state: options.unreachable?.includes(backendServer) === true ? 'unreachable' : 'live', weightShare: 1, inFlight: 0, ownInFlight: 0 }),
     statuses: () => [],
     recordAttempt: (name, outcome) => { recorded.outcomes.push(`${name} ${outcome}`) },
     markLeaving: (name) => { recorded.marked.push(name) },
@@ -119,21 +127,32 @@
   }
 })
 
-export const createDispatchHarness = async (options: HarnessOptions): Promise<DispatchHarness> => {
+/** Dispatch with its fakes alone, without a listener. */
+export const createTestDispatch = (options: HarnessOptions): TestDispatch => {
   const configuration = 'configuration' in options ? options.configuration : createConfiguration(options.origins)
   const recorded: Recorded = { started: [], ended: [], outcomes: [], marked: [], released: [], completed: [], stored: [], hints: [], finishedTickets: 0 }
-  const clock = createSystemClock()
-  const random = createSeededRandom(7)
-  const backendClient = createBackendHttp({ connectTimeoutMs: 2_000, answerIdleTimeoutMs: 30_000 })
-  const dependencies = { clock, random, logger: SILENT_LOGGER, metrics: NO_METRICS, backendClient, ...createFakes(options, configuration, recorded) }
+  const dependencies: DispatchDependencies = {
+    clock: createSystemClock(),
+    random: createSeededRandom(7),
+    logger: SILENT_LOGGER,
+    metrics: NO_METRICS,
+    backendClient: options.backendClient ?? createBackendHttp({ connectTimeoutMs: 2_000, answerIdleTimeoutMs: 30_000 }),
+    ...createFakes(options, configuration, recorded)
+  }
   const { api: dispatch } = createDispatch(dependencies, { fleetKey: 'fleet', retryShare: 0.1, maximumAttempts: 3, baseDelayMs: 2, ...options.dispatch })
-  const callerHttp = createCallerHttp({ dispatch, clock, random, logger: SILENT_LOGGER }, { host: '127.0.0.1', port: 0, maximumBodyBytes: 100_000, ...options.callerHttp })
+  return { dispatch, recorded, dependencies }
+}
+
+export const createDispatchHarness = async (options: HarnessOptions): Promise<DispatchHarness> => {
+  const { dispatch, recorded, dependencies } = createTestDispatch(options)
+  const { clock, random, logger, backendClient } = dependencies
+  const callerHttp = createCallerHttp({ dispatch, clock, random, logger }, { host: '127.0.0.1', port: 0, maximumBodyBytes: 100_000, ...options.callerHttp })
   const { port } = await callerHttp.listen()
   return {
     url: `http://127.0.0.1:${port}`,
-    port,
     dispatch,
     recorded,
+    dependencies,
     close: async () => {
       await dispatch.whenIdle()
       await callerHttp.close()
