--- a/src/services/backendHealth/index.ts
+++ b/src/services/backendHealth/index.ts
@@ -58,8 +58,8 @@
 /** The VM list lags by seconds; a server's own word is read each interval. */
 const CLEAR_AFTER_MS: Readonly<Record<LeavingSource, number>> = { vmList: 30_000, backendServer: 5000 }
 
-/** What a failed read says of the server; a read that we cancelled says nothing. */
-const PROBE_EVENTS: Readonly<Record<BackendError['kind'], EjectionEvent>> = { notSent: 'notSent', noAnswer: 'probeUnanswered', cancelled: 'tick' }
+/** What a failed read says of the server. Only its time-out cancels a read, so that is silence too. */
+const PROBE_EVENTS: Readonly<Record<BackendError['kind'], EjectionEvent>> = { notSent: 'notSent', noAnswer: 'probeUnanswered', cancelled: 'probeUnanswered' }
 
 const isInForce = (stop: PlannedStop, wallTime: number): boolean =>
   wallTime >= stop.startsAt && (stop.endsAt === undefined || wallTime < stop.endsAt)
--- a/src/services/backendHealth/test.ts
+++ b/src/services/backendHealth/test.ts
@@ -42,6 +42,7 @@
   service.start?.()
   const report = (name: string, changes: Partial<LoadReport>): void => { answers.set(name, { running: 0, waiting: 0, slots: 8, leaving: false, ageMs: 0, ...changes }) }
   const refuse = (name: string): void => { answers.set(name, { kind: 'notSent', message: 'refused' }) }
+  const silence = (name: string): void => { answers.set(name, { kind: 'cancelled' }) }
   const readVms = (name: string, state: Vm['state']): void => {
     for (const listen of vmListeners) listen([{ name, kind: 'backendServer', address: `http://${name}`, availabilityZone: 'venkov-a', state }])
   }
@@ -50,7 +51,7 @@
     for (const listen of configurationListeners) listen()
   }
   const health = service.api
-  return { clock, health, exchange, report, refuse, readVms, applyStops, stateOf: (name: string) => health.status(name).state }
+  return { clock, health, exchange, report, refuse, silence, readVms, applyStops, stateOf: (name: string) => health.status(name).state }
 }
 
 type Node = ReturnType<typeof createNode>
@@ -154,6 +155,15 @@
     expect(node.health.statuses().map(({ state }) => state)).toEqual(['ejected', 'ejected', 'live', 'live'])
   })
 
+  // A server's process hangs: its kernel still takes connections, but nothing
+  // answers. Requests would wait there for the whole answer time-out.
+  it('ejects a server that takes connections and answers no probe', async () => {
+    const node = createNode()
+    node.silence('engine-0')
+    await node.clock.advanceAndSettle(6000)
+    expect(node.stateOf('engine-0')).toBe('ejected')
+  })
+
   it('counts servers out that cannot be reached, without an attempt', async () => {
     const node = createNode()
     for (const name of SERVERS.slice(1)) node.refuse(name)
