Give up peer connections that swallow everything

When a link drops all packets for a while, TCP goes on with the old connection and repeats ever more rarely, so two routers would stay lost to each other for minutes after the link is well. Frames are now acknowledged within half a second, and a connection that was written to and stays silent for 3 s is dropped and dialled anew. TCP keep-alive was ruled out: it does not run while data waits to be acknowledged.

--- a/src/adapters/peerTcp/_lib/createPeerLink.ts
+++ b/src/adapters/peerTcp/_lib/createPeerLink.ts
@@ -15,6 +15,8 @@
   readonly random: RandomSource
   readonly maximumQueueLength: number
   readonly idleTimeoutMs: number
+  /** Time without any frame back after which a connection that was written to counts as lost. */
+  readonly stallTimeoutMs: number
   readonly initialBackoffMs: number
   readonly maximumBackoffMs: number
   /** Called when the link hung up on its own and holds nothing. */
@@ -45,6 +47,7 @@
   let retryAt = -Infinity
   let lastUsedAt = clock.now()
   let idleTimer: Timer | undefined
+  let unansweredSince: number | undefined
 
   const failPending = (error: PeerError): void => {
     for (const { settle } of [...pending.values()]) settle(failure(error))
@@ -54,6 +57,7 @@
     if (!isReady) failures += 1
     connection = undefined
     isReady = false
+    unansweredSince = undefined
     queue = []
     idleTimer?.cancel()
     // A peer that is down would otherwise be dialled at each heartbeat of each
@@ -82,6 +86,7 @@
   }
 
   const onFrame = (frame: unknown): void => {
+    unansweredSince = undefined
     const { id, reply, problem } = frame as IncomingFrame
     const request = typeof id === 'number' ? pending.get(id) : undefined
     if (request === undefined) return
@@ -94,11 +99,24 @@
     connection = createConnection({ ...options, socket, role: 'dialer', onReady, onFrame, onClose })
   }
 
+  // When a link swallows packets, TCP keeps the connection for many minutes and
+  // repeats ever more rarely, so that a peer would stay lost long after the link
+  // is well again. Each frame is acknowledged within a short time; without that,
+  // the connection is given up and the next message dials anew.
+  const dropStalled = (): void => {
+    if (unansweredSince === undefined || clock.now() - unansweredSince < options.stallTimeoutMs) return
+    connection?.close()
+  }
+
   const transmit = (frame: OutgoingFrame): 'sent' | 'unreachable' => {
     lastUsedAt = clock.now()
+    dropStalled()
     if (connection === undefined && clock.now() < retryAt) return 'unreachable'
     if (connection === undefined) dial()
-    if (isReady) return connection?.send(frame, frame.message.kind) === 'sent' ? 'sent' : 'unreachable'
+    if (isReady) {
+      unansweredSince ??= clock.now()
+      return connection?.send(frame, frame.message.kind) === 'sent' ? 'sent' : 'unreachable'
+    }
     if (queue.length >= options.maximumQueueLength) return 'unreachable'
     queue.push(frame)
     return 'sent'
--- a/src/adapters/peerTcp/index.ts
+++ b/src/adapters/peerTcp/index.ts
@@ -12,7 +12,7 @@
 import type { PeerLink } from './_lib/createPeerLink.js'
 import { dispatchFrame } from './_lib/dispatchFrame.js'
 import type { PeerHandler, PeerHandlers } from './_lib/dispatchFrame.js'
-import type { Clock, Logger, Metrics, PeerAddress, PeerTransport, RandomSource } from '../../types/index.js'
+import type { Clock, Logger, Metrics, PeerAddress, PeerTransport, RandomSource, Timer } from '../../types/index.js'
 
 export type PeerTcpOptions = {
   readonly host: string
@@ -33,6 +33,9 @@
   readonly maximumQueueBytes?: number
   readonly maximumConnections?: number
   readonly idleTimeoutMs?: number
+  readonly stallTimeoutMs?: number
+  /** Time within which each frame is acknowledged; well below the peers' `stallTimeoutMs`. */
+  readonly acknowledgeDelayMs?: number
   readonly initialBackoffMs?: number
   readonly maximumBackoffMs?: number
 }
@@ -52,6 +55,8 @@
   maximumQueueBytes: 1024 * 1024,
   maximumConnections: 1024,
   idleTimeoutMs: 60_000,
+  stallTimeoutMs: 3000,
+  acknowledgeDelayMs: 500,
   initialBackoffMs: 100,
   maximumBackoffMs: 2000
 }
@@ -88,15 +93,33 @@
     options.metrics?.count('peer_sent_bytes', { kind }, bytes)
   }
 
+  /** Sends an empty frame soon after a frame has come, one for all that come meanwhile. */
+  const createAcknowledgement = (send: () => void) => {
+    let timer: Timer | undefined
+    const acknowledge = (): void => {
+      timer = undefined
+      send()
+    }
+    return {
+      request: () => { timer ??= settings.clock.setTimer(settings.acknowledgeDelayMs, acknowledge) },
+      cancel: () => timer?.cancel()
+    }
+  }
+
   const accept = (socket: Socket): void => {
+    const acknowledgement = createAcknowledgement(() => { connection.send({}, 'acknowledgement') })
     const connection: Connection = createConnection({
       ...settings,
       socket,
       role: 'listener',
       countBytes,
       onReady: () => {},
-      onFrame: (frame) => { dispatchFrame(handlers, frame, (reply, kind) => { connection.send(reply, kind) }) },
+      onFrame: (frame) => {
+        acknowledgement.request()
+        dispatchFrame(handlers, frame, (reply, kind) => { connection.send(reply, kind) })
+      },
       onClose: (reason) => {
+        acknowledgement.cancel()
         accepted.delete(connection)
         options.logger?.debug('peer connection closed', { remote: socket.remoteAddress, reason })
       }
--- a/src/adapters/peerTcp/test.ts
+++ b/src/adapters/peerTcp/test.ts
@@ -1,5 +1,5 @@
-import { connect } from 'node:net'
-import type { Socket } from 'node:net'
+import { connect, createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { Encoder } from 'cbor-x'
 import { afterEach, describe, expect, it } from 'vitest'
 import { createPeerTcp } from './index.js'
@@ -15,7 +15,7 @@
 const opened: { readonly close: () => Promise<void> }[] = []
 const sockets: Socket[] = []
 
-const openTransport = async (options: { readonly fleetKey?: string, readonly port?: number, readonly handshakeTimeoutMs?: number } = {}) => {
+const openTransport = async (options: { readonly fleetKey?: string, readonly port?: number, readonly handshakeTimeoutMs?: number, readonly stallTimeoutMs?: number, readonly acknowledgeDelayMs?: number } = {}) => {
   const transport = createPeerTcp({ host: '127.0.0.1', port: 0, fleetKey: 'the right key', maximumFrameBytes: MAXIMUM_FRAME_BYTES, initialBackoffMs: 1, maximumBackoffMs: 1, clock, random, ...options })
   transport.handle('directoryLookup', ({ chatKey }) => ({ kind: 'directoryEntry', backendServer: chatKey }))
   await transport.listen()
@@ -114,6 +114,36 @@
     expect(result.ok).toBe(true)
   })
 
+  // A link swallows all packets for a while. TCP does not notice and repeats ever
+  // more rarely; the peer would be lost for minutes after the link is well again.
+  it('gives up a connection that swallows everything, and dials anew', async () => {
+    const listener = await openTransport({ acknowledgeDelayMs: 1 })
+    let isSwallowing = false
+    const link = createServer((near) => {
+      const far = openSocket(listener.address().port)
+      const isCaught = (): boolean => isSwallowing
+      let wasCaught = false
+      const pass = (to: Socket) => (chunk: Buffer): void => {
+        wasCaught ||= isCaught()
+        if (!wasCaught) to.write(chunk)
+      }
+      near.on('data', pass(far)).on('error', () => {})
+      far.on('data', pass(near))
+      sockets.push(near)
+    })
+    await new Promise<void>((resolve) => { link.listen(0, '127.0.0.1', resolve) })
+    opened.push({ close: () => new Promise((resolve) => { link.close(() => resolve()) }) })
+    const address = { host: '127.0.0.1', port: (link.address() as AddressInfo).port }
+    const peer = await openTransport({ stallTimeoutMs: 30 })
+    await peer.request(address, lookup, TIMEOUT_MS)
+    isSwallowing = true
+    await peer.request(address, lookup, 100)
+    isSwallowing = false
+    let result = await peer.request(address, lookup, 100)
+    while (!result.ok) result = await peer.request(address, lookup, 100)
+    expect(result.ok).toBe(true)
+  })
+
   it('fails open requests when the connection is lost', async () => {
     const listener = await openTransport()
     listener.handle('rootRequest', () => new Promise(() => {}))
