--- a/src/bench/controlTraffic/createFleet.ts
+++ b/src/bench/controlTraffic/createFleet.ts
@@ -42,7 +42,7 @@
 
 /** Small, since the directory sets its memory aside at the start: 360 of the usual size would not fit in one process. */
 const DIRECTORY_ENTRIES = 1000
-const SETTINGS = { heartbeatIntervalMs: 250, suspectAfterMs: 1500, deadAfterMs: 4000, loadReportIntervalMs: 1000, connectTimeoutMs: 1000, peerTimeoutMs: 250, directoryEntries: DIRECTORY_ENTRIES, directoryTtlMs: 7_200_000 }
+const SETTINGS = { heartbeatIntervalMs: 500, suspectAfterMs: 1500, deadAfterMs: 4000, loadReportIntervalMs: 1000, connectTimeoutMs: 1000, peerTimeoutMs: 250, directoryEntries: DIRECTORY_ENTRIES, directoryTtlMs: 7_200_000 }
 const SEED_COUNT = 3
 const SLOTS = 64
 const NEAR_DELAY_MS = 1
@@ -84,7 +84,7 @@
     // The load view and the exchange of a large fleet read each other, so one is looked up late.
     const readCounts = (): ReadonlyMap<string, number> => loadView.publishedCounts()
     const fleetLoad = createFleetLoad({ clock, transport, membership: membership.api, configuration: holder, readCounts }, { fullMeshPeers: DEFAULT_FAN_OUT.fullMeshPeers })
-    const loadView: RunningLoadView = createLoadView({ clock, membership: membership.api, exchange, fleetLoad: fleetLoad.api }, { settings })
+    const loadView: RunningLoadView = createLoadView({ clock, transport, membership: membership.api, exchange, fleetLoad: fleetLoad.api }, { settings })
     let probes = 0
     const backendClient = {
       readLoad: async (url: string) => {
--- a/src/bench/controlTraffic/index.ts
+++ b/src/bench/controlTraffic/index.ts
@@ -22,7 +22,8 @@
 const DIRECTORY_KINDS = ['directoryLookup', 'directoryLookupReply', 'directoryStore']
 
 const START_SPREAD_MS = 1000
-const WARM_UP_MS = 10_000
+/** The news of the start must have died down. */
+const WARM_UP_MS = 20_000
 const MEASURED_MS = 10_000
 const STEP_MS = 50
 const LONGEST_WAIT_MS = 30_000
@@ -45,11 +46,12 @@
 
 const totalBytes = (node: FleetNode): number => [...node.transport.bytesSent().values()].reduce((sum, bytes) => sum + bytes, 0)
 
-type Mark = { readonly bytes: number, readonly heartbeat: number, readonly snapshot: number, readonly directory: number, readonly messages: number, readonly probes: number }
+type Mark = { readonly bytes: number, readonly heartbeat: number, readonly digest: number, readonly snapshot: number, readonly directory: number, readonly messages: number, readonly probes: number }
 
 const takeMark = (node: FleetNode): Mark => ({
   bytes: totalBytes(node),
   heartbeat: node.transport.bytesSent().get('heartbeat') ?? 0,
+  digest: node.transport.bytesSent().get('loadDigest') ?? 0,
   snapshot: node.transport.bytesSent().get('loadSnapshot') ?? 0,
   directory: DIRECTORY_KINDS.reduce((sum, kind) => sum + (node.transport.bytesSent().get(kind) ?? 0), 0),
   messages: node.transport.messagesSent(),
@@ -79,7 +81,7 @@
   const nodeSeconds = size.nodes * ms / MS_PER_SECOND
   return [
     size.nodes, size.servers, size.zones,
-    round(mean(kilobytes('heartbeat'))), round(mean(kilobytes('snapshot'))), round(mean(kilobytes('directory'))), round(mean(kilobytes('bytes'))), round(Math.max(...kilobytes('bytes'))),
+    round(mean(kilobytes('heartbeat'))), round(mean(kilobytes('digest'))), round(mean(kilobytes('snapshot'))), round(mean(kilobytes('directory'))), round(mean(kilobytes('bytes'))), round(Math.max(...kilobytes('bytes'))),
     round(mean(perSecond(before, after, 'messages', ms)), 1), round(mean(perSecond(before, after, 'probes', ms)), 1),
     round((usage.user + usage.system) / MICROSECONDS_PER_MS / nodeSeconds),
     round(process.memoryUsage().heapUsed / BYTES_PER_KILOBYTE / BYTES_PER_KILOBYTE / size.nodes),
@@ -137,7 +139,7 @@
   const tables: readonly Table[] = [
     {
       title: 'Control traffic of a node, steady, at the peak rate of requests',
-      columns: ['nodes', 'servers', 'zones', 'heartbeat KB/s', 'loadSnapshot KB/s', 'directory KB/s', 'all KB/s', 'all KB/s (worst node)', 'messages/s', 'probes/s', 'CPU ms/s', 'heap MB', 'load error %', 'load error % (p99)'],
+      columns: ['nodes', 'servers', 'zones', 'heartbeat KB/s', 'loadDigest KB/s', 'loadSnapshot KB/s', 'directory KB/s', 'all KB/s', 'all KB/s (worst node)', 'messages/s', 'probes/s', 'CPU ms/s', 'heap MB', 'load error %', 'load error % (p99)'],
       rows: steady
     },
     {
--- a/src/bench/placement/_lib/createBenchRouter.ts
+++ b/src/bench/placement/_lib/createBenchRouter.ts
@@ -26,7 +26,7 @@
 }
 
 const HEADER_BYTES = 40
-const DEFAULT_HEARTBEAT_MS = 250
+const DEFAULT_HEARTBEAT_MS = 500
 
 /**
  * Creates a router of the bench.
@@ -52,13 +52,14 @@
   const exchange = createHeartbeatExchange()
   const vmList = { current: () => undefined, onRead: () => {} }
   const membership = createMembership({ clock, random, transport, exchange, vmList }, { settings, address: () => address })
-  const loadView = createLoadView({ clock, membership: membership.api, exchange }, { settings })
+  const loadView = createLoadView({ clock, transport, membership: membership.api, exchange }, { settings })
   const chatDirectory = createChatDirectory({ clock, transport, membership: membership.api }, { settings })
   return {
     loadView: loadView.api,
     chatDirectory: chatDirectory.api,
     start: async () => {
       await chatDirectory.start?.()
+      await loadView.start?.()
       await membership.start?.()
     },
     readControlBytes: () => [...transport.bytesSent().values()].reduce((sum, bytes) => sum + bytes, 0) + HEADER_BYTES * transport.messagesSent()
--- a/src/bench/requests/_lib/startBenchRouter.ts
+++ b/src/bench/requests/_lib/startBenchRouter.ts
@@ -44,7 +44,7 @@
     admission: { admit: async () => success({ finish: ignore }), usage: () => [], mergeUsage: ignore },
     claims: { claim: async () => ({ kind: 'unavailable', message: 'not in this bench' }), release: async () => {}, complete: async () => {} },
     placement: { choose: () => ({ kind: 'chosen', backendServer }) },
-    loadView: { recordStart: ignore, recordEnd: ignore, estimateInFlight: () => 0, ownInFlight: () => 0, applyReport: ignore, nextDigest: () => undefined, applyDigest: ignore },
+    loadView: { recordStart: ignore, recordEnd: ignore, estimateInFlight: () => 0, ownInFlight: () => 0, applyReport: ignore },
     backendHealth: {
       status: (name) => ({ backendServer: name, state: 'live', weightShare: 1, inFlight: 0, ownInFlight: 0 }),
       statuses: () => [],
--- a/src/decisions/mergeLoadDigest/index.ts
+++ b/src/decisions/mergeLoadDigest/index.ts
@@ -27,7 +27,7 @@
  * mergeLoadDigest(undefined, fullDigest).hasGap // => false
  */
 export const mergeLoadDigest = (known: LoadRecord | undefined, digest: LoadDigest): LoadRecord => {
-  if (known !== undefined && digest.sequence <= known.sequence) return known
+  if (known !== undefined && isLate(known, digest)) return known
   const counts = new Map(digest.full ? undefined : known?.counts)
   for (const { backendServer, inFlight } of digest.counts) {
     if (inFlight === 0) counts.delete(backendServer)
@@ -36,5 +36,11 @@
   return { sequence: digest.sequence, counts, hasGap: !digest.full && isAfterGap(known, digest) }
 }
 
+/** After a gap the full digest that was asked for comes under the number of the last one. */
+const isLate = (known: LoadRecord, digest: LoadDigest): boolean => {
+  const isRepair = digest.full && known.hasGap && digest.sequence === known.sequence
+  return digest.sequence <= known.sequence && !isRepair
+}
+
 const isAfterGap = (known: LoadRecord | undefined, digest: LoadDigest): boolean =>
   known === undefined || known.hasGap || digest.sequence !== known.sequence + 1
--- a/src/decisions/mergeLoadDigest/test.ts
+++ b/src/decisions/mergeLoadDigest/test.ts
@@ -63,6 +63,7 @@
     { case: 'a late digest', arrivals: [createDigest(1, true, 1), createDigest(3, false, 3), createDigest(2, false, 2)], inFlight: 3, hasGap: true },
     { case: 'a lost digest', arrivals: [createDigest(1, true, 1), createDigest(3, false, 3), createDigest(4, false, 4)], inFlight: 4, hasGap: true },
     { case: 'a full digest after a loss', arrivals: [createDigest(1, true, 1), createDigest(3, false, 3), createDigest(4, true, 5)], inFlight: 5, hasGap: false },
+    { case: 'a full digest under the number of the last after a loss', arrivals: [createDigest(1, true, 1), createDigest(3, false, 3), createDigest(3, true, 4)], inFlight: 4, hasGap: false },
     { case: 'a first digest that is not full', arrivals: [createDigest(7, false, 3)], inFlight: 3, hasGap: true }
   ])('handles $case', ({ arrivals, inFlight, hasGap }) => {
     const record = mergeAll(arrivals)
--- a/src/node/createRouterNode/index.ts
+++ b/src/node/createRouterNode/index.ts
@@ -120,6 +120,7 @@
     create: (resolve) => {
       loadView = createLoadView({
         clock,
+        transport,
         membership: resolve('membership'),
         exchange: resolve('heartbeatExchange'),
         fleetLoad: resolve('fleetLoad'),
--- a/src/services/loadView/_lib/createPeerCounts.ts
+++ b/src/services/loadView/_lib/createPeerCounts.ts
@@ -9,7 +9,10 @@
 export type PeerCounts = {
   readonly sum: (backendServer: string) => number
   readonly apply: (digest: LoadDigest) => void
-  readonly hasGap: (source: string) => boolean
+  /** Whether counts of this source are missing, given the number of its last digest. */
+  readonly lacks: (source: string, sequence: number) => boolean
+  /** Whether the record of this source has a later number than its last digest. */
+  readonly isAhead: (source: string, sequence: number) => boolean
   readonly forget: (source: string) => void
   readonly sources: () => readonly string[]
 }
@@ -41,7 +44,11 @@
       records.set(digest.source, merged)
       replace(known?.counts ?? new Map(), merged.counts)
     },
-    hasGap: (source) => records.get(source)?.hasGap === true,
+    lacks: (source, sequence) => {
+      const record = records.get(source)
+      return record === undefined || record.hasGap || record.sequence < sequence
+    },
+    isAhead: (source, sequence) => (records.get(source)?.sequence ?? 0) > sequence,
     forget: (source) => {
       replace(records.get(source)?.counts ?? new Map(), new Map())
       records.delete(source)
--- a/src/services/loadView/index.ts
+++ b/src/services/loadView/index.ts
@@ -4,17 +4,19 @@
  * own requests, the counts that live peers published last, and what the
  * server's own report shows beyond both.
  */
+import { createLoadBroadcast } from './_lib/createLoadBroadcast.js'
 import { createPeerCounts } from './_lib/createPeerCounts.js'
-import { createReceivers } from './_lib/createReceivers.js'
 import { createRecentMaximum } from './_lib/createRecentMaximum.js'
 import type { RecentMaximum } from './_lib/createRecentMaximum.js'
+import { formatServerHash, packLoadDigest, unpackLoadDigest } from '../../decisions/packLoadDigest/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import type { FleetLoad } from '../fleetLoad/index.js'
 import type { HeartbeatExchange } from '../heartbeatExchange/index.js'
-import type { Clock, Heartbeat, HeartbeatParts, LoadReport, LoadView, Member, Membership, RouterSettings } from '../../types/index.js'
+import type { Clock, Heartbeat, HeartbeatParts, LoadReport, LoadView, Member, Membership, PackedLoadDigest, PeerTransport, RouterSettings } from '../../types/index.js'
 
 export type LoadViewDependencies = {
   readonly clock: Clock
+  readonly transport: Pick<PeerTransport, 'send' | 'handle'>
   readonly membership: Pick<Membership, 'members' | 'onChange'>
   readonly exchange: HeartbeatExchange
   /**
@@ -32,12 +34,13 @@
 
 export type LoadViewOptions = {
   readonly settings: Pick<RouterSettings, 'nodeId' | 'loadReportIntervalMs' | 'deadAfterMs'>
-  readonly fullEveryTurns?: number
+  /** Bytes a second for digests to peers, with the headers of TCP and IP; 4,000 by default. */
+  readonly bytesPerSecond?: number
 }
 
 type Excess = { readonly requests: number, readonly peerSum: number, readonly until: number }
 
-const DEFAULT_FULL_EVERY_TURNS = 120
+const DEFAULT_BYTES_PER_SECOND = 4000
 /** Report intervals that an excess is believed for without a new report. */
 const EXCESS_INTERVALS = 3
 /** A peer silent for so many times the time to death no longer counts, whatever rumours say. */
@@ -61,20 +64,33 @@
  * api.estimateInFlight('engine-1') // => 1
  */
 export const createLoadView = (dependencies: LoadViewDependencies, options: LoadViewOptions): RunningLoadView => {
-  const { clock, membership, exchange, fleetLoad } = dependencies
+  const { clock, transport, membership, exchange, fleetLoad } = dependencies
   const { settings } = options
   const windowMs = 2 * settings.loadReportIntervalMs
   const own = new Map<string, number>()
   const excesses = new Map<string, Excess>()
   const recentMaxima = new Map<string, RecentMaximum>()
   const heardAt = new Map<string, number>()
+  const lastSequences = new Map<string, number>()
+  const incarnations = new Map<string, number>()
+  const hashes = new Map<string, string>()
+  const names = new Map<string, string>()
 
   const readOwn = (backendServer: string): number => own.get(backendServer) ?? 0
 
+  const hashOf = (backendServer: string): string => {
+    const known = hashes.get(backendServer)
+    if (known !== undefined) return known
+    const hash = formatServerHash(backendServer)
+    hashes.set(backendServer, hash)
+    names.set(hash, backendServer)
+    return hash
+  }
+
   const isInLargeFleet = (): boolean => fleetLoad?.isInUse() === true
 
   const readPeers = (backendServer: string): number =>
-    isInLargeFleet() ? fleetLoad!.readOthers(backendServer) : peerCounts.sum(backendServer)
+    isInLargeFleet() ? fleetLoad!.readOthers(backendServer) : peerCounts.sum(hashOf(backendServer))
 
   const readKnown = (backendServer: string): number => readOwn(backendServer) + readPeers(backendServer)
 
@@ -88,11 +104,9 @@
 
   const noteKnown = (backendServer: string): void => findRecentMaximum(backendServer).note(readKnown(backendServer), clock.now())
 
-  const peerCounts = createPeerCounts(noteKnown)
-  const receivers = createReceivers({
-    source: settings.nodeId,
-    initialSequence: clock.wallTime(),
-    fullEveryTurns: options.fullEveryTurns ?? DEFAULT_FULL_EVERY_TURNS
+  const peerCounts = createPeerCounts((hash) => {
+    const backendServer = names.get(hash)
+    if (backendServer !== undefined) noteKnown(backendServer)
   })
 
   const readExcess = (backendServer: string): number => {
@@ -113,6 +127,7 @@
     if (inFlight === 0) own.delete(backendServer)
     else own.set(backendServer, inFlight)
     noteKnown(backendServer)
+    broadcast.noteChange()
   }
 
   const applyReport = (backendServer: string, report: LoadReport): void => {
@@ -122,6 +137,7 @@
     const requests = Math.max(0, report.running + report.waiting - findRecentMaximum(backendServer).read(now))
     if (requests === 0) excesses.delete(backendServer)
     else excesses.set(backendServer, { requests, peerSum: readPeers(backendServer), until: now + EXCESS_INTERVALS * settings.loadReportIntervalMs })
+    broadcast.noteChange()
   }
 
   const readPublished = (): ReadonlyMap<string, number> => {
@@ -136,14 +152,32 @@
 
   const findMember = (nodeId: string): Member | undefined => membership.members().find((member) => member.nodeId === nodeId)
 
+  const listPeers = (): readonly Member[] => {
+    if (isInLargeFleet()) return []
+    return membership.members().filter((member) => member.nodeId !== settings.nodeId && member.state !== 'dead')
+  }
+
+  const broadcast = createLoadBroadcast({
+    clock,
+    source: settings.nodeId,
+    bytesPerSecond: options.bytesPerSecond ?? DEFAULT_BYTES_PER_SECOND,
+    readCounts: readPublished,
+    listReceivers: listPeers,
+    send: (receiver, digest) => transport.send(receiver.address, packLoadDigest(digest))
+  })
+
+  // A restarted peer numbers its digests from the beginning, and all of them would
+  // pass for late ones of its former life. Its new incarnation tells, and its
+  // record begins anew.
+  const isOtherLife = (source: string): boolean => findMember(source)?.incarnation !== incarnations.get(source)
+
   const isGone = (nodeId: string): boolean => {
     const state = findMember(nodeId)?.state
     return state === undefined || state === 'dead'
   }
 
   const dropGone = (): void => {
-    for (const source of peerCounts.sources()) if (isGone(source)) peerCounts.forget(source)
-    for (const receiver of receivers.names()) if (isGone(receiver)) receivers.forget(receiver)
+    for (const source of peerCounts.sources()) if (isGone(source) || isOtherLife(source)) peerCounts.forget(source)
   }
 
   // In a partition where others still hear a peer that this node doesn't, rumours
@@ -157,21 +191,31 @@
     }
   }
 
-  const applyHeartbeat = (heartbeat: Heartbeat): void => {
-    const sender = heartbeat.member.nodeId
-    heardAt.set(sender, clock.now())
-    if (heartbeat.loadWanted === true) receivers.forget(sender)
-    if (heartbeat.load !== undefined && !isGone(heartbeat.load.source)) peerCounts.apply(heartbeat.load)
+  const applyHeartbeat = ({ member, loadWanted, loadSequence }: Heartbeat): void => {
+    heardAt.set(member.nodeId, clock.now())
+    if (loadSequence !== undefined) {
+      lastSequences.set(member.nodeId, loadSequence)
+      // A digest of its former life came after the first word of its new one.
+      if (peerCounts.isAhead(member.nodeId, loadSequence)) peerCounts.forget(member.nodeId)
+    }
+    if (loadWanted === true) broadcast.sendFull(member)
     dropSilent()
   }
 
+  const applyDigest = (packed: PackedLoadDigest): void => {
+    const source = findMember(packed.source)
+    if (source === undefined || source.state === 'dead') return
+    heardAt.set(packed.source, clock.now())
+    incarnations.set(packed.source, source.incarnation)
+    peerCounts.apply(unpackLoadDigest(packed))
+  }
+
   const contribute = (receiver: Member): HeartbeatParts => {
     if (isInLargeFleet()) return {}
-    const load = receivers.next(receiver.nodeId, readPublished())
-    return {
-      ...(load === undefined ? {} : { load }),
-      ...(peerCounts.hasGap(receiver.nodeId) ? { loadWanted: true } : {})
-    }
+    // A digest that was lost shows at the next one, and at the latest by the number in the heartbeat.
+    const lastSequence = lastSequences.get(receiver.nodeId)
+    const isLacking = lastSequence !== undefined && peerCounts.lacks(receiver.nodeId, lastSequence)
+    return { loadSequence: broadcast.sequence(), ...(isLacking ? { loadWanted: true } : {}) }
   }
 
   exchange.addContributor(contribute)
@@ -186,9 +230,13 @@
       recordEnd: (backendServer) => changeOwn(backendServer, -1),
       estimateInFlight: (backendServer) => readKnown(backendServer) + readExcess(backendServer),
       ownInFlight: readOwn,
-      applyReport,
-      nextDigest: (receiver) => receivers.next(receiver, readPublished()),
-      applyDigest: (digest) => peerCounts.apply(digest)
+      applyReport
+    },
+    start: () => {
+      transport.handle('loadDigest', (packed) => {
+        applyDigest(packed)
+        return { kind: 'none' }
+      })
     }
   }
 }
--- a/src/services/loadView/test.ts
+++ b/src/services/loadView/test.ts
@@ -2,8 +2,11 @@
 import { createLoadView } from './index.js'
 import { createHeartbeatExchange } from '../heartbeatExchange/index.js'
 import { createManualClock } from '../../emulator/createManualClock/index.js'
+import { createMemoryPeerNetwork } from '../../emulator/createMemoryPeerNetwork/index.js'
 import type { Heartbeat, LoadReport, Member, MemberState } from '../../types/index.js'
 
+/** Long enough for a digest to go out and arrive, whatever was sent before. */
+const SPREAD_MS = 600
 const SETTINGS = { loadReportIntervalMs: 1000, deadAfterMs: 4000 }
 
 const createMember = (nodeId: string, state: MemberState = 'live'): Member =>
@@ -11,28 +14,48 @@
 
 const createReport = (running: number, changes: Partial<LoadReport> = {}): LoadReport => ({ running, waiting: 0, slots: 8, leaving: false, ageMs: 500, ...changes })
 
-/** Views that exchange heartbeats when the test says so. */
+/** Views whose digests go over a network in memory, and whose heartbeats go when the test says so. */
 const createViews = (names: readonly string[], publisher?: string) => {
   const clock = createManualClock()
   const dead = new Set<string>()
+  const incarnations = new Map<string, number>()
   const listeners: (() => void)[] = []
-  const membership = {
-    members: () => names.map((name) => createMember(name, dead.has(name) ? 'dead' : 'live')),
-    onChange: (listener: () => void) => { listeners.push(listener) }
-  }
-  const nodes = new Map(names.map((nodeId) => {
+  let isLosing = false
+  const network = createMemoryPeerNetwork({ clock, isLost: () => isLosing })
+  const describeMember = (name: string): Member => ({ ...createMember(name, dead.has(name) ? 'dead' : 'live'), incarnation: incarnations.get(name) ?? 1 })
+  const membership = { members: () => names.map(describeMember), onChange: (listener: () => void) => { listeners.push(listener) } }
+  const createNode = (nodeId: string) => {
     const exchange = createHeartbeatExchange()
-    const { api } = createLoadView({ clock, membership, exchange, publishesExcess: () => nodeId === publisher }, { settings: { ...SETTINGS, nodeId } })
-    return [nodeId, { exchange, view: api }]
-  }))
-  const createHeartbeat = (from: string, to: string): Heartbeat =>
-    ({ kind: 'heartbeat', member: createMember(from), rumours: [], ...nodes.get(from)!.exchange.collect(createMember(to)) })
-  const send = (from: string, to: string): void => nodes.get(to)!.exchange.deliver(createHeartbeat(from, to))
+    const transport = network.createTransport(createMember(nodeId).address)
+    const service = createLoadView({ clock, transport, membership, exchange, publishesExcess: () => nodeId === publisher }, { settings: { ...SETTINGS, nodeId } })
+    service.start?.()
+    return { exchange, transport, view: service.api }
+  }
+  const nodes = new Map(names.map((nodeId) => [nodeId, createNode(nodeId)]))
+  const notify = (): void => { for (const listen of listeners) listen() }
+  /** Heartbeats both ways: one tells the number of the last digest, the other asks for what is missing. */
+  const beat = async (from: string, to: string): Promise<void> => {
+    for (const [sender, receiver] of [[from, to], [to, from]] as const) {
+      const heartbeat: Heartbeat = { kind: 'heartbeat', member: describeMember(sender), rumours: [], ...nodes.get(sender)!.exchange.collect(createMember(receiver)) }
+      nodes.get(receiver)!.exchange.deliver(heartbeat)
+    }
+    await clock.advanceAndSettle(SPREAD_MS)
+  }
   const kill = (name: string): void => {
     dead.add(name)
-    for (const listen of listeners) listen()
+    notify()
+  }
+  const restart = (name: string): void => {
+    nodes.set(name, createNode(name))
+    incarnations.set(name, 2)
+    notify()
+  }
+  const lose = async (): Promise<void> => {
+    isLosing = true
+    await clock.advanceAndSettle(SPREAD_MS)
+    isLosing = false
   }
-  return { clock, view: (name: string) => nodes.get(name)!.view, send, lose: createHeartbeat, kill }
+  return { clock, view: (name: string) => nodes.get(name)!.view, transport: (name: string) => nodes.get(name)!.transport, spread: () => clock.advanceAndSettle(SPREAD_MS), beat, lose, kill, restart }
 }
 
 const startMany = (view: { readonly recordStart: (name: string) => void }, count: number): void => {
@@ -40,21 +63,46 @@
 }
 
 describe('createLoadView', () => {
-  it('sums the own requests and those that peers published', () => {
-    const { view, send } = createViews(['a', 'b', 'c'])
+  it('sums the own requests and those that peers published', async () => {
+    const { view, spread } = createViews(['a', 'b', 'c'])
     startMany(view('a'), 2)
     startMany(view('b'), 3)
     startMany(view('c'), 1)
-    send('b', 'a')
-    send('c', 'a')
+    await spread()
     expect(view('a').estimateInFlight('engine-1')).toBe(6)
     expect(view('a').ownInFlight('engine-1')).toBe(2)
   })
 
-  it('sends nothing when nothing changed', () => {
-    const { view } = createViews(['a', 'b'])
-    view('a').nextDigest('b')
-    expect(view('a').nextDigest('b')).toBeUndefined()
+  it('tells peers of a change within a tenth of a second', async () => {
+    const { clock, view, spread } = createViews(['a', 'b'])
+    await spread()
+    startMany(view('a'), 1)
+    await clock.advanceAndSettle(100)
+    expect(view('b').estimateInFlight('engine-1')).toBe(1)
+  })
+
+  it('sends nothing when nothing changed', async () => {
+    const { view, transport, spread } = createViews(['a', 'b'])
+    startMany(view('a'), 1)
+    await spread()
+    const before = transport('a').messagesSent()
+    await spread()
+    expect(transport('a').messagesSent()).toBe(before)
+  })
+
+  // Requests come and go much faster than there are bytes to tell of each. The
+  // counts must still arrive, gathered, and the budget must hold.
+  it('keeps to its budget however many requests there are', async () => {
+    const { clock, view, transport } = createViews(['a', 'b', 'c', 'd'])
+    for (let turn = 0; turn < 2000; turn++) {
+      view('a').recordStart(`engine-${turn % 40}`)
+      await clock.advanceAndSettle(5)
+    }
+    const bytes = transport('a').bytesSent().get('loadDigest') ?? 0
+    expect(bytes).toBeGreaterThan(0)
+    expect(bytes / 10).toBeLessThan(4000)
+    await clock.advanceAndSettle(SPREAD_MS)
+    expect(view('b').estimateInFlight('engine-1')).toBe(50)
   })
 
   it('throws when more requests end than started', () => {
@@ -62,48 +110,63 @@
     expect(() => view('a').recordEnd('engine-1')).toThrow(/more requests ended/)
   })
 
-  // A heartbeat with a change is lost. The peer goes on with a wrong count for a
-  // server that does not change again, until it asks for full counts.
-  it('recovers from a lost digest', () => {
-    const { view, send, lose } = createViews(['a', 'b'])
+  // A digest is lost, and the next one tells of another server. The peer goes on
+  // with a wrong count for the first server until it asks for full counts.
+  it('recovers from a lost digest', async () => {
+    const { view, spread, lose, beat } = createViews(['a', 'b'])
     startMany(view('a'), 1)
-    send('a', 'b')
+    await spread()
     view('a').recordEnd('engine-1')
-    lose('a', 'b')
+    await lose()
     view('a').recordStart('engine-2')
-    send('a', 'b')
+    await spread()
     expect(view('b').estimateInFlight('engine-1')).toBe(1)
-    send('b', 'a')
-    send('a', 'b')
+    await beat('a', 'b')
     expect(view('b').estimateInFlight('engine-1')).toBe(0)
   })
 
-  // The last change before a quiet time is lost, so no later sequence number
-  // shows the gap.
-  it('recovers from a lost digest that no other follows', () => {
-    const { view, send, lose } = createViews(['a', 'b'])
+  // The last change before a quiet time is lost, so no later digest shows the gap;
+  // the number in the heartbeat does.
+  it('recovers from a lost digest that no other follows', async () => {
+    const { view, spread, lose, beat } = createViews(['a', 'b'])
     startMany(view('a'), 1)
-    send('a', 'b')
+    await spread()
     view('a').recordEnd('engine-1')
-    lose('a', 'b')
-    for (let turn = 0; turn < 130; turn++) send('a', 'b')
+    await lose()
+    await beat('a', 'b')
+    expect(view('b').estimateInFlight('engine-1')).toBe(0)
+  })
+
+  // A restarted router numbers its digests from the beginning. They must not pass
+  // for late ones of its former life, whose requests are gone.
+  it('begins anew with a peer that restarted', async () => {
+    const { view, spread, restart, beat } = createViews(['a', 'b'])
+    for (let turn = 0; turn < 5; turn++) {
+      startMany(view('a'), 1)
+      await spread()
+    }
+    restart('a')
     expect(view('b').estimateInFlight('engine-1')).toBe(0)
+    startMany(view('a'), 1)
+    await beat('a', 'b')
+    await beat('a', 'b')
+    expect(view('b').estimateInFlight('engine-1')).toBe(1)
   })
 
-  it('drops the counts of a peer that died', () => {
-    const { view, send, kill } = createViews(['a', 'b'])
+  it('drops the counts of a peer that died', async () => {
+    const { view, spread, kill } = createViews(['a', 'b'])
     startMany(view('b'), 3)
-    send('b', 'a')
+    await spread()
     kill('b')
     expect(view('a').estimateInFlight('engine-1')).toBe(0)
   })
 
   it('drops the counts of a peer that is silent while rumours keep it live', async () => {
-    const { clock, view, send } = createViews(['a', 'b', 'c'])
+    const { clock, view, beat, spread } = createViews(['a', 'b', 'c'])
     startMany(view('b'), 3)
-    send('b', 'a')
+    await spread()
     await clock.advanceAndSettle(3 * SETTINGS.deadAfterMs + 1)
-    send('c', 'a')
+    await beat('c', 'a')
     expect(view('a').estimateInFlight('engine-1')).toBe(0)
   })
 
@@ -138,11 +201,10 @@
     expect(view('a').estimateInFlight('engine-1')).toBe(0)
   })
 
-  it('counts an excess once when two nodes read the report', () => {
-    const { view, send } = createViews(['a', 'b'], 'a')
+  it('counts an excess once when two nodes read the report', async () => {
+    const { view, spread } = createViews(['a', 'b'], 'a')
     for (const name of ['a', 'b']) view(name).applyReport('engine-1', createReport(5))
-    send('a', 'b')
-    send('b', 'a')
+    await spread()
     expect([view('a'), view('b')].map((each) => each.estimateInFlight('engine-1'))).toEqual([5, 5])
   })
 })
--- a/src/services/membership/_lib/createRumours.ts
+++ b/src/services/membership/_lib/createRumours.ts
@@ -30,23 +30,24 @@
     return [all[Math.floor(nextRandom() * all.length)]!]
   }
 
+  // What was told goes to the end of the line: when a whole zone is lost, each of
+  // its members is told of soon, and none waits until others have had all rounds.
+  const countRound = (nodeId: string, memberCount: number): void => {
+    const rounds = Math.min(roundsLeft.get(nodeId) ?? 0, roundsFor(memberCount)) - 1
+    roundsLeft.delete(nodeId)
+    if (rounds > 0) roundsLeft.set(nodeId, rounds)
+  }
+
   return {
     add: (nodeId) => {
-      // Deleted first so that the newest stand last and the oldest news goes out first.
       roundsLeft.delete(nodeId)
       roundsLeft.set(nodeId, Infinity)
     },
     take: (members, nextRandom) => {
-      const told: Member[] = []
-      for (const [nodeId, left] of roundsLeft) {
-        if (told.length === MAXIMUM_RUMOURS) break
-        const rounds = Math.min(left, roundsFor(members.size)) - 1
-        if (rounds <= 0) roundsLeft.delete(nodeId)
-        else roundsLeft.set(nodeId, rounds)
-        const member = members.get(nodeId)
-        if (member !== undefined) told.push(member)
-      }
-      return [...told, ...recall(members, nextRandom)]
+      const told = [...roundsLeft.keys()].slice(0, MAXIMUM_RUMOURS)
+      for (const nodeId of told) countRound(nodeId, members.size)
+      const known = told.flatMap((nodeId) => members.get(nodeId) ?? [])
+      return [...known, ...recall(members, nextRandom)]
     }
   }
 }
--- a/src/settings/routerSettingDefinitions/index.ts
+++ b/src/settings/routerSettingDefinitions/index.ts
@@ -76,7 +76,7 @@
   { name: 'platformUrl', schema: origin, unit: 'URL', range: 'http or https origin', description: "Origin of the platform's object API" },
   { name: 'fleetKey', schema: secret, unit: 'secret', range: '16 characters or more', secret: true, description: 'Shared by all routers; peers prove it to each other' },
   { name: 'operatorToken', schema: secret, unit: 'secret', range: '16 characters or more', secret: true, description: 'Bearer token of the operator port' },
-  { name: 'heartbeatIntervalMs', ...between(50, 10_000), defaultText: '250', unit: 'ms', description: 'Time between heartbeats to peers; load counts travel with them' },
+  { name: 'heartbeatIntervalMs', ...between(50, 10_000), defaultText: '500', unit: 'ms', description: 'Time between heartbeats to peers' },
   { name: 'suspectAfterMs', ...between(200, 60_000), defaultText: '1500', unit: 'ms', description: 'Silence after which a peer is suspected' },
   { name: 'deadAfterMs', ...between(400, 120_000), defaultText: '4000', unit: 'ms', description: 'Silence after which a peer counts as dead' },
   { name: 'loadReportIntervalMs', ...between(50, 60_000), defaultText: '1000', unit: 'ms', description: "Time between reads of a backend server's load report" },
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -36,6 +36,16 @@
   readonly counts: readonly LoadCount[]
 }
 
+/** A load digest of one router, with the 32-bit hashes of the servers' names. */
+export type PackedLoadDigest = {
+  readonly kind: 'loadDigest'
+  readonly source: string
+  readonly sequence: number
+  readonly full: boolean
+  readonly servers: Uint32Array
+  readonly inFlight: Uint8Array | Uint16Array
+}
+
 /**
  * Load of the backend servers of one availability zone, in a large fleet: the
  * requests of one router, the sum of one zone's routers, or the sum of all
@@ -80,7 +90,8 @@
     readonly member: Member
     /** Members whose state changed lately, passed on. */
     readonly rumours: readonly Member[]
-    readonly load?: LoadDigest
+    /** Sequence number of the sender's last load digest, by which a receiver sees that it missed some. */
+    readonly loadSequence?: number
     readonly leavingMarks?: readonly LeavingMark[]
     readonly accountUsage?: readonly AccountUsage[]
     /** The sender knows no peers yet and asks for the whole list of members. */
@@ -88,6 +99,7 @@
     /** The sender missed a digest and asks this receiver for full counts. */
     readonly loadWanted?: boolean
   }
+  | PackedLoadDigest
   | { readonly kind: 'loadSnapshot', readonly snapshot: LoadSnapshot }
   | { readonly kind: 'rootRequest' }
   | { readonly kind: 'chunkRequest', readonly hash: string }
@@ -118,7 +130,7 @@
 export type Heartbeat = PeerMessageOf<'heartbeat'>
 
 /** What services add to a heartbeat for one receiver; membership itself fills the rest. */
-export type HeartbeatParts = Partial<Pick<Heartbeat, 'load' | 'leavingMarks' | 'accountUsage' | 'loadWanted'>>
+export type HeartbeatParts = Partial<Pick<Heartbeat, 'loadSequence' | 'leavingMarks' | 'accountUsage' | 'loadWanted'>>
 
 export type PeerTransport = {
   /** One way, best effort: dropped when the peer cannot be reached or its queue is full. */
--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -3,7 +3,7 @@
  * them. A service sees the others only through these types.
  */
 import type { Configuration, BackendServer, PlannedStop, Sheet } from './configuration.js'
-import type { LeavingMark, LoadDigest, Member, AccountUsage, ClaimKey } from './peer.js'
+import type { LeavingMark, Member, AccountUsage, ClaimKey } from './peer.js'
 import type { CallerAnswer, CallerRequest, LoadReport, RefusalReason } from './request.js'
 import type { Result } from './result.js'
 
@@ -39,9 +39,6 @@
   readonly estimateInFlight: (backendServer: string) => number
   readonly ownInFlight: (backendServer: string) => number
   readonly applyReport: (backendServer: string, report: LoadReport) => void
-  /** The next digest for one receiver; `undefined` when nothing changed. */
-  readonly nextDigest: (receiver: string) => LoadDigest | undefined
-  readonly applyDigest: (digest: LoadDigest) => void
 }
 
 export type AttemptOutcome = 'complete' | 'notSent' | 'refused' | 'failed'
--- a/test/_lib/createDispatchHarness.ts
+++ b/test/_lib/createDispatchHarness.ts
@@ -110,8 +110,6 @@
     estimateInFlight: () => 0,
     ownInFlight: () => 0,
     applyReport: () => {},
-    nextDigest: () => undefined,
-    applyDigest: () => {}
   },
   backendHealth: {
     status: (backendServer) => ({ backendServer, state: options.unreachable?.includes(backendServer) === true ? 'unreachable' : 'live', weightShare: 1, inFlight: 0, ownInFlight: 0 }),
