--- a/src/cli/createProgram/index.ts
+++ b/src/cli/createProgram/index.ts
@@ -10,6 +10,7 @@
 import { createRouterCommand } from '../router/index.js'
 import { createSettingsCommand } from '../settings/index.js'
 import { createSheetCommand } from '../sheet/index.js'
+import { createStatusCommand } from '../status/index.js'
 
 const createVersionCommand = (): Command => new Command('version')
   .description('Prints the version')
@@ -43,6 +44,7 @@
     .addCommand(createRouterCommand())
     .addCommand(createSettingsCommand())
     .addCommand(createSheetCommand(environment))
+    .addCommand(createStatusCommand(environment))
     .addCommand(createVersionCommand())
   exitWithProjectCode(program)
   return program
--- /dev/null
+++ b/src/cli/status/index.ts
@@ -0,0 +1,66 @@
+/** `dotterelspoke status`: the fleet at one look. */
+import { Command } from 'commander'
+import { summarizeFleet, type FleetSummary } from '../../decisions/summarizeFleet/index.js'
+import type { NodeStatus } from '../../types/index.js'
+import { askRouters, type RouterStatuses } from '../_lib/askRouters.js'
+import { createProcessEnvironment, type CommandEnvironment } from '../_lib/commandEnvironment.js'
+import { addPlatformFlags, addRouterFlags, withPlatform, type PlatformFlags, type RouterFlags } from '../_lib/platformSession.js'
+import { escapeControls, renderTable } from '../_lib/render.js'
+import { exitCodes } from '../exitCodes.js'
+
+const countLive = (node: NodeStatus): string => {
+  const live = node.members.filter(({ state }) => state === 'live').length
+  return `${live} of ${node.members.length}`
+}
+
+const renderNodes = (nodes: readonly NodeStatus[]): string => renderTable(
+  ['node', 'availabilityZone', 'ready', 'generation', 'peers live', 'open'],
+  nodes.map((node) => [escapeControls(node.nodeId), node.availabilityZone, node.ready ? 'yes' : 'no', String(node.generation), countLive(node), String(node.ledger.open)])
+)
+
+const renderBackendServers = ({ backendServers }: FleetSummary): string => renderTable(
+  ['backendServer', 'state', 'in flight', 'routers that see it otherwise'],
+  backendServers.map(({ backendServer, state, isDrained, inFlight, dissenting }) =>
+    [escapeControls(backendServer), isDrained ? 'drained' : state, String(inFlight), dissenting.map(escapeControls).join(', ')])
+)
+
+const renderAccounts = ({ accounts }: FleetSummary): string => renderTable(
+  ['clientAccount', 'recent work (tokens)'],
+  accounts.map(({ clientAccount, tokens }) => [escapeControls(clientAccount), String(Math.round(tokens))])
+)
+
+const renderLedger = ({ ledger, unaccounted }: FleetSummary): string => {
+  const { accepted, complete, refused, unknown, open } = ledger
+  const sum = `accepted ${accepted} = complete ${complete} + refused ${refused} + unknown ${unknown} + open ${open}`
+  return unaccounted === 0 ? sum : `${sum}; ALARM: ${unaccounted} requests stand in no outcome`
+}
+
+const renderUnreachable = ({ answers }: RouterStatuses): readonly string[] =>
+  answers.flatMap((answer) => answer.kind === 'unreachable' ? [`${answer.url} did not answer: ${escapeControls(answer.message)}`] : [])
+
+const showStatus = (environment: CommandEnvironment, found: RouterStatuses, isJson: boolean): void => {
+  const summary = summarizeFleet(found.statuses)
+  const unreachable = renderUnreachable(found)
+  if (isJson) environment.print(JSON.stringify({ nodes: found.statuses, unreachable, ...summary }))
+  else if (found.statuses.length > 0) environment.print([renderNodes(found.statuses), renderBackendServers(summary), renderAccounts(summary), renderLedger(summary)].join('\n'))
+  for (const line of unreachable) environment.printError(line)
+  if (found.answers.length === 0) environment.printError('no router was asked: give --router or --operator-port')
+  const isWhole = found.statuses.length > 0 && unreachable.length === 0 && summary.unaccounted === 0
+  environment.setExitCode(isWhole ? exitCodes.success : exitCodes.failure)
+}
+
+/**
+ * Creates the command.
+ *
+ * @param environment - What the command takes from the process.
+ * @returns The command for the program.
+ *
+ * @example
+ * await createStatusCommand().parseAsync(['--router', 'http://127.0.0.1:8081'], { from: 'user' })
+ */
+export const createStatusCommand = (environment: CommandEnvironment = createProcessEnvironment()): Command => addRouterFlags(addPlatformFlags(new Command('status')))
+  .description('Shows routers, backend servers with load and state, the accounts that use the most, and the sum of outcomes')
+  .addHelpText('after', '\nExample:\n  dotterelspoke status --platform http://10.0.0.2:7000 --operator-port 8081\n\nExit codes: 0 every router answered and each request is accounted for, 1 otherwise, 2 wrong settings.')
+  .action((flags: PlatformFlags & RouterFlags) => withPlatform(environment, flags, async ({ platform }) => {
+    showStatus(environment, await askRouters(environment, flags, platform), flags.json === true)
+  }))
--- /dev/null
+++ b/src/decisions/summarizeFleet/index.ts
@@ -0,0 +1,87 @@
+/** What an operator on call wants to see first, put together from what each router says. */
+import type { BackendServerState, BackendServerStatus, NodeStatus, RequestLedger } from '../../types/index.js'
+
+export type BackendServerSummary = {
+  readonly backendServer: string
+  /** The state that most routers see. */
+  readonly state: BackendServerState
+  /** Routers that see another state, by name. */
+  readonly dissenting: readonly string[]
+  /** Requests in flight, summed over the routers that answered. */
+  readonly inFlight: number
+  /** Leaving, and nothing in flight any more at any router that answered. */
+  readonly isDrained: boolean
+}
+
+export type AccountSummary = { readonly clientAccount: string, readonly tokens: number }
+
+export type FleetSummary = {
+  readonly backendServers: readonly BackendServerSummary[]
+  /** The accounts that use the most now, largest first. */
+  readonly accounts: readonly AccountSummary[]
+  readonly ledger: RequestLedger
+  /** Accepted requests that stand in no outcome and are not open: lost ones, an alarm. */
+  readonly unaccounted: number
+}
+
+const EMPTY_LEDGER: RequestLedger = { accepted: 0, complete: 0, refused: 0, unknown: 0, open: 0 }
+
+const addLedgers = (left: RequestLedger, right: RequestLedger): RequestLedger => ({
+  accepted: left.accepted + right.accepted,
+  complete: left.complete + right.complete,
+  refused: left.refused + right.refused,
+  unknown: left.unknown + right.unknown,
+  open: left.open + right.open
+})
+
+type Sighting = { readonly nodeId: string, readonly status: BackendServerStatus }
+
+const findCommonState = (sightings: readonly Sighting[]): BackendServerState => {
+  const countOf = (state: BackendServerState): number => sightings.filter(({ status }) => status.state === state).length
+  return sightings.map(({ status }) => status.state).reduce((common, state) => countOf(state) > countOf(common) ? state : common)
+}
+
+const summarizeBackendServer = (backendServer: string, sightings: readonly Sighting[]): BackendServerSummary => {
+  const state = findCommonState(sightings)
+  const inFlight = sightings.reduce((sum, { status }) => sum + status.ownInFlight, 0)
+  return {
+    backendServer,
+    state,
+    dissenting: sightings.filter(({ status }) => status.state !== state).map(({ nodeId }) => nodeId),
+    inFlight,
+    isDrained: state === 'leaving' && inFlight === 0
+  }
+}
+
+const summarizeBackendServers = (nodes: readonly NodeStatus[]): readonly BackendServerSummary[] => {
+  const sightings = nodes.flatMap(({ nodeId, backendServers }) => backendServers.map((status): Sighting => ({ nodeId, status })))
+  const names = [...new Set(sightings.map(({ status }) => status.backendServer))].sort()
+  return names.map((name) => summarizeBackendServer(name, sightings.filter(({ status }) => status.backendServer === name)))
+}
+
+const summarizeAccounts = (nodes: readonly NodeStatus[]): readonly AccountSummary[] => {
+  const tokensOf = new Map<string, number>()
+  for (const { clientAccount, tokens } of nodes.flatMap(({ accountUsage }) => accountUsage)) {
+    tokensOf.set(clientAccount, (tokensOf.get(clientAccount) ?? 0) + tokens)
+  }
+  return [...tokensOf].map(([clientAccount, tokens]) => ({ clientAccount, tokens })).sort((left, right) => right.tokens - left.tokens)
+}
+
+/**
+ * Puts the statuses of the routers together.
+ *
+ * @param nodes - The statuses of the routers that answered.
+ * @returns Backend servers, accounts and the sum of the ledgers.
+ *
+ * @example
+ * summarizeFleet([]).unaccounted // => 0
+ */
+export const summarizeFleet = (nodes: readonly NodeStatus[]): FleetSummary => {
+  const ledger = nodes.map((node) => node.ledger).reduce(addLedgers, EMPTY_LEDGER)
+  return {
+    backendServers: summarizeBackendServers(nodes),
+    accounts: summarizeAccounts(nodes),
+    ledger,
+    unaccounted: ledger.accepted - ledger.complete - ledger.refused - ledger.unknown - ledger.open
+  }
+}
--- /dev/null
+++ b/src/decisions/summarizeFleet/test.ts
@@ -0,0 +1,41 @@
+import { describe, expect, it } from 'vitest'
+import type { BackendServerState, NodeStatus } from '../../types/index.js'
+import { summarizeFleet } from './index.js'
+
+const createNode = (nodeId: string, state: BackendServerState, ownInFlight: number, overrides: Partial<NodeStatus> = {}): NodeStatus => ({
+  nodeId,
+  availabilityZone: 'venkov-a',
+  region: 'cz-venkov',
+  version: '0.1.0',
+  ready: true,
+  generation: 1,
+  members: [],
+  backendServers: [{ backendServer: 'engine-1', state, weightShare: 1, inFlight: 9, ownInFlight }],
+  ledger: { accepted: 4, complete: 1, refused: 1, unknown: 1, open: 1 },
+  accountUsage: [{ clientAccount: 'shops', tokens: 10 }],
+  ...overrides
+})
+
+describe('summarizeFleet', () => {
+  it('gives empty sums for no routers', () => {
+    expect(summarizeFleet([])).toEqual({ backendServers: [], accounts: [], ledger: { accepted: 0, complete: 0, refused: 0, unknown: 0, open: 0 }, unaccounted: 0 })
+  })
+
+  it('takes the state that most routers see and names the others', () => {
+    const summary = summarizeFleet([createNode('r1', 'live', 1), createNode('r2', 'ejected', 2), createNode('r3', 'ejected', 0)])
+    expect(summary.backendServers).toEqual([{ backendServer: 'engine-1', state: 'ejected', dissenting: ['r1'], inFlight: 3, isDrained: false }])
+  })
+
+  it.each([[0, true], [1, false]])('calls a leaving server with %i in flight drained: %s', (inFlight, isDrained) => {
+    expect(summarizeFleet([createNode('r1', 'leaving', inFlight)]).backendServers[0]?.isDrained).toBe(isDrained)
+  })
+
+  it('shows a request that fell out of the sum', () => {
+    const lossy = createNode('r1', 'live', 0, { ledger: { accepted: 5, complete: 1, refused: 1, unknown: 1, open: 1 } })
+    expect(summarizeFleet([lossy, createNode('r2', 'live', 0)]).unaccounted).toBe(1)
+  })
+
+  it('sums what an account uses over the routers', () => {
+    expect(summarizeFleet([createNode('r1', 'live', 0), createNode('r2', 'live', 0)]).accounts).toEqual([{ clientAccount: 'shops', tokens: 20 }])
+  })
+})
