--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -7,6 +7,7 @@
   configuration: async () => (await import('./configuration/index.js')).runConfigurationBench,
   controlTraffic: async () => (await import('./controlTraffic/index.js')).runControlTrafficBench,
   fairness: async () => (await import('./fairness/index.js')).runFairnessBench,
+  fleetLoad: async () => (await import('./fleetLoad/index.js')).runFleetLoadBench,
   placement: async () => (await import('./placement/index.js')).runPlacementBench,
   requests: async () => (await import('./requests/index.js')).runRequestsBench,
   routerCost: async () => (await import('./routerCost/index.js')).runRouterCostBench
--- a/src/bench/routerCost/index.ts
+++ b/src/bench/routerCost/index.ts
@@ -7,7 +7,7 @@
 import { askChat, type ChatShape, type ChatTarget, type ChatTimes } from './_lib/askChat.js'
 import { pickQuantile } from './_lib/pickQuantile.js'
 import { readProcessFigures } from './_lib/readProcessFigures.js'
-import { startRig, type Rig } from './_lib/startRig.js'
+import { RIG_MODEL, startRig, type Rig } from '../_lib/startRig.js'
 import type { Bench, Cell, Table } from '../types.js'
 
 type Path = 'direct' | 'router'
@@ -26,6 +26,8 @@
 
 type Ask = (path: Path, shape: ChatShape) => Promise<ChatTimes>
 
+const ENGINE_FLAGS = ['--decode-interval', '1', '--decode-interval-per-request', '0', '--prefill-rate', '100000000', '--cache-tokens', '1000000']
+const RIG = { routers: 1, engines: 3, services: 0, accounts: 1, slots: 512, engineFlags: ENGINE_FLAGS }
 const WARM_UP_MS = 2000
 const CONCURRENCY = 64
 
@@ -55,14 +57,15 @@
  * await runRouterCostBench({ fast: true, seed: 1 })
  */
 export const runRouterCostBench: Bench = async ({ fast, seed }) => {
-  const rig = await startRig()
+  const rig = await startRig(RIG)
+  const { operatorUrl } = rig.routers[0]!
   const agent = new Agent({ connections: null, pipelining: 1 })
   const ask = createAsk(rig, agent, seed)
   try {
-    for (const { shape } of THROUGHPUT_WORKLOADS) await runClosedLoop(rig, () => ask('router', shape), WARM_UP_MS)
-    const idle = await readProcessFigures(rig.operatorUrl)
+    for (const { shape } of THROUGHPUT_WORKLOADS) await runClosedLoop(operatorUrl, () => ask('router', shape), WARM_UP_MS)
+    const idle = await readProcessFigures(operatorUrl)
     const latency = await measureLatency(ask, fast ? 200 : 1000)
-    const throughput = await measureThroughput(rig, ask, fast ? 3000 : 10_000)
+    const throughput = await measureThroughput(operatorUrl, ask, fast ? 3000 : 10_000)
     return [latency, throughput, { title: 'memory of the router process after the warm-up', columns: ['MB'], rows: [[round(idle.memoryMegabytes)]] }]
   } finally {
     await agent.destroy()
@@ -72,10 +75,10 @@
 
 const createAsk = (rig: Rig, agent: Agent, seed: number): Ask => {
   let asked = 0
-  const pickOrigin = (path: Path): string => path === 'router' ? rig.routerUrl : rig.engineUrls[asked % rig.engineUrls.length]!
+  const pickOrigin = (path: Path): string => path === 'router' ? rig.routers[0]!.callerUrl : rig.engineUrls[asked % rig.engineUrls.length]!
   return (path, shape) => {
     asked += 1
-    const target: ChatTarget = { origin: pickOrigin(path), key: rig.key, model: rig.model }
+    const target: ChatTarget = { origin: pickOrigin(path), key: rig.keys[0]!, model: RIG_MODEL }
     return askChat(agent, target, shape, `question ${seed}-${asked}`)
   }
 }
@@ -111,11 +114,11 @@
   return [title, ...cells]
 }
 
-const measureThroughput = async (rig: Rig, ask: Ask, durationMs: number): Promise<Table> => {
+const measureThroughput = async (operatorUrl: string, ask: Ask, durationMs: number): Promise<Table> => {
   const rows: Cell[][] = []
   for (const { title, shape } of THROUGHPUT_WORKLOADS) {
     for (const path of ['direct', 'router'] as const) {
-      rows.push(describeThroughput(title, path, await runClosedLoop(rig, () => ask(path, shape), durationMs)))
+      rows.push(describeThroughput(title, path, await runClosedLoop(operatorUrl, () => ask(path, shape), durationMs)))
     }
   }
   return {
@@ -125,8 +128,8 @@
   }
 }
 
-const runClosedLoop = async (rig: Rig, askOnce: () => Promise<ChatTimes>, durationMs: number): Promise<Throughput> => {
-  const before = await readProcessFigures(rig.operatorUrl)
+const runClosedLoop = async (operatorUrl: string, askOnce: () => Promise<ChatTimes>, durationMs: number): Promise<Throughput> => {
+  const before = await readProcessFigures(operatorUrl)
   const startedAt = performance.now()
   let requests = 0
   let events = 0
@@ -139,7 +142,7 @@
   }
   await Promise.all(Array.from({ length: CONCURRENCY }, work))
   const seconds = (performance.now() - startedAt) / 1000
-  const after = await readProcessFigures(rig.operatorUrl)
+  const after = await readProcessFigures(operatorUrl)
   return {
     requests,
     events,
--- a/src/cli/load/index.ts
+++ b/src/cli/load/index.ts
@@ -24,6 +24,7 @@
   readonly orders: number
   readonly returning: number
   readonly thinkTime: number
+  readonly answerTime: number
   readonly turns: number
   readonly systemTokens: number
   readonly questionTokens: number
@@ -83,6 +84,7 @@
     .option('--orders <weight>', 'how often orders come', parseFromZero, plan.mix.order)
     .option('--returning <share>', 'share of chat requests that go on with a chat that is due', parseFromZero, plan.returningShare)
     .option('--think-time <seconds>', 'mean pause between the turns of a chat', parsePositive, plan.meanThinkTimeMs / MILLISECONDS_PER_SECOND)
+    .option('--answer-time <ms>', 'milliseconds a token that an answer is taken to last, before the pause', parseFromZero, plan.answerTimePerTokenMs)
     .option('--turns <count>', 'turns of a chat at most', parseWhole, plan.maximumTurns)
     .option('--system-tokens <count>', 'tokens of the system prompt, alike within an account', parseWhole, plan.systemTokens)
     .option('--question-tokens <count>', 'tokens of a question, on average', parseWhole, plan.questionTokens)
@@ -132,6 +134,7 @@
   mix: { chat: flags.chats, overnight: flags.overnight, lookup: flags.lookups, order: flags.orders },
   returningShare: flags.returning,
   meanThinkTimeMs: flags.thinkTime * MILLISECONDS_PER_SECOND,
+  answerTimePerTokenMs: flags.answerTime,
   maximumTurns: flags.turns,
   systemTokens: flags.systemTokens,
   questionTokens: flags.questionTokens,
--- a/src/load/planLoad/index.ts
+++ b/src/load/planLoad/index.ts
@@ -44,6 +44,8 @@
   /** Share of chat requests that go on with an earlier chat, when one is due. */
   readonly returningShare: number
   readonly meanThinkTimeMs: number
+  /** How long an answer is taken to last, for each of its tokens; the think time begins after it. */
+  readonly answerTimePerTokenMs: number
   readonly maximumTurns: number
   readonly systemTokens: number
   readonly questionTokens: number
@@ -63,6 +65,7 @@
   mix: { chat: 80, overnight: 5, lookup: 10, order: 5 },
   returningShare: 0.8,
   meanThinkTimeMs: 3000,
+  answerTimePerTokenMs: 30,
   maximumTurns: 12,
   systemTokens: 100,
   questionTokens: 40,
@@ -82,7 +85,8 @@
  *
  * A chat that goes on sends its whole history: what was asked, and the answers
  * that the stand-in engine gives. It becomes due a think time after its last
- * turn was sent. Of the chats that are due, the one that waited longest goes on.
+ * turn was answered, by the time that an answer is taken to last: nobody goes
+ * on before they have read the answer. Of the chats that are due, the one that waited longest goes on.
  *
  * @param options - Rates, times and sizes; see `DEFAULT_LOAD_PLAN`.
  * @param random - Every draw comes from here.
@@ -127,7 +131,8 @@
     const due = random.next() < options.returningShare ? chats.takeDue(atMs) : undefined
     const { chat, maximumTokens } = continueChat(due ?? openChat(account))
     const answer = { role: 'assistant', content: composeAnswer(chat.messages, maximumTokens).text }
-    const dueAt = atMs + drawExponential(random, options.meanThinkTimeMs)
+    const answeredAt = atMs + maximumTokens * options.answerTimePerTokenMs
+    const dueAt = answeredAt + drawExponential(random, options.meanThinkTimeMs)
     if (chat.turn < options.maximumTurns) chats.add({ ...chat, messages: [...chat.messages, answer] }, dueAt)
     return { kind: 'chat', atMs, ...chat, model: options.model, maximumTokens }
   }
--- a/src/load/planLoad/test.ts
+++ b/src/load/planLoad/test.ts
@@ -70,6 +70,15 @@
     expect(new Set(keys).size).toBe(keys.length)
   })
 
+  it('goes on with no chat before its answer can have been read', () => {
+    const turns = plan({ mix: only('chat'), meanThinkTimeMs: 1, answerTimePerTokenMs: 10 }).filter(isChat)
+    const early = turns.filter(({ chatId, turn, atMs }) => {
+      const before = turns.find((other) => other.chatId === chatId && other.turn === turn - 1)
+      return before !== undefined && atMs < before.atMs + 10 * before.maximumTokens
+    })
+    expect(early).toEqual([])
+  })
+
   it('opens a chat each time when none returns', () => {
     expect(plan({ returningShare: 0 }).filter(isChat).every(({ turn }) => turn === 1)).toBe(true)
   })
--- a/src/load/runLoad/test.ts
+++ b/src/load/runLoad/test.ts
@@ -26,7 +26,7 @@
 }
 
 const run = (url: string, plan: Partial<LoadPlanOptions>, options: Partial<LoadRunOptions> = {}): Promise<LoadSummary> => {
-  const planned = planLoad({ ...DEFAULT_LOAD_PLAN, rate: 500, maximumRequests: 30, meanThinkTimeMs: 1, answerTokens: 8, ...plan }, createSeededRandom(3))
+  const planned = planLoad({ ...DEFAULT_LOAD_PLAN, rate: 500, maximumRequests: 30, meanThinkTimeMs: 1, answerTimePerTokenMs: 0, answerTokens: 8, ...plan }, createSeededRandom(3))
   return runLoad(planned, { clock, routers: [url], keys: ['key'], sendChatHints: true, timeoutMs: 20_000, maximumOpen: 100, ...options })
 }
 
