--- a/src/services/dispatch/_lib/relayEvents.ts
+++ b/src/services/dispatch/_lib/relayEvents.ts
@@ -4,13 +4,14 @@
  */
 import { createParser, type EventSourceMessage } from 'eventsource-parser'
 import { orderStreamEvent, type StreamPosition } from '../../../decisions/orderStreamEvent/index.js'
-import type { BackendAnswer, BackendServer, Headers } from '../../../types/index.js'
+import type { BackendAnswer, BackendBodyPart, BackendServer, Headers } from '../../../types/index.js'
 import { failAfter, type AttemptEnd } from './attemptEnd.js'
 import type { RetryPlanner } from './createRetryPlanner.js'
 import { describeAnswerHeaders } from './describeExchange.js'
 import { readTokenUsage, type TokenUsage } from './readTokenUsage.js'
-import type { RequestContext } from './requestContext.js'
+import { mayRepeat, type RequestContext } from './requestContext.js'
 import { requestResume } from './requestResume.js'
+import { isUnreachable } from './watchReachability.js'
 
 const END_MARKER = '[DONE]'
 /** One event larger than this is a fault of the engine. */
@@ -18,7 +19,8 @@
 /** After the end marker only the end of the body is left to read, to keep the connection. */
 const CLOSING_TIMEOUT_MS = 1_000
 
-type ConnectionEnd = 'whole' | 'cut' | 'callerLeft'
+/** `idle`: silent for too long, which a busy engine may be. */
+type ConnectionEnd = 'whole' | 'cut' | 'idle' | 'callerLeft'
 
 /** What has been passed on, over all connections of the stream. */
 type StreamProgress = {
@@ -27,6 +29,9 @@
   /** On the request's own time line, in milliseconds. */
   lastEventAt: number | undefined
   isWhole: boolean
+  /** The whole stream so far, where a repeat may ask for it; dropped when it grows too large. */
+  kept: Uint8Array[] | undefined
+  keptBytes: number
 }
 
 const writeEvent = ({ id, event, data }: EventSourceMessage): Uint8Array => {
@@ -44,6 +49,22 @@
     ? { kind: 'forward', position: progress.position }
     : orderStreamEvent(progress.position, event.id)
 
+const keepEvent = ({ limits }: RequestContext, progress: StreamProgress, bytes: Uint8Array): void => {
+  progress.keptBytes += bytes.length
+  if (progress.keptBytes > limits.answerBufferBytes) progress.kept = undefined
+  progress.kept?.push(bytes)
+}
+
+const startProgress = (context: RequestContext): StreamProgress =>
+  ({ position: { lastId: 0 }, usage: undefined, lastEventAt: undefined, isWhole: false, kept: mayRepeat(context) ? undefined : [], keptBytes: 0 })
+
+const deliver = (headers: Headers, status: number, { usage, kept }: StreamProgress): AttemptEnd => ({
+  kind: 'delivered',
+  outcome: 'complete',
+  ...(usage === undefined ? {} : { usage }),
+  ...(kept === undefined ? {} : { stored: { status, headers, body: Buffer.concat(kept) } })
+})
+
 const observePace = ({ dependencies, scope }: RequestContext, progress: StreamProgress): void => {
   const now = scope.elapsedMs()
   if (progress.lastEventAt === undefined) dependencies.metrics.observe('first_token_seconds', now / 1_000)
@@ -60,17 +81,24 @@
   progress.usage = readTokenUsage(event.data) ?? progress.usage
   observePace(context, progress)
   if (!reply.hasStarted()) reply.startStream(status, headers)
-  const isTaken = await reply.sendData(writeEvent(event), scope.signal)
+  const bytes = writeEvent(event)
+  keepEvent(context, progress, bytes)
+  const isTaken = await reply.sendData(bytes, scope.signal)
   if (!isTaken) return 'callerLeft'
   return event.data === END_MARKER ? 'whole' : undefined
 }
 
+const describeLastPart = ({ isWhole }: StreamProgress, part: Exclude<BackendBodyPart, { kind: 'data' }>): ConnectionEnd => {
+  if (isWhole) return 'whole'
+  return part.kind === 'cut' && part.isIdle === true ? 'idle' : 'cut'
+}
+
 const relayConnection = async (context: RequestContext, headers: Headers, answer: BackendAnswer, progress: StreamProgress): Promise<ConnectionEnd> => {
   const events: EventSourceMessage[] = []
   const decoder = new TextDecoder()
   const parser = createParser({ onEvent: (event) => { events.push(event) }, maxBufferSize: MAXIMUM_EVENT_CHARACTERS })
   for await (const part of answer.body) {
-    if (part.kind !== 'data') return progress.isWhole ? 'whole' : 'cut'
+    if (part.kind !== 'data') return describeLastPart(progress, part)
     if (progress.isWhole) continue
     parser.feed(decoder.decode(part.bytes, { stream: true }))
     for (const event of events.splice(0)) {
@@ -87,32 +115,39 @@
   return progress.isWhole ? 'whole' : 'cut'
 }
 
-const resume = async (context: RequestContext, planner: RetryPlanner, backendServer: BackendServer, progress: StreamProgress): Promise<BackendAnswer | undefined> => {
-  const { scope, reply } = context
+type Resumed = { readonly answer: BackendAnswer, readonly resumes: number }
+
+/** Resumes that bring no new event count towards the limit; `made` of them were in vain already. */
+const resume = async (context: RequestContext, planner: RetryPlanner, backendServer: BackendServer, progress: StreamProgress, made: number): Promise<Resumed | undefined> => {
+  const { dependencies, scope, reply } = context
   const cut = failAfter('written', 'answerStarted', 'cut')
-  let isResumable = progress.position.numbered !== false
-  for (let resumes = 0; ; resumes += 1) {
+  const isWorthAsking = reply.hasStarted() || !isUnreachable(context, backendServer)
+  let isResumable = progress.position.numbered !== false && isWorthAsking
+  for (let resumes = made; !scope.signal.aborted; resumes += 1) {
     const plan = planner.plan(cut, { isResumable, resumes })
     if (plan.kind !== 'resume' || !await scope.wait(plan.delayMs)) return undefined
-    context.dependencies.metrics.count('retries', { decision: plan.kind })
+    dependencies.metrics.count('retries', { decision: plan.kind })
     const resumed = await requestResume(context, backendServer, progress.position.lastId)
-    if (resumed.kind === 'resumed') return resumed.answer
+    if (resumed.kind === 'resumed') return { answer: resumed.answer, resumes: resumes + 1 }
     // With nothing passed on yet, another backend server answers sooner than a dead one comes back.
     isResumable = resumed.kind === 'failed' && reply.hasStarted()
   }
+  return undefined
 }
 
 export const relayEvents = async (context: RequestContext, planner: RetryPlanner, backendServer: BackendServer, first: BackendAnswer): Promise<AttemptEnd> => {
-  const progress: StreamProgress = { position: { lastId: 0 }, usage: undefined, lastEventAt: undefined, isWhole: false }
+  const progress = startProgress(context)
   const headers = describeAnswerHeaders(context, backendServer, first)
-  let idleResumes = 0
-  for (let answer: BackendAnswer | undefined = first; answer !== undefined && idleResumes <= context.limits.maximumResumes;) {
+  let current: Resumed | undefined = { answer: first, resumes: 0 }
+  while (current !== undefined) {
     const before = progress.position.lastId
-    const end = await relayConnection(context, headers, answer, progress)
-    if (end === 'whole') return { kind: 'delivered', outcome: 'complete', ...(progress.usage === undefined ? {} : { usage: progress.usage }) }
+    const end = await relayConnection(context, headers, current.answer, progress)
+    if (end === 'whole') return deliver(headers, first.status, progress)
     if (end === 'callerLeft') return { kind: 'callerLeft', attempt: failAfter('written', 'answerStarted', 'cancelled') }
-    idleResumes = progress.position.lastId > before ? 0 : idleResumes + 1
-    answer = context.scope.signal.aborted ? undefined : await resume(context, planner, backendServer, progress)
+    const hasMovedOn = progress.position.lastId > before
+    const inVain = hasMovedOn ? 0 : current.resumes
+    // An engine that answers the resume and is silent again works through its queue; only the deadline ends that.
+    current = await resume(context, planner, backendServer, progress, end === 'idle' ? Math.max(0, inVain - 1) : inVain)
   }
   return { kind: 'failed', attempt: failAfter('written', 'answerStarted', 'cut'), message: 'the stream ended without its end marker', outcome: 'failed' }
 }
