--- /dev/null
+++ b/test/_lib/sendOrder.ts
@@ -0,0 +1,97 @@
+/** Orders as a caller sends them, with what the caller was told in the end. */
+import { CALLER_KEY } from './startFleet.js'
+import type { Fleet, JournalEntry } from './startFleet.js'
+
+export type CallerEnd =
+  | { readonly kind: 'answered', readonly status: number, readonly body: string }
+  | { readonly kind: 'refused', readonly outcome: string, readonly reason: string, readonly status: number }
+  /** The connection broke, or the answer did not come. */
+  | { readonly kind: 'cut' }
+
+export type OrderEnd = { readonly key: string, readonly requestId: string | undefined, readonly end: CallerEnd }
+
+const CALLER_TIMEOUT_MS = 40_000
+
+type RefusalBody = { readonly error?: { readonly outcome?: string, readonly code?: string } }
+
+const readEnd = async (response: Response): Promise<CallerEnd> => {
+  const body = await response.text()
+  const outcome = response.headers.get('x-request-outcome')
+  if (outcome === null) return { kind: 'answered', status: response.status, body }
+  const { error } = JSON.parse(body) as RefusalBody
+  return { kind: 'refused', outcome, reason: String(error?.code), status: response.status }
+}
+
+const send = async (key: string, url: string, init: RequestInit): Promise<OrderEnd> => {
+  try {
+    const response = await fetch(url, { ...init, signal: AbortSignal.timeout(CALLER_TIMEOUT_MS) })
+    return { key, requestId: response.headers.get('x-request-id') ?? undefined, end: await readEnd(response) }
+  } catch {
+    return { key, requestId: undefined, end: { kind: 'cut' } }
+  }
+}
+
+/**
+ * Sends one order and waits for its end.
+ *
+ * @param caller - Origin of a router.
+ * @param key - Idempotency key; the body follows from it.
+ * @returns What the caller was told.
+ */
+export const sendOrder = (caller: string, key: string): Promise<OrderEnd> => send(key, `${caller}/orders/${key}`, {
+  method: 'POST',
+  headers: { authorization: `Bearer ${CALLER_KEY}`, 'idempotency-key': key, 'content-type': 'text/plain' },
+  body: `pasta for ${key}`
+})
+
+/**
+ * Sends one stock lookup, which may be repeated, and waits for its end.
+ *
+ * @param caller - Origin of a router.
+ * @param name - What is looked up.
+ * @returns What the caller was told.
+ */
+export const sendLookup = (caller: string, name: string): Promise<OrderEnd> =>
+  send(`lookup ${name}`, `${caller}/stock/${name}`, { headers: { authorization: `Bearer ${CALLER_KEY}` } })
+
+const isWhole = (body: string): boolean => {
+  try {
+    JSON.parse(body)
+    return true
+  } catch {
+    return false
+  }
+}
+
+/** Problems with what callers were told, by the journals of what ran. */
+export const judgeOrders = (ends: readonly OrderEnd[], journal: readonly JournalEntry[]): readonly string[] => {
+  const runs = new Map<string, number>()
+  for (const { idempotencyKey } of journal) if (idempotencyKey !== undefined) runs.set(idempotencyKey, (runs.get(idempotencyKey) ?? 0) + 1)
+  const ranRequests = new Set(journal.map(({ requestId }) => requestId))
+  const doubled = [...runs].filter(([, count]) => count > 1).map(([key, count]) => `${key} ran ${count} times`)
+  const falseRefusals = ends
+    .filter(({ requestId, end }) => end.kind === 'refused' && end.outcome === 'not-run' && requestId !== undefined && ranRequests.has(requestId))
+    .map(({ key }) => `${key} was refused as not run, but ran`)
+  const answers = ends.filter(({ end }) => end.kind === 'answered' && end.status < 300)
+  const falseAnswers = answers
+    .filter(({ key, requestId }) => !runs.has(key) && (requestId === undefined || !ranRequests.has(requestId)))
+    .map(({ key }) => `${key} was answered, but never ran`)
+  const foreignAnswers = answers
+    .filter(({ key, end }) => end.kind === 'answered' && !end.body.includes(key.replace('lookup ', '')))
+    .map(({ key }) => `${key} got somebody else's answer`)
+  const truncated = answers
+    .filter(({ end }) => end.kind === 'answered' && !isWhole(end.body))
+    .map(({ key }) => `${key} got a part of its answer as if it were whole`)
+  return [...doubled, ...falseRefusals, ...falseAnswers, ...foreignAnswers, ...truncated]
+}
+
+/** Sums that do not add up, of the routers that still run. */
+export const judgeLedgers = async (routers: Fleet['routers']): Promise<readonly string[]> => {
+  const problems: string[] = []
+  for (const router of routers) {
+    const { ledger } = await router.readStatus()
+    const accounted = ledger.complete + ledger.refused + ledger.unknown + ledger.open
+    if (ledger.accepted !== accounted) problems.push(`${router.nodeId}: ${JSON.stringify(ledger)}`)
+  }
+  return problems
+}
--- /dev/null
+++ b/test/_lib/startFleet.ts
@@ -0,0 +1,210 @@
+/**
+ * A whole deployment of real processes on loopback: the platform's stand-in,
+ * plain services, model engines and routers, with every link between them
+ * through a fault proxy of its own.
+ */
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { createPlatformHttp } from '../../src/adapters/platformHttp/index.js'
+import { createSystemClock } from '../../src/adapters/systemClock/index.js'
+import { createSystemRandom } from '../../src/adapters/systemRandom/index.js'
+import { computeSha256 } from '../../src/kernel/index.js'
+import { createAuditTrail } from '../../src/services/auditTrail/index.js'
+import { createConfigurationStore } from '../../src/services/configurationStore/index.js'
+import type { BackendServer, NodeStatus, Sheet } from '../../src/types/index.js'
+import { createFaultProxy } from './createFaultProxy.js'
+import type { FaultProxy } from './createFaultProxy.js'
+import { startProcess } from './startProcess.js'
+import type { RunningProcess } from './startProcess.js'
+import { waitFor } from './waitFor.js'
+
+export type JournalEntry = {
+  readonly requestId: string
+  readonly idempotencyKey?: string
+  readonly clientAccount?: string
+  readonly path: string
+  readonly outcome: string
+}
+
+export type FleetRouter = {
+  readonly nodeId: string
+  readonly process: RunningProcess
+  /** Origin for callers. */
+  readonly caller: string
+  readonly operator: string
+  readonly platformLink: FaultProxy
+  readonly peerLink: FaultProxy
+  readonly readStatus: () => Promise<NodeStatus>
+}
+
+export type FleetBackend = {
+  readonly server: BackendServer
+  readonly process: RunningProcess
+  /** The link of all routers to it. */
+  readonly link: FaultProxy
+  readonly setFault: (fault: Readonly<Record<string, unknown>>) => Promise<void>
+  readonly clearFaults: () => Promise<void>
+  readonly readJournal: () => Promise<readonly JournalEntry[]>
+}
+
+export type Fleet = {
+  readonly routers: readonly FleetRouter[]
+  readonly services: readonly FleetBackend[]
+  readonly engines: readonly FleetBackend[]
+  readonly platform: { readonly process: RunningProcess, readonly setFault: (fault: Readonly<Record<string, unknown>>) => Promise<void> }
+  /** The journals of all plain services and engines. */
+  readonly readJournals: () => Promise<readonly JournalEntry[]>
+  readonly stop: () => Promise<void>
+}
+
+export type FleetOptions = {
+  readonly routers?: number
+  readonly services?: number
+  readonly engines?: number
+  readonly serviceFlags?: readonly string[]
+  readonly engineFlags?: readonly string[]
+  readonly routerFlags?: readonly string[]
+}
+
+export const CALLER_KEY = 'key-of-deli-1'
+export const MODEL = 'order-desk-8b'
+
+const ZONES = ['scot-central-a', 'scot-central-b', 'scot-central-c']
+const SLOTS = 64
+const OPERATOR_TOKEN = 'operator token of the tests'
+const ENVIRONMENT = { DOTTERELSPOKE_FLEET_KEY: 'fleet key of the tests', DOTTERELSPOKE_OPERATOR_TOKEN: OPERATOR_TOKEN }
+
+/** Quick enough that a test does not wait long for a time-out. */
+const ROUTER_FLAGS = ['--caller-port', '0', '--operator-port', '0', '--platform-timeout-ms', '500', '--watch-timeout-ms', '2000', '--shutdown-delay-ms', '100', '--log-level', 'warn']
+
+const zoneOf = (index: number): string => ZONES[index % ZONES.length]!
+
+const portOf = (url: unknown): number => Number(new URL(String(url)).port)
+
+const post = async (url: string, body: unknown): Promise<void> => {
+  const response = await fetch(url, { method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(body) })
+  if (!response.ok) throw new Error(`${url} answered ${response.status}: ${await response.text()}`)
+}
+
+const createControl = (process: RunningProcess) => {
+  const control = String(process.ready['control'])
+  return {
+    setFault: (fault: Readonly<Record<string, unknown>>) => post(`${control}/faults`, fault),
+    clearFaults: async (): Promise<void> => { await fetch(`${control}/faults`, { method: 'DELETE' }) },
+    readJournal: async (): Promise<readonly JournalEntry[]> => {
+      const { entries } = await (await fetch(`${control}/journal`)).json() as { readonly entries: readonly JournalEntry[] }
+      return entries
+    }
+  }
+}
+
+/** The router prints the port that peers dial, which is the proxy's; so its own has to be known beforehand. */
+const findFreePort = async (): Promise<number> => {
+  const server = createServer()
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  const { port } = server.address() as AddressInfo
+  await new Promise((resolve) => { server.close(resolve) })
+  return port
+}
+
+/** Notes a process to be ended with the fleet, from the moment it runs. */
+type Keep = <Item extends { readonly process: RunningProcess }>(item: Item) => Item
+
+const startBackend = async (kind: 'service' | 'engine', service: string, index: number, flags: readonly string[], keep: Keep): Promise<FleetBackend> => {
+  const { process } = keep({ process: await startProcess(['emulate', kind, ...flags]) })
+  const link = await createFaultProxy(portOf(process.ready['listening']))
+  const server = { name: `${service}-${index + 1}`, service, url: link.url, availabilityZone: zoneOf(index), slots: SLOTS }
+  return { server, process, link, ...createControl(process) }
+}
+
+const createSheet = (backends: readonly FleetBackend[]): Sheet => ({
+  clientAccounts: [{ name: 'deli-1', weight: 1, keyHashes: [computeSha256(CALLER_KEY)] }],
+  services: [
+    { name: 'ordering', kind: 'plain', loadLimit: 2, loadTarget: 1.6 },
+    { name: 'order-desk', kind: 'model', loadLimit: 1.5, loadTarget: 1.26 }
+  ].filter(({ name }) => backends.some(({ server }) => server.service === name)) as Sheet['services'],
+  backendServers: backends.map(({ server }) => server),
+  routes: ([
+    { name: 'orders', service: 'ordering', path: '/orders', repeatable: false, backendIdempotent: false, deadlineSeconds: 20, priority: 'interactive' },
+    { name: 'stock', service: 'ordering', path: '/stock', repeatable: true, backendIdempotent: false, deadlineSeconds: 20, priority: 'interactive' },
+    { name: 'order-desk-chat', service: 'order-desk', model: MODEL, repeatable: true, backendIdempotent: false, deadlineSeconds: 20, priority: 'interactive' }
+  ] as const).filter(({ service }) => backends.some(({ server }) => server.service === service)),
+  plannedStops: []
+})
+
+const applySheet = async (platformUrl: string, sheet: Sheet): Promise<void> => {
+  const clock = createSystemClock()
+  const random = createSystemRandom()
+  const platform = createPlatformHttp({ url: platformUrl, timeoutMs: 5_000 })
+  const auditTrail = createAuditTrail(platform)
+  const store = createConfigurationStore({ platform, auditTrail, clock, random, hashContent: computeSha256 })
+  const outcome = await store.applySheet({ sheet, plannedAgainst: 0, appliedBy: 'test', applyId: random.nextId(), action: 'sheet apply' })
+  await platform.close()
+  if (outcome.kind !== 'applied') throw new Error(`the sheet was not applied: ${JSON.stringify(outcome)}`)
+}
+
+type RouterLinks = { readonly platformLink: FaultProxy, readonly peerLink: FaultProxy }
+
+const startRouter = async (index: number, { platformLink, peerLink }: RouterLinks, seeds: string, flags: readonly string[], keep: Keep): Promise<FleetRouter> => {
+  const nodeId = `router-${index + 1}`
+  const peerPort = await findFreePort()
+  peerLink.setTarget(peerPort)
+  const { process } = keep({
+    process: await startProcess([
+      'router', '--node-id', nodeId, '--availability-zone', zoneOf(index), '--platform-url', platformLink.url,
+      '--seed-peers', seeds, '--peer-port', String(peerPort), '--advertised-port', String(peerLink.port), ...ROUTER_FLAGS, ...flags
+    ], ENVIRONMENT)
+  })
+  const operator = String(process.ready['operator'])
+  const readStatus = async (): Promise<NodeStatus> =>
+    await (await fetch(`${operator}/status`, { headers: { authorization: `Bearer ${OPERATOR_TOKEN}` } })).json() as NodeStatus
+  return { nodeId, process, caller: String(process.ready['caller']), operator, platformLink, peerLink, readStatus }
+}
+
+const isSettled = (status: NodeStatus, routers: number, backends: number): boolean =>
+  status.ready &&
+  status.members.filter(({ state }) => state === 'live').length === routers &&
+  status.backendServers.filter(({ state }) => state === 'live').length === backends
+
+/**
+ * Starts a fleet and waits until every router serves and knows all others.
+ *
+ * @param options - How many of each, and further flags.
+ * @returns The running fleet. Stop it, whatever the test's verdict.
+ */
+export const startFleet = async (options: FleetOptions = {}): Promise<Fleet> => {
+  const { routers: routerCount = 2, services: serviceCount = 1, engines: engineCount = 0 } = options
+  const stops: (() => Promise<void>)[] = []
+  const stop = async (): Promise<void> => { for (const end of stops.reverse()) await end() }
+  const keep: Keep = (item) => {
+    stops.push(() => item.process.kill())
+    return item
+  }
+  const keepLink = (link: FaultProxy): FaultProxy => {
+    stops.push(() => link.close())
+    return link
+  }
+  try {
+    const platformProcess = await startProcess(['emulate', 'platform'])
+    keep({ process: platformProcess })
+    const platformUrl = String(platformProcess.ready['listening'])
+    const platformPort = portOf(platformUrl)
+    const services = await Promise.all(Array.from({ length: serviceCount }, (_, index) => startBackend('service', 'ordering', index, options.serviceFlags ?? [], keep)))
+    const engines = await Promise.all(Array.from({ length: engineCount }, (_, index) => startBackend('engine', 'order-desk', index, options.engineFlags ?? [], keep)))
+    const backends = [...services, ...engines]
+    for (const backend of backends) keepLink(backend.link)
+    await applySheet(platformUrl, createSheet(backends))
+    const links: RouterLinks[] = []
+    for (let index = 0; index < routerCount; index += 1) {
+      links.push({ platformLink: keepLink(await createFaultProxy(platformPort)), peerLink: keepLink(await createFaultProxy(0)) })
+    }
+    const seeds = links.map(({ peerLink }) => peerLink.address).join(',')
+    const routers = await Promise.all(links.map((link, index) => startRouter(index, link, seeds, options.routerFlags ?? [], keep)))
+    for (const router of routers) await waitFor(`${router.nodeId} to settle`, async () => isSettled(await router.readStatus(), routerCount, backends.length))
+    const readJournals = async (): Promise<readonly JournalEntry[]> => (await Promise.all(backends.map((backend) => backend.readJournal()))).flat()
+    return { routers, services, engines, platform: { process: platformProcess, setFault: createControl(platformProcess).setFault }, readJournals, stop }
+  } catch (error) {
+    await stop()
+    throw error
+  }
+}
--- /dev/null
+++ b/test/integration/configuration.test.ts
@@ -0,0 +1,118 @@
+/**
+ * A sheet, once accepted, is in force everywhere within seconds and never
+ * reverts: operators' commands and routers as real processes, each link
+ * through a fault proxy.
+ */
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { afterAll, afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { startFleet, type Fleet } from '../_lib/startFleet.js'
+import { runCommand, startProcess, type FinishedCommand } from '../_lib/startProcess.js'
+import { waitFor } from '../_lib/waitFor.js'
+
+const SECRETS = { DOTTERELSPOKE_FLEET_KEY: 'fleet key of the tests', DOTTERELSPOKE_OPERATOR_TOKEN: 'operator token of the tests' }
+const folder = mkdtempSync(join(tmpdir(), 'dotterelspoke-'))
+let fleet: Fleet
+
+beforeEach(async () => { fleet = await startFleet({ routers: 3 }) })
+afterEach(async () => { await fleet.stop() })
+afterAll(() => { rmSync(folder, { recursive: true }) })
+
+const run = (operator: string, ...flags: readonly string[]): Promise<FinishedCommand> => runCommand(flags, {
+  ...SECRETS,
+  DOTTERELSPOKE_OPERATOR: operator,
+  DOTTERELSPOKE_PLATFORM_URL: String(fleet.platform.process.ready['listening']),
+  DOTTERELSPOKE_ROUTER_URLS: fleet.routers.map((router) => router.operator).join(',')
+})
+
+/** The sheet in force with another weight of its one client account, as a file. */
+const writeSheet = async (weight: number): Promise<string> => {
+  const { stdout } = await run('anybody', 'sheet', 'show')
+  const path = join(folder, `sheet-${weight}.csv`)
+  writeFileSync(path, stdout.replace(/clientAccount,deli-1,\d+/, `clientAccount,deli-1,${weight}`))
+  return path
+}
+
+const readGenerations = async (): Promise<readonly number[]> =>
+  (await Promise.all(fleet.routers.map((router) => router.readStatus()))).map(({ generation }) => generation)
+
+type HistoryLine = { readonly generation: number, readonly applyId: string, readonly appliedBy: string }
+
+const readHistory = async (): Promise<readonly HistoryLine[]> => JSON.parse((await run('anybody', 'sheet', 'history', '--json')).stdout) as HistoryLine[]
+
+describe('an accepted sheet', () => {
+  it('is confirmed by every router', async () => {
+    const applied = await run('jana', 'sheet', 'apply', await writeSheet(2), '--wait', '30')
+    expect(applied).toMatchObject({ code: 0, stdout: expect.stringContaining('generation 2 is in force on all 3 routers') })
+    expect(await readGenerations()).toEqual([2, 2, 2])
+  })
+
+  // Four operators planned on the same generation and apply at once. One of
+  // them wins; each of the others is told who did, and the fleet has that one.
+  it('is the one of racing operators that was told so', async () => {
+    const paths = await Promise.all([2, 3, 4, 5].map(writeSheet))
+    const runs = await Promise.all(paths.map((path, index) => run(`operator-${index}`, 'sheet', 'apply', path, '--against', '1', '--wait', '30')))
+    expect(runs.map(({ code }) => code).sort()).toEqual([0, 3, 3, 3])
+    const winner = runs.findIndex(({ code }) => code === 0)
+    expect(runs.filter(({ code }) => code === 3).every(({ stdout }) => stdout.includes(`applied by operator-${winner} `))).toBe(true)
+    expect((await run('anybody', 'sheet', 'show')).stdout).toContain(`clientAccount,deli-1,${winner + 2},`)
+  })
+
+  // The platform loses the replies to the next writes of an apply, each of
+  // which took effect. Whatever the command then says must be so.
+  it.each([1, 2, 3, 9])('is told truly when the replies to %i writes are lost', async (count) => {
+    const path = await writeSheet(2)
+    await fleet.platform.setFault({ fault: 'loseReplies', count })
+    const { code } = await run('jana', 'sheet', 'apply', path, '--apply-id', 'the-one')
+    await fleet.platform.setFault({ fault: 'loseReplies', on: false })
+    const isAccepted = (await readHistory()).some(({ applyId }) => applyId === 'the-one')
+    expect([0, 4, 5]).toContain(code)
+    if (code !== 5) expect(isAccepted).toBe(code === 0)
+    expect((await run('jana', 'sheet', 'apply', path, '--apply-id', 'the-one', '--wait', '30')).code).toBe(0)
+    expect((await readHistory()).filter(({ applyId }) => applyId === 'the-one')).toHaveLength(1)
+  })
+})
+
+describe('a router', () => {
+  // The platform is down and a VM is replaced. The new router has no disk and
+  // cannot read the root; it must serve with what its peers hold.
+  it('that starts while the platform is down takes the generation of its peers', async () => {
+    await run('jana', 'sheet', 'apply', await writeSheet(2), '--wait', '30')
+    await fleet.platform.setFault({ fault: 'outage', on: true })
+    const seeds = fleet.routers.map(({ peerLink }) => peerLink.address).join(',')
+    const replaced = await startProcess([
+      'router', '--node-id', 'router-new', '--availability-zone', 'scot-central-a', '--platform-url', String(fleet.platform.process.ready['listening']),
+      '--seed-peers', seeds, '--caller-port', '0', '--operator-port', '0', '--peer-port', '0', '--log-level', 'warn'
+    ], SECRETS)
+    const readGeneration = async (): Promise<unknown> => (await (await fetch(`${String(replaced.ready['operator'])}/readyz`)).json() as { readonly generation: number }).generation
+    await waitFor('the new router to have generation 2', async () => await readGeneration() === 2)
+    await replaced.kill()
+  })
+
+  // All zones are cut off from each other and one from the platform as well. A
+  // sheet is accepted: the one keeps its generation, the command names it, and
+  // it has the sheet when the links heal.
+  it('that is cut off keeps its generation, is named, and catches up when healed', async () => {
+    const path = await writeSheet(2)
+    const cutOff = fleet.routers[2]!
+    const links = [...fleet.routers.map(({ peerLink }) => peerLink), cutOff.platformLink]
+    for (const link of links) link.setFault({ kind: 'blackhole' })
+    const applied = await run('jana', 'sheet', 'apply', path, '--wait', '4')
+    expect(applied).toMatchObject({ code: 6, stdout: expect.stringMatching(/router-3.*behind/) })
+    expect(await readGenerations()).toEqual([2, 2, 1])
+    for (const link of links) link.setFault({ kind: 'none' })
+    await waitFor('every router to confirm generation 2', async () => (await run('jana', 'sheet', 'status')).code === 0)
+  })
+
+  // A router's process is paused: it answers nobody and may go on at any time.
+  // It must not be counted as confirmed, and has the sheet after it wakes.
+  it('that is paused is not confirmed until it wakes', async () => {
+    const path = await writeSheet(2)
+    fleet.routers[1]!.process.pause()
+    const applied = await run('jana', 'sheet', 'apply', path, '--wait', '1')
+    expect(applied).toMatchObject({ code: 6, stdout: expect.stringContaining('no answer in time') })
+    fleet.routers[1]!.process.resume()
+    await waitFor('every router to confirm generation 2', async () => (await run('jana', 'sheet', 'status')).code === 0)
+  })
+})
