--- a/src/bench/configuration/_lib/measureRollout.ts
+++ b/src/bench/configuration/_lib/measureRollout.ts
@@ -12,6 +12,7 @@
 import { createConfigurationStore } from '../../../services/configurationStore/index.js'
 import { createHeartbeatExchange } from '../../../services/heartbeatExchange/index.js'
 import { createMembership } from '../../../services/membership/index.js'
+import { routerSettingDefinitions } from '../../../settings/index.js'
 import type { ConfigurationHolder, Logger, Platform, Vm } from '../../../types/index.js'
 import { createBenchSheet } from './createBenchSheet.js'
 
@@ -38,9 +39,12 @@
 const ACCOUNTS = 50
 const ONE_WAY_DELAY_MS = 0.25
 const ZONE_DELAY_MS = 5
-/** The defaults of the settings. */
-const HEARTBEAT = { heartbeatIntervalMs: 250, suspectAfterMs: 1_500, deadAfterMs: 4_000 }
-const TIMES = { watchTimeoutMs: 25_000, peerTimeoutMs: 250 }
+
+const readDefault = (name: 'heartbeatIntervalMs' | 'suspectAfterMs' | 'deadAfterMs' | 'watchTimeoutMs' | 'peerTimeoutMs'): number =>
+  Number(routerSettingDefinitions.find((definition) => definition.name === name)?.defaultText)
+
+const HEARTBEAT = { heartbeatIntervalMs: readDefault('heartbeatIntervalMs'), suspectAfterMs: readDefault('suspectAfterMs'), deadAfterMs: readDefault('deadAfterMs') }
+const TIMES = { watchTimeoutMs: readDefault('watchTimeoutMs'), peerTimeoutMs: readDefault('peerTimeoutMs') }
 
 const silentLogger: Logger = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
 
