--- a/src/bench/fairness/_lib/runTrial.ts
+++ b/src/bench/fairness/_lib/runTrial.ts
@@ -6,6 +6,9 @@
 import { accounts } from './workload.js'
 import type { Arrival } from './workload.js'
 
+/** Which router a request reaches, given its place in the order of arrival. */
+export type Balancer = (arrival: Arrival, index: number) => number
+
 export type Policy = 'fair' | 'fairAlone' | 'firstCome'
 
 /** What became of one request; times in milliseconds. */
@@ -16,6 +19,10 @@
 }
 
 const ROUTERS = 3
+
+/** Spreads requests over all routers by turns. */
+export const balanceByTurns: Balancer = (_arrival, index) => index % ROUTERS
+
 const SLOTS = 48
 const PREFILL_MS_PER_TOKEN = 0.5
 const DECODE_MS_PER_TOKEN = 30
@@ -97,16 +104,17 @@
  *
  * @param arrivals - Requests in order of time.
  * @param policy - How waiting requests are taken.
+ * @param balance - Which router a request reaches.
  * @returns What became of each request.
  */
-export const runTrial = async (arrivals: readonly Arrival[], policy: Policy): Promise<readonly Served[]> => {
+export const runTrial = async (arrivals: readonly Arrival[], policy: Policy, balance: Balancer = balanceByTurns): Promise<readonly Served[]> => {
   const clock = createManualClock()
   const routers = createRouters(clock, policy)
   const served: Served[] = []
   exchangeCounts(clock, routers)
   if (policy === 'fair') exchangeUsage(clock, routers)
   for (const [index, arrival] of arrivals.entries()) {
-    clock.setTimer(arrival.at, () => { serve(clock, routers[index % ROUTERS]!, arrival, (result) => { served.push(result) }) })
+    clock.setTimer(arrival.at, () => { serve(clock, routers[balance(arrival, index)]!, arrival, (result) => { served.push(result) }) })
   }
   while (served.length < arrivals.length) await clock.advanceAndSettle(STEP_MS)
   return served
--- a/src/bench/fairness/_lib/workload.ts
+++ b/src/bench/fairness/_lib/workload.ts
@@ -16,8 +16,8 @@
   readonly surgeToMs: number
   /** Factor of the surge; 1 for none. */
   readonly surge: number
-  /** Requests a second of one unit of weight, without a surge. */
-  readonly ratePerWeight: number
+  /** Requests a second of one account, without a surge. */
+  readonly rateOf: (account: Account) => number
 }
 
 const MINIMUM_PROMPT_TOKENS = 50
@@ -38,12 +38,12 @@
 
 const rateAt = (account: Account, at: number, options: WorkloadOptions): number => {
   const isSurging = account.surges && at >= options.surgeFromMs && at < options.surgeToMs
-  return account.weight * options.ratePerWeight * (isSurging ? options.surge : 1)
+  return options.rateOf(account) * (isSurging ? options.surge : 1)
 }
 
 /** Poisson arrivals of one account, thinned from the surge's rate. */
 const createAccountArrivals = (account: Account, random: RandomSource, options: WorkloadOptions): readonly Arrival[] => {
-  const highestRate = account.weight * options.ratePerWeight * Math.max(1, options.surge)
+  const highestRate = options.rateOf(account) * Math.max(1, options.surge)
   const arrivals: Arrival[] = []
   let at = 0
   for (;;) {
--- a/src/bench/fairness/index.ts
+++ b/src/bench/fairness/index.ts
@@ -8,15 +8,15 @@
 import type { Bench, Cell, Table } from '../types.js'
 import { measureFairness, measureGroup, measureWeightFairness } from './_lib/measure.js'
 import type { Window } from './_lib/measure.js'
-import { runTrial } from './_lib/runTrial.js'
-import type { Policy, Served } from './_lib/runTrial.js'
+import { balanceByTurns, runTrial } from './_lib/runTrial.js'
+import type { Balancer, Policy, Served } from './_lib/runTrial.js'
 import { accounts, createArrivals } from './_lib/workload.js'
 import type { Account, WorkloadOptions } from './_lib/workload.js'
 
 const SURGE = 10
 const RATE_PER_WEIGHT = 0.75
-/** Every account asks for about twice its share. */
-const SATURATING_RATE_PER_WEIGHT = 2.2
+/** Requests a second of each account, above even a large account's share. */
+const SATURATING_RATE = 4
 const WARM_UP_MS = 20_000
 const SURGE_MS = { fast: 30_000, full: 120_000 }
 const COOL_DOWN_MS = 10_000
@@ -50,7 +50,7 @@
 
 const measureSurge = async (seed: number, surgeMs: number): Promise<Table> => {
   const window = { fromMs: WARM_UP_MS, toMs: WARM_UP_MS + surgeMs }
-  const options: WorkloadOptions = { durationMs: window.toMs + COOL_DOWN_MS, surgeFromMs: window.fromMs, surgeToMs: window.toMs, surge: SURGE, ratePerWeight: RATE_PER_WEIGHT }
+  const options: WorkloadOptions = { durationMs: window.toMs + COOL_DOWN_MS, surgeFromMs: window.fromMs, surgeToMs: window.toMs, surge: SURGE, rateOf: ({ weight }) => weight * RATE_PER_WEIGHT }
   const random = createRandomByAccount(seed)
   const rows: (readonly Cell[])[] = []
   for (const { policy, title } of policies) {
@@ -66,22 +66,32 @@
   }
 }
 
+/** A balancer that keeps the calm accounts of weight 1 on one router, as sticky connections would. */
+const keepCalmOnOneRouter: Balancer = (arrival, index) => arrival.account.name.startsWith('calm') ? 0 : balanceByTurns(arrival, index)
+
+const balancers: readonly { readonly balance: Balancer, readonly title: string }[] = [
+  { balance: balanceByTurns, title: 'spread over all routers' },
+  { balance: keepCalmOnOneRouter, title: 'six accounts reach one router only' }
+]
+
 const measureSaturation = async (seed: number, durationMs: number): Promise<Table> => {
   const window = { fromMs: WARM_UP_MS, toMs: WARM_UP_MS + durationMs }
-  const options: WorkloadOptions = { durationMs: window.toMs + COOL_DOWN_MS, surgeFromMs: 0, surgeToMs: 0, surge: 1, ratePerWeight: SATURATING_RATE_PER_WEIGHT }
+  const options: WorkloadOptions = { durationMs: window.toMs + COOL_DOWN_MS, surgeFromMs: 0, surgeToMs: 0, surge: 1, rateOf: () => SATURATING_RATE }
   const arrivals = createArrivals(createRandomByAccount(seed), options)
   const rows: (readonly Cell[])[] = []
-  for (const { policy, title } of policies) {
-    const served = await runTrial(arrivals, policy)
-    const large = measureGroup(served, window, (account) => account.weight > 1)
-    const all = measureGroup(served, window, () => true)
-    rows.push([title, formatShare(measureWeightFairness(served, window)), formatShare(large.tokens / all.tokens), formatShare(all.servedShare)])
+  for (const { balance, title: spread } of balancers) {
+    for (const { policy, title } of policies) {
+      const served = await runTrial(arrivals, policy, balance)
+      const large = measureGroup(served, window, (account) => account.weight > 1)
+      const all = measureGroup(served, window, () => true)
+      rows.push([spread, title, formatShare(measureWeightFairness(served, window)), formatShare(large.tokens / all.tokens), formatShare(all.servedShare)])
+    }
   }
   const weights = accounts.reduce((sum, { weight }) => sum + weight, 0)
   const largeWeights = accounts.filter(({ weight }) => weight > 1).reduce((sum, { weight }) => sum + weight, 0)
   return {
-    title: `All ten accounts ask for more than their share for ${durationMs / 1_000} s`,
-    columns: ['policy', "Jain's index (work / weight)", `large accounts' share of tokens (weights: ${formatShare(largeWeights / weights)})`, 'tokens served/asked'],
+    title: `All ten accounts ask for equally much, more than their shares, for ${durationMs / 1_000} s`,
+    columns: ['requests', 'policy', "Jain's index (work / weight)", `large accounts' share of tokens (weights: ${formatShare(largeWeights / weights)})`, 'tokens served/asked'],
     rows
   }
 }
