--- a/src/services/claims/_lib/codecs.ts
+++ b/src/services/claims/_lib/codecs.ts
@@ -35,10 +35,13 @@
   answer: storedAnswer.optional()
 })
 
-const claimSnapshot = z.object({
-  /** The first sequence number that is not folded into the snapshot. */
+const claimSnapshotRoot = z.object({
   floor: z.number(),
   forgetBefore: z.number(),
+  parts: z.array(z.string())
+})
+
+const claimSnapshotPart = z.object({
   records: z.array(z.tuple([z.string(), claimRecord])),
   releases: z.array(z.tuple([z.string(), z.number()]))
 })
@@ -47,13 +50,26 @@
 
 const claimLayout = z.object({ shards: z.number().int().min(1) })
 
-export type ClaimSnapshot = {
-  readonly floor: number
-  readonly forgetBefore: number
+/** A piece of a shard's fold, small enough for one object. */
+export type ClaimSnapshotPart = {
   readonly records: readonly (readonly [string, ClaimRecord])[]
   readonly releases: readonly (readonly [string, number])[]
 }
 
+/** A shard's fold as a whole, in memory. */
+export type ClaimSnapshot = ClaimSnapshotPart & {
+  /** The first sequence number that is not folded into the snapshot. */
+  readonly floor: number
+  readonly forgetBefore: number
+}
+
+/** What the snapshot object holds: the names of the parts make up the rest. */
+export type ClaimSnapshotRoot = {
+  readonly floor: number
+  readonly forgetBefore: number
+  readonly parts: readonly string[]
+}
+
 export type ClaimFloor = { readonly floor: number }
 
 /** Number of shards, fixed in the platform: nodes that counted differently would look for a key in different logs. */
@@ -80,6 +96,7 @@
 export const entryCodec = createCodec<ClaimEntry>(claimEntry)
 export const batchCodec = createCodec<ClaimBatch>(claimBatch)
 export const recordCodec = createCodec<ClaimRecord>(claimRecord)
-export const snapshotCodec = createCodec<ClaimSnapshot>(claimSnapshot)
+export const snapshotRootCodec = createCodec<ClaimSnapshotRoot>(claimSnapshotRoot)
+export const snapshotPartCodec = createCodec<ClaimSnapshotPart>(claimSnapshotPart)
 export const floorCodec = createCodec<ClaimFloor>(claimFloor)
 export const layoutCodec = createCodec<ClaimLayout>(claimLayout)
--- a/src/services/claims/_lib/createEntryRouter.ts
+++ b/src/services/claims/_lib/createEntryRouter.ts
@@ -53,7 +53,7 @@
     if (known !== undefined) return known
     const log = createShardLog({ clock, random, platform, logger }, shard, { retentionMs: options.retentionMs })
     const { flushIntervalMs, pruneEvery, keptBatches = DEFAULT_KEPT_BATCHES } = options
-    const queue = createShardQueue({ clock, platform, gate, log }, { shard, flushIntervalMs, pruneEvery, keptBatches, isPruner: () => isOwnShard(shard) })
+    const queue = createShardQueue({ clock, random, platform, gate, log }, { shard, flushIntervalMs, pruneEvery, keptBatches, isPruner: () => isOwnShard(shard) })
     queues.set(shard, queue)
     return queue
   }
--- a/src/services/claims/_lib/createShardLog.ts
+++ b/src/services/claims/_lib/createShardLog.ts
@@ -22,11 +22,12 @@
 import { failure, success } from '../../../kernel/index.js'
 import type { ClaimBatch, ClaimEntry, ClaimRecord } from '../../../decisions/foldClaims/index.js'
 import type { Clock, Logger, Platform, RandomSource, Result } from '../../../types/index.js'
-import { batchCodec, floorCodec, snapshotCodec } from './codecs.js'
+import { batchCodec, floorCodec } from './codecs.js'
 import type { ClaimSnapshot } from './codecs.js'
 import { createShardState } from './createShardState.js'
 import type { ShardState } from './createShardState.js'
-import { batchName, floorName, snapshotName } from './objectNames.js'
+import { batchName, floorName } from './objectNames.js'
+import { readSnapshot } from './snapshots.js'
 
 /** More lost races than this in one append mean that something else is wrong. */
 const MAXIMUM_APPEND_ATTEMPTS = 64
@@ -84,10 +85,9 @@
 
   const load = async (): Promise<Result<undefined, ShardLogError>> => {
     if (isLoaded) return success(undefined)
-    const read = await platform.readObject(snapshotName(shard))
-    if (!read.ok) return failure(notWritten(`the snapshot of claim shard ${shard} cannot be read: ${read.error.kind}`))
-    const snapshot = read.value === undefined ? undefined : snapshotCodec.decode(read.value.bytes)
-    if (read.value !== undefined && snapshot === undefined) return failure(notWritten(`the snapshot of claim shard ${shard} is damaged`))
+    const read = await readSnapshot(platform, shard)
+    if (!read.ok) return failure(notWritten(`the snapshot of claim shard ${shard} ${read.error}`))
+    const snapshot = read.value
     state = createShardState(snapshot)
     next = snapshot?.floor ?? 0
     verifiedThrough = next
--- a/src/services/claims/_lib/createShardQueue.ts
+++ b/src/services/claims/_lib/createShardQueue.ts
@@ -5,7 +5,7 @@
  */
 import { failure, success } from '../../../kernel/index.js'
 import type { ClaimEntry, ClaimRecord } from '../../../decisions/foldClaims/index.js'
-import type { Clock, Platform, Result } from '../../../types/index.js'
+import type { Clock, Platform, RandomSource, Result } from '../../../types/index.js'
 import type { ShardLog, ShardLogError } from './createShardLog.js'
 import { pruneShard } from './pruneShard.js'
 import type { PlatformGate } from './createPlatformGate.js'
@@ -18,6 +18,9 @@
 /** Beyond this, entries are refused: a queue that never empties helps nobody. */
 const MAXIMUM_QUEUED_ENTRIES = 10_000
 
+/** A snapshot is written anew each time, so a larger shard is pruned less often. */
+const RECORDS_PER_INTERVAL = 10_000
+
 /** What holds the entry's key once the entry was taken to the log. */
 export type EntryVerdict = { readonly record?: ClaimRecord | undefined }
 
@@ -29,6 +32,7 @@
 
 export type ShardQueueDependencies = {
   readonly clock: Clock
+  readonly random: RandomSource
   readonly platform: Platform
   readonly gate: PlatformGate
   readonly log: ShardLog
@@ -59,13 +63,14 @@
  * @returns The queue; it starts with the first entry and needs no stop.
  */
 export const createShardQueue = (dependencies: ShardQueueDependencies, options: ShardQueueOptions): ShardQueue => {
-  const { clock, platform, gate, log } = dependencies
+  const { clock, random, platform, gate, log } = dependencies
   let queued: QueuedEntry[] = []
   let isFlushing = false
   let isScheduled = false
   let isPruning = false
   let lastFlushAt = -Infinity
   let prunedThrough: number | undefined
+  let batchesBetweenPrunings = options.pruneEvery
 
   const takeBatch = (): readonly QueuedEntry[] => {
     let bytes = 0
@@ -100,12 +105,13 @@
   const prune = async (): Promise<void> => {
     if (isPruning || !options.isPruner()) return
     prunedThrough ??= Math.max(0, log.nextSequence() - options.pruneEvery)
-    if (log.nextSequence() - prunedThrough < options.pruneEvery) return
+    if (log.nextSequence() - prunedThrough < batchesBetweenPrunings) return
     const snapshot = log.toSnapshot()
     if (snapshot === undefined) return
     isPruning = true
     prunedThrough = snapshot.floor
-    await pruneShard(platform, options.shard, snapshot, options.keptBatches)
+    batchesBetweenPrunings = options.pruneEvery * Math.max(1, Math.ceil(snapshot.records.length / RECORDS_PER_INTERVAL))
+    await pruneShard({ platform, random, shard: options.shard, keptBatches: options.keptBatches }, snapshot)
     isPruning = false
   }
 
--- a/src/services/claims/_lib/pruneShard.ts
+++ b/src/services/claims/_lib/pruneShard.ts
@@ -5,67 +5,78 @@
  * confirmed. A step that fails or whose reply is lost ends the run; the next
  * run starts over and finds whatever took effect.
  */
-import type { Platform } from '../../../types/index.js'
-import { floorCodec, snapshotCodec } from './codecs.js'
+import type { ObjectVersion, Platform, RandomSource } from '../../../types/index.js'
+import { floorCodec, snapshotRootCodec } from './codecs.js'
 import type { ClaimSnapshot } from './codecs.js'
-import { batchName, floorName, shardPrefix, snapshotName } from './objectNames.js'
+import { batchName, floorName, partEnd, partPrefix, shardPrefix, snapshotName } from './objectNames.js'
+import { writeSnapshotParts } from './snapshots.js'
 
-/** Below the platform's limit of a megabyte, with room for a wider encoding. */
-const MAXIMUM_SNAPSHOT_BYTES = 900_000
+type Raise = 'written' | 'higherAlready' | 'failed'
 
-/** Raises an object that holds a number; gives whether it is confirmed to be at least `value`. */
-const raise = async (platform: Platform, name: string, value: number, readValue: (bytes: Uint8Array) => number | undefined, bytes: Uint8Array): Promise<boolean> => {
+/** Raises an object that holds a number. Only a confirmed write or a read of as high a number is no failure. */
+const raise = async (platform: Platform, name: string, value: number, readValue: (bytes: Uint8Array) => number | undefined, bytes: Uint8Array): Promise<Raise> => {
   const read = await platform.readObject(name)
-  if (!read.ok) return false
-  if (read.value === undefined) return (await platform.createObject(name, bytes)).ok
+  if (!read.ok) return 'failed'
+  if (read.value === undefined) return (await platform.createObject(name, bytes)).ok ? 'written' : 'failed'
   const current = readValue(read.value.bytes)
-  if (current === undefined) return false
-  if (current >= value) return true
-  return (await platform.updateObject(name, bytes, read.value.version)).ok
+  if (current === undefined) return 'failed'
+  if (current >= value) return 'higherAlready'
+  return (await platform.updateObject(name, bytes, read.value.version)).ok ? 'written' : 'failed'
 }
 
-/** Encodes a snapshot, without the answers where they do not fit. Gives `undefined` when even that is too large. */
-const encodeWithinLimit = (snapshot: ClaimSnapshot): Uint8Array | undefined => {
-  const whole = snapshotCodec.encode(snapshot)
-  if (whole.byteLength <= MAXIMUM_SNAPSHOT_BYTES) return whole
-  const withoutAnswers = snapshot.records.map(([keyId, record]) => [keyId, { ...record, answer: undefined }] as const)
-  const bare = snapshotCodec.encode({ ...snapshot, records: withoutAnswers })
-  return bare.byteLength <= MAXIMUM_SNAPSHOT_BYTES ? bare : undefined
+const deleteAll = async (platform: Platform, objects: readonly { readonly name: string, readonly version: ObjectVersion }[]): Promise<void> => {
+  for (const { name, version } of objects) {
+    const deleted = await platform.deleteObject(name, version)
+    if (!deleted.ok && deleted.error.kind === 'unavailable') return
+  }
 }
 
-const deleteBelow = async (platform: Platform, shard: number, floor: number): Promise<void> => {
+const deleteBatchesBelow = async (platform: Platform, shard: number, floor: number): Promise<void> => {
   const firstKept = batchName(shard, floor)
   const list = await platform.listObjects(shardPrefix(shard))
-  if (!list.ok) return
   // Batch names are digits of one width, so those below the floor sort first.
-  const pruned = list.value.objects.filter((object) => object.name < firstKept)
-  for (const object of pruned) {
-    const deleted = await platform.deleteObject(object.name, object.version)
-    if (!deleted.ok && deleted.error.kind === 'unavailable') return
-  }
+  if (list.ok) await deleteAll(platform, list.value.objects.filter(({ name }) => name < firstKept))
+}
+
+/**
+ * Deletes the parts of older snapshots and those that failed prunings left. A
+ * root only ever replaces one with a lower floor, so a part of this floor or a
+ * lower one that the root in place does not name can never be named again.
+ * Parts of a higher floor may be another pruner's, on their way to a root.
+ */
+const deletePartsUpTo = async (platform: Platform, shard: number, floor: number, kept: readonly string[]): Promise<void> => {
+  const end = partEnd(shard, floor)
+  const list = await platform.listObjects(partPrefix(shard))
+  if (list.ok) await deleteAll(platform, list.value.objects.filter(({ name }) => name < end && !kept.includes(name)))
 }
 
-export type PruneOutcome = 'pruned' | 'failed' | 'tooLarge'
+export type PruneOutcome = 'pruned' | 'failed'
+
+export type Pruning = {
+  readonly platform: Platform
+  readonly random: RandomSource
+  readonly shard: number
+  /** Batches kept below the snapshot's end, so that nodes a little behind need not load it. */
+  readonly keptBatches: number
+}
 
 /**
  * Prunes one shard up to a snapshot of its checked state.
  *
- * @param platform - The object API.
- * @param shard - Shard number.
+ * @param pruning - Where, and how much to keep.
  * @param snapshot - The shard's fold, checked against the floor.
- * @param keptBatches - Batches kept below the snapshot's end, so that nodes a
- *   little behind need not load it.
- * @returns `pruned`; `failed` when a step was not confirmed; `tooLarge` when
- *   the snapshot does not fit an object, in which case the log just grows.
+ * @returns `pruned`, or `failed` when a step was not confirmed.
  */
-export const pruneShard = async (platform: Platform, shard: number, snapshot: ClaimSnapshot, keptBatches: number): Promise<PruneOutcome> => {
-  const bytes = encodeWithinLimit(snapshot)
-  if (bytes === undefined) return 'tooLarge'
-  const isSaved = await raise(platform, snapshotName(shard), snapshot.floor, (stored) => snapshotCodec.decode(stored)?.floor, bytes)
-  if (!isSaved) return 'failed'
+export const pruneShard = async ({ platform, random, shard, keptBatches }: Pruning, snapshot: ClaimSnapshot): Promise<PruneOutcome> => {
+  const parts = await writeSnapshotParts(platform, random, shard, snapshot)
+  if (parts === undefined) return 'failed'
+  const root = snapshotRootCodec.encode({ floor: snapshot.floor, forgetBefore: snapshot.forgetBefore, parts })
+  const saved = await raise(platform, snapshotName(shard), snapshot.floor, (stored) => snapshotRootCodec.decode(stored)?.floor, root)
+  if (saved === 'failed') return 'failed'
   const floor = Math.max(0, snapshot.floor - keptBatches)
-  const isRaised = await raise(platform, floorName(shard), floor, (stored) => floorCodec.decode(stored)?.floor, floorCodec.encode({ floor }))
-  if (!isRaised) return 'failed'
-  await deleteBelow(platform, shard, floor)
+  const raised = await raise(platform, floorName(shard), floor, (stored) => floorCodec.decode(stored)?.floor, floorCodec.encode({ floor }))
+  if (raised === 'failed') return 'failed'
+  await deleteBatchesBelow(platform, shard, floor)
+  if (saved === 'written') await deletePartsUpTo(platform, shard, snapshot.floor, parts)
   return 'pruned'
 }
