--- /dev/null
+++ b/test/integration/answers.test.ts
@@ -0,0 +1,91 @@
+/**
+ * Whether every caller gets the whole answer to its own question or is told
+ * of an error, while engines and links fail under real processes.
+ */
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { judgeChats, sendChat, type SentChat } from '../_lib/sendChat.js'
+import { judgeLedgers } from '../_lib/sendOrder.js'
+import { startFleet, type Fleet, type FleetBackend } from '../_lib/startFleet.js'
+import { waitFor } from '../_lib/waitFor.js'
+
+const CHATS = 12
+
+type Case = {
+  readonly name: string
+  /** Before the first question. */
+  readonly before?: (engines: readonly FleetBackend[]) => Promise<void> | void
+  /** When every answer has started. */
+  readonly amid?: (engines: readonly FleetBackend[]) => Promise<void> | void
+  /** Streams, unless false. */
+  readonly stream?: boolean
+  /** Whether some callers must be told of an error, since nothing can be done for them. */
+  readonly loses?: boolean
+}
+
+const setFaults = (fault: Readonly<Record<string, unknown>>) => async (engines: readonly FleetBackend[]): Promise<void> => {
+  for (const engine of engines) await engine.setFault(fault)
+}
+
+const cases: readonly Case[] = [
+  { name: 'nothing failing' },
+  { name: 'an engine killed before', before: ([first]) => first?.process.kill() },
+  { name: 'an engine killed in mid-stream', amid: ([first]) => first?.process.kill(), loses: true },
+  { name: 'an engine frozen before, its connections open', before: ([first]) => first?.process.pause() },
+  {
+    name: 'an engine frozen in mid-stream for a while',
+    amid: ([first]) => {
+      first?.process.pause()
+      setTimeout(() => first?.process.resume(), 1_500)
+    }
+  },
+  { name: 'all connections reset in mid-stream', amid: (engines) => engines.forEach(({ link }) => link.resetAll()) },
+  { name: 'links that cut every answer after some events', before: (engines) => engines.forEach(({ link }) => link.setFault({ kind: 'cutAfter', direction: 'toClient', bytes: 6_000 })) },
+  {
+    name: 'a link cut off in mid-stream and healed',
+    amid: ([first]) => {
+      first?.link.setFault({ kind: 'blackhole' })
+      setTimeout(() => first?.link.setFault({ kind: 'none' }), 1_500)
+    }
+  },
+  { name: 'crossed answers', before: setFaults({ fault: 'crossedAnswer', count: 3 }) },
+  { name: 'crossed whole answers', before: setFaults({ fault: 'crossedAnswer', count: 3 }), stream: false },
+  { name: 'late answers', before: setFaults({ fault: 'lateAnswer', on: true, ms: 700 }) },
+  { name: 'late whole answers', before: setFaults({ fault: 'lateAnswer', on: true, ms: 700 }), stream: false },
+  { name: 'events sent twice', before: setFaults({ fault: 'duplicateEvent', on: true, after: 3 }) },
+  { name: 'streams that end well without their end', before: setFaults({ fault: 'truncateAnswer', count: 4, after: 5 }) }
+]
+
+const isOpenNowhere = async (fleet: Fleet): Promise<boolean> => {
+  const statuses = await Promise.all(fleet.routers.map((router) => router.readStatus()))
+  return statuses.every(({ ledger }) => ledger.open === 0)
+}
+
+/*
+ * A shopkeeper reads half an answer as the whole one, or the answer to a
+ * rival's question: an engine died, froze, or mixed its connections up, and
+ * something on the way took what there was for all there is.
+ */
+describe('answers under faults', () => {
+  let fleet: Fleet
+  beforeEach(async () => { fleet = await startFleet({ routers: 2, services: 0, engines: 3, engineFlags: ['--decode-interval', '8'] }) })
+  afterEach(async () => { await fleet.stop() })
+
+  it.each(cases)('are whole or an error with $name', async ({ before, amid, stream = true, loses = false }) => {
+    await before?.(fleet.engines)
+    const chats = Array.from({ length: CHATS }, (_, index): SentChat => sendChat(fleet.routers[index % 2]!.caller, `question ${index}`, stream))
+    if (amid !== undefined) {
+      await Promise.all(chats.map(({ whenStarted }) => whenStarted))
+      await amid(fleet.engines)
+    }
+    const ends = await Promise.all(chats.map(({ whenEnded }) => whenEnded))
+    await waitFor('all requests to end', () => isOpenNowhere(fleet))
+    // A frozen engine can't give its journal.
+    for (const engine of fleet.engines) engine.process.resume()
+    const journals = await Promise.all(fleet.engines.map((engine) => engine.readJournal().catch(() => [])))
+    expect(judgeChats(ends, journals.flat())).toEqual([])
+    expect(await judgeLedgers(fleet.routers)).toEqual([])
+    const errors = ends.filter(({ text }) => text === undefined).length
+    if (loses) expect(errors).toBeLessThan(CHATS)
+    else expect(errors).toBe(0)
+  })
+})
