--- a/src/decisions/createLoadDigest/index.ts
+++ b/src/decisions/createLoadDigest/index.ts
@@ -12,7 +12,7 @@
  * Counts are the numbers themselves and never differences, so that applying a
  * digest twice does no harm. A count that fell to nothing is sent as 0.
  *
- * @param head - Source, scope and sequence number of the digest.
+ * @param head - Source and sequence number of the digest.
  * @param counts - Requests in flight by backend server, now.
  * @param sent - The counts as last sent to this receiver; `undefined` asks for a full digest.
  * @returns The digest, or `undefined` when nothing changed.
@@ -20,7 +20,7 @@
  * @example
  * createLoadDigest(head, new Map([['engine-1', 2]]), new Map([['engine-1', 1]])) // => { ...head, full: false, counts: [{ backendServer: 'engine-1', inFlight: 2 }] }
  */
-export const createLoadDigest = (head: Pick<LoadDigest, 'source' | 'scope' | 'sequence'>, counts: LoadCounts, sent: LoadCounts | undefined): LoadDigest | undefined => {
+export const createLoadDigest = (head: Pick<LoadDigest, 'source' | 'sequence'>, counts: LoadCounts, sent: LoadCounts | undefined): LoadDigest | undefined => {
   if (sent === undefined) return { ...head, full: true, counts: listCounts(counts) }
   const changed: LoadCount[] = []
   for (const [backendServer, inFlight] of counts) {
--- a/src/decisions/mergeLoadDigest/test.ts
+++ b/src/decisions/mergeLoadDigest/test.ts
@@ -8,7 +8,7 @@
 const SEED = 20_261
 const SERVERS = ['engine-1', 'engine-2', 'engine-3']
 
-const head = (sequence: number) => ({ source: 'node-1', scope: 'node' as const, sequence })
+const head = (sequence: number) => ({ source: 'node-1', sequence })
 
 const createDigest = (sequence: number, full: boolean, inFlight: number): LoadDigest =>
   ({ ...head(sequence), full, counts: [{ backendServer: 'engine-1', inFlight }] })
--- a/src/decisions/packLoadDigest/index.ts
+++ b/src/decisions/packLoadDigest/index.ts
@@ -42,7 +42,6 @@
  */
 export const unpackLoadDigest = ({ source, sequence, full, servers, inFlight }: PackedLoadDigest): LoadDigest => ({
   source,
-  scope: 'node',
   sequence,
   full,
   counts: Array.from(servers, (hash, place) => ({ backendServer: String(hash), inFlight: inFlight[place] ?? 0 }))
--- a/src/decisions/packLoadDigest/test.ts
+++ b/src/decisions/packLoadDigest/test.ts
@@ -2,7 +2,7 @@
 import { formatServerHash, packLoadDigest, unpackLoadDigest } from './index.js'
 
 const createDigest = (inFlight: number) =>
-  ({ source: 'node-1', scope: 'node' as const, sequence: 7, full: false, counts: [{ backendServer: 'engine-1', inFlight }, { backendServer: 'engine-2', inFlight: 0 }] })
+  ({ source: 'node-1', sequence: 7, full: false, counts: [{ backendServer: 'engine-1', inFlight }, { backendServer: 'engine-2', inFlight: 0 }] })
 
 describe('packLoadDigest', () => {
   it.each([0, 1, 255, 256, 65_535])('carries a count of %i', (inFlight) => {
--- a/src/services/fleetLoad/index.ts
+++ b/src/services/fleetLoad/index.ts
@@ -14,7 +14,7 @@
 import type { Clock, ConfigurationHolder, LoadSnapshot, Member, Membership, PeerTransport, Timer } from '../../types/index.js'
 
 export type FleetLoad = {
-  /** Whether the fleet is so large that load travels this way and not with heartbeats. */
+  /** Whether the fleet is so large that load travels this way and not in digests to all peers. */
   readonly isInUse: () => boolean
   /** Requests in flight from other routers; 0 before the first snapshot. */
   readonly readOthers: (backendServer: string) => number
@@ -31,7 +31,7 @@
 }
 
 export type FleetLoadOptions = {
-  /** Peers up to which load travels with heartbeats instead. */
+  /** Peers up to which each router sends its digests to all others instead. */
   readonly fullMeshPeers: number
   /** Time between two snapshots, in milliseconds. */
   readonly periodMs?: number
--- a/src/services/loadView/_lib/createLoadBroadcast.ts
+++ b/src/services/loadView/_lib/createLoadBroadcast.ts
@@ -48,7 +48,7 @@
   const broadcast = (): void => {
     timer = undefined
     const counts = readCounts()
-    const digest = createLoadDigest({ source, scope: 'node', sequence: sequence + 1 }, counts, sent)
+    const digest = createLoadDigest({ source, sequence: sequence + 1 }, counts, sent)
     const receivers = listReceivers()
     if (digest === undefined || receivers.length === 0) return
     sequence = digest.sequence
@@ -64,7 +64,7 @@
     // What was broadcast last and not the counts of this moment: a count that has
     // moved since and moves back would be in no later broadcast.
     sendFull: (receiver) => {
-      const digest = createLoadDigest({ source, scope: 'node', sequence }, sent, undefined)
+      const digest = createLoadDigest({ source, sequence }, sent, undefined)
       if (digest === undefined) return
       spend(DIGEST_BYTES + COUNT_BYTES * digest.counts.length)
       send(receiver, digest)
--- a/src/services/loadView/index.ts
+++ b/src/services/loadView/index.ts
@@ -25,7 +25,7 @@
    * counted more than once.
    */
   readonly publishesExcess?: (backendServer: string) => boolean
-  /** Takes the place of the digests in heartbeats when the fleet is large. */
+  /** Takes the place of the digests to all peers when the fleet is large. */
   readonly fleetLoad?: FleetLoad
 }
 
@@ -34,13 +34,13 @@
 
 export type LoadViewOptions = {
   readonly settings: Pick<RouterSettings, 'nodeId' | 'loadReportIntervalMs' | 'deadAfterMs'>
-  /** Bytes a second for digests to peers, with the headers of TCP and IP; 4,000 by default. */
+  /** Bytes a second for digests to peers, with the headers of TCP and IP; 3,500 by default. */
   readonly bytesPerSecond?: number
 }
 
 type Excess = { readonly requests: number, readonly peerSum: number, readonly until: number }
 
-const DEFAULT_BYTES_PER_SECOND = 4000
+const DEFAULT_BYTES_PER_SECOND = 3500
 /** Report intervals that an excess is believed for without a new report. */
 const EXCESS_INTERVALS = 3
 /** A peer silent for so many times the time to death no longer counts, whatever rumours say. */
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -24,13 +24,11 @@
 export type LoadCount = { readonly backendServer: string, readonly inFlight: number }
 
 /**
- * Load of one router, or the sum of one zone's routers when `scope` is `zone`.
- * A digest with `full` replaces what was known of `source`; one without
+ * Load of one router. A digest with `full` replaces what was known of `source`; one without
  * carries only the counts that changed since sequence number `sequence - 1`.
  */
 export type LoadDigest = {
   readonly source: string
-  readonly scope: 'node' | 'zone'
   readonly sequence: number
   readonly full: boolean
   readonly counts: readonly LoadCount[]
