--- a/src/bench/types.ts
+++ b/src/bench/types.ts
@@ -12,6 +12,8 @@
   /** Smaller sizes, for under a minute in all. */
   readonly fast: boolean
   readonly seed: number
+  /** Only the deployment of this name, where a bench has several. */
+  readonly only?: string
 }
 
 export type Bench = (options: BenchOptions) => Promise<readonly Table[]>
