--- a/src/node/createRouterNode/index.ts
+++ b/src/node/createRouterNode/index.ts
@@ -187,6 +187,7 @@
       transport,
       membership: resolve('membership'),
       logger,
+      metrics,
       options: {
         shards: settings.claimShards,
         flushIntervalMs: settings.claimFlushIntervalMs,
