--- a/src/node/createRouterNode/index.ts
+++ b/src/node/createRouterNode/index.ts
@@ -5,7 +5,7 @@
  */
 import { createHash } from 'node:crypto'
 import { createKernel, type Kernel } from '../../kernel/index.js'
-import { createAdmission } from '../../services/admission/index.js'
+import { createAdmission, defaultAdmissionOptions } from '../../services/admission/index.js'
 import { createBackendHealth, type RunningBackendHealth } from '../../services/backendHealth/index.js'
 import { createChatDirectory } from '../../services/chatDirectory/index.js'
 import { createClaims } from '../../services/claims/index.js'
@@ -155,7 +155,7 @@
   })
 }
 
-const registerAdmission = (kernel: Kernel<RouterServices>, { clock, metrics }: RouterNodeDependencies): void => {
+const registerAdmission = (kernel: Kernel<RouterServices>, { settings, clock, metrics }: RouterNodeDependencies): void => {
   kernel.register({
     name: 'admission',
     dependsOn: ['configuration', 'loadView', 'backendHealth', 'heartbeatExchange'],
@@ -166,7 +166,7 @@
         metrics,
         configuration: sources.configuration,
         slotsForNode: (service) => countSlotsForNode(service, sources)
-      })
+      }, { ...defaultAdmissionOptions, maximumQueued: settings.maximumQueueLength })
       const exchange = resolve('heartbeatExchange')
       exchange.addContributor(createUsageContributor(clock, admission.api))
       exchange.addListener(({ member, accountUsage }) => { if (accountUsage !== undefined) admission.api.mergeUsage(member.nodeId, accountUsage) })
--- a/src/services/admission/test.ts
+++ b/src/services/admission/test.ts
@@ -156,6 +156,12 @@
     expect(reasonOf(await ask('a'))).toBe('queueFull')
   })
 
+  it('lets nobody wait where the queue has no place', async () => {
+    const { ask } = createPool(1, { maximumQueued: 0 })
+    expect(reasonOf(await ask('a'))).toBe('admitted')
+    expect(reasonOf(await ask('b'))).toBe('overShare')
+  })
+
   it('refuses the account furthest over its share, with when to come back', async () => {
     const { ask } = createPool(0, { maximumQueued: 3 })
     const surging = repeat(3, () => ask('surging'))
