--- a/test/_lib/startFleet.ts
+++ b/test/_lib/startFleet.ts
@@ -115,6 +115,22 @@
   return port
 }
 
+const MAXIMUM_PORT_TRIES = 5
+
+/**
+ * Between the finding of a free port and the listening of the process, another
+ * process of a busy machine may take the port: the start fails with EADDRINUSE
+ * and is tried on another port. Any other failure is thrown on.
+ */
+const startOnFreePort = async (start: (port: number) => Promise<RunningProcess>, tries = 1): Promise<RunningProcess> => {
+  try {
+    return await start(await findFreePort())
+  } catch (error) {
+    if (tries === MAXIMUM_PORT_TRIES || !String(error).includes('EADDRINUSE')) throw error
+    return startOnFreePort(start, tries + 1)
+  }
+}
+
 /** Notes a process to be ended with the fleet, from the moment it runs. */
 type Keep = <Item extends { readonly process: RunningProcess }>(item: Item) => Item
 
@@ -155,13 +171,14 @@
 
 const startRouter = async (index: number, { platformLink, peerLink }: RouterLinks, seeds: string, flags: readonly string[], keep: Keep): Promise<FleetRouter> => {
   const nodeId = `router-${index + 1}`
-  const peerPort = await findFreePort()
-  peerLink.setTarget(peerPort)
   const { process } = keep({
-    process: await startProcess([
-      'router', '--node-id', nodeId, '--availability-zone', zoneOf(index), '--platform-url', platformLink.url,
-      '--seed-peers', seeds, '--peer-port', String(peerPort), '--advertised-port', String(peerLink.port), ...ROUTER_FLAGS, ...flags
-    ], ENVIRONMENT)
+    process: await startOnFreePort((peerPort) => {
+      peerLink.setTarget(peerPort)
+      return startProcess([
+        'router', '--node-id', nodeId, '--availability-zone', zoneOf(index), '--platform-url', platformLink.url,
+        '--seed-peers', seeds, '--peer-port', String(peerPort), '--advertised-port', String(peerLink.port), ...ROUTER_FLAGS, ...flags
+      ], ENVIRONMENT)
+    })
   })
   const operator = String(process.ready['operator'])
   const readStatus = async (): Promise<NodeStatus> =>
