Find a frozen engine by asking it, and judge answers by real processes

With an engine frozen before the question (SIGSTOP, its connections open) four callers of twelve waited for the deadline of 20 s and got an error, though two engines were idle. Two causes: the router reads loads in its own zone alone, so half of the routers could not know; and a load read that timed out ended as cancelled, which health takes for no news.

A load read without an answer in time is now 'noAnswer'. An attempt without an answer asks its server itself, once a second a server and three times a second in all, and is given up after two probes without an answer, where the request may be repeated.

--- a/src/adapters/backendHttp/index.ts
+++ b/src/adapters/backendHttp/index.ts
@@ -107,7 +107,8 @@
   const readLoad: BackendClient['readLoad'] = async (url, timeoutMs) => {
     const request = { requestId: 'load', url, method: 'GET', path: '/load', headers: {}, body: new Uint8Array(), timeoutMs }
     const result = await send(request, AbortSignal.timeout(timeoutMs))
-    if (!result.ok) return result
+    // The time-out here is the client's own: to the reader of the load, a server that does not answer.
+    if (!result.ok) return result.error.kind === 'cancelled' ? failure({ kind: 'noAnswer', message: 'no load report in time' }) : result
     const text = await readText(result.value, MAXIMUM_LOAD_REPORT_BYTES)
     const report = result.value.status === 200 && text !== undefined ? parseLoadReport(text) : undefined
     return report === undefined ? failure({ kind: 'noAnswer', message: 'no valid load report' }) : success(report)
--- a/src/adapters/backendHttp/test.ts
+++ b/src/adapters/backendHttp/test.ts
@@ -125,6 +125,12 @@
 })
 
 describe('readLoad', () => {
+  // A frozen server went on getting work: its probes ended as cancelled, which counts as no news.
+  it('reports a server that does not answer in time as such', async () => {
+    const backend = await startBackend(stayedSilent)
+    expect(await startClient().readLoad(backend.url, 50)).toMatchObject({ ok: false, error: { kind: 'noAnswer' } })
+  })
+
   it('reads a load report', async () => {
     const report = { running: 3, waiting: 1, slots: 8, leaving: false, ageMs: 250 }
     const backend = await startBackend(answerWhole(JSON.stringify(report)))
--- /dev/null
+++ b/src/services/dispatch/_lib/createReachabilityProbes.ts
@@ -0,0 +1,53 @@
+/**
+ * Asks backend servers that keep requests waiting whether they are still
+ * there. The load probes can't tell: a router reads only the servers of its
+ * own zone. One probe a server and few a second in all, however many requests
+ * wait, keep this within the control budget.
+ */
+import type { BackendClient, BackendServer, Clock } from '../../../types/index.js'
+
+export type ReachabilityProbes = {
+  /** Whether the latest probes of a server had no answer; starts the next probe when it is due. */
+  readonly check: (backendServer: BackendServer) => boolean
+}
+
+type Probing = { readonly failures: number, readonly isRunning: boolean, readonly at: number }
+
+const PROBE_TIMEOUT_MS = 1_000
+const PROBES_A_SECOND = 3
+const FAILURES_TO_LOSE = 2
+/** An older result says nothing of the present. */
+const RESULT_LIFETIME_MS = 5_000
+
+const NOT_PROBED: Probing = { failures: 0, isRunning: false, at: -Infinity }
+
+export const createReachabilityProbes = (clock: Clock, backendClient: Pick<BackendClient, 'readLoad'>, intervalMs: number): ReachabilityProbes => {
+  const known = new Map<string, Probing>()
+  let second = { startedAt: -Infinity, probes: 0 }
+
+  const takeTurn = (now: number): boolean => {
+    if (now - second.startedAt >= 1_000) second = { startedAt: now, probes: 0 }
+    if (second.probes >= PROBES_A_SECOND) return false
+    second.probes += 1
+    return true
+  }
+
+  const probe = async (backendServer: BackendServer, failures: number): Promise<void> => {
+    known.set(backendServer.name, { failures, isRunning: true, at: clock.now() })
+    const report = await backendClient.readLoad(backendServer.url, PROBE_TIMEOUT_MS)
+    if (report.ok) known.delete(backendServer.name)
+    else known.set(backendServer.name, { failures: failures + 1, isRunning: false, at: clock.now() })
+  }
+
+  return {
+    check: (backendServer) => {
+      const now = clock.now()
+      const found = known.get(backendServer.name) ?? NOT_PROBED
+      const isFresh = now - found.at < RESULT_LIFETIME_MS
+      const failures = isFresh ? found.failures : 0
+      const isDue = !found.isRunning && (found === NOT_PROBED || now - found.at >= intervalMs / 2)
+      if (isDue && takeTurn(now)) probe(backendServer, failures)
+      return failures >= FAILURES_TO_LOSE
+    }
+  }
+}
--- a/src/services/dispatch/_lib/requestContext.ts
+++ b/src/services/dispatch/_lib/requestContext.ts
@@ -5,6 +5,7 @@
   Admission, BackendClient, BackendHealth, BackendPlacement, ChatDirectory, Claims, Clock, ConfigurationHolder,
   LoadView, Logger, Metrics, RandomSource
 } from '../../../types/index.js'
+import type { ReachabilityProbes } from './createReachabilityProbes.js'
 import type { Reply } from './createReply.js'
 import type { RequestScope } from './createRequestScope.js'
 import type { RetryAllowance } from './createRetryAllowance.js'
@@ -39,6 +40,7 @@
   readonly limits: DispatchLimits
   readonly hintAuthenticator: MessageAuthenticator
   readonly retryAllowance: RetryAllowance
+  readonly reachabilityProbes: ReachabilityProbes
   readonly routed: RoutedRequest
   readonly scope: RequestScope
   readonly reply: Reply
--- a/src/services/dispatch/index.ts
+++ b/src/services/dispatch/index.ts
@@ -8,6 +8,7 @@
 import type { CallerAnswer, CallerRequest, Dispatch } from '../../types/index.js'
 import { createHintAuthenticator } from './_lib/createAuthenticator.js'
 import { createLedger } from './_lib/createLedger.js'
+import { createReachabilityProbes } from './_lib/createReachabilityProbes.js'
 import { createReply, type Reply } from './_lib/createReply.js'
 import { createRequestScope } from './_lib/createRequestScope.js'
 import { createRetryAllowance } from './_lib/createRetryAllowance.js'
@@ -60,11 +61,12 @@
   const limits: DispatchLimits = { ...DEFAULT_LIMITS, ...given }
   const hintAuthenticator = createHintAuthenticator(fleetKey)
   const retryAllowance = createRetryAllowance(retryShare)
+  const reachabilityProbes = createReachabilityProbes(clock, dependencies.backendClient, limits.reachabilityCheckMs)
   const ledger = createLedger()
 
   const run = async (routed: RoutedRequest, callerSignal: AbortSignal, reply: Reply): Promise<RequestEnding> => {
     const scope = createRequestScope(dependencies.clock, routed.deadlineMs, callerSignal)
-    const context: RequestContext = { dependencies, limits, hintAuthenticator, retryAllowance, routed, scope, reply }
+    const context: RequestContext = { dependencies, limits, hintAuthenticator, retryAllowance, reachabilityProbes, routed, scope, reply }
     try {
       return await runRequest(context)
     } catch (error) {
--- a/test/requestFaults.test.ts
+++ b/test/requestFaults.test.ts
@@ -39,6 +39,7 @@
 const e3 = formatEvent(3, 'three')
 const wholeStream = e1 + e2 + e3 + END_EVENT
 const whole = answerWhole('{"ok":true}')
+const LOAD_REPORT = '{"running":1,"waiting":0,"slots":1,"leaving":false,"ageMs":0}'
 const events = answerEvents([e1, e2, e3, END_EVENT])
 const foreign = answerWhole('{"secret":1}', { 'x-request-id': 'another' })
 const anonymous = answerWhole('{"secret":1}', { 'x-request-id': '' })
@@ -159,9 +160,10 @@
    * was silent for longer than a connection may be, again and again.
    */
   it('waits for a busy engine beyond the idle time-out', async () => {
+    // A step for each request, so no probes in between.
     const silent = answerEventsThenWait([])
     const backendClient = createBackendHttp({ connectTimeoutMs: 2_000, answerIdleTimeoutMs: 40 })
-    const { harness, backends } = await start([[silent, silent, silent, silent, silent, events], [events]], { backendClient })
+    const { harness, backends } = await start([[silent, silent, silent, silent, silent, events], [events]], { backendClient, dispatch: { reachabilityCheckMs: 60_000 } })
     const answer = await callRouter(harness.url, 'chatStream')
     expect([answer.text, backends.map(({ requests }) => requests.length)]).toEqual([wholeStream, [6, 0]])
   })
@@ -225,11 +227,14 @@
     expect([answer.status, backends.map((backend) => backend.requests.filter(({ method }) => method === 'POST').length)]).toEqual([status, requests])
   })
 
-  it('is waited for as long as the load probes reach it', async () => {
+  it('is waited for as long as it answers probes', async () => {
     let finish = (): void => {}
-    const { harness, backends } = await start([[(socket, request) => { finish = () => whole(socket, request) }], [whole]], { dispatch: { reachabilityCheckMs: 5 } })
+    const { harness, backends } = await start([[(socket, request) => {
+      if (request.path === '/load') answerWhole(LOAD_REPORT)(socket, request)
+      else finish = () => whole(socket, request)
+    }], [whole]], { dispatch: { reachabilityCheckMs: 5 } })
     const asked = callRouter(harness.url, 'stock')
-    await expect.poll(() => backends[0]?.requests.length).toBe(1)
+    await expect.poll(() => backends[0]?.requests.some(({ path }) => path.startsWith('/stock'))).toBe(true)
     await new Promise((resolve) => setTimeout(resolve, 60))
     finish()
     expect((await asked).headers.get('x-served-by')).toBe('backend-1')
