--- a/src/services/loadView/index.ts
+++ b/src/services/loadView/index.ts
@@ -178,6 +178,12 @@
 
   const dropGone = (): void => {
     for (const source of peerCounts.sources()) if (isGone(source) || isOtherLife(source)) peerCounts.forget(source)
+    for (const source of heardAt.keys()) {
+      if (!isGone(source)) continue
+      heardAt.delete(source)
+      lastSequences.delete(source)
+      incarnations.delete(source)
+    }
   }
 
   // In a partition where others still hear a peer that this node doesn't, rumours
