--- a/src/bench/placement/_lib/scenarios.ts
+++ b/src/bench/placement/_lib/scenarios.ts
@@ -5,6 +5,7 @@
 
 const CHURN_SHARE_PER_MINUTE = 0.1
 const MINUTE_MS = 60_000
+const FLAP_MS = 4_000
 const DISAGREEMENT_MS = 5_000
 const DISAGREEING_SHARE = 0.3
 
@@ -22,6 +23,15 @@
   simulation.addEngine()
 }
 
+/** Routers see an engine go and come back, each at its own moment. */
+const toggleFirst = (simulation: Simulation, isGone: boolean): void => {
+  const first = simulation.engines()[0]
+  simulation.routers.forEach((_router, index) => {
+    const delayMs = simulation.random.next() * FLAP_MS / 4
+    simulation.clock.setTimer(delayMs, () => simulation.hideEngine(index, isGone ? first?.name : undefined))
+  })
+}
+
 const shuffleViews = (simulation: Simulation): void => {
   const engines = simulation.engines()
   simulation.routers.forEach((_router, index) => {
@@ -38,6 +48,9 @@
     const interval = MINUTE_MS / (CHURN_SHARE_PER_MINUTE * simulation.engines().length)
     for (let time = from + interval / 2; time < until; time += interval) at(simulation, time, () => replaceOldest(simulation))
   },
+  'one engine flaps': (simulation, { from, until }) => {
+    for (let time = from; time < until; time += FLAP_MS) at(simulation, time, () => toggleFirst(simulation, (time - from) / FLAP_MS % 2 === 0))
+  },
   'routers disagree': (simulation, { from, until }) => {
     for (let time = from; time < until; time += DISAGREEMENT_MS) at(simulation, time, () => shuffleViews(simulation))
   }
