--- a/src/services/dispatch/_lib/runClaimed.ts
+++ b/src/services/dispatch/_lib/runClaimed.ts
@@ -75,7 +75,10 @@
     kind: 'refused',
     refusal: describeRefusal('not-run', 'idempotencyKeyReused', 'this Idempotency-Key was used with another request')
   }),
-  unavailable: async (context, _key, { message }) => refuseUnsent(context, 'platformUnavailable', message)
+  // Only this request is known not to have run: an earlier one under the key may
+  // have, which cannot be read now. A repeat under a new key could double it.
+  unavailable: async (context, _key, { message }) =>
+    refuseUnsent(context, 'platformUnavailable', `${message}; this request was not sent; repeat it under the same Idempotency-Key`)
 }
 
 export const runClaimed = async (context: RequestContext, idempotencyKey: string): Promise<RequestResult> => {
