--- a/test/_lib/startFleet.ts
+++ b/test/_lib/startFleet.ts
@@ -11,7 +11,7 @@
 import { computeSha256 } from '../../src/kernel/index.js'
 import { createAuditTrail } from '../../src/services/auditTrail/index.js'
 import { createConfigurationStore } from '../../src/services/configurationStore/index.js'
-import type { BackendServer, NodeStatus, Sheet } from '../../src/types/index.js'
+import type { BackendServer, NodeStatus, Sheet, Vm } from '../../src/types/index.js'
 import { createFaultProxy } from './createFaultProxy.js'
 import type { FaultProxy } from './createFaultProxy.js'
 import { startProcess } from './startProcess.js'
@@ -47,11 +47,19 @@
   readonly readJournal: () => Promise<readonly JournalEntry[]>
 }
 
+export type FleetPlatform = {
+  readonly process: RunningProcess
+  readonly setFault: (fault: Readonly<Record<string, unknown>>) => Promise<void>
+  readonly setVms: (vms: readonly Vm[]) => Promise<void>
+}
+
 export type Fleet = {
   readonly routers: readonly FleetRouter[]
   readonly services: readonly FleetBackend[]
   readonly engines: readonly FleetBackend[]
-  readonly platform: { readonly process: RunningProcess, readonly setFault: (fault: Readonly<Record<string, unknown>>) => Promise<void> }
+  readonly platform: FleetPlatform
+  /** Puts a changed sheet in force as the next generation. */
+  readonly changeSheet: (change: (sheet: Sheet) => Sheet) => Promise<void>
   /** The journals of all plain services and engines. */
   readonly readJournals: () => Promise<readonly JournalEntry[]>
   readonly stop: () => Promise<void>
@@ -107,6 +115,22 @@
   return port
 }
 
+const MAXIMUM_PORT_TRIES = 5
+
+/**
+ * Between the finding of a free port and the listening of the process, another
+ * process of a busy machine may take the port: the start fails with EADDRINUSE
+ * and is tried on another port. Any other failure is thrown on.
+ */
+const startOnFreePort = async (start: (port: number) => Promise<RunningProcess>, tries = 1): Promise<RunningProcess> => {
+  try {
+    return await start(await findFreePort())
+  } catch (error) {
+    if (tries === MAXIMUM_PORT_TRIES || !String(error).includes('EADDRINUSE')) throw error
+    return startOnFreePort(start, tries + 1)
+  }
+}
+
 /** Notes a process to be ended with the fleet, from the moment it runs. */
 type Keep = <Item extends { readonly process: RunningProcess }>(item: Item) => Item
 
@@ -132,13 +156,13 @@
   plannedStops: []
 })
 
-const applySheet = async (platformUrl: string, sheet: Sheet): Promise<void> => {
+const applySheet = async (platformUrl: string, sheet: Sheet, plannedAgainst: number): Promise<void> => {
   const clock = createSystemClock()
   const random = createSystemRandom()
   const platform = createPlatformHttp({ url: platformUrl, timeoutMs: 5_000 })
   const auditTrail = createAuditTrail(platform)
   const store = createConfigurationStore({ platform, auditTrail, clock, random, hashContent: computeSha256 })
-  const outcome = await store.applySheet({ sheet, plannedAgainst: 0, appliedBy: 'test', applyId: random.nextId(), action: 'sheet apply' })
+  const outcome = await store.applySheet({ sheet, plannedAgainst, appliedBy: 'test', applyId: random.nextId(), action: 'sheet apply' })
   await platform.close()
   if (outcome.kind !== 'applied') throw new Error(`the sheet was not applied: ${JSON.stringify(outcome)}`)
 }
@@ -147,13 +171,14 @@
 
 const startRouter = async (index: number, { platformLink, peerLink }: RouterLinks, seeds: string, flags: readonly string[], keep: Keep): Promise<FleetRouter> => {
   const nodeId = `router-${index + 1}`
-  const peerPort = await findFreePort()
-  peerLink.setTarget(peerPort)
   const { process } = keep({
-    process: await startProcess([
-      'router', '--node-id', nodeId, '--availability-zone', zoneOf(index), '--platform-url', platformLink.url,
-      '--seed-peers', seeds, '--peer-port', String(peerPort), '--advertised-port', String(peerLink.port), ...ROUTER_FLAGS, ...flags
-    ], ENVIRONMENT)
+    process: await startOnFreePort((peerPort) => {
+      peerLink.setTarget(peerPort)
+      return startProcess([
+        'router', '--node-id', nodeId, '--availability-zone', zoneOf(index), '--platform-url', platformLink.url,
+        '--seed-peers', seeds, '--peer-port', String(peerPort), '--advertised-port', String(peerLink.port), ...ROUTER_FLAGS, ...flags
+      ], ENVIRONMENT)
+    })
   })
   const operator = String(process.ready['operator'])
   const readStatus = async (): Promise<NodeStatus> =>
@@ -193,7 +218,13 @@
     const engines = await Promise.all(Array.from({ length: engineCount }, (_, index) => startBackend('engine', 'order-desk', index, options.engineFlags ?? [], keep)))
     const backends = [...services, ...engines]
     for (const backend of backends) keepLink(backend.link)
-    await applySheet(platformUrl, createSheet(backends))
+    const sheets = [createSheet(backends)]
+    await applySheet(platformUrl, sheets[0]!, 0)
+    const changeSheet = async (change: (sheet: Sheet) => Sheet): Promise<void> => {
+      const sheet = change(sheets.at(-1)!)
+      await applySheet(platformUrl, sheet, sheets.length)
+      sheets.push(sheet)
+    }
     const links: RouterLinks[] = []
     for (let index = 0; index < routerCount; index += 1) {
       links.push({ platformLink: keepLink(await createFaultProxy(platformPort)), peerLink: keepLink(await createFaultProxy(0)) })
@@ -202,7 +233,12 @@
     const routers = await Promise.all(links.map((link, index) => startRouter(index, link, seeds, options.routerFlags ?? [], keep)))
     for (const router of routers) await waitFor(`${router.nodeId} to settle`, async () => isSettled(await router.readStatus(), routerCount, backends.length))
     const readJournals = async (): Promise<readonly JournalEntry[]> => (await Promise.all(backends.map((backend) => backend.readJournal()))).flat()
-    return { routers, services, engines, platform: { process: platformProcess, setFault: createControl(platformProcess).setFault }, readJournals, stop }
+    const platform: FleetPlatform = {
+      process: platformProcess,
+      setFault: createControl(platformProcess).setFault,
+      setVms: async (vms) => { await fetch(`${platformUrl}/vms`, { method: 'PUT', headers: { 'content-type': 'application/json' }, body: JSON.stringify(vms) }) }
+    }
+    return { routers, services, engines, platform, changeSheet, readJournals, stop }
   } catch (error) {
     await stop()
     throw error
