--- a/src/services/dispatch/_lib/runAttempts.ts
+++ b/src/services/dispatch/_lib/runAttempts.ts
@@ -1,7 +1,7 @@
 /** Attempts at one backend server after another, until there is a final answer. */
 import { verifyChatHint } from '../../../decisions/verifyChatHint/index.js'
 import { describeRefusal } from '../../../decisions/describeRefusal/index.js'
-import type { Refusal, RefusalOutcome, RefusalReason, StoredAnswer } from '../../../types/index.js'
+import type { Placement, Refusal, RefusalOutcome, RefusalReason, StoredAnswer } from '../../../types/index.js'
 import type { AttemptEnd } from './attemptEnd.js'
 import { createRetryPlanner, type RetryPlanner } from './createRetryPlanner.js'
 import type { TokenUsage } from './readTokenUsage.js'
@@ -12,7 +12,10 @@
   | { readonly kind: 'complete', readonly stored?: StoredAnswer, readonly usage?: TokenUsage }
   | { readonly kind: 'refused', readonly refusal: Refusal }
 
-const findHint = async ({ dependencies, hintAuthenticator, routed, scope }: RequestContext): Promise<{ readonly backendServer?: string, readonly isFromCaller: boolean }> => {
+/** Where the chat was served last, and whether its caller said so. */
+type Hint = { readonly backendServer?: string, readonly isFromCaller: boolean }
+
+const findHint = async ({ dependencies, hintAuthenticator, routed, scope }: RequestContext): Promise<Hint> => {
   if (routed.serviceKind !== 'model') return { isFromCaller: false }
   const fromCaller = routed.hint === undefined
     ? undefined
@@ -44,47 +47,61 @@
   ...(usage === undefined ? {} : { usage })
 })
 
+const choosePlacement = ({ dependencies, routed }: RequestContext, planner: RetryPlanner, hint: Hint): Placement => dependencies.placement.choose({
+  service: routed.route.service,
+  chatKey: routed.chatKey,
+  isNewChat: routed.isNewChat,
+  excluded: planner.excluded,
+  ...(hint.backendServer === undefined ? {} : { hintedBackendServer: hint.backendServer })
+})
+
+const refuseUnplaced = (context: RequestContext, planner: RetryPlanner, placement: Extract<Placement, { kind: 'none' }>): RequestResult => {
+  const outcome = planner.mayHaveRun() ? 'unknown' : 'not-run'
+  return refuse(context, outcome, placement.reason, 'no backend server takes the request', placement.retryAfterMs)
+}
+
+/** A caller that sends its hint back needs no entry in the directory. */
+const rememberServer = ({ dependencies, routed }: RequestContext, hint: Hint, backendServer: string): void => {
+  const isKnownToCaller = hint.isFromCaller && hint.backendServer === backendServer
+  if (routed.serviceKind === 'model' && !isKnownToCaller) dependencies.chatDirectory.store(routed.chatKey, backendServer)
+}
+
+/** The final answer after a failed attempt; `undefined` once it is time for the next one. */
+const settleFailure = async (context: RequestContext, planner: RetryPlanner, end: Exclude<AttemptEnd, { kind: 'delivered' }>): Promise<RequestResult | undefined> => {
+  const { dependencies, scope, retryAllowance } = context
+  if (scope.signal.aborted) return refuseEnded(context, planner)
+  if (end.kind === 'callerLeft') return refuse(context, 'unknown', 'cancelled', 'the caller left')
+  const plan = planner.plan(end.attempt)
+  dependencies.metrics.count('retries', { decision: plan.kind })
+  if (plan.kind !== 'retryElsewhere') {
+    const { outcome, reason } = plan.kind === 'refuse' ? plan : { outcome: 'unknown' as const, reason: 'answerIncomplete' as const }
+    return refuse(context, outcome, reason, end.message)
+  }
+  retryAllowance.spend()
+  return await scope.wait(plan.delayMs) ? undefined : refuseEnded(context, planner)
+}
+
 /**
  * Runs a request that was admitted, and claimed where its route needs that.
  * A complete answer has gone into the reply; a refusal is left to the caller
  * of this function, which may have a claim to give back first.
  */
 export const runAttempts = async (context: RequestContext): Promise<RequestResult> => {
-  const { dependencies, routed, scope, retryAllowance } = context
   const planner = createRetryPlanner(context)
   const hint = await findHint(context)
-
   for (;;) {
-    if (scope.signal.aborted) return refuseEnded(context, planner)
-    const placement = dependencies.placement.choose({
-      service: routed.route.service,
-      chatKey: routed.chatKey,
-      isNewChat: routed.isNewChat,
-      excluded: planner.excluded,
-      ...(hint.backendServer === undefined ? {} : { hintedBackendServer: hint.backendServer })
-    })
-    if (placement.kind === 'none') {
-      const outcome = planner.mayHaveRun() ? 'unknown' : 'not-run'
-      return refuse(context, outcome, placement.reason, 'no backend server takes the request', placement.retryAfterMs)
-    }
-    const { backendServer } = placement
+    if (context.scope.signal.aborted) return refuseEnded(context, planner)
+    const placement = choosePlacement(context, planner, hint)
+    if (placement.kind === 'none') return refuseUnplaced(context, planner, placement)
+    const { name } = placement.backendServer
     // The attempt counts as load before anything else can run, so that a burst does not choose one server for all.
-    const end = await runAttempt(context, planner, backendServer)
+    const end = await runAttempt(context, planner, placement.backendServer)
     if (end.kind === 'delivered') {
-      const isKnownToCaller = hint.isFromCaller && hint.backendServer === backendServer.name
-      if (routed.serviceKind === 'model' && !isKnownToCaller) dependencies.chatDirectory.store(routed.chatKey, backendServer.name)
+      rememberServer(context, hint, name)
       return completeWith(end)
     }
-    planner.recordFailure(end.attempt, backendServer.name)
-    if (scope.signal.aborted) return refuseEnded(context, planner)
-    if (end.kind === 'callerLeft') return refuse(context, 'unknown', 'cancelled', 'the caller left')
-    const plan = planner.plan(end.attempt)
-    dependencies.metrics.count('retries', { decision: plan.kind })
-    if (plan.kind !== 'retryElsewhere') {
-      const { outcome, reason } = plan.kind === 'refuse' ? plan : { outcome: 'unknown' as const, reason: 'answerIncomplete' as const }
-      return refuse(context, outcome, reason, end.message)
-    }
-    retryAllowance.spend()
-    if (!await scope.wait(plan.delayMs)) return refuseEnded(context, planner)
+    planner.recordFailure(end.attempt, name)
+    const settled = await settleFailure(context, planner, end)
+    if (settled !== undefined) return settled
   }
 }
