--- a/src/bench/controlTraffic/index.ts
+++ b/src/bench/controlTraffic/index.ts
@@ -115,6 +115,11 @@
   return [size.nodes, leaving, join, death, wrongly]
 }
 
+const selectSizes = (fast: boolean, only: string | undefined): readonly FleetSize[] => {
+  if (only !== undefined) return SIZES.filter(({ nodes }) => String(nodes) === only)
+  return fast ? FAST_SIZES : SIZES
+}
+
 /**
  * Runs the measurement.
  *
@@ -122,16 +127,16 @@
  * without TCP and IP headers, and processor time includes the network in
  * memory, the clock and the requests that the bench makes up.
  *
- * @param options - `fast` measures the two smallest sizes; `seed` fixes the run.
+ * @param options - `fast` measures the two smallest sizes; `only` one size, by its number of nodes; `seed` fixes the run.
  * @returns One table of steady traffic, one of how fast news spreads.
  *
  * @example
  * const [steady] = await runControlTrafficBench({ fast: true, seed: 1 })
  */
-export const runControlTrafficBench: Bench = async ({ fast, seed }) => {
+export const runControlTrafficBench: Bench = async ({ fast, seed, only }) => {
   const steady: (readonly (string | number)[])[] = []
   const news: (readonly (string | number)[])[] = []
-  for (const size of fast ? FAST_SIZES : SIZES) {
+  for (const size of selectSizes(fast, only)) {
     const fleet = await startFleet(size, seed)
     steady.push(await measureSteady(fleet, size, MEASURED_MS))
     news.push(await measureNews(fleet, size))
--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -45,7 +45,7 @@
   .argument('<name>', `one of ${Object.keys(benches).join(', ')}`)
   .option('--fast', 'smaller sizes, under a minute', false)
   .option('--seed <number>', 'seed of the run', parseSeed, DEFAULT_SEED)
-  .option('--only <deployment>', 'only this deployment, where a bench has several')
+  .option('--only <name>', 'only this deployment or size, where a bench has several')
   .option('--json', 'print JSON', false)
   .option('--markdown', 'print Markdown', false)
   .action(async (name: string, flags: BenchFlags) => {
--- a/src/bench/types.ts
+++ b/src/bench/types.ts
@@ -12,7 +12,7 @@
   /** Smaller sizes, for under a minute in all. */
   readonly fast: boolean
   readonly seed: number
-  /** Only the deployment of this name, where a bench has several. */
+  /** Only the deployment or size of this name, where a bench has several. */
   readonly only?: string
 }
 
