Read the VM list by two routers a zone, write claims at most every 40 ms

Cause: at 360 nodes every router's read of the list came to 72 calls a second, and eight shards at 20 ms to 400 writes, more than a platform of several hundred writes should give to one use. Ruled out: reading less often everywhere, which would make a leaving mark late.

--- a/src/node/createRouterNode/index.ts
+++ b/src/node/createRouterNode/index.ts
@@ -4,6 +4,7 @@
  * another harness with many nodes in one process drive the same code.
  */
 import { createHash } from 'node:crypto'
+import { isZoneWatcher } from '../../decisions/isZoneWatcher/index.js'
 import { createKernel, type Kernel } from '../../kernel/index.js'
 import { createAdmission, defaultAdmissionOptions } from '../../services/admission/index.js'
 import { createBackendHealth, type RunningBackendHealth } from '../../services/backendHealth/index.js'
@@ -57,6 +58,7 @@
 }
 
 const VM_LIST_INTERVAL_MS = 5_000
+const VM_LIST_READERS_PER_ZONE = 2
 const CLAIM_OUTAGE_PAUSE_MS = 1_000
 const CLAIM_BATCHES_PER_SNAPSHOT = 256
 
@@ -65,7 +67,9 @@
 const registerMembershipServices = (kernel: Kernel<RouterServices>, dependencies: RouterNodeDependencies): void => {
   const { settings, clock, random, platform, transport, peerAddress, logger, metrics } = dependencies
   kernel.register({ name: 'heartbeatExchange', dependsOn: [], create: () => ({ api: createHeartbeatExchange() }) })
-  kernel.register({ name: 'vmList', dependsOn: [], create: () => createVmList({ clock, random, platform }, { intervalMs: VM_LIST_INTERVAL_MS }) })
+  // A few readers a zone: the list's reads would otherwise grow with the fleet.
+  const readsVmList = (): boolean => isZoneWatcher(settings, kernel.resolve('membership').members(), VM_LIST_READERS_PER_ZONE)
+  kernel.register({ name: 'vmList', dependsOn: [], create: () => createVmList({ clock, random, platform }, { intervalMs: VM_LIST_INTERVAL_MS, isReader: readsVmList }) })
   kernel.register({
     name: 'membership',
     dependsOn: ['heartbeatExchange', 'vmList'],
--- a/src/services/vmList/index.ts
+++ b/src/services/vmList/index.ts
@@ -18,40 +18,57 @@
   readonly platform: Pick<Platform, 'listVms'>
 }
 
-export type VmListOptions = { readonly intervalMs: number }
+export type VmListOptions = {
+  readonly intervalMs: number
+  /** Whether this node reads at each interval; the others hear of what changed from its peers. */
+  readonly isReader?: () => boolean
+}
 
 /** Routers that start together would otherwise read the list at the same moments. */
 const JITTER = 0.25
 
+/** Intervals after which a node reads although others do so for it, in case that they don't. */
+const INTERVALS_OF_OTHERS = 12
+
 /**
  * Creates the reader of the VM list.
  *
  * @param dependencies - Clock, random source and platform.
- * @param options - Milliseconds between two reads.
+ * @param options - Milliseconds between two reads, and who reads at each of them; everybody by default.
  * @returns A service that reads at its start and then on the timer, one read at a time.
  *
  * @example
  * const vmList = createVmList({ clock, random, platform }, { intervalMs: 5000 })
  */
-export const createVmList = ({ clock, random, platform }: VmListDependencies, { intervalMs }: VmListOptions): RunningService<VmList> => {
+export const createVmList = ({ clock, random, platform }: VmListDependencies, { intervalMs, isReader = () => true }: VmListOptions): RunningService<VmList> => {
   const listeners: ((vms: readonly Vm[]) => void)[] = []
   let current: readonly Vm[] | undefined
   let timer: Timer | undefined
   let isStopped = false
 
+  let intervalsSkipped = 0
+
+  const schedule = (): void => {
+    timer = clock.setTimer(intervalMs * (1 + JITTER * (random.next() - 0.5)), () => { visit() })
+  }
+
   const read = async (): Promise<void> => {
+    intervalsSkipped = 0
     const result = await platform.listVms()
-    if (isStopped) return
-    if (result.ok) {
-      current = result.value
-      for (const listen of listeners) listen(result.value)
-    }
-    timer = clock.setTimer(intervalMs * (1 + JITTER * (random.next() - 0.5)), () => { read() })
+    if (isStopped || !result.ok) return
+    current = result.value
+    for (const listen of listeners) listen(result.value)
+  }
+
+  const visit = async (): Promise<void> => {
+    intervalsSkipped += 1
+    if (isReader() || intervalsSkipped >= INTERVALS_OF_OTHERS) await read()
+    if (!isStopped) schedule()
   }
 
   return {
     api: { current: () => current, onRead: (listener) => { listeners.push(listener) } },
-    start: () => { read() },
+    start: () => { read().then(() => { if (!isStopped) schedule() }) },
     stop: () => {
       isStopped = true
       timer?.cancel()
--- a/src/settings/routerSettingDefinitions/index.ts
+++ b/src/settings/routerSettingDefinitions/index.ts
@@ -95,7 +95,7 @@
   { name: 'shutdownGraceMs', ...between(0, 3_600_000), defaultText: '600000', unit: 'ms', description: 'Longest wait for requests in flight after SIGTERM' },
   { name: 'shutdownDelayMs', ...between(0, 600_000), defaultText: '5000', unit: 'ms', description: 'How long requests are still taken after SIGTERM, while the balancer notices that the router is not ready' },
   { name: 'claimShards', ...between(1, 256), defaultText: '8', unit: 'shards', description: 'Claim logs in the platform; alike on all routers, fixed for the life of the fleet' },
-  { name: 'claimFlushIntervalMs', ...between(1, 5_000), defaultText: '20', unit: 'ms', description: 'Time over which claims are gathered into one write' },
+  { name: 'claimFlushIntervalMs', ...between(1, 5_000), defaultText: '40', unit: 'ms', description: 'Time over which claims are gathered into one write' },
   { name: 'claimRetentionMs', ...between(60_000, 2_592_000_000), defaultText: '86400000', unit: 'ms', description: 'How long an idempotency key is remembered' },
   { name: 'maximumAnswerBytes', ...between(0, 900_000), defaultText: '65536', unit: 'bytes', description: 'Largest answer that is kept for a repeat of an idempotency key' },
   { name: 'logLevel', schema: z.enum(logLevels, `must be one of ${logLevels.join(', ')}`), defaultText: 'info', unit: 'level', range: logLevels.join(', '), description: 'Least severe level that is logged' }
