--- a/src/cli/audit/index.ts
+++ b/src/cli/audit/index.ts
@@ -22,7 +22,7 @@
 export const createAuditCommand = (environment: CommandEnvironment = createProcessEnvironment()): Command => addPlatformFlags(new Command('audit'))
   .description('Lists changes of the configuration, accepted and refused, oldest first')
   .option('--limit <count>', `how many of the latest to list, up to ${MAXIMUM_LIMIT}`, DEFAULT_LIMIT)
-  .addHelpText('after', '\nAn entry that stays "attempted" belongs to an operator whose reply was lost or whose machine stopped;\n`sheet history` tells whether its apply id was accepted, and the next change settles the entry.\n\nExit codes: 0 listed, 2 wrong settings, 4 platform unavailable.')
+  .addHelpText('after', '\nExample:\n  dotterelspoke audit --platform http://10.0.0.2:7000 --limit 5\n\nAn entry that stays "attempted" belongs to an operator whose reply was lost or whose machine stopped;\n`sheet history` tells whether its apply id was accepted, and the next change settles the entry.\n\nExit codes: 0 listed, 2 wrong settings, 4 platform unavailable.')
   .action((flags: AuditFlags) => {
     const limit = /^\d+$/.test(flags.limit) ? Number(flags.limit) : NaN
     if (!(limit >= 1 && limit <= MAXIMUM_LIMIT)) return refuseUsage(environment, `--limit "${flags.limit}" must be a whole number from 1 to ${MAXIMUM_LIMIT}`)
--- a/src/cli/createProgram/index.ts
+++ b/src/cli/createProgram/index.ts
@@ -14,6 +14,7 @@
 
 const createVersionCommand = (): Command => new Command('version')
   .description('Prints the version')
+  .addHelpText('after', '\nExample:\n  dotterelspoke version')
   .action(() => { console.log(version) })
 
 /** Commander ends with 1 for a wrong flag; the project's code for that is 2. */
--- a/src/cli/emulate/index.ts
+++ b/src/cli/emulate/index.ts
@@ -57,6 +57,7 @@
 const createPlatformCommand = (): Command =>
   addAddress(new Command('platform'))
     .description('a versioned object store in memory, with watches and a VM list')
+    .addHelpText('after', '\nExample:\n  dotterelspoke emulate platform --port 7000')
     .action(async ({ host, port }: Address) => {
       await run('platform', createPlatformServer({ clock: createSystemClock(), host, port }))
     })
@@ -65,6 +66,7 @@
   const defaults = DEFAULT_MODEL_ENGINE_OPTIONS
   return addAddress(new Command('engine'))
     .description('a model engine that batches, caches prefixes and streams; its answers follow from the prompt')
+    .addHelpText('after', '\nExample:\n  dotterelspoke emulate engine --slots 8 --cache-tokens 50000')
     .option('--slots <count>', 'requests in the batch at once', parseWhole, defaults.slots)
     .option('--maximum-waiting <count>', 'requests that may wait for a slot', parseWhole, defaults.maximumWaiting)
     .option('--prefill-rate <tokens>', 'prompt tokens a second', parsePositive, defaults.prefillTokensPerSecond)
@@ -91,6 +93,7 @@
 const createServiceCommand = (): Command =>
   addAddress(new Command('service'))
     .description('a plain service that records orders and looks up stock')
+    .addHelpText('after', '\nExample:\n  dotterelspoke emulate service --delay 20')
     .option('--delay <ms>', 'milliseconds that each call takes', parsePositive, 5)
     .option('--slots <count>', 'calls at once', parseWhole, 256)
     .option('--load-lag <ms>', 'milliseconds by which the load report is late', parsePositive, 250)
--- a/src/cli/sheet/_lib/readingCommands.ts
+++ b/src/cli/sheet/_lib/readingCommands.ts
@@ -45,7 +45,7 @@
 export const createPlanCommand = (environment: CommandEnvironment): Command => addPlatformFlags(new Command('plan'))
   .description('Shows what a sheet would change, and the generation to apply it against')
   .argument('<file>', 'CSV file, or - for the standard input')
-  .addHelpText('after', '\nExit codes: 0 planned, 1 the sheet has problems, 2 wrong settings, 4 platform unavailable.')
+  .addHelpText('after', '\nExample:\n  dotterelspoke sheet plan sheet.csv --platform http://10.0.0.2:7000\n\nExit codes: 0 planned, 1 the sheet has problems, 2 wrong settings, 4 platform unavailable.')
   .action(async (path: string, flags: PlatformFlags) => {
     const parsed = readSheetFile(environment, path, flags.json)?.parsed
     if (parsed === undefined || !parsed.ok) return
@@ -87,7 +87,7 @@
 
 export const createHistoryCommand = (environment: CommandEnvironment): Command => addPlatformFlags(new Command('history'))
   .description('Lists the latest accepted generations, newest first')
-  .addHelpText('after', '\nExit codes: 0 listed, 2 wrong settings, 4 platform unavailable.')
+  .addHelpText('after', '\nExample:\n  dotterelspoke sheet history --platform http://10.0.0.2:7000\n\nExit codes: 0 listed, 2 wrong settings, 4 platform unavailable.')
   .action((flags: PlatformFlags) => withPlatform(environment, flags, async ({ store }) => {
     const found = await store.readRoot()
     if (!found.ok) return reportStoreError(environment, found.error)
@@ -97,7 +97,7 @@
 
 export const createShowCommand = (environment: CommandEnvironment): Command => addPlatformFlags(new Command('show'))
   .description('Prints the accepted sheet as CSV in its canonical form')
-  .addHelpText('after', '\nExit codes: 0 printed, 1 no sheet has been applied, 2 wrong settings, 4 platform unavailable.')
+  .addHelpText('after', '\nExample:\n  dotterelspoke sheet show --platform http://10.0.0.2:7000 > sheet.csv\n\nExit codes: 0 printed, 1 no sheet has been applied, 2 wrong settings, 4 platform unavailable.')
   .action((flags: PlatformFlags) => withPlatform(environment, flags, async ({ store }) => {
     const current = await store.readCurrent()
     if (!current.ok) return reportStoreError(environment, current.error)
--- a/src/daemon/startRouter/index.ts
+++ b/src/daemon/startRouter/index.ts
@@ -78,7 +78,8 @@
     maximumFrameBytes: settings.maximumFrameBytes,
     clock,
     random,
-    logger
+    logger,
+    metrics
   })
   const listener = await transport.listen()
   const peerAddress: PeerAddress = {
