Let the routers start beside the commands' variables

A router that was started in a shell where DOTTERELSPOKE_ROUTER_URLS was set refused to start ("is not a setting", code 2): the list of variables to leave alone named three that nothing reads and not this one. It now has the three that commands read.

--- a/src/settings/parseRouterSettings/index.ts
+++ b/src/settings/parseRouterSettings/index.ts
@@ -52,9 +52,7 @@
 }
 
 /** Variables that the operator commands read, and that may stand in the same environment. */
-const toolVariables: ReadonlySet<string> = new Set([
-  'DOTTERELSPOKE_OPERATOR', 'DOTTERELSPOKE_ROUTERS', 'DOTTERELSPOKE_FLEET_KEY_FILE', 'DOTTERELSPOKE_OPERATOR_TOKEN_FILE'
-])
+const toolVariables: ReadonlySet<string> = new Set(['DOTTERELSPOKE_OPERATOR', 'DOTTERELSPOKE_ROUTER_URLS', 'DOTTERELSPOKE_ACCOUNT_KEYS'])
 
 const findCrossProblems = (settings: RouterSettings): readonly SettingProblem[] => {
   if (settings.deadAfterMs > settings.suspectAfterMs) return []
--- a/src/settings/parseRouterSettings/test.ts
+++ b/src/settings/parseRouterSettings/test.ts
@@ -37,6 +37,10 @@
     expect(result).toEqual({ ok: false, error: [{ flag: '', environmentVariable: 'DOTTERELSPOKE_COLOUR', message: 'is not a setting' }] })
   })
 
+  it.each(['OPERATOR', 'ROUTER_URLS', 'ACCOUNT_KEYS'])('leaves DOTTERELSPOKE_%s to the commands that read it', (name) => {
+    expect(parseRouterSettings(createFlags(), { [`DOTTERELSPOKE_${name}`]: 'any' }).ok).toBe(true)
+  })
+
   it.each([['-1'], ['65536'], ['1.5'], ['80 80'], ['0x']])('rejects %s as a port', (callerPort) => {
     expect(parseRouterSettings(createFlags({ callerPort }), {}).ok).toBe(false)
   })
