--- a/test/integration/configuration.test.ts
+++ b/test/integration/configuration.test.ts
@@ -7,11 +7,11 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { afterAll, afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { runOperatorCommand, SECRETS } from '../_lib/runOperatorCommand.js'
 import { startFleet, type Fleet } from '../_lib/startFleet.js'
-import { runCommand, startProcess, type FinishedCommand } from '../_lib/startProcess.js'
+import { startProcess, type FinishedCommand } from '../_lib/startProcess.js'
 import { waitFor } from '../_lib/waitFor.js'
 
-const SECRETS = { DOTTERELSPOKE_FLEET_KEY: 'fleet key of the tests', DOTTERELSPOKE_OPERATOR_TOKEN: 'operator token of the tests' }
 const folder = mkdtempSync(join(tmpdir(), 'dotterelspoke-'))
 let fleet: Fleet
 
@@ -19,12 +19,7 @@
 afterEach(async () => { await fleet.stop() })
 afterAll(() => { rmSync(folder, { recursive: true }) })
 
-const run = (operator: string, ...flags: readonly string[]): Promise<FinishedCommand> => runCommand(flags, {
-  ...SECRETS,
-  DOTTERELSPOKE_OPERATOR: operator,
-  DOTTERELSPOKE_PLATFORM_URL: String(fleet.platform.process.ready['listening']),
-  DOTTERELSPOKE_ROUTER_URLS: fleet.routers.map((router) => router.operator).join(',')
-})
+const run = (operator: string, ...flags: readonly string[]): Promise<FinishedCommand> => runOperatorCommand(fleet, operator, ...flags)
 
 /** The sheet in force with another weight of its one client account, as a file. */
 const writeSheet = async (weight: number): Promise<string> => {
