--- a/src/adapters/callerHttp/test.ts
+++ b/src/adapters/callerHttp/test.ts
@@ -29,6 +29,7 @@
       return await answer(signal)
     },
     ledger: () => ({ accepted: 0, complete: 0, refused: 0, unknown: 0, open: 0 }),
+    oldestOpenMs: () => 0,
     whenIdle: async () => {}
   }
   const callerHttp = createCallerHttp({ dispatch, clock: createSystemClock(), random: createSeededRandom(1), logger: SILENT_LOGGER }, { host: '127.0.0.1', port: 0, maximumBodyBytes: 1_000, ...options })
--- a/src/adapters/promMetrics/index.ts
+++ b/src/adapters/promMetrics/index.ts
@@ -32,6 +32,7 @@
 
 const gaugeTexts: Readonly<Record<GaugeName, MetricText>> = {
   requests_open: { help: 'Accepted requests without a final outcome yet', labels: [] },
+  requests_oldest_open_seconds: { help: 'Age of the oldest open request; past the longest deadline it is a lost one', labels: [] },
   requests_unaccounted: { help: 'Accepted requests that fell out of the sum of outcomes; anything but 0 is an alarm', labels: [] },
   configuration_generation: { help: 'Generation of the configuration in force', labels: [] },
   members: { help: 'Routers by state, as this one sees them', labels: ['state'] },
--- a/src/decisions/describeRefusal/index.ts
+++ b/src/decisions/describeRefusal/index.ts
@@ -17,7 +17,6 @@
   platformUnavailable: 503,
   backendFailed: 502,
   answerIncomplete: 502,
-  shuttingDown: 503,
   claimedElsewhere: 409,
   cancelled: 499
 }
--- a/src/node/createRouterNode/_lib/registerGauges.ts
+++ b/src/node/createRouterNode/_lib/registerGauges.ts
@@ -7,6 +7,8 @@
   readonly dispatch: Dispatch
 }
 
+const MILLISECONDS_PER_SECOND = 1_000
+
 const countByState = (members: readonly Member[]): readonly GaugeReading[] => {
   const states = [...new Set(members.map((member) => member.state))]
   return states.map((state) => ({ labels: { state }, value: members.filter((member) => member.state === state).length }))
@@ -41,6 +43,7 @@
 export const registerGauges = (metrics: Metrics, sources: GaugeSources): void => {
   const { membership, configuration, backendHealth, dispatch } = sources
   metrics.readGauge('requests_open', () => [{ value: dispatch.ledger().open }])
+  metrics.readGauge('requests_oldest_open_seconds', () => [{ value: dispatch.oldestOpenMs() / MILLISECONDS_PER_SECOND }])
   metrics.readGauge('requests_unaccounted', () => [{ value: countUnaccounted(dispatch) }])
   metrics.readGauge('configuration_generation', () => [{ value: configuration.generation() }])
   metrics.readGauge('members', () => countByState(membership.members()))
--- a/src/services/dispatch/_lib/runClaimed.ts
+++ b/src/services/dispatch/_lib/runClaimed.ts
@@ -77,8 +77,10 @@
   }),
   // Only this request is known not to have run: an earlier one under the key may
   // have, which cannot be read now. A repeat under a new key could double it.
-  unavailable: async (context, _key, { message }) =>
-    refuseUnsent(context, 'platformUnavailable', `${message}; this request was not sent; repeat it under the same Idempotency-Key`)
+  unavailable: async (context, _key, { message }) => {
+    context.dependencies.logger.warn('a key could not be claimed', { requestId: context.routed.request.requestId, message })
+    return refuseUnsent(context, 'platformUnavailable', 'the platform cannot be reached; this request was not sent; repeat it under the same Idempotency-Key')
+  }
 }
 
 export const runClaimed = async (context: RequestContext, idempotencyKey: string): Promise<RequestResult> => {
--- a/src/services/dispatch/index.ts
+++ b/src/services/dispatch/index.ts
@@ -62,7 +62,7 @@
   const hintAuthenticator = createHintAuthenticator(fleetKey)
   const retryAllowance = createRetryAllowance(retryShare)
   const reachabilityProbes = createReachabilityProbes(clock, dependencies.backendClient, limits.reachabilityCheckMs)
-  const ledger = createLedger()
+  const ledger = createLedger(dependencies.clock)
 
   const run = async (routed: RoutedRequest, callerSignal: AbortSignal, reply: Reply): Promise<RequestEnding> => {
     const scope = createRequestScope(dependencies.clock, routed.deadlineMs, callerSignal)
@@ -115,5 +115,5 @@
     return { kind: 'refused', refusal }
   }
 
-  return { api: { handle, ledger: ledger.read, whenIdle: ledger.whenIdle } }
+  return { api: { handle, ledger: ledger.read, oldestOpenMs: ledger.oldestOpenMs, whenIdle: ledger.whenIdle } }
 }
--- a/src/types/metrics.ts
+++ b/src/types/metrics.ts
@@ -11,7 +11,7 @@
 export type HistogramName = 'first_token_seconds' | 'between_tokens_seconds' | 'queue_wait_seconds' | 'request_duration_seconds'
 
 export type GaugeName =
-  | 'requests_open' | 'requests_unaccounted' | 'configuration_generation' | 'members'
+  | 'requests_open' | 'requests_oldest_open_seconds' | 'requests_unaccounted' | 'configuration_generation' | 'members'
   | 'backend_server_in_flight' | 'backend_server_ejected' | 'backend_server_leaving' | 'queue_length' | 'load_skew'
 
 export type MetricLabels = Readonly<Record<string, string>>
--- a/src/types/request.ts
+++ b/src/types/request.ts
@@ -27,7 +27,7 @@
   | 'badRequest' | 'unauthorized' | 'unknownModel' | 'unknownRoute' | 'bodyTooLarge'
   | 'idempotencyKeyMissing' | 'idempotencyKeyReused' | 'noConfiguration' | 'noBackendServer'
   | 'overShare' | 'queueFull' | 'deadline' | 'platformUnavailable' | 'backendFailed'
-  | 'answerIncomplete' | 'shuttingDown' | 'claimedElsewhere' | 'cancelled'
+  | 'answerIncomplete' | 'claimedElsewhere' | 'cancelled'
 
 /** The final answer when there is no complete one. It says what is known of the request. */
 export type Refusal = {
--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -157,6 +157,8 @@
 export type Dispatch = {
   readonly handle: (request: CallerRequest, signal: AbortSignal) => Promise<CallerAnswer>
   readonly ledger: () => RequestLedger
+  /** Milliseconds that the oldest open request has been open; past every deadline it is a lost one. */
+  readonly oldestOpenMs: () => number
   /** Resolves when no request is open. */
   readonly whenIdle: () => Promise<void>
 }
