--- a/src/cli/demo/index.ts
+++ b/src/cli/demo/index.ts
@@ -1,8 +1,9 @@
 /** `dotterelspoke demo`: the whole path in one process. */
 import { readFileSync } from 'node:fs'
-import { Command, InvalidArgumentError } from 'commander'
+import { Command } from 'commander'
 import { parseSheet } from '../../decisions/parseSheet/index.js'
 import type { Sheet } from '../../types/index.js'
+import { parsePort } from '../_lib/parseNumber.js'
 import { exitCodes } from '../exitCodes.js'
 import { sendChatTurn, type ChatMessage, type ChatTurn } from './_lib/sendChatTurn.js'
 import { startDemoFleet, type DemoFleet } from './_lib/startDemoFleet.js'
@@ -16,19 +17,12 @@
 /** Long enough for the routers' counts of requests in flight to reach each other. */
 const PAUSE_MS = 1_000
 const SUGGESTED_PORT = 8080
-const HIGHEST_PORT = 65_535
 
 const QUESTIONS = [
   'Draft a restocking order for flour, eggs and salt, for the van on Thursday.',
   'Add two crates of butter, and say what is still missing.'
 ]
 
-const parsePort = (text: string): number => {
-  const port = Number(text)
-  if (!Number.isInteger(port) || port < 0 || port > HIGHEST_PORT) throw new InvalidArgumentError(`must be a whole number from 0 to ${HIGHEST_PORT}`)
-  return port
-}
-
 const readSheet = (): Sheet => {
   const sheet = parseSheet(readFileSync(SHEET, 'utf8'))
   if (sheet.ok) return sheet.value
--- a/src/cli/emulate/index.ts
+++ b/src/cli/emulate/index.ts
@@ -1,11 +1,12 @@
 /** `dotterelspoke emulate`: the stand-ins of the platform and of backend servers as processes. */
-import { Command, InvalidArgumentError } from 'commander'
+import { Command } from 'commander'
 import { createSystemClock } from '../../adapters/systemClock/index.js'
 import type { EmulatedServer } from '../../emulator/_lib/listen.js'
 import { DEFAULT_MODEL_ENGINE_OPTIONS } from '../../emulator/createModelEngine/index.js'
 import { createModelEngineServer } from '../../emulator/createModelEngineServer/index.js'
 import { createPlainServiceServer } from '../../emulator/createPlainServiceServer/index.js'
 import { createPlatformServer } from '../../emulator/createPlatformServer/index.js'
+import { parseFromZero, parsePort, parseWhole } from '../_lib/parseNumber.js'
 
 type Address = { readonly host: string, readonly port: number }
 
@@ -22,8 +23,6 @@
 
 type ServiceFlags = Address & { readonly delay: number, readonly slots: number, readonly loadLag: number }
 
-const HIGHEST_PORT = 65_535
-
 const EXAMPLES = `
 Each prints one line of JSON when it listens, and stops on SIGTERM or SIGINT:
   {"kind":"engine","listening":"http://127.0.0.1:41873","control":"http://127.0.0.1:38211"}
@@ -69,12 +68,12 @@
     .addHelpText('after', '\nExample:\n  dotterelspoke emulate engine --slots 8 --cache-tokens 50000')
     .option('--slots <count>', 'requests in the batch at once', parseWhole, defaults.slots)
     .option('--maximum-waiting <count>', 'requests that may wait for a slot', parseWhole, defaults.maximumWaiting)
-    .option('--prefill-rate <tokens>', 'prompt tokens a second', parsePositive, defaults.prefillTokensPerSecond)
-    .option('--decode-interval <ms>', 'milliseconds between tokens of a request alone in the batch', parsePositive, defaults.decodeIntervalMs)
-    .option('--decode-interval-per-request <ms>', 'milliseconds that each further request adds', parsePositive, defaults.decodeIntervalPerRequestMs)
+    .option('--prefill-rate <tokens>', 'prompt tokens a second', parseFromZero, defaults.prefillTokensPerSecond)
+    .option('--decode-interval <ms>', 'milliseconds between tokens of a request alone in the batch', parseFromZero, defaults.decodeIntervalMs)
+    .option('--decode-interval-per-request <ms>', 'milliseconds that each further request adds', parseFromZero, defaults.decodeIntervalPerRequestMs)
     .option('--cache-tokens <count>', 'tokens that the prefix cache holds', parseWhole, defaults.cacheTokens)
-    .option('--load-lag <ms>', 'milliseconds by which the load report is late', parsePositive, defaults.loadLagMs)
-    .option('--grace <ms>', 'milliseconds for which a stream that nobody reads is kept', parsePositive, defaults.graceMs)
+    .option('--load-lag <ms>', 'milliseconds by which the load report is late', parseFromZero, defaults.loadLagMs)
+    .option('--grace <ms>', 'milliseconds for which a stream that nobody reads is kept', parseFromZero, defaults.graceMs)
     .action(async (flags: EngineFlags) => {
       const engine = {
         slots: flags.slots,
@@ -94,9 +93,9 @@
   addAddress(new Command('service'))
     .description('a plain service that records orders and looks up stock')
     .addHelpText('after', '\nExample:\n  dotterelspoke emulate service --delay 20')
-    .option('--delay <ms>', 'milliseconds that each call takes', parsePositive, 5)
+    .option('--delay <ms>', 'milliseconds that each call takes', parseFromZero, 5)
     .option('--slots <count>', 'calls at once', parseWhole, 256)
-    .option('--load-lag <ms>', 'milliseconds by which the load report is late', parsePositive, 250)
+    .option('--load-lag <ms>', 'milliseconds by which the load report is late', parseFromZero, 250)
     .action(async ({ host, port, delay, slots, loadLag }: ServiceFlags) => {
       await run('service', createPlainServiceServer({ clock: createSystemClock(), host, port, delayMs: delay, slots, loadLagMs: loadLag }))
     })
@@ -118,21 +117,3 @@
   // Timers of jobs that are cut off here would keep the process alive.
   process.exit(0)
 }
-
-const parseWhole = (text: string): number => {
-  const value = Number(text)
-  if (!Number.isInteger(value) || value < 1) throw new InvalidArgumentError('a whole number above 0 is needed')
-  return value
-}
-
-const parsePositive = (text: string): number => {
-  const value = Number(text)
-  if (!Number.isFinite(value) || value < 0 || text.trim() === '') throw new InvalidArgumentError('a number from 0 is needed')
-  return value
-}
-
-const parsePort = (text: string): number => {
-  const value = Number(text)
-  if (!Number.isInteger(value) || value < 0 || value > HIGHEST_PORT || text.trim() === '') throw new InvalidArgumentError('a port from 0 to 65535 is needed')
-  return value
-}
--- a/src/cli/load/index.ts
+++ b/src/cli/load/index.ts
@@ -1,12 +1,13 @@
 /** `dotterelspoke load`: a seeded open loop of returning chats, plain calls and overnight work. */
 import { readFile } from 'node:fs/promises'
-import { Command, InvalidArgumentError } from 'commander'
+import { Command } from 'commander'
 import { createSeededRandom } from '../../adapters/seededRandom/index.js'
 import { createSystemClock } from '../../adapters/systemClock/index.js'
 import type { LoadSummary } from '../../load/createLoadRecorder/index.js'
 import { formatLoadSummary } from '../../load/formatLoadSummary/index.js'
 import { DEFAULT_LOAD_PLAN, planLoad, type LoadPlanOptions } from '../../load/planLoad/index.js'
 import { runLoad, type LoadProgress } from '../../load/runLoad/index.js'
+import { parseFromZero, parsePositive, parseWhole } from '../_lib/parseNumber.js'
 import { exitCodes } from '../exitCodes.js'
 
 type LoadFlags = {
@@ -164,21 +165,3 @@
 }
 
 const collect = (value: string, previous: readonly string[]): readonly string[] => [...previous, value]
-
-const parseWhole = (text: string): number => {
-  const value = Number(text)
-  if (!Number.isInteger(value) || value < 1) throw new InvalidArgumentError('a whole number above 0 is needed')
-  return value
-}
-
-const parsePositive = (text: string): number => {
-  const value = Number(text)
-  if (!Number.isFinite(value) || value <= 0) throw new InvalidArgumentError('a number above 0 is needed')
-  return value
-}
-
-const parseFromZero = (text: string): number => {
-  const value = Number(text)
-  if (!Number.isFinite(value) || value < 0 || text.trim() === '') throw new InvalidArgumentError('a number from 0 is needed')
-  return value
-}
