--- a/src/cli/status/index.ts
+++ b/src/cli/status/index.ts
@@ -1,6 +1,7 @@
 /** `dotterelspoke status`: the fleet at one look. */
 import { Command } from 'commander'
-import { summarizeFleet, type FleetSummary } from '../../decisions/summarizeFleet/index.js'
+import { summarizeFleet, type AccountWeights, type FleetSummary } from '../../decisions/summarizeFleet/index.js'
+import type { ConfigurationStore } from '../../services/configurationStore/index.js'
 import type { NodeStatus } from '../../types/index.js'
 import { askRouters, type RouterStatuses } from '../_lib/askRouters.js'
 import { createProcessEnvironment, type CommandEnvironment } from '../_lib/commandEnvironment.js'
@@ -24,9 +25,14 @@
     [escapeControls(backendServer), isDrained ? 'drained' : state, String(inFlight), dissenting.map(escapeControls).join(', ')])
 )
 
+const describeShare = (isOverShare: boolean | undefined): string => {
+  if (isOverShare === undefined) return '?'
+  return isOverShare ? 'yes' : 'no'
+}
+
 const renderAccounts = ({ accounts }: FleetSummary): string => renderTable(
-  ['clientAccount', 'recent work (tokens)'],
-  accounts.map(({ clientAccount, tokens }) => [escapeControls(clientAccount), String(Math.round(tokens))])
+  ['clientAccount', 'recent work (tokens)', 'over its share'],
+  accounts.map(({ clientAccount, tokens, isOverShare }) => [escapeControls(clientAccount), String(Math.round(tokens)), describeShare(isOverShare)])
 )
 
 const renderLedger = ({ ledger, unaccounted }: FleetSummary): string => {
@@ -35,11 +41,18 @@
   return unaccounted === 0 ? sum : `${sum}; ALARM: ${unaccounted} requests stand in no outcome`
 }
 
+/** Without the platform the shares are not known; the rest of the status is. */
+const readWeights = async (store: ConfigurationStore): Promise<AccountWeights | undefined> => {
+  const current = await store.readCurrent()
+  if (!current.ok || current.value === undefined) return undefined
+  return new Map(current.value.sheet.clientAccounts.map(({ name, weight }) => [name, weight]))
+}
+
 const renderUnreachable = ({ answers }: RouterStatuses): readonly string[] =>
   answers.flatMap((answer) => answer.kind === 'unreachable' ? [`${answer.url} did not answer: ${escapeControls(answer.message)}`] : [])
 
-const showStatus = (environment: CommandEnvironment, found: RouterStatuses, isJson: boolean): void => {
-  const summary = summarizeFleet(found.statuses)
+const showStatus = (environment: CommandEnvironment, found: RouterStatuses, weights: AccountWeights | undefined, isJson: boolean): void => {
+  const summary = summarizeFleet(found.statuses, weights)
   const unreachable = renderUnreachable(found)
   if (isJson) environment.print(JSON.stringify({ nodes: found.statuses, unreachable, ...summary }))
   else if (found.statuses.length > 0) environment.print([renderNodes(found.statuses), renderBackendServers(summary), renderAccounts(summary), renderLedger(summary)].join('\n'))
@@ -61,6 +74,7 @@
 export const createStatusCommand = (environment: CommandEnvironment = createProcessEnvironment()): Command => addRouterFlags(addPlatformFlags(new Command('status')))
   .description('Shows routers, backend servers with load and state, the accounts that use the most, and the sum of outcomes')
   .addHelpText('after', '\nExample:\n  dotterelspoke status --platform http://10.0.0.2:7000 --operator-port 8081\n\nExit codes: 0 every router answered and each request is accounted for, 1 otherwise, 2 wrong settings.')
-  .action((flags: PlatformFlags & RouterFlags) => withPlatform(environment, flags, async ({ platform }) => {
-    showStatus(environment, await askRouters(environment, flags, platform), flags.json === true)
+  .action((flags: PlatformFlags & RouterFlags) => withPlatform(environment, flags, async ({ platform, store }) => {
+    const [found, weights] = await Promise.all([askRouters(environment, flags, platform), readWeights(store)])
+    showStatus(environment, found, weights, flags.json === true)
   }))
--- a/src/decisions/summarizeFleet/index.ts
+++ b/src/decisions/summarizeFleet/index.ts
@@ -13,7 +13,16 @@
   readonly isDrained: boolean
 }
 
-export type AccountSummary = { readonly clientAccount: string, readonly tokens: number }
+export type AccountSummary = {
+  readonly clientAccount: string
+  /** Recent work over all routers that answered, decayed with time. */
+  readonly tokens: number
+  /** Whether it uses more than its weight's part of the work listed; `undefined` when the weights are not known. */
+  readonly isOverShare?: boolean
+}
+
+/** Weights by client account, as the sheet has them. */
+export type AccountWeights = ReadonlyMap<string, number>
 
 export type FleetSummary = {
   readonly backendServers: readonly BackendServerSummary[]
@@ -59,28 +68,45 @@
   return names.map((name) => summarizeBackendServer(name, sightings.filter(({ status }) => status.backendServer === name)))
 }
 
-const summarizeAccounts = (nodes: readonly NodeStatus[]): readonly AccountSummary[] => {
+const sumTokens = (nodes: readonly NodeStatus[]): ReadonlyMap<string, number> => {
   const tokensOf = new Map<string, number>()
   for (const { clientAccount, tokens } of nodes.flatMap(({ accountUsage }) => accountUsage)) {
     tokensOf.set(clientAccount, (tokensOf.get(clientAccount) ?? 0) + tokens)
   }
-  return [...tokensOf].map(([clientAccount, tokens]) => ({ clientAccount, tokens })).sort((left, right) => right.tokens - left.tokens)
+  return tokensOf
+}
+
+const sum = (numbers: readonly number[]): number => numbers.reduce((total, number) => total + number, 0)
+
+const summarizeAccounts = (nodes: readonly NodeStatus[], weights: AccountWeights | undefined): readonly AccountSummary[] => {
+  const tokensOf = sumTokens(nodes)
+  const weightOf = (clientAccount: string): number => weights?.get(clientAccount) ?? 1
+  const allTokens = sum([...tokensOf.values()])
+  const allWeights = sum([...tokensOf.keys()].map(weightOf))
+  return [...tokensOf]
+    .map(([clientAccount, tokens]) => ({
+      clientAccount,
+      tokens,
+      ...(weights === undefined ? {} : { isOverShare: tokens * allWeights > weightOf(clientAccount) * allTokens })
+    }))
+    .sort((left, right) => right.tokens - left.tokens)
 }
 
 /**
  * Puts the statuses of the routers together.
  *
  * @param nodes - The statuses of the routers that answered.
+ * @param weights - Weights of the client accounts, when they are known.
  * @returns Backend servers, accounts and the sum of the ledgers.
  *
  * @example
  * summarizeFleet([]).unaccounted // => 0
  */
-export const summarizeFleet = (nodes: readonly NodeStatus[]): FleetSummary => {
+export const summarizeFleet = (nodes: readonly NodeStatus[], weights?: AccountWeights): FleetSummary => {
   const ledger = nodes.map((node) => node.ledger).reduce(addLedgers, EMPTY_LEDGER)
   return {
     backendServers: summarizeBackendServers(nodes),
-    accounts: summarizeAccounts(nodes),
+    accounts: summarizeAccounts(nodes, weights),
     ledger,
     unaccounted: ledger.accepted - ledger.complete - ledger.refused - ledger.unknown - ledger.open
   }
--- a/src/decisions/summarizeFleet/test.ts
+++ b/src/decisions/summarizeFleet/test.ts
@@ -38,4 +38,10 @@
   it('sums what an account uses over the routers', () => {
     expect(summarizeFleet([createNode('r1', 'live', 0), createNode('r2', 'live', 0)]).accounts).toEqual([{ clientAccount: 'shops', tokens: 20 }])
   })
+
+  it('names the accounts that use more than the part of their weight', () => {
+    const node = createNode('r1', 'live', 0, { accountUsage: [{ clientAccount: 'large', tokens: 60 }, { clientAccount: 'small', tokens: 40 }] })
+    const { accounts } = summarizeFleet([node], new Map([['large', 3], ['small', 1]]))
+    expect(accounts.map(({ clientAccount, isOverShare }) => [clientAccount, isOverShare])).toEqual([['large', false], ['small', true]])
+  })
 })
