--- a/src/services/loadView/index.ts
+++ b/src/services/loadView/index.ts
@@ -34,13 +34,13 @@
 
 export type LoadViewOptions = {
   readonly settings: Pick<RouterSettings, 'nodeId' | 'loadReportIntervalMs' | 'deadAfterMs'>
-  /** Bytes a second for digests to peers, with the headers of TCP and IP; 3,500 by default. */
+  /** Bytes a second for digests to peers, with the headers of TCP and IP; 3,000 by default. */
   readonly bytesPerSecond?: number
 }
 
 type Excess = { readonly requests: number, readonly peerSum: number, readonly until: number }
 
-const DEFAULT_BYTES_PER_SECOND = 3500
+const DEFAULT_BYTES_PER_SECOND = 3000
 /** Report intervals that an excess is believed for without a new report. */
 const EXCESS_INTERVALS = 3
 /** A peer silent for so many times the time to death no longer counts, whatever rumours say. */
