Prove that a router process counts what it sends to peers

The count stayed 0 in the daemon, since its peer transport got no metrics. With the metrics taken out again, the new row for peer_sent_bytes_total fails and the other 15 cases of the file pass; with them, all 16 pass.

--- a/test/integration/wholePath.test.ts
+++ b/test/integration/wholePath.test.ts
@@ -108,6 +108,15 @@
     await expect(createClient(0).chat.completions.create({ model: 'no-such-model', messages })).rejects.toThrow(/404/)
   })
 
+  it.each([
+    'requests_accepted_total', 'platform_calls_total{call="read",outcome="ok"}', 'peer_sent_bytes_total{kind="heartbeat"}', 'load_probes_total{outcome="complete"}'
+  ])('counts %s at a router', async (metric) => {
+    await waitFor('a count above 0', async () => {
+      const lines = (await (await fetch(`${String(routers[0]?.ready['operator'])}/metrics`)).text()).split('\n')
+      return lines.some((line) => line.startsWith(`dotterelspoke_${metric} `) && !line.endsWith(' 0'))
+    })
+  })
+
   it('shows the demo with a hit of the prompt cache', async () => {
     const demo = await runCommand(['demo'])
     expect(demo.stdout).toContain('the second turn hit the prompt cache')
