--- a/test/_lib/createConfigurationFleet.ts
+++ b/test/_lib/createConfigurationFleet.ts
@@ -9,7 +9,8 @@
 import { createMemoryPlatform } from '../../src/emulator/createMemoryPlatform/index.js'
 import { computeSha256 } from '../../src/kernel/index.js'
 import { createConfiguration } from '../../src/services/configuration/index.js'
-import { createFaultyPlatform, type FaultyPlatform } from './createFaultyPlatform.js'
+import { createFaultyPlatform, type CallFault, type FaultyPlatform } from './createFaultyPlatform.js'
+import { createSheet } from './createSheet.js'
 import { createHastyClock, createOperator, type Operator } from './createOperator.js'
 import type { ConfigurationHolder, Logger, Member, PeerAddress, Platform } from '../../src/types/index.js'
 
@@ -134,3 +135,22 @@
     readRootBytes
   }
 }
+
+export const createStartedFleet = (size: number, zones?: number, seed?: number): ConfigurationFleet => {
+  const fleet = createConfigurationFleet(size, zones, seed)
+  for (const node of fleet.nodes) node.start()
+  return fleet
+}
+
+export const failPlatform = (nodes: readonly FleetNode[], fault: CallFault): void => {
+  for (const node of nodes) node.platform.setFault(() => fault)
+}
+
+export const applyWeight = async (fleet: ConfigurationFleet, weight: number, against: number): Promise<void> => {
+  const outcome = await fleet.operator.apply(createSheet(weight), against)
+  if (outcome.kind !== 'applied') throw new Error(`the sheet was not applied: ${outcome.kind}`)
+}
+
+export const cutOff = (fleet: ConfigurationFleet, node: FleetNode): void => {
+  for (const other of fleet.nodes) if (other !== node) fleet.cut(node, other)
+}
