--- a/src/cli/load/index.ts
+++ b/src/cli/load/index.ts
@@ -10,15 +10,16 @@
 import { parseFromZero, parsePositive, parseWhole } from '../_lib/parseNumber.js'
 import { exitCodes } from '../exitCodes.js'
 
-type LoadFlags = {
+/** Options of the plan that are flags of the same name. */
+type PlanFlags = Pick<LoadPlanOptions, 'rate' | 'accountSkew' | 'systemTokens' | 'questionTokens' | 'answerTokens' | 'model' | 'overnightModel' | 'lookupPath' | 'orderPath'>
+
+type LoadFlags = PlanFlags & {
   readonly router: readonly string[]
   readonly key: readonly string[]
   readonly keyFile?: string
   readonly seed: number
-  readonly rate: number
   readonly duration: number
   readonly requests: number
-  readonly accountSkew: number
   readonly chats: number
   readonly overnight: number
   readonly lookups: number
@@ -27,13 +28,6 @@
   readonly thinkTime: number
   readonly answerTime: number
   readonly turns: number
-  readonly systemTokens: number
-  readonly questionTokens: number
-  readonly answerTokens: number
-  readonly model: string
-  readonly overnightModel: string
-  readonly lookupPath: string
-  readonly orderPath: string
   readonly chatHints: boolean
   readonly timeout: number
   readonly maximumOpen: number
