Name the steps of membership and the sets of marks and usage plainly

Knocking at strangers, welcoming and forgiving were images; contacting unknown addresses, sending all members and resetting are what they do.

--- a/src/decisions/advanceEjection/index.ts
+++ b/src/decisions/advanceEjection/index.ts
@@ -19,7 +19,7 @@
   readonly silences: number
   /** Moving average of failures among attempts, 0 to 1. */
   readonly failureRate: number
-  /** Ejections that are not forgiven yet. */
+  /** Ejections that are not forgotten yet. */
   readonly ejections: number
   /** Monotonic milliseconds at which the phase began. */
   readonly since: number
@@ -43,7 +43,7 @@
   readonly maximumHoldMs: number
   readonly slowStartMs: number
   /** Time without an ejection after which earlier ones no longer count. */
-  readonly forgiveAfterMs: number
+  readonly forgetAfterMs: number
 }
 
 /** Share of its slots that a server comes back with. */
@@ -86,7 +86,7 @@
     return { ...ejection, phase: 'slowStart', since: ejection.until, ...NO_FAILURES }
   }
   if (ejection.phase === 'slowStart' && now >= ejection.since + limits.slowStartMs) return { ...ejection, phase: 'live', since: now }
-  const isForgiven = ejection.phase === 'live' && ejection.ejections > 0 && now >= ejection.since + limits.forgiveAfterMs
+  const isForgiven = ejection.phase === 'live' && ejection.ejections > 0 && now >= ejection.since + limits.forgetAfterMs
   return isForgiven ? { ...ejection, ejections: 0 } : ejection
 }
 
--- a/src/decisions/advanceEjection/test.ts
+++ b/src/decisions/advanceEjection/test.ts
@@ -4,7 +4,7 @@
 import type { EjectionEvent, EjectionLimits } from './index.js'
 
 const SEED = 20_263
-const LIMITS: EjectionLimits = { failures: 3, refusals: 2, silences: 3, failureRate: 0.4, holdMs: 1000, maximumHoldMs: 8000, slowStartMs: 4000, forgiveAfterMs: 60_000 }
+const LIMITS: EjectionLimits = { failures: 3, refusals: 2, silences: 3, failureRate: 0.4, holdMs: 1000, maximumHoldMs: 8000, slowStartMs: 4000, forgetAfterMs: 60_000 }
 const EVENTS: readonly EjectionEvent[] = ['complete', 'failed', 'notSent', 'refused', 'probeAnswered', 'probeUnanswered', 'tick']
 
 const advanceAll = (events: readonly EjectionEvent[], now = 0, start = createEjection()) =>
@@ -49,7 +49,7 @@
     expect(advanceEjection(ejected, 'notSent', 900, LIMITS).until).toBe(1900)
   })
 
-  it('forgives earlier ejections after a quiet time', () => {
+  it('forgets earlier ejections after a quiet time', () => {
     const back = advanceAll(['tick', 'tick', 'tick'], 100_000, advanceAll(['notSent', 'notSent']))
     const later = advanceEjection(back, 'tick', 200_000, LIMITS)
     expect(later.ejections).toBe(0)
--- a/src/services/admission/_lib/createServiceQueue.ts
+++ b/src/services/admission/_lib/createServiceQueue.ts
@@ -10,7 +10,7 @@
 import type { AdmissionDemand, AdmissionRefusal, AdmissionTicket, Clock, RefusalReason, Result, Timer } from '../../../types/index.js'
 import type { AdmissionOptions } from '../index.js'
 import { createDrainRate } from './createDrainRate.js'
-import type { UsageBook } from './createUsageBook.js'
+import type { UsageRecord } from './createUsageRecord.js'
 import { createWaitingList } from './createWaitingList.js'
 import type { WaitingAccount, WaitingList, WaitingRequest } from './createWaitingList.js'
 
@@ -24,9 +24,9 @@
 
 export type ServiceQueueDependencies = {
   readonly clock: Clock
-  readonly usage: UsageBook
+  readonly usage: UsageRecord
   /** Work by class; kept apart from `usage`, which is published. */
-  readonly classUsage: UsageBook
+  readonly classUsage: UsageRecord
   readonly slotsForNode: () => number
   readonly findWeight: (clientAccount: string) => number
   readonly recordWait: (waitMs: number) => void
--- a/src/services/admission/_lib/createUsageBook.ts
+++ b/src/services/admission/_lib/createUsageRecord.ts
@@ -9,7 +9,7 @@
 /** Decayed work below this many tokens is forgotten. */
 const NEGLIGIBLE_TOKENS = 1
 
-export type UsageBook = {
+export type UsageRecord = {
   /** Adds work; a negative amount takes back what was estimated too high. */
   readonly charge: (service: string, clientAccount: string, tokens: number) => void
   /** Decayed tokens of the whole fleet. */
@@ -25,7 +25,7 @@
 
 const formatKey = (service: string, clientAccount: string): string => JSON.stringify([service, clientAccount])
 
-export type UsageBookOptions = { readonly halfLifeMs: number, readonly peerUsageMaximumAgeMs: number }
+export type UsageRecordOptions = { readonly halfLifeMs: number, readonly peerUsageMaximumAgeMs: number }
 
 /**
  * Creates an empty book.
@@ -34,7 +34,7 @@
  * @param options - Half-life of work and the age at which a peer's word is dropped, in milliseconds.
  * @returns The book.
  */
-export const createUsageBook = (clock: Clock, options: UsageBookOptions): UsageBook => {
+export const createUsageRecord = (clock: Clock, options: UsageRecordOptions): UsageRecord => {
   const own = new Map<string, Amount>()
   const peers = new Map<string, PeerUsage>()
 
--- a/src/services/admission/index.ts
+++ b/src/services/admission/index.ts
@@ -6,7 +6,7 @@
 import type { Admission, Clock, ConfigurationHolder, Metrics } from '../../types/index.js'
 import { createServiceQueue } from './_lib/createServiceQueue.js'
 import type { ServiceQueue } from './_lib/createServiceQueue.js'
-import { createUsageBook } from './_lib/createUsageBook.js'
+import { createUsageRecord } from './_lib/createUsageRecord.js'
 
 /** Weight of an account that the configuration in force does not know (any more). */
 const DEFAULT_WEIGHT = 1
@@ -65,8 +65,8 @@
 export const createAdmission = (dependencies: AdmissionDependencies, options: AdmissionOptions = defaultAdmissionOptions): RunningService<Admission> => {
   const { clock, configuration, metrics, slotsForNode } = dependencies
   const usageOptions = { halfLifeMs: options.usageHalfLifeMs, peerUsageMaximumAgeMs: options.peerUsageMaximumAgeMs }
-  const usage = createUsageBook(clock, usageOptions)
-  const classUsage = createUsageBook(clock, usageOptions)
+  const usage = createUsageRecord(clock, usageOptions)
+  const classUsage = createUsageRecord(clock, usageOptions)
   const queues = new Map<string, ServiceQueue>()
   const findWeight = createWeights(configuration)
 
--- a/src/services/backendHealth/_lib/createLeavingBoard.ts
+++ b/src/services/backendHealth/_lib/createLeavingMarkSet.ts
@@ -7,7 +7,7 @@
 import type { LeavingObservation, LeavingSight } from '../../../decisions/observeLeaving/index.js'
 import type { LeavingMark, LeavingSource } from '../../../types/index.js'
 
-export type LeavingBoard = {
+export type LeavingMarkSet = {
   readonly isLeaving: (backendServer: string) => boolean
   readonly observe: (observation: LeavingObservation) => void
   readonly merge: (mark: LeavingMark, now: number) => void
@@ -16,7 +16,7 @@
   readonly takeNews: (now: number) => readonly LeavingMark[]
 }
 
-export type LeavingBoardOptions = {
+export type LeavingMarkSetOptions = {
   /** Contradiction by the same source after which a mark is cleared, in milliseconds. */
   readonly clearAfterMs: Readonly<Record<LeavingSource, number>>
   /** How long a changed mark goes out with every heartbeat. */
@@ -30,7 +30,7 @@
 
 const keyOf = (backendServer: string, source: LeavingSource): string => `${source} ${backendServer}`
 
-export const createLeavingBoard = ({ clearAfterMs, newsMs }: LeavingBoardOptions): LeavingBoard => {
+export const createLeavingMarkSet = ({ clearAfterMs, newsMs }: LeavingMarkSetOptions): LeavingMarkSet => {
   const entries = new Map<string, Entry>()
   let turn = 0
 
--- a/src/services/backendHealth/index.ts
+++ b/src/services/backendHealth/index.ts
@@ -3,7 +3,7 @@
  * leaving as soon as any source says so; one that fails is ejected for a while
  * and comes back slowly.
  */
-import { createLeavingBoard } from './_lib/createLeavingBoard.js'
+import { createLeavingMarkSet } from './_lib/createLeavingMarkSet.js'
 import { createProbes } from './_lib/createProbes.js'
 import { advanceEjection, computeWeightShare, createEjection } from '../../decisions/advanceEjection/index.js'
 import type { Ejection, EjectionEvent, EjectionLimits } from '../../decisions/advanceEjection/index.js'
@@ -48,7 +48,7 @@
   holdMs: 1000,
   maximumHoldMs: 60_000,
   slowStartMs: 10_000,
-  forgiveAfterMs: 120_000
+  forgetAfterMs: 120_000
 }
 
 const DEFAULT_MAXIMUM_EJECTED_SHARE = 0.5
@@ -81,7 +81,7 @@
   const limits = options.limits ?? DEFAULT_EJECTION_LIMITS
   const maximumShare = options.maximumEjectedShare ?? DEFAULT_MAXIMUM_EJECTED_SHARE
   const ejections = new Map<string, Ejection>()
-  const board = createLeavingBoard({ clearAfterMs: CLEAR_AFTER_MS, newsMs: NEWS_MS })
+  const markSet = createLeavingMarkSet({ clearAfterMs: CLEAR_AFTER_MS, newsMs: NEWS_MS })
   let held: ReadonlySet<string> | undefined
   let timer: Timer | undefined
   let isAssignmentOld = true
@@ -103,7 +103,7 @@
     return stops.some((stop) => stop.backendServer === backendServer && isInForce(stop, clock.wallTime()))
   }
 
-  const isLeaving = (backendServer: string): boolean => board.isLeaving(backendServer) || isStopped(backendServer)
+  const isLeaving = (backendServer: string): boolean => markSet.isLeaving(backendServer) || isStopped(backendServer)
 
   const findHeld = (): ReadonlySet<string> => {
     const servers = listServers().filter((server) => !isLeaving(server.name))
@@ -140,7 +140,7 @@
   }
 
   const observe = (backendServer: string, source: LeavingSource, leaving: boolean, ageMs = 0): void => {
-    board.observe({ backendServer, source, leaving, observedAt: clock.now() - ageMs, wallTime: clock.wallTime() })
+    markSet.observe({ backendServer, source, leaving, observedAt: clock.now() - ageMs, wallTime: clock.wallTime() })
     held = undefined
   }
 
@@ -195,7 +195,7 @@
   }
 
   const mergeLeavingMarks: BackendHealth['mergeLeavingMarks'] = (marks) => {
-    for (const mark of marks) board.merge(mark, clock.now())
+    for (const mark of marks) markSet.merge(mark, clock.now())
     held = undefined
   }
 
@@ -206,12 +206,12 @@
       statuses: () => listServers().map((server) => readStatus(server.name)),
       recordAttempt: (backendServer, outcome) => advance(backendServer, outcome),
       markLeaving: (backendServer) => observe(backendServer, 'backendServer', true),
-      leavingMarks: board.marks,
+      leavingMarks: markSet.marks,
       mergeLeavingMarks
     },
     start: () => {
       exchange.addContributor(() => {
-        const leavingMarks = board.takeNews(clock.now())
+        const leavingMarks = markSet.takeNews(clock.now())
         return leavingMarks.length === 0 ? {} : { leavingMarks }
       })
       exchange.addListener((heartbeat) => mergeLeavingMarks(heartbeat.leavingMarks ?? []))
--- a/src/services/membership/_lib/createSilence.ts
+++ b/src/services/membership/_lib/createSilence.ts
@@ -7,8 +7,8 @@
   readonly heard: (nodeId: string, now: number) => void
   /** Starts the count for those newly watched and drops those no longer watched. */
   readonly watch: (nodeIds: readonly string[], now: number) => void
-  /** Forgives all silence so far. */
-  readonly forgive: (now: number) => void
+  /** Resets all silence so far. */
+  readonly reset: (now: number) => void
   readonly findSilent: (now: number, limitMs: number) => readonly string[]
 }
 
@@ -19,7 +19,7 @@
     watch: (nodeIds, now) => {
       heardAt = new Map(nodeIds.map((nodeId) => [nodeId, heardAt.get(nodeId) ?? now]))
     },
-    forgive: (now) => { for (const nodeId of heardAt.keys()) heardAt.set(nodeId, now) },
+    reset: (now) => { for (const nodeId of heardAt.keys()) heardAt.set(nodeId, now) },
     findSilent: (now, limitMs) => [...heardAt].filter(([, at]) => now - at >= limitMs).map(([nodeId]) => nodeId)
   }
 }
--- a/src/services/membership/index.ts
+++ b/src/services/membership/index.ts
@@ -39,9 +39,9 @@
 
 const DEFAULT_FORGET_AFTER_MS = 3_600_000
 /** Members in one heartbeat to a newcomer; the rest follow in more heartbeats. */
-const MEMBERS_PER_WELCOME = 64
-const STRANGERS_PER_TICK_ALONE = 8
-const STRANGERS_PER_TICK = 1
+const MEMBERS_PER_HEARTBEAT = 64
+const CONTACTS_PER_TICK_ALONE = 8
+const CONTACTS_PER_TICK = 1
 /** Ticks missed in a row from which this process must have been paused. */
 const PAUSE_TICKS = 3
 
@@ -99,15 +99,15 @@
     notify()
   }
 
-  const hearOfSelf = (heard: Member): void => {
+  const mergeOwnRecord = (heard: Member): void => {
     const refuted = refuteRumour(self(), heard)
     if (refuted === ownRecord) return
     ownRecord = refuted
     logger?.warn('refuted a rumour about this node', { state: heard.state, incarnation: refuted.incarnation })
   }
 
-  const hear = (member: Member): void => {
-    if (member.nodeId === settings.nodeId) return hearOfSelf(member)
+  const merge = (member: Member): void => {
+    if (member.nodeId === settings.nodeId) return mergeOwnRecord(member)
     const known = peers.get(member.nodeId)
     if (known === undefined && member.state === 'dead') return
     keep(mergeMember(known, member))
@@ -119,26 +119,26 @@
     transport.send(receiver.address, { kind: 'heartbeat', member: self(), rumours: rumoursToTell, ...exchange.collect(receiver) })
   }
 
-  const sendBare = (address: PeerAddress, news: readonly Member[], membersWanted = false): void => {
+  const sendHeartbeat = (address: PeerAddress, news: readonly Member[], membersWanted = false): void => {
     transport.send(address, { kind: 'heartbeat', member: self(), rumours: news, ...(membersWanted ? { membersWanted } : {}) })
   }
 
-  const welcome = (newcomer: Member): void => {
+  const sendAllMembers = (newcomer: Member): void => {
     const all = [...peers.values()].filter((member) => member.nodeId !== newcomer.nodeId)
-    for (let start = 0; start < all.length; start += MEMBERS_PER_WELCOME) sendBare(newcomer.address, all.slice(start, start + MEMBERS_PER_WELCOME))
+    for (let start = 0; start < all.length; start += MEMBERS_PER_HEARTBEAT) sendHeartbeat(newcomer.address, all.slice(start, start + MEMBERS_PER_HEARTBEAT))
   }
 
   const onHeartbeat = (heartbeat: Heartbeat): void => {
     const { member } = heartbeat
-    if (member.nodeId === settings.nodeId) return hearOfSelf(member)
-    hear(member)
+    if (member.nodeId === settings.nodeId) return mergeOwnRecord(member)
+    merge(member)
     silence.heard(member.nodeId, clock.now())
     const held = peers.get(member.nodeId)
     // The sender is up, yet the fleet holds it suspect or dead: it was paused or
     // cut off, and its own record can't win. Telling it lets it refute.
-    if (held !== undefined && held.state !== member.state) sendBare(member.address, [held])
-    for (const rumour of heartbeat.rumours) hear(rumour)
-    if (heartbeat.membersWanted === true) welcome(member)
+    if (held !== undefined && held.state !== member.state) sendHeartbeat(member.address, [held])
+    for (const rumour of heartbeat.rumours) merge(rumour)
+    if (heartbeat.membersWanted === true) sendAllMembers(member)
     exchange.deliver(heartbeat)
   }
 
@@ -168,7 +168,7 @@
   }
 
   /** Addresses at which a router may live that is not among the members that are up. */
-  const findStrangers = (): readonly PeerAddress[] => {
+  const findUnknownAddresses = (): readonly PeerAddress[] => {
     const listed = (vmList.current() ?? []).filter((vm) => vm.kind === 'router').map((vm) => parseAddress(vm.address))
     const dead = [...peers.values()].filter((peer) => peer.state === 'dead').map((peer) => peer.address)
     const known = [self().address, ...reachablePeers().map((peer) => peer.address)]
@@ -177,19 +177,19 @@
   }
 
   // Two sides of a healed partition hold each other dead and send no heartbeats
-  // to each other. Knocking at addresses of the dead and of the seeds, a few at
+  // to each other. Contacting the addresses of dead members and of seeds, a few at
   // each tick, brings them together again.
-  const knock = (): void => {
+  const contactUnknownAddresses = (): void => {
     const isAlone = reachablePeers().length === 0
-    const strangers = [...findStrangers()]
-    const count = isAlone ? STRANGERS_PER_TICK_ALONE : STRANGERS_PER_TICK
-    for (let knocked = 0; knocked < count && strangers.length > 0; knocked++) {
-      const [address] = strangers.splice(Math.floor(random.next() * strangers.length), 1)
-      sendBare(address!, [], isAlone)
+    const unknownAddresses = [...findUnknownAddresses()]
+    const count = isAlone ? CONTACTS_PER_TICK_ALONE : CONTACTS_PER_TICK
+    for (let contacted = 0; contacted < count && unknownAddresses.length > 0; contacted++) {
+      const [address] = unknownAddresses.splice(Math.floor(random.next() * unknownAddresses.length), 1)
+      sendHeartbeat(address!, [], isAlone)
     }
   }
 
-  const tell = (): void => {
+  const sendHeartbeats = (): void => {
     const targets = selectHeartbeatTargets(self(), reachablePeers(), fanOut, random.next)
     silence.watch(targets.watched.map((peer) => peer.nodeId), clock.now())
     const news = rumours.take(peers, random.next)
@@ -200,12 +200,12 @@
     const now = clock.now()
     // After a pause of this process every peer looks silent, though it is this
     // router that heard nothing. Judging them now would declare the fleet dead.
-    if (now - lastTickAt > PAUSE_TICKS * settings.heartbeatIntervalMs) silence.forgive(now)
+    if (now - lastTickAt > PAUSE_TICKS * settings.heartbeatIntervalMs) silence.reset(now)
     lastTickAt = now
     suspectSilent(now)
     declareDead(now)
-    tell()
-    knock()
+    sendHeartbeats()
+    contactUnknownAddresses()
     timer = clock.setTimer(settings.heartbeatIntervalMs, tick)
   }
 
@@ -216,7 +216,7 @@
       liveMembers: () => [self(), ...peers.values()].filter((member) => member.state === 'live'),
       announceLeaving: () => {
         ownRecord = { ...self(), state: 'leaving', incarnation: ownRecord.incarnation + 1 }
-        tell()
+        sendHeartbeats()
         notify()
       },
       onChange: (listener) => { listeners.push(listener) }
