--- a/src/adapters/callerHttp/index.ts
+++ b/src/adapters/callerHttp/index.ts
@@ -62,6 +62,7 @@
   maximumConnections: 10_000
 }
 
+const CHECKS_PER_TIMEOUT = 4
 const BODY_TOO_LARGE = 'FST_ERR_CTP_BODY_TOO_LARGE'
 const METHODS_WITHOUT_BODY: ReadonlySet<string> = new Set(['GET', 'HEAD'])
 
@@ -94,7 +95,14 @@
     bodyLimit: options.maximumBodyBytes,
     requestTimeout: options.requestTimeoutMs,
     keepAliveTimeout: options.idleTimeoutMs,
-    http: { maxHeaderSize: options.maximumHeaderBytes, headersTimeout: options.headerTimeoutMs, insecureHTTPParser: false },
+    http: {
+      maxHeaderSize: options.maximumHeaderBytes,
+      headersTimeout: options.headerTimeoutMs,
+      // Node.js looks for late connections only this often, by default each 30 s:
+      // slow callers would hold their places for so long, whatever the time-outs.
+      connectionsCheckingInterval: Math.ceil(Math.min(options.headerTimeoutMs, options.requestTimeoutMs) / CHECKS_PER_TIMEOUT),
+      insecureHTTPParser: false
+    },
     exposeHeadRoutes: false,
     forceCloseConnections: 'idle',
     return503OnClosing: false,
--- a/src/adapters/callerHttp/test.ts
+++ b/src/adapters/callerHttp/test.ts
@@ -109,6 +109,15 @@
     expect([answer.status, answer.headers.get('x-request-outcome'), handled.length]).toEqual([413, 'not-run', 0])
   })
 
+  // A caller opens many connections and sends a header line now and then; each
+  // holds its place until the listener looks for late ones, which Node.js did
+  // only every 30 s, whatever the time-out, so that others found no place.
+  it('ends a connection whose headers do not come in time', async () => {
+    const { port, handled } = await startListener(() => OK, { headerTimeoutMs: 50 })
+    const received = await exchangeRaw(port, 'GET /a HTTP/1.1\r\nHost: h\r\n')
+    expect([received.slice(0, 12), handled.length]).toEqual(['HTTP/1.1 408', 0])
+  })
+
   it('refuses a body that finds no room, and takes it when there is room again', async () => {
     let finish: (answer: CallerAnswer) => void = () => {}
     const answers = new Promise<CallerAnswer>((resolve) => { finish = resolve })
