--- a/src/adapters/operatorHttp/index.ts
+++ b/src/adapters/operatorHttp/index.ts
@@ -25,6 +25,7 @@
 
 const MAXIMUM_BODY_BYTES = 16_384
 const REQUEST_TIMEOUT_MS = 10_000
+const CHECKS_PER_TIMEOUT = 4
 
 const digest = (text: string): Buffer => createHash('sha256').update(text).digest()
 
@@ -55,7 +56,13 @@
  * @returns The listener, not yet listening.
  */
 export const createOperatorHttp = (options: OperatorHttpOptions): OperatorHttp => {
-  const server = fastify({ bodyLimit: MAXIMUM_BODY_BYTES, requestTimeout: REQUEST_TIMEOUT_MS, forceCloseConnections: true })
+  const server = fastify({
+    bodyLimit: MAXIMUM_BODY_BYTES,
+    requestTimeout: REQUEST_TIMEOUT_MS,
+    // Without an interval of its own, Node.js looks for late connections only each 30 s.
+    http: { headersTimeout: REQUEST_TIMEOUT_MS, connectionsCheckingInterval: REQUEST_TIMEOUT_MS / CHECKS_PER_TIMEOUT },
+    forceCloseConnections: true
+  })
   addRoutes(server, options)
   return {
     listen: async () => {
--- a/src/adapters/promMetrics/index.ts
+++ b/src/adapters/promMetrics/index.ts
@@ -38,6 +38,7 @@
   members: { help: 'Routers by state, as this one sees them', labels: ['state'] },
   backend_server_in_flight: { help: 'Estimated requests in flight from the whole fleet', labels: ['backend_server'] },
   backend_server_ejected: { help: '1 while the backend server is ejected', labels: ['backend_server'] },
+  backend_server_unreachable: { help: '1 while no connection to the backend server can be made', labels: ['backend_server'] },
   backend_server_leaving: { help: '1 while the backend server is leaving', labels: ['backend_server'] },
   queue_length: { help: 'Requests that wait for their share', labels: [] },
   load_skew: { help: 'Highest load over the weighted mean, by service', labels: ['service'] }
--- a/src/node/createRouterNode/_lib/registerGauges.ts
+++ b/src/node/createRouterNode/_lib/registerGauges.ts
@@ -1,4 +1,4 @@
-import type { BackendHealth, BackendServerStatus, ConfigurationHolder, Dispatch, GaugeReading, Member, Membership, Metrics } from '../../../types/index.js'
+import type { BackendHealth, BackendServerState, BackendServerStatus, ConfigurationHolder, Dispatch, GaugeReading, Member, Membership, Metrics } from '../../../types/index.js'
 
 export type GaugeSources = {
   readonly membership: Membership
@@ -42,13 +42,15 @@
 /** Lets the gauges be read from the state of the services. */
 export const registerGauges = (metrics: Metrics, sources: GaugeSources): void => {
   const { membership, configuration, backendHealth, dispatch } = sources
+  const readState = (state: BackendServerState): readonly GaugeReading[] => readEach(backendHealth.statuses(), (status) => status.state === state ? 1 : 0)
   metrics.readGauge('requests_open', () => [{ value: dispatch.ledger().open }])
   metrics.readGauge('requests_oldest_open_seconds', () => [{ value: dispatch.oldestOpenMs() / MILLISECONDS_PER_SECOND }])
   metrics.readGauge('requests_unaccounted', () => [{ value: countUnaccounted(dispatch) }])
   metrics.readGauge('configuration_generation', () => [{ value: configuration.generation() }])
   metrics.readGauge('members', () => countByState(membership.members()))
   metrics.readGauge('backend_server_in_flight', () => readEach(backendHealth.statuses(), ({ inFlight }) => inFlight))
-  metrics.readGauge('backend_server_ejected', () => readEach(backendHealth.statuses(), ({ state }) => state === 'ejected' ? 1 : 0))
-  metrics.readGauge('backend_server_leaving', () => readEach(backendHealth.statuses(), ({ state }) => state === 'leaving' ? 1 : 0))
+  metrics.readGauge('backend_server_ejected', () => readState('ejected'))
+  metrics.readGauge('backend_server_leaving', () => readState('leaving'))
+  metrics.readGauge('backend_server_unreachable', () => readState('unreachable'))
   metrics.readGauge('load_skew', () => readSkews(sources))
 }
--- a/src/types/metrics.ts
+++ b/src/types/metrics.ts
@@ -12,7 +12,7 @@
 
 export type GaugeName =
   | 'requests_open' | 'requests_oldest_open_seconds' | 'requests_unaccounted' | 'configuration_generation' | 'members'
-  | 'backend_server_in_flight' | 'backend_server_ejected' | 'backend_server_leaving' | 'queue_length' | 'load_skew'
+  | 'backend_server_in_flight' | 'backend_server_ejected' | 'backend_server_leaving' | 'backend_server_unreachable' | 'queue_length' | 'load_skew'
 
 export type MetricLabels = Readonly<Record<string, string>>
 
