--- a/src/decisions/foldClaims/index.ts
+++ b/src/decisions/foldClaims/index.ts
@@ -15,7 +15,7 @@
   readonly holder: string
 }
 
-/** The claimant's word that it did not send and never will send under this claim id. */
+/** The claimant's statement that it did not send and never will send under this claim id. */
 export type ClaimReleaseEntry = { readonly kind: 'release', readonly keyId: string, readonly claimId: string }
 
 /** The final answer of a claimed request; absent when it was too large to keep. */
--- a/src/decisions/observeLeaving/index.ts
+++ b/src/decisions/observeLeaving/index.ts
@@ -13,7 +13,7 @@
   readonly backendServer: string
   readonly source: LeavingSource
   readonly leaving: boolean
-  /** Monotonic milliseconds at which the source's word was true. */
+  /** Monotonic milliseconds at which the source's statement was true. */
   readonly observedAt: number
   /** Wall-clock milliseconds, for the epoch of a new mark. */
   readonly wallTime: number
--- a/src/services/admission/_lib/createUsageRecord.ts
+++ b/src/services/admission/_lib/createUsageRecord.ts
@@ -31,7 +31,7 @@
  * Creates an empty book.
  *
  * @param clock - Monotonic time.
- * @param options - Half-life of work and the age at which a peer's word is dropped, in milliseconds.
+ * @param options - Half-life of work and the age at which a peer's report is dropped, in milliseconds.
  * @returns The book.
  */
 export const createUsageRecord = (clock: Clock, options: UsageRecordOptions): UsageRecord => {
--- a/src/services/admission/index.ts
+++ b/src/services/admission/index.ts
@@ -19,7 +19,7 @@
   readonly overnightShare: number
   /** Milliseconds after which half of past work is forgotten. */
   readonly usageHalfLifeMs: number
-  /** Milliseconds after which a peer's word on usage is dropped. */
+  /** Milliseconds after which a peer's report of usage is dropped. */
   readonly peerUsageMaximumAgeMs: number
   /** Accounts that `usage` names, at most. */
   readonly publishedAccounts: number
--- a/src/services/backendHealth/index.ts
+++ b/src/services/backendHealth/index.ts
@@ -55,7 +55,7 @@
 const DEFAULT_PROBES_PER_SECOND = 3
 const TICK_MS = 250
 const NEWS_MS = 5000
-/** The VM list lags by seconds; a server's own word is read each interval. */
+/** The VM list lags by seconds; a server's own report is read each interval. */
 const CLEAR_AFTER_MS: Readonly<Record<LeavingSource, number>> = { vmList: 30_000, backendServer: 5000 }
 
 /** What a failed read says of the server. Only its time-out cancels a read, so that is silence too. */
--- a/src/services/loadView/index.ts
+++ b/src/services/loadView/index.ts
@@ -167,9 +167,9 @@
   })
 
   // A restarted peer numbers its digests from the beginning, and all of them would
-  // pass for late ones of its former life. Its new incarnation tells, and its
+  // pass for late ones of its previous incarnation. The new incarnation tells, and its
   // record begins anew.
-  const isOtherLife = (source: string): boolean => findMember(source)?.incarnation !== incarnations.get(source)
+  const isOtherIncarnation = (source: string): boolean => findMember(source)?.incarnation !== incarnations.get(source)
 
   const isGone = (nodeId: string): boolean => {
     const state = findMember(nodeId)?.state
@@ -177,7 +177,7 @@
   }
 
   const dropGone = (): void => {
-    for (const source of peerCounts.sources()) if (isGone(source) || isOtherLife(source)) peerCounts.forget(source)
+    for (const source of peerCounts.sources()) if (isGone(source) || isOtherIncarnation(source)) peerCounts.forget(source)
     for (const source of heardAt.keys()) {
       if (!isGone(source)) continue
       heardAt.delete(source)
@@ -201,7 +201,7 @@
     heardAt.set(member.nodeId, clock.now())
     if (loadSequence !== undefined) {
       lastSequences.set(member.nodeId, loadSequence)
-      // A digest of its former life came after the first word of its new one.
+      // A digest of the previous incarnation came after the first heartbeat of the new one.
       if (peerCounts.isAhead(member.nodeId, loadSequence)) peerCounts.forget(member.nodeId)
     }
     if (loadWanted === true) broadcast.sendFull(member)
--- a/src/services/loadView/test.ts
+++ b/src/services/loadView/test.ts
@@ -138,7 +138,7 @@
   })
 
   // A restarted router numbers its digests from the beginning. They must not pass
-  // for late ones of its former life, whose requests are gone.
+  // for late ones of its previous incarnation, whose requests are gone.
   it('begins anew with a peer that restarted', async () => {
     const { view, spread, restart, beat } = createViews(['a', 'b'])
     for (let turn = 0; turn < 5; turn++) {
--- a/src/services/membership/index.ts
+++ b/src/services/membership/index.ts
@@ -70,7 +70,7 @@
   const listeners: (() => void)[] = []
   let timer: Timer | undefined
   let lastTickAt = clock.now()
-  // Wall time, so that a restarted router, which kept nothing, stands above its former life.
+  // Wall time, so that a restarted router, which kept nothing, has a higher incarnation than before.
   let ownRecord: Member = {
     nodeId: settings.nodeId,
     incarnation: clock.wallTime(),
--- a/src/services/membership/test.ts
+++ b/src/services/membership/test.ts
@@ -138,7 +138,7 @@
     expect(states.filter((state) => state !== 'live')).toEqual([])
   })
 
-  it('puts a restarted node above its former life', async () => {
+  it('puts a restarted node above its previous incarnation', async () => {
     const fleet = createFleet(FOUR)
     const nodes = fleet.startAll()
     await fleet.clock.advanceAndSettle(SETTLE_MS)
