--- a/src/adapters/peerTcp/test.ts
+++ b/src/adapters/peerTcp/test.ts
@@ -99,7 +99,7 @@
   })
 
   // A router is restarted at the same address while a peer holds a connection to
-  // its previous connection. The peer's next request may fail; later ones must not.
+  // the process that was there before. The next request may fail; later ones must not.
   it('reconnects to a peer that came back', async () => {
     const peer = await openTransport()
     const first = await openTransport()
