--- a/src/bench/placement/_lib/createBenchRouter.ts
+++ b/src/bench/placement/_lib/createBenchRouter.ts
@@ -1,10 +1,11 @@
 /** The parts of a router that placement rests on, over a peer network in memory. */
 import type { MemoryPeerNetwork } from '../../../emulator/createMemoryPeerNetwork/index.js'
 import { createChatDirectory } from '../../../services/chatDirectory/index.js'
+import { createFleetLoad } from '../../../services/fleetLoad/index.js'
 import { createHeartbeatExchange } from '../../../services/heartbeatExchange/index.js'
-import { createLoadView } from '../../../services/loadView/index.js'
-import { createMembership } from '../../../services/membership/index.js'
-import type { ChatDirectory, Clock, LoadView, PeerAddress, RandomSource } from '../../../types/index.js'
+import { createLoadView, type RunningLoadView } from '../../../services/loadView/index.js'
+import { createMembership, DEFAULT_FAN_OUT } from '../../../services/membership/index.js'
+import type { ChatDirectory, Clock, Configuration, LoadView, PeerAddress, RandomSource } from '../../../types/index.js'
 
 export type BenchRouterOptions = {
   readonly clock: Clock
@@ -14,6 +15,8 @@
   readonly availabilityZone: string
   readonly nodeId: string
   readonly seedPeers: readonly PeerAddress[]
+  /** The engines now, as the sheet would list them. */
+  readonly readConfiguration: () => Configuration
   readonly heartbeatIntervalMs?: number
 }
 
@@ -52,13 +55,21 @@
   const exchange = createHeartbeatExchange()
   const vmList = { current: () => undefined, onRead: () => {} }
   const membership = createMembership({ clock, random, transport, exchange, vmList }, { settings, address: () => address })
-  const loadView = createLoadView({ clock, transport, membership: membership.api, exchange }, { settings })
+  const fleetLoad = createFleetLoad({
+    clock,
+    transport,
+    membership: membership.api,
+    configuration: { current: options.readConfiguration },
+    readCounts: () => loadView.publishedCounts()
+  }, { fullMeshPeers: DEFAULT_FAN_OUT.fullMeshPeers })
+  const loadView: RunningLoadView = createLoadView({ clock, transport, membership: membership.api, exchange, fleetLoad: fleetLoad.api }, { settings })
   const chatDirectory = createChatDirectory({ clock, transport, membership: membership.api }, { settings })
   return {
     loadView: loadView.api,
     chatDirectory: chatDirectory.api,
     start: async () => {
       await chatDirectory.start?.()
+      await fleetLoad.start?.()
       await loadView.start?.()
       await membership.start?.()
     },
--- a/src/bench/placement/_lib/createSimulation.ts
+++ b/src/bench/placement/_lib/createSimulation.ts
@@ -8,7 +8,7 @@
 import { createManualClock, type ManualClock } from '../../../emulator/createManualClock/index.js'
 import { createMemoryPeerNetwork } from '../../../emulator/createMemoryPeerNetwork/index.js'
 import { createModelEngine, type ModelEngine } from '../../../emulator/createModelEngine/index.js'
-import type { PeerAddress, RandomSource } from '../../../types/index.js'
+import type { Configuration, PeerAddress, RandomSource } from '../../../types/index.js'
 import { createBenchRouter, type BenchRouter } from './createBenchRouter.js'
 import { createMeasurement, type Measurement } from './createMeasurement.js'
 import { createWorkload, type Chat } from './createWorkload.js'
@@ -46,6 +46,20 @@
 const SETTLE_MS = 5_000
 const LOCAL_DELAY_MS = 0.5
 
+const composeConfiguration = (names: readonly string[], { availabilityZones, slots }: Deployment, generation: number): Configuration => ({
+  generation,
+  appliedBy: 'bench',
+  appliedAt: 0,
+  applyId: `bench-${generation}`,
+  sheet: {
+    clientAccounts: [],
+    services: [],
+    routes: [],
+    plannedStops: [],
+    backendServers: names.map((name, index) => ({ name, service: 'engines', url: `http://${name}`, availabilityZone: availabilityZones[index % availabilityZones.length]!, slots }))
+  }
+})
+
 /**
  * Creates a simulation, not yet run.
  *
@@ -67,10 +81,16 @@
   const hidden = new Map<number, string>()
   const measurement = createMeasurement(clock, { loadLimit: deployment.loadLimit, from: SETTLE_MS + options.warmUpMs })
   let engineCount = 0
+  let configuration = composeConfiguration([], deployment, 0)
+
+  const configure = (): void => {
+    configuration = composeConfiguration([...engines.keys()], deployment, configuration.generation + 1)
+  }
 
   const addEngine = (): void => {
     const name = `engine-${engineCount++}`
     engines.set(name, { name, engine: createModelEngine(clock, { slots: deployment.slots, cacheTokens: deployment.cacheTokensPerEngine }) })
+    configure()
   }
   for (let index = 0; index < deployment.engines; index++) addEngine()
 
@@ -86,6 +106,7 @@
     availabilityZone: zoneOf(address),
     nodeId: `router-${index}`,
     seedPeers: addresses,
+    readConfiguration: () => configuration,
     ...(options.heartbeatIntervalMs === undefined ? {} : { heartbeatIntervalMs: options.heartbeatIntervalMs })
   }))
 
@@ -175,7 +196,10 @@
     measurement,
     engines: () => [...engines.values()],
     addEngine,
-    removeEngine: (name) => { engines.delete(name) },
+    removeEngine: (name) => {
+      engines.delete(name)
+      configure()
+    },
     hideEngine: (router, name) => {
       if (name === undefined) hidden.delete(router)
       else hidden.set(router, name)
