--- a/src/bench/placement/_lib/createSimulation.ts
+++ b/src/bench/placement/_lib/createSimulation.ts
@@ -89,7 +89,7 @@
 
   const addEngine = (): void => {
     const name = `engine-${engineCount++}`
-    engines.set(name, { name, engine: createModelEngine(clock, { slots: deployment.slots, cacheTokens: deployment.cacheTokensPerEngine }) })
+    engines.set(name, { name, engine: createModelEngine(clock, { slots: deployment.slots, cacheTokens: deployment.cacheTokensPerEngine, decodeIntervalMs: deployment.decodeIntervalMs }) })
     configure()
   }
   for (let index = 0; index < deployment.engines; index++) addEngine()
