--- a/src/services/fleetLoad/index.ts
+++ b/src/services/fleetLoad/index.ts
@@ -33,7 +33,7 @@
 export type FleetLoadOptions = {
   /** Peers up to which each router sends its digests to all others instead. */
   readonly fullMeshPeers: number
-  /** Time between two snapshots, in milliseconds. */
+  /** Time between two snapshots, in milliseconds; by default it grows with the number of backend servers. */
   readonly periodMs?: number
   /** Copies of a snapshot that one router passes on at most. */
   readonly fanOut?: number
@@ -41,7 +41,10 @@
 
 type Others = { readonly at: number, readonly inFlight: number }
 
-const DEFAULT_PERIOD_MS = 1000
+const SHORTEST_PERIOD_MS = 250
+const LONGEST_PERIOD_MS = 1000
+/** A snapshot's bytes grow with the servers, so the period does too, and the bytes a second stay alike. */
+const PERIOD_PER_SERVER_MS = 6
 const DEFAULT_FAN_OUT = 2
 /** Periods after which the last snapshot of a silent source no longer counts. */
 const MAXIMUM_AGE_PERIODS = 4
@@ -66,9 +69,8 @@
  */
 export const createFleetLoad = (dependencies: FleetLoadDependencies, options: FleetLoadOptions): RunningService<FleetLoad> => {
   const { clock, transport, membership, configuration } = dependencies
-  const periodMs = options.periodMs ?? DEFAULT_PERIOD_MS
   const fanOut = options.fanOut ?? DEFAULT_FAN_OUT
-  const maximumAgeMs = MAXIMUM_AGE_PERIODS * periodMs
+  const maximumAgeMs = MAXIMUM_AGE_PERIODS * (options.periodMs ?? LONGEST_PERIOD_MS)
   const ranks = createZoneRanks(membership)
   const stores: Readonly<Record<'node' | 'zone', Map<string, SnapshotStore>>> = { node: new Map(), zone: new Map() }
   const othersByServer = new Map<string, Others>()
@@ -81,6 +83,10 @@
 
   const listServers = () => configuration.current()?.sheet.backendServers ?? []
 
+  // Alike on all routers of one generation, so that the stages of the sums follow each other.
+  const findPeriodMs = (): number =>
+    options.periodMs ?? Math.min(LONGEST_PERIOD_MS, Math.max(SHORTEST_PERIOD_MS, listServers().length * PERIOD_PER_SERVER_MS))
+
   const listServerZones = (): readonly string[] => [...new Set(listServers().map((server) => server.availabilityZone))]
 
   const ownZone = (): string => membership.self().availabilityZone
@@ -165,6 +171,7 @@
   }
 
   const schedule = (stage: keyof typeof STAGES, publish: () => void): void => {
+    const periodMs = findPeriodMs()
     const phase = (clock.wallTime() - STAGES[stage] * periodMs) % periodMs
     timers.set(stage, clock.setTimer(periodMs - phase, () => {
       if (isInUse()) publish()
