--- a/src/services/backendHealth/index.ts
+++ b/src/services/backendHealth/index.ts
@@ -1,6 +1,6 @@
 /**
  * The health of backend servers: which of them may get new work. A server is
- * leaving as soon as any source says so; one that fails is ejected for a while
+ * leaving once one source says so; one that fails is ejected for a while
  * and comes back slowly.
  */
 import { createLeavingMarkSet } from './_lib/createLeavingMarkSet.js'
