--- /dev/null
+++ b/src/adapters/gatewayHttp/_lib/checkFraming.ts
@@ -0,0 +1,33 @@
+/**
+ * What the parser lets pass and a gateway must not: two readings of where a
+ * request ends would let one request hide inside another.
+ */
+import type { IncomingMessage } from 'node:http'
+import type { GatewayLimits, GatewayRefusal, HeaderList } from '../../../types/index.js'
+
+const SINGLE_HEADERS = new Set(['host', 'content-length', 'transfer-encoding', 'authorization'])
+/** Colon, space and line end of each header line. */
+const LINE_OVERHEAD_BYTES = 4
+
+const BAD: GatewayRefusal = { status: 400, reason: 'badRequest' }
+
+/** Returns why a request is refused, or `undefined`. */
+export const checkFraming = (message: IncomingMessage, headers: HeaderList, limits: GatewayLimits): GatewayRefusal | undefined => {
+  const seen = new Set<string>()
+  let bytes = (message.method?.length ?? 0) + (message.url?.length ?? 0)
+  for (const [name, value] of headers) {
+    const key = name.toLowerCase()
+    bytes += name.length + value.length + LINE_OVERHEAD_BYTES
+    if (!SINGLE_HEADERS.has(key)) continue
+    if (seen.has(key)) return BAD
+    seen.add(key)
+  }
+  if (bytes > limits.maximumHeaderBytes) return { status: 431, reason: 'headerTooLarge' }
+  if (seen.has('content-length') && seen.has('transfer-encoding')) return BAD
+  if (message.url?.startsWith('/') !== true) return BAD
+  const encoding = message.headers['transfer-encoding']
+  if (encoding !== undefined && encoding.trim().toLowerCase() !== 'chunked') return BAD
+  const length = message.headers['content-length']
+  if (length !== undefined && Number(length) > limits.maximumBodyBytes) return { status: 413, reason: 'bodyTooLarge' }
+  return undefined
+}
--- /dev/null
+++ b/src/adapters/gatewayHttp/_lib/createSink.ts
@@ -0,0 +1,52 @@
+/** Writes the one final answer of a request to its caller's connection. */
+import type { ServerResponse } from 'node:http'
+import type { CallerSink, FinalReason, GatewayRefusal, HeaderList, InstanceAnswer } from '../../../types/index.js'
+
+/** Refusals after which the connection ends: what follows on it can't be trusted or is not wanted. */
+const CLOSING_REASONS: ReadonlySet<FinalReason> = new Set(['badRequest', 'headerTooLarge', 'bodyTooLarge'])
+/** After a refusal of a body that is still coming, so long is read on, lest a reset overtake the answer. */
+const LINGER_MS = 500
+
+const flatten = (headers: HeaderList): string[] => headers.flatMap(([name, value]) => [name, value])
+
+const formatRetryAfter = (milliseconds: number): string => (Math.ceil(milliseconds) / 1000).toFixed(3)
+
+/** Creates the sink of one request; `isClosing` says whether the node is shutting down. */
+export const createSink = (response: ServerResponse, isClosing: () => boolean): CallerSink => {
+  const closing = (): string[] => isClosing() ? ['Connection', 'close'] : []
+
+  const writeHead = (status: number, headers: readonly string[]): void => {
+    response.removeHeader('Connection')
+    response.writeHead(status, [...headers, ...closing()])
+  }
+
+  const refuse = (refusal: GatewayRefusal, extra: readonly string[]): void => {
+    if (response.headersSent || response.destroyed) return
+    const body = JSON.stringify({ error: refusal.reason })
+    const retryAfter = refusal.retryAfterMs === undefined ? [] : ['Retry-After', formatRetryAfter(refusal.retryAfterMs)]
+    writeHead(refusal.status, ['Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(body)), ...retryAfter, ...extra])
+    response.end(body)
+  }
+
+  return {
+    refuse: (refusal) => {
+      if (!CLOSING_REASONS.has(refusal.reason)) return refuse(refusal, [])
+      refuse(refusal, isClosing() ? [] : ['Connection', 'close'])
+      const { socket } = response.req
+      response.req.resume()
+      setTimeout(() => socket.destroy(), LINGER_MS).unref()
+    },
+    whole: (answer: InstanceAnswer, body) => {
+      writeHead(answer.status, [...flatten(answer.headers), 'Content-Length', String(body.length)])
+      response.end(body)
+    },
+    head: (answer) => {
+      const length = answer.contentLength === undefined || answer.isEventStream ? [] : ['Content-Length', String(answer.contentLength)]
+      writeHead(answer.status, [...flatten(answer.headers), ...length])
+    },
+    data: (bytes) => response.write(bytes),
+    onDrain: (listener) => { response.once('drain', listener) },
+    end: () => { response.end() },
+    fail: () => { response.destroy() }
+  }
+}
--- /dev/null
+++ b/src/adapters/gatewayHttp/index.ts
@@ -0,0 +1,157 @@
+/**
+ * The listener for callers of a gateway node, on node:http itself: a
+ * framework's router decodes paths and its start takes as long as the rest of
+ * the daemon. It frames strictly, bounds what a caller may send, and gives each
+ * request exactly one answer; an answer that ends early breaks its connection.
+ */
+import { createServer } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import { checkFraming } from './_lib/checkFraming.js'
+import { createSink } from './_lib/createSink.js'
+import { readBody } from './_lib/readBody.js'
+import type { Clock, Forwarding, GatewayDialect, GatewayLimits, HeaderList, Logger, PeerAddress } from '../../types/index.js'
+
+export type GatewayHttpOptions = {
+  readonly host: string
+  /** 0 lets the operating system choose. */
+  readonly port: number
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly dialect: Pick<GatewayDialect, 'decodeRequest'>
+  readonly forwarding: Forwarding
+  /** What the configuration in force allows; `undefined` before there is one. */
+  readonly readLimits: () => GatewayLimits | undefined
+}
+
+export type GatewayHttp = {
+  readonly listen: () => Promise<PeerAddress>
+  /** From now on answers ask the caller to close the connection; everything is still served. */
+  readonly beginClosing: () => void
+  /** Closes connections on which no request is open. */
+  readonly closeIdle: () => void
+  readonly openConnections: () => number
+  /** Monotonic milliseconds at which the last connection or request came. */
+  readonly lastUsedAt: () => number
+  readonly close: () => void
+}
+
+/** Before a configuration is known. */
+const INITIAL_LIMITS: GatewayLimits = { maximumHeaderBytes: 16_384, maximumBodyBytes: 1_048_576, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
+/** Above every configuration's limit; the configured one is checked once the head is read. */
+const PARSER_HEADER_BYTES = 128 * 1024
+
+const listHeaders = (raw: readonly string[]): HeaderList => {
+  const headers: [string, string][] = []
+  for (let index = 0; index + 1 < raw.length; index += 2) headers.push([raw[index]!, raw[index + 1]!])
+  return headers
+}
+
+/**
+ * Creates the listener.
+ *
+ * @param options - Where to listen, the wire's names, and the forwarding service.
+ * @returns The listener, not yet open.
+ *
+ * @example
+ * const gateway = createGatewayHttp({ host: '127.0.0.1', port: 0, ...rest })
+ * await gateway.listen()
+ */
+export const createGatewayHttp = (options: GatewayHttpOptions): GatewayHttp => {
+  const { clock, logger, dialect, forwarding } = options
+  const sockets = new Set<Socket>()
+  const busy = new Map<Socket, number>()
+  let isClosing = false
+  let lastUsedAt = clock.now()
+
+  const limits = (): GatewayLimits => options.readLimits() ?? INITIAL_LIMITS
+
+  const countBusy = (socket: Socket, difference: number): void => {
+    const open = (busy.get(socket) ?? 0) + difference
+    if (open <= 0) busy.delete(socket)
+    else busy.set(socket, open)
+  }
+
+  const handle = (message: IncomingMessage, response: ServerResponse): void => {
+    const receivedAt = clock.now()
+    const { socket } = message
+    // Closed from this side while the request was on its way: it can't be answered any more, so it must not run.
+    if (!socket.writable) return
+    lastUsedAt = receivedAt
+    countBusy(socket, 1)
+    response.on('close', () => countBusy(socket, -1))
+    if (isClosing) response.setHeader('Connection', 'close')
+    const sink = createSink(response, () => isClosing)
+    const headers = listHeaders(message.rawHeaders)
+    const problem = checkFraming(message, headers, limits())
+    if (problem !== undefined) {
+      sink.refuse(problem)
+      return
+    }
+    const decoded = dialect.decodeRequest({ method: message.method ?? '', target: message.url ?? '', headers, receivedAt })
+    if (!decoded.ok) {
+      sink.refuse(decoded.error)
+      return
+    }
+    const run = forwarding.begin(decoded.value, sink)
+    response.on('close', () => { if (!response.writableFinished) run.cancel() })
+    readBody(message, limits().maximumBodyBytes, {
+      onBody: run.submit,
+      onTooLarge: () => run.reject({ status: 413, reason: 'bodyTooLarge' }),
+      onBroken: run.cancel
+    })
+  }
+
+  const server = createServer({
+    maxHeaderSize: PARSER_HEADER_BYTES,
+    noDelay: true,
+    keepAlive: true,
+    requireHostHeader: true,
+    insecureHTTPParser: false,
+    connectionsCheckingInterval: 1_000
+  }, handle)
+
+  server.on('connection', (socket) => {
+    lastUsedAt = clock.now()
+    sockets.add(socket)
+    socket.on('close', () => {
+      sockets.delete(socket)
+      busy.delete(socket)
+    })
+    applyLimits()
+  })
+
+  // Bytes that are no HTTP request: the parser's state is lost, so the connection ends with its answer.
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    logger.debug('connection with bytes that are no request', { code: error.code, message: error.message })
+    if (!socket.writable || busy.has(socket as Socket)) return socket.destroy()
+    const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request'
+    socket.end(`HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`)
+  })
+
+  const applyLimits = (): void => {
+    const { headerTimeoutMs, idleTimeoutMs } = limits()
+    server.headersTimeout = headerTimeoutMs
+    server.requestTimeout = 0
+    server.keepAliveTimeout = idleTimeoutMs
+  }
+
+  return {
+    listen: () => new Promise((resolve, reject) => {
+      applyLimits()
+      server.once('error', reject)
+      server.listen({ port: options.port, host: options.host, backlog: 1024 }, () => {
+        const bound = server.address()
+        resolve({ host: options.host, port: typeof bound === 'object' && bound !== null ? bound.port : options.port })
+      })
+    }),
+    beginClosing: () => { isClosing = true },
+    closeIdle: () => { for (const socket of sockets) if (!busy.has(socket)) socket.end() },
+    openConnections: () => sockets.size,
+    lastUsedAt: () => lastUsedAt,
+    close: () => {
+      server.close()
+      for (const socket of sockets) socket.destroy()
+    }
+  }
+}
--- /dev/null
+++ b/src/adapters/probeHttp/index.ts
@@ -0,0 +1,40 @@
+/** Small listeners beside the callers': readiness for the platform's balancer, metrics for the operators. */
+import { createServer } from 'node:http'
+import type { PeerAddress } from '../../types/index.js'
+
+export type ProbeAnswer = { readonly status: number, readonly body: string, readonly contentType?: string }
+
+export type ProbeHttp = { readonly listen: () => Promise<PeerAddress>, readonly close: () => void }
+
+/**
+ * Creates a listener that answers GET requests by their path.
+ *
+ * @param address - Where to listen; port 0 lets the operating system choose.
+ * @param handlers - What each path answers.
+ * @returns The listener, not yet open.
+ *
+ * @example
+ * createProbeHttp({ host: '127.0.0.1', port: 0 }, { '/ready': () => ({ status: 200, body: 'ready' }) })
+ */
+export const createProbeHttp = (address: PeerAddress, handlers: Readonly<Record<string, () => ProbeAnswer | Promise<ProbeAnswer>>>): ProbeHttp => {
+  const server = createServer((request, response) => {
+    const handler = handlers[request.url ?? '']
+    Promise.resolve(handler === undefined ? { status: 404, body: 'not found' } : handler()).then(({ status, body, contentType }) => {
+      response.writeHead(status, { 'Content-Type': contentType ?? 'text/plain', 'Content-Length': Buffer.byteLength(body) })
+      response.end(body)
+    }, () => response.destroy())
+  })
+  return {
+    listen: () => new Promise((resolve, reject) => {
+      server.once('error', reject)
+      server.listen(address.port, address.host, () => {
+        const bound = server.address()
+        resolve({ host: address.host, port: typeof bound === 'object' && bound !== null ? bound.port : address.port })
+      })
+    }),
+    close: () => {
+      server.close()
+      server.closeAllConnections()
+    }
+  }
+}
--- /dev/null
+++ b/src/daemon/startGateway/index.ts
@@ -0,0 +1,128 @@
+/**
+ * A gateway node with its real listeners. What speaks to the platform is handed
+ * in: the sources of configuration and backend servers, and the wire's names.
+ */
+import { createGatewayHttp } from '../../adapters/gatewayHttp/index.js'
+import { createInstanceHttp } from '../../adapters/instanceHttp/index.js'
+import { createPeerTcp } from '../../adapters/peerTcp/index.js'
+import { createProbeHttp } from '../../adapters/probeHttp/index.js'
+import { createSystemClock } from '../../adapters/systemClock/index.js'
+import { readSystemClocks } from '../../adapters/systemClocks/index.js'
+import { createSystemRandom } from '../../adapters/systemRandom/index.js'
+import { createGatewayNode } from '../../node/createGatewayNode/index.js'
+import type { Clock, ConfigurationSource, GatewayDialect, GatewaySettings, InstanceSource, Logger, PeerAddress } from '../../types/index.js'
+
+export type GatewayOptions = {
+  readonly settings: GatewaySettings
+  readonly logger: Logger
+  readonly dialect: GatewayDialect
+  readonly configurationSource: ConfigurationSource
+  readonly instanceSource: InstanceSource
+  readonly readinessPath: string
+}
+
+export type Gateway = {
+  readonly callerAddress: PeerAddress
+  readonly readinessAddress: PeerAddress
+  /** Fails the readiness, serves on, and resolves once nothing is open or the grace is nearly over. */
+  readonly stop: () => Promise<void>
+}
+
+const MAXIMUM_FRAME_BYTES = 8 * 1024 * 1024
+/** The balancer asks once a second and turns away after two misses; a connection that is then on its way still comes. */
+const TURN_AWAY_MS = 3_200
+/** Without a new connection or request for so long, nothing more is coming. */
+const QUIET_MS = 700
+/** Kept of the grace period for the end itself. */
+const GRACE_MARGIN_MS = 500
+const STOP_POLL_MS = 50
+
+const wait = (clock: Clock, milliseconds: number): Promise<void> => new Promise((resolve) => { clock.setTimer(milliseconds, resolve) })
+
+/**
+ * Starts a gateway.
+ *
+ * @param options - Checked settings, the log, and what speaks to the platform.
+ * @returns The running gateway.
+ *
+ * @example
+ * const gateway = await startGateway(options)
+ * process.once('SIGTERM', () => gateway.stop())
+ */
+export const startGateway = async (options: GatewayOptions): Promise<Gateway> => {
+  const { settings, logger, dialect } = options
+  const clock = createSystemClock()
+  const random = createSystemRandom()
+  const transport = createPeerTcp({
+    host: settings.peerAddress.host,
+    port: settings.peerAddress.port,
+    fleetKey: settings.fleetKey,
+    maximumFrameBytes: MAXIMUM_FRAME_BYTES,
+    clock,
+    random,
+    logger
+  })
+  await transport.listen()
+  const client = createInstanceHttp({ clock, dialect })
+  const node = createGatewayNode({
+    settings,
+    clock,
+    random,
+    readClocks: readSystemClocks,
+    transport,
+    configurationSource: options.configurationSource,
+    instanceSource: options.instanceSource,
+    client,
+    logger
+  })
+  await node.start()
+  const configuration = node.resolve('gatewayConfiguration')
+  let isStopping = false
+  const gatewayHttp = createGatewayHttp({
+    host: settings.callerAddress.host,
+    port: settings.callerAddress.port,
+    clock,
+    logger,
+    dialect,
+    forwarding: node.resolve('forwarding'),
+    readLimits: () => configuration.current()?.limits
+  })
+  const readiness = createProbeHttp(settings.readinessAddress, {
+    [options.readinessPath]: () => !isStopping && node.isAbleToServe() ? { status: 200, body: 'ready' } : { status: 503, body: 'not ready' }
+  })
+  const callerAddress = await gatewayHttp.listen()
+  const readinessAddress = await readiness.listen()
+  logger.info('gateway started', { zone: settings.availabilityZone, callerPort: callerAddress.port, peerPort: settings.peerAddress.port, startMs: Math.round(performance.now()) })
+
+  const shutDown = async (): Promise<void> => {
+    const stoppedAt = clock.now()
+    isStopping = true
+    logger.info('gateway stopping', { open: node.resolve('forwarding').openRequests(), connections: gatewayHttp.openConnections() })
+    node.resolve('membership').announceLeaving()
+    gatewayHttp.beginClosing()
+    await wait(clock, Math.min(TURN_AWAY_MS, settings.graceMs / 2))
+    gatewayHttp.closeIdle()
+    const endsAt = stoppedAt + settings.graceMs - GRACE_MARGIN_MS
+    const isQuiet = (): boolean => node.resolve('forwarding').openRequests() === 0 && clock.now() - gatewayHttp.lastUsedAt() > QUIET_MS
+    while (clock.now() < endsAt && !isQuiet()) {
+      await wait(clock, STOP_POLL_MS)
+      gatewayHttp.closeIdle()
+    }
+    logger.info('gateway stopped', { open: node.resolve('forwarding').openRequests(), ms: Math.round(clock.now() - stoppedAt) })
+    gatewayHttp.close()
+    readiness.close()
+    await node.stop()
+    client.close()
+    await transport.close()
+  }
+
+  let stopping: Promise<void> | undefined
+  return {
+    callerAddress,
+    readinessAddress,
+    stop: () => {
+      stopping ??= shutDown()
+      return stopping
+    }
+  }
+}
--- /dev/null
+++ b/src/decisions/selectGatewayRoute/index.ts
@@ -0,0 +1,44 @@
+/** The route of a request: by host, then by the longest prefix of its path. */
+import type { GatewayRoute } from '../../types/index.js'
+
+const PORT_SUFFIX = /:\d+$/
+
+/**
+ * Sorts routes by host so that one request looks only at its host's routes.
+ *
+ * @param routes - All routes of a configuration.
+ * @returns The routes by lower-case host, the longest prefix first.
+ *
+ * @example
+ * indexRoutes([]).size // => 0
+ */
+export const indexRoutes = (routes: readonly GatewayRoute[]): ReadonlyMap<string, readonly GatewayRoute[]> => {
+  const byHost = new Map<string, GatewayRoute[]>()
+  for (const route of routes) {
+    const host = route.host.toLowerCase()
+    const known = byHost.get(host)
+    if (known === undefined) byHost.set(host, [route])
+    else known.push(route)
+  }
+  for (const known of byHost.values()) known.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length)
+  return byHost
+}
+
+/**
+ * Finds the route of a request.
+ *
+ * @param index - Made by `indexRoutes`.
+ * @param host - The caller's host, with or without a port.
+ * @param target - Path with query.
+ * @returns The route with the longest prefix, or `undefined`.
+ *
+ * @example
+ * selectGatewayRoute(indexRoutes([]), 'shop.example', '/chat/1') // => undefined
+ */
+export const selectGatewayRoute = (index: ReadonlyMap<string, readonly GatewayRoute[]>, host: string, target: string): GatewayRoute | undefined => {
+  const routes = index.get(host.toLowerCase().replace(PORT_SUFFIX, ''))
+  if (routes === undefined) return undefined
+  const queryAt = target.indexOf('?')
+  const path = queryAt < 0 ? target : target.slice(0, queryAt)
+  return routes.find((route) => path.startsWith(route.pathPrefix))
+}
--- /dev/null
+++ b/src/node/createGatewayNode/index.ts
@@ -0,0 +1,192 @@
+/**
+ * A gateway node: the services that forward whole HTTP requests by host and
+ * path, assembled in the kernel. All I/O is handed in, as for a router node.
+ */
+import type { ClockReading } from '../../decisions/measureAge/index.js'
+import { createKernel, success, type Kernel } from '../../kernel/index.js'
+import { createForwarding } from '../../services/forwarding/index.js'
+import { createGatewayConfiguration, type RunningGatewayConfiguration } from '../../services/gatewayConfiguration/index.js'
+import { createHeartbeatExchange, type HeartbeatExchange } from '../../services/heartbeatExchange/index.js'
+import { createInstanceHealth, keyOf, type InstanceHealth } from '../../services/instanceHealth/index.js'
+import { createInstanceRegistry, type RunningInstanceRegistry } from '../../services/instanceRegistry/index.js'
+import { createKnowledgeExchange, type KnowledgeExchange } from '../../services/knowledgeExchange/index.js'
+import { createLoadView } from '../../services/loadView/index.js'
+import { createMembership } from '../../services/membership/index.js'
+import { createPromptDirectory, type PromptDirectory } from '../../services/promptDirectory/index.js'
+import { createVmList, type VmList } from '../../services/vmList/index.js'
+import type {
+  Clock, ConfigurationSource, Forwarding, GatewayConfigurationHolder, GatewaySettings, InstanceClient, InstanceRegistry, InstanceSource,
+  LoadView, Logger, Membership, PeerTransport, RandomSource
+} from '../../types/index.js'
+
+export type GatewayNodeDependencies = {
+  readonly settings: GatewaySettings
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly readClocks: () => ClockReading
+  readonly transport: PeerTransport
+  readonly configurationSource: ConfigurationSource
+  readonly instanceSource: InstanceSource
+  readonly client: InstanceClient
+  readonly logger: Logger
+}
+
+export type GatewayServices = {
+  readonly heartbeatExchange: HeartbeatExchange
+  readonly vmList: VmList
+  readonly membership: Membership
+  readonly gatewayConfiguration: GatewayConfigurationHolder
+  readonly instanceRegistry: InstanceRegistry
+  readonly knowledgeExchange: KnowledgeExchange
+  readonly loadView: LoadView
+  readonly instanceHealth: InstanceHealth
+  readonly promptDirectory: PromptDirectory
+  readonly forwarding: Forwarding
+}
+
+export type GatewayNode = {
+  readonly start: () => Promise<void>
+  readonly stop: () => Promise<void>
+  readonly resolve: Kernel<GatewayServices>['resolve']
+  /** Whether it can serve: it has a configuration and a list of backend servers. */
+  readonly isAbleToServe: () => boolean
+}
+
+/**
+ * Time between two reads of the configuration: half of the two seconds in which
+ * a new one has to be in force, less a slow read.
+ */
+const CONFIGURATION_READ_MS = 800
+/** One watch's wait: a connection that went silent is found that much later, well before a leaving server's bound. */
+const WATCH_WAIT_MS = 2_500
+const HEARTBEAT_MS = 500
+const SUSPECT_AFTER_MS = 1_500
+const DEAD_AFTER_MS = 3_000
+const LOAD_REPORT_MS = 250
+/** The seeds of the settings bring nodes together; no list of VMs is read. */
+const NO_VM_LIST_MS = 3_600_000
+/** Taken off the time in which a key taken away must go out of use: for clocks that run unequally and a send that is on its way. */
+const KEY_MARGIN_MS = 500
+
+const registerPeers = (kernel: Kernel<GatewayServices>, { settings, clock, random, transport, logger }: GatewayNodeDependencies): void => {
+  kernel.register({ name: 'heartbeatExchange', dependsOn: [], create: () => ({ api: createHeartbeatExchange() }) })
+  kernel.register({ name: 'vmList', dependsOn: [], create: () => createVmList({ clock, random, platform: { listVms: async () => success([]) } }, { intervalMs: NO_VM_LIST_MS }) })
+  kernel.register({
+    name: 'membership',
+    dependsOn: ['heartbeatExchange', 'vmList'],
+    create: (resolve) => createMembership(
+      { clock, random, transport, exchange: resolve('heartbeatExchange'), vmList: resolve('vmList'), logger },
+      {
+        settings: { nodeId: settings.nodeId, availabilityZone: settings.availabilityZone, seedPeers: settings.seedPeers, heartbeatIntervalMs: HEARTBEAT_MS, suspectAfterMs: SUSPECT_AFTER_MS, deadAfterMs: DEAD_AFTER_MS },
+        address: () => settings.peerAddress,
+        generation: () => kernel.isRunning('gatewayConfiguration') ? kernel.resolve('gatewayConfiguration').version() : 0
+      }
+    )
+  })
+}
+
+const registerKnowledge = (kernel: Kernel<GatewayServices>, dependencies: GatewayNodeDependencies): void => {
+  const { clock, random, readClocks, transport, configurationSource, instanceSource, logger } = dependencies
+  let configuration: RunningGatewayConfiguration | undefined
+  let registry: RunningInstanceRegistry | undefined
+  kernel.register({
+    name: 'gatewayConfiguration',
+    dependsOn: [],
+    create: () => {
+      configuration = createGatewayConfiguration({ clock, source: configurationSource, logger, readClocks }, { readIntervalMs: CONFIGURATION_READ_MS })
+      return configuration
+    }
+  })
+  kernel.register({
+    name: 'instanceRegistry',
+    dependsOn: [],
+    create: () => {
+      registry = createInstanceRegistry({ clock, source: instanceSource, logger }, { watchWaitMs: WATCH_WAIT_MS })
+      return registry
+    }
+  })
+  kernel.register({
+    name: 'knowledgeExchange',
+    dependsOn: ['membership', 'heartbeatExchange', 'gatewayConfiguration', 'instanceRegistry'],
+    create: (resolve) => {
+      if (configuration === undefined || registry === undefined) throw new Error('knowledge is exchanged before its holders were made')
+      return createKnowledgeExchange({ clock, random, transport, membership: resolve('membership'), exchange: resolve('heartbeatExchange'), configuration, registry, readClocks })
+    }
+  })
+}
+
+const registerForwarding = (kernel: Kernel<GatewayServices>, dependencies: GatewayNodeDependencies): void => {
+  const { settings, clock, random, transport, client, logger } = dependencies
+  kernel.register({
+    name: 'loadView',
+    dependsOn: ['membership', 'heartbeatExchange'],
+    create: (resolve) => createLoadView(
+      { clock, transport, membership: resolve('membership'), exchange: resolve('heartbeatExchange') },
+      { settings: { nodeId: settings.nodeId, loadReportIntervalMs: LOAD_REPORT_MS, deadAfterMs: DEAD_AFTER_MS } }
+    )
+  })
+  kernel.register({
+    name: 'instanceHealth',
+    dependsOn: ['instanceRegistry'],
+    create: (resolve) => {
+      const health = createInstanceHealth({ clock, logger })
+      const registry = resolve('instanceRegistry')
+      registry.onChange(() => {
+        const live = new Set(registry.all().map(keyOf))
+        health.retain(live)
+        client.retain(live)
+      })
+      return { api: health }
+    }
+  })
+  kernel.register({
+    name: 'promptDirectory',
+    dependsOn: ['membership'],
+    create: (resolve) => createPromptDirectory({ clock, transport, membership: resolve('membership') })
+  })
+  kernel.register({
+    name: 'forwarding',
+    dependsOn: ['gatewayConfiguration', 'instanceRegistry', 'instanceHealth', 'promptDirectory', 'loadView', 'membership'],
+    create: (resolve) => createForwarding({
+      clock,
+      random,
+      logger,
+      client,
+      configuration: resolve('gatewayConfiguration'),
+      registry: resolve('instanceRegistry'),
+      health: resolve('instanceHealth'),
+      directory: resolve('promptDirectory'),
+      loadView: resolve('loadView'),
+      membership: resolve('membership')
+    }, {
+      availabilityZone: settings.availabilityZone,
+      repeatLimits: { ratio: settings.repeatRatio, extra: settings.repeatExtra, windowMs: settings.repeatWindowMs },
+      keyFreshnessMs: settings.keyRevocationMs > 0 ? settings.keyRevocationMs - KEY_MARGIN_MS : Infinity,
+      configurationFreshnessMs: settings.configurationDelayMs
+    })
+  })
+}
+
+/**
+ * Creates a gateway node.
+ *
+ * @param dependencies - Settings, clocks, sources, peers, the client to backend servers and the log.
+ * @returns The node, not yet started.
+ *
+ * @example
+ * const node = createGatewayNode(dependencies)
+ * await node.start()
+ * node.resolve('forwarding').begin(request, sink)
+ */
+export const createGatewayNode = (dependencies: GatewayNodeDependencies): GatewayNode => {
+  const kernel = createKernel<GatewayServices>()
+  registerPeers(kernel, dependencies)
+  registerKnowledge(kernel, dependencies)
+  registerForwarding(kernel, dependencies)
+  return {
+    start: kernel.start,
+    stop: kernel.stop,
+    resolve: kernel.resolve,
+    isAbleToServe: () => kernel.resolve('gatewayConfiguration').current() !== undefined && kernel.resolve('instanceRegistry').isKnown()
+  }
+}
--- /dev/null
+++ b/src/services/forwarding/_lib/chooseInstance.ts
@@ -0,0 +1,50 @@
+/** The backend server for the next send of a request: what the node knows, put to `placeRequest`. */
+import { placeRequest } from '../../../decisions/placeRequest/index.js'
+import type { InstanceCandidate } from '../../../decisions/placeRequest/index.js'
+import type { BackendInstance, GatewayRequest } from '../../../types/index.js'
+import { keyOf } from '../../instanceHealth/index.js'
+import type { ForwardingDependencies } from '../index.js'
+
+export type ChoiceDependencies = Pick<ForwardingDependencies, 'registry' | 'health' | 'directory' | 'loadView' | 'random'> & { readonly availabilityZone: string }
+
+export type Choice = {
+  readonly request: GatewayRequest
+  readonly service: string
+  readonly bodyBytes: number
+  /** Ids of backend servers that had the request already. */
+  readonly tried: ReadonlySet<string>
+}
+
+/** Bytes of an answer that is no stream, and of one token in a stream, headers included; averages of both kinds of service. */
+const WHOLE_ANSWER_BYTES = 1_200
+const BYTES_PER_TOKEN = 30
+
+/** Held servers come back into question only when no other is left: an unlikely server beats a refusal. */
+const listUsable = ({ registry, health }: ChoiceDependencies, { service, tried }: Choice): readonly BackendInstance[] => {
+  const untried = registry.list(service).filter(({ id }) => !tried.has(id))
+  const usable = untried.filter((instance) => !health.isHeld(instance))
+  return usable.length > 0 ? usable : untried
+}
+
+/** Returns the chosen one, or `undefined` when the service has none that was not tried. */
+export const chooseInstance = (dependencies: ChoiceDependencies, choice: Choice): BackendInstance | undefined => {
+  const { request, bodyBytes } = choice
+  const { directory, loadView, health, random } = dependencies
+  const usable = listUsable(dependencies, choice)
+  // The last part belongs to the request alone.
+  const shared = request.promptParts.slice(0, -1)
+  const candidates: InstanceCandidate[] = usable.map((instance) => ({
+    id: instance.id,
+    slots: instance.slots,
+    load: loadView.estimateInFlight(keyOf(instance)),
+    keptTokens: directory.countKept(shared, keyOf(instance)),
+    isInZone: instance.availabilityZone === dependencies.availabilityZone,
+    slowness: health.handicap(instance, usable)
+  }))
+  const chosen = placeRequest({
+    affinityKey: shared.at(-1)?.id ?? '',
+    sharedTokens: shared.reduce((sum, part) => sum + part.tokens, 0),
+    expectedBytes: bodyBytes + (request.promptParts.length > 0 ? BYTES_PER_TOKEN * request.tokens.output : WHOLE_ANSWER_BYTES)
+  }, candidates, random.next)
+  return usable.find(({ id }) => id === chosen)
+}
--- /dev/null
+++ b/src/services/forwarding/_lib/createRepeatBudgets.ts
@@ -0,0 +1,30 @@
+/** This node's share of the fleet's retry budget, a budget a service. */
+import { grantRepeat, noteSend } from '../../../decisions/grantRepeat/index.js'
+import type { RepeatBudget, RepeatBudgetLimits } from '../../../decisions/grantRepeat/index.js'
+import type { Clock } from '../../../types/index.js'
+
+export type RepeatBudgets = {
+  readonly noteFirst: (service: string) => void
+  /** Spends one repeat where the budget has it. */
+  readonly spend: (service: string) => boolean
+  readonly canSpend: (service: string) => boolean
+}
+
+const EMPTY: RepeatBudget = { requests: [], repeats: [] }
+
+/** Creates the budgets; `countNodes` counts every node that may be spending. */
+export const createRepeatBudgets = (limits: RepeatBudgetLimits, countNodes: () => number, clock: Clock): RepeatBudgets => {
+  const budgets = new Map<string, RepeatBudget>()
+  const read = (service: string): RepeatBudget => budgets.get(service) ?? EMPTY
+  const note = (service: string, kind: 'first' | 'repeat'): void => { budgets.set(service, noteSend(read(service), kind, limits, clock.now())) }
+  const canSpend = (service: string): boolean => grantRepeat(read(service), limits, countNodes(), clock.now())
+  return {
+    noteFirst: (service) => note(service, 'first'),
+    canSpend,
+    spend: (service) => {
+      if (!canSpend(service)) return false
+      note(service, 'repeat')
+      return true
+    }
+  }
+}
--- /dev/null
+++ b/src/services/forwarding/_lib/findAccount.ts
@@ -0,0 +1,9 @@
+/** Whose request it is: the client account of its key. */
+import type { GatewayAccount, GatewayConfiguration, GatewayRoute } from '../../../types/index.js'
+
+/** Returns `unknown` where the route needs a key that the configuration doesn't hold. */
+export const findAccount = (configuration: GatewayConfiguration, route: GatewayRoute, credential: string | undefined): GatewayAccount | undefined | 'unknown' => {
+  const account = credential === undefined ? undefined : configuration.accountsByKey.get(credential)
+  if (account !== undefined) return account
+  return configuration.needsKeys && !route.isPublic ? 'unknown' : undefined
+}
--- /dev/null
+++ b/src/services/forwarding/index.ts
@@ -0,0 +1,113 @@
+/**
+ * Forwarding: each request of a caller to a final answer. The service checks
+ * who asks and for what, and keeps one ticker for the deadlines and silences
+ * of all open requests; `createRun` has the way of a single one.
+ */
+import { createRun } from './_lib/createRun.js'
+import type { Run, RunContext } from './_lib/createRun.js'
+import { createRepeatBudgets } from './_lib/createRepeatBudgets.js'
+import { createTimeToFirstBytes } from './_lib/createTimeToFirstBytes.js'
+import { findAccount } from './_lib/findAccount.js'
+import type { RepeatBudgetLimits } from '../../decisions/grantRepeat/index.js'
+import { indexRoutes, selectGatewayRoute } from '../../decisions/selectGatewayRoute/index.js'
+import type { RunningService } from '../../kernel/index.js'
+import type {
+  Clock, Forwarding, ForwardingRun, GatewayConfigurationHolder, GatewayRefusal, GatewayRoute, InstanceClient, InstanceRegistry,
+  LoadView, Logger, Membership, RandomSource, Timer
+} from '../../types/index.js'
+import type { InstanceHealth } from '../instanceHealth/index.js'
+import type { PromptDirectory } from '../promptDirectory/index.js'
+
+export type ForwardingDependencies = {
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly logger: Logger
+  readonly configuration: GatewayConfigurationHolder
+  readonly registry: InstanceRegistry
+  readonly health: InstanceHealth
+  readonly directory: PromptDirectory
+  readonly loadView: LoadView
+  readonly membership: Pick<Membership, 'members'>
+  readonly client: InstanceClient
+}
+
+export type ForwardingOptions = {
+  readonly availabilityZone: string
+  readonly repeatLimits: RepeatBudgetLimits
+  /** A key that was surely valid longer ago than this is not used; in milliseconds. */
+  readonly keyFreshnessMs: number
+  /** A configuration confirmed longer ago than this can't say that a route or key does not exist; in milliseconds. */
+  readonly configurationFreshnessMs: number
+}
+
+/** Deadlines and silences are found this late at most, in milliseconds; a tick costs some microseconds a request. */
+const TICK_MS = 25
+/** When to come back after a refusal for want of knowledge: a source is asked again within that time. */
+const UNKNOWN_RETRY_MS = 500
+
+/**
+ * Creates the service.
+ *
+ * @param dependencies - What the node knows, and how to reach backend servers.
+ * @param options - Zone, budgets and freshness bounds.
+ * @returns The service for the kernel.
+ *
+ * @example
+ * const forwarding = createForwarding(dependencies, options)
+ * forwarding.api.openRequests() // => 0
+ */
+export const createForwarding = (dependencies: ForwardingDependencies, options: ForwardingOptions): RunningService<Forwarding> => {
+  const { clock, configuration } = dependencies
+  const runs = new Set<Run>()
+  const budgets = createRepeatBudgets(options.repeatLimits, () => dependencies.membership.members().length, clock)
+  const usualTimes = createTimeToFirstBytes()
+  let timer: Timer | undefined
+  let index: ReadonlyMap<string, readonly GatewayRoute[]> = new Map()
+
+  configuration.onChange((next) => { index = indexRoutes(next.routes) })
+
+  const isUpToDate = (): boolean => configuration.confirmedAgeMs() <= options.configurationFreshnessMs
+
+  /** A node that may be behind can't say that something does not exist. */
+  const refuseUnknown = (refusal: GatewayRefusal): GatewayRefusal =>
+    isUpToDate() ? refusal : { status: 503, reason: 'noConfiguration', retryAfterMs: UNKNOWN_RETRY_MS }
+
+  const tick = (): void => {
+    timer = runs.size > 0 ? clock.setTimer(TICK_MS, tick) : undefined
+    const now = clock.now()
+    for (const run of [...runs]) run.check(now)
+  }
+
+  const context: Omit<RunContext, 'onDone'> = {
+    ...dependencies,
+    availabilityZone: options.availabilityZone,
+    keyFreshnessMs: options.keyFreshnessMs,
+    budgets,
+    usualTimes
+  }
+
+  const refused = (run: ForwardingRun, refusal: GatewayRefusal): ForwardingRun => {
+    run.reject(refusal)
+    return run
+  }
+
+  return {
+    api: {
+      begin: (request, sink) => {
+        const run = createRun({ ...context, onDone: () => { runs.delete(run) } }, request, sink)
+        runs.add(run)
+        timer ??= clock.setTimer(TICK_MS, tick)
+        const current = configuration.current()
+        if (current === undefined) return refused(run, { status: 503, reason: 'noConfiguration', retryAfterMs: UNKNOWN_RETRY_MS })
+        const route = selectGatewayRoute(index, request.host, request.target)
+        if (route === undefined) return refused(run, refuseUnknown({ status: 404, reason: 'unknownRoute' }))
+        const account = findAccount(current, route, request.credential)
+        if (account === 'unknown') return refused(run, refuseUnknown({ status: 401, reason: 'unknownKey' }))
+        run.assign(route, account)
+        return run
+      },
+      openRequests: () => runs.size
+    },
+    stop: () => timer?.cancel()
+  }
+}
--- /dev/null
+++ b/src/services/gatewayConfiguration/index.ts
@@ -0,0 +1,175 @@
+/**
+ * The configuration in force on a gateway node, and how lately it was surely
+ * the newest. It is read from its source at an interval and learnt from peers;
+ * a version never goes back, and an outage of the source empties nothing.
+ */
+import { measureAge } from '../../decisions/measureAge/index.js'
+import type { ClockReading } from '../../decisions/measureAge/index.js'
+import type { RunningService } from '../../kernel/index.js'
+import type { Clock, ConfigurationSource, GatewayConfiguration, GatewayConfigurationHolder, Logger, SourcedConfiguration, Timer } from '../../types/index.js'
+
+export type GatewayConfigurationDependencies = {
+  readonly clock: Clock
+  readonly source: ConfigurationSource
+  readonly logger: Logger
+  /** Reads all clocks at once. */
+  readonly readClocks: () => ClockReading
+}
+
+export type GatewayConfigurationOptions = {
+  /** Time between two reads of the source in milliseconds. */
+  readonly readIntervalMs: number
+  /** Whether this node reads the source by itself now; others learn from peers. */
+  readonly isReader?: () => boolean
+}
+
+export type RunningGatewayConfiguration = RunningService<GatewayConfigurationHolder> & {
+  /** Takes what a peer holds: its age was measured after `askedAt`. */
+  readonly learn: (askedAt: ClockReading, ageMs: number, version: number, bytes: Uint8Array | undefined) => void
+  readonly sourced: () => SourcedConfiguration | undefined
+  /** Someone has a newer version than this one. */
+  readonly hint: (version: number) => void
+  /** Called when the source cannot confirm, or a newer version is known elsewhere. */
+  readonly onNeed: (listener: () => void) => void
+  /** Whether the last read of the source succeeded. */
+  readonly isSourceReachable: () => boolean
+}
+
+type Confirmation = { readonly at: ClockReading, readonly ageMs: number }
+
+/** Pause after a failed read: short, since requests with keys are refused before long. */
+const RETRY_MS = 250
+
+/**
+ * Creates the holder.
+ *
+ * @param dependencies - Clocks, the source and the log.
+ * @param options - Intervals in milliseconds.
+ * @returns The service; it reads from its start to its stop.
+ *
+ * @example
+ * const holder = createGatewayConfiguration(dependencies, { readIntervalMs: 800 })
+ * holder.api.version() // => 0
+ */
+export const createGatewayConfiguration = (dependencies: GatewayConfigurationDependencies, options: GatewayConfigurationOptions): RunningGatewayConfiguration => {
+  const { clock, source, logger, readClocks } = dependencies
+  const listeners: ((configuration: GatewayConfiguration) => void)[] = []
+  const needListeners: (() => void)[] = []
+  const waiters = new Set<() => void>()
+  let sourced: SourcedConfiguration | undefined
+  let confirmation: Confirmation | undefined
+  let timer: Timer | undefined
+  let isReading = false
+  let isStopped = false
+  let isReachable = false
+  let hinted = 0
+
+  const version = (): number => sourced?.configuration.version ?? 0
+
+  const confirmedAgeMs = (): number =>
+    confirmation === undefined ? Infinity : confirmation.ageMs + measureAge(confirmation.at, readClocks())
+
+  const adopt = (next: SourcedConfiguration, from: string): void => {
+    if (next.configuration.version <= version()) return
+    logger.info('configuration in force', { version: next.configuration.version, before: version(), from, routes: next.configuration.routes.length })
+    sourced = next
+    for (const listener of listeners) listener(next.configuration)
+  }
+
+  const confirm = (at: ClockReading, ageMs: number): void => {
+    if (ageMs + measureAge(at, readClocks()) >= confirmedAgeMs()) return
+    confirmation = { at, ageMs }
+    for (const waiter of [...waiters]) waiter()
+  }
+
+  const noteReachable = (reachable: boolean, reason: string): void => {
+    if (reachable === isReachable) return
+    isReachable = reachable
+    if (reachable) logger.info('configuration source reached')
+    else logger.warn('configuration source lost', { reason, version: version() })
+  }
+
+  const askOthers = (): void => { for (const listener of needListeners) listener() }
+
+  const read = async (): Promise<void> => {
+    if (isReading || isStopped) return
+    isReading = true
+    timer?.cancel()
+    const sentAt = readClocks()
+    const result = await source.read()
+    isReading = false
+    if (isStopped) return
+    if (result.ok) {
+      adopt(result.value, 'source')
+      // A peer may hold a version that is newer than what this read saw on its way.
+      if (result.value.configuration.version >= version()) confirm(sentAt, 0)
+      noteReachable(true, '')
+    } else {
+      noteReachable(false, result.error.kind === 'unavailable' || result.error.kind === 'malformed' ? result.error.message : result.error.kind)
+      askOthers()
+    }
+    const isBehind = hinted > version()
+    schedule(result.ok && !isBehind ? options.readIntervalMs : RETRY_MS)
+  }
+
+  const tick = (): void => {
+    if (options.isReader?.() === false && version() > 0) {
+      askOthers()
+      return schedule(options.readIntervalMs)
+    }
+    void read()
+  }
+
+  const schedule = (delayMs: number): void => {
+    timer?.cancel()
+    timer = clock.setTimer(delayMs, tick)
+  }
+
+  const waitForConfirmation = (waitMs: number): Promise<void> => new Promise((resolve) => {
+    const finish = (): void => {
+      waiters.delete(finish)
+      limit.cancel()
+      resolve()
+    }
+    const limit = clock.setTimer(waitMs, finish)
+    waiters.add(finish)
+  })
+
+  return {
+    api: {
+      current: () => sourced?.configuration,
+      version,
+      confirmedAgeMs,
+      confirm: async (waitMs) => {
+        const confirmed = waitForConfirmation(waitMs)
+        void read()
+        askOthers()
+        await confirmed
+      },
+      onChange: (listener) => { listeners.push(listener) }
+    },
+    learn: (askedAt, ageMs, newestVersion, bytes) => {
+      if (bytes !== undefined && newestVersion > version()) {
+        const decoded = source.decode(bytes)
+        if (decoded.ok) adopt(decoded.value, 'peer')
+        else logger.warn('configuration of a peer is malformed', { version: newestVersion })
+      }
+      // A peer that confirmed an older version says nothing of this one.
+      if (newestVersion >= version()) confirm(askedAt, ageMs)
+    },
+    sourced: () => sourced,
+    hint: (known) => {
+      if (known <= version()) return
+      hinted = Math.max(hinted, known)
+      if (isReachable && options.isReader?.() !== false) void read()
+      else askOthers()
+    },
+    onNeed: (listener) => { needListeners.push(listener) },
+    isSourceReachable: () => isReachable,
+    start: () => { void read() },
+    stop: () => {
+      isStopped = true
+      timer?.cancel()
+    }
+  }
+}
--- /dev/null
+++ b/src/services/instanceRegistry/index.ts
@@ -0,0 +1,221 @@
+/**
+ * The backend servers that a gateway node knows: a list read from its source
+ * and kept up by a watch. The list is kept while the source is away; entries
+ * that are missing when it comes back get a moment to register again.
+ */
+import type { RunningService } from '../../kernel/index.js'
+import type { BackendInstance, Clock, InstanceEntry, InstanceRegistry, InstanceSource, Logger, SourceError, Timer } from '../../types/index.js'
+
+export type InstanceRegistryDependencies = {
+  readonly clock: Clock
+  readonly source: InstanceSource
+  readonly logger: Logger
+}
+
+export type InstanceRegistryOptions = {
+  /** How long one watch waits in milliseconds; a silent connection is found that much later. */
+  readonly watchWaitMs: number
+  /** Whether this node watches the source by itself now; others learn from peers. */
+  readonly isReader?: () => boolean
+}
+
+export type RunningInstanceRegistry = RunningService<InstanceRegistry> & {
+  /** Takes the whole list of a peer, read at a later revision than the own one. */
+  readonly learn: (instances: readonly BackendInstance[], revision: number) => void
+  readonly isSourceReachable: () => boolean
+  /** Called when the source cannot be read. */
+  readonly onNeed: (listener: () => void) => void
+}
+
+/** Entries that lapsed in an outage are back within two seconds of its end; longer than that they are gone. */
+const REAPPEAR_MS = 2_000
+const RETRY_MS = 200
+const PAGES_AT_MOST = 64
+
+const describe = (error: SourceError): string => error.kind === 'unavailable' || error.kind === 'malformed' ? error.message : error.kind
+
+/**
+ * Creates the registry.
+ *
+ * @param dependencies - Clock, the source and the log.
+ * @param options - Times in milliseconds.
+ * @returns The service; it watches from its start to its stop.
+ *
+ * @example
+ * const registry = createInstanceRegistry({ clock, source, logger }, { watchWaitMs: 2500 })
+ * registry.api.list('engines') // => []
+ */
+export const createInstanceRegistry = (dependencies: InstanceRegistryDependencies, options: InstanceRegistryOptions): RunningInstanceRegistry => {
+  const { clock, source, logger } = dependencies
+  const instances = new Map<string, BackendInstance>()
+  /** Highest incarnation known to be over, by id: an older copy of an entry can't bring it back. */
+  const goneIncarnations = new Map<string, number>()
+  const missingSince = new Map<string, number>()
+  const listeners: (() => void)[] = []
+  const needListeners: (() => void)[] = []
+  const malformed = new Set<string>()
+  let byService = new Map<string, BackendInstance[]>()
+  let revision = 0
+  let isKnown = false
+  let isReachable = false
+  let returnedAt = -Infinity
+  let isStopped = false
+  let timer: Timer | undefined
+
+  const publish = (): void => {
+    byService = new Map()
+    for (const instance of instances.values()) {
+      if (instance.isLeaving) continue
+      const known = byService.get(instance.service)
+      if (known === undefined) byService.set(instance.service, [instance])
+      else known.push(instance)
+    }
+    for (const listener of listeners) listener()
+  }
+
+  const remove = (name: string, reason: string): void => {
+    const instance = instances.get(name)
+    if (instance === undefined) return
+    instances.delete(name)
+    missingSince.delete(name)
+    logger.info('backend server removed', { backendServer: name, service: instance.service, reason, revision })
+  }
+
+  const put = ({ name, instance }: InstanceEntry): void => {
+    if (instance === undefined) {
+      if (!malformed.has(name)) logger.warn('backend server entry is malformed', { backendServer: name, revision })
+      malformed.add(name)
+      return
+    }
+    const known = instances.get(name)
+    missingSince.delete(name)
+    if (instance.incarnation <= (goneIncarnations.get(name) ?? -Infinity)) return
+    if (known !== undefined && instance.incarnation < known.incarnation) return
+    // A leaving mark stays until the server starts anew: an older copy of its entry still says ready.
+    const isLeaving = instance.isLeaving || (known?.isLeaving === true && known.incarnation === instance.incarnation)
+    instances.set(name, { ...instance, isLeaving })
+    if (known === undefined) logger.info('backend server added', { backendServer: name, service: instance.service, incarnation: instance.incarnation, revision })
+    else if (isLeaving && !known.isLeaving) logger.info('backend server leaving', { backendServer: name, service: instance.service, revision })
+  }
+
+  /** Removes at once, or after a moment when the source has only just come back. */
+  const miss = (name: string): void => {
+    if (!instances.has(name)) return
+    if (instances.get(name)?.isLeaving === true || clock.now() - returnedAt > REAPPEAR_MS) return remove(name, 'entry removed')
+    if (missingSince.has(name)) return
+    missingSince.set(name, clock.now())
+    clock.setTimer(Math.max(0, returnedAt + REAPPEAR_MS - clock.now()), () => {
+      if (!missingSince.has(name)) return
+      remove(name, 'entry missing after an outage of the source')
+      publish()
+    })
+  }
+
+  const noteReachable = (reachable: boolean, reason: string): void => {
+    if (reachable === isReachable) return
+    isReachable = reachable
+    if (!reachable) return logger.warn('backend server list lost', { reason, known: instances.size, revision })
+    if (isKnown) returnedAt = clock.now()
+    logger.info('backend server list reached', { revision })
+  }
+
+  const replaceAll = (entries: readonly InstanceEntry[], atRevision: number): void => {
+    const listed = new Set(entries.map(({ name }) => name))
+    for (const name of [...instances.keys()]) if (!listed.has(name)) miss(name)
+    for (const entry of entries) put(entry)
+    revision = atRevision
+    isKnown = true
+    publish()
+  }
+
+  const readAll = async (): Promise<boolean> => {
+    const entries: InstanceEntry[] = []
+    let after: string | undefined
+    let listedAt: number | undefined
+    for (let page = 0; page < PAGES_AT_MOST; page++) {
+      const result = await source.list(after)
+      if (!result.ok) {
+        noteReachable(false, describe(result.error))
+        return false
+      }
+      entries.push(...result.value.entries)
+      // Changes between two pages are seen again by a watch from the first page's revision.
+      listedAt ??= result.value.revision
+      after = result.value.continueAfter
+      if (after === undefined) break
+    }
+    noteReachable(true, '')
+    replaceAll(entries, listedAt ?? 0)
+    return true
+  }
+
+  const watchOnce = async (): Promise<boolean> => {
+    const result = await source.watch(revision, options.watchWaitMs)
+    if (!result.ok) {
+      if (result.error.kind === 'historyGone') {
+        logger.info('backend server history gone', { revision })
+        return false
+      }
+      noteReachable(false, describe(result.error))
+      return false
+    }
+    noteReachable(true, '')
+    for (const change of result.value.changes) {
+      if (change.isRemoved) miss(change.name)
+      else put(change)
+    }
+    revision = Math.max(revision, result.value.revision)
+    if (result.value.changes.length > 0) publish()
+    return true
+  }
+
+  const pause = (ms: number): Promise<void> => new Promise((resolve) => { timer = clock.setTimer(ms, resolve) })
+
+  const follow = async (): Promise<void> => {
+    let isListed = false
+    while (!isStopped) {
+      if (isKnown && options.isReader?.() === false) {
+        isListed = false
+        for (const listener of needListeners) listener()
+        await pause(options.watchWaitMs / 4)
+        continue
+      }
+      const isDone: boolean = isListed ? await watchOnce() : await readAll()
+      if (isStopped) return
+      if (!isDone && !isListed) {
+        for (const listener of needListeners) listener()
+        await pause(RETRY_MS)
+      }
+      isListed = isDone
+    }
+  }
+
+  return {
+    api: {
+      list: (service) => byService.get(service) ?? [],
+      find: (id) => instances.get(id),
+      all: () => [...instances.values()],
+      revision: () => revision,
+      isKnown: () => isKnown,
+      markGone: (instance, reason) => {
+        const known = instances.get(instance.id)
+        if (known === undefined || known.incarnation !== instance.incarnation) return
+        goneIncarnations.set(instance.id, instance.incarnation)
+        remove(instance.id, reason)
+        publish()
+      },
+      onChange: (listener) => { listeners.push(listener) }
+    },
+    learn: (learnt, atRevision) => {
+      if (atRevision <= revision && isKnown) return
+      replaceAll(learnt.map((instance) => ({ name: instance.id, instance })), atRevision)
+    },
+    isSourceReachable: () => isReachable,
+    onNeed: (listener) => { needListeners.push(listener) },
+    start: () => { void follow() },
+    stop: () => {
+      isStopped = true
+      timer?.cancel()
+    }
+  }
+}
--- /dev/null
+++ b/src/services/promptDirectory/index.ts
@@ -0,0 +1,114 @@
+/**
+ * Which prompt parts are believed to be in which backend server's memory, from
+ * this node's own sends and from what peers tell of theirs. Advice only: a
+ * wrong belief costs a read of the prompt, never an answer.
+ */
+import { LRUCache } from 'lru-cache'
+import type { RunningService } from '../../kernel/index.js'
+import type { Clock, Membership, PeerTransport, PromptPart, Timer } from '../../types/index.js'
+
+export type PromptDirectory = {
+  /** Notes that a backend server reads or has read these parts now. */
+  readonly record: (parts: readonly PromptPart[], instanceKey: string) => void
+  /** Tokens of the longest beginning of `parts` that the server is believed to keep. */
+  readonly countKept: (parts: readonly PromptPart[], instanceKey: string) => number
+}
+
+export type PromptDirectoryDependencies = {
+  readonly clock: Clock
+  readonly transport: Pick<PeerTransport, 'send' | 'handle'>
+  readonly membership: Pick<Membership, 'liveMembers' | 'self'>
+}
+
+export type PromptDirectoryOptions = {
+  /** Time between two messages to peers in milliseconds. */
+  readonly periodMs: number
+  /** Parts that are remembered at most. */
+  readonly maximumParts: number
+  /** Most peers that one message goes to. */
+  readonly fanOut: number
+}
+
+/** A part unused for so long is taken for evicted: engines keep the parts used last. */
+const KEPT_MS = 60_000
+const PLACES_PER_MESSAGE = 512
+/** Servers that one part is remembered at; the ones used longest ago are forgotten. */
+const SERVERS_PER_PART = 8
+
+export const defaultPromptDirectoryOptions: PromptDirectoryOptions = { periodMs: 250, maximumParts: 20_000, fanOut: 12 }
+
+/**
+ * Creates the directory.
+ *
+ * @param dependencies - Clock, peers and who they are.
+ * @param options - Sizes and the period.
+ * @returns The service; it tells peers from its start to its stop.
+ *
+ * @example
+ * const { api } = createPromptDirectory({ clock, transport, membership })
+ * api.countKept([{ id: 'a', tokens: 100 }], 'engine-1') // => 0
+ */
+export const createPromptDirectory = (dependencies: PromptDirectoryDependencies, options: PromptDirectoryOptions = defaultPromptDirectoryOptions): RunningService<PromptDirectory> => {
+  const { clock, transport, membership } = dependencies
+  const places = new LRUCache<string, Map<string, number>>({ max: options.maximumParts })
+  let fresh = new Map<string, string>()
+  let timer: Timer | undefined
+
+  const note = (part: string, instanceKey: string): void => {
+    let servers = places.get(part)
+    if (servers === undefined) {
+      servers = new Map()
+      places.set(part, servers)
+    }
+    // Deleting first keeps the map in the order of last use.
+    servers.delete(instanceKey)
+    servers.set(instanceKey, clock.now())
+    if (servers.size <= SERVERS_PER_PART) return
+    const [oldest] = servers.keys()
+    if (oldest !== undefined) servers.delete(oldest)
+  }
+
+  const record = (parts: readonly PromptPart[], instanceKey: string): void => {
+    for (const [index, { id }] of parts.entries()) {
+      note(id, instanceKey)
+      // The last part is the request's own; peers have no use for it.
+      if (index < parts.length - 1 && fresh.size < PLACES_PER_MESSAGE) fresh.set(id, instanceKey)
+    }
+  }
+
+  const tellPeers = (): void => {
+    timer = clock.setTimer(options.periodMs, tellPeers)
+    if (fresh.size === 0) return
+    const message = { kind: 'promptPlaces', parts: [...fresh.keys()], servers: [...fresh.values()] } as const
+    fresh = new Map()
+    const self = membership.self().nodeId
+    const peers = membership.liveMembers().filter(({ nodeId }) => nodeId !== self)
+    for (const { address } of peers.slice(0, options.fanOut)) transport.send(address, message)
+  }
+
+  return {
+    api: {
+      record,
+      countKept: (parts, instanceKey) => {
+        let kept = 0
+        for (const { id, tokens } of parts) {
+          const at = places.get(id)?.get(instanceKey)
+          if (at === undefined || clock.now() - at > KEPT_MS) return kept
+          kept += tokens
+        }
+        return kept
+      }
+    },
+    start: () => {
+      transport.handle('promptPlaces', ({ parts, servers }) => {
+        for (const [index, part] of parts.entries()) {
+          const server = servers[index]
+          if (server !== undefined) note(part, server)
+        }
+        return { kind: 'none' }
+      })
+      timer = clock.setTimer(options.periodMs, tellPeers)
+    },
+    stop: () => timer?.cancel()
+  }
+}
--- /dev/null
+++ b/src/types/gatewayKnowledge.ts
@@ -0,0 +1,67 @@
+/**
+ * What a gateway node believes and where it learned it: the configuration in
+ * force, how lately it was confirmed to be the newest, and the backend servers.
+ */
+import type { BackendInstance, GatewayConfiguration } from './gateway.js'
+import type { Result } from './result.js'
+
+export type SourceError =
+  /** The source refused, timed out, or could not be reached. */
+  | { readonly kind: 'unavailable', readonly message: string }
+  /** The changes since the given revision are no longer kept: list anew. */
+  | { readonly kind: 'historyGone' }
+  /** What was read is not a valid object of its kind. */
+  | { readonly kind: 'malformed', readonly message: string }
+  | { readonly kind: 'notFound' }
+
+/** A configuration with the bytes it was decoded from, so that a node can hand it on. */
+export type SourcedConfiguration = {
+  readonly configuration: GatewayConfiguration
+  readonly bytes: Uint8Array
+}
+
+export type ConfigurationSource = {
+  /** Reads the newest configuration; the same object again while nothing changed. */
+  readonly read: () => Promise<Result<SourcedConfiguration, SourceError>>
+  readonly decode: (bytes: Uint8Array) => Result<SourcedConfiguration, SourceError>
+}
+
+/** One entry of the list of backend servers; without `instance` it is malformed and names none. */
+export type InstanceEntry = { readonly name: string, readonly instance?: BackendInstance }
+
+export type InstanceChange = InstanceEntry & { readonly isRemoved: boolean }
+
+export type InstancePage = {
+  readonly entries: readonly InstanceEntry[]
+  readonly revision: number
+  readonly continueAfter?: string
+}
+
+export type InstanceSource = {
+  readonly list: (after?: string) => Promise<Result<InstancePage, SourceError>>
+  /** Waits up to `waitMs` for changes after `revision`. */
+  readonly watch: (revision: number, waitMs: number) => Promise<Result<{ readonly changes: readonly InstanceChange[], readonly revision: number }, SourceError>>
+}
+
+export type GatewayConfigurationHolder = {
+  readonly current: () => GatewayConfiguration | undefined
+  readonly version: () => number
+  /** Milliseconds since the configuration in force was surely the newest; infinite when that is unknown. */
+  readonly confirmedAgeMs: () => number
+  /** Asks all sources now; resolves when one has confirmed, or after `waitMs`. */
+  readonly confirm: (waitMs: number) => Promise<void>
+  readonly onChange: (listener: (configuration: GatewayConfiguration) => void) => void
+}
+
+export type InstanceRegistry = {
+  /** Backend servers of a service that may get work. */
+  readonly list: (service: string) => readonly BackendInstance[]
+  readonly find: (id: string) => BackendInstance | undefined
+  readonly all: () => readonly BackendInstance[]
+  readonly revision: () => number
+  /** Whether the list was read at least once since the start. */
+  readonly isKnown: () => boolean
+  /** A backend server's own word, or proof from an answer, that this incarnation gets no more work. */
+  readonly markGone: (instance: BackendInstance, reason: string) => void
+  readonly onChange: (listener: () => void) => void
+}
--- /dev/null
+++ b/src/types/gatewaySettings.ts
@@ -0,0 +1,26 @@
+/** The settings of one gateway node, checked. Times are milliseconds. */
+import type { PeerAddress } from './peer.js'
+
+export type GatewaySettings = {
+  readonly nodeId: string
+  readonly availabilityZone: string
+  readonly callerAddress: PeerAddress
+  readonly readinessAddress: PeerAddress
+  readonly metricsAddress: PeerAddress | undefined
+  /** Where this node listens for its peers, and what they dial. */
+  readonly peerAddress: PeerAddress
+  readonly seedPeers: readonly PeerAddress[]
+  readonly fleetKey: string
+  /** Milliseconds from a stop's signal to the process's end by force. */
+  readonly graceMs: number
+  /** Time after which a key that was taken away must not be used; 0 where no such bound holds. */
+  readonly keyRevocationMs: number
+  /** Time within which a new configuration has to be in force. */
+  readonly configurationDelayMs: number
+  readonly repeatRatio: number
+  readonly repeatExtra: number
+  readonly repeatWindowMs: number
+  /** No backend server over so many times the mean load of its service, plus 3. */
+  readonly loadFactor: number
+  readonly logLevel: string
+}
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -2,6 +2,7 @@
  * Messages between routers, and the transport that carries them. A message is
  * a tagged union; each service registers a handler for the kinds it owns.
  */
+import type { BackendInstance } from './gateway.js'
 import type { Result } from './result.js'
 
 export type PeerAddress = { readonly host: string, readonly port: number }
@@ -105,6 +106,10 @@
   | { readonly kind: 'directoryLookup', readonly chatKey: string }
   | { readonly kind: 'claimAppend', readonly shard: number, readonly entries: readonly Uint8Array[] }
   | { readonly kind: 'claimOutcome', readonly key: ClaimKey }
+  /** Prompt parts that the sender lately sent, each with the backend server (`id@incarnation`) that got it. */
+  | { readonly kind: 'promptPlaces', readonly parts: readonly string[], readonly servers: readonly string[] }
+  /** Asks a gateway node for what is newer than this. */
+  | { readonly kind: 'knowledgeRequest', readonly version: number, readonly revision: number }
 
 export type PeerReply =
   | { readonly kind: 'none' }
@@ -115,6 +120,16 @@
   | { readonly kind: 'claimAppended', readonly accepted: readonly boolean[], readonly records?: readonly Uint8Array[] }
   | { readonly kind: 'claimRefused', readonly message: string }
   | { readonly kind: 'claimOutcome', readonly outcome?: Uint8Array }
+  | {
+    readonly kind: 'knowledge'
+    readonly version: number
+    /** Milliseconds since that version was surely the newest, when the reply was made; infinite when unknown. */
+    readonly ageMs: number
+    readonly configuration?: Uint8Array
+    /** Revision of the source up to which the backend servers are known. */
+    readonly revision: number
+    readonly instances?: readonly BackendInstance[]
+  }
 
 export type PeerError =
   | { readonly kind: 'unreachable', readonly message: string }
