--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,10 +5,23 @@
   '**/adapters/**', '**/services/**', '**/cli/**', '**/emulator/**'
 ]
 
+/** Names of the operators' platform: they are decoded in platform/ and go no further. (X-Deadline-Ms is also the product's own.) */
+const platformNames = /^(x-(attempt-id|server-stamp|prompt-prefix|token-count|expect-instance|not-executed|server-load|request-priority)|path_prefix|api_keys|after_rev|current_rev|latency_goal_ms|route_type|config_apply_ms)$/i
+
 const impureGlobals = ['Date', 'setTimeout', 'setInterval', 'setImmediate', 'process', 'performance', 'fetch']
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', 'coverage/**'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'coverage/**', 'target/**', 'journal/**'] }),
+  {
+    files: ['src/**/*.ts'],
+    rules: {
+      'no-restricted-imports': ['error', { patterns: [{ group: ['**/platform/*/index.js', '!**/types/**'], message: 'The product learns nothing of the operators\' platform.' }] }],
+      'no-restricted-syntax': ['error',
+        { selector: `Literal[value=${platformNames}]`, message: 'Names of the operators\' platform stay in platform/.' },
+        { selector: `Identifier[name=${platformNames}]`, message: 'Names of the operators\' platform stay in platform/.' }
+      ]
+    }
+  },
   {
     files: ['src/decisions/**/*.ts'],
     ignores: ['**/test.ts'],
--- a/src/daemon/startGateway/index.ts
+++ b/src/daemon/startGateway/index.ts
@@ -100,9 +100,11 @@
     logger.info('gateway stopping', { open: node.resolve('forwarding').openRequests(), connections: gatewayHttp.openConnections() })
     node.resolve('membership').announceLeaving()
     gatewayHttp.beginClosing()
+    // A zone with few nodes in rotation gets new connections on all of them, stopping ones included.
+    const endsAt = stoppedAt + settings.graceMs - GRACE_MARGIN_MS
+    node.resolve('forwarding').beginStopping(endsAt)
     await wait(clock, Math.min(TURN_AWAY_MS, settings.graceMs / 2))
     gatewayHttp.closeIdle()
-    const endsAt = stoppedAt + settings.graceMs - GRACE_MARGIN_MS
     const isQuiet = (): boolean => node.resolve('forwarding').openRequests() === 0 && clock.now() - gatewayHttp.lastUsedAt() > QUIET_MS
     while (clock.now() < endsAt && !isQuiet()) {
       await wait(clock, STOP_POLL_MS)
--- a/src/services/forwarding/_lib/createRun.ts
+++ b/src/services/forwarding/_lib/createRun.ts
@@ -167,7 +167,7 @@
   const send = (): void => {
     if (isDone || route === undefined || body === undefined || isWaitingForKey) return
     if (!isKeyFresh()) {
-      void confirmKey()
+      confirmKey()
       return
     }
     if (needsKey() && !isKeyGood()) return mayHaveRun ? giveUp('unknownKey', 502) : refuse({ status: 401, reason: 'unknownKey' })
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -8,6 +8,7 @@
 import { createRepeatBudgets } from './_lib/createRepeatBudgets.js'
 import { createTimeToFirstBytes } from './_lib/createTimeToFirstBytes.js'
 import { findAccount } from './_lib/findAccount.js'
+import { estimateDuration, USUAL_TOKEN_MS } from '../../decisions/estimateDuration/index.js'
 import type { RepeatBudgetLimits } from '../../decisions/grantRepeat/index.js'
 import { indexRoutes, selectGatewayRoute } from '../../decisions/selectGatewayRoute/index.js'
 import type { RunningService } from '../../kernel/index.js'
@@ -45,6 +46,9 @@
 /** When to come back after a refusal for want of knowledge: a source is asked again within that time. */
 const UNKNOWN_RETRY_MS = 500
 
+/** When to come back after a refusal of a node that stops: at once, since a new connection reaches another one. */
+const ELSEWHERE_RETRY_MS = 20
+
 /**
  * Creates the service.
  *
@@ -62,6 +66,7 @@
   const budgets = createRepeatBudgets(options.repeatLimits, () => dependencies.membership.members().length, clock)
   const usualTimes = createTimeToFirstBytes()
   let timer: Timer | undefined
+  let endsAt = Infinity
   let index: ReadonlyMap<string, readonly GatewayRoute[]> = new Map()
 
   configuration.onChange((next) => { index = indexRoutes(next.routes) })
@@ -103,10 +108,14 @@
         if (route === undefined) return refused(run, refuseUnknown({ status: 404, reason: 'unknownRoute' }))
         const account = findAccount(current, route, request.credential)
         if (account === 'unknown') return refused(run, refuseUnknown({ status: 401, reason: 'unknownKey' }))
+        if (clock.now() + estimateDuration({ route, outputTokens: request.tokens.output, tokenMs: USUAL_TOKEN_MS }) > endsAt) {
+          return refused(run, { status: 503, reason: 'shuttingDown', retryAfterMs: ELSEWHERE_RETRY_MS })
+        }
         run.assign(route, account)
         return run
       },
-      openRequests: () => runs.size
+      openRequests: () => runs.size,
+      beginStopping: (at) => { endsAt = at }
     },
     stop: () => timer?.cancel()
   }
--- a/src/services/gatewayConfiguration/index.ts
+++ b/src/services/gatewayConfiguration/index.ts
@@ -117,7 +117,7 @@
       askOthers()
       return schedule(options.readIntervalMs)
     }
-    void read()
+    read()
   }
 
   const schedule = (delayMs: number): void => {
@@ -142,7 +142,7 @@
       confirmedAgeMs,
       confirm: async (waitMs) => {
         const confirmed = waitForConfirmation(waitMs)
-        void read()
+        read()
         askOthers()
         await confirmed
       },
@@ -161,12 +161,12 @@
     hint: (known) => {
       if (known <= version()) return
       hinted = Math.max(hinted, known)
-      if (isReachable && options.isReader?.() !== false) void read()
+      if (isReachable && options.isReader?.() !== false) read()
       else askOthers()
     },
     onNeed: (listener) => { needListeners.push(listener) },
     isSourceReachable: () => isReachable,
-    start: () => { void read() },
+    start: () => { read() },
     stop: () => {
       isStopped = true
       timer?.cancel()
--- a/src/services/instanceRegistry/index.ts
+++ b/src/services/instanceRegistry/index.ts
@@ -173,7 +173,8 @@
 
   const follow = async (): Promise<void> => {
     let isListed = false
-    while (!isStopped) {
+    for (;;) {
+      if (isStopped) return
       if (isKnown && options.isReader?.() === false) {
         isListed = false
         for (const listener of needListeners) listener()
@@ -212,7 +213,7 @@
     },
     isSourceReachable: () => isReachable,
     onNeed: (listener) => { needListeners.push(listener) },
-    start: () => { void follow() },
+    start: () => { follow() },
     stop: () => {
       isStopped = true
       timer?.cancel()
--- a/src/services/knowledgeExchange/index.ts
+++ b/src/services/knowledgeExchange/index.ts
@@ -62,7 +62,7 @@
   const ask = (): void => {
     if (clock.now() - askedAt < ASK_PAUSE_MS) return
     askedAt = clock.now()
-    for (const peer of listPeers().slice(0, PEERS_ASKED)) void askPeer(peer)
+    for (const peer of listPeers().slice(0, PEERS_ASKED)) askPeer(peer)
   }
 
   return {
--- a/src/types/forwarding.ts
+++ b/src/types/forwarding.ts
@@ -14,4 +14,6 @@
   /** Takes a request once its head is read; refuses at once what can't be served. */
   readonly begin: (request: GatewayRequest, sink: CallerSink) => ForwardingRun
   readonly openRequests: () => number
+  /** From now on requests that would not end before `endsAt` (monotonic milliseconds) are refused as not run. */
+  readonly beginStopping: (endsAt: number) => void
 }
