Hold a cut zone's servers at once, prove them by connections, test the whole path

Now two servers of a zone out of reach, with nothing heard from the zone, hold all of it; held servers are tried by connections without a request.

--- a/src/adapters/instanceHttp/index.ts
+++ b/src/adapters/instanceHttp/index.ts
@@ -3,6 +3,7 @@
  * client without pipelining, so that it is known which connection a request is
  * on, whether a byte of it was written, and how long the connection was idle.
  */
+import { connect } from 'node:net'
 import { Client } from 'undici'
 import type { Dispatcher } from 'undici'
 import { keyOf } from '../../services/instanceHealth/index.js'
@@ -18,10 +19,10 @@
 
 /**
  * Time for a new connection: a lost first packet is sent again after a second,
- * and another server is found sooner than that. Three ways to another zone and
- * back, a long processor pause included, take under 300 ms.
+ * and another server is found sooner than that. The way to another zone and
+ * back takes some 10 ms, a processor pause of a small VM up to 100 ms.
  */
-const CONNECT_TIMEOUT_MS = 350
+const CONNECT_TIMEOUT_MS = 200
 /** Idle connections that are kept for a server's next burst. */
 const IDLE_CONNECTIONS_KEPT = 32
 /** An idle connection may have been closed by the server, with the news still on its way; requests that can't be repeated take only younger ones. */
@@ -163,8 +164,21 @@
     }
   }
 
+  const probe = (instance: BackendInstance): Promise<boolean> => new Promise((resolve) => {
+    const socket = connect({ host: instance.address.host, port: instance.address.port })
+    const finish = (isReached: boolean): void => {
+      limit.cancel()
+      socket.destroy()
+      resolve(isReached)
+    }
+    const limit = clock.setTimer(options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS, () => finish(false))
+    socket.once('connect', () => finish(true))
+    socket.once('error', () => finish(false))
+  })
+
   return {
     send,
+    probe,
     retain: (live) => {
       for (const [key, pool] of pools) {
         if (live.has(key)) continue
--- a/src/daemon/startGateway/index.ts
+++ b/src/daemon/startGateway/index.ts
@@ -24,6 +24,11 @@
 export type Gateway = {
   readonly callerAddress: PeerAddress
   readonly readinessAddress: PeerAddress
+  readonly peerAddress: PeerAddress
+  /** Resolves once it can serve. */
+  readonly whenAble: () => Promise<void>
+  /** Ends at once, as when its process dies. */
+  readonly kill: () => Promise<void>
   /** Fails the readiness, serves on, and resolves once nothing is open or the grace is nearly over. */
   readonly stop: () => Promise<void>
 }
@@ -62,10 +67,10 @@
     random,
     logger
   })
-  await transport.listen()
+  const peerAddress = await transport.listen()
   const client = createInstanceHttp({ clock, dialect })
   const node = createGatewayNode({
-    settings,
+    settings: { ...settings, peerAddress },
     clock,
     random,
     readClocks: readSystemClocks,
@@ -92,7 +97,19 @@
   })
   const callerAddress = await gatewayHttp.listen()
   const readinessAddress = await readiness.listen()
-  logger.info('gateway started', { zone: settings.availabilityZone, callerPort: callerAddress.port, peerPort: settings.peerAddress.port, startMs: Math.round(performance.now()) })
+  logger.info('gateway started', { zone: settings.availabilityZone, callerPort: callerAddress.port, readinessPort: readinessAddress.port, peerPort: peerAddress.port, startMs: Math.round(performance.now()) })
+
+  const end = async (): Promise<void> => {
+    gatewayHttp.close()
+    readiness.close()
+    await node.stop()
+    client.close()
+    await transport.close()
+  }
+
+  const whenAble = async (): Promise<void> => {
+    while (!node.isAbleToServe()) await wait(clock, STOP_POLL_MS)
+  }
 
   const shutDown = async (): Promise<void> => {
     const stoppedAt = clock.now()
@@ -111,17 +128,16 @@
       gatewayHttp.closeIdle()
     }
     logger.info('gateway stopped', { open: node.resolve('forwarding').openRequests(), ms: Math.round(clock.now() - stoppedAt) })
-    gatewayHttp.close()
-    readiness.close()
-    await node.stop()
-    client.close()
-    await transport.close()
+    await end()
   }
 
   let stopping: Promise<void> | undefined
   return {
     callerAddress,
     readinessAddress,
+    peerAddress,
+    whenAble,
+    kill: end,
     stop: () => {
       stopping ??= shutDown()
       return stopping
--- a/src/decisions/advanceCondition/index.ts
+++ b/src/decisions/advanceCondition/index.ts
@@ -9,6 +9,8 @@
   readonly failuresInRow: number
   /** Monotonic milliseconds until which it gets no work while others can take it. */
   readonly heldUntil: number
+  /** Whether it stays held after that until a connection to it could be made. */
+  readonly needsProof: boolean
   /** Share of its latest answers that were failures, in [0, 1]. */
   readonly errorShare: number
   /** Time to its first bytes against what such requests usually take, averaged. */
@@ -20,16 +22,18 @@
   | { readonly kind: 'unreachable' }
   /** The connection ended or brought bytes that are no answer. */
   | { readonly kind: 'broken' }
+  /** A connection to it was made for no other purpose. */
+  | { readonly kind: 'reached' }
   /** It says that it failed while it ran the request. */
   | { readonly kind: 'errored' }
   | { readonly kind: 'answered', readonly slowness: number }
 
-export const initialCondition: InstanceCondition = { failuresInRow: 0, heldUntil: -Infinity, errorShare: 0, slowness: 1 }
+export const initialCondition: InstanceCondition = { failuresInRow: 0, heldUntil: -Infinity, needsProof: false, errorShare: 0, slowness: 1 }
 
 /** Hold after the first failure in milliseconds: a few times the way to another zone and back. */
 const FIRST_HOLD_MS = 400
 /** Longest hold: a server that is back serves again within that time. */
-const LONGEST_HOLD_MS = 3_000
+const LONGEST_HOLD_MS = 2_000
 /** Broken answers in a row that count as out of reach: single ones come with lost packets. */
 const BROKEN_IN_ROW = 3
 /** Weight of the newest answer in the averages: ten answers or so decide. */
@@ -45,7 +49,8 @@
 
 const handlers: { readonly [Kind in ConditionEvent['kind']]: (condition: InstanceCondition, event: Extract<ConditionEvent, { kind: Kind }>, now: number) => InstanceCondition } = {
   // Several requests meet the same silence at once; they are one failure.
-  unreachable: (condition, _event, now) => now < condition.heldUntil ? condition : hold(condition, condition.failuresInRow + 1, now),
+  unreachable: (condition, _event, now) => now < condition.heldUntil ? condition : { ...hold(condition, condition.failuresInRow + 1, now), needsProof: true },
+  reached: (condition, _event, now) => now < condition.heldUntil ? condition : { ...condition, needsProof: false },
   broken: (condition, _event, now) => {
     const failing = { ...condition, errorShare: blend(condition.errorShare, 1) }
     const failuresInRow = condition.failuresInRow + 1
@@ -55,6 +60,7 @@
   answered: (condition, { slowness }) => ({
     failuresInRow: 0,
     heldUntil: -Infinity,
+    needsProof: false,
     errorShare: blend(condition.errorShare, 0),
     slowness: blend(condition.slowness, Math.min(slowness, SLOWNESS_AT_MOST))
   })
--- a/src/decisions/placeRequest/index.ts
+++ b/src/decisions/placeRequest/index.ts
@@ -34,8 +34,8 @@
   readonly tokensPerFullLoad: number
   /** Tokens that a kilobyte between zones is worth. */
   readonly tokensPerRemoteKilobyte: number
-  /** Share of the shared tokens that the key's first-ranked server is credited with. */
-  readonly homeShare: number
+  /** Tokens that the key's first-ranked server is credited with, so that nodes which know nothing yet agree. */
+  readonly homeTokens: number
 }
 
 /**
@@ -48,7 +48,7 @@
   boundSlack: 2,
   tokensPerFullLoad: 3000,
   tokensPerRemoteKilobyte: 20,
-  homeShare: 0.5
+  homeTokens: 6000
 }
 
 const scoreHome = (affinityKey: string, id: string): number => hashText(id, hashText(affinityKey))
@@ -98,7 +98,7 @@
   const bound = computeBound(candidates, weights)
   const home = findHome(question.affinityKey, candidates)
   const costOf = (candidate: InstanceCandidate): number => {
-    const credited = candidate.id === home ? Math.max(candidate.keptTokens, weights.homeShare * question.sharedTokens) : candidate.keptTokens
+    const credited = candidate.id === home ? Math.max(candidate.keptTokens, Math.min(weights.homeTokens, question.sharedTokens)) : candidate.keptTokens
     const missing = Math.max(0, question.sharedTokens - credited)
     const crowd = weights.tokensPerFullLoad * (candidate.load + 1) / candidate.slots * candidate.slowness
     const way = candidate.isInZone ? 0 : weights.tokensPerRemoteKilobyte * question.expectedBytes / 1024
--- a/src/kernel/parseIsoTime/index.ts
+++ b/src/kernel/parseIsoTime/index.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod/mini'
 
 const MINUTE_PRECISION = -1
 const isoTime = z.union([z.iso.datetime({ offset: true }), z.iso.datetime({ offset: true, precision: MINUTE_PRECISION })])
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -129,14 +129,14 @@
     name: 'instanceHealth',
     dependsOn: ['instanceRegistry'],
     create: (resolve) => {
-      const health = createInstanceHealth({ clock, logger })
+      const health = createInstanceHealth({ clock, logger, client })
       const registry = resolve('instanceRegistry')
       registry.onChange(() => {
         const live = new Set(registry.all().map(keyOf))
-        health.retain(live)
+        health.api.retain(live)
         client.retain(live)
       })
-      return { api: health }
+      return health
     }
   })
   kernel.register({
--- a/src/services/forwarding/_lib/createRun.ts
+++ b/src/services/forwarding/_lib/createRun.ts
@@ -46,6 +46,7 @@
   chunks: Uint8Array[]
   bytes: number
   isOver: boolean
+  isSilenceNoted: boolean
 }
 
 /** An answer that is no event stream is held until it is whole, up to so many bytes; longer ones go on as they come. */
@@ -183,7 +184,7 @@
 
   const startSending = (instance: BackendInstance, remainingMs: number, to: GatewayRoute, content: Uint8Array): void => {
     const now = clock.now()
-    const current: Sending = { instance, startedAt: now, reader: createEventReader(), exchange: undefined, isSent: false, lastBytesAt: now, answer: undefined, chunks: [], bytes: 0, isOver: false }
+    const current: Sending = { instance, startedAt: now, reader: createEventReader(), exchange: undefined, isSent: false, lastBytesAt: now, answer: undefined, chunks: [], bytes: 0, isOver: false, isSilenceNoted: false }
     sending = current
     tried.add(instance.id)
     loadView.recordStart(keyOf(instance))
@@ -316,11 +317,18 @@
     send()
   }
 
+  /** A request that has to wait on still tells of a server that is silent to all. */
+  const noteSilence = (current: Sending): void => {
+    if (current.isSilenceNoted || health.silentMs(current.instance) < clock.now() - current.lastBytesAt) return
+    current.isSilenceNoted = true
+    health.record(current.instance, { kind: 'unreachable' })
+  }
+
   const check = (now: number): void => {
     if (isDone) return
     if (now >= deadlineAt()) return giveUp(mayHaveRun ? 'deadline' : 'deadlineBeforeSend', 504)
     const current = sending
-    if (current === undefined || route === undefined || !current.isSent || !isRepeatable()) return
+    if (current === undefined || route === undefined || !current.isSent) return
     const isDue = isMoveDue({
       hasBegun: isHeadSent,
       waitedMs: now - current.lastBytesAt,
@@ -329,7 +337,9 @@
       pauseGoalMs: route.pauseGoalMs,
       usualMs: context.usualTimes.usual(route.name)
     })
-    if (isDue && canSendAgain()) move(current, now)
+    if (!isDue) return
+    if (isRepeatable() && canSendAgain()) return move(current, now)
+    noteSilence(current)
   }
 
   return {
--- a/src/services/gatewayConfiguration/index.ts
+++ b/src/services/gatewayConfiguration/index.ts
@@ -61,7 +61,8 @@
   let timer: Timer | undefined
   let isReading = false
   let isStopped = false
-  let isReachable = false
+  /** Undefined before the first answer, so that a source that was never reached is told as well. */
+  let isReachable: boolean | undefined
   let hinted = 0
 
   const version = (): number => sourced?.configuration.version ?? 0
@@ -161,11 +162,11 @@
     hint: (known) => {
       if (known <= version()) return
       hinted = Math.max(hinted, known)
-      if (isReachable && options.isReader?.() !== false) read()
+      if (isReachable === true && options.isReader?.() !== false) read()
       else askOthers()
     },
     onNeed: (listener) => { needListeners.push(listener) },
-    isSourceReachable: () => isReachable,
+    isSourceReachable: () => isReachable === true,
     start: () => { read() },
     stop: () => {
       isStopped = true
--- a/src/services/instanceHealth/index.ts
+++ b/src/services/instanceHealth/index.ts
@@ -4,7 +4,8 @@
  */
 import { advanceCondition, initialCondition } from '../../decisions/advanceCondition/index.js'
 import type { ConditionEvent, InstanceCondition } from '../../decisions/advanceCondition/index.js'
-import type { BackendInstance, Clock, Logger } from '../../types/index.js'
+import type { RunningService } from '../../kernel/index.js'
+import type { BackendInstance, Clock, InstanceClient, Logger, Timer } from '../../types/index.js'
 
 export type InstanceHealth = {
   readonly began: (instance: BackendInstance) => void
@@ -25,6 +26,10 @@
 /** The key of one start of a backend server: its memory and its counts begin anew with the next. */
 export const keyOf = (instance: BackendInstance): string => `${instance.id}@${instance.incarnation}`
 
+/** Time between two looks at held servers whose hold is over, in milliseconds. */
+const PROBE_TICK_MS = 200
+/** Servers of one zone that are out of reach at once when the zone itself is: one alone may be down. */
+const SERVERS_OF_CUT_ZONE = 2
 /** Slowness and errors beside the median's that are left alone: answers vary by as much. */
 const TOLERATED_SLOWNESS = 1.6
 const TOLERATED_ERROR_SHARE = 0.12
@@ -36,18 +41,32 @@
   return sorted[sorted.length >> 1] ?? 0
 }
 
+/** What is known of the way to one availability zone. */
+type ZoneContact = { heardAt: number, readonly unreachableAt: Map<string, number> }
+
 /**
  * Creates the record of this node.
  *
- * @param dependencies - Clock and log.
- * @returns The record, empty.
+ * A cut zone shows as several servers out of reach with nothing heard from the
+ * others; then all its servers are held at once, rather than each being found
+ * out by a request that waits there. Held servers are tried by connections
+ * that carry no request.
+ *
+ * @param dependencies - Clock, log, and how to try a connection.
+ * @returns The service for the kernel; its record is empty.
  *
  * @example
- * createInstanceHealth({ clock, logger }).isHeld(instance) // => false
+ * createInstanceHealth({ clock, logger, client }).api.isHeld(instance) // => false
  */
-export const createInstanceHealth = ({ clock, logger }: { readonly clock: Clock, readonly logger: Logger }): InstanceHealth => {
+export const createInstanceHealth = (dependencies: { readonly clock: Clock, readonly logger: Logger, readonly client: Pick<InstanceClient, 'probe'> }): RunningService<InstanceHealth> => {
+  const { clock, logger, client } = dependencies
   const conditions = new Map<string, InstanceCondition>()
   const contacts = new Map<string, Contact>()
+  const zones = new Map<string, ZoneContact>()
+  const unproved = new Map<string, BackendInstance>()
+  const probing = new Set<string>()
+  let timer: Timer | undefined
+  let isStopped = false
 
   const conditionOf = (instance: BackendInstance): InstanceCondition => conditions.get(keyOf(instance)) ?? initialCondition
 
@@ -60,24 +79,82 @@
     return created
   }
 
-  return {
+  const zoneOf = (name: string): ZoneContact => {
+    const known = zones.get(name)
+    if (known !== undefined) return known
+    const created = { heardAt: -Infinity, unreachableAt: new Map() }
+    zones.set(name, created)
+    return created
+  }
+
+  const noteZoneHeard = (instance: BackendInstance): void => {
+    const zone = zoneOf(instance.availabilityZone)
+    zone.heardAt = clock.now()
+    if (zone.unreachableAt.size > 0) zone.unreachableAt.clear()
+  }
+
+  const noteZoneUnreachable = (instance: BackendInstance): void => {
+    const zone = zoneOf(instance.availabilityZone)
+    zone.unreachableAt.set(keyOf(instance), clock.now())
+    if (zone.unreachableAt.size === SERVERS_OF_CUT_ZONE) logger.warn('availability zone held', { zone: instance.availabilityZone, unheardMs: Math.round(clock.now() - zone.heardAt) })
+  }
+
+  const isZoneHeld = (name: string): boolean => (zones.get(name)?.unreachableAt.size ?? 0) >= SERVERS_OF_CUT_ZONE
+
+  const isHeldItself = (instance: BackendInstance): boolean => {
+    const condition = conditionOf(instance)
+    return condition.heldUntil > clock.now() || condition.needsProof
+  }
+
+  const record = (instance: BackendInstance, event: ConditionEvent): void => {
+    const wasHeld = isHeldItself(instance)
+    const before = conditionOf(instance)
+    const after = advanceCondition(before, event, clock.now())
+    conditions.set(keyOf(instance), after)
+    if (event.kind === 'unreachable') noteZoneUnreachable(instance)
+    if (event.kind === 'reached' || event.kind === 'answered') noteZoneHeard(instance)
+    if (after.needsProof) watch(instance)
+    else unproved.delete(keyOf(instance))
+    const isHeld = isHeldItself(instance)
+    if (isHeld && !wasHeld) logger.warn('backend server held', { backendServer: instance.id, service: instance.service, event: event.kind, failures: after.failuresInRow, holdMs: Math.round(after.heldUntil - clock.now()) })
+    if (wasHeld && !isHeld) logger.info('backend server back', { backendServer: instance.id, service: instance.service, event: event.kind })
+  }
+
+  const probe = async (key: string, instance: BackendInstance): Promise<void> => {
+    probing.add(key)
+    const isReached = await client.probe(instance)
+    probing.delete(key)
+    if (isStopped || !unproved.has(key)) return
+    record(instance, { kind: isReached ? 'reached' : 'unreachable' })
+  }
+
+  const probeDue = (): void => {
+    timer = undefined
+    const now = clock.now()
+    for (const [key, instance] of unproved) {
+      if (!probing.has(key) && conditionOf(instance).heldUntil <= now) probe(key, instance)
+    }
+    if (unproved.size > 0 && !isStopped) timer = clock.setTimer(PROBE_TICK_MS, probeDue)
+  }
+
+  const watch = (instance: BackendInstance): void => {
+    unproved.set(keyOf(instance), instance)
+    timer ??= clock.setTimer(PROBE_TICK_MS, probeDue)
+  }
+
+  const api: InstanceHealth = {
     began: (instance) => {
       const contact = contactOf(instance)
       if (contact.open === 0) contact.quietSince = clock.now()
       contact.open += 1
     },
     ended: (instance) => { contactOf(instance).open -= 1 },
-    heard: (instance) => { contactOf(instance).quietSince = clock.now() },
-    record: (instance, event) => {
-      const before = conditionOf(instance)
-      const after = advanceCondition(before, event, clock.now())
-      conditions.set(keyOf(instance), after)
-      const wasHeld = before.heldUntil > clock.now()
-      const isHeld = after.heldUntil > clock.now()
-      if (isHeld && !wasHeld) logger.warn('backend server held', { backendServer: instance.id, service: instance.service, event: event.kind, failures: after.failuresInRow, holdMs: Math.round(after.heldUntil - clock.now()) })
-      if (before.failuresInRow > 0 && after.failuresInRow === 0 && before.heldUntil > -Infinity) logger.info('backend server answers again', { backendServer: instance.id, service: instance.service })
+    heard: (instance) => {
+      contactOf(instance).quietSince = clock.now()
+      noteZoneHeard(instance)
     },
-    isHeld: (instance) => conditionOf(instance).heldUntil > clock.now(),
+    record,
+    isHeld: (instance) => isHeldItself(instance) || isZoneHeld(instance.availabilityZone),
     silentMs: (instance) => {
       const contact = contactOf(instance)
       return contact.open > 0 ? clock.now() - contact.quietSince : 0
@@ -95,6 +172,16 @@
     retain: (live) => {
       for (const key of conditions.keys()) if (!live.has(key)) conditions.delete(key)
       for (const [key, contact] of contacts) if (!live.has(key) && contact.open === 0) contacts.delete(key)
+      for (const key of unproved.keys()) if (!live.has(key)) unproved.delete(key)
+      for (const { unreachableAt } of zones.values()) for (const key of unreachableAt.keys()) if (!live.has(key)) unreachableAt.delete(key)
+    }
+  }
+
+  return {
+    api,
+    stop: () => {
+      isStopped = true
+      timer?.cancel()
     }
   }
 }
--- a/src/services/instanceRegistry/index.ts
+++ b/src/services/instanceRegistry/index.ts
@@ -57,7 +57,8 @@
   let byService = new Map<string, BackendInstance[]>()
   let revision = 0
   let isKnown = false
-  let isReachable = false
+  /** Undefined before the first answer, so that a source that was never reached is told as well. */
+  let isReachable: boolean | undefined
   let returnedAt = -Infinity
   let isStopped = false
   let timer: Timer | undefined
@@ -211,7 +212,7 @@
       if (atRevision <= revision && isKnown) return
       replaceAll(learnt.map((instance) => ({ name: instance.id, instance })), atRevision)
     },
-    isSourceReachable: () => isReachable,
+    isSourceReachable: () => isReachable === true,
     onNeed: (listener) => { needListeners.push(listener) },
     start: () => { follow() },
     stop: () => {
--- a/src/services/promptDirectory/index.ts
+++ b/src/services/promptDirectory/index.ts
@@ -32,8 +32,8 @@
 /** A part unused for so long is taken for evicted: engines keep the parts used last. */
 const KEPT_MS = 60_000
 const PLACES_PER_MESSAGE = 512
-/** Servers that one part is remembered at; the ones used longest ago are forgotten. */
-const SERVERS_PER_PART = 8
+/** Servers that one part is remembered at; a part that begins many prompts is at most of a service. */
+const SERVERS_PER_PART = 64
 
 export const defaultPromptDirectoryOptions: PromptDirectoryOptions = { periodMs: 250, maximumParts: 20_000, fanOut: 12 }
 
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -168,6 +168,8 @@
 
 export type InstanceClient = {
   readonly send: (attempt: GatewayAttempt, listener: ExchangeListener) => Exchange
+  /** Tries whether a connection can be made; it carries no request. */
+  readonly probe: (instance: BackendInstance) => Promise<boolean>
   /** Closes the idle connections to backend servers that are not in the set of `id@incarnation`. */
   readonly retain: (live: ReadonlySet<string>) => void
   readonly close: () => void
--- /dev/null
+++ b/test/platform/knowledge.test.ts
@@ -0,0 +1,162 @@
+/** What a gateway believes of configuration and backend servers, and what it does while their source is away. */
+import { afterEach, describe, expect, test } from 'vitest'
+import { callGateway } from './_lib/callGateway.js'
+import { createRoute, startGatewayFleet, type FleetOptions, type GatewayFleet } from './_lib/startGatewayFleet.js'
+import { createBackendStandIn } from '../../platform/standIn/createBackendStandIn/index.js'
+import { waitFor } from '../_lib/waitFor.js'
+
+const fleets: GatewayFleet[] = []
+
+const start = async (options: FleetOptions = {}): Promise<GatewayFleet> => {
+  const fleet = await startGatewayFleet(options)
+  fleets.push(fleet)
+  return fleet
+}
+
+afterEach(async () => { for (const fleet of fleets.splice(0)) await fleet.close() })
+
+const readStatus = async (fleet: GatewayFleet, path: string, node = 0, key?: string): Promise<number> =>
+  (await callGateway(fleet.callerAddress(node), { path, ...(key === undefined ? {} : { key }) })).status
+
+describe('a new configuration', () => {
+  test('comes into force without a restart', async () => {
+    const fleet = await start()
+    fleet.applyConfiguration(7, { routes: [createRoute('fresh')] })
+    await waitFor('the new route', async () => await readStatus(fleet, '/fresh/1') === 200)
+    expect(await readStatus(fleet, '/lookup/1')).toBe(404)
+  })
+
+  // An operator's store hands out an older version, as a stale reader would. A
+  // node that went back would send requests by routes that no longer hold.
+  test('never gives way to an older one', async () => {
+    const fleet = await start()
+    fleet.applyConfiguration(7, { routes: [createRoute('fresh')] })
+    await waitFor('the new route', async () => await readStatus(fleet, '/fresh/1') === 200)
+    fleet.applyConfiguration(3, { routes: [createRoute('stale')] })
+    await new Promise((resolve) => { setTimeout(resolve, 1_200) })
+    expect(await readStatus(fleet, '/fresh/1')).toBe(200)
+  })
+
+  // One node can't reach the store while a new version is applied. Its callers
+  // should see it as soon as the others' do: the node learns it from its peers.
+  test('reaches a node that is cut off from the store through its peers', async () => {
+    const fleet = await start({ nodes: 2 })
+    await waitFor('the peer to be known', async () => fleet.logs.some(({ message }) => message === 'member changed'))
+    fleet.cutFromStore(1)
+    fleet.applyConfiguration(7, { routes: [createRoute('fresh')] })
+    await waitFor('the new route on the cut node', async () => await readStatus(fleet, '/fresh/1', 1) === 200)
+  })
+})
+
+describe('a key', () => {
+  test('that was taken away is refused', async () => {
+    const fleet = await start()
+    expect(await readStatus(fleet, '/lookup/1', 0, 'second-key')).toBe(200)
+    fleet.applyConfiguration(7, { tenants: [{ name: 'pekarna', api_keys: ['key-of-pekarna'], priority: 1 }] })
+    await waitFor('the key to be refused', async () => await readStatus(fleet, '/lookup/1', 0, 'second-key') === 401)
+    expect(await readStatus(fleet, '/lookup/1')).toBe(200)
+  })
+
+  // The store and all peers are out of reach of a node, and a key is taken away
+  // meanwhile. The node can't know, so after the bound it refuses requests with a
+  // key as surely not run; routes that need none are still served.
+  test('is not used once its validity can no longer be proved', async () => {
+    const fleet = await start({ settings: { keyRevocationMs: 1_500 } })
+    fleet.store.setFault('silent')
+    await waitFor('requests with a key to be refused', async () => await readStatus(fleet, '/order/1') === 503)
+    expect((await callGateway(fleet.callerAddress(), { path: '/open/1', key: undefined })).status).toBe(200)
+    fleet.store.setFault('none')
+    await waitFor('requests with a key to be served', async () => await readStatus(fleet, '/order/1') === 200)
+  })
+
+  test('stays in use on a node that is cut off from the store while a peer vouches for it', async () => {
+    const fleet = await start({ nodes: 2, settings: { keyRevocationMs: 1_500 } })
+    await waitFor('the peer to be known', async () => fleet.logs.some(({ message }) => message === 'member changed'))
+    fleet.cutFromStore(1)
+    await new Promise((resolve) => { setTimeout(resolve, 2_500) })
+    expect(await readStatus(fleet, '/lookup/1', 1)).toBe(200)
+  })
+})
+
+describe('the list of backend servers', () => {
+  test('takes up one that registers later', async () => {
+    const fleet = await start({ plain: [] })
+    expect(await readStatus(fleet, '/lookup/1')).toBe(503)
+    const late = await createBackendStandIn({ id: 'plain-late' })
+    fleet.register(late, 'plain')
+    await waitFor('the late server to serve', async () => await readStatus(fleet, '/lookup/1') === 200)
+    await late.close()
+  })
+
+  test('leaves out one that is leaving', async () => {
+    const fleet = await start()
+    fleet.register(fleet.backends.get('plain-1')!, 'plain', { state: 'draining' })
+    await waitFor('the leaving mark', async () => fleet.logs.some(({ message, backendServer }) => message === 'backend server leaving' && backendServer === 'plain-1'))
+    const before = fleet.backends.get('plain-1')!.records().length
+    for (let index = 0; index < 6; index++) expect(await readStatus(fleet, '/lookup/1')).toBe(200)
+    expect(fleet.backends.get('plain-1')!.records()).toHaveLength(before)
+  })
+
+  // A leaving server's entry is read from an older copy that still says ready.
+  // Taking it up again would send work to a server that is about to end.
+  test('takes back a leaving one only when it has started anew', async () => {
+    const fleet = await start()
+    const backend = fleet.backends.get('plain-1')!
+    const count = (): number => backend.records().length
+    fleet.register(backend, 'plain', { state: 'draining' })
+    await waitFor('the leaving mark', async () => fleet.logs.some(({ message }) => message === 'backend server leaving'))
+    fleet.register(backend, 'plain')
+    const before = count()
+    for (let index = 0; index < 6; index++) await readStatus(fleet, '/lookup/1')
+    expect(count()).toBe(before)
+    fleet.register(backend, 'plain', { born: 2 })
+    await waitFor('the server\'s new start to get work', async () => {
+      await readStatus(fleet, '/lookup/1')
+      return count() > before
+    })
+  })
+
+  test.each([
+    ['without a service', { service: undefined }],
+    ['with an unknown state', { state: 'sleeping' }],
+    ['with a slot count that is text', { slots: '8' }],
+    ['with an address that is none', { address: 'nowhere' }]
+  ])('passes over an entry %s and keeps the others', async (_name, changes) => {
+    const fleet = await start()
+    const foreign = await createBackendStandIn({ id: 'plain-foreign' })
+    fleet.register(foreign, 'plain', changes)
+    fleet.store.put('servers', 'not-even-an-object', 'text')
+    await waitFor('the malformed entry to be noticed', async () => fleet.logs.some(({ message }) => message === 'backend server entry is malformed'))
+    for (let index = 0; index < 4; index++) expect(await readStatus(fleet, '/lookup/1')).toBe(200)
+    expect(foreign.records()).toHaveLength(0)
+    await foreign.close()
+  })
+
+  // The store is away, and its entries of servers lapse meanwhile. The servers are
+  // well: callers should notice nothing, neither during the outage nor when the
+  // store comes back with an empty list for a moment.
+  test('is kept through an outage of the store, and for a moment after it', async () => {
+    const fleet = await start()
+    fleet.store.setFault('reset')
+    await new Promise((resolve) => { setTimeout(resolve, 600) })
+    expect(await readStatus(fleet, '/open/1')).toBe(200)
+    for (const id of fleet.backends.keys()) fleet.store.remove('servers', id)
+    fleet.store.setFault('none')
+    await waitFor('the store to be reached again', async () => fleet.logs.some(({ message }) => message === 'backend server list reached'))
+    expect(await readStatus(fleet, '/open/1')).toBe(200)
+    fleet.register(fleet.backends.get('plain-1')!, 'plain')
+    await waitFor('the missing entry to be removed', async () => fleet.logs.some(({ message, reason, backendServer }) => message === 'backend server removed' && backendServer === 'plain-2' && String(reason).includes('outage')))
+    expect(await readStatus(fleet, '/open/1')).toBe(200)
+  })
+
+  // Watches hear nothing for a while, then the store has forgotten the changes in
+  // between. A node that trusted its watch would send to a server that left.
+  test('is read anew when the store has forgotten its history', async () => {
+    const fleet = await start()
+    fleet.store.setDeaf(true)
+    fleet.store.remove('servers', 'plain-1')
+    fleet.store.forgetHistory()
+    fleet.store.setDeaf(false)
+    await waitFor('the removal to be noticed', async () => fleet.logs.some(({ message, backendServer }) => message === 'backend server removed' && backendServer === 'plain-1'))
+  })
+})
--- /dev/null
+++ b/test/platform/stop.test.ts
@@ -0,0 +1,56 @@
+/** A gateway's stop: what its callers and the platform's balancer see. */
+import { afterEach, describe, expect, test } from 'vitest'
+import { callGateway, promptHeaders } from './_lib/callGateway.js'
+import { startGatewayFleet, type FleetOptions, type GatewayFleet } from './_lib/startGatewayFleet.js'
+
+const fleets: GatewayFleet[] = []
+
+const start = async (options: FleetOptions = {}): Promise<GatewayFleet> => {
+  const fleet = await startGatewayFleet(options)
+  fleets.push(fleet)
+  return fleet
+}
+
+afterEach(async () => { for (const fleet of fleets.splice(0)) await fleet.close() })
+
+const readReadiness = async (fleet: GatewayFleet): Promise<number> => {
+  const { host, port } = fleet.gateways[0]!.readinessAddress
+  return (await fetch(`http://${host}:${port}/readyz`)).status
+}
+
+const pause = (ms: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, ms) })
+
+describe('a gateway that is told to stop', () => {
+  test('fails its readiness at once and goes on serving', async () => {
+    const fleet = await start()
+    expect(await readReadiness(fleet)).toBe(200)
+    const stopped = fleet.gateways[0]!.stop()
+    expect(await readReadiness(fleet)).toBe(503)
+    const result = await callGateway(fleet.callerAddress(), { path: '/lookup/1' })
+    expect(result).toMatchObject({ status: 200, isComplete: true })
+    expect(result.headers.connection).toBe('close')
+    await stopped
+  })
+
+  test('lets what is in flight run to its end', async () => {
+    const fleet = await start({ engines: [{ id: 'engine-1', workMs: 100, events: 15 }] })
+    const call = callGateway(fleet.callerAddress(), { path: '/chat/1', body: 'x', headers: promptHeaders() })
+    await pause(150)
+    const [result] = await Promise.all([call, fleet.gateways[0]!.stop()])
+    expect(result).toMatchObject({ status: 200, isComplete: true })
+  })
+
+  // The balancer still sends to a node that stops when its zone has few others. A
+  // long stream that is taken late in the grace would be cut by its end: it is
+  // refused as not run, and its caller comes back to another node at once.
+  test('refuses what would outlast it, as not run', async () => {
+    const fleet = await start({ settings: { graceMs: 2_500 } })
+    const stopped = fleet.gateways[0]!.stop()
+    await pause(600)
+    const result = await callGateway(fleet.callerAddress(), { path: '/chat/1', requestId: 'long', body: 'x', headers: { ...promptHeaders(), 'X-Token-Count': '300,5000' } })
+    expect(result.status).toBe(503)
+    expect(Number(result.headers['retry-after'])).toBeLessThan(1)
+    expect([...fleet.backends.values()].flatMap((backend) => backend.records())).toHaveLength(0)
+    await stopped
+  })
+})
