--- /dev/null
+++ b/src/decisions/grantRepeat/test.ts
@@ -0,0 +1,50 @@
+import fc from 'fast-check'
+import { describe, expect, test } from 'vitest'
+import { grantRepeat, noteSend } from './index.js'
+import type { RepeatBudget } from './index.js'
+
+const limits = { ratio: 0.2, extra: 50, windowMs: 10_000 }
+const empty: RepeatBudget = { requests: [], repeats: [] }
+
+describe('grantRepeat', () => {
+  test('grants a repeat where nothing was sent', () => expect(grantRepeat(empty, limits, 5, 0)).toBe(true))
+
+  test('divides the constant among the nodes', () => {
+    const spent = Array.from({ length: 8 }).reduce<RepeatBudget>((budget) => noteSend(budget, 'repeat', limits, 0), empty)
+    expect(grantRepeat(spent, limits, 1, 0)).toBe(true)
+    expect(grantRepeat(spent, limits, 6, 0)).toBe(false)
+  })
+
+  test('forgets what left the window', () => {
+    const spent = Array.from({ length: 50 }).reduce<RepeatBudget>((budget) => noteSend(budget, 'repeat', limits, 0), empty)
+    expect(grantRepeat(spent, limits, 1, 9_999)).toBe(false)
+    expect(grantRepeat(spent, limits, 1, 10_001)).toBe(true)
+  })
+
+  // A service fails for all callers, and each node would repeat each request. Its
+  // servers must not see more than the fleet's budget, whichever nodes are silent.
+  test('keeps the fleet under its budget in every window, whatever comes when', () => {
+    const send = fc.record({ node: fc.integer({ min: 0, max: 5 }), gapMs: fc.integer({ min: 0, max: 400 }), wantsRepeats: fc.integer({ min: 0, max: 3 }) })
+    fc.assert(fc.property(fc.array(send, { maxLength: 300 }), (sends) => {
+      const budgets = new Map<number, RepeatBudget>()
+      const repeats: number[] = []
+      const requests: number[] = []
+      let now = 0
+      for (const { node, gapMs, wantsRepeats } of sends) {
+        now += gapMs
+        let budget = noteSend(budgets.get(node) ?? empty, 'first', limits, now)
+        requests.push(now)
+        for (let wanted = 0; wanted < wantsRepeats; wanted++) {
+          if (!grantRepeat(budget, limits, 6, now)) break
+          budget = noteSend(budget, 'repeat', limits, now)
+          repeats.push(now)
+        }
+        budgets.set(node, budget)
+      }
+      for (const end of repeats) {
+        const inWindow = (time: number): boolean => time > end - limits.windowMs && time <= end
+        expect(repeats.filter(inWindow).length).toBeLessThanOrEqual(limits.ratio * requests.filter(inWindow).length + limits.extra)
+      }
+    }), { seed: 7, numRuns: 60 })
+  })
+})
--- /dev/null
+++ b/src/decisions/selectGatewayRoute/test.ts
@@ -0,0 +1,20 @@
+import { describe, expect, test } from 'vitest'
+import { indexRoutes, selectGatewayRoute } from './index.js'
+import type { GatewayRoute } from '../../types/index.js'
+
+const createRoute = (name: string, host: string, pathPrefix: string): GatewayRoute => ({
+  name, host, pathPrefix, targets: [{ service: 's', weight: 1 }], repeatPolicy: 'safe', isResumable: false, timeoutMs: 1_000, goalMs: 300, pauseGoalMs: 300, maximumAttempts: 1, priority: 0, isPublic: false
+})
+
+const index = indexRoutes([createRoute('root', 'shop.example', '/'), createRoute('chat', 'shop.example', '/chat/'), createRoute('deep', 'shop.example', '/chat/deep/'), createRoute('other', 'desk.example', '/chat/')])
+
+const select = (host: string, target: string): string | undefined => selectGatewayRoute(index, host, target)?.name
+
+describe('selectGatewayRoute', () => {
+  test('takes the longest prefix', () => expect(select('shop.example', '/chat/deep/1')).toBe('deep'))
+  test('takes only routes of the host', () => expect(select('desk.example', '/chat/deep/1')).toBe('other'))
+  test('reads the host without its port and in any case', () => expect(select('SHOP.example:8080', '/chat/1')).toBe('chat'))
+  test('leaves the query out of the path', () => expect(select('desk.example', '/x?/chat/')).toBeUndefined())
+  test('needs the prefix\'s last slash', () => expect(select('desk.example', '/chat')).toBeUndefined())
+  test('finds nothing for an unknown host', () => expect(select('none.example', '/chat/1')).toBeUndefined())
+})
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -4,7 +4,7 @@
 // test gets long enough that a busy machine does not decide its verdict.
 export default defineConfig({
   test: {
-    include: ['src/**/test.ts', 'src/**/*.test.ts', 'test/**/*.test.ts', 'bench/**/test.ts'],
+    include: ['platform/**/test.ts', 'src/**/test.ts', 'src/**/*.test.ts', 'test/**/*.test.ts', 'bench/**/test.ts'],
     testTimeout: 120_000,
     hookTimeout: 120_000,
     pool: 'forks',
