Copy prompts between engines instead of reading them again; log and measure the gateway

Logs: one table of events, a bound a second for each, lines that never block. Metrics on the last internal port.

--- a/src/adapters/promMetrics/index.ts
+++ b/src/adapters/promMetrics/index.ts
@@ -20,14 +20,22 @@
   peer_sent_bytes: { help: 'Bytes sent to peers by kind of message', labels: ['kind'] },
   claims: { help: 'Claims of idempotency keys by outcome', labels: ['outcome'] },
   directory_lookups: { help: 'Look-ups of where a chat was last served', labels: ['outcome'] },
-  load_probes: { help: 'Reads of load reports by outcome', labels: ['outcome'] }
+  load_probes: { help: 'Reads of load reports by outcome', labels: ['outcome'] },
+  gateway_requests: { help: 'Requests of callers by repeat policy of their route, final outcome and reason', labels: ['policy', 'outcome', 'reason'] },
+  gateway_sends: { help: 'Sends to backend servers by outcome', labels: ['outcome'] },
+  gateway_repeats: { help: 'Sends beyond the first of a request, by whether the retry budget granted them', labels: ['granted'] },
+  gateway_prompt_copies: { help: 'Sends that asked for a copy of the prompt from another backend server', labels: [] },
+  knowledge_reads: { help: 'Reads of configuration and backend servers by source and outcome', labels: ['fact', 'source', 'outcome'] },
+  log_lines_left_out: { help: 'Log lines left out to keep the volume bounded, by event', labels: ['event'] }
 }
 
 const histogramTexts: Readonly<Record<HistogramName, MetricText>> = {
   first_token_seconds: { help: 'Time to the first byte of an answer', labels: [] },
   between_tokens_seconds: { help: 'Time between events of a stream', labels: [] },
   queue_wait_seconds: { help: 'Time that a request waited for its share', labels: [] },
-  request_duration_seconds: { help: 'Time from acceptance to the final outcome', labels: ['outcome'] }
+  request_duration_seconds: { help: 'Time from acceptance to the final outcome', labels: ['outcome'] },
+  gateway_first_byte_seconds: { help: 'Time from sending a request to the head of its answer, by repeat policy', labels: ['policy'] },
+  gateway_duration_seconds: { help: 'Time from a request\'s first byte to its final answer, by repeat policy and outcome', labels: ['policy', 'outcome'] }
 }
 
 const gaugeTexts: Readonly<Record<GaugeName, MetricText>> = {
@@ -35,6 +43,10 @@
   requests_oldest_open_seconds: { help: 'Age of the oldest open request; past the longest deadline it is a lost one', labels: [] },
   requests_unaccounted: { help: 'Accepted requests that fell out of the sum of outcomes; anything but 0 is an alarm', labels: [] },
   configuration_generation: { help: 'Generation of the configuration in force', labels: [] },
+  gateway_requests_open: { help: 'Requests of callers without a final answer yet', labels: [] },
+  configuration_version: { help: 'Version of the configuration in force', labels: [] },
+  configuration_confirmed_age_seconds: { help: 'Time since the configuration in force was surely the newest; -1 when unknown', labels: [] },
+  instances: { help: 'Backend servers by service and state', labels: ['service', 'state'] },
   members: { help: 'Routers by state, as this one sees them', labels: ['state'] },
   backend_server_in_flight: { help: 'Estimated requests in flight from the whole fleet', labels: ['backend_server'] },
   backend_server_ejected: { help: '1 while the backend server is ejected', labels: ['backend_server'] },
--- a/src/daemon/startGateway/index.ts
+++ b/src/daemon/startGateway/index.ts
@@ -2,10 +2,12 @@
  * A gateway node with its real listeners. What speaks to the platform is handed
  * in: the sources of configuration and backend servers, and the wire's names.
  */
+import { createBoundedLogger } from '../../adapters/boundedLogger/index.js'
 import { createGatewayHttp } from '../../adapters/gatewayHttp/index.js'
 import { createInstanceHttp } from '../../adapters/instanceHttp/index.js'
 import { createPeerTcp } from '../../adapters/peerTcp/index.js'
 import { createProbeHttp } from '../../adapters/probeHttp/index.js'
+import { createPromMetrics } from '../../adapters/promMetrics/index.js'
 import { createSystemClock } from '../../adapters/systemClock/index.js'
 import { readSystemClocks } from '../../adapters/systemClocks/index.js'
 import { createSystemRandom } from '../../adapters/systemRandom/index.js'
@@ -33,6 +35,8 @@
   readonly stop: () => Promise<void>
 }
 
+/** Where operators' scrapers read the metrics. */
+const METRICS_PATH = '/metrics'
 const MAXIMUM_FRAME_BYTES = 8 * 1024 * 1024
 /** The balancer asks once a second and turns away after two misses; a connection that is then on its way still comes. */
 const TURN_AWAY_MS = 3_200
@@ -55,9 +59,11 @@
  * process.once('SIGTERM', () => gateway.stop())
  */
 export const startGateway = async (options: GatewayOptions): Promise<Gateway> => {
-  const { settings, logger, dialect } = options
+  const { settings, dialect } = options
   const clock = createSystemClock()
   const random = createSystemRandom()
+  const metrics = createPromMetrics()
+  const logger = createBoundedLogger({ clock, logger: options.logger, metrics })
   const transport = createPeerTcp({
     host: settings.peerAddress.host,
     port: settings.peerAddress.port,
@@ -78,7 +84,8 @@
     configurationSource: options.configurationSource,
     instanceSource: options.instanceSource,
     client,
-    logger
+    logger,
+    metrics
   })
   await node.start()
   const configuration = node.resolve('gatewayConfiguration')
@@ -95,13 +102,18 @@
   const readiness = createProbeHttp(settings.readinessAddress, {
     [options.readinessPath]: () => !isStopping && node.isAbleToServe() ? { status: 200, body: 'ready' } : { status: 503, body: 'not ready' }
   })
+  const metricsHttp = settings.metricsAddress === undefined
+    ? undefined
+    : createProbeHttp(settings.metricsAddress, { [METRICS_PATH]: async () => ({ status: 200, body: await metrics.render(), contentType: metrics.contentType }) })
+  const metricsAddress = await metricsHttp?.listen()
   const callerAddress = await gatewayHttp.listen()
   const readinessAddress = await readiness.listen()
-  logger.info('gateway started', { zone: settings.availabilityZone, callerPort: callerAddress.port, readinessPort: readinessAddress.port, peerPort: peerAddress.port, startMs: Math.round(performance.now()) })
+  logger.info('gateway started', { zone: settings.availabilityZone, callerPort: callerAddress.port, readinessPort: readinessAddress.port, peerPort: peerAddress.port, metricsPort: metricsAddress?.port, startMs: Math.round(performance.now()) })
 
   const end = async (): Promise<void> => {
     gatewayHttp.close()
     readiness.close()
+    metricsHttp?.close()
     await node.stop()
     client.close()
     await transport.close()
--- /dev/null
+++ b/src/node/createGatewayNode/_lib/registerGauges.ts
@@ -0,0 +1,40 @@
+/** What operators see of a gateway node's beliefs and open work. */
+import type { GaugeReading, Metrics } from '../../../types/index.js'
+import type { GatewayNode, GatewayServices } from '../index.js'
+
+const MILLISECONDS_PER_SECOND = 1_000
+const UNKNOWN_AGE = -1
+
+const countBy = (values: readonly (readonly [key: string, labels: Readonly<Record<string, string>>])[]): readonly GaugeReading[] => {
+  const readings = new Map<string, { value: number, readonly labels: Readonly<Record<string, string>> }>()
+  for (const [key, labels] of values) {
+    const reading = readings.get(key) ?? { value: 0, labels }
+    reading.value += 1
+    readings.set(key, reading)
+  }
+  return [...readings.values()]
+}
+
+type Resolve = GatewayNode['resolve']
+
+const readInstances = (resolve: Resolve): readonly GaugeReading[] => {
+  const health: GatewayServices['instanceHealth'] = resolve('instanceHealth')
+  return countBy(resolve('instanceRegistry').all().map((instance) => {
+    const state = instance.isLeaving ? 'leaving' : health.isHeld(instance) ? 'held' : 'live'
+    return [`${instance.service} ${state}`, { service: instance.service, state }]
+  }))
+}
+
+const readConfirmedAge = (resolve: Resolve): number => {
+  const ageMs = resolve('gatewayConfiguration').confirmedAgeMs()
+  return Number.isFinite(ageMs) ? ageMs / MILLISECONDS_PER_SECOND : UNKNOWN_AGE
+}
+
+/** Registers the gauges; each is read when the metrics are asked for. */
+export const registerGauges = (metrics: Metrics, resolve: Resolve): void => {
+  metrics.readGauge('gateway_requests_open', () => [{ value: resolve('forwarding').openRequests() }])
+  metrics.readGauge('configuration_version', () => [{ value: resolve('gatewayConfiguration').version() }])
+  metrics.readGauge('configuration_confirmed_age_seconds', () => [{ value: readConfirmedAge(resolve) }])
+  metrics.readGauge('instances', () => readInstances(resolve))
+  metrics.readGauge('members', () => countBy(resolve('membership').members().map(({ state }) => [state, { state }])))
+}
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -2,6 +2,7 @@
  * A gateway node: the services that forward whole HTTP requests by host and
  * path, assembled in the kernel. All I/O is handed in, as for a router node.
  */
+import { registerGauges } from './_lib/registerGauges.js'
 import type { ClockReading } from '../../decisions/measureAge/index.js'
 import { createKernel, success, type Kernel } from '../../kernel/index.js'
 import { createForwarding } from '../../services/forwarding/index.js'
@@ -16,7 +17,7 @@
 import { createVmList, type VmList } from '../../services/vmList/index.js'
 import type {
   Clock, ConfigurationSource, Forwarding, GatewayConfigurationHolder, GatewaySettings, InstanceClient, InstanceRegistry, InstanceSource,
-  LoadView, Logger, Membership, PeerTransport, RandomSource
+  LoadView, Logger, Membership, Metrics, PeerTransport, RandomSource
 } from '../../types/index.js'
 
 export type GatewayNodeDependencies = {
@@ -29,6 +30,7 @@
   readonly instanceSource: InstanceSource
   readonly client: InstanceClient
   readonly logger: Logger
+  readonly metrics: Metrics
 }
 
 export type GatewayServices = {
@@ -116,7 +118,7 @@
 }
 
 const registerForwarding = (kernel: Kernel<GatewayServices>, dependencies: GatewayNodeDependencies): void => {
-  const { settings, clock, random, transport, client, logger } = dependencies
+  const { settings, clock, random, transport, client, logger, metrics } = dependencies
   kernel.register({
     name: 'loadView',
     dependsOn: ['membership', 'heartbeatExchange'],
@@ -151,6 +153,7 @@
       clock,
       random,
       logger,
+      metrics,
       client,
       configuration: resolve('gatewayConfiguration'),
       registry: resolve('instanceRegistry'),
@@ -184,7 +187,10 @@
   registerKnowledge(kernel, dependencies)
   registerForwarding(kernel, dependencies)
   return {
-    start: kernel.start,
+    start: async () => {
+      await kernel.start()
+      registerGauges(dependencies.metrics, kernel.resolve)
+    },
     stop: kernel.stop,
     resolve: kernel.resolve,
     isAbleToServe: () => kernel.resolve('gatewayConfiguration').current() !== undefined && kernel.resolve('instanceRegistry').isKnown()
--- a/src/services/forwarding/_lib/chooseInstance.ts
+++ b/src/services/forwarding/_lib/chooseInstance.ts
@@ -1,7 +1,7 @@
 /** The backend server for the next send of a request: what the node knows, put to `placeRequest`. */
 import { placeRequest } from '../../../decisions/placeRequest/index.js'
 import type { InstanceCandidate } from '../../../decisions/placeRequest/index.js'
-import type { BackendInstance, GatewayRequest } from '../../../types/index.js'
+import type { BackendInstance, GatewayRequest, PromptPart } from '../../../types/index.js'
 import { keyOf } from '../../instanceHealth/index.js'
 import type { ForwardingDependencies } from '../index.js'
 
@@ -26,8 +26,35 @@
   return usable.length > 0 ? usable : untried
 }
 
+/**
+ * Tokens that a copy has to save: it takes the engines' link for some
+ * microseconds a token, where reading takes 26, and a call between them besides.
+ */
+const LEAST_TOKENS_COPIED = 100
+
+export type ChosenInstance = {
+  readonly instance: BackendInstance
+  /** Another one that keeps more of the prompt; leaving ones are asked too, while they last. */
+  readonly copyPromptFrom: BackendInstance | undefined
+}
+
+/** Finds the server that keeps most of the prompt, where copying from it saves the chosen one a read. */
+const findCopySource = (dependencies: ChoiceDependencies, service: string, shared: readonly PromptPart[], chosen: BackendInstance): BackendInstance | undefined => {
+  const { registry, directory, health } = dependencies
+  let source: BackendInstance | undefined
+  let most = directory.countKept(shared, keyOf(chosen)) + LEAST_TOKENS_COPIED
+  for (const instance of registry.all()) {
+    if (instance.service !== service || instance.id === chosen.id || health.isHeld(instance)) continue
+    const kept = directory.countKept(shared, keyOf(instance))
+    if (kept <= most) continue
+    most = kept
+    source = instance
+  }
+  return source
+}
+
 /** Returns the chosen one, or `undefined` when the service has none that was not tried. */
-export const chooseInstance = (dependencies: ChoiceDependencies, choice: Choice): BackendInstance | undefined => {
+export const chooseInstance = (dependencies: ChoiceDependencies, choice: Choice): ChosenInstance | undefined => {
   const { request, bodyBytes } = choice
   const { directory, loadView, health, random } = dependencies
   const usable = listUsable(dependencies, choice)
@@ -46,5 +73,7 @@
     sharedTokens: shared.reduce((sum, part) => sum + part.tokens, 0),
     expectedBytes: bodyBytes + (request.promptParts.length > 0 ? BYTES_PER_TOKEN * request.tokens.output : WHOLE_ANSWER_BYTES)
   }, candidates, random.next)
-  return usable.find(({ id }) => id === chosen)
+  const instance = usable.find(({ id }) => id === chosen)
+  if (instance === undefined) return undefined
+  return { instance, copyPromptFrom: shared.length > 0 ? findCopySource(dependencies, choice.service, shared, instance) : undefined }
 }
--- a/src/services/forwarding/_lib/createRun.ts
+++ b/src/services/forwarding/_lib/createRun.ts
@@ -8,6 +8,7 @@
 import { createEventReader } from './createEventReader.js'
 import type { EventReader, StreamEvent } from './createEventReader.js'
 import { chooseInstance } from './chooseInstance.js'
+import type { ChosenInstance } from './chooseInstance.js'
 import { judgeAnswer } from './judgeAnswer.js'
 import type { RepeatBudgets } from './createRepeatBudgets.js'
 import type { TimeToFirstBytes } from './createTimeToFirstBytes.js'
@@ -17,6 +18,7 @@
   BackendInstance, CallerSink, Exchange, ExchangeFailure, ForwardingRun, GatewayAccount, GatewayRefusal, GatewayRequest, GatewayRoute, InstanceAnswer, LogFields
 } from '../../../types/index.js'
 import { keyOf } from '../../instanceHealth/index.js'
+import type { GatewayEvent } from '../../../types/gatewayEvents.js'
 import type { ForwardingDependencies } from '../index.js'
 
 export type RunContext = ForwardingDependencies & {
@@ -49,6 +51,9 @@
   isSilenceNoted: boolean
 }
 
+type RunOutcome = 'complete' | 'refused' | 'brokenOff' | 'failedAtBackend' | 'callerLeft'
+
+const MILLISECONDS_PER_SECOND = 1_000
 /** An answer that is no event stream is held until it is whole, up to so many bytes; longer ones go on as they come. */
 const HELD_ANSWER_BYTES = 1024 * 1024
 /** How long a request with a key waits for proof that its key still holds, in milliseconds. */
@@ -61,7 +66,7 @@
 
 /** Creates the run; it does nothing before `assign` and `submit`. */
 export const createRun = (context: RunContext, request: GatewayRequest, sink: CallerSink): Run => {
-  const { clock, random, logger, registry, health, loadView } = context
+  const { clock, random, logger, metrics, registry, health, loadView } = context
   const tried = new Set<string>()
   let route: GatewayRoute | undefined
   let account: GatewayAccount | undefined
@@ -73,6 +78,7 @@
   let isHeadSent = false
   let isFirstSend = true
   let sends = 0
+  let sendsBegun = 0
   let refusals = 0
   let lastEventId = request.lastEventId
   let isWaitingForKey = false
@@ -84,14 +90,18 @@
   const deadlineAt = (): number =>
     request.receivedAt + Math.min(request.callerTimeoutMs ?? Infinity, route?.timeoutMs ?? Infinity)
 
-  const log = (level: 'info' | 'warn' | 'debug', message: string, fields: LogFields): void => {
-    logger[level](message, { requestId: request.requestId, route: route?.name, ...fields })
+  const log = (event: GatewayEvent, fields: LogFields): void => {
+    logger.info(event, { requestId: request.requestId, route: route?.name, ...fields })
   }
 
-  const finish = (outcome: string, fields: LogFields = {}): void => {
+  const policy = (): string => route?.repeatPolicy ?? 'none'
+
+  const finish = (outcome: RunOutcome, fields: LogFields = {}): void => {
     isDone = true
     context.onDone()
-    log(outcome === 'complete' ? 'debug' : 'info', 'request finished', { outcome, sends, ms: Math.round(clock.now() - request.receivedAt), ...fields })
+    metrics.count('gateway_requests', { policy: policy(), outcome, reason: String(fields.reason ?? '') })
+    metrics.observe('gateway_duration_seconds', (clock.now() - request.receivedAt) / MILLISECONDS_PER_SECOND, { policy: policy(), outcome })
+    log(outcome === 'complete' ? 'request complete' : 'request ended', { outcome, sends, ms: Math.round(clock.now() - request.receivedAt), ...fields })
   }
 
   const dropSending = (): void => {
@@ -114,7 +124,7 @@
     dropSending()
     if (isHeadSent) sink.fail()
     else sink.refuse(refusal)
-    finish(isHeadSent ? 'broken off' : 'refused', { status: refusal.status, reason: refusal.reason, retryAfterMs: refusal.retryAfterMs === undefined ? undefined : Math.round(refusal.retryAfterMs), mayHaveRun })
+    finish(isHeadSent ? 'brokenOff' : 'refused', { status: refusal.status, reason: refusal.reason, retryAfterMs: refusal.retryAfterMs === undefined ? undefined : Math.round(refusal.retryAfterMs), mayHaveRun })
   }
 
   /** Refuses with "not run" while that is true, and with "unknown" otherwise. */
@@ -127,7 +137,7 @@
   const finishStated = (failure: { readonly answer: InstanceAnswer, readonly body: Uint8Array }): void => {
     dropSending()
     sink.whole(failure.answer, failure.body)
-    finish('failed at the backend server', { status: failure.answer.status })
+    finish('failedAtBackend', { status: failure.answer.status })
   }
 
   const isRepeatable = (): boolean => route !== undefined && (route.repeatPolicy === 'safe' || (route.repeatPolicy === 'stream' && route.isResumable))
@@ -138,7 +148,7 @@
     return refusals < REFUSALS_AT_MOST && context.budgets.canSpend(service) && findInstance() !== undefined
   }
 
-  const findInstance = (): BackendInstance | undefined => route === undefined ? undefined : chooseInstance(context, { request, service, bodyBytes: body?.length ?? 0, tried })
+  const findInstance = (): ChosenInstance | undefined => route === undefined ? undefined : chooseInstance(context, { request, service, bodyBytes: body?.length ?? 0, tried })
 
   const repeatOr = (otherwise: () => void): void => {
     if (!canSendAgain()) return otherwise()
@@ -174,15 +184,21 @@
     if (needsKey() && !isKeyGood()) return mayHaveRun ? giveUp('unknownKey', 502) : refuse({ status: 401, reason: 'unknownKey' })
     const remainingMs = deadlineAt() - clock.now()
     if (remainingMs <= 1) return giveUp('deadlineBeforeSend', 504)
-    const instance = findInstance()
-    if (instance === undefined) return giveUp('noInstance', 502)
+    const chosen = findInstance()
+    if (chosen === undefined) return giveUp('noInstance', 502)
     if (isFirstSend) context.budgets.noteFirst(service)
-    else if (!context.budgets.spend(service)) return giveUp('instancesRefused', 502)
+    else if (!spendRepeat()) return giveUp('instancesRefused', 502)
     isFirstSend = false
-    startSending(instance, remainingMs, route, body)
+    startSending(chosen, remainingMs, route, body)
+  }
+
+  const spendRepeat = (): boolean => {
+    const isGranted = context.budgets.spend(service)
+    metrics.count('gateway_repeats', { granted: String(isGranted) })
+    return isGranted
   }
 
-  const startSending = (instance: BackendInstance, remainingMs: number, to: GatewayRoute, content: Uint8Array): void => {
+  const startSending = ({ instance, copyPromptFrom }: ChosenInstance, remainingMs: number, to: GatewayRoute, content: Uint8Array): void => {
     const now = clock.now()
     const current: Sending = { instance, startedAt: now, reader: createEventReader(), exchange: undefined, isSent: false, lastBytesAt: now, answer: undefined, chunks: [], bytes: 0, isOver: false, isSilenceNoted: false }
     sending = current
@@ -190,9 +206,10 @@
     loadView.recordStart(keyOf(instance))
     health.began(instance)
     context.directory.record(request.promptParts, keyOf(instance))
-    log('debug', 'request sent', { backendServer: instance.id, incarnation: instance.incarnation, remainingMs: Math.round(remainingMs), configurationVersion: context.configuration.version(), keyAgeMs: Math.round(context.configuration.confirmedAgeMs()), resumeAfter: lastEventId })
+    if (copyPromptFrom !== undefined) metrics.count('gateway_prompt_copies')
+    log(sendsBegun++ === 0 ? 'request sent' : 'request sent again', { backendServer: instance.id, incarnation: instance.incarnation, remainingMs: Math.round(remainingMs), configurationVersion: context.configuration.version(), keyAgeMs: Math.round(context.configuration.confirmedAgeMs()), resumeAfter: lastEventId, copyPromptFrom: copyPromptFrom?.id })
     current.exchange = context.client.send(
-      { request, body: content, instance, account: account?.name, remainingMs, priority: account?.priority ?? to.priority, resumeAfter: lastEventId },
+      { request, body: content, instance, account: account?.name, remainingMs, priority: account?.priority ?? to.priority, resumeAfter: lastEventId, copyPromptFrom: copyPromptFrom?.address },
       {
         onSent: () => {
           current.isSent = true
@@ -215,6 +232,7 @@
   const takeHead = (current: Sending, answer: InstanceAnswer): void => {
     noteHeard(current)
     current.answer = answer
+    metrics.observe('gateway_first_byte_seconds', (clock.now() - current.startedAt) / MILLISECONDS_PER_SECOND, { policy: policy() })
     if (answer.load !== undefined) loadView.applyReport(keyOf(current.instance), { ...answer.load, leaving: false, ageMs: 0 })
     const verdict = judgeAnswer(request, answer)
     if (verdict.kind === 'foreign') return takeFailure(current, { kind: 'broken', message: verdict.message })
@@ -237,7 +255,8 @@
     sends -= 1
     mayHaveRun = sends > 0
     refusals += 1
-    log('info', 'backend server refused', { backendServer: current.instance.id, status: answer.status, isOtherInstance: answer.isOtherInstance })
+    metrics.count('gateway_sends', { outcome: 'refused' })
+    log('backend server refused', { backendServer: current.instance.id, status: answer.status, isOtherInstance: answer.isOtherInstance })
     if (answer.isOtherInstance) registry.markGone(current.instance, 'another backend server has its address')
     repeatOr(() => giveUp('instancesRefused', 502))
   }
@@ -277,6 +296,11 @@
 
   const isAfterGap = (event: StreamEvent): boolean => event.id !== undefined && lastEventId !== undefined && event.id > lastEventId + 1
 
+  const complete = (current: Sending, fields: LogFields = {}): void => {
+    metrics.count('gateway_sends', { outcome: 'complete' })
+    finish('complete', { backendServer: current.instance.id, ...fields })
+  }
+
   const takeEnd = (current: Sending): void => {
     const { answer } = current
     if (answer === undefined) return takeFailure(current, { kind: 'broken', message: 'end without an answer' })
@@ -285,19 +309,20 @@
       endSending(current)
       sending = undefined
       sink.end()
-      return finish('complete', { backendServer: current.instance.id })
+      return complete(current)
     }
     const whole = Buffer.concat(current.chunks)
     endSending(current)
     sending = undefined
     if (answer.status >= 500) return takeStatedFailure(current, answer, whole)
     sink.whole(answer, whole)
-    finish('complete', { backendServer: current.instance.id, status: answer.status })
+    complete(current, { status: answer.status })
   }
 
   const takeStatedFailure = (current: Sending, answer: InstanceAnswer, whole: Uint8Array): void => {
     health.record(current.instance, { kind: 'errored' })
-    log('info', 'backend server failed', { backendServer: current.instance.id, status: answer.status })
+    metrics.count('gateway_sends', { outcome: 'errored' })
+    log('backend server failed', { backendServer: current.instance.id, status: answer.status })
     statedFailure = { answer, body: whole }
     repeatOr(() => finishStated({ answer, body: whole }))
   }
@@ -305,14 +330,16 @@
   const takeFailure = (current: Sending, failure: ExchangeFailure): void => {
     dropSending()
     const isNotSent = failure.kind === 'notSent'
+    metrics.count('gateway_sends', { outcome: failure.kind })
     health.record(current.instance, isNotSent ? { kind: 'unreachable' } : { kind: 'broken' })
-    log('info', 'exchange failed', { backendServer: current.instance.id, kind: failure.kind, reason: failure.message, lastEventId })
+    log('exchange failed', { backendServer: current.instance.id, kind: failure.kind, reason: failure.message, lastEventId })
     repeatOr(() => giveUp(isNotSent ? 'noInstance' : 'answerBroken', 502))
   }
 
   const move = (current: Sending, now: number): void => {
-    log('info', 'backend server silent', { backendServer: current.instance.id, silentMs: Math.round(now - current.lastBytesAt), lastEventId })
+    log('backend server silent', { backendServer: current.instance.id, silentMs: Math.round(now - current.lastBytesAt), lastEventId })
     dropSending()
+    metrics.count('gateway_sends', { outcome: 'silent' })
     health.record(current.instance, { kind: 'unreachable' })
     send()
   }
@@ -357,7 +384,7 @@
     cancel: () => {
       if (isDone) return
       dropSending()
-      finish('caller left')
+      finish('callerLeft')
     },
     check
   }
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -14,7 +14,7 @@
 import type { RunningService } from '../../kernel/index.js'
 import type {
   Clock, Forwarding, ForwardingRun, GatewayConfigurationHolder, GatewayRefusal, GatewayRoute, InstanceClient, InstanceRegistry,
-  LoadView, Logger, Membership, RandomSource, Timer
+  LoadView, Logger, Membership, Metrics, RandomSource, Timer
 } from '../../types/index.js'
 import type { InstanceHealth } from '../instanceHealth/index.js'
 import type { PromptDirectory } from '../promptDirectory/index.js'
@@ -23,6 +23,7 @@
   readonly clock: Clock
   readonly random: RandomSource
   readonly logger: Logger
+  readonly metrics: Metrics
   readonly configuration: GatewayConfigurationHolder
   readonly registry: InstanceRegistry
   readonly health: InstanceHealth
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -122,6 +122,8 @@
   readonly priority: number
   /** The stream goes on after this event. */
   readonly resumeAfter: number | undefined
+  /** Another backend server that keeps more of the prompt, from which this one can copy it. */
+  readonly copyPromptFrom: PeerAddress | undefined
 }
 
 export type InstanceLoad = { readonly running: number, readonly waiting: number, readonly slots: number }
--- /dev/null
+++ b/test/platform/_lib/createPlatform.ts
@@ -0,0 +1,100 @@
+/**
+ * The platform as a node meets it: a store with a configuration, and backend
+ * servers registered in it.
+ */
+import { createBackendStandIn, type BackendStandIn, type BackendStandInOptions } from '../../../platform/standIn/createBackendStandIn/index.js'
+import { createStoreServer, type StoreServer } from '../../../platform/standIn/createStoreServer/index.js'
+
+export type PlatformOptions = {
+  readonly engines?: readonly BackendStandInOptions[]
+  readonly plain?: readonly BackendStandInOptions[]
+  readonly routes?: readonly Readonly<Record<string, unknown>>[]
+  readonly tenants?: readonly Readonly<Record<string, unknown>>[]
+}
+
+export type PlatformStandIn = {
+  readonly store: StoreServer
+  readonly backends: ReadonlyMap<string, BackendStandIn>
+  /** Writes a configuration of this version; routes and accounts as given at the start unless changed. */
+  readonly applyConfiguration: (version: number, changes?: Pick<PlatformOptions, 'routes' | 'tenants'>) => void
+  readonly register: (backend: BackendStandIn, service: string, changes?: Readonly<Record<string, unknown>>) => void
+  readonly close: () => Promise<void>
+}
+
+export const HOST = 'shop.example'
+export const KEY = 'key-of-pekarna'
+export const ENGINES = 'engines'
+export const PLAIN = 'plain'
+
+const LIMITS = { max_header_bytes: 16_384, max_body_bytes: 65_536, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 }
+
+export const createRoute = (name: string, changes: Readonly<Record<string, unknown>> = {}): Readonly<Record<string, unknown>> => ({
+  name,
+  host: HOST,
+  path_prefix: `/${name}/`,
+  route_type: 'safe',
+  timeout_ms: 2_000,
+  latency_goal_ms: 300,
+  priority: 1,
+  service: PLAIN,
+  max_attempts: 2,
+  public: false,
+  ...changes
+})
+
+const DEFAULT_ROUTES = [
+  createRoute('lookup'),
+  createRoute('order', { route_type: 'unsafe', max_attempts: 1 }),
+  createRoute('chat', { route_type: 'stream', service: ENGINES, resumable: true, gap_target_ms: 300 }),
+  createRoute('once', { route_type: 'stream', service: ENGINES, resumable: false, max_attempts: 1, gap_target_ms: 300 }),
+  createRoute('open', { public: true })
+]
+
+const DEFAULT_TENANTS = [{ name: 'pekarna', api_keys: [KEY, 'second-key'], priority: 1 }]
+
+/**
+ * Starts store and backend servers and writes version 1 of the configuration.
+ *
+ * @param options - What differs from the defaults.
+ * @returns The running platform.
+ */
+export const createPlatform = async (options: PlatformOptions = {}): Promise<PlatformStandIn> => {
+  const store = await createStoreServer()
+  const backends = new Map<string, BackendStandIn>()
+  let routes = options.routes ?? DEFAULT_ROUTES
+  let tenants = options.tenants ?? DEFAULT_TENANTS
+
+  const applyConfiguration: PlatformStandIn['applyConfiguration'] = (version, changes = {}) => {
+    routes = changes.routes ?? routes
+    tenants = changes.tenants ?? tenants
+    store.put('config', 'main', { version, routes, services: [{ name: ENGINES, max_conns: 300, engine: {} }, { name: PLAIN, max_conns: 90 }], limits: LIMITS, tenants })
+  }
+
+  const register: PlatformStandIn['register'] = (backend, service, changes = {}) => {
+    const { host, port } = backend.address()
+    store.put('servers', backend.id, { service, address: `${host}:${port}`, zone: 'zone-a', version: 'v1', slots: 8, state: 'ready', cold_left_ms: 0, seq_no: 1, born: 1, ...changes })
+  }
+
+  const startAll = async (service: string, all: readonly BackendStandInOptions[]): Promise<void> => {
+    for (const one of all) {
+      const backend = await createBackendStandIn(one)
+      backends.set(one.id, backend)
+      register(backend, service)
+    }
+  }
+
+  await startAll(ENGINES, options.engines ?? [{ id: 'engine-1' }, { id: 'engine-2' }])
+  await startAll(PLAIN, options.plain ?? [{ id: 'plain-1' }, { id: 'plain-2' }])
+  applyConfiguration(1)
+
+  return {
+    store,
+    backends,
+    applyConfiguration,
+    register,
+    close: async () => {
+      for (const backend of backends.values()) await backend.close()
+      await store.close()
+    }
+  }
+}
--- a/test/platform/knowledge.test.ts
+++ b/test/platform/knowledge.test.ts
@@ -1,7 +1,8 @@
 /** What a gateway believes of configuration and backend servers, and what it does while their source is away. */
 import { afterEach, describe, expect, test } from 'vitest'
 import { callGateway } from './_lib/callGateway.js'
-import { createRoute, startGatewayFleet, type FleetOptions, type GatewayFleet } from './_lib/startGatewayFleet.js'
+import { createRoute } from './_lib/createPlatform.js'
+import { startGatewayFleet, type FleetOptions, type GatewayFleet } from './_lib/startGatewayFleet.js'
 import { createBackendStandIn } from '../../platform/standIn/createBackendStandIn/index.js'
 import { waitFor } from '../_lib/waitFor.js'
 
--- /dev/null
+++ b/test/platform/processes.test.ts
@@ -0,0 +1,85 @@
+/** The daemon as processes of their own, over the platform's stand-ins: the whole path as it runs in production. */
+import { spawnSync } from 'node:child_process'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { afterEach, describe, expect, test } from 'vitest'
+import { callGateway, promptHeaders } from './_lib/callGateway.js'
+import { startGatewayProcess, type GatewayProcess } from './_lib/startGatewayProcess.js'
+import { createPlatform, type PlatformStandIn } from './_lib/createPlatform.js'
+import { waitFor } from '../_lib/waitFor.js'
+
+const open: { readonly close: () => Promise<void> }[] = []
+
+const keep = <Part extends { readonly close: () => Promise<void> }>(part: Part): Part => {
+  open.push(part)
+  return part
+}
+
+afterEach(async () => { for (const part of open.splice(0).reverse()) await part.close() })
+
+const startPlatform = async (): Promise<PlatformStandIn> => keep(await createPlatform())
+
+const startNode = async (platform: PlatformStandIn, name: string, seeds: readonly GatewayProcess[] = []): Promise<GatewayProcess> =>
+  keep(await startGatewayProcess({ name, store: platform.store.address(), seeds: seeds.map(({ peerAddress }) => peerAddress) }))
+
+const readReadiness = async ({ readinessAddress: { host, port } }: GatewayProcess): Promise<number> => (await fetch(`http://${host}:${port}/readyz`)).status
+
+const waitUntilReady = (node: GatewayProcess): Promise<boolean> => waitFor(`${node.lines[0]?.node} to be ready`, async () => await readReadiness(node) === 200)
+
+describe('the daemon', () => {
+  test('serves whole answers and streams', async () => {
+    const node = await startNode(await startPlatform(), 'node-1')
+    await waitUntilReady(node)
+    expect(await callGateway(node.callerAddress, { path: '/lookup/1' })).toMatchObject({ status: 200, isComplete: true })
+    expect(await callGateway(node.callerAddress, { path: '/chat/1', body: 'x', headers: promptHeaders() })).toMatchObject({ status: 200, isComplete: true })
+  })
+
+  test('shows its metrics', async () => {
+    const node = await startNode(await startPlatform(), 'node-1')
+    await waitUntilReady(node)
+    await callGateway(node.callerAddress, { path: '/lookup/1' })
+    const text = await (await fetch(`http://${node.metricsAddress.host}:${node.metricsAddress.port}/metrics`)).text()
+    expect(text).toContain('dotterelspoke_gateway_requests_total{policy="safe",outcome="complete",reason=""} 1')
+    expect(text).toContain('dotterelspoke_configuration_version 1')
+  })
+
+  test('ends by itself after SIGTERM, before its grace is over', async () => {
+    const node = await startNode(await startPlatform(), 'node-1')
+    await waitUntilReady(node)
+    node.signal('SIGTERM')
+    expect(await node.ended).toBe(0)
+    expect(node.lines.at(-1)).toMatchObject({ message: 'gateway stopped', open: 0 })
+  })
+
+  // All processes are killed while the store is away. A node that comes back can't
+  // read the configuration; one that lived on can vouch for it.
+  test('starts from a peer while the store is down', async () => {
+    const platform = await startPlatform()
+    const first = await startNode(platform, 'node-1')
+    await waitUntilReady(first)
+    platform.store.setFault('reset')
+    const second = await startNode(platform, 'node-2', [first])
+    await waitUntilReady(second)
+    expect(await callGateway(second.callerAddress, { path: '/open/1', key: undefined })).toMatchObject({ status: 200 })
+  })
+
+  test('is not ready while it knows no configuration, and says so to callers', async () => {
+    const platform = await startPlatform()
+    platform.store.setFault('silent')
+    const node = await startNode(platform, 'node-1')
+    expect(await readReadiness(node)).toBe(503)
+    expect((await callGateway(node.callerAddress, { path: '/lookup/1' })).status).toBe(503)
+  })
+
+  test('ends its start with one line that names a field that is missing', () => {
+    const folder = mkdtempSync(join(tmpdir(), 'dotterelspoke-gateway-'))
+    const path = join(folder, 'node.conf')
+    writeFileSync(path, 'node_name=node-1\n')
+    const { status, stderr } = spawnSync(process.execPath, ['target/gateway.mjs'], { env: { PATH: process.env.PATH, DOTTERELSPOKE_NODE_FILE: path }, encoding: 'utf8' })
+    rmSync(folder, { recursive: true })
+    expect(status).toBe(2)
+    expect(stderr.trim().split('\n')).toHaveLength(1)
+    expect(stderr).toContain('zone is missing')
+  })
+})
