--- a/src/adapters/boundedOutput/index.ts
+++ b/src/adapters/boundedOutput/index.ts
@@ -36,6 +36,7 @@
   let waitingBytes = 0
   let dropped = 0
   let isWriting = false
+  let onIdle: (() => void) | undefined
 
   const tellDropped = (): void => {
     if (dropped === 0) return
@@ -45,7 +46,8 @@
   }
 
   const flush = (): void => {
-    if (isWriting || waiting.length === 0) return
+    if (isWriting) return
+    if (waiting.length === 0) return onIdle?.()
     const batch = Buffer.concat(waiting)
     waiting = []
     waitingBytes = 0
@@ -77,6 +79,10 @@
         if (!isWriting && waiting.length === 1) setImmediate(flush)
       }
       callback()
+    },
+    final: (callback) => {
+      onIdle = callback
+      flush()
     }
   })
 }
