--- a/src/daemon/startGateway/index.ts
+++ b/src/daemon/startGateway/index.ts
@@ -12,7 +12,7 @@
 import { readSystemClocks } from '../../adapters/systemClocks/index.js'
 import { createSystemRandom } from '../../adapters/systemRandom/index.js'
 import { createGatewayNode } from '../../node/createGatewayNode/index.js'
-import type { Clock, ConfigurationSource, GatewayDialect, GatewaySettings, InstanceSource, Logger, PeerAddress } from '../../types/index.js'
+import type { Clock, ConfigurationSource, EngineMemorySource, GatewayDialect, GatewaySettings, InstanceSource, Logger, PeerAddress } from '../../types/index.js'
 
 export type GatewayOptions = {
   readonly settings: GatewaySettings
@@ -20,6 +20,7 @@
   readonly dialect: GatewayDialect
   readonly configurationSource: ConfigurationSource
   readonly instanceSource: InstanceSource
+  readonly engineMemory: EngineMemorySource
   readonly readinessPath: string
 }
 
@@ -83,6 +84,7 @@
     transport,
     configurationSource: options.configurationSource,
     instanceSource: options.instanceSource,
+    engineMemory: options.engineMemory,
     client,
     logger,
     metrics
--- a/src/decisions/placeRequest/index.ts
+++ b/src/decisions/placeRequest/index.ts
@@ -13,6 +13,8 @@
   readonly load: number
   /** Tokens of the prompt's shared parts that it is believed to keep. */
   readonly keptTokens: number
+  /** Tokens beyond these that it can copy from another server. */
+  readonly copyableTokens: number
   readonly isInZone: boolean
   /** How many times longer than its peers it lately took; 1 when it is as fast as they are. */
   readonly slowness: number
@@ -34,6 +36,8 @@
   readonly tokensPerFullLoad: number
   /** Tokens that a kilobyte between zones is worth. */
   readonly tokensPerRemoteKilobyte: number
+  /** Tokens read that copying one token is worth. */
+  readonly copyShare: number
   /** Tokens that the key's first-ranked server is credited with, so that nodes which know nothing yet agree. */
   readonly homeTokens: number
 }
@@ -48,6 +52,7 @@
   boundSlack: 2,
   tokensPerFullLoad: 3000,
   tokensPerRemoteKilobyte: 20,
+  copyShare: 0.21,
   homeTokens: 6000
 }
 
@@ -100,9 +105,11 @@
   const costOf = (candidate: InstanceCandidate): number => {
     const credited = candidate.id === home ? Math.max(candidate.keptTokens, Math.min(weights.homeTokens, question.sharedTokens)) : candidate.keptTokens
     const missing = Math.max(0, question.sharedTokens - credited)
+    const copied = Math.min(missing, candidate.copyableTokens)
+    const read = missing - copied + weights.copyShare * copied
     const crowd = weights.tokensPerFullLoad * (candidate.load + 1) / candidate.slots * candidate.slowness
     const way = candidate.isInZone ? 0 : weights.tokensPerRemoteKilobyte * question.expectedBytes / 1024
-    return missing + crowd + way
+    return read + crowd + way
   }
   const open = candidates.filter(({ load, slots }) => load + 1 <= bound && load < slots)
   const eligible = open.length > 0 ? open : [...candidates].sort((left, right) => left.load / left.slots - right.load / right.slots).slice(0, 1)
--- a/src/decisions/placeRequest/test.ts
+++ b/src/decisions/placeRequest/test.ts
@@ -3,7 +3,7 @@
 import type { InstanceCandidate, PlacementQuestion } from './index.js'
 
 const createCandidate = (id: string, changes: Partial<InstanceCandidate> = {}): InstanceCandidate =>
-  ({ id, slots: 64, load: 4, keptTokens: 0, isInZone: true, slowness: 1, ...changes })
+  ({ id, slots: 64, load: 4, keptTokens: 0, copyableTokens: 0, isInZone: true, slowness: 1, ...changes })
 
 const createQuestion = (changes: Partial<PlacementQuestion> = {}): PlacementQuestion =>
   ({ affinityKey: 'part', sharedTokens: 8_000, expectedBytes: 20_000, ...changes })
@@ -67,6 +67,18 @@
     expect(placeRequest(createQuestion({ sharedTokens: 0, affinityKey: '' }), servers, still)).toBe('near')
   })
 
+  // Short prompts with long answers: the answer's bytes between zones cost more than
+  // a copy of the prompt into the own zone.
+  test('takes a copy into the own zone rather than many bytes from another one', () => {
+    const servers = [createCandidate('far', { isInZone: false, keptTokens: 600 }), createCandidate('near', { copyableTokens: 600 })]
+    expect(placeRequest(createQuestion({ sharedTokens: 600, expectedBytes: 10_000 }), servers, still)).toBe('near')
+  })
+
+  test('leaves a long prompt where it is', () => {
+    const servers = [createCandidate('far', { isInZone: false, keptTokens: 8_000 }), createCandidate('near', { copyableTokens: 8_000 })]
+    expect(placeRequest(createQuestion({ affinityKey: '' }), servers, still)).toBe('far')
+  })
+
   test('gives a slow server less', () => {
     const servers = [createCandidate('slow', { slowness: 8, load: 2 }), createCandidate('quick', { load: 3 })]
     expect(placeRequest(createQuestion({ sharedTokens: 0, affinityKey: '' }), servers, still)).toBe('quick')
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -16,7 +16,7 @@
 import { createPromptDirectory, type PromptDirectory } from '../../services/promptDirectory/index.js'
 import { createVmList, type VmList } from '../../services/vmList/index.js'
 import type {
-  Clock, ConfigurationSource, Forwarding, GatewayConfigurationHolder, GatewaySettings, InstanceClient, InstanceRegistry, InstanceSource,
+  Clock, ConfigurationSource, EngineMemorySource, Forwarding, GatewayConfigurationHolder, GatewaySettings, InstanceClient, InstanceRegistry, InstanceSource,
   LoadView, Logger, Membership, Metrics, PeerTransport, RandomSource
 } from '../../types/index.js'
 
@@ -29,6 +29,7 @@
   readonly configurationSource: ConfigurationSource
   readonly instanceSource: InstanceSource
   readonly client: InstanceClient
+  readonly engineMemory: EngineMemorySource
   readonly logger: Logger
   readonly metrics: Metrics
 }
@@ -143,8 +144,23 @@
   })
   kernel.register({
     name: 'promptDirectory',
-    dependsOn: ['membership'],
-    create: (resolve) => createPromptDirectory({ clock, transport, membership: resolve('membership') })
+    dependsOn: ['membership', 'instanceRegistry', 'gatewayConfiguration'],
+    create: (resolve) => createPromptDirectory({
+      clock,
+      transport,
+      membership: resolve('membership'),
+      ...(settings.isFirstStart
+        ? {}
+        : {
+            recovery: {
+              random,
+              registry: resolve('instanceRegistry'),
+              memory: dependencies.engineMemory,
+              availabilityZone: settings.availabilityZone,
+              isEngine: ({ service }) => resolve('gatewayConfiguration').current()?.services.get(service)?.isEngine === true
+            }
+          })
+    })
   })
   kernel.register({
     name: 'forwarding',
--- a/src/services/forwarding/_lib/chooseInstance.ts
+++ b/src/services/forwarding/_lib/chooseInstance.ts
@@ -38,36 +38,40 @@
   readonly copyPromptFrom: BackendInstance | undefined
 }
 
-/** Finds the server that keeps most of the prompt, where copying from it saves the chosen one a read. */
-const findCopySource = (dependencies: ChoiceDependencies, service: string, shared: readonly PromptPart[], chosen: BackendInstance): BackendInstance | undefined => {
-  const { registry, directory, health } = dependencies
-  let source: BackendInstance | undefined
-  let most = directory.countKept(shared, keyOf(chosen)) + LEAST_TOKENS_COPIED
-  for (const instance of registry.all()) {
-    if (instance.service !== service || instance.id === chosen.id || health.isHeld(instance)) continue
-    const kept = directory.countKept(shared, keyOf(instance))
-    if (kept <= most) continue
-    most = kept
-    source = instance
-  }
-  return source
+type Keeper = { readonly instance: BackendInstance, readonly keptTokens: number }
+
+/** What each server of the service keeps of a prompt: leaving ones too, from which it can still be copied. */
+const listKeepers = ({ registry, directory, health }: ChoiceDependencies, service: string, shared: readonly PromptPart[]): readonly Keeper[] =>
+  registry.all()
+    .filter((instance) => instance.service === service && !health.isHeld(instance))
+    .map((instance) => ({ instance, keptTokens: directory.countKept(shared, keyOf(instance)) }))
+
+const findBestKeeper = (keepers: readonly Keeper[]): Keeper | undefined => {
+  let best: Keeper | undefined
+  for (const keeper of keepers) if (keeper.keptTokens > (best?.keptTokens ?? 0)) best = keeper
+  return best
 }
 
 /** Returns the chosen one, or `undefined` when the service has none that was not tried. */
 export const chooseInstance = (dependencies: ChoiceDependencies, choice: Choice): ChosenInstance | undefined => {
-  const { request, bodyBytes } = choice
+  const { request, service, bodyBytes } = choice
   const { directory, loadView, health, random } = dependencies
   const usable = listUsable(dependencies, choice)
   // The last part belongs to the request alone.
   const shared = request.promptParts.slice(0, -1)
-  const candidates: InstanceCandidate[] = usable.map((instance) => ({
-    id: instance.id,
-    slots: instance.slots,
-    load: loadView.estimateInFlight(keyOf(instance)),
-    keptTokens: directory.countKept(shared, keyOf(instance)),
-    isInZone: instance.availabilityZone === dependencies.availabilityZone,
-    slowness: health.handicap(instance, usable)
-  }))
+  const keeper = shared.length > 0 ? findBestKeeper(listKeepers(dependencies, service, shared)) : undefined
+  const candidates: InstanceCandidate[] = usable.map((instance) => {
+    const keptTokens = directory.countKept(shared, keyOf(instance))
+    return {
+      id: instance.id,
+      slots: instance.slots,
+      load: loadView.estimateInFlight(keyOf(instance)),
+      keptTokens,
+      copyableTokens: Math.max(0, (keeper?.keptTokens ?? 0) - keptTokens),
+      isInZone: instance.availabilityZone === dependencies.availabilityZone,
+      slowness: health.handicap(instance, usable)
+    }
+  })
   const chosen = placeRequest({
     affinityKey: shared.at(-1)?.id ?? '',
     sharedTokens: shared.reduce((sum, part) => sum + part.tokens, 0),
@@ -75,5 +79,6 @@
   }, candidates, random.next)
   const instance = usable.find(({ id }) => id === chosen)
   if (instance === undefined) return undefined
-  return { instance, copyPromptFrom: shared.length > 0 ? findCopySource(dependencies, choice.service, shared, instance) : undefined }
+  const copyable = candidates.find(({ id }) => id === chosen)?.copyableTokens ?? 0
+  return { instance, copyPromptFrom: copyable > LEAST_TOKENS_COPIED ? keeper?.instance : undefined }
 }
--- a/src/services/forwarding/_lib/createRun.ts
+++ b/src/services/forwarding/_lib/createRun.ts
@@ -371,9 +371,12 @@
 
   return {
     assign: (to, holder) => {
+      if (isDone) return
       route = to
       account = holder
       service = selectTarget(to.targets, random.next()).service
+      // The body may have come while the request waited for its route.
+      send()
     },
     submit: (content) => {
       if (isDone) return
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -13,7 +13,7 @@
 import { indexRoutes, selectGatewayRoute } from '../../decisions/selectGatewayRoute/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import type {
-  Clock, Forwarding, ForwardingRun, GatewayConfigurationHolder, GatewayRefusal, GatewayRoute, InstanceClient, InstanceRegistry,
+  Clock, Forwarding, GatewayConfigurationHolder, GatewayRefusal, GatewayRequest, GatewayRoute, InstanceClient, InstanceRegistry,
   LoadView, Logger, Membership, Metrics, RandomSource, Timer
 } from '../../types/index.js'
 import type { InstanceHealth } from '../instanceHealth/index.js'
@@ -44,6 +44,14 @@
 
 /** Deadlines and silences are found this late at most, in milliseconds; a tick costs some microseconds a request. */
 const TICK_MS = 25
+/**
+ * How long a request waits on a node that has just started for its first
+ * configuration and list, in milliseconds: both come within some 50 ms of the
+ * start, and a refusal would cost its caller half a second.
+ */
+const FIRST_KNOWLEDGE_WAIT_MS = 400
+/** For so long after its start a node expects its first knowledge at any moment, in milliseconds. */
+const YOUNG_MS = 1_500
 /** When to come back after a refusal for want of knowledge: a source is asked again within that time. */
 const UNKNOWN_RETRY_MS = 500
 
@@ -62,7 +70,9 @@
  * forwarding.api.openRequests() // => 0
  */
 export const createForwarding = (dependencies: ForwardingDependencies, options: ForwardingOptions): RunningService<Forwarding> => {
-  const { clock, configuration } = dependencies
+  const { clock, configuration, registry } = dependencies
+  const startedAt = clock.now()
+  const waitingForKnowledge = new Set<() => void>()
   const runs = new Set<Run>()
   const budgets = createRepeatBudgets(options.repeatLimits, () => dependencies.membership.members().length, clock)
   const usualTimes = createTimeToFirstBytes()
@@ -92,27 +102,48 @@
     usualTimes
   }
 
-  const refused = (run: ForwardingRun, refusal: GatewayRefusal): ForwardingRun => {
-    run.reject(refusal)
-    return run
+  const admit = (run: Run, request: GatewayRequest): void => {
+    const current = configuration.current()
+    if (current === undefined || !registry.isKnown()) return run.reject({ status: 503, reason: 'noConfiguration', retryAfterMs: UNKNOWN_RETRY_MS })
+    const route = selectGatewayRoute(index, request.host, request.target)
+    if (route === undefined) return run.reject(refuseUnknown({ status: 404, reason: 'unknownRoute' }))
+    const account = findAccount(current, route, request.credential)
+    if (account === 'unknown') return run.reject(refuseUnknown({ status: 401, reason: 'unknownKey' }))
+    if (clock.now() + estimateDuration({ route, outputTokens: request.tokens.output, tokenMs: USUAL_TOKEN_MS }) > endsAt) {
+      return run.reject({ status: 503, reason: 'shuttingDown', retryAfterMs: ELSEWHERE_RETRY_MS })
+    }
+    run.assign(route, account)
+  }
+
+  const admitWaiting = (): void => {
+    if (configuration.current() === undefined || !registry.isKnown()) return
+    for (const waiting of [...waitingForKnowledge]) waiting()
   }
 
+  configuration.onChange(admitWaiting)
+  registry.onChange(admitWaiting)
+
+  const admitLater = (run: Run, request: GatewayRequest): void => {
+    const finish = (): void => {
+      if (!waitingForKnowledge.delete(finish)) return
+      limit.cancel()
+      admit(run, request)
+    }
+    const limit = clock.setTimer(FIRST_KNOWLEDGE_WAIT_MS, finish)
+    waitingForKnowledge.add(finish)
+  }
+
+  const isYoung = (): boolean => clock.now() - startedAt < YOUNG_MS
+
   return {
     api: {
       begin: (request, sink) => {
         const run = createRun({ ...context, onDone: () => { runs.delete(run) } }, request, sink)
         runs.add(run)
         timer ??= clock.setTimer(TICK_MS, tick)
-        const current = configuration.current()
-        if (current === undefined) return refused(run, { status: 503, reason: 'noConfiguration', retryAfterMs: UNKNOWN_RETRY_MS })
-        const route = selectGatewayRoute(index, request.host, request.target)
-        if (route === undefined) return refused(run, refuseUnknown({ status: 404, reason: 'unknownRoute' }))
-        const account = findAccount(current, route, request.credential)
-        if (account === 'unknown') return refused(run, refuseUnknown({ status: 401, reason: 'unknownKey' }))
-        if (clock.now() + estimateDuration({ route, outputTokens: request.tokens.output, tokenMs: USUAL_TOKEN_MS }) > endsAt) {
-          return refused(run, { status: 503, reason: 'shuttingDown', retryAfterMs: ELSEWHERE_RETRY_MS })
-        }
-        run.assign(route, account)
+        const isKnowing = configuration.current() !== undefined && registry.isKnown()
+        if (isKnowing || !isYoung()) admit(run, request)
+        else admitLater(run, request)
         return run
       },
       openRequests: () => runs.size,
--- a/src/services/instanceRegistry/index.ts
+++ b/src/services/instanceRegistry/index.ts
@@ -121,11 +121,11 @@
   }
 
   const replaceAll = (entries: readonly InstanceEntry[], atRevision: number): void => {
+    revision = atRevision
+    isKnown = true
     const listed = new Set(entries.map(({ name }) => name))
     for (const name of [...instances.keys()]) if (!listed.has(name)) miss(name)
     for (const entry of entries) put(entry)
-    revision = atRevision
-    isKnown = true
     publish()
   }
 
--- /dev/null
+++ b/src/services/promptDirectory/_lib/recoverPlaces.ts
@@ -0,0 +1,65 @@
+/**
+ * What a node that has just started does to learn where prompts are kept: it
+ * asks a peer, and where all peers have just started as well, the engines of its
+ * own zone. Without this, the prompts of a fleet that lost power are read again
+ * although the engines kept them.
+ */
+import type { BackendInstance, Clock, EngineMemorySource, InstanceRegistry, Membership, PeerTransport, RandomSource } from '../../../types/index.js'
+import { keyOf } from '../../instanceHealth/index.js'
+
+export type PlacesRecovery = {
+  readonly random: RandomSource
+  readonly registry: Pick<InstanceRegistry, 'all'>
+  readonly memory: EngineMemorySource
+  readonly availabilityZone: string
+  /** Whether a backend server keeps prompts at all. */
+  readonly isEngine: (instance: BackendInstance) => boolean
+}
+
+export type RecoveryDependencies = {
+  readonly clock: Clock
+  readonly transport: Pick<PeerTransport, 'request'>
+  readonly membership: Pick<Membership, 'liveMembers' | 'self'>
+  readonly recovery: PlacesRecovery
+  readonly isKnown: (instanceKey: string) => boolean
+  readonly noteAll: (parts: readonly string[], servers: readonly string[]) => void
+  /** Passes a place on to peers. */
+  readonly tell: (part: string, instanceKey: string) => void
+}
+
+/** Peers are known a heartbeat or two after the start. */
+const PEERS_KNOWN_MS = 350
+const ASK_TIMEOUT_MS = 500
+/** Nodes of a zone ask its engines at different moments, so that the second hears of it from the first. */
+const SPREAD_MS = 600
+
+const wait = (clock: Clock, ms: number): Promise<void> => new Promise((resolve) => { clock.setTimer(ms, resolve) })
+
+const askPeers = async ({ transport, membership, noteAll }: RecoveryDependencies): Promise<boolean> => {
+  const self = membership.self().nodeId
+  for (const peer of membership.liveMembers().filter(({ nodeId }) => nodeId !== self).slice(0, 2)) {
+    const result = await transport.request(peer.address, { kind: 'promptPlacesRequest' }, ASK_TIMEOUT_MS)
+    if (!result.ok || result.value.kind !== 'promptPlaces' || result.value.parts.length === 0) continue
+    noteAll(result.value.parts, result.value.servers)
+    return true
+  }
+  return false
+}
+
+const askEngine = async ({ recovery, noteAll, tell }: RecoveryDependencies, instance: BackendInstance): Promise<void> => {
+  const result = await recovery.memory.list(instance)
+  if (!result.ok) return
+  const key = keyOf(instance)
+  noteAll(result.value.map(({ id }) => id), result.value.map(() => key))
+  for (const { id } of result.value) tell(id, key)
+}
+
+/** Runs once after a start. */
+export const recoverPlaces = async (dependencies: RecoveryDependencies): Promise<void> => {
+  const { clock, recovery, isKnown } = dependencies
+  await wait(clock, PEERS_KNOWN_MS)
+  if (await askPeers(dependencies)) return
+  await wait(clock, SPREAD_MS * recovery.random.next())
+  const engines = recovery.registry.all().filter((instance) => instance.availabilityZone === recovery.availabilityZone && recovery.isEngine(instance))
+  for (const engine of engines) if (!isKnown(keyOf(engine))) await askEngine(dependencies, engine)
+}
--- a/src/services/promptDirectory/index.ts
+++ b/src/services/promptDirectory/index.ts
@@ -6,6 +6,8 @@
 import { LRUCache } from 'lru-cache'
 import type { RunningService } from '../../kernel/index.js'
 import type { Clock, Membership, PeerTransport, PromptPart, Timer } from '../../types/index.js'
+import { recoverPlaces } from './_lib/recoverPlaces.js'
+import type { PlacesRecovery } from './_lib/recoverPlaces.js'
 
 export type PromptDirectory = {
   /** Notes that a backend server reads or has read these parts now. */
@@ -16,8 +18,10 @@
 
 export type PromptDirectoryDependencies = {
   readonly clock: Clock
-  readonly transport: Pick<PeerTransport, 'send' | 'handle'>
+  readonly transport: Pick<PeerTransport, 'send' | 'handle' | 'request'>
   readonly membership: Pick<Membership, 'liveMembers' | 'self'>
+  /** How to learn after a start what engines keep; left out where nothing can be kept yet. */
+  readonly recovery?: PlacesRecovery
 }
 
 export type PromptDirectoryOptions = {
@@ -32,6 +36,8 @@
 /** A part unused for so long is taken for evicted: engines keep the parts used last. */
 const KEPT_MS = 60_000
 const PLACES_PER_MESSAGE = 512
+/** Some 40 bytes each: a reply stays under 200 kB. */
+const PLACES_PER_REPLY = 4_000
 /** Servers that one part is remembered at; a part that begins many prompts is at most of a service. */
 const SERVERS_PER_PART = 64
 
@@ -68,6 +74,27 @@
     if (oldest !== undefined) servers.delete(oldest)
   }
 
+  const noteAll = (parts: readonly string[], servers: readonly string[]): void => {
+    for (const [index, part] of parts.entries()) {
+      const server = servers[index]
+      if (server !== undefined) note(part, server)
+    }
+  }
+
+  /** The parts used last, oldest first, as far as they fit a message. */
+  const listPlaces = (): { readonly parts: readonly string[], readonly servers: readonly string[] } => {
+    const parts: string[] = []
+    const servers: string[] = []
+    for (const [part, holders] of places.entries()) {
+      for (const server of holders.keys()) {
+        if (parts.length >= PLACES_PER_REPLY) break
+        parts.push(part)
+        servers.push(server)
+      }
+    }
+    return { parts: parts.reverse(), servers: servers.reverse() }
+  }
+
   const record = (parts: readonly PromptPart[], instanceKey: string): void => {
     for (const [index, { id }] of parts.entries()) {
       note(id, instanceKey)
@@ -101,12 +128,19 @@
     },
     start: () => {
       transport.handle('promptPlaces', ({ parts, servers }) => {
-        for (const [index, part] of parts.entries()) {
-          const server = servers[index]
-          if (server !== undefined) note(part, server)
-        }
+        noteAll(parts, servers)
         return { kind: 'none' }
       })
+      transport.handle('promptPlacesRequest', () => ({ kind: 'promptPlaces', ...listPlaces() }))
+      if (dependencies.recovery !== undefined) {
+        recoverPlaces({
+          ...dependencies,
+          recovery: dependencies.recovery,
+          isKnown: (instanceKey) => [...places.values()].some((servers) => servers.has(instanceKey)),
+          noteAll,
+          tell: (part, instanceKey) => { if (fresh.size < PLACES_PER_MESSAGE) fresh.set(part, instanceKey) }
+        })
+      }
       timer = clock.setTimer(options.periodMs, tellPeers)
     },
     stop: () => timer?.cancel()
--- a/src/types/gatewayKnowledge.ts
+++ b/src/types/gatewayKnowledge.ts
@@ -2,7 +2,7 @@
  * What a gateway node believes and where it learned it: the configuration in
  * force, how lately it was confirmed to be the newest, and the backend servers.
  */
-import type { BackendInstance, GatewayConfiguration } from './gateway.js'
+import type { BackendInstance, GatewayConfiguration, PromptPart } from './gateway.js'
 import type { Result } from './result.js'
 
 export type SourceError =
@@ -65,3 +65,8 @@
   readonly markGone: (instance: BackendInstance, reason: string) => void
   readonly onChange: (listener: () => void) => void
 }
+
+export type EngineMemorySource = {
+  /** What a model engine keeps of prompts now; dear, since it delays the engine. */
+  readonly list: (instance: BackendInstance) => Promise<Result<readonly PromptPart[], SourceError>>
+}
--- a/src/types/gatewaySettings.ts
+++ b/src/types/gatewaySettings.ts
@@ -11,6 +11,8 @@
   readonly peerAddress: PeerAddress
   readonly seedPeers: readonly PeerAddress[]
   readonly fleetKey: string
+  /** Whether the whole deployment starts for the first time: engines keep nothing yet. */
+  readonly isFirstStart: boolean
   /** Milliseconds from a stop's signal to the process's end by force. */
   readonly graceMs: number
   /** Time after which a key that was taken away must not be used; 0 where no such bound holds. */
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -108,6 +108,8 @@
   | { readonly kind: 'claimOutcome', readonly key: ClaimKey }
   /** Prompt parts that the sender lately sent, each with the backend server (`id@incarnation`) that got it. */
   | { readonly kind: 'promptPlaces', readonly parts: readonly string[], readonly servers: readonly string[] }
+  /** Asks a gateway node for the prompt parts that it remembers, after a start. */
+  | { readonly kind: 'promptPlacesRequest' }
   /** Asks a gateway node for what is newer than this. */
   | { readonly kind: 'knowledgeRequest', readonly version: number, readonly revision: number }
 
@@ -120,6 +122,7 @@
   | { readonly kind: 'claimAppended', readonly accepted: readonly boolean[], readonly records?: readonly Uint8Array[] }
   | { readonly kind: 'claimRefused', readonly message: string }
   | { readonly kind: 'claimOutcome', readonly outcome?: Uint8Array }
+  | { readonly kind: 'promptPlaces', readonly parts: readonly string[], readonly servers: readonly string[] }
   | {
     readonly kind: 'knowledge'
     readonly version: number
--- a/test/platform/_lib/startGatewayFleet.ts
+++ b/test/platform/_lib/startGatewayFleet.ts
@@ -3,6 +3,7 @@
  * real sockets on free ports. Everything ends with `close`.
  */
 import { createDialect } from '../../../platform/createDialect/index.js'
+import { createMemorySource } from '../../../platform/createMemorySource/index.js'
 import { createConfigurationSource, createInstanceSource } from '../../../platform/createSources/index.js'
 import { createStoreClient, type StoreClient } from '../../../platform/createStoreClient/index.js'
 import { createPlatform, type PlatformOptions, type PlatformStandIn } from './createPlatform.js'
@@ -20,6 +21,8 @@
   readonly gateways: readonly Gateway[]
   readonly callerAddress: (index?: number) => PeerAddress
   readonly logs: readonly LogLine[]
+  /** Kills a node and starts it anew, at other addresses and without memory. */
+  readonly restart: (index: number) => Promise<void>
   /** Takes the store away from one node; the others keep it. */
   readonly cutFromStore: (index: number) => void
 }
@@ -50,6 +53,7 @@
   peerAddress: { host: '127.0.0.1', port: 0 },
   seedPeers,
   fleetKey: 'fleet-of-the-test',
+  isFirstStart: true,
   graceMs: 4_000,
   keyRevocationMs: 5_000,
   configurationDelayMs: 2_000,
@@ -72,18 +76,21 @@
   const logs: LogLine[] = []
   const clients: SeverableStore[] = []
   const gateways: Gateway[] = []
-  for (let index = 0; index < (options.nodes ?? 1); index++) {
+  const startNode = async (index: number): Promise<Gateway> => {
     const client = createSeverableStore(createStoreClient(platform.store.address()))
-    clients.push(client)
-    gateways.push(await startGateway({
-      settings: createSettings(`node-${index + 1}`, gateways.map(({ peerAddress }) => peerAddress), options.settings ?? {}),
+    clients[index]?.close()
+    clients[index] = client
+    return await startGateway({
+      settings: createSettings(`node-${index + 1}`, gateways.slice(0, index).map(({ peerAddress }) => peerAddress), options.settings ?? {}),
       logger: createLogger(logs),
       dialect: createDialect(),
       configurationSource: createConfigurationSource(client),
       instanceSource: createInstanceSource(client),
+      engineMemory: createMemorySource(),
       readinessPath: '/readyz'
-    }))
+    })
   }
+  for (let index = 0; index < (options.nodes ?? 1); index++) gateways.push(await startNode(index))
   for (const gateway of gateways) await gateway.whenAble()
 
   return {
@@ -91,6 +98,11 @@
     gateways,
     callerAddress: (index = 0) => gateways[index]!.callerAddress,
     logs,
+    restart: async (index) => {
+      await gateways[index]!.kill()
+      gateways[index] = await startNode(index)
+      await gateways[index].whenAble()
+    },
     cutFromStore: (index) => clients[index]!.cut(),
     close: async () => {
       for (const gateway of gateways) await gateway.kill()
--- a/test/platform/knowledge.test.ts
+++ b/test/platform/knowledge.test.ts
@@ -1,6 +1,6 @@
 /** What a gateway believes of configuration and backend servers, and what it does while their source is away. */
 import { afterEach, describe, expect, test } from 'vitest'
-import { callGateway } from './_lib/callGateway.js'
+import { callGateway, promptHeaders } from './_lib/callGateway.js'
 import { createRoute } from './_lib/createPlatform.js'
 import { startGatewayFleet, type FleetOptions, type GatewayFleet } from './_lib/startGatewayFleet.js'
 import { createBackendStandIn } from '../../platform/standIn/createBackendStandIn/index.js'
@@ -161,3 +161,36 @@
     await waitFor('the removal to be noticed', async () => fleet.logs.some(({ message, backendServer }) => message === 'backend server removed' && backendServer === 'plain-1'))
   })
 })
+
+describe('where prompts are kept', () => {
+  const sendChat = async (fleet: GatewayFleet, node: number, shared: string): Promise<void> => {
+    const result = await callGateway(fleet.callerAddress(node), { path: '/chat/1', body: 'x', headers: promptHeaders(shared, `own-${shared}`) })
+    expect(result.isComplete).toBe(true)
+  }
+
+  const findKeeper = (fleet: GatewayFleet, shared: string): readonly string[] =>
+    [...fleet.backends.values()].filter((backend) => backend.records().some(({ headers }) => headers['x-prompt-prefix']?.startsWith(shared))).map(({ id }) => id)
+
+  test('is known to a peer, which sends the next turn there', async () => {
+    const fleet = await start({ nodes: 2 })
+    await waitFor('the peer to be known', async () => fleet.logs.some(({ message }) => message === 'member changed'))
+    await sendChat(fleet, 0, 'aa')
+    await new Promise((resolve) => { setTimeout(resolve, 600) })
+    await sendChat(fleet, 1, 'aa')
+    expect(findKeeper(fleet, 'aa')).toHaveLength(1)
+  })
+
+  // All nodes lose power. The engines kept the prompts, but no node knows which:
+  // sent by rank alone, a chat that had been displaced would be read again.
+  test('is asked of the engines after a start of all nodes', async () => {
+    const fleet = await start({ settings: { isFirstStart: false } })
+    const rank = findKeeper(fleet, 'zz')
+    expect(rank).toHaveLength(0)
+    await sendChat(fleet, 0, 'zz')
+    const [keeper] = findKeeper(fleet, 'zz')
+    await fleet.restart(0)
+    await waitFor('the engines to be asked', async () => fleet.backends.get(keeper!)!.countLists() > 0)
+    await sendChat(fleet, 0, 'zz')
+    expect(findKeeper(fleet, 'zz')).toEqual([keeper])
+  })
+})
