--- a/src/adapters/systemClocks/index.ts
+++ b/src/adapters/systemClocks/index.ts
@@ -1,12 +1,18 @@
 import { uptime } from 'node:os'
-import type { ClockReading } from '../../decisions/measureAge/index.js'
+import type { Clocks } from '../../decisions/measureAge/index.js'
+
+const MILLISECONDS_PER_SECOND = 1_000
 
 /**
- * Reads the machine's clocks at one moment.
+ * Gives the machine's clocks.
  *
  * @returns Monotonic, wall and boot time in milliseconds.
  *
  * @example
- * readSystemClocks().wall > 0 // => true
+ * createSystemClocks().wall() > 0 // => true
  */
-export const readSystemClocks = (): ClockReading => ({ monotonic: performance.now(), wall: Date.now(), boot: uptime() * 1000 })
+export const createSystemClocks = (): Clocks => ({
+  monotonic: () => performance.now(),
+  wall: () => Date.now(),
+  boot: () => uptime() * MILLISECONDS_PER_SECOND
+})
--- a/src/daemon/startGateway/index.ts
+++ b/src/daemon/startGateway/index.ts
@@ -9,7 +9,7 @@
 import { createProbeHttp } from '../../adapters/probeHttp/index.js'
 import { createPromMetrics } from '../../adapters/promMetrics/index.js'
 import { createSystemClock } from '../../adapters/systemClock/index.js'
-import { readSystemClocks } from '../../adapters/systemClocks/index.js'
+import { createSystemClocks } from '../../adapters/systemClocks/index.js'
 import { createSystemRandom } from '../../adapters/systemRandom/index.js'
 import { createGatewayNode } from '../../node/createGatewayNode/index.js'
 import type { Clock, ConfigurationSource, EngineMemorySource, GatewayDialect, GatewaySettings, InstanceSource, Logger, PeerAddress } from '../../types/index.js'
@@ -80,7 +80,7 @@
     settings: { ...settings, peerAddress },
     clock,
     random,
-    readClocks: readSystemClocks,
+    clocks: createSystemClocks(),
     transport,
     configurationSource: options.configurationSource,
     instanceSource: options.instanceSource,
--- a/src/decisions/measureAge/index.ts
+++ b/src/decisions/measureAge/index.ts
@@ -12,6 +12,24 @@
   readonly boot: number
 }
 
+/** The clocks now. The boot clock costs a read of a file, so it is read only where the others disagree. */
+export type Clocks = {
+  readonly monotonic: () => number
+  readonly wall: () => number
+  readonly boot: () => number
+}
+
+/**
+ * Reads all clocks at one moment.
+ *
+ * @param clocks - The machine's clocks.
+ * @returns What they show, in milliseconds.
+ *
+ * @example
+ * readClocks({ monotonic: () => 1, wall: () => 2, boot: () => 3 }) // => { monotonic: 1, wall: 2, boot: 3 }
+ */
+export const readClocks = (clocks: Clocks): ClockReading => ({ monotonic: clocks.monotonic(), wall: clocks.wall(), boot: clocks.boot() })
+
 /** Clocks that differ by less than this agree: reading them one after another, and slewing, takes some milliseconds. */
 const AGREEMENT_MS = 100
 
@@ -24,15 +42,15 @@
  * and one taken for younger breaks a promise.
  *
  * @param since - The earlier reading.
- * @param now - The later reading.
+ * @param clocks - The machine's clocks, read now.
  * @returns Milliseconds.
  *
  * @example
- * measureAge({ monotonic: 0, wall: 0, boot: 0 }, { monotonic: 5, wall: 5, boot: 5 }) // => 5
+ * measureAge({ monotonic: 0, wall: 0, boot: 0 }, { monotonic: () => 5, wall: () => 5, boot: () => 5 }) // => 5
  */
-export const measureAge = (since: ClockReading, now: ClockReading): number => {
-  const monotonic = now.monotonic - since.monotonic
-  const wall = now.wall - since.wall
+export const measureAge = (since: ClockReading, clocks: Clocks): number => {
+  const monotonic = clocks.monotonic() - since.monotonic
+  const wall = clocks.wall() - since.wall
   if (Math.abs(wall - monotonic) < AGREEMENT_MS) return Math.max(monotonic, wall)
-  return Math.max(monotonic, wall, now.boot - since.boot)
+  return Math.max(monotonic, wall, clocks.boot() - since.boot)
 }
--- a/src/decisions/measureAge/test.ts
+++ b/src/decisions/measureAge/test.ts
@@ -1,16 +1,18 @@
 import { describe, expect, test } from 'vitest'
-import { measureAge } from './index.js'
+import { measureAge, type ClockReading } from './index.js'
 
-const at = (monotonic: number, wall: number, boot: number) => ({ monotonic, wall, boot })
+const at = (monotonic: number, wall: number, boot: number): ClockReading => ({ monotonic, wall, boot })
+
+const measure = (since: ClockReading, now: ClockReading): number => measureAge(since, { monotonic: () => now.monotonic, wall: () => now.wall, boot: () => now.boot })
 
 describe('measureAge', () => {
-  test('is the time that passed', () => expect(measureAge(at(0, 1_000, 50), at(400, 1_400, 450))).toBe(400))
+  test('is the time that passed', () => expect(measure(at(0, 1_000, 50), at(400, 1_400, 450))).toBe(400))
 
   // A VM is suspended for five seconds. Its monotonic clock stands still, so a
   // key that was taken away meanwhile would pass for confirmed just now.
-  test('counts the time for which the VM was suspended', () => expect(measureAge(at(0, 0, 0), at(10, 5_010, 5_010))).toBe(5_010))
+  test('counts the time for which the VM was suspended', () => expect(measure(at(0, 0, 0), at(10, 5_010, 5_010))).toBe(5_010))
 
-  test('counts it also when the wall clock jumped back as far', () => expect(measureAge(at(0, 0, 0), at(10, 10 - 3_000, 5_010))).toBe(5_010))
-  test('takes a jump ahead of the wall clock for time that passed', () => expect(measureAge(at(0, 0, 0), at(10, 2_410, 10))).toBe(2_410))
-  test('passes over a jump back', () => expect(measureAge(at(0, 0, 0), at(500, -2_000, 500))).toBe(500))
+  test('counts it also when the wall clock jumped back as far', () => expect(measure(at(0, 0, 0), at(10, 10 - 3_000, 5_010))).toBe(5_010))
+  test('takes a jump ahead of the wall clock for time that passed', () => expect(measure(at(0, 0, 0), at(10, 2_410, 10))).toBe(2_410))
+  test('passes over a jump back', () => expect(measure(at(0, 0, 0), at(500, -2_000, 500))).toBe(500))
 })
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -3,7 +3,7 @@
  * path, assembled in the kernel. All I/O is handed in, as for a router node.
  */
 import { registerGauges } from './_lib/registerGauges.js'
-import type { ClockReading } from '../../decisions/measureAge/index.js'
+import type { Clocks } from '../../decisions/measureAge/index.js'
 import { createKernel, success, type Kernel } from '../../kernel/index.js'
 import { createForwarding } from '../../services/forwarding/index.js'
 import { createGatewayConfiguration, type RunningGatewayConfiguration } from '../../services/gatewayConfiguration/index.js'
@@ -24,7 +24,7 @@
   readonly settings: GatewaySettings
   readonly clock: Clock
   readonly random: RandomSource
-  readonly readClocks: () => ClockReading
+  readonly clocks: Clocks
   readonly transport: PeerTransport
   readonly configurationSource: ConfigurationSource
   readonly instanceSource: InstanceSource
@@ -89,14 +89,14 @@
 }
 
 const registerKnowledge = (kernel: Kernel<GatewayServices>, dependencies: GatewayNodeDependencies): void => {
-  const { clock, random, readClocks, transport, configurationSource, instanceSource, logger } = dependencies
+  const { clock, random, clocks, transport, configurationSource, instanceSource, logger } = dependencies
   let configuration: RunningGatewayConfiguration | undefined
   let registry: RunningInstanceRegistry | undefined
   kernel.register({
     name: 'gatewayConfiguration',
     dependsOn: [],
     create: () => {
-      configuration = createGatewayConfiguration({ clock, source: configurationSource, logger, readClocks }, { readIntervalMs: CONFIGURATION_READ_MS })
+      configuration = createGatewayConfiguration({ clock, source: configurationSource, logger, clocks }, { readIntervalMs: CONFIGURATION_READ_MS })
       return configuration
     }
   })
@@ -113,7 +113,7 @@
     dependsOn: ['membership', 'heartbeatExchange', 'gatewayConfiguration', 'instanceRegistry'],
     create: (resolve) => {
       if (configuration === undefined || registry === undefined) throw new Error('knowledge is exchanged before its holders were made')
-      return createKnowledgeExchange({ clock, random, transport, membership: resolve('membership'), exchange: resolve('heartbeatExchange'), configuration, registry, readClocks })
+      return createKnowledgeExchange({ clock, random, transport, membership: resolve('membership'), exchange: resolve('heartbeatExchange'), configuration, registry, clocks })
     }
   })
 }
--- a/src/services/gatewayConfiguration/index.ts
+++ b/src/services/gatewayConfiguration/index.ts
@@ -3,8 +3,8 @@
  * the newest. It is read from its source at an interval and learnt from peers;
  * a version never goes back, and an outage of the source empties nothing.
  */
-import { measureAge } from '../../decisions/measureAge/index.js'
-import type { ClockReading } from '../../decisions/measureAge/index.js'
+import { measureAge, readClocks } from '../../decisions/measureAge/index.js'
+import type { Clocks, ClockReading } from '../../decisions/measureAge/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import type { Clock, ConfigurationSource, GatewayConfiguration, GatewayConfigurationHolder, Logger, SourcedConfiguration, Timer } from '../../types/index.js'
 
@@ -12,8 +12,7 @@
   readonly clock: Clock
   readonly source: ConfigurationSource
   readonly logger: Logger
-  /** Reads all clocks at once. */
-  readonly readClocks: () => ClockReading
+  readonly clocks: Clocks
 }
 
 export type GatewayConfigurationOptions = {
@@ -52,7 +51,7 @@
  * holder.api.version() // => 0
  */
 export const createGatewayConfiguration = (dependencies: GatewayConfigurationDependencies, options: GatewayConfigurationOptions): RunningGatewayConfiguration => {
-  const { clock, source, logger, readClocks } = dependencies
+  const { clock, source, logger, clocks } = dependencies
   const listeners: ((configuration: GatewayConfiguration) => void)[] = []
   const needListeners: (() => void)[] = []
   const waiters = new Set<() => void>()
@@ -68,7 +67,7 @@
   const version = (): number => sourced?.configuration.version ?? 0
 
   const confirmedAgeMs = (): number =>
-    confirmation === undefined ? Infinity : confirmation.ageMs + measureAge(confirmation.at, readClocks())
+    confirmation === undefined ? Infinity : confirmation.ageMs + measureAge(confirmation.at, clocks)
 
   const adopt = (next: SourcedConfiguration, from: string): void => {
     if (next.configuration.version <= version()) return
@@ -78,7 +77,7 @@
   }
 
   const confirm = (at: ClockReading, ageMs: number): void => {
-    if (ageMs + measureAge(at, readClocks()) >= confirmedAgeMs()) return
+    if (ageMs + measureAge(at, clocks) >= confirmedAgeMs()) return
     confirmation = { at, ageMs }
     for (const waiter of [...waiters]) waiter()
   }
@@ -96,7 +95,7 @@
     if (isReading || isStopped) return
     isReading = true
     timer?.cancel()
-    const sentAt = readClocks()
+    const sentAt = readClocks(clocks)
     const result = await source.read()
     isReading = false
     if (isStopped) return
--- a/src/services/knowledgeExchange/index.ts
+++ b/src/services/knowledgeExchange/index.ts
@@ -4,7 +4,8 @@
  * its age, and what it lacks. An age is only believed from a reply to an own
  * question, so that a message which was long on its way proves nothing.
  */
-import type { ClockReading } from '../../decisions/measureAge/index.js'
+import { readClocks } from '../../decisions/measureAge/index.js'
+import type { Clocks } from '../../decisions/measureAge/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import type { Clock, Member, Membership, PeerTransport, RandomSource } from '../../types/index.js'
 import type { RunningGatewayConfiguration } from '../gatewayConfiguration/index.js'
@@ -21,7 +22,7 @@
   readonly exchange: HeartbeatExchange
   readonly configuration: RunningGatewayConfiguration
   readonly registry: RunningInstanceRegistry
-  readonly readClocks: () => ClockReading
+  readonly clocks: Clocks
 }
 
 /** Peers asked at once: one may be cut off as well, or dead and not yet known to be. */
@@ -41,11 +42,11 @@
  * exchange.api.ask()
  */
 export const createKnowledgeExchange = (dependencies: KnowledgeExchangeDependencies): RunningService<KnowledgeExchange> => {
-  const { clock, random, transport, membership, exchange, configuration, registry, readClocks } = dependencies
+  const { clock, random, transport, membership, exchange, configuration, registry, clocks } = dependencies
   let askedAt = -Infinity
 
   const askPeer = async (peer: Member): Promise<void> => {
-    const sentAt = readClocks()
+    const sentAt = readClocks(clocks)
     const result = await transport.request(peer.address, { kind: 'knowledgeRequest', version: configuration.api.version(), revision: registry.api.revision() }, ASK_TIMEOUT_MS)
     if (!result.ok || result.value.kind !== 'knowledge') return
     const { version, ageMs, configuration: bytes, revision, instances } = result.value
