--- a/src/daemon/startGateway/index.ts
+++ b/src/daemon/startGateway/index.ts
@@ -30,6 +30,8 @@
   readonly peerAddress: PeerAddress
   /** Resolves once it can serve. */
   readonly whenAble: () => Promise<void>
+  /** Puts in force what may change while it runs: seeds, grace, and the bounds on keys, configuration and repeats. Addresses stay. */
+  readonly applySettings: (settings: GatewaySettings) => void
   /** Ends at once, as when its process dies. */
   readonly kill: () => Promise<void>
   /** Fails the readiness, serves on, and resolves once nothing is open or the grace is nearly over. */
@@ -61,6 +63,7 @@
  */
 export const startGateway = async (options: GatewayOptions): Promise<Gateway> => {
   const { settings, dialect } = options
+  let current = settings
   const clock = createSystemClock()
   const random = createSystemRandom()
   const metrics = createPromMetrics()
@@ -78,6 +81,7 @@
   const client = createInstanceHttp({ clock, dialect })
   const node = createGatewayNode({
     settings: { ...settings, peerAddress },
+    readSettings: () => current,
     clock,
     random,
     clocks: createSystemClocks(),
@@ -132,9 +136,9 @@
     node.resolve('membership').announceLeaving()
     gatewayHttp.beginClosing()
     // A zone with few nodes in rotation gets new connections on all of them, stopping ones included.
-    const endsAt = stoppedAt + settings.graceMs - GRACE_MARGIN_MS
+    const endsAt = stoppedAt + current.graceMs - GRACE_MARGIN_MS
     node.resolve('forwarding').beginStopping(endsAt)
-    await wait(clock, Math.min(TURN_AWAY_MS, settings.graceMs / 2))
+    await wait(clock, Math.min(TURN_AWAY_MS, current.graceMs / 2))
     gatewayHttp.closeIdle()
     const isQuiet = (): boolean => node.resolve('forwarding').openRequests() === 0 && clock.now() - gatewayHttp.lastUsedAt() > QUIET_MS
     while (clock.now() < endsAt && !isQuiet()) {
@@ -151,6 +155,7 @@
     readinessAddress,
     peerAddress,
     whenAble,
+    applySettings: (next) => { current = next },
     kill: end,
     stop: () => {
       stopping ??= shutDown()
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -5,7 +5,7 @@
 import { registerGauges } from './_lib/registerGauges.js'
 import type { Clocks } from '../../decisions/measureAge/index.js'
 import { createKernel, success, type Kernel } from '../../kernel/index.js'
-import { createForwarding } from '../../services/forwarding/index.js'
+import { createForwarding, type ForwardingBounds } from '../../services/forwarding/index.js'
 import { createGatewayConfiguration, type RunningGatewayConfiguration } from '../../services/gatewayConfiguration/index.js'
 import { createHeartbeatExchange, type HeartbeatExchange } from '../../services/heartbeatExchange/index.js'
 import { createInstanceHealth, keyOf, type InstanceHealth } from '../../services/instanceHealth/index.js'
@@ -22,6 +22,8 @@
 
 export type GatewayNodeDependencies = {
   readonly settings: GatewaySettings
+  /** The settings in force now; those at the start by default. */
+  readonly readSettings?: () => GatewaySettings
   readonly clock: Clock
   readonly random: RandomSource
   readonly clocks: Clocks
@@ -71,7 +73,9 @@
 /** Taken off the time in which a key taken away must go out of use: for clocks that run unequally and a send that is on its way. */
 const KEY_MARGIN_MS = 500
 
-const registerPeers = (kernel: Kernel<GatewayServices>, { settings, clock, random, transport, logger }: GatewayNodeDependencies): void => {
+const registerPeers = (kernel: Kernel<GatewayServices>, dependencies: GatewayNodeDependencies): void => {
+  const { settings, clock, random, transport, logger } = dependencies
+  const readSettings = dependencies.readSettings ?? (() => settings)
   kernel.register({ name: 'heartbeatExchange', dependsOn: [], create: () => ({ api: createHeartbeatExchange() }) })
   kernel.register({ name: 'vmList', dependsOn: [], create: () => createVmList({ clock, random, platform: { listVms: async () => success([]) } }, { intervalMs: NO_VM_LIST_MS }) })
   kernel.register({
@@ -80,7 +84,7 @@
     create: (resolve) => createMembership(
       { clock, random, transport, exchange: resolve('heartbeatExchange'), vmList: resolve('vmList'), logger },
       {
-        settings: { nodeId: settings.nodeId, availabilityZone: settings.availabilityZone, seedPeers: settings.seedPeers, heartbeatIntervalMs: HEARTBEAT_MS, suspectAfterMs: SUSPECT_AFTER_MS, deadAfterMs: DEAD_AFTER_MS },
+        settings: { nodeId: settings.nodeId, availabilityZone: settings.availabilityZone, get seedPeers () { return readSettings().seedPeers }, heartbeatIntervalMs: HEARTBEAT_MS, suspectAfterMs: SUSPECT_AFTER_MS, deadAfterMs: DEAD_AFTER_MS },
         address: () => settings.peerAddress,
         generation: () => kernel.isRunning('gatewayConfiguration') ? kernel.resolve('gatewayConfiguration').version() : 0
       }
@@ -118,7 +122,14 @@
   })
 }
 
+const toBounds = (settings: GatewaySettings): ForwardingBounds => ({
+  repeatLimits: { ratio: settings.repeatRatio, extra: settings.repeatExtra, windowMs: settings.repeatWindowMs },
+  keyFreshnessMs: settings.keyRevocationMs > 0 ? settings.keyRevocationMs - KEY_MARGIN_MS : Infinity,
+  configurationFreshnessMs: settings.configurationDelayMs
+})
+
 const registerForwarding = (kernel: Kernel<GatewayServices>, dependencies: GatewayNodeDependencies): void => {
+  const readSettings = dependencies.readSettings ?? (() => dependencies.settings)
   const { settings, clock, random, transport, client, logger, metrics } = dependencies
   kernel.register({
     name: 'loadView',
@@ -179,9 +190,7 @@
       membership: resolve('membership')
     }, {
       availabilityZone: settings.availabilityZone,
-      repeatLimits: { ratio: settings.repeatRatio, extra: settings.repeatExtra, windowMs: settings.repeatWindowMs },
-      keyFreshnessMs: settings.keyRevocationMs > 0 ? settings.keyRevocationMs - KEY_MARGIN_MS : Infinity,
-      configurationFreshnessMs: settings.configurationDelayMs
+      readBounds: () => toBounds(readSettings())
     })
   })
 }
--- a/src/services/forwarding/_lib/createRepeatBudgets.ts
+++ b/src/services/forwarding/_lib/createRepeatBudgets.ts
@@ -13,11 +13,11 @@
 const EMPTY: RepeatBudget = { requests: [], repeats: [] }
 
 /** Creates the budgets; `countNodes` counts every node that may be spending. */
-export const createRepeatBudgets = (limits: RepeatBudgetLimits, countNodes: () => number, clock: Clock): RepeatBudgets => {
+export const createRepeatBudgets = (readLimits: () => RepeatBudgetLimits, countNodes: () => number, clock: Clock): RepeatBudgets => {
   const budgets = new Map<string, RepeatBudget>()
   const read = (service: string): RepeatBudget => budgets.get(service) ?? EMPTY
-  const note = (service: string, kind: 'first' | 'repeat'): void => { budgets.set(service, noteSend(read(service), kind, limits, clock.now())) }
-  const canSpend = (service: string): boolean => grantRepeat(read(service), limits, countNodes(), clock.now())
+  const note = (service: string, kind: 'first' | 'repeat'): void => { budgets.set(service, noteSend(read(service), kind, readLimits(), clock.now())) }
+  const canSpend = (service: string): boolean => grantRepeat(read(service), readLimits(), countNodes(), clock.now())
   return {
     noteFirst: (service) => note(service, 'first'),
     canSpend,
--- a/src/services/forwarding/_lib/createRun.ts
+++ b/src/services/forwarding/_lib/createRun.ts
@@ -23,7 +23,7 @@
 
 export type RunContext = ForwardingDependencies & {
   readonly availabilityZone: string
-  readonly keyFreshnessMs: number
+  readonly readKeyFreshnessMs: () => number
   readonly budgets: RepeatBudgets
   readonly usualTimes: TimeToFirstBytes
   readonly onDone: () => void
@@ -164,7 +164,7 @@
 
   const needsKey = (): boolean => request.credential !== undefined && account !== undefined
 
-  const isKeyFresh = (): boolean => !needsKey() || context.configuration.confirmedAgeMs() < context.keyFreshnessMs
+  const isKeyFresh = (): boolean => !needsKey() || context.configuration.confirmedAgeMs() < context.readKeyFreshnessMs()
 
   const confirmKey = async (): Promise<void> => {
     isWaitingForKey = true
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -33,8 +33,8 @@
   readonly client: InstanceClient
 }
 
-export type ForwardingOptions = {
-  readonly availabilityZone: string
+/** What operators may change while the node runs. */
+export type ForwardingBounds = {
   readonly repeatLimits: RepeatBudgetLimits
   /** A key that was surely valid longer ago than this is not used; in milliseconds. */
   readonly keyFreshnessMs: number
@@ -42,6 +42,11 @@
   readonly configurationFreshnessMs: number
 }
 
+export type ForwardingOptions = {
+  readonly availabilityZone: string
+  readonly readBounds: () => ForwardingBounds
+}
+
 /** Deadlines and silences are found this late at most, in milliseconds; a tick costs some microseconds a request. */
 const TICK_MS = 25
 /**
@@ -74,7 +79,7 @@
   const startedAt = clock.now()
   const waitingForKnowledge = new Set<() => void>()
   const runs = new Set<Run>()
-  const budgets = createRepeatBudgets(options.repeatLimits, () => dependencies.membership.members().length, clock)
+  const budgets = createRepeatBudgets(() => options.readBounds().repeatLimits, () => dependencies.membership.members().length, clock)
   const usualTimes = createTimeToFirstBytes()
   let timer: Timer | undefined
   let endsAt = Infinity
@@ -82,7 +87,7 @@
 
   configuration.onChange((next) => { index = indexRoutes(next.routes) })
 
-  const isUpToDate = (): boolean => configuration.confirmedAgeMs() <= options.configurationFreshnessMs
+  const isUpToDate = (): boolean => configuration.confirmedAgeMs() <= options.readBounds().configurationFreshnessMs
 
   /** A node that may be behind can't say that something does not exist. */
   const refuseUnknown = (refusal: GatewayRefusal): GatewayRefusal =>
@@ -97,7 +102,7 @@
   const context: Omit<RunContext, 'onDone'> = {
     ...dependencies,
     availabilityZone: options.availabilityZone,
-    keyFreshnessMs: options.keyFreshnessMs,
+    readKeyFreshnessMs: () => options.readBounds().keyFreshnessMs,
     budgets,
     usualTimes
   }
