Tell a reset from the end of an answer without a length

The client library takes ECONNRESET for the end of such an answer, and the loop shows a reset right behind some bytes as an orderly end.

--- a/src/adapters/instanceHttp/index.ts
+++ b/src/adapters/instanceHttp/index.ts
@@ -4,7 +4,7 @@
  * on, whether a byte of it was written, and how long the connection was idle.
  */
 import { connect } from 'node:net'
-import { Client } from 'undici'
+import { buildConnector, Client } from 'undici'
 import type { Dispatcher } from 'undici'
 import { keyOf } from '../../services/instanceHealth/index.js'
 import type { BackendInstance, Clock, Exchange, ExchangeListener, GatewayAttempt, GatewayDialect, HeaderList, InstanceClient } from '../../types/index.js'
@@ -15,7 +15,7 @@
   readonly connectTimeoutMs?: number
 }
 
-type Connection = { readonly client: Client, lastUsedAt: number, isBusy: boolean, isDead: boolean }
+type Connection = { readonly client: Client, lastUsedAt: number, isBusy: boolean, isDead: boolean, isReset: boolean }
 
 /**
  * Time for a new connection: a lost first packet is sent again after a second,
@@ -60,6 +60,8 @@
     connection.client.destroy().catch(() => { /* its requests were told already */ })
   }
 
+  const connector = buildConnector({ timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS, noDelay: true })
+
   const open = (pool: Set<Connection>, instance: BackendInstance): Connection => {
     const client = new Client(`http://${instance.address.host}:${instance.address.port}`, {
       pipelining: 1,
@@ -67,9 +69,18 @@
       bodyTimeout: 0,
       keepAliveTimeout: LONGEST_IDLE_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
-      connect: { timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS, noDelay: true }
+      connect: (target, callback) => connector(target, (...result) => {
+        const [, socket] = result
+        // The client takes a reset for the end of an answer that has no length, and the
+        // loop shows a reset right behind some bytes as an orderly end. A part of the
+        // answer would pass for the whole. A connection that was reset has no peer any
+        // more, one that was closed in order still has. These listeners are told first.
+        socket?.on('error', () => { connection.isReset = true })
+        socket?.on('end', () => { connection.isReset ||= socket.remoteAddress === undefined })
+        callback(...result)
+      })
     })
-    const connection: Connection = { client, lastUsedAt: clock.now(), isBusy: false, isDead: false }
+    const connection: Connection = { client, lastUsedAt: clock.now(), isBusy: false, isDead: false, isReset: false }
     client.on('disconnect', () => drop(pool, connection))
     client.on('connectionError', () => drop(pool, connection))
     pool.add(connection)
@@ -137,6 +148,7 @@
       },
       onComplete: () => {
         if (isOver) return
+        if (connection.isReset) return fail(new Error('reset in the middle of the answer'))
         isOver = true
         release(own, connection)
         listener.onEnd()
--- a/test/platform/requests.test.ts
+++ b/test/platform/requests.test.ts
@@ -190,6 +190,26 @@
   })
 })
 
+describe('an answer without a length', () => {
+  test('is whole when its connection ends in order', async () => {
+    const fleet = await start({ plain: [{ id: 'plain-1' }] })
+    fleet.backends.get('plain-1')?.setFault('unframed', 1)
+    const result = await callGateway(fleet.callerAddress(), { path: '/order/1', requestId: 'r1', body: 'x' })
+    expect(result).toMatchObject({ status: 200, isComplete: true })
+    expect(JSON.parse(result.body)).toMatchObject({ answer: 'r1' })
+  })
+
+  // A server's answer has no length and its connection is reset in the middle. The
+  // client library takes the reset for the end, and a reset right behind the bytes
+  // is shown as an orderly end: the caller would get a part as the whole.
+  test.each(['unframedReset', 'unframedResetAtOnce'] as const)('is not whole when its connection is reset (%s)', async (fault) => {
+    const fleet = await start({ plain: [{ id: 'plain-1' }] })
+    fleet.backends.get('plain-1')?.setFault(fault, 1)
+    const result = await callGateway(fleet.callerAddress(), { path: '/order/1', requestId: 'r1', body: 'x' })
+    expect(result.status).toBe(502)
+  })
+})
+
 describe('a backend server at whose address another one is now', () => {
   test('does not get its requests run, and is not tried again', async () => {
     const fleet = await start({ plain: [{ id: 'plain-1' }, { id: 'plain-2' }] })
