--- a/src/adapters/instanceHttp/index.ts
+++ b/src/adapters/instanceHttp/index.ts
@@ -6,7 +6,7 @@
 import { connect } from 'node:net'
 import { buildConnector, Client } from 'undici'
 import type { Dispatcher } from 'undici'
-import { keyOf } from '../../services/instanceHealth/index.js'
+import { formatInstanceKey } from '../../decisions/formatInstanceKey/index.js'
 import type { BackendInstance, Clock, Exchange, ExchangeListener, GatewayAttempt, GatewayDialect, HeaderList, InstanceClient } from '../../types/index.js'
 
 export type InstanceHttpOptions = {
@@ -108,7 +108,7 @@
   }
 
   const send = (attempt: GatewayAttempt, listener: ExchangeListener): Exchange => {
-    const key = keyOf(attempt.instance)
+    const key = formatInstanceKey(attempt.instance)
     let pool = pools.get(key)
     if (pool === undefined) {
       pool = new Set()
--- /dev/null
+++ b/src/decisions/_lib/trimTimes.ts
@@ -0,0 +1,6 @@
+/** Drops the times before a window; the times are in order. */
+export const trimTimes = (times: readonly number[], from: number): readonly number[] => {
+  const first = times.findIndex((time) => time >= from)
+  if (first === 0) return times
+  return first < 0 ? [] : times.slice(first)
+}
--- a/src/decisions/grantRepeat/test.ts
+++ b/src/decisions/grantRepeat/test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check'
 import { describe, expect, test } from 'vitest'
-import { grantRepeat, noteSend } from './index.js'
+import { grantRepeat } from './index.js'
+import { noteSend } from '../noteSend/index.js'
 import type { RepeatBudget } from './index.js'
 
 const limits = { ratio: 0.2, extra: 50, windowMs: 10_000 }
--- a/src/decisions/measureAge/index.ts
+++ b/src/decisions/measureAge/index.ts
@@ -19,17 +19,6 @@
   readonly boot: () => number
 }
 
-/**
- * Reads all clocks at one moment.
- *
- * @param clocks - The machine's clocks.
- * @returns What they show, in milliseconds.
- *
- * @example
- * readClocks({ monotonic: () => 1, wall: () => 2, boot: () => 3 }) // => { monotonic: 1, wall: 2, boot: 3 }
- */
-export const readClocks = (clocks: Clocks): ClockReading => ({ monotonic: clocks.monotonic(), wall: clocks.wall(), boot: clocks.boot() })
-
 /** Clocks that differ by less than this agree: reading them one after another, and slewing, takes some milliseconds. */
 const AGREEMENT_MS = 100
 
--- a/src/decisions/selectGatewayRoute/index.ts
+++ b/src/decisions/selectGatewayRoute/index.ts
@@ -3,27 +3,6 @@
 
 const PORT_SUFFIX = /:\d+$/
 
-/**
- * Sorts routes by host so that one request looks only at its host's routes.
- *
- * @param routes - All routes of a configuration.
- * @returns The routes by lower-case host, the longest prefix first.
- *
- * @example
- * indexRoutes([]).size // => 0
- */
-export const indexRoutes = (routes: readonly GatewayRoute[]): ReadonlyMap<string, readonly GatewayRoute[]> => {
-  const byHost = new Map<string, GatewayRoute[]>()
-  for (const route of routes) {
-    const host = route.host.toLowerCase()
-    const known = byHost.get(host)
-    if (known === undefined) byHost.set(host, [route])
-    else known.push(route)
-  }
-  for (const known of byHost.values()) known.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length)
-  return byHost
-}
-
 /**
  * Finds the route of a request.
  *
--- a/src/decisions/selectGatewayRoute/test.ts
+++ b/src/decisions/selectGatewayRoute/test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, test } from 'vitest'
-import { indexRoutes, selectGatewayRoute } from './index.js'
+import { selectGatewayRoute } from './index.js'
+import { indexRoutes } from '../indexRoutes/index.js'
 import type { GatewayRoute } from '../../types/index.js'
 
 const createRoute = (name: string, host: string, pathPrefix: string): GatewayRoute => ({
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -8,7 +8,8 @@
 import { createForwarding, type ForwardingBounds } from '../../services/forwarding/index.js'
 import { createGatewayConfiguration, type RunningGatewayConfiguration } from '../../services/gatewayConfiguration/index.js'
 import { createHeartbeatExchange, type HeartbeatExchange } from '../../services/heartbeatExchange/index.js'
-import { createInstanceHealth, keyOf, type InstanceHealth } from '../../services/instanceHealth/index.js'
+import { formatInstanceKey } from '../../decisions/formatInstanceKey/index.js'
+import { createInstanceHealth, type InstanceHealth } from '../../services/instanceHealth/index.js'
 import { createInstanceRegistry, type RunningInstanceRegistry } from '../../services/instanceRegistry/index.js'
 import { createKnowledgeExchange, type KnowledgeExchange } from '../../services/knowledgeExchange/index.js'
 import { createLoadView } from '../../services/loadView/index.js'
@@ -146,7 +147,7 @@
       const health = createInstanceHealth({ clock, logger, client })
       const registry = resolve('instanceRegistry')
       registry.onChange(() => {
-        const live = new Set(registry.all().map(keyOf))
+        const live = new Set(registry.all().map(formatInstanceKey))
         health.api.retain(live)
         client.retain(live)
       })
--- a/src/services/backendHealth/_lib/createLeavingMarkSet.ts
+++ b/src/services/backendHealth/_lib/createLeavingMarkSet.ts
@@ -28,14 +28,14 @@
 const MAXIMUM_NEWS = 16
 const DEFAULT_SOURCE: LeavingSource = 'backendServer'
 
-const keyOf = (backendServer: string, source: LeavingSource): string => `${source} ${backendServer}`
+const formatInstanceKey = (backendServer: string, source: LeavingSource): string => `${source} ${backendServer}`
 
 export const createLeavingMarkSet = ({ clearAfterMs, newsMs }: LeavingMarkSetOptions): LeavingMarkSet => {
   const entries = new Map<string, Entry>()
   let turn = 0
 
   const findEntry = (backendServer: string, source: LeavingSource): Entry => {
-    const key = keyOf(backendServer, source)
+    const key = formatInstanceKey(backendServer, source)
     const known = entries.get(key)
     if (known !== undefined) return known
     const entry: Entry = { sight: {}, changedAt: -Infinity }
@@ -53,7 +53,7 @@
   }
 
   return {
-    isLeaving: (backendServer) => SOURCES.some((source) => entries.get(keyOf(backendServer, source))?.sight.mark?.leaving === true),
+    isLeaving: (backendServer) => SOURCES.some((source) => entries.get(formatInstanceKey(backendServer, source))?.sight.mark?.leaving === true),
     observe: (observation) => {
       const entry = findEntry(observation.backendServer, observation.source)
       const before = entry.sight
--- a/src/services/claims/interleavings.test.ts
+++ b/src/services/claims/interleavings.test.ts
@@ -42,11 +42,11 @@
   readonly problems: string[]
 }
 
-const keyOf = (index: number) => ({ clientAccount: 'deli', idempotencyKey: KEYS[index]! })
+const formatInstanceKey = (index: number) => ({ clientAccount: 'deli', idempotencyKey: KEYS[index]! })
 
 /** A claimant that sends its request, or finds that it cannot and gives the claim back. */
 const claimOnce = async (run: Run, claimant: ClaimNode, keyIndex: number, sends: boolean): Promise<void> => {
-  const key = keyOf(keyIndex)
+  const key = formatInstanceKey(keyIndex)
   const name = key.idempotencyKey
   const outcome = await claimant.claims.claim(key, HASH)
   if (outcome.kind !== 'granted') return
--- a/src/services/forwarding/_lib/chooseInstance.ts
+++ b/src/services/forwarding/_lib/chooseInstance.ts
@@ -2,7 +2,7 @@
 import { placeRequest } from '../../../decisions/placeRequest/index.js'
 import type { InstanceCandidate } from '../../../decisions/placeRequest/index.js'
 import type { BackendInstance, GatewayRequest, PromptPart } from '../../../types/index.js'
-import { keyOf } from '../../instanceHealth/index.js'
+import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 import type { ForwardingDependencies } from '../index.js'
 
 export type ChoiceDependencies = Pick<ForwardingDependencies, 'registry' | 'health' | 'directory' | 'loadView' | 'random'> & { readonly availabilityZone: string }
@@ -44,7 +44,7 @@
 const listKeepers = ({ registry, directory, health }: ChoiceDependencies, service: string, shared: readonly PromptPart[]): readonly Keeper[] =>
   registry.all()
     .filter((instance) => instance.service === service && !health.isHeld(instance))
-    .map((instance) => ({ instance, keptTokens: directory.countKept(shared, keyOf(instance)) }))
+    .map((instance) => ({ instance, keptTokens: directory.countKept(shared, formatInstanceKey(instance)) }))
 
 const findBestKeeper = (keepers: readonly Keeper[]): Keeper | undefined => {
   let best: Keeper | undefined
@@ -61,11 +61,11 @@
   const shared = request.promptParts.slice(0, -1)
   const keeper = shared.length > 0 ? findBestKeeper(listKeepers(dependencies, service, shared)) : undefined
   const candidates: InstanceCandidate[] = usable.map((instance) => {
-    const keptTokens = directory.countKept(shared, keyOf(instance))
+    const keptTokens = directory.countKept(shared, formatInstanceKey(instance))
     return {
       id: instance.id,
       slots: instance.slots,
-      load: loadView.estimateInFlight(keyOf(instance)),
+      load: loadView.estimateInFlight(formatInstanceKey(instance)),
       keptTokens,
       copyableTokens: Math.max(0, (keeper?.keptTokens ?? 0) - keptTokens),
       isInZone: instance.availabilityZone === dependencies.availabilityZone,
--- a/src/services/forwarding/_lib/createRepeatBudgets.ts
+++ b/src/services/forwarding/_lib/createRepeatBudgets.ts
@@ -1,5 +1,6 @@
 /** This node's share of the fleet's retry budget, a budget a service. */
-import { grantRepeat, noteSend } from '../../../decisions/grantRepeat/index.js'
+import { grantRepeat } from '../../../decisions/grantRepeat/index.js'
+import { noteSend } from '../../../decisions/noteSend/index.js'
 import type { RepeatBudget, RepeatBudgetLimits } from '../../../decisions/grantRepeat/index.js'
 import type { Clock } from '../../../types/index.js'
 
--- a/src/services/forwarding/_lib/createRun.ts
+++ b/src/services/forwarding/_lib/createRun.ts
@@ -17,7 +17,7 @@
 import type {
   BackendInstance, CallerSink, Exchange, ExchangeFailure, ForwardingRun, GatewayAccount, GatewayRefusal, GatewayRequest, GatewayRoute, InstanceAnswer, LogFields
 } from '../../../types/index.js'
-import { keyOf } from '../../instanceHealth/index.js'
+import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 import type { GatewayEvent } from '../../../types/gatewayEvents.js'
 import type { ForwardingDependencies } from '../index.js'
 
@@ -115,7 +115,7 @@
   const endSending = (current: Sending): void => {
     if (current.isOver) return
     current.isOver = true
-    loadView.recordEnd(keyOf(current.instance))
+    loadView.recordEnd(formatInstanceKey(current.instance))
     health.ended(current.instance)
   }
 
@@ -203,9 +203,9 @@
     const current: Sending = { instance, startedAt: now, reader: createEventReader(), exchange: undefined, isSent: false, lastBytesAt: now, answer: undefined, chunks: [], bytes: 0, isOver: false, isSilenceNoted: false }
     sending = current
     tried.add(instance.id)
-    loadView.recordStart(keyOf(instance))
+    loadView.recordStart(formatInstanceKey(instance))
     health.began(instance)
-    context.directory.record(request.promptParts, keyOf(instance))
+    context.directory.record(request.promptParts, formatInstanceKey(instance))
     if (copyPromptFrom !== undefined) metrics.count('gateway_prompt_copies')
     log(sendsBegun++ === 0 ? 'request sent' : 'request sent again', { backendServer: instance.id, incarnation: instance.incarnation, remainingMs: Math.round(remainingMs), configurationVersion: context.configuration.version(), keyAgeMs: Math.round(context.configuration.confirmedAgeMs()), resumeAfter: lastEventId, copyPromptFrom: copyPromptFrom?.id })
     current.exchange = context.client.send(
@@ -233,7 +233,7 @@
     noteHeard(current)
     current.answer = answer
     metrics.observe('gateway_first_byte_seconds', (clock.now() - current.startedAt) / MILLISECONDS_PER_SECOND, { policy: policy() })
-    if (answer.load !== undefined) loadView.applyReport(keyOf(current.instance), { ...answer.load, leaving: false, ageMs: 0 })
+    if (answer.load !== undefined) loadView.applyReport(formatInstanceKey(current.instance), { ...answer.load, leaving: false, ageMs: 0 })
     const verdict = judgeAnswer(request, answer)
     if (verdict.kind === 'foreign') return takeFailure(current, { kind: 'broken', message: verdict.message })
     if (verdict.kind === 'notRun') return takeNotRun(current, answer)
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -10,7 +10,8 @@
 import { findAccount } from './_lib/findAccount.js'
 import { estimateDuration, USUAL_TOKEN_MS } from '../../decisions/estimateDuration/index.js'
 import type { RepeatBudgetLimits } from '../../decisions/grantRepeat/index.js'
-import { indexRoutes, selectGatewayRoute } from '../../decisions/selectGatewayRoute/index.js'
+import { indexRoutes } from '../../decisions/indexRoutes/index.js'
+import { selectGatewayRoute } from '../../decisions/selectGatewayRoute/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import type {
   Clock, Forwarding, GatewayConfigurationHolder, GatewayRefusal, GatewayRequest, GatewayRoute, InstanceClient, InstanceRegistry,
--- a/src/services/gatewayConfiguration/index.ts
+++ b/src/services/gatewayConfiguration/index.ts
@@ -3,7 +3,8 @@
  * the newest. It is read from its source at an interval and learnt from peers;
  * a version never goes back, and an outage of the source empties nothing.
  */
-import { measureAge, readClocks } from '../../decisions/measureAge/index.js'
+import { measureAge } from '../../decisions/measureAge/index.js'
+import { readClocks } from '../../decisions/readClocks/index.js'
 import type { Clocks, ClockReading } from '../../decisions/measureAge/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import type { Clock, ConfigurationSource, GatewayConfiguration, GatewayConfigurationHolder, Logger, SourcedConfiguration, Timer } from '../../types/index.js'
--- a/src/services/instanceHealth/index.ts
+++ b/src/services/instanceHealth/index.ts
@@ -3,6 +3,7 @@
  * condition, and how long it has been silent while requests wait there.
  */
 import { advanceCondition, initialCondition } from '../../decisions/advanceCondition/index.js'
+import { formatInstanceKey } from '../../decisions/formatInstanceKey/index.js'
 import type { ConditionEvent, InstanceCondition } from '../../decisions/advanceCondition/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import type { BackendInstance, Clock, InstanceClient, Logger, Timer } from '../../types/index.js'
@@ -23,9 +24,6 @@
 
 type Contact = { open: number, quietSince: number }
 
-/** The key of one start of a backend server: its memory and its counts begin anew with the next. */
-export const keyOf = (instance: BackendInstance): string => `${instance.id}@${instance.incarnation}`
-
 /** Time between two looks at held servers whose hold is over, in milliseconds. */
 const PROBE_TICK_MS = 200
 /** Servers of one zone that are out of reach at once when the zone itself is: one alone may be down. */
@@ -68,10 +66,10 @@
   let timer: Timer | undefined
   let isStopped = false
 
-  const conditionOf = (instance: BackendInstance): InstanceCondition => conditions.get(keyOf(instance)) ?? initialCondition
+  const conditionOf = (instance: BackendInstance): InstanceCondition => conditions.get(formatInstanceKey(instance)) ?? initialCondition
 
   const contactOf = (instance: BackendInstance): Contact => {
-    const key = keyOf(instance)
+    const key = formatInstanceKey(instance)
     const known = contacts.get(key)
     if (known !== undefined) return known
     const created = { open: 0, quietSince: clock.now() }
@@ -95,7 +93,7 @@
 
   const noteZoneUnreachable = (instance: BackendInstance): void => {
     const zone = zoneOf(instance.availabilityZone)
-    zone.unreachableAt.set(keyOf(instance), clock.now())
+    zone.unreachableAt.set(formatInstanceKey(instance), clock.now())
     if (zone.unreachableAt.size === SERVERS_OF_CUT_ZONE) logger.warn('availability zone held', { zone: instance.availabilityZone, unheardMs: Math.round(clock.now() - zone.heardAt) })
   }
 
@@ -110,11 +108,11 @@
     const wasHeld = isHeldItself(instance)
     const before = conditionOf(instance)
     const after = advanceCondition(before, event, clock.now())
-    conditions.set(keyOf(instance), after)
+    conditions.set(formatInstanceKey(instance), after)
     if (event.kind === 'unreachable') noteZoneUnreachable(instance)
     if (event.kind === 'reached' || event.kind === 'answered') noteZoneHeard(instance)
     if (after.needsProof) watch(instance)
-    else unproved.delete(keyOf(instance))
+    else unproved.delete(formatInstanceKey(instance))
     const isHeld = isHeldItself(instance)
     if (isHeld && !wasHeld) logger.warn('backend server held', { backendServer: instance.id, service: instance.service, event: event.kind, failures: after.failuresInRow, holdMs: Math.round(after.heldUntil - clock.now()) })
     if (wasHeld && !isHeld) logger.info('backend server back', { backendServer: instance.id, service: instance.service, event: event.kind })
@@ -138,7 +136,7 @@
   }
 
   const watch = (instance: BackendInstance): void => {
-    unproved.set(keyOf(instance), instance)
+    unproved.set(formatInstanceKey(instance), instance)
     timer ??= clock.setTimer(PROBE_TICK_MS, probeDue)
   }
 
--- a/src/services/knowledgeExchange/index.ts
+++ b/src/services/knowledgeExchange/index.ts
@@ -4,7 +4,7 @@
  * its age, and what it lacks. An age is only believed from a reply to an own
  * question, so that a message which was long on its way proves nothing.
  */
-import { readClocks } from '../../decisions/measureAge/index.js'
+import { readClocks } from '../../decisions/readClocks/index.js'
 import type { Clocks } from '../../decisions/measureAge/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import type { Clock, Member, Membership, PeerTransport, RandomSource } from '../../types/index.js'
--- a/src/services/promptDirectory/_lib/recoverPlaces.ts
+++ b/src/services/promptDirectory/_lib/recoverPlaces.ts
@@ -5,7 +5,7 @@
  * although the engines kept them.
  */
 import type { BackendInstance, Clock, EngineMemorySource, InstanceRegistry, Membership, PeerTransport, RandomSource } from '../../../types/index.js'
-import { keyOf } from '../../instanceHealth/index.js'
+import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 
 export type PlacesRecovery = {
   readonly random: RandomSource
@@ -49,7 +49,7 @@
 const askEngine = async ({ recovery, noteAll, tell }: RecoveryDependencies, instance: BackendInstance): Promise<void> => {
   const result = await recovery.memory.list(instance)
   if (!result.ok) return
-  const key = keyOf(instance)
+  const key = formatInstanceKey(instance)
   noteAll(result.value.map(({ id }) => id), result.value.map(() => key))
   for (const { id } of result.value) tell(id, key)
 }
@@ -61,5 +61,5 @@
   if (await askPeers(dependencies)) return
   await wait(clock, SPREAD_MS * recovery.random.next())
   const engines = recovery.registry.all().filter((instance) => instance.availabilityZone === recovery.availabilityZone && recovery.isEngine(instance))
-  for (const engine of engines) if (!isKnown(keyOf(engine))) await askEngine(dependencies, engine)
+  for (const engine of engines) if (!isKnown(formatInstanceKey(engine))) await askEngine(dependencies, engine)
 }
