--- a/src/cli/createProgram/index.ts
+++ b/src/cli/createProgram/index.ts
@@ -6,6 +6,7 @@
 import { createDrainCommand } from '../drain/index.js'
 import { createEmulateCommand } from '../emulate/index.js'
 import { exitCodes } from '../exitCodes.js'
+import { createExplainCommand } from '../explain/index.js'
 import { createLoadCommand } from '../load/index.js'
 import { createRouterCommand } from '../router/index.js'
 import { createSettingsCommand } from '../settings/index.js'
@@ -41,6 +42,7 @@
     .addCommand(createDemoCommand())
     .addCommand(createDrainCommand(environment))
     .addCommand(createEmulateCommand())
+    .addCommand(createExplainCommand(environment))
     .addCommand(createLoadCommand())
     .addCommand(createRouterCommand())
     .addCommand(createSettingsCommand())
--- /dev/null
+++ b/src/decisions/explainRequest/test.ts
@@ -0,0 +1,24 @@
+import { describe, expect, test } from 'vitest'
+import { explainRequest } from './index.js'
+import type { LogRecord } from './index.js'
+
+const createRecord = (event: string, time: number, fields: Readonly<Record<string, unknown>> = {}, node: string = 'n1'): LogRecord => ({ event, node, time, fields })
+
+const records = [
+  createRecord('request ended', 10_300, { requestId: 'r1' }),
+  createRecord('request sent', 10_000, { requestId: 'r1', backendServer: 's1' }),
+  createRecord('request sent', 10_000, { requestId: 'r2', backendServer: 's1' }),
+  createRecord('backend server held', 10_200, { backendServer: 's1' }),
+  createRecord('backend server held', 10_200, { backendServer: 's2' }),
+  createRecord('configuration source lost', 9_000),
+  createRecord('configuration source lost', 9_000, {}, 'n2'),
+  createRecord('configuration in force', 1_000)
+]
+
+describe('explainRequest', () => {
+  test('lists the request\'s steps by time', () => expect(explainRequest(records, 'r1').steps.map(({ event }) => event)).toEqual(['request sent', 'request ended']))
+  test('lists what its node believed of its server and of its sources', () => {
+    expect(explainRequest(records, 'r1').beliefs.map(({ event, time }) => [event, time])).toEqual([['configuration source lost', 9_000], ['backend server held', 10_200]])
+  })
+  test('finds nothing of an unknown id', () => expect(explainRequest(records, 'r9')).toEqual({ steps: [], beliefs: [] }))
+})
--- /dev/null
+++ b/src/decisions/parseLogLine/index.ts
@@ -0,0 +1,31 @@
+import { parseIsoTime } from '../../kernel/index.js'
+import type { LogRecord } from '../explainRequest/index.js'
+
+const parseObject = (text: string): Readonly<Record<string, unknown>> | undefined => {
+  try {
+    const value: unknown = JSON.parse(text)
+    return typeof value === 'object' && value !== null ? value as Readonly<Record<string, unknown>> : undefined
+  } catch {
+    // Lines of other programs stand in the same files; they are no records.
+    return undefined
+  }
+}
+
+/**
+ * Reads one line of a node's log. What a collector put before the JSON object is passed over.
+ *
+ * @param line - The line.
+ * @returns The record, or `undefined` for a line that is none.
+ *
+ * @example
+ * parseLogLine('not a record') // => undefined
+ */
+export const parseLogLine = (line: string): LogRecord | undefined => {
+  const start = line.indexOf('{')
+  const fields = start < 0 ? undefined : parseObject(line.slice(start))
+  if (fields === undefined) return undefined
+  const { message, node, timestamp, ...rest } = fields
+  const time = parseIsoTime(String(timestamp))
+  if (typeof message !== 'string' || time === undefined) return undefined
+  return { event: message, node: String(node), time, fields: rest }
+}
--- /dev/null
+++ b/test/platform/operations.test.ts
@@ -0,0 +1,42 @@
+/** The way from a failed request's id to its cause, as docs/OPERATIONS.md gives it, on the recorded lines of a played day. */
+import { readFileSync } from 'node:fs'
+import { describe, expect, test } from 'vitest'
+import { createExplainCommand } from '../../src/cli/explain/index.js'
+import { gatewayEvents } from '../../src/types/gatewayEvents.js'
+import { createProcessEnvironment } from '../../src/cli/_lib/commandEnvironment.js'
+
+const page = readFileSync('docs/OPERATIONS.md', 'utf8')
+const commands = [...page.matchAll(/^dotterelspoke explain (\S+) (test\/\S+)$/gm)].map(([, requestId, file]) => [requestId!, file!] as const)
+
+const explain = (requestId: string, file: string): { readonly text: string, readonly exitCode: number } => {
+  let text = ''
+  let exitCode = 0
+  const environment = { ...createProcessEnvironment(), print: (part: string) => { text += part }, printError: (part: string) => { text += part }, setExitCode: (code: number) => { exitCode = code } }
+  createExplainCommand(environment).parse([requestId, file], { from: 'user' })
+  return { text, exitCode }
+}
+
+const CAUSES: Readonly<Record<string, readonly string[]>> = {
+  dc7d1cc34f07feb9: ['configuration source lost', 'reason=staleKeys', 'mayHaveRun=false'],
+  ffeab552148cd4c2: ['backend server held', 'exchange failed', 'reason=answerBroken', 'mayHaveRun=true'],
+  '79a0491bc7f99364': ['backend server silent', 'request sent again', 'request complete']
+}
+
+describe('docs/OPERATIONS.md', () => {
+  test('has a command for each of its three kinds of failure', () => expect(commands.map(([requestId]) => requestId).sort()).toEqual(Object.keys(CAUSES).sort()))
+
+  test.each(commands)('explains %s by its cause', (requestId, file) => {
+    const { text, exitCode } = explain(requestId, file)
+    expect(exitCode).toBe(0)
+    for (const part of CAUSES[requestId]!) expect(text).toContain(part)
+  })
+
+  test('says so when no line has the request', () => expect(explain('nobody', 'test/platform/recorded/day.log')).toMatchObject({ exitCode: 1, text: 'no line has the request nobody' }))
+})
+
+describe('the log', () => {
+  test('has only events of the table in its recorded lines', () => {
+    const events = readFileSync('test/platform/recorded/day.log', 'utf8').trim().split('\n').map((line) => (JSON.parse(line) as { readonly message: string }).message)
+    for (const event of new Set(events)) expect(Object.keys(gatewayEvents)).toContain(event)
+  })
+})
