--- a/src/adapters/promMetrics/index.ts
+++ b/src/adapters/promMetrics/index.ts
@@ -25,7 +25,6 @@
   gateway_sends: { help: 'Sends to backend servers by outcome', labels: ['outcome'] },
   gateway_repeats: { help: 'Sends beyond the first of a request, by whether the retry budget granted them', labels: ['granted'] },
   gateway_prompt_copies: { help: 'Sends that asked for a copy of the prompt from another backend server', labels: [] },
-  knowledge_reads: { help: 'Reads of configuration and backend servers by source and outcome', labels: ['fact', 'source', 'outcome'] },
   log_lines_left_out: { help: 'Log lines left out to keep the volume bounded, by event', labels: ['event'] }
 }
 
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -124,6 +124,7 @@
 }
 
 const toBounds = (settings: GatewaySettings): ForwardingBounds => ({
+  loadFactor: settings.loadFactor,
   repeatLimits: { ratio: settings.repeatRatio, extra: settings.repeatExtra, windowMs: settings.repeatWindowMs },
   keyFreshnessMs: settings.keyRevocationMs > 0 ? settings.keyRevocationMs - KEY_MARGIN_MS : Infinity,
   configurationFreshnessMs: settings.configurationDelayMs
--- a/src/services/forwarding/_lib/chooseInstance.ts
+++ b/src/services/forwarding/_lib/chooseInstance.ts
@@ -1,11 +1,14 @@
 /** The backend server for the next send of a request: what the node knows, put to `placeRequest`. */
-import { placeRequest } from '../../../decisions/placeRequest/index.js'
+import { defaultPlacementWeights, placeRequest } from '../../../decisions/placeRequest/index.js'
 import type { InstanceCandidate } from '../../../decisions/placeRequest/index.js'
 import type { BackendInstance, GatewayRequest, PromptPart } from '../../../types/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 import type { ForwardingDependencies } from '../index.js'
 
-export type ChoiceDependencies = Pick<ForwardingDependencies, 'registry' | 'health' | 'directory' | 'loadView' | 'random'> & { readonly availabilityZone: string }
+export type ChoiceDependencies = Pick<ForwardingDependencies, 'registry' | 'health' | 'directory' | 'loadView' | 'random'> & {
+  readonly availabilityZone: string
+  readonly readLoadFactor: () => number
+}
 
 export type Choice = {
   readonly request: GatewayRequest
@@ -19,6 +22,9 @@
 const WHOLE_ANSWER_BYTES = 1_200
 const BYTES_PER_TOKEN = 30
 
+/** Part of the promised multiple that placement uses: counts of other nodes are a quarter of a second old. */
+const BOUND_SHARE = 0.9
+
 /** Held servers come back into question only when no other is left: an unlikely server beats a refusal. */
 const listUsable = ({ registry, health }: ChoiceDependencies, { service, tried }: Choice): readonly BackendInstance[] => {
   const untried = registry.list(service).filter(({ id }) => !tried.has(id))
@@ -76,7 +82,7 @@
     affinityKey: shared.at(-1)?.id ?? '',
     sharedTokens: shared.reduce((sum, part) => sum + part.tokens, 0),
     expectedBytes: bodyBytes + (request.promptParts.length > 0 ? BYTES_PER_TOKEN * request.tokens.output : WHOLE_ANSWER_BYTES)
-  }, candidates, random.next)
+  }, candidates, random.next, { ...defaultPlacementWeights, boundFactor: BOUND_SHARE * dependencies.readLoadFactor() })
   const instance = usable.find(({ id }) => id === chosen)
   if (instance === undefined) return undefined
   const copyable = candidates.find(({ id }) => id === chosen)?.copyableTokens ?? 0
--- a/src/services/forwarding/_lib/createRun.ts
+++ b/src/services/forwarding/_lib/createRun.ts
@@ -23,6 +23,7 @@
 
 export type RunContext = ForwardingDependencies & {
   readonly availabilityZone: string
+  readonly readLoadFactor: () => number
   readonly readKeyFreshnessMs: () => number
   readonly budgets: RepeatBudgets
   readonly usualTimes: TimeToFirstBytes
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -36,6 +36,8 @@
 
 /** What operators may change while the node runs. */
 export type ForwardingBounds = {
+  /** No backend server over so many times the mean load of its service. */
+  readonly loadFactor: number
   readonly repeatLimits: RepeatBudgetLimits
   /** A key that was surely valid longer ago than this is not used; in milliseconds. */
   readonly keyFreshnessMs: number
@@ -103,6 +105,7 @@
   const context: Omit<RunContext, 'onDone'> = {
     ...dependencies,
     availabilityZone: options.availabilityZone,
+    readLoadFactor: () => options.readBounds().loadFactor,
     readKeyFreshnessMs: () => options.readBounds().keyFreshnessMs,
     budgets,
     usualTimes
