--- /dev/null
+++ b/scripts/demoPlatform.mjs
@@ -0,0 +1,13 @@
+/** Bundles and runs the example of the operators' platform. */
+import { build } from 'esbuild'
+
+await build({
+  entryPoints: ['examples/platform/main.ts'],
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  outfile: 'target/demoPlatform.mjs',
+  packages: 'external'
+})
+await import('../target/demoPlatform.mjs')
