--- a/test/platform/operations.test.ts
+++ b/test/platform/operations.test.ts
@@ -31,12 +31,12 @@
     for (const part of CAUSES[requestId]!) expect(text).toContain(part)
   })
 
-  test('says so when no line has the request', () => expect(explain('nobody', 'test/platform/recorded/day.log')).toMatchObject({ exitCode: 1, text: 'no line has the request nobody' }))
+  test('says so when no line has the request', () => expect(explain('nobody', 'test/platform/recorded/day.jsonl')).toMatchObject({ exitCode: 1, text: 'no line has the request nobody' }))
 })
 
 describe('the log', () => {
   test('has only events of the table in its recorded lines', () => {
-    const events = readFileSync('test/platform/recorded/day.log', 'utf8').trim().split('\n').map((line) => (JSON.parse(line) as { readonly message: string }).message)
+    const events = readFileSync('test/platform/recorded/day.jsonl', 'utf8').trim().split('\n').map((line) => (JSON.parse(line) as { readonly message: string }).message)
     for (const event of new Set(events)) expect(Object.keys(gatewayEvents)).toContain(event)
   })
 })
