Take only an unwritten request for not sent

Cause: ETIMEDOUT, EHOSTUNREACH, ENETUNREACH and ECONNREFUSED counted as not sent whenever they came. The first three also end a connection that has carried the request, when the way to its server is lost: an order that may have run would be refused as not run, or sent again. After: not sent means that the connection never took the request.

--- a/src/adapters/instanceHttp/index.ts
+++ b/src/adapters/instanceHttp/index.ts
@@ -31,8 +31,6 @@
 /** Before a server's stated idle limit, its connection is closed here by this margin. */
 const IDLE_MARGIN_MS = 1_000
 
-const NOT_SENT_CODES = new Set(['UND_ERR_CONNECT_TIMEOUT', 'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ETIMEDOUT'])
-
 const listHeaders = (raw: readonly Buffer[]): HeaderList => {
   const headers: [string, string][] = []
   for (let index = 0; index + 1 < raw.length; index += 2) headers.push([raw[index]!.toString('latin1'), raw[index + 1]!.toString('latin1')])
@@ -127,8 +125,9 @@
       isOver = true
       drop(own, connection)
       const message = `${error.code ?? error.name}: ${error.message}`
-      const isNotSent = !isSent || (error.code !== undefined && NOT_SENT_CODES.has(error.code))
-      listener.onFailure(isNotSent ? { kind: 'notSent', message } : { kind: 'broken', message })
+      // Only this proves it: the codes of a failed connect come on a connection that
+      // carried the request as well, when the way to its server is lost.
+      listener.onFailure(isSent ? { kind: 'broken', message } : { kind: 'notSent', message })
     }
 
     const handler: Dispatcher.DispatchHandler = {
--- /dev/null
+++ b/src/adapters/instanceHttp/test.ts
@@ -0,0 +1,81 @@
+import { subscribe, unsubscribe } from 'node:diagnostics_channel'
+import { createServer } from 'node:net'
+import type { AddressInfo, Server, Socket } from 'node:net'
+import { afterEach, describe, expect, test } from 'vitest'
+import { createInstanceHttp } from './index.js'
+import { createSystemClock } from '../systemClock/index.js'
+import type { BackendInstance, ExchangeFailure, GatewayAttempt, InstanceClient } from '../../types/index.js'
+
+const CONNECTED = 'undici:client:connected'
+
+const closing: (() => void)[] = []
+
+afterEach(() => { for (const close of closing.splice(0)) close() })
+
+const createClient = (): InstanceClient => {
+  const client = createInstanceHttp({
+    clock: createSystemClock(),
+    dialect: {
+      encodeAttempt: () => ['Host', 'a.example'],
+      decodeAnswer: (status, headers) => ({ status, headers, requestId: undefined, isSigned: false, isNotRun: false, isOtherInstance: false, load: undefined, contentLength: undefined, isEventStream: false, isEncoded: false })
+    }
+  })
+  closing.push(client.close)
+  return client
+}
+
+/** A server that takes requests and never answers. */
+const startSilentServer = async (onRequest: () => void): Promise<number> => {
+  const sockets: Socket[] = []
+  const server: Server = createServer((socket) => {
+    sockets.push(socket)
+    socket.on('error', () => { /* the client breaks off */ })
+    socket.on('data', onRequest)
+  })
+  closing.push(() => {
+    server.close()
+    for (const socket of sockets) socket.destroy()
+  })
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  return (server.address() as AddressInfo).port
+}
+
+const createAttempt = (port: number): GatewayAttempt => {
+  const instance: BackendInstance = { id: 'i-1', service: 's', address: { host: '127.0.0.1', port }, availabilityZone: 'a', slots: 1, isLeaving: false, incarnation: 1, warmUpMs: 0 }
+  return {
+    request: { requestId: 'r1', method: 'POST', host: 'a.example', target: '/order/1', headers: [], credential: undefined, callerTimeoutMs: undefined, lastEventId: undefined, promptParts: [], tokens: { prompt: 0, output: 0 }, model: '', receivedAt: 0 },
+    body: Buffer.from('two loaves'),
+    instance,
+    account: undefined,
+    remainingMs: 1_000,
+    priority: 0,
+    resumeAfter: undefined,
+    copyPromptFrom: undefined
+  }
+}
+
+const sendAndFail = (client: InstanceClient, port: number): Promise<ExchangeFailure> => new Promise((resolve) => {
+  client.send(createAttempt(port), { onSent: () => {}, onHead: () => {}, onData: () => {}, onEnd: () => {}, onFailure: resolve })
+})
+
+describe('createInstanceHttp', () => {
+  // An order has gone out and the way to its server is lost; the system gives the
+  // connection up with the codes that a failed connect has as well. The order may
+  // have run: told as not sent, it would be refused as not run, or run twice.
+  test.each(['ETIMEDOUT', 'EHOSTUNREACH', 'ENETUNREACH', 'ECONNREFUSED'])('does not take %s after the request went out for not sent', async (code) => {
+    const sockets: Socket[] = []
+    const onConnected = (message: unknown): void => { sockets.push((message as { readonly socket: Socket }).socket) }
+    subscribe(CONNECTED, onConnected)
+    closing.push(() => { unsubscribe(CONNECTED, onConnected) })
+    const port = await startSilentServer(() => sockets[0]?.destroy(Object.assign(new Error('the way is lost'), { code })))
+    expect((await sendAndFail(createClient(), port)).kind).toBe('broken')
+  })
+
+  test('tells a connection that could not be made as not sent', async () => {
+    const server = createServer()
+    await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+    const { port } = server.address() as AddressInfo
+    await new Promise<void>((resolve) => { server.close(() => resolve()) })
+    expect((await sendAndFail(createClient(), port)).kind).toBe('notSent')
+  })
+})
