--- a/src/adapters/instanceHttp/test.ts
+++ b/src/adapters/instanceHttp/test.ts
@@ -43,7 +43,7 @@
 const createAttempt = (port: number): GatewayAttempt => {
   const instance: BackendInstance = { id: 'i-1', service: 's', address: { host: '127.0.0.1', port }, availabilityZone: 'a', slots: 1, isLeaving: false, incarnation: 1, warmUpMs: 0 }
   return {
-    request: { requestId: 'r1', method: 'POST', host: 'a.example', target: '/order/1', headers: [], credential: undefined, callerTimeoutMs: undefined, lastEventId: undefined, promptParts: [], tokens: { prompt: 0, output: 0 }, model: '', receivedAt: 0 },
+    request: { requestId: 'r1', method: 'POST', host: 'a.example', target: '/order/1', headers: [], credential: undefined, callerTimeoutMs: undefined, lastEventId: undefined, promptParts: [], tokens: { prompt: 0, output: 0 }, receivedAt: 0 },
     body: Buffer.from('two loaves'),
     instance,
     account: undefined,
--- /dev/null
+++ b/src/decisions/describeSourceError/index.ts
@@ -0,0 +1,13 @@
+import type { SourceError } from '../../types/index.js'
+
+/**
+ * Says in a few words why a source could not be read.
+ *
+ * @param error - The source's error.
+ * @returns Its message, or its kind where that says all.
+ *
+ * @example
+ * describeSourceError({ kind: 'notFound' }) // => 'notFound'
+ */
+export const describeSourceError = (error: SourceError): string =>
+  error.kind === 'unavailable' || error.kind === 'malformed' ? error.message : error.kind
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -4,7 +4,7 @@
  */
 import { registerGauges } from './_lib/registerGauges.js'
 import type { Clocks } from '../../decisions/measureAge/index.js'
-import { createKernel, success, type Kernel } from '../../kernel/index.js'
+import { createKernel, type Kernel } from '../../kernel/index.js'
 import { createForwarding, type ForwardingBounds } from '../../services/forwarding/index.js'
 import { createGatewayConfiguration, type RunningGatewayConfiguration } from '../../services/gatewayConfiguration/index.js'
 import { createHeartbeatExchange, type HeartbeatExchange } from '../../services/heartbeatExchange/index.js'
@@ -15,7 +15,7 @@
 import { createLoadView } from '../../services/loadView/index.js'
 import { createMembership } from '../../services/membership/index.js'
 import { createPromptDirectory, type PromptDirectory } from '../../services/promptDirectory/index.js'
-import { createVmList, type VmList } from '../../services/vmList/index.js'
+import type { VmList } from '../../services/vmList/index.js'
 import type {
   Clock, ConfigurationSource, EngineMemorySource, Forwarding, GatewayConfigurationHolder, GatewaySettings, InstanceClient, InstanceRegistry, InstanceSource,
   LoadView, Logger, Membership, Metrics, PeerTransport, RandomSource
@@ -70,7 +70,7 @@
 const DEAD_AFTER_MS = 3_000
 const LOAD_REPORT_MS = 250
 /** The seeds of the settings bring nodes together; no list of VMs is read. */
-const NO_VM_LIST_MS = 3_600_000
+const NO_VM_LIST: VmList = { current: () => undefined, onRead: () => { /* it is never read */ } }
 /** Taken off the time in which a key taken away must go out of use: for clocks that run unequally and a send that is on its way. */
 const KEY_MARGIN_MS = 500
 
@@ -78,7 +78,7 @@
   const { settings, clock, random, transport, logger } = dependencies
   const readSettings = dependencies.readSettings ?? (() => settings)
   kernel.register({ name: 'heartbeatExchange', dependsOn: [], create: () => ({ api: createHeartbeatExchange() }) })
-  kernel.register({ name: 'vmList', dependsOn: [], create: () => createVmList({ clock, random, platform: { listVms: async () => success([]) } }, { intervalMs: NO_VM_LIST_MS }) })
+  kernel.register({ name: 'vmList', dependsOn: [], create: () => ({ api: NO_VM_LIST }) })
   kernel.register({
     name: 'membership',
     dependsOn: ['heartbeatExchange', 'vmList'],
@@ -166,6 +166,7 @@
         ? {}
         : {
             recovery: {
+              logger: dependencies.logger,
               random,
               registry: resolve('instanceRegistry'),
               memory: dependencies.engineMemory,
--- /dev/null
+++ b/src/services/forwarding/_lib/createRunRecord.ts
@@ -0,0 +1,43 @@
+/** What operators see of one request: its log lines, its outcome, and how long it took. */
+import type { ForwardingDependencies } from '../index.js'
+import type { GatewayRequest, GatewayRoute, LogFields } from '../../../types/index.js'
+import type { GatewayEvent } from '../../../types/gatewayEvents.js'
+
+export type RunOutcome = 'complete' | 'refused' | 'brokenOff' | 'failedAtBackend' | 'callerLeft'
+
+export type SendOutcome = 'complete' | 'refused' | 'errored' | 'broken' | 'notSent' | 'silent'
+
+export type RunRecord = {
+  readonly log: (event: GatewayEvent, fields: LogFields) => void
+  readonly countSend: (outcome: SendOutcome) => void
+  readonly countRepeat: (isGranted: boolean) => void
+  /** Notes the time from the send to the answer's head, in milliseconds. */
+  readonly noteFirstBytes: (milliseconds: number) => void
+  readonly finish: (outcome: RunOutcome, fields: LogFields) => void
+}
+
+const MILLISECONDS_PER_SECOND = 1_000
+
+/** Creates the record; `readRoute` gives the request's route once it is known. */
+export const createRunRecord = (
+  { clock, logger, metrics }: Pick<ForwardingDependencies, 'clock' | 'logger' | 'metrics'>,
+  request: Pick<GatewayRequest, 'requestId' | 'receivedAt'>,
+  readRoute: () => GatewayRoute | undefined
+): RunRecord => {
+  const policy = (): string => readRoute()?.repeatPolicy ?? 'none'
+
+  const log: RunRecord['log'] = (event, fields) => logger.info(event, { requestId: request.requestId, route: readRoute()?.name, ...fields })
+
+  return {
+    log,
+    countSend: (outcome) => metrics.count('gateway_sends', { outcome }),
+    countRepeat: (isGranted) => metrics.count('gateway_repeats', { granted: String(isGranted) }),
+    noteFirstBytes: (milliseconds) => metrics.observe('gateway_first_byte_seconds', milliseconds / MILLISECONDS_PER_SECOND, { policy: policy() }),
+    finish: (outcome, fields) => {
+      const ms = clock.now() - request.receivedAt
+      metrics.count('gateway_requests', { policy: policy(), outcome, reason: String(fields.reason ?? '') })
+      metrics.observe('gateway_duration_seconds', ms / MILLISECONDS_PER_SECOND, { policy: policy(), outcome })
+      log(outcome === 'complete' ? 'request complete' : 'request ended', { outcome, ms: Math.round(ms), ...fields })
+    }
+  }
+}
--- /dev/null
+++ b/src/services/forwarding/_lib/run.ts
@@ -0,0 +1,20 @@
+/** One request on its way, as the forwarding service sees it, and what it is given. */
+import type { RepeatBudgets } from './createRepeatBudgets.js'
+import type { TimeToFirstBytes } from './createTimeToFirstBytes.js'
+import type { ForwardingRun, GatewayAccount, GatewayRoute } from '../../../types/index.js'
+import type { ForwardingDependencies } from '../index.js'
+
+export type RunContext = ForwardingDependencies & {
+  readonly availabilityZone: string
+  readonly readLoadFactor: () => number
+  readonly readKeyFreshnessMs: () => number
+  readonly budgets: RepeatBudgets
+  readonly usualTimes: TimeToFirstBytes
+  readonly onDone: () => void
+}
+
+export type Run = ForwardingRun & {
+  readonly assign: (route: GatewayRoute, account: GatewayAccount | undefined) => void
+  /** Looks at deadline and silences; called every few milliseconds. */
+  readonly check: (now: number) => void
+}
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -4,7 +4,7 @@
  * of all open requests; `createRun` has the way of a single one.
  */
 import { createRun } from './_lib/createRun.js'
-import type { Run, RunContext } from './_lib/createRun.js'
+import type { Run, RunContext } from './_lib/run.js'
 import { createRepeatBudgets } from './_lib/createRepeatBudgets.js'
 import { createTimeToFirstBytes } from './_lib/createTimeToFirstBytes.js'
 import { findAccount } from './_lib/findAccount.js'
--- a/src/services/gatewayConfiguration/index.ts
+++ b/src/services/gatewayConfiguration/index.ts
@@ -3,6 +3,7 @@
  * the newest. It is read from its source at an interval and learnt from peers;
  * a version never goes back, and an outage of the source empties nothing.
  */
+import { describeSourceError } from '../../decisions/describeSourceError/index.js'
 import { measureAge } from '../../decisions/measureAge/index.js'
 import { readClocks } from '../../decisions/readClocks/index.js'
 import type { Clocks, ClockReading } from '../../decisions/measureAge/index.js'
@@ -19,8 +20,6 @@
 export type GatewayConfigurationOptions = {
   /** Time between two reads of the source in milliseconds. */
   readonly readIntervalMs: number
-  /** Whether this node reads the source by itself now; others learn from peers. */
-  readonly isReader?: () => boolean
 }
 
 export type RunningGatewayConfiguration = RunningService<GatewayConfigurationHolder> & {
@@ -106,24 +105,16 @@
       if (result.value.configuration.version >= version()) confirm(sentAt, 0)
       noteReachable(true, '')
     } else {
-      noteReachable(false, result.error.kind === 'unavailable' || result.error.kind === 'malformed' ? result.error.message : result.error.kind)
+      noteReachable(false, describeSourceError(result.error))
       askOthers()
     }
     const isBehind = hinted > version()
     schedule(result.ok && !isBehind ? options.readIntervalMs : RETRY_MS)
   }
 
-  const tick = (): void => {
-    if (options.isReader?.() === false && version() > 0) {
-      askOthers()
-      return schedule(options.readIntervalMs)
-    }
-    read()
-  }
-
   const schedule = (delayMs: number): void => {
     timer?.cancel()
-    timer = clock.setTimer(delayMs, tick)
+    timer = clock.setTimer(delayMs, read)
   }
 
   const waitForConfirmation = (waitMs: number): Promise<void> => new Promise((resolve) => {
@@ -162,7 +153,7 @@
     hint: (known) => {
       if (known <= version()) return
       hinted = Math.max(hinted, known)
-      if (isReachable === true && options.isReader?.() !== false) read()
+      if (isReachable === true) read()
       else askOthers()
     },
     onNeed: (listener) => { needListeners.push(listener) },
--- a/src/services/instanceRegistry/index.ts
+++ b/src/services/instanceRegistry/index.ts
@@ -3,8 +3,9 @@
  * and kept up by a watch. The list is kept while the source is away; entries
  * that are missing when it comes back get a moment to register again.
  */
+import { describeSourceError } from '../../decisions/describeSourceError/index.js'
 import type { RunningService } from '../../kernel/index.js'
-import type { BackendInstance, Clock, InstanceEntry, InstanceRegistry, InstanceSource, Logger, SourceError, Timer } from '../../types/index.js'
+import type { BackendInstance, Clock, InstanceEntry, InstanceRegistry, InstanceSource, Logger, Timer } from '../../types/index.js'
 
 export type InstanceRegistryDependencies = {
   readonly clock: Clock
@@ -15,8 +16,6 @@
 export type InstanceRegistryOptions = {
   /** How long one watch waits in milliseconds; a silent connection is found that much later. */
   readonly watchWaitMs: number
-  /** Whether this node watches the source by itself now; others learn from peers. */
-  readonly isReader?: () => boolean
 }
 
 export type RunningInstanceRegistry = RunningService<InstanceRegistry> & {
@@ -32,8 +31,6 @@
 const RETRY_MS = 200
 const PAGES_AT_MOST = 64
 
-const describe = (error: SourceError): string => error.kind === 'unavailable' || error.kind === 'malformed' ? error.message : error.kind
-
 /**
  * Creates the registry.
  *
@@ -136,7 +133,7 @@
     for (let page = 0; page < PAGES_AT_MOST; page++) {
       const result = await source.list(after)
       if (!result.ok) {
-        noteReachable(false, describe(result.error))
+        noteReachable(false, describeSourceError(result.error))
         return false
       }
       entries.push(...result.value.entries)
@@ -157,7 +154,7 @@
         logger.info('backend server history gone', { revision })
         return false
       }
-      noteReachable(false, describe(result.error))
+      noteReachable(false, describeSourceError(result.error))
       return false
     }
     noteReachable(true, '')
@@ -176,12 +173,6 @@
     let isListed = false
     for (;;) {
       if (isStopped) return
-      if (isKnown && options.isReader?.() === false) {
-        isListed = false
-        for (const listener of needListeners) listener()
-        await pause(options.watchWaitMs / 4)
-        continue
-      }
       const isDone: boolean = isListed ? await watchOnce() : await readAll()
       if (isStopped) return
       if (!isDone && !isListed) {
--- a/src/services/promptDirectory/_lib/recoverPlaces.ts
+++ b/src/services/promptDirectory/_lib/recoverPlaces.ts
@@ -4,10 +4,12 @@
  * own zone. Without this, the prompts of a fleet that lost power are read again
  * although the engines kept them.
  */
-import type { BackendInstance, Clock, EngineMemorySource, InstanceRegistry, Membership, PeerTransport, RandomSource } from '../../../types/index.js'
+import { describeSourceError } from '../../../decisions/describeSourceError/index.js'
+import type { BackendInstance, Clock, EngineMemorySource, InstanceRegistry, Logger, Membership, PeerTransport, RandomSource } from '../../../types/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 
 export type PlacesRecovery = {
+  readonly logger: Logger
   readonly random: RandomSource
   readonly registry: Pick<InstanceRegistry, 'all'>
   readonly memory: EngineMemorySource
@@ -35,12 +37,13 @@
 
 const wait = (clock: Clock, ms: number): Promise<void> => new Promise((resolve) => { clock.setTimer(ms, resolve) })
 
-const askPeers = async ({ transport, membership, noteAll }: RecoveryDependencies): Promise<boolean> => {
+const askPeers = async ({ transport, membership, recovery, noteAll }: RecoveryDependencies): Promise<boolean> => {
   const self = membership.self().nodeId
   for (const peer of membership.liveMembers().filter(({ nodeId }) => nodeId !== self).slice(0, 2)) {
     const result = await transport.request(peer.address, { kind: 'promptPlacesRequest' }, ASK_TIMEOUT_MS)
     if (!result.ok || result.value.kind !== 'promptPlaces' || result.value.parts.length === 0) continue
     noteAll(result.value.parts, result.value.servers)
+    recovery.logger.info('prompt places learnt', { from: peer.nodeId, places: result.value.parts.length })
     return true
   }
   return false
@@ -48,7 +51,11 @@
 
 const askEngine = async ({ recovery, noteAll, tell }: RecoveryDependencies, instance: BackendInstance): Promise<void> => {
   const result = await recovery.memory.list(instance)
-  if (!result.ok) return
+  if (!result.ok) {
+    recovery.logger.warn('prompt places not learnt', { backendServer: instance.id, reason: describeSourceError(result.error) })
+    return
+  }
+  recovery.logger.info('prompt places learnt', { from: instance.id, places: result.value.length })
   const key = formatInstanceKey(instance)
   noteAll(result.value.map(({ id }) => id), result.value.map(() => key))
   for (const { id } of result.value) tell(id, key)
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -107,7 +107,6 @@
   readonly promptParts: readonly PromptPart[]
   /** Prompt tokens plus the most tokens that may be generated. */
   readonly tokens: { readonly prompt: number, readonly output: number }
-  readonly model: string
   /** Monotonic milliseconds of the request's first byte. */
   readonly receivedAt: number
 }
--- a/src/types/gatewayEvents.ts
+++ b/src/types/gatewayEvents.ts
@@ -42,6 +42,8 @@
   'configuration source lost': { level: 'warn', linesPerSecond: BELIEFS, meaning: 'the source of the configuration can\'t be read' },
   'configuration source reached': { level: 'info', linesPerSecond: BELIEFS, meaning: 'the source of the configuration can be read again' },
   'configuration of a peer is malformed': { level: 'warn', linesPerSecond: BELIEFS, meaning: 'a peer handed on a configuration that can\'t be read' },
+  'prompt places learnt': { level: 'info', linesPerSecond: BELIEFS, meaning: 'after a start, a peer or an engine told where prompts are kept' },
+  'prompt places not learnt': { level: 'warn', linesPerSecond: BELIEFS, meaning: 'after a start, an engine did not tell what it keeps' },
   'member changed': { level: 'info', linesPerSecond: BELIEFS, meaning: 'a peer is believed to be in another state' },
   'refuted a rumour about this node': { level: 'warn', linesPerSecond: BELIEFS, meaning: 'peers believed this node to be gone' },
   'connection with bytes that are no request': { level: 'info', linesPerSecond: EVERY_REQUEST, meaning: 'a caller\'s connection was ended' },
