--- a/src/cli/createProgram/index.ts
+++ b/src/cli/createProgram/index.ts
@@ -8,6 +8,7 @@
 import { exitCodes } from '../exitCodes.js'
 import { createExplainCommand } from '../explain/index.js'
 import { createLoadCommand } from '../load/index.js'
+import { createLogsCommand } from '../logs/index.js'
 import { createRouterCommand } from '../router/index.js'
 import { createSettingsCommand } from '../settings/index.js'
 import { createSheetCommand } from '../sheet/index.js'
@@ -44,6 +45,7 @@
     .addCommand(createEmulateCommand())
     .addCommand(createExplainCommand(environment))
     .addCommand(createLoadCommand())
+    .addCommand(createLogsCommand(environment))
     .addCommand(createRouterCommand())
     .addCommand(createSettingsCommand())
     .addCommand(createSheetCommand(environment))
--- /dev/null
+++ b/src/cli/logs/index.ts
@@ -0,0 +1,62 @@
+/** `dotterelspoke logs`: what the logs of nodes say of all their requests together. */
+import { Command } from 'commander'
+import { parseLogLine } from '../../decisions/parseLogLine/index.js'
+import { summarizeLog, type LogSummary } from '../../decisions/summarizeLog/index.js'
+import { formatIsoTime } from '../../kernel/index.js'
+import type { CommandEnvironment } from '../_lib/commandEnvironment.js'
+import { parsePositive } from '../_lib/parseNumber.js'
+import { escapeControls, renderTable } from '../_lib/render.js'
+import { exitCodes } from '../exitCodes.js'
+
+const DEFAULT_PERIOD_SECONDS = 1
+const MS_PER_SECOND = 1_000
+const BAR_CHARACTERS = 40
+
+const renderOutcomes = ({ outcomes }: LogSummary): string => {
+  const all = outcomes.reduce((sum, { requests }) => sum + requests, 0)
+  return renderTable(
+    ['outcome', 'reason', 'status', 'requests', 'share'],
+    outcomes.map(({ outcome, reason, status, requests }) => [escapeControls(outcome), escapeControls(reason), escapeControls(status), String(requests), `${(100 * requests / all).toFixed(1)} %`])
+  )
+}
+
+/** Complete requests as `#`, the others as `!`, on one scale for all periods. */
+const renderPeriods = ({ periods }: LogSummary): string => {
+  const most = Math.max(...periods.map(({ complete, ended }) => complete + ended))
+  const scale = (count: number): number => Math.ceil(BAR_CHARACTERS * count / most)
+  return periods
+    .map(({ from, complete, ended }) => `${formatIsoTime(from)}  ${'#'.repeat(scale(complete))}${'!'.repeat(scale(ended))}  ${complete} complete, ${ended} not`)
+    .join('\n')
+}
+
+const renderLeftOut = ({ leftOut }: LogSummary): readonly string[] =>
+  [...leftOut].map(([event, count]) => `${count} lines of "${escapeControls(event)}" were left out because of their bound`)
+
+const createSummaryCommand = (environment: CommandEnvironment): Command => new Command('summary')
+  .description('Counts the outcomes of requests by cause and over time')
+  .argument('[files...]', 'log files of any number of nodes; - for standard input', ['-'])
+  .option('--period <seconds>', 'length of one period of the plot, in seconds', parsePositive, DEFAULT_PERIOD_SECONDS)
+  .addHelpText('after', '\nExample:\n  dotterelspoke logs summary --period 5 node-1.log node-2.log')
+  .action((files: readonly string[], { period }: { readonly period: number }) => {
+    const lines = files.flatMap((file) => environment.readText(file).split('\n'))
+    const summary = summarizeLog(lines.map(parseLogLine).filter((record) => record !== undefined), { periodMs: period * MS_PER_SECOND })
+    if (summary.outcomes.length === 0) {
+      environment.printError('no line ends a request')
+      environment.setExitCode(exitCodes.failure)
+      return
+    }
+    environment.print([renderOutcomes(summary), renderPeriods(summary), ...renderLeftOut(summary)].join('\n'))
+  })
+
+/**
+ * Creates the command.
+ *
+ * @param environment - What it takes from the process.
+ * @returns The command with its subcommands, for the program.
+ *
+ * @example
+ * createLogsCommand(environment).name() // => 'logs'
+ */
+export const createLogsCommand = (environment: CommandEnvironment): Command => new Command('logs')
+  .description('Reads the logs of nodes')
+  .addCommand(createSummaryCommand(environment))
--- a/src/decisions/isZoneWatcher/index.ts
+++ b/src/decisions/isZoneWatcher/index.ts
@@ -1,4 +1,5 @@
-/** Which nodes of a zone hold a watch at the platform. */
+/** Whether a node is one of those of its zone that hold a watch at the platform. */
+import { selectZoneReaders } from '../selectZoneReaders/index.js'
 import type { Member } from '../../types/index.js'
 
 /**
@@ -18,6 +19,6 @@
  * isZoneWatcher({ nodeId: 'router-1', availabilityZone: 'venkov-a' }, [], 2) // => true
  */
 export const isZoneWatcher = (self: Pick<Member, 'nodeId' | 'availabilityZone'>, peers: readonly Member[], watchersPerZone: number): boolean => {
-  const before = peers.filter((peer) => peer.state === 'live' && peer.availabilityZone === self.availabilityZone && peer.nodeId < self.nodeId)
-  return before.length < watchersPerZone
+  const before = peers.filter(({ nodeId }) => nodeId < self.nodeId)
+  return selectZoneReaders(self.availabilityZone, before, watchersPerZone).length < watchersPerZone
 }
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -5,6 +5,8 @@
 import { registerGauges } from './_lib/registerGauges.js'
 import type { Clocks } from '../../decisions/measureAge/index.js'
 import { createKernel, type Kernel } from '../../kernel/index.js'
+import { layOutInstances } from '../../decisions/layOutInstances/index.js'
+import { createFleetLoad, type FleetLoad } from '../../services/fleetLoad/index.js'
 import { createForwarding, type ForwardingBounds } from '../../services/forwarding/index.js'
 import { createGatewayConfiguration, type RunningGatewayConfiguration } from '../../services/gatewayConfiguration/index.js'
 import { createHeartbeatExchange, type HeartbeatExchange } from '../../services/heartbeatExchange/index.js'
@@ -12,13 +14,13 @@
 import { createInstanceHealth, type InstanceHealth } from '../../services/instanceHealth/index.js'
 import { createInstanceRegistry, type RunningInstanceRegistry } from '../../services/instanceRegistry/index.js'
 import { createKnowledgeExchange, type KnowledgeExchange } from '../../services/knowledgeExchange/index.js'
-import { createLoadView } from '../../services/loadView/index.js'
-import { createMembership } from '../../services/membership/index.js'
+import { createLoadView, type RunningLoadView } from '../../services/loadView/index.js'
+import { createMembership, DEFAULT_FAN_OUT } from '../../services/membership/index.js'
 import { createPromptDirectory, type PromptDirectory } from '../../services/promptDirectory/index.js'
 import type { VmList } from '../../services/vmList/index.js'
 import type {
   Clock, ConfigurationSource, EngineMemorySource, Forwarding, GatewayConfigurationHolder, GatewaySettings, InstanceClient, InstanceRegistry, InstanceSource,
-  LoadView, Logger, Membership, Metrics, PeerTransport, RandomSource
+  LoadView, Logger, Membership, Metrics, PeerTransport, RandomSource, ServerLayout
 } from '../../types/index.js'
 
 export type GatewayNodeDependencies = {
@@ -44,6 +46,7 @@
   readonly gatewayConfiguration: GatewayConfigurationHolder
   readonly instanceRegistry: InstanceRegistry
   readonly knowledgeExchange: KnowledgeExchange
+  readonly fleetLoad: FleetLoad
   readonly loadView: LoadView
   readonly instanceHealth: InstanceHealth
   readonly promptDirectory: PromptDirectory
@@ -71,6 +74,16 @@
 const LOAD_REPORT_MS = 250
 /** The seeds of the settings bring nodes together; no list of VMs is read. */
 const NO_VM_LIST: VmList = { current: () => undefined, onRead: () => { /* it is never read */ } }
+/** Nodes of a zone that read the store; the others learn from them. Two outlast the loss of one without a pause. */
+const READERS_PER_ZONE = 2
+/** Time between two questions of a node to its readers, by turns: both are heard within a second. */
+const READER_ASK_MS = 400
+/**
+ * How long a node trusts its readers without proof: a read every 0.8 s and a
+ * question every 0.4 s leave it 1.2 s old at most, and past two seconds it could
+ * not say any more that a route does not exist.
+ */
+const RELIANCE_MS = 1_500
 /** Taken off the time in which a key taken away must go out of use: for clocks that run unequally and a send that is on its way. */
 const KEY_MARGIN_MS = 500
 
@@ -97,11 +110,13 @@
   const { clock, random, clocks, transport, configurationSource, instanceSource, logger } = dependencies
   let configuration: RunningGatewayConfiguration | undefined
   let registry: RunningInstanceRegistry | undefined
+  // Before peers are known a node is the first of its zone, as far as it knows.
+  const isReader = (): boolean => !kernel.isRunning('knowledgeExchange') || kernel.resolve('knowledgeExchange').isReader()
   kernel.register({
     name: 'gatewayConfiguration',
     dependsOn: [],
     create: () => {
-      configuration = createGatewayConfiguration({ clock, source: configurationSource, logger, clocks }, { readIntervalMs: CONFIGURATION_READ_MS })
+      configuration = createGatewayConfiguration({ clock, source: configurationSource, logger, clocks }, { readIntervalMs: CONFIGURATION_READ_MS, isReader, relianceMs: RELIANCE_MS })
       return configuration
     }
   })
@@ -109,7 +124,7 @@
     name: 'instanceRegistry',
     dependsOn: [],
     create: () => {
-      registry = createInstanceRegistry({ clock, source: instanceSource, logger }, { watchWaitMs: WATCH_WAIT_MS })
+      registry = createInstanceRegistry({ clock, source: instanceSource, logger }, { watchWaitMs: WATCH_WAIT_MS, isReader, relianceMs: RELIANCE_MS })
       return registry
     }
   })
@@ -118,7 +133,7 @@
     dependsOn: ['membership', 'heartbeatExchange', 'gatewayConfiguration', 'instanceRegistry'],
     create: (resolve) => {
       if (configuration === undefined || registry === undefined) throw new Error('knowledge is exchanged before its holders were made')
-      return createKnowledgeExchange({ clock, random, transport, membership: resolve('membership'), exchange: resolve('heartbeatExchange'), configuration, registry, clocks })
+      return createKnowledgeExchange({ clock, random, transport, membership: resolve('membership'), exchange: resolve('heartbeatExchange'), configuration, registry, clocks }, { readersPerZone: READERS_PER_ZONE, askIntervalMs: READER_ASK_MS })
     }
   })
 }
@@ -130,17 +145,38 @@
   configurationFreshnessMs: settings.configurationDelayMs
 })
 
-const registerForwarding = (kernel: Kernel<GatewayServices>, dependencies: GatewayNodeDependencies): void => {
-  const readSettings = dependencies.readSettings ?? (() => dependencies.settings)
-  const { settings, clock, random, transport, client, logger, metrics } = dependencies
+/** How load travels: digests to all peers while they are few, sums by zone when they are many. */
+const registerLoad = (kernel: Kernel<GatewayServices>, { settings, clock, transport }: GatewayNodeDependencies): void => {
+  let loadView: RunningLoadView | undefined
+  kernel.register({
+    name: 'fleetLoad',
+    dependsOn: ['membership', 'instanceRegistry'],
+    create: (resolve) => {
+      const registry = resolve('instanceRegistry')
+      let layout: ServerLayout = layOutInstances(registry.all())
+      registry.onChange(() => { layout = layOutInstances(registry.all()) })
+      return createFleetLoad(
+        { clock, transport, membership: resolve('membership'), readLayout: () => layout, readCounts: () => loadView?.publishedCounts() ?? new Map() },
+        { fullMeshPeers: DEFAULT_FAN_OUT.fullMeshPeers }
+      )
+    }
+  })
   kernel.register({
     name: 'loadView',
-    dependsOn: ['membership', 'heartbeatExchange'],
-    create: (resolve) => createLoadView(
-      { clock, transport, membership: resolve('membership'), exchange: resolve('heartbeatExchange') },
-      { settings: { nodeId: settings.nodeId, loadReportIntervalMs: LOAD_REPORT_MS, deadAfterMs: DEAD_AFTER_MS } }
-    )
+    dependsOn: ['membership', 'heartbeatExchange', 'fleetLoad'],
+    create: (resolve) => {
+      loadView = createLoadView(
+        { clock, transport, membership: resolve('membership'), exchange: resolve('heartbeatExchange'), fleetLoad: resolve('fleetLoad') },
+        { settings: { nodeId: settings.nodeId, loadReportIntervalMs: LOAD_REPORT_MS, deadAfterMs: DEAD_AFTER_MS } }
+      )
+      return loadView
+    }
   })
+}
+
+const registerForwarding = (kernel: Kernel<GatewayServices>, dependencies: GatewayNodeDependencies): void => {
+  const readSettings = dependencies.readSettings ?? (() => dependencies.settings)
+  const { settings, clock, random, transport, client, logger, metrics } = dependencies
   kernel.register({
     name: 'instanceHealth',
     dependsOn: ['instanceRegistry'],
@@ -213,6 +249,7 @@
   const kernel = createKernel<GatewayServices>()
   registerPeers(kernel, dependencies)
   registerKnowledge(kernel, dependencies)
+  registerLoad(kernel, dependencies)
   registerForwarding(kernel, dependencies)
   return {
     start: async () => {
--- a/src/services/fleetLoad/index.ts
+++ b/src/services/fleetLoad/index.ts
@@ -11,7 +11,7 @@
 import { packLoadCounts, unpackLoadCounts } from '../../decisions/packLoadCounts/index.js'
 import { groupBy } from '../../kernel/groupBy/index.js'
 import type { RunningService } from '../../kernel/index.js'
-import type { Clock, ConfigurationHolder, LoadSnapshot, Member, Membership, PeerTransport, Timer } from '../../types/index.js'
+import type { Clock, LoadSnapshot, Member, Membership, PeerTransport, ServerLayout, Timer } from '../../types/index.js'
 
 export type FleetLoad = {
   /** Whether the fleet is so large that load travels this way and not in digests to all peers. */
@@ -25,7 +25,7 @@
   readonly clock: Clock
   readonly transport: PeerTransport
   readonly membership: Pick<Membership, 'self' | 'liveMembers' | 'onChange'>
-  readonly configuration: Pick<ConfigurationHolder, 'current'>
+  readonly readLayout: () => ServerLayout
   /** What this node publishes: requests in flight by backend server. */
   readonly readCounts: () => ReadonlyMap<string, number>
 }
@@ -59,16 +59,16 @@
  * takes sums only from the one that it ranks first itself, so that two which
  * both believe to be first are not added up.
  *
- * @param dependencies - Clock, transport, membership, configuration and the own counts.
+ * @param dependencies - Clock, transport, membership, the servers and the own counts.
  * @param options - Sizes and the period in milliseconds.
  * @returns The service for the kernel, which publishes from its start to its stop.
  *
  * @example
- * const { api } = createFleetLoad({ clock, transport, membership, configuration, readCounts }, { fullMeshPeers: 12 })
+ * const { api } = createFleetLoad({ clock, transport, membership, readLayout, readCounts }, { fullMeshPeers: 12 })
  * api.readOthers('engine-1') // => 0
  */
 export const createFleetLoad = (dependencies: FleetLoadDependencies, options: FleetLoadOptions): RunningService<FleetLoad> => {
-  const { clock, transport, membership, configuration } = dependencies
+  const { clock, transport, membership, readLayout } = dependencies
   const fanOut = options.fanOut ?? DEFAULT_FAN_OUT
   const maximumAgeMs = MAXIMUM_AGE_PERIODS * (options.periodMs ?? LONGEST_PERIOD_MS)
   const ranks = createZoneRanks(membership)
@@ -81,7 +81,7 @@
 
   const isInUse = (): boolean => membership.liveMembers().length - 1 > options.fullMeshPeers
 
-  const listServers = () => configuration.current()?.sheet.backendServers ?? []
+  const listServers = (): ServerLayout['servers'] => readLayout().servers
 
   // Alike on all routers of one generation, so that the stages of the sums follow each other.
   const findPeriodMs = (): number =>
@@ -104,7 +104,7 @@
   const createSnapshot = (scope: LoadSnapshot['scope'], source: string, serverZone: string, counts: ReadonlyMap<number, number>): LoadSnapshot => {
     sequence += 1
     const { nodeId } = membership.self()
-    return { scope, source, nodeId, serverZone, sequence, generation: configuration.current()?.generation ?? 0, ...packLoadCounts(counts) }
+    return { scope, source, nodeId, serverZone, sequence, generation: readLayout().generation, ...packLoadCounts(counts) }
   }
 
   const sendOrTake = (receiver: Member | undefined, snapshot: LoadSnapshot): void => {
@@ -165,9 +165,9 @@
   }
 
   const take = (snapshot: LoadSnapshot): void => {
-    // Places in the sheet mean other servers in another generation. Generations
+    // Places in the list mean other servers in another generation. Generations
     // differ for seconds at most; until then the last counts stand.
-    if (snapshot.generation === configuration.current()?.generation) takers[snapshot.scope](snapshot)
+    if (snapshot.generation === readLayout().generation) takers[snapshot.scope](snapshot)
   }
 
   const schedule = (stage: keyof typeof STAGES, publish: () => void): void => {
--- a/src/services/fleetLoad/test.ts
+++ b/src/services/fleetLoad/test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import { createFleetLoad } from './index.js'
+import { readSheetLayout } from '../../decisions/readSheetLayout/index.js'
 import { createManualClock } from '../../emulator/createManualClock/index.js'
 import { createMemoryPeerNetwork } from '../../emulator/createMemoryPeerNetwork/index.js'
 import type { Configuration, Member } from '../../types/index.js'
@@ -40,7 +41,7 @@
       clock,
       transport,
       membership: { self: () => self, liveMembers: () => members.filter((member) => !dead.has(member.nodeId)), onChange: (listener) => { listeners.push(listener) } },
-      configuration: { current: () => configuration },
+      readLayout: () => readSheetLayout(configuration),
       readCounts: () => counts
     }, { fullMeshPeers, periodMs: PERIOD_MS })
     service.start?.()
--- a/src/services/gatewayConfiguration/index.ts
+++ b/src/services/gatewayConfiguration/index.ts
@@ -20,6 +20,10 @@
 export type GatewayConfigurationOptions = {
   /** Time between two reads of the source in milliseconds. */
   readonly readIntervalMs: number
+  /** Whether this node reads the source for its zone; the others rely on it. Every node does by default. */
+  readonly isReader?: () => boolean
+  /** A node that relies on others reads for itself once its proof is older than this, in milliseconds. */
+  readonly relianceMs?: number
 }
 
 export type RunningGatewayConfiguration = RunningService<GatewayConfigurationHolder> & {
@@ -38,6 +42,8 @@
 
 /** Pause after a failed read: short, since requests with keys are refused before long. */
 const RETRY_MS = 250
+/** How often a node that relies on others looks whether it still may, in milliseconds. */
+const RELIANCE_CHECK_MS = 100
 
 /**
  * Creates the holder.
@@ -114,7 +120,14 @@
 
   const schedule = (delayMs: number): void => {
     timer?.cancel()
-    timer = clock.setTimer(delayMs, read)
+    timer = clock.setTimer(delayMs, tick)
+  }
+
+  const isRelying = (): boolean => options.isReader?.() === false && confirmedAgeMs() < (options.relianceMs ?? 0)
+
+  const tick = (): void => {
+    if (isRelying()) return schedule(RELIANCE_CHECK_MS)
+    read()
   }
 
   const waitForConfirmation = (waitMs: number): Promise<void> => new Promise((resolve) => {
@@ -153,7 +166,7 @@
     hint: (known) => {
       if (known <= version()) return
       hinted = Math.max(hinted, known)
-      if (isReachable === true) read()
+      if (isReachable === true && !isRelying()) read()
       else askOthers()
     },
     onNeed: (listener) => { needListeners.push(listener) },
--- a/src/services/instanceRegistry/index.ts
+++ b/src/services/instanceRegistry/index.ts
@@ -3,9 +3,11 @@
  * and kept up by a watch. The list is kept while the source is away; entries
  * that are missing when it comes back get a moment to register again.
  */
+import { isDeepStrictEqual } from 'node:util'
+import { createChangeLog } from './_lib/createChangeLog.js'
 import { describeSourceError } from '../../decisions/describeSourceError/index.js'
 import type { RunningService } from '../../kernel/index.js'
-import type { BackendInstance, Clock, InstanceEntry, InstanceRegistry, InstanceSource, Logger, Timer } from '../../types/index.js'
+import type { BackendInstance, ChangePosition, Clock, InstanceEntry, InstanceNews, InstanceRegistry, InstanceSource, Logger, Timer } from '../../types/index.js'
 
 export type InstanceRegistryDependencies = {
   readonly clock: Clock
@@ -16,11 +18,18 @@
 export type InstanceRegistryOptions = {
   /** How long one watch waits in milliseconds; a silent connection is found that much later. */
   readonly watchWaitMs: number
+  /** Whether this node reads the source for its zone; the others rely on it. Every node does by default. */
+  readonly isReader?: () => boolean
+  /** How long ago the others may have reached the source while a node relies on them, in milliseconds. */
+  readonly relianceMs?: number
 }
 
 export type RunningInstanceRegistry = RunningService<InstanceRegistry> & {
-  /** Takes the whole list of a peer, read at a later revision than the own one. */
-  readonly learn: (instances: readonly BackendInstance[], revision: number) => void
+  /** Takes a peer's list or changes, known up to its revision of the source, which it last reached `ageMs` ago. */
+  readonly learn: (news: InstanceNews, revision: number, ageMs: number) => void
+  /** What changed here since a position that a peer holds; nothing when it holds none and knows the same revision. */
+  readonly newsSince: (position: ChangePosition | undefined, revision: number) => InstanceNews
+  readonly position: () => ChangePosition
   readonly isSourceReachable: () => boolean
   /** Called when the source cannot be read. */
   readonly onNeed: (listener: () => void) => void
@@ -29,6 +38,10 @@
 /** Entries that lapsed in an outage are back within two seconds of its end; longer than that they are gone. */
 const REAPPEAR_MS = 2_000
 const RETRY_MS = 200
+/** Entries lapse after three heartbeats of silence, 3.6 s; an outage that was shorter takes none away. */
+const SHORTEST_LAPSE_MS = 3_000
+/** How often a node that relies on others looks whether it still may, in milliseconds. */
+const RELIANCE_CHECK_MS = 200
 const PAGES_AT_MOST = 64
 
 /**
@@ -51,6 +64,8 @@
   const listeners: (() => void)[] = []
   const needListeners: (() => void)[] = []
   const malformed = new Set<string>()
+  const changes = createChangeLog(clock.wallTime())
+  let relayedAt = -Infinity
   let byService = new Map<string, BackendInstance[]>()
   let revision = 0
   let isKnown = false
@@ -76,6 +91,7 @@
     if (instance === undefined) return
     instances.delete(name)
     missingSince.delete(name)
+    changes.note(name)
     logger.info('backend server removed', { backendServer: name, service: instance.service, reason, revision })
   }
 
@@ -91,7 +107,9 @@
     if (known !== undefined && instance.incarnation < known.incarnation) return
     // A leaving mark stays until the server starts anew: an older copy of its entry still says ready.
     const isLeaving = instance.isLeaving || (known?.isLeaving === true && known.incarnation === instance.incarnation)
-    instances.set(name, { ...instance, isLeaving })
+    const next = { ...instance, isLeaving }
+    if (!isDeepStrictEqual(known, next)) changes.note(name)
+    instances.set(name, next)
     if (known === undefined) logger.info('backend server added', { backendServer: name, service: instance.service, incarnation: instance.incarnation, revision })
     else if (isLeaving && !known.isLeaving) logger.info('backend server leaving', { backendServer: name, service: instance.service, revision })
   }
@@ -169,10 +187,24 @@
 
   const pause = (ms: number): Promise<void> => new Promise((resolve) => { timer = clock.setTimer(ms, resolve) })
 
+  const isRelying = (): boolean =>
+    isKnown && options.isReader?.() === false && clock.now() - relayedAt < (options.relianceMs ?? 0)
+
+  /** Entries may have lapsed in an outage that only the readers saw: what is missing then gets its moment to register. */
+  const endReliance = (): void => {
+    if (clock.now() - relayedAt > SHORTEST_LAPSE_MS) isReachable = undefined
+  }
+
   const follow = async (): Promise<void> => {
     let isListed = false
     for (;;) {
       if (isStopped) return
+      if (isRelying()) {
+        isListed = false
+        await pause(RELIANCE_CHECK_MS)
+        if (!isRelying()) endReliance()
+        continue
+      }
       const isDone: boolean = isListed ? await watchOnce() : await readAll()
       if (isStopped) return
       if (!isDone && !isListed) {
@@ -199,10 +231,26 @@
       },
       onChange: (listener) => { listeners.push(listener) }
     },
-    learn: (learnt, atRevision) => {
-      if (atRevision <= revision && isKnown) return
-      replaceAll(learnt.map((instance) => ({ name: instance.id, instance })), atRevision)
+    learn: (news, atRevision, ageMs) => {
+      relayedAt = Math.max(relayedAt, clock.now() - ageMs)
+      if (news.isWhole && atRevision <= revision && isKnown) return
+      const entries = news.instances.map((instance) => ({ name: instance.id, instance }))
+      if (news.isWhole) return replaceAll(entries, atRevision)
+      if (!isKnown) return
+      revision = Math.max(revision, atRevision)
+      if (entries.length + news.removed.length === 0) return
+      for (const name of news.removed) remove(name, 'removed at a peer')
+      for (const entry of entries) put(entry)
+      publish()
+    },
+    newsSince: (position, knownRevision) => {
+      const names = changes.listSince(position)
+      const isWhole = names === undefined && knownRevision < revision
+      const changed = isWhole ? [...instances.values()] : [...names ?? []].flatMap((name) => instances.get(name) ?? [])
+      const removed = [...names ?? []].filter((name) => !instances.has(name))
+      return { isWhole, instances: changed, removed, position: changes.position() }
     },
+    position: changes.position,
     isSourceReachable: () => isReachable === true,
     onNeed: (listener) => { needListeners.push(listener) },
     start: () => { follow() },
--- a/src/services/knowledgeExchange/index.ts
+++ b/src/services/knowledgeExchange/index.ts
@@ -1,62 +1,97 @@
 /**
  * What gateway nodes tell each other of the configuration and the backend
- * servers: a node that can't read the source asks peers for the newest version,
- * its age, and what it lacks. An age is only believed from a reply to an own
- * question, so that a message which was long on its way proves nothing.
+ * servers. Two nodes of a zone read the source, so that its load doesn't grow
+ * with the fleet; the others ask these two by turns, and at once on news from
+ * them. A node that can't read the source asks any peers. An age is only
+ * believed from a reply to an own question, so that a message which was long on
+ * its way proves nothing.
  */
+import { selectZoneReaders } from '../../decisions/selectZoneReaders/index.js'
 import { readClocks } from '../../decisions/readClocks/index.js'
 import type { Clocks } from '../../decisions/measureAge/index.js'
 import type { RunningService } from '../../kernel/index.js'
-import type { Clock, Member, Membership, PeerTransport, RandomSource } from '../../types/index.js'
+import type { ChangePosition, Clock, Member, Membership, PeerMessageOf, PeerTransport, RandomSource, Timer } from '../../types/index.js'
 import type { RunningGatewayConfiguration } from '../gatewayConfiguration/index.js'
 import type { HeartbeatExchange } from '../heartbeatExchange/index.js'
 import type { RunningInstanceRegistry } from '../instanceRegistry/index.js'
 
-export type KnowledgeExchange = { readonly ask: () => void }
+export type KnowledgeExchange = {
+  /** Asks some peers, whoever they are. */
+  readonly ask: () => void
+  /** Whether this node reads the source for its zone. */
+  readonly isReader: () => boolean
+}
 
 export type KnowledgeExchangeDependencies = {
   readonly clock: Clock
   readonly random: RandomSource
   readonly transport: PeerTransport
-  readonly membership: Pick<Membership, 'members' | 'self'>
+  readonly membership: Pick<Membership, 'members' | 'liveMembers' | 'self'>
   readonly exchange: HeartbeatExchange
   readonly configuration: RunningGatewayConfiguration
   readonly registry: RunningInstanceRegistry
   readonly clocks: Clocks
 }
 
+export type KnowledgeExchangeOptions = {
+  /** Nodes of a zone that read the source. */
+  readonly readersPerZone: number
+  /** Time between two questions of a node that relies on readers, in milliseconds. */
+  readonly askIntervalMs: number
+}
+
 /** Peers asked at once: one may be cut off as well, or dead and not yet known to be. */
 const PEERS_ASKED = 3
 const ASK_TIMEOUT_MS = 600
 /** Least time between two rounds of questions, however many requests want one. */
 const ASK_PAUSE_MS = 150
+/** News are collected for so long: a release changes several entries at once. */
+const NEWS_DELAY_MS = 20
 
 /**
  * Creates the exchange of one node.
  *
  * @param dependencies - Peers, and the holders of what is exchanged.
+ * @param options - How many read, and times in milliseconds.
  * @returns The service for the kernel.
  *
  * @example
- * const exchange = createKnowledgeExchange(dependencies)
+ * const exchange = createKnowledgeExchange(dependencies, options)
  * exchange.api.ask()
  */
-export const createKnowledgeExchange = (dependencies: KnowledgeExchangeDependencies): RunningService<KnowledgeExchange> => {
+export const createKnowledgeExchange = (dependencies: KnowledgeExchangeDependencies, options: KnowledgeExchangeOptions): RunningService<KnowledgeExchange> => {
   const { clock, random, transport, membership, exchange, configuration, registry, clocks } = dependencies
+  /** How far this node has come in the changes of each peer that it asked. */
+  const positions = new Map<string, ChangePosition>()
   let askedAt = -Infinity
+  let turn = 0
+  let isNewsDue = false
+  let timer: Timer | undefined
+
+  const listReaders = (): readonly Member[] => selectZoneReaders(membership.self().availabilityZone, membership.members(), options.readersPerZone)
+
+  const isSelf = ({ nodeId }: Pick<Member, 'nodeId'>): boolean => nodeId === membership.self().nodeId
+
+  const isReader = (): boolean => listReaders().some(isSelf)
 
   const askPeer = async (peer: Member): Promise<void> => {
     const sentAt = readClocks(clocks)
-    const result = await transport.request(peer.address, { kind: 'knowledgeRequest', version: configuration.api.version(), revision: registry.api.revision() }, ASK_TIMEOUT_MS)
+    const since = positions.get(peer.nodeId)
+    const result = await transport.request(
+      peer.address,
+      { kind: 'knowledgeRequest', version: configuration.api.version(), revision: registry.api.revision(), ...(since === undefined ? {} : { since }) },
+      ASK_TIMEOUT_MS
+    )
     if (!result.ok || result.value.kind !== 'knowledge') return
     const { version, ageMs, configuration: bytes, revision, instances } = result.value
     configuration.learn(sentAt, ageMs, version, bytes)
-    if (instances !== undefined && !registry.isSourceReachable()) registry.learn(instances, revision)
+    if (isReader() && registry.isSourceReachable()) return
+    registry.learn(instances, revision, ageMs)
+    positions.set(peer.nodeId, instances.position)
   }
 
   const listPeers = (): readonly Member[] => {
-    const self = membership.self().nodeId
-    const peers = membership.members().filter(({ nodeId, state }) => nodeId !== self && state !== 'dead')
+    const peers = membership.members().filter((member) => !isSelf(member) && member.state !== 'dead')
     return peers.map((peer) => ({ peer, order: random.next() })).sort((left, right) => left.order - right.order).map(({ peer }) => peer)
   }
 
@@ -66,24 +101,72 @@
     for (const peer of listPeers().slice(0, PEERS_ASKED)) askPeer(peer)
   }
 
+  const askReader = (): void => {
+    timer = clock.setTimer(options.askIntervalMs, askReader)
+    const readers = listReaders()
+    if (readers.length === 0 || readers.some(isSelf)) return
+    turn += 1
+    const reader = readers[turn % readers.length]
+    if (reader !== undefined) askPeer(reader)
+  }
+
+  const tellZone = (): void => {
+    isNewsDue = false
+    const { nodeId, availabilityZone } = membership.self()
+    const readers = new Set(listReaders().map((reader) => reader.nodeId))
+    if (!readers.has(nodeId)) return
+    const message = { kind: 'knowledgeNews', source: nodeId, version: configuration.api.version(), position: registry.position() } as const
+    for (const member of membership.liveMembers()) {
+      if (member.availabilityZone === availabilityZone && !readers.has(member.nodeId)) transport.send(member.address, message)
+    }
+  }
+
+  const noteNews = (): void => {
+    if (isNewsDue) return
+    isNewsDue = true
+    clock.setTimer(NEWS_DELAY_MS, tellZone)
+  }
+
+  const takeNews = ({ source, version, position }: PeerMessageOf<'knowledgeNews'>): void => {
+    const sender = membership.members().find(({ nodeId }) => nodeId === source)
+    if (sender === undefined || isReader()) return
+    const known = positions.get(source)
+    const isKnown = known?.origin === position.origin && known.sequence >= position.sequence
+    if (version > configuration.api.version() || !isKnown) askPeer(sender)
+  }
+
+  /** A newer version on its way through heartbeats: who has it is asked, unless this node reads the source itself. */
+  const takeHeartbeat = (member: Member): void => {
+    if (member.generation <= configuration.api.version()) return
+    configuration.hint(member.generation)
+    if (!isReader()) askPeer(member)
+  }
+
   return {
-    api: { ask },
+    api: { ask, isReader },
     start: () => {
-      transport.handle('knowledgeRequest', ({ version, revision }) => {
+      transport.handle('knowledgeRequest', ({ version, revision, since }) => {
         const sourced = configuration.sourced()
-        const ageMs = configuration.api.confirmedAgeMs()
         return {
           kind: 'knowledge',
           version: configuration.api.version(),
-          ageMs,
+          ageMs: configuration.api.confirmedAgeMs(),
           revision: registry.api.revision(),
-          ...(sourced !== undefined && sourced.configuration.version > version ? { configuration: sourced.bytes } : {}),
-          ...(registry.api.revision() > revision ? { instances: registry.api.all() } : {})
+          instances: registry.newsSince(since, revision),
+          ...(sourced !== undefined && sourced.configuration.version > version ? { configuration: sourced.bytes } : {})
         }
       })
-      exchange.addListener(({ member }) => configuration.hint(member.generation))
+      transport.handle('knowledgeNews', (news) => {
+        takeNews(news)
+        return { kind: 'none' }
+      })
+      exchange.addListener(({ member }) => takeHeartbeat(member))
       configuration.onNeed(ask)
       registry.onNeed(ask)
-    }
+      configuration.api.onChange(noteNews)
+      registry.api.onChange(noteNews)
+      timer = clock.setTimer(options.askIntervalMs, askReader)
+    },
+    stop: () => timer?.cancel()
   }
 }
--- /dev/null
+++ b/src/services/promptDirectory/_lib/createPlaceNews.ts
@@ -0,0 +1,96 @@
+/**
+ * Which places of prompt parts a node tells its peers, and whom. A place is told
+ * again only when it was not heard of for a while, so that the bytes follow the
+ * prompts in use and not the requests. In a large fleet one node of each zone
+ * gets the news and passes them on there: with 69 nodes a node sends 4 messages
+ * in a period instead of 68.
+ */
+import { LRUCache } from 'lru-cache'
+import { selectZoneReaders } from '../../../decisions/selectZoneReaders/index.js'
+import type { Clock, Member, Membership, PeerMessageOf, PeerTransport } from '../../../types/index.js'
+
+export type PlaceNews = {
+  readonly add: (part: string, instanceKey: string) => void
+  /** Notes what a peer tells, so that it isn't told again, and keeps it for the own zone if that is wanted. */
+  readonly take: (message: PeerMessageOf<'promptPlaces'>) => void
+  /** Sends what has come together. */
+  readonly tell: () => void
+}
+
+export type PlaceNewsDependencies = {
+  readonly clock: Clock
+  readonly transport: Pick<PeerTransport, 'send'>
+  readonly membership: Pick<Membership, 'liveMembers' | 'self'>
+}
+
+type Places = Map<string, { readonly part: string, readonly instanceKey: string }>
+
+const PLACES_PER_MESSAGE = 512
+/** A quarter of the time for which a place is believed without news of it. */
+const RETELL_MS = 15_000
+const PLACES_REMEMBERED = 20_000
+
+const formatPlace = (part: string, instanceKey: string): string => `${part} ${instanceKey}`
+
+const toMessage = (places: Places, isForZone: boolean): PeerMessageOf<'promptPlaces'> => {
+  const all = [...places.values()]
+  return { kind: 'promptPlaces', parts: all.map(({ part }) => part), servers: all.map(({ instanceKey }) => instanceKey), ...(isForZone ? { isForZone } : {}) }
+}
+
+/** Creates the news of one node; `fullMeshPeers` is the number of peers up to which it tells all of them itself. */
+export const createPlaceNews = ({ clock, transport, membership }: PlaceNewsDependencies, fullMeshPeers: number): PlaceNews => {
+  const toldAt = new LRUCache<string, number>({ max: PLACES_REMEMBERED })
+  const own: Places = new Map()
+  const forZone: Places = new Map()
+
+  const isNews = (place: string): boolean => clock.now() - (toldAt.get(place) ?? -Infinity) > RETELL_MS
+
+  const collect = (places: Places, part: string, instanceKey: string): void => {
+    if (places.size < PLACES_PER_MESSAGE) places.set(formatPlace(part, instanceKey), { part, instanceKey })
+  }
+
+  const send = (receivers: readonly Member[], places: Places, isForZone: boolean): void => {
+    if (places.size === 0) return
+    const message = toMessage(places, isForZone)
+    const self = membership.self().nodeId
+    for (const { nodeId, address } of receivers) if (nodeId !== self) transport.send(address, message)
+  }
+
+  /** The first node of each zone; where that is this node, it passes on to its zone itself. */
+  const listForwarders = (): readonly Member[] => {
+    const members = membership.liveMembers()
+    const zones = new Set(members.map(({ availabilityZone }) => availabilityZone))
+    return [...zones].flatMap((zone) => selectZoneReaders(zone, members, 1))
+  }
+
+  const tellThroughForwarders = (): void => {
+    const { nodeId, availabilityZone } = membership.self()
+    const forwarders = listForwarders()
+    send(forwarders, own, true)
+    if (forwarders.some((forwarder) => forwarder.nodeId === nodeId)) for (const { part, instanceKey } of own.values()) collect(forZone, part, instanceKey)
+    send(membership.liveMembers().filter((member) => member.availabilityZone === availabilityZone), forZone, false)
+  }
+
+  return {
+    add: (part, instanceKey) => {
+      const place = formatPlace(part, instanceKey)
+      if (!isNews(place)) return
+      toldAt.set(place, clock.now())
+      collect(own, part, instanceKey)
+    },
+    take: ({ parts, servers, isForZone }) => {
+      for (const [index, part] of parts.entries()) {
+        const instanceKey = servers[index]
+        if (instanceKey === undefined) continue
+        toldAt.set(formatPlace(part, instanceKey), clock.now())
+        if (isForZone === true) collect(forZone, part, instanceKey)
+      }
+    },
+    tell: () => {
+      if (membership.liveMembers().length - 1 > fullMeshPeers) tellThroughForwarders()
+      else send(membership.liveMembers(), own, false)
+      own.clear()
+      forZone.clear()
+    }
+  }
+}
--- a/src/services/promptDirectory/index.ts
+++ b/src/services/promptDirectory/index.ts
@@ -6,6 +6,7 @@
 import { LRUCache } from 'lru-cache'
 import type { RunningService } from '../../kernel/index.js'
 import type { Clock, Membership, PeerTransport, PromptPart, Timer } from '../../types/index.js'
+import { createPlaceNews } from './_lib/createPlaceNews.js'
 import { recoverPlaces } from './_lib/recoverPlaces.js'
 import type { PlacesRecovery } from './_lib/recoverPlaces.js'
 
@@ -29,19 +30,18 @@
   readonly periodMs: number
   /** Parts that are remembered at most. */
   readonly maximumParts: number
-  /** Most peers that one message goes to. */
-  readonly fanOut: number
+  /** Peers up to which each node tells all others itself. */
+  readonly fullMeshPeers: number
 }
 
 /** A part unused for so long is taken for evicted: engines keep the parts used last. */
 const KEPT_MS = 60_000
-const PLACES_PER_MESSAGE = 512
 /** Some 40 bytes each: a reply stays under 200 kB. */
 const PLACES_PER_REPLY = 4_000
 /** Servers that one part is remembered at; a part that begins many prompts is at most of a service. */
 const SERVERS_PER_PART = 64
 
-export const defaultPromptDirectoryOptions: PromptDirectoryOptions = { periodMs: 250, maximumParts: 20_000, fanOut: 12 }
+export const defaultPromptDirectoryOptions: PromptDirectoryOptions = { periodMs: 250, maximumParts: 20_000, fullMeshPeers: 12 }
 
 /**
  * Creates the directory.
@@ -55,9 +55,9 @@
  * api.countKept([{ id: 'a', tokens: 100 }], 'engine-1') // => 0
  */
 export const createPromptDirectory = (dependencies: PromptDirectoryDependencies, options: PromptDirectoryOptions = defaultPromptDirectoryOptions): RunningService<PromptDirectory> => {
-  const { clock, transport, membership } = dependencies
+  const { clock, transport } = dependencies
   const places = new LRUCache<string, Map<string, number>>({ max: options.maximumParts })
-  let fresh = new Map<string, string>()
+  const news = createPlaceNews(dependencies, options.fullMeshPeers)
   let timer: Timer | undefined
 
   const note = (part: string, instanceKey: string): void => {
@@ -99,18 +99,13 @@
     for (const [index, { id }] of parts.entries()) {
       note(id, instanceKey)
       // The last part is the request's own; peers have no use for it.
-      if (index < parts.length - 1 && fresh.size < PLACES_PER_MESSAGE) fresh.set(id, instanceKey)
+      if (index < parts.length - 1) news.add(id, instanceKey)
     }
   }
 
   const tellPeers = (): void => {
     timer = clock.setTimer(options.periodMs, tellPeers)
-    if (fresh.size === 0) return
-    const message = { kind: 'promptPlaces', parts: [...fresh.keys()], servers: [...fresh.values()] } as const
-    fresh = new Map()
-    const self = membership.self().nodeId
-    const peers = membership.liveMembers().filter(({ nodeId }) => nodeId !== self)
-    for (const { address } of peers.slice(0, options.fanOut)) transport.send(address, message)
+    news.tell()
   }
 
   return {
@@ -127,8 +122,9 @@
       }
     },
     start: () => {
-      transport.handle('promptPlaces', ({ parts, servers }) => {
-        noteAll(parts, servers)
+      transport.handle('promptPlaces', (message) => {
+        noteAll(message.parts, message.servers)
+        news.take(message)
         return { kind: 'none' }
       })
       transport.handle('promptPlacesRequest', () => ({ kind: 'promptPlaces', ...listPlaces() }))
@@ -138,7 +134,7 @@
           recovery: dependencies.recovery,
           isKnown: (instanceKey) => [...places.values()].some((servers) => servers.has(instanceKey)),
           noteAll,
-          tell: (part, instanceKey) => { if (fresh.size < PLACES_PER_MESSAGE) fresh.set(part, instanceKey) }
+          tell: news.add
         })
       }
       timer = clock.setTimer(options.periodMs, tellPeers)
--- /dev/null
+++ b/src/services/promptDirectory/test.ts
@@ -0,0 +1,74 @@
+import { describe, expect, test } from 'vitest'
+import { createPromptDirectory, defaultPromptDirectoryOptions } from './index.js'
+import { createManualClock } from '../../emulator/createManualClock/index.js'
+import { createMemoryPeerNetwork } from '../../emulator/createMemoryPeerNetwork/index.js'
+import type { Member } from '../../types/index.js'
+
+const PARTS = [{ id: 'shop', tokens: 800 }, { id: 'subject', tokens: 400 }, { id: 'own', tokens: 200 }]
+const SERVER = 'engine-1@1'
+/** Two periods, with the way to the forwarder and from it to its zone. */
+const TOLD_MS = 600
+
+const createMember = (index: number, zones: number): Member =>
+  ({ nodeId: `node-${String(index).padStart(2, '0')}`, incarnation: 1, address: { host: `node-${index}`, port: 1 }, availabilityZone: `zone-${index % zones}`, state: 'live', generation: 1 })
+
+const createFleet = (size: number, zones = 2) => {
+  const clock = createManualClock()
+  const network = createMemoryPeerNetwork({ clock })
+  const members = Array.from({ length: size }, (_, index) => createMember(index, zones))
+  const nodes = members.map((self) => {
+    const transport = network.createTransport(self.address)
+    const { api, start } = createPromptDirectory({ clock, transport, membership: { self: () => self, liveMembers: () => members } }, defaultPromptDirectoryOptions)
+    start?.()
+    return { api, transport }
+  })
+  const readKept = (): readonly number[] => nodes.map(({ api }) => api.countKept(PARTS, SERVER))
+  const countMessages = (): number => nodes.reduce((sum, { transport }) => sum + transport.messagesSent(), 0)
+  return { clock, nodes, readKept, countMessages }
+}
+
+describe.each([['few', 5], ['many', 40]])('in a fleet of %s nodes', (_name, size) => {
+  test('all nodes learn where the shared parts went, and only these', async () => {
+    const { clock, nodes, readKept } = createFleet(size)
+    nodes[3]!.api.record(PARTS, SERVER)
+    await clock.advanceAndSettle(TOLD_MS)
+    expect(readKept()).toEqual(nodes.map((_, index) => index === 3 ? 1400 : 1200))
+  })
+
+  test('a place in steady use stays known', async () => {
+    const { clock, nodes, readKept } = createFleet(size)
+    for (let second = 0; second < 120; second++) {
+      nodes[0]!.api.record(PARTS, SERVER)
+      await clock.advanceAndSettle(1_000)
+    }
+    expect(Math.min(...readKept())).toBe(1200)
+  })
+
+  test('a place that is not used any more is forgotten', async () => {
+    const { clock, nodes, readKept } = createFleet(size)
+    nodes[0]!.api.record(PARTS, SERVER)
+    await clock.advanceAndSettle(61_000)
+    expect(new Set(readKept())).toEqual(new Set([0]))
+  })
+
+  // A subject is asked for from every node. Were each request told, the bytes
+  // would grow with the requests and, in a large fleet, with the square of the nodes.
+  test('a place that all know is not told with each request', async () => {
+    const { clock, nodes, countMessages } = createFleet(size)
+    nodes[0]!.api.record(PARTS, SERVER)
+    await clock.advanceAndSettle(TOLD_MS)
+    const before = countMessages()
+    for (let round = 0; round < 10; round++) {
+      for (const { api } of nodes) api.record(PARTS, SERVER)
+      await clock.advanceAndSettle(1_000)
+    }
+    expect(countMessages()).toBe(before)
+  })
+})
+
+test('in a large fleet the messages of one place are those to a forwarder a zone and from it to its zone', async () => {
+  const { clock, nodes, countMessages } = createFleet(40, 4)
+  nodes[39]!.api.record(PARTS, SERVER)
+  await clock.advanceAndSettle(TOLD_MS)
+  expect(countMessages()).toBe(4 + 4 * 9)
+})
--- a/src/types/gatewayKnowledge.ts
+++ b/src/types/gatewayKnowledge.ts
@@ -43,6 +43,22 @@
   readonly watch: (revision: number, waitMs: number) => Promise<Result<{ readonly changes: readonly InstanceChange[], readonly revision: number }, SourceError>>
 }
 
+/** How far a node has come in the changes that another one made to its list. */
+export type ChangePosition = {
+  /** Names one life of the list: a node that starts anew counts from the beginning. */
+  readonly origin: number
+  readonly sequence: number
+}
+
+/** What changed in one node's list of backend servers since a position, or the whole of it. */
+export type InstanceNews = {
+  /** Whether `instances` are all, so that others are gone. */
+  readonly isWhole: boolean
+  readonly instances: readonly BackendInstance[]
+  readonly removed: readonly string[]
+  readonly position: ChangePosition
+}
+
 export type GatewayConfigurationHolder = {
   readonly current: () => GatewayConfiguration | undefined
   readonly version: () => number
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -2,7 +2,7 @@
  * Messages between routers, and the transport that carries them. A message is
  * a tagged union; each service registers a handler for the kinds it owns.
  */
-import type { BackendInstance } from './gateway.js'
+import type { ChangePosition, InstanceNews } from './gatewayKnowledge.js'
 import type { Result } from './result.js'
 
 export type PeerAddress = { readonly host: string, readonly port: number }
@@ -67,6 +67,12 @@
   readonly inFlight: Uint8Array | Uint16Array
 }
 
+/** The backend servers that load counts name by place, in an order that is alike on all nodes with the same generation. */
+export type ServerLayout = {
+  readonly generation: number
+  readonly servers: readonly { readonly name: string, readonly availabilityZone: string }[]
+}
+
 /** A mark that a backend server is leaving; a higher epoch alone replaces it. */
 export type LeavingMark = {
   readonly backendServer: string
@@ -106,12 +112,17 @@
   | { readonly kind: 'directoryLookup', readonly chatKey: string }
   | { readonly kind: 'claimAppend', readonly shard: number, readonly entries: readonly Uint8Array[] }
   | { readonly kind: 'claimOutcome', readonly key: ClaimKey }
-  /** Prompt parts that the sender lately sent, each with the backend server (`id@incarnation`) that got it. */
-  | { readonly kind: 'promptPlaces', readonly parts: readonly string[], readonly servers: readonly string[] }
+  /**
+   * Prompt parts that lately went to backend servers (`id@incarnation`), place by place. In a large
+   * fleet they go to one node of each zone, which passes them on there.
+   */
+  | { readonly kind: 'promptPlaces', readonly parts: readonly string[], readonly servers: readonly string[], readonly isForZone?: boolean }
   /** Asks a gateway node for the prompt parts that it remembers, after a start. */
   | { readonly kind: 'promptPlacesRequest' }
-  /** Asks a gateway node for what is newer than this. */
-  | { readonly kind: 'knowledgeRequest', readonly version: number, readonly revision: number }
+  /** Asks a gateway node for what is newer than this; `since` is where the asker stands in that node's own changes. */
+  | { readonly kind: 'knowledgeRequest', readonly version: number, readonly revision: number, readonly since?: ChangePosition }
+  /** Tells that the sender has a newer configuration or changed backend servers: worth a question. */
+  | { readonly kind: 'knowledgeNews', readonly source: string, readonly version: number, readonly position: ChangePosition }
 
 export type PeerReply =
   | { readonly kind: 'none' }
@@ -131,7 +142,7 @@
     readonly configuration?: Uint8Array
     /** Revision of the source up to which the backend servers are known. */
     readonly revision: number
-    readonly instances?: readonly BackendInstance[]
+    readonly instances: InstanceNews
   }
 
 export type PeerError =
--- /dev/null
+++ b/test/platform/_lib/createKnowledgeFleet.ts
@@ -0,0 +1,191 @@
+/**
+ * Gateway nodes on one manual clock, over a source whose newest version is
+ * known at every moment: for what nodes may believe, in interleavings by the
+ * hundred. No sockets; peers talk over the memory network.
+ */
+import { createManualClock, type ManualClock } from '../../../src/emulator/createManualClock/index.js'
+import { createMemoryPeerNetwork, type MemoryPeerNetwork } from '../../../src/emulator/createMemoryPeerNetwork/index.js'
+import { failure, success } from '../../../src/kernel/index.js'
+import { createGatewayNode, type GatewayNode } from '../../../src/node/createGatewayNode/index.js'
+import type {
+  BackendInstance, Clock, ConfigurationSource, GatewayConfiguration, InstanceClient, InstanceSource, Logger, Metrics, PeerAddress, Result,
+  SourcedConfiguration, SourceError
+} from '../../../src/types/index.js'
+
+export type KnowledgeFleetOptions = {
+  readonly nodesPerZone: number
+  readonly zones?: number
+  /** A number in [0, 1) per call. */
+  readonly random: () => number
+}
+
+export type KnowledgeFleet = {
+  readonly clock: ManualClock
+  readonly network: MemoryPeerNetwork
+  readonly nodes: readonly GatewayNode[]
+  readonly addressOf: (index: number) => PeerAddress
+  readonly start: () => Promise<void>
+  readonly stop: () => Promise<void>
+  /** Puts the next version in the source. */
+  readonly applyVersion: () => void
+  readonly putInstance: (id: string, changes?: Partial<BackendInstance>) => void
+  readonly removeInstance: (id: string) => void
+  /** The version that was the newest at a moment of the clock. */
+  readonly newestAt: (at: number) => number
+  /** Whether a node reaches the source. */
+  readonly setReached: (index: number, isReached: boolean) => void
+  /** Calls to the source since the start. */
+  readonly countCalls: () => number
+}
+
+const SILENT_LOGGER: Logger = { error: () => undefined, warn: () => undefined, info: () => undefined, debug: () => undefined }
+const NO_METRICS: Metrics = { count: () => undefined, observe: () => undefined, readGauge: () => undefined }
+const NO_CLIENT: InstanceClient = {
+  send: () => ({ abort: () => undefined, pause: () => undefined, resume: () => undefined }),
+  probe: async () => true,
+  retain: () => undefined,
+  close: () => undefined
+}
+const SOURCE_DELAY_MS = 4
+const UNREACHED_MS = 500
+
+const createConfiguration = (version: number): GatewayConfiguration => ({
+  version,
+  routes: [],
+  services: new Map(),
+  limits: { maximumHeaderBytes: 1, maximumBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  needsKeys: false,
+  accountsByKey: new Map()
+})
+
+const toSourced = (version: number): SourcedConfiguration => ({ configuration: createConfiguration(version), bytes: Buffer.from(String(version)) })
+
+const createInstance = (id: string, changes: Partial<BackendInstance>): BackendInstance => ({
+  id, service: 'engines', address: { host: id, port: 1 }, availabilityZone: 'zone-0', slots: 8, isLeaving: false, incarnation: 1, warmUpMs: 0, ...changes
+})
+
+const wait = (clock: Clock, ms: number): Promise<void> => new Promise((resolve) => { clock.setTimer(ms, resolve) })
+
+/** Creates the fleet; nothing runs before `start`. */
+export const createKnowledgeFleet = (options: KnowledgeFleetOptions): KnowledgeFleet => {
+  const clock = createManualClock()
+  const network = createMemoryPeerNetwork({ clock, delayMs: () => 5 })
+  const versions: { readonly at: number, readonly version: number }[] = [{ at: -Infinity, version: 1 }]
+  const instances = new Map<string, BackendInstance>()
+  const history: { readonly revision: number, readonly name: string }[] = []
+  const unreached = new Set<number>()
+  let revision = 1
+  let calls = 0
+
+  const newestAt = (at: number): number => versions.findLast((entry) => entry.at <= at)?.version ?? 0
+
+  const change = (name: string): void => {
+    revision += 1
+    history.push({ revision, name })
+  }
+
+  /** A reply shows the source at the middle of its way. */
+  const call = async <Value>(index: number, read: () => Value): Promise<Result<Value, SourceError>> => {
+    calls += 1
+    await wait(clock, SOURCE_DELAY_MS / 2)
+    if (unreached.has(index)) {
+      await wait(clock, UNREACHED_MS)
+      return failure({ kind: 'unavailable', message: 'cut off' })
+    }
+    const value = read()
+    await wait(clock, SOURCE_DELAY_MS / 2)
+    return success(value)
+  }
+
+  const createConfigurationSource = (index: number): ConfigurationSource => ({
+    read: () => call(index, () => toSourced(newestAt(clock.now()))),
+    decode: (bytes) => success(toSourced(Number(Buffer.from(bytes).toString())))
+  })
+
+  const createInstanceSource = (index: number): InstanceSource => ({
+    list: () => call(index, () => ({ entries: [...instances.values()].map((instance) => ({ name: instance.id, instance })), revision })),
+    watch: async (since, waitMs) => {
+      const endsAt = clock.now() + waitMs
+      calls += 1
+      while (clock.now() < endsAt) {
+        if (unreached.has(index)) {
+          await wait(clock, UNREACHED_MS)
+          return failure({ kind: 'unavailable', message: 'cut off' })
+        }
+        const changed = new Set(history.filter((entry) => entry.revision > since).map(({ name }) => name))
+        if (changed.size > 0) {
+          const changes = [...changed].map((name) => {
+            const instance = instances.get(name)
+            return { name, isRemoved: instance === undefined, ...(instance === undefined ? {} : { instance }) }
+          })
+          return success({ changes, revision })
+        }
+        await wait(clock, 10)
+      }
+      return success({ changes: [], revision })
+    }
+  })
+
+  const addressOf = (index: number): PeerAddress => ({ host: `node-${String(index).padStart(3, '0')}`, port: 1 })
+
+  const createNode = (index: number): GatewayNode => {
+    const address = addressOf(index)
+    return createGatewayNode({
+      settings: {
+        nodeId: address.host,
+        availabilityZone: `zone-${index % (options.zones ?? 1)}`,
+        callerAddress: address,
+        readinessAddress: address,
+        metricsAddress: undefined,
+        peerAddress: address,
+        seedPeers: [0, 1, 2].filter((seed) => seed !== index).map(addressOf),
+        fleetKey: 'fleet',
+        isFirstStart: true,
+        graceMs: 4_000,
+        keyRevocationMs: 5_000,
+        configurationDelayMs: 2_000,
+        repeatRatio: 0.2,
+        repeatExtra: 50,
+        repeatWindowMs: 10_000,
+        loadFactor: 2,
+        logLevel: 'info'
+      },
+      clock,
+      random: { next: options.random, nextId: () => String(options.random()) },
+      clocks: { monotonic: clock.now, wall: clock.now, boot: clock.now },
+      transport: network.createTransport(address),
+      configurationSource: createConfigurationSource(index),
+      instanceSource: createInstanceSource(index),
+      client: NO_CLIENT,
+      engineMemory: { list: async () => success([]) },
+      logger: SILENT_LOGGER,
+      metrics: NO_METRICS
+    })
+  }
+
+  const nodes = Array.from({ length: options.nodesPerZone * (options.zones ?? 1) }, (_, index) => createNode(index))
+
+  return {
+    clock,
+    network,
+    nodes,
+    addressOf,
+    start: async () => { for (const node of nodes) await node.start() },
+    stop: async () => { for (const node of nodes) await node.stop() },
+    applyVersion: () => { versions.push({ at: clock.now(), version: newestAt(clock.now()) + 3 }) },
+    putInstance: (id, changes = {}) => {
+      instances.set(id, createInstance(id, changes))
+      change(id)
+    },
+    removeInstance: (id) => {
+      instances.delete(id)
+      change(id)
+    },
+    newestAt,
+    setReached: (index, isReached) => {
+      if (isReached) unreached.delete(index)
+      else unreached.add(index)
+    },
+    countCalls: () => calls
+  }
+}
--- /dev/null
+++ b/test/platform/readers.test.ts
@@ -0,0 +1,154 @@
+/** Few nodes of a zone read the source; what the others believe, and how soon, by interleavings on a manual clock. */
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { afterEach, describe, expect, test } from 'vitest'
+import { createKnowledgeFleet, type KnowledgeFleet, type KnowledgeFleetOptions } from './_lib/createKnowledgeFleet.js'
+
+const fleets: KnowledgeFleet[] = []
+
+const createRandom = (seed: number): (() => number) => {
+  const generator = xoroshiro128plus(seed)
+  return () => (generator.next() >>> 0) / 2 ** 32
+}
+
+const start = async (options: Omit<KnowledgeFleetOptions, 'random'>, seed = 1): Promise<KnowledgeFleet> => {
+  const fleet = createKnowledgeFleet({ ...options, random: createRandom(seed) })
+  fleets.push(fleet)
+  fleet.putInstance('engine-1')
+  fleet.putInstance('engine-2')
+  await fleet.start()
+  await fleet.clock.advanceAndSettle(6_000)
+  return fleet
+}
+
+afterEach(async () => { for (const fleet of fleets.splice(0)) await fleet.stop() })
+
+const readVersions = (fleet: KnowledgeFleet): readonly number[] => fleet.nodes.map((node) => node.resolve('gatewayConfiguration').version())
+
+const readServers = (fleet: KnowledgeFleet): readonly string[] =>
+  fleet.nodes.map((node) => node.resolve('instanceRegistry').list('engines').map(({ id, incarnation }) => `${id}@${incarnation}`).sort().join())
+
+const measureCalls = async (nodesPerZone: number): Promise<number> => {
+  const fleet = await start({ nodesPerZone })
+  const before = fleet.countCalls()
+  await fleet.clock.advanceAndSettle(10_000)
+  return fleet.countCalls() - before
+}
+
+describe('calls to the source', () => {
+  test('do not grow with the nodes of a zone', async () => {
+    expect(await measureCalls(24)).toBeLessThanOrEqual(await measureCalls(3) + 2)
+  })
+
+  test('are made by two nodes of each zone', async () => {
+    const fleet = await start({ nodesPerZone: 5, zones: 2 })
+    const readers = fleet.nodes.filter((node) => node.resolve('knowledgeExchange').isReader())
+    expect(readers).toHaveLength(4)
+  })
+})
+
+describe('a node that relies on readers', () => {
+  test('has a new configuration within a second', async () => {
+    const fleet = await start({ nodesPerZone: 12 })
+    fleet.applyVersion()
+    await fleet.clock.advanceAndSettle(1_000)
+    expect(new Set(readVersions(fleet))).toEqual(new Set([fleet.newestAt(fleet.clock.now())]))
+  })
+
+  test('has a server\'s leaving mark within a quarter of a second', async () => {
+    const fleet = await start({ nodesPerZone: 12 })
+    fleet.putInstance('engine-2', { isLeaving: true })
+    await fleet.clock.advanceAndSettle(250)
+    expect(new Set(readServers(fleet))).toEqual(new Set(['engine-1@1']))
+  })
+
+  // Both readers of a zone lose the store, a server leaves, and the others of the
+  // zone still reach the store. Their callers' requests would go to a server that
+  // has ended: a reader that lost its source says so by the age of its proof.
+  test('reads for itself when both readers lose the source', async () => {
+    const fleet = await start({ nodesPerZone: 6 })
+    fleet.setReached(0, false)
+    fleet.setReached(1, false)
+    fleet.removeInstance('engine-2')
+    await fleet.clock.advanceAndSettle(2_000)
+    expect(readServers(fleet).slice(2)).toEqual(Array(4).fill('engine-1@1'))
+  })
+
+  // Both readers fall silent at one moment, as in a lost rack; the news of a
+  // version and of a server's start are made while nobody reads.
+  test('reads for itself when both readers fall silent', async () => {
+    const fleet = await start({ nodesPerZone: 6 })
+    for (const reader of [0, 1]) {
+      fleet.setReached(reader, false)
+      for (let other = 0; other < 6; other++) if (other !== reader) fleet.network.cut(fleet.addressOf(reader), fleet.addressOf(other))
+    }
+    fleet.applyVersion()
+    fleet.putInstance('engine-1', { incarnation: 2 })
+    await fleet.clock.advanceAndSettle(2_000)
+    expect(readServers(fleet).slice(2)).toEqual(Array(4).fill('engine-1@2,engine-2@1'))
+    expect(new Set(readVersions(fleet).slice(2))).toEqual(new Set([4]))
+  })
+
+  // An entry lapses while the store is away and its server registers again a
+  // second after the store is back. Only the readers see the store's return.
+  test('keeps a server whose entry lapsed in an outage', async () => {
+    const fleet = await start({ nodesPerZone: 6 })
+    for (let node = 0; node < 6; node++) fleet.setReached(node, false)
+    await fleet.clock.advanceAndSettle(4_000)
+    fleet.removeInstance('engine-2')
+    for (let node = 0; node < 6; node++) fleet.setReached(node, true)
+    const seen = new Set<string>()
+    for (let step = 0; step < 10; step++) {
+      await fleet.clock.advanceAndSettle(150)
+      for (const servers of readServers(fleet)) seen.add(servers)
+    }
+    fleet.putInstance('engine-2')
+    await fleet.clock.advanceAndSettle(3_000)
+    for (const servers of readServers(fleet)) seen.add(servers)
+    expect([...seen]).toEqual(['engine-1@1,engine-2@1'])
+  })
+})
+
+type Trouble = (fleet: KnowledgeFleet, pick: (count: number) => number) => void
+
+const TROUBLES: readonly Trouble[] = [
+  (fleet) => fleet.applyVersion(),
+  (fleet, pick) => fleet.putInstance(`engine-${pick(5)}`, { incarnation: pick(4) + 1, isLeaving: pick(3) === 0 }),
+  (fleet, pick) => fleet.removeInstance(`engine-${pick(5)}`),
+  (fleet, pick) => fleet.setReached(pick(fleet.nodes.length), false),
+  (fleet, pick) => fleet.setReached(pick(fleet.nodes.length), true),
+  (fleet, pick) => {
+    const [one, other] = [pick(fleet.nodes.length), pick(fleet.nodes.length)]
+    if (one !== other) fleet.network.cut(fleet.addressOf(one), fleet.addressOf(other))
+  },
+  (fleet) => fleet.network.healAll()
+]
+
+/**
+ * A node holds a proof that is younger than it should be: it would go on using
+ * a key that was taken away. Or a version goes back, and a route that was dropped
+ * is served again. Both would come from an order of answers that nobody thought of.
+ */
+describe.each([1, 2, 3, 4, 5, 6, 7, 8])('in the interleaving of seed %i', (seed) => {
+  test('no node takes its proof for younger than it is, or goes back, and all agree in the end', async () => {
+    const random = createRandom(seed)
+    const fleet = await start({ nodesPerZone: 4, zones: 2 }, seed)
+    const pick = (count: number): number => Math.floor(random() * count)
+    const highest = fleet.nodes.map(() => 0)
+    for (let step = 0; step < 60; step++) {
+      TROUBLES[pick(TROUBLES.length)]!(fleet, pick)
+      await fleet.clock.advanceAndSettle(50 + pick(600))
+      fleet.nodes.forEach((node, index) => {
+        const holder = node.resolve('gatewayConfiguration')
+        expect(holder.version()).toBeGreaterThanOrEqual(highest[index]!)
+        expect(fleet.newestAt(fleet.clock.now() - holder.confirmedAgeMs())).toBeLessThanOrEqual(holder.version())
+        highest[index] = holder.version()
+      })
+    }
+    fleet.network.healAll()
+    for (let node = 0; node < fleet.nodes.length; node++) fleet.setReached(node, true)
+    fleet.putInstance('engine-9')
+    await fleet.clock.advanceAndSettle(8_000)
+    expect(new Set(readVersions(fleet))).toEqual(new Set([fleet.newestAt(fleet.clock.now())]))
+    expect(new Set(readServers(fleet)).size).toBe(1)
+  })
+})
