Let two nodes of a zone read the store for the others

Change: the first two live nodes of a zone read, tell the others of news, and answer their questions with what changed and how old the proof is. Who hears no fresh proof for 1.5 s reads for itself.

--- a/src/services/gatewayConfiguration/index.ts
+++ b/src/services/gatewayConfiguration/index.ts
@@ -42,7 +42,7 @@
 
 /** Pause after a failed read: short, since requests with keys are refused before long. */
 const RETRY_MS = 250
-/** How often a node that relies on others looks whether it still may, in milliseconds. */
+/** Least time between two looks of a node that relies on others whether it still may, in milliseconds. */
 const RELIANCE_CHECK_MS = 100
 
 /**
@@ -126,8 +126,12 @@
   const isRelying = (): boolean => options.isReader?.() === false && confirmedAgeMs() < (options.relianceMs ?? 0)
 
   const tick = (): void => {
-    if (isRelying()) return schedule(RELIANCE_CHECK_MS)
-    read()
+    if (!isRelying()) {
+      read()
+      return
+    }
+    // Until then no look is needed: each costs the processor a wake-up.
+    schedule(Math.max(RELIANCE_CHECK_MS, (options.relianceMs ?? 0) - confirmedAgeMs()))
   }
 
   const waitForConfirmation = (waitMs: number): Promise<void> => new Promise((resolve) => {
--- a/src/services/instanceRegistry/index.ts
+++ b/src/services/instanceRegistry/index.ts
@@ -40,8 +40,8 @@
 const RETRY_MS = 200
 /** Entries lapse after three heartbeats of silence, 3.6 s; an outage that was shorter takes none away. */
 const SHORTEST_LAPSE_MS = 3_000
-/** How often a node that relies on others looks whether it still may, in milliseconds. */
-const RELIANCE_CHECK_MS = 200
+/** Least time between two looks of a node that relies on others whether it still may, in milliseconds. */
+const RELIANCE_CHECK_MS = 100
 const PAGES_AT_MOST = 64
 
 /**
@@ -201,7 +201,7 @@
       if (isStopped) return
       if (isRelying()) {
         isListed = false
-        await pause(RELIANCE_CHECK_MS)
+        await pause(Math.max(RELIANCE_CHECK_MS, relayedAt + (options.relianceMs ?? 0) - clock.now()))
         if (!isRelying()) endReliance()
         continue
       }
--- a/src/services/promptDirectory/_lib/createPlaceNews.ts
+++ b/src/services/promptDirectory/_lib/createPlaceNews.ts
@@ -25,7 +25,10 @@
 
 type Places = Map<string, { readonly part: string, readonly instanceKey: string }>
 
-const PLACES_PER_MESSAGE = 512
+/** Some 30 bytes each: after a start, an engine's places go out over several periods. */
+const PLACES_PER_MESSAGE = 256
+/** What has to wait for its message; two zones' engines together. */
+const PLACES_WAITING = 8_192
 /** A quarter of the time for which a place is believed without news of it. */
 const RETELL_MS = 15_000
 const PLACES_REMEMBERED = 20_000
@@ -46,7 +49,14 @@
   const isNews = (place: string): boolean => clock.now() - (toldAt.get(place) ?? -Infinity) > RETELL_MS
 
   const collect = (places: Places, part: string, instanceKey: string): void => {
-    if (places.size < PLACES_PER_MESSAGE) places.set(formatPlace(part, instanceKey), { part, instanceKey })
+    if (places.size < PLACES_WAITING) places.set(formatPlace(part, instanceKey), { part, instanceKey })
+  }
+
+  /** Takes out what fits a message, the oldest first. */
+  const takeMessage = (places: Places): Places => {
+    const taken: Places = new Map([...places].slice(0, PLACES_PER_MESSAGE))
+    for (const place of taken.keys()) places.delete(place)
+    return taken
   }
 
   const send = (receivers: readonly Member[], places: Places, isForZone: boolean): void => {
@@ -66,9 +76,10 @@
   const tellThroughForwarders = (): void => {
     const { nodeId, availabilityZone } = membership.self()
     const forwarders = listForwarders()
-    send(forwarders, own, true)
-    if (forwarders.some((forwarder) => forwarder.nodeId === nodeId)) for (const { part, instanceKey } of own.values()) collect(forZone, part, instanceKey)
-    send(membership.liveMembers().filter((member) => member.availabilityZone === availabilityZone), forZone, false)
+    const told = takeMessage(own)
+    send(forwarders, told, true)
+    if (forwarders.some((forwarder) => forwarder.nodeId === nodeId)) for (const { part, instanceKey } of told.values()) collect(forZone, part, instanceKey)
+    send(membership.liveMembers().filter((member) => member.availabilityZone === availabilityZone), takeMessage(forZone), false)
   }
 
   return {
@@ -88,9 +99,7 @@
     },
     tell: () => {
       if (membership.liveMembers().length - 1 > fullMeshPeers) tellThroughForwarders()
-      else send(membership.liveMembers(), own, false)
-      own.clear()
-      forZone.clear()
+      else send(membership.liveMembers(), takeMessage(own), false)
     }
   }
 }
--- a/src/services/promptDirectory/_lib/recoverPlaces.ts
+++ b/src/services/promptDirectory/_lib/recoverPlaces.ts
@@ -1,9 +1,11 @@
 /**
  * What a node that has just started does to learn where prompts are kept: it
- * asks a peer, and where all peers have just started as well, the engines of its
- * own zone. Without this, the prompts of a fleet that lost power are read again
- * although the engines kept them.
+ * asks peers of its zone, and where these have just started as well, two nodes
+ * of the zone ask its engines and tell the others. Without this, the prompts of
+ * a fleet that lost power are read again although the engines kept them; with
+ * every node asking, 69 nodes made a thousand calls that delay the engines.
  */
+import { selectZoneReaders } from '../../../decisions/selectZoneReaders/index.js'
 import { describeSourceError } from '../../../decisions/describeSourceError/index.js'
 import type { BackendInstance, Clock, EngineMemorySource, InstanceRegistry, Logger, Membership, PeerTransport, RandomSource } from '../../../types/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
@@ -34,12 +36,18 @@
 const ASK_TIMEOUT_MS = 500
 /** Nodes of a zone ask its engines at different moments, so that the second hears of it from the first. */
 const SPREAD_MS = 600
+/** Nodes of a zone that ask its engines: the second does where the first one's news were lost. */
+const ASKING_NODES = 2
+const PEERS_ASKED = 2
 
 const wait = (clock: Clock, ms: number): Promise<void> => new Promise((resolve) => { clock.setTimer(ms, resolve) })
 
 const askPeers = async ({ transport, membership, recovery, noteAll }: RecoveryDependencies): Promise<boolean> => {
   const self = membership.self().nodeId
-  for (const peer of membership.liveMembers().filter(({ nodeId }) => nodeId !== self).slice(0, 2)) {
+  const peers = membership.liveMembers().filter(({ nodeId, availabilityZone }) => nodeId !== self && availabilityZone === recovery.availabilityZone)
+  const first = Math.floor(recovery.random.next() * peers.length)
+  // By chance, or all nodes that start after a loss of power would ask the same two.
+  for (const peer of [...peers.slice(first), ...peers.slice(0, first)].slice(0, PEERS_ASKED)) {
     const result = await transport.request(peer.address, { kind: 'promptPlacesRequest' }, ASK_TIMEOUT_MS)
     if (!result.ok || result.value.kind !== 'promptPlaces' || result.value.parts.length === 0) continue
     noteAll(result.value.parts, result.value.servers)
@@ -63,9 +71,11 @@
 
 /** Runs once after a start. */
 export const recoverPlaces = async (dependencies: RecoveryDependencies): Promise<void> => {
-  const { clock, recovery, isKnown } = dependencies
+  const { clock, membership, recovery, isKnown } = dependencies
   await wait(clock, PEERS_KNOWN_MS)
   if (await askPeers(dependencies)) return
+  const self = membership.self().nodeId
+  if (!selectZoneReaders(recovery.availabilityZone, membership.liveMembers(), ASKING_NODES).some(({ nodeId }) => nodeId === self)) return
   await wait(clock, SPREAD_MS * recovery.random.next())
   const engines = recovery.registry.all().filter((instance) => instance.availabilityZone === recovery.availabilityZone && recovery.isEngine(instance))
   for (const engine of engines) if (!isKnown(formatInstanceKey(engine))) await askEngine(dependencies, engine)
