--- a/src/bench/controlTraffic/index.ts
+++ b/src/bench/controlTraffic/index.ts
@@ -3,6 +3,7 @@
  * of control traffic by size of the fleet, how exact the load counts are, and
  * how long news takes to reach every node.
  */
+import { mean, round } from '../_lib/statistics.js'
 import { createFleet } from './createFleet.js'
 import type { Fleet, FleetNode, FleetSize } from './createFleet.js'
 import { runTraffic } from './runTraffic.js'
@@ -31,10 +32,6 @@
 const BYTES_PER_KILOBYTE = 1000
 const MICROSECONDS_PER_MS = 1000
 
-const round = (value: number, digits = 2): number => Number(value.toFixed(digits))
-
-const mean = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length)
-
 const startFleet = async (size: FleetSize, seed: number): Promise<Fleet> => {
   const fleet = createFleet(size, seed)
   for (let index = 0; index < size.nodes; index++) {
--- a/src/bench/fleetLoad/index.ts
+++ b/src/bench/fleetLoad/index.ts
@@ -2,6 +2,7 @@
  * The load tool against a fleet of real processes of about the size of one of
  * today's users: six routers, six model engines and three plain services.
  */
+import { round } from '../_lib/statistics.js'
 import { createSeededRandom } from '../../adapters/seededRandom/index.js'
 import { createSystemClock } from '../../adapters/systemClock/index.js'
 import type { LoadSummary } from '../../load/createLoadRecorder/index.js'
@@ -95,5 +96,3 @@
   round(skew.max),
   skew.samples
 ]
-
-const round = (value: number): number => Number(value.toFixed(2))
--- /dev/null
+++ b/src/bench/gatewayControl/index.ts
@@ -0,0 +1,130 @@
+/**
+ * What a gateway node spends on control as the fleet grows: bytes to its peers
+ * by kind of message, calls to the platform's store, processor time, and how
+ * well it knows the load of all others.
+ */
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { createKnowledgeFleet, type KnowledgeFleet } from '../../emulator/createKnowledgeFleet/index.js'
+import { groupBy } from '../../kernel/groupBy/index.js'
+import { formatInstanceKey } from '../../decisions/formatInstanceKey/index.js'
+import type { Bench } from '../types.js'
+import { mean, round } from '../_lib/statistics.js'
+
+type GatewayFleetSize = { readonly nodes: number, readonly servers: number, readonly zones: number }
+
+/** The sites of today, their growth, and the size to design for; servers grow with the nodes. */
+const SIZES: readonly GatewayFleetSize[] = [
+  { nodes: 9, servers: 9, zones: 3 },
+  { nodes: 30, servers: 30, zones: 3 },
+  { nodes: 69, servers: 45, zones: 3 },
+  { nodes: 100, servers: 100, zones: 4 },
+  { nodes: 304, servers: 500, zones: 8 }
+]
+const FAST_SIZES = SIZES.slice(0, 2)
+
+const WARM_UP_MS = 20_000
+const MEASURED_MS = 10_000
+const MS_PER_SECOND = 1_000
+const MICROSECONDS_PER_MS = 1_000
+const BYTES_PER_KILOBYTE = 1_024
+/** TCP and IP headers of a message that goes out alone. */
+const HEADER_BYTES = 40
+/** Requests a second that one node starts, and how long each lasts: the kiosk network's, grown. */
+const REQUESTS_PER_SECOND = 4.4
+const REQUEST_MS = 1_000
+/** Subjects that prompts are about; each keeps to one server here. */
+const SUBJECTS = 300
+
+const createRandom = (seed: number): (() => number) => {
+  const generator = xoroshiro128plus(seed)
+  return () => (generator.next() >>> 0) / 2 ** 32
+}
+
+/** Starts requests on each node at the usual rate until it is stopped. */
+const runRequests = (fleet: KnowledgeFleet, random: () => number): (() => void) => {
+  let isStopped = false
+  const startOne = (index: number): void => {
+    if (isStopped) return
+    const node = fleet.nodes[index]!
+    const subject = Math.floor(random() * SUBJECTS)
+    const servers = node.resolve('instanceRegistry').all()
+    const key = formatInstanceKey(servers[subject % servers.length]!)
+    node.resolve('loadView').recordStart(key)
+    node.resolve('promptDirectory').record([{ id: 'shop', tokens: 800 }, { id: `subject-${subject}`, tokens: 400 }, { id: `own-${random()}`, tokens: 200 }], key)
+    fleet.clock.setTimer(REQUEST_MS, () => node.resolve('loadView').recordEnd(key))
+    fleet.clock.setTimer(2 * random() * MS_PER_SECOND / REQUESTS_PER_SECOND, () => startOne(index))
+  }
+  fleet.nodes.forEach((_, index) => startOne(index))
+  return () => { isStopped = true }
+}
+
+const readBytes = (fleet: KnowledgeFleet): readonly ReadonlyMap<string, number>[] => fleet.transports.map((transport) => new Map(transport.bytesSent()))
+
+const readMessages = (fleet: KnowledgeFleet): number => fleet.transports.reduce((sum, transport) => sum + transport.messagesSent(), 0)
+
+/** Mean error of the load that a node believes a server to have, against all nodes' own counts. */
+const measureLoadError = (fleet: KnowledgeFleet): number => {
+  const keys = fleet.nodes[0]!.resolve('instanceRegistry').all().map(formatInstanceKey)
+  const errors = keys.flatMap((key) => {
+    const truth = fleet.nodes.reduce((sum, node) => sum + node.resolve('loadView').ownInFlight(key), 0)
+    return truth === 0 ? [] : fleet.nodes.map((node) => Math.abs(node.resolve('loadView').estimateInFlight(key) - truth) / truth)
+  })
+  return mean(errors)
+}
+
+const measure = async (size: GatewayFleetSize, seed: number): Promise<readonly (string | number)[]> => {
+  const random = createRandom(seed)
+  const fleet = createKnowledgeFleet({ nodesPerZone: size.nodes / size.zones, zones: size.zones, random })
+  for (let index = 0; index < size.servers; index++) fleet.putInstance(`engine-${index}`, { availabilityZone: `zone-${index % size.zones}` })
+  await fleet.start()
+  await fleet.clock.advanceAndSettle(WARM_UP_MS / 2)
+  const stopRequests = runRequests(fleet, random)
+  await fleet.clock.advanceAndSettle(WARM_UP_MS / 2)
+  const before = readBytes(fleet)
+  const messagesBefore = readMessages(fleet)
+  const callsBefore = fleet.countCalls()
+  const startedUsage = process.cpuUsage()
+  await fleet.clock.advanceAndSettle(MEASURED_MS)
+  const usage = process.cpuUsage(startedUsage)
+  const after = readBytes(fleet)
+  const seconds = MEASURED_MS / MS_PER_SECOND
+  const messages = (readMessages(fleet) - messagesBefore) / size.nodes / seconds
+  const sent = after.flatMap((kinds, node) => [...kinds].map(([kind, bytes]) => ({ node, kind, bytes: bytes - (before[node]!.get(kind) ?? 0) })))
+  const total = (entries: readonly { readonly bytes: number }[]): number => entries.reduce((sum, { bytes }) => sum + bytes, 0)
+  const perNode = [...groupBy(sent, ({ node }) => String(node)).values()].map((entries) => total(entries) / BYTES_PER_KILOBYTE / seconds)
+  const ofKind = (part: string): number => total(sent.filter(({ kind }) => kind.startsWith(part))) / BYTES_PER_KILOBYTE / seconds / size.nodes
+  const loadError = measureLoadError(fleet)
+  stopRequests()
+  await fleet.stop()
+  return [
+    size.nodes, size.servers, size.zones,
+    round(ofKind('heartbeat')), round(ofKind('load')), round(ofKind('knowledge')), round(ofKind('promptPlaces')),
+    round(mean(perNode) + messages * HEADER_BYTES / BYTES_PER_KILOBYTE), round(Math.max(...perNode)), round(messages, 1),
+    round((fleet.countCalls() - callsBefore) / seconds, 1),
+    round((usage.user + usage.system) / MICROSECONDS_PER_MS / size.nodes / seconds),
+    round(100 * loadError, 1)
+  ]
+}
+
+/**
+ * Runs the measurement.
+ *
+ * Nodes run in one process on a manual clock over a source that answers in 4 ms;
+ * processor time includes the network in memory and the requests made up here.
+ *
+ * @param options - `fast` measures the two smallest sizes; `only` one size, by its number of nodes; `seed` fixes the run.
+ * @returns One table, a row a size.
+ *
+ * @example
+ * const [table] = await runGatewayControlBench({ fast: true, seed: 1 })
+ */
+export const runGatewayControlBench: Bench = async ({ fast, seed, only }) => {
+  const sizes = only === undefined ? fast ? FAST_SIZES : SIZES : SIZES.filter(({ nodes }) => String(nodes) === only)
+  const rows: (readonly (string | number)[])[] = []
+  for (const size of sizes) rows.push(await measure(size, seed))
+  return [{
+    title: 'Control of a gateway node, steady, at 4.4 requests a second and node',
+    columns: ['nodes', 'servers', 'zones', 'heartbeat KB/s', 'load KB/s', 'knowledge KB/s', 'promptPlaces KB/s', 'all KB/s with headers', 'frames KB/s (worst node)', 'messages/s', 'store calls/s (fleet)', 'CPU ms/s', 'load error %'],
+    rows
+  }]
+}
--- a/src/bench/routerCost/index.ts
+++ b/src/bench/routerCost/index.ts
@@ -3,6 +3,7 @@
  * time and memory that it takes, against the same client at the same engines
  * without it, in the same run.
  */
+import { round } from '../_lib/statistics.js'
 import { Agent } from 'undici'
 import { askChat, type ChatShape, type ChatTarget, type ChatTimes } from './_lib/askChat.js'
 import { pickQuantile } from './_lib/pickQuantile.js'
@@ -160,5 +161,3 @@
   const microseconds = result.cpuSeconds * 1e6
   return [...rates, round(result.cpuSeconds / result.seconds), round(microseconds / result.requests), round(microseconds / result.events), round(result.memoryMegabytes)]
 }
-
-const round = (value: number): number => Number(value.toFixed(2))
--- a/test/platform/_lib/createKnowledgeFleet.ts
+++ b/src/emulator/createKnowledgeFleet/index.ts
@@ -3,14 +3,14 @@
  * known at every moment: for what nodes may believe, in interleavings by the
  * hundred. No sockets; peers talk over the memory network.
  */
-import { createManualClock, type ManualClock } from '../../../src/emulator/createManualClock/index.js'
-import { createMemoryPeerNetwork, type MemoryPeerNetwork } from '../../../src/emulator/createMemoryPeerNetwork/index.js'
-import { failure, success } from '../../../src/kernel/index.js'
-import { createGatewayNode, type GatewayNode } from '../../../src/node/createGatewayNode/index.js'
+import { createManualClock, type ManualClock } from '../createManualClock/index.js'
+import { createMemoryPeerNetwork, type MemoryPeerNetwork, type MemoryPeerTransport } from '../createMemoryPeerNetwork/index.js'
+import { failure, success } from '../../kernel/index.js'
+import { createGatewayNode, type GatewayNode } from '../../node/createGatewayNode/index.js'
 import type {
   BackendInstance, Clock, ConfigurationSource, GatewayConfiguration, InstanceClient, InstanceSource, Logger, Metrics, PeerAddress, Result,
   SourcedConfiguration, SourceError
-} from '../../../src/types/index.js'
+} from '../../types/index.js'
 
 export type KnowledgeFleetOptions = {
   readonly nodesPerZone: number
@@ -36,6 +36,8 @@
   readonly setReached: (index: number, isReached: boolean) => void
   /** Calls to the source since the start. */
   readonly countCalls: () => number
+  /** What each node sent its peers since the start. */
+  readonly transports: readonly MemoryPeerTransport[]
 }
 
 const SILENT_LOGGER: Logger = { error: () => undefined, warn: () => undefined, info: () => undefined, debug: () => undefined }
@@ -74,6 +76,7 @@
   const instances = new Map<string, BackendInstance>()
   const history: { readonly revision: number, readonly name: string }[] = []
   const unreached = new Set<number>()
+  const transports: MemoryPeerTransport[] = []
   let revision = 1
   let calls = 0
 
@@ -130,6 +133,8 @@
 
   const createNode = (index: number): GatewayNode => {
     const address = addressOf(index)
+    const transport = network.createTransport(address)
+    transports.push(transport)
     return createGatewayNode({
       settings: {
         nodeId: address.host,
@@ -153,7 +158,7 @@
       clock,
       random: { next: options.random, nextId: () => String(options.random()) },
       clocks: { monotonic: clock.now, wall: clock.now, boot: clock.now },
-      transport: network.createTransport(address),
+      transport,
       configurationSource: createConfigurationSource(index),
       instanceSource: createInstanceSource(index),
       client: NO_CLIENT,
@@ -186,6 +191,7 @@
       if (isReached) unreached.delete(index)
       else unreached.add(index)
     },
-    countCalls: () => calls
+    countCalls: () => calls,
+    transports
   }
 }
--- a/test/platform/readers.test.ts
+++ b/test/platform/readers.test.ts
@@ -1,7 +1,7 @@
 /** Few nodes of a zone read the source; what the others believe, and how soon, by interleavings on a manual clock. */
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { afterEach, describe, expect, test } from 'vitest'
-import { createKnowledgeFleet, type KnowledgeFleet, type KnowledgeFleetOptions } from './_lib/createKnowledgeFleet.js'
+import { createKnowledgeFleet, type KnowledgeFleet, type KnowledgeFleetOptions } from '../../src/emulator/createKnowledgeFleet/index.js'
 
 const fleets: KnowledgeFleet[] = []
 
