Send peers fewer packets in a large fleet

Change: frames of one turn of the loop go out in one packet, one node a zone sums the load of all servers up to 128, acknowledgements wait 1.2 s instead of 0.5, no random peers in other zones, a question to a reader each 0.55 s.

--- a/src/adapters/peerTcp/_lib/createConnection.ts
+++ b/src/adapters/peerTcp/_lib/createConnection.ts
@@ -44,6 +44,7 @@
   const decoder = new Encoder({ sequential: true })
   let isReady = false
   let isClosed = false
+  let isHolding = false
 
   const close = (reason: string): void => {
     if (isClosed) return
@@ -65,11 +66,23 @@
       return 'tooLarge'
     }
     const framed = withLength(bytes)
+    holdUntilTurnEnds()
     socket.write(framed)
     countBytes(kind, framed.length)
     return 'sent'
   }
 
+  /** Frames of one turn of the loop go out in one packet: a small VM spends more on each packet than on its bytes. */
+  const holdUntilTurnEnds = (): void => {
+    if (isHolding) return
+    isHolding = true
+    socket.cork()
+    process.nextTick(() => {
+      isHolding = false
+      socket.uncork()
+    })
+  }
+
   const finishHandshake = (): boolean => {
     isReady = true
     handshakeTimer.cancel()
--- a/src/daemon/startGateway/index.ts
+++ b/src/daemon/startGateway/index.ts
@@ -41,6 +41,8 @@
 /** Where operators' scrapers read the metrics. */
 const METRICS_PATH = '/metrics'
 const MAXIMUM_FRAME_BYTES = 8 * 1024 * 1024
+/** Acknowledgements between nodes, well below the three seconds after which a link counts as stalled. */
+const ACKNOWLEDGE_DELAY_MS = 1_200
 /** The balancer asks once a second and turns away after two misses; a connection that is then on its way still comes. */
 const TURN_AWAY_MS = 3_200
 /** Without a new connection or request for so long, nothing more is coming. */
@@ -73,6 +75,7 @@
     port: settings.peerAddress.port,
     fleetKey: settings.fleetKey,
     maximumFrameBytes: MAXIMUM_FRAME_BYTES,
+    acknowledgeDelayMs: ACKNOWLEDGE_DELAY_MS,
     clock,
     random,
     logger
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -17,6 +17,7 @@
 import { createLoadView, type RunningLoadView } from '../../services/loadView/index.js'
 import { createMembership, DEFAULT_FAN_OUT } from '../../services/membership/index.js'
 import { createPromptDirectory, type PromptDirectory } from '../../services/promptDirectory/index.js'
+import type { HeartbeatFanOut } from '../../decisions/selectHeartbeatTargets/index.js'
 import type { VmList } from '../../services/vmList/index.js'
 import type {
   Clock, ConfigurationSource, EngineMemorySource, Forwarding, GatewayConfigurationHolder, GatewaySettings, InstanceClient, InstanceRegistry, InstanceSource,
@@ -69,6 +70,8 @@
 /** One watch's wait: a connection that went silent is found that much later, well before a leaving server's bound. */
 const WATCH_WAIT_MS = 2_500
 const HEARTBEAT_MS = 500
+/** Rumours cross between zones through the fixed watchers; a random peer there would cost a third of the packets. */
+const FAN_OUT: HeartbeatFanOut = { ...DEFAULT_FAN_OUT, randomRemotePeers: 0 }
 const SUSPECT_AFTER_MS = 1_500
 const DEAD_AFTER_MS = 3_000
 const LOAD_REPORT_MS = 250
@@ -82,11 +85,11 @@
 const NO_VM_LIST: VmList = { current: () => undefined, onRead: () => { /* it is never read */ } }
 /** Nodes of a zone that read the store; the others learn from them. Two outlast the loss of one without a pause. */
 const READERS_PER_ZONE = 2
-/** Time between two questions of a node to its readers, by turns: both are heard within a second. */
-const READER_ASK_MS = 400
+/** Time between two questions of a node to its readers, by turns: both are heard within 1.1 s. */
+const READER_ASK_MS = 550
 /**
  * How long a node trusts its readers without proof: a read every 0.8 s and a
- * question every 0.4 s leave it 1.2 s old at most, and past two seconds it could
+ * question every 0.55 s leave it 1.4 s old at most, and past two seconds it could
  * not say any more that a route does not exist.
  */
 const RELIANCE_MS = 1_500
@@ -106,6 +109,7 @@
       {
         settings: { nodeId: settings.nodeId, availabilityZone: settings.availabilityZone, get seedPeers () { return readSettings().seedPeers }, heartbeatIntervalMs: HEARTBEAT_MS, suspectAfterMs: SUSPECT_AFTER_MS, deadAfterMs: DEAD_AFTER_MS },
         address: () => settings.peerAddress,
+        fanOut: FAN_OUT,
         generation: () => kernel.isRunning('gatewayConfiguration') ? kernel.resolve('gatewayConfiguration').version() : 0
       }
     )
--- a/src/services/fleetLoad/index.ts
+++ b/src/services/fleetLoad/index.ts
@@ -46,6 +46,12 @@
 /** A snapshot's bytes grow with the servers, so the period does too, and the bytes a second stay alike. */
 const PERIOD_PER_SERVER_MS = 6
 const DEFAULT_FAN_OUT = 2
+/**
+ * Up to so many backend servers one node of a zone sums the load of all: its
+ * snapshots of all zones are some hundred bytes and go out in one packet.
+ * Beyond that each zone of servers has a node of its own that sums.
+ */
+const SERVERS_OF_ONE_SUM = 128
 /** Periods after which the last snapshot of a silent source no longer counts. */
 const MAXIMUM_AGE_PERIODS = 4
 /** Shares of the period by wall time at which each stage runs, so that it finds the one before done. */
@@ -98,6 +104,9 @@
 
   const ownZone = (): string => membership.self().availabilityZone
 
+  const rank = (routerZone: string, serverZone: string): readonly Member[] =>
+    ranks.rank(routerZone, listServers().length <= SERVERS_OF_ONE_SUM ? '' : serverZone)
+
   const isSelf = (member: Member | undefined): boolean => member?.nodeId === membership.self().nodeId
 
   const findStore = (scope: 'node' | 'zone', serverZone: string): SnapshotStore => {
@@ -126,16 +135,16 @@
     lastSent = new Map(counts)
     for (const [serverZone, servers] of byZone) {
       const byIndex = new Map(servers.map(({ server, index }) => [index, counts.get(server.name) ?? 0]))
-      sendOrTake(ranks.rank(ownZone(), serverZone)[0], createSnapshot('node', membership.self().nodeId, serverZone, byIndex))
+      sendOrTake(rank(ownZone(), serverZone)[0], createSnapshot('node', membership.self().nodeId, serverZone, byIndex))
     }
   }
 
-  const listSummedZones = (): readonly string[] => listServerZones().filter((serverZone) => isSelf(ranks.rank(ownZone(), serverZone)[0]))
+  const listSummedZones = (): readonly string[] => listServerZones().filter((serverZone) => isSelf(rank(ownZone(), serverZone)[0]))
 
   const publishZone = (): void => {
     for (const serverZone of listSummedZones()) {
       const snapshot = createSnapshot('zone', ownZone(), serverZone, findStore('node', serverZone).sum(clock.now()))
-      for (const routerZone of ranks.zones()) sendOrTake(ranks.rank(routerZone, serverZone)[0], snapshot)
+      for (const routerZone of ranks.zones()) sendOrTake(rank(routerZone, serverZone)[0], snapshot)
     }
   }
 
@@ -146,14 +155,14 @@
   }
 
   const forward = (snapshot: LoadSnapshot): void => {
-    const ranked = ranks.rank(ownZone(), snapshot.serverZone)
+    const ranked = rank(ownZone(), snapshot.serverZone)
     const self = ranked.find(isSelf)
     if (self === undefined) return
     for (const receiver of findForwardTargets(ranked, self, fanOut)) transport.send(receiver.address, { kind: 'loadSnapshot', snapshot })
   }
 
   const takeFleet = (snapshot: LoadSnapshot): void => {
-    if (ranks.rank(ownZone(), snapshot.serverZone)[0]?.nodeId !== snapshot.nodeId) return
+    if (rank(ownZone(), snapshot.serverZone)[0]?.nodeId !== snapshot.nodeId) return
     const counts = unpackLoadCounts(snapshot)
     listServers().forEach(({ name, availabilityZone }, index) => {
       if (availabilityZone !== snapshot.serverZone) return
