--- a/src/cli/explain/index.ts
+++ b/src/cli/explain/index.ts
@@ -1,9 +1,9 @@
 /** `dotterelspoke explain`: the story of one request, out of the logs of all nodes that had it. */
 import { Command } from 'commander'
 import { explainRequest, type LogRecord } from '../../decisions/explainRequest/index.js'
-import { parseLogLine } from '../../decisions/parseLogLine/index.js'
 import { formatIsoTime } from '../../kernel/index.js'
 import type { CommandEnvironment } from '../_lib/commandEnvironment.js'
+import { readLogRecords } from '../_lib/readLogRecords.js'
 import { escapeControls } from '../_lib/render.js'
 import { exitCodes } from '../exitCodes.js'
 
@@ -35,8 +35,7 @@
   .argument('[files...]', 'log files of any number of nodes; - for standard input', ['-'])
   .addHelpText('after', '\nExample:\n  dotterelspoke explain 79a0491bc7f99364 node-1.log node-2.log')
   .action((requestId: string, files: readonly string[]) => {
-    const lines = files.flatMap((file) => environment.readText(file).split('\n'))
-    const story = explainRequest(lines.map(parseLogLine).filter((record) => record !== undefined), requestId)
+    const story = explainRequest(readLogRecords(environment, files), requestId)
     if (story.steps.length === 0) {
       environment.printError(`no line has the request ${escapeControls(requestId)}`)
       environment.setExitCode(exitCodes.failure)
--- a/src/cli/logs/index.ts
+++ b/src/cli/logs/index.ts
@@ -1,10 +1,10 @@
 /** `dotterelspoke logs`: what the logs of nodes say of all their requests together. */
 import { Command } from 'commander'
-import { parseLogLine } from '../../decisions/parseLogLine/index.js'
 import { summarizeLog, type LogSummary } from '../../decisions/summarizeLog/index.js'
 import { formatIsoTime } from '../../kernel/index.js'
 import type { CommandEnvironment } from '../_lib/commandEnvironment.js'
 import { parsePositive } from '../_lib/parseNumber.js'
+import { readLogRecords } from '../_lib/readLogRecords.js'
 import { escapeControls, renderTable } from '../_lib/render.js'
 import { exitCodes } from '../exitCodes.js'
 
@@ -38,8 +38,7 @@
   .option('--period <seconds>', 'length of one period of the plot, in seconds', parsePositive, DEFAULT_PERIOD_SECONDS)
   .addHelpText('after', '\nExample:\n  dotterelspoke logs summary --period 5 node-1.log node-2.log')
   .action((files: readonly string[], { period }: { readonly period: number }) => {
-    const lines = files.flatMap((file) => environment.readText(file).split('\n'))
-    const summary = summarizeLog(lines.map(parseLogLine).filter((record) => record !== undefined), { periodMs: period * MS_PER_SECOND })
+    const summary = summarizeLog(readLogRecords(environment, files), { periodMs: period * MS_PER_SECOND })
     if (summary.outcomes.length === 0) {
       environment.printError('no line ends a request')
       environment.setExitCode(exitCodes.failure)
