--- a/scripts/bundle/writeCode.cjs
+++ b/scripts/bundle/writeCode.cjs
@@ -1,25 +1,21 @@
 /**
- * Writes the compiled code of the bundled daemon. The program is started
- * without settings, at which it ends by itself: the functions that a start runs
- * are compiled by then, and the engine writes out what it has compiled.
+ * Runs the daemon, and writes out at its end what the engine has compiled:
+ * functions that ran by then are in it, so a start compiles none of them.
  */
 'use strict'
 const { readFileSync, writeFileSync } = require('node:fs')
-const { wrap } = require('node:module')
-const { devNull } = require('node:os')
-const { join, resolve } = require('node:path')
+const { createRequire, wrap } = require('node:module')
+const { resolve } = require('node:path')
 const { Script } = require('node:vm')
 
-const folder = resolve('target')
-const path = join(folder, 'program.cjs')
+const path = resolve('target/program.cjs')
 const script = new Script(wrap(readFileSync(path, 'utf8')), { filename: path })
 
-process.env.DOTTERELSPOKE_NODE_FILE = devNull
-process.stderr.write = () => true
 const exit = process.exit
-process.exit = () => {
-  writeFileSync(join(folder, 'program.code'), script.createCachedData())
-  exit(0)
+process.exit = (code) => {
+  writeFileSync(resolve('target/program.code'), script.createCachedData())
+  exit(code)
 }
 const main = { exports: {} }
-script.runInThisContext().call(main.exports, main.exports, require, main, path, folder)
+script.runInThisContext().call(main.exports, main.exports, createRequire(path), main, path, resolve('target'))
+main.exports.run({ listener: undefined, timeline: { mark: () => {}, fields: () => ({}) } })
--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -3,27 +3,49 @@
  * costs more than running them, with the engine's compiled code beside it, since
  * compiling the file costs more than starting the program.
  */
-import { spawnSync } from 'node:child_process'
-import { copyFileSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
 import { build } from 'esbuild'
 
-const undiciParts = fileURLToPath(new URL('./bundle/undici.mjs', import.meta.url))
+/** Those of the deploy file: the engine takes compiled code only from a process with the same flags. */
+const ENGINE_FLAGS = ['--max-old-space-size=160']
 
-await build({
-  entryPoints: ['platform/main.ts'],
+/** Modules of libraries that the daemon never calls, and what stands in for them; each costs a start on a small VM some milliseconds. */
+const REPLACED_MODULES = [
+  { filter: /^undici$/, file: 'undici.mjs' },
+  { filter: /\/client-h2(\.js)?$/, file: 'http2Client.cjs' },
+  { filter: /\/pushgateway$/, file: 'pushgateway.cjs' },
+  { filter: /^@dabh\/diagnostics$/, file: 'diagnostics.cjs' },
+  { filter: /^@colors\/colors\/safe$/, file: 'colors.cjs' }
+]
+
+const replaceModules = {
+  name: 'replace-modules',
+  setup: (bundler) => {
+    for (const { filter, file } of REPLACED_MODULES) {
+      const path = fileURLToPath(new URL(`./bundle/${file}`, import.meta.url))
+      bundler.onResolve({ filter }, () => ({ path }))
+    }
+  }
+}
+
+const bundleDaemon = (entryPoint, outfile) => build({
+  entryPoints: [entryPoint],
   bundle: true,
   platform: 'node',
   target: 'node20',
   format: 'cjs',
   minify: true,
-  outfile: 'target/program.cjs',
+  outfile,
   // cbor-x does without this native addon, whose search takes longer than it saves.
   alias: { 'cbor-extract': './scripts/bundle/absent.cjs' },
-  plugins: [{ name: 'undici-parts', setup: (bundler) => { bundler.onResolve({ filter: /^undici$/ }, () => ({ path: undiciParts })) } }]
+  plugins: [replaceModules]
 })
-copyFileSync('scripts/bundle/gateway.cjs', 'target/gateway.cjs')
 
-// The engine takes compiled code only from a process with the same flags.
-const { status } = spawnSync(process.execPath, ['--max-old-space-size=160', 'scripts/bundle/writeCode.cjs'], { stdio: 'inherit' })
-if (status !== 0) throw new Error(`the compiled code could not be written: status ${status}`)
+const rehearsal = 'target/rehearsal.mjs'
+
+await bundleDaemon('platform/boot.ts', 'target/gateway.cjs')
+await bundleDaemon('platform/main.ts', 'target/program.cjs')
+await build({ entryPoints: ['platform/standIn/rehearseDaemon/index.ts'], bundle: true, platform: 'node', target: 'node20', format: 'esm', outfile: rehearsal })
+
+const { rehearseDaemon } = await import(`../${rehearsal}`)
+await rehearseDaemon([...ENGINE_FLAGS, 'scripts/bundle/writeCode.cjs'])
--- /dev/null
+++ b/src/adapters/earlyListener/test.ts
@@ -0,0 +1,73 @@
+import { createServer } from 'node:http'
+import { connect, createServer as createNetServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+import { afterEach, describe, expect, test } from 'vitest'
+import { openEarlyListener } from './index.js'
+import type { PeerAddress } from '../../types/index.js'
+
+const ANYWHERE: PeerAddress = { host: '127.0.0.1', port: 0 }
+
+const open: (() => void)[] = []
+
+afterEach(() => { for (const close of open.splice(0)) close() })
+
+const dial = ({ host, port }: PeerAddress): Promise<Socket> => new Promise((resolve, reject) => {
+  const socket = connect(port, host, () => resolve(socket))
+  socket.on('error', reject)
+  open.push(() => socket.destroy())
+})
+
+const send = (socket: Socket, path: string): Promise<string> => new Promise((resolve) => {
+  socket.once('data', (bytes: Buffer) => resolve(bytes.toString('latin1').split('\r\n')[0] ?? ''))
+  socket.write(`GET ${path} HTTP/1.1\r\nHost: a\r\n\r\n`)
+})
+
+const startServer = (paths: string[]) => {
+  const server = createServer((request, response) => {
+    paths.push(request.url ?? '')
+    response.end('served')
+  })
+  open.push(() => {
+    server.close()
+    server.closeAllConnections()
+  })
+  return server
+}
+
+const passTurns = (): Promise<void> => new Promise((resolve) => { setTimeout(resolve, 30) })
+
+describe('openEarlyListener', () => {
+  // A node is started anew while its callers go on. One connects and sends its
+  // request before the program is loaded. It used to be turned away, and came back
+  // a second later; now its request is read as soon as the program is there.
+  test('keeps connections and what they send until it is handed over', async () => {
+    const paths: string[] = []
+    const early = openEarlyListener(ANYWHERE)
+    const address = await early.opened
+    const answer = send(await dial(address), '/early')
+    await passTurns()
+    early.handOver(startServer(paths))
+    expect(await answer).toBe('HTTP/1.1 200 OK')
+    expect(await send(await dial(address), '/late')).toBe('HTTP/1.1 200 OK')
+    expect(paths).toEqual(['/early', '/late'])
+  })
+
+  test('outlives a connection that ends before the hand-over', async () => {
+    const paths: string[] = []
+    const early = openEarlyListener(ANYWHERE)
+    const address = await early.opened
+    const gone = await dial(address)
+    gone.resetAndDestroy()
+    await passTurns()
+    early.handOver(startServer(paths))
+    expect(await send(await dial(address), '/next')).toBe('HTTP/1.1 200 OK')
+  })
+
+  test('tells that its port is taken', async () => {
+    const other = createNetServer()
+    await new Promise<void>((resolve) => { other.listen(0, ANYWHERE.host, resolve) })
+    open.push(() => other.close())
+    const { port } = other.address() as AddressInfo
+    await expect(openEarlyListener({ ...ANYWHERE, port }).opened).rejects.toThrow('EADDRINUSE')
+  })
+})
--- a/src/adapters/gatewayHttp/index.ts
+++ b/src/adapters/gatewayHttp/index.ts
@@ -10,16 +10,21 @@
 import { checkFraming } from './_lib/checkFraming.js'
 import { createSink } from './_lib/createSink.js'
 import { readBody } from './_lib/readBody.js'
-import type { Clock, Forwarding, GatewayDialect, GatewayLimits, HeaderList, Logger, PeerAddress } from '../../types/index.js'
+import { openEarlyListener } from '../earlyListener/index.js'
+import type { EarlyListener } from '../earlyListener/index.js'
+import type { Clock, Forwarding, GatewayDialect, GatewayLimits, HeaderList, Logger, PeerAddress, StartTimeline } from '../../types/index.js'
 
 export type GatewayHttpOptions = {
   readonly host: string
   /** 0 lets the operating system choose. */
   readonly port: number
+  /** Takes the place of host and port where the listener is open already. */
+  readonly earlyListener?: EarlyListener | undefined
   readonly clock: Clock
   readonly logger: Logger
   readonly dialect: Pick<GatewayDialect, 'decodeRequest'>
   readonly forwarding: Forwarding
+  readonly timeline?: StartTimeline | undefined
   /** What the configuration in force allows; `undefined` before there is one. */
   readonly readLimits: () => GatewayLimits | undefined
 }
@@ -84,7 +89,11 @@
     if (!socket.writable || untrusted.has(socket)) return
     lastUsedAt = receivedAt
     countBusy(socket, 1)
-    response.on('close', () => countBusy(socket, -1))
+    options.timeline?.mark('firstRequest')
+    response.on('close', () => {
+      countBusy(socket, -1)
+      if (response.writableFinished && response.statusCode < 300) options.timeline?.mark('firstServed')
+    })
     if (isClosing) response.setHeader('Connection', 'close')
     const sink = createSink(response, { isClosing: () => isClosing, onUntrusted: () => { untrusted.add(socket) } })
     const headers = listHeaders(message.rawHeaders)
@@ -142,14 +151,13 @@
   }
 
   return {
-    listen: () => new Promise((resolve, reject) => {
+    listen: async () => {
       applyLimits()
-      server.once('error', reject)
-      server.listen({ port: options.port, host: options.host, backlog: 1024 }, () => {
-        const bound = server.address()
-        resolve({ host: options.host, port: typeof bound === 'object' && bound !== null ? bound.port : options.port })
-      })
-    }),
+      const listener = options.earlyListener ?? openEarlyListener(options)
+      const address = await listener.opened
+      listener.handOver(server)
+      return address
+    },
     beginClosing: () => { isClosing = true },
     closeIdle: () => { for (const socket of sockets) if (!busy.has(socket)) socket.end() },
     openConnections: () => sockets.size,
--- a/src/adapters/promMetrics/index.ts
+++ b/src/adapters/promMetrics/index.ts
@@ -55,6 +55,12 @@
   load_skew: { help: 'Highest load over the weighted mean, by service', labels: ['service'] }
 }
 
+/**
+ * Time between two samples of the loop's delay, in milliseconds: each wakes the
+ * process, and a pause that callers feel lasts longer.
+ */
+const LOOP_DELAY_SAMPLE_MS = 200
+
 /** Seconds; from 1 ms to about two minutes, each bucket twice the one before. */
 const DURATION_BUCKETS = Array.from({ length: 18 }, (_, exponent) => 0.001 * 2 ** exponent)
 
@@ -78,7 +84,7 @@
 export const createPromMetrics = (): PromMetrics => {
   const registry = new Registry()
   const registers = [registry]
-  collectDefaultMetrics({ register: registry })
+  collectDefaultMetrics({ register: registry, eventLoopMonitoringPrecision: LOOP_DELAY_SAMPLE_MS })
   const counters = mapValues(counterTexts, (name, { help, labels }) =>
     new Counter({ name: `${METRIC_PREFIX}${name}_total`, help, labelNames: [...labels], registers }))
   const histograms = mapValues(histogramTexts, (name, { help, labels }) =>
--- /dev/null
+++ b/src/adapters/startTimeline/index.ts
@@ -0,0 +1,29 @@
+/** When a process that has just been started came how far, and what processor time it had spent by then. */
+import type { StartStep, StartTimeline } from '../../types/index.js'
+
+const MICROSECONDS_PER_MILLISECOND = 1_000
+
+const readCpuMs = (): number => {
+  const { user, system } = process.cpuUsage()
+  return (user + system) / MICROSECONDS_PER_MILLISECOND
+}
+
+/**
+ * Creates the timeline of this process, which begins with the process itself.
+ *
+ * @returns The timeline; each step is noted once.
+ *
+ * @example
+ * const timeline = createStartTimeline()
+ * timeline.mark('loaded')
+ * timeline.fields() // => { loadedMs: 61, loadedCpuMs: 38 }
+ */
+export const createStartTimeline = (): StartTimeline => {
+  const steps = new Map<StartStep, { readonly ms: number, readonly cpuMs: number }>()
+  return {
+    mark: (step) => {
+      if (!steps.has(step)) steps.set(step, { ms: performance.now(), cpuMs: readCpuMs() })
+    },
+    fields: () => Object.fromEntries([...steps].flatMap(([step, { ms, cpuMs }]) => [[`${step}Ms`, Math.round(ms)], [`${step}CpuMs`, Math.round(cpuMs)]]))
+  }
+}
--- a/src/daemon/startGateway/index.ts
+++ b/src/daemon/startGateway/index.ts
@@ -4,19 +4,26 @@
  */
 import { createBoundedLogger } from '../../adapters/boundedLogger/index.js'
 import { createGatewayHttp } from '../../adapters/gatewayHttp/index.js'
+import type { EarlyListener } from '../../adapters/earlyListener/index.js'
 import { createInstanceHttp } from '../../adapters/instanceHttp/index.js'
 import { createPeerTcp } from '../../adapters/peerTcp/index.js'
 import { createProbeHttp } from '../../adapters/probeHttp/index.js'
+import type { ProbeAnswer } from '../../adapters/probeHttp/index.js'
 import { createPromMetrics } from '../../adapters/promMetrics/index.js'
+import { createStartTimeline } from '../../adapters/startTimeline/index.js'
 import { createSystemClock } from '../../adapters/systemClock/index.js'
 import { createSystemClocks } from '../../adapters/systemClocks/index.js'
 import { createSystemRandom } from '../../adapters/systemRandom/index.js'
 import { createGatewayNode } from '../../node/createGatewayNode/index.js'
-import type { Clock, ConfigurationSource, EngineMemorySource, GatewayDialect, GatewaySettings, InstanceSource, Logger, PeerAddress } from '../../types/index.js'
+import type { Clock, ConfigurationSource, EngineMemorySource, GatewayDialect, GatewaySettings, InstanceSource, Logger, PeerAddress, StartTimeline } from '../../types/index.js'
 
 export type GatewayOptions = {
   readonly settings: GatewaySettings
   readonly logger: Logger
+  /** The callers' listener, where it was opened before the program was loaded. */
+  readonly earlyListener?: EarlyListener | undefined
+  /** Takes the steps of the start; they are written to the log. */
+  readonly timeline?: StartTimeline
   readonly dialect: GatewayDialect
   readonly configurationSource: ConfigurationSource
   readonly instanceSource: InstanceSource
@@ -50,6 +57,8 @@
 /** Kept of the grace period for the end itself. */
 const GRACE_MARGIN_MS = 500
 const STOP_POLL_MS = 50
+/** The timeline of a start is written once a request was served, and no later than this. */
+const TIMELINE_LIMIT_MS = 5_000
 
 const wait = (clock: Clock, milliseconds: number): Promise<void> => new Promise((resolve) => { clock.setTimer(milliseconds, resolve) })
 
@@ -65,6 +74,7 @@
  */
 export const startGateway = async (options: GatewayOptions): Promise<Gateway> => {
   const { settings, dialect } = options
+  const timeline = options.timeline ?? createStartTimeline()
   let current = settings
   const clock = createSystemClock()
   const random = createSystemRandom()
@@ -94,7 +104,8 @@
     engineMemory: options.engineMemory,
     client,
     logger,
-    metrics
+    metrics,
+    timeline
   })
   await node.start()
   const configuration = node.resolve('gatewayConfiguration')
@@ -102,22 +113,29 @@
   const gatewayHttp = createGatewayHttp({
     host: settings.callerAddress.host,
     port: settings.callerAddress.port,
+    earlyListener: options.earlyListener,
     clock,
     logger,
     dialect,
     forwarding: node.resolve('forwarding'),
+    timeline,
     readLimits: () => configuration.current()?.limits
   })
-  const readiness = createProbeHttp(settings.readinessAddress, {
-    [options.readinessPath]: () => !isStopping && node.isAbleToServe() ? { status: 200, body: 'ready' } : { status: 503, body: 'not ready' }
-  })
+  const answerReadiness = (): ProbeAnswer => {
+    if (isStopping || !node.isAbleToServe()) return { status: 503, body: 'not ready' }
+    timeline.mark('ready')
+    return { status: 200, body: 'ready' }
+  }
+  const readiness = createProbeHttp(settings.readinessAddress, { [options.readinessPath]: answerReadiness })
   const metricsHttp = settings.metricsAddress === undefined
     ? undefined
     : createProbeHttp(settings.metricsAddress, { [METRICS_PATH]: async () => ({ status: 200, body: await metrics.render(), contentType: metrics.contentType }) })
-  const metricsAddress = await metricsHttp?.listen()
   const callerAddress = await gatewayHttp.listen()
+  timeline.mark('listening')
   const readinessAddress = await readiness.listen()
+  const metricsAddress = await metricsHttp?.listen()
   logger.info('gateway started', { zone: settings.availabilityZone, callerPort: callerAddress.port, readinessPort: readinessAddress.port, peerPort: peerAddress.port, metricsPort: metricsAddress?.port, startMs: Math.round(performance.now()) })
+  clock.setTimer(TIMELINE_LIMIT_MS, () => logger.info('start timeline', timeline.fields()))
 
   const end = async (): Promise<void> => {
     gatewayHttp.close()
--- /dev/null
+++ b/src/node/createGatewayNode/_lib/noteStart.ts
@@ -0,0 +1,13 @@
+/** Notes when the node came to know what it needs to serve. */
+import type { StartTimeline } from '../../../types/index.js'
+import type { GatewayNode } from '../index.js'
+
+export const noteStart = (timeline: StartTimeline, resolve: GatewayNode['resolve']): void => {
+  timeline.mark('asking')
+  const registry = resolve('instanceRegistry')
+  const membership = resolve('membership')
+  resolve('gatewayConfiguration').onChange(() => timeline.mark('configuration'))
+  registry.onChange(() => { if (registry.isKnown()) timeline.mark('backendServers') })
+  membership.onChange(() => { if (membership.liveMembers().length > 1) timeline.mark('firstPeer') })
+  resolve('promptDirectory').onRecovered(() => timeline.mark('promptPlaces'))
+}
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -2,6 +2,7 @@
  * A gateway node: the services that forward whole HTTP requests by host and
  * path, assembled in the kernel. All I/O is handed in, as for a router node.
  */
+import { noteStart } from './_lib/noteStart.js'
 import { registerGauges } from './_lib/registerGauges.js'
 import type { Clocks } from '../../decisions/measureAge/index.js'
 import { createKernel, type Kernel } from '../../kernel/index.js'
@@ -21,7 +22,7 @@
 import type { VmList } from '../../services/vmList/index.js'
 import type {
   Clock, ConfigurationSource, EngineMemorySource, Forwarding, GatewayConfigurationHolder, GatewaySettings, InstanceClient, InstanceRegistry, InstanceSource,
-  LoadView, Logger, Membership, Metrics, PeerTransport, RandomSource, ServerLayout
+  LoadView, Logger, Membership, Metrics, PeerTransport, RandomSource, ServerLayout, StartTimeline
 } from '../../types/index.js'
 
 export type GatewayNodeDependencies = {
@@ -38,6 +39,7 @@
   readonly engineMemory: EngineMemorySource
   readonly logger: Logger
   readonly metrics: Metrics
+  readonly timeline?: StartTimeline
 }
 
 export type GatewayServices = {
@@ -264,6 +266,7 @@
   return {
     start: async () => {
       await kernel.start()
+      if (dependencies.timeline !== undefined) noteStart(dependencies.timeline, kernel.resolve)
       registerGauges(dependencies.metrics, kernel.resolve)
     },
     stop: kernel.stop,
--- a/src/services/promptDirectory/index.ts
+++ b/src/services/promptDirectory/index.ts
@@ -15,6 +15,8 @@
   readonly record: (parts: readonly PromptPart[], instanceKey: string) => void
   /** Tokens of the longest beginning of `parts` that the server is believed to keep. */
   readonly countKept: (parts: readonly PromptPart[], instanceKey: string) => number
+  /** Called when all that was asked after a start has answered. */
+  readonly onRecovered: (listener: () => void) => void
 }
 
 export type PromptDirectoryDependencies = {
@@ -58,6 +60,7 @@
   const { clock, transport } = dependencies
   const places = new LRUCache<string, Map<string, number>>({ max: options.maximumParts })
   const news = createPlaceNews(dependencies, options.fullMeshPeers)
+  const recoveryListeners: (() => void)[] = []
   let timer: Timer | undefined
 
   const note = (part: string, instanceKey: string): void => {
@@ -119,7 +122,8 @@
           kept += tokens
         }
         return kept
-      }
+      },
+      onRecovered: (listener) => { recoveryListeners.push(listener) }
     },
     start: () => {
       transport.handle('promptPlaces', (message) => {
@@ -135,7 +139,7 @@
           isKnown: (instanceKey) => [...places.values()].some((servers) => servers.has(instanceKey)),
           noteAll,
           tell: news.add
-        })
+        }).then(() => { for (const listener of recoveryListeners) listener() })
       }
       timer = clock.setTimer(options.periodMs, tellPeers)
     },
--- a/src/types/environment.ts
+++ b/src/types/environment.ts
@@ -31,3 +31,28 @@
   readonly info: (message: string, fields?: LogFields) => void
   readonly debug: (message: string, fields?: LogFields) => void
 }
+
+/** How far a process that has just been started can have come. */
+export type StartStep =
+  /** The first file runs. */
+  | 'begun'
+  | 'listening'
+  /** The program's modules have run. */
+  | 'loaded'
+  /** The services are made and ask for what they need. */
+  | 'asking'
+  | 'configuration'
+  | 'backendServers'
+  | 'firstPeer'
+  /** Where prompts are kept, as far as it was asked for. */
+  | 'promptPlaces'
+  /** Readiness was asked for and granted. */
+  | 'ready'
+  | 'firstRequest'
+  | 'firstServed'
+
+export type StartTimeline = {
+  readonly mark: (step: StartStep) => void
+  /** Of each step, milliseconds and milliseconds of processor time since the process began. */
+  readonly fields: () => LogFields
+}
--- a/src/types/gatewayEvents.ts
+++ b/src/types/gatewayEvents.ts
@@ -48,6 +48,7 @@
   'refuted a rumour about this node': { level: 'warn', linesPerSecond: BELIEFS, meaning: 'peers believed this node to be gone' },
   'connection with bytes that are no request': { level: 'info', linesPerSecond: EVERY_REQUEST, meaning: 'a caller\'s connection was ended' },
   'gateway started': { level: 'info', linesPerSecond: BELIEFS, meaning: 'the listeners are open' },
+  'start timeline': { level: 'info', linesPerSecond: BELIEFS, meaning: 'how long after the start of its process the node came how far, and what processor time it had spent by then' },
   'gateway stopping': { level: 'info', linesPerSecond: BELIEFS, meaning: 'the stop has begun; readiness fails' },
   'gateway stopped': { level: 'info', linesPerSecond: BELIEFS, meaning: 'nothing is open any more, or the grace is over' },
   'settings reloaded': { level: 'info', linesPerSecond: BELIEFS, meaning: 'the settings file was read again' },
--- a/test/platform/_lib/startGatewayFleet.ts
+++ b/test/platform/_lib/startGatewayFleet.ts
@@ -6,7 +6,7 @@
 import { createMemorySource } from '../../../platform/createMemorySource/index.js'
 import { createConfigurationSource, createInstanceSource } from '../../../platform/createSources/index.js'
 import { createStoreClient, type StoreClient } from '../../../platform/createStoreClient/index.js'
-import { createPlatform, type PlatformOptions, type PlatformStandIn } from './createPlatform.js'
+import { createPlatform, type PlatformOptions, type PlatformStandIn } from '../../../platform/standIn/createPlatform/index.js'
 import { startGateway, type Gateway } from '../../../src/daemon/startGateway/index.js'
 import type { GatewaySettings, LogFields, Logger, PeerAddress } from '../../../src/types/index.js'
 
--- a/test/platform/flapping.test.ts
+++ b/test/platform/flapping.test.ts
@@ -1,6 +1,6 @@
 /** Backend servers that go down and up by turns, as callers see them. */
 import { afterEach, expect, test } from 'vitest'
-import { callGateway, type CallResult } from './_lib/callGateway.js'
+import { callGateway, type CallResult } from '../../platform/standIn/callGateway/index.js'
 import { startGatewayFleet, type GatewayFleet } from './_lib/startGatewayFleet.js'
 import type { BackendFault } from '../../platform/standIn/createBackendStandIn/index.js'
 
--- a/test/platform/framing.test.ts
+++ b/test/platform/framing.test.ts
@@ -1,8 +1,8 @@
 /** Requests whose end can be read in two ways, and headers that only the system sets, in seeded variety. */
 import fc from 'fast-check'
 import { afterAll, beforeAll, describe, expect, test } from 'vitest'
-import { exchangeBytes, nextRequestId } from './_lib/callGateway.js'
-import { HOST, KEY } from './_lib/createPlatform.js'
+import { exchangeBytes, nextRequestId } from '../../platform/standIn/callGateway/index.js'
+import { HOST, KEY } from '../../platform/standIn/createPlatform/index.js'
 import { startGatewayFleet, type GatewayFleet } from './_lib/startGatewayFleet.js'
 
 const SEED = 20_261_203
--- a/test/platform/knowledge.test.ts
+++ b/test/platform/knowledge.test.ts
@@ -1,7 +1,7 @@
 /** What a gateway believes of configuration and backend servers, and what it does while their source is away. */
 import { afterEach, describe, expect, test } from 'vitest'
-import { callGateway, promptHeaders } from './_lib/callGateway.js'
-import { createRoute } from './_lib/createPlatform.js'
+import { callGateway, promptHeaders } from '../../platform/standIn/callGateway/index.js'
+import { createRoute } from '../../platform/standIn/createPlatform/index.js'
 import { startGatewayFleet, type FleetOptions, type GatewayFleet } from './_lib/startGatewayFleet.js'
 import { createBackendStandIn } from '../../platform/standIn/createBackendStandIn/index.js'
 import { waitFor } from '../_lib/waitFor.js'
--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -4,9 +4,9 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { afterEach, describe, expect, test } from 'vitest'
-import { callGateway, promptHeaders } from './_lib/callGateway.js'
-import { PROGRAM, startGatewayProcess, type GatewayProcess } from './_lib/startGatewayProcess.js'
-import { createPlatform, type PlatformStandIn } from './_lib/createPlatform.js'
+import { callGateway, promptHeaders } from '../../platform/standIn/callGateway/index.js'
+import { PROGRAM, startGatewayProcess, type GatewayProcess } from '../../platform/standIn/startGatewayProcess/index.js'
+import { createPlatform, type PlatformStandIn } from '../../platform/standIn/createPlatform/index.js'
 import { waitFor } from '../_lib/waitFor.js'
 
 const open: { readonly close: () => Promise<void> }[] = []
--- a/test/platform/requests.test.ts
+++ b/test/platform/requests.test.ts
@@ -1,7 +1,7 @@
 /** The way of a request through a gateway over the platform's stand-ins: what callers get and what reaches backend servers. */
 import { afterEach, describe, expect, test } from 'vitest'
-import { callGateway, exchangeBytes, promptHeaders } from './_lib/callGateway.js'
-import { HOST, KEY, createRoute } from './_lib/createPlatform.js'
+import { callGateway, exchangeBytes, promptHeaders } from '../../platform/standIn/callGateway/index.js'
+import { HOST, KEY, createRoute } from '../../platform/standIn/createPlatform/index.js'
 import { startGatewayFleet, type FleetOptions, type GatewayFleet } from './_lib/startGatewayFleet.js'
 import { formatEvent } from '../../platform/standIn/createBackendStandIn/index.js'
 import type { BackendRecord } from '../../platform/standIn/createBackendStandIn/index.js'
--- a/test/platform/stop.test.ts
+++ b/test/platform/stop.test.ts
@@ -1,6 +1,6 @@
 /** A gateway's stop: what its callers and the platform's balancer see. */
 import { afterEach, describe, expect, test } from 'vitest'
-import { callGateway, promptHeaders } from './_lib/callGateway.js'
+import { callGateway, promptHeaders } from '../../platform/standIn/callGateway/index.js'
 import { startGatewayFleet, type FleetOptions, type GatewayFleet } from './_lib/startGatewayFleet.js'
 
 const fleets: GatewayFleet[] = []
