--- a/examples/platform/sendThroughGateway.ts
+++ b/examples/platform/sendThroughGateway.ts
@@ -29,6 +29,7 @@
   graceMs: 8_000,
   keyRevocationMs: 5_000,
   configurationDelayMs: 2_000,
+  serverDrainMs: 2_000,
   repeatRatio: 0.2,
   repeatExtra: 50,
   repeatWindowMs: 10_000,
--- a/src/emulator/createKnowledgeFleet/index.ts
+++ b/src/emulator/createKnowledgeFleet/index.ts
@@ -149,6 +149,7 @@
         graceMs: 4_000,
         keyRevocationMs: 5_000,
         configurationDelayMs: 2_000,
+        serverDrainMs: 2_000,
         repeatRatio: 0.2,
         repeatExtra: 50,
         repeatWindowMs: 10_000,
--- a/src/services/instanceRegistry/index.ts
+++ b/src/services/instanceRegistry/index.ts
@@ -5,6 +5,7 @@
  */
 import { isDeepStrictEqual } from 'node:util'
 import { createChangeLog } from './_lib/createChangeLog.js'
+import { createRemovals } from './_lib/createRemovals.js'
 import { describeSourceError } from '../../decisions/describeSourceError/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import type { BackendInstance, ChangePosition, Clock, InstanceEntry, InstanceNews, InstanceRegistry, InstanceSource, Logger, Timer } from '../../types/index.js'
@@ -22,6 +23,8 @@
   readonly isReader?: () => boolean
   /** How long ago the others may have reached the source while a node relies on them, in milliseconds. */
   readonly relianceMs?: number
+  /** How long a backend server serves on after its entry was removed, in milliseconds; 0 by default. */
+  readonly drainMs?: number
 }
 
 export type RunningInstanceRegistry = RunningService<InstanceRegistry> & {
@@ -63,6 +66,7 @@
   /** Highest incarnation known to be over, by id: an older copy of an entry can't bring it back. */
   const goneIncarnations = new Map<string, number>()
   const missingSince = new Map<string, number>()
+  const removals = createRemovals(clock, options.drainMs ?? 0)
   const listeners: (() => void)[] = []
   const needListeners: (() => void)[] = []
   const malformed = new Set<string>()
@@ -93,6 +97,7 @@
     if (instance === undefined) return
     instances.delete(name)
     missingSince.delete(name)
+    removals.note(instance, revision)
     changes.note(name)
     logger.info('backend server removed', { backendServer: name, service: instance.service, reason, revision })
   }
@@ -178,11 +183,11 @@
       return false
     }
     noteReachable(true, '')
+    revision = Math.max(revision, result.value.revision)
     for (const change of result.value.changes) {
       if (change.isRemoved) miss(change.name)
       else put(change)
     }
-    revision = Math.max(revision, result.value.revision)
     if (result.value.changes.length > 0) publish()
     return true
   }
@@ -222,6 +227,7 @@
       list: (service) => byService.get(service) ?? [],
       find: (id) => instances.get(id),
       all: () => [...instances.values()],
+      removedLately: removals.listDraining,
       revision: () => revision,
       isKnown: () => isKnown,
       markGone: (instance, reason) => {
@@ -229,6 +235,7 @@
         if (known === undefined || known.incarnation !== instance.incarnation) return
         goneIncarnations.set(instance.id, instance.incarnation)
         remove(instance.id, reason)
+        removals.markGone(instance.id)
         publish()
       },
       onChange: (listener) => { listeners.push(listener) }
@@ -236,7 +243,9 @@
     learn: (news, atRevision, ageMs) => {
       relayedAt = Math.max(relayedAt, clock.now() - ageMs)
       if (news.isWhole && atRevision <= revision && isKnown) return
-      const entries = news.instances.map((instance) => ({ name: instance.id, instance }))
+      const entries = news.instances
+        .filter((instance) => !removals.isAsNewAs(instance, atRevision))
+        .map((instance) => ({ name: instance.id, instance }))
       if (news.isWhole) return replaceAll(entries, atRevision)
       if (!isKnown) return
       revision = Math.max(revision, atRevision)
@@ -248,7 +257,8 @@
     newsSince: (position, knownRevision) => {
       const names = changes.listSince(position)
       const isWhole = names === undefined && knownRevision < revision
-      const changed = isWhole ? [...instances.values()] : [...names ?? []].flatMap((name) => instances.get(name) ?? [])
+      // A server that is missing from the source is kept here for a moment: that is no news.
+      const changed = [...instances.values()].filter(({ id }) => isWhole || (names?.has(id) === true && !missingSince.has(id)))
       const removed = [...names ?? []].filter((name) => !instances.has(name))
       return { isWhole, instances: changed, removed, position: changes.position() }
     },
--- /dev/null
+++ b/src/services/instanceRegistry/test.ts
@@ -0,0 +1,114 @@
+import { describe, expect, test } from 'vitest'
+import { createInstanceRegistry } from './index.js'
+import type { RunningInstanceRegistry } from './index.js'
+import { createManualClock } from '../../emulator/createManualClock/index.js'
+import { failure, success } from '../../kernel/index.js'
+import type { BackendInstance, InstanceNews, InstanceSource, Logger } from '../../types/index.js'
+
+const SILENT: Logger = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
+
+const createServer = (id: string, changes: Partial<BackendInstance> = {}): BackendInstance =>
+  ({ id, service: 'engines', address: { host: id, port: 1 }, availabilityZone: 'a', slots: 8, isLeaving: false, incarnation: 1, warmUpMs: 0, ...changes })
+
+const createNews = (changes: Partial<InstanceNews>): InstanceNews =>
+  ({ isWhole: false, instances: [], removed: [], position: { origin: 1, sequence: 1 }, ...changes })
+
+/** A source with one list that can change, or be away. */
+const createSource = (clock: ReturnType<typeof createManualClock>) => {
+  let servers: readonly BackendInstance[] = []
+  let revision = 1
+  let isAway = false
+  const wait = (ms: number): Promise<void> => new Promise((resolve) => { clock.setTimer(ms, resolve) })
+  const source: InstanceSource = {
+    list: async () => {
+      await wait(5)
+      if (isAway) return failure({ kind: 'unavailable', message: 'away' })
+      return success({ entries: servers.map((instance) => ({ name: instance.id, instance })), revision })
+    },
+    watch: async () => {
+      await wait(100)
+      return isAway ? failure({ kind: 'unavailable', message: 'away' }) : success({ changes: [], revision })
+    }
+  }
+  return {
+    source,
+    put: (next: readonly BackendInstance[]) => {
+      servers = next
+      revision += 1
+    },
+    setAway: (next: boolean) => { isAway = next }
+  }
+}
+
+const startRegistry = async () => {
+  const clock = createManualClock()
+  const remote = createSource(clock)
+  remote.put([createServer('engine-1'), createServer('engine-2')])
+  const registry = createInstanceRegistry({ clock, source: remote.source, logger: SILENT }, { watchWaitMs: 100, drainMs: 2_000 })
+  await registry.start?.()
+  await clock.advanceAndSettle(50)
+  return { clock, remote, registry }
+}
+
+const listIds = ({ api }: RunningInstanceRegistry): readonly string[] => api.list('engines').map(({ id }) => id)
+
+describe('what peers tell', () => {
+  // A server leaves. A node hears it from one peer and takes the server out. Another
+  // peer, which is cut off and knows an older list, tells of the same server as there;
+  // the node took it in again, and sent requests to it after its drain time.
+  test('of an older list does not bring back a server that was removed', async () => {
+    const { registry } = await startRegistry()
+    registry.learn(createNews({ removed: ['engine-2'] }), 10, 0)
+    registry.learn(createNews({ instances: [createServer('engine-2')] }), 9, 0)
+    expect(listIds(registry)).toEqual(['engine-1'])
+  })
+
+  test('of a newer list brings it back', async () => {
+    const { registry } = await startRegistry()
+    registry.learn(createNews({ removed: ['engine-2'] }), 10, 0)
+    registry.learn(createNews({ instances: [createServer('engine-2')] }), 11, 0)
+    expect(listIds(registry)).toEqual(['engine-1', 'engine-2'])
+  })
+
+  test('of a new start brings it back, however old the list', async () => {
+    const { registry } = await startRegistry()
+    registry.learn(createNews({ removed: ['engine-2'] }), 10, 0)
+    registry.learn(createNews({ instances: [createServer('engine-2', { incarnation: 2 })] }), 9, 0)
+    expect(listIds(registry)).toEqual(['engine-1', 'engine-2'])
+  })
+
+  // A node whose source was away finds an entry missing and keeps the server for a
+  // moment, in case its entry had only lapsed. Asked by a peer that had heard of the
+  // leaving, it told of the server as one that is there.
+  test('leaves out servers that are kept only until their entries may be back', async () => {
+    const { clock, remote, registry } = await startRegistry()
+    const position = registry.position()
+    remote.setAway(true)
+    await clock.advanceAndSettle(500)
+    registry.learn(createNews({ instances: [createServer('engine-2', { slots: 9 })] }), 2, 0)
+    remote.put([createServer('engine-1')])
+    remote.setAway(false)
+    await clock.advanceAndSettle(500)
+    expect(listIds(registry)).toEqual(['engine-1', 'engine-2'])
+    expect(registry.newsSince(position, 0).instances.map(({ id }) => id)).toEqual([])
+    await clock.advanceAndSettle(2_500)
+    expect(listIds(registry)).toEqual(['engine-1'])
+  })
+})
+
+describe('a server that was removed', () => {
+  // Half of the servers that leave only drop their entry and serve on for a while.
+  test('can be copied from for its drain time', async () => {
+    const { clock, registry } = await startRegistry()
+    registry.learn(createNews({ removed: ['engine-2'] }), 10, 0)
+    expect(registry.api.removedLately().map(({ id }) => id)).toEqual(['engine-2'])
+    await clock.advanceAndSettle(2_100)
+    expect(registry.api.removedLately()).toEqual([])
+  })
+
+  test('can not be copied from when another one has its address', async () => {
+    const { registry } = await startRegistry()
+    registry.api.markGone(createServer('engine-2'), 'another backend server has its address')
+    expect(registry.api.removedLately()).toEqual([])
+  })
+})
--- a/src/types/gatewayKnowledge.ts
+++ b/src/types/gatewayKnowledge.ts
@@ -74,6 +74,11 @@
   readonly list: (service: string) => readonly BackendInstance[]
   readonly find: (id: string) => BackendInstance | undefined
   readonly all: () => readonly BackendInstance[]
+  /**
+   * Backend servers whose entry was removed so lately that they still serve: they
+   * get no requests, but what they keep can be copied.
+   */
+  readonly removedLately: () => readonly BackendInstance[]
   readonly revision: () => number
   /** Whether the list was read at least once since the start. */
   readonly isKnown: () => boolean
--- a/src/types/gatewaySettings.ts
+++ b/src/types/gatewaySettings.ts
@@ -19,6 +19,8 @@
   readonly keyRevocationMs: number
   /** Time within which a new configuration has to be in force. */
   readonly configurationDelayMs: number
+  /** Time for which a backend server goes on serving after it was taken from the list. */
+  readonly serverDrainMs: number
   readonly repeatRatio: number
   readonly repeatExtra: number
   readonly repeatWindowMs: number
--- a/test/platform/_lib/startGatewayFleet.ts
+++ b/test/platform/_lib/startGatewayFleet.ts
@@ -57,6 +57,7 @@
   graceMs: 4_000,
   keyRevocationMs: 5_000,
   configurationDelayMs: 2_000,
+  serverDrainMs: 2_000,
   repeatRatio: 0.2,
   repeatExtra: 50,
   repeatWindowMs: 10_000,
