--- a/src/services/gatewayConfiguration/index.ts
+++ b/src/services/gatewayConfiguration/index.ts
@@ -80,11 +80,20 @@
   const confirmedAgeMs = (): number =>
     confirmation === undefined ? Infinity : confirmation.ageMs + measureAge(confirmation.at, clocks)
 
-  const adopt = (next: SourcedConfiguration, from: string): void => {
-    if (next.configuration.version <= version()) return
-    logger.info('configuration in force', { version: next.configuration.version, before: version(), from, routes: next.configuration.routes.length })
-    sourced = next
-    for (const listener of listeners) listener(next.configuration)
+  /**
+   * Puts a newer configuration in force, then notes its proof, then tells: a
+   * listener that finds it unproved would refuse what waited for it, and a proof noted
+   * first would vouch for keys that the new one has taken away.
+   */
+  const adopt = (next: SourcedConfiguration, from: string, noteProof: () => void): void => {
+    const isNewer = next.configuration.version > version()
+    if (isNewer) {
+      logger.info('configuration in force', { version: next.configuration.version, before: version(), from, routes: next.configuration.routes.length })
+      sourced = next
+    }
+    // Another source may have brought a version that is newer than what this one saw.
+    if (next.configuration.version === version()) noteProof()
+    if (isNewer) for (const listener of listeners) listener(next.configuration)
   }
 
   const confirm = (at: ClockReading, ageMs: number): void => {
@@ -111,9 +120,7 @@
     isReading = false
     if (isStopped) return
     if (result.ok) {
-      adopt(result.value, 'source')
-      // A peer may hold a version that is newer than what this read saw on its way.
-      if (result.value.configuration.version >= version()) confirm(sentAt, 0)
+      adopt(result.value, 'source', () => confirm(sentAt, 0))
       noteReachable(true, '')
     } else {
       failedAt = clock.now()
@@ -167,13 +174,15 @@
       onChange: (listener) => { listeners.push(listener) }
     },
     learn: (askedAt, ageMs, newestVersion, bytes) => {
+      const noteProof = (): void => confirm(askedAt, ageMs)
       if (bytes !== undefined && newestVersion > version()) {
         const decoded = source.decode(bytes)
-        if (decoded.ok) adopt(decoded.value, 'peer')
+        if (decoded.ok) adopt(decoded.value, 'peer', noteProof)
         else logger.warn('configuration of a peer is malformed', { version: newestVersion })
+        return
       }
       // A peer that confirmed an older version says nothing of this one.
-      if (newestVersion >= version()) confirm(askedAt, ageMs)
+      if (newestVersion === version()) noteProof()
     },
     sourced: () => sourced,
     hint: (known) => {
--- /dev/null
+++ b/src/services/gatewayConfiguration/test.ts
@@ -0,0 +1,78 @@
+import { describe, expect, test } from 'vitest'
+import { createGatewayConfiguration } from './index.js'
+import { createManualClock } from '../../emulator/createManualClock/index.js'
+import { failure, success } from '../../kernel/index.js'
+import type { ConfigurationSource, GatewayConfiguration, Logger, SourcedConfiguration } from '../../types/index.js'
+
+const SILENT: Logger = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
+
+const createConfiguration = (version: number): GatewayConfiguration => ({
+  version,
+  routes: [],
+  services: new Map(),
+  limits: { maximumHeaderBytes: 1, maximumBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  needsKeys: true,
+  accountsByKey: new Map()
+})
+
+const toSourced = (version: number): SourcedConfiguration => ({ configuration: createConfiguration(version), bytes: Buffer.from(String(version)) })
+
+const createHolder = (read: ConfigurationSource['read']) => {
+  const clock = createManualClock()
+  const source: ConfigurationSource = {
+    read,
+    decode: (bytes) => {
+      const version = Number(Buffer.from(bytes).toString())
+      return Number.isNaN(version) ? failure({ kind: 'malformed', message: 'not a number' }) : success(toSourced(version))
+    }
+  }
+  const clocks = { monotonic: clock.now, wall: clock.now, boot: clock.now }
+  const holder = createGatewayConfiguration({ clock, source, logger: SILENT, clocks }, { readIntervalMs: 800 })
+  const readClocks = () => ({ monotonic: clock.now(), wall: clock.now(), boot: clock.now() })
+  return { clock, holder, readClocks }
+}
+
+describe('a configuration that comes into force', () => {
+  // After a start, requests wait for the first configuration. They were let go in the
+  // moment it came, before its proof was noted: with no proof the node could not
+  // tell that a key holds or a route is unknown, and refused them.
+  test('is proved when listeners hear of it', async () => {
+    const { clock, holder } = createHolder(async () => success(toSourced(3)))
+    const ages: number[] = []
+    holder.api.onChange(() => ages.push(holder.api.confirmedAgeMs()))
+    holder.start?.()
+    await clock.advanceAndSettle(10)
+    expect(ages).toEqual([0])
+  })
+
+  test('is the one that waiters for a proof find', async () => {
+    let version = 3
+    const { clock, holder } = createHolder(async () => success(toSourced(version)))
+    holder.start?.()
+    await clock.advanceAndSettle(10)
+    version = 4
+    const found = holder.api.confirm(400).then(() => holder.api.version())
+    await clock.advanceAndSettle(10)
+    expect(await found).toBe(4)
+  })
+})
+
+describe('what a peer tells', () => {
+  // A peer hands on a newer configuration that can't be read. The older one here was
+  // proved by that very answer, so a key that the newer one took away went on being used.
+  test('of a newer configuration that can not be read proves nothing', () => {
+    const { holder, readClocks } = createHolder(async () => failure({ kind: 'unavailable', message: 'away' }))
+    holder.learn(readClocks(), 100, 3, Buffer.from('3'))
+    expect(holder.api.confirmedAgeMs()).toBe(100)
+    holder.learn(readClocks(), 0, 4, Buffer.from('spoilt'))
+    expect(holder.api.version()).toBe(3)
+    expect(holder.api.confirmedAgeMs()).toBe(100)
+  })
+
+  test('of the same version proves it', () => {
+    const { holder, readClocks } = createHolder(async () => failure({ kind: 'unavailable', message: 'away' }))
+    holder.learn(readClocks(), 100, 3, Buffer.from('3'))
+    holder.learn(readClocks(), 20, 3, undefined)
+    expect(holder.api.confirmedAgeMs()).toBe(20)
+  })
+})
