--- /dev/null
+++ b/src/adapters/peerTcp/_lib/createPeerLink.test.ts
@@ -0,0 +1,50 @@
+import { Socket } from 'node:net'
+import { describe, expect, test } from 'vitest'
+import { createPeerLink } from './createPeerLink.js'
+import { createManualClock } from '../../../emulator/createManualClock/index.js'
+
+const createLink = () => {
+  const clock = createManualClock()
+  const sockets: Socket[] = []
+  const link = createPeerLink({
+    address: { host: 'peer', port: 1 },
+    clock,
+    random: { next: () => 0.5, nextId: () => 'id' },
+    fleetKey: 'key',
+    maximumFrameBytes: 4096,
+    maximumQueueBytes: 4096,
+    maximumQueueLength: 8,
+    handshakeTimeoutMs: 2_000,
+    connectTimeoutMs: 300,
+    idleTimeoutMs: 60_000,
+    stallTimeoutMs: 3_000,
+    initialBackoffMs: 100,
+    maximumBackoffMs: 2_000,
+    countBytes: () => {},
+    onIdle: () => {},
+    // A socket that is never connected, as towards a VM without power.
+    openSocket: () => {
+      const socket = new Socket()
+      sockets.push(socket)
+      return socket
+    }
+  })
+  return { clock, link, sockets }
+}
+
+describe('a link to a peer that has no power', () => {
+  // All VMs lost power. The first one back dials another while that is still dark:
+  // the packet is lost, and TCP asks again only after a second, in which the peer has come
+  // back long ago. The node found its peers 1.2 s after its start.
+  test('is dialled anew soon, without waiting for TCP', async () => {
+    const { clock, link, sockets } = createLink()
+    const first = link.request({ kind: 'rootRequest' }, 5_000)
+    await clock.advanceAndSettle(350)
+    expect(await first).toMatchObject({ ok: false, error: { kind: 'unreachable' } })
+    expect(sockets[0]!.destroyed).toBe(true)
+    await clock.advanceAndSettle(100)
+    link.send({ kind: 'rootRequest' })
+    expect(sockets).toHaveLength(2)
+    link.close()
+  })
+})
--- a/src/adapters/peerTcp/_lib/createPeerLink.ts
+++ b/src/adapters/peerTcp/_lib/createPeerLink.ts
@@ -4,6 +4,7 @@
  * when idle. Losing a link fails its open requests and drops its queue.
  */
 import { connect } from 'node:net'
+import type { Socket } from 'node:net'
 import { createConnection } from './createConnection.js'
 import type { Connection, ConnectionOptions } from './createConnection.js'
 import { failure, success } from '../../../kernel/index.js'
@@ -14,6 +15,10 @@
   readonly clock: Clock
   readonly random: RandomSource
   readonly maximumQueueLength: number
+  /** A peer that has no power yet does not answer, and TCP asks again only after a second. */
+  readonly connectTimeoutMs: number
+  /** Opens a socket; TCP by default. */
+  readonly openSocket?: (address: PeerAddress) => Socket
   readonly idleTimeoutMs: number
   /** Time without any frame back after which a connection that was written to counts as lost. */
   readonly stallTimeoutMs: number
@@ -35,6 +40,8 @@
 
 type PendingRequest = { readonly settle: (result: Result<PeerReply, PeerError>) => void }
 
+const connectTcp = ({ host, port }: PeerAddress): Socket => connect({ host, port })
+
 /** Creates the link; nothing is dialled before the first message. */
 export const createPeerLink = (options: LinkOptions): PeerLink => {
   const { address, clock, random } = options
@@ -95,7 +102,10 @@
   }
 
   const dial = (): void => {
-    const socket = connect({ host: address.host, port: address.port })
+    const socket = (options.openSocket ?? connectTcp)(address)
+    const limit = clock.setTimer(options.connectTimeoutMs, () => socket.destroy())
+    socket.once('connect', limit.cancel)
+    socket.once('close', limit.cancel)
     connection = createConnection({ ...options, socket, role: 'dialer', onReady, onFrame, onClose })
   }
 
--- a/src/adapters/peerTcp/index.ts
+++ b/src/adapters/peerTcp/index.ts
@@ -27,6 +27,8 @@
   readonly logger?: Logger
   readonly metrics?: Metrics
   readonly handshakeTimeoutMs?: number
+  /** Time within which a connection to a peer must be made; 300 by default. */
+  readonly connectTimeoutMs?: number
   /** Messages held for a peer while it is being dialled; 256 by default. */
   readonly maximumQueueLength?: number
   /** Bytes waiting in a socket above which messages to that peer are dropped; 1 MiB by default. */
@@ -51,6 +53,7 @@
 
 const DEFAULTS = {
   handshakeTimeoutMs: 2000,
+  connectTimeoutMs: 300,
   maximumQueueLength: 256,
   maximumQueueBytes: 1024 * 1024,
   maximumConnections: 1024,
--- a/src/decisions/placeRequest/index.ts
+++ b/src/decisions/placeRequest/index.ts
@@ -13,19 +13,27 @@
   readonly load: number
   /** Tokens of the prompt's shared parts that it is believed to keep. */
   readonly keptTokens: number
-  /** Tokens beyond these that it can copy from another server. */
-  readonly copyableTokens: number
-  readonly isInZone: boolean
+  readonly availabilityZone: string
   /** How many times longer than its peers it lately took; 1 when it is as fast as they are. */
   readonly slowness: number
 }
 
+/** A server that keeps a part of the prompt and can be copied from, whether or not it may get the request. */
+export type PromptKeeper = Pick<InstanceCandidate, 'id' | 'availabilityZone' | 'keptTokens'>
+
+export type PromptPlacement = {
+  readonly id: string
+  /** The server to copy the prompt from; `undefined` where reading the rest is cheaper. */
+  readonly copyFrom: string | undefined
+}
+
 export type PlacementQuestion = {
-  /** Requests that share it should meet at one server; empty when nothing is shared. */
+  /** Requests that share it should meet at the same servers; empty when nothing is shared. */
   readonly affinityKey: string
   readonly sharedTokens: number
-  /** Bytes that travel between zones when the server is in another one. */
+  /** Bytes that travel between zones when the server is in another one than the node. */
   readonly expectedBytes: number
+  readonly availabilityZone: string
 }
 
 export type PlacementWeights = {
@@ -36,39 +44,61 @@
   readonly tokensPerFullLoad: number
   /** Tokens that a kilobyte between zones is worth. */
   readonly tokensPerRemoteKilobyte: number
-  /** Tokens read that copying one token is worth. */
+  /** Tokens read that copying one token within a zone is worth. */
   readonly copyShare: number
-  /** Tokens that the key's first-ranked server is credited with, so that nodes which know nothing yet agree. */
-  readonly homeTokens: number
+  /** The same between two zones, where a copy goes over twice the way. */
+  readonly remoteCopyShare: number
+  /** Copies of fewer tokens aren't made: the call between the servers takes longer than reading them. */
+  readonly leastTokensCopied: number
+  /**
+   * What the key's home is credited with, as a share of the prompt. Above the price of a copy a prompt
+   * moves home once its home can have it: nodes that know nothing of it, after a start or behind a cut, then
+   * find it by rank alone.
+   */
+  readonly homeShare: number
 }
 
-/**
- * Trial figures on both sites: a bound of 1.8 times the mean plus 2 leaves room
- * for counts that are a quarter of a second old under a promise of 2 and 3, and
- * spills no chats at low load.
- */
+/** The bound leaves room under a promise of 2 and 3 for counts that are a quarter of a second old. */
 export const defaultPlacementWeights: PlacementWeights = {
-  boundFactor: 1.8,
-  boundSlack: 2,
+  boundFactor: 1.92,
+  boundSlack: 2.7,
   tokensPerFullLoad: 3000,
   tokensPerRemoteKilobyte: 20,
-  copyShare: 0.21,
-  homeTokens: 6000
+  copyShare: 0.2,
+  remoteCopyShare: 0.4,
+  leastTokensCopied: 100,
+  homeShare: 0.5
 }
 
-const scoreHome = (affinityKey: string, id: string): number => hashText(id, hashText(affinityKey))
-
-const findHome = (affinityKey: string, candidates: readonly InstanceCandidate[]): string | undefined => {
+/** The first by rendezvous: nodes with the same candidates find the same one, and it changes only when it leaves or a better one comes. */
+const findFirstRanked = (affinityKey: string, candidates: readonly InstanceCandidate[]): InstanceCandidate | undefined => {
   if (affinityKey === '') return undefined
+  const seed = hashText(affinityKey)
   let best: InstanceCandidate | undefined
   let bestScore = -1
   for (const candidate of candidates) {
-    const score = scoreHome(affinityKey, candidate.id)
+    const score = hashText(candidate.id, seed)
     if (score <= bestScore) continue
     best = candidate
     bestScore = score
   }
-  return best?.id
+  return best
+}
+
+type Reading = { readonly cost: number, readonly copyFrom: string | undefined }
+
+/** The cheapest way for a candidate to come to what it lacks of the prompt. */
+const findReading = (candidate: InstanceCandidate, sharedTokens: number, keepers: readonly PromptKeeper[], weights: PlacementWeights): Reading => {
+  const missing = Math.max(0, sharedTokens - candidate.keptTokens)
+  let best: Reading = { cost: missing, copyFrom: undefined }
+  for (const keeper of keepers) {
+    const copied = Math.min(missing, keeper.keptTokens - candidate.keptTokens)
+    if (copied < weights.leastTokensCopied) continue
+    const share = keeper.availabilityZone === candidate.availabilityZone ? weights.copyShare : weights.remoteCopyShare
+    const cost = missing - copied + share * copied
+    if (cost < best.cost) best = { cost, copyFrom: keeper.id }
+  }
+  return best
 }
 
 /** The load that a server may have before it gets no more of a crowd. */
@@ -86,39 +116,37 @@
  *
  * @param question - What is known of the request.
  * @param candidates - Backend servers that may get it.
+ * @param keepers - Backend servers from which the prompt can be copied.
  * @param random - A number in [0, 1) per call.
  * @param weights - Prices and bounds.
- * @returns The id of the chosen one, or `undefined` without candidates.
+ * @returns The chosen one, or `undefined` without candidates.
  *
  * @example
- * placeRequest({ affinityKey: '', sharedTokens: 0, expectedBytes: 0 }, [], Math.random) // => undefined
+ * placeRequest({ affinityKey: '', sharedTokens: 0, expectedBytes: 0, availabilityZone: 'a' }, [], [], Math.random) // => undefined
  */
 export const placeRequest = (
   question: PlacementQuestion,
   candidates: readonly InstanceCandidate[],
+  keepers: readonly PromptKeeper[],
   random: () => number,
   weights: PlacementWeights = defaultPlacementWeights
-): string | undefined => {
+): PromptPlacement | undefined => {
   if (candidates.length === 0) return undefined
   const bound = computeBound(candidates, weights)
-  const home = findHome(question.affinityKey, candidates)
-  const costOf = (candidate: InstanceCandidate): number => {
-    const credited = candidate.id === home ? Math.max(candidate.keptTokens, Math.min(weights.homeTokens, question.sharedTokens)) : candidate.keptTokens
-    const missing = Math.max(0, question.sharedTokens - credited)
-    const copied = Math.min(missing, candidate.copyableTokens)
-    const read = missing - copied + weights.copyShare * copied
-    const crowd = weights.tokensPerFullLoad * (candidate.load + 1) / candidate.slots * candidate.slowness
-    const way = candidate.isInZone ? 0 : weights.tokensPerRemoteKilobyte * question.expectedBytes / 1024
-    return read + crowd + way
-  }
+  const home = findFirstRanked(question.affinityKey, candidates)
+  const remoteWay = weights.tokensPerRemoteKilobyte * question.expectedBytes / 1024
   const open = candidates.filter(({ load, slots }) => load + 1 <= bound && load < slots)
   const eligible = open.length > 0 ? open : [...candidates].sort((left, right) => left.load / left.slots - right.load / right.slots).slice(0, 1)
-  let best: string | undefined
+  let best: PromptPlacement | undefined
   let bestCost = Infinity
   for (const candidate of eligible) {
-    const cost = costOf(candidate) + random()
+    const reading = findReading(candidate, question.sharedTokens, keepers, weights)
+    const crowd = weights.tokensPerFullLoad * (candidate.load + 1) / candidate.slots * candidate.slowness
+    const way = candidate.availabilityZone === question.availabilityZone ? 0 : remoteWay
+    const credit = candidate.id === home?.id ? weights.homeShare * question.sharedTokens : 0
+    const cost = reading.cost + crowd + way - credit + random()
     if (cost >= bestCost) continue
-    best = candidate.id
+    best = { id: candidate.id, copyFrom: reading.copyFrom }
     bestCost = cost
   }
   return best
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -17,7 +17,7 @@
 import { createKnowledgeExchange, type KnowledgeExchange } from '../../services/knowledgeExchange/index.js'
 import { createLoadView, type RunningLoadView } from '../../services/loadView/index.js'
 import { createMembership, DEFAULT_FAN_OUT } from '../../services/membership/index.js'
-import { createPromptDirectory, type PromptDirectory } from '../../services/promptDirectory/index.js'
+import { createPromptDirectory, type PlacesRecoverySources, type PromptDirectory } from '../../services/promptDirectory/index.js'
 import type { HeartbeatFanOut } from '../../decisions/selectHeartbeatTargets/index.js'
 import type { VmList } from '../../services/vmList/index.js'
 import type {
@@ -136,7 +136,7 @@
     name: 'instanceRegistry',
     dependsOn: [],
     create: () => {
-      registry = createInstanceRegistry({ clock, source: instanceSource, logger }, { watchWaitMs: WATCH_WAIT_MS, isReader, relianceMs: RELIANCE_MS })
+      registry = createInstanceRegistry({ clock, source: instanceSource, logger }, { watchWaitMs: WATCH_WAIT_MS, isReader, relianceMs: RELIANCE_MS, drainMs: dependencies.settings.serverDrainMs })
       return registry
     }
   })
@@ -186,6 +186,25 @@
   })
 }
 
+/** How to learn after a start what engines keep: which services have engines stands in the configuration, which engines there are in the list. */
+const createPlacesRecoverySources = ({ settings, random, logger, engineMemory }: GatewayNodeDependencies, resolve: Kernel<GatewayServices>['resolve']): PlacesRecoverySources => {
+  const configuration = resolve('gatewayConfiguration')
+  const registry = resolve('instanceRegistry')
+  return {
+    logger,
+    random,
+    registry,
+    memory: engineMemory,
+    availabilityZone: settings.availabilityZone,
+    isEngine: ({ service }) => configuration.current()?.services.get(service)?.isEngine === true,
+    areEnginesKnown: () => configuration.current() !== undefined && registry.isKnown(),
+    onKnown: (listener) => {
+      configuration.onChange(listener)
+      registry.onChange(listener)
+    }
+  }
+}
+
 const registerForwarding = (kernel: Kernel<GatewayServices>, dependencies: GatewayNodeDependencies): void => {
   const readSettings = dependencies.readSettings ?? (() => dependencies.settings)
   const { settings, clock, random, transport, client, logger, metrics } = dependencies
@@ -196,7 +215,7 @@
       const health = createInstanceHealth({ clock, logger, client })
       const registry = resolve('instanceRegistry')
       registry.onChange(() => {
-        const live = new Set(registry.all().map(formatInstanceKey))
+        const live = new Set([...registry.all(), ...registry.removedLately()].map(formatInstanceKey))
         health.api.retain(live)
         client.retain(live)
       })
@@ -206,23 +225,10 @@
   kernel.register({
     name: 'promptDirectory',
     dependsOn: ['membership', 'instanceRegistry', 'gatewayConfiguration'],
-    create: (resolve) => createPromptDirectory({
-      clock,
-      transport,
-      membership: resolve('membership'),
-      ...(settings.isFirstStart
-        ? {}
-        : {
-            recovery: {
-              logger: dependencies.logger,
-              random,
-              registry: resolve('instanceRegistry'),
-              memory: dependencies.engineMemory,
-              availabilityZone: settings.availabilityZone,
-              isEngine: ({ service }) => resolve('gatewayConfiguration').current()?.services.get(service)?.isEngine === true
-            }
-          })
-    })
+    create: (resolve) => {
+      const recovery = settings.isFirstStart ? {} : { recovery: createPlacesRecoverySources(dependencies, resolve) }
+      return createPromptDirectory({ clock, transport, membership: resolve('membership'), ...recovery })
+    }
   })
   kernel.register({
     name: 'forwarding',
--- a/src/services/forwarding/_lib/chooseInstance.ts
+++ b/src/services/forwarding/_lib/chooseInstance.ts
@@ -1,6 +1,6 @@
 /** The backend server for the next send of a request: what the node knows, put to `placeRequest`. */
 import { defaultPlacementWeights, placeRequest } from '../../../decisions/placeRequest/index.js'
-import type { InstanceCandidate } from '../../../decisions/placeRequest/index.js'
+import type { InstanceCandidate, PromptKeeper } from '../../../decisions/placeRequest/index.js'
 import type { BackendInstance, GatewayRequest, PromptPart } from '../../../types/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 import type { ForwardingDependencies } from '../index.js'
@@ -23,7 +23,7 @@
 const BYTES_PER_TOKEN = 30
 
 /** Part of the promised multiple that placement uses: counts of other nodes are a quarter of a second old. */
-const BOUND_SHARE = 0.9
+const BOUND_SHARE = 0.96
 
 /** Held servers come back into question only when no other is left: an unlikely server beats a refusal. */
 const listUsable = ({ registry, health }: ChoiceDependencies, { service, tried }: Choice): readonly BackendInstance[] => {
@@ -32,59 +32,48 @@
   return usable.length > 0 ? usable : untried
 }
 
-/**
- * Tokens that a copy has to save: it takes the engines' link for some
- * microseconds a token, where reading takes 26, and a call between them besides.
- */
-const LEAST_TOKENS_COPIED = 100
-
 export type ChosenInstance = {
   readonly instance: BackendInstance
   /** Another one that keeps more of the prompt; leaving ones are asked too, while they last. */
   readonly copyPromptFrom: BackendInstance | undefined
 }
 
-type Keeper = { readonly instance: BackendInstance, readonly keptTokens: number }
-
-/** What each server of the service keeps of a prompt: leaving ones too, from which it can still be copied. */
-const listKeepers = ({ registry, directory, health }: ChoiceDependencies, service: string, shared: readonly PromptPart[]): readonly Keeper[] =>
-  registry.all()
+/**
+ * What each server of the service keeps of a prompt: leaving and just removed
+ * ones too. They serve on for a while, and what is copied from them in that time need
+ * not be read again.
+ */
+const listKeepers = ({ registry, directory, health }: ChoiceDependencies, service: string, shared: readonly PromptPart[]): readonly PromptKeeper[] => {
+  if (shared.length === 0) return []
+  return [...registry.all(), ...registry.removedLately()]
     .filter((instance) => instance.service === service && !health.isHeld(instance))
-    .map((instance) => ({ instance, keptTokens: directory.countKept(shared, formatInstanceKey(instance)) }))
-
-const findBestKeeper = (keepers: readonly Keeper[]): Keeper | undefined => {
-  let best: Keeper | undefined
-  for (const keeper of keepers) if (keeper.keptTokens > (best?.keptTokens ?? 0)) best = keeper
-  return best
+    .map((instance) => ({ id: instance.id, availabilityZone: instance.availabilityZone, keptTokens: directory.countKept(shared, formatInstanceKey(instance)) }))
+    .filter(({ keptTokens }) => keptTokens > 0)
 }
 
 /** Returns the chosen one, or `undefined` when the service has none that was not tried. */
 export const chooseInstance = (dependencies: ChoiceDependencies, choice: Choice): ChosenInstance | undefined => {
   const { request, service, bodyBytes } = choice
-  const { directory, loadView, health, random } = dependencies
+  const { directory, loadView, health, random, registry } = dependencies
   const usable = listUsable(dependencies, choice)
   // The last part belongs to the request alone.
   const shared = request.promptParts.slice(0, -1)
-  const keeper = shared.length > 0 ? findBestKeeper(listKeepers(dependencies, service, shared)) : undefined
-  const candidates: InstanceCandidate[] = usable.map((instance) => {
-    const keptTokens = directory.countKept(shared, formatInstanceKey(instance))
-    return {
-      id: instance.id,
-      slots: instance.slots,
-      load: loadView.estimateInFlight(formatInstanceKey(instance)),
-      keptTokens,
-      copyableTokens: Math.max(0, (keeper?.keptTokens ?? 0) - keptTokens),
-      isInZone: instance.availabilityZone === dependencies.availabilityZone,
-      slowness: health.handicap(instance, usable)
-    }
-  })
-  const chosen = placeRequest({
+  const candidates: readonly InstanceCandidate[] = usable.map((instance) => ({
+    id: instance.id,
+    slots: instance.slots,
+    load: loadView.estimateInFlight(formatInstanceKey(instance)),
+    keptTokens: directory.countKept(shared, formatInstanceKey(instance)),
+    availabilityZone: instance.availabilityZone,
+    slowness: health.handicap(instance, usable)
+  }))
+  const placement = placeRequest({
     affinityKey: shared.at(-1)?.id ?? '',
     sharedTokens: shared.reduce((sum, part) => sum + part.tokens, 0),
-    expectedBytes: bodyBytes + (request.promptParts.length > 0 ? BYTES_PER_TOKEN * request.tokens.output : WHOLE_ANSWER_BYTES)
-  }, candidates, random.next, { ...defaultPlacementWeights, boundFactor: BOUND_SHARE * dependencies.readLoadFactor() })
-  const instance = usable.find(({ id }) => id === chosen)
+    expectedBytes: bodyBytes + (request.promptParts.length > 0 ? BYTES_PER_TOKEN * request.tokens.output : WHOLE_ANSWER_BYTES),
+    availabilityZone: dependencies.availabilityZone
+  }, candidates, listKeepers(dependencies, service, shared), random.next, { ...defaultPlacementWeights, boundFactor: BOUND_SHARE * dependencies.readLoadFactor() })
+  const instance = usable.find(({ id }) => id === placement?.id)
   if (instance === undefined) return undefined
-  const copyable = candidates.find(({ id }) => id === chosen)?.copyableTokens ?? 0
-  return { instance, copyPromptFrom: copyable > LEAST_TOKENS_COPIED ? keeper?.instance : undefined }
+  const source = placement?.copyFrom
+  return { instance, copyPromptFrom: source === undefined ? undefined : registry.find(source) ?? registry.removedLately().find(({ id }) => id === source) }
 }
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -124,9 +124,11 @@
     run.assign(route, account)
   }
 
+  const isKnowing = (): boolean => configuration.current() !== undefined && registry.isKnown()
+
   const admitWaiting = (): void => {
-    if (configuration.current() === undefined || !registry.isKnown()) return
-    for (const waiting of [...waitingForKnowledge]) waiting()
+    if (!isKnowing()) return
+    for (const admitNow of [...waitingForKnowledge]) admitNow()
   }
 
   configuration.onChange(admitWaiting)
@@ -150,8 +152,7 @@
         const run = createRun({ ...context, onDone: () => { runs.delete(run) } }, request, sink)
         runs.add(run)
         timer ??= clock.setTimer(TICK_MS, tick)
-        const isKnowing = configuration.current() !== undefined && registry.isKnown()
-        if (isKnowing || !isYoung()) admit(run, request)
+        if (isKnowing() || !isYoung()) admit(run, request)
         else admitLater(run, request)
         return run
       },
--- a/src/services/membership/index.ts
+++ b/src/services/membership/index.ts
@@ -42,6 +42,13 @@
 const MEMBERS_PER_HEARTBEAT = 64
 const CONTACTS_PER_TICK_ALONE = 8
 const CONTACTS_PER_TICK = 1
+/**
+ * A router that has just started and knows nobody looks for peers this often, in milliseconds, for so
+ * long. After a loss of power all routers start within a second, and each heartbeat that
+ * meets one not yet there would cost another interval without knowledge.
+ */
+const SEEK_INTERVAL_MS = 150
+const SEEK_LIMIT_MS = 3_000
 /** Ticks missed in a row from which this process must have been paused. */
 const PAUSE_TICKS = 3
 
@@ -70,6 +77,7 @@
   const listeners: (() => void)[] = []
   let timer: Timer | undefined
   let lastTickAt = clock.now()
+  let seeksUntil = -Infinity
   // Wall time, so that a restarted router, which kept nothing, has a higher incarnation than before.
   let ownRecord: Member = {
     nodeId: settings.nodeId,
@@ -206,7 +214,8 @@
     declareDead(now)
     sendHeartbeats()
     contactUnknownAddresses()
-    timer = clock.setTimer(settings.heartbeatIntervalMs, tick)
+    const isSeeking = reachablePeers().length === 0 && now < seeksUntil
+    timer = clock.setTimer(isSeeking ? SEEK_INTERVAL_MS : settings.heartbeatIntervalMs, tick)
   }
 
   return {
@@ -227,6 +236,7 @@
         onHeartbeat(heartbeat)
         return { kind: 'none' }
       })
+      seeksUntil = clock.now() + SEEK_LIMIT_MS
       tick()
     },
     stop: () => timer?.cancel()
--- a/src/services/membership/test.ts
+++ b/src/services/membership/test.ts
@@ -179,4 +179,16 @@
     expect(liveNames(nodes[1]!)).toEqual(['node-2', 'node-3', 'node-4'])
     expect(stateOf(nodes[1]!, 'node-1')).toBe('leaving')
   })
+
+  // After a loss of power the nodes come back within a second of each other. The first
+  // one finds nobody at its seeds; looking again only at its next heartbeat, it
+  // served for half a second without what its peers knew.
+  it('looks often for peers while it is young and alone', async () => {
+    const fleet = createFleet(['node-1', 'node-2'])
+    const first = fleet.startNode('node-1')
+    await fleet.clock.advanceAndSettle(HEARTBEAT_MS / 2 + 20)
+    fleet.startNode('node-2', [])
+    await fleet.clock.advanceAndSettle(HEARTBEAT_MS / 2 - 40)
+    expect(liveNames(first)).toEqual(['node-1', 'node-2'])
+  })
 })
--- a/src/services/promptDirectory/_lib/createPlaceNews.ts
+++ b/src/services/promptDirectory/_lib/createPlaceNews.ts
@@ -25,8 +25,8 @@
 
 type Places = Map<string, { readonly part: string, readonly instanceKey: string }>
 
-/** Some 30 bytes each: after a start, an engine's places go out over several periods. */
-const PLACES_PER_MESSAGE = 256
+/** Some 15 bytes each: after a start, what a zone's engines keep goes out in a period or two. */
+const PLACES_PER_MESSAGE = 1_024
 /** What has to wait for its message; two zones' engines together. */
 const PLACES_WAITING = 8_192
 /** A quarter of the time for which a place is believed without news of it. */
@@ -36,8 +36,13 @@
 const formatPlace = (part: string, instanceKey: string): string => `${part} ${instanceKey}`
 
 const toMessage = (places: Places, isForZone: boolean): PeerMessageOf<'promptPlaces'> => {
-  const all = [...places.values()]
-  return { kind: 'promptPlaces', parts: all.map(({ part }) => part), servers: all.map(({ instanceKey }) => instanceKey), ...(isForZone ? { isForZone } : {}) }
+  const byServer = new Map<string, string[]>()
+  for (const { part, instanceKey } of places.values()) {
+    const parts = byServer.get(instanceKey)
+    if (parts === undefined) byServer.set(instanceKey, [part])
+    else parts.push(part)
+  }
+  return { kind: 'promptPlaces', places: [...byServer].map(([server, parts]) => ({ server, parts })), ...(isForZone ? { isForZone } : {}) }
 }
 
 /** Creates the news of one node; `fullMeshPeers` is the number of peers up to which it tells all of them itself. */
@@ -90,15 +95,17 @@
       toldAt.set(place, clock.now())
       collect(own, part, instanceKey)
     },
-    take: ({ parts, servers, isForZone }) => {
-      for (const [index, part] of parts.entries()) {
-        const instanceKey = servers[index]
-        if (instanceKey === undefined) continue
-        toldAt.set(formatPlace(part, instanceKey), clock.now())
-        if (isForZone === true) collect(forZone, part, instanceKey)
+    take: ({ places, isForZone }) => {
+      for (const { server, parts } of places) {
+        for (const part of parts) {
+          toldAt.set(formatPlace(part, server), clock.now())
+          if (isForZone === true) collect(forZone, part, server)
+        }
       }
     },
     tell: () => {
+      // Before peers are known, what was learnt after a start waits for them.
+      if (membership.liveMembers().length <= 1) return
       if (membership.liveMembers().length - 1 > fullMeshPeers) tellThroughForwarders()
       else send(membership.liveMembers(), takeMessage(own), false)
     }
--- /dev/null
+++ b/src/services/promptDirectory/_lib/createPlacesRecovery.test.ts
@@ -0,0 +1,90 @@
+import { describe, expect, test } from 'vitest'
+import { createPlacesRecovery } from './createPlacesRecovery.js'
+import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
+import { createManualClock } from '../../../emulator/createManualClock/index.js'
+import { createMemoryPeerNetwork } from '../../../emulator/createMemoryPeerNetwork/index.js'
+import { success } from '../../../kernel/index.js'
+import type { BackendInstance, KeptParts, Logger, Member } from '../../../types/index.js'
+
+const SILENT: Logger = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
+const ANSWER_MS = 10
+
+const createEngine = (index: number, zone: string): BackendInstance =>
+  ({ id: `engine-${zone}-${index}`, service: 'engines', address: { host: `engine-${index}`, port: 1 }, availabilityZone: zone, slots: 64, isLeaving: false, incarnation: 1, warmUpMs: 0 })
+
+const createMember = (index: number, zone: string): Member =>
+  ({ nodeId: `node-${zone}-${index}`, incarnation: 1, address: { host: `node-${zone}-${index}`, port: 1 }, availabilityZone: zone, state: 'live', generation: 1 })
+
+type FleetOptions = { readonly nodesPerZone: number, readonly enginesPerZone: number, readonly restarted?: number }
+
+/** Nodes of two zones, of which the first `restarted` ones (all by default) have just started; news reach all nodes at once. */
+const createFleet = ({ nodesPerZone, enginesPerZone, restarted = Infinity }: FleetOptions) => {
+  const clock = createManualClock()
+  const network = createMemoryPeerNetwork({ clock })
+  const zones = ['a', 'b']
+  const engines = zones.flatMap((zone) => Array.from({ length: enginesPerZone }, (_, index) => createEngine(index, zone)))
+  const members = zones.flatMap((zone) => Array.from({ length: nodesPerZone }, (_, index) => createMember(index, zone)))
+  const lists = new Map<string, number>()
+  let seed = 0
+  const nodes = members.map((self, index) => {
+    const transport = network.createTransport(self.address)
+    const known = new Set<string>(index < restarted ? [] : engines.map(formatInstanceKey))
+    const noteAll = (kept: readonly KeptParts[]): void => { for (const { server } of kept) known.add(server) }
+    const recovery = createPlacesRecovery({
+      clock,
+      transport,
+      membership: { self: () => self, liveMembers: () => members },
+      isKnown: (key) => known.has(key),
+      noteAll,
+      tell: (_part, key) => { for (const node of nodes) node.known.add(key) },
+      recovery: {
+        logger: SILENT,
+        random: { next: () => (seed = (seed + 0.37) % 1), nextId: () => 'id' },
+        registry: { all: () => engines },
+        memory: {
+          list: async ({ id }) => {
+            lists.set(id, (lists.get(id) ?? 0) + 1)
+            await new Promise<void>((resolve) => { clock.setTimer(ANSWER_MS, resolve) })
+            return success([{ id: `part of ${id}`, tokens: 100 }])
+          }
+        },
+        availabilityZone: self.availabilityZone,
+        isEngine: () => true,
+        areEnginesKnown: () => true,
+        onKnown: () => {}
+      }
+    })
+    transport.handle('promptPlacesRequest', () =>
+      ({ kind: 'promptPlaces', places: [...known].map((server) => ({ server, parts: ['part'] })), isWhole: index >= restarted || recovery.isWhole() }))
+    return { recovery, known }
+  })
+  return {
+    clock,
+    nodes,
+    engines,
+    start: () => { for (const [index, { recovery }] of nodes.entries()) if (index < restarted) recovery.start() },
+    countLists: () => [...lists.values()].reduce((sum, count) => sum + count, 0),
+    mostLists: () => Math.max(0, ...lists.values())
+  }
+}
+
+describe('what engines keep', () => {
+  // All nodes lose power, the engines do not. Chats that return are to find the engine
+  // that keeps their prompt within the first moments, without a crowd of questions.
+  test.each([[1, 3], [3, 6], [25, 33]])('is known to all after a start of %i nodes a zone with %i engines, each asked once', async (nodesPerZone, enginesPerZone) => {
+    const fleet = createFleet({ nodesPerZone, enginesPerZone })
+    fleet.start()
+    await fleet.clock.advanceAndSettle(400)
+    expect(fleet.mostLists()).toBe(1)
+    for (const { known } of fleet.nodes) expect(known.size).toBe(2 * enginesPerZone)
+  })
+
+  test('is asked of a peer that runs, not of the engines, by a node that starts alone', async () => {
+    const fleet = createFleet({ nodesPerZone: 3, enginesPerZone: 6, restarted: 1 })
+    fleet.start()
+    await fleet.clock.advanceAndSettle(3_000)
+    expect(fleet.countLists()).toBe(0)
+    expect(fleet.nodes[0]!.known.size).toBe(12)
+    expect(fleet.nodes[0]!.recovery.isWhole()).toBe(true)
+  })
+})
--- a/src/services/promptDirectory/index.ts
+++ b/src/services/promptDirectory/index.ts
@@ -5,18 +5,20 @@
  */
 import { LRUCache } from 'lru-cache'
 import type { RunningService } from '../../kernel/index.js'
-import type { Clock, Membership, PeerTransport, PromptPart, Timer } from '../../types/index.js'
+import type { Clock, KeptParts, Membership, PeerTransport, PromptPart, Timer } from '../../types/index.js'
 import { createPlaceNews } from './_lib/createPlaceNews.js'
-import { recoverPlaces } from './_lib/recoverPlaces.js'
-import type { PlacesRecovery } from './_lib/recoverPlaces.js'
+import { createPlacesRecovery } from './_lib/createPlacesRecovery.js'
+import type { PlacesRecoverySources } from './_lib/createPlacesRecovery.js'
+
+export type { PlacesRecoverySources } from './_lib/createPlacesRecovery.js'
 
 export type PromptDirectory = {
   /** Notes that a backend server reads or has read these parts now. */
   readonly record: (parts: readonly PromptPart[], instanceKey: string) => void
   /** Tokens of the longest beginning of `parts` that the server is believed to keep. */
   readonly countKept: (parts: readonly PromptPart[], instanceKey: string) => number
-  /** Called when all that was asked after a start has answered. */
-  readonly onRecovered: (listener: () => void) => void
+  /** Called when what was asked at a start has been answered. */
+  readonly onLearnt: (listener: () => void) => void
 }
 
 export type PromptDirectoryDependencies = {
@@ -24,7 +26,7 @@
   readonly transport: Pick<PeerTransport, 'send' | 'handle' | 'request'>
   readonly membership: Pick<Membership, 'liveMembers' | 'self'>
   /** How to learn after a start what engines keep; left out where nothing can be kept yet. */
-  readonly recovery?: PlacesRecovery
+  readonly recovery?: PlacesRecoverySources
 }
 
 export type PromptDirectoryOptions = {
@@ -38,7 +40,7 @@
 
 /** A part unused for so long is taken for evicted: engines keep the parts used last. */
 const KEPT_MS = 60_000
-/** Some 40 bytes each: a reply stays under 200 kB. */
+/** Some 15 bytes each: a reply stays under 60 kB, which a small VM's link takes in 70 ms. */
 const PLACES_PER_REPLY = 4_000
 /** Servers that one part is remembered at; a part that begins many prompts is at most of a service. */
 const SERVERS_PER_PART = 64
@@ -60,7 +62,6 @@
   const { clock, transport } = dependencies
   const places = new LRUCache<string, Map<string, number>>({ max: options.maximumParts })
   const news = createPlaceNews(dependencies, options.fullMeshPeers)
-  const recoveryListeners: (() => void)[] = []
   let timer: Timer | undefined
 
   const note = (part: string, instanceKey: string): void => {
@@ -77,25 +78,23 @@
     if (oldest !== undefined) servers.delete(oldest)
   }
 
-  const noteAll = (parts: readonly string[], servers: readonly string[]): void => {
-    for (const [index, part] of parts.entries()) {
-      const server = servers[index]
-      if (server !== undefined) note(part, server)
-    }
+  const noteAll = (kept: readonly KeptParts[]): void => {
+    for (const { server, parts } of kept) for (const part of parts) note(part, server)
   }
 
   /** The parts used last, oldest first, as far as they fit a message. */
-  const listPlaces = (): { readonly parts: readonly string[], readonly servers: readonly string[] } => {
-    const parts: string[] = []
-    const servers: string[] = []
+  const listPlaces = (): readonly KeptParts[] => {
+    const byServer = new Map<string, string[]>()
+    let count = 0
     for (const [part, holders] of places.entries()) {
       for (const server of holders.keys()) {
-        if (parts.length >= PLACES_PER_REPLY) break
-        parts.push(part)
-        servers.push(server)
+        if (count++ >= PLACES_PER_REPLY) break
+        const parts = byServer.get(server)
+        if (parts === undefined) byServer.set(server, [part])
+        else parts.push(part)
       }
     }
-    return { parts: parts.reverse(), servers: servers.reverse() }
+    return [...byServer].map(([server, parts]) => ({ server, parts: parts.reverse() }))
   }
 
   const record = (parts: readonly PromptPart[], instanceKey: string): void => {
@@ -106,6 +105,15 @@
     }
   }
 
+  const recovery = dependencies.recovery && createPlacesRecovery({
+    ...dependencies,
+    recovery: dependencies.recovery,
+    isKnown: (instanceKey) => [...places.values()].some((servers) => servers.has(instanceKey)),
+    noteAll,
+    tell: news.add
+  })
+  recovery?.onLearnt(() => news.tell())
+
   const tellPeers = (): void => {
     timer = clock.setTimer(options.periodMs, tellPeers)
     news.tell()
@@ -123,24 +131,16 @@
         }
         return kept
       },
-      onRecovered: (listener) => { recoveryListeners.push(listener) }
+      onLearnt: (listener) => recovery?.onLearnt(listener)
     },
     start: () => {
       transport.handle('promptPlaces', (message) => {
-        noteAll(message.parts, message.servers)
+        noteAll(message.places)
         news.take(message)
         return { kind: 'none' }
       })
-      transport.handle('promptPlacesRequest', () => ({ kind: 'promptPlaces', ...listPlaces() }))
-      if (dependencies.recovery !== undefined) {
-        recoverPlaces({
-          ...dependencies,
-          recovery: dependencies.recovery,
-          isKnown: (instanceKey) => [...places.values()].some((servers) => servers.has(instanceKey)),
-          noteAll,
-          tell: news.add
-        }).then(() => { for (const listener of recoveryListeners) listener() })
-      }
+      transport.handle('promptPlacesRequest', () => ({ kind: 'promptPlaces', places: listPlaces(), isWhole: recovery?.isWhole() ?? true }))
+      recovery?.start()
       timer = clock.setTimer(options.periodMs, tellPeers)
     },
     stop: () => timer?.cancel()
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -112,11 +112,8 @@
   | { readonly kind: 'directoryLookup', readonly chatKey: string }
   | { readonly kind: 'claimAppend', readonly shard: number, readonly entries: readonly Uint8Array[] }
   | { readonly kind: 'claimOutcome', readonly key: ClaimKey }
-  /**
-   * Prompt parts that lately went to backend servers (`id@incarnation`), place by place. In a large
-   * fleet they go to one node of each zone, which passes them on there.
-   */
-  | { readonly kind: 'promptPlaces', readonly parts: readonly string[], readonly servers: readonly string[], readonly isForZone?: boolean }
+  /** Prompt parts that lately went to backend servers. In a large fleet they go to one node of each zone, which passes them on there. */
+  | { readonly kind: 'promptPlaces', readonly places: readonly KeptParts[], readonly isForZone?: boolean }
   /** Asks a gateway node for the prompt parts that it remembers, after a start. */
   | { readonly kind: 'promptPlacesRequest' }
   /** Asks a gateway node for what is newer than this; `since` is where the asker stands in that node's own changes. */
@@ -124,6 +121,9 @@
   /** Tells that the sender has a newer configuration or changed backend servers: worth a question. */
   | { readonly kind: 'knowledgeNews', readonly source: string, readonly version: number, readonly position: ChangePosition }
 
+/** Ids of prompt parts that a backend server (`id@incarnation`) is believed to keep. */
+export type KeptParts = { readonly server: string, readonly parts: readonly string[] }
+
 export type PeerReply =
   | { readonly kind: 'none' }
   | { readonly kind: 'root', readonly root?: Uint8Array }
@@ -133,7 +133,8 @@
   | { readonly kind: 'claimAppended', readonly accepted: readonly boolean[], readonly records?: readonly Uint8Array[] }
   | { readonly kind: 'claimRefused', readonly message: string }
   | { readonly kind: 'claimOutcome', readonly outcome?: Uint8Array }
-  | { readonly kind: 'promptPlaces', readonly parts: readonly string[], readonly servers: readonly string[] }
+  /** `isWhole` where the node knows all that its zone's engines keep, as far as it could be learnt. */
+  | { readonly kind: 'promptPlaces', readonly places: readonly KeptParts[], readonly isWhole: boolean }
   | {
     readonly kind: 'knowledge'
     readonly version: number
