--- a/scripts/bundle/writeCode.cjs
+++ b/scripts/bundle/writeCode.cjs
@@ -4,12 +4,11 @@
  */
 'use strict'
 const { readFileSync, writeFileSync } = require('node:fs')
-const { createRequire, wrap } = require('node:module')
 const { resolve } = require('node:path')
 const { Script } = require('node:vm')
 
 const path = resolve('target/program.cjs')
-const script = new Script(wrap(readFileSync(path, 'utf8')), { filename: path })
+const script = new Script(`(function (exports, require, module, __filename, __dirname) {${readFileSync(path, 'utf8')}\n})`, { filename: path })
 
 const exit = process.exit
 process.exit = (code) => {
@@ -17,5 +16,5 @@
   exit(code)
 }
 const main = { exports: {} }
-script.runInThisContext().call(main.exports, main.exports, createRequire(path), main, path, resolve('target'))
+script.runInThisContext().call(main.exports, main.exports, process.getBuiltinModule, main, path, resolve('target'))
 main.exports.run({ listener: undefined, timeline: { mark: () => {}, fields: () => ({}) } })
--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -14,6 +14,9 @@
   { filter: /^undici$/, file: 'undici.mjs' },
   { filter: /\/client-h2(\.js)?$/, file: 'http2Client.cjs' },
   { filter: /\/pushgateway$/, file: 'pushgateway.cjs' },
+  { filter: /^\.\/lib\/cluster$/, file: 'cluster.cjs' },
+  { filter: /^cbor-x$/, file: 'cbor.mjs' },
+  { filter: /^node:assert$/, file: 'assert.cjs' },
   { filter: /^@dabh\/diagnostics$/, file: 'diagnostics.cjs' },
   { filter: /^@colors\/colors\/safe$/, file: 'colors.cjs' }
 ]
@@ -36,8 +39,8 @@
   format: 'cjs',
   minify: true,
   outfile,
-  // cbor-x does without this native addon, whose search takes longer than it saves.
-  alias: { 'cbor-extract': './scripts/bundle/absent.cjs' },
+  // The global loads a dozen of the engine's modules; the daemon tells time by process.hrtime, and lru-cache by Date without it.
+  define: { performance: 'undefined' },
   plugins: [replaceModules]
 })
 
--- a/src/adapters/instanceHttp/index.ts
+++ b/src/adapters/instanceHttp/index.ts
@@ -154,12 +154,15 @@
       },
       onError: fail
     }
-    connection.client.dispatch({
+    const options: Dispatcher.DispatchOptions & { readonly servername: string } = {
       method: attempt.request.method as Dispatcher.HttpMethod,
       path: attempt.request.target,
       headers: dialect.encodeAttempt(attempt) as string[],
-      body: attempt.body.length > 0 ? attempt.body : null
-    }, handler)
+      body: attempt.body.length > 0 ? attempt.body : null,
+      // Of no use without TLS; left out, the client derives it from the host of each request, and its first use compiles a pattern of IPv6 addresses.
+      servername: attempt.instance.address.host
+    }
+    connection.client.dispatch(options, handler)
 
     return {
       abort: () => {
--- a/src/adapters/startTimeline/index.ts
+++ b/src/adapters/startTimeline/index.ts
@@ -1,6 +1,7 @@
 /** When a process that has just been started came how far, and what processor time it had spent by then. */
 import type { StartStep, StartTimeline } from '../../types/index.js'
 
+const MILLISECONDS_PER_SECOND = 1_000
 const MICROSECONDS_PER_MILLISECOND = 1_000
 
 const readCpuMs = (): number => {
@@ -22,7 +23,7 @@
   const steps = new Map<StartStep, { readonly ms: number, readonly cpuMs: number }>()
   return {
     mark: (step) => {
-      if (!steps.has(step)) steps.set(step, { ms: performance.now(), cpuMs: readCpuMs() })
+      if (!steps.has(step)) steps.set(step, { ms: process.uptime() * MILLISECONDS_PER_SECOND, cpuMs: readCpuMs() })
     },
     fields: () => Object.fromEntries([...steps].flatMap(([step, { ms, cpuMs }]) => [[`${step}Ms`, Math.round(ms)], [`${step}CpuMs`, Math.round(cpuMs)]]))
   }
--- a/src/adapters/systemClock/index.ts
+++ b/src/adapters/systemClock/index.ts
@@ -1,5 +1,14 @@
 import type { Clock } from '../../types/index.js'
 
+const MILLISECONDS_PER_SECOND = 1_000
+const NANOSECONDS_PER_MILLISECOND = 1_000_000
+
+/** Loads nothing, where the global `performance` would load a dozen of the engine's modules into a start. */
+const readMonotonicMs = (): number => {
+  const [seconds, nanoseconds] = process.hrtime()
+  return seconds * MILLISECONDS_PER_SECOND + nanoseconds / NANOSECONDS_PER_MILLISECOND
+}
+
 export type SystemClockOptions = {
   /** Whether a pending timer keeps the process from ending; true by default. */
   readonly keepsProcessAlive?: boolean
@@ -15,7 +24,7 @@
  * createSystemClock().setTimer(1_000, () => console.log('a second later'))
  */
 export const createSystemClock = ({ keepsProcessAlive = true }: SystemClockOptions = {}): Clock => ({
-  now: () => performance.now(),
+  now: readMonotonicMs,
   wallTime: () => Date.now(),
   setTimer: (delayMs, callback) => {
     const handle = setTimeout(callback, delayMs)
--- a/src/adapters/systemClocks/index.ts
+++ b/src/adapters/systemClocks/index.ts
@@ -1,4 +1,5 @@
 import { uptime } from 'node:os'
+import { createSystemClock } from '../systemClock/index.js'
 import type { Clocks } from '../../decisions/measureAge/index.js'
 
 const MILLISECONDS_PER_SECOND = 1_000
@@ -12,7 +13,7 @@
  * createSystemClocks().wall() > 0 // => true
  */
 export const createSystemClocks = (): Clocks => ({
-  monotonic: () => performance.now(),
+  monotonic: createSystemClock().now,
   wall: () => Date.now(),
   boot: () => uptime() * MILLISECONDS_PER_SECOND
 })
--- a/src/daemon/startGateway/index.ts
+++ b/src/daemon/startGateway/index.ts
@@ -3,13 +3,13 @@
  * in: the sources of configuration and backend servers, and the wire's names.
  */
 import { createBoundedLogger } from '../../adapters/boundedLogger/index.js'
+import { createDeferredMetrics } from '../../adapters/deferredMetrics/index.js'
 import { createGatewayHttp } from '../../adapters/gatewayHttp/index.js'
 import type { EarlyListener } from '../../adapters/earlyListener/index.js'
 import { createInstanceHttp } from '../../adapters/instanceHttp/index.js'
 import { createPeerTcp } from '../../adapters/peerTcp/index.js'
 import { createProbeHttp } from '../../adapters/probeHttp/index.js'
 import type { ProbeAnswer } from '../../adapters/probeHttp/index.js'
-import { createPromMetrics } from '../../adapters/promMetrics/index.js'
 import { createStartTimeline } from '../../adapters/startTimeline/index.js'
 import { createSystemClock } from '../../adapters/systemClock/index.js'
 import { createSystemClocks } from '../../adapters/systemClocks/index.js'
@@ -45,6 +45,8 @@
   readonly stop: () => Promise<void>
 }
 
+/** By then a node on a small VM has answered the callers that waited for its start. */
+const METRICS_DELAY_MS = 700
 /** Where operators' scrapers read the metrics. */
 const METRICS_PATH = '/metrics'
 const MAXIMUM_FRAME_BYTES = 8 * 1024 * 1024
@@ -57,6 +59,7 @@
 /** Kept of the grace period for the end itself. */
 const GRACE_MARGIN_MS = 500
 const STOP_POLL_MS = 50
+const MILLISECONDS_PER_SECOND = 1_000
 /** The timeline of a start is written once a request was served, and no later than this. */
 const TIMELINE_LIMIT_MS = 5_000
 
@@ -78,7 +81,12 @@
   let current = settings
   const clock = createSystemClock()
   const random = createSystemRandom()
-  const metrics = createPromMetrics()
+  const metrics = createDeferredMetrics({
+    load: async () => (await import('../../adapters/promMetrics/index.js')).createPromMetrics(),
+    delayMs: METRICS_DELAY_MS,
+    clock,
+    onFailure: (error) => options.logger.error('metrics failed to load', { reason: String(error) })
+  })
   const logger = createBoundedLogger({ clock, logger: options.logger, metrics })
   const transport = createPeerTcp({
     host: settings.peerAddress.host,
@@ -126,15 +134,19 @@
     timeline.mark('ready')
     return { status: 200, body: 'ready' }
   }
+  const answerScrape = async (): Promise<ProbeAnswer> => {
+    const opened = await metrics.open()
+    return { status: 200, body: await opened.render(), contentType: opened.contentType }
+  }
   const readiness = createProbeHttp(settings.readinessAddress, { [options.readinessPath]: answerReadiness })
   const metricsHttp = settings.metricsAddress === undefined
     ? undefined
-    : createProbeHttp(settings.metricsAddress, { [METRICS_PATH]: async () => ({ status: 200, body: await metrics.render(), contentType: metrics.contentType }) })
+    : createProbeHttp(settings.metricsAddress, { [METRICS_PATH]: answerScrape })
   const callerAddress = await gatewayHttp.listen()
   timeline.mark('listening')
   const readinessAddress = await readiness.listen()
   const metricsAddress = await metricsHttp?.listen()
-  logger.info('gateway started', { zone: settings.availabilityZone, callerPort: callerAddress.port, readinessPort: readinessAddress.port, peerPort: peerAddress.port, metricsPort: metricsAddress?.port, startMs: Math.round(performance.now()) })
+  logger.info('gateway started', { zone: settings.availabilityZone, callerPort: callerAddress.port, readinessPort: readinessAddress.port, peerPort: peerAddress.port, metricsPort: metricsAddress?.port, startMs: Math.round(process.uptime() * MILLISECONDS_PER_SECOND) })
   clock.setTimer(TIMELINE_LIMIT_MS, () => logger.info('start timeline', timeline.fields()))
 
   const end = async (): Promise<void> => {
--- /dev/null
+++ b/src/kernel/createDeferredCalls/test.ts
@@ -0,0 +1,59 @@
+import { describe, expect, test } from 'vitest'
+import { createDeferredCalls } from './index.js'
+import { createManualClock } from '../../emulator/createManualClock/index.js'
+
+const DELAY_MS = 500
+
+const createCalls = (load?: () => Promise<string[]>) => {
+  const clock = createManualClock()
+  const target: string[] = []
+  const failures: unknown[] = []
+  let loads = 0
+  const calls = createDeferredCalls<string[]>({
+    load: load ?? (async () => {
+      loads += 1
+      return target
+    }),
+    delayMs: DELAY_MS,
+    clock,
+    onFailure: (error) => { failures.push(error) }
+  })
+  return { clock, target, failures, calls, countLoads: () => loads }
+}
+
+describe('createDeferredCalls', () => {
+  test('loads nothing and runs nothing before its time', async () => {
+    const { clock, target, calls, countLoads } = createCalls()
+    calls.run((lines) => lines.push('first'))
+    await clock.advanceAndSettle(DELAY_MS - 1)
+    expect(countLoads()).toBe(0)
+    expect(target).toEqual([])
+  })
+
+  test('runs what was held in order, and later calls at once', async () => {
+    const { clock, target, calls } = createCalls()
+    calls.run((lines) => lines.push('first'))
+    calls.run((lines) => lines.push('second'))
+    await clock.advanceAndSettle(DELAY_MS)
+    expect(target).toEqual(['first', 'second'])
+    calls.run((lines) => lines.push('third'))
+    expect(target).toEqual(['first', 'second', 'third'])
+  })
+
+  test('is opened before its time, once', async () => {
+    const { clock, target, calls, countLoads } = createCalls()
+    calls.run((lines) => lines.push('first'))
+    await Promise.all([calls.open(), calls.open()])
+    await clock.advanceAndSettle(DELAY_MS)
+    expect(target).toEqual(['first'])
+    expect(countLoads()).toBe(1)
+  })
+
+  test('tells of a target that can\'t be loaded, and holds nothing more', async () => {
+    const { clock, failures, calls } = createCalls(() => Promise.reject(new Error('missing')))
+    calls.run(() => {})
+    await clock.advanceAndSettle(DELAY_MS)
+    expect(failures).toEqual([new Error('missing')])
+    await expect(calls.open()).rejects.toThrow('missing')
+  })
+})
--- a/src/kernel/index.ts
+++ b/src/kernel/index.ts
@@ -1,5 +1,6 @@
 /** The kernel and the small helpers that every layer uses. */
 export * from './computeSha256/index.js'
+export * from './createDeferredCalls/index.js'
 export * from './createKernel/index.js'
 export * from './failure/index.js'
 export * from './formatIsoTime/index.js'
--- a/src/services/promptDirectory/_lib/createPlaceNews.ts
+++ b/src/services/promptDirectory/_lib/createPlaceNews.ts
@@ -6,6 +6,7 @@
  * in a period instead of 68.
  */
 import { LRUCache } from 'lru-cache'
+import { growTo } from './growTo.js'
 import { selectZoneReaders } from '../../../decisions/selectZoneReaders/index.js'
 import type { Clock, Member, Membership, PeerMessageOf, PeerTransport } from '../../../types/index.js'
 
@@ -47,7 +48,7 @@
 
 /** Creates the news of one node; `fullMeshPeers` is the number of peers up to which it tells all of them itself. */
 export const createPlaceNews = ({ clock, transport, membership }: PlaceNewsDependencies, fullMeshPeers: number): PlaceNews => {
-  const toldAt = new LRUCache<string, number>({ max: PLACES_REMEMBERED })
+  const toldAt = new LRUCache<string, number>(growTo(PLACES_REMEMBERED))
   const own: Places = new Map()
   const forZone: Places = new Map()
 
--- a/src/services/promptDirectory/index.ts
+++ b/src/services/promptDirectory/index.ts
@@ -7,6 +7,7 @@
 import type { RunningService } from '../../kernel/index.js'
 import type { Clock, KeptParts, Membership, PeerTransport, PromptPart, Timer } from '../../types/index.js'
 import { createPlaceNews } from './_lib/createPlaceNews.js'
+import { growTo } from './_lib/growTo.js'
 import { createPlacesRecovery } from './_lib/createPlacesRecovery.js'
 import type { PlacesRecoverySources } from './_lib/createPlacesRecovery.js'
 
@@ -60,7 +61,7 @@
  */
 export const createPromptDirectory = (dependencies: PromptDirectoryDependencies, options: PromptDirectoryOptions = defaultPromptDirectoryOptions): RunningService<PromptDirectory> => {
   const { clock, transport } = dependencies
-  const places = new LRUCache<string, Map<string, number>>({ max: options.maximumParts })
+  const places = new LRUCache<string, Map<string, number>>(growTo(options.maximumParts))
   const news = createPlaceNews(dependencies, options.fullMeshPeers)
   let timer: Timer | undefined
 
