--- /dev/null
+++ b/src/decisions/orderHeld/test.ts
@@ -0,0 +1,39 @@
+import { describe, expect, test } from 'vitest'
+import { orderHeld } from './index.js'
+import type { HeldRequest } from './index.js'
+
+const createHeld = (changes: Partial<HeldRequest>): HeldRequest => ({ goalLeftMs: 400, deadlineLeftMs: 2_000, priority: 1, ...changes })
+
+/** Goals met when each request takes the processor for a while, one after the other. */
+const countInTime = (held: readonly HeldRequest[], workMs: number): number =>
+  held.filter(({ goalLeftMs }, index) => (index + 1) * workMs <= goalLeftMs).length
+
+describe('orderHeld', () => {
+  test('lets the one with the least time left go first', () => {
+    const [short, long] = [createHeld({ goalLeftMs: 120, priority: 2 }), createHeld({ goalLeftMs: 700, priority: 0 })]
+    expect(orderHeld([long, short])).toEqual([short, long])
+  })
+
+  test('lets those go last that are late in any order, the most urgent of them first', () => {
+    const inTime = createHeld({ goalLeftMs: 300, priority: 2 })
+    const urgent = createHeld({ goalLeftMs: -50, priority: 0 })
+    const other = createHeld({ goalLeftMs: 10, priority: 2 })
+    expect(orderHeld([other, urgent, inTime])).toEqual([inTime, urgent, other])
+  })
+
+  test('changes nothing of what it is given', () => {
+    const held = [createHeld({ goalLeftMs: 700 }), createHeld({ goalLeftMs: 100 })]
+    orderHeld(held)
+    expect(held.map(({ goalLeftMs }) => goalLeftMs)).toEqual([700, 100])
+  })
+
+  // All nodes return from a loss of power. Long streams came first and look-ups of a
+  // fifth of a second after them; in the order of their coming the look-ups are all late.
+  test('meets more goals than the order of coming', () => {
+    const streams = Array.from({ length: 10 }, () => createHeld({ goalLeftMs: 500 }))
+    const lookups = Array.from({ length: 10 }, (_, index) => createHeld({ goalLeftMs: 60 + 10 * index, priority: 2 }))
+    const held = [...streams, ...lookups]
+    expect(countInTime(held, 10)).toBe(10)
+    expect(countInTime(orderHeld(held), 10)).toBe(20)
+  })
+})
--- /dev/null
+++ b/src/decisions/selectReaders/test.ts
@@ -0,0 +1,39 @@
+import { describe, expect, test } from 'vitest'
+import { selectReaders } from './index.js'
+import type { Member } from '../../types/index.js'
+
+const createMember = (nodeId: string, availabilityZone: string, state: Member['state'] = 'live'): Member =>
+  ({ nodeId, incarnation: 1, address: { host: nodeId, port: 1 }, availabilityZone, state, generation: 1 })
+
+const names = (members: readonly Member[]): readonly string[] => members.map(({ nodeId }) => nodeId)
+
+const THREE_ZONES = [
+  createMember('a-1', 'a'), createMember('a-2', 'a'),
+  createMember('b-1', 'b'), createMember('b-2', 'b'),
+  createMember('c-1', 'c')
+]
+
+describe('selectReaders', () => {
+  test('takes the first node of a zone, and the next zone\'s for a second source', () => {
+    const { own, asked } = selectReaders('a', THREE_ZONES)
+    expect(names(own)).toEqual(['a-1'])
+    expect(names(asked)).toEqual(['a-1', 'b-1'])
+  })
+
+  test('gives the last zone the reader of the first', () => {
+    expect(names(selectReaders('c', THREE_ZONES).asked)).toEqual(['c-1', 'a-1'])
+  })
+
+  test('has the next node read when the first is not live', () => {
+    const members = [createMember('a-1', 'a', 'suspect'), ...THREE_ZONES.slice(1)]
+    expect(names(selectReaders('a', members).own)).toEqual(['a-2'])
+  })
+
+  // A zone is cut off: its nodes hold all others dead, and their reader may be lost as well.
+  test('takes two readers where no other zone is in reach', () => {
+    const members = THREE_ZONES.map((member) => member.availabilityZone === 'a' ? member : { ...member, state: 'dead' as const })
+    const { own, asked } = selectReaders('a', members)
+    expect(names(own)).toEqual(['a-1', 'a-2'])
+    expect(names(asked)).toEqual(['a-1', 'a-2'])
+  })
+})
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -85,8 +85,6 @@
 const LOAD_SUM_MS = 400
 /** The seeds of the settings bring nodes together; no list of VMs is read. */
 const NO_VM_LIST: VmList = { current: () => undefined, onRead: () => { /* it is never read */ } }
-/** Nodes of a zone that read the store; the others learn from them. Two outlast the loss of one without a pause. */
-const READERS_PER_ZONE = 2
 /** Time between two questions of a node to its readers, by turns: both are heard within 1.1 s. */
 const READER_ASK_MS = 550
 /**
@@ -145,7 +143,7 @@
     dependsOn: ['membership', 'heartbeatExchange', 'gatewayConfiguration', 'instanceRegistry'],
     create: (resolve) => {
       if (configuration === undefined || registry === undefined) throw new Error('knowledge is exchanged before its holders were made')
-      return createKnowledgeExchange({ clock, random, transport, membership: resolve('membership'), exchange: resolve('heartbeatExchange'), configuration, registry, clocks }, { readersPerZone: READERS_PER_ZONE, askIntervalMs: READER_ASK_MS })
+      return createKnowledgeExchange({ clock, random, transport, membership: resolve('membership'), exchange: resolve('heartbeatExchange'), configuration, registry, clocks }, { askIntervalMs: READER_ASK_MS })
     }
   })
 }
--- a/src/services/forwarding/_lib/createAnswerIntake.ts
+++ b/src/services/forwarding/_lib/createAnswerIntake.ts
@@ -1,7 +1,9 @@
 /**
  * The answer of one backend server on its way to the caller: the head is
  * checked, events go on as they become whole, and any other answer is held until
- * it is whole, so that a truncated one is found before its head is sent.
+ * it is whole, so that a truncated one is found before its head is sent. The head of a
+ * stream goes with its first event: a server that breaks off before has given the caller
+ * nothing, and the request can still get another server's answer or an honest failure.
  */
 import type { CallerAnswer } from './createCallerAnswer.js'
 import { createEventReader } from './createEventReader.js'
@@ -41,9 +43,14 @@
   let held: Uint8Array[] = []
   let heldBytes = 0
 
-  const passEvents = (bytes: Uint8Array, exchange: Exchange | undefined): void => {
+  const beginWith = (head: InstanceAnswer): void => { if (!caller.hasBegun()) caller.begin(head) }
+
+  const passEvents = (head: InstanceAnswer, bytes: Uint8Array, exchange: Exchange | undefined): void => {
     const relayed = caller.relay.take(reader.push(bytes))
-    if (relayed.bytes !== undefined) caller.pass(relayed.bytes, exchange)
+    if (relayed.bytes !== undefined) {
+      beginWith(head)
+      caller.pass(relayed.bytes, exchange)
+    }
     if (relayed.gap !== undefined) listener.onBroken(relayed.gap)
   }
 
@@ -65,17 +72,18 @@
       if (verdict.kind === 'notRun') return listener.onNotRun(head)
       if (caller.hasBegun() && !isStream(head)) return listener.onBroken(`status ${head.status} instead of the rest of the stream`)
       listener.onHead(head)
-      if (isStream(head) && !caller.hasBegun()) caller.begin(head)
     },
     takeData: (bytes, exchange) => {
       if (answer === undefined) return
+      if (isStream(answer)) return passEvents(answer, bytes, exchange)
       if (!caller.hasBegun()) return hold(answer, bytes, exchange)
-      if (answer.isEventStream) return passEvents(bytes, exchange)
       caller.pass(bytes, exchange)
     },
     takeEnd: () => {
       if (answer === undefined) return listener.onBroken('end without an answer')
-      if (caller.hasBegun()) return reader.pendingBytes() > 0 ? listener.onBroken('end in the middle of an event') : listener.onPassed()
+      if (reader.pendingBytes() > 0) return listener.onBroken('end in the middle of an event')
+      if (isStream(answer)) beginWith(answer)
+      if (caller.hasBegun()) return listener.onPassed()
       const body = Buffer.concat(held)
       if (answer.status >= 500) return listener.onStatedFailure(answer, body)
       listener.onWhole(answer, body)
--- a/src/services/forwarding/_lib/createRun.ts
+++ b/src/services/forwarding/_lib/createRun.ts
@@ -13,6 +13,7 @@
 import { createRunRecord } from './createRunRecord.js'
 import type { RunOutcome } from './createRunRecord.js'
 import { createSending } from './createSending.js'
+import { createSendingNotes } from './createSendingNotes.js'
 import type { Sending } from './createSending.js'
 import { computeReturnDelay } from '../../../decisions/computeReturnDelay/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
@@ -44,6 +45,7 @@
   let isWaitingForKey = false
   const caller = createCallerAnswer(sink, request.lastEventId)
   const record = createRunRecord(context, request, () => route)
+  const notes = createSendingNotes(context, { request, readRoute: () => route, readService: () => service })
   /** The last failure that a server stated itself, for when nothing better comes. */
   let statedFailure: { readonly answer: InstanceAnswer, readonly body: Uint8Array } | undefined
 
@@ -165,7 +167,8 @@
         onHead: (answer) => { if (sending === current) takeHead(current, answer, intake) },
         onData: (bytes) => {
           if (sending !== current) return
-          noteHeard(current)
+          notes.heard(current)
+          current.firstBytesAt ??= current.lastBytesAt
           intake.takeData(bytes, current.exchange)
         },
         onEnd: () => { if (sending === current) intake.takeEnd() },
@@ -174,24 +177,12 @@
     )
   }
 
-  const noteHeard = (current: Sending): void => {
-    current.lastBytesAt = clock.now()
-    health.heard(current.instance)
-  }
-
   const takeHead = (current: Sending, answer: InstanceAnswer, intake: AnswerIntake): void => {
-    noteHeard(current)
+    notes.head(current, answer)
     record.noteFirstBytes(clock.now() - current.startedAt)
-    if (answer.load !== undefined) loadView.applyReport(formatInstanceKey(current.instance), { ...answer.load, leaving: false, ageMs: 0 })
     intake.takeHead(answer)
   }
 
-  const noteSuccess = (current: Sending, answer: InstanceAnswer): void => {
-    if (answer.status < 200 || answer.status >= 300) return
-    const slowness = context.usualTimes.compare(route?.name ?? '', clock.now() - current.startedAt)
-    health.record(current.instance, { kind: 'answered', slowness })
-  }
-
   /** The server states that it did not run the request: as if it had not been sent. */
   const takeNotRun = (current: Sending, answer: InstanceAnswer): void => {
     dropSending()
@@ -214,12 +205,15 @@
   }
 
   const listenTo = (current: Sending): AnswerListener => ({
-    onHead: (answer) => noteSuccess(current, answer),
+    onHead: (answer) => notes.success(current, answer),
     onNotRun: (answer) => takeNotRun(current, answer),
     onBroken: (message) => takeFailure(current, { kind: 'broken', message }),
     onStatedFailure: (answer, body) => takeStatedFailure(current, answer, body),
     onWhole: (answer, body) => endWell(current, () => caller.whole(answer, body), { status: answer.status }),
-    onPassed: () => endWell(current, caller.end)
+    onPassed: () => {
+      if (sends === 1) notes.wholeStream(current)
+      endWell(current, caller.end)
+    }
   })
 
   const takeStatedFailure = (current: Sending, answer: InstanceAnswer, whole: Uint8Array): void => {
@@ -249,13 +243,6 @@
     send()
   }
 
-  /** A request that has to wait on still tells of a server that is silent to all. */
-  const noteSilence = (current: Sending): void => {
-    if (current.isSilenceNoted || health.silentMs(current.instance) < clock.now() - current.lastBytesAt) return
-    current.isSilenceNoted = true
-    health.record(current.instance, { kind: 'unreachable' })
-  }
-
   const check = (now: number): void => {
     if (isDone) return
     if (now >= deadlineAt()) return giveUp(mayHaveRun ? 'deadline' : 'deadlineBeforeSend', 504)
@@ -271,7 +258,7 @@
     })
     if (!isDue) return
     if (isRepeatable() && canSendAgain()) return move(current, now)
-    noteSilence(current)
+    notes.silence(current)
   }
 
   return {
--- a/src/services/forwarding/_lib/createSending.ts
+++ b/src/services/forwarding/_lib/createSending.ts
@@ -7,6 +7,8 @@
   exchange: Exchange | undefined
   /** Whether a connection took the request: from then on it may have run. */
   isSent: boolean
+  /** Monotonic milliseconds of the first bytes of its answer's body. */
+  firstBytesAt: number | undefined
   /** Monotonic milliseconds of the last bytes; of the start before any came. */
   lastBytesAt: number
   isOver: boolean
@@ -15,4 +17,4 @@
 
 /** Creates a send that has not begun; `now` in monotonic milliseconds. */
 export const createSending = (instance: BackendInstance, now: number): Sending =>
-  ({ instance, startedAt: now, exchange: undefined, isSent: false, lastBytesAt: now, isOver: false, isSilenceNoted: false })
+  ({ instance, startedAt: now, exchange: undefined, isSent: false, firstBytesAt: undefined, lastBytesAt: now, isOver: false, isSilenceNoted: false })
--- /dev/null
+++ b/src/services/forwarding/_lib/createTokenPace.test.ts
@@ -0,0 +1,47 @@
+import { describe, expect, test } from 'vitest'
+import { createTokenPace } from './createTokenPace.js'
+import { estimateDuration, USUAL_TOKEN_MS } from '../../../decisions/estimateDuration/index.js'
+
+const ROUTE = { repeatPolicy: 'stream', timeoutMs: 15_000, goalMs: 800 } as const
+const GRACE_MS = 7_500
+const TOKENS = 1_000
+
+const createPaceOf = (tokenMs: number) => {
+  const pace = createTokenPace()
+  for (let stream = 0; stream < 20; stream++) pace.note('engines', 400, 400 * tokenMs)
+  return pace
+}
+
+describe('createTokenPace', () => {
+  test('knows nothing before a stream was seen, and of other services', () => {
+    expect(createTokenPace().read('engines')).toBeUndefined()
+    expect(createPaceOf(4).read('others')).toBeUndefined()
+  })
+
+  test('takes a slow stream at once and forgets it slowly', () => {
+    const pace = createPaceOf(4)
+    pace.note('engines', 400, 400 * 9)
+    expect(pace.read('engines')).toBe(9)
+    pace.note('engines', 400, 400 * 4)
+    expect(pace.read('engines')).toBeCloseTo(8.9)
+    for (let stream = 0; stream < 200; stream++) pace.note('engines', 400, 400 * 4)
+    expect(pace.read('engines')).toBeLessThan(4.2)
+  })
+
+  test('leaves out streams too short to show a pace', () => {
+    const pace = createPaceOf(4)
+    pace.note('engines', 20, 400)
+    expect(pace.read('engines')).toBeCloseTo(4)
+  })
+
+  // VMs are restarted in turn. A long stream that comes right after the signal would end well
+  // within the grace, yet it is refused, since the node takes its engines for slower than they are.
+  test.each([
+    ['taken from engines three times faster', 3.5 / 3, true],
+    ['taken from engines that are fast enough', 3.5, true],
+    ['refused to engines three times slower', 3.5 * 3, false]
+  ])('a long stream at the begin of a stop is %s', (_what, tokenMs, isTaken) => {
+    const estimate = estimateDuration({ route: ROUTE, outputTokens: TOKENS, tokenMs: createPaceOf(tokenMs).read('engines') ?? USUAL_TOKEN_MS })
+    expect(estimate <= GRACE_MS).toBe(isTaken)
+  })
+})
--- a/src/services/forwarding/_lib/run.ts
+++ b/src/services/forwarding/_lib/run.ts
@@ -1,6 +1,7 @@
 /** One request on its way, as the forwarding service sees it, and what it is given. */
 import type { RepeatBudgets } from './createRepeatBudgets.js'
 import type { TimeToFirstBytes } from './createTimeToFirstBytes.js'
+import type { TokenPace } from './createTokenPace.js'
 import type { ForwardingRun, GatewayAccount, GatewayRoute } from '../../../types/index.js'
 import type { ForwardingDependencies } from '../index.js'
 
@@ -10,6 +11,7 @@
   readonly readKeyFreshnessMs: () => number
   readonly budgets: RepeatBudgets
   readonly usualTimes: TimeToFirstBytes
+  readonly tokenPace: TokenPace
   readonly onDone: () => void
 }
 
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -7,10 +7,13 @@
 import type { Run, RunContext } from './_lib/run.js'
 import { createRepeatBudgets } from './_lib/createRepeatBudgets.js'
 import { createTimeToFirstBytes } from './_lib/createTimeToFirstBytes.js'
+import { createTokenPace } from './_lib/createTokenPace.js'
 import { findAccount } from './_lib/findAccount.js'
 import { estimateDuration, USUAL_TOKEN_MS } from '../../decisions/estimateDuration/index.js'
 import type { RepeatBudgetLimits } from '../../decisions/grantRepeat/index.js'
 import { indexRoutes } from '../../decisions/indexRoutes/index.js'
+import { orderHeld } from '../../decisions/orderHeld/index.js'
+import type { HeldRequest } from '../../decisions/orderHeld/index.js'
 import { selectGatewayRoute } from '../../decisions/selectGatewayRoute/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import type {
@@ -45,6 +48,9 @@
   readonly configurationFreshnessMs: number
 }
 
+/** A request that came before the node knew anything. */
+type Waiting = { readonly request: GatewayRequest, readonly admitNow: () => void }
+
 export type ForwardingOptions = {
   readonly availabilityZone: string
   readonly readBounds: () => ForwardingBounds
@@ -80,10 +86,11 @@
 export const createForwarding = (dependencies: ForwardingDependencies, options: ForwardingOptions): RunningService<Forwarding> => {
   const { clock, configuration, registry } = dependencies
   const startedAt = clock.now()
-  const waitingForKnowledge = new Set<() => void>()
+  const waitingForKnowledge = new Map<Run, Waiting>()
   const runs = new Set<Run>()
   const budgets = createRepeatBudgets(() => options.readBounds().repeatLimits, () => dependencies.membership.members().length, clock)
   const usualTimes = createTimeToFirstBytes()
+  const tokenPace = createTokenPace()
   let timer: Timer | undefined
   let endsAt = Infinity
   let index: ReadonlyMap<string, readonly GatewayRoute[]> = new Map()
@@ -108,9 +115,14 @@
     readLoadFactor: () => options.readBounds().loadFactor,
     readKeyFreshnessMs: () => options.readBounds().keyFreshnessMs,
     budgets,
-    usualTimes
+    usualTimes,
+    tokenPace
   }
 
+  /** Of the slowest of the services to which the route may send. */
+  const readTokenMs = (route: GatewayRoute): number =>
+    Math.max(...route.targets.map(({ service }) => tokenPace.read(service) ?? USUAL_TOKEN_MS))
+
   const admit = (run: Run, request: GatewayRequest): void => {
     const current = configuration.current()
     if (current === undefined || !registry.isKnown()) return run.reject({ status: 503, reason: 'noConfiguration', retryAfterMs: UNKNOWN_RETRY_MS })
@@ -118,7 +130,7 @@
     if (route === undefined) return run.reject(refuseUnknown({ status: 404, reason: 'unknownRoute' }))
     const account = findAccount(current, route, request.credential)
     if (account === 'unknown') return run.reject(refuseUnknown({ status: 401, reason: 'unknownKey' }))
-    if (clock.now() + estimateDuration({ route, outputTokens: request.tokens.output, tokenMs: USUAL_TOKEN_MS }) > endsAt) {
+    if (clock.now() + estimateDuration({ route, outputTokens: request.tokens.output, tokenMs: readTokenMs(route) }) > endsAt) {
       return run.reject({ status: 503, reason: 'shuttingDown', retryAfterMs: ELSEWHERE_RETRY_MS })
     }
     run.assign(route, account)
@@ -126,22 +138,34 @@
 
   const isKnowing = (): boolean => configuration.current() !== undefined && registry.isKnown()
 
+  /** What is not known to be late goes by its goal; a request without a route is refused whenever its turn comes. */
+  const toHeld = ({ request, admitNow }: Waiting): HeldRequest & Pick<Waiting, 'admitNow'> => {
+    const route = selectGatewayRoute(index, request.host, request.target)
+    const ageMs = clock.now() - request.receivedAt
+    return {
+      admitNow,
+      goalLeftMs: (route?.goalMs ?? 0) - ageMs,
+      deadlineLeftMs: Math.min(request.callerTimeoutMs ?? Infinity, route?.timeoutMs ?? Infinity) - ageMs,
+      priority: route?.priority ?? Infinity
+    }
+  }
+
   const admitWaiting = (): void => {
     if (!isKnowing()) return
-    for (const admitNow of [...waitingForKnowledge]) admitNow()
+    for (const { admitNow } of orderHeld([...waitingForKnowledge.values()].map(toHeld))) admitNow()
   }
 
   configuration.onChange(admitWaiting)
   registry.onChange(admitWaiting)
 
   const admitLater = (run: Run, request: GatewayRequest): void => {
-    const finish = (): void => {
-      if (!waitingForKnowledge.delete(finish)) return
+    const admitNow = (): void => {
+      if (!waitingForKnowledge.delete(run)) return
       limit.cancel()
       admit(run, request)
     }
-    const limit = clock.setTimer(FIRST_KNOWLEDGE_WAIT_MS, finish)
-    waitingForKnowledge.add(finish)
+    const limit = clock.setTimer(FIRST_KNOWLEDGE_WAIT_MS, admitNow)
+    waitingForKnowledge.set(run, { request, admitNow })
   }
 
   const isYoung = (): boolean => clock.now() - startedAt < YOUNG_MS
--- a/src/services/knowledgeExchange/index.ts
+++ b/src/services/knowledgeExchange/index.ts
@@ -1,12 +1,13 @@
 /**
  * What gateway nodes tell each other of the configuration and the backend
- * servers. Two nodes of a zone read the source, so that its load doesn't grow
- * with the fleet; the others ask these two by turns, and at once on news from
- * them. A node that can't read the source asks any peers. An age is only
+ * servers. One node of a zone reads the source, so that its load doesn't grow
+ * with the fleet; the others ask it and the next zone's by turns, and at once on
+ * news from theirs. A node that can't read the source asks any peers. An age is only
  * believed from a reply to an own question, so that a message which was long on
  * its way proves nothing.
  */
-import { selectZoneReaders } from '../../decisions/selectZoneReaders/index.js'
+import { selectReaders } from '../../decisions/selectReaders/index.js'
+import type { Readers } from '../../decisions/selectReaders/index.js'
 import { readClocks } from '../../decisions/readClocks/index.js'
 import type { Clocks } from '../../decisions/measureAge/index.js'
 import type { RunningService } from '../../kernel/index.js'
@@ -34,8 +35,6 @@
 }
 
 export type KnowledgeExchangeOptions = {
-  /** Nodes of a zone that read the source. */
-  readonly readersPerZone: number
   /** Time between two questions of a node that relies on readers, in milliseconds. */
   readonly askIntervalMs: number
 }
@@ -52,7 +51,7 @@
  * Creates the exchange of one node.
  *
  * @param dependencies - Peers, and the holders of what is exchanged.
- * @param options - How many read, and times in milliseconds.
+ * @param options - Times in milliseconds.
  * @returns The service for the kernel.
  *
  * @example
@@ -68,11 +67,11 @@
   let isNewsDue = false
   let timer: Timer | undefined
 
-  const listReaders = (): readonly Member[] => selectZoneReaders(membership.self().availabilityZone, membership.members(), options.readersPerZone)
+  const findReaders = (): Readers => selectReaders(membership.self().availabilityZone, membership.members())
 
   const isSelf = ({ nodeId }: Pick<Member, 'nodeId'>): boolean => nodeId === membership.self().nodeId
 
-  const isReader = (): boolean => listReaders().some(isSelf)
+  const isReader = (): boolean => findReaders().own.some(isSelf)
 
   const askPeer = async (peer: Member): Promise<void> => {
     const sentAt = readClocks(clocks)
@@ -103,17 +102,17 @@
 
   const askReader = (): void => {
     timer = clock.setTimer(options.askIntervalMs, askReader)
-    const readers = listReaders()
-    if (readers.length === 0 || readers.some(isSelf)) return
+    const { own, asked } = findReaders()
+    if (asked.length === 0 || own.some(isSelf)) return
     turn += 1
-    const reader = readers[turn % readers.length]
+    const reader = asked[turn % asked.length]
     if (reader !== undefined) askPeer(reader)
   }
 
   const tellZone = (): void => {
     isNewsDue = false
     const { nodeId, availabilityZone } = membership.self()
-    const readers = new Set(listReaders().map((reader) => reader.nodeId))
+    const readers = new Set(findReaders().own.map((reader) => reader.nodeId))
     if (!readers.has(nodeId)) return
     const message = { kind: 'knowledgeNews', source: nodeId, version: configuration.api.version(), position: registry.position() } as const
     for (const member of membership.liveMembers()) {
