--- a/src/services/gatewayConfiguration/index.ts
+++ b/src/services/gatewayConfiguration/index.ts
@@ -4,6 +4,8 @@
  * a version never goes back, and an outage of the source empties nothing.
  */
 import { describeSourceError } from '../../decisions/describeSourceError/index.js'
+import { paceSourceReads } from '../../decisions/paceSourceReads/index.js'
+import type { SourceReadPace } from '../../decisions/paceSourceReads/index.js'
 import { measureAge } from '../../decisions/measureAge/index.js'
 import { readClocks } from '../../decisions/readClocks/index.js'
 import type { Clocks, ClockReading } from '../../decisions/measureAge/index.js'
@@ -42,12 +44,8 @@
 
 /** Pause after a failed read: short, since requests with keys are refused before long. */
 const RETRY_MS = 250
-/** The same on a node that has readers: these find the source first, and many that try would load it in its trouble. */
-const RETRY_BESIDE_READERS_MS = 1_000
 /** A read that failed so lately says that the source is away: reads end within 0.7 s and follow each other in a quarter of a second. */
 const FAILURE_FRESH_MS = 1_000
-/** Least time between two looks of a node that relies on others whether it still may, in milliseconds. */
-const RELIANCE_CHECK_MS = 100
 
 /**
  * Creates the holder.
@@ -128,25 +126,25 @@
       askOthers()
     }
     const isBehind = hinted > version()
-    schedule(result.ok && !isBehind ? options.readIntervalMs : findRetryMs())
+    schedule(result.ok && !isBehind ? options.readIntervalMs : pace().retryAfterMs)
   }
 
-  const findRetryMs = (): number => options.isReader?.() === false ? RETRY_BESIDE_READERS_MS : RETRY_MS
+  const pace = (): SourceReadPace => paceSourceReads({
+    isReader: options.isReader?.() !== false,
+    ageMs: confirmedAgeMs(),
+    relianceMs: options.relianceMs ?? 0,
+    readerRetryMs: RETRY_MS
+  })
 
   const schedule = (delayMs: number): void => {
     timer?.cancel()
     timer = clock.setTimer(delayMs, tick)
   }
 
-  const isRelying = (): boolean => options.isReader?.() === false && confirmedAgeMs() < (options.relianceMs ?? 0)
-
   const tick = (): void => {
-    if (!isRelying()) {
-      read()
-      return
-    }
-    // Until then no look is needed: each costs the processor a wake-up.
-    schedule(Math.max(RELIANCE_CHECK_MS, (options.relianceMs ?? 0) - confirmedAgeMs()))
+    const { isRelying, lookAfterMs } = pace()
+    if (isRelying) schedule(lookAfterMs)
+    else read()
   }
 
   const waitForConfirmation = (waitMs: number): Promise<void> => new Promise((resolve) => {
@@ -188,7 +186,7 @@
     hint: (known) => {
       if (known <= version()) return
       hinted = Math.max(hinted, known)
-      if (isReachable === true && !isRelying()) read()
+      if (isReachable === true && !pace().isRelying) read()
       else askOthers()
     },
     onNeed: (listener) => { needListeners.push(listener) },
--- a/src/services/instanceRegistry/index.ts
+++ b/src/services/instanceRegistry/index.ts
@@ -7,6 +7,8 @@
 import { createChangeLog } from './_lib/createChangeLog.js'
 import { createRemovals } from './_lib/createRemovals.js'
 import { describeSourceError } from '../../decisions/describeSourceError/index.js'
+import { paceSourceReads } from '../../decisions/paceSourceReads/index.js'
+import type { SourceReadPace } from '../../decisions/paceSourceReads/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import type { BackendInstance, ChangePosition, Clock, InstanceEntry, InstanceNews, InstanceRegistry, InstanceSource, Logger, Timer } from '../../types/index.js'
 
@@ -41,12 +43,8 @@
 /** Entries that lapsed in an outage are back within two seconds of its end; longer than that they are gone. */
 const REAPPEAR_MS = 2_000
 const RETRY_MS = 200
-/** The same on a node that has readers: these find the source first, and many that try would load it in its trouble. */
-const RETRY_BESIDE_READERS_MS = 1_000
 /** Entries lapse after three heartbeats of silence, 3.6 s; an outage that was shorter takes none away. */
 const SHORTEST_LAPSE_MS = 3_000
-/** Least time between two looks of a node that relies on others whether it still may, in milliseconds. */
-const RELIANCE_CHECK_MS = 100
 const PAGES_AT_MOST = 64
 
 /**
@@ -194,8 +192,13 @@
 
   const pause = (ms: number): Promise<void> => new Promise((resolve) => { timer = clock.setTimer(ms, resolve) })
 
-  const isRelying = (): boolean =>
-    isKnown && options.isReader?.() === false && clock.now() - relayedAt < (options.relianceMs ?? 0)
+  /** A node without a list relies on nobody. */
+  const pace = (): SourceReadPace => paceSourceReads({
+    isReader: !isKnown || options.isReader?.() !== false,
+    ageMs: clock.now() - relayedAt,
+    relianceMs: options.relianceMs ?? 0,
+    readerRetryMs: RETRY_MS
+  })
 
   /** Entries may have lapsed in an outage that only the readers saw: what is missing then gets its moment to register. */
   const endReliance = (): void => {
@@ -206,17 +209,18 @@
     let isListed = false
     for (;;) {
       if (isStopped) return
-      if (isRelying()) {
+      const { isRelying, lookAfterMs, retryAfterMs } = pace()
+      if (isRelying) {
         isListed = false
-        await pause(Math.max(RELIANCE_CHECK_MS, relayedAt + (options.relianceMs ?? 0) - clock.now()))
-        if (!isRelying()) endReliance()
+        await pause(lookAfterMs)
+        if (!pace().isRelying) endReliance()
         continue
       }
       const isDone: boolean = isListed ? await watchOnce() : await readAll()
       if (isStopped) return
       if (!isDone && !isListed) {
         for (const listener of needListeners) listener()
-        await pause(options.isReader?.() === false && isKnown ? RETRY_BESIDE_READERS_MS : RETRY_MS)
+        await pause(retryAfterMs)
       }
       isListed = isDone
     }
