--- /dev/null
+++ b/src/services/forwarding/test.ts
@@ -0,0 +1,131 @@
+import { describe, expect, test } from 'vitest'
+import { createForwarding } from './index.js'
+import type { ForwardingDependencies } from './index.js'
+import { createManualClock } from '../../emulator/createManualClock/index.js'
+import type { BackendInstance, CallerSink, GatewayConfiguration, GatewayRequest, GatewayRoute, Member } from '../../types/index.js'
+
+const TIMEOUT_MS = 5_000
+
+const createRoute = (name: string, changes: Partial<GatewayRoute>): GatewayRoute => ({
+  name,
+  host: 'shop.example',
+  pathPrefix: `/${name}/`,
+  targets: [{ service: 'plain', weight: 1 }],
+  repeatPolicy: 'safe',
+  isResumable: false,
+  timeoutMs: TIMEOUT_MS,
+  goalMs: 300,
+  pauseGoalMs: 300,
+  maximumAttempts: 2,
+  priority: 1,
+  isPublic: true,
+  ...changes
+})
+
+const CONFIGURATION: GatewayConfiguration = {
+  version: 1,
+  routes: [createRoute('long', { goalMs: 800, priority: 0 }), createRoute('short', { goalMs: 200, priority: 2 })],
+  services: new Map(),
+  limits: { maximumHeaderBytes: 1_000, maximumBodyBytes: 1_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 },
+  needsKeys: false,
+  accountsByKey: new Map()
+}
+
+const INSTANCE: BackendInstance = { id: 'plain-1', service: 'plain', address: { host: 'plain-1', port: 1 }, availabilityZone: 'a', slots: 8, isLeaving: false, incarnation: 1, warmUpMs: 0 }
+
+const MEMBER: Member = { nodeId: 'node-1', incarnation: 1, address: { host: 'node-1', port: 1 }, availabilityZone: 'a', state: 'live', generation: 1 }
+
+/** A node that has just been started: it knows nothing until `learn`. */
+const startNode = () => {
+  const clock = createManualClock()
+  const sent: string[] = []
+  const answers: string[] = []
+  const listeners: (() => void)[] = []
+  let isKnown = false
+  const dependencies: ForwardingDependencies = {
+    clock,
+    random: { next: () => 0.5, nextId: () => 'id' },
+    logger: { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} },
+    metrics: { count: () => {}, observe: () => {}, readGauge: () => {} },
+    configuration: {
+      current: () => isKnown ? CONFIGURATION : undefined,
+      version: () => isKnown ? 1 : 0,
+      confirmedAgeMs: () => isKnown ? 0 : Infinity,
+      confirm: async () => {},
+      onChange: (listener) => { listeners.push(() => listener(CONFIGURATION)) }
+    },
+    registry: {
+      list: () => [INSTANCE],
+      find: () => INSTANCE,
+      all: () => [INSTANCE],
+      removedLately: () => [],
+      revision: () => 1,
+      isKnown: () => isKnown,
+      markGone: () => {},
+      onChange: () => {}
+    },
+    health: { began: () => {}, ended: () => {}, heard: () => {}, record: () => {}, isHeld: () => false, silentMs: () => 0, handicap: () => 1, retain: () => {} },
+    directory: { record: () => {}, countKept: () => 0, onLearnt: () => {} },
+    loadView: { recordStart: () => {}, recordEnd: () => {}, estimateInFlight: () => 0, ownInFlight: () => 0, applyReport: () => {} },
+    membership: { members: () => [MEMBER] },
+    client: {
+      send: ({ request }) => {
+        sent.push(request.requestId)
+        return { abort: () => {}, pause: () => {}, resume: () => {} }
+      },
+      probe: async () => true,
+      retain: () => {},
+      close: () => {}
+    }
+  }
+  const forwarding = createForwarding(dependencies, {
+    availabilityZone: 'a',
+    readBounds: () => ({ loadFactor: 2, repeatLimits: { ratio: 0.2, extra: 50, windowMs: 10_000 }, keyFreshnessMs: 4_500, configurationFreshnessMs: 2_000 })
+  })
+  const sink: CallerSink = { refuse: ({ status, reason }) => { answers.push(`${status} ${reason}`) }, whole: () => {}, head: () => {}, data: () => true, onDrain: () => {}, end: () => {}, fail: () => {} }
+  return {
+    clock,
+    sent,
+    answers,
+    call: (requestId: string, path: string): void => {
+      const request: GatewayRequest = { requestId, method: 'GET', host: 'shop.example', target: path, headers: [], credential: undefined, callerTimeoutMs: TIMEOUT_MS, lastEventId: undefined, promptParts: [], tokens: { prompt: 0, output: 0 }, receivedAt: clock.now() }
+      forwarding.api.begin(request, sink).submit(new Uint8Array())
+    },
+    learn: (): void => {
+      isKnown = true
+      for (const listener of listeners) listener()
+    }
+  }
+}
+
+describe('a node that has just been started', () => {
+  test('holds what comes before it knows anything, and sends it at once when it does', async () => {
+    const node = startNode()
+    node.call('r1', '/short/1')
+    await node.clock.advanceAndSettle(100)
+    expect([node.sent, node.answers]).toEqual([[], []])
+    node.learn()
+    expect(node.sent).toEqual(['r1'])
+  })
+
+  // Power is back; three callers' requests wait for the first configuration. The look-up
+  // with a fifth of a second came last, and behind two long streams it would be late.
+  test('sends first what has the least time left', async () => {
+    const node = startNode()
+    node.call('long-1', '/long/1')
+    node.call('long-2', '/long/2')
+    node.call('short-1', '/short/1')
+    await node.clock.advanceAndSettle(60)
+    node.learn()
+    expect(node.sent).toEqual(['short-1', 'long-1', 'long-2'])
+  })
+
+  test('refuses as not run what has waited long enough', async () => {
+    const node = startNode()
+    node.call('r1', '/short/1')
+    await node.clock.advanceAndSettle(450)
+    expect(node.answers).toEqual(['503 noConfiguration'])
+    node.learn()
+    expect(node.sent).toEqual([])
+  })
+})
