--- /dev/null
+++ b/src/node/createGatewayNode/_lib/registerForwarding.ts
@@ -0,0 +1,85 @@
+/** The way of requests: the backend servers' health, where prompts are kept, and forwarding itself. */
+import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
+import { createForwarding, type ForwardingBounds } from '../../../services/forwarding/index.js'
+import { createInstanceHealth } from '../../../services/instanceHealth/index.js'
+import { createPromptDirectory, type PlacesRecoverySources } from '../../../services/promptDirectory/index.js'
+import type { GatewaySettings } from '../../../types/index.js'
+import type { Kernel } from '../../../kernel/index.js'
+import type { GatewayNodeDependencies, GatewayServices } from '../index.js'
+
+/** Taken off the time in which a key taken away must go out of use: for clocks that run unequally and a send that is on its way. */
+const KEY_MARGIN_MS = 500
+
+const toBounds = (settings: GatewaySettings): ForwardingBounds => ({
+  loadFactor: settings.loadFactor,
+  repeatLimits: { ratio: settings.repeatRatio, extra: settings.repeatExtra, windowMs: settings.repeatWindowMs },
+  keyFreshnessMs: settings.keyRevocationMs > 0 ? settings.keyRevocationMs - KEY_MARGIN_MS : Infinity,
+  configurationFreshnessMs: settings.configurationDelayMs
+})
+
+/** How to learn after a start what engines keep: which services have engines stands in the configuration, which engines there are in the list. */
+const createPlacesRecoverySources = ({ settings, random, logger, engineMemory }: GatewayNodeDependencies, resolve: Kernel<GatewayServices>['resolve']): PlacesRecoverySources => {
+  const configuration = resolve('gatewayConfiguration')
+  const registry = resolve('instanceRegistry')
+  return {
+    logger,
+    random,
+    registry,
+    memory: engineMemory,
+    availabilityZone: settings.availabilityZone,
+    isEngine: ({ service }) => configuration.current()?.services.get(service)?.isEngine === true,
+    areEnginesKnown: () => configuration.current() !== undefined && registry.isKnown(),
+    onKnown: (listener) => {
+      configuration.onChange(listener)
+      registry.onChange(listener)
+    }
+  }
+}
+
+/** Registers what a request needs on its way. */
+export const registerForwarding = (kernel: Kernel<GatewayServices>, dependencies: GatewayNodeDependencies): void => {
+  const readSettings = dependencies.readSettings ?? (() => dependencies.settings)
+  const { settings, clock, random, transport, client, logger, metrics } = dependencies
+  kernel.register({
+    name: 'instanceHealth',
+    dependsOn: ['instanceRegistry'],
+    create: (resolve) => {
+      const health = createInstanceHealth({ clock, logger, client })
+      const registry = resolve('instanceRegistry')
+      registry.onChange(() => {
+        const live = new Set([...registry.all(), ...registry.removedLately()].map(formatInstanceKey))
+        health.api.retain(live)
+        client.retain(live)
+      })
+      return health
+    }
+  })
+  kernel.register({
+    name: 'promptDirectory',
+    dependsOn: ['membership', 'instanceRegistry', 'gatewayConfiguration'],
+    create: (resolve) => {
+      const recovery = settings.isFirstStart ? {} : { recovery: createPlacesRecoverySources(dependencies, resolve) }
+      return createPromptDirectory({ clock, transport, membership: resolve('membership'), ...recovery })
+    }
+  })
+  kernel.register({
+    name: 'forwarding',
+    dependsOn: ['gatewayConfiguration', 'instanceRegistry', 'instanceHealth', 'promptDirectory', 'loadView', 'membership'],
+    create: (resolve) => createForwarding({
+      clock,
+      random,
+      logger,
+      metrics,
+      client,
+      configuration: resolve('gatewayConfiguration'),
+      registry: resolve('instanceRegistry'),
+      health: resolve('instanceHealth'),
+      directory: resolve('promptDirectory'),
+      loadView: resolve('loadView'),
+      membership: resolve('membership')
+    }, {
+      availabilityZone: settings.availabilityZone,
+      readBounds: () => toBounds(readSettings())
+    })
+  })
+}
--- /dev/null
+++ b/src/node/createGatewayNode/_lib/registerLoad.ts
@@ -0,0 +1,46 @@
+/** How loaded each backend server is, from the own requests and those of all peers. */
+import { layOutInstances } from '../../../decisions/layOutInstances/index.js'
+import { createFleetLoad } from '../../../services/fleetLoad/index.js'
+import { createLoadView, type RunningLoadView } from '../../../services/loadView/index.js'
+import { DEFAULT_FAN_OUT } from '../../../services/membership/index.js'
+import type { ServerLayout } from '../../../types/index.js'
+import type { Kernel } from '../../../kernel/index.js'
+import type { GatewayNodeDependencies, GatewayServices } from '../index.js'
+import { DEAD_AFTER_MS } from './deadAfterMs.js'
+
+const LOAD_REPORT_MS = 250
+/**
+ * Time between two sums of load in a large fleet. At 69 nodes a request lasts about
+ * a second and the bound is twice the mean: sums half as often halve the
+ * messages of a node that has little else to do.
+ */
+const LOAD_SUM_MS = 400
+
+/** How load travels: digests to all peers while they are few, sums by zone when they are many. */
+export const registerLoad = (kernel: Kernel<GatewayServices>, { settings, clock, transport }: GatewayNodeDependencies): void => {
+  let loadView: RunningLoadView | undefined
+  kernel.register({
+    name: 'fleetLoad',
+    dependsOn: ['membership', 'instanceRegistry'],
+    create: (resolve) => {
+      const registry = resolve('instanceRegistry')
+      let layout: ServerLayout = layOutInstances(registry.all())
+      registry.onChange(() => { layout = layOutInstances(registry.all()) })
+      return createFleetLoad(
+        { clock, transport, membership: resolve('membership'), readLayout: () => layout, readCounts: () => loadView?.publishedCounts() ?? new Map() },
+        { fullMeshPeers: DEFAULT_FAN_OUT.fullMeshPeers, periodMs: LOAD_SUM_MS }
+      )
+    }
+  })
+  kernel.register({
+    name: 'loadView',
+    dependsOn: ['membership', 'heartbeatExchange', 'fleetLoad'],
+    create: (resolve) => {
+      loadView = createLoadView(
+        { clock, transport, membership: resolve('membership'), exchange: resolve('heartbeatExchange'), fleetLoad: resolve('fleetLoad') },
+        { settings: { nodeId: settings.nodeId, loadReportIntervalMs: LOAD_REPORT_MS, deadAfterMs: DEAD_AFTER_MS } }
+      )
+      return loadView
+    }
+  })
+}
--- /dev/null
+++ b/src/node/createGatewayNode/_lib/registerPeers.ts
@@ -0,0 +1,36 @@
+/** Who the other nodes are: heartbeats among them, begun at the seeds of the settings. */
+import type { HeartbeatFanOut } from '../../../decisions/selectHeartbeatTargets/index.js'
+import { createHeartbeatExchange } from '../../../services/heartbeatExchange/index.js'
+import { createMembership, DEFAULT_FAN_OUT } from '../../../services/membership/index.js'
+import type { VmList } from '../../../services/vmList/index.js'
+import type { Kernel } from '../../../kernel/index.js'
+import type { GatewayNodeDependencies, GatewayServices } from '../index.js'
+import { DEAD_AFTER_MS } from './deadAfterMs.js'
+
+const HEARTBEAT_MS = 500
+/** Rumours cross between zones through the fixed watchers; a random peer there would cost a third of the packets. */
+const FAN_OUT: HeartbeatFanOut = { ...DEFAULT_FAN_OUT, randomRemotePeers: 0 }
+const SUSPECT_AFTER_MS = 1_500
+/** The seeds of the settings bring nodes together; no list of VMs is read. */
+const NO_VM_LIST: VmList = { current: () => undefined, onRead: () => { /* it is never read */ } }
+
+/** Registers membership and what it needs. */
+export const registerPeers = (kernel: Kernel<GatewayServices>, dependencies: GatewayNodeDependencies): void => {
+  const { settings, clock, random, transport, logger } = dependencies
+  const readSettings = dependencies.readSettings ?? (() => settings)
+  kernel.register({ name: 'heartbeatExchange', dependsOn: [], create: () => ({ api: createHeartbeatExchange() }) })
+  kernel.register({ name: 'vmList', dependsOn: [], create: () => ({ api: NO_VM_LIST }) })
+  kernel.register({
+    name: 'membership',
+    dependsOn: ['heartbeatExchange', 'vmList'],
+    create: (resolve) => createMembership(
+      { clock, random, transport, exchange: resolve('heartbeatExchange'), vmList: resolve('vmList'), logger },
+      {
+        settings: { nodeId: settings.nodeId, availabilityZone: settings.availabilityZone, get seedPeers () { return readSettings().seedPeers }, heartbeatIntervalMs: HEARTBEAT_MS, suspectAfterMs: SUSPECT_AFTER_MS, deadAfterMs: DEAD_AFTER_MS },
+        address: () => settings.peerAddress,
+        fanOut: FAN_OUT,
+        generation: () => kernel.isRunning('gatewayConfiguration') ? kernel.resolve('gatewayConfiguration').version() : 0
+      }
+    )
+  })
+}
