--- a/scripts/bundle/writeCode.cjs
+++ b/scripts/bundle/writeCode.cjs
@@ -8,6 +8,7 @@
 const { Script } = require('node:vm')
 
 const path = resolve('target/program.cjs')
+// Wrapped as in platform/boot.ts: compiled code is taken only for the very same text.
 const script = new Script(`(function (exports, require, module, __filename, __dirname) {${readFileSync(path, 'utf8')}\n})`, { filename: path })
 
 const exit = process.exit
--- a/src/services/forwarding/_lib/createRun.ts
+++ b/src/services/forwarding/_lib/createRun.ts
@@ -167,8 +167,7 @@
         onHead: (answer) => { if (sending === current) takeHead(current, answer, intake) },
         onData: (bytes) => {
           if (sending !== current) return
-          notes.heard(current)
-          current.firstBytesAt ??= current.lastBytesAt
+          notes.body(current)
           intake.takeData(bytes, current.exchange)
         },
         onEnd: () => { if (sending === current) intake.takeEnd() },
--- a/src/services/forwarding/_lib/createSendingNotes.ts
+++ b/src/services/forwarding/_lib/createSendingNotes.ts
@@ -5,8 +5,9 @@
 import type { RunContext } from './run.js'
 
 export type SendingNotes = {
-  readonly heard: (current: Sending) => void
   readonly head: (current: Sending, answer: InstanceAnswer) => void
+  /** Bytes of the answer's body. */
+  readonly body: (current: Sending) => void
   readonly success: (current: Sending, answer: InstanceAnswer) => void
   /** The last bytes of a stream that came from one backend server alone. */
   readonly wholeStream: (current: Sending) => void
@@ -29,11 +30,14 @@
   }
 
   return {
-    heard,
     head: (current, answer) => {
       heard(current)
       if (answer.load !== undefined) loadView.applyReport(formatInstanceKey(current.instance), { ...answer.load, leaving: false, ageMs: 0 })
     },
+    body: (current) => {
+      heard(current)
+      current.firstBytesAt ??= current.lastBytesAt
+    },
     success: (current, answer) => {
       if (answer.status < 200 || answer.status >= 300) return
       const slowness = usualTimes.compare(readRoute()?.name ?? '', clock.now() - current.startedAt)
