Name backend servers by hash in the load sums of a large fleet

While servers are added, replaced or restarted, the list changes several times a second and reaches each node at another moment, so nodes of a large fleet saw hardly any load but their own and could send past the promised multiple of the mean.

A node that sums for a zone of servers does so too where only others know a server there.

--- a/src/bench/controlTraffic/createFleet.ts
+++ b/src/bench/controlTraffic/createFleet.ts
@@ -10,7 +10,6 @@
 import { success } from '../../kernel/index.js'
 import { createBackendHealth } from '../../services/backendHealth/index.js'
 import { createChatDirectory } from '../../services/chatDirectory/index.js'
-import { readSheetLayout } from '../../decisions/readSheetLayout/index.js'
 import { createFleetLoad } from '../../services/fleetLoad/index.js'
 import { createHeartbeatExchange } from '../../services/heartbeatExchange/index.js'
 import { createLoadView } from '../../services/loadView/index.js'
@@ -84,7 +83,7 @@
     const membership = createMembership({ clock, random: nodeRandom, transport, exchange, vmList }, { settings, address: transport.address, generation: () => 1 })
     // The load view and the exchange of a large fleet read each other, so one is looked up late.
     const readCounts = (): ReadonlyMap<string, number> => loadView.publishedCounts()
-    const fleetLoad = createFleetLoad({ clock, transport, membership: membership.api, readLayout: () => readSheetLayout(holder.current()), readCounts }, { fullMeshPeers: DEFAULT_FAN_OUT.fullMeshPeers })
+    const fleetLoad = createFleetLoad({ clock, transport, membership: membership.api, readServers: () => holder.current()?.sheet.backendServers ?? [], readCounts }, { fullMeshPeers: DEFAULT_FAN_OUT.fullMeshPeers })
     const loadView: RunningLoadView = createLoadView({ clock, transport, membership: membership.api, exchange, fleetLoad: fleetLoad.api }, { settings })
     let probes = 0
     const backendClient = {
--- a/src/bench/placement/_lib/createBenchRouter.ts
+++ b/src/bench/placement/_lib/createBenchRouter.ts
@@ -1,7 +1,6 @@
 /** The parts of a router that placement rests on, over a peer network in memory. */
 import type { MemoryPeerNetwork } from '../../../emulator/createMemoryPeerNetwork/index.js'
 import { createChatDirectory } from '../../../services/chatDirectory/index.js'
-import { readSheetLayout } from '../../../decisions/readSheetLayout/index.js'
 import { createFleetLoad } from '../../../services/fleetLoad/index.js'
 import { createHeartbeatExchange } from '../../../services/heartbeatExchange/index.js'
 import { createLoadView, type RunningLoadView } from '../../../services/loadView/index.js'
@@ -60,7 +59,7 @@
     clock,
     transport,
     membership: membership.api,
-    readLayout: () => readSheetLayout(options.readConfiguration()),
+    readServers: () => options.readConfiguration()?.sheet.backendServers ?? [],
     readCounts: () => loadView.publishedCounts()
   }, { fullMeshPeers: DEFAULT_FAN_OUT.fullMeshPeers })
   const loadView: RunningLoadView = createLoadView({ clock, transport, membership: membership.api, exchange, fleetLoad: fleetLoad.api }, { settings })
--- a/src/decisions/packLoadCounts/index.ts
+++ b/src/decisions/packLoadCounts/index.ts
@@ -1,10 +1,9 @@
 /**
- * Load counts without names: a backend server is its place in the sheet of one
- * generation. At 600 servers names would make up most of the control traffic.
+ * Load counts as they go over the wire: a backend server is named by the hash
+ * of its name. Names would make up most of the control traffic, and places in a
+ * list mean other servers to a node whose list differs by one.
  */
-import type { LoadSnapshot } from '../../types/index.js'
-
-export type PackedCounts = Pick<LoadSnapshot, 'indexes' | 'inFlight'>
+import type { PackedLoadCounts } from '../../types/index.js'
 
 const MAXIMUM_COUNT = 0xffff
 const MAXIMUM_SMALL_COUNT = 0xff
@@ -12,33 +11,33 @@
 /**
  * Packs counts into typed arrays.
  *
- * @param counts - Requests in flight by place in the sheet; those without any are left out.
- * @returns The places and, in the same order, the counts, in one byte each where all fit.
+ * @param counts - Requests in flight by the hash of the backend server's name.
+ * @returns The hashes and, in the same order, the counts, in one byte each where all fit.
  *
  * @example
- * packLoadCounts(new Map([[4, 2]])) // => { indexes: Uint16Array [4], inFlight: Uint8Array [2] }
+ * packLoadCounts(new Map([[4, 2]])) // => { servers: Uint32Array [4], inFlight: Uint8Array [2] }
  */
-export const packLoadCounts = (counts: ReadonlyMap<number, number>): PackedCounts => {
-  const entries = [...counts].filter(([, inFlight]) => inFlight > 0)
-  const values = entries.map(([, inFlight]) => Math.min(MAXIMUM_COUNT, inFlight))
+export const packLoadCounts = (counts: ReadonlyMap<number, number>): PackedLoadCounts => {
+  const values = Array.from(counts.values(), (inFlight) => Math.min(MAXIMUM_COUNT, inFlight))
   const isSmall = values.every((value) => value <= MAXIMUM_SMALL_COUNT)
   return {
-    indexes: Uint16Array.from(entries, ([index]) => index),
+    servers: Uint32Array.from(counts.keys()),
     inFlight: isSmall ? Uint8Array.from(values) : Uint16Array.from(values)
   }
 }
 
 /**
- * Unpacks counts.
+ * Unpacks counts. Two servers with the same hash are counted as one; among 600
+ * that happens in one fleet of some 24,000.
  *
- * @param packed - Places and counts, as a peer sent them.
- * @returns Requests in flight by place in the sheet.
+ * @param packed - Hashes and counts, as a peer sent them.
+ * @returns Requests in flight by the hash of the backend server's name.
  *
  * @example
  * unpackLoadCounts(packLoadCounts(counts)) // => counts
  */
-export const unpackLoadCounts = ({ indexes, inFlight }: PackedCounts): ReadonlyMap<number, number> => {
+export const unpackLoadCounts = ({ servers, inFlight }: PackedLoadCounts): ReadonlyMap<number, number> => {
   const counts = new Map<number, number>()
-  indexes.forEach((index, place) => counts.set(index, inFlight[place] ?? 0))
+  servers.forEach((server, place) => counts.set(server, inFlight[place] ?? 0))
   return counts
 }
--- a/src/node/createGatewayNode/_lib/registerLoad.ts
+++ b/src/node/createGatewayNode/_lib/registerLoad.ts
@@ -1,9 +1,9 @@
 /** How loaded each backend server is, from the own requests and those of all peers. */
-import { layOutInstances } from '../../../decisions/layOutInstances/index.js'
-import { createFleetLoad } from '../../../services/fleetLoad/index.js'
+import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
+import { createFleetLoad, type NamedServer } from '../../../services/fleetLoad/index.js'
 import { createLoadView, type RunningLoadView } from '../../../services/loadView/index.js'
 import { DEFAULT_FAN_OUT } from '../../../services/membership/index.js'
-import type { ServerLayout } from '../../../types/index.js'
+import type { BackendInstance } from '../../../types/index.js'
 import type { Kernel } from '../../../kernel/index.js'
 import type { GatewayNodeDependencies, GatewayServices } from '../index.js'
 import { DEAD_AFTER_MS } from './deadAfterMs.js'
@@ -16,6 +16,9 @@
  */
 const LOAD_SUM_MS = 400
 
+const nameInstances = (instances: readonly BackendInstance[]): readonly NamedServer[] =>
+  instances.map((instance) => ({ name: formatInstanceKey(instance), availabilityZone: instance.availabilityZone }))
+
 /** How load travels: digests to all peers while they are few, sums by zone when they are many. */
 export const registerLoad = (kernel: Kernel<GatewayServices>, { settings, clock, transport }: GatewayNodeDependencies): void => {
   let loadView: RunningLoadView | undefined
@@ -24,10 +27,10 @@
     dependsOn: ['membership', 'instanceRegistry'],
     create: (resolve) => {
       const registry = resolve('instanceRegistry')
-      let layout: ServerLayout = layOutInstances(registry.all())
-      registry.onChange(() => { layout = layOutInstances(registry.all()) })
+      let servers = nameInstances(registry.all())
+      registry.onChange(() => { servers = nameInstances(registry.all()) })
       return createFleetLoad(
-        { clock, transport, membership: resolve('membership'), readLayout: () => layout, readCounts: () => loadView?.publishedCounts() ?? new Map() },
+        { clock, transport, membership: resolve('membership'), readServers: () => servers, readCounts: () => loadView?.publishedCounts() ?? new Map() },
         { fullMeshPeers: DEFAULT_FAN_OUT.fullMeshPeers, periodMs: LOAD_SUM_MS }
       )
     }
--- a/src/node/createRouterNode/index.ts
+++ b/src/node/createRouterNode/index.ts
@@ -12,7 +12,6 @@
 import { createClaims } from '../../services/claims/index.js'
 import { createConfiguration } from '../../services/configuration/index.js'
 import { createDispatch } from '../../services/dispatch/index.js'
-import { readSheetLayout } from '../../decisions/readSheetLayout/index.js'
 import { createFleetLoad, type FleetLoad } from '../../services/fleetLoad/index.js'
 import { createHeartbeatExchange, type HeartbeatExchange } from '../../services/heartbeatExchange/index.js'
 import { createLoadView, type RunningLoadView } from '../../services/loadView/index.js'
@@ -115,7 +114,7 @@
       clock,
       transport,
       membership: resolve('membership'),
-      readLayout: () => readSheetLayout(resolve('configuration').current()),
+      readServers: () => resolve('configuration').current()?.sheet.backendServers ?? [],
       readCounts: () => loadView?.publishedCounts() ?? new Map()
     }, { fullMeshPeers: DEFAULT_FAN_OUT.fullMeshPeers })
   })
--- a/src/services/fleetLoad/_lib/createSnapshotStore.ts
+++ b/src/services/fleetLoad/_lib/createSnapshotStore.ts
@@ -7,7 +7,7 @@
 export type SnapshotStore = {
   /** Takes a snapshot in; gives `false` when a newer one of the same maker is here. */
   readonly put: (snapshot: LoadSnapshot, now: number) => boolean
-  /** The sum over all sources, by place in the sheet. */
+  /** The sum over all sources, by the hash of the backend server's name. */
   readonly sum: (now: number) => ReadonlyMap<number, number>
 }
 
@@ -32,7 +32,7 @@
           entries.delete(source)
           continue
         }
-        for (const [index, inFlight] of counts) sums.set(index, (sums.get(index) ?? 0) + inFlight)
+        for (const [server, inFlight] of counts) sums.set(server, (sums.get(server) ?? 0) + inFlight)
       }
       return sums
     }
--- a/src/services/fleetLoad/index.ts
+++ b/src/services/fleetLoad/index.ts
@@ -4,14 +4,17 @@
  * sums what the routers of its zone have in flight there; these exchange their
  * sums, and each passes the fleet's total on through a tree within its zone.
  */
+import { createServerIndex } from './_lib/createServerIndex.js'
+import type { NamedServer } from './_lib/createServerIndex.js'
 import { createSnapshotStore } from './_lib/createSnapshotStore.js'
 import type { SnapshotStore } from './_lib/createSnapshotStore.js'
 import { createZoneRanks } from './_lib/createZoneRanks.js'
 import { findForwardTargets } from '../../decisions/findForwardTargets/index.js'
 import { packLoadCounts, unpackLoadCounts } from '../../decisions/packLoadCounts/index.js'
-import { groupBy } from '../../kernel/groupBy/index.js'
 import type { RunningService } from '../../kernel/index.js'
-import type { Clock, LoadSnapshot, Member, Membership, PeerTransport, ServerLayout, Timer } from '../../types/index.js'
+import type { Clock, LoadSnapshot, Member, Membership, PeerTransport, Timer } from '../../types/index.js'
+
+export type { NamedServer }
 
 export type FleetLoad = {
   /** Whether the fleet is so large that load travels this way and not in digests to all peers. */
@@ -25,7 +28,8 @@
   readonly clock: Clock
   readonly transport: PeerTransport
   readonly membership: Pick<Membership, 'self' | 'liveMembers' | 'onChange'>
-  readonly readLayout: () => ServerLayout
+  /** The backend servers that this node knows; another array whenever they change. */
+  readonly readServers: () => readonly NamedServer[]
   /** What this node publishes: requests in flight by backend server. */
   readonly readCounts: () => ReadonlyMap<string, number>
 }
@@ -70,14 +74,15 @@
  * @returns The service for the kernel, which publishes from its start to its stop.
  *
  * @example
- * const { api } = createFleetLoad({ clock, transport, membership, readLayout, readCounts }, { fullMeshPeers: 12 })
+ * const { api } = createFleetLoad({ clock, transport, membership, readServers, readCounts }, { fullMeshPeers: 12 })
  * api.readOthers('engine-1') // => 0
  */
 export const createFleetLoad = (dependencies: FleetLoadDependencies, options: FleetLoadOptions): RunningService<FleetLoad> => {
-  const { clock, transport, membership, readLayout } = dependencies
+  const { clock, transport, membership } = dependencies
   const fanOut = options.fanOut ?? DEFAULT_FAN_OUT
   const maximumAgeMs = MAXIMUM_AGE_PERIODS * (options.periodMs ?? LONGEST_PERIOD_MS)
   const ranks = createZoneRanks(membership)
+  const index = createServerIndex(dependencies.readServers)
   const stores: Readonly<Record<'node' | 'zone', Map<string, SnapshotStore>>> = { node: new Map(), zone: new Map() }
   const othersByServer = new Map<string, Others>()
   const listeners: ((backendServer: string) => void)[] = []
@@ -94,18 +99,14 @@
     return isLarge
   }
 
-  const listServers = (): ServerLayout['servers'] => readLayout().servers
-
-  // Alike on all routers of one generation, so that the stages of the sums follow each other.
+  // Alike on all routers that know as many servers, so that the stages of the sums follow each other.
   const findPeriodMs = (): number =>
-    options.periodMs ?? Math.min(LONGEST_PERIOD_MS, Math.max(SHORTEST_PERIOD_MS, listServers().length * PERIOD_PER_SERVER_MS))
-
-  const listServerZones = (): readonly string[] => [...new Set(listServers().map((server) => server.availabilityZone))]
+    options.periodMs ?? Math.min(LONGEST_PERIOD_MS, Math.max(SHORTEST_PERIOD_MS, index.size() * PERIOD_PER_SERVER_MS))
 
   const ownZone = (): string => membership.self().availabilityZone
 
   const rank = (routerZone: string, serverZone: string): readonly Member[] =>
-    ranks.rank(routerZone, listServers().length <= SERVERS_OF_ONE_SUM ? '' : serverZone)
+    ranks.rank(routerZone, index.size() <= SERVERS_OF_ONE_SUM ? '' : serverZone)
 
   const isSelf = (member: Member | undefined): boolean => member?.nodeId === membership.self().nodeId
 
@@ -120,7 +121,7 @@
   const createSnapshot = (scope: LoadSnapshot['scope'], source: string, serverZone: string, counts: ReadonlyMap<number, number>): LoadSnapshot => {
     sequence += 1
     const { nodeId } = membership.self()
-    return { scope, source, nodeId, serverZone, sequence, generation: readLayout().generation, ...packLoadCounts(counts) }
+    return { scope, source, nodeId, serverZone, sequence, ...packLoadCounts(counts) }
   }
 
   const sendOrTake = (receiver: Member | undefined, snapshot: LoadSnapshot): void => {
@@ -131,15 +132,19 @@
 
   const publishNode = (): void => {
     const counts = dependencies.readCounts()
-    const byZone = groupBy(listServers().map((server, index) => ({ server, index })), ({ server }) => server.availabilityZone)
     lastSent = new Map(counts)
-    for (const [serverZone, servers] of byZone) {
-      const byIndex = new Map(servers.map(({ server, index }) => [index, counts.get(server.name) ?? 0]))
-      sendOrTake(rank(ownZone(), serverZone)[0], createSnapshot('node', membership.self().nodeId, serverZone, byIndex))
+    for (const [serverZone, servers] of index.byZone()) {
+      const loaded = servers.filter(({ name }) => (counts.get(name) ?? 0) > 0)
+      const byHash = new Map(loaded.map(({ hash, name }) => [hash, counts.get(name) ?? 0]))
+      sendOrTake(rank(ownZone(), serverZone)[0], createSnapshot('node', membership.self().nodeId, serverZone, byHash))
     }
   }
 
-  const listSummedZones = (): readonly string[] => listServerZones().filter((serverZone) => isSelf(rank(ownZone(), serverZone)[0]))
+  /** Zones of servers, those included of which only others know a server. */
+  const listSummedZones = (): readonly string[] => {
+    const serverZones = new Set([...index.byZone().keys(), ...stores.node.keys(), ...stores.zone.keys()])
+    return [...serverZones].filter((serverZone) => isSelf(rank(ownZone(), serverZone)[0]))
+  }
 
   const publishZone = (): void => {
     for (const serverZone of listSummedZones()) {
@@ -164,13 +169,12 @@
   const takeFleet = (snapshot: LoadSnapshot): void => {
     if (rank(ownZone(), snapshot.serverZone)[0]?.nodeId !== snapshot.nodeId) return
     const counts = unpackLoadCounts(snapshot)
-    listServers().forEach(({ name, availabilityZone }, index) => {
-      if (availabilityZone !== snapshot.serverZone) return
+    for (const { name, hash } of index.byZone().get(snapshot.serverZone) ?? []) {
       // The total holds what this node itself sent last; only the rest is of others.
-      const inFlight = Math.max(0, (counts.get(index) ?? 0) - (lastSent.get(name) ?? 0))
+      const inFlight = Math.max(0, (counts.get(hash) ?? 0) - (lastSent.get(name) ?? 0))
       othersByServer.set(name, { at: clock.now(), inFlight })
       for (const listen of listeners) listen(name)
-    })
+    }
     forward(snapshot)
   }
 
@@ -180,11 +184,7 @@
     fleet: takeFleet
   }
 
-  const take = (snapshot: LoadSnapshot): void => {
-    // Places in the list mean other servers in another generation. Generations
-    // differ for seconds at most; until then the last counts stand.
-    if (snapshot.generation === readLayout().generation) takers[snapshot.scope](snapshot)
-  }
+  const take = (snapshot: LoadSnapshot): void => takers[snapshot.scope](snapshot)
 
   const schedule = (stage: keyof typeof STAGES, publish: () => void): void => {
     const periodMs = findPeriodMs()
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -41,9 +41,7 @@
   readonly source: string
   readonly sequence: number
   readonly full: boolean
-  readonly servers: Uint32Array
-  readonly inFlight: Uint8Array | Uint16Array
-}
+} & PackedLoadCounts
 
 /**
  * Load of the backend servers of one availability zone, in a large fleet: the
@@ -60,17 +58,13 @@
   readonly serverZone: string
   /** Grows from one snapshot of a node to the next. */
   readonly sequence: number
-  /** Configuration generation whose sheet the indexes refer to. */
-  readonly generation: number
-  /** Places of the backend servers in the sheet; those left out have no load. */
-  readonly indexes: Uint16Array
-  readonly inFlight: Uint8Array | Uint16Array
-}
+} & PackedLoadCounts
 
-/** The backend servers that load counts name by place, in an order that is alike on all nodes with the same generation. */
-export type ServerLayout = {
-  readonly generation: number
-  readonly servers: readonly { readonly name: string, readonly availabilityZone: string }[]
+/** Requests in flight by backend server, with the hash of its name in place of the name. */
+export type PackedLoadCounts = {
+  readonly servers: Uint32Array
+  /** In the order of `servers`, in one byte each where all fit. */
+  readonly inFlight: Uint8Array | Uint16Array
 }
 
 /** A mark that a backend server is leaving; a higher epoch alone replaces it. */
