--- a/src/bench/_lib/startProcess.ts
+++ b/src/bench/_lib/startProcess.ts
@@ -17,6 +17,7 @@
   readonly resume: () => void
   /** SIGKILL, resolved when the process is gone. */
   readonly kill: () => Promise<void>
+  readonly hasExited: () => boolean
   readonly whenExited: Promise<number | null>
 }
 
@@ -92,6 +93,7 @@
       signal('SIGKILL')
       await whenExited
     },
+    hasExited: () => !spawned.has(pid),
     whenExited
   }
 }
--- a/test/_lib/startFleet.ts
+++ b/test/_lib/startFleet.ts
@@ -100,7 +100,11 @@
     setFault: (fault: Readonly<Record<string, unknown>>) => post(`${control}/faults`, fault),
     clearFaults: async (): Promise<void> => { await fetch(`${control}/faults`, { method: 'DELETE' }) },
     readJournal: async (): Promise<readonly JournalEntry[]> => {
-      const { entries } = await (await fetch(`${control}/journal`)).json() as { readonly entries: readonly JournalEntry[] }
+      // Another process of a busy machine may have been given its port.
+      if (process.hasExited()) throw new Error(`the process behind ${control} has ended`)
+      const response = await fetch(`${control}/journal`)
+      if (!response.ok) throw new Error(`${control}/journal answered ${response.status}`)
+      const { entries } = await response.json() as { readonly entries: readonly JournalEntry[] }
       return entries
     }
   }
--- a/test/integration/answers.test.ts
+++ b/test/integration/answers.test.ts
@@ -81,7 +81,8 @@
     await waitFor('all requests to end', () => isOpenNowhere(fleet))
     // A frozen engine can't give its journal.
     for (const engine of fleet.engines) engine.process.resume()
-    const journals = await Promise.all(fleet.engines.map((engine) => engine.readJournal().catch(() => [])))
+    const remaining = fleet.engines.filter(({ process }) => !process.hasExited())
+    const journals = await Promise.all(remaining.map((engine) => engine.readJournal()))
     expect(judgeChats(ends, journals.flat())).toEqual([])
     expect(await judgeLedgers(fleet.routers)).toEqual([])
     const errors = ends.filter(({ text }) => text === undefined).map(({ told }) => told)
