Choose a server in one pass over prompt places and one look at the medians

Cause: for each request the node asked the prompt directory for every server of the service twice, built each server's key anew some five times, compared each candidate with each keeper, and, for each server that was slow or failing, sorted the conditions of all servers twice. With 98 engines of which all fail 45 in 100 that is some 200 sorts of 98 a request. A part that begins many prompts was remembered at 64 servers, fewer than large services have: for the others the whole prompt counted as not kept.

Change: the directory lists what each server keeps in one walk; the medians are worked out once a choice, and only when a server needs them; a server's key is built once; of the keepers only the best of each zone is weighed, since a copy costs by zone and tokens alone. A part is remembered at 1,024 servers.

--- a/src/decisions/placeRequest/index.ts
+++ b/src/decisions/placeRequest/index.ts
@@ -85,6 +85,15 @@
   return best
 }
 
+/** Of each zone the one that keeps most: a copy costs by zone and tokens alone, so no other is ever cheaper. */
+const findBestKeepers = (keepers: readonly PromptKeeper[]): readonly PromptKeeper[] => {
+  const best = new Map<string, PromptKeeper>()
+  for (const keeper of keepers) {
+    if (keeper.keptTokens > (best.get(keeper.availabilityZone)?.keptTokens ?? 0)) best.set(keeper.availabilityZone, keeper)
+  }
+  return [...best.values()]
+}
+
 type Reading = { readonly cost: number, readonly copyFrom: string | undefined }
 
 /** The cheapest way for a candidate to come to what it lacks of the prompt. */
@@ -134,13 +143,14 @@
   if (candidates.length === 0) return undefined
   const bound = computeBound(candidates, weights)
   const home = findFirstRanked(question.affinityKey, candidates)
+  const sources = findBestKeepers(keepers)
   const remoteWay = weights.tokensPerRemoteKilobyte * question.expectedBytes / 1024
   const open = candidates.filter(({ load, slots }) => load + 1 <= bound && load < slots)
   const eligible = open.length > 0 ? open : [...candidates].sort((left, right) => left.load / left.slots - right.load / right.slots).slice(0, 1)
   let best: PromptPlacement | undefined
   let bestCost = Infinity
   for (const candidate of eligible) {
-    const reading = findReading(candidate, question.sharedTokens, keepers, weights)
+    const reading = findReading(candidate, question.sharedTokens, sources, weights)
     const crowd = weights.tokensPerFullLoad * (candidate.load + 1) / candidate.slots * candidate.slowness
     const way = candidate.availabilityZone === question.availabilityZone ? 0 : remoteWay
     const credit = candidate.id === home?.id ? weights.homeShare * question.sharedTokens : 0
--- a/src/services/forwarding/_lib/chooseInstance.ts
+++ b/src/services/forwarding/_lib/chooseInstance.ts
@@ -1,7 +1,7 @@
 /** The backend server for the next send of a request: what the node knows, put to `placeRequest`. */
 import { defaultPlacementWeights, placeRequest } from '../../../decisions/placeRequest/index.js'
 import type { InstanceCandidate, PromptKeeper } from '../../../decisions/placeRequest/index.js'
-import type { BackendInstance, GatewayRequest, PromptPart } from '../../../types/index.js'
+import type { BackendInstance, GatewayRequest } from '../../../types/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 import type { ForwardingDependencies } from '../index.js'
 
@@ -43,12 +43,11 @@
  * ones too. They serve on for a while, and what is copied from them in that time need
  * not be read again.
  */
-const listKeepers = ({ registry, directory, health }: ChoiceDependencies, service: string, shared: readonly PromptPart[]): readonly PromptKeeper[] => {
-  if (shared.length === 0) return []
+const listKeepers = ({ registry, health }: ChoiceDependencies, service: string, kept: ReadonlyMap<string, number>): readonly PromptKeeper[] => {
+  if (kept.size === 0) return []
   return [...registry.all(), ...registry.removedLately()]
-    .filter((instance) => instance.service === service && !health.isHeld(instance))
-    .map((instance) => ({ id: instance.id, availabilityZone: instance.availabilityZone, keptTokens: directory.countKept(shared, formatInstanceKey(instance)) }))
-    .filter(({ keptTokens }) => keptTokens > 0)
+    .filter((instance) => instance.service === service && kept.has(formatInstanceKey(instance)) && !health.isHeld(instance))
+    .map((instance) => ({ id: instance.id, availabilityZone: instance.availabilityZone, keptTokens: kept.get(formatInstanceKey(instance)) ?? 0 }))
 }
 
 /** Returns the chosen one, or `undefined` when the service has none that was not tried. */
@@ -58,20 +57,22 @@
   const usable = listUsable(dependencies, choice)
   // The last part belongs to the request alone.
   const shared = request.promptParts.slice(0, -1)
+  const kept = directory.listKept(shared)
+  const handicapOf = health.compareWith(usable)
   const candidates: readonly InstanceCandidate[] = usable.map((instance) => ({
     id: instance.id,
     slots: instance.slots,
     load: loadView.estimateInFlight(formatInstanceKey(instance)),
-    keptTokens: directory.countKept(shared, formatInstanceKey(instance)),
+    keptTokens: kept.get(formatInstanceKey(instance)) ?? 0,
     availabilityZone: instance.availabilityZone,
-    slowness: health.handicap(instance, usable)
+    slowness: handicapOf(instance)
   }))
   const placement = placeRequest({
     affinityKey: shared.at(-1)?.id ?? '',
     sharedTokens: shared.reduce((sum, part) => sum + part.tokens, 0),
     expectedBytes: bodyBytes + (request.promptParts.length > 0 ? BYTES_PER_TOKEN * request.tokens.output : WHOLE_ANSWER_BYTES),
     availabilityZone: dependencies.availabilityZone
-  }, candidates, listKeepers(dependencies, service, shared), random.next, { ...defaultPlacementWeights, boundFactor: BOUND_SHARE * dependencies.readLoadFactor() })
+  }, candidates, listKeepers(dependencies, service, kept), random.next, { ...defaultPlacementWeights, boundFactor: BOUND_SHARE * dependencies.readLoadFactor() })
   const instance = usable.find(({ id }) => id === placement?.id)
   if (instance === undefined) return undefined
   const source = placement?.copyFrom
--- a/src/services/forwarding/test.ts
+++ b/src/services/forwarding/test.ts
@@ -64,8 +64,8 @@
       markGone: () => {},
       onChange: () => {}
     },
-    health: { began: () => {}, ended: () => {}, heard: () => {}, record: () => {}, isHeld: () => false, silentMs: () => 0, handicap: () => 1, retain: () => {} },
-    directory: { record: () => {}, countKept: () => 0, onLearnt: () => {} },
+    health: { began: () => {}, ended: () => {}, heard: () => {}, record: () => {}, isHeld: () => false, silentMs: () => 0, compareWith: () => () => 1, retain: () => {} },
+    directory: { record: () => {}, listKept: () => new Map(), onLearnt: () => {} },
     loadView: { recordStart: () => {}, recordEnd: () => {}, estimateInFlight: () => 0, ownInFlight: () => 0, applyReport: () => {} },
     membership: { members: () => [MEMBER] },
     client: {
--- a/src/services/instanceHealth/index.ts
+++ b/src/services/instanceHealth/index.ts
@@ -17,8 +17,8 @@
   readonly isHeld: (instance: BackendInstance) => boolean
   /** Milliseconds since it was last heard, while a request waits there; 0 when none does. */
   readonly silentMs: (instance: BackendInstance) => number
-  /** How many times dearer a request is there than at the median of the given servers; 1 or more. */
-  readonly handicap: (instance: BackendInstance, peers: readonly BackendInstance[]) => number
+  /** Gives a function that tells how many times dearer a request is at a server than at the median of `peers`; 1 or more. */
+  readonly compareWith: (peers: readonly BackendInstance[]) => (instance: BackendInstance) => number
   readonly retain: (live: ReadonlySet<string>) => void
 }
 
@@ -104,6 +104,11 @@
     return condition.heldUntil > clock.now() || condition.needsProof
   }
 
+  const findUsual = (peers: readonly BackendInstance[]): Pick<InstanceCondition, 'errorShare' | 'slowness'> => {
+    const all = peers.map(conditionOf)
+    return { errorShare: median(all.map(({ errorShare }) => errorShare)), slowness: Math.max(1, median(all.map(({ slowness }) => slowness))) }
+  }
+
   const record = (instance: BackendInstance, event: ConditionEvent): void => {
     const wasHeld = isHeldItself(instance)
     const before = conditionOf(instance)
@@ -157,15 +162,17 @@
       const contact = contactOf(instance)
       return contact.open > 0 ? clock.now() - contact.quietSince : 0
     },
-    handicap: (instance, peers) => {
-      const condition = conditionOf(instance)
-      if (condition.slowness < TOLERATED_SLOWNESS && condition.errorShare < TOLERATED_ERROR_SHARE) return 1
-      const usualErrors = median(peers.map((peer) => conditionOf(peer).errorShare))
-      const usualSlowness = Math.max(1, median(peers.map((peer) => conditionOf(peer).slowness)))
-      const relative = condition.slowness / usualSlowness
-      const slowness = relative < TOLERATED_SLOWNESS ? 1 : relative
-      const errors = Math.max(0, condition.errorShare - usualErrors - TOLERATED_ERROR_SHARE)
-      return slowness + ERROR_WEIGHT * errors
+    compareWith: (peers) => {
+      let usual: Pick<InstanceCondition, 'errorShare' | 'slowness'> | undefined
+      return (instance) => {
+        const condition = conditionOf(instance)
+        if (condition.slowness < TOLERATED_SLOWNESS && condition.errorShare < TOLERATED_ERROR_SHARE) return 1
+        usual ??= findUsual(peers)
+        const relative = condition.slowness / usual.slowness
+        const slowness = relative < TOLERATED_SLOWNESS ? 1 : relative
+        const errors = Math.max(0, condition.errorShare - usual.errorShare - TOLERATED_ERROR_SHARE)
+        return slowness + ERROR_WEIGHT * errors
+      }
     },
     retain: (live) => {
       for (const key of conditions.keys()) if (!live.has(key)) conditions.delete(key)
--- a/src/services/promptDirectory/index.ts
+++ b/src/services/promptDirectory/index.ts
@@ -16,8 +16,8 @@
 export type PromptDirectory = {
   /** Notes that a backend server reads or has read these parts now. */
   readonly record: (parts: readonly PromptPart[], instanceKey: string) => void
-  /** Tokens of the longest beginning of `parts` that the server is believed to keep. */
-  readonly countKept: (parts: readonly PromptPart[], instanceKey: string) => number
+  /** Tokens of the longest beginning of `parts` that each server is believed to keep, by its key; servers that keep none are left out. */
+  readonly listKept: (parts: readonly PromptPart[]) => ReadonlyMap<string, number>
   /** Called when what was asked at a start has been answered. */
   readonly onLearnt: (listener: () => void) => void
 }
@@ -43,8 +43,8 @@
 const KEPT_MS = 60_000
 /** Some 15 bytes each: a reply stays under 60 kB, which a small VM's link takes in 70 ms. */
 const PLACES_PER_REPLY = 4_000
-/** Servers that one part is remembered at; a part that begins many prompts is at most of a service. */
-const SERVERS_PER_PART = 64
+/** Servers that one part is remembered at: more than any service has, since a part that begins many prompts is at most of them. */
+const SERVERS_PER_PART = 1_024
 
 export const defaultPromptDirectoryOptions: PromptDirectoryOptions = { periodMs: 250, maximumParts: 20_000, fullMeshPeers: 12 }
 
@@ -57,7 +57,7 @@
  *
  * @example
  * const { api } = createPromptDirectory({ clock, transport, membership })
- * api.countKept([{ id: 'a', tokens: 100 }], 'engine-1') // => 0
+ * api.listKept([{ id: 'a', tokens: 100 }]).get('engine-1') // => undefined
  */
 export const createPromptDirectory = (dependencies: PromptDirectoryDependencies, options: PromptDirectoryOptions = defaultPromptDirectoryOptions): RunningService<PromptDirectory> => {
   const { clock, transport } = dependencies
@@ -106,6 +106,23 @@
     }
   }
 
+  const listKept = (parts: readonly PromptPart[]): ReadonlyMap<string, number> => {
+    const kept = new Map<string, number>()
+    const oldest = clock.now() - KEPT_MS
+    let beginning = 0
+    for (const { id, tokens } of parts) {
+      let isKept = false
+      for (const [server, at] of places.get(id) ?? []) {
+        if (at < oldest || (kept.get(server) ?? 0) !== beginning) continue
+        kept.set(server, beginning + tokens)
+        isKept = true
+      }
+      if (!isKept) break
+      beginning += tokens
+    }
+    return kept
+  }
+
   const recovery = dependencies.recovery && createPlacesRecovery({
     ...dependencies,
     recovery: dependencies.recovery,
@@ -123,15 +140,7 @@
   return {
     api: {
       record,
-      countKept: (parts, instanceKey) => {
-        let kept = 0
-        for (const { id, tokens } of parts) {
-          const at = places.get(id)?.get(instanceKey)
-          if (at === undefined || clock.now() - at > KEPT_MS) return kept
-          kept += tokens
-        }
-        return kept
-      },
+      listKept,
       onLearnt: (listener) => recovery?.onLearnt(listener)
     },
     start: () => {
--- a/src/services/promptDirectory/test.ts
+++ b/src/services/promptDirectory/test.ts
@@ -22,7 +22,7 @@
     start?.()
     return { api, transport }
   })
-  const readKept = (): readonly number[] => nodes.map(({ api }) => api.countKept(PARTS, SERVER))
+  const readKept = (): readonly number[] => nodes.map(({ api }) => api.listKept(PARTS).get(SERVER) ?? 0)
   const countMessages = (): number => nodes.reduce((sum, { transport }) => sum + transport.messagesSent(), 0)
   return { clock, nodes, readKept, countMessages }
 }
