Read a lost source on schedule only, not for each request that waits for a proof

Cause: a request whose key could not be proved read the source at once.

Change: while the last read failed within 2.5 s only reads on schedule are made (peers are still asked), and a node that has readers tries a source that is away every 2 s in place of 1 s: readers find it back within a quarter of a second.

--- a/src/decisions/paceSourceReads/index.ts
+++ b/src/decisions/paceSourceReads/index.ts
@@ -25,8 +25,8 @@
 
 /** Least time between two looks of a node that relies on others: each wakes the processor. */
 const LEAST_LOOK_MS = 100
-/** Readers find a source that is back first; many others that try would load it in its trouble. */
-const RETRY_BESIDE_READERS_MS = 1_000
+/** Readers find a source that is back first and tell; many others that try would load it in its trouble. */
+const RETRY_BESIDE_READERS_MS = 2_000
 
 /**
  * Paces the reads of one node.
--- a/src/services/gatewayConfiguration/index.ts
+++ b/src/services/gatewayConfiguration/index.ts
@@ -53,8 +53,8 @@
 
 /** Pause after a failed read: short, since requests with keys are refused before long. */
 const RETRY_MS = 250
-/** A read that failed so lately says that the source is away: reads end within 0.7 s and follow each other in a quarter of a second. */
-const FAILURE_FRESH_MS = 1_000
+/** A read that failed so lately says that the source is away: another one follows it within that time. */
+const FAILURE_FRESH_MS = 2_500
 
 /**
  * Creates the holder.
@@ -187,7 +187,8 @@
       confirm: async (waitMs) => {
         const isLost = isReachable === false && clock.now() - failedAt < FAILURE_FRESH_MS
         const confirmed = isLost ? Promise.resolve() : waitForConfirmation(waitMs)
-        read()
+        // While the source is away, the reads on schedule will do: each request would add one.
+        if (!isLost) read()
         askOthers()
         await confirmed
       },
--- a/src/services/gatewayConfiguration/test.ts
+++ b/src/services/gatewayConfiguration/test.ts
@@ -84,3 +84,25 @@
     expect(holder.api.confirmedAgeMs()).toBe(20)
   })
 })
+
+describe('an outage of the source', () => {
+  // Every request whose key could not be proved read the source at once: the calls of an outage grew with the requests.
+  test('meets no more reads when many requests wait for a proof', async () => {
+    const countReads = async (requestsPerSecond: number): Promise<number> => {
+      let reads = 0
+      const { clock, holder } = createHolder(async () => {
+        reads += 1
+        return failure({ kind: 'unavailable', message: 'reset' })
+      })
+      holder.start?.()
+      for (let second = 0; second < 8; second++) {
+        for (let request = 0; request < requestsPerSecond; request++) {
+          await clock.advanceAndSettle(1_000 / requestsPerSecond)
+          await holder.api.confirm(400)
+        }
+      }
+      return reads
+    }
+    expect(await countReads(40)).toBe(await countReads(1))
+  })
+})
