Let the largest VMs of a zone read, sum and pass on

Cause: who reads the store for a zone, sums its load and passes prompt places on went by name alone.

Change: a node's record says how much of a processor its VM gives it (from the settings file), and compareCapacity puts larger VMs first in selectZoneReaders and in the ranks of the load sums. Nodes that don't say count as a whole core, so router nodes choose as before.

--- a/src/decisions/selectZoneReaders/test.ts
+++ b/src/decisions/selectZoneReaders/test.ts
@@ -12,6 +12,14 @@
     expect(select([createMember('c'), createMember('a'), createMember('b')])).toEqual(['a', 'b'])
   })
 
+  // A reader on a slow link handed a large configuration to its zone for seconds.
+  test('takes the largest VMs first, while they are live', () => {
+    const large = createMember('z', { millicores: 1_350 })
+    const small = [createMember('a', { millicores: 324 }), createMember('b', { millicores: 324 })]
+    expect(select([...small, large])).toEqual(['z', 'a'])
+    expect(select([...small, { ...large, state: 'suspect' }])).toEqual(['a', 'b'])
+  })
+
   test.each(['suspect', 'leaving', 'dead'] as const)('passes over a %s node', (state) => {
     expect(select([createMember('a', { state }), createMember('b'), createMember('c')])).toEqual(['b', 'c'])
   })
--- a/src/node/createGatewayNode/_lib/registerPeers.ts
+++ b/src/node/createGatewayNode/_lib/registerPeers.ts
@@ -29,6 +29,7 @@
         settings: { nodeId: settings.nodeId, availabilityZone: settings.availabilityZone, get seedPeers () { return readSettings().seedPeers }, heartbeatIntervalMs: HEARTBEAT_MS, suspectAfterMs: SUSPECT_AFTER_MS, deadAfterMs: DEAD_AFTER_MS },
         address: () => settings.peerAddress,
         fanOut: FAN_OUT,
+        ...(settings.millicores === undefined ? {} : { millicores: settings.millicores }),
         generation: () => kernel.isRunning('gatewayConfiguration') ? kernel.resolve('gatewayConfiguration').version() : 0
       }
     )
--- a/src/services/fleetLoad/_lib/createZoneRanks.ts
+++ b/src/services/fleetLoad/_lib/createZoneRanks.ts
@@ -1,7 +1,9 @@
 /**
  * Who sums and who forwards the load of one zone's backend servers: the live
- * routers of each zone, ranked once per change of the membership.
+ * routers of each zone, those on large VMs first, ranked once per change of the
+ * membership.
  */
+import { compareCapacity } from '../../../decisions/compareCapacity/index.js'
 import { rankMembers } from '../../../decisions/rankMembers/index.js'
 import { groupBy } from '../../../kernel/groupBy/index.js'
 import type { Member, Membership } from '../../../types/index.js'
@@ -33,7 +35,8 @@
       const key = `${routerZone} ${serverZone}`
       const known = ranks.get(key)
       if (known !== undefined) return known
-      const ranked = rankMembers(`load of ${serverZone}`, routers, routers.length)
+      // Sorting is stable: among VMs alike the rank decides. The first sums, the next pass the totals on.
+      const ranked = [...rankMembers(`load of ${serverZone}`, routers, routers.length)].sort(compareCapacity)
       ranks.set(key, ranked)
       return ranked
     }
--- a/src/services/membership/index.ts
+++ b/src/services/membership/index.ts
@@ -31,6 +31,8 @@
   /** The configuration generation in force here. */
   readonly generation?: () => number
   readonly fanOut?: HeartbeatFanOut
+  /** Thousandths of a core that the VM gives this node. */
+  readonly millicores?: number
   /** How long a dead member is remembered; an hour by default. */
   readonly forgetAfterMs?: number
 }
@@ -85,7 +87,8 @@
     address: { host: '', port: 0 },
     availabilityZone: settings.availabilityZone,
     state: 'live',
-    generation: 0
+    generation: 0,
+    ...(options.millicores === undefined ? {} : { millicores: options.millicores })
   }
 
   const self = (): Member => {
--- a/src/types/gatewaySettings.ts
+++ b/src/types/gatewaySettings.ts
@@ -11,6 +11,8 @@
   readonly peerAddress: PeerAddress
   readonly seedPeers: readonly PeerAddress[]
   readonly fleetKey: string
+  /** Thousandths of a core that the VM gives this node; unknown where left out. */
+  readonly millicores?: number
   /** Whether the whole deployment starts for the first time: engines keep nothing yet. */
   readonly isFirstStart: boolean
   /** Milliseconds from a stop's signal to the process's end by force. */
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -17,6 +17,8 @@
   readonly state: MemberState
   /** Configuration generation in force there; 0 when it has none. */
   readonly generation: number
+  /** Thousandths of a core that its VM gives it; left out where that is not known. */
+  readonly millicores?: number
 }
 
 export type MemberState = 'live' | 'suspect' | 'leaving' | 'dead'
