--- a/src/emulator/createKnowledgeFleet/index.ts
+++ b/src/emulator/createKnowledgeFleet/index.ts
@@ -8,7 +8,7 @@
 import { failure, success } from '../../kernel/index.js'
 import { createGatewayNode, type GatewayNode } from '../../node/createGatewayNode/index.js'
 import type {
-  BackendInstance, Clock, ConfigurationSource, GatewayConfiguration, InstanceClient, InstanceSource, Logger, Metrics, PeerAddress, Result,
+  BackendInstance, Clock, ConfigurationRecords, ConfigurationSource, GatewayConfiguration, InstanceClient, InstanceSource, Logger, Metrics, PeerAddress, Result,
   SourcedConfiguration, SourceError
 } from '../../types/index.js'
 
@@ -17,6 +17,8 @@
   readonly zones?: number
   /** A number in [0, 1) per call. */
   readonly random: () => number
+  /** Routes in each configuration, of which the last differs from one version to the next; none by default. */
+  readonly routes?: number
 }
 
 export type KnowledgeFleet = {
@@ -26,6 +28,8 @@
   readonly addressOf: (index: number) => PeerAddress
   readonly start: () => Promise<void>
   readonly stop: () => Promise<void>
+  /** Ends a node at once and starts it anew, with nothing kept. */
+  readonly restart: (index: number) => Promise<void>
   /** Puts the next version in the source. */
   readonly applyVersion: () => void
   readonly putInstance: (id: string, changes?: Partial<BackendInstance>) => void
@@ -60,7 +64,30 @@
   accountsByKey: new Map()
 })
 
-const toSourced = (version: number): SourcedConfiguration => ({ configuration: createConfiguration(version), records: { rest: [version] }, revision: version })
+type RouteRecord = { readonly name: string, readonly host: string, readonly version: number }
+
+const createRoute = (place: number, version: number): RouteRecord => ({ name: `route-${place}`, host: `${place}.shop.example`, version })
+
+/** Sourced configurations whose unchanged records are the same objects, as a source gives them. */
+const createSourcing = (routes: number) => {
+  const known = new Map<string, RouteRecord>()
+
+  const intern = (record: RouteRecord): RouteRecord => {
+    const key = `${record.name} ${record.version}`
+    const earlier = known.get(key) ?? record
+    known.set(key, earlier)
+    return earlier
+  }
+
+  const listRoutes = (version: number): readonly RouteRecord[] =>
+    Array.from({ length: routes }, (_, place) => intern(createRoute(place, place === routes - 1 ? version : 0)))
+
+  return {
+    read: (version: number): SourcedConfiguration => ({ configuration: createConfiguration(version), records: { rest: [version], routes: listRoutes(version) }, revision: version }),
+    decode: (records: ConfigurationRecords, revision: number): SourcedConfiguration =>
+      ({ configuration: createConfiguration(Number(records['rest']?.[0])), records: { ...records, routes: (records['routes'] as readonly RouteRecord[]).map(intern) }, revision })
+  }
+}
 
 const createInstance = (id: string, changes: Partial<BackendInstance>): BackendInstance => ({
   id, service: 'engines', address: { host: id, port: 1 }, availabilityZone: 'zone-0', slots: 8, isLeaving: false, incarnation: 1, warmUpMs: 0, ...changes
@@ -100,10 +127,13 @@
     return success(value)
   }
 
-  const createConfigurationSource = (index: number): ConfigurationSource => ({
-    read: () => call(index, () => toSourced(newestAt(clock.now()))),
-    decode: ({ rest }) => success(toSourced(Number(rest?.[0])))
-  })
+  const createConfigurationSource = (index: number): ConfigurationSource => {
+    const sourcing = createSourcing(options.routes ?? 0)
+    return {
+      read: () => call(index, () => sourcing.read(newestAt(clock.now()))),
+      decode: (records, configurationRevision) => success(sourcing.decode(records, configurationRevision))
+    }
+  }
 
   const createInstanceSource = (index: number): InstanceSource => ({
     list: () => call(index, () => ({ entries: [...instances.values()].map((instance) => ({ name: instance.id, instance })), revision })),
@@ -134,7 +164,7 @@
   const createNode = (index: number): GatewayNode => {
     const address = addressOf(index)
     const transport = network.createTransport(address)
-    transports.push(transport)
+    transports[index] = transport
     return createGatewayNode({
       settings: {
         nodeId: address.host,
@@ -178,6 +208,12 @@
     addressOf,
     start: async () => { for (const node of nodes) await node.start() },
     stop: async () => { for (const node of nodes) await node.stop() },
+    restart: async (index) => {
+      await nodes[index]!.stop()
+      await transports[index]!.close()
+      nodes[index] = createNode(index)
+      await nodes[index]!.start()
+    },
     applyVersion: () => { versions.push({ at: clock.now(), version: newestAt(clock.now()) + 3 }) },
     putInstance: (id, changes = {}) => {
       instances.set(id, createInstance(id, changes))
--- a/test/platform/readers.test.ts
+++ b/test/platform/readers.test.ts
@@ -131,6 +131,30 @@
   })
 })
 
+describe('a storm of versions with many routes', () => {
+  const STORM_VERSIONS = 15
+  const VERSION_GAP_MS = 333
+  /** A version costs a node about what changed in it, whatever the number of routes. */
+  const MOST_BYTES_A_VERSION = 2_048
+
+  const sumKnowledgeBytes = (fleet: KnowledgeFleet): number =>
+    fleet.transports.reduce((sum, transport) => sum + (transport.bytesSent().get('knowledgeRequestReply') ?? 0), 0)
+
+  // Each version went to every node whole: the reader's link was full for seconds, and nodes served by versions long replaced.
+  test('is in force everywhere in a second, a third of the nodes restarted in it, in few bytes', async () => {
+    const fleet = await start({ nodesPerZone: 8, zones: 3, routes: 1_200 })
+    const before = sumKnowledgeBytes(fleet)
+    for (let version = 0; version < STORM_VERSIONS; version++) {
+      fleet.applyVersion()
+      if (version === 5) for (let index = 1; index < fleet.nodes.length; index += 3) await fleet.restart(index)
+      await fleet.clock.advanceAndSettle(VERSION_GAP_MS)
+    }
+    await fleet.clock.advanceAndSettle(1_000 - VERSION_GAP_MS)
+    expect(new Set(readVersions(fleet))).toEqual(new Set([fleet.newestAt(fleet.clock.now())]))
+    expect((sumKnowledgeBytes(fleet) - before) / fleet.nodes.length / STORM_VERSIONS).toBeLessThan(MOST_BYTES_A_VERSION)
+  })
+})
+
 const isConfirmedOrGivenUp = async (fleet: KnowledgeFleet): Promise<boolean> => {
   let isOver = false
   fleet.nodes[0]!.resolve('gatewayConfiguration').confirm(400).then(() => { isOver = true })
