Sum the load of up to 256 backend servers in one message

Cause: a node of a large fleet sent and got a load sum for each zone of servers, each 0.4 s, though one node sums all of them while servers are few: two thirds of its messages, each a wake-up of a VM that has little else to do.

Change: servers are summed in groups; up to 256, whose counts fit one packet, are a single one. A group is forgotten with its last source.

--- a/src/services/fleetLoad/_lib/createSnapshotStore.ts
+++ b/src/services/fleetLoad/_lib/createSnapshotStore.ts
@@ -9,6 +9,8 @@
   readonly put: (snapshot: LoadSnapshot, now: number) => boolean
   /** The sum over all sources, by the hash of the backend server's name. */
   readonly sum: (now: number) => ReadonlyMap<number, number>
+  /** Sources, those included that the next sum drops. */
+  readonly size: () => number
 }
 
 type Entry = { readonly snapshot: LoadSnapshot, readonly counts: ReadonlyMap<number, number>, readonly at: number }
@@ -35,6 +37,7 @@
         for (const [server, inFlight] of counts) sums.set(server, (sums.get(server) ?? 0) + inFlight)
       }
       return sums
-    }
+    },
+    size: () => entries.size
   }
 }
--- a/src/services/fleetLoad/_lib/createZoneRanks.ts
+++ b/src/services/fleetLoad/_lib/createZoneRanks.ts
@@ -1,5 +1,5 @@
 /**
- * Who sums and who forwards the load of one zone's backend servers: the live
+ * Who sums and who forwards the load of a group of backend servers: the live
  * routers of each zone, those on large VMs first, ranked once per change of the
  * membership.
  */
@@ -9,8 +9,8 @@
 import type { Member, Membership } from '../../../types/index.js'
 
 export type ZoneRanks = {
-  /** The routers of a zone in the order of their responsibility for a zone of servers. */
-  readonly rank: (routerZone: string, serverZone: string) => readonly Member[]
+  /** The routers of a zone in the order of their responsibility for a group of servers. */
+  readonly rank: (routerZone: string, group: string) => readonly Member[]
   readonly zones: () => readonly string[]
 }
 
@@ -30,13 +30,13 @@
 
   return {
     zones: () => [...readByZone().keys()],
-    rank: (routerZone, serverZone) => {
+    rank: (routerZone, group) => {
       const routers = readByZone().get(routerZone) ?? []
-      const key = `${routerZone} ${serverZone}`
+      const key = `${routerZone} ${group}`
       const known = ranks.get(key)
       if (known !== undefined) return known
       // Sorting is stable: among VMs alike the rank decides. The first sums, the next pass the totals on.
-      const ranked = [...rankMembers(`load of ${serverZone}`, routers, routers.length)].sort(compareCapacity)
+      const ranked = [...rankMembers(`load of ${group}`, routers, routers.length)].sort(compareCapacity)
       ranks.set(key, ranked)
       return ranked
     }
--- a/src/services/fleetLoad/index.ts
+++ b/src/services/fleetLoad/index.ts
@@ -1,8 +1,8 @@
 /**
  * Load counts in a fleet too large for every router to send to every other.
- * For the backend servers of each availability zone, one router of each zone
- * sums what the routers of its zone have in flight there; these exchange their
- * sums, and each passes the fleet's total on through a tree within its zone.
+ * For each group of backend servers, one router of each zone sums what the
+ * routers of its zone have in flight there; these exchange their sums, and each
+ * passes the fleet's total on through a tree within its zone.
  */
 import { createServerIndex } from './_lib/createServerIndex.js'
 import type { NamedServer } from './_lib/createServerIndex.js'
@@ -50,12 +50,6 @@
 /** A snapshot's bytes grow with the servers, so the period does too, and the bytes a second stay alike. */
 const PERIOD_PER_SERVER_MS = 6
 const DEFAULT_FAN_OUT = 2
-/**
- * Up to so many backend servers one node of a zone sums the load of all: its
- * snapshots of all zones are some hundred bytes and go out in one packet.
- * Beyond that each zone of servers has a node of its own that sums.
- */
-const SERVERS_OF_ONE_SUM = 128
 /** Periods after which the last snapshot of a silent source no longer counts. */
 const MAXIMUM_AGE_PERIODS = 4
 /** Shares of the period by wall time at which each stage runs, so that it finds the one before done. */
@@ -105,23 +99,23 @@
 
   const ownZone = (): string => membership.self().availabilityZone
 
-  const rank = (routerZone: string, serverZone: string): readonly Member[] =>
-    ranks.rank(routerZone, index.size() <= SERVERS_OF_ONE_SUM ? '' : serverZone)
-
   const isSelf = (member: Member | undefined): boolean => member?.nodeId === membership.self().nodeId
 
-  const findStore = (scope: 'node' | 'zone', serverZone: string): SnapshotStore => {
-    const known = stores[scope].get(serverZone)
+  const findStore = (scope: 'node' | 'zone', group: string): SnapshotStore => {
+    const known = stores[scope].get(group)
     if (known !== undefined) return known
     const store = createSnapshotStore(maximumAgeMs)
-    stores[scope].set(serverZone, store)
+    stores[scope].set(group, store)
     return store
   }
 
-  const createSnapshot = (scope: LoadSnapshot['scope'], source: string, serverZone: string, counts: ReadonlyMap<number, number>): LoadSnapshot => {
+  const listToldGroups = (scope: 'node' | 'zone'): readonly string[] =>
+    [...stores[scope]].filter(([, store]) => store.size() > 0).map(([group]) => group)
+
+  const createSnapshot = (scope: LoadSnapshot['scope'], source: string, group: string, counts: ReadonlyMap<number, number>): LoadSnapshot => {
     sequence += 1
     const { nodeId } = membership.self()
-    return { scope, source, nodeId, serverZone, sequence, ...packLoadCounts(counts) }
+    return { scope, source, nodeId, group, sequence, ...packLoadCounts(counts) }
   }
 
   const sendOrTake = (receiver: Member | undefined, snapshot: LoadSnapshot): void => {
@@ -133,43 +127,43 @@
   const publishNode = (): void => {
     const counts = dependencies.readCounts()
     lastSent = new Map(counts)
-    for (const [serverZone, servers] of index.byZone()) {
+    for (const [group, servers] of index.groups()) {
       const loaded = servers.filter(({ name }) => (counts.get(name) ?? 0) > 0)
       const byHash = new Map(loaded.map(({ hash, name }) => [hash, counts.get(name) ?? 0]))
-      sendOrTake(rank(ownZone(), serverZone)[0], createSnapshot('node', membership.self().nodeId, serverZone, byHash))
+      sendOrTake(ranks.rank(ownZone(), group)[0], createSnapshot('node', membership.self().nodeId, group, byHash))
     }
   }
 
-  /** Zones of servers, those included of which only others know a server. */
-  const listSummedZones = (): readonly string[] => {
-    const serverZones = new Set([...index.byZone().keys(), ...stores.node.keys(), ...stores.zone.keys()])
-    return [...serverZones].filter((serverZone) => isSelf(rank(ownZone(), serverZone)[0]))
+  /** Groups of servers, those included of which only others know a server. */
+  const listSummedGroups = (): readonly string[] => {
+    const groups = new Set([...index.groups().keys(), ...listToldGroups('node'), ...listToldGroups('zone')])
+    return [...groups].filter((group) => isSelf(ranks.rank(ownZone(), group)[0]))
   }
 
   const publishZone = (): void => {
-    for (const serverZone of listSummedZones()) {
-      const snapshot = createSnapshot('zone', ownZone(), serverZone, findStore('node', serverZone).sum(clock.now()))
-      for (const routerZone of ranks.zones()) sendOrTake(rank(routerZone, serverZone)[0], snapshot)
+    for (const group of listSummedGroups()) {
+      const snapshot = createSnapshot('zone', ownZone(), group, findStore('node', group).sum(clock.now()))
+      for (const routerZone of ranks.zones()) sendOrTake(ranks.rank(routerZone, group)[0], snapshot)
     }
   }
 
   const publishFleet = (): void => {
-    for (const serverZone of listSummedZones()) {
-      take(createSnapshot('fleet', ownZone(), serverZone, findStore('zone', serverZone).sum(clock.now())))
+    for (const group of listSummedGroups()) {
+      take(createSnapshot('fleet', ownZone(), group, findStore('zone', group).sum(clock.now())))
     }
   }
 
   const forward = (snapshot: LoadSnapshot): void => {
-    const ranked = rank(ownZone(), snapshot.serverZone)
+    const ranked = ranks.rank(ownZone(), snapshot.group)
     const self = ranked.find(isSelf)
     if (self === undefined) return
     for (const receiver of findForwardTargets(ranked, self, fanOut)) transport.send(receiver.address, { kind: 'loadSnapshot', snapshot })
   }
 
   const takeFleet = (snapshot: LoadSnapshot): void => {
-    if (rank(ownZone(), snapshot.serverZone)[0]?.nodeId !== snapshot.nodeId) return
+    if (ranks.rank(ownZone(), snapshot.group)[0]?.nodeId !== snapshot.nodeId) return
     const counts = unpackLoadCounts(snapshot)
-    for (const { name, hash } of index.byZone().get(snapshot.serverZone) ?? []) {
+    for (const { name, hash } of index.groups().get(snapshot.group) ?? []) {
       // The total holds what this node itself sent last; only the rest is of others.
       const inFlight = Math.max(0, (counts.get(hash) ?? 0) - (lastSent.get(name) ?? 0))
       othersByServer.set(name, { at: clock.now(), inFlight })
@@ -179,8 +173,8 @@
   }
 
   const takers: Readonly<Record<LoadSnapshot['scope'], (snapshot: LoadSnapshot) => void>> = {
-    node: (snapshot) => { findStore('node', snapshot.serverZone).put(snapshot, clock.now()) },
-    zone: (snapshot) => { findStore('zone', snapshot.serverZone).put(snapshot, clock.now()) },
+    node: (snapshot) => { findStore('node', snapshot.group).put(snapshot, clock.now()) },
+    zone: (snapshot) => { findStore('zone', snapshot.group).put(snapshot, clock.now()) },
     fleet: takeFleet
   }
 
--- a/src/services/fleetLoad/test.ts
+++ b/src/services/fleetLoad/test.ts
@@ -16,7 +16,7 @@
 
 const SERVERS = [0, 1, 2].map(createServer)
 
-const createFleet = (size: number, fullMeshPeers = 2) => {
+const createFleet = (size: number, fullMeshPeers = 2, known = SERVERS) => {
   const clock = createManualClock()
   const network = createMemoryPeerNetwork({ clock })
   const members = Array.from({ length: size }, (_, index) => createMember(index))
@@ -24,7 +24,7 @@
   const listeners: (() => void)[] = []
   const nodes = members.map((self) => {
     const counts = new Map<string, number>()
-    let servers = SERVERS
+    let servers = known
     const transport = network.createTransport(self.address)
     const service = createFleetLoad({
       clock,
@@ -47,8 +47,8 @@
 }
 
 describe('createFleetLoad', () => {
-  it('tells every node what all others have in flight', async () => {
-    const { clock, nodes, readAll } = createFleet(9)
+  it.each([3, 300])('tells every node what all others have in flight on %i servers', async (servers) => {
+    const { clock, nodes, readAll } = createFleet(9, 2, Array.from({ length: servers }, (_, index) => createServer(index)))
     nodes.forEach(({ counts }, index) => counts.set('engine-1', index + 1))
     await clock.advanceAndSettle(SETTLE_MS)
     expect(readAll('engine-1')).toEqual(nodes.map((_, index) => 45 - (index + 1)))
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -56,8 +56,8 @@
   readonly source: string
   /** Node that made it. */
   readonly nodeId: string
-  /** Availability zone of the backend servers. */
-  readonly serverZone: string
+  /** Availability zone of the backend servers; empty where they are summed together. */
+  readonly group: string
   /** Grows from one snapshot of a node to the next. */
   readonly sequence: number
 } & PackedLoadCounts
