--- a/src/decisions/placeRequest/test.ts
+++ b/src/decisions/placeRequest/test.ts
@@ -42,8 +42,7 @@
     expect(moved).toHaveLength(0)
   })
 
-  // One chat's part gets a crowd. Its server would go over the load promise, so
-  // the crowd spills, though every spilled request reads the prompt again.
+  // A crowd on one chat's part would take its server over the load promise.
   test('spills where the server that keeps the prompt is over the bound', () => {
     const servers = [createCandidate('kept', { keptTokens: 8_000, load: 20 }), ...createServers(5, { load: 3 })]
     expect(place(createQuestion(), servers, still)).not.toBe('kept')
@@ -70,8 +69,7 @@
     expect(place(createQuestion({ sharedTokens: 0, affinityKey: '' }), servers, still)).toBe('near')
   })
 
-  // Short prompts with long answers: the answer's bytes between zones cost more than
-  // a copy of the prompt into the own zone.
+  // The bytes of a long answer would cross zones for a short prompt.
   test('takes a copy into the own zone rather than many bytes from another one', () => {
     const far = createCandidate('far', { availabilityZone: 'b', keptTokens: 400 })
     const near = createCandidate('near')
@@ -83,8 +81,7 @@
     expect(placeRequest(createQuestion({ affinityKey: '' }), [far, createCandidate('near')], [far], still)).toEqual({ id: 'far', copyFrom: undefined })
   })
 
-  // Nodes lose their knowledge in a restart, and a cut-off zone never had the others'. What
-  // is kept at its home is found again by rank alone; elsewhere it would be read again.
+  // Nodes that lost their knowledge, or a cut-off zone, find a prompt by rank alone only at its home.
   test('moves a prompt to its home by a copy, and leaves it there', () => {
     const others = createServers(8, { load: 2 })
     const home = place(createQuestion(), others)!
--- a/src/services/fleetLoad/test.ts
+++ b/src/services/fleetLoad/test.ts
@@ -71,8 +71,7 @@
     expect(new Set(readAll('engine-0'))).toEqual(new Set([0]))
   })
 
-  // Routers that sum the load die one after the other. Each time the next in
-  // rank takes over, and what the dead ones had in flight is no longer counted.
+  // What dead routers had in flight would stay counted, or nobody would sum.
   it('goes on when routers that sum die', async () => {
     const { clock, nodes, readAll, isDead } = createFleet(8)
     for (const { counts } of nodes) counts.set('engine-2', 1)
@@ -85,8 +84,7 @@
     expect(new Set(readAll('engine-2'))).toEqual(new Set([3]))
   })
 
-  // Two zones lose each other. Each must go on with its own counts, and those of
-  // the other zone must not stay for ever.
+  // The counts of a zone that is out of reach would stay for ever.
   it('drops the counts of a zone that is cut off', async () => {
     const { clock, network, nodes, readAll } = createFleet(8)
     for (const { counts } of nodes) counts.set('engine-0', 1)
--- a/src/services/forwarding/test.ts
+++ b/src/services/forwarding/test.ts
@@ -108,8 +108,7 @@
     expect(node.sent).toEqual(['r1'])
   })
 
-  // Power is back; three callers' requests wait for the first configuration. The look-up
-  // with a fifth of a second came last, and behind two long streams it would be late.
+  // After a loss of power a short look-up that waits behind long streams would be late.
   test('sends first what has the least time left', async () => {
     const node = startNode()
     node.call('long-1', '/long/1')
--- a/src/services/gatewayConfiguration/test.ts
+++ b/src/services/gatewayConfiguration/test.ts
@@ -36,9 +36,7 @@
 }
 
 describe('a configuration that comes into force', () => {
-  // After a start, requests wait for the first configuration. They were let go in the
-  // moment it came, before its proof was noted: with no proof the node could not
-  // tell that a key holds or a route is unknown, and refused them.
+  // Requests that waited for the first configuration were let go before its proof was noted, and refused.
   test('is proved when listeners hear of it', async () => {
     const { clock, holder } = createHolder(async () => success(toSourced(3)))
     const ages: number[] = []
@@ -61,8 +59,7 @@
 })
 
 describe('what a peer tells', () => {
-  // A peer hands on a newer configuration that can't be read. The older one here was
-  // proved by that very answer, so a key that the newer one took away went on being used.
+  // An unreadable newer configuration proved the older one, so a key that was taken away stayed in use.
   test.each<[string, ConfigurationNews]>([
     ['bytes that are no packed records', { kind: 'whole', revision: 4, bytes: Buffer.from('spoilt') }],
     ['records that the source refuses', { kind: 'whole', revision: 4, bytes: packRecords({ rest: ['spoilt'] }) }],
--- a/src/services/instanceRegistry/test.ts
+++ b/src/services/instanceRegistry/test.ts
@@ -53,9 +53,7 @@
 const listIds = ({ api }: RunningInstanceRegistry): readonly string[] => api.list('engines').map(({ id }) => id)
 
 describe('what peers tell', () => {
-  // A server leaves. A node hears it from one peer and takes the server out. Another
-  // peer, which is cut off and knows an older list, tells of the same server as there;
-  // the node took it in again, and sent requests to it after its drain time.
+  // A peer with an older list brought back a server that was removed, past its drain time.
   test('of an older list does not bring back a server that was removed', async () => {
     const { registry } = await startRegistry()
     registry.learn(createNews({ removed: ['engine-2'] }), 10, 0)
@@ -77,9 +75,7 @@
     expect(listIds(registry)).toEqual(['engine-1', 'engine-2'])
   })
 
-  // A node whose source was away finds an entry missing and keeps the server for a
-  // moment, in case its entry had only lapsed. Asked by a peer that had heard of the
-  // leaving, it told of the server as one that is there.
+  // A server that is kept only in case its entry lapsed was told to a peer as one that is there.
   test('leaves out servers that are kept only until their entries may be back', async () => {
     const { clock, remote, registry } = await startRegistry()
     const position = registry.position()
--- a/src/services/loadView/test.ts
+++ b/src/services/loadView/test.ts
@@ -90,8 +90,7 @@
     expect(transport('a').messagesSent()).toBe(before)
   })
 
-  // Requests come and go much faster than there are bytes to tell of each. The
-  // counts must still arrive, gathered, and the budget must hold.
+  // Digests of each change would pass the byte budget when requests come fast.
   it('keeps to its budget however many requests there are', async () => {
     const { clock, view, transport } = createViews(['a', 'b', 'c', 'd'])
     for (let turn = 0; turn < 2000; turn++) {
@@ -110,8 +109,7 @@
     expect(() => view('a').recordEnd('engine-1')).toThrow(/more requests ended/)
   })
 
-  // A digest is lost, and the next one tells of another server. The peer goes on
-  // with a wrong count for the first server until it asks for full counts.
+  // A lost digest would leave a wrong count until its server changes again.
   it('recovers from a lost digest', async () => {
     const { view, spread, lose, beat } = createViews(['a', 'b'])
     startMany(view('a'), 1)
@@ -125,8 +123,7 @@
     expect(view('b').estimateInFlight('engine-1')).toBe(0)
   })
 
-  // The last change before a quiet time is lost, so no later digest shows the gap;
-  // the number in the heartbeat does.
+  // A lost last change would stay unnoticed, since no later digest shows the gap.
   it('recovers from a lost digest that no other follows', async () => {
     const { view, spread, lose, beat } = createViews(['a', 'b'])
     startMany(view('a'), 1)
@@ -137,8 +134,7 @@
     expect(view('b').estimateInFlight('engine-1')).toBe(0)
   })
 
-  // A restarted router numbers its digests from the beginning. They must not pass
-  // for late ones of its previous incarnation, whose requests are gone.
+  // Digests of a restarted router would pass for late ones of its previous incarnation.
   it('begins anew with a peer that restarted', async () => {
     const { view, spread, restart, beat } = createViews(['a', 'b'])
     for (let turn = 0; turn < 5; turn++) {
@@ -183,8 +179,7 @@
     expect(view('a').estimateInFlight('engine-1')).toBe(estimate)
   })
 
-  // The server's report is half a second old. Requests that it shows have ended
-  // since; taken for somebody else's, they would be counted for seconds.
+  // Requests that ended since a late report was made would be counted as somebody else's for seconds.
   it('does not count requests twice that ended since the report was made', async () => {
     const { clock, view } = createViews(['a'])
     startMany(view('a'), 5)
--- a/src/services/promptDirectory/test.ts
+++ b/src/services/promptDirectory/test.ts
@@ -51,8 +51,7 @@
     expect(new Set(readKept())).toEqual(new Set([0]))
   })
 
-  // A subject is asked for from every node. Were each request told, the bytes
-  // would grow with the requests and, in a large fleet, with the square of the nodes.
+  // Told with each request, places would grow with the square of the nodes.
   test('a place that all know is not told with each request', async () => {
     const { clock, nodes, countMessages } = createFleet(size)
     nodes[0]!.api.record(PARTS, SERVER)
--- a/test/platform/knowledge.test.ts
+++ b/test/platform/knowledge.test.ts
@@ -27,8 +27,7 @@
     expect(await readStatus(fleet, '/lookup/1')).toBe(404)
   })
 
-  // An operator's store hands out an older version, as a stale reader would. A
-  // node that went back would send requests by routes that no longer hold.
+  // A store that hands out an older version would bring back routes that no longer hold.
   test('never gives way to an older one', async () => {
     const fleet = await start()
     fleet.applyConfiguration(7, { routes: [createRoute('fresh')] })
@@ -38,8 +37,7 @@
     expect(await readStatus(fleet, '/fresh/1')).toBe(200)
   })
 
-  // One node can't reach the store while a new version is applied. Its callers
-  // should see it as soon as the others' do: the node learns it from its peers.
+  // A node without the store would serve by an old version while its peers have the new one.
   test('reaches a node that is cut off from the store through its peers', async () => {
     const fleet = await start({ nodes: 2 })
     await waitFor('the peer to be known', async () => fleet.logs.some(({ message }) => message === 'member changed'))
@@ -58,9 +56,7 @@
     expect(await readStatus(fleet, '/lookup/1')).toBe(200)
   })
 
-  // The store and all peers are out of reach of a node, and a key is taken away
-  // meanwhile. The node can't know, so after the bound it refuses requests with a
-  // key as surely not run; routes that need none are still served.
+  // A node that can reach neither store nor peers would use a key that was taken away.
   test('is not used once its validity can no longer be proved', async () => {
     const fleet = await start({ settings: { keyRevocationMs: 1_500 } })
     fleet.store.setFault('silent')
@@ -98,8 +94,7 @@
     expect(fleet.backends.get('plain-1')!.records()).toHaveLength(before)
   })
 
-  // A leaving server's entry is read from an older copy that still says ready.
-  // Taking it up again would send work to a server that is about to end.
+  // An older copy of a leaving server's entry would send work to a server that is about to end.
   test('takes back a leaving one only when it has started anew', async () => {
     const fleet = await start()
     const backend = fleet.backends.get('plain-1')!
@@ -133,9 +128,7 @@
     await foreign.close()
   })
 
-  // The store is away, and its entries of servers lapse meanwhile. The servers are
-  // well: callers should notice nothing, neither during the outage nor when the
-  // store comes back with an empty list for a moment.
+  // Entries lapse while the store is away, and a node would drop servers that are well.
   test('is kept through an outage of the store, and for a moment after it', async () => {
     const fleet = await start()
     fleet.store.setFault('reset')
@@ -150,8 +143,7 @@
     expect(await readStatus(fleet, '/open/1')).toBe(200)
   })
 
-  // Watches hear nothing for a while, then the store has forgotten the changes in
-  // between. A node that trusted its watch would send to a server that left.
+  // A watch that heard nothing while the store forgot its changes would keep a server that left.
   test('is read anew when the store has forgotten its history', async () => {
     const fleet = await start()
     fleet.store.setDeaf(true)
@@ -180,8 +172,7 @@
     expect(findKeeper(fleet, 'aa')).toHaveLength(1)
   })
 
-  // All nodes lose power. The engines kept the prompts, but no node knows which:
-  // sent by rank alone, a chat that had been displaced would be read again.
+  // After a loss of power no node knows where prompts are kept, and displaced ones would be read again.
   test('is asked of the engines after a start of all nodes', async () => {
     const fleet = await start({ settings: { isFirstStart: false } })
     const rank = findKeeper(fleet, 'zz')
--- a/test/platform/readers.test.ts
+++ b/test/platform/readers.test.ts
@@ -45,8 +45,7 @@
   })
 })
 
-// The store is away for ten seconds. Were all nodes of a zone to try as often as
-// its readers, its return would meet some hundred calls a second.
+// Nodes that all try as often as readers would meet the store's return with hundreds of calls.
 test('an outage of the source does not multiply the calls', async () => {
   const fleet = await start({ nodesPerZone: 24 })
   for (let node = 0; node < 24; node++) fleet.setReached(node, false)
@@ -70,9 +69,7 @@
     expect(new Set(readServers(fleet))).toEqual(new Set(['engine-1@1']))
   })
 
-  // Both readers of a zone lose the store, a server leaves, and the others of the
-  // zone still reach the store. Their callers' requests would go to a server that
-  // has ended: a reader that lost its source says so by the age of its proof.
+  // A zone whose readers lost the store would send requests to a server that has ended.
   test('reads for itself when both readers lose the source', async () => {
     const fleet = await start({ nodesPerZone: 6 })
     fleet.setReached(0, false)
@@ -82,8 +79,7 @@
     expect(readServers(fleet).slice(2)).toEqual(Array(4).fill('engine-1@1'))
   })
 
-  // Both readers fall silent at one moment, as in a lost rack; the news of a
-  // version and of a server's start are made while nobody reads.
+  // Readers that fall silent at one moment, as in a lost rack, would leave their zone without news.
   test('reads for itself when both readers fall silent', async () => {
     const fleet = await start({ nodesPerZone: 6 })
     for (const reader of [0, 1]) {
@@ -97,8 +93,7 @@
     expect(new Set(readVersions(fleet).slice(2))).toEqual(new Set([4]))
   })
 
-  // The only reader of a zone falls silent; until the zone holds it dead, three seconds later, its nodes
-  // have nobody else there. They learn of a version and of a leaving server from the next zone's reader.
+  // The only reader of a zone falls silent, and its nodes would learn nothing until it is held dead.
   test('learns from the next zone when its own reader falls silent', async () => {
     const fleet = await start({ nodesPerZone: 4, zones: 2 })
     fleet.setReached(0, false)
@@ -111,8 +106,7 @@
     expect([2, 4, 6].map((node) => readVersions(fleet)[node])).toEqual(Array(3).fill(4))
   })
 
-  // An entry lapses while the store is away and its server registers again a
-  // second after the store is back. Only the readers see the store's return.
+  // An entry that lapsed in an outage only the readers saw would be dropped before its server registers again.
   test('keeps a server whose entry lapsed in an outage', async () => {
     const fleet = await start({ nodesPerZone: 6 })
     for (let node = 0; node < 6; node++) fleet.setReached(node, false)
@@ -162,8 +156,7 @@
   return isOver
 }
 
-// The store is away for seconds and no peer can vouch. A caller with a key that
-// can't be proved waits four tenths of a second for a refusal that is known at once.
+// A caller whose key can't be proved would wait for a refusal that is known at once.
 describe('a request whose key needs proof', () => {
   test('does not wait for a source that is known to be away', async () => {
     const fleet = await start({ nodesPerZone: 2 })
--- a/test/platform/requests.test.ts
+++ b/test/platform/requests.test.ts
@@ -63,9 +63,7 @@
     expect(result).toMatchObject({ status: 200, isComplete: true, body: composeStream('r1', 1, 5) })
   })
 
-  // A server breaks its stream off in the middle of an event. The caller must see
-  // each event once: what came of the broken event is not passed on, and the rest
-  // comes from another server after the last whole event.
+  // The caller would see parts of a broken event, or an event twice.
   test('that is cut in the middle of an event goes on elsewhere', async () => {
     const fleet = await start()
     for (const backend of fleet.backends.values()) backend.setFault('cut', 1)
@@ -77,8 +75,7 @@
     expect(resumed.map(({ headers }) => headers['last-event-id'])).toEqual(['2'])
   })
 
-  // A stream that may not be resumed is cut by its server. Sent again, its run
-  // would be doubled; passed off as whole, the caller would miss the rest.
+  // Sent again, a run that may not be resumed would be doubled; passed off as whole, the rest would be missing.
   test('that may not be resumed ends broken and is not sent again', async () => {
     const fleet = await start({ engines: [{ id: 'engine-1' }] })
     fleet.backends.get('engine-1')?.setFault('cut', 1)
@@ -96,8 +93,7 @@
 })
 
 describe('a failure of a backend server', () => {
-  // One lookup in several fails at its server. The lookup is safe and may be sent
-  // to two servers, so its caller should not see the first failure.
+  // A lookup that could be tried at a second server would fail with the first.
   test('of a safe request is tried at another one', async () => {
     const fleet = await start()
     for (const id of ['plain-1', 'plain-2']) fleet.backends.get(id)?.setFault('error', 1)
@@ -115,8 +111,7 @@
     expect(recordsOf(fleet, 'r1')).toHaveLength(1)
   })
 
-  // An order runs and its answer is lost. Whether it ran is unknown, so neither
-  // "not run" may be said nor the order sent again.
+  // An order whose answer is lost would be sent again, or called not run.
   test('that loses the answer of an unsafe request leaves its outcome unknown', async () => {
     const fleet = await start()
     for (const backend of fleet.backends.values()) backend.setFault('reset', 1)
@@ -142,8 +137,7 @@
     expect(recordsOf(fleet, 'r1').some(({ isRun }) => isRun)).toBe(false)
   })
 
-  // A server takes requests and says nothing. The caller of a safe lookup should
-  // get its answer from another one well before the deadline.
+  // A silent server would hold a safe lookup until its deadline.
   test('by silence is found before the deadline of a safe request', async () => {
     const fleet = await start()
     fleet.backends.get('plain-1')?.setFault('dark')
@@ -161,8 +155,7 @@
 })
 
 describe('an answer that is not the request\'s own', () => {
-  // The answer to another request arrives where this one's is expected. Passed
-  // on, one shopkeeper would read another's settlement.
+  // One caller would read the answer to another's request.
   test.each(['crossed', 'unsigned', 'encoded'] as const)('(%s) does not reach the caller', async (fault) => {
     const fleet = await start({ plain: [{ id: 'plain-1' }] })
     fleet.backends.get('plain-1')?.setFault(fault, 1)
@@ -171,8 +164,7 @@
     expect(result.headers['x-server-stamp']).toBeUndefined()
   })
 
-  // A server sends a second answer after the first. On a connection that is used
-  // again it would pass for the answer to the next request.
+  // A second answer would pass for the answer to the next request on the connection.
   test('(extra bytes) is not given to the next request', async () => {
     const fleet = await start({ plain: [{ id: 'plain-1' }] })
     fleet.backends.get('plain-1')?.setFault('extra', 1)
@@ -199,9 +191,7 @@
     expect(JSON.parse(result.body)).toMatchObject({ answer: 'r1' })
   })
 
-  // A server's answer has no length and its connection is reset in the middle. The
-  // client library takes the reset for the end, and a reset right behind the bytes
-  // is shown as an orderly end: the caller would get a part as the whole.
+  // An answer without a length whose connection is reset would pass for whole.
   test.each(['unframedReset', 'unframedResetAtOnce'] as const)('is not whole when its connection is reset (%s)', async (fault) => {
     const fleet = await start({ plain: [{ id: 'plain-1' }] })
     fleet.backends.get('plain-1')?.setFault(fault, 1)
@@ -221,8 +211,7 @@
 })
 
 describe('a caller that leaves', () => {
-  // The caller hangs up while its server works. The server should be free for
-  // others at once, not when the work is done.
+  // A server would go on working for a caller that has hung up.
   test('has its backend server\'s connection closed', async () => {
     const fleet = await start({ plain: [{ id: 'plain-1', workMs: 1_500 }] })
     const leaving = new AbortController()
