--- a/src/adapters/boundedOutput/test.ts
+++ b/src/adapters/boundedOutput/test.ts
@@ -31,8 +31,7 @@
 const LINES = 200
 
 describe('createBoundedOutput', () => {
-  // The reader of the log stops reading. A process that waited for it would leave
-  // its callers without answers; instead lines are dropped and counted.
+  // A process that waits for a stuck log reader would leave its callers without answers.
   test('takes lines at once while nobody reads, and counts what it drops', async () => {
     const descriptor = createPipe()
     let dropped = 0
--- a/src/adapters/callerHttp/test.ts
+++ b/src/adapters/callerHttp/test.ts
@@ -109,9 +109,7 @@
     expect([answer.status, answer.headers.get('x-request-outcome'), handled.length]).toEqual([413, 'not-run', 0])
   })
 
-  // A caller opens many connections and sends a header line now and then; each
-  // holds its place until the listener looks for late ones, which Node.js did
-  // only every 30 s, whatever the time-out, so that others found no place.
+  // Connections that send a header line now and then would hold all places.
   it('ends a connection whose headers do not come in time', async () => {
     const { port, handled } = await startListener(() => OK, { headerTimeoutMs: 50 })
     const received = await exchangeRaw(port, 'GET /a HTTP/1.1\r\nHost: h\r\n')
--- a/src/adapters/earlyListener/test.ts
+++ b/src/adapters/earlyListener/test.ts
@@ -37,9 +37,7 @@
 const passTurns = (): Promise<void> => new Promise((resolve) => { setTimeout(resolve, 30) })
 
 describe('openEarlyListener', () => {
-  // A node is started anew while its callers go on. One connects and sends its
-  // request before the program is loaded. It used to be turned away, and came back
-  // a second later; now its request is read as soon as the program is there.
+  // A caller who connects before the program is loaded would be turned away and come back a second later.
   test('keeps connections and what they send until it is handed over', async () => {
     const paths: string[] = []
     const early = openEarlyListener(ANYWHERE)
--- a/src/adapters/instanceHttp/test.ts
+++ b/src/adapters/instanceHttp/test.ts
@@ -59,9 +59,7 @@
 })
 
 describe('createInstanceHttp', () => {
-  // An order has gone out and the way to its server is lost; the system gives the
-  // connection up with the codes that a failed connect has as well. The order may
-  // have run: told as not sent, it would be refused as not run, or run twice.
+  // A sent order whose connection is lost with the code of a failed connect would pass for not sent.
   test.each(['ETIMEDOUT', 'EHOSTUNREACH', 'ENETUNREACH', 'ECONNREFUSED'])('does not take %s after the request went out for not sent', async (code) => {
     const sockets: Socket[] = []
     const onConnected = (message: unknown): void => { sockets.push((message as { readonly socket: Socket }).socket) }
--- a/src/adapters/peerTcp/_lib/createPeerLink.test.ts
+++ b/src/adapters/peerTcp/_lib/createPeerLink.test.ts
@@ -33,9 +33,7 @@
 }
 
 describe('a link to a peer that has no power', () => {
-  // All VMs lost power. The first one back dials another while that is still dark:
-  // the packet is lost, and TCP asks again only after a second, in which the peer has come
-  // back long ago. The node found its peers 1.2 s after its start.
+  // A peer dialled while it is still dark would be found only by TCP's own repeat, a second later.
   test('is dialled anew soon, without waiting for TCP', async () => {
     const { clock, link, sockets } = createLink()
     const first = link.request({ kind: 'rootRequest' }, 5_000)
--- a/src/adapters/peerTcp/test.ts
+++ b/src/adapters/peerTcp/test.ts
@@ -50,9 +50,7 @@
     expect(result).toMatchObject({ ok: false, error: { kind: 'unreachable' } })
   })
 
-  // Somebody without the key connects twice and answers the challenge of the one
-  // connection with what the other sends. If proofs did not name the role, the
-  // router would prove the key to itself and let the stranger in.
+  // A stranger would be let in by a proof that the router made for its own challenge.
   it('takes no reflected proof', async () => {
     const listener = await openTransport()
     const socket = openSocket(listener.address().port)
@@ -85,9 +83,7 @@
     expect(socket.destroyed).toBe(true)
   })
 
-  // A message over the frame limit is refused by the sender. Its field names may
-  // have entered the encoder, though the receiver never saw them; if the same
-  // connection went on, the next message would be read wrongly.
+  // Field names of a message that was refused for its size would make the next one unreadable.
   it('goes on after a message that is too large', async () => {
     const listener = await openTransport()
     const peer = await openTransport()
@@ -98,8 +94,7 @@
     expect(result).toEqual({ ok: true, value: { kind: 'directoryEntry', backendServer: 'chat-1' } })
   })
 
-  // A router is restarted at the same address while a peer holds a connection to
-  // the process that was there before. The next request may fail; later ones must not.
+  // A router restarted at the same address would stay out of reach behind the old connection.
   it('reconnects to a peer that came back', async () => {
     const peer = await openTransport()
     const first = await openTransport()
@@ -115,8 +110,7 @@
     expect(result.ok).toBe(true)
   })
 
-  // A link swallows all packets for a while. TCP does not notice and repeats ever
-  // more rarely; the peer would be lost for minutes after the link is well again.
+  // A peer behind a link that swallowed packets would be lost for minutes.
   it('gives up a connection that swallows everything, and dials anew', async () => {
     const listener = await openTransport({ acknowledgeDelayMs: 1 })
     let isSwallowing = false
--- a/src/adapters/platformHttp/test.ts
+++ b/src/adapters/platformHttp/test.ts
@@ -159,8 +159,7 @@
     expect(errorKind(await acts[act]!(platform))).toBe('unavailable')
   })
 
-  // The node writes, the platform's machine stops answering, the node's
-  // time-out passes. Whether the write took effect cannot be known here.
+  // A write that hung after it was sent would pass for one that did not take effect.
   it.each(cases)('calls a %s that hangs after it was sent %s', async (act, expected) => {
     const { server, platform } = await startPair({ timeoutMs: 100 })
     server.faults.apply({ fault: 'hang' })
@@ -181,9 +180,7 @@
     expect(errorKind(await acts[act]!(platform))).toBe(expected)
   })
 
-  // A node creates an object; the store writes it, but the reply is lost. A
-  // client that repeated the write by itself would report a conflict with its
-  // own write.
+  // A client that repeats a write by itself would report a conflict with its own.
   it('sends a write once when its reply is lost, and the write is there', async () => {
     const { server, platform } = await startPair()
     server.faults.apply({ fault: 'loseReplies', count: 1 })
@@ -192,8 +189,7 @@
     expect(server.calls()).toEqual({ 'PUT /objects': 1, 'GET /objects': 1 })
   })
 
-  // The only connection is busy with a watch; a write waits for it, and its
-  // time-out passes before a byte of it is written.
+  // A write that waited for a connection past its time-out would be sent later.
   it('calls a write that never got a connection unavailable, and does not send it later', async () => {
     const server = await createPlatformServer({ clock })
     const platform = createPlatformHttp({ url: server.url, timeoutMs: 200, maximumConnections: 1 })
--- a/src/bench/fairness/test.ts
+++ b/src/bench/fairness/test.ts
@@ -4,8 +4,7 @@
 const SEED = 1
 
 describe('runFairnessBench', () => {
-  // Two accounts send ten times as much for half a minute. Without fair
-  // shares, chefs of the other accounts wait behind them for many seconds.
+  // Callers of calm accounts would wait for seconds behind a surge.
   it('keeps a surge from the calm accounts, where first come first served does not', async () => {
     const [surge] = await runFairnessBench({ fast: true, seed: SEED })
     const calmTimes = new Map(surge!.rows.map((row) => [`${row[0]}, ${row[1]}`, Number(row[3])]))
--- a/src/decisions/advanceEjection/test.ts
+++ b/src/decisions/advanceEjection/test.ts
@@ -25,8 +25,7 @@
     expect(advanceAll(events).phase).toBe(phase)
   })
 
-  // A server flaps: it comes back, takes work, fails again. With the same time
-  // out each round, it would fail the same share of requests for ever.
+  // A flapping server with the same time out each round would fail the same share of requests for ever.
   it('doubles the time out of a flapping server up to a bound', () => {
     let ejection = advanceAll(['failed', 'failed', 'failed'])
     const holds = [ejection.until - ejection.since]
--- a/src/decisions/grantRepeat/test.ts
+++ b/src/decisions/grantRepeat/test.ts
@@ -22,8 +22,7 @@
     expect(grantRepeat(spent, limits, 1, 10_001)).toBe(true)
   })
 
-  // A service fails for all callers, and each node would repeat each request. Its
-  // servers must not see more than the fleet's budget, whichever nodes are silent.
+  // A service that fails for all would get more repeats than the fleet's budget.
   test('keeps the fleet under its budget in every window, whatever comes when', () => {
     const send = fc.record({ node: fc.integer({ min: 0, max: 5 }), gapMs: fc.integer({ min: 0, max: 400 }), wantsRepeats: fc.integer({ min: 0, max: 3 }) })
     fc.assert(fc.property(fc.array(send, { maxLength: 300 }), (sends) => {
--- a/src/decisions/judgeRollout/test.ts
+++ b/src/decisions/judgeRollout/test.ts
@@ -45,8 +45,7 @@
     expect(judgeRollout(3, [createAnswer(1)], [createVm(1), createVm(9)])).toMatchObject({ isInForceEverywhere: false })
   })
 
-  // Router 2 restarted and has nothing yet; one peer still tells of its life
-  // before. The later incarnation counts, or the old number would confirm it.
+  // A number from before a router's restart would confirm what it no longer has.
   it('believes the later incarnation of a restarted router', () => {
     const before = createMember(2, { generation: 3 })
     const after = createMember(2, { incarnation: 2, generation: 0 })
--- a/src/decisions/measureAge/test.ts
+++ b/src/decisions/measureAge/test.ts
@@ -8,8 +8,7 @@
 describe('measureAge', () => {
   test('is the time that passed', () => expect(measure(at(0, 1_000, 50), at(400, 1_400, 450))).toBe(400))
 
-  // A VM is suspended for five seconds. Its monotonic clock stands still, so a
-  // key that was taken away meanwhile would pass for confirmed just now.
+  // A key taken away while a VM was suspended would pass for confirmed just now.
   test('counts the time for which the VM was suspended', () => expect(measure(at(0, 0, 0), at(10, 5_010, 5_010))).toBe(5_010))
 
   test('counts it also when the wall clock jumped back as far', () => expect(measure(at(0, 0, 0), at(10, 10 - 3_000, 5_010))).toBe(5_010))
--- a/src/decisions/mergeLoadDigest/test.ts
+++ b/src/decisions/mergeLoadDigest/test.ts
@@ -44,8 +44,7 @@
     }), { seed: SEED })
   })
 
-  // Digests are lost, arrive twice and out of order; counts here are wrong for a
-  // while. One full digest with a newer number must put all of them right.
+  // Lost, doubled and disordered digests would leave counts wrong for good.
   it('equals the truth after any losses and one full digest', () => {
     fc.assert(fc.property(statesArbitrary, fc.array(fc.nat({ max: 20 }), { maxLength: 30 }), stateArbitrary, (states, arrivals, truth) => {
       const history = createHistory(states)
--- a/src/decisions/orderHeld/test.ts
+++ b/src/decisions/orderHeld/test.ts
@@ -27,8 +27,7 @@
     expect(held.map(({ goalLeftMs }) => goalLeftMs)).toEqual([700, 100])
   })
 
-  // All nodes return from a loss of power. Long streams came first and look-ups of a
-  // fifth of a second after them; in the order of their coming the look-ups are all late.
+  // Look-ups held behind long streams after a loss of power would all be late.
   test('meets more goals than the order of coming', () => {
     const streams = Array.from({ length: 10 }, () => createHeld({ goalLeftMs: 500 }))
     const lookups = Array.from({ length: 10 }, (_, index) => createHeld({ goalLeftMs: 60 + 10 * index, priority: 2 }))
--- a/src/emulator/createModelEngine/test.ts
+++ b/src/emulator/createModelEngine/test.ts
@@ -101,8 +101,7 @@
     expect(engine.report()).toMatchObject({ running: 1, leaving: true })
   })
 
-  // A router that loses its connection may resume for the grace period; the
-  // engine must not go on for ever for a router that never comes back.
+  // An engine would work for ever for a router that never comes back.
   it('cancels and forgets a job that nobody listens to any more after the grace period', () => {
     const { clock, engine, submit } = startEngine({ graceMs: 15 })
     const job = submit(buildRequest('a', { maximumTokens: 100 }))
--- a/src/emulator/createModelEngineServer/test.ts
+++ b/src/emulator/createModelEngineServer/test.ts
@@ -64,8 +64,7 @@
     expect(journal).toMatchObject({ entries: [{ requestId: 'r1', idempotencyKey: 'k1', clientAccount: 'kiosk', path: '/v1/chat/completions', outcome: 'complete' }] })
   })
 
-  // The router's connection breaks in mid-answer. It asks for the events after
-  // the last that it has, and the caller must get each exactly once.
+  // A caller would miss an event, or get it twice, after a break in mid-answer.
   it('resumes a stream after the last event that was seen', async () => {
     const server = await startServer()
     server.faults.apply({ fault: 'cutAnswer', count: 1, after: 3 })
--- a/src/load/runLoad/test.ts
+++ b/src/load/runLoad/test.ts
@@ -93,8 +93,7 @@
     expect((await run(url, { mix: CHATS })).outcomes).toMatchObject({ broken: 30 })
   })
 
-  // A stream breaks in mid-answer; the router says so in an event and
-  // destroys the socket. The caller was told the truth: it is no broken answer.
+  // A stream that ended in an error event would count as a broken answer.
   it('counts a stream that ends in an error event as refused', async () => {
     const url = await startFakeRouter((reply) => {
       reply.hijack()
--- a/src/services/admission/test.ts
+++ b/src/services/admission/test.ts
@@ -97,8 +97,7 @@
     expect(count(admitted, 'heavy')).toBe(30)
   })
 
-  // Two routers share one pool. A surging account spreads over both; counted
-  // at each router alone, it would get as much as the calm one at each.
+  // An account spread over two routers would get its share twice.
   it('counts what an account uses at other nodes', async () => {
     const { api, ask, admitted, settle, finishOldest } = createPool(1)
     api.mergeUsage('other router', [{ clientAccount: 'surging', service: 'desk', tokens: 1_000 }])
--- a/src/services/auditTrail/test.ts
+++ b/src/services/auditTrail/test.ts
@@ -44,8 +44,7 @@
     expect(await trail.read(10)).toMatchObject({ ok: true, value: { entries: [{ generationTo: 1 }], unreadable: 1 } })
   })
 
-  // The reply to the first write is lost after it took effect; the repeat meets
-  // the entry itself. That is no failure, and there is one entry.
+  // The repeat of a write whose reply was lost would fail or leave a second entry.
   it('writes an entry once when the reply is lost', async () => {
     let writes = 0
     platform.setFault((call) => call === 'create' && writes++ === 0 ? 'replyLost' : 'none')
--- a/src/services/backendHealth/test.ts
+++ b/src/services/backendHealth/test.ts
@@ -92,8 +92,7 @@
     expect(states).toEqual(['live', 'leaving', 'live'])
   })
 
-  // A zone is cut off from the platform and the other zones. A server there says
-  // that it leaves; no VM list and no peer outside can tell the routers within.
+  // A server that leaves in a cut zone would go on getting work there.
   it('learns of a leaving server in a zone that is cut off from a router there', async () => {
     const [prober, other] = [createNode(), createNode()]
     prober.report('engine-0', { leaving: true })
@@ -102,9 +101,7 @@
     expect(other.stateOf('engine-0')).toBe('leaving')
   })
 
-  // One router reads a fresh VM list, another a list that lags and still has the
-  // server as live. The old list must not undo the mark, or new work goes to a
-  // server that is about to stop.
+  // A lagging VM list would undo a leaving mark.
   it('is not misled by a VM list that lags', async () => {
     const [fresh, lagging] = [createNode(), createNode()]
     fresh.readVms('engine-0', 'leaving')
@@ -147,16 +144,14 @@
     expect(node.stateOf('engine-0')).toBe('live')
   })
 
-  // All servers of a service fail because of something they share. With all of
-  // them out, every request would be refused although some might succeed.
+  // With all servers of a service out, requests that might succeed would be refused.
   it('never ejects more than the set share of a service', () => {
     const node = createNode()
     for (const name of SERVERS) failTimes(node, name, 5)
     expect(node.health.statuses().map(({ state }) => state)).toEqual(['ejected', 'ejected', 'live', 'live'])
   })
 
-  // A server's process hangs: its kernel still takes connections, but nothing
-  // answers. Requests would wait there for the whole answer time-out.
+  // Requests would wait at a hung server for the whole time-out.
   it('ejects a server that takes connections and answers no probe', async () => {
     const node = createNode()
     node.silence('engine-0')
--- a/src/services/chatDirectory/test.ts
+++ b/src/services/chatDirectory/test.ts
@@ -40,8 +40,7 @@
     expect(new Set(await lookUpAll(0))).toEqual(new Set([undefined]))
   })
 
-  // The node that holds some entries is cut off. A look-up must not hold up the
-  // request: it gives up after the time-out, and the others are found.
+  // A look-up at a node that is cut off would hold up the request.
   it('gives up on entries of a node that is cut off', async () => {
     const { clock, network, members, nodes, lookUpAll } = createNodes(['a', 'b', 'c'])
     for (const chat of CHATS) nodes[0]!.store(chat, 'engine-1')
--- a/src/services/claims/_lib/createShardLog.test.ts
+++ b/src/services/claims/_lib/createShardLog.test.ts
@@ -30,10 +30,7 @@
 const strayBatch = batchCodec.encode({ batchId: 'stray', writtenAt: 1_700_000_000_000, forgetBefore: 0, entries: [createClaim('other key', 'stray')] })
 
 describe('createShardLog', () => {
-  // An order is claimed in batch 1, which is folded into the snapshot and
-  // deleted. A writer that slept all the while puts its own batch 1 there. A
-  // node that knew batch 0 only reads that one as if it were the true batch,
-  // and would grant the order a second time from a history without it.
+  // A stray batch in a pruned place would be read as the true one, and an order granted twice.
   it('does not build on a stray batch that took a pruned place', async () => {
     const { platform, createLog } = createLogs()
     const behind = createLog()
--- a/src/services/claims/test.ts
+++ b/src/services/claims/test.ts
@@ -121,9 +121,7 @@
 })
 
 describe('createClaims when the platform fails', () => {
-  // A chef's order is claimed, the write takes effect and its reply is lost.
-  // Taken for a failure, the order would be refused although its key is
-  // taken; taken for a success, it might be sent without a claim.
+  // A claim whose reply was lost would be taken for a failure, or for a success that it may not be.
   it('holds the claim whose reply was lost after the write took effect', async () => {
     const { nodes, first, second, settle } = createPair()
     cutPeers(nodes)
@@ -132,9 +130,7 @@
     expect((await settle(second.claims.claim(KEY, HASH))).kind).toBe('claimedElsewhere')
   })
 
-  // The reply is lost and the platform goes down before it can be read back.
-  // The order is refused as not run, but its claim is in the log. Later the
-  // chef tries again; the key must not be blocked by a claim nobody sent.
+  // A key would stay blocked by a claim that nobody sent.
   it.each<CallFault>(['replyLost', 'late'])('frees the key of a claim that was refused as not run (%s)', async (fault) => {
     const { nodes, first, second, settle, run } = createPair()
     cutPeers(nodes)
@@ -174,8 +170,7 @@
     expect((await settle(first.claims.claim(KEY, HASH))).kind).toBe('granted')
   })
 
-  // An order ran and was answered during an outage. The chef's browser asks
-  // again. Refusing that as "not run" would make the kitchen order twice.
+  // An order answered in an outage would be refused as not run when its caller asks again.
   it('gives the answer of a request that ran here while the platform is down', async () => {
     const { nodes, first, settle } = createPair()
     const claimId = grantId(await settle(first.claims.claim(KEY, HASH)))
@@ -194,8 +189,7 @@
 })
 
 describe('createClaims when nodes stop and wake', () => {
-  // A router is killed after it claimed an order. Nobody can know whether it
-  // sent it, so the key must stay with the dead router.
+  // A claim of a killed router, which may have been sent, would be granted again.
   it('never grants a key that a node held before its restart', async () => {
     const { first, second, settle, restart } = createPair()
     await settle(first.claims.claim(KEY, HASH))
@@ -204,8 +198,7 @@
     expect((await settle(second.claims.claim(KEY, HASH))).kind).toBe('claimedElsewhere')
   })
 
-  // A router is paused in the middle of its claim. Another claims the same
-  // order and sends it. The first wakes and its write goes on.
+  // A paused claimant that wakes would send an order that another has sent.
   it('does not grant to a node that wakes after another was granted the key', async () => {
     const { nodes, first, second, settle, run } = createPair()
     cutPeers(nodes)
@@ -218,8 +211,7 @@
     expect((await settle(sleeping)).kind).toBe('claimedElsewhere')
   })
 
-  // As above, but the paused router's place in the log was pruned meanwhile,
-  // so its write finds the place empty and succeeds.
+  // A paused claimant's write would succeed in a place that was pruned meanwhile.
   it('does not grant to a node that wakes and writes below the pruned log', async () => {
     const { nodes, platform, settle, run } = createPair({ pruneEvery: 5 })
     const pruner = selectShardWriter(nodes.map((node) => node.nodeId), 0)
--- a/src/services/configuration/sources.test.ts
+++ b/src/services/configuration/sources.test.ts
@@ -7,9 +7,7 @@
 const WATCH_TIMEOUT_MS = 30_000
 
 describe('sources of a generation', () => {
-  // A node got 1 from the platform and 2 from its peers. It hears of 3 from a
-  // peer that it cannot ask, while the platform fails reads of the root. What
-  // it still holds of the platform's old answer must not take it back to 1.
+  // A node that can't get a newer root would fall back to an older one that it still holds.
   it('does not fall back to an older root when a newer one cannot be had', async () => {
     const fleet = createStartedFleet(3)
     await applyWeight(fleet, 1, 0)
@@ -24,8 +22,7 @@
     expect(fleet.nodes[0]!.holder().pending()).toMatchObject({ generation: 3, reason: expect.stringContaining('platform: unavailable') })
   })
 
-  // A node without a watch hears of a generation from a peer that goes away
-  // before it can be asked. The platform has it too.
+  // A generation heard of from a peer that went away would be waited for in vain.
   it('asks the platform when the peer it heard of a generation from is gone', async () => {
     const fleet = createStartedFleet(3, 1)
     await applyWeight(fleet, 1, 0)
@@ -37,8 +34,7 @@
     expect(fleet.generations()).toEqual([2, 2, 2])
   })
 
-  // Both watchers of a zone are replaced at once. The node that only heard
-  // from them must take up the watch, not wait for its next poll.
+  // A node whose watchers are replaced at once would wait for its next poll.
   it('takes up the watch when the watchers of its zone are dead', async () => {
     const fleet = createStartedFleet(3, 1)
     await applyWeight(fleet, 1, 0)
--- a/src/services/configuration/test.ts
+++ b/src/services/configuration/test.ts
@@ -55,8 +55,7 @@
 })
 
 describe('configuration under faults', () => {
-  // A VM is replaced while the platform is down. It has no disk and cannot
-  // read the root; its peers have the generation, and it must serve with it.
+  // A replaced VM could not serve while the platform is down.
   it.each<CallFault>(['refused', 'paused'])('a node that boots while the platform is "%s" takes what its peers have', async (fault) => {
     const fleet = createStartedFleet(3)
     await applyWeight(fleet, 1, 0)
@@ -76,8 +75,7 @@
     expect(fleet.nodes[0]!.holder().pending()).toEqual({ generation: 0, reason: 'platform: unavailable' })
   })
 
-  // One node cannot reach the platform when a sheet is accepted. It hears the
-  // number in a heartbeat and must get root and chunks from a peer.
+  // A node without the platform would keep an old generation.
   it('a node without platform gets a new generation from its peers', async () => {
     const fleet = createStartedFleet(3)
     await applyWeight(fleet, 1, 0)
@@ -88,9 +86,7 @@
     expect(fleet.generations()).toEqual([2, 2, 2])
   })
 
-  // A zone is cut off from all others and from the platform; a sheet is
-  // accepted outside. The zone keeps its last generation, and has the new one
-  // within seconds of the healing.
+  // A cut zone would lose its generation, or stay behind after it is healed.
   it('a zone that is cut off keeps its generation and catches up when healed', async () => {
     const fleet = createStartedFleet(6)
     await applyWeight(fleet, 1, 0)
@@ -106,9 +102,7 @@
     expect(new Set(fleet.generations())).toEqual(new Set([2]))
   })
 
-  // A chunk is damaged or gone at the platform. The root is accepted but the
-  // sheet cannot be had: nodes keep what they have, say why, and take the
-  // generation that mends it.
+  // A damaged chunk would take the generation in force away.
   it.each([
     ['damaged', damageChunks, 'sent bytes of another hash'],
     ['missing', deleteChunks, 'does not have it']
@@ -125,8 +119,7 @@
     expect(fleet.nodes[0]!.holder().pending()).toMatchObject({ generation: 2, reason: expect.stringContaining(reason) })
   })
 
-  // The platform's chunks are damaged, but one node had fetched them before;
-  // its peers must get the true bytes from it.
+  // A chunk damaged at the platform would be had from nobody.
   it('a damaged chunk is taken from a peer that has the true one', async () => {
     const fleet = createStartedFleet(2, 1)
     await applyWeight(fleet, 1, 0)
@@ -138,9 +131,7 @@
     expect(fleet.generations()).toEqual([1, 1])
   })
 
-  // The platform is restored from a backup: it serves generation 1 again while
-  // 2 is in force. No node may go back, a restarted one must get 2 from its
-  // peers, and the nodes must say that the platform is behind.
+  // A platform restored from a backup would take nodes back.
   it('never goes back when the platform serves an older root', async () => {
     const fleet = createStartedFleet(3)
     await applyWeight(fleet, 1, 0)
@@ -156,9 +147,7 @@
     expect(fleet.nodes[0]!.holder().pending()).toMatchObject({ reason: expect.stringContaining('the platform is back at generation 1') })
   })
 
-  // After such a restore an operator who reaches no router applies again: the
-  // platform takes another sheet under a number that the fleet has already.
-  // Nodes keep theirs and say that the number stands for two sheets.
+  // A number that stands for two sheets would go unnoticed.
   it('says that the platform has another sheet under the generation in force', async () => {
     const fleet = createStartedFleet(1)
     await applyWeight(fleet, 1, 0)
@@ -173,8 +162,7 @@
     expect(fleet.nodes[0]!.holder().pending()).toMatchObject({ generation: 2, reason: expect.stringContaining('another configuration under generation 2') })
   })
 
-  // A watch is open while the platform goes down for minutes and comes back
-  // with a newer root. The nodes must not wait for the next poll.
+  // A generation accepted in a long outage would wait for the next poll.
   it('takes a generation within seconds after a long outage', async () => {
     const fleet = createStartedFleet(4, 1)
     await applyWeight(fleet, 1, 0)
@@ -190,9 +178,7 @@
 })
 
 describe('watch at the platform', () => {
-  // A watch announces a new root, and the platform fails at the very read that
-  // follows. Nobody announces that root again; the node must not wait for the
-  // next change of the sheet, which may come tomorrow.
+  // A root whose first read failed would wait for the next change of the sheet.
   it('reads a root again whose first read failed', async () => {
     const fleet = createStartedFleet(1)
     await applyWeight(fleet, 1, 0)
@@ -206,8 +192,7 @@
 })
 
 describe('platform under strain', () => {
-  // The platform sheds load by ending waiting watches at once. A node that
-  // renewed its watch without a pause would add thousands of calls a second.
+  // A platform that ends watches at once would get thousands of calls a second.
   it('is not asked without a pause when it ends watches at once', async () => {
     const fleet = createConfigurationFleet(1, 1, 1, { watchObjects: async () => ({ ok: true, value: { revision: 0, changes: [] } }) })
     fleet.nodes[0]!.start()
--- a/src/services/configurationStore/test.ts
+++ b/src/services/configurationStore/test.ts
@@ -49,9 +49,7 @@
     expect(memory.revision()).toBe(revision)
   })
 
-  // Two operators plan on generation 1. Petr's apply is accepted first; Jana's
-  // comes with the number that she planned against. She must hear of Petr and
-  // of what her sheet would change now, and Petr's sheet must stay in force.
+  // An operator who planned against an older generation would overwrite another's sheet.
   it('refuses a sheet planned against an older generation, and says who won', async () => {
     await jana.apply(createSheet(1), 0)
     await petr.apply(createSheet(2), 1)
@@ -59,8 +57,7 @@
     expect(await readGeneration()).toBe(2)
   })
 
-  // Petr's apply lands in the moment between Jana's reading of the root and
-  // her write. Only the condition of the write can tell.
+  // A sheet accepted just before the write of the root would be overwritten.
   it('refuses a sheet when another is accepted just before the root is written', async () => {
     await jana.apply(createSheet(1), 0)
     let raced = false
@@ -75,8 +72,7 @@
     expect(await listOutcomes()).toEqual(['jana-1 accepted', 'jana-2 refused', 'petr-1 accepted'])
   })
 
-  // The reply to the write of the root is lost, before or after it took
-  // effect. The operator must get the truth, and nothing may be applied twice.
+  // An operator whose reply was lost would be told what is not so, or apply twice.
   it.each<[string, readonly CallFault[], string, number]>([
     ['the write took effect', ['replyLost', 'none'], 'applied', 2],
     ['the write was lost and the repeat took effect', ['late', 'none'], 'applied', 2],
@@ -90,9 +86,7 @@
     expect(await readGeneration()).toBe(generation)
   })
 
-  // Jana's write takes effect but its reply is lost, and Petr, who saw her
-  // generation, applies his at once. The root shows Petr alone; Jana must hear
-  // that hers was accepted and replaced, not that it was refused.
+  // An apply that was accepted and replaced would pass for refused.
   it('finds its own acceptance after a lost reply and a later generation', async () => {
     await jana.apply(createSheet(1), 0)
     let writes = 0
@@ -105,8 +99,7 @@
     expect(await jana.apply(createSheet(2), 1)).toMatchObject({ kind: 'applied', generation: 2, replacedBy: { generation: 3, appliedBy: 'petr' } })
   })
 
-  // Jana's write is lost before the platform saw it, and Petr wins meanwhile.
-  // Her repeat meets his version; her outcome is known: not accepted.
+  // A lost write behind a racing operator would pass for accepted.
   it('finds that it lost after a lost write and a racing operator', async () => {
     await jana.apply(createSheet(1), 0)
     let writes = 0
@@ -119,8 +112,7 @@
     expect(await jana.apply(createSheet(2), 1)).toMatchObject({ kind: 'conflict', inForce: { appliedBy: 'petr' } })
   })
 
-  // Jana's write is held up on the way and her repeat takes effect; Petr goes on
-  // from there. Then the held-up write arrives at last. It must fail.
+  // A write held up on its way would undo what came after it.
   it('is not undone by a write that arrives late', async () => {
     await jana.apply(createSheet(1), 0)
     failRootWrites('late', 'none')
@@ -137,9 +129,7 @@
     expect(await readGeneration()).toBe(2)
   })
 
-  // The platform was restored from a backup of generation 1 while the fleet
-  // has 7 in force, and nodes never move down: a generation 2 would be
-  // accepted and never be in force anywhere.
+  // After a restore a sheet would be accepted that is in force nowhere.
   it('goes above the generation of the fleet after the platform was restored', async () => {
     await jana.apply(createSheet(1), 0)
     expect(await jana.apply(createSheet(1), 1, { fleetGeneration: 7 })).toMatchObject({ kind: 'applied', generation: 8 })
@@ -172,9 +162,7 @@
     expect(await countChunks()).toBe(2)
   })
 
-  // Petr goes back to an older sheet whose chunk is still at the platform, to
-  // be swept. Jana's sweep, planned before, comes after he wrote his chunks
-  // and before his root: it must not take the chunk away from under him.
+  // A sweep would take a chunk away from a sheet about to use it again.
   it('leaves a chunk that another operator is about to use again', async () => {
     for (let weight = 1; weight <= 2; weight += 1) await petr.apply(createSheet(weight), weight - 1)
     const slow = createFaultyPlatform(memory)
@@ -194,8 +182,7 @@
 })
 
 describe('audit trail', () => {
-  // Jana's machine stops right after the write of the root: her entry says
-  // "attempted" although the sheet is in force. The next change settles it.
+  // The entry of an operator whose machine stopped would say attempted for ever.
   it('settles the entry of an operator whose machine stopped', async () => {
     await petr.apply(createSheet(1), 0)
     let isAccepted = false
--- a/src/services/forwarding/_lib/createAnswerIntake.test.ts
+++ b/src/services/forwarding/_lib/createAnswerIntake.test.ts
@@ -67,8 +67,7 @@
     expect(seen).toEqual(['head', 'id: 1\ndata: a'])
   })
 
-  // A server accepts a chat and dies before its first event. A caller that has the head
-  // can only be cut off; without it the request still gets another server's answer.
+  // A caller that has the head of a stream can only be cut off when its server dies before the first event.
   test('leaves the caller without a head when the stream breaks before its first event', () => {
     const { caller, seen, take, end } = createIntake(createAnswer())
     take('id: 1\ndata: half')
--- a/src/services/forwarding/_lib/createEventRelay.test.ts
+++ b/src/services/forwarding/_lib/createEventRelay.test.ts
@@ -13,8 +13,7 @@
   test('passes events on in their order', () => expect(take(undefined, [1, 2, 3])).toBe('<1><2><3>'))
   test('leaves out what the caller has', () => expect(take(2, [1, 2, 3])).toBe('<3>'))
   test('finds a gap', () => expect(take(2, [4])).toBe('event 4 after 2'))
-  // A server skips events in the middle of a chunk. The stream goes on elsewhere after
-  // the last event that counts as delivered: the ones before the gap must have been.
+  // Events before a gap would be sent again by the server that goes on.
   test('gives the events before a gap, and no more', () => {
     const relay = createEventRelay(undefined)
     const { bytes, gap } = relay.take([createEvent(1), createEvent(2), createEvent(4), createEvent(5)])
--- a/src/services/forwarding/_lib/createTokenPace.test.ts
+++ b/src/services/forwarding/_lib/createTokenPace.test.ts
@@ -34,8 +34,7 @@
     expect(pace.read('engines')).toBeCloseTo(4)
   })
 
-  // VMs are restarted in turn. A long stream that comes right after the signal would end well
-  // within the grace, yet it is refused, since the node takes its engines for slower than they are.
+  // A node that takes its engines for slower than they are would refuse streams that end within the grace.
   test.each([
     ['taken from engines three times faster', 3.5 / 3, true],
     ['taken from engines that are fast enough', 3.5, true],
--- a/src/services/membership/test.ts
+++ b/src/services/membership/test.ts
@@ -110,10 +110,7 @@
     expect(liveNames(nodes[1]!)).toEqual(['node-2', 'node-3', 'node-4'])
   })
 
-  // A router is stopped by SIGSTOP for longer than it takes to be declared dead.
-  // It wakes, believes all is as before, and its peers hold it dead. Its next
-  // heartbeat would lose against their record for ever, unless it hears of that
-  // and comes back with a higher incarnation.
+  // A paused node that was declared dead would stay dead after it wakes.
   it('takes a paused node back after it wakes', async () => {
     const fleet = createFleet(FOUR)
     const nodes = fleet.startAll()
@@ -125,8 +122,7 @@
     expect(liveNames(nodes[1]!)).toEqual(FOUR)
   })
 
-  // The woken router heard nobody while it slept. If it judged its peers by that
-  // silence, it would spread the rumour that the whole fleet is dead.
+  // A woken node would judge its peers by its own silence.
   it('suspects nobody on waking from a pause', async () => {
     const fleet = createFleet(FOUR)
     const nodes = fleet.startAll()
@@ -151,9 +147,7 @@
     expect(liveNames(nodes[1]!)).toEqual(FOUR)
   })
 
-  // Two zones lose each other for longer than it takes to be declared dead; each
-  // goes on alone. When the link is back, nobody sends heartbeats to the other
-  // side any more, as both hold it dead.
+  // Two zones that held each other dead would not meet again when healed.
   it.each([
     { size: 'small', names: FOUR, zones: ['venkov-a', 'venkov-b'] },
     { size: 'larger than the full mesh', names: TWENTY, zones: ['venkov-a', 'venkov-b'] }
@@ -180,9 +174,7 @@
     expect(stateOf(nodes[1]!, 'node-1')).toBe('leaving')
   })
 
-  // After a loss of power the nodes come back within a second of each other. The first
-  // one finds nobody at its seeds; looking again only at its next heartbeat, it
-  // served for half a second without what its peers knew.
+  // A node that starts alone would serve for half a second without what its peers know.
   it('looks often for peers while it is young and alone', async () => {
     const fleet = createFleet(['node-1', 'node-2'])
     const first = fleet.startNode('node-1')
--- a/src/services/promptDirectory/_lib/createPlacesRecovery.test.ts
+++ b/src/services/promptDirectory/_lib/createPlacesRecovery.test.ts
@@ -69,8 +69,7 @@
 }
 
 describe('what engines keep', () => {
-  // All nodes lose power, the engines do not. Chats that return are to find the engine
-  // that keeps their prompt within the first moments, without a crowd of questions.
+  // Chats that return after a loss of power would be read again, or engines meet a crowd of questions.
   test.each([[1, 3], [3, 6], [25, 33]])('is known to all after a start of %i nodes a zone with %i engines, each asked once', async (nodesPerZone, enginesPerZone) => {
     const fleet = createFleet({ nodesPerZone, enginesPerZone })
     fleet.start()
--- a/test/integration/configuration.test.ts
+++ b/test/integration/configuration.test.ts
@@ -43,8 +43,7 @@
     expect(await readGenerations()).toEqual([2, 2, 2])
   })
 
-  // Four operators planned on the same generation and apply at once. One of
-  // them wins; each of the others is told who did, and the fleet has that one.
+  // Of racing operators two would believe that theirs is in force.
   it('is the one of racing operators that was told so', async () => {
     const paths = await Promise.all([2, 3, 4, 5].map(writeSheet))
     const runs = await Promise.all(paths.map((path, index) => run(`operator-${index}`, 'sheet', 'apply', path, '--against', '1', '--wait', '30')))
@@ -54,8 +53,7 @@
     expect((await run('anybody', 'sheet', 'show')).stdout).toContain(`clientAccount,deli-1,${winner + 2},`)
   })
 
-  // The platform loses the replies to the next writes of an apply, each of
-  // which took effect. Whatever the command then says must be so.
+  // A command whose replies were lost would say what is not so.
   it.each([1, 2, 3, 9])('is told truly when the replies to %i writes are lost', async (count) => {
     const path = await writeSheet(2)
     await fleet.platform.setFault({ fault: 'loseReplies', count })
@@ -70,8 +68,7 @@
 })
 
 describe('a router', () => {
-  // The platform is down and a VM is replaced. The new router has no disk and
-  // cannot read the root; it must serve with what its peers hold.
+  // A replaced VM could not serve while the platform is down.
   it('that starts while the platform is down takes the generation of its peers', async () => {
     await run('jana', 'sheet', 'apply', await writeSheet(2), '--wait', '30')
     await fleet.platform.setFault({ fault: 'outage', on: true })
@@ -85,9 +82,7 @@
     await replaced.kill()
   })
 
-  // All zones are cut off from each other and one from the platform as well. A
-  // sheet is accepted: the one keeps its generation, the command names it, and
-  // it has the sheet when the links heal.
+  // A node cut off from everything would count as having the sheet.
   it('that is cut off keeps its generation, is named, and catches up when healed', async () => {
     const path = await writeSheet(2)
     const cutOff = fleet.routers[2]!
@@ -100,8 +95,7 @@
     await waitFor('every router to confirm generation 2', async () => (await run('jana', 'sheet', 'status')).code === 0)
   })
 
-  // A router's process is paused: it answers nobody and may go on at any time.
-  // It must not be counted as confirmed, and has the sheet after it wakes.
+  // A paused node would count as confirmed.
   it('that is paused is not confirmed until it wakes', async () => {
     const path = await writeSheet(2)
     fleet.routers[1]!.process.pause()
--- a/test/integration/cutZone.test.ts
+++ b/test/integration/cutZone.test.ts
@@ -70,9 +70,7 @@
     await waitFor('the cut to heal', isHealed)
   })
 
-  // A zone loses its links; to callers there nothing else has changed. Lookups
-  // and chats are answered from the servers within reach. Orders need the
-  // platform to know that they did not run elsewhere, so they are refused.
+  // A cut zone would refuse what it can answer, or run orders that may run elsewhere.
   it.each(['blackhole', 'refuse'] as const)('answers what may be repeated and runs no order, when links %s', async (kind) => {
     const { generation } = await cutOff.readStatus()
     const lost = fleet.services[BEHIND_THE_CUT]!
@@ -97,9 +95,7 @@
     for (const router of fleet.routers) await waitFor('the lost server to be back', async () => isInUse(await readState(router, lost.server.name)))
   })
 
-  // Jana plans a stop of a server while a zone is cut off. The rest obeys at
-  // once; the cut zone can't know, is named as behind, and obeys once healed.
-  // Nobody's lookup at the server is cut off, on either side.
+  // A planned stop made while a zone is cut would cut requests there, or never reach it.
   it('has a planned stop of meanwhile when it is healed, and is named until then', async () => {
     setCut({ kind: 'blackhole' })
     const { generation } = await cutOff.readStatus()
@@ -126,8 +122,7 @@
     expect(judgeOrders(ends, await fleet.readJournals())).toEqual([])
   })
 
-  // A server is replaced while its zone is cut off: neither the platform's list
-  // nor a peer can tell the router there. The server's own word must do.
+  // A server replaced while its zone is cut would go on getting work there.
   it('sends nothing new to a server that says itself that it leaves', async () => {
     setCut({ kind: 'blackhole' })
     await waitFor('the router to know that it is alone', () => isAlone(cutOff))
--- a/test/integration/leaving.test.ts
+++ b/test/integration/leaving.test.ts
@@ -59,8 +59,7 @@
     expect(await countRuns(fleet)).toBe(runs)
   })
 
-  // An entry VM is replaced while kitchens order through it. Each order must
-  // get its answer through the router that is about to go.
+  // Orders in flight through a router that is replaced would lose their answers.
   it('is a router that ends its orders in flight before it exits', async () => {
     fleet = await startFleet({ routers: 2, services: 1, serviceFlags: SERVICE_FLAGS })
     const keys = ['order-1', 'order-2', 'order-3']
--- a/test/integration/loadBound.test.ts
+++ b/test/integration/loadBound.test.ts
@@ -24,9 +24,7 @@
   return simulation.measurement.read().placementsAboveLimit
 }
 
-// A rival franchisor's customers wait, while another's do not: a few large
-// accounts chat at once, an engine leaves or flaps, or routers list different
-// engines; requests then pile up on one engine that others pass over.
+// Requests would pile up on one engine while others stand idle.
 describe('the load bound', () => {
   it.each(Object.keys(scenarios))('holds at all but a hundredth of placements: %s', async (scenario) => {
     expect(await runScenario('bounded, memory, new chats apart', scenario)).toBeLessThan(ALLOWED_SHARE)
--- a/test/integration/loadUnderFaults.test.ts
+++ b/test/integration/loadUnderFaults.test.ts
@@ -115,10 +115,7 @@
   return { summary, results, ran }
 }
 
-// Engines and ordering servers cut, truncate, cross, double and reset answers
-// while shopkeepers chat and order through two routers. Each of them must be
-// left with the whole answer to their own request, or with a refusal that
-// says truly whether it ran; and no order may run twice.
+// Failing servers would leave a caller with another's answer, a part for the whole, or an order that ran twice.
 describe('a load through two routers while backend servers fail in every way', () => {
   let run: Run
 
--- a/test/integration/refusals.test.ts
+++ b/test/integration/refusals.test.ts
@@ -64,8 +64,7 @@
   return statuses.every(({ ledger }) => ledger.open === 0)
 }
 
-// Each case has a fleet of its own: a server that one case got ejected would
-// hide the next case's faults.
+// A server ejected in one case would hide the faults of the next; each has a fleet of its own.
 describe('refusals and answers under faults', () => {
   let fleet: Fleet
   beforeEach(async () => { fleet = await startFleet({ routers: 1, services: 2, serviceFlags: ['--delay', '20'] }) })
--- a/test/integration/sheetCommands.test.ts
+++ b/test/integration/sheetCommands.test.ts
@@ -180,8 +180,7 @@
     expect((await run('sheet', 'apply', 'lighter')).err).toContain('ends the drain of drain-model-a1')
   })
 
-  // Two operators drain two servers at the same time. The changes do not touch
-  // each other; both must be in force, whoever wrote first.
+  // Of two drains that race one would be lost.
   it('keeps both of two drains that race', async () => {
     await run('sheet', 'apply', 'heavier')
     const runs = await Promise.all([run('drain', 'model-a1'), run('drain', 'model-b1', '--as', 'petr')])
--- a/test/integration/stopRouter.test.ts
+++ b/test/integration/stopRouter.test.ts
@@ -21,9 +21,7 @@
     '--caller-port', '0', '--operator-port', '0', '--peer-port', '0', '--shutdown-delay-ms', '0', '--shutdown-grace-ms', String(LONG_GRACE_MS))
 
 describe('a router process that is told to stop', () => {
-  // An operator replaces a VM: SIGTERM comes while nothing is in flight. The
-  // listeners closed, but the process stayed for its whole grace period,
-  // because the timer of the grace was left pending.
+  // A stopped router with nothing in flight would stay for its whole grace.
   it('ends as soon as nothing is in flight, not after its grace period', async () => {
     const platform = await start('emulate', 'platform')
     const router = await startRouter(String(platform.ready['listening']))
--- a/test/platform/flapping.test.ts
+++ b/test/platform/flapping.test.ts
@@ -31,15 +31,13 @@
   return await Promise.all(calls)
 }
 
-// A server of three goes down and up. A caller that looks something up should not
-// notice: it is asked again elsewhere within the retry budget.
+// A flapping server would show in lookups that another could answer.
 test.each(['reset', 'error', 'dark'] as const)('a lookup is answered while one server flaps (%s)', async (fault) => {
   const results = await callThroughTurns(await start(), fault, '/lookup')
   expect(results.map(({ status }) => status)).toEqual(results.map(() => 200))
 })
 
-// The same with orders: each runs once at most, whatever its caller is told, and
-// one that is told not to have run has not.
+// A flapping server would double an order, or one that ran would be called not run.
 test.each(['reset', 'error', 'dark', 'full'] as const)('an order runs once at most while one server flaps (%s)', async (fault) => {
   const fleet = await start()
   const results = await callThroughTurns(fleet, fault, '/order')
--- a/test/platform/framing.test.ts
+++ b/test/platform/framing.test.ts
@@ -58,9 +58,7 @@
 
 const readRequestIds = (): readonly string[] => [...fleet.backends.values()].flatMap((backend) => backend.records().map(({ requestId }) => requestId))
 
-// A caller hides a second request in the body of the first, behind a head that this
-// node reads in one way and a server in another. The hidden one would run with no
-// check of its key.
+// A request hidden behind an ambiguous end would run with no check of its key.
 test('a request that is hidden behind an ambiguous end never runs', async () => {
   const cases = fc.sample(ambiguous, { numRuns: RUNS, seed: SEED })
   await inBatches(cases, async ({ ambiguity, before, mask }) => {
--- a/test/platform/largeFleet.test.ts
+++ b/test/platform/largeFleet.test.ts
@@ -34,8 +34,7 @@
   expect(readLoads(fleet)).toEqual(new Set([16]))
 })
 
-// Servers come and go while requests run. Counts go by a server's place in the
-// list: read at another list's place, a full server would pass for an idle one.
+// While the list changes, a full server would pass for an idle one.
 test('counts stay with their servers while the list changes', async () => {
   const fleet = await start()
   startRequests(fleet)
--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -52,8 +52,7 @@
     expect(node.lines.at(-1)).toMatchObject({ message: 'gateway stopped', open: 0 })
   })
 
-  // All processes are killed while the store is away. A node that comes back can't
-  // read the configuration; one that lived on can vouch for it.
+  // After all processes were killed in an outage no node could serve.
   test('starts from a peer while the store is down', async () => {
     const platform = await startPlatform()
     const first = await startNode(platform, 'node-1')
@@ -76,9 +75,7 @@
     expect(await callGateway(node.callerAddress, { path: '/lookup/1' })).toMatchObject({ status: 200 })
   })
 
-  // A VM freezes. Meanwhile an operator takes a key away, and a caller with that
-  // key sends an order whose bytes wait in the frozen process's socket. Awake
-  // again, the process believes what it knew before: the order must not run.
+  // A frozen process that wakes would run an order with a key taken away meanwhile.
   test('does not use a key that was taken away while it was frozen', async () => {
     const platform = await startPlatform()
     const node = keep(await startGatewayProcess({ name: 'node-1', store: platform.store.address(), fields: { 'bounds.revoke_ms': '2000' } }))
@@ -101,8 +98,7 @@
     expect((await callGateway(node.callerAddress, { path: '/lookup/1' })).status).toBe(503)
   })
 
-  // Compiled code that is of other flags is left unused without any failure, and
-  // each start after a loss of power would take twice as long.
+  // Compiled code of other flags is left unused in silence, and each start takes twice as long.
   test('is deployed with the flags that its compiled code is made for', () => {
     expect(readFileSync('deploy/system.toml', 'utf8')).toContain(`run = "node ${PROGRAM.join(' ')}"`)
     expect(readFileSync('scripts/bundlePlatform.mjs', 'utf8')).toContain(PROGRAM[0])
--- a/test/platform/stop.test.ts
+++ b/test/platform/stop.test.ts
@@ -40,9 +40,7 @@
     expect(result).toMatchObject({ status: 200, isComplete: true })
   })
 
-  // The balancer still sends to a node that stops when its zone has few others. A
-  // long stream that is taken late in the grace would be cut by its end: it is
-  // refused as not run, and its caller comes back to another node at once.
+  // A long stream taken late in the grace would be cut by the node's end.
   test('refuses what would outlast it, as not run', async () => {
     const fleet = await start({ settings: { graceMs: 2_500 } })
     const stopped = fleet.gateways[0]!.stop()
