Give a stopping node room for slow streams, and judge the time left before each first send

Cause, from the logs: a stopping node takes a stream when its goal and its tokens, at the slowest pace that ended lately, end before the node does.

What does not fit is refused as not run, to come back at once elsewhere.

--- a/src/decisions/estimateDuration/index.ts
+++ b/src/decisions/estimateDuration/index.ts
@@ -12,6 +12,9 @@
 /** Before any stream was seen: the step of a well-filled engine, with room. */
 export const USUAL_TOKEN_MS = 10
 
+/** Streams under way may turn out this much slower than the slowest that ended lately. */
+const PACE_ROOM = 1.3
+
 /**
  * Estimates how long a request will take, rather too long than too short.
  *
@@ -23,5 +26,5 @@
  */
 export const estimateDuration = ({ route, outputTokens, tokenMs }: DurationQuestion): number => {
   if (route.repeatPolicy !== 'stream') return route.timeoutMs
-  return Math.min(route.timeoutMs, route.goalMs + outputTokens * tokenMs)
+  return Math.min(route.timeoutMs, route.goalMs + PACE_ROOM * outputTokens * tokenMs)
 }
--- a/src/services/forwarding/_lib/createRun.ts
+++ b/src/services/forwarding/_lib/createRun.ts
@@ -131,6 +131,9 @@
       return
     }
     if (verdict === 'takenAway') return mayHaveRun ? giveUp('unknownKey', 502) : refuse({ status: 401, reason: 'unknownKey' })
+    // It waited for its body, a key's proof or another server since it was admitted.
+    const refusal = mayHaveRun ? undefined : context.judgeTimeLeft(route, request)
+    if (refusal !== undefined) return refuse(refusal)
     const remainingMs = deadlineAt() - clock.now()
     if (remainingMs <= 1) return giveUp('deadlineBeforeSend', 504)
     const chosen = findInstance()
--- a/src/services/forwarding/_lib/run.ts
+++ b/src/services/forwarding/_lib/run.ts
@@ -2,7 +2,7 @@
 import type { RepeatBudgets } from './createRepeatBudgets.js'
 import type { TimeToFirstBytes } from './createTimeToFirstBytes.js'
 import type { TokenPace } from './createTokenPace.js'
-import type { ForwardingRun, GatewayAccount, GatewayRoute } from '../../../types/index.js'
+import type { ForwardingRun, GatewayAccount, GatewayRefusal, GatewayRequest, GatewayRoute } from '../../../types/index.js'
 import type { ForwardingDependencies } from '../index.js'
 
 export type RunContext = ForwardingDependencies & {
@@ -12,6 +12,8 @@
   readonly budgets: RepeatBudgets
   readonly usualTimes: TimeToFirstBytes
   readonly tokenPace: TokenPace
+  /** The refusal of a request that would outlast a node which stops; `undefined` where it has time. */
+  readonly judgeTimeLeft: (route: GatewayRoute, request: GatewayRequest) => GatewayRefusal | undefined
   readonly onDone: () => void
 }
 
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -115,6 +115,15 @@
     for (const run of [...runs]) run.check(now)
   }
 
+  /** Of the slowest of the services to which the route may send. */
+  const readTokenMs = (route: GatewayRoute): number =>
+    Math.max(...route.targets.map(({ service }) => tokenPace.read(service) ?? USUAL_TOKEN_MS))
+
+  const judgeTimeLeft = (route: GatewayRoute, request: GatewayRequest): GatewayRefusal | undefined => {
+    const durationMs = estimateDuration({ route, outputTokens: request.tokens.output, tokenMs: readTokenMs(route) })
+    return clock.now() + durationMs > endsAt ? { status: 503, reason: 'shuttingDown', retryAfterMs: ELSEWHERE_RETRY_MS } : undefined
+  }
+
   const context: Omit<RunContext, 'onDone'> = {
     ...dependencies,
     availabilityZone: options.availabilityZone,
@@ -122,13 +131,10 @@
     readKeyFreshnessMs: () => options.readBounds().keyFreshnessMs,
     budgets,
     usualTimes,
-    tokenPace
+    tokenPace,
+    judgeTimeLeft
   }
 
-  /** Of the slowest of the services to which the route may send. */
-  const readTokenMs = (route: GatewayRoute): number =>
-    Math.max(...route.targets.map(({ service }) => tokenPace.read(service) ?? USUAL_TOKEN_MS))
-
   const admit = (run: Run, request: GatewayRequest): void => {
     const current = configuration.current()
     if (current === undefined || !registry.isKnown()) return run.reject({ status: 503, reason: 'noConfiguration', retryAfterMs: UNKNOWN_RETRY_MS })
@@ -136,9 +142,8 @@
     if (route === undefined) return run.reject(refuseUnknown({ status: 404, reason: 'unknownRoute' }))
     const account = findAccount(current, route, request.credential)
     if (account === 'unknown') return run.reject(refuseUnknown({ status: 401, reason: 'unknownKey' }))
-    if (clock.now() + estimateDuration({ route, outputTokens: request.tokens.output, tokenMs: readTokenMs(route) }) > endsAt) {
-      return run.reject({ status: 503, reason: 'shuttingDown', retryAfterMs: ELSEWHERE_RETRY_MS })
-    }
+    const refusal = judgeTimeLeft(route, request)
+    if (refusal !== undefined) return run.reject(refusal)
     run.assign(route, account)
   }
 
--- a/src/services/forwarding/test.ts
+++ b/src/services/forwarding/test.ts
@@ -87,9 +87,12 @@
     clock,
     sent,
     answers,
-    call: (requestId: string, path: string): void => {
+    beginStopping: forwarding.api.beginStopping,
+    call: (requestId: string, path: string, bodyAfterMs = 0): void => {
       const request: GatewayRequest = { requestId, method: 'GET', host: 'shop.example', target: path, headers: [], credential: undefined, callerTimeoutMs: TIMEOUT_MS, lastEventId: undefined, promptParts: [], tokens: { prompt: 0, output: 0 }, receivedAt: clock.now() }
-      forwarding.api.begin(request, sink).submit(new Uint8Array())
+      const run = forwarding.api.begin(request, sink)
+      if (bodyAfterMs === 0) run.submit(new Uint8Array())
+      else clock.setTimer(bodyAfterMs, () => run.submit(new Uint8Array()))
     },
     learn: (): void => {
       isKnown = true
@@ -128,3 +131,15 @@
     expect(node.sent).toEqual([])
   })
 })
+
+describe('a node that stops', () => {
+  // A request admitted in time that waited before it was sent was cut by the node's end.
+  test.each([[100, ['r1'], []], [800, [], ['503 shuttingDown']]])('judges the time left again after %i ms of waiting for a body', async (bodyAfterMs, sent, answers) => {
+    const node = startNode()
+    node.learn()
+    node.beginStopping(node.clock.now() + TIMEOUT_MS + 500)
+    node.call('r1', '/short/1', bodyAfterMs)
+    await node.clock.advanceAndSettle(bodyAfterMs + 1)
+    expect([node.sent, node.answers]).toEqual([sent, answers])
+  })
+})
