--- a/src/daemon/startGateway/index.ts
+++ b/src/daemon/startGateway/index.ts
@@ -15,7 +15,7 @@
 import { createSystemClocks } from '../../adapters/systemClocks/index.js'
 import { createSystemRandom } from '../../adapters/systemRandom/index.js'
 import { createGatewayNode } from '../../node/createGatewayNode/index.js'
-import type { Clock, ConfigurationSource, EngineMemorySource, GatewayDialect, GatewaySettings, InstanceSource, Logger, PeerAddress, StartTimeline } from '../../types/index.js'
+import type { Clock, ConfigurationSource, EngineMemorySource, GatewayDialect, GatewaySettings, InstanceSource, Logger, PeerAddress, StartTimeline, ZoneDrainSource } from '../../types/index.js'
 
 export type GatewayOptions = {
   readonly settings: GatewaySettings
@@ -27,6 +27,8 @@
   readonly dialect: GatewayDialect
   readonly configurationSource: ConfigurationSource
   readonly instanceSource: InstanceSource
+  /** Left out where operators never drain zones. */
+  readonly zoneDrainSource?: ZoneDrainSource | undefined
   readonly engineMemory: EngineMemorySource
   readonly readinessPath: string
 }
@@ -109,6 +111,7 @@
     transport,
     configurationSource: options.configurationSource,
     instanceSource: options.instanceSource,
+    ...(options.zoneDrainSource === undefined ? {} : { zoneDrainSource: options.zoneDrainSource }),
     engineMemory: options.engineMemory,
     client,
     logger,
--- a/src/emulator/createKnowledgeFleet/index.ts
+++ b/src/emulator/createKnowledgeFleet/index.ts
@@ -9,7 +9,7 @@
 import { createGatewayNode, type GatewayNode } from '../../node/createGatewayNode/index.js'
 import type {
   BackendInstance, Clock, ConfigurationRecords, ConfigurationSource, GatewayConfiguration, InstanceClient, InstanceSource, Logger, Metrics, PeerAddress, Result,
-  SourcedConfiguration, SourceError
+  SourcedConfiguration, SourceError, ZoneDrainSource
 } from '../../types/index.js'
 
 export type KnowledgeFleetOptions = {
@@ -34,6 +34,8 @@
   readonly applyVersion: () => void
   readonly putInstance: (id: string, changes?: Partial<BackendInstance>) => void
   readonly removeInstance: (id: string) => void
+  readonly beginDrain: (zone: string) => void
+  readonly endDrain: (zone: string) => void
   /** The version that was the newest at a moment of the clock. */
   readonly newestAt: (at: number) => number
   /** Whether a node reaches the source. */
@@ -102,6 +104,8 @@
   const versions: { readonly at: number, readonly version: number }[] = [{ at: -Infinity, version: 1 }]
   const instances = new Map<string, BackendInstance>()
   const history: { readonly revision: number, readonly name: string }[] = []
+  const drained = new Set<string>()
+  const drainHistory: { readonly revision: number, readonly zone: string, readonly isEnded: boolean }[] = []
   const unreached = new Set<number>()
   const transports: MemoryPeerTransport[] = []
   let revision = 1
@@ -159,6 +163,25 @@
     }
   })
 
+  const createZoneDrainSource = (index: number): ZoneDrainSource => ({
+    list: () => call(index, () => ({ zones: [...drained], revision })),
+    watch: async (since, waitMs) => {
+      const endsAt = clock.now() + waitMs
+      calls += 1
+      while (clock.now() < endsAt && !unreached.has(index) && !drainHistory.some((entry) => entry.revision > since)) await wait(clock, 10)
+      if (!unreached.has(index)) return success({ changes: drainHistory.filter((entry) => entry.revision > since), revision })
+      await wait(clock, UNREACHED_MS)
+      return failure({ kind: 'unavailable', message: 'cut off' })
+    }
+  })
+
+  const changeDrain = (zone: string, isEnded: boolean): void => {
+    revision += 1
+    if (isEnded) drained.delete(zone)
+    else drained.add(zone)
+    drainHistory.push({ revision, zone, isEnded })
+  }
+
   const addressOf = (index: number): PeerAddress => ({ host: `node-${String(index).padStart(3, '0')}`, port: 1 })
 
   const createNode = (index: number): GatewayNode => {
@@ -192,6 +215,7 @@
       transport,
       configurationSource: createConfigurationSource(index),
       instanceSource: createInstanceSource(index),
+      zoneDrainSource: createZoneDrainSource(index),
       client: NO_CLIENT,
       engineMemory: { list: async () => success([]) },
       logger: SILENT_LOGGER,
@@ -223,6 +247,8 @@
       instances.delete(id)
       change(id)
     },
+    beginDrain: (zone) => changeDrain(zone, false),
+    endDrain: (zone) => changeDrain(zone, true),
     newestAt,
     setReached: (index, isReached) => {
       if (isReached) unreached.delete(index)
--- a/src/node/createGatewayNode/_lib/registerForwarding.ts
+++ b/src/node/createGatewayNode/_lib/registerForwarding.ts
@@ -3,6 +3,7 @@
 import { createForwarding, type ForwardingBounds } from '../../../services/forwarding/index.js'
 import { createInstanceHealth } from '../../../services/instanceHealth/index.js'
 import { createPromptDirectory, type PlacesRecoverySources } from '../../../services/promptDirectory/index.js'
+import { createWarmUp } from '../../../services/warmUp/index.js'
 import type { GatewaySettings } from '../../../types/index.js'
 import type { Kernel } from '../../../kernel/index.js'
 import type { GatewayNodeDependencies, GatewayServices } from '../index.js'
@@ -10,6 +11,9 @@
 /** Taken off the time in which a key taken away must go out of use: for clocks that run unequally and a send that is on its way. */
 const KEY_MARGIN_MS = 500
 
+/** Where the settings give no bound, a warming server gets its stated rate. */
+const DEFAULT_WARM_UP_LIMIT = { excess: 1, slack: 0 }
+
 const toBounds = (settings: GatewaySettings): ForwardingBounds => ({
   loadFactor: settings.loadFactor,
   repeatLimits: { ratio: settings.repeatRatio, extra: settings.repeatExtra, windowMs: settings.repeatWindowMs },
@@ -21,10 +25,11 @@
 const createPlacesRecoverySources = ({ settings, random, logger, engineMemory }: GatewayNodeDependencies, resolve: Kernel<GatewayServices>['resolve']): PlacesRecoverySources => {
   const configuration = resolve('gatewayConfiguration')
   const registry = resolve('instanceRegistry')
+  const zoneDrains = resolve('zoneDrains')
   return {
     logger,
     random,
-    registry,
+    registry: { all: () => registry.all().filter((instance) => !zoneDrains.isDrained(instance.availabilityZone)) },
     memory: engineMemory,
     availabilityZone: settings.availabilityZone,
     isEngine: ({ service }) => configuration.current()?.services.get(service)?.isEngine === true,
@@ -56,15 +61,29 @@
   })
   kernel.register({
     name: 'promptDirectory',
-    dependsOn: ['membership', 'instanceRegistry', 'gatewayConfiguration'],
+    dependsOn: ['membership', 'instanceRegistry', 'gatewayConfiguration', 'zoneDrains'],
     create: (resolve) => {
       const recovery = settings.isFirstStart ? {} : { recovery: createPlacesRecoverySources(dependencies, resolve) }
       return createPromptDirectory({ clock, transport, membership: resolve('membership'), ...recovery })
     }
   })
+  kernel.register({
+    name: 'warmUp',
+    dependsOn: ['instanceRegistry', 'gatewayConfiguration', 'membership', 'zoneDrains'],
+    create: (resolve) => createWarmUp({
+      clock,
+      registry: resolve('instanceRegistry'),
+      configuration: resolve('gatewayConfiguration'),
+      membership: resolve('membership'),
+      zoneDrains: resolve('zoneDrains')
+    }, {
+      ...(settings.warmUpLimit ?? DEFAULT_WARM_UP_LIMIT),
+      hasPeers: () => readSettings().seedPeers.length > 0
+    })
+  })
   kernel.register({
     name: 'forwarding',
-    dependsOn: ['gatewayConfiguration', 'instanceRegistry', 'instanceHealth', 'promptDirectory', 'loadView', 'membership'],
+    dependsOn: ['gatewayConfiguration', 'instanceRegistry', 'instanceHealth', 'promptDirectory', 'loadView', 'membership', 'zoneDrains', 'warmUp'],
     create: (resolve) => createForwarding({
       clock,
       random,
@@ -76,9 +95,12 @@
       health: resolve('instanceHealth'),
       directory: resolve('promptDirectory'),
       loadView: resolve('loadView'),
-      membership: resolve('membership')
+      membership: resolve('membership'),
+      zoneDrains: resolve('zoneDrains'),
+      warmUp: resolve('warmUp')
     }, {
       availabilityZone: settings.availabilityZone,
+      ...(settings.regionByZone === undefined ? {} : { regionByZone: settings.regionByZone }),
       readBounds: () => toBounds(readSettings())
     })
   })
--- a/src/node/createGatewayNode/_lib/registerKnowledge.ts
+++ b/src/node/createGatewayNode/_lib/registerKnowledge.ts
@@ -2,7 +2,9 @@
 import { createGatewayConfiguration, type RunningGatewayConfiguration } from '../../../services/gatewayConfiguration/index.js'
 import { createInstanceRegistry, type RunningInstanceRegistry } from '../../../services/instanceRegistry/index.js'
 import { createKnowledgeExchange } from '../../../services/knowledgeExchange/index.js'
+import { createZoneDrains, type RunningZoneDrains } from '../../../services/zoneDrains/index.js'
 import type { Kernel } from '../../../kernel/index.js'
+import type { ZoneDrains } from '../../../types/index.js'
 import type { GatewayNodeDependencies, GatewayServices } from '../index.js'
 
 /**
@@ -21,11 +23,15 @@
  */
 const RELIANCE_MS = 1_500
 
-/** Registers the holders of configuration and backend servers, and their exchange with peers. */
+/** For deployments whose zones are never drained. */
+const NO_ZONE_DRAINS: ZoneDrains = { isDrained: () => false, endedAgoMs: () => Infinity, revision: () => 0, isKnown: () => true, onChange: () => { /* nothing changes */ } }
+
+/** Registers the holders of configuration, backend servers and zone drains, and their exchange with peers. */
 export const registerKnowledge = (kernel: Kernel<GatewayServices>, dependencies: GatewayNodeDependencies): void => {
-  const { clock, random, clocks, transport, configurationSource, instanceSource, logger } = dependencies
+  const { clock, random, clocks, transport, configurationSource, instanceSource, zoneDrainSource, settings, logger } = dependencies
   let configuration: RunningGatewayConfiguration | undefined
   let registry: RunningInstanceRegistry | undefined
+  let zoneDrains: RunningZoneDrains | undefined
   // Before peers are known a node is the first of its zone, as far as it knows.
   const isReader = (): boolean => !kernel.isRunning('knowledgeExchange') || kernel.resolve('knowledgeExchange').isReader()
   kernel.register({
@@ -44,12 +50,22 @@
       return registry
     }
   })
+  kernel.register({
+    name: 'zoneDrains',
+    dependsOn: [],
+    create: () => {
+      if (zoneDrainSource === undefined) return { api: NO_ZONE_DRAINS }
+      const isZone = (name: string): boolean => settings.regionByZone?.has(name) ?? true
+      zoneDrains = createZoneDrains({ clock, source: zoneDrainSource, logger }, { watchWaitMs: WATCH_WAIT_MS, isReader, relianceMs: RELIANCE_MS, isZone })
+      return zoneDrains
+    }
+  })
   kernel.register({
     name: 'knowledgeExchange',
-    dependsOn: ['membership', 'heartbeatExchange', 'gatewayConfiguration', 'instanceRegistry'],
+    dependsOn: ['membership', 'heartbeatExchange', 'gatewayConfiguration', 'instanceRegistry', 'zoneDrains'],
     create: (resolve) => {
       if (configuration === undefined || registry === undefined) throw new Error('knowledge is exchanged before its holders were made')
-      return createKnowledgeExchange({ clock, random, transport, membership: resolve('membership'), exchange: resolve('heartbeatExchange'), configuration, registry, clocks }, { askIntervalMs: READER_ASK_MS })
+      return createKnowledgeExchange({ clock, random, transport, membership: resolve('membership'), exchange: resolve('heartbeatExchange'), configuration, registry, ...(zoneDrains === undefined ? {} : { zoneDrains }), clocks }, { askIntervalMs: READER_ASK_MS })
     }
   })
 }
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -16,9 +16,10 @@
 import type { KnowledgeExchange } from '../../services/knowledgeExchange/index.js'
 import type { PromptDirectory } from '../../services/promptDirectory/index.js'
 import type { VmList } from '../../services/vmList/index.js'
+import type { WarmUp } from '../../services/warmUp/index.js'
 import type {
   Clock, ConfigurationSource, EngineMemorySource, Forwarding, GatewayConfigurationHolder, GatewaySettings, InstanceClient, InstanceRegistry, InstanceSource,
-  LoadView, Logger, Membership, Metrics, PeerTransport, RandomSource, StartTimeline
+  LoadView, Logger, Membership, Metrics, PeerTransport, RandomSource, StartTimeline, ZoneDrains, ZoneDrainSource
 } from '../../types/index.js'
 
 export type GatewayNodeDependencies = {
@@ -31,6 +32,8 @@
   readonly transport: PeerTransport
   readonly configurationSource: ConfigurationSource
   readonly instanceSource: InstanceSource
+  /** Left out where operators never drain zones. */
+  readonly zoneDrainSource?: ZoneDrainSource
   readonly client: InstanceClient
   readonly engineMemory: EngineMemorySource
   readonly logger: Logger
@@ -44,11 +47,13 @@
   readonly membership: Membership
   readonly gatewayConfiguration: GatewayConfigurationHolder
   readonly instanceRegistry: InstanceRegistry
+  readonly zoneDrains: ZoneDrains
   readonly knowledgeExchange: KnowledgeExchange
   readonly fleetLoad: FleetLoad
   readonly loadView: LoadView
   readonly instanceHealth: InstanceHealth
   readonly promptDirectory: PromptDirectory
+  readonly warmUp: WarmUp
   readonly forwarding: Forwarding
 }
 
@@ -56,7 +61,7 @@
   readonly start: () => Promise<void>
   readonly stop: () => Promise<void>
   readonly resolve: Kernel<GatewayServices>['resolve']
-  /** Whether it can serve: it has a configuration and a list of backend servers. */
+  /** Whether it can serve: it has a configuration, a list of backend servers and the zone drains. */
   readonly isAbleToServe: () => boolean
 }
 
@@ -85,6 +90,6 @@
     },
     stop: kernel.stop,
     resolve: kernel.resolve,
-    isAbleToServe: () => kernel.resolve('gatewayConfiguration').current() !== undefined && kernel.resolve('instanceRegistry').isKnown()
+    isAbleToServe: () => kernel.resolve('gatewayConfiguration').current() !== undefined && kernel.resolve('instanceRegistry').isKnown() && kernel.resolve('zoneDrains').isKnown()
   }
 }
--- a/src/services/forwarding/_lib/chooseInstance.ts
+++ b/src/services/forwarding/_lib/chooseInstance.ts
@@ -1,12 +1,17 @@
 /** The backend server for the next send of a request: what the node knows, put to `placeRequest`. */
 import { defaultPlacementWeights, placeRequest } from '../../../decisions/placeRequest/index.js'
 import type { InstanceCandidate, PromptKeeper } from '../../../decisions/placeRequest/index.js'
+import { judgeInstance } from '../../../decisions/judgeInstance/index.js'
+import type { InstanceVerdict } from '../../../decisions/judgeInstance/index.js'
+import { selectVerdict } from '../../../decisions/selectVerdict/index.js'
 import type { BackendInstance, GatewayRequest } from '../../../types/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 import type { ForwardingDependencies } from '../index.js'
 
-export type ChoiceDependencies = Pick<ForwardingDependencies, 'registry' | 'health' | 'directory' | 'loadView' | 'random'> & {
+export type ChoiceDependencies = Pick<ForwardingDependencies, 'registry' | 'health' | 'directory' | 'loadView' | 'random' | 'zoneDrains' | 'warmUp'> & {
   readonly availabilityZone: string
+  /** Region of each availability zone, where requests are bound to regions. */
+  readonly regionByZone: ReadonlyMap<string, string>
   readonly readLoadFactor: () => number
 }
 
@@ -16,6 +21,8 @@
   readonly bodyBytes: number
   /** Ids of backend servers that had the request already. */
   readonly tried: ReadonlySet<string>
+  /** Lists of regions that bind the request, each for itself. */
+  readonly allowedRegions: readonly (readonly string[])[]
 }
 
 /** Bytes of an answer that is no stream, and of one token in a stream, headers included; averages of both kinds of service. */
@@ -25,11 +32,24 @@
 /** Part of the promised multiple that placement uses: counts of other nodes are a quarter of a second old. */
 const BOUND_SHARE = 0.96
 
+const listUntried = ({ registry }: ChoiceDependencies, { service, tried }: Choice): readonly BackendInstance[] =>
+  registry.list(service).filter(({ id }) => !tried.has(id))
+
+const judge = ({ zoneDrains, warmUp, regionByZone }: ChoiceDependencies, { allowedRegions }: Choice, instance: BackendInstance): InstanceVerdict => judgeInstance({
+  region: regionByZone.get(instance.availabilityZone),
+  isZoneDrained: zoneDrains.isDrained(instance.availabilityZone),
+  isAtWarmUpRate: warmUp.isAtRate(instance)
+}, allowedRegions)
+
+/** Why no server may get the request; `undefined` where there is none that it has not tried. */
+export const findBarrier = (dependencies: ChoiceDependencies, choice: Choice): InstanceVerdict | undefined =>
+  selectVerdict(listUntried(dependencies, choice).map((instance) => judge(dependencies, choice, instance)))
+
 /** Held servers come back into question only when no other is left: an unlikely server beats a refusal. */
-const listUsable = ({ registry, health }: ChoiceDependencies, { service, tried }: Choice): readonly BackendInstance[] => {
-  const untried = registry.list(service).filter(({ id }) => !tried.has(id))
-  const usable = untried.filter((instance) => !health.isHeld(instance))
-  return usable.length > 0 ? usable : untried
+const listUsable = (dependencies: ChoiceDependencies, choice: Choice): readonly BackendInstance[] => {
+  const open = listUntried(dependencies, choice).filter((instance) => judge(dependencies, choice, instance) === 'open')
+  const usable = open.filter((instance) => !dependencies.health.isHeld(instance))
+  return usable.length > 0 ? usable : open
 }
 
 export type ChosenInstance = {
@@ -40,19 +60,22 @@
 
 /**
  * What each server of the service keeps of a prompt: leaving and just removed
- * ones too. They serve on for a while, and what is copied from them in that time need
- * not be read again.
+ * ones too, and those of a drained zone. They serve on for a while, and what is copied
+ * from them in that time need not be read again. None in a region where the request
+ * may not be served.
  */
-const listKeepers = ({ registry, health }: ChoiceDependencies, service: string, kept: ReadonlyMap<string, number>): readonly PromptKeeper[] => {
+const listKeepers = (dependencies: ChoiceDependencies, choice: Choice, kept: ReadonlyMap<string, number>): readonly PromptKeeper[] => {
   if (kept.size === 0) return []
+  const { registry, health } = dependencies
   return [...registry.all(), ...registry.removedLately()]
-    .filter((instance) => instance.service === service && kept.has(formatInstanceKey(instance)) && !health.isHeld(instance))
+    .filter((instance) => instance.service === choice.service && kept.has(formatInstanceKey(instance)) && !health.isHeld(instance))
+    .filter((instance) => judge(dependencies, choice, instance) !== 'regionNotAllowed')
     .map((instance) => ({ id: instance.id, availabilityZone: instance.availabilityZone, keptTokens: kept.get(formatInstanceKey(instance)) ?? 0 }))
 }
 
 /** Returns the chosen one, or `undefined` when the service has none that was not tried. */
 export const chooseInstance = (dependencies: ChoiceDependencies, choice: Choice): ChosenInstance | undefined => {
-  const { request, service, bodyBytes } = choice
+  const { request, bodyBytes } = choice
   const { directory, loadView, health, random, registry } = dependencies
   const usable = listUsable(dependencies, choice)
   // The last part belongs to the request alone.
@@ -72,7 +95,7 @@
     sharedTokens: shared.reduce((sum, part) => sum + part.tokens, 0),
     expectedBytes: bodyBytes + (request.promptParts.length > 0 ? BYTES_PER_TOKEN * request.tokens.output : WHOLE_ANSWER_BYTES),
     availabilityZone: dependencies.availabilityZone
-  }, candidates, listKeepers(dependencies, service, kept), random.next, { ...defaultPlacementWeights, boundFactor: BOUND_SHARE * dependencies.readLoadFactor() })
+  }, candidates, listKeepers(dependencies, choice, kept), random.next, { ...defaultPlacementWeights, boundFactor: BOUND_SHARE * dependencies.readLoadFactor() })
   const instance = usable.find(({ id }) => id === placement?.id)
   if (instance === undefined) return undefined
   const source = placement?.copyFrom
--- a/src/services/forwarding/_lib/createRun.ts
+++ b/src/services/forwarding/_lib/createRun.ts
@@ -5,8 +5,8 @@
  * said of it: "not run" only while no server may have run it.
  */
 import { checkKey } from './checkKey.js'
-import { chooseInstance } from './chooseInstance.js'
-import type { ChosenInstance } from './chooseInstance.js'
+import { chooseInstance, findBarrier } from './chooseInstance.js'
+import type { Choice, ChosenInstance } from './chooseInstance.js'
 import { createAnswerIntake } from './createAnswerIntake.js'
 import type { AnswerIntake, AnswerListener } from './createAnswerIntake.js'
 import { createCallerAnswer } from './createCallerAnswer.js'
@@ -87,7 +87,7 @@
 
   /** Refuses with "not run" while that is true, and with "unknown" otherwise. */
   const giveUp = (reason: GatewayRefusal['reason'], statusIfUnknown: 502 | 504): void => {
-    if (caller.hasBegun() || !mayHaveRun) return refuse({ status: 503, reason, retryAfterMs: computeReturnDelay(random.next()) })
+    if (caller.hasBegun() || !mayHaveRun) return refuse({ status: 503, reason, retryAfterMs: computeReturnDelay(random.next(), reason) })
     if (statedFailure !== undefined) return finishStated(statedFailure)
     refuse({ status: statusIfUnknown, reason })
   }
@@ -106,7 +106,16 @@
     return refusals < REFUSALS_AT_MOST && context.budgets.canSpend(service) && findInstance() !== undefined
   }
 
-  const findInstance = (): ChosenInstance | undefined => route === undefined ? undefined : chooseInstance(context, { request, service, bodyBytes: body?.length ?? 0, tried })
+  const readChoice = (): Choice => ({ request, service, bodyBytes: body?.length ?? 0, tried, allowedRegions: [route?.allowedRegions ?? [], account?.allowedRegions ?? []] })
+
+  const findInstance = (): ChosenInstance | undefined => route === undefined ? undefined : chooseInstance(context, readChoice())
+
+  /** No server may get it: nothing is gained by waiting, and the reason says when that may change. */
+  const giveUpUnplaced = (): void => {
+    const barrier = findBarrier(context, readChoice())
+    if (barrier === undefined || barrier === 'open') return giveUp('noInstance', 502)
+    giveUp(barrier, 502)
+  }
 
   const repeatOr = (otherwise: () => void): void => {
     if (!canSendAgain()) return otherwise()
@@ -137,7 +146,7 @@
     const remainingMs = deadlineAt() - clock.now()
     if (remainingMs <= 1) return giveUp('deadlineBeforeSend', 504)
     const chosen = findInstance()
-    if (chosen === undefined) return giveUp('noInstance', 502)
+    if (chosen === undefined) return giveUpUnplaced()
     if (sendsBegun === 0) context.budgets.noteFirst(service)
     else if (!spendRepeat()) return giveUp('instancesRefused', 502)
     startSending(chosen, remainingMs, route, body)
@@ -156,9 +165,10 @@
     tried.add(instance.id)
     loadView.recordStart(formatInstanceKey(instance))
     health.began(instance)
+    context.warmUp.noteSend(instance)
     context.directory.record(request.promptParts, formatInstanceKey(instance))
     if (copyPromptFrom !== undefined) metrics.count('gateway_prompt_copies')
-    record.log(sendsBegun++ === 0 ? 'request sent' : 'request sent again', { backendServer: instance.id, incarnation: instance.incarnation, remainingMs: Math.round(remainingMs), configurationVersion: context.configuration.version(), keyAgeMs: Math.round(context.configuration.confirmedAgeMs()), resumeAfter: caller.relay.lastEventId(), copyPromptFrom: copyPromptFrom?.id })
+    record.log(sendsBegun++ === 0 ? 'request sent' : 'request sent again', { backendServer: instance.id, incarnation: instance.incarnation, remainingMs: Math.round(remainingMs), configurationVersion: context.configuration.version(), keyAgeMs: Math.round(context.configuration.confirmedAgeMs()), zoneDrainRevision: context.zoneDrains.revision(), warmUpLeftMs: Math.round(context.warmUp.leftMs(instance)), resumeAfter: caller.relay.lastEventId(), copyPromptFrom: copyPromptFrom?.id })
     current.exchange = context.client.send(
       { request, body: content, instance, account: account?.name, remainingMs, priority: account?.priority ?? to.priority, resumeAfter: caller.relay.lastEventId(), copyPromptFrom: copyPromptFrom?.address },
       {
--- a/src/services/forwarding/_lib/run.ts
+++ b/src/services/forwarding/_lib/run.ts
@@ -7,6 +7,7 @@
 
 export type RunContext = ForwardingDependencies & {
   readonly availabilityZone: string
+  readonly regionByZone: ReadonlyMap<string, string>
   readonly readLoadFactor: () => number
   readonly readKeyFreshnessMs: () => number
   readonly budgets: RepeatBudgets
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -18,10 +18,11 @@
 import type { RunningService } from '../../kernel/index.js'
 import type {
   Clock, Forwarding, GatewayConfigurationHolder, GatewayRefusal, GatewayRequest, GatewayRoute, InstanceClient, InstanceRegistry,
-  LoadView, Logger, Membership, Metrics, RandomSource, Timer
+  LoadView, Logger, Membership, Metrics, RandomSource, Timer, ZoneDrains
 } from '../../types/index.js'
 import type { InstanceHealth } from '../instanceHealth/index.js'
 import type { PromptDirectory } from '../promptDirectory/index.js'
+import type { WarmUp } from '../warmUp/index.js'
 
 export type ForwardingDependencies = {
   readonly clock: Clock
@@ -34,6 +35,8 @@
   readonly directory: PromptDirectory
   readonly loadView: LoadView
   readonly membership: Pick<Membership, 'members'>
+  readonly zoneDrains: Pick<ZoneDrains, 'isDrained' | 'isKnown' | 'onChange' | 'revision'>
+  readonly warmUp: WarmUp
   readonly client: InstanceClient
 }
 
@@ -53,6 +56,8 @@
 
 export type ForwardingOptions = {
   readonly availabilityZone: string
+  /** Region of each availability zone; empty by default. */
+  readonly regionByZone?: ReadonlyMap<string, string>
   readonly readBounds: () => ForwardingBounds
 }
 
@@ -69,6 +74,8 @@
 /** When to come back after a refusal for want of knowledge: a source is asked again within that time. */
 const UNKNOWN_RETRY_MS = 500
 
+const NO_REGIONS: ReadonlyMap<string, string> = new Map()
+
 /** When to come back after a refusal of a node that stops: at once, since a new connection reaches another one. */
 const ELSEWHERE_RETRY_MS = 20
 
@@ -84,7 +91,7 @@
  * forwarding.api.openRequests() // => 0
  */
 export const createForwarding = (dependencies: ForwardingDependencies, options: ForwardingOptions): RunningService<Forwarding> => {
-  const { clock, configuration, registry } = dependencies
+  const { clock, configuration, registry, zoneDrains } = dependencies
   const startedAt = clock.now()
   const waitingForKnowledge = new Map<Run, Waiting>()
   const runs = new Set<Run>()
@@ -127,6 +134,7 @@
   const context: Omit<RunContext, 'onDone'> = {
     ...dependencies,
     availabilityZone: options.availabilityZone,
+    regionByZone: options.regionByZone ?? NO_REGIONS,
     readLoadFactor: () => options.readBounds().loadFactor,
     readKeyFreshnessMs: () => options.readBounds().keyFreshnessMs,
     budgets,
@@ -135,9 +143,11 @@
     judgeTimeLeft
   }
 
+  const isKnowing = (): boolean => configuration.current() !== undefined && registry.isKnown() && zoneDrains.isKnown()
+
   const admit = (run: Run, request: GatewayRequest): void => {
     const current = configuration.current()
-    if (current === undefined || !registry.isKnown()) return run.reject({ status: 503, reason: 'noConfiguration', retryAfterMs: UNKNOWN_RETRY_MS })
+    if (current === undefined || !isKnowing()) return run.reject({ status: 503, reason: 'noConfiguration', retryAfterMs: UNKNOWN_RETRY_MS })
     const route = selectGatewayRoute(readIndex(), request.host, request.target)
     if (route === undefined) return run.reject(refuseUnknown({ status: 404, reason: 'unknownRoute' }))
     const account = findAccount(current, route, request.credential)
@@ -147,8 +157,6 @@
     run.assign(route, account)
   }
 
-  const isKnowing = (): boolean => configuration.current() !== undefined && registry.isKnown()
-
   /** What is not known to be late goes by its goal; a request without a route is refused whenever its turn comes. */
   const toHeld = ({ request, admitNow }: Waiting): HeldRequest & Pick<Waiting, 'admitNow'> => {
     const route = selectGatewayRoute(readIndex(), request.host, request.target)
@@ -168,6 +176,7 @@
 
   configuration.onChange(admitWaiting)
   registry.onChange(admitWaiting)
+  zoneDrains.onChange(admitWaiting)
 
   const admitLater = (run: Run, request: GatewayRequest): void => {
     const admitNow = (): void => {
--- a/src/services/forwarding/test.ts
+++ b/src/services/forwarding/test.ts
@@ -61,6 +61,7 @@
       removedLately: () => [],
       revision: () => 1,
       isKnown: () => isKnown,
+      warmUpLeftMs: () => 0,
       markGone: () => {},
       onChange: () => {}
     },
@@ -68,6 +69,8 @@
     directory: { record: () => {}, listKept: () => new Map(), onLearnt: () => {} },
     loadView: { recordStart: () => {}, recordEnd: () => {}, estimateInFlight: () => 0, ownInFlight: () => 0, applyReport: () => {} },
     membership: { members: () => [MEMBER] },
+    zoneDrains: { isDrained: () => false, isKnown: () => true, revision: () => 0, onChange: () => {} },
+    warmUp: { leftMs: () => 0, isAtRate: () => false, noteSend: () => {} },
     client: {
       send: ({ request }) => {
         sent.push(request.requestId)
--- /dev/null
+++ b/src/services/instanceRegistry/_lib/createWarmUps.test.ts
@@ -0,0 +1,57 @@
+import { describe, expect, test } from 'vitest'
+import { createWarmUps } from './createWarmUps.js'
+import { createManualClock } from '../../../emulator/createManualClock/index.js'
+import type { BackendInstance } from '../../../types/index.js'
+
+const createServer = (warmUpMs: number, incarnation = 1): BackendInstance =>
+  ({ id: 'engine-1', service: 'engines', address: { host: 'engine-1', port: 1 }, availabilityZone: 'a', slots: 8, isLeaving: false, incarnation, warmUpMs })
+
+const start = () => {
+  const clock = createManualClock()
+  return { clock, warmUps: createWarmUps(clock) }
+}
+
+describe('createWarmUps', () => {
+  test('counts down from when the entry was heard of', () => {
+    const { clock, warmUps } = start()
+    warmUps.note(createServer(3_000), 'change')
+    clock.advance(1_000)
+    expect(warmUps.leftMs(createServer(0))).toBe(2_000)
+  })
+  test('takes a new start for cold anew', () => {
+    const { clock, warmUps } = start()
+    warmUps.note(createServer(3_000), 'change')
+    clock.advance(3_000)
+    warmUps.note(createServer(3_000, 2), 'list')
+    expect([warmUps.leftMs(createServer(0)), warmUps.leftMs(createServer(0, 2))]).toEqual([0, 3_000])
+  })
+  // A list read anew repeats entries of long ago: all servers would be taken for cold after each outage of the store.
+  test('does not begin again with a list that repeats an entry', () => {
+    const { clock, warmUps } = start()
+    warmUps.note(createServer(3_000), 'change')
+    clock.advance(2_500)
+    expect(warmUps.note(createServer(3_000), 'list')).toBe(false)
+    expect(warmUps.leftMs(createServer(0))).toBe(500)
+  })
+  // A server that turns cold in mid-day writes the same entry as after its start.
+  test('begins again with a change that says the same', () => {
+    const { clock, warmUps } = start()
+    warmUps.note(createServer(3_000), 'change')
+    clock.advance(10_000)
+    expect(warmUps.note(createServer(3_000), 'change')).toBe(true)
+    expect(warmUps.leftMs(createServer(0))).toBe(3_000)
+  })
+  // An older copy of an entry that comes late would end the warm-up too soon.
+  test('is not shortened by an entry that says less', () => {
+    const { warmUps } = start()
+    warmUps.note(createServer(3_000), 'change')
+    warmUps.note(createServer(0), 'peer')
+    expect(warmUps.leftMs(createServer(0))).toBe(3_000)
+  })
+  test('takes a peer\'s word that is some milliseconds late for the same warm-up', () => {
+    const { clock, warmUps } = start()
+    warmUps.note(createServer(3_000), 'change')
+    clock.advance(100)
+    expect(warmUps.note(createServer(3_000), 'peer')).toBe(false)
+  })
+})
--- a/src/services/instanceRegistry/index.ts
+++ b/src/services/instanceRegistry/index.ts
@@ -6,11 +6,13 @@
 import { isDeepStrictEqual } from 'node:util'
 import { createChangeLog } from './_lib/createChangeLog.js'
 import { createRemovals } from './_lib/createRemovals.js'
-import { describeSourceError } from '../../decisions/describeSourceError/index.js'
-import { paceSourceReads } from '../../decisions/paceSourceReads/index.js'
-import type { SourceReadPace } from '../../decisions/paceSourceReads/index.js'
+import { createWarmUps } from './_lib/createWarmUps.js'
+import type { EntryOrigin } from './_lib/createWarmUps.js'
+import { createSourceFollower } from '../_lib/createSourceFollower.js'
+import type { SourceFollowerOptions, SourceReading } from '../_lib/createSourceFollower.js'
+import { success } from '../../kernel/index.js'
 import type { RunningService } from '../../kernel/index.js'
-import type { BackendInstance, ChangePosition, Clock, InstanceEntry, InstanceNews, InstanceRegistry, InstanceSource, Logger, Timer } from '../../types/index.js'
+import type { BackendInstance, ChangePosition, Clock, InstanceEntry, InstanceNews, InstanceRegistry, InstanceSource, Logger } from '../../types/index.js'
 
 export type InstanceRegistryDependencies = {
   readonly clock: Clock
@@ -18,13 +20,9 @@
   readonly logger: Logger
 }
 
-export type InstanceRegistryOptions = {
+export type InstanceRegistryOptions = SourceFollowerOptions & {
   /** How long one watch waits in milliseconds; a silent connection is found that much later. */
   readonly watchWaitMs: number
-  /** Whether this node reads the source for its zone; the others rely on it. Every node does by default. */
-  readonly isReader?: () => boolean
-  /** How long ago the others may have reached the source while a node relies on them, in milliseconds. */
-  readonly relianceMs?: number
   /** How long a backend server serves on after its entry was removed, in milliseconds; 0 by default. */
   readonly drainMs?: number
 }
@@ -42,9 +40,6 @@
 
 /** Entries that lapsed in an outage are back within two seconds of its end; longer than that they are gone. */
 const REAPPEAR_MS = 2_000
-const RETRY_MS = 200
-/** Entries lapse after three heartbeats of silence, 3.6 s; an outage that was shorter takes none away. */
-const SHORTEST_LAPSE_MS = 3_000
 const PAGES_AT_MOST = 64
 
 /**
@@ -65,19 +60,14 @@
   const goneIncarnations = new Map<string, number>()
   const missingSince = new Map<string, number>()
   const removals = createRemovals(clock, options.drainMs ?? 0)
+  const warmUps = createWarmUps(clock)
   const listeners: (() => void)[] = []
-  const needListeners: (() => void)[] = []
   const malformed = new Set<string>()
   const changes = createChangeLog(clock.wallTime())
-  let relayedAt = -Infinity
   let byService = new Map<string, BackendInstance[]>()
   let revision = 0
   let isKnown = false
-  /** Undefined before the first answer, so that a source that was never reached is told as well. */
-  let isReachable: boolean | undefined
   let returnedAt = -Infinity
-  let isStopped = false
-  let timer: Timer | undefined
 
   const publish = (): void => {
     byService = new Map()
@@ -96,11 +86,16 @@
     instances.delete(name)
     missingSince.delete(name)
     removals.note(instance, revision)
+    warmUps.forget(instance)
     changes.note(name)
     logger.info('backend server removed', { backendServer: name, service: instance.service, reason, revision })
   }
 
-  const put = ({ name, instance }: InstanceEntry): void => {
+  /** Whether two copies of an entry say the same, but for the warm-up, which runs down. */
+  const isSameEntry = (one: BackendInstance | undefined, other: BackendInstance): boolean =>
+    one !== undefined && isDeepStrictEqual({ ...one, warmUpMs: 0 }, { ...other, warmUpMs: 0 })
+
+  const put = ({ name, instance }: InstanceEntry, origin: EntryOrigin): void => {
     if (instance === undefined) {
       if (!malformed.has(name)) logger.warn('backend server entry is malformed', { backendServer: name, revision })
       malformed.add(name)
@@ -113,7 +108,8 @@
     // A leaving mark stays until the server starts anew: an older copy of its entry still says ready.
     const isLeaving = instance.isLeaving || (known?.isLeaving === true && known.incarnation === instance.incarnation)
     const next = { ...instance, isLeaving }
-    if (!isDeepStrictEqual(known, next)) changes.note(name)
+    const isWarmUpLater = warmUps.note(next, origin)
+    if (isWarmUpLater || !isSameEntry(known, next)) changes.note(name)
     instances.set(name, next)
     if (known === undefined) logger.info('backend server added', { backendServer: name, service: instance.service, incarnation: instance.incarnation, revision })
     else if (isLeaving && !known.isLeaving) logger.info('backend server leaving', { backendServer: name, service: instance.service, revision })
@@ -132,99 +128,60 @@
     })
   }
 
-  const noteReachable = (reachable: boolean, reason: string): void => {
-    if (reachable === isReachable) return
-    isReachable = reachable
-    if (!reachable) return logger.warn('backend server list lost', { reason, known: instances.size, revision })
-    if (isKnown) returnedAt = clock.now()
-    logger.info('backend server list reached', { revision })
-  }
-
-  const replaceAll = (entries: readonly InstanceEntry[], atRevision: number): void => {
+  const replaceAll = (entries: readonly InstanceEntry[], atRevision: number, origin: EntryOrigin): void => {
     revision = atRevision
     isKnown = true
     const listed = new Set(entries.map(({ name }) => name))
     for (const name of [...instances.keys()]) if (!listed.has(name)) miss(name)
-    for (const entry of entries) put(entry)
+    for (const entry of entries) put(entry, origin)
     publish()
   }
 
-  const readAll = async (): Promise<boolean> => {
+  const readAll = async (): Promise<SourceReading> => {
     const entries: InstanceEntry[] = []
     let after: string | undefined
     let listedAt: number | undefined
     for (let page = 0; page < PAGES_AT_MOST; page++) {
       const result = await source.list(after)
-      if (!result.ok) {
-        noteReachable(false, describeSourceError(result.error))
-        return false
-      }
+      if (!result.ok) return result
       entries.push(...result.value.entries)
       // Changes between two pages are seen again by a watch from the first page's revision.
       listedAt ??= result.value.revision
       after = result.value.continueAfter
       if (after === undefined) break
     }
-    noteReachable(true, '')
-    replaceAll(entries, listedAt ?? 0)
-    return true
+    return success(() => replaceAll(entries, listedAt ?? 0, 'list'))
   }
 
-  const watchOnce = async (): Promise<boolean> => {
+  const watch = async (): Promise<SourceReading> => {
     const result = await source.watch(revision, options.watchWaitMs)
-    if (!result.ok) {
-      if (result.error.kind === 'historyGone') {
-        logger.info('backend server history gone', { revision })
-        return false
+    if (!result.ok) return result
+    const { changes: entries, revision: atRevision } = result.value
+    return success(() => {
+      revision = Math.max(revision, atRevision)
+      for (const entry of entries) {
+        if (entry.isRemoved) miss(entry.name)
+        else put(entry, 'change')
       }
-      noteReachable(false, describeSourceError(result.error))
-      return false
-    }
-    noteReachable(true, '')
-    revision = Math.max(revision, result.value.revision)
-    for (const change of result.value.changes) {
-      if (change.isRemoved) miss(change.name)
-      else put(change)
-    }
-    if (result.value.changes.length > 0) publish()
-    return true
+      if (entries.length > 0) publish()
+    })
   }
 
-  const pause = (ms: number): Promise<void> => new Promise((resolve) => { timer = clock.setTimer(ms, resolve) })
-
-  /** A node without a list relies on nobody. */
-  const pace = (): SourceReadPace => paceSourceReads({
-    isReader: !isKnown || options.isReader?.() !== false,
-    ageMs: clock.now() - relayedAt,
-    relianceMs: options.relianceMs ?? 0,
-    readerRetryMs: RETRY_MS
-  })
-
-  /** Entries may have lapsed in an outage that only the readers saw: what is missing then gets its moment to register. */
-  const endReliance = (): void => {
-    if (clock.now() - relayedAt > SHORTEST_LAPSE_MS) isReachable = undefined
-  }
+  const follower = createSourceFollower(clock, {
+    readAll,
+    watch,
+    isKnown: () => isKnown,
+    onReached: () => {
+      if (isKnown) returnedAt = clock.now()
+      logger.info('backend server list reached', { revision })
+    },
+    onLost: (reason) => logger.warn('backend server list lost', { reason, known: instances.size, revision }),
+    onHistoryGone: () => logger.info('backend server history gone', { revision })
+  }, options)
 
-  const follow = async (): Promise<void> => {
-    let isListed = false
-    for (;;) {
-      if (isStopped) return
-      const { isRelying, lookAfterMs, retryAfterMs } = pace()
-      if (isRelying) {
-        isListed = false
-        await pause(lookAfterMs)
-        if (!pace().isRelying) endReliance()
-        continue
-      }
-      const isDone: boolean = isListed ? await watchOnce() : await readAll()
-      if (isStopped) return
-      if (!isDone && !isListed) {
-        for (const listener of needListeners) listener()
-        await pause(retryAfterMs)
-      }
-      isListed = isDone
-    }
-  }
+  /** As a peer is to hear of it: the warm-up counts from now. */
+  const toNews = (instance: BackendInstance): BackendInstance =>
+    instance.warmUpMs === 0 ? instance : { ...instance, warmUpMs: Math.round(warmUps.leftMs(instance)) }
 
   return {
     api: {
@@ -234,6 +191,7 @@
       removedLately: removals.listDraining,
       revision: () => revision,
       isKnown: () => isKnown,
+      warmUpLeftMs: warmUps.leftMs,
       markGone: (instance, reason) => {
         const known = instances.get(instance.id)
         if (known === undefined || known.incarnation !== instance.incarnation) return
@@ -245,17 +203,17 @@
       onChange: (listener) => { listeners.push(listener) }
     },
     learn: (news, atRevision, ageMs) => {
-      relayedAt = Math.max(relayedAt, clock.now() - ageMs)
+      follower.noteRelayed(ageMs)
       if (news.isWhole && atRevision <= revision && isKnown) return
       const entries = news.instances
         .filter((instance) => !removals.isAsNewAs(instance, atRevision))
         .map((instance) => ({ name: instance.id, instance }))
-      if (news.isWhole) return replaceAll(entries, atRevision)
+      if (news.isWhole) return replaceAll(entries, atRevision, 'peer')
       if (!isKnown) return
       revision = Math.max(revision, atRevision)
       if (entries.length + news.removed.length === 0) return
       for (const name of news.removed) remove(name, 'removed at a peer')
-      for (const entry of entries) put(entry)
+      for (const entry of entries) put(entry, 'peer')
       publish()
     },
     newsSince: (position, knownRevision) => {
@@ -264,15 +222,12 @@
       // A server that is missing from the source is kept here for a moment: that is no news.
       const changed = [...instances.values()].filter(({ id }) => isWhole || (names?.has(id) === true && !missingSince.has(id)))
       const removed = [...names ?? []].filter((name) => !instances.has(name))
-      return { isWhole, instances: changed, removed, position: changes.position() }
+      return { isWhole, instances: changed.map(toNews), removed, position: changes.position() }
     },
     position: changes.position,
-    isSourceReachable: () => isReachable === true,
-    onNeed: (listener) => { needListeners.push(listener) },
-    start: () => { follow() },
-    stop: () => {
-      isStopped = true
-      timer?.cancel()
-    }
+    isSourceReachable: follower.isReachable,
+    onNeed: follower.onNeed,
+    start: follower.start,
+    stop: follower.stop
   }
 }
--- a/src/services/knowledgeExchange/index.ts
+++ b/src/services/knowledgeExchange/index.ts
@@ -1,6 +1,6 @@
 /**
- * What gateway nodes tell each other of the configuration and the backend
- * servers. One node of a zone reads the source, so that its load doesn't grow
+ * What gateway nodes tell each other of the configuration, the backend servers
+ * and the drained zones. One node of a zone reads the source, so that its load doesn't grow
  * with the fleet; the others ask it and the next zone's by turns, and at once on
  * news from theirs. A node that can't read the source asks any peers. An age is only
  * believed from a reply to an own question, so that a message which was long on
@@ -11,10 +11,11 @@
 import { readClocks } from '../../decisions/readClocks/index.js'
 import type { Clocks } from '../../decisions/measureAge/index.js'
 import type { RunningService } from '../../kernel/index.js'
-import type { ChangePosition, Clock, Member, Membership, PeerMessageOf, PeerTransport, RandomSource, Timer } from '../../types/index.js'
+import type { ChangePosition, Clock, Member, Membership, PeerMessageOf, PeerTransport, RandomSource, Timer, ZoneDrainNews } from '../../types/index.js'
 import type { RunningGatewayConfiguration } from '../gatewayConfiguration/index.js'
 import type { HeartbeatExchange } from '../heartbeatExchange/index.js'
 import type { RunningInstanceRegistry } from '../instanceRegistry/index.js'
+import type { RunningZoneDrains } from '../zoneDrains/index.js'
 
 export type KnowledgeExchange = {
   /** Asks some peers, whoever they are. */
@@ -31,6 +32,8 @@
   readonly exchange: HeartbeatExchange
   readonly configuration: RunningGatewayConfiguration
   readonly registry: RunningInstanceRegistry
+  /** Left out where zones can't be drained. */
+  readonly zoneDrains?: RunningZoneDrains
   readonly clocks: Clocks
 }
 
@@ -59,7 +62,7 @@
  * exchange.api.ask()
  */
 export const createKnowledgeExchange = (dependencies: KnowledgeExchangeDependencies, options: KnowledgeExchangeOptions): RunningService<KnowledgeExchange> => {
-  const { clock, random, transport, membership, exchange, configuration, registry, clocks } = dependencies
+  const { clock, random, transport, membership, exchange, configuration, registry, zoneDrains, clocks } = dependencies
   /** How far this node has come in the changes of each peer that it asked. */
   const positions = new Map<string, ChangePosition>()
   let askedAt = -Infinity
@@ -89,6 +92,7 @@
     )
     if (!result.ok || result.value.kind !== 'knowledge') return
     const { version, ageMs, configuration: news, revision, instances } = result.value
+    if (result.value.zoneDrains !== undefined) zoneDrains?.learn(result.value.zoneDrains, ageMs)
     configuration.learn(sentAt, ageMs, version, news)
     if (isReader() && registry.isSourceReachable()) return
     registry.learn(instances, revision, ageMs)
@@ -115,12 +119,18 @@
     if (reader !== undefined) askPeer(reader)
   }
 
+  /** The drains as of the newest revision go with each message: they are few, and a node that lacks one sends where it must not. */
+  const tellDrains = (): { readonly zoneDrains?: ZoneDrainNews } => {
+    const news = zoneDrains?.news()
+    return news === undefined ? {} : { zoneDrains: news }
+  }
+
   const tellZone = (): void => {
     isNewsDue = false
     const { nodeId, availabilityZone } = membership.self()
     const readers = new Set(findReaders().own.map((reader) => reader.nodeId))
     if (!readers.has(nodeId)) return
-    const message = { kind: 'knowledgeNews', source: nodeId, version: configuration.api.version(), position: registry.position() } as const
+    const message = { kind: 'knowledgeNews', source: nodeId, version: configuration.api.version(), position: registry.position(), ...tellDrains() } as const
     for (const member of membership.liveMembers()) {
       if (member.availabilityZone === availabilityZone && !readers.has(member.nodeId)) transport.send(member.address, message)
     }
@@ -132,7 +142,8 @@
     clock.setTimer(NEWS_DELAY_MS, tellZone)
   }
 
-  const takeNews = ({ source, version, position }: PeerMessageOf<'knowledgeNews'>): void => {
+  const takeNews = ({ source, version, position, zoneDrains: drainNews }: PeerMessageOf<'knowledgeNews'>): void => {
+    if (drainNews !== undefined) zoneDrains?.learn(drainNews)
     const sender = membership.members().find(({ nodeId }) => nodeId === source)
     if (sender === undefined || isReader()) return
     const known = positions.get(source)
@@ -158,6 +169,7 @@
           ageMs: configuration.api.confirmedAgeMs(),
           revision: registry.api.revision(),
           instances: registry.newsSince(since, revision),
+          ...tellDrains(),
           ...(news === undefined ? {} : { configuration: news })
         }
       })
@@ -168,8 +180,10 @@
       exchange.addListener(({ member }) => takeHeartbeat(member))
       configuration.onNeed(ask)
       registry.onNeed(ask)
+      zoneDrains?.onNeed(ask)
       configuration.api.onChange(noteNews)
       registry.api.onChange(noteNews)
+      zoneDrains?.api.onChange(noteNews)
       timer = clock.setTimer(options.askIntervalMs, askReader)
     },
     stop: () => timer?.cancel()
--- /dev/null
+++ b/src/services/warmUp/test.ts
@@ -0,0 +1,141 @@
+/** What all nodes together send to one warming server, by seeded fleets whose nodes see different members. */
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { describe, expect, test } from 'vitest'
+import { createWarmUp } from './index.js'
+import type { WarmUp, WarmUpDependencies } from './index.js'
+import { createManualClock, type ManualClock } from '../../emulator/createManualClock/index.js'
+import type { BackendInstance, GatewayConfiguration, Member } from '../../types/index.js'
+
+const RATE = 9.8
+const LIMIT = { excess: 1.5, slack: 5 }
+const BOUND = RATE * LIMIT.excess + LIMIT.slack
+const WARM_UP_MS = 3_000
+/** By then every node has been up long enough to count on its view. */
+const SETTLED_MS = 5_000
+const PLAYED_MS = 8_000
+const STEP_MS = 20
+
+const createRandom = (seed: number): (() => number) => {
+  const generator = xoroshiro128plus(seed)
+  return () => (generator.next() >>> 0) / 2 ** 32
+}
+
+const createMember = (index: number): Member =>
+  ({ nodeId: `node-${index}`, incarnation: 1, address: { host: `node-${index}`, port: 1 }, availabilityZone: `zone-${index % 3}`, state: 'live', generation: 1 })
+
+const INSTANCE: BackendInstance = { id: 'engine-1', service: 'engines', address: { host: 'engine-1', port: 1 }, availabilityZone: 'zone-0', slots: 64, isLeaving: false, incarnation: 1, warmUpMs: WARM_UP_MS }
+
+const CONFIGURATION: GatewayConfiguration = {
+  version: 1,
+  routes: [],
+  services: new Map([['engines', { name: 'engines', healthPath: '/health', maximumConnections: 10, isEngine: true, warmUp: { durationMs: WARM_UP_MS, requestsPerSecond: RATE } }]]),
+  limits: { maximumHeaderBytes: 1, maximumBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  needsKeys: false,
+  accountsByKey: new Map()
+}
+
+type NodeOptions = Partial<Pick<WarmUpDependencies, 'registry' | 'zoneDrains'>> & { readonly clock: ManualClock, readonly self: Member, readonly members: readonly Member[] }
+
+const createNode = ({ clock, self, members, registry, zoneDrains }: NodeOptions): WarmUp => createWarmUp({
+  clock,
+  registry: registry ?? { warmUpLeftMs: () => WARM_UP_MS, onChange: () => {}, all: () => [INSTANCE] },
+  configuration: { current: () => CONFIGURATION },
+  membership: { members: () => members, self: () => self, onChange: () => {} },
+  zoneDrains: zoneDrains ?? { endedAgoMs: () => Infinity }
+}, { ...LIMIT, hasPeers: () => true }).api
+
+type View = (members: readonly Member[], self: Member, random: () => number) => readonly Member[]
+
+const VIEWS: Readonly<Record<string, View>> = {
+  'all know all': (members) => members,
+  'each lacks a third of the members': (members, self, random) => members.filter((member) => member === self || random() > 1 / 3),
+  'two halves never heard of each other': (members, self) => {
+    const isInFirst = (member: Member): boolean => members.indexOf(member) < members.length / 2
+    return members.filter((member) => isInFirst(member) === isInFirst(self))
+  }
+}
+
+/** Most sends in any one second, and sends a second, while nodes freeze for a while and wake with all their requests. */
+const playFleet = (size: number, seed: number, view: View): { readonly most: number, readonly perSecond: number } => {
+  const random = createRandom(seed)
+  const clock = createManualClock()
+  const members = Array.from({ length: size }, (_, index) => createMember(index))
+  const nodes = members.map((self) => ({ warmUp: createNode({ clock, self, members: view(members, self, random) }), frozenUntil: 0 }))
+  const sends: number[] = []
+  clock.advance(SETTLED_MS)
+  while (clock.now() < SETTLED_MS + PLAYED_MS) {
+    clock.advance(STEP_MS)
+    for (const node of nodes) {
+      if (random() < 0.002) node.frozenUntil = clock.now() + 3_000 * random()
+      if (clock.now() < node.frozenUntil || node.warmUp.isAtRate(INSTANCE)) continue
+      node.warmUp.noteSend(INSTANCE)
+      sends.push(clock.now())
+    }
+  }
+  const most = Math.max(0, ...sends.map((from) => sends.filter((at) => at >= from && at < from + 1_000).length))
+  return { most, perSecond: sends.length / (PLAYED_MS / 1_000) }
+}
+
+// A server that has just started is the home of many prompts: every node of the fleet sends at once, and it crashes.
+describe.each(Object.entries(VIEWS))('where %s', (_name, view) => {
+  test.each([3, 9, 70, 200, 360])('%i nodes keep to the bound of a warming server', (size) => {
+    for (const seed of [1, 2, 3]) expect(playFleet(size, seed, view).most).toBeLessThanOrEqual(BOUND)
+  })
+})
+
+test('a fleet of any size uses most of the rate of a warming server', () => {
+  for (const size of [9, 70, 360]) expect(playFleet(size, 5, VIEWS['all know all']!).perSecond).toBeGreaterThan(0.5 * RATE)
+})
+
+describe('a node', () => {
+  const members = Array.from({ length: 2 }, (_, index) => createMember(index))
+  const [self, other] = members as [Member, Member]
+
+  // A node killed and started again may have spent its part a moment before.
+  test('that has just started sends nothing to a warming server', () => {
+    const clock = createManualClock()
+    const warmUp = createNode({ clock, self, members })
+    expect(warmUp.isAtRate(INSTANCE)).toBe(true)
+    clock.advance(SETTLED_MS)
+    expect(warmUp.isAtRate(INSTANCE)).toBe(false)
+  })
+
+  // A node that is cut off from its start ranks itself first for everything.
+  test('that knows nobody sends nothing to a warming server', () => {
+    const clock = createManualClock()
+    const warmUp = createNode({ clock, self, members: [self] })
+    clock.advance(SETTLED_MS)
+    expect(warmUp.isAtRate(INSTANCE)).toBe(true)
+  })
+
+  test('that is held dead still counts, and spends its part alone', () => {
+    const clock = createManualClock()
+    const warmUp = createNode({ clock, self, members: [self, { ...other, state: 'dead' }] })
+    clock.advance(SETTLED_MS)
+    for (let send = 0; send < 2; send++) warmUp.noteSend(INSTANCE)
+    expect(warmUp.isAtRate(INSTANCE)).toBe(true)
+  })
+
+  test('has its part again a second later', () => {
+    const clock = createManualClock()
+    const warmUp = createNode({ clock, self, members })
+    clock.advance(SETTLED_MS)
+    for (let send = 0; send < 2; send++) warmUp.noteSend(INSTANCE)
+    clock.advance(1_200)
+    expect(warmUp.isAtRate(INSTANCE)).toBe(false)
+  })
+
+  // The servers of a zone whose drain ends may be cold, and their entries say so a heartbeat later.
+  test('takes the servers of a zone for warming after its drain has ended', () => {
+    const clock = createManualClock()
+    const warmUp = createNode({ clock, self, members, registry: { warmUpLeftMs: () => 0, onChange: () => {}, all: () => [INSTANCE] }, zoneDrains: { endedAgoMs: () => clock.now() } })
+    expect(warmUp.leftMs(INSTANCE)).toBeGreaterThanOrEqual(WARM_UP_MS)
+    clock.advance(2 * WARM_UP_MS)
+    expect(warmUp.leftMs(INSTANCE)).toBe(0)
+  })
+
+  test('takes no server for warming whose service bears its full load at once', () => {
+    const warmUp = createNode({ clock: createManualClock(), self, members })
+    expect(warmUp.isAtRate({ ...INSTANCE, service: 'plain' })).toBe(false)
+  })
+})
--- /dev/null
+++ b/src/services/zoneDrains/test.ts
@@ -0,0 +1,88 @@
+import { describe, expect, test } from 'vitest'
+import { createZoneDrains } from './index.js'
+import { createManualClock } from '../../emulator/createManualClock/index.js'
+import { failure, success } from '../../kernel/index.js'
+import type { LogFields, Logger, ZoneDrainChange, ZoneDrainNews, ZoneDrainSource } from '../../types/index.js'
+
+const start = async (initial: ZoneDrainNews = { revision: 10, zones: [] }, areLogsKept = true) => {
+  const clock = createManualClock()
+  const lines: (LogFields & { readonly message: string })[] = []
+  const write = (message: string, fields: LogFields = {}): void => { if (areLogsKept) lines.push({ message, ...fields }) }
+  const logger: Logger = { error: write, warn: write, info: write, debug: write }
+  let news = initial
+  let changes: readonly ZoneDrainChange[] = []
+  let isAway = false
+  const wait = (ms: number): Promise<void> => new Promise((resolve) => { clock.setTimer(ms, resolve) })
+  const source: ZoneDrainSource = {
+    list: async () => {
+      await wait(5)
+      return isAway ? failure({ kind: 'unavailable', message: 'away' }) : success(news)
+    },
+    watch: async () => {
+      await wait(100)
+      if (isAway) return failure({ kind: 'unavailable', message: 'away' })
+      const told = changes
+      changes = []
+      return success({ changes: told, revision: news.revision })
+    }
+  }
+  const drains = createZoneDrains({ clock, source, logger }, { watchWaitMs: 100, isZone: (name) => name.startsWith('zone-') })
+  await drains.start?.()
+  await clock.advanceAndSettle(50)
+  return {
+    clock,
+    drains,
+    lines,
+    change: (next: readonly ZoneDrainChange[], revision: number) => {
+      changes = next
+      news = { revision, zones: next.filter(({ isEnded }) => !isEnded).map(({ zone }) => zone) }
+    },
+    setAway: (next: boolean) => { isAway = next }
+  }
+}
+
+describe('createZoneDrains', () => {
+  test('knows the drains of its first reading', async () => {
+    const { drains } = await start({ revision: 10, zones: ['zone-a'] })
+    expect([drains.api.isKnown(), drains.api.isDrained('zone-a'), drains.api.isDrained('zone-b')]).toEqual([true, true, false])
+  })
+
+  test('begins and ends drains as the source tells', async () => {
+    const { clock, drains, change } = await start()
+    change([{ zone: 'zone-a', isEnded: false }], 11)
+    await clock.advanceAndSettle(200)
+    expect(drains.api.isDrained('zone-a')).toBe(true)
+    change([{ zone: 'zone-a', isEnded: true }], 12)
+    await clock.advanceAndSettle(200)
+    expect(drains.api.isDrained('zone-a')).toBe(false)
+    expect(drains.api.endedAgoMs('zone-a')).toBeLessThanOrEqual(200)
+  })
+
+  // A node that lost the store would send to a zone that is still to get nothing.
+  test('keeps a drain while the source is away', async () => {
+    const { clock, drains, setAway } = await start({ revision: 10, zones: ['zone-a'] })
+    setAway(true)
+    await clock.advanceAndSettle(10_000)
+    expect(drains.api.isDrained('zone-a')).toBe(true)
+  })
+
+  test('learns from a peer what the source doesn\'t tell', async () => {
+    const { clock, drains, setAway } = await start()
+    setAway(true)
+    await clock.advanceAndSettle(500)
+    drains.learn({ revision: 12, zones: ['zone-b'] }, 300)
+    expect(drains.api.isDrained('zone-b')).toBe(true)
+  })
+
+  // A peer that is cut off goes on telling of the drains before the newest one.
+  test('takes no older word of a peer', async () => {
+    const { drains } = await start({ revision: 10, zones: ['zone-a'] })
+    drains.learn({ revision: 9, zones: [] }, 0)
+    expect(drains.api.isDrained('zone-a')).toBe(true)
+  })
+
+  test('logs a drain under a name that no zone has', async () => {
+    const { lines } = await start({ revision: 10, zones: ['elsewhere'] })
+    expect(lines).toContainEqual(expect.objectContaining({ message: 'zone drain names no zone', zone: 'elsewhere' }))
+  })
+})
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -36,6 +36,8 @@
   readonly priority: number
   /** Whether requests need no key. */
   readonly isPublic: boolean
+  /** Regions in which it may be served; empty or left out where any will do. */
+  readonly allowedRegions?: readonly string[]
 }
 
 export type GatewayService = {
@@ -45,6 +47,8 @@
   readonly maximumConnections: number
   /** Whether its backend servers are model engines that keep prompt prefixes. */
   readonly isEngine: boolean
+  /** What a backend server bears while it warms up after its start; left out where it bears its full load. */
+  readonly warmUp?: { readonly durationMs: number, readonly requestsPerSecond: number }
 }
 
 export type GatewayLimits = {
@@ -58,6 +62,8 @@
   readonly name: string
   /** Goes before the route's priority when set. */
   readonly priority?: number
+  /** Regions in which its requests may be served; both these and the route's bind. */
+  readonly allowedRegions?: readonly string[]
 }
 
 export type GatewayConfiguration = {
@@ -179,7 +185,7 @@
 export type FinalReason =
   | 'badRequest' | 'headerTooLarge' | 'bodyTooLarge' | 'unknownRoute' | 'unknownKey' | 'noConfiguration' | 'staleKeys'
   | 'noInstance' | 'serviceFull' | 'deadlineBeforeSend' | 'deadline' | 'instanceFailed' | 'answerBroken'
-  | 'instancesRefused' | 'shuttingDown' | 'crossedAnswer'
+  | 'instancesRefused' | 'shuttingDown' | 'crossedAnswer' | 'zoneDrained' | 'warmingUp' | 'regionNotAllowed'
 
 /** A final answer that the node itself makes. */
 export type GatewayRefusal = {
--- a/src/types/gatewayKnowledge.ts
+++ b/src/types/gatewayKnowledge.ts
@@ -104,11 +104,35 @@
   readonly revision: () => number
   /** Whether the list was read at least once since the start. */
   readonly isKnown: () => boolean
+  /** How much longer a backend server warms up after its start, in milliseconds; 0 when it does not. */
+  readonly warmUpLeftMs: (instance: BackendInstance) => number
   /** A backend server's own word, or proof from an answer, that this incarnation gets no more work. */
   readonly markGone: (instance: BackendInstance, reason: string) => void
   readonly onChange: (listener: () => void) => void
 }
 
+/** The availability zones whose backend servers get no work because an operator asked so, as of a revision of the source. */
+export type ZoneDrainNews = { readonly revision: number, readonly zones: readonly string[] }
+
+export type ZoneDrainChange = { readonly zone: string, readonly isEnded: boolean }
+
+export type ZoneDrainSource = {
+  readonly list: () => Promise<Result<ZoneDrainNews, SourceError>>
+  /** Waits up to `waitMs` for changes after `revision`. */
+  readonly watch: (revision: number, waitMs: number) => Promise<Result<{ readonly changes: readonly ZoneDrainChange[], readonly revision: number }, SourceError>>
+}
+
+export type ZoneDrains = {
+  readonly isDrained: (availabilityZone: string) => boolean
+  /** Milliseconds since the drain of a zone ended; infinite where none did. */
+  readonly endedAgoMs: (availabilityZone: string) => number
+  /** Revision of the source up to which the drains are known. */
+  readonly revision: () => number
+  /** Whether the drains were read or learnt at least once since the start. */
+  readonly isKnown: () => boolean
+  readonly onChange: (listener: () => void) => void
+}
+
 export type EngineMemorySource = {
   /** What a model engine keeps of prompts now; dear, since it delays the engine. */
   readonly list: (instance: BackendInstance) => Promise<Result<readonly PromptPart[], SourceError>>
--- a/src/types/gatewaySettings.ts
+++ b/src/types/gatewaySettings.ts
@@ -28,5 +28,9 @@
   readonly repeatWindowMs: number
   /** No backend server over so many times the mean load of its service, plus 3. */
   readonly loadFactor: number
+  /** Multiple of what a warming backend server bears a second that it may get in any second, and requests beyond that; left out where servers don't warm up. */
+  readonly warmUpLimit?: { readonly excess: number, readonly slack: number }
+  /** Region of each availability zone; empty where nothing is bound to regions. */
+  readonly regionByZone?: ReadonlyMap<string, string>
   readonly logLevel: string
 }
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -2,7 +2,7 @@
  * Messages between routers, and the transport that carries them. A message is
  * a tagged union; each service registers a handler for the kinds it owns.
  */
-import type { ChangePosition, ConfigurationNews, InstanceNews } from './gatewayKnowledge.js'
+import type { ChangePosition, ConfigurationNews, InstanceNews, ZoneDrainNews } from './gatewayKnowledge.js'
 import type { Result } from './result.js'
 
 export type PeerAddress = { readonly host: string, readonly port: number }
@@ -115,7 +115,7 @@
   /** Asks a gateway node for what is newer than this; `since` is where the asker stands in that node's own changes. */
   | { readonly kind: 'knowledgeRequest', readonly version: number, readonly configurationRevision: number, readonly revision: number, readonly since?: ChangePosition }
   /** Tells that the sender has a newer configuration or changed backend servers: worth a question. */
-  | { readonly kind: 'knowledgeNews', readonly source: string, readonly version: number, readonly position: ChangePosition }
+  | { readonly kind: 'knowledgeNews', readonly source: string, readonly version: number, readonly position: ChangePosition, readonly zoneDrains?: ZoneDrainNews }
 
 /** Ids of prompt parts that a backend server (`id@incarnation`) is believed to keep. */
 export type KeptParts = { readonly server: string, readonly parts: readonly string[] }
@@ -141,6 +141,8 @@
     /** Revision of the source up to which the backend servers are known. */
     readonly revision: number
     readonly instances: InstanceNews
+    /** Left out where the node knows of none, or none can be. */
+    readonly zoneDrains?: ZoneDrainNews
   }
 
 export type PeerError =
--- a/test/platform/_lib/startGatewayFleet.ts
+++ b/test/platform/_lib/startGatewayFleet.ts
@@ -6,6 +6,7 @@
 import { createMemorySource } from '../../../platform/createMemorySource/index.js'
 import { createConfigurationSource } from '../../../platform/createConfigurationSource/index.js'
 import { createInstanceSource } from '../../../platform/createInstanceSource/index.js'
+import { createZoneDrainSource } from '../../../platform/createZoneDrainSource/index.js'
 import { createStoreClient, type StoreClient } from '../../../platform/createStoreClient/index.js'
 import { createPlatform, type PlatformOptions, type PlatformStandIn } from '../../../platform/standIn/createPlatform/index.js'
 import { startGateway, type Gateway } from '../../../src/daemon/startGateway/index.js'
@@ -88,6 +89,7 @@
       dialect: createDialect(),
       configurationSource: createConfigurationSource(client),
       instanceSource: createInstanceSource(client),
+      zoneDrainSource: createZoneDrainSource(client),
       engineMemory: createMemorySource(),
       readinessPath: '/readyz'
     })
--- a/test/platform/readers.test.ts
+++ b/test/platform/readers.test.ts
@@ -125,6 +125,64 @@
   })
 })
 
+describe('a drain of a zone', () => {
+  const listSending = (fleet: KnowledgeFleet): readonly number[] =>
+    fleet.nodes.flatMap((node, index) => node.resolve('zoneDrains').isDrained('zone-0') ? [] : [index])
+
+  test('is known everywhere within a quarter of a second', async () => {
+    const fleet = await start({ nodesPerZone: 8, zones: 3 })
+    fleet.beginDrain('zone-0')
+    await fleet.clock.advanceAndSettle(250)
+    expect(listSending(fleet)).toEqual([])
+    fleet.endDrain('zone-0')
+    await fleet.clock.advanceAndSettle(250)
+    expect(listSending(fleet)).toHaveLength(24)
+  })
+
+  // The store turns a third of the nodes away, a zone's reader among them; these would send where nothing may be sent.
+  test('reaches the nodes that the source turns away', async () => {
+    const fleet = await start({ nodesPerZone: 8, zones: 3 })
+    for (let node = 0; node < 8; node++) fleet.setReached(node, false)
+    await fleet.clock.advanceAndSettle(1_000)
+    fleet.beginDrain('zone-0')
+    await fleet.clock.advanceAndSettle(2_000)
+    expect(listSending(fleet)).toEqual([])
+  })
+
+  // Killed and started inside the drain, a node that knows servers but no drains would send at once.
+  test('is known to a node that starts inside it before that can serve', async () => {
+    const fleet = await start({ nodesPerZone: 4, zones: 2 })
+    fleet.beginDrain('zone-0')
+    await fleet.clock.advanceAndSettle(1_000)
+    await fleet.restart(3)
+    for (let step = 0; step < 400; step++) {
+      await fleet.clock.advanceAndSettle(5)
+      if (fleet.nodes[3]!.isAbleToServe()) expect(listSending(fleet)).toEqual([])
+    }
+    expect(fleet.nodes[3]!.isAbleToServe()).toBe(true)
+  })
+
+  // A drain that follows another while one zone is cut off, and ends there unheard.
+  test('and a second one reach a zone that was cut off meanwhile', async () => {
+    const fleet = await start({ nodesPerZone: 4, zones: 3 })
+    const isInCutZone = (index: number): boolean => index % 3 === 2
+    for (let one = 0; one < 12; one++) {
+      if (isInCutZone(one)) fleet.setReached(one, false)
+      for (let other = 0; other < 12; other++) if (isInCutZone(one) && !isInCutZone(other)) fleet.network.cut(fleet.addressOf(one), fleet.addressOf(other))
+    }
+    fleet.beginDrain('zone-1')
+    await fleet.clock.advanceAndSettle(3_000)
+    fleet.endDrain('zone-1')
+    fleet.beginDrain('zone-0')
+    await fleet.clock.advanceAndSettle(3_000)
+    fleet.network.healAll()
+    for (let node = 0; node < 12; node++) fleet.setReached(node, true)
+    await fleet.clock.advanceAndSettle(3_000)
+    expect(listSending(fleet)).toEqual([])
+    expect(fleet.nodes.map((node) => node.resolve('zoneDrains').isDrained('zone-1'))).toEqual(Array(12).fill(false))
+  })
+})
+
 describe('a storm of versions with many routes', () => {
   const STORM_VERSIONS = 15
   const VERSION_GAP_MS = 333
