--- a/src/node/createGatewayNode/_lib/registerGauges.ts
+++ b/src/node/createGatewayNode/_lib/registerGauges.ts
@@ -1,6 +1,6 @@
 /** What operators see of a gateway node's beliefs and open work. */
-import type { GaugeReading, Metrics } from '../../../types/index.js'
-import type { GatewayNode, GatewayServices } from '../index.js'
+import type { BackendInstance, GaugeReading, Metrics } from '../../../types/index.js'
+import type { GatewayNode } from '../index.js'
 
 const MILLISECONDS_PER_SECOND = 1_000
 const UNKNOWN_AGE = -1
@@ -17,10 +17,21 @@
 
 type Resolve = GatewayNode['resolve']
 
+/** The first state that holds names a server's; it gets work in the last two only. */
+const createStateReader = (resolve: Resolve): (instance: BackendInstance) => string => {
+  const [health, zoneDrains, warmUp] = [resolve('instanceHealth'), resolve('zoneDrains'), resolve('warmUp')]
+  return (instance) => {
+    if (instance.isLeaving) return 'leaving'
+    if (zoneDrains.isDrained(instance.availabilityZone)) return 'drained'
+    if (health.isHeld(instance)) return 'held'
+    return warmUp.leftMs(instance) > 0 ? 'warming' : 'live'
+  }
+}
+
 const readInstances = (resolve: Resolve): readonly GaugeReading[] => {
-  const health: GatewayServices['instanceHealth'] = resolve('instanceHealth')
+  const readState = createStateReader(resolve)
   return countBy(resolve('instanceRegistry').all().map((instance) => {
-    const state = instance.isLeaving ? 'leaving' : health.isHeld(instance) ? 'held' : 'live'
+    const state = readState(instance)
     return [`${instance.service} ${state}`, { service: instance.service, state }]
   }))
 }
--- a/src/services/forwarding/_lib/createRun.ts
+++ b/src/services/forwarding/_lib/createRun.ts
@@ -73,23 +73,23 @@
     health.ended(current.instance)
   }
 
-  const refuse = (refusal: GatewayRefusal): void => {
+  const refuse = (refusal: GatewayRefusal, evidence: LogFields = {}): void => {
     if (isDone) return
     dropSending()
     if (caller.hasBegun()) {
       caller.breakOff()
-      return finish('brokenOff', { reason: refusal.reason, mayHaveRun, lastEventId: caller.relay.lastEventId() })
+      return finish('brokenOff', { reason: refusal.reason, mayHaveRun, lastEventId: caller.relay.lastEventId(), ...evidence })
     }
     caller.refuse(refusal)
     const retryAfterMs = refusal.retryAfterMs === undefined ? undefined : Math.round(refusal.retryAfterMs)
-    finish('refused', { status: refusal.status, reason: refusal.reason, retryAfterMs, mayHaveRun })
+    finish('refused', { status: refusal.status, reason: refusal.reason, retryAfterMs, mayHaveRun, ...evidence })
   }
 
   /** Refuses with "not run" while that is true, and with "unknown" otherwise. */
-  const giveUp = (reason: GatewayRefusal['reason'], statusIfUnknown: 502 | 504): void => {
-    if (caller.hasBegun() || !mayHaveRun) return refuse({ status: 503, reason, retryAfterMs: computeReturnDelay(random.next(), reason) })
+  const giveUp = (reason: GatewayRefusal['reason'], statusIfUnknown: 502 | 504, evidence: LogFields = {}): void => {
+    if (caller.hasBegun() || !mayHaveRun) return refuse({ status: 503, reason, retryAfterMs: computeReturnDelay(random.next(), reason) }, evidence)
     if (statedFailure !== undefined) return finishStated(statedFailure)
-    refuse({ status: statusIfUnknown, reason })
+    refuse({ status: statusIfUnknown, reason }, evidence)
   }
 
   const finishStated = (failure: { readonly answer: InstanceAnswer, readonly body: Uint8Array }): void => {
@@ -114,7 +114,7 @@
   const giveUpUnplaced = (): void => {
     const barrier = findBarrier(context, readChoice())
     if (barrier === undefined || barrier === 'open') return giveUp('noInstance', 502)
-    giveUp(barrier, 502)
+    giveUp(barrier, 502, { zoneDrainRevision: context.zoneDrains.revision(), configurationVersion: context.configuration.version() })
   }
 
   const repeatOr = (otherwise: () => void): void => {
