--- a/src/services/forwarding/_lib/createRun.ts
+++ b/src/services/forwarding/_lib/createRun.ts
@@ -10,17 +10,16 @@
 import { createAnswerIntake } from './createAnswerIntake.js'
 import type { AnswerIntake, AnswerListener } from './createAnswerIntake.js'
 import { createCallerAnswer } from './createCallerAnswer.js'
+import { createEnding } from './createEnding.js'
 import { createRunRecord } from './createRunRecord.js'
-import type { RunOutcome } from './createRunRecord.js'
 import { createSending } from './createSending.js'
 import { createSendingNotes } from './createSendingNotes.js'
 import type { Sending } from './createSending.js'
-import { computeReturnDelay } from '../../../decisions/computeReturnDelay/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 import { isMoveDue } from '../../../decisions/isMoveDue/index.js'
 import { selectTarget } from '../../../decisions/selectTarget/index.js'
 import type {
-  CallerSink, ExchangeFailure, GatewayAccount, GatewayRefusal, GatewayRequest, GatewayRoute, InstanceAnswer, LogFields
+  CallerSink, ExchangeFailure, GatewayAccount, GatewayRequest, GatewayRoute, InstanceAnswer, LogFields
 } from '../../../types/index.js'
 import type { Run, RunContext } from './run.js'
 
@@ -46,18 +45,10 @@
   const caller = createCallerAnswer(sink, request.lastEventId)
   const record = createRunRecord(context, request, () => route)
   const notes = createSendingNotes(context, { request, readRoute: () => route, readService: () => service })
-  /** The last failure that a server stated itself, for when nothing better comes. */
-  let statedFailure: { readonly answer: InstanceAnswer, readonly body: Uint8Array } | undefined
 
   const deadlineAt = (): number =>
     request.receivedAt + Math.min(request.callerTimeoutMs ?? Infinity, route?.timeoutMs ?? Infinity)
 
-  const finish = (outcome: RunOutcome, fields: LogFields = {}): void => {
-    isDone = true
-    context.onDone()
-    record.finish(outcome, { sends, ...fields })
-  }
-
   const dropSending = (): void => {
     const current = sending
     if (current === undefined) return
@@ -73,30 +64,18 @@
     health.ended(current.instance)
   }
 
-  const refuse = (refusal: GatewayRefusal, evidence: LogFields = {}): void => {
-    if (isDone) return
-    dropSending()
-    if (caller.hasBegun()) {
-      caller.breakOff()
-      return finish('brokenOff', { reason: refusal.reason, mayHaveRun, lastEventId: caller.relay.lastEventId(), ...evidence })
+  const ending = createEnding({
+    caller,
+    record,
+    random,
+    readProgress: () => ({ mayHaveRun, sends }),
+    dropSending,
+    onDone: () => {
+      isDone = true
+      context.onDone()
     }
-    caller.refuse(refusal)
-    const retryAfterMs = refusal.retryAfterMs === undefined ? undefined : Math.round(refusal.retryAfterMs)
-    finish('refused', { status: refusal.status, reason: refusal.reason, retryAfterMs, mayHaveRun, ...evidence })
-  }
-
-  /** Refuses with "not run" while that is true, and with "unknown" otherwise. */
-  const giveUp = (reason: GatewayRefusal['reason'], statusIfUnknown: 502 | 504, evidence: LogFields = {}): void => {
-    if (caller.hasBegun() || !mayHaveRun) return refuse({ status: 503, reason, retryAfterMs: computeReturnDelay(random.next(), reason) }, evidence)
-    if (statedFailure !== undefined) return finishStated(statedFailure)
-    refuse({ status: statusIfUnknown, reason }, evidence)
-  }
-
-  const finishStated = (failure: { readonly answer: InstanceAnswer, readonly body: Uint8Array }): void => {
-    dropSending()
-    caller.whole(failure.answer, failure.body)
-    finish('failedAtBackend', { status: failure.answer.status })
-  }
+  })
+  const { finish, refuse, giveUp } = ending
 
   const isRepeatable = (): boolean => route !== undefined && (route.repeatPolicy === 'safe' || (route.repeatPolicy === 'stream' && route.isResumable))
 
@@ -234,8 +213,8 @@
     health.record(current.instance, { kind: 'errored' })
     record.countSend('errored')
     record.log('backend server failed', { backendServer: current.instance.id, status: answer.status })
-    statedFailure = { answer, body: whole }
-    repeatOr(() => finishStated({ answer, body: whole }))
+    ending.noteStatedFailure({ answer, body: whole })
+    repeatOr(ending.finishStated)
   }
 
   const takeFailure = (current: Sending, failure: ExchangeFailure): void => {
