--- a/test/platform/zones.test.ts
+++ b/test/platform/zones.test.ts
@@ -34,9 +34,9 @@
   await waitUntil(() => countLines(fleet, message, zone) === fleet.gateways.length)
 }
 
-/** Starts engines anew as cold ones; entries are heard of in their order, so that the last one tells of all. */
-const restartCold = async (fleet: GatewayFleet, ids: readonly string[]): Promise<void> => {
-  for (const id of ids) fleet.register(fleet.backends.get(id)!, ENGINES, { zone: 'zone-b', cold_left_ms: 3_000, born: 2 })
+/** Makes engines cold, by a new start unless their entries say otherwise; entries are heard of in their order, so that the last one tells of all. */
+const makeCold = async (fleet: GatewayFleet, ids: readonly string[], changes: Readonly<Record<string, unknown>> = { born: 2 }): Promise<void> => {
+  for (const id of ids) fleet.register(fleet.backends.get(id)!, ENGINES, { zone: 'zone-b', cold_left_ms: 3_000, ...changes })
   fleet.store.put('servers', 'last', { service: 'none', address: '127.0.0.1:1', zone: 'zone-a', slots: 1, state: 'ready', born: 1 })
   await waitUntil(() => fleet.logs.some((line) => line.message === 'backend server added' && line['backendServer'] === 'last'))
 }
@@ -140,6 +140,15 @@
     expect(fleet.logs).toContainEqual(expect.objectContaining({ message: 'request ended', reason: 'regionNotAllowed' }))
   })
 
+  // A cut between two regions must not send what is bound to one of them to the other.
+  test.each(['/north/1', '/north-order/1'])('is not served elsewhere while its region can\'t be reached: %s', async (path) => {
+    const fleet = await start({ routes: [...BOUND, createRoute('north-order', { route_type: 'unsafe', max_attempts: 1, allowed_regions: ['north'] })] })
+    await fleet.backends.get('plain-1')!.close()
+    const results = await callMany(fleet, path, 4)
+    expect(results.every(({ status }) => status >= 500)).toBe(true)
+    expect(countRuns(fleet, 'plain-2')).toBe(0)
+  })
+
   test('by an empty list goes anywhere', async () => {
     const fleet = await start({ routes: BOUND })
     await callMany(fleet, '/any/1')
@@ -163,7 +172,16 @@
   test('gets its part at most, and the others serve the rest', async () => {
     const fleet = await start({ engineService: COLD })
     await pause(SETTLED_MS)
-    await restartCold(fleet, ['engine-2'])
+    await makeCold(fleet, ['engine-2'])
+    expect(listStatuses(await callMany(fleet, '/chat/1', 24))).toEqual([200])
+    expect(countRuns(fleet, 'engine-2')).toBeLessThanOrEqual(4)
+  })
+
+  // A server that turns cold in mid-day was never away: nothing but its entry tells.
+  test('without a new start gets its part at most', async () => {
+    const fleet = await start({ engineService: COLD })
+    await pause(SETTLED_MS)
+    await makeCold(fleet, ['engine-2'], {})
     expect(listStatuses(await callMany(fleet, '/chat/1', 24))).toEqual([200])
     expect(countRuns(fleet, 'engine-2')).toBeLessThanOrEqual(4)
   })
@@ -172,7 +190,7 @@
   test('and all others with it: what is over the rate is refused at once as not run', async () => {
     const fleet = await start({ engineService: COLD })
     await pause(SETTLED_MS)
-    await restartCold(fleet, ['engine-1', 'engine-2'])
+    await makeCold(fleet, ['engine-1', 'engine-2'])
     const results = await callMany(fleet, '/chat/1', 24)
     const refused = results.filter(({ status }) => status === 503)
     expect(results.filter(({ status }) => status === 200).length).toBeGreaterThan(0)
