Stop a whole zone in the sheet, and compare two ways to share a warming server's rate

The sheet's planned stop may name an availability zone in place of one backend server, so that both front doors can be told to send a zone nothing.

Few by rank is kept.

--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -12,6 +12,7 @@
   gatewayControl: async () => (await import('./gatewayControl/index.js')).runGatewayControlBench,
   placement: async () => (await import('./placement/index.js')).runPlacementBench,
   quantiles: async () => (await import('./quantiles/index.js')).runQuantilesBench,
+  warmUp: async () => (await import('./warmUp/index.js')).runWarmUpBench,
   routerCost: async () => (await import('./routerCost/index.js')).runRouterCostBench
 }
 
--- /dev/null
+++ b/src/bench/warmUp/index.ts
@@ -0,0 +1,107 @@
+/**
+ * Two ways to share the rate of a warming server among nodes that can't ask
+ * each other: a few nodes by rank with fixed parts, as `services/warmUp` does, and all
+ * nodes with an equal part each that they save up. Every node has a request for the
+ * server at any moment.
+ */
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { shareWarmUp } from '../../decisions/shareWarmUp/index.js'
+import { rankMembers } from '../../decisions/rankMembers/index.js'
+import type { Member } from '../../types/index.js'
+import type { Bench, Cell } from '../types.js'
+import { round } from '../_lib/statistics.js'
+
+const BOUND = { requestsPerSecond: 9.8, excess: 1.5, slack: 5 }
+const SIZES = [3, 9, 70, 200, 360]
+const FAST_SIZES = SIZES.slice(0, 3)
+const SECONDS = 20
+const STEP_MS = 20
+const WINDOW_MS = 1_000
+/** A node's own window is a tenth longer, for sends that wait for the processor. */
+const OWN_WINDOW_MS = 1_100
+const FREEZES_PER_STEP = 0.002
+const LONGEST_FREEZE_MS = 3_000
+const MS_PER_SECOND = 1_000
+
+type Random = () => number
+
+/** Whether a node may send now; it counts the send when it may. */
+type Sender = (now: number) => boolean
+
+type Way = (self: Member, known: readonly Member[]) => Sender
+
+const shareByRank: Way = (self, known) => {
+  const { nodes, requestsEach } = shareWarmUp(BOUND)
+  const isAmong = rankMembers('server', known, nodes).includes(self)
+  let sends: number[] = []
+  return (now) => {
+    if (!isAmong) return false
+    sends = sends.filter((at) => at > now - OWN_WINDOW_MS)
+    if (sends.length >= requestsEach) return false
+    sends.push(now)
+    return true
+  }
+}
+
+const shareEqually: Way = (_self, known) => {
+  const perMs = BOUND.requestsPerSecond / known.length / MS_PER_SECOND
+  let saved = 0
+  let countedAt = 0
+  return (now) => {
+    saved = Math.min(1, saved + (now - countedAt) * perMs)
+    countedAt = now
+    if (saved < 1) return false
+    saved -= 1
+    return true
+  }
+}
+
+const WAYS: Readonly<Record<string, Way>> = { 'few by rank': shareByRank, 'equal parts saved up': shareEqually }
+
+type View = (members: readonly Member[], self: Member, random: Random) => readonly Member[]
+
+const VIEWS: Readonly<Record<string, View>> = {
+  'all known': (members) => members,
+  'a third unknown': (members, self, random) => members.filter((member) => member === self || random() > 1 / 3),
+  'halves that never met': (members, self) => members.filter((member) => members.indexOf(member) % 2 === members.indexOf(self) % 2)
+}
+
+const createRandom = (seed: number): Random => {
+  const generator = xoroshiro128plus(seed)
+  return () => (generator.next() >>> 0) / 2 ** 32
+}
+
+const createMember = (index: number): Member =>
+  ({ nodeId: `node-${index}`, incarnation: 1, address: { host: `node-${index}`, port: 1 }, availabilityZone: 'zone', state: 'live', generation: 1 })
+
+const countMost = (sends: readonly number[]): number => {
+  let most = 0
+  let first = 0
+  for (const [index, at] of sends.entries()) {
+    while (sends[first]! <= at - WINDOW_MS) first += 1
+    most = Math.max(most, index - first + 1)
+  }
+  return most
+}
+
+const play = (size: number, way: Way, view: View, seed: number): readonly Cell[] => {
+  const random = createRandom(seed)
+  const members = Array.from({ length: size }, (_, index) => createMember(index))
+  const nodes = members.map((self) => ({ maySend: way(self, view(members, self, random)), frozenUntil: 0 }))
+  const sends: number[] = []
+  for (let now = 0; now < SECONDS * MS_PER_SECOND; now += STEP_MS) {
+    for (const node of nodes) {
+      if (random() < FREEZES_PER_STEP) node.frozenUntil = now + LONGEST_FREEZE_MS * random()
+      if (now >= node.frozenUntil && node.maySend(now)) sends.push(now)
+    }
+  }
+  return [countMost(sends), round(sends.length / SECONDS, 1)]
+}
+
+/** Prints, for each fleet, the most requests in any one second and the mean a second. */
+export const runWarmUpBench: Bench = async ({ fast, seed }) => [{
+  title: `A warming server that may get ${round(BOUND.requestsPerSecond * BOUND.excess + BOUND.slack, 1)} requests in any second and bears ${BOUND.requestsPerSecond}`,
+  columns: ['nodes', 'view', ...Object.keys(WAYS).flatMap((name) => [`${name}: most in a second`, 'mean a second'])],
+  rows: (fast ? FAST_SIZES : SIZES).flatMap((size) => Object.entries(VIEWS).map(([name, view]) =>
+    [size, name, ...Object.values(WAYS).flatMap((way) => play(size, way, view, seed))]))
+}]
--- a/src/decisions/checkSheet/index.ts
+++ b/src/decisions/checkSheet/index.ts
@@ -43,10 +43,14 @@
 const checkReferences: Check = (sheet) => {
   const services = new Set(sheet.services.map(({ name }) => name))
   const backendServers = new Set(sheet.backendServers.map(({ name }) => name))
+  const availabilityZones = new Set(sheet.backendServers.map(({ availabilityZone }) => availabilityZone))
   return [
     ...sheet.backendServers.flatMap(({ service }, index) => checkReference('backendServers', index, 'service', service, services)),
     ...sheet.routes.flatMap(({ service }, index) => checkReference('routes', index, 'service', service, services)),
-    ...sheet.plannedStops.flatMap(({ backendServer }, index) => checkReference('plannedStops', index, 'backendServer', backendServer, backendServers))
+    ...sheet.plannedStops.flatMap(({ backendServer = '', availabilityZone = '' }, index) => [
+      ...checkReference('plannedStops', index, 'backendServer', backendServer, backendServers),
+      ...checkReference('plannedStops', index, 'availabilityZone', availabilityZone, availabilityZones)
+    ])
   ]
 }
 
--- a/src/decisions/decodeChunk/index.ts
+++ b/src/decisions/decodeChunk/index.ts
@@ -4,6 +4,8 @@
 import type { Result, Sheet } from '../../types/index.js'
 
 const text = z.string()
+const stopFields = { name: text, startsAt: z.number(), endsAt: z.number().optional() }
+
 const records = {
   clientAccounts: z.object({ name: text, weight: z.number(), keyHashes: z.array(text) }),
   services: z.object({ name: text, kind: z.enum(['model', 'plain']), loadLimit: z.number(), loadTarget: z.number() }),
@@ -18,7 +20,10 @@
     deadlineSeconds: z.number(),
     priority: z.enum(['interactive', 'overnight'])
   }),
-  plannedStops: z.object({ name: text, backendServer: text, startsAt: z.number(), endsAt: z.number().optional() })
+  plannedStops: z.union([
+    z.object({ ...stopFields, backendServer: text }),
+    z.object({ ...stopFields, availabilityZone: text })
+  ])
 } as const satisfies Record<keyof Sheet, z.ZodType>
 
 const chunk = z.object({
--- a/src/decisions/parseSheet/_lib/readCells.ts
+++ b/src/decisions/parseSheet/_lib/readCells.ts
@@ -8,6 +8,8 @@
 
 export type CellReader = {
   readonly readName: (column: SheetColumn) => string
+  /** Which one of two columns a row fills; both are reported, and neither counts as the first. */
+  readonly readFilled: <First extends SheetColumn, Second extends SheetColumn>(first: First, second: Second) => First | Second
   readonly readModel: () => string | undefined
   readonly readPath: () => string | undefined
   readonly readUrl: () => string
@@ -48,6 +50,11 @@
 
   return {
     readName: (column) => readMatching(column, NAME, '1 to 64 letters, digits, dots, underscores or hyphens, and start with a letter or digit'),
+    readFilled: (first, second) => {
+      if (cell(second) === '') return first
+      if (cell(first) !== '') report(second, `${second} must be blank where ${first} is given`)
+      return second
+    },
     readModel: () => cell('model') === '' ? undefined : readMatching('model', MODEL, '1 to 128 letters, digits or . _ : / @ -'),
     readPath: () => cell('path') === '' ? undefined : readMatching('path', PATH, 'a path that starts with / and has no query'),
     readUrl: () => {
--- a/src/decisions/parseSheet/_lib/readRecords.ts
+++ b/src/decisions/parseSheet/_lib/readRecords.ts
@@ -1,5 +1,5 @@
 /** Readers of each record kind: from the cells of a row to a record. */
-import type { Sheet, SheetRecordKind } from '../../../types/index.js'
+import type { PlannedStopTarget, Sheet, SheetRecordKind } from '../../../types/index.js'
 import type { CellReader } from './readCells.js'
 import { recordLists } from './sheetColumns.js'
 
@@ -63,12 +63,17 @@
   })
 }
 
+const readStopTarget = (cells: CellReader): PlannedStopTarget => {
+  const column = cells.readFilled('backendServer', 'availabilityZone')
+  return column === 'availabilityZone' ? { availabilityZone: cells.readName(column) } : { backendServer: cells.readName('backendServer') }
+}
+
 const readPlannedStop: RecordReader = (cells, sheet) => {
   const startsAt = cells.readTime('startsAt')
   const endsAt = cells.readTime('endsAt')
   sheet.plannedStops.push({
     name: cells.readName('name'),
-    backendServer: cells.readName('backendServer'),
+    ...readStopTarget(cells),
     startsAt: startsAt ?? NaN,
     ...(endsAt === undefined ? {} : { endsAt })
   })
--- a/src/decisions/parseSheet/_lib/sheetColumns.ts
+++ b/src/decisions/parseSheet/_lib/sheetColumns.ts
@@ -25,7 +25,7 @@
   service: ['record', 'name', 'kind', 'loadLimit', 'loadTarget'],
   backendServer: ['record', 'name', 'service', 'url', 'availabilityZone', 'slots'],
   route: ['record', 'name', 'service', 'model', 'path', 'repeatable', 'backendIdempotent', 'deadlineSeconds', 'priority'],
-  plannedStop: ['record', 'name', 'backendServer', 'startsAt', 'endsAt']
+  plannedStop: ['record', 'name', 'availabilityZone', 'backendServer', 'startsAt', 'endsAt']
 }
 
 /** A row of the file: its cells by column, trimmed. */
--- a/src/decisions/parseSheet/test.ts
+++ b/src/decisions/parseSheet/test.ts
@@ -41,6 +41,12 @@
     expect(parseSheet(text)).toEqual(parseRows(soundRows()))
   })
 
+  it('reads a stop of a zone, also back from its canonical form', () => {
+    const parsed = parseRows([...soundRows().slice(0, -1), stopRow({ backendServer: '', availabilityZone: 'venkov-a' })])
+    expect(parsed.ok && parsed.value.plannedStops).toEqual([{ name: 'stop-1', availabilityZone: 'venkov-a', startsAt: Date.parse('2026-03-02T21:00:00Z') }])
+    expect(parsed.ok && parseSheet(serializeSheet(parsed.value))).toEqual(parsed)
+  })
+
   it('is read back from its canonical form', () => {
     const parsed = parseRows([...soundRows()].reverse())
     expect(parsed.ok && parseSheet(serializeSheet(parsed.value))).toEqual(parsed)
@@ -82,6 +88,9 @@
     ['a flag in another word', routeRow({ name: 'b', model: 'x', repeatable: 'true' }), 14, 'repeatable "true" must be yes or no'],
     ['an object property as a flag', routeRow({ name: 'b', model: 'x', repeatable: 'constructor' }), 14, 'must be yes or no'],
     ['a stop of a missing server', stopRow({ name: 'b', backendServer: 'model-9' }), 18, 'backendServer "model-9" is not in the sheet'],
+    ['a stop of a zone without servers', stopRow({ name: 'b', backendServer: '', availabilityZone: 'venkov-z' }), 10, 'availabilityZone "venkov-z" is not in the sheet'],
+    ['a stop of a server and a zone', stopRow({ name: 'b', availabilityZone: 'venkov-a' }), 10, 'availabilityZone must be blank where backendServer is given'],
+    ['a stop of nothing', stopRow({ name: 'b', backendServer: '' }), 18, 'backendServer is missing'],
     ['a time without offset', stopRow({ name: 'b', startsAt: '2026-03-02T22:00:00' }), 19, 'must be an ISO 8601 time with its offset'],
     ['an end before the start', stopRow({ name: 'b', endsAt: '2026-03-02T22:00:00+01:00' }), 20, 'endsAt must be after startsAt'],
     ['a row that is too long', `${accountRow({ name: 'b', keySha256: 'b'.repeat(64) })},x`, 21, 'the row has 21 cells, the header has 20']
--- a/src/decisions/serializeSheet/index.ts
+++ b/src/decisions/serializeSheet/index.ts
@@ -16,9 +16,10 @@
     backendIdempotent: writeFlag(route.backendIdempotent),
     deadlineSeconds: String(route.deadlineSeconds)
   })),
-  plannedStop: ({ plannedStops }) => plannedStops.map(({ name, backendServer, startsAt, endsAt }) => ({
+  plannedStop: ({ plannedStops }) => plannedStops.map(({ name, backendServer, availabilityZone, startsAt, endsAt }) => ({
     name,
-    backendServer,
+    backendServer: backendServer ?? '',
+    availabilityZone: availabilityZone ?? '',
     startsAt: formatIsoTime(startsAt),
     endsAt: endsAt === undefined ? '' : formatIsoTime(endsAt)
   }))
--- a/src/decisions/splitSheetIntoChunks/test.ts
+++ b/src/decisions/splitSheetIntoChunks/test.ts
@@ -11,7 +11,7 @@
   services: [{ name: 'chat', kind: 'model', loadLimit: 1.5, loadTarget: 1.26 }],
   backendServers: [{ name: 'model-1', service: 'chat', url: 'http://10.0.1.4:8000', availabilityZone: 'venkov-a', slots: 8 }],
   routes: [{ name: 'chat', service: 'chat', model: 'counter-7b', repeatable: true, backendIdempotent: false, deadlineSeconds: 60, priority: 'interactive' }],
-  plannedStops: [{ name: 'stop-1', backendServer: 'model-1', startsAt: 1 }]
+  plannedStops: [{ name: 'stop-1', backendServer: 'model-1', startsAt: 1 }, { name: 'stop-2', availabilityZone: 'venkov-a', startsAt: 1, endsAt: 2 }]
 })
 
 const join = (chunks: readonly ConfigurationChunk[]): Sheet => joinChunksToSheet(chunks.map(({ bytes }) => {
--- a/src/services/backendHealth/index.ts
+++ b/src/services/backendHealth/index.ts
@@ -64,6 +64,9 @@
 const isInForce = (stop: PlannedStop, wallTime: number): boolean =>
   wallTime >= stop.startsAt && (stop.endsAt === undefined || wallTime < stop.endsAt)
 
+const covers = (stop: PlannedStop, backendServer: string, zone: string | undefined): boolean =>
+  stop.availabilityZone === undefined ? stop.backendServer === backendServer : stop.availabilityZone === zone
+
 /**
  * Creates the health service of one node.
  *
@@ -100,7 +103,9 @@
 
   const isStopped = (backendServer: string): boolean => {
     const stops = configuration.current()?.sheet.plannedStops ?? []
-    return stops.some((stop) => stop.backendServer === backendServer && isInForce(stop, clock.wallTime()))
+    if (stops.length === 0) return false
+    const zone = listServers().find(({ name }) => name === backendServer)?.availabilityZone
+    return stops.some((stop) => covers(stop, backendServer, zone) && isInForce(stop, clock.wallTime()))
   }
 
   const isLeaving = (backendServer: string): boolean => markSet.isLeaving(backendServer) || isStopped(backendServer)
--- a/src/services/backendHealth/test.ts
+++ b/src/services/backendHealth/test.ts
@@ -80,6 +80,12 @@
     expect(node.stateOf('engine-1')).toBe('live')
   })
 
+  it.each([['its own', 'venkov-a', 'leaving'], ['another', 'venkov-b', 'live']])('obeys a planned stop of a zone: %s', (_, availabilityZone, state) => {
+    const node = createNode()
+    node.applyStops({ name: 'stop-1', availabilityZone, startsAt: node.clock.wallTime() })
+    expect([node.stateOf('engine-0'), node.stateOf('engine-1')]).toEqual([state, state])
+  })
+
   it('keeps a planned stop to its times', async () => {
     const node = createNode()
     const startsAt = node.clock.wallTime() + 1000
--- a/src/types/configuration.ts
+++ b/src/types/configuration.ts
@@ -51,9 +51,13 @@
   readonly priority: RequestPriority
 }
 
-export type PlannedStop = {
+/** One backend server, or all of an availability zone. */
+export type PlannedStopTarget =
+  | { readonly backendServer: string, readonly availabilityZone?: never }
+  | { readonly availabilityZone: string, readonly backendServer?: never }
+
+export type PlannedStop = PlannedStopTarget & {
   readonly name: string
-  readonly backendServer: string
   /** Wall-clock milliseconds since 1970. */
   readonly startsAt: number
   /** Wall-clock milliseconds since 1970; absent when the stop has no end. */
