Give the source of a stand-in fleet a module, and compose gateway settings in one place

createKnowledgeFleet had grown to 260 lines with two watches that waited alike; its source stands in _lib/createKnowledgeSource, with one watch for both lists. The settings of a gateway among stand-ins stood in it and in the fixtures of tests alike; both take composeGatewaySettings now.

--- /dev/null
+++ b/src/emulator/createKnowledgeFleet/_lib/createKnowledgeSource.ts
@@ -0,0 +1,177 @@
+/**
+ * The source of a fleet on a manual clock: configuration, backend servers and
+ * zone drains, whose newest state is known at every moment, and which nodes reach it.
+ */
+import { failure, success } from '../../../kernel/index.js'
+import type {
+  BackendInstance, Clock, ConfigurationRecords, ConfigurationSource, GatewayConfiguration, InstanceSource, Result, SourcedConfiguration, SourceError, ZoneDrainChange, ZoneDrainSource
+} from '../../../types/index.js'
+
+export type KnowledgeSource = {
+  /** The source as one node meets it. */
+  readonly connect: (node: number) => {
+    readonly configurationSource: ConfigurationSource
+    readonly instanceSource: InstanceSource
+    readonly zoneDrainSource: ZoneDrainSource
+  }
+  readonly applyVersion: () => void
+  readonly putInstance: (id: string, changes?: Partial<BackendInstance>) => void
+  readonly removeInstance: (id: string) => void
+  readonly beginDrain: (zone: string) => void
+  readonly endDrain: (zone: string) => void
+  /** The version that was the newest at a moment of the clock. */
+  readonly newestAt: (at: number) => number
+  readonly setReached: (node: number, isReached: boolean) => void
+  readonly countCalls: () => number
+}
+
+/** Time between two looks of a waiting watch, in milliseconds. */
+const WATCH_STEP_MS = 10
+/** Time that a call takes, and that one takes to fail at a node which doesn't reach the source. */
+const SOURCE_DELAY_MS = 4
+const UNREACHED_MS = 500
+
+const createConfiguration = (version: number): GatewayConfiguration => ({
+  version,
+  routes: [],
+  services: new Map(),
+  limits: { maximumHeaderBytes: 1, maximumBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  needsKeys: false,
+  accountsByKey: new Map()
+})
+
+type RouteRecord = { readonly name: string, readonly host: string, readonly version: number }
+
+const createRoute = (place: number, version: number): RouteRecord => ({ name: `route-${place}`, host: `${place}.shop.example`, version })
+
+/** Sourced configurations whose unchanged records are the same objects, as a source gives them. */
+const createSourcing = (routes: number) => {
+  const known = new Map<string, RouteRecord>()
+
+  const intern = (record: RouteRecord): RouteRecord => {
+    const key = `${record.name} ${record.version}`
+    const earlier = known.get(key) ?? record
+    known.set(key, earlier)
+    return earlier
+  }
+
+  const listRoutes = (version: number): readonly RouteRecord[] =>
+    Array.from({ length: routes }, (_, place) => intern(createRoute(place, place === routes - 1 ? version : 0)))
+
+  return {
+    read: (version: number): SourcedConfiguration => ({ configuration: createConfiguration(version), records: { rest: [version], routes: listRoutes(version) }, revision: version }),
+    decode: (records: ConfigurationRecords, revision: number): SourcedConfiguration =>
+      ({ configuration: createConfiguration(Number(records['rest']?.[0])), records: { ...records, routes: (records['routes'] as readonly RouteRecord[]).map(intern) }, revision })
+  }
+}
+
+const createInstance = (id: string, changes: Partial<BackendInstance>): BackendInstance => ({
+  id, service: 'engines', address: { host: id, port: 1 }, availabilityZone: 'zone-0', slots: 8, isLeaving: false, incarnation: 1, warmUpMs: 0, ...changes
+})
+
+const wait = (clock: Clock, ms: number): Promise<void> => new Promise((resolve) => { clock.setTimer(ms, resolve) })
+
+type Change<Value> = { readonly revision: number, readonly value: Value }
+
+/** Creates the source; `routes` is the number of routes in each configuration. */
+export const createKnowledgeSource = (clock: Clock, routes: number): KnowledgeSource => {
+  const versions: { readonly at: number, readonly version: number }[] = [{ at: -Infinity, version: 1 }]
+  const instances = new Map<string, BackendInstance>()
+  const instanceChanges: Change<string>[] = []
+  const drained = new Set<string>()
+  const drainChanges: Change<ZoneDrainChange>[] = []
+  const unreached = new Set<number>()
+  let revision = 1
+  let calls = 0
+
+  const newestAt = (at: number): number => versions.findLast((entry) => entry.at <= at)?.version ?? 0
+
+  const note = <Value>(changes: Change<Value>[], value: Value): void => {
+    revision += 1
+    changes.push({ revision, value })
+  }
+
+  const failUnreached = async (): Promise<Result<never, SourceError>> => {
+    await wait(clock, UNREACHED_MS)
+    return failure({ kind: 'unavailable', message: 'cut off' })
+  }
+
+  /** A reply shows the source at the middle of its way. */
+  const call = async <Value>(node: number, read: () => Value): Promise<Result<Value, SourceError>> => {
+    calls += 1
+    await wait(clock, SOURCE_DELAY_MS / 2)
+    if (unreached.has(node)) return failUnreached()
+    const value = read()
+    await wait(clock, SOURCE_DELAY_MS / 2)
+    return success(value)
+  }
+
+  /** Waits until something changed after `since`, or for `waitMs`. */
+  const watch = async <Value>(node: number, changes: readonly Change<Value>[], since: number, waitMs: number): Promise<Result<readonly Value[], SourceError>> => {
+    const endsAt = clock.now() + waitMs
+    calls += 1
+    const listNew = (): readonly Value[] => changes.filter((change) => change.revision > since).map(({ value }) => value)
+    while (clock.now() < endsAt && !unreached.has(node) && listNew().length === 0) await wait(clock, WATCH_STEP_MS)
+    return unreached.has(node) ? failUnreached() : success(listNew())
+  }
+
+  const createConfigurationSource = (node: number): ConfigurationSource => {
+    const sourcing = createSourcing(routes)
+    return {
+      read: () => call(node, () => sourcing.read(newestAt(clock.now()))),
+      decode: (records, configurationRevision) => success(sourcing.decode(records, configurationRevision))
+    }
+  }
+
+  const describeInstance = (name: string) => {
+    const instance = instances.get(name)
+    return instance === undefined ? { name, isRemoved: true } : { name, isRemoved: false, instance }
+  }
+
+  const createInstanceSource = (node: number): InstanceSource => ({
+    list: () => call(node, () => ({ entries: [...instances.values()].map((instance) => ({ name: instance.id, instance })), revision })),
+    watch: async (since, waitMs) => {
+      const changed = await watch(node, instanceChanges, since, waitMs)
+      return changed.ok ? success({ changes: [...new Set(changed.value)].map(describeInstance), revision }) : changed
+    }
+  })
+
+  const createZoneDrainSource = (node: number): ZoneDrainSource => ({
+    list: () => call(node, () => ({ zones: [...drained], revision })),
+    watch: async (since, waitMs) => {
+      const changed = await watch(node, drainChanges, since, waitMs)
+      return changed.ok ? success({ changes: changed.value, revision }) : changed
+    }
+  })
+
+  return {
+    connect: (node) => ({
+      configurationSource: createConfigurationSource(node),
+      instanceSource: createInstanceSource(node),
+      zoneDrainSource: createZoneDrainSource(node)
+    }),
+    applyVersion: () => { versions.push({ at: clock.now(), version: newestAt(clock.now()) + 3 }) },
+    putInstance: (id, changes = {}) => {
+      instances.set(id, createInstance(id, changes))
+      note(instanceChanges, id)
+    },
+    removeInstance: (id) => {
+      instances.delete(id)
+      note(instanceChanges, id)
+    },
+    beginDrain: (zone) => {
+      drained.add(zone)
+      note(drainChanges, { zone, isEnded: false })
+    },
+    endDrain: (zone) => {
+      drained.delete(zone)
+      note(drainChanges, { zone, isEnded: true })
+    },
+    newestAt,
+    setReached: (node, isReached) => {
+      if (isReached) unreached.delete(node)
+      else unreached.add(node)
+    },
+    countCalls: () => calls
+  }
+}
--- a/test/platform/_lib/startGatewayFleet.ts
+++ b/test/platform/_lib/startGatewayFleet.ts
@@ -10,6 +10,7 @@
 import { createStoreClient, type StoreClient } from '../../../platform/createStoreClient/index.js'
 import { createPlatform, type PlatformOptions, type PlatformStandIn } from '../../../platform/standIn/createPlatform/index.js'
 import { startGateway, type Gateway } from '../../../src/daemon/startGateway/index.js'
+import { composeGatewaySettings } from '../../../src/emulator/composeGatewaySettings/index.js'
 import type { GatewaySettings, LogFields, Logger, PeerAddress } from '../../../src/types/index.js'
 
 export type LogLine = LogFields & { readonly message: string }
@@ -46,28 +47,6 @@
   }
 }
 
-const createSettings = (name: string, seedPeers: readonly PeerAddress[], changes: Partial<GatewaySettings>): GatewaySettings => ({
-  nodeId: name,
-  availabilityZone: 'zone-a',
-  callerAddress: { host: '127.0.0.1', port: 0 },
-  readinessAddress: { host: '127.0.0.1', port: 0 },
-  metricsAddress: undefined,
-  peerAddress: { host: '127.0.0.1', port: 0 },
-  seedPeers,
-  fleetKey: 'fleet-of-the-test',
-  isFirstStart: true,
-  graceMs: 4_000,
-  keyRevocationMs: 5_000,
-  configurationDelayMs: 2_000,
-  serverDrainMs: 2_000,
-  repeatRatio: 0.2,
-  repeatExtra: 50,
-  repeatWindowMs: 10_000,
-  loadFactor: 2,
-  logLevel: 'debug',
-  ...changes
-})
-
 /**
  * Starts store, backends and gateways, and waits until each gateway is ready.
  *
@@ -84,7 +63,7 @@
     clients[index]?.close()
     clients[index] = client
     return await startGateway({
-      settings: createSettings(`node-${index + 1}`, gateways.slice(0, index).map(({ peerAddress }) => peerAddress), options.settings ?? {}),
+      settings: composeGatewaySettings(`node-${index + 1}`, { seedPeers: gateways.slice(0, index).map(({ peerAddress }) => peerAddress), logLevel: 'debug', ...options.settings }),
       logger: createLogger(logs),
       dialect: createDialect(),
       configurationSource: createConfigurationSource(client),
