--- a/src/services/instanceRegistry/index.ts
+++ b/src/services/instanceRegistry/index.ts
@@ -108,6 +108,7 @@
     // A leaving mark stays until the server starts anew: an older copy of its entry still says ready.
     const isLeaving = instance.isLeaving || (known?.isLeaving === true && known.incarnation === instance.incarnation)
     const next = { ...instance, isLeaving }
+    if (known !== undefined && known.incarnation !== next.incarnation) warmUps.forget(known)
     const isWarmUpLater = warmUps.note(next, origin)
     if (isWarmUpLater || !isSameEntry(known, next)) changes.note(name)
     instances.set(name, next)
