Ask a silent router before suspecting it, and a newcomer's peers for all members thrice

Cause: in a fleet of more than 13 nodes each router watches a few others by a ring over the members that it knows. While views differ, a router waits for heartbeats that rightly go to somebody else, suspects the sender, and its rumour and the refutation keep the views apart. Of 75 nodes on a manual clock, no packet lost, 30 and more lacked live members 8 to 14 s after a start of all at once, and again for 8 s after the restart of ten; one to four of them ranked others for the sums of load, took none, and knew of nobody's requests.

Change: a router that has not heard from one that it watches for half of the time to suspicion asks it for a heartbeat. A router that has just started asks a random peer for all members after one, two and three seconds, and what it learns so is no news to tell on.

--- /dev/null
+++ b/src/bench/crowd/_lib/playCrowd.ts
@@ -0,0 +1,179 @@
+/**
+ * A crowd of returning prompts before a fleet of gateway nodes on a manual clock,
+ * while engines are added: how many requests reach an engine that holds more than
+ * the promised multiple of the mean. Nodes know each other's requests as late as
+ * they do in a real fleet.
+ */
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { createKnowledgeFleet, type KnowledgeFleet } from '../../../emulator/createKnowledgeFleet/index.js'
+import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
+import { chooseInstance } from '../../../services/forwarding/_lib/chooseInstance.js'
+import type { GatewayNode } from '../../../node/createGatewayNode/index.js'
+import type { BackendInstance, GatewayRequest, PromptPart } from '../../../types/index.js'
+
+export type CrowdOptions = {
+  readonly seed: number
+  readonly nodesPerZone: number
+  readonly zones: number
+  readonly engines: number
+  /** Engines that are added while the crowd lasts, one after the other. */
+  readonly addedEngines: number
+  /** Engines that begin to leave while it lasts, one after the other; each serves on until the end. */
+  readonly leavingEngines: number
+  readonly requestsPerSecond: number
+  /** Prompts that are asked for again and again. */
+  readonly subjects: number
+  /** How much more often the first ones are asked for: 0 where all are alike, 1 where the first tenth gets a third. */
+  readonly skew: number
+  /** Mean milliseconds that a request stays at its engine. */
+  readonly holdMs: number
+  readonly playedMs: number
+}
+
+export type CrowdOutcome = {
+  readonly requests: number
+  /** Of these, at engines over the multiple when they arrived. */
+  readonly overLimit: number
+  /** Highest share over the limit in any five seconds. */
+  readonly worstShare: number
+  /** Tokens of shared parts that their engine did not keep. */
+  readonly tokensRead: number
+}
+
+/** The promise: no engine over so many times the mean, and so many requests more. */
+const LOAD_FACTOR = 2
+const LOAD_SLACK = 3
+const SLOTS = 16
+const SHARED_TOKENS = 8_000
+const OWN_TOKENS = 500
+const OUTPUT_TOKENS = 300
+const SETTLE_MS = 6_000
+const STEP_MS = 5
+const WINDOW_MS = 5_000
+const MS_PER_SECOND = 1_000
+
+const createRandom = (seed: number): (() => number) => {
+  const generator = xoroshiro128plus(seed)
+  return () => (generator.next() >>> 0) / 2 ** 32
+}
+
+const createParts = (subject: number, request: number): readonly PromptPart[] =>
+  [{ id: `subject-${subject}`, tokens: SHARED_TOKENS }, { id: `own-${request}`, tokens: OWN_TOKENS }]
+
+const createRequest = (id: number, subject: number, now: number): GatewayRequest => ({
+  requestId: String(id),
+  method: 'POST',
+  host: 'shop.example',
+  target: '/',
+  headers: [],
+  credential: undefined,
+  callerTimeoutMs: undefined,
+  lastEventId: undefined,
+  promptParts: createParts(subject, id),
+  tokens: { prompt: SHARED_TOKENS + OWN_TOKENS, output: OUTPUT_TOKENS },
+  receivedAt: now
+})
+
+const choose = (node: GatewayNode, request: GatewayRequest, random: () => number): BackendInstance | undefined => chooseInstance({
+  registry: node.resolve('instanceRegistry'),
+  health: node.resolve('instanceHealth'),
+  directory: node.resolve('promptDirectory'),
+  loadView: node.resolve('loadView'),
+  zoneDrains: node.resolve('zoneDrains'),
+  warmUp: node.resolve('warmUp'),
+  random: { next: random, nextId: () => '' },
+  regionByZone: new Map(),
+  availabilityZone: node.resolve('membership').self().availabilityZone,
+  readLoadFactor: () => LOAD_FACTOR
+}, { request, service: 'engines', bodyBytes: SHARED_TOKENS, tried: new Set(), allowedRegions: [] })?.instance
+
+type Arrival = { readonly at: number, readonly isOver: boolean }
+
+const findWorstShare = (arrivals: readonly Arrival[]): number => {
+  let worst = 0
+  for (let from = 0; from < (arrivals.at(-1)?.at ?? 0); from += MS_PER_SECOND) {
+    const inWindow = arrivals.filter(({ at }) => at >= from && at < from + WINDOW_MS)
+    if (inWindow.length > 0) worst = Math.max(worst, inWindow.filter(({ isOver }) => isOver).length / inWindow.length)
+  }
+  return worst
+}
+
+const nameEngine = (index: number): string => `engine-${String(index).padStart(3, '0')}`
+
+/** What engines hold in truth, whatever the nodes believe. */
+const createEngines = (fleet: KnowledgeFleet, zones: number) => {
+  const held = new Map<string, number>()
+  const kept = new Set<string>()
+  return {
+    add: (index: number): void => {
+      const id = nameEngine(index)
+      fleet.putInstance(id, { availabilityZone: `zone-${index % zones}`, slots: SLOTS })
+      held.set(`${id}@1`, 0)
+    },
+    isOver: (key: string): boolean => {
+      const mean = [...held.values()].reduce((sum, count) => sum + count, 0) / held.size
+      return (held.get(key) ?? 0) + 1 > LOAD_FACTOR * mean + LOAD_SLACK
+    },
+    leave: (index: number): void => { fleet.putInstance(nameEngine(index), { availabilityZone: `zone-${index % zones}`, slots: SLOTS, isLeaving: true }) },
+    change: (key: string, difference: number): void => { held.set(key, (held.get(key) ?? 0) + difference) },
+    /** Whether the engine kept the subject; it does from now on. */
+    keep: (key: string, subject: number): boolean => {
+      const place = `${key} ${subject}`
+      const wasKept = kept.has(place)
+      kept.add(place)
+      return wasKept
+    }
+  }
+}
+
+/**
+ * Plays a crowd.
+ *
+ * @param options - Sizes, rates and times in milliseconds.
+ * @returns What reached engines over the promised multiple.
+ *
+ * @example
+ * (await playCrowd(options)).worstShare // => 0.01
+ */
+export const playCrowd = async (options: CrowdOptions): Promise<CrowdOutcome> => {
+  const random = createRandom(options.seed)
+  const fleet = createKnowledgeFleet({ nodesPerZone: options.nodesPerZone, zones: options.zones, random })
+  const engines = createEngines(fleet, options.zones)
+  for (let index = 0; index < options.engines; index++) engines.add(index)
+  await fleet.start()
+  await fleet.clock.advanceAndSettle(SETTLE_MS)
+  const arrivals: Arrival[] = []
+  const startedAt = fleet.clock.now()
+  let tokensRead = 0
+  let added = 0
+  let left = 0
+
+  const arrive = (): void => {
+    const node = fleet.nodes[Math.floor(random() * fleet.nodes.length)]!
+    const subject = Math.floor(options.subjects * random() ** (1 + options.skew))
+    const request = createRequest(arrivals.length, subject, fleet.clock.now())
+    const instance = choose(node, request, random)
+    if (instance === undefined) return
+    const key = formatInstanceKey(instance)
+    arrivals.push({ at: fleet.clock.now() - startedAt, isOver: engines.isOver(key) })
+    if (!engines.keep(key, subject)) tokensRead += SHARED_TOKENS
+    engines.change(key, 1)
+    node.resolve('loadView').recordStart(key)
+    node.resolve('promptDirectory').record(request.promptParts, key)
+    fleet.clock.setTimer(-options.holdMs * Math.log(1 - random()), () => {
+      engines.change(key, -1)
+      node.resolve('loadView').recordEnd(key)
+    })
+  }
+
+  let due = 0
+  while (fleet.clock.now() - startedAt < options.playedMs) {
+    await fleet.clock.advanceAndSettle(STEP_MS)
+    const share = (fleet.clock.now() - startedAt) / options.playedMs
+    while (added < Math.floor(share * options.addedEngines)) engines.add(options.engines + added++)
+    while (left < Math.floor(share * options.leavingEngines)) engines.leave(left++)
+    for (due += options.requestsPerSecond * STEP_MS / MS_PER_SECOND; due >= 1; due--) arrive()
+  }
+  await fleet.stop()
+  return { requests: arrivals.length, overLimit: arrivals.filter(({ isOver }) => isOver).length, worstShare: findWorstShare(arrivals), tokensRead }
+}
--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -6,6 +6,7 @@
 const benches: Readonly<Record<string, () => Promise<Bench>>> = {
   configuration: async () => (await import('./configuration/index.js')).runConfigurationBench,
   controlTraffic: async () => (await import('./controlTraffic/index.js')).runControlTrafficBench,
+  crowd: async () => (await import('./crowd/index.js')).runCrowdBench,
   directory: async () => (await import('./directory/index.js')).runDirectoryBench,
   fairness: async () => (await import('./fairness/index.js')).runFairnessBench,
   fleetLoad: async () => (await import('./fleetLoad/index.js')).runFleetLoadBench,
--- a/src/services/knowledgeExchange/index.ts
+++ b/src/services/knowledgeExchange/index.ts
@@ -50,6 +50,9 @@
 /** News are collected for so long: a release changes several entries at once. */
 const NEWS_DELAY_MS = 20
 
+/** A reader's news of a version comes by then, where there is one. */
+const HINT_DELAY_MS = 100
+
 /**
  * Creates the exchange of one node.
  *
@@ -68,6 +71,7 @@
   let askedAt = -Infinity
   let turn = 0
   let isNewsDue = false
+  let isHintDue = false
   let timer: Timer | undefined
 
   const findReaders = (): Readers => selectReaders(membership.self().availabilityZone, membership.members())
@@ -151,11 +155,20 @@
     if (version > configuration.api.version() || !isKnown) askPeer(sender)
   }
 
-  /** A newer version on its way through heartbeats: who has it is asked, unless this node reads the source itself. */
+  /**
+   * A newer version on its way through heartbeats: who has it is asked, unless this node reads the source itself or
+   * hears of it from its reader within a moment. The member may have started lately and know no earlier version, so that
+   * its reply would be whole.
+   */
   const takeHeartbeat = (member: Member): void => {
     if (member.generation <= configuration.api.version()) return
     configuration.hint(member.generation)
-    if (!isReader()) askPeer(member)
+    if (isReader() || isHintDue) return
+    isHintDue = true
+    clock.setTimer(HINT_DELAY_MS, () => {
+      isHintDue = false
+      if (member.generation > configuration.api.version()) askPeer(member)
+    })
   }
 
   return {
--- a/src/services/membership/index.ts
+++ b/src/services/membership/index.ts
@@ -51,9 +51,14 @@
  */
 const SEEK_INTERVAL_MS = 150
 const SEEK_LIMIT_MS = 3_000
+/** Times that a router which has just started asks a peer for all members, and milliseconds between them. */
+const MEMBER_ASKS = 3
+const MEMBER_ASK_INTERVAL_MS = 1_000
 /** Ticks missed in a row from which this process must have been paused. */
 const PAUSE_TICKS = 3
 
+type HeartbeatMarks = Pick<Heartbeat, 'membersWanted' | 'echoWanted' | 'isRoster'>
+
 const isSame = (one: PeerAddress, other: PeerAddress): boolean => one.host === other.host && one.port === other.port
 
 /**
@@ -79,7 +84,8 @@
   const listeners: (() => void)[] = []
   let timer: Timer | undefined
   let lastTickAt = clock.now()
-  let seeksUntil = -Infinity
+  let startedAt = -Infinity
+  let memberAsks = 0
   // Wall time, so that a restarted router, which kept nothing, has a higher incarnation than before.
   let ownRecord: Member = {
     nodeId: settings.nodeId,
@@ -99,13 +105,13 @@
 
   const notify = (): void => { for (const listen of listeners) listen() }
 
-  const keep = (member: Member): void => {
+  const keep = (member: Member, isNews = true): void => {
     const before = peers.get(member.nodeId)
     if (before === member) return
     peers.set(member.nodeId, member)
     if (before?.state === member.state && before.incarnation === member.incarnation) return
     changedAt.set(member.nodeId, clock.now())
-    rumours.add(member.nodeId)
+    if (isNews || before !== undefined) rumours.add(member.nodeId)
     logger?.info('member changed', { member: member.nodeId, state: member.state, incarnation: member.incarnation })
     notify()
   }
@@ -117,11 +123,11 @@
     logger?.warn('refuted a rumour about this node', { state: heard.state, incarnation: refuted.incarnation })
   }
 
-  const merge = (member: Member): void => {
+  const merge = (member: Member, isNews = true): void => {
     if (member.nodeId === settings.nodeId) return mergeOwnRecord(member)
     const known = peers.get(member.nodeId)
     if (known === undefined && member.state === 'dead') return
-    keep(mergeMember(known, member))
+    keep(mergeMember(known, member), isNews)
   }
 
   const sendTo = (receiver: Member, news: readonly Member[]): void => {
@@ -130,13 +136,13 @@
     transport.send(receiver.address, { kind: 'heartbeat', member: self(), rumours: rumoursToTell, ...exchange.collect(receiver) })
   }
 
-  const sendHeartbeat = (address: PeerAddress, news: readonly Member[], membersWanted = false): void => {
-    transport.send(address, { kind: 'heartbeat', member: self(), rumours: news, ...(membersWanted ? { membersWanted } : {}) })
+  const sendHeartbeat = (address: PeerAddress, news: readonly Member[], marks: HeartbeatMarks = {}): void => {
+    transport.send(address, { kind: 'heartbeat', member: self(), rumours: news, ...marks })
   }
 
   const sendAllMembers = (newcomer: Member): void => {
     const all = [...peers.values()].filter((member) => member.nodeId !== newcomer.nodeId)
-    for (let start = 0; start < all.length; start += MEMBERS_PER_HEARTBEAT) sendHeartbeat(newcomer.address, all.slice(start, start + MEMBERS_PER_HEARTBEAT))
+    for (let start = 0; start < all.length; start += MEMBERS_PER_HEARTBEAT) sendHeartbeat(newcomer.address, all.slice(start, start + MEMBERS_PER_HEARTBEAT), { isRoster: true })
   }
 
   const onHeartbeat = (heartbeat: Heartbeat): void => {
@@ -148,8 +154,9 @@
     // The sender is up, yet the fleet holds it suspect or dead: it was paused or
     // cut off, and its own record can't win. Telling it lets it refute.
     if (held !== undefined && held.state !== member.state) sendHeartbeat(member.address, [held])
-    for (const rumour of heartbeat.rumours) merge(rumour)
+    for (const rumour of heartbeat.rumours) merge(rumour, heartbeat.isRoster !== true)
     if (heartbeat.membersWanted === true) sendAllMembers(member)
+    if (heartbeat.echoWanted === true) sendHeartbeat(member.address, [])
     exchange.deliver(heartbeat)
   }
 
@@ -164,6 +171,26 @@
     }
   }
 
+  // Two routers whose views differ don't agree on who watches whom: one that rightly sends its
+  // heartbeats to others would be suspected, and the rumours of it and its refutation keep the views apart.
+  const askSilent = (now: number): void => {
+    for (const nodeId of silence.findSilent(now, settings.suspectAfterMs / 2)) {
+      const peer = peers.get(nodeId)
+      if (peer?.state === 'live') sendHeartbeat(peer.address, [], { echoWanted: true })
+    }
+  }
+
+  // After a start of all at once the first peer knew hardly anybody when it was asked, and
+  // rumours of every join take many rounds.
+  const askForMembers = (now: number): void => {
+    if (memberAsks >= MEMBER_ASKS || now < startedAt + (memberAsks + 1) * MEMBER_ASK_INTERVAL_MS) return
+    const up = reachablePeers()
+    const peer = up[Math.floor(random.next() * up.length)]
+    if (peer === undefined) return
+    memberAsks += 1
+    sendHeartbeat(peer.address, [], { membersWanted: true })
+  }
+
   const declareDead = (now: number): void => {
     const graceMs = settings.deadAfterMs - settings.suspectAfterMs
     for (const [nodeId, peer] of peers) {
@@ -196,7 +223,7 @@
     const count = isAlone ? CONTACTS_PER_TICK_ALONE : CONTACTS_PER_TICK
     for (let contacted = 0; contacted < count && unknownAddresses.length > 0; contacted++) {
       const [address] = unknownAddresses.splice(Math.floor(random.next() * unknownAddresses.length), 1)
-      sendHeartbeat(address!, [], isAlone)
+      sendHeartbeat(address!, [], isAlone ? { membersWanted: true } : {})
     }
   }
 
@@ -216,8 +243,10 @@
     suspectSilent(now)
     declareDead(now)
     sendHeartbeats()
+    askSilent(now)
+    askForMembers(now)
     contactUnknownAddresses()
-    const isSeeking = reachablePeers().length === 0 && now < seeksUntil
+    const isSeeking = reachablePeers().length === 0 && now < startedAt + SEEK_LIMIT_MS
     timer = clock.setTimer(isSeeking ? SEEK_INTERVAL_MS : settings.heartbeatIntervalMs, tick)
   }
 
@@ -239,7 +268,7 @@
         onHeartbeat(heartbeat)
         return { kind: 'none' }
       })
-      seeksUntil = clock.now() + SEEK_LIMIT_MS
+      startedAt = clock.now()
       tick()
     },
     stop: () => timer?.cancel()
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -97,6 +97,10 @@
     readonly accountUsage?: readonly AccountUsage[]
     /** The sender knows no peers yet and asks for the whole list of members. */
     readonly membersWanted?: boolean
+    /** The rumours are members that the receiver asked for, and no news. */
+    readonly isRoster?: boolean
+    /** The sender has not heard from the receiver for a while and asks for a heartbeat. */
+    readonly echoWanted?: boolean
     /** The sender missed a digest and asks this receiver for full counts. */
     readonly loadWanted?: boolean
   }
--- a/test/platform/largeFleet.test.ts
+++ b/test/platform/largeFleet.test.ts
@@ -1,6 +1,7 @@
-/** What the nodes of a fleet too large for everybody to talk to everybody know of each other's requests. */
-import { afterEach, expect, test } from 'vitest'
-import { createKnowledgeFleet, type KnowledgeFleet } from '../../src/emulator/createKnowledgeFleet/index.js'
+/** What the nodes of a fleet too large for everybody to talk to everybody know of each other, and of each other's requests. */
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { afterEach, describe, expect, test } from 'vitest'
+import { createKnowledgeFleet, type KnowledgeFleet, type KnowledgeFleetOptions } from '../../src/emulator/createKnowledgeFleet/index.js'
 
 const KEYS = ['engine-1@1', 'engine-2@1']
 /** Two sums and the way of each. */
@@ -8,8 +9,13 @@
 
 const fleets: KnowledgeFleet[] = []
 
-const start = async (): Promise<KnowledgeFleet> => {
-  const fleet = createKnowledgeFleet({ nodesPerZone: 8, zones: 2, random: () => 0.5 })
+const createRandom = (seed: number): (() => number) => {
+  const generator = xoroshiro128plus(seed)
+  return () => (generator.next() >>> 0) / 2 ** 32
+}
+
+const start = async (options: Omit<KnowledgeFleetOptions, 'random'> = { nodesPerZone: 8, zones: 2 }, random: () => number = () => 0.5): Promise<KnowledgeFleet> => {
+  const fleet = createKnowledgeFleet({ ...options, random })
   fleets.push(fleet)
   fleet.putInstance('engine-1', { availabilityZone: 'zone-0' })
   fleet.putInstance('engine-2', { availabilityZone: 'zone-1' })
@@ -59,3 +65,40 @@
   const others = fleet.nodes.filter((_, index) => index !== 5)
   expect(new Set(others.map((node) => node.resolve('loadView').estimateInFlight(KEYS[0]!)))).toEqual(new Set([15]))
 })
+
+describe.each([1, 2, 3])('75 nodes that all start at once (seed %i)', (seed) => {
+  const SIZE = { nodesPerZone: 25, zones: 3 }
+  const RESTARTED = [5, 12, 20, 33, 41, 50, 58, 66, 70, 74]
+
+  const countLive = (fleet: KnowledgeFleet): readonly number[] =>
+    [...new Set(fleet.nodes.map((node) => node.resolve('membership').liveMembers().length))]
+
+  // Routers whose views differed suspected those that rightly sent their heartbeats to others; rumours and refutations kept the views apart for half a minute.
+  test('all know all within seconds, and through the restart of a tenth of them', async () => {
+    const fleet = await start(SIZE, createRandom(seed))
+    await fleet.clock.advanceAndSettle(2_000)
+    expect(countLive(fleet)).toEqual([75])
+    for (const index of RESTARTED) await fleet.restart(index)
+    await fleet.clock.advanceAndSettle(3_000)
+    expect(countLive(fleet)).toEqual([75])
+  })
+
+  // A node that ranks others for the sums of load takes none, knows of nobody's requests, and sends to full servers.
+  test('know the load of all after the restart of a tenth of them', async () => {
+    const fleet = await start(SIZE, createRandom(seed))
+    for (const node of fleet.nodes) node.resolve('loadView').recordStart(KEYS[0]!)
+    for (const index of RESTARTED) await fleet.restart(index)
+    await fleet.clock.advanceAndSettle(4_000)
+    const loads = fleet.nodes.map((node) => node.resolve('loadView').estimateInFlight(KEYS[0]!))
+    expect(new Set(loads)).toEqual(new Set([75 - RESTARTED.length]))
+  })
+
+  test('tell little once all know all', async () => {
+    const fleet = await start(SIZE, createRandom(seed))
+    await fleet.clock.advanceAndSettle(6_000)
+    const sumBytes = (): number => fleet.transports.reduce((sum, transport) => sum + (transport.bytesSent().get('heartbeat') ?? 0), 0)
+    const before = sumBytes()
+    await fleet.clock.advanceAndSettle(5_000)
+    expect((sumBytes() - before) / fleet.nodes.length / 5).toBeLessThan(1_024)
+  })
+})
