Take the seeded random source and the composed settings where they stood again

Benches, tests and the example on the platform each had a copy of one of them; numbers and settings are the same (the example's fleet key differs).

--- a/examples/platform/sendThroughGateway.ts
+++ b/examples/platform/sendThroughGateway.ts
@@ -11,32 +11,12 @@
 import { createBackendStandIn } from '../../platform/standIn/createBackendStandIn/index.js'
 import { createStoreServer } from '../../platform/standIn/createStoreServer/index.js'
 import { startGateway } from '../../src/daemon/startGateway/index.js'
+import { composeGatewaySettings } from '../../src/emulator/composeGatewaySettings/index.js'
 import type { GatewaySettings, Logger, PeerAddress } from '../../src/types/index.js'
 
 export type ExampleTurn = { readonly status: number, readonly backendServer: string, readonly events: number }
 
-const LOOPBACK: PeerAddress = { host: '127.0.0.1', port: 0 }
-
-const SETTINGS: GatewaySettings = {
-  nodeId: 'example',
-  availabilityZone: 'zone-a',
-  callerAddress: LOOPBACK,
-  readinessAddress: LOOPBACK,
-  metricsAddress: undefined,
-  peerAddress: LOOPBACK,
-  seedPeers: [],
-  fleetKey: 'example',
-  isFirstStart: true,
-  graceMs: 8_000,
-  keyRevocationMs: 5_000,
-  configurationDelayMs: 2_000,
-  serverDrainMs: 2_000,
-  repeatRatio: 0.2,
-  repeatExtra: 50,
-  repeatWindowMs: 10_000,
-  loadFactor: 2,
-  logLevel: 'info'
-}
+const SETTINGS: GatewaySettings = composeGatewaySettings('example', { graceMs: 8_000 })
 
 const CONFIGURATION = {
   version: 1,
--- a/src/bench/crowd/_lib/playCrowd.ts
+++ b/src/bench/crowd/_lib/playCrowd.ts
@@ -4,7 +4,7 @@
  * the promised multiple of the mean. Nodes know each other's requests as late as
  * they do in a real fleet.
  */
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { createSeededRandom } from '../../../adapters/seededRandom/index.js'
 import { createKnowledgeFleet, type KnowledgeFleet } from '../../../emulator/createKnowledgeFleet/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 import { chooseInstance } from '../../../services/forwarding/_lib/chooseInstance.js'
@@ -52,11 +52,6 @@
 const WINDOW_MS = 5_000
 const MS_PER_SECOND = 1_000
 
-const createRandom = (seed: number): (() => number) => {
-  const generator = xoroshiro128plus(seed)
-  return () => (generator.next() >>> 0) / 2 ** 32
-}
-
 const createParts = (subject: number, request: number): readonly PromptPart[] =>
   [{ id: `subject-${subject}`, tokens: SHARED_TOKENS }, { id: `own-${request}`, tokens: OWN_TOKENS }]
 
@@ -136,7 +131,7 @@
  * (await playCrowd(options)).worstShare // => 0.01
  */
 export const playCrowd = async (options: CrowdOptions): Promise<CrowdOutcome> => {
-  const random = createRandom(options.seed)
+  const random = createSeededRandom(options.seed).next
   const fleet = createKnowledgeFleet({ nodesPerZone: options.nodesPerZone, zones: options.zones, random })
   const engines = createEngines(fleet, options.zones)
   for (let index = 0; index < options.engines; index++) engines.add(index)
--- a/src/bench/warmUp/index.ts
+++ b/src/bench/warmUp/index.ts
@@ -4,7 +4,7 @@
  * nodes with an equal part each that they save up. Every node has a request for the
  * server at any moment.
  */
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { createSeededRandom } from '../../adapters/seededRandom/index.js'
 import { shareWarmUp } from '../../decisions/shareWarmUp/index.js'
 import { rankMembers } from '../../decisions/rankMembers/index.js'
 import type { Member } from '../../types/index.js'
@@ -66,11 +66,6 @@
   'halves that never met': (members, self) => members.filter((member) => members.indexOf(member) % 2 === members.indexOf(self) % 2)
 }
 
-const createRandom = (seed: number): Random => {
-  const generator = xoroshiro128plus(seed)
-  return () => (generator.next() >>> 0) / 2 ** 32
-}
-
 const createMember = (index: number): Member =>
   ({ nodeId: `node-${index}`, incarnation: 1, address: { host: `node-${index}`, port: 1 }, availabilityZone: 'zone', state: 'live', generation: 1 })
 
@@ -85,7 +80,7 @@
 }
 
 const play = (size: number, way: Way, view: View, seed: number): readonly Cell[] => {
-  const random = createRandom(seed)
+  const random = createSeededRandom(seed).next
   const members = Array.from({ length: size }, (_, index) => createMember(index))
   const nodes = members.map((self) => ({ maySend: way(self, view(members, self, random)), frozenUntil: 0 }))
   const sends: number[] = []
--- a/src/services/warmUp/test.ts
+++ b/src/services/warmUp/test.ts
@@ -1,6 +1,6 @@
 /** What all nodes together send to one warming server, by seeded fleets whose nodes see different members. */
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { describe, expect, test } from 'vitest'
+import { createSeededRandom } from '../../adapters/seededRandom/index.js'
 import { createWarmUp } from './index.js'
 import type { WarmUp, WarmUpDependencies } from './index.js'
 import { createManualClock, type ManualClock } from '../../emulator/createManualClock/index.js'
@@ -15,11 +15,6 @@
 const PLAYED_MS = 8_000
 const STEP_MS = 20
 
-const createRandom = (seed: number): (() => number) => {
-  const generator = xoroshiro128plus(seed)
-  return () => (generator.next() >>> 0) / 2 ** 32
-}
-
 const createMember = (index: number): Member =>
   ({ nodeId: `node-${index}`, incarnation: 1, address: { host: `node-${index}`, port: 1 }, availabilityZone: `zone-${index % 3}`, state: 'live', generation: 1 })
 
@@ -57,7 +52,7 @@
 
 /** Most sends in any one second, and sends a second, while nodes freeze for a while and wake with all their requests. */
 const playFleet = (size: number, seed: number, view: View): { readonly most: number, readonly perSecond: number } => {
-  const random = createRandom(seed)
+  const random = createSeededRandom(seed).next
   const clock = createManualClock()
   const members = Array.from({ length: size }, (_, index) => createMember(index))
   const nodes = members.map((self) => ({ warmUp: createNode({ clock, self, members: view(members, self, random) }), frozenUntil: 0 }))
--- a/test/platform/largeFleet.test.ts
+++ b/test/platform/largeFleet.test.ts
@@ -1,6 +1,6 @@
 /** What the nodes of a fleet too large for everybody to talk to everybody know of each other, and of each other's requests. */
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { afterEach, describe, expect, test } from 'vitest'
+import { createSeededRandom } from '../../src/adapters/seededRandom/index.js'
 import { createKnowledgeFleet, type KnowledgeFleet, type KnowledgeFleetOptions } from '../../src/emulator/createKnowledgeFleet/index.js'
 
 const KEYS = ['engine-1@1', 'engine-2@1']
@@ -9,11 +9,6 @@
 
 const fleets: KnowledgeFleet[] = []
 
-const createRandom = (seed: number): (() => number) => {
-  const generator = xoroshiro128plus(seed)
-  return () => (generator.next() >>> 0) / 2 ** 32
-}
-
 const start = async (options: Omit<KnowledgeFleetOptions, 'random'> = { nodesPerZone: 8, zones: 2 }, random: () => number = () => 0.5): Promise<KnowledgeFleet> => {
   const fleet = createKnowledgeFleet({ ...options, random })
   fleets.push(fleet)
@@ -75,7 +70,7 @@
 
   // Routers whose views differed suspected those that rightly sent their heartbeats to others; rumours and refutations kept the views apart for half a minute.
   test('all know all within seconds, and through the restart of a tenth of them', async () => {
-    const fleet = await start(SIZE, createRandom(seed))
+    const fleet = await start(SIZE, createSeededRandom(seed).next)
     await fleet.clock.advanceAndSettle(2_000)
     expect(countLive(fleet)).toEqual([75])
     for (const index of RESTARTED) await fleet.restart(index)
@@ -85,7 +80,7 @@
 
   // A node that ranks others for the sums of load takes none, knows of nobody's requests, and sends to full servers.
   test('know the load of all after the restart of a tenth of them', async () => {
-    const fleet = await start(SIZE, createRandom(seed))
+    const fleet = await start(SIZE, createSeededRandom(seed).next)
     for (const node of fleet.nodes) node.resolve('loadView').recordStart(KEYS[0]!)
     for (const index of RESTARTED) await fleet.restart(index)
     await fleet.clock.advanceAndSettle(4_000)
@@ -94,7 +89,7 @@
   })
 
   test('tell little once all know all', async () => {
-    const fleet = await start(SIZE, createRandom(seed))
+    const fleet = await start(SIZE, createSeededRandom(seed).next)
     await fleet.clock.advanceAndSettle(6_000)
     const sumBytes = (): number => fleet.transports.reduce((sum, transport) => sum + (transport.bytesSent().get('heartbeat') ?? 0), 0)
     const before = sumBytes()
--- a/test/platform/readers.test.ts
+++ b/test/platform/readers.test.ts
@@ -1,17 +1,12 @@
 /** Few nodes of a zone read the source; what the others believe, and how soon, by interleavings on a manual clock. */
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { afterEach, describe, expect, test } from 'vitest'
+import { createSeededRandom } from '../../src/adapters/seededRandom/index.js'
 import { createKnowledgeFleet, type KnowledgeFleet, type KnowledgeFleetOptions } from '../../src/emulator/createKnowledgeFleet/index.js'
 
 const fleets: KnowledgeFleet[] = []
 
-const createRandom = (seed: number): (() => number) => {
-  const generator = xoroshiro128plus(seed)
-  return () => (generator.next() >>> 0) / 2 ** 32
-}
-
 const start = async (options: Omit<KnowledgeFleetOptions, 'random'>, seed = 1): Promise<KnowledgeFleet> => {
-  const fleet = createKnowledgeFleet({ ...options, random: createRandom(seed) })
+  const fleet = createKnowledgeFleet({ ...options, random: createSeededRandom(seed).next })
   fleets.push(fleet)
   fleet.putInstance('engine-1')
   fleet.putInstance('engine-2')
@@ -251,7 +246,7 @@
  */
 describe.each([1, 2, 3, 4, 5, 6, 7, 8])('in the interleaving of seed %i', (seed) => {
   test('no node takes its proof for younger than it is, or goes back, and all agree in the end', async () => {
-    const random = createRandom(seed)
+    const random = createSeededRandom(seed).next
     const fleet = await start({ nodesPerZone: 4, zones: 2 }, seed)
     const pick = (count: number): number => Math.floor(random() * count)
     const highest = fleet.nodes.map(() => 0)
