Log where a request waited, and what placement believed of the load

Callers saw streams cut by nodes that stop, and servers over the load multiple; the logs could not say where a request had waited inside a node, nor what the node believed of the load when it chose.

request complete and request ended now carry the time to body, send, connection and head; request sent carries the believed load of the server, the mean and the bound, and how many candidates were under it. Nothing else changes.

--- a/src/decisions/placeRequest/index.ts
+++ b/src/decisions/placeRequest/index.ts
@@ -34,6 +34,11 @@
   /** Bytes that travel between zones when the server is in another one than the node. */
   readonly expectedBytes: number
   readonly availabilityZone: string
+  /**
+   * Requests in flight a backend server, over the whole service: servers that may not get this request
+   * count as well. Left out, the mean of the candidates takes its place.
+   */
+  readonly meanLoad?: number
 }
 
 export type PlacementWeights = {
@@ -110,11 +115,21 @@
   return best
 }
 
-/** The load that a server may have before it gets no more of a crowd. */
-const computeBound = (candidates: readonly InstanceCandidate[], weights: PlacementWeights): number => {
-  const mean = candidates.reduce((sum, candidate) => sum + candidate.load, 0) / candidates.length
-  return weights.boundFactor * mean + weights.boundSlack
-}
+const computeMeanLoad = (candidates: readonly InstanceCandidate[]): number =>
+  candidates.reduce((sum, candidate) => sum + candidate.load, 0) / candidates.length
+
+/**
+ * The load that a server may have, the request to be placed included, before it gets no more of a crowd.
+ *
+ * @param meanLoad - Requests in flight a backend server.
+ * @param weights - Factor and slack of the bound.
+ * @returns The bound in requests.
+ *
+ * @example
+ * computeLoadBound(10, { boundFactor: 2, boundSlack: 3 }) // => 23
+ */
+export const computeLoadBound = (meanLoad: number, { boundFactor, boundSlack }: Pick<PlacementWeights, 'boundFactor' | 'boundSlack'>): number =>
+  boundFactor * meanLoad + boundSlack
 
 /**
  * Chooses among the candidates.
@@ -141,7 +156,7 @@
   weights: PlacementWeights = defaultPlacementWeights
 ): PromptPlacement | undefined => {
   if (candidates.length === 0) return undefined
-  const bound = computeBound(candidates, weights)
+  const bound = computeLoadBound(question.meanLoad ?? computeMeanLoad(candidates), weights)
   const home = findFirstRanked(question.affinityKey, candidates)
   const sources = findBestKeepers(keepers)
   const remoteWay = weights.tokensPerRemoteKilobyte * question.expectedBytes / 1024
--- a/src/services/forwarding/_lib/chooseInstance.ts
+++ b/src/services/forwarding/_lib/chooseInstance.ts
@@ -1,6 +1,6 @@
 /** The backend server for the next send of a request: what the node knows, put to `placeRequest`. */
-import { defaultPlacementWeights, placeRequest } from '../../../decisions/placeRequest/index.js'
-import type { InstanceCandidate, PromptKeeper } from '../../../decisions/placeRequest/index.js'
+import { computeLoadBound, defaultPlacementWeights, placeRequest } from '../../../decisions/placeRequest/index.js'
+import type { InstanceCandidate, PlacementWeights, PromptKeeper } from '../../../decisions/placeRequest/index.js'
 import { judgeInstance } from '../../../decisions/judgeInstance/index.js'
 import type { InstanceVerdict } from '../../../decisions/judgeInstance/index.js'
 import { selectVerdict } from '../../../decisions/selectVerdict/index.js'
@@ -52,10 +52,35 @@
   return usable.length > 0 ? usable : open
 }
 
+/** What the node believed of the load when it chose, in requests in flight. */
+export type LoadBelief = {
+  /** On the chosen server, before this request. */
+  readonly load: number
+  /** A server, over those that could get the request. */
+  readonly meanLoad: number
+  readonly bound: number
+  /** Servers that could get the request, and those of them under the bound. */
+  readonly candidates: number
+  readonly underBound: number
+}
+
 export type ChosenInstance = {
   readonly instance: BackendInstance
   /** Another one that keeps more of the prompt; leaving ones are asked too, while they last. */
   readonly copyPromptFrom: BackendInstance | undefined
+  readonly belief: LoadBelief
+}
+
+const describeBelief = (id: string, candidates: readonly InstanceCandidate[], weights: PlacementWeights): LoadBelief => {
+  const meanLoad = candidates.reduce((sum, { load }) => sum + load, 0) / candidates.length
+  const bound = computeLoadBound(meanLoad, weights)
+  return {
+    load: candidates.find((candidate) => candidate.id === id)?.load ?? 0,
+    meanLoad,
+    bound,
+    candidates: candidates.length,
+    underBound: candidates.filter(({ load }) => load + 1 <= bound).length
+  }
 }
 
 /**
@@ -90,14 +115,19 @@
     availabilityZone: instance.availabilityZone,
     slowness: handicapOf(instance)
   }))
+  const weights = { ...defaultPlacementWeights, boundFactor: BOUND_SHARE * dependencies.readLoadFactor() }
   const placement = placeRequest({
     affinityKey: shared.at(-1)?.id ?? '',
     sharedTokens: shared.reduce((sum, part) => sum + part.tokens, 0),
     expectedBytes: bodyBytes + (request.promptParts.length > 0 ? BYTES_PER_TOKEN * request.tokens.output : WHOLE_ANSWER_BYTES),
     availabilityZone: dependencies.availabilityZone
-  }, candidates, listKeepers(dependencies, choice, kept), random.next, { ...defaultPlacementWeights, boundFactor: BOUND_SHARE * dependencies.readLoadFactor() })
+  }, candidates, listKeepers(dependencies, choice, kept), random.next, weights)
   const instance = usable.find(({ id }) => id === placement?.id)
   if (instance === undefined) return undefined
   const source = placement?.copyFrom
-  return { instance, copyPromptFrom: source === undefined ? undefined : registry.find(source) ?? registry.removedLately().find(({ id }) => id === source) }
+  return {
+    instance,
+    copyPromptFrom: source === undefined ? undefined : registry.find(source) ?? registry.removedLately().find(({ id }) => id === source),
+    belief: describeBelief(instance.id, candidates, weights)
+  }
 }
--- a/src/services/forwarding/_lib/createRun.ts
+++ b/src/services/forwarding/_lib/createRun.ts
@@ -19,7 +19,7 @@
 import { isMoveDue } from '../../../decisions/isMoveDue/index.js'
 import { selectTarget } from '../../../decisions/selectTarget/index.js'
 import type {
-  CallerSink, ExchangeFailure, GatewayAccount, GatewayRequest, GatewayRoute, InstanceAnswer, LogFields
+  BackendInstance, CallerSink, ExchangeFailure, GatewayAccount, GatewayRequest, GatewayRoute, InstanceAnswer, LogFields
 } from '../../../types/index.js'
 import type { Run, RunContext } from './run.js'
 
@@ -137,7 +137,16 @@
     return isGranted
   }
 
-  const startSending = ({ instance, copyPromptFrom }: ChosenInstance, remainingMs: number, to: GatewayRoute, content: Uint8Array): void => {
+  /** How new what the node knows is, by revisions and ages. */
+  const describeKnowledge = (instance: BackendInstance): LogFields => ({
+    configurationVersion: context.configuration.version(),
+    keyAgeMs: Math.round(context.configuration.confirmedAgeMs()),
+    zoneDrainRevision: context.zoneDrains.revision(),
+    warmUpLeftMs: Math.round(context.warmUp.leftMs(instance))
+  })
+
+  const startSending = ({ instance, copyPromptFrom, belief }: ChosenInstance, remainingMs: number, to: GatewayRoute, content: Uint8Array): void => {
+    record.reach('sent')
     const current = createSending(instance, clock.now())
     const intake = createAnswerIntake(request, caller, listenTo(current))
     sending = current
@@ -147,11 +156,24 @@
     context.warmUp.noteSend(instance)
     context.directory.record(request.promptParts, formatInstanceKey(instance))
     if (copyPromptFrom !== undefined) metrics.count('gateway_prompt_copies')
-    record.log(sendsBegun++ === 0 ? 'request sent' : 'request sent again', { backendServer: instance.id, incarnation: instance.incarnation, remainingMs: Math.round(remainingMs), configurationVersion: context.configuration.version(), keyAgeMs: Math.round(context.configuration.confirmedAgeMs()), zoneDrainRevision: context.zoneDrains.revision(), warmUpLeftMs: Math.round(context.warmUp.leftMs(instance)), resumeAfter: caller.relay.lastEventId(), copyPromptFrom: copyPromptFrom?.id })
+    record.log(sendsBegun++ === 0 ? 'request sent' : 'request sent again', {
+      backendServer: instance.id,
+      incarnation: instance.incarnation,
+      remainingMs: Math.round(remainingMs),
+      ...describeKnowledge(instance),
+      load: belief.load,
+      meanLoad: Number(belief.meanLoad.toFixed(2)),
+      loadBound: Number(belief.bound.toFixed(2)),
+      candidates: belief.candidates,
+      underBound: belief.underBound,
+      resumeAfter: caller.relay.lastEventId(),
+      copyPromptFrom: copyPromptFrom?.id
+    })
     current.exchange = context.client.send(
       { request, body: content, instance, account: account?.name, remainingMs, priority: account?.priority ?? to.priority, resumeAfter: caller.relay.lastEventId(), copyPromptFrom: copyPromptFrom?.address },
       {
         onSent: () => {
+          record.reach('connected')
           current.isSent = true
           if (sending === current) mayHaveRun = true
           if (sending === current) sends += 1
@@ -170,6 +192,7 @@
 
   const takeHead = (current: Sending, answer: InstanceAnswer, intake: AnswerIntake): void => {
     notes.head(current, answer)
+    record.reach('head')
     record.noteFirstBytes(clock.now() - current.startedAt)
     intake.takeHead(answer)
   }
@@ -263,6 +286,7 @@
     },
     submit: (content) => {
       if (isDone) return
+      record.reach('body')
       body = content
       send()
     },
--- a/src/services/forwarding/_lib/createRunRecord.ts
+++ b/src/services/forwarding/_lib/createRunRecord.ts
@@ -7,7 +7,12 @@
 
 export type SendOutcome = 'complete' | 'refused' | 'errored' | 'broken' | 'notSent' | 'silent'
 
+/** What a request waits for before the first bytes of its answer, in this order. */
+export type RunStep = 'body' | 'sent' | 'connected' | 'head'
+
 export type RunRecord = {
+  /** Notes that a step was reached; only the first time counts. */
+  readonly reach: (step: RunStep) => void
   readonly log: (event: GatewayEvent, fields: LogFields) => void
   readonly countSend: (outcome: SendOutcome) => void
   readonly countRepeat: (isGranted: boolean) => void
@@ -24,11 +29,18 @@
   request: Pick<GatewayRequest, 'requestId' | 'receivedAt'>,
   readRoute: () => GatewayRoute | undefined
 ): RunRecord => {
+  const reached: Partial<Record<RunStep, number>> = {}
+
   const policy = (): string => readRoute()?.repeatPolicy ?? 'none'
 
   const log: RunRecord['log'] = (event, fields) => logger.info(event, { requestId: request.requestId, route: readRoute()?.name, ...fields })
 
+  /** Milliseconds from the request's arrival to each step that it reached. */
+  const listSteps = (): LogFields =>
+    Object.fromEntries(Object.entries(reached).map(([step, at]) => [`${step}Ms`, Math.round(at - request.receivedAt)]))
+
   return {
+    reach: (step) => { reached[step] ??= clock.now() },
     log,
     countSend: (outcome) => metrics.count('gateway_sends', { outcome }),
     countRepeat: (isGranted) => metrics.count('gateway_repeats', { granted: String(isGranted) }),
@@ -37,7 +49,7 @@
       const ms = clock.now() - request.receivedAt
       metrics.count('gateway_requests', { policy: policy(), outcome, reason: String(fields.reason ?? '') })
       metrics.observe('gateway_duration_seconds', ms / MILLISECONDS_PER_SECOND, { policy: policy(), outcome })
-      log(outcome === 'complete' ? 'request complete' : 'request ended', { outcome, ms: Math.round(ms), ...fields })
+      log(outcome === 'complete' ? 'request complete' : 'request ended', { outcome, ms: Math.round(ms), ...listSteps(), ...fields })
     }
   }
 }
