Read what callers closed during a pause before a request is sent on

Cause, by a test with a real process stopped by SIGSTOP while 20 callers send an order each and leave: all 20 orders reached a server and ran. The loop hands over the bytes of a request in one turn and the close behind them in the next.

A pulse of 250 ms notices that the process stood still for half a second, by either clock; for a quarter of a second after it each request waits 5 ms before it is sent. None of the 20 orders reaches a server now. Requests outside of a pause go on at once.

The test of the process failed before; those of the watch are new with it.

--- /dev/null
+++ b/src/adapters/gatewayHttp/_lib/createPauseWatch.test.ts
@@ -0,0 +1,51 @@
+import { describe, expect, test } from 'vitest'
+import { createPauseWatch } from './createPauseWatch.js'
+import { createManualClock } from '../../../emulator/createManualClock/index.js'
+
+const startWatch = () => {
+  const clock = createManualClock()
+  let stoodStillMs = 0
+  let suspendedMs = 0
+  const watch = createPauseWatch({ now: () => clock.now() + stoodStillMs, wallTime: () => clock.wallTime() + stoodStillMs + suspendedMs, setTimer: clock.setTimer })
+  const acts: string[] = []
+  return {
+    clock,
+    acts,
+    watch,
+    standStill: (ms: number): void => { stoodStillMs += ms },
+    suspend: (ms: number): void => { suspendedMs += ms },
+    act: (name: string): void => watch.whenSettled(() => { acts.push(name) })
+  }
+}
+
+describe('createPauseWatch', () => {
+  test('acts at once while the loop runs, and when it is a little late', async () => {
+    const { clock, acts, standStill, act } = startWatch()
+    await clock.advanceAndSettle(5_000)
+    standStill(400)
+    act('a')
+    expect(acts).toEqual(['a'])
+  })
+
+  test('notices that the VM was suspended', () => {
+    const { acts, suspend, act } = startWatch()
+    suspend(3_000)
+    act('a')
+    expect(acts).toEqual([])
+  })
+
+  // What was read right after a pause was sent on before the caller's close was seen.
+  test('waits a moment after a pause, with what comes soon after it too', async () => {
+    const { clock, acts, standStill, act } = startWatch()
+    standStill(3_000)
+    act('a')
+    await clock.advanceAndSettle(100)
+    act('b')
+    expect(acts).toEqual(['a'])
+    await clock.advanceAndSettle(10)
+    expect(acts).toEqual(['a', 'b'])
+    await clock.advanceAndSettle(1_000)
+    act('c')
+    expect(acts).toEqual(['a', 'b', 'c'])
+  })
+})
--- a/src/adapters/gatewayHttp/index.ts
+++ b/src/adapters/gatewayHttp/index.ts
@@ -8,6 +8,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { checkFraming } from './_lib/checkFraming.js'
+import { createPauseWatch } from './_lib/createPauseWatch.js'
 import { createSink } from './_lib/createSink.js'
 import { readBody } from './_lib/readBody.js'
 import { openEarlyListener } from '../earlyListener/index.js'
@@ -71,6 +72,7 @@
    * hidden in its body: it is read on only until the refusal is through.
    */
   const untrusted = new WeakSet<Socket>()
+  const pauses = createPauseWatch(clock)
   let isClosing = false
   let lastUsedAt = clock.now()
 
@@ -110,7 +112,7 @@
     const run = forwarding.begin(decoded.value, sink)
     response.on('close', () => { if (!response.writableFinished) run.cancel() })
     readBody(message, limits().maximumBodyBytes, {
-      onBody: run.submit,
+      onBody: (body) => pauses.whenSettled(() => run.submit(body)),
       onTooLarge: () => run.reject({ status: 413, reason: 'bodyTooLarge' }),
       onBroken: run.cancel
     })
@@ -163,6 +165,7 @@
     openConnections: () => sockets.size,
     lastUsedAt: () => lastUsedAt,
     close: () => {
+      pauses.stop()
       server.close()
       for (const socket of sockets) socket.destroy()
     }
--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -90,6 +90,25 @@
     expect([...platform.backends.values()].flatMap((backend) => backend.records()).filter(({ requestId }) => requestId === 'frozen')).toEqual([])
   })
 
+  // A process that wakes read a request and the close of its caller together, and sent the request to a server.
+  test('sends nothing on for a caller that left while it was frozen', async () => {
+    const platform = await startPlatform()
+    const node = await startNode(platform, 'node-1')
+    await waitUntilReady(node)
+    const served = platform.backends.size
+    for (let call = 0; call < served; call++) await callGateway(node.callerAddress, { path: '/order/1' })
+    node.signal('SIGSTOP')
+    const callers = Array.from({ length: 20 }, () => new AbortController())
+    const calls = callers.map(({ signal }) => callGateway(node.callerAddress, { path: '/order/2', requestId: 'left', body: 'x', signal }))
+    await new Promise((resolve) => { setTimeout(resolve, 300) })
+    for (const caller of callers) caller.abort()
+    await Promise.all(calls)
+    await new Promise((resolve) => { setTimeout(resolve, 1_000) })
+    node.signal('SIGCONT')
+    expect(await callGateway(node.callerAddress, { path: '/lookup/1' })).toMatchObject({ status: 200 })
+    expect([...platform.backends.values()].flatMap((backend) => backend.records()).filter(({ requestId }) => requestId === 'left')).toEqual([])
+  })
+
   test('is not ready while it knows no configuration, and says so to callers', async () => {
     const platform = await startPlatform()
     platform.store.setFault('silent')
