Sum the load of a large fleet as soon as all that a sum needs is there

Nodes believed 0 or 1 where 11 to 15 requests ran.

One cause of two is the age of the sums: each of the three stages waited for its share of the period (0.12 s of 0.4 s), so that a sum was a quarter of a second old when it came and two thirds when the next one did.

A zone's sum now goes out when every router of the zone has told its counts, the fleet's when every zone has; the stages' times are the latest.

The test of the early sum failed before (0 where 8 are in flight).

--- a/src/services/fleetLoad/_lib/createSnapshotStore.ts
+++ b/src/services/fleetLoad/_lib/createSnapshotStore.ts
@@ -11,12 +11,15 @@
   readonly sum: (now: number) => ReadonlyMap<number, number>
   /** Sources, those included that the next sum drops. */
   readonly size: () => number
+  /** Sources heard since the last sum. */
+  readonly newSources: () => number
 }
 
 type Entry = { readonly snapshot: LoadSnapshot, readonly counts: ReadonlyMap<number, number>, readonly at: number }
 
 export const createSnapshotStore = (maximumAgeMs: number): SnapshotStore => {
   const entries = new Map<string, Entry>()
+  const heard = new Set<string>()
 
   const isOutdated = (entry: Entry | undefined, snapshot: LoadSnapshot): boolean =>
     entry !== undefined && entry.snapshot.nodeId === snapshot.nodeId && entry.snapshot.sequence >= snapshot.sequence
@@ -24,10 +27,12 @@
   return {
     put: (snapshot, now) => {
       if (isOutdated(entries.get(snapshot.source), snapshot)) return false
+      heard.add(snapshot.source)
       entries.set(snapshot.source, { snapshot, counts: unpackLoadCounts(snapshot), at: now })
       return true
     },
     sum: (now) => {
+      heard.clear()
       const sums = new Map<number, number>()
       for (const [source, { counts, at }] of entries) {
         if (now - at > maximumAgeMs) {
@@ -38,6 +43,7 @@
       }
       return sums
     },
-    size: () => entries.size
+    size: () => entries.size,
+    newSources: () => heard.size
   }
 }
--- a/src/services/fleetLoad/index.ts
+++ b/src/services/fleetLoad/index.ts
@@ -52,7 +52,10 @@
 const DEFAULT_FAN_OUT = 2
 /** Periods after which the last snapshot of a silent source no longer counts. */
 const MAXIMUM_AGE_PERIODS = 4
-/** Shares of the period by wall time at which each stage runs, so that it finds the one before done. */
+/**
+ * Shares of the period by wall time at which each stage runs at the latest: a sum is made as soon as all that
+ * it needs is there, and waits no longer for a source that is slow or gone.
+ */
 const STAGES = { node: 0, zone: 0.3, fleet: 0.6 }
 
 /**
@@ -78,6 +81,8 @@
   const ranks = createZoneRanks(membership)
   const index = createServerIndex(dependencies.readServers)
   const stores: Readonly<Record<'node' | 'zone', Map<string, SnapshotStore>>> = { node: new Map(), zone: new Map() }
+  /** Groups whose sum of this period was made before its stage's time, by what was summed. */
+  const early: Readonly<Record<'node' | 'zone', Set<string>>> = { node: new Set(), zone: new Set() }
   const othersByServer = new Map<string, Others>()
   const listeners: ((backendServer: string) => void)[] = []
   const timers = new Map<string, Timer>()
@@ -140,17 +145,24 @@
     return [...groups].filter((group) => isSelf(ranks.rank(ownZone(), group)[0]))
   }
 
-  const publishZone = (): void => {
-    for (const group of listSummedGroups()) {
-      const snapshot = createSnapshot('zone', ownZone(), group, findStore('node', group).sum(clock.now()))
-      for (const routerZone of ranks.zones()) sendOrTake(ranks.rank(routerZone, group)[0], snapshot)
-    }
+  const publishZoneSum = (group: string): void => {
+    const snapshot = createSnapshot('zone', ownZone(), group, findStore('node', group).sum(clock.now()))
+    for (const routerZone of ranks.zones()) sendOrTake(ranks.rank(routerZone, group)[0], snapshot)
   }
 
-  const publishFleet = (): void => {
-    for (const group of listSummedGroups()) {
-      take(createSnapshot('fleet', ownZone(), group, findStore('zone', group).sum(clock.now())))
-    }
+  const publishFleetSum = (group: string): void => {
+    take(createSnapshot('fleet', ownZone(), group, findStore('zone', group).sum(clock.now())))
+  }
+
+  /** The sums that were not made before their stage's time. */
+  const publishRest = (scope: 'node' | 'zone', publish: (group: string) => void): void => {
+    for (const group of listSummedGroups()) if (!early[scope].delete(group)) publish(group)
+  }
+
+  const publishEarly = (scope: 'node' | 'zone', group: string, sources: number, publish: (group: string) => void): void => {
+    if (findStore(scope, group).newSources() < sources || !isInUse() || !isSelf(ranks.rank(ownZone(), group)[0])) return
+    early[scope].add(group)
+    publish(group)
   }
 
   const forward = (snapshot: LoadSnapshot): void => {
@@ -173,8 +185,14 @@
   }
 
   const takers: Readonly<Record<LoadSnapshot['scope'], (snapshot: LoadSnapshot) => void>> = {
-    node: (snapshot) => { findStore('node', snapshot.group).put(snapshot, clock.now()) },
-    zone: (snapshot) => { findStore('zone', snapshot.group).put(snapshot, clock.now()) },
+    node: (snapshot) => {
+      findStore('node', snapshot.group).put(snapshot, clock.now())
+      publishEarly('node', snapshot.group, ranks.rank(ownZone(), snapshot.group).length, publishZoneSum)
+    },
+    zone: (snapshot) => {
+      findStore('zone', snapshot.group).put(snapshot, clock.now())
+      publishEarly('zone', snapshot.group, ranks.zones().length, publishFleetSum)
+    },
     fleet: takeFleet
   }
 
@@ -204,8 +222,8 @@
         return { kind: 'none' }
       })
       schedule('node', publishNode)
-      schedule('zone', publishZone)
-      schedule('fleet', publishFleet)
+      schedule('zone', () => publishRest('node', publishZoneSum))
+      schedule('fleet', () => publishRest('zone', publishFleetSum))
     },
     stop: () => { for (const timer of timers.values()) timer.cancel() }
   }
--- a/src/services/fleetLoad/test.ts
+++ b/src/services/fleetLoad/test.ts
@@ -96,6 +96,25 @@
     expect(new Set(readAll('engine-0'))).toEqual(new Set([3]))
   })
 
+  // Sums that waited for the time of their stage were half a period old when they came, and a crowd had met at one server.
+  it('passes sums on as soon as all that they need is there', async () => {
+    const { clock, nodes, readAll } = createFleet(9)
+    await clock.advanceAndSettle(SETTLE_MS)
+    await clock.advanceAndSettle(PERIOD_MS - clock.wallTime() % PERIOD_MS - 1)
+    for (const { counts } of nodes) counts.set('engine-0', 1)
+    await clock.advanceAndSettle(PERIOD_MS / 10)
+    expect(new Set(readAll('engine-0'))).toEqual(new Set([8]))
+  })
+
+  it('does not wait for a router that is silent', async () => {
+    const { clock, network, nodes, readAll } = createFleet(9)
+    for (const { counts } of nodes) counts.set('engine-0', 1)
+    const silent = nodes[8]!
+    for (const other of nodes.slice(0, 8)) network.cut(silent.self.address, other.self.address)
+    await clock.advanceAndSettle(SETTLE_MS)
+    expect(readAll('engine-0').slice(0, 8)).toEqual(Array.from({ length: 8 }, () => 7))
+  })
+
   // A rolling release changes the list many times a second, and no two nodes hold the same one: all counts would be dropped.
   it('counts the load of servers that two lists share while the lists differ', async () => {
     const { clock, nodes, readAll } = createFleet(76)
