Choose the better of two servers that differ in load alone

Prompts whose keeper is in another zone or over the bound move to any server of the own zone at the same price, and the emptiest won the tie.

Among servers that cost the same but for load, two drawn at random are compared.

--- a/src/decisions/placeRequest/index.ts
+++ b/src/decisions/placeRequest/index.ts
@@ -5,6 +5,7 @@
  * each priced in prompt tokens that would have to be read.
  */
 import { hashText } from '../../hashing/index.js'
+import { groupBy } from '../../kernel/groupBy/index.js'
 
 export type InstanceCandidate = {
   readonly id: string
@@ -99,6 +100,19 @@
   return [...best.values()]
 }
 
+type Offer = { readonly candidate: InstanceCandidate, readonly copyFrom: string | undefined, readonly fixedCost: number, readonly cost: number }
+
+/**
+ * Of offers that differ in load alone, the better one of two drawn at random. Every node knows the same loads,
+ * some of them half a second old: if each took the emptiest server, all would meet there.
+ */
+const drawOffer = (alike: readonly Offer[], random: () => number): Offer => {
+  const first = Math.floor(random() * alike.length)
+  const second = (first + 1 + Math.floor(random() * (alike.length - 1))) % alike.length
+  const [one, other] = [alike[first]!, alike[second]!]
+  return one.cost <= other.cost ? one : other
+}
+
 type Reading = { readonly cost: number, readonly copyFrom: string | undefined }
 
 /** The cheapest way for a candidate to come to what it lacks of the prompt. */
@@ -162,17 +176,15 @@
   const remoteWay = weights.tokensPerRemoteKilobyte * question.expectedBytes / 1024
   const open = candidates.filter(({ load, slots }) => load + 1 <= bound && load < slots)
   const eligible = open.length > 0 ? open : [...candidates].sort((left, right) => left.load / left.slots - right.load / right.slots).slice(0, 1)
-  let best: PromptPlacement | undefined
-  let bestCost = Infinity
-  for (const candidate of eligible) {
+  const offers = eligible.map((candidate): Offer => {
     const reading = findReading(candidate, question.sharedTokens, sources, weights)
     const crowd = weights.tokensPerFullLoad * (candidate.load + 1) / candidate.slots * candidate.slowness
     const way = candidate.availabilityZone === question.availabilityZone ? 0 : remoteWay
     const credit = candidate.id === home?.id ? weights.homeShare * question.sharedTokens : 0
-    const cost = reading.cost + crowd + way - credit + random()
-    if (cost >= bestCost) continue
-    best = { id: candidate.id, copyFrom: reading.copyFrom }
-    bestCost = cost
-  }
-  return best
+    const fixedCost = reading.cost + way - credit
+    return { candidate, copyFrom: reading.copyFrom, fixedCost, cost: fixedCost + crowd }
+  })
+  const drawn = [...groupBy(offers, ({ fixedCost }) => fixedCost).values()].map((alike) => drawOffer(alike, random))
+  const best = drawn.reduce((one, other) => other.cost < one.cost ? other : one)
+  return { id: best.candidate.id, copyFrom: best.copyFrom }
 }
--- a/src/decisions/placeRequest/test.ts
+++ b/src/decisions/placeRequest/test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, test } from 'vitest'
 import { defaultPlacementWeights, placeRequest } from './index.js'
+import { createSeededRandom } from '../../adapters/seededRandom/index.js'
 import type { InstanceCandidate, PlacementQuestion, PromptKeeper } from './index.js'
 
 const createCandidate = (id: string, changes: Partial<InstanceCandidate> = {}): InstanceCandidate =>
@@ -120,4 +121,27 @@
     expect(defaultPlacementWeights.boundFactor).toBeLessThan(2)
     expect(defaultPlacementWeights.boundSlack).toBeLessThan(3)
   })
+
+  // All nodes of a zone moved prompts to the one server that was emptiest at the last sum, and took it over the promise.
+  test('keeps the promise where many nodes place by the same late loads', () => {
+    const random = createSeededRandom(7).next
+    const believed = [createCandidate('empty', { load: 0 }), ...createServers(13, { load: 3 })]
+    const keeper = createCandidate('keeper', { keptTokens: 8_000, load: 40 })
+    const loads = new Map(believed.map(({ id, load }) => [id, load]))
+    for (let node = 0; node < 25; node++) {
+      const id = place(createQuestion({ affinityKey: '', meanLoad: 3 }), [...believed, keeper], random, [keeper])!
+      loads.set(id, loads.get(id)! + 1)
+    }
+    const mean = [...loads.values()].reduce((sum, load) => sum + load, 0) / loads.size
+    expect(Math.max(...loads.values())).toBeLessThanOrEqual(2 * mean + 3)
+  })
+
+  test('takes the less loaded of two servers that are alike', () =>
+    expect(place(createQuestion({ affinityKey: '' }), [createCandidate('busy', { load: 6 }), createCandidate('idle', { load: 1 })], createSeededRandom(3).next)).toBe('idle'))
+
+  test('counts in the bound the servers that may not get the request', () => {
+    const servers = [createCandidate('kept', { keptTokens: 8_000, load: 11 }), ...createServers(5, { load: 4 })]
+    expect(place(createQuestion({ affinityKey: '' }), servers)).toBe('kept')
+    expect(place(createQuestion({ affinityKey: '', meanLoad: 3 }), servers)).not.toBe('kept')
+  })
 })
