Bound a server's load by the mean over all of its service

Cause: the bound is a multiple of the mean over the servers that may get the request, the promise one over all of the service. With a third of them drained, warming, held, leaving or tried, the bound is half as high again.

The mean is taken over every server of the service now.

Tests of chooseInstance failed before for drained, warming, held, leaving and tried servers.

--- /dev/null
+++ b/src/services/forwarding/_lib/chooseInstance.test.ts
@@ -0,0 +1,81 @@
+import { describe, expect, test } from 'vitest'
+import { chooseInstance } from './chooseInstance.js'
+import type { ChoiceDependencies } from './chooseInstance.js'
+import type { BackendInstance, GatewayRequest } from '../../../types/index.js'
+
+const SERVICE = 'engines'
+
+const createInstance = (id: string, availabilityZone: string, isLeaving = false): BackendInstance =>
+  ({ id, service: SERVICE, address: { host: id, port: 1 }, availabilityZone, slots: 64, isLeaving, incarnation: 1, warmUpMs: 0 })
+
+const REQUEST: GatewayRequest = {
+  requestId: 'r1',
+  method: 'POST',
+  host: 'shop.example',
+  target: '/',
+  headers: [],
+  credential: undefined,
+  callerTimeoutMs: undefined,
+  lastEventId: undefined,
+  promptParts: [{ id: 'menu', tokens: 8_000 }, { id: 'own', tokens: 100 }],
+  tokens: { prompt: 8_100, output: 100 },
+  receivedAt: 0
+}
+
+type Server = { readonly zone: string, readonly load: number, readonly isLeaving?: boolean, readonly isHeld?: boolean, readonly isWarming?: boolean }
+
+/** Chooses for a request whose shared part the server `keeper` has; zone `drained` is drained. */
+const choose = (servers: Readonly<Record<string, Server>>, tried: readonly string[] = []) => {
+  const instances = Object.entries(servers).map(([id, { zone, isLeaving }]) => createInstance(id, zone, isLeaving))
+  const dependencies: ChoiceDependencies = {
+    registry: {
+      list: () => instances.filter(({ isLeaving }) => !isLeaving),
+      find: (id) => instances.find((instance) => instance.id === id),
+      all: () => instances,
+      removedLately: () => [],
+      revision: () => 1,
+      isKnown: () => true,
+      warmUpLeftMs: () => 0,
+      markGone: () => {},
+      onChange: () => {}
+    },
+    health: { began: () => {}, ended: () => {}, heard: () => {}, record: () => {}, isHeld: ({ id }) => servers[id]?.isHeld === true, silentMs: () => 0, compareWith: () => () => 1, retain: () => {} },
+    directory: { record: () => {}, listKept: () => new Map([['keeper@1', 8_000]]), onLearnt: () => {} },
+    loadView: { recordStart: () => {}, recordEnd: () => {}, estimateInFlight: (key) => servers[key.split('@')[0]!]?.load ?? 0, ownInFlight: () => 0, applyReport: () => {} },
+    random: { next: () => 0.5, nextId: () => 'id' },
+    zoneDrains: { isDrained: (zone) => zone === 'drained', isKnown: () => true, revision: () => 0, onChange: () => {} },
+    warmUp: { leftMs: () => 0, isAtRate: ({ id }) => servers[id]?.isWarming === true, noteSend: () => {} },
+    availabilityZone: 'a',
+    regionByZone: new Map(),
+    readLoadFactor: () => 2
+  }
+  return chooseInstance(dependencies, { request: REQUEST, service: SERVICE, bodyBytes: 100, tried: new Set(tried), allowedRegions: [] })
+}
+
+const OPEN: Readonly<Record<string, Server>> = { keeper: { zone: 'a', load: 14 }, b: { zone: 'a', load: 6 }, c: { zone: 'b', load: 6 }, d: { zone: 'b', load: 6 } }
+
+describe('chooseInstance', () => {
+  test('takes the server that keeps the prompt while it is under the bound', () =>
+    expect(choose(OPEN)?.instance.id).toBe('keeper'))
+
+  // The bound was a multiple of the mean over the open servers: with a third of them drained it was half as high again as promised.
+  test.each<[string, Server]>([
+    ['in a drained zone', { zone: 'drained', load: 0 }],
+    ['that warm up', { zone: 'a', load: 0, isWarming: true }],
+    ['that are held', { zone: 'a', load: 0, isHeld: true }],
+    ['that leave', { zone: 'a', load: 0, isLeaving: true }]
+  ])('counts servers %s in the mean that bounds the load', (_what, closed) => {
+    const chosen = choose({ ...OPEN, e: closed, f: closed })
+    expect(chosen?.instance.id).not.toBe('keeper')
+    expect(chosen?.belief).toMatchObject({ candidates: 4, underBound: 3 })
+  })
+
+  test('counts servers that the request has tried', () =>
+    expect(choose({ ...OPEN, e: { zone: 'a', load: 0 }, f: { zone: 'a', load: 0 } }, ['e', 'f'])?.instance.id).not.toBe('keeper'))
+
+  test('takes the least loaded server where all open ones are over the bound', () => {
+    const drained: Server = { zone: 'drained', load: 0 }
+    const servers = { keeper: { zone: 'a', load: 22 }, b: { zone: 'a', load: 20 }, c: drained, d: drained, e: drained, f: drained, g: drained }
+    expect(choose(servers)).toMatchObject({ instance: { id: 'b' }, belief: { underBound: 0 } })
+  })
+})
--- a/src/services/forwarding/_lib/chooseInstance.ts
+++ b/src/services/forwarding/_lib/chooseInstance.ts
@@ -56,7 +56,7 @@
 export type LoadBelief = {
   /** On the chosen server, before this request. */
   readonly load: number
-  /** A server, over those that could get the request. */
+  /** A server, over all of the service. */
   readonly meanLoad: number
   readonly bound: number
   /** Servers that could get the request, and those of them under the bound. */
@@ -71,8 +71,7 @@
   readonly belief: LoadBelief
 }
 
-const describeBelief = (id: string, candidates: readonly InstanceCandidate[], weights: PlacementWeights): LoadBelief => {
-  const meanLoad = candidates.reduce((sum, { load }) => sum + load, 0) / candidates.length
+const describeBelief = (id: string, candidates: readonly InstanceCandidate[], meanLoad: number, weights: PlacementWeights): LoadBelief => {
   const bound = computeLoadBound(meanLoad, weights)
   return {
     load: candidates.find((candidate) => candidate.id === id)?.load ?? 0,
@@ -83,6 +82,15 @@
   }
 }
 
+/**
+ * The mean over every server of the service, leaving ones and those that may not get the request too: the
+ * promise is a multiple of that mean, and the fewer servers are open the less each of them may be over it.
+ */
+const computeMeanLoad = ({ registry, loadView }: ChoiceDependencies, service: string): number => {
+  const loads = registry.all().filter((instance) => instance.service === service).map((instance) => loadView.estimateInFlight(formatInstanceKey(instance)))
+  return loads.reduce((sum, load) => sum + load, 0) / Math.max(1, loads.length)
+}
+
 /**
  * What each server of the service keeps of a prompt: leaving and just removed
  * ones too, and those of a drained zone. They serve on for a while, and what is copied
@@ -115,12 +123,14 @@
     availabilityZone: instance.availabilityZone,
     slowness: handicapOf(instance)
   }))
+  const meanLoad = computeMeanLoad(dependencies, choice.service)
   const weights = { ...defaultPlacementWeights, boundFactor: BOUND_SHARE * dependencies.readLoadFactor() }
   const placement = placeRequest({
     affinityKey: shared.at(-1)?.id ?? '',
     sharedTokens: shared.reduce((sum, part) => sum + part.tokens, 0),
     expectedBytes: bodyBytes + (request.promptParts.length > 0 ? BYTES_PER_TOKEN * request.tokens.output : WHOLE_ANSWER_BYTES),
-    availabilityZone: dependencies.availabilityZone
+    availabilityZone: dependencies.availabilityZone,
+    meanLoad
   }, candidates, listKeepers(dependencies, choice, kept), random.next, weights)
   const instance = usable.find(({ id }) => id === placement?.id)
   if (instance === undefined) return undefined
@@ -128,6 +138,6 @@
   return {
     instance,
     copyPromptFrom: source === undefined ? undefined : registry.find(source) ?? registry.removedLately().find(({ id }) => id === source),
-    belief: describeBelief(instance.id, candidates, weights)
+    belief: describeBelief(instance.id, candidates, meanLoad, weights)
   }
 }
--- a/src/services/forwarding/_lib/createRun.ts
+++ b/src/services/forwarding/_lib/createRun.ts
@@ -175,6 +175,7 @@
       incarnation: instance.incarnation,
       remainingMs: Math.round(remainingMs),
       ...describeKnowledge(instance),
+      prompt: request.promptParts.at(-2)?.id,
       load: belief.load,
       meanLoad: Number(belief.meanLoad.toFixed(2)),
       loadBound: Number(belief.bound.toFixed(2)),
