--- a/src/services/forwarding/_lib/createRun.ts
+++ b/src/services/forwarding/_lib/createRun.ts
@@ -5,22 +5,19 @@
  * said of it: "not run" only while no server may have run it.
  */
 import { checkKey } from './checkKey.js'
-import { chooseInstance, findBarrier } from './chooseInstance.js'
-import type { Choice, ChosenInstance } from './chooseInstance.js'
-import { createAnswerIntake } from './createAnswerIntake.js'
-import type { AnswerIntake, AnswerListener } from './createAnswerIntake.js'
+import { chooseInstance, findBarrier, type Choice, type ChosenInstance } from './chooseInstance.js'
+import { createAnswerIntake, type AnswerIntake, type AnswerListener } from './createAnswerIntake.js'
 import { createCallerAnswer } from './createCallerAnswer.js'
 import { createEnding } from './createEnding.js'
 import { createRunRecord } from './createRunRecord.js'
-import { createSending } from './createSending.js'
+import { createSending, type Sending } from './createSending.js'
 import { createSendingNotes } from './createSendingNotes.js'
-import type { Sending } from './createSending.js'
-import type { StreamDuration } from './createStreamDurations.js'
+import { describeSend } from './describeSend.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 import { isMoveDue } from '../../../decisions/isMoveDue/index.js'
 import { selectTarget } from '../../../decisions/selectTarget/index.js'
 import type {
-  BackendInstance, CallerSink, ExchangeFailure, GatewayAccount, GatewayRefusal, GatewayRequest, GatewayRoute, InstanceAnswer, LogFields
+  CallerSink, ExchangeFailure, GatewayAccount, GatewayRefusal, GatewayRequest, GatewayRoute, InstanceAnswer, LogFields
 } from '../../../types/index.js'
 import type { Run, RunContext } from './run.js'
 
@@ -46,7 +43,6 @@
   let sendsBegun = 0
   let refusals = 0
   let isWaitingForKey = false
-  let duration: StreamDuration | undefined
   const caller = createCallerAnswer(sink, request.lastEventId)
   const record = createRunRecord(context, request, () => route)
   const notes = createSendingNotes(context, { request, readRoute: () => route, readService: () => service })
@@ -81,7 +77,7 @@
     dropSending,
     onDone: () => {
       isDone = true
-      duration?.forget()
+      notes.over()
       context.onDone()
     }
   })
@@ -135,14 +131,14 @@
     if (remainingMs <= 1) return giveUp('deadlineBeforeSend', 504)
     const chosen = findInstance()
     if (chosen === undefined) return giveUpUnplaced()
-    if (sendsBegun === 0) noteBegun(route)
+    if (sendsBegun === 0) noteBegun()
     else if (!spendRepeat()) return giveUp('instancesRefused', 502)
     startSending(chosen, remainingMs, route, body)
   }
 
-  const noteBegun = (to: GatewayRoute): void => {
+  const noteBegun = (): void => {
     context.budgets.noteFirst(service)
-    if (to.repeatPolicy === 'stream') duration = context.streamDurations.begin(to.name, request.receivedAt)
+    notes.begun()
   }
 
   const spendRepeat = (): boolean => {
@@ -151,15 +147,8 @@
     return isGranted
   }
 
-  /** How new what the node knows is, by revisions and ages. */
-  const describeKnowledge = (instance: BackendInstance): LogFields => ({
-    configurationVersion: context.configuration.version(),
-    keyAgeMs: Math.round(context.configuration.confirmedAgeMs()),
-    zoneDrainRevision: context.zoneDrains.revision(),
-    warmUpLeftMs: Math.round(context.warmUp.leftMs(instance))
-  })
-
-  const startSending = ({ instance, copyPromptFrom, belief }: ChosenInstance, remainingMs: number, to: GatewayRoute, content: Uint8Array): void => {
+  const startSending = (chosen: ChosenInstance, remainingMs: number, to: GatewayRoute, content: Uint8Array): void => {
+    const { instance, copyPromptFrom } = chosen
     record.reach('sent')
     const current = createSending(instance, clock.now())
     const intake = createAnswerIntake(request, caller, listenTo(current))
@@ -171,18 +160,9 @@
     context.directory.record(request.promptParts, formatInstanceKey(instance))
     if (copyPromptFrom !== undefined) metrics.count('gateway_prompt_copies')
     record.log(sendsBegun++ === 0 ? 'request sent' : 'request sent again', {
-      backendServer: instance.id,
-      incarnation: instance.incarnation,
+      ...describeSend(context, request, chosen),
       remainingMs: Math.round(remainingMs),
-      ...describeKnowledge(instance),
-      prompt: request.promptParts.at(-2)?.id,
-      load: belief.load,
-      meanLoad: Number(belief.meanLoad.toFixed(2)),
-      loadBound: Number(belief.bound.toFixed(2)),
-      candidates: belief.candidates,
-      underBound: belief.underBound,
-      resumeAfter: caller.relay.lastEventId(),
-      copyPromptFrom: copyPromptFrom?.id
+      resumeAfter: caller.relay.lastEventId()
     })
     current.exchange = context.client.send(
       { request, body: content, instance, account: account?.name, remainingMs, priority: account?.priority ?? to.priority, resumeAfter: caller.relay.lastEventId(), copyPromptFrom: copyPromptFrom?.address },
@@ -229,8 +209,7 @@
     endSending(current)
     sending = undefined
     tell()
-    duration?.end(clock.now())
-    duration = undefined
+    notes.complete()
     record.countSend('complete')
     finish('complete', { backendServer: current.instance.id, ...fields })
   }
--- /dev/null
+++ b/src/services/forwarding/_lib/describeSend.ts
@@ -0,0 +1,28 @@
+/** What the line of a send tells: the backend server, and what the node knew and believed when it chose it. */
+import type { BackendInstance, GatewayRequest, LogFields } from '../../../types/index.js'
+import type { ChosenInstance, LoadBelief } from './chooseInstance.js'
+import type { RunContext } from './run.js'
+
+const roundToHundredths = (value: number): number => Number(value.toFixed(2))
+
+/** How new what the node knows is, by revisions and ages. */
+const describeKnowledge = ({ configuration, zoneDrains, warmUp }: RunContext, instance: BackendInstance): LogFields => ({
+  configurationVersion: configuration.version(),
+  keyAgeMs: Math.round(configuration.confirmedAgeMs()),
+  zoneDrainRevision: zoneDrains.revision(),
+  warmUpLeftMs: Math.round(warmUp.leftMs(instance))
+})
+
+const describeBelief = ({ load, meanLoad, bound, candidates, underBound }: LoadBelief): LogFields =>
+  ({ load, meanLoad: roundToHundredths(meanLoad), loadBound: roundToHundredths(bound), candidates, underBound })
+
+/** Returns the fields of `request sent`; times in milliseconds, loads in requests. */
+export const describeSend = (context: RunContext, request: Pick<GatewayRequest, 'promptParts'>, { instance, copyPromptFrom, belief }: ChosenInstance): LogFields => ({
+  backendServer: instance.id,
+  incarnation: instance.incarnation,
+  ...describeKnowledge(context, instance),
+  // The last part belongs to the request alone.
+  prompt: request.promptParts.at(-2)?.id,
+  ...describeBelief(belief),
+  copyPromptFrom: copyPromptFrom?.id
+})
