--- a/src/decisions/placeRequest/index.ts
+++ b/src/decisions/placeRequest/index.ts
@@ -100,7 +100,11 @@
   return [...best.values()]
 }
 
-type Offer = { readonly candidate: InstanceCandidate, readonly copyFrom: string | undefined, readonly fixedCost: number, readonly cost: number }
+type Offer = PromptPlacement & {
+  /** In prompt tokens, without the price of the load. */
+  readonly fixedCost: number
+  readonly cost: number
+}
 
 /**
  * Of offers that differ in load alone, the better one of two drawn at random. Every node knows the same loads,
@@ -148,8 +152,8 @@
 /**
  * Chooses among the candidates.
  *
- * The bound on the load is hard while any candidate is under it. Two
- * candidates of equal cost are told apart by `random`, so that many nodes with
+ * The bound on the load is hard while any candidate is under it. Of the
+ * candidates that differ in load alone two are drawn, so that many nodes with
  * the same view do not all pick one.
  *
  * @param question - What is known of the request.
@@ -182,9 +186,9 @@
     const way = candidate.availabilityZone === question.availabilityZone ? 0 : remoteWay
     const credit = candidate.id === home?.id ? weights.homeShare * question.sharedTokens : 0
     const fixedCost = reading.cost + way - credit
-    return { candidate, copyFrom: reading.copyFrom, fixedCost, cost: fixedCost + crowd }
+    return { id: candidate.id, copyFrom: reading.copyFrom, fixedCost, cost: fixedCost + crowd }
   })
   const drawn = [...groupBy(offers, ({ fixedCost }) => fixedCost).values()].map((alike) => drawOffer(alike, random))
-  const best = drawn.reduce((one, other) => other.cost < one.cost ? other : one)
-  return { id: best.candidate.id, copyFrom: best.copyFrom }
+  const { id, copyFrom } = drawn.reduce((one, other) => other.cost < one.cost ? other : one)
+  return { id, copyFrom }
 }
