Let a young node judge streams by a shorter time than it has left

Most were refused by nodes that had been started 6 to 9 s before: they knew no stream begun as long ago as the time that they had left, and fell back to the worst case by tokens.

A stream that has ended within a shorter time ends within the time left as well, so the share that took longer than the longest time that 20 known streams have had is rather too high, and may be gone by. The case of an unknown share stays for under 20 streams.

--- a/src/services/forwarding/_lib/createStreamDurations.test.ts
+++ b/src/services/forwarding/_lib/createStreamDurations.test.ts
@@ -30,10 +30,17 @@
   })
 
   // Early in the life of a node only short streams have ended, and a long one was taken for another of these.
-  test('counts streams that still run, and waits for streams begun long enough ago', () => {
+  test('counts streams that still run', () => {
     const { record, now } = createDurations([...repeat(20, 500), ...repeat(20, undefined)])
     expect(record.shareOver(ROUTE, 2_000, now)).toBeCloseTo(19 / 39)
-    expect(record.shareOver(ROUTE, 25_000, now)).toBeUndefined()
+  })
+
+  // A node that was stopped some seconds after its start knew no stream begun long enough ago, and refused nearly all.
+  test('goes by a shorter time on a young node, and says rather too much', () => {
+    const ended = createDurations(repeat(30, 500))
+    expect(ended.record.shareOver(ROUTE, 25_000, ended.now)).toBe(0)
+    const running = createDurations([...repeat(15, 500), ...repeat(15, undefined)])
+    expect(running.record.shareOver(ROUTE, 25_000, running.now)).toBe(5 / 20)
   })
 
   test('leaves out what failed', () => {
--- a/src/services/forwarding/_lib/createStreamDurations.ts
+++ b/src/services/forwarding/_lib/createStreamDurations.ts
@@ -6,7 +6,11 @@
 export type StreamDurations = {
   /** Notes the begin of a stream, in monotonic milliseconds. */
   readonly begin: (route: string, at: number) => StreamDuration
-  /** Share of the streams begun at least `milliseconds` ago that took longer; `undefined` while they are too few. */
+  /**
+   * Share of the streams that took longer, of those begun at least as long ago. Where these are too few, a
+   * shorter time takes the place of `milliseconds`: more streams pass it, so that the share is rather too
+   * high. `undefined` while too few streams are known at all.
+   */
   readonly shareOver: (route: string, milliseconds: number, now: number) => number | undefined
 }
 
@@ -57,9 +61,13 @@
       }
     },
     shareOver: (route, milliseconds, now) => {
-      const begunInTime = [...byRoute.get(route) ?? []].filter(({ beganAt }) => now - beganAt >= milliseconds && now - beganAt <= MAXIMUM_AGE_MS)
-      if (begunInTime.length < LEAST_ENTRIES) return undefined
-      const late = begunInTime.filter(({ beganAt, endedAt }) => (endedAt ?? Infinity) - beganAt > milliseconds)
+      const latest = [...byRoute.get(route) ?? []].filter(({ beganAt }) => now - beganAt <= MAXIMUM_AGE_MS)
+      const ages = latest.map(({ beganAt }) => now - beganAt).sort((left, right) => right - left)
+      const leastAge = ages[LEAST_ENTRIES - 1]
+      if (leastAge === undefined) return undefined
+      const passedMs = Math.min(milliseconds, leastAge)
+      const begunInTime = latest.filter(({ beganAt }) => now - beganAt >= passedMs)
+      const late = begunInTime.filter(({ beganAt, endedAt }) => (endedAt ?? Infinity) - beganAt > passedMs)
       return late.length / begunInTime.length
     }
   }
