Wait by turns of the loop, not by time, for closes that came in a pause

On a machine with 44 runnable processes the test of the frozen process failed: the 5 ms that a request waits after a pause were over before the loop had read the close behind it.

A request now waits until the loop has turned once more, and for a second after the pause in place of a quarter.

--- a/src/adapters/gatewayHttp/_lib/createPauseWatch.test.ts
+++ b/src/adapters/gatewayHttp/_lib/createPauseWatch.test.ts
@@ -6,7 +6,7 @@
   const clock = createManualClock()
   let stoodStillMs = 0
   let suspendedMs = 0
-  const watch = createPauseWatch({ now: () => clock.now() + stoodStillMs, wallTime: () => clock.wallTime() + stoodStillMs + suspendedMs, setTimer: clock.setTimer })
+  const watch = createPauseWatch({ now: () => clock.now() + stoodStillMs, wallTime: () => clock.wallTime() + stoodStillMs + suspendedMs, setTimer: clock.setTimer }, (act) => { clock.setTimer(5, act) })
   const acts: string[] = []
   return {
     clock,
@@ -44,7 +44,7 @@
     expect(acts).toEqual(['a'])
     await clock.advanceAndSettle(10)
     expect(acts).toEqual(['a', 'b'])
-    await clock.advanceAndSettle(1_000)
+    await clock.advanceAndSettle(2_000)
     act('c')
     expect(acts).toEqual(['a', 'b', 'c'])
   })
--- a/src/adapters/gatewayHttp/_lib/createPauseWatch.ts
+++ b/src/adapters/gatewayHttp/_lib/createPauseWatch.ts
@@ -13,13 +13,14 @@
 const PULSE_MS = 250
 /** A busy loop is this late at times; callers that leave in so short a pause are few. */
 const LEAST_PAUSE_MS = 500
-/** For so long after a pause there are requests that came in it. */
-const CATCH_UP_MS = 250
-/** Two turns of the loop and more: one reads the request, the next one the close behind it. */
-const SETTLE_MS = 5
+/** For so long after a pause a small VM still reads what came in it. */
+const CATCH_UP_MS = 1_000
+
+/** One turn of the loop reads the request, the next one the close behind it; by time alone a slow VM would not get so far. */
+const afterNextTurn = (act: () => void): void => { setImmediate(() => setImmediate(act)) }
 
 /** Creates the watch, which runs until it is stopped. */
-export const createPauseWatch = (clock: Pick<Clock, 'now' | 'wallTime' | 'setTimer'>): PauseWatch => {
+export const createPauseWatch = (clock: Pick<Clock, 'now' | 'wallTime' | 'setTimer'>, wait: (act: () => void) => void = afterNextTurn): PauseWatch => {
   let pulseAt = clock.now()
   let pulseWallTime = clock.wallTime()
   let wokeAt = -Infinity
@@ -46,7 +47,7 @@
     whenSettled: (act) => {
       notePause()
       if (clock.now() - wokeAt > CATCH_UP_MS) return act()
-      clock.setTimer(SETTLE_MS, act)
+      wait(act)
     },
     stop: () => timer.cancel()
   }
