Log and count the backoffs that backend servers ask for

A backend server that refuses a request may state for how long it wants none from this node. Logs and metrics showed neither that time nor whether a send fell into it, so the hypotheses of the incident could not be told apart. Answers are decoded once into a notice (backoff, leaving), which instanceNotices keeps; no choice depends on it yet.

Logs: backoffMs and isLeaving of a refusal, backoffLeftMs of a send, 'backend server backoff begun'. Metrics: gateway_backoffs, gateway_sends_in_backoff.

--- a/src/adapters/instanceHttp/test.ts
+++ b/src/adapters/instanceHttp/test.ts
@@ -17,7 +17,7 @@
     clock: createSystemClock(),
     dialect: {
       encodeAttempt: () => ['Host', 'a.example'],
-      decodeAnswer: (status, headers) => ({ status, headers, requestId: undefined, isSigned: false, isNotRun: false, isOtherInstance: false, load: undefined, contentLength: undefined, isEventStream: false, isEncoded: false })
+      decodeAnswer: (status, headers) => ({ backoffMs: undefined, isLeaving: false, status, headers, requestId: undefined, isSigned: false, isNotRun: false, isOtherInstance: false, load: undefined, contentLength: undefined, isEventStream: false, isEncoded: false })
     }
   })
   closing.push(client.close)
--- a/src/node/createGatewayNode/_lib/registerForwarding.ts
+++ b/src/node/createGatewayNode/_lib/registerForwarding.ts
@@ -2,6 +2,7 @@
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 import { createForwarding, type ForwardingBounds } from '../../../services/forwarding/index.js'
 import { createInstanceHealth } from '../../../services/instanceHealth/index.js'
+import { createInstanceNotices } from '../../../services/instanceNotices/index.js'
 import { createPromptDirectory, type DirectoryRecoverySources } from '../../../services/promptDirectory/index.js'
 import { createWarmUpLimiter } from '../../../services/warmUpLimiter/index.js'
 import type { GatewaySettings } from '../../../types/index.js'
@@ -45,6 +46,11 @@
 export const registerForwarding = (kernel: Kernel<GatewayServices>, dependencies: GatewayNodeDependencies): void => {
   const readSettings = dependencies.readSettings ?? (() => dependencies.settings)
   const { settings, clock, random, transport, client, logger, metrics } = dependencies
+  kernel.register({
+    name: 'instanceNotices',
+    dependsOn: [],
+    create: () => createInstanceNotices({ clock, logger, metrics })
+  })
   kernel.register({
     name: 'instanceHealth',
     dependsOn: ['instanceRegistry'],
@@ -83,7 +89,7 @@
   })
   kernel.register({
     name: 'forwarding',
-    dependsOn: ['gatewayConfiguration', 'instanceRegistry', 'instanceHealth', 'promptDirectory', 'loadView', 'membership', 'zoneDrains', 'warmUp'],
+    dependsOn: ['gatewayConfiguration', 'instanceRegistry', 'instanceHealth', 'instanceNotices', 'promptDirectory', 'loadView', 'membership', 'zoneDrains', 'warmUp'],
     create: (resolve) => createForwarding({
       clock,
       random,
@@ -93,6 +99,7 @@
       configuration: resolve('gatewayConfiguration'),
       registry: resolve('instanceRegistry'),
       health: resolve('instanceHealth'),
+      notices: resolve('instanceNotices'),
       directory: resolve('promptDirectory'),
       loadView: resolve('loadView'),
       membership: resolve('membership'),
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -13,6 +13,7 @@
 import type { FleetLoad } from '../../services/fleetLoad/index.js'
 import type { HeartbeatExchange } from '../../services/heartbeatExchange/index.js'
 import type { InstanceHealth } from '../../services/instanceHealth/index.js'
+import type { InstanceNotices } from '../../services/instanceNotices/index.js'
 import type { KnowledgeExchange } from '../../services/knowledgeExchange/index.js'
 import type { PromptDirectory } from '../../services/promptDirectory/index.js'
 import type { VmList } from '../../services/vmList/index.js'
@@ -52,6 +53,7 @@
   readonly fleetLoad: FleetLoad
   readonly loadView: LoadView
   readonly instanceHealth: InstanceHealth
+  readonly instanceNotices: InstanceNotices
   readonly promptDirectory: PromptDirectory
   readonly warmUp: WarmUpLimiter
   readonly forwarding: Forwarding
--- a/src/services/forwarding/_lib/createAnswerIntake.test.ts
+++ b/src/services/forwarding/_lib/createAnswerIntake.test.ts
@@ -18,6 +18,8 @@
 }
 
 const createAnswer = (changes: Partial<InstanceAnswer> = {}): InstanceAnswer => ({
+  backoffMs: undefined,
+  isLeaving: false,
   status: 200,
   headers: [],
   requestId: 'r1',
--- a/src/services/forwarding/_lib/createAttemptReporter.ts
+++ b/src/services/forwarding/_lib/createAttemptReporter.ts
@@ -29,7 +29,7 @@
 
 /** Creates the reporter of one request. */
 export const createAttemptReporter = (context: RequestHandlerContext, { request, readRoute, readService }: AttemptReporterOptions): AttemptReporter => {
-  const { clock, health, loadView, tokenPace, firstByteTimes } = context
+  const { clock, health, notices, loadView, tokenPace, firstByteTimes } = context
 
   let duration: StreamDuration | undefined
 
@@ -45,6 +45,7 @@
     },
     reportHead: (current, answer) => {
       recordBytes(current)
+      if (!answer.isOtherInstance) notices.record(current.instance, answer)
       if (answer.load !== undefined) loadView.applyReport(formatInstanceKey(current.instance), { ...answer.load, leaving: false, ageMs: 0 })
     },
     reportBody: (current) => {
--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -29,7 +29,7 @@
 
 /** Creates the handler of one request; it sends nothing before `assign` and `submit`. */
 export const createRequestHandler = (context: RequestHandlerContext, request: GatewayRequest, sink: CallerSink): RequestHandler => {
-  const { clock, random, metrics, registry, health, loadView } = context
+  const { clock, random, metrics, registry, health, notices, loadView } = context
   const tried = new Set<string>()
   let route: GatewayRoute | undefined
   let account: GatewayAccount | undefined
@@ -158,6 +158,7 @@
     context.warmUp.recordSend(instance)
     context.directory.record(request.promptParts, formatInstanceKey(instance))
     if (copyPromptFrom !== undefined) metrics.count('gateway_prompt_copies')
+    if (notices.backoffRemainingMs(instance) > 0) metrics.count('gateway_sends_in_backoff')
     record.log(attemptsStarted++ === 0 ? 'request sent' : 'request sent again', {
       ...describeSend(context, request, chosen),
       remainingMs: Math.round(remainingMs),
@@ -198,7 +199,7 @@
     mayHaveRun = sends > 0
     refusals += 1
     record.countSend('refused')
-    record.log('backend server refused', { backendServer: current.instance.id, status: answer.status, isOtherInstance: answer.isOtherInstance })
+    record.log('backend server refused', { backendServer: current.instance.id, status: answer.status, isOtherInstance: answer.isOtherInstance, backoffMs: answer.backoffMs, isLeaving: answer.isLeaving })
     if (answer.isOtherInstance) registry.markGone(current.instance, 'another backend server has its address')
     retryOr(() => giveUp('instancesRefused', 502))
   }
--- a/src/services/forwarding/_lib/describeSend.ts
+++ b/src/services/forwarding/_lib/describeSend.ts
@@ -6,11 +6,12 @@
 const roundToHundredths = (value: number): number => Number(value.toFixed(2))
 
 /** Revisions and ages of the state that the node used. */
-const describeState = ({ configuration, zoneDrains, warmUp }: RequestHandlerContext, instance: BackendInstance): LogFields => ({
+const describeState = ({ configuration, zoneDrains, warmUp, notices }: RequestHandlerContext, instance: BackendInstance): LogFields => ({
   configurationVersion: configuration.version(),
   keyAgeMs: Math.round(configuration.confirmedAgeMs()),
   zoneDrainRevision: zoneDrains.revision(),
-  warmUpLeftMs: Math.round(warmUp.remainingMs(instance))
+  warmUpLeftMs: Math.round(warmUp.remainingMs(instance)),
+  backoffLeftMs: Math.round(notices.backoffRemainingMs(instance))
 })
 
 const describeLoadEstimate = ({ load, meanLoad, bound, candidates, underBound }: LoadEstimate): LogFields =>
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -22,6 +22,7 @@
   LoadView, Logger, Membership, Metrics, RandomSource, Timer, ZoneDrains
 } from '../../types/index.js'
 import type { InstanceHealth } from '../instanceHealth/index.js'
+import type { InstanceNotices } from '../instanceNotices/index.js'
 import type { PromptDirectory } from '../promptDirectory/index.js'
 import type { WarmUpLimiter } from '../warmUpLimiter/index.js'
 
@@ -33,6 +34,7 @@
   readonly configuration: GatewayConfigurationHolder
   readonly registry: InstanceRegistry
   readonly health: InstanceHealth
+  readonly notices: InstanceNotices
   readonly directory: PromptDirectory
   readonly loadView: LoadView
   readonly membership: Pick<Membership, 'members'>
--- a/src/services/forwarding/test.ts
+++ b/src/services/forwarding/test.ts
@@ -39,7 +39,7 @@
 
 const OTHER_INSTANCE: BackendInstance = { ...INSTANCE, id: 'plain-2', address: { host: 'plain-2', port: 1 } }
 
-const STREAM_HEAD: InstanceAnswer = { status: 200, headers: [], requestId: 'r1', isSigned: true, isNotRun: false, isOtherInstance: false, load: undefined, contentLength: undefined, isEventStream: true, isEncoded: false }
+const STREAM_HEAD: InstanceAnswer = { backoffMs: undefined, isLeaving: false, status: 200, headers: [], requestId: 'r1', isSigned: true, isNotRun: false, isOtherInstance: false, load: undefined, contentLength: undefined, isEventStream: true, isEncoded: false }
 
 const MEMBER: Member = { nodeId: 'node-1', incarnation: 1, address: { host: 'node-1', port: 1 }, availabilityZone: 'a', state: 'live', generation: 1 }
 
@@ -75,6 +75,7 @@
       onChange: () => {}
     },
     health: { recordStart: () => {}, recordEnd: () => {}, recordBytes: () => {}, record: () => {}, isSuspended: () => false, readIdleMs: () => 0, compareWith: () => () => 1, retain: () => {} },
+    notices: { record: () => {}, backoffRemainingMs: () => 0 },
     directory: { record: () => {}, listCachedTokens: () => new Map(), onRecovered: () => {} },
     loadView: { recordStart: () => {}, recordEnd: () => {}, estimateInFlight: () => 0, ownInFlight: () => 0, applyReport: () => {} },
     membership: { members: () => [MEMBER] },
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -133,8 +133,16 @@
 
 export type InstanceLoad = { readonly running: number, readonly waiting: number, readonly slots: number }
 
+/** What a backend server states about itself in the head of any answer. */
+export type InstanceNotice = {
+  /** Milliseconds during which it accepts no requests from this node; `undefined` when it asked for no backoff. */
+  readonly backoffMs: number | undefined
+  /** Whether it is shutting down. */
+  readonly isLeaving: boolean
+}
+
 /** Decoded status and headers of a backend server's answer. */
-export type InstanceAnswer = {
+export type InstanceAnswer = InstanceNotice & {
   readonly status: number
   /** Headers that are returned to the caller unchanged. */
   readonly headers: HeaderList
--- a/src/types/gatewayEvents.ts
+++ b/src/types/gatewayEvents.ts
@@ -32,6 +32,7 @@
   'backend server back': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server is no longer suspended' },
   'availability zone held': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the backend servers of a zone are suspended until one of them can be reached' },
   'backend server added': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server was registered' },
+  'backend server backoff begun': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server asked this node to send nothing for a while' },
   'backend server leaving': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server gets no new work' },
   'backend server removed': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server was removed from the list' },
   'backend server entry is malformed': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'an entry of the list cannot be decoded' },
