Send nothing to a backend server within the backoff that it asked for

Cause: the time asked for was not read, and a refusal changed nothing for the next request. A server that refuses at once has the lowest load, so it even drew requests; each cost a retry of the fleet's budget, until callers were refused after one send.

A backoff is now a reason why a server may not get a request, checked where every send is selected: first sends, retries, streams that continue. Unlike a suspended server it is no last resort, and it is not asked for a copy of its cache. It is kept by the server's id apart from the list, so that neither a gap in the store nor a new run that the list shows late drops it. Other nodes go on sending: the server asked this one.

A request that no server may take is refused at once as not run, reason backingOff; its Retry-After is the end of the first backoff, spread over half a second, where its caller's deadline is later, else the usual half a second, since another node may reach a server that did not ask it to wait.

--- a/src/bench/crowd/_lib/simulateBurst.ts
+++ b/src/bench/crowd/_lib/simulateBurst.ts
@@ -72,6 +72,7 @@
 const selectServer = (node: GatewayNode, request: GatewayRequest, random: () => number): BackendInstance | undefined => selectInstance({
   registry: node.resolve('instanceRegistry'),
   health: node.resolve('instanceHealth'),
+  notices: node.resolve('instanceNotices'),
   directory: node.resolve('promptDirectory'),
   loadView: node.resolve('loadView'),
   zoneDrains: node.resolve('zoneDrains'),
--- a/src/decisions/checkInstanceEligibility/index.ts
+++ b/src/decisions/checkInstanceEligibility/index.ts
@@ -8,11 +8,13 @@
   /** Region of its availability zone; `undefined` when it is not known. */
   readonly region: string | undefined
   readonly isZoneDrained: boolean
+  /** Whether it asked this node for a backoff that has not ended. */
+  readonly isBackingOff: boolean
   /** Whether it is warming up and this node has used up its share of the warm-up rate. */
   readonly isAtWarmUpRate: boolean
 }
 
-export type InstanceEligibility = 'open' | 'regionNotAllowed' | 'zoneDrained' | 'warmingUp'
+export type InstanceEligibility = 'open' | 'regionNotAllowed' | 'zoneDrained' | 'backingOff' | 'warmingUp'
 
 const isRegionAllowed = (region: string | undefined, allowed: readonly string[]): boolean =>
   allowed.length === 0 || (region !== undefined && allowed.includes(region))
@@ -25,10 +27,11 @@
  * @returns `open`, or the reason why the server may not get the request.
  *
  * @example
- * checkInstanceEligibility({ region: 'north', isZoneDrained: true, isAtWarmUpRate: false }, []) // => 'zoneDrained'
+ * checkInstanceEligibility({ region: 'north', isZoneDrained: true, isBackingOff: false, isAtWarmUpRate: false }, []) // => 'zoneDrained'
  */
-export const checkInstanceEligibility = ({ region, isZoneDrained, isAtWarmUpRate }: InstanceStatus, allowedRegions: readonly (readonly string[])[]): InstanceEligibility => {
+export const checkInstanceEligibility = ({ region, isZoneDrained, isBackingOff, isAtWarmUpRate }: InstanceStatus, allowedRegions: readonly (readonly string[])[]): InstanceEligibility => {
   if (!allowedRegions.every((allowed) => isRegionAllowed(region, allowed))) return 'regionNotAllowed'
   if (isZoneDrained) return 'zoneDrained'
+  if (isBackingOff) return 'backingOff'
   return isAtWarmUpRate ? 'warmingUp' : 'open'
 }
--- a/src/decisions/computeRetryAfter/index.ts
+++ b/src/decisions/computeRetryAfter/index.ts
@@ -1,11 +1,20 @@
 /**
  * Computes the Retry-After of requests that are rejected because every backend
- * server is full, refuses requests or is gone. Hundreds of callers are rejected
- * at once when a service fails. The delay has jitter, because callers that all
- * retry at the same moment would fail together again (thundering herd).
+ * server is full, refuses requests, asked for a backoff or is gone. Hundreds of
+ * callers are rejected at once when a service fails. The delay has jitter, because
+ * callers that all retry at the same moment would fail together again (thundering herd).
  */
 import type { FinalReason } from '../../types/index.js'
 
+export type RetryAfterOptions = {
+  /** Why the request was rejected; a reason that passes within a second by default. */
+  readonly reason?: FinalReason
+  /** Milliseconds until a backend server accepts requests of this node again; 0, the default, when one may accept them now. */
+  readonly availableInMs?: number
+  /** Milliseconds until the caller's deadline; unlimited by default. */
+  readonly remainingMs?: number
+}
+
 /** A suspended server is tried again after 400 ms, so some servers are available by the time of the retry. */
 const MINIMUM_DELAY_MS = 250
 /** Twice the minimum delay, which spreads a burst of callers widely enough within two or three retries. */
@@ -17,15 +26,26 @@
 /** Refusal reasons that last longer than the suspension of a server. */
 const LASTING_REASONS: ReadonlySet<FinalReason> = new Set(['zoneDrained', 'regionNotAllowed'])
 
+/** Refusal reasons that end when a backend server accepts requests again. */
+const AVAILABILITY_REASONS: ReadonlySet<FinalReason> = new Set(['noInstance', 'instancesRefused', 'backingOff'])
+
 /**
  * Computes the delay after which a rejected caller should retry.
  *
+ * A caller whose deadline is before the end of every backoff gets the usual delay: this
+ * node can't serve it any more, but another one may reach a server that did not ask it to wait.
+ *
  * @param randomShare - A number in [0, 1).
- * @param reason - Why the request was rejected; a reason that passes within a second by default.
+ * @param options - Reason of the rejection, and times in milliseconds.
  * @returns The delay in milliseconds.
  *
  * @example
  * computeRetryAfter(0) // => 250
  */
-export const computeRetryAfter = (randomShare: number, reason: FinalReason = 'noInstance'): number =>
-  (LASTING_REASONS.has(reason) ? MINIMUM_LASTING_DELAY_MS : MINIMUM_DELAY_MS) + MAXIMUM_JITTER_MS * randomShare
+export const computeRetryAfter = (randomShare: number, { reason = 'noInstance', availableInMs = 0, remainingMs = Infinity }: RetryAfterOptions = {}): number => {
+  const jitterMs = MAXIMUM_JITTER_MS * randomShare
+  const usualMs = (LASTING_REASONS.has(reason) ? MINIMUM_LASTING_DELAY_MS : MINIMUM_DELAY_MS) + jitterMs
+  const availableMs = availableInMs + jitterMs
+  if (!AVAILABILITY_REASONS.has(reason) || availableMs >= remainingMs) return usualMs
+  return Math.max(usualMs, availableMs)
+}
--- a/src/node/createGatewayNode/_lib/registerGauges.ts
+++ b/src/node/createGatewayNode/_lib/registerGauges.ts
@@ -19,10 +19,11 @@
 
 /** Returns the first state that applies to a server. Only servers in the last two states get requests. */
 const createStateReader = (resolve: Resolve): (instance: BackendInstance) => string => {
-  const [health, zoneDrains, warmUp] = [resolve('instanceHealth'), resolve('zoneDrains'), resolve('warmUp')]
+  const [health, notices, zoneDrains, warmUp] = [resolve('instanceHealth'), resolve('instanceNotices'), resolve('zoneDrains'), resolve('warmUp')]
   return (instance) => {
     if (instance.isLeaving) return 'leaving'
     if (zoneDrains.isDrained(instance.availabilityZone)) return 'drained'
+    if (notices.backoffRemainingMs(instance) > 0) return 'backoff'
     if (health.isSuspended(instance)) return 'held'
     return warmUp.remainingMs(instance) > 0 ? 'warming' : 'live'
   }
--- a/src/services/forwarding/_lib/createFinalAnswer.ts
+++ b/src/services/forwarding/_lib/createFinalAnswer.ts
@@ -5,6 +5,7 @@
 import type { CallerAnswer } from './createCallerAnswer.js'
 import type { RequestOutcome, RequestRecord } from './createRequestRecord.js'
 import { computeRetryAfter } from '../../../decisions/computeRetryAfter/index.js'
+import type { RetryAfterOptions } from '../../../decisions/computeRetryAfter/index.js'
 import type { FinalReason, GatewayRefusal, InstanceAnswer, LogFields, RandomSource } from '../../../types/index.js'
 
 /** A failure that a backend server reported in a complete answer of its own. */
@@ -15,6 +16,8 @@
   readonly record: Pick<RequestRecord, 'finish'>
   readonly random: Pick<RandomSource, 'next'>
   readonly readProgress: () => { readonly mayHaveRun: boolean, readonly sends: number }
+  /** When a backend server accepts requests again, and how long the caller waits at most. */
+  readonly readAvailability: () => Pick<RetryAfterOptions, 'availableInMs' | 'remainingMs'>
   /** Aborts the current attempt. */
   readonly abortAttempt: () => void
   readonly onDone: () => void
@@ -33,7 +36,7 @@
 }
 
 /** Creates the final answer of one request. */
-export const createFinalAnswer = ({ caller, record, random, readProgress, abortAttempt, onDone }: FinalAnswerDependencies): FinalAnswer => {
+export const createFinalAnswer = ({ caller, record, random, readProgress, readAvailability, abortAttempt, onDone }: FinalAnswerDependencies): FinalAnswer => {
   let isDone = false
   let reportedFailure: ReportedFailure | undefined
 
@@ -64,7 +67,7 @@
   }
 
   const giveUp: FinalAnswer['giveUp'] = (reason, statusIfUnknown, evidence = {}) => {
-    if (caller.hasBegun() || !readProgress().mayHaveRun) return refuse({ status: 503, reason, retryAfterMs: computeRetryAfter(random.next(), reason) }, evidence)
+    if (caller.hasBegun() || !readProgress().mayHaveRun) return refuse({ status: 503, reason, retryAfterMs: computeRetryAfter(random.next(), { reason, ...readAvailability() }) }, evidence)
     if (reportedFailure !== undefined) return finishWithReportedFailure()
     refuse({ status: statusIfUnknown, reason }, evidence)
   }
--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -4,7 +4,7 @@
  * A refusal states "not run" only while no backend server may have run the request.
  */
 import { checkKey } from './checkKey.js'
-import { selectInstance, findIneligibility, type SelectionInput, type SelectedInstance } from './selectInstance.js'
+import { selectInstance, computeAvailableInMs, findIneligibility, type SelectionInput, type SelectedInstance } from './selectInstance.js'
 import { createAnswerIntake, type AnswerIntake, type AnswerListener } from './createAnswerIntake.js'
 import { createCallerAnswer } from './createCallerAnswer.js'
 import { createFinalAnswer } from './createFinalAnswer.js'
@@ -73,6 +73,7 @@
     record,
     random,
     readProgress: () => ({ mayHaveRun, sends }),
+    readAvailability: () => ({ availableInMs: computeAvailableInMs(context, createSelectionInput()), remainingMs: deadlineAt() - clock.now() }),
     abortAttempt,
     onDone: () => {
       isDone = true
--- a/src/services/forwarding/_lib/selectInstance.test.ts
+++ b/src/services/forwarding/_lib/selectInstance.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from 'vitest'
-import { selectInstance } from './selectInstance.js'
-import type { SelectionDependencies } from './selectInstance.js'
+import { computeAvailableInMs, selectInstance } from './selectInstance.js'
+import type { SelectionDependencies, SelectionInput } from './selectInstance.js'
 import type { BackendInstance, GatewayRequest } from '../../../types/index.js'
 
 const SERVICE = 'engines'
@@ -22,12 +22,12 @@
   receivedAt: 0
 }
 
-type Server = { readonly zone: string, readonly load: number, readonly isLeaving?: boolean, readonly isSuspended?: boolean, readonly isWarming?: boolean }
+type Server = { readonly zone: string, readonly load: number, readonly isLeaving?: boolean, readonly isSuspended?: boolean, readonly isWarming?: boolean, readonly backoffMs?: number }
 
-/** Selects a server for a request whose shared prefix is cached by the server `keeper`; zone `drained` is drained. */
-const choose = (servers: Readonly<Record<string, Server>>, tried: readonly string[] = []) => {
+/** Creates the state in which the server `keeper` caches the request's shared prefix and zone `drained` is drained. */
+const createDependencies = (servers: Readonly<Record<string, Server>>): SelectionDependencies => {
   const instances = Object.entries(servers).map(([id, { zone, isLeaving }]) => createInstance(id, zone, isLeaving))
-  const dependencies: SelectionDependencies = {
+  return {
     registry: {
       list: () => instances.filter(({ isLeaving }) => !isLeaving),
       find: (id) => instances.find((instance) => instance.id === id),
@@ -40,6 +40,7 @@
       onChange: () => {}
     },
     health: { recordStart: () => {}, recordEnd: () => {}, recordBytes: () => {}, record: () => {}, isSuspended: ({ id }) => servers[id]?.isSuspended === true, readIdleMs: () => 0, compareWith: () => () => 1, retain: () => {} },
+    notices: { record: () => {}, backoffRemainingMs: ({ id }) => servers[id]?.backoffMs ?? 0 },
     directory: { record: () => {}, listCachedTokens: () => new Map([['keeper@1', 8_000]]), onRecovered: () => {} },
     loadView: { recordStart: () => {}, recordEnd: () => {}, estimateInFlight: (key) => servers[key.split('@')[0]!]?.load ?? 0, ownInFlight: () => 0, applyReport: () => {} },
     random: { next: () => 0.5, nextId: () => 'id' },
@@ -49,9 +50,12 @@
     regionByZone: new Map(),
     readLoadFactor: () => 2
   }
-  return selectInstance(dependencies, { request: REQUEST, service: SERVICE, bodyBytes: 100, tried: new Set(tried), allowedRegions: [] })
 }
 
+const createInput = (tried: readonly string[] = []): SelectionInput => ({ request: REQUEST, service: SERVICE, bodyBytes: 100, tried: new Set(tried), allowedRegions: [] })
+
+const choose = (servers: Readonly<Record<string, Server>>, tried: readonly string[] = []) => selectInstance(createDependencies(servers), createInput(tried))
+
 const OPEN: Readonly<Record<string, Server>> = { keeper: { zone: 'a', load: 14 }, b: { zone: 'a', load: 6 }, c: { zone: 'b', load: 6 }, d: { zone: 'b', load: 6 } }
 
 describe('selectInstance', () => {
@@ -63,7 +67,8 @@
     ['in a drained zone', { zone: 'drained', load: 0 }],
     ['that are warming up', { zone: 'a', load: 0, isWarming: true }],
     ['that are suspended', { zone: 'a', load: 0, isSuspended: true }],
-    ['that are leaving', { zone: 'a', load: 0, isLeaving: true }]
+    ['that are leaving', { zone: 'a', load: 0, isLeaving: true }],
+    ['in backoff', { zone: 'a', load: 0, backoffMs: 1_000 }]
   ])('counts servers %s in the mean that bounds the load', (_what, closed) => {
     const chosen = choose({ ...OPEN, e: closed, f: closed })
     expect(chosen?.instance.id).not.toBe('keeper')
@@ -79,3 +84,35 @@
     expect(choose(servers)).toMatchObject({ instance: { id: 'b' }, loadEstimate: { underBound: 0 } })
   })
 })
+
+describe('a server in backoff', () => {
+  const IN_BACKOFF: Server = { zone: 'a', load: 0, backoffMs: 1_000 }
+
+  // A server that refuses at once has the lowest load, which would draw the requests that it asked not to get.
+  test('is not selected, whatever its load and its cache', () =>
+    expect(choose({ keeper: IN_BACKOFF, b: { zone: 'a', load: 40 } })?.instance.id).toBe('b'))
+
+  // Unlike a suspended server, it is no last resort.
+  test('is not selected when no other server is left', () =>
+    expect(choose({ keeper: IN_BACKOFF, b: { zone: 'a', load: 0 } }, ['b'])).toBeUndefined())
+
+  test('is not asked for a copy of its cache', () =>
+    expect(choose({ keeper: IN_BACKOFF, b: { zone: 'a', load: 0 } })?.copyPromptFrom).toBeUndefined())
+})
+
+describe('computeAvailableInMs', () => {
+  const computeFor = (servers: Readonly<Record<string, Server>>, tried: readonly string[] = []): number =>
+    computeAvailableInMs(createDependencies(servers), createInput(tried))
+
+  test('returns the end of the first backoff', () =>
+    expect(computeFor({ a: { zone: 'a', load: 0, backoffMs: 3_000 }, b: { zone: 'a', load: 0, backoffMs: 2_000 }, c: { zone: 'drained', load: 0 } })).toBe(2_000))
+
+  test('counts servers that the request was already sent to', () =>
+    expect(computeFor({ a: { zone: 'a', load: 0, backoffMs: 3_000 }, b: { zone: 'a', load: 0, backoffMs: 2_000 } }, ['b'])).toBe(2_000))
+
+  test.each<[string, Server]>([['open', { zone: 'a', load: 0 }], ['suspended', { zone: 'a', load: 0, isSuspended: true }], ['warming up', { zone: 'a', load: 0, isWarming: true }]])('returns 0 with a server that is %s', (_what, server) =>
+    expect(computeFor({ a: { zone: 'a', load: 0, backoffMs: 3_000 }, b: server })).toBe(0))
+
+  test.each<[string, Readonly<Record<string, Server>>]>([['without servers', {}], ['in a drained zone only', { a: { zone: 'drained', load: 0 } }], ['that are leaving', { a: { zone: 'a', load: 0, isLeaving: true } }]])('knows no end %s', (_what, servers) =>
+    expect(computeFor(servers)).toBe(Infinity))
+})
--- a/src/services/forwarding/_lib/selectInstance.ts
+++ b/src/services/forwarding/_lib/selectInstance.ts
@@ -8,7 +8,7 @@
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 import type { ForwardingDependencies } from '../index.js'
 
-export type SelectionDependencies = Pick<ForwardingDependencies, 'registry' | 'health' | 'directory' | 'loadView' | 'random' | 'zoneDrains' | 'warmUp'> & {
+export type SelectionDependencies = Pick<ForwardingDependencies, 'registry' | 'health' | 'notices' | 'directory' | 'loadView' | 'random' | 'zoneDrains' | 'warmUp'> & {
   readonly availabilityZone: string
   /** Region of each availability zone, for requests that are restricted to regions. */
   readonly regionByZone: ReadonlyMap<string, string>
@@ -35,9 +35,10 @@
 const listUntried = ({ registry }: SelectionDependencies, { service, tried }: SelectionInput): readonly BackendInstance[] =>
   registry.list(service).filter(({ id }) => !tried.has(id))
 
-const evaluate = ({ zoneDrains, warmUp, regionByZone }: SelectionDependencies, { allowedRegions }: SelectionInput, instance: BackendInstance): InstanceEligibility => checkInstanceEligibility({
+const evaluate = ({ zoneDrains, notices, warmUp, regionByZone }: SelectionDependencies, { allowedRegions }: SelectionInput, instance: BackendInstance): InstanceEligibility => checkInstanceEligibility({
   region: regionByZone.get(instance.availabilityZone),
   isZoneDrained: zoneDrains.isDrained(instance.availabilityZone),
+  isBackingOff: notices.backoffRemainingMs(instance) > 0,
   isAtWarmUpRate: warmUp.isLimitReached(instance)
 }, allowedRegions)
 
@@ -45,6 +46,19 @@
 export const findIneligibility = (dependencies: SelectionDependencies, input: SelectionInput): InstanceEligibility | undefined =>
   selectIneligibility(listUntried(dependencies, input).map((instance) => evaluate(dependencies, input, instance)))
 
+const computeWaitMs = (dependencies: SelectionDependencies, input: SelectionInput, instance: BackendInstance): number => {
+  const eligibility = evaluate(dependencies, input, instance)
+  if (eligibility === 'backingOff') return dependencies.notices.backoffRemainingMs(instance)
+  return eligibility === 'open' || eligibility === 'warmingUp' ? 0 : Infinity
+}
+
+/**
+ * Milliseconds until a server of the service accepts requests of this node again, counting servers to which the
+ * request was already sent; 0 when one accepts them now, infinite when no end is known.
+ */
+export const computeAvailableInMs = (dependencies: SelectionDependencies, input: SelectionInput): number =>
+  Math.min(...dependencies.registry.list(input.service).map((instance) => computeWaitMs(dependencies, input, instance)))
+
 /** Suspended servers are used only when no other is left: a server that probably fails is better than a refusal. */
 const listUsable = (dependencies: SelectionDependencies, input: SelectionInput): readonly BackendInstance[] => {
   const eligible = listUntried(dependencies, input).filter((instance) => evaluate(dependencies, input, instance) === 'open')
@@ -91,18 +105,20 @@
   return loads.reduce((sum, load) => sum + load, 0) / Math.max(1, loads.length)
 }
 
+const NO_COPY_SOURCE: ReadonlySet<InstanceEligibility> = new Set(['regionNotAllowed', 'backingOff'])
+
 /**
  * Lists the servers of the service that cache a prefix of the prompt, including leaving and
  * recently removed servers and those of a drained zone: they still serve for a while, and a
  * prefix copied from them need not be computed again. Excludes regions where the request
- * may not be served.
+ * may not be served, and servers in backoff, which a copy would load as well.
  */
 const listPrefixCaches = (dependencies: SelectionDependencies, input: SelectionInput, cachedTokensByKey: ReadonlyMap<string, number>): readonly PromptCopySource[] => {
   if (cachedTokensByKey.size === 0) return []
   const { registry, health } = dependencies
   return [...registry.all(), ...registry.recentlyRemoved()]
     .filter((instance) => instance.service === input.service && cachedTokensByKey.has(formatInstanceKey(instance)) && !health.isSuspended(instance))
-    .filter((instance) => evaluate(dependencies, input, instance) !== 'regionNotAllowed')
+    .filter((instance) => !NO_COPY_SOURCE.has(evaluate(dependencies, input, instance)))
     .map((instance) => ({ id: instance.id, availabilityZone: instance.availabilityZone, cachedPromptTokens: cachedTokensByKey.get(formatInstanceKey(instance)) ?? 0 }))
 }
 
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -193,7 +193,7 @@
 export type FinalReason =
   | 'badRequest' | 'headerTooLarge' | 'bodyTooLarge' | 'unknownRoute' | 'unknownKey' | 'noConfiguration' | 'staleKeys'
   | 'noInstance' | 'serviceFull' | 'deadlineBeforeSend' | 'deadline' | 'instanceFailed' | 'answerBroken'
-  | 'instancesRefused' | 'shuttingDown' | 'crossedAnswer' | 'zoneDrained' | 'warmingUp' | 'regionNotAllowed'
+  | 'instancesRefused' | 'shuttingDown' | 'crossedAnswer' | 'zoneDrained' | 'backingOff' | 'warmingUp' | 'regionNotAllowed'
 
 /** A final answer created by the node itself. */
 export type GatewayRefusal = {
--- a/test/platform/backoff.test.ts
+++ b/test/platform/backoff.test.ts
@@ -1,6 +1,8 @@
 /** Tests that servers that ask for a backoff get no requests within it, over the platform's stand-ins. */
 import { afterEach, describe, expect, test } from 'vitest'
-import { callGateway } from '../../platform/standIn/callGateway/index.js'
+import { callGateway, promptHeaders, type CallResult } from '../../platform/standIn/callGateway/index.js'
+import { PLAIN, createRoute } from '../../platform/standIn/createPlatform/index.js'
+import { composeGatewaySettings } from '../../src/emulator/composeGatewaySettings/index.js'
 import { startGatewayFleet, type FleetOptions, type GatewayFleet } from './_lib/startGatewayFleet.js'
 
 /** Outlasts every test, so that no result depends on the time it took. */
@@ -23,9 +25,24 @@
 
 const countArrivals = (fleet: GatewayFleet, id: string): number => fleet.backends.get(id)!.records().length
 
+const call = (fleet: GatewayFleet, node = 0): Promise<CallResult> => callGateway(fleet.callerAddress(node), { path: '/lookup/1' })
+
 /** Sends lookups one by one until the server has refused one. */
-const callUntilRefused = async (fleet: GatewayFleet, id: string): Promise<void> => {
-  while (countArrivals(fleet, id) === 0) await callGateway(fleet.callerAddress(), { path: '/lookup/1' })
+const callUntilRefused = async (fleet: GatewayFleet, id: string, node = 0): Promise<void> => {
+  const before = countArrivals(fleet, id)
+  while (countArrivals(fleet, id) === before) await call(fleet, node)
+}
+
+const callMany = async (fleet: GatewayFleet, count = 20): Promise<readonly number[]> => {
+  const statuses = new Set<number>()
+  for (let index = 0; index < count; index++) statuses.add((await call(fleet)).status)
+  return [...statuses]
+}
+
+const pause = (ms: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, ms) })
+
+const waitForLine = async (fleet: GatewayFleet, message: string, count: number): Promise<void> => {
+  while (fleet.logs.filter((line) => line.message === message && line['backendServer'] === 'plain-1').length < count) await pause(5)
 }
 
 describe('a backend server that refused with Retry-After', () => {
@@ -34,9 +51,118 @@
     const fleet = await start()
     refuseAll(fleet, 'plain-1')
     await callUntilRefused(fleet, 'plain-1')
-    const results = []
-    for (let index = 0; index < 20; index++) results.push(await callGateway(fleet.callerAddress(), { path: '/lookup/1' }))
-    expect([...new Set(results.map(({ status }) => status))]).toEqual([200])
+    expect(await callMany(fleet)).toEqual([200])
+    expect(countArrivals(fleet, 'plain-1')).toBe(1)
+  })
+
+  // A connection that is already open reaches the server as a new one does.
+  test('gets none on a connection that is already open', async () => {
+    const fleet = await start()
+    while (countArrivals(fleet, 'plain-1') < 5) await Promise.all(Array.from({ length: 4 }, () => call(fleet)))
+    refuseAll(fleet, 'plain-1')
+    await callUntilRefused(fleet, 'plain-1')
+    const arrivals = countArrivals(fleet, 'plain-1')
+    expect(await callMany(fleet)).toEqual([200])
+    expect(countArrivals(fleet, 'plain-1')).toBe(arrivals)
+  })
+
+  test('gets no retry of a request that fails elsewhere', async () => {
+    const fleet = await start()
+    refuseAll(fleet, 'plain-1')
+    await callUntilRefused(fleet, 'plain-1')
+    fleet.backends.get('plain-2')!.setFault('error', 3)
+    expect(await callMany(fleet, 3)).toEqual([500])
     expect(countArrivals(fleet, 'plain-1')).toBe(1)
   })
+
+  test('gets no stream that breaks elsewhere', async () => {
+    const fleet = await start()
+    refuseAll(fleet, 'engine-1')
+    const stream = (index: number): Promise<CallResult> => callGateway(fleet.callerAddress(), { path: '/chat/1', body: 'hello', headers: promptHeaders(`s${index}`) })
+    for (let index = 0; countArrivals(fleet, 'engine-1') === 0; index++) await stream(index)
+    fleet.backends.get('engine-2')!.setFault('cut', 3)
+    for (let index = 0; index < 3; index++) expect((await stream(index)).isComplete).toBe(false)
+    expect(countArrivals(fleet, 'engine-1')).toBe(1)
+  })
+
+  test('gets requests again after that time', async () => {
+    const fleet = await start()
+    fleet.backends.get('plain-1')!.setFault('full', 1)
+    fleet.backends.get('plain-1')!.setRetryAfter(0.2)
+    await callUntilRefused(fleet, 'plain-1')
+    await callUntilRefused(fleet, 'plain-1')
+    expect(fleet.backends.get('plain-1')!.records().map(({ isRun }) => isRun)).toEqual([false, true])
+  })
+
+  // It asked one node only; the others may be far under what it takes.
+  test('gets requests of other nodes', async () => {
+    const fleet = await start({ nodes: 2 })
+    refuseAll(fleet, 'plain-1')
+    await callUntilRefused(fleet, 'plain-1', 0)
+    await callUntilRefused(fleet, 'plain-1', 1)
+    expect(countArrivals(fleet, 'plain-1')).toBe(2)
+  })
+
+  // A backoff that is dropped with the entry would end as soon as the store has a gap.
+  test.each([['the same run', 1], ['another run', 2]])('gets none when its entry disappears and comes back as %s', async (_what, born) => {
+    const fleet = await start()
+    refuseAll(fleet, 'plain-1')
+    await callUntilRefused(fleet, 'plain-1')
+    fleet.store.remove('servers', 'plain-1')
+    await waitForLine(fleet, 'backend server removed', 1)
+    fleet.register(fleet.backends.get('plain-1')!, PLAIN, { born })
+    await waitForLine(fleet, 'backend server added', 2)
+    expect(await callMany(fleet)).toEqual([200])
+    expect(countArrivals(fleet, 'plain-1')).toBe(1)
+  })
+
+  test('gets none after the settings were reloaded', async () => {
+    const fleet = await start()
+    refuseAll(fleet, 'plain-1')
+    await callUntilRefused(fleet, 'plain-1')
+    fleet.gateways[0]!.applySettings(composeGatewaySettings('node-1', { retryExtra: 500 }))
+    expect(await callMany(fleet)).toEqual([200])
+    expect(countArrivals(fleet, 'plain-1')).toBe(1)
+  })
+
+  test('gets none while the node is cut off from the store', async () => {
+    const fleet = await start()
+    refuseAll(fleet, 'plain-1')
+    await callUntilRefused(fleet, 'plain-1')
+    fleet.cutFromStore(0)
+    expect(await callMany(fleet)).toEqual([200])
+    expect(countArrivals(fleet, 'plain-1')).toBe(1)
+  })
+})
+
+describe('a request whose backend servers are all in backoff', () => {
+  const startInBackoff = async (): Promise<GatewayFleet> => {
+    const fleet = await start()
+    for (const id of ['plain-1', 'plain-2']) refuseAll(fleet, id)
+    await call(fleet)
+    expect([countArrivals(fleet, 'plain-1'), countArrivals(fleet, 'plain-2')]).toEqual([1, 1])
+    return fleet
+  }
+
+  // Held until its deadline, the caller would lose the time in which another node could serve it.
+  test('is refused at once as not run', async () => {
+    const fleet = await startInBackoff()
+    const result = await callGateway(fleet.callerAddress(), { path: '/order/1', body: 'x', requestId: 'r1' })
+    expect(result.status).toBe(503)
+    expect([countArrivals(fleet, 'plain-1'), countArrivals(fleet, 'plain-2')]).toEqual([1, 1])
+    expect(fleet.logs).toContainEqual(expect.objectContaining({ message: 'request ended', requestId: 'r1', reason: 'backingOff', sends: 0, mayHaveRun: false }))
+  })
+
+  test('is told to come back soon where the backoffs outlast its deadline', async () => {
+    const fleet = await startInBackoff()
+    const { headers } = await callGateway(fleet.callerAddress(), { path: '/lookup/1', timeoutMs: 2_000 })
+    expect(Number(headers['retry-after'])).toBeLessThan(1)
+  })
+
+  test('is told to come back after the first backoff where its deadline is later', async () => {
+    const fleet = await start({ routes: [createRoute('lookup', { timeout_ms: 600_000 })] })
+    for (const id of ['plain-1', 'plain-2']) refuseAll(fleet, id)
+    const { headers } = await callGateway(fleet.callerAddress(), { path: '/lookup/1', timeoutMs: 600_000 })
+    expect(Number(headers['retry-after'])).toBeGreaterThan(BACKOFF_SECONDS / 2)
+  })
 })
