Ask again whether a request may be sent when its connection is ready

A request is selected before its connection is open. A connection to a server whose accept queue is full opens when the first packet is sent again, after up to a second: a connect timeout of 200 ms ended after 1,000 to 1,008 ms in five of five tries, as undici's timers are coarse. A backoff that begins meanwhile did not hold the request back.

The exchange asks the request right before the first byte is written. If the server is in backoff by then, nothing is written and the request goes to another server; the failure says nothing about the server's health.

--- a/src/adapters/instanceHttp/index.ts
+++ b/src/adapters/instanceHttp/index.ts
@@ -116,6 +116,7 @@
     const connection = selectIdle(ownPool) ?? open(ownPool, attempt.instance)
     connection.isBusy = true
     let isSent = false
+    let isWithdrawn = false
     let isFinished = false
     let resume: (() => void) | undefined
     let isPaused = false
@@ -125,13 +126,18 @@
       isFinished = true
       drop(ownPool, connection)
       const message = `${error.code ?? error.name}: ${error.message}`
+      if (isWithdrawn) return listener.onFailure({ kind: 'withdrawn', message })
       // Only `isSent` proves whether the request was sent. The error codes of a failed
       // connect also occur after the request was sent, when the route to the server is lost.
       listener.onFailure(isSent ? { kind: 'broken', message } : { kind: 'notSent', message })
     }
 
     const handler: Dispatcher.DispatchHandler = {
-      onConnect: () => {
+      onConnect: (abort) => {
+        if (!listener.maySend()) {
+          isWithdrawn = true
+          return abort(new Error('the backend server may not get the request any more'))
+        }
         isSent = true
         listener.onSent()
       },
--- a/src/adapters/instanceHttp/test.ts
+++ b/src/adapters/instanceHttp/test.ts
@@ -54,8 +54,8 @@
   }
 }
 
-const sendAndFail = (client: InstanceClient, port: number): Promise<ExchangeFailure> => new Promise((resolve) => {
-  client.send(createAttempt(port), { onSent: () => {}, onHead: () => {}, onData: () => {}, onEnd: () => {}, onFailure: resolve })
+const sendAndFail = (client: InstanceClient, port: number, maySend = (): boolean => true): Promise<ExchangeFailure> => new Promise((resolve) => {
+  client.send(createAttempt(port), { maySend, onSent: () => {}, onHead: () => {}, onData: () => {}, onEnd: () => {}, onFailure: resolve })
 })
 
 describe('createInstanceHttp', () => {
@@ -76,4 +76,12 @@
     await new Promise<void>((resolve) => { server.close(() => resolve()) })
     expect((await sendAndFail(createClient(), port)).kind).toBe('notSent')
   })
+
+  // Guards against requests that were selected before the server asked for a backoff and reach it within it.
+  test('writes nothing on a new connection when the request may not be sent any more', async () => {
+    let isRequested = false
+    const port = await startSilentServer(() => { isRequested = true })
+    expect((await sendAndFail(createClient(), port, () => false)).kind).toBe('withdrawn')
+    expect(isRequested).toBe(false)
+  })
 })
--- a/src/emulator/createInProcessFleet/index.ts
+++ b/src/emulator/createInProcessFleet/index.ts
@@ -10,13 +10,17 @@
 import { createMemoryPeerNetwork, type MemoryPeerNetwork, type MemoryPeerTransport } from '../createMemoryPeerNetwork/index.js'
 import { success } from '../../kernel/index.js'
 import { createGatewayNode, type GatewayNode } from '../../node/createGatewayNode/index.js'
-import type { InstanceClient, Logger, Metrics, PeerAddress } from '../../types/index.js'
+import type { GatewayRoute, InstanceClient, Logger, Metrics, PeerAddress } from '../../types/index.js'
 
 export type InProcessFleetOptions = {
   readonly nodesPerZone: number
   readonly zones?: number
   /** Returns a number in [0, 1). */
   readonly random: () => number
+  /** Creates the client through which a node reaches backend servers; by default nothing answers. */
+  readonly createClient?: (node: number) => InstanceClient
+  /** Routes on which the nodes forward requests; none by default. */
+  readonly gatewayRoutes?: readonly GatewayRoute[]
   /** Number of routes in each configuration, of which the last one changes with each version; 0 by default. */
   readonly routes?: number
 }
@@ -47,7 +51,7 @@
 export const createInProcessFleet = (options: InProcessFleetOptions): InProcessFleet => {
   const clock = createManualClock()
   const network = createMemoryPeerNetwork({ clock, delayMs: () => 5 })
-  const source = createFleetSource(clock, options.routes ?? 0)
+  const source = createFleetSource(clock, options.routes ?? 0, options.gatewayRoutes)
   const transports: MemoryPeerTransport[] = []
 
   const addressOf = (index: number): PeerAddress => ({ host: `node-${String(index).padStart(3, '0')}`, port: 1 })
@@ -69,7 +73,7 @@
       clocks: { monotonic: clock.now, wall: clock.now, boot: clock.now },
       transport,
       ...source.connect(index),
-      client: NO_CLIENT,
+      client: options.createClient?.(index) ?? NO_CLIENT,
       promptCacheSource: { list: async () => success([]) },
       logger: SILENT_LOGGER,
       metrics: NO_METRICS
--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -5,6 +5,7 @@
  */
 import { checkKey } from './checkKey.js'
 import { selectInstance, computeAvailableInMs, findIneligibility, type SelectionInput, type SelectedInstance } from './selectInstance.js'
+import { classifyFailure } from './classifyFailure.js'
 import { createAnswerIntake, type AnswerIntake, type AnswerListener } from './createAnswerIntake.js'
 import { createCallerAnswer } from './createCallerAnswer.js'
 import { createFinalAnswer } from './createFinalAnswer.js'
@@ -168,6 +169,7 @@
     current.exchange = context.client.send(
       { request, body: content, instance, account: account?.name, remainingMs, priority: account?.priority ?? to.priority, resumeAfter: caller.relay.lastEventId(), copyPromptFrom: copyPromptFrom?.address },
       {
+        maySend: () => notices.backoffRemainingMs(instance) === 0,
         onSent: () => {
           record.recordStep('connected')
           current.isSent = true
@@ -239,11 +241,11 @@
 
   const handleFailure = (current: SendAttempt, failure: ExchangeFailure): void => {
     abortAttempt()
-    const isNotSent = failure.kind === 'notSent'
+    const { event, reason } = classifyFailure(failure)
     record.countSend(failure.kind)
-    health.record(current.instance, isNotSent ? { kind: 'unreachable' } : { kind: 'broken' })
+    if (event !== undefined) health.record(current.instance, event)
     record.log('exchange failed', { backendServer: current.instance.id, kind: failure.kind, reason: failure.message, lastEventId: caller.relay.lastEventId() })
-    retryOr(() => giveUp(isNotSent ? 'noInstance' : 'answerBroken', 502))
+    retryOr(() => giveUp(reason, 502))
   }
 
   const moveToOtherInstance = (current: SendAttempt, now: number): void => {
--- a/src/services/forwarding/_lib/createRequestRecord.ts
+++ b/src/services/forwarding/_lib/createRequestRecord.ts
@@ -5,7 +5,7 @@
 
 export type RequestOutcome = 'complete' | 'refused' | 'brokenOff' | 'failedAtBackend' | 'callerLeft'
 
-export type SendOutcome = 'complete' | 'refused' | 'errored' | 'broken' | 'notSent' | 'silent'
+export type SendOutcome = 'complete' | 'refused' | 'errored' | 'broken' | 'notSent' | 'withdrawn' | 'silent'
 
 /** Steps of a request up to the head of its answer, in this order. */
 export type RequestStep = 'body' | 'sent' | 'connected' | 'head'
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -162,11 +162,15 @@
 export type ExchangeFailure =
   /** No byte of the request was written, so it was certainly not run. */
   | { readonly kind: 'notSent', readonly message: string }
+  /** `maySend` returned false when the connection was ready: no byte was written, and the server is reachable. */
+  | { readonly kind: 'withdrawn', readonly message: string }
   /** The request was written, but no complete answer arrived. It may have run. */
   | { readonly kind: 'broken', readonly message: string }
 
 /** Receives the events of an exchange with a backend server, in this order: sent, head, data, then either end or failure. */
 export type ExchangeListener = {
+  /** Asked when the connection is ready, right before the first byte is written: opening it may have taken up to a second. */
+  readonly maySend: () => boolean
   readonly onSent: () => void
   readonly onHead: (answer: InstanceAnswer) => void
   readonly onData: (bytes: Uint8Array) => void
