Send nothing to a backend server that states in an answer that it leaves

An answer of any status marks its server's run as leaving in the list of backend servers: no send selects it any more. The mark is kept apart from the entries, so that an entry that is written again as ready, or disappears and comes back, does not clear it; only a newer run does. The same holds for runs that the list itself showed as leaving. Nodes that rely on a reader learn of its marks with the list; a reader learns of others' from the store or from the first answer to itself.

--- a/src/node/createGatewayNode/_lib/registerForwarding.ts
+++ b/src/node/createGatewayNode/_lib/registerForwarding.ts
@@ -48,8 +48,8 @@
   const { settings, clock, random, transport, client, logger, metrics } = dependencies
   kernel.register({
     name: 'instanceNotices',
-    dependsOn: [],
-    create: () => createInstanceNotices({ clock, logger, metrics })
+    dependsOn: ['instanceRegistry'],
+    create: (resolve) => createInstanceNotices({ clock, logger, metrics, registry: resolve('instanceRegistry') })
   })
   kernel.register({
     name: 'instanceHealth',
--- a/src/services/forwarding/_lib/selectInstance.test.ts
+++ b/src/services/forwarding/_lib/selectInstance.test.ts
@@ -36,6 +36,7 @@
       revision: () => 1,
       isKnown: () => true,
       warmUpLeftMs: () => 0,
+      markLeaving: () => {},
       markGone: () => {},
       onChange: () => {}
     },
--- a/src/services/forwarding/notices.test.ts
+++ b/src/services/forwarding/notices.test.ts
@@ -55,7 +55,7 @@
   connectMs: fc.nat({ max: 1_000 }),
   answerMs: fc.nat({ max: 400 }),
   backoffMs: fc.option(fc.integer({ min: 100, max: 5_000 }), { nil: undefined }),
-  isLeaving: fc.constant(false)
+  isLeaving: fc.integer({ min: 0, max: 7 }).map((value) => value === 0)
 })
 
 const step: fc.Arbitrary<Step> = fc.oneof(
--- a/src/services/forwarding/test.ts
+++ b/src/services/forwarding/test.ts
@@ -71,6 +71,7 @@
       revision: () => 1,
       isKnown: () => isKnown,
       warmUpLeftMs: () => 0,
+      markLeaving: () => {},
       markGone: () => {},
       onChange: () => {}
     },
--- a/src/services/instanceNotices/index.ts
+++ b/src/services/instanceNotices/index.ts
@@ -1,9 +1,10 @@
 /**
- * Keeps what backend servers state about themselves in their answers to this node: until
- * when each of them accepts no requests from it.
+ * Takes what backend servers state about themselves in their answers to this node: until
+ * when each of them accepts no requests from it, which the service keeps, and that it is
+ * leaving, which the list of backend servers keeps.
  */
 import type { RunningService } from '../../kernel/index.js'
-import type { BackendInstance, Clock, InstanceNotice, Logger, Metrics } from '../../types/index.js'
+import type { BackendInstance, Clock, InstanceNotice, InstanceRegistry, Logger, Metrics } from '../../types/index.js'
 
 export type InstanceNotices = {
   /** Records the notice in an answer that the server gave to any request or query of this node. */
@@ -16,6 +17,7 @@
   readonly clock: Pick<Clock, 'now'>
   readonly logger: Pick<Logger, 'info'>
   readonly metrics: Pick<Metrics, 'count'>
+  readonly registry: Pick<InstanceRegistry, 'markLeaving'>
 }
 
 /**
@@ -24,13 +26,13 @@
  * A backoff is kept by the server's id and does not depend on the list of backend servers: an
  * answer does not tell which run of the server gave it, and the list may lag behind.
  *
- * @param dependencies - Clock, log and metrics.
+ * @param dependencies - Clock, log, metrics and the list of backend servers.
  * @returns The service for the kernel.
  *
  * @example
- * createInstanceNotices({ clock, logger, metrics }).api.backoffRemainingMs(instance) // => 0
+ * createInstanceNotices({ clock, logger, metrics, registry }).api.backoffRemainingMs(instance) // => 0
  */
-export const createInstanceNotices = ({ clock, logger, metrics }: InstanceNoticesDependencies): RunningService<InstanceNotices> => {
+export const createInstanceNotices = ({ clock, logger, metrics, registry }: InstanceNoticesDependencies): RunningService<InstanceNotices> => {
   const backoffEnds = new Map<string, number>()
 
   const backoffRemainingMs: InstanceNotices['backoffRemainingMs'] = ({ id }) => Math.max(0, (backoffEnds.get(id) ?? -Infinity) - clock.now())
@@ -50,8 +52,9 @@
 
   return {
     api: {
-      record: (instance, { backoffMs }) => {
+      record: (instance, { backoffMs, isLeaving }) => {
         if (backoffMs !== undefined) recordBackoff(instance, backoffMs)
+        if (isLeaving) registry.markLeaving(instance)
       },
       backoffRemainingMs
     }
--- a/src/services/instanceNotices/test.ts
+++ b/src/services/instanceNotices/test.ts
@@ -11,8 +11,9 @@
 const start = () => {
   const clock = createManualClock()
   const lines: string[] = []
-  const { api } = createInstanceNotices({ clock, logger: { info: (message) => { lines.push(message) } }, metrics: { count: () => {} } })
-  return { clock, lines, api, askForBackoff: (backoffMs: number, server = SERVER): void => api.record(server, { backoffMs, isLeaving: false }) }
+  const leaving: string[] = []
+  const { api } = createInstanceNotices({ clock, logger: { info: (message) => { lines.push(message) } }, metrics: { count: () => {} }, registry: { markLeaving: ({ id }) => { leaving.push(id) } } })
+  return { clock, lines, leaving, api, askForBackoff: (backoffMs: number, server = SERVER): void => api.record(server, { backoffMs, isLeaving: false }) }
 }
 
 describe('backoffRemainingMs', () => {
@@ -56,6 +57,15 @@
   })
 })
 
+test('marks a server as leaving that states so', () => {
+  const { api, leaving } = start()
+  api.record(SERVER, { backoffMs: undefined, isLeaving: false })
+  expect(leaving).toEqual([])
+  api.record(SERVER, { backoffMs: 1_000, isLeaving: true })
+  expect(leaving).toEqual(['engine-1'])
+  expect(api.backoffRemainingMs(SERVER)).toBe(1_000)
+})
+
 test('logs the beginning of a backoff once', async () => {
   const { clock, lines, askForBackoff } = start()
   askForBackoff(1_000)
--- a/src/services/instanceRegistry/index.ts
+++ b/src/services/instanceRegistry/index.ts
@@ -5,6 +5,7 @@
  */
 import { isDeepStrictEqual } from 'node:util'
 import { createChangeLog } from './_lib/createChangeLog.js'
+import { createLeavingRuns } from './_lib/createLeavingRuns.js'
 import { createRemovals } from './_lib/createRemovals.js'
 import { createWarmUpDeadlines } from './_lib/createWarmUpDeadlines.js'
 import type { EntryOrigin } from './_lib/createWarmUpDeadlines.js'
@@ -58,6 +59,7 @@
   const instances = new Map<string, BackendInstance>()
   /** Highest incarnation known to have ended, by id: a stale copy of its entry can't add it again. */
   const goneIncarnations = new Map<string, number>()
+  const leavingRuns = createLeavingRuns()
   const missingSince = new Map<string, number>()
   const removals = createRemovals(clock, options.drainMs ?? 0)
   const warmUpDeadlines = createWarmUpDeadlines(clock)
@@ -95,6 +97,9 @@
   const isSameEntry = (one: BackendInstance | undefined, other: BackendInstance): boolean =>
     one !== undefined && isDeepStrictEqual({ ...one, warmUpMs: 0 }, { ...other, warmUpMs: 0 })
 
+  const logLeaving = ({ id, service }: BackendInstance, from: 'list' | 'answer'): void =>
+    logger.info('backend server leaving', { backendServer: id, service, from, revision })
+
   const put = ({ name, instance }: InstanceEntry, origin: EntryOrigin): void => {
     if (instance === undefined) {
       if (!malformed.has(name)) logger.warn('backend server entry is malformed', { backendServer: name, revision })
@@ -106,14 +111,15 @@
     if (instance.incarnation <= (goneIncarnations.get(name) ?? -Infinity)) return
     if (known !== undefined && instance.incarnation < known.incarnation) return
     // A server stays leaving until it restarts: a stale copy of its entry may still show it as ready.
-    const isLeaving = instance.isLeaving || (known?.isLeaving === true && known.incarnation === instance.incarnation)
+    if (instance.isLeaving) leavingRuns.record(instance)
+    const isLeaving = leavingRuns.has(instance)
     const next = { ...instance, isLeaving }
     if (known !== undefined && known.incarnation !== next.incarnation) warmUpDeadlines.forget(known)
     const isWarmUpLater = warmUpDeadlines.record(next, origin)
     if (isWarmUpLater || !isSameEntry(known, next)) changes.record(name)
     instances.set(name, next)
     if (known === undefined) logger.info('backend server added', { backendServer: name, service: instance.service, incarnation: instance.incarnation, revision })
-    else if (isLeaving && !known.isLeaving) logger.info('backend server leaving', { backendServer: name, service: instance.service, revision })
+    else if (isLeaving && !known.isLeaving) logLeaving(next, 'list')
   }
 
   /** Removes a server whose entry is missing: at once, or after `REAPPEAR_MS` when the source was just reached again. */
@@ -193,6 +199,15 @@
       revision: () => revision,
       isKnown: () => isKnown,
       warmUpLeftMs: warmUpDeadlines.remainingMs,
+      markLeaving: (instance) => {
+        if (!leavingRuns.record(instance)) return
+        const known = instances.get(instance.id)
+        if (known === undefined || !leavingRuns.has(known)) return
+        instances.set(instance.id, { ...known, isLeaving: true })
+        changes.record(instance.id)
+        logLeaving(known, 'answer')
+        publish()
+      },
       markGone: (instance, reason) => {
         const known = instances.get(instance.id)
         if (known === undefined || known.incarnation !== instance.incarnation) return
--- a/src/services/instanceRegistry/test.ts
+++ b/src/services/instanceRegistry/test.ts
@@ -108,3 +108,61 @@
     expect(registry.api.recentlyRemoved()).toEqual([])
   })
 })
+
+describe('a server that stated in an answer that it is leaving', () => {
+  test('is not listed, but still known', async () => {
+    const { registry } = await startRegistry()
+    registry.api.markLeaving(createServer('engine-2'))
+    expect(listIds(registry)).toEqual(['engine-1'])
+    expect(registry.api.find('engine-2')?.isLeaving).toBe(true)
+  })
+
+  test('is reported to peers as leaving', async () => {
+    const { registry } = await startRegistry()
+    const position = registry.position()
+    registry.api.markLeaving(createServer('engine-2'))
+    expect(registry.createPeerUpdate(position, 0).instances).toEqual([createServer('engine-2', { isLeaving: true })])
+  })
+
+  test('tells listeners once', async () => {
+    const { registry } = await startRegistry()
+    let changes = 0
+    registry.api.onChange(() => { changes += 1 })
+    for (let index = 0; index < 3; index++) registry.api.markLeaving(createServer('engine-2'))
+    expect(changes).toBe(1)
+  })
+
+  // Its entry still says ready, or expired in an outage of the source and was written again.
+  test.each<[string, readonly string[]]>([['is written again', []], ['disappears and comes back', ['engine-2']]])('stays leaving when its entry %s', async (_what, removed) => {
+    const { registry } = await startRegistry()
+    registry.api.markLeaving(createServer('engine-2'))
+    registry.applyPeerUpdate(createUpdate({ removed }), 10, 0)
+    registry.applyPeerUpdate(createUpdate({ instances: [createServer('engine-2', { slots: 9 })] }), 11, 0)
+    expect(listIds(registry)).toEqual(['engine-1'])
+  })
+
+  // The answer may come after the list has lost the entry.
+  test('stays leaving when it was not in the list at the time', async () => {
+    const { registry } = await startRegistry()
+    registry.applyPeerUpdate(createUpdate({ removed: ['engine-2'] }), 10, 0)
+    registry.api.markLeaving(createServer('engine-2'))
+    registry.applyPeerUpdate(createUpdate({ instances: [createServer('engine-2')] }), 11, 0)
+    expect(listIds(registry)).toEqual(['engine-1'])
+  })
+
+  test('is listed as a newer incarnation, also when the answer comes after it', async () => {
+    const { registry } = await startRegistry()
+    registry.applyPeerUpdate(createUpdate({ instances: [createServer('engine-2', { incarnation: 2 })] }), 10, 0)
+    registry.api.markLeaving(createServer('engine-2'))
+    expect(listIds(registry)).toEqual(['engine-1', 'engine-2'])
+  })
+})
+
+// A source that repeats an old copy of the entry would make a server that has drained eligible again.
+test('a server that the list showed as leaving stays so when its entry disappears and comes back as ready', async () => {
+  const { registry } = await startRegistry()
+  registry.applyPeerUpdate(createUpdate({ instances: [createServer('engine-2', { isLeaving: true })] }), 10, 0)
+  registry.applyPeerUpdate(createUpdate({ removed: ['engine-2'] }), 11, 0)
+  registry.applyPeerUpdate(createUpdate({ instances: [createServer('engine-2')] }), 12, 0)
+  expect(listIds(registry)).toEqual(['engine-1'])
+})
--- a/src/types/gatewayState.ts
+++ b/src/types/gatewayState.ts
@@ -107,7 +107,9 @@
   readonly isKnown: () => boolean
   /** Remaining warm-up time of a backend server in milliseconds; 0 when it is not warming up. */
   readonly warmUpLeftMs: (instance: BackendInstance) => number
-  /** Excludes an incarnation from further requests, because it reported that it is leaving or an answer showed that it is gone. */
+  /** Excludes an incarnation from further requests, because it stated in an answer that it is leaving, whatever its entry says. */
+  readonly markLeaving: (instance: BackendInstance) => void
+  /** Removes an incarnation from the list, because an answer showed that it is gone. */
   readonly markGone: (instance: BackendInstance, reason: string) => void
   readonly onChange: (listener: () => void) => void
 }
--- a/test/platform/readers.test.ts
+++ b/test/platform/readers.test.ts
@@ -269,3 +269,13 @@
     expect(new Set(readServers(fleet)).size).toBe(1)
   })
 })
+
+// The other nodes would each have to send a request to it to learn that it is leaving.
+test('a server that a reader knows from an answer to be leaving is soon known so to the nodes that rely on it', async () => {
+  const fleet = await start({ nodesPerZone: 5 })
+  const reader = fleet.nodes.find((node) => node.resolve('knowledgeExchange').isReader())!
+  reader.resolve('instanceRegistry').markLeaving(reader.resolve('instanceRegistry').find('engine-1')!)
+  await fleet.clock.advanceAndSettle(1_500)
+  const relying = fleet.nodes.filter((node) => !node.resolve('knowledgeExchange').isReader())
+  expect(relying.map((node) => node.resolve('instanceRegistry').list('engines').map(({ id }) => id))).toEqual([['engine-2'], ['engine-2'], ['engine-2']])
+})
