Hold probes and cache queries back from servers that asked for none

Requests were held back from a backend server in backoff or leaving, but two other paths went on to reach it: connections that probe a suspended server, five a second at most, and queries of cached prompts after a start of the node. The answers to such queries were not read for what the engine states about itself either, so the first requests after a start reached an engine that had just asked for none.

Both paths ask before each contact, and the answer to a query is recorded like any other. A query that was held back is made later, when the remaining engines are asked.

--- a/src/node/createGatewayNode/_lib/registerForwarding.ts
+++ b/src/node/createGatewayNode/_lib/registerForwarding.ts
@@ -5,7 +5,7 @@
 import { createInstanceNotices } from '../../../services/instanceNotices/index.js'
 import { createPromptDirectory, type DirectoryRecoverySources } from '../../../services/promptDirectory/index.js'
 import { createWarmUpLimiter } from '../../../services/warmUpLimiter/index.js'
-import type { GatewaySettings } from '../../../types/index.js'
+import type { BackendInstance, GatewaySettings } from '../../../types/index.js'
 import type { Kernel } from '../../../kernel/index.js'
 import type { GatewayNodeDependencies, GatewayServices } from '../index.js'
 
@@ -22,17 +22,27 @@
   configurationFreshnessMs: settings.configurationDelayMs
 })
 
+/** Whether a node may contact a backend server besides requests: not one that is leaving or in backoff. */
+const createContactCheck = (resolve: Kernel<GatewayServices>['resolve']) => {
+  const registry = resolve('instanceRegistry')
+  const notices = resolve('instanceNotices')
+  return (instance: BackendInstance): boolean => registry.find(instance.id)?.isLeaving !== true && notices.backoffRemainingMs(instance) === 0
+}
+
 /** Sources for recovering the cached prefix locations after a start: the configuration says which services run model engines, the registry lists the engines. */
 const createRecoverySources = ({ settings, random, logger, promptCacheSource }: GatewayNodeDependencies, resolve: Kernel<GatewayServices>['resolve']): DirectoryRecoverySources => {
   const configuration = resolve('gatewayConfiguration')
   const registry = resolve('instanceRegistry')
   const zoneDrains = resolve('zoneDrains')
+  const notices = resolve('instanceNotices')
   return {
     logger,
     random,
     registry: { all: () => registry.all().filter((instance) => !zoneDrains.isDrained(instance.availabilityZone)) },
     promptCacheSource,
     availabilityZone: settings.availabilityZone,
+    mayQuery: createContactCheck(resolve),
+    recordNotice: notices.record,
     isEngine: ({ service }) => configuration.current()?.services.get(service)?.isModelService === true,
     areEnginesKnown: () => configuration.current() !== undefined && registry.isKnown(),
     onEnginesChange: (listener) => {
@@ -53,9 +63,9 @@
   })
   kernel.register({
     name: 'instanceHealth',
-    dependsOn: ['instanceRegistry'],
+    dependsOn: ['instanceRegistry', 'instanceNotices'],
     create: (resolve) => {
-      const health = createInstanceHealth({ clock, logger, client })
+      const health = createInstanceHealth({ clock, logger, client, mayProbe: createContactCheck(resolve) })
       const registry = resolve('instanceRegistry')
       registry.onChange(() => {
         const live = new Set([...registry.all(), ...registry.recentlyRemoved()].map(formatInstanceKey))
@@ -67,7 +77,7 @@
   })
   kernel.register({
     name: 'promptDirectory',
-    dependsOn: ['membership', 'instanceRegistry', 'gatewayConfiguration', 'zoneDrains'],
+    dependsOn: ['membership', 'instanceRegistry', 'instanceNotices', 'gatewayConfiguration', 'zoneDrains'],
     create: (resolve) => {
       const recovery = settings.isFirstStart ? {} : { recovery: createRecoverySources(dependencies, resolve) }
       return createPromptDirectory({ clock, transport, membership: resolve('membership'), ...recovery })
--- a/src/services/instanceHealth/index.ts
+++ b/src/services/instanceHealth/index.ts
@@ -8,6 +8,14 @@
 import type { RunningService } from '../../kernel/index.js'
 import type { BackendInstance, Clock, InstanceClient, Logger, Timer } from '../../types/index.js'
 
+export type InstanceHealthDependencies = {
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly client: Pick<InstanceClient, 'probe'>
+  /** Whether a server accepts probes of this node now; asked before every probe. */
+  readonly mayProbe: (instance: BackendInstance) => boolean
+}
+
 export type InstanceHealth = {
   /** A request was sent to the server. */
   readonly recordStart: (instance: BackendInstance) => void
@@ -54,14 +62,14 @@
  * request would have to time out at each of them. Suspended servers are probed with
  * connections that carry no request.
  *
- * @param dependencies - Clock, logger, and a client that probes connections.
+ * @param dependencies - Clock, logger, a client that probes connections, and which servers may be probed.
  * @returns The service for the kernel, without any observations yet.
  *
  * @example
- * createInstanceHealth({ clock, logger, client }).api.isSuspended(instance) // => false
+ * createInstanceHealth({ clock, logger, client, mayProbe }).api.isSuspended(instance) // => false
  */
-export const createInstanceHealth = (dependencies: { readonly clock: Clock, readonly logger: Logger, readonly client: Pick<InstanceClient, 'probe'> }): RunningService<InstanceHealth> => {
-  const { clock, logger, client } = dependencies
+export const createInstanceHealth = (dependencies: InstanceHealthDependencies): RunningService<InstanceHealth> => {
+  const { clock, logger, client, mayProbe } = dependencies
   const states = new Map<string, InstanceHealthState>()
   const activities = new Map<string, Activity>()
   const zones = new Map<string, ZoneReachability>()
@@ -139,7 +147,7 @@
     timer = undefined
     const now = clock.now()
     for (const [key, instance] of awaitingProbe) {
-      if (!probing.has(key) && readState(instance).suspendedUntil <= now) probe(key, instance)
+      if (!probing.has(key) && readState(instance).suspendedUntil <= now && mayProbe(instance)) probe(key, instance)
     }
     if (awaitingProbe.size > 0 && !isStopped) timer = clock.setTimer(PROBE_TICK_MS, probeDue)
   }
--- a/src/services/promptDirectory/_lib/createDirectoryRecovery.test.ts
+++ b/src/services/promptDirectory/_lib/createDirectoryRecovery.test.ts
@@ -15,10 +15,10 @@
 const createMember = (index: number, zone: string): Member =>
   ({ nodeId: `node-${zone}-${index}`, incarnation: 1, address: { host: `node-${zone}-${index}`, port: 1 }, availabilityZone: zone, state: 'live', generation: 1 })
 
-type FleetOptions = { readonly nodesPerZone: number, readonly enginesPerZone: number, readonly restarted?: number }
+type FleetOptions = { readonly nodesPerZone: number, readonly enginesPerZone: number, readonly restarted?: number, readonly mayQuery?: (engine: BackendInstance) => boolean }
 
 /** Nodes of two zones. The first `restarted` nodes (by default all) have just started. Announcements reach all nodes at once. */
-const createFleet = ({ nodesPerZone, enginesPerZone, restarted = Infinity }: FleetOptions) => {
+const createFleet = ({ nodesPerZone, enginesPerZone, restarted = Infinity, mayQuery = () => true }: FleetOptions) => {
   const clock = createManualClock()
   const network = createMemoryPeerNetwork({ clock })
   const zones = ['a', 'b']
@@ -50,6 +50,8 @@
         },
         availabilityZone: self.availabilityZone,
         isEngine: () => true,
+        mayQuery,
+        recordNotice: () => {},
         areEnginesKnown: () => true,
         onEnginesChange: () => {}
       }
@@ -63,6 +65,7 @@
     nodes,
     engines,
     start: () => { for (const [index, { recovery }] of nodes.entries()) if (index < restarted) recovery.start() },
+    listQueried: () => [...lists.keys()],
     countCacheReads: () => [...lists.values()].reduce((sum, count) => sum + count, 0),
     readMaximumLists: () => Math.max(0, ...lists.values())
   }
@@ -86,4 +89,22 @@
     expect(fleet.nodes[0]!.known.size).toBe(12)
     expect(fleet.nodes[0]!.recovery.isWhole()).toBe(true)
   })
+
+  // A query is work for an engine that asked for none, or one that is about to exit.
+  test('queries no engine that accepts no queries', async () => {
+    const fleet = createFleet({ nodesPerZone: 3, enginesPerZone: 6, mayQuery: ({ id }) => id !== 'engine-a-0' })
+    fleet.start()
+    await fleet.clock.advanceAndSettle(5_000)
+    expect(fleet.listQueried()).toHaveLength(11)
+    expect(fleet.listQueried()).not.toContain('engine-a-0')
+  })
+
+  test('queries an engine later that accepts queries again', async () => {
+    const fleet = createFleet({ nodesPerZone: 1, enginesPerZone: 1, mayQuery: () => fleet.clock.now() > 500 })
+    fleet.start()
+    await fleet.clock.advanceAndSettle(400)
+    expect(fleet.countCacheReads()).toBe(0)
+    await fleet.clock.advanceAndSettle(5_000)
+    expect(fleet.countCacheReads()).toBe(2)
+  })
 })
--- a/src/services/promptDirectory/_lib/createDirectoryRecovery.ts
+++ b/src/services/promptDirectory/_lib/createDirectoryRecovery.ts
@@ -9,7 +9,7 @@
 import { rankMembers } from '../../../decisions/rankMembers/index.js'
 import { selectZoneReaders } from '../../../decisions/selectZoneReaders/index.js'
 import { describeSourceError } from '../../../decisions/describeSourceError/index.js'
-import type { BackendInstance, Clock, PromptCacheSource, InstanceRegistry, CachedParts, Logger, Member, Membership, PeerTransport, RandomSource } from '../../../types/index.js'
+import type { BackendInstance, Clock, PromptCacheSource, InstanceNotice, InstanceRegistry, CachedParts, Logger, Member, Membership, PeerTransport, RandomSource } from '../../../types/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 
 export type DirectoryRecoverySources = {
@@ -23,6 +23,10 @@
   readonly availabilityZone: string
   /** Whether a backend server is a model engine and so has a prompt cache. */
   readonly isEngine: (instance: BackendInstance) => boolean
+  /** Whether the backend server accepts queries of this node now; asked before every query. */
+  readonly mayQuery: (instance: BackendInstance) => boolean
+  /** Records the notice in an engine's answer to a query. */
+  readonly recordNotice: (instance: BackendInstance, notice: InstanceNotice) => void
 }
 
 export type DirectoryRecoveryDependencies = {
@@ -81,7 +85,8 @@
   }
 
   const queryEngine = async (instance: BackendInstance): Promise<void> => {
-    const result = await recovery.promptCacheSource.list(instance)
+    if (!recovery.mayQuery(instance)) return
+    const result = await recovery.promptCacheSource.list(instance, (notice) => recovery.recordNotice(instance, notice))
     if (!result.ok) {
       logger.warn('prompt places not learnt', { backendServer: instance.id, reason: describeSourceError(result.error) })
       return
--- a/src/types/gatewayState.ts
+++ b/src/types/gatewayState.ts
@@ -3,7 +3,7 @@
  * configuration in force, when it was last confirmed to be the newest, the
  * backend servers and the zone drains.
  */
-import type { BackendInstance, GatewayConfiguration, PromptPart } from './gateway.js'
+import type { BackendInstance, GatewayConfiguration, InstanceNotice, PromptPart } from './gateway.js'
 import type { Result } from './result.js'
 
 export type SourceError =
@@ -137,6 +137,9 @@
 }
 
 export type PromptCacheSource = {
-  /** Lists the prompt parts in a model engine's prompt cache. Expensive: the query delays the engine's other work. */
-  readonly list: (instance: BackendInstance) => Promise<Result<readonly PromptPart[], SourceError>>
+  /**
+   * Lists the prompt parts in a model engine's prompt cache. Expensive: the query delays the engine's other work.
+   * `onNotice` is called with the notice of the answer, whatever its status.
+   */
+  readonly list: (instance: BackendInstance, onNotice: (notice: InstanceNotice) => void) => Promise<Result<readonly PromptPart[], SourceError>>
 }
--- a/test/platform/backoff.test.ts
+++ b/test/platform/backoff.test.ts
@@ -41,8 +41,8 @@
 
 const pause = (ms: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, ms) })
 
-const waitForLine = async (fleet: GatewayFleet, message: string, count: number): Promise<void> => {
-  while (fleet.logs.filter((line) => line.message === message && line['backendServer'] === 'plain-1').length < count) await pause(5)
+const waitForLine = async (fleet: GatewayFleet, message: string, count: number, id = 'plain-1'): Promise<void> => {
+  while (fleet.logs.filter((line) => line.message === message && line['backendServer'] === id).length < count) await pause(5)
 }
 
 describe('a backend server that refused with Retry-After', () => {
@@ -135,6 +135,17 @@
   })
 })
 
+// After a start the node asks engines for their cached prompts before it sends any request.
+test('an engine that refuses a query of its cache with Retry-After gets no request within that time', async () => {
+  const fleet = await start({ settings: { isFirstStart: false } })
+  while (fleet.backends.get('engine-1')!.countCacheReads() === 0) await pause(5)
+  refuseAll(fleet, 'engine-1')
+  await fleet.restart(0)
+  await waitForLine(fleet, 'backend server backoff begun', 1, 'engine-1')
+  for (let index = 0; index < 6; index++) await callGateway(fleet.callerAddress(), { path: '/chat/1', body: 'hello', headers: promptHeaders(`s${index}`) })
+  expect(countArrivals(fleet, 'engine-1')).toBe(0)
+})
+
 describe('a request whose backend servers are all in backoff', () => {
   const startInBackoff = async (): Promise<GatewayFleet> => {
     const fleet = await start()
--- a/test/platform/leaving.test.ts
+++ b/test/platform/leaving.test.ts
@@ -125,3 +125,14 @@
   expect(status).toBe(503)
   expect(Number(headers['retry-after'])).toBeGreaterThan(0)
 })
+
+// After a start the node asks engines for their cached prompts before it sends any request.
+test('an engine that states in the answer to a query of its cache that it is leaving gets no request', async () => {
+  const fleet = await start({ settings: { isFirstStart: false } })
+  while (fleet.backends.get('engine-1')!.countCacheReads() === 0) await pause(5)
+  fleet.backends.get('engine-1')!.startLeaving()
+  await fleet.restart(0)
+  await waitForLine(fleet, 'backend server leaving', 'engine-1')
+  for (let index = 0; index < 6; index++) await stream(fleet, `s${index}`)
+  expect(countArrivals(fleet, 'engine-1')).toBe(0)
+})
