Drop the count of sends within a backoff

Now that no such send can be selected or written it would always be 0; backoffLeftMs of a send shows the same in the log. Beside it a test with the real daemon: a backoff and a leaving server outlast a freeze and a reload.

--- a/src/adapters/promMetrics/index.ts
+++ b/src/adapters/promMetrics/index.ts
@@ -26,7 +26,6 @@
   gateway_repeats: { help: 'Sends beyond the first of a request, by whether the retry budget granted them', labels: ['granted'] },
   gateway_prompt_copies: { help: 'Sends that asked for a copy of the prompt from another backend server', labels: [] },
   gateway_backoffs: { help: 'Answers in which a backend server asked this node to send nothing for a while', labels: [] },
-  gateway_sends_in_backoff: { help: 'Sends to a backend server that had asked for none at that time; anything but 0 is an alarm', labels: [] },
   log_lines_left_out: { help: 'Log lines left out to keep the volume bounded, by event', labels: ['event'] }
 }
 
--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -160,7 +160,6 @@
     context.warmUp.recordSend(instance)
     context.directory.record(request.promptParts, formatInstanceKey(instance))
     if (copyPromptFrom !== undefined) metrics.count('gateway_prompt_copies')
-    if (notices.backoffRemainingMs(instance) > 0) metrics.count('gateway_sends_in_backoff')
     record.log(attemptsStarted++ === 0 ? 'request sent' : 'request sent again', {
       ...describeSend(context, request, chosen),
       remainingMs: Math.round(remainingMs),
--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -75,6 +75,25 @@
     expect(await callGateway(node.callerAddress, { path: '/lookup/1' })).toMatchObject({ status: 200 })
   })
 
+  // A pause or a reload that dropped what servers asked for would send requests to a server that wants none.
+  test.each([['a freeze', ['SIGSTOP', 'SIGCONT']], ['a reload', ['SIGHUP']]] as const)('keeps a backoff and a leaving server over %s', async (_what, signals) => {
+    const platform = closeAfterTest(await createPlatform({ plain: ['plain-1', 'plain-2', 'plain-3'].map((id) => ({ id })) }))
+    const node = await startNode(platform, 'node-1')
+    await waitUntilReady(node)
+    const [refusing, leaving] = [platform.backends.get('plain-1')!, platform.backends.get('plain-2')!]
+    refusing.setFault('full')
+    refusing.setRetryAfter(60)
+    leaving.startLeaving()
+    while (refusing.records().length + leaving.records().length < 2) await callGateway(node.callerAddress, { path: '/lookup/1' })
+    for (const signal of signals) {
+      node.rewriteSettings({ 'bounds.retry_ratio': '0.3' })
+      node.signal(signal)
+      await new Promise((resolve) => { setTimeout(resolve, 300) })
+    }
+    for (let index = 0; index < 12; index++) expect((await callGateway(node.callerAddress, { path: '/lookup/1' })).status).toBe(200)
+    expect([refusing.records().length, leaving.records().length]).toEqual([1, 1])
+  })
+
   // A process that resumes from a freeze would accept an order with a key that was revoked meanwhile.
   test('does not accept a key that was revoked while it was frozen', async () => {
     const platform = await startPlatform()
