--- a/src/services/forwarding/_lib/selectInstance.test.ts
+++ b/src/services/forwarding/_lib/selectInstance.test.ts
@@ -97,8 +97,8 @@
   test('is not selected when no other server is left', () =>
     expect(choose({ keeper: IN_BACKOFF, b: { zone: 'a', load: 0 } }, ['b'])).toBeUndefined())
 
-  test('is not asked for a copy of its cache', () =>
-    expect(choose({ keeper: IN_BACKOFF, b: { zone: 'a', load: 0 } })?.copyPromptFrom).toBeUndefined())
+  test.each(['a', 'drained'])('is not asked for a copy of its cache (zone %s)', (zone) =>
+    expect(choose({ keeper: { ...IN_BACKOFF, zone }, b: { zone: 'a', load: 0 } })?.copyPromptFrom).toBeUndefined())
 })
 
 describe('computeAvailableInMs', () => {
--- a/src/services/forwarding/_lib/selectInstance.ts
+++ b/src/services/forwarding/_lib/selectInstance.ts
@@ -105,8 +105,6 @@
   return loads.reduce((sum, load) => sum + load, 0) / Math.max(1, loads.length)
 }
 
-const NO_COPY_SOURCE: ReadonlySet<InstanceEligibility> = new Set(['regionNotAllowed', 'backingOff'])
-
 /**
  * Lists the servers of the service that cache a prefix of the prompt, including leaving and
  * recently removed servers and those of a drained zone: they still serve for a while, and a
@@ -115,10 +113,10 @@
  */
 const listPrefixCaches = (dependencies: SelectionDependencies, input: SelectionInput, cachedTokensByKey: ReadonlyMap<string, number>): readonly PromptCopySource[] => {
   if (cachedTokensByKey.size === 0) return []
-  const { registry, health } = dependencies
+  const { registry, health, notices } = dependencies
   return [...registry.all(), ...registry.recentlyRemoved()]
     .filter((instance) => instance.service === input.service && cachedTokensByKey.has(formatInstanceKey(instance)) && !health.isSuspended(instance))
-    .filter((instance) => !NO_COPY_SOURCE.has(evaluate(dependencies, input, instance)))
+    .filter((instance) => notices.backoffRemainingMs(instance) === 0 && evaluate(dependencies, input, instance) !== 'regionNotAllowed')
     .map((instance) => ({ id: instance.id, availabilityZone: instance.availabilityZone, cachedPromptTokens: cachedTokensByKey.get(formatInstanceKey(instance)) ?? 0 }))
 }
 
