Attribute notices in the soak to the server that gave them

The check took the second server's notice for the first one's, and counted a refusal that the node had never read, as it had aborted that exchange.

The signature tells now whose answer it was, and the node's log whether it read the refusal. For what it read the check stays exact: no later request at all.

--- a/test/platform/noticesSoak.test.ts
+++ b/test/platform/noticesSoak.test.ts
@@ -22,7 +22,7 @@
 /** One run of a daemon. Its name is the same after a restart. */
 type Node = { readonly name: string, readonly process: GatewayProcess, isGone: boolean }
 
-type Call = { readonly requestId: string, readonly node: Node, readonly path: string, readonly sentAt: number, readonly endedAt: number, readonly status: number, readonly isFromLeaving: boolean }
+type Call = { readonly requestId: string, readonly node: Node, readonly path: string, readonly sentAt: number, readonly endedAt: number, readonly status: number, readonly signature: string | undefined, readonly isFromLeaving: boolean }
 
 type Server = { readonly backend: BackendStandIn, readonly service: string, readonly born: number }
 
@@ -86,7 +86,7 @@
     const sentAt = performance.now()
     const isStream = path.startsWith('/chat') || path.startsWith('/once')
     const { status, headers } = await callGateway(node.process.callerAddress, { path, requestId, agent, timeoutMs: 2_000, body: 'x', headers: isStream ? promptHeaders(`s${draw(9)}`) : {} })
-    calls.push({ requestId, node, path, sentAt, endedAt: performance.now(), status, isFromLeaving: headers['server-leaving'] === '1' })
+    calls.push({ requestId, node, path, sentAt, endedAt: performance.now(), status, signature: headers['x-server-stamp'], isFromLeaving: headers['server-leaving'] === '1' })
   }
 
   /** Uses its open connection until the process is gone. */
@@ -171,11 +171,15 @@
   return { calls, servers: servers.all }
 }
 
-/** Requests that a client sent after the node had passed on the end of a refused one, and that reached the server before the end of its backoff. */
+/** Whether the node logged that it read the refusal. It aborts an exchange that is silent for too long, as after a pause, and may then miss the answer. */
+const hasReadRefusal = ({ node, requestId }: Call, backendServer: string): boolean =>
+  node.process.lines.some((line) => line['message'] === 'backend server refused' && line['requestId'] === requestId && line['backendServer'] === backendServer)
+
+/** Requests that a client sent after the node had read a refusal and ended the refused request, and that reached the server before the end of its backoff. */
 const findSentInBackoff = (calls: ReadonlyMap<string, Call>, { backend }: Server): readonly string[] =>
   backend.records().filter(({ backoffMs }) => backoffMs !== undefined).flatMap((refused) => {
     const first = calls.get(refused.requestId)
-    if (first === undefined || first.status === 0) return []
+    if (first === undefined || !hasReadRefusal(first, backend.id)) return []
     const isViolation = (requestId: string, arrivedAt: number): boolean => {
       const call = calls.get(requestId)
       return call !== undefined && call.node === first.node && call.sentAt > first.endedAt && arrivedAt < refused.arrivedAt + refused.backoffMs!
@@ -183,11 +187,14 @@
     return backend.records().filter(({ requestId, arrivedAt }) => isViolation(requestId, arrivedAt)).map(({ requestId }) => `${requestId} after ${refused.requestId}`)
   })
 
-/** Requests that a client sent after the node had passed on an answer in which the server states that it is leaving, and that reached it. */
+/**
+ * Requests that a client sent after the node had passed on an answer in which the server states that it is leaving, and that
+ * reached it. The signature tells whose answer it was: a request that a silent server ran may be answered by another one.
+ */
 const findSentToLeaving = (calls: ReadonlyMap<string, Call>, { backend }: Server): readonly string[] => {
   const told = backend.records().flatMap(({ requestId, isRun }) => {
     const call = calls.get(requestId)
-    return isRun && call?.isFromLeaving === true ? [call] : []
+    return isRun && call?.isFromLeaving === true && call.signature === `stamp-${backend.id}` ? [call] : []
   })
   return backend.records().flatMap(({ requestId }) => {
     const call = calls.get(requestId)
