--- a/src/services/instanceRegistry/_lib/createLeavingRuns.ts
+++ b/src/services/instanceRegistry/_lib/createLeavingRuns.ts
@@ -13,7 +13,7 @@
   readonly has: (run: Run) => boolean
 }
 
-/** More than the backend servers of a large fleet that are replaced within an hour. */
+/** Bounds the memory: the run that left first is forgotten, and counts as ready if its entry comes back. */
 const MAXIMUM_RUNS = 2_000
 
 /** Creates the record, without any runs yet. */
--- a/test/platform/backoff.test.ts
+++ b/test/platform/backoff.test.ts
@@ -1,8 +1,9 @@
 /** Tests that servers that ask for a backoff get no requests within it, over the platform's stand-ins. */
 import { afterEach, describe, expect, test } from 'vitest'
-import { callGateway, promptHeaders, type CallResult } from '../../platform/standIn/callGateway/index.js'
+import { callGateway } from '../../platform/standIn/callGateway/index.js'
 import { PLAIN, createRoute } from '../../platform/standIn/createPlatform/index.js'
 import { composeGatewaySettings } from '../../src/emulator/composeGatewaySettings/index.js'
+import { callLookup, callLookups, callStream, callUntilArrival, countArrivals, pause, waitForEvent } from './_lib/callFleet.js'
 import { startGatewayFleet, type FleetOptions, type GatewayFleet } from './_lib/startGatewayFleet.js'
 
 /** Outlasts every test, so that no result depends on the time it took. */
@@ -23,27 +24,7 @@
   fleet.backends.get(id)!.setRetryAfter(BACKOFF_SECONDS)
 }
 
-const countArrivals = (fleet: GatewayFleet, id: string): number => fleet.backends.get(id)!.records().length
-
-const call = (fleet: GatewayFleet, node = 0): Promise<CallResult> => callGateway(fleet.callerAddress(node), { path: '/lookup/1' })
-
-/** Sends lookups one by one until the server has refused one. */
-const callUntilRefused = async (fleet: GatewayFleet, id: string, node = 0): Promise<void> => {
-  const before = countArrivals(fleet, id)
-  while (countArrivals(fleet, id) === before) await call(fleet, node)
-}
-
-const callMany = async (fleet: GatewayFleet, count = 20): Promise<readonly number[]> => {
-  const statuses = new Set<number>()
-  for (let index = 0; index < count; index++) statuses.add((await call(fleet)).status)
-  return [...statuses]
-}
-
-const pause = (ms: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, ms) })
-
-const waitForLine = async (fleet: GatewayFleet, message: string, count: number, id = 'plain-1'): Promise<void> => {
-  while (fleet.logs.filter((line) => line.message === message && line['backendServer'] === id).length < count) await pause(5)
-}
+const callUntilRefused = (fleet: GatewayFleet, id: string, node = 0): Promise<number> => callUntilArrival(fleet, id, () => callLookup(fleet, node))
 
 describe('a backend server that refused with Retry-After', () => {
   // Its requests would be refused again, use up the retry budget, and callers would be refused while other servers are free.
@@ -51,18 +32,18 @@
     const fleet = await start()
     refuseAll(fleet, 'plain-1')
     await callUntilRefused(fleet, 'plain-1')
-    expect(await callMany(fleet)).toEqual([200])
+    expect(await callLookups(fleet)).toEqual([200])
     expect(countArrivals(fleet, 'plain-1')).toBe(1)
   })
 
   // A connection that is already open reaches the server as a new one does.
   test('gets none on a connection that is already open', async () => {
     const fleet = await start()
-    while (countArrivals(fleet, 'plain-1') < 5) await Promise.all(Array.from({ length: 4 }, () => call(fleet)))
+    while (countArrivals(fleet, 'plain-1') < 5) await Promise.all(Array.from({ length: 4 }, () => callLookup(fleet)))
     refuseAll(fleet, 'plain-1')
     await callUntilRefused(fleet, 'plain-1')
     const arrivals = countArrivals(fleet, 'plain-1')
-    expect(await callMany(fleet)).toEqual([200])
+    expect(await callLookups(fleet)).toEqual([200])
     expect(countArrivals(fleet, 'plain-1')).toBe(arrivals)
   })
 
@@ -71,17 +52,16 @@
     refuseAll(fleet, 'plain-1')
     await callUntilRefused(fleet, 'plain-1')
     fleet.backends.get('plain-2')!.setFault('error', 3)
-    expect(await callMany(fleet, 3)).toEqual([500])
+    expect(await callLookups(fleet, 3)).toEqual([500])
     expect(countArrivals(fleet, 'plain-1')).toBe(1)
   })
 
   test('gets no stream that breaks elsewhere', async () => {
     const fleet = await start()
     refuseAll(fleet, 'engine-1')
-    const stream = (index: number): Promise<CallResult> => callGateway(fleet.callerAddress(), { path: '/chat/1', body: 'hello', headers: promptHeaders(`s${index}`) })
-    for (let index = 0; countArrivals(fleet, 'engine-1') === 0; index++) await stream(index)
+    for (let index = 0; countArrivals(fleet, 'engine-1') === 0; index++) await callStream(fleet, `s${index}`)
     fleet.backends.get('engine-2')!.setFault('cut', 3)
-    for (let index = 0; index < 3; index++) expect((await stream(index)).isComplete).toBe(false)
+    for (let index = 0; index < 3; index++) expect((await callStream(fleet, `s${index}`)).isComplete).toBe(false)
     expect(countArrivals(fleet, 'engine-1')).toBe(1)
   })
 
@@ -109,10 +89,10 @@
     refuseAll(fleet, 'plain-1')
     await callUntilRefused(fleet, 'plain-1')
     fleet.store.remove('servers', 'plain-1')
-    await waitForLine(fleet, 'backend server removed', 1)
+    await waitForEvent(fleet, 'backend server removed', 'plain-1')
     fleet.register(fleet.backends.get('plain-1')!, PLAIN, { born })
-    await waitForLine(fleet, 'backend server added', 2)
-    expect(await callMany(fleet)).toEqual([200])
+    await waitForEvent(fleet, 'backend server added', 'plain-1', 2)
+    expect(await callLookups(fleet)).toEqual([200])
     expect(countArrivals(fleet, 'plain-1')).toBe(1)
   })
 
@@ -121,7 +101,7 @@
     refuseAll(fleet, 'plain-1')
     await callUntilRefused(fleet, 'plain-1')
     fleet.gateways[0]!.applySettings(composeGatewaySettings('node-1', { retryExtra: 500 }))
-    expect(await callMany(fleet)).toEqual([200])
+    expect(await callLookups(fleet)).toEqual([200])
     expect(countArrivals(fleet, 'plain-1')).toBe(1)
   })
 
@@ -130,7 +110,7 @@
     refuseAll(fleet, 'plain-1')
     await callUntilRefused(fleet, 'plain-1')
     fleet.cutFromStore(0)
-    expect(await callMany(fleet)).toEqual([200])
+    expect(await callLookups(fleet)).toEqual([200])
     expect(countArrivals(fleet, 'plain-1')).toBe(1)
   })
 })
@@ -141,8 +121,8 @@
   while (fleet.backends.get('engine-1')!.countCacheReads() === 0) await pause(5)
   refuseAll(fleet, 'engine-1')
   await fleet.restart(0)
-  await waitForLine(fleet, 'backend server backoff begun', 1, 'engine-1')
-  for (let index = 0; index < 6; index++) await callGateway(fleet.callerAddress(), { path: '/chat/1', body: 'hello', headers: promptHeaders(`s${index}`) })
+  await waitForEvent(fleet, 'backend server backoff begun', 'engine-1')
+  for (let index = 0; index < 6; index++) await callStream(fleet, `s${index}`)
   expect(countArrivals(fleet, 'engine-1')).toBe(0)
 })
 
@@ -150,7 +130,7 @@
   const startInBackoff = async (): Promise<GatewayFleet> => {
     const fleet = await start()
     for (const id of ['plain-1', 'plain-2']) refuseAll(fleet, id)
-    await call(fleet)
+    await callLookup(fleet)
     expect([countArrivals(fleet, 'plain-1'), countArrivals(fleet, 'plain-2')]).toEqual([1, 1])
     return fleet
   }
