Log and exchange which backend servers each node reaches

A node that refused for want of a backend server said neither how many of its servers it had suspended and since when nothing had arrived from any of them, nor what its peers reached, so that servers that are down and a node that is cut off looked alike. Heartbeats carry the sender's reach; refusals, two state changes and a gauge tell it. No decision uses it yet.

--- a/src/adapters/promMetrics/index.ts
+++ b/src/adapters/promMetrics/index.ts
@@ -47,6 +47,7 @@
   configuration_version: { help: 'Version of the configuration in force', labels: [] },
   configuration_confirmed_age_seconds: { help: 'Time since the configuration in force was surely the newest; -1 when unknown', labels: [] },
   instances: { help: 'Backend servers by service and state', labels: ['service', 'state'] },
+  peers_reach: { help: 'Peers by whether they reach backend servers, as they last reported', labels: ['reach'] },
   members: { help: 'Routers by state, as this one sees them', labels: ['state'] },
   backend_server_in_flight: { help: 'Estimated requests in flight from the whole fleet', labels: ['backend_server'] },
   backend_server_ejected: { help: '1 while the backend server is ejected', labels: ['backend_server'] },
--- a/src/node/createGatewayNode/_lib/registerForwarding.ts
+++ b/src/node/createGatewayNode/_lib/registerForwarding.ts
@@ -4,6 +4,7 @@
 import { createInstanceHealth } from '../../../services/instanceHealth/index.js'
 import { createInstanceNotices } from '../../../services/instanceNotices/index.js'
 import { createPromptDirectory, type DirectoryRecoverySources } from '../../../services/promptDirectory/index.js'
+import { createReachExchange } from '../../../services/reachExchange/index.js'
 import { createWarmUpLimiter } from '../../../services/warmUpLimiter/index.js'
 import type { BackendInstance, GatewaySettings } from '../../../types/index.js'
 import type { Kernel } from '../../../kernel/index.js'
@@ -75,6 +76,18 @@
       return health
     }
   })
+  kernel.register({
+    name: 'reachExchange',
+    dependsOn: ['instanceRegistry', 'instanceHealth', 'membership', 'heartbeatExchange'],
+    create: (resolve) => createReachExchange({
+      clock,
+      logger,
+      registry: resolve('instanceRegistry'),
+      health: resolve('instanceHealth'),
+      membership: resolve('membership'),
+      exchange: resolve('heartbeatExchange')
+    })
+  })
   kernel.register({
     name: 'promptDirectory',
     dependsOn: ['membership', 'instanceRegistry', 'instanceNotices', 'gatewayConfiguration', 'zoneDrains'],
@@ -99,7 +112,7 @@
   })
   kernel.register({
     name: 'forwarding',
-    dependsOn: ['gatewayConfiguration', 'instanceRegistry', 'instanceHealth', 'instanceNotices', 'promptDirectory', 'loadView', 'membership', 'zoneDrains', 'warmUp'],
+    dependsOn: ['gatewayConfiguration', 'instanceRegistry', 'instanceHealth', 'instanceNotices', 'reachExchange', 'promptDirectory', 'loadView', 'membership', 'zoneDrains', 'warmUp'],
     create: (resolve) => createForwarding({
       clock,
       random,
@@ -110,6 +123,7 @@
       registry: resolve('instanceRegistry'),
       health: resolve('instanceHealth'),
       notices: resolve('instanceNotices'),
+      reach: resolve('reachExchange'),
       directory: resolve('promptDirectory'),
       loadView: resolve('loadView'),
       membership: resolve('membership'),
--- a/src/node/createGatewayNode/_lib/registerGauges.ts
+++ b/src/node/createGatewayNode/_lib/registerGauges.ts
@@ -48,5 +48,6 @@
   metrics.readGauge('configuration_version', () => [{ value: resolve('gatewayConfiguration').version() }])
   metrics.readGauge('configuration_confirmed_age_seconds', () => [{ value: readConfirmedAge(resolve) }])
   metrics.readGauge('instances', () => readInstances(resolve))
+  metrics.readGauge('peers_reach', () => Object.entries(resolve('reachExchange').countPeers()).map(([reach, value]) => ({ value, labels: { reach } })))
   metrics.readGauge('members', () => countBy(resolve('membership').members().map(({ state }) => [state, { state }])))
 }
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -16,6 +16,7 @@
 import type { InstanceNotices } from '../../services/instanceNotices/index.js'
 import type { KnowledgeExchange } from '../../services/knowledgeExchange/index.js'
 import type { PromptDirectory } from '../../services/promptDirectory/index.js'
+import type { ReachExchange } from '../../services/reachExchange/index.js'
 import type { VmList } from '../../services/vmList/index.js'
 import type { WarmUpLimiter } from '../../services/warmUpLimiter/index.js'
 import type {
@@ -54,6 +55,7 @@
   readonly loadView: LoadView
   readonly instanceHealth: InstanceHealth
   readonly instanceNotices: InstanceNotices
+  readonly reachExchange: ReachExchange
   readonly promptDirectory: PromptDirectory
   readonly warmUp: WarmUpLimiter
   readonly forwarding: Forwarding
--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -12,6 +12,7 @@
 import { createRequestRecord } from './createRequestRecord.js'
 import { createSendAttempt, type SendAttempt } from './createSendAttempt.js'
 import { createAttemptReporter } from './createAttemptReporter.js'
+import { describeReach } from './describeReach.js'
 import { describeSend } from './describeSend.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 import { isFailoverDue } from '../../../decisions/isFailoverDue/index.js'
@@ -99,7 +100,7 @@
   /** No backend server is eligible: waiting would not help, and the reason sets the Retry-After. */
   const giveUpWithoutInstance = (): void => {
     const ineligibility = findIneligibility(context, createSelectionInput())
-    if (ineligibility === undefined || ineligibility === 'open') return giveUp('noInstance', 502)
+    if (ineligibility === undefined || ineligibility === 'open') return giveUp('noInstance', 502, describeReach(context))
     giveUp(ineligibility, 502, { zoneDrainRevision: context.zoneDrains.revision(), configurationVersion: context.configuration.version() })
   }
 
@@ -244,7 +245,7 @@
     record.countSend(failure.kind)
     if (event !== undefined) health.record(current.instance, event)
     record.log('exchange failed', { backendServer: current.instance.id, kind: failure.kind, reason: failure.message, lastEventId: caller.relay.lastEventId() })
-    retryOr(() => giveUp(reason, 502))
+    retryOr(() => giveUp(reason, 502, describeReach(context)))
   }
 
   const moveToOtherInstance = (current: SendAttempt, now: number): void => {
--- a/src/services/forwarding/_lib/selectInstance.test.ts
+++ b/src/services/forwarding/_lib/selectInstance.test.ts
@@ -40,7 +40,7 @@
       markGone: () => {},
       onChange: () => {}
     },
-    health: { recordStart: () => {}, recordEnd: () => {}, recordBytes: () => {}, record: () => {}, isSuspended: ({ id }) => servers[id]?.isSuspended === true, readIdleMs: () => 0, compareWith: () => () => 1, retain: () => {} },
+    health: { recordStart: () => {}, recordEnd: () => {}, recordBytes: () => {}, record: () => {}, isSuspended: ({ id }) => servers[id]?.isSuspended === true, readIdleMs: () => 0, readUnheardMs: () => 0, compareWith: () => () => 1, retain: () => {} },
     notices: { record: () => {}, backoffRemainingMs: ({ id }) => servers[id]?.backoffMs ?? 0 },
     directory: { record: () => {}, listCachedTokens: () => new Map([['keeper@1', 8_000]]), onRecovered: () => {} },
     loadView: { recordStart: () => {}, recordEnd: () => {}, estimateInFlight: (key) => servers[key.split('@')[0]!]?.load ?? 0, ownInFlight: () => 0, applyReport: () => {} },
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -24,6 +24,7 @@
 import type { InstanceHealth } from '../instanceHealth/index.js'
 import type { InstanceNotices } from '../instanceNotices/index.js'
 import type { PromptDirectory } from '../promptDirectory/index.js'
+import type { ReachExchange } from '../reachExchange/index.js'
 import type { WarmUpLimiter } from '../warmUpLimiter/index.js'
 
 export type ForwardingDependencies = {
@@ -35,6 +36,7 @@
   readonly registry: InstanceRegistry
   readonly health: InstanceHealth
   readonly notices: InstanceNotices
+  readonly reach: ReachExchange
   readonly directory: PromptDirectory
   readonly loadView: LoadView
   readonly membership: Pick<Membership, 'members'>
--- a/src/services/forwarding/test.ts
+++ b/src/services/forwarding/test.ts
@@ -75,7 +75,8 @@
       markGone: () => {},
       onChange: () => {}
     },
-    health: { recordStart: () => {}, recordEnd: () => {}, recordBytes: () => {}, record: () => {}, isSuspended: () => false, readIdleMs: () => 0, compareWith: () => () => 1, retain: () => {} },
+    health: { recordStart: () => {}, recordEnd: () => {}, recordBytes: () => {}, record: () => {}, isSuspended: () => false, readIdleMs: () => 0, readUnheardMs: () => 0, compareWith: () => () => 1, retain: () => {} },
+    reach: { readOwn: () => ({ reachable: 2, known: 2 }), readPeer: () => 'unknown', countPeers: () => ({ some: 0, none: 0, unknown: 0 }) },
     notices: { record: () => {}, backoffRemainingMs: () => 0 },
     directory: { record: () => {}, listCachedTokens: () => new Map(), onRecovered: () => {} },
     loadView: { recordStart: () => {}, recordEnd: () => {}, estimateInFlight: () => 0, ownInFlight: () => 0, applyReport: () => {} },
--- a/src/services/instanceHealth/index.ts
+++ b/src/services/instanceHealth/index.ts
@@ -28,6 +28,8 @@
   readonly isSuspended: (instance: BackendInstance) => boolean
   /** Milliseconds since bytes last arrived from the server, while a request waits there; 0 when none does. */
   readonly readIdleMs: (instance: BackendInstance) => number
+  /** Milliseconds since this node last received anything from any server, or a connection to one succeeded. */
+  readonly readUnheardMs: () => number
   /** Returns a function that computes the cost of a request at a server as a multiple of the median of `peers`; at least 1. */
   readonly compareWith: (peers: readonly BackendInstance[]) => (instance: BackendInstance) => number
   /** Drops the state of all servers but those with the given keys. */
@@ -75,6 +77,7 @@
   const zones = new Map<string, ZoneReachability>()
   const awaitingProbe = new Map<string, BackendInstance>()
   const probing = new Set<string>()
+  let heardAt = clock.now()
   let timer: Timer | undefined
   let isStopped = false
 
@@ -100,6 +103,7 @@
   const recordZoneReached = (instance: BackendInstance): void => {
     const zone = getZone(instance.availabilityZone)
     zone.reachedAt = clock.now()
+    heardAt = zone.reachedAt
     if (zone.unreachableAt.size > 0) zone.unreachableAt.clear()
   }
 
@@ -174,6 +178,7 @@
       const activity = getActivity(instance)
       return activity.openRequests > 0 ? clock.now() - activity.idleSince : 0
     },
+    readUnheardMs: () => clock.now() - heardAt,
     compareWith: (peers) => {
       let medianState: Pick<InstanceHealthState, 'errorShare' | 'slowness'> | undefined
       return (instance) => {
--- a/src/types/gatewayEvents.ts
+++ b/src/types/gatewayEvents.ts
@@ -31,6 +31,8 @@
   'backend server held': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server is suspended and gets no requests for a while' },
   'backend server back': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server is no longer suspended' },
   'availability zone held': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the backend servers of a zone are suspended until one of them can be reached' },
+  'all backend servers out of reach': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'this node has every backend server suspended; the line tells what its peers reach' },
+  'backend servers in reach again': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'at least one backend server is no longer suspended' },
   'backend server added': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server was registered' },
   'backend server backoff begun': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server asked this node to send nothing for a while' },
   'backend server leaving': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server gets no new work' },
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -21,6 +21,9 @@
   readonly millicores?: number
 }
 
+/** Backend servers in the list of a node that are not leaving, and how many of them are not suspended in its own view. */
+export type ServerReach = { readonly reachable: number, readonly known: number }
+
 export type MemberState = 'live' | 'suspect' | 'leaving' | 'dead'
 
 /** Number of requests that one router has in flight to one backend server. */
@@ -103,6 +106,8 @@
     readonly echoWanted?: boolean
     /** The sender missed a digest and requests full counts from the receiver. */
     readonly loadWanted?: boolean
+    /** Backend servers that the sender reaches. */
+    readonly reach?: ServerReach
   }
   | PackedLoadDigest
   | { readonly kind: 'loadSnapshot', readonly snapshot: LoadSnapshot }
@@ -161,7 +166,7 @@
 export type Heartbeat = PeerMessageOf<'heartbeat'>
 
 /** The heartbeat fields that services contribute for one receiver; membership fills in the others. */
-export type HeartbeatParts = Partial<Pick<Heartbeat, 'loadSequence' | 'leavingMarks' | 'accountUsage' | 'loadWanted'>>
+export type HeartbeatParts = Partial<Pick<Heartbeat, 'loadSequence' | 'leavingMarks' | 'accountUsage' | 'loadWanted' | 'reach'>>
 
 export type PeerTransport = {
   /** Sends a one-way message, best effort: it is dropped when the peer is unreachable or its queue is full. */
