Reproduce first tries that fail at a node without a path to any backend server

Real gateways over loopback links that hang, are reset, lose one direction, or live on while new ones are refused. Peers, callers and the store still reach the node.

--- a/src/adapters/instanceHttp/index.ts
+++ b/src/adapters/instanceHttp/index.ts
@@ -7,12 +7,14 @@
 import { buildConnector, Client } from 'undici'
 import type { Dispatcher } from 'undici'
 import { formatInstanceKey } from '../../decisions/formatInstanceKey/index.js'
-import type { BackendInstance, Clock, Exchange, ExchangeListener, GatewayAttempt, GatewayDialect, HeaderList, InstanceClient } from '../../types/index.js'
+import type { BackendInstance, Clock, Exchange, ExchangeListener, GatewayAttempt, GatewayDialect, HeaderList, InstanceClient, PeerAddress } from '../../types/index.js'
 
 export type InstanceHttpOptions = {
   readonly clock: Clock
   readonly dialect: Pick<GatewayDialect, 'encodeAttempt' | 'decodeAnswer'>
   readonly connectTimeoutMs?: number
+  /** Returns where this node reaches the address of a backend server; that address itself by default. */
+  readonly resolveAddress?: (address: PeerAddress) => PeerAddress
 }
 
 type Connection = { readonly client: Client, lastUsedAt: number, isBusy: boolean, isClosed: boolean, isReset: boolean }
@@ -48,7 +50,7 @@
  * client.send(attempt, listener).abort()
  */
 export const createInstanceHttp = (options: InstanceHttpOptions): InstanceClient => {
-  const { clock, dialect } = options
+  const { clock, dialect, resolveAddress = (address) => address } = options
   const pools = new Map<string, Set<Connection>>()
 
   const drop = (pool: Set<Connection>, connection: Connection): void => {
@@ -61,7 +63,8 @@
   const connector = buildConnector({ timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS, noDelay: true })
 
   const open = (pool: Set<Connection>, instance: BackendInstance): Connection => {
-    const client = new Client(`http://${instance.address.host}:${instance.address.port}`, {
+    const { host, port } = resolveAddress(instance.address)
+    const client = new Client(`http://${host}:${port}`, {
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -185,7 +188,7 @@
   }
 
   const probe = (instance: BackendInstance): Promise<boolean> => new Promise((resolve) => {
-    const socket = connect({ host: instance.address.host, port: instance.address.port })
+    const socket = connect(resolveAddress(instance.address))
     const finish = (isReached: boolean): void => {
       limit.cancel()
       socket.destroy()
--- a/src/daemon/startGateway/index.ts
+++ b/src/daemon/startGateway/index.ts
@@ -32,6 +32,8 @@
   readonly zoneDrainSource?: ZoneDrainSource | undefined
   readonly promptCacheSource: PromptCacheSource
   readonly readinessPath: string
+  /** Returns where this node reaches the address of a backend server; that address itself by default. */
+  readonly resolveAddress?: (address: PeerAddress) => PeerAddress
 }
 
 export type Gateway = {
@@ -102,7 +104,7 @@
     logger
   })
   const peerAddress = await transport.listen()
-  const client = createInstanceHttp({ clock, dialect })
+  const client = createInstanceHttp({ clock, dialect, ...(options.resolveAddress === undefined ? {} : { resolveAddress: options.resolveAddress }) })
   const node = createGatewayNode({
     settings: { ...settings, peerAddress },
     readSettings: () => currentSettings,
--- /dev/null
+++ b/test/_lib/createGate.ts
@@ -0,0 +1,111 @@
+/**
+ * A loopback port in front of another one whose new connections can be let through, left
+ * hanging, or refused, while the connections that are already open live on.
+ */
+import { connect, createServer } from 'node:net'
+import type { AddressInfo, Server, Socket } from 'node:net'
+import { Worker } from 'node:worker_threads'
+
+export type Gate = {
+  readonly port: number
+  /** New connections pass. */
+  readonly open: () => Promise<void>
+  /** The first packet of new connections is dropped, so that connecting hangs. */
+  readonly hang: () => Promise<void>
+  /** New connections are refused. */
+  readonly refuse: () => Promise<void>
+  readonly close: () => Promise<void>
+}
+
+/** Connections that fill the queue of a listener with a backlog of 1. */
+const QUEUE_LENGTH = 2
+
+/** A thread that listens and accepts nothing: once its queue is full, the kernel drops the first packet of each connection. */
+const HANGING_LISTENER = `
+  const { parentPort, workerData } = require('node:worker_threads')
+  const server = require('node:net').createServer()
+  server.listen({ host: '127.0.0.1', port: workerData.port, backlog: 1 }, () => {
+    parentPort.postMessage('listening')
+    setImmediate(() => {
+      Atomics.wait(new Int32Array(workerData.released), 0, 0)
+      process.exit()
+    })
+  })
+`
+
+const openPair = (client: Socket, port: number, sockets: Set<Socket>): void => {
+  const upstream = connect({ host: '127.0.0.1', port, allowHalfOpen: true })
+  for (const [from, to] of [[client, upstream], [upstream, client]] as const) {
+    sockets.add(from)
+    from.setNoDelay(true)
+    from.pipe(to)
+    from.on('error', () => to.resetAndDestroy())
+    from.on('close', () => {
+      sockets.delete(from)
+      to.destroy()
+    })
+  }
+}
+
+const fillQueue = (port: number): Promise<readonly Socket[]> => Promise.all(Array.from({ length: QUEUE_LENGTH }, () => new Promise<Socket>((resolve) => {
+  const socket = connect({ host: '127.0.0.1', port }, () => resolve(socket))
+  socket.on('error', () => { /* reset when the listener is released */ })
+})))
+
+const startHangingListener = async (port: number): Promise<() => Promise<void>> => {
+  const released = new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT)
+  const worker = new Worker(HANGING_LISTENER, { eval: true, workerData: { port, released } })
+  const ended = new Promise<void>((resolve) => { worker.once('exit', () => resolve()) })
+  await new Promise<void>((resolve, reject) => {
+    worker.once('message', () => resolve())
+    worker.once('error', reject)
+  })
+  const fillers = await fillQueue(port)
+  return async () => {
+    Atomics.store(new Int32Array(released), 0, 1)
+    Atomics.notify(new Int32Array(released), 0)
+    await ended
+    for (const filler of fillers) filler.destroy()
+  }
+}
+
+/** Opens the gate in front of a port. */
+export const createGate = async (targetPort: number): Promise<Gate> => {
+  const sockets = new Set<Socket>()
+  let release: () => Promise<void> = async () => {}
+  let changes = Promise.resolve()
+
+  const listen = async (port: number): Promise<Server> => {
+    const server = createServer({ allowHalfOpen: true }, (client) => openPair(client, targetPort, sockets))
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject)
+      server.listen(port, '127.0.0.1', resolve)
+    })
+    // Not awaited: the listener is closed at once, but the event comes only after the open connections.
+    release = async () => { server.close() }
+    return server
+  }
+
+  const { port } = (await listen(0)).address() as AddressInfo
+
+  /** Changes run one after another, as the port can have one listener only. */
+  const change = (start: () => Promise<unknown>): Promise<void> => {
+    changes = changes.then(async () => {
+      await release()
+      release = async () => {}
+      await start()
+    })
+    return changes
+  }
+
+  return {
+    port,
+    open: () => change(() => listen(port)),
+    hang: () => change(async () => { release = await startHangingListener(port) }),
+    refuse: () => change(async () => {}),
+    close: async () => {
+      await change(async () => {})
+      for (const socket of sockets) socket.destroy()
+    }
+  }
+}
--- a/test/platform/_lib/startGatewayFleet.ts
+++ b/test/platform/_lib/startGatewayFleet.ts
@@ -11,6 +11,7 @@
 import { createPlatform, type PlatformOptions, type PlatformStandIn } from '../../../platform/standIn/createPlatform/index.js'
 import { startGateway, type Gateway } from '../../../src/daemon/startGateway/index.js'
 import { composeGatewaySettings } from '../../../src/emulator/composeGatewaySettings/index.js'
+import { createServerLink, type LinkCut, type ServerLink } from '../../_lib/createServerLink.js'
 import type { GatewaySettings, LogFields, Logger, PeerAddress } from '../../../src/types/index.js'
 
 export type LogLine = LogFields & { readonly message: string }
@@ -18,6 +19,10 @@
 export type FleetOptions = PlatformOptions & {
   readonly nodes?: number
   readonly settings?: Partial<GatewaySettings>
+  /** Settings of single nodes, by index. */
+  readonly nodeSettings?: readonly Partial<GatewaySettings>[]
+  /** Whether each node reaches the backend servers by links of its own, which can be cut. */
+  readonly hasLinks?: boolean
 }
 
 export type GatewayFleet = PlatformStandIn & {
@@ -28,10 +33,15 @@
   readonly restart: (index: number) => Promise<void>
   /** Makes the store unreachable for one node; the others still reach it. */
   readonly cutFromStore: (index: number) => void
+  /** Cuts a node's links to all backend servers; peers, callers and the store still reach it. Needs `hasLinks`. */
+  readonly cutFromServers: (index: number, how: LinkCut) => Promise<void>
+  readonly healServers: (index: number) => Promise<void>
+  /** Links of a node by the id of their backend server. */
+  readonly links: (index: number) => ReadonlyMap<string, ServerLink>
 }
 
-const createLogger = (lines: LogLine[]): Logger => {
-  const write = (message: string, fields: LogFields = {}): void => { lines.push({ message, ...fields }) }
+const createLogger = (lines: LogLine[], node: string): Logger => {
+  const write = (message: string, fields: LogFields = {}): void => { lines.push({ message, node, ...fields }) }
   return { error: write, warn: write, info: write, debug: write }
 }
 
@@ -47,6 +57,19 @@
   }
 }
 
+const openLinks = async ({ backends }: PlatformStandIn): Promise<ReadonlyMap<string, ServerLink>> => {
+  const links = new Map<string, ServerLink>()
+  for (const [id, backend] of backends) links.set(id, await createServerLink(backend.address().port))
+  return links
+}
+
+/** Returns the near end of the link to an address; servers without a link are reached directly. */
+const resolveOver = (links: ReadonlyMap<string, ServerLink>, { backends }: PlatformStandIn) => (address: PeerAddress): PeerAddress => {
+  const id = [...backends.values()].find((backend) => backend.address().port === address.port)?.id
+  const link = id === undefined ? undefined : links.get(id)
+  return link === undefined ? address : { host: address.host, port: link.port }
+}
+
 /**
  * Starts store, backends and gateways, and waits until each gateway is ready.
  *
@@ -58,19 +81,21 @@
   const logs: LogLine[] = []
   const clients: SeverableStore[] = []
   const gateways: Gateway[] = []
+  const links = await Promise.all(Array.from({ length: options.nodes ?? 1 }, () => options.hasLinks === true ? openLinks(platform) : new Map<string, ServerLink>()))
   const startNode = async (index: number): Promise<Gateway> => {
     const client = createSeverableStore(createStoreClient(platform.store.address()))
     clients[index]?.close()
     clients[index] = client
     return await startGateway({
-      settings: composeGatewaySettings(`node-${index + 1}`, { seedPeers: gateways.slice(0, index).map(({ peerAddress }) => peerAddress), logLevel: 'debug', ...options.settings }),
-      logger: createLogger(logs),
+      settings: composeGatewaySettings(`node-${index + 1}`, { seedPeers: gateways.slice(0, index).map(({ peerAddress }) => peerAddress), logLevel: 'debug', ...options.settings, ...options.nodeSettings?.[index] }),
+      logger: createLogger(logs, `node-${index + 1}`),
       dialect: createDialect(),
       configurationSource: createConfigurationSource(client),
       instanceSource: createInstanceSource(client),
       zoneDrainSource: createZoneDrainSource(client),
       promptCacheSource: createPromptCacheSource(),
-      readinessPath: '/readyz'
+      readinessPath: '/readyz',
+      resolveAddress: resolveOver(links[index]!, platform)
     })
   }
   for (let index = 0; index < (options.nodes ?? 1); index++) gateways.push(await startNode(index))
@@ -87,8 +112,12 @@
       await gateways[index].whenReadyToServe()
     },
     cutFromStore: (index) => clients[index]!.cut(),
+    cutFromServers: async (index, how) => { await Promise.all([...links[index]!.values()].map((link) => link.cut(how))) },
+    healServers: async (index) => { await Promise.all([...links[index]!.values()].map((link) => link.heal())) },
+    links: (index) => links[index]!,
     close: async () => {
       for (const gateway of gateways) await gateway.kill()
+      for (const link of links.flatMap((all) => [...all.values()])) await link.close()
       for (const client of clients) client.close()
       await platform.close()
     }
