--- /dev/null
+++ b/src/adapters/exchangeHttp/index.ts
@@ -0,0 +1,238 @@
+/**
+ * Exchanges single HTTP/1.1 requests and answers. Each connection is one undici client
+ * without pipelining, so that it is known which connection carries a request, whether a
+ * byte of it was written, and how long it was idle before.
+ */
+import { connect } from 'node:net'
+import { Client } from 'undici'
+import type { buildConnector, Dispatcher } from 'undici'
+import type { Clock, Exchange, ExchangeListener, HeaderList, InstanceAnswer, PeerAddress } from '../../types/index.js'
+
+export type ExchangeHttpOptions = {
+  readonly clock: Clock
+  readonly decodeAnswer: (status: number, headers: HeaderList) => InstanceAnswer
+  /** Connect timeout in milliseconds. */
+  readonly connectTimeoutMs: number
+}
+
+export type OutgoingRequest = {
+  /** Identifies the receiver: connections are reused for requests with the same key. */
+  readonly key: string
+  readonly address: PeerAddress
+  readonly method: string
+  readonly target: string
+  /** Names and values in turn. */
+  readonly headers: readonly string[]
+  readonly body: Uint8Array
+}
+
+export type ExchangeHttp = {
+  readonly send: (request: OutgoingRequest, listener: ExchangeListener) => Exchange
+  /** Closes idle connections to receivers whose key is not in the set. */
+  readonly retain: (live: ReadonlySet<string>) => void
+  readonly close: () => void
+}
+
+type Connection = { readonly client: Client, lastUsedAt: number, isBusy: boolean, isClosed: boolean, isReset: boolean }
+
+/** Maximum number of idle connections per receiver, kept open for its next burst of requests. */
+const MAXIMUM_IDLE_CONNECTIONS = 32
+/** Maximum idle time of a reused connection. The receiver may have closed an older one while its FIN is still in transit, and a request that can't be retried would be lost. */
+const MAXIMUM_REUSE_IDLE_MS = 1_500
+const MAXIMUM_IDLE_MS = 60_000
+/** An idle connection is closed this long before the end of the receiver's stated keep-alive timeout. */
+const IDLE_MARGIN_MS = 1_000
+const READ_BUFFER_BYTES = 64 * 1024
+
+const listHeaders = (raw: readonly Buffer[]): HeaderList => {
+  const headers: [string, string][] = []
+  for (let index = 0; index + 1 < raw.length; index += 2) headers.push([raw[index]!.toString('latin1'), raw[index + 1]!.toString('latin1')])
+  return headers
+}
+
+/**
+ * Creates a connector with a connect timeout. undici's own timeouts run on a timer that is
+ * up to a second late. The sockets get no TCP keep-alive and no `TCP_USER_TIMEOUT`: both would
+ * end a connection that a network only holds up.
+ */
+const createConnector = (clock: Clock, timeoutMs: number): buildConnector.connector => ({ hostname, port }, callback) => {
+  const options = { host: hostname, port: Number(port), noDelay: true, highWaterMark: READ_BUFFER_BYTES }
+  const socket = connect(options)
+  const expire = (): void => {
+    if (socket.connecting) socket.destroy(Object.assign(new Error(`no connection to ${hostname}:${port} within ${timeoutMs} ms`), { code: 'ETIMEDOUT' }))
+  }
+  // After a pause of this process timers run before sockets are read, so that one more turn of the event loop shows whether the connection is open.
+  const limit = clock.setTimer(timeoutMs, () => { setImmediate(expire) })
+  const fail = (error: Error): void => {
+    limit.cancel()
+    callback(error, null)
+  }
+  socket.once('error', fail)
+  socket.once('connect', () => {
+    limit.cancel()
+    socket.off('error', fail)
+    callback(null, socket)
+  })
+}
+
+/**
+ * Creates the client.
+ *
+ * @param options - Clock, decoder of answers, and the connect timeout in milliseconds.
+ * @returns The client; connections are opened as needed.
+ *
+ * @example
+ * const client = createExchangeHttp({ clock, decodeAnswer, connectTimeoutMs: 200 })
+ * client.send(request, listener).abort()
+ */
+export const createExchangeHttp = ({ clock, decodeAnswer, connectTimeoutMs }: ExchangeHttpOptions): ExchangeHttp => {
+  const pools = new Map<string, Set<Connection>>()
+  const connector = createConnector(clock, connectTimeoutMs)
+
+  const drop = (pool: Set<Connection>, connection: Connection): void => {
+    if (connection.isClosed) return
+    connection.isClosed = true
+    pool.delete(connection)
+    connection.client.destroy().catch(() => { /* its requests have been notified already */ })
+  }
+
+  const open = (pool: Set<Connection>, { host, port }: PeerAddress): Connection => {
+    const client = new Client(`http://${host}:${port}`, {
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: MAXIMUM_IDLE_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      connect: (target, callback) => connector(target, (...result) => {
+        const [, socket] = result
+        // undici takes a reset for the end of an answer without a length, and the event
+        // loop reports a reset right after some bytes as an orderly end. A partial answer
+        // would pass for a complete one. A socket that was reset has no remote address any
+        // more, one that was closed in order still has. These listeners run before undici's.
+        socket?.on('error', () => { connection.isReset = true })
+        socket?.on('end', () => { connection.isReset ||= socket.remoteAddress === undefined })
+        callback(...result)
+      })
+    })
+    const connection: Connection = { client, lastUsedAt: clock.now(), isBusy: false, isClosed: false, isReset: false }
+    client.on('disconnect', () => drop(pool, connection))
+    client.on('connectionError', () => drop(pool, connection))
+    pool.add(connection)
+    return connection
+  }
+
+  const selectIdle = (pool: Set<Connection>): Connection | undefined => {
+    let mostRecent: Connection | undefined
+    for (const connection of pool) {
+      if (connection.isBusy || connection.isClosed) continue
+      if (mostRecent === undefined || connection.lastUsedAt > mostRecent.lastUsedAt) mostRecent = connection
+    }
+    if (mostRecent === undefined || clock.now() - mostRecent.lastUsedAt <= MAXIMUM_REUSE_IDLE_MS) return mostRecent
+    // All idle connections have been idle for too long. They are closed now, since none of them will be used again.
+    for (const connection of [...pool]) if (!connection.isBusy) drop(pool, connection)
+    return undefined
+  }
+
+  const release = (pool: Set<Connection>, connection: Connection): void => {
+    connection.isBusy = false
+    connection.lastUsedAt = clock.now()
+    let idle = 0
+    for (const other of pool) if (!other.isBusy) idle += 1
+    if (idle > MAXIMUM_IDLE_CONNECTIONS) drop(pool, connection)
+  }
+
+  const getPool = (key: string): Set<Connection> => {
+    const known = pools.get(key)
+    if (known !== undefined) return known
+    const created = new Set<Connection>()
+    pools.set(key, created)
+    return created
+  }
+
+  const send = (request: OutgoingRequest, listener: ExchangeListener): Exchange => {
+    const pool = getPool(request.key)
+    const connection = selectIdle(pool) ?? open(pool, request.address)
+    connection.isBusy = true
+    let isSent = false
+    let isWithdrawn = false
+    let isFinished = false
+    let resume: (() => void) | undefined
+    let isPaused = false
+
+    const fail = (error: NodeJS.ErrnoException): void => {
+      if (isFinished) return
+      isFinished = true
+      drop(pool, connection)
+      const message = `${error.code ?? error.name}: ${error.message}`
+      if (isWithdrawn) return listener.onFailure({ kind: 'withdrawn', message })
+      // Only `isSent` proves whether the request was sent. The error codes of a failed
+      // connect also occur after the request was sent, when the route to the receiver is lost.
+      listener.onFailure(isSent ? { kind: 'broken', message } : { kind: 'notSent', message })
+    }
+
+    const handler: Dispatcher.DispatchHandler = {
+      onConnect: (abort) => {
+        if (!listener.maySend()) {
+          isWithdrawn = true
+          return abort(new Error('the receiver may not get the request any more'))
+        }
+        isSent = true
+        listener.onSent()
+      },
+      onHeaders: (status, rawHeaders, resumeReading) => {
+        if (status < 200) return true
+        resume = resumeReading
+        if (!isFinished) listener.onHead(decodeAnswer(status, listHeaders(rawHeaders)))
+        return !isPaused
+      },
+      onData: (chunk) => {
+        if (!isFinished) listener.onData(chunk)
+        return !isPaused
+      },
+      onComplete: () => {
+        if (isFinished) return
+        if (connection.isReset) return fail(new Error('the connection was reset in the middle of the answer'))
+        isFinished = true
+        release(pool, connection)
+        listener.onEnd()
+      },
+      onError: fail
+    }
+    const options: Dispatcher.DispatchOptions & { readonly servername: string } = {
+      method: request.method as Dispatcher.HttpMethod,
+      path: request.target,
+      headers: request.headers as string[],
+      body: request.body.length > 0 ? request.body : null,
+      // Not used without TLS. Without it undici derives a name from the host of each request, which compiles a regular expression for IPv6 addresses at the first request.
+      servername: request.address.host
+    }
+    connection.client.dispatch(options, handler)
+
+    return {
+      abort: () => {
+        isFinished = true
+        drop(pool, connection)
+      },
+      pause: () => { isPaused = true },
+      resume: () => {
+        if (!isPaused) return
+        isPaused = false
+        resume?.()
+      }
+    }
+  }
+
+  return {
+    send,
+    retain: (live) => {
+      for (const [key, pool] of pools) {
+        if (live.has(key)) continue
+        for (const connection of [...pool]) if (!connection.isBusy) drop(pool, connection)
+        if (pool.size === 0) pools.delete(key)
+      }
+    },
+    close: () => {
+      for (const pool of pools.values()) for (const connection of [...pool]) drop(pool, connection)
+    }
+  }
+}
--- a/src/adapters/gatewayHttp/_lib/createResponseWriter.ts
+++ b/src/adapters/gatewayHttp/_lib/createResponseWriter.ts
@@ -1,5 +1,6 @@
 /** Writes the one final answer of a request to its caller's connection. */
 import type { ServerResponse } from 'node:http'
+import type { RelayHeaders } from '../../relayHttp/index.js'
 import type { CallerSink, FinalReason, GatewayRefusal, HeaderList, InstanceAnswer } from '../../../types/index.js'
 
 /** Refusals after which the connection is closed: bytes that follow on it can't be trusted or are not wanted. */
@@ -16,12 +17,16 @@
   readonly isClosing: () => boolean
   /** Called when bytes that follow on the connection must not be taken for a request. */
   readonly onUntrusted: () => void
+  /** Headers for answers to a peer; `undefined` for answers to callers. */
+  readonly relayHeaders?: RelayHeaders | undefined
 }
 
 /** Creates the writer for the answer of one request. */
-export const createResponseWriter = (response: ServerResponse, { isClosing, onUntrusted }: ResponseWriterOptions): CallerSink => {
+export const createResponseWriter = (response: ServerResponse, { isClosing, onUntrusted, relayHeaders }: ResponseWriterOptions): CallerSink => {
   const closing = (): string[] => isClosing() ? ['Connection', 'close'] : []
 
+  const relayed = ({ servedBy }: InstanceAnswer): readonly string[] => servedBy === undefined ? [] : relayHeaders?.servedBy(servedBy) ?? []
+
   const writeHead = (status: number, headers: readonly string[]): void => {
     response.removeHeader('Connection')
     response.writeHead(status, [...headers, ...closing()])
@@ -31,7 +36,7 @@
     if (response.headersSent || response.destroyed) return
     const body = JSON.stringify({ error: refusal.reason })
     const retryAfter = refusal.retryAfterMs === undefined ? [] : ['Retry-After', formatRetryAfter(refusal.retryAfterMs)]
-    writeHead(refusal.status, ['Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(body)), ...retryAfter, ...extra])
+    writeHead(refusal.status, ['Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(body)), ...retryAfter, ...(relayHeaders?.refusal(refusal) ?? []), ...extra])
     response.end(body)
   }
 
@@ -45,12 +50,12 @@
       setTimeout(() => socket.destroy(), LINGERING_CLOSE_MS).unref()
     },
     complete: (answer: InstanceAnswer, body) => {
-      writeHead(answer.status, [...flatten(answer.headers), 'Content-Length', String(body.length)])
+      writeHead(answer.status, [...flatten(answer.headers), ...relayed(answer), 'Content-Length', String(body.length)])
       response.end(body)
     },
     head: (answer) => {
       const length = answer.contentLength === undefined || answer.isEventStream ? [] : ['Content-Length', String(answer.contentLength)]
-      writeHead(answer.status, [...flatten(answer.headers), ...length])
+      writeHead(answer.status, [...flatten(answer.headers), ...relayed(answer), ...length])
     },
     data: (bytes) => response.write(bytes),
     onDrain: (listener) => { response.once('drain', listener) },
--- a/src/adapters/gatewayHttp/index.ts
+++ b/src/adapters/gatewayHttp/index.ts
@@ -13,6 +13,7 @@
 import { createResponseWriter } from './_lib/createResponseWriter.js'
 import { readBody } from './_lib/readBody.js'
 import { openHandoverListener } from '../handoverListener/index.js'
+import type { RelayHeaders } from '../relayHttp/index.js'
 import type { HandoverListener } from '../handoverListener/index.js'
 import type { Clock, Forwarding, GatewayDialect, GatewayLimits, HeaderList, Logger, PeerAddress, StartTimeline } from '../../types/index.js'
 
@@ -25,8 +26,10 @@
   readonly clock: Clock
   readonly logger: Logger
   readonly dialect: Pick<GatewayDialect, 'decodeRequest'>
-  readonly forwarding: Forwarding
+  readonly forwarding: Pick<Forwarding, 'begin'>
   readonly timeline?: StartTimeline | undefined
+  /** Headers for answers, where the listener serves peers instead of callers. */
+  readonly relayHeaders?: RelayHeaders | undefined
   /** Returns the limits of the configuration in force; `undefined` before there is one. */
   readonly readLimits: () => GatewayLimits | undefined
 }
@@ -98,7 +101,7 @@
       if (response.writableFinished && response.statusCode < 300) options.timeline?.mark('firstServed')
     })
     if (isClosing) response.setHeader('Connection', 'close')
-    const responseWriter = createResponseWriter(response, { isClosing: () => isClosing, onUntrusted: () => { untrusted.add(socket) } })
+    const responseWriter = createResponseWriter(response, { isClosing: () => isClosing, onUntrusted: () => { untrusted.add(socket) }, relayHeaders: options.relayHeaders })
     const headers = listHeaders(message.rawHeaders)
     const problem = checkFraming(message, headers, limits())
     if (problem !== undefined) {
--- a/src/adapters/promMetrics/index.ts
+++ b/src/adapters/promMetrics/index.ts
@@ -25,6 +25,7 @@
   gateway_sends: { help: 'Sends to backend servers by outcome', labels: ['outcome'] },
   gateway_repeats: { help: 'Sends beyond the first of a request, by whether the retry budget granted them', labels: ['granted'] },
   gateway_prompt_copies: { help: 'Sends that asked for a copy of the prompt from another backend server', labels: [] },
+  gateway_relays: { help: 'Requests sent to a peer because this node does not reach the backend servers', labels: [] },
   gateway_backoffs: { help: 'Answers in which a backend server asked this node to send nothing for a while', labels: [] },
   log_lines_left_out: { help: 'Log lines left out to keep the volume bounded, by event', labels: ['event'] }
 }
--- a/src/daemon/startGateway/index.ts
+++ b/src/daemon/startGateway/index.ts
@@ -5,18 +5,19 @@
  */
 import { createBoundedLogger } from '../../adapters/boundedLogger/index.js'
 import { createDeferredMetrics } from '../../adapters/deferredMetrics/index.js'
-import { createGatewayHttp } from '../../adapters/gatewayHttp/index.js'
-import type { HandoverListener } from '../../adapters/handoverListener/index.js'
+import { createGatewayHttp, type GatewayHttp } from '../../adapters/gatewayHttp/index.js'
+import { openHandoverListener, type HandoverListener } from '../../adapters/handoverListener/index.js'
 import { createInstanceHttp } from '../../adapters/instanceHttp/index.js'
 import { createPeerTcp } from '../../adapters/peerTcp/index.js'
 import { createProbeHttp } from '../../adapters/probeHttp/index.js'
 import type { ProbeAnswer } from '../../adapters/probeHttp/index.js'
+import { createRelayDialect, createRelayHttp, relayHeaders } from '../../adapters/relayHttp/index.js'
 import { createStartTimeline } from '../../adapters/startTimeline/index.js'
 import { createSystemClock } from '../../adapters/systemClock/index.js'
 import { createSystemClocks } from '../../adapters/systemClocks/index.js'
 import { createSystemRandom } from '../../adapters/systemRandom/index.js'
 import { createGatewayNode } from '../../node/createGatewayNode/index.js'
-import type { Clock, ConfigurationSource, PromptCacheSource, GatewayDialect, GatewaySettings, InstanceSource, Logger, PeerAddress, StartTimeline, ZoneDrainSource } from '../../types/index.js'
+import type { Clock, ConfigurationSource, PromptCacheSource, GatewayDialect, GatewayLimits, GatewaySettings, InstanceSource, Logger, PeerAddress, StartTimeline, ZoneDrainSource } from '../../types/index.js'
 
 export type GatewayOptions = {
   readonly settings: GatewaySettings
@@ -68,6 +69,12 @@
 /** The timeline of a start is logged this long after the listeners are open; by then a first request has usually been served. */
 const TIMELINE_DELAY_MS = 5_000
 
+/** Bytes of headers with which a peer describes a request that it relays, beyond what its caller may send. */
+const RELAY_HEADER_BYTES = 4_096
+
+const addRelayAllowance = (limits: GatewayLimits | undefined): GatewayLimits | undefined =>
+  limits === undefined ? undefined : { ...limits, maximumHeaderBytes: limits.maximumHeaderBytes + RELAY_HEADER_BYTES }
+
 const wait = (clock: Clock, milliseconds: number): Promise<void> => new Promise((resolve) => { clock.setTimer(milliseconds, resolve) })
 
 /**
@@ -104,9 +111,12 @@
     logger
   })
   const peerAddress = await transport.listen()
+  // Opened before the node starts, as its heartbeats tell peers the port.
+  const relayListener = settings.relayAddress === undefined ? undefined : openHandoverListener(settings.relayAddress)
+  const relayAddress = await relayListener?.opened
   const client = createInstanceHttp({ clock, dialect, ...(options.resolveAddress === undefined ? {} : { resolveAddress: options.resolveAddress }) })
   const node = createGatewayNode({
-    settings: { ...settings, peerAddress },
+    settings: { ...settings, peerAddress, relayAddress },
     readSettings: () => currentSettings,
     clock,
     random,
@@ -117,6 +127,7 @@
     ...(options.zoneDrainSource === undefined ? {} : { zoneDrainSource: options.zoneDrainSource }),
     promptCacheSource: options.promptCacheSource,
     client,
+    relayClient: createRelayHttp({ clock, dialect, fleetKey: settings.fleetKey }),
     logger,
     metrics,
     timeline
@@ -124,6 +135,7 @@
   await node.start()
   const configuration = node.resolve('gatewayConfiguration')
   let isShuttingDown = false
+  const readLimits = (): GatewayLimits | undefined => configuration.current()?.limits
   const gatewayHttp = createGatewayHttp({
     host: settings.callerAddress.host,
     port: settings.callerAddress.port,
@@ -133,8 +145,22 @@
     dialect,
     forwarding: node.resolve('forwarding'),
     timeline,
-    readLimits: () => configuration.current()?.limits
+    readLimits
   })
+  const relayHttp = relayListener === undefined
+    ? undefined
+    : createGatewayHttp({
+      host: settings.callerAddress.host,
+      port: 0,
+      handoverListener: relayListener,
+      clock,
+      logger,
+      dialect: createRelayDialect(dialect, settings.fleetKey),
+      forwarding: node.resolve('forwarding'),
+      relayHeaders,
+      readLimits: () => addRelayAllowance(readLimits())
+    })
+  const listeners: readonly GatewayHttp[] = relayHttp === undefined ? [gatewayHttp] : [gatewayHttp, relayHttp]
   const answerReadiness = (): ProbeAnswer => {
     if (isShuttingDown || !node.canServe()) return { status: 503, body: 'not ready' }
     timeline.mark('ready')
@@ -149,6 +175,7 @@
     ? undefined
     : createProbeHttp(settings.metricsAddress, { [METRICS_PATH]: answerScrape })
   const callerAddress = await gatewayHttp.listen()
+  await relayHttp?.listen()
   timeline.mark('listening')
   const readinessAddress = await readiness.listen()
   const metricsAddress = await metricsHttp?.listen()
@@ -156,7 +183,7 @@
   clock.setTimer(TIMELINE_DELAY_MS, () => logger.info('start timeline', timeline.fields()))
 
   const end = async (): Promise<void> => {
-    gatewayHttp.close()
+    for (const listener of listeners) listener.close()
     readiness.close()
     metricsHttp?.close()
     await node.stop()
@@ -168,21 +195,23 @@
     while (!node.canServe()) await wait(clock, POLL_INTERVAL_MS)
   }
 
+  const closeIdle = (): void => { for (const listener of listeners) listener.closeIdle() }
+
   const shutDown = async (): Promise<void> => {
     const shutdownStartedAt = clock.now()
     isShuttingDown = true
     logger.info('gateway stopping', { open: node.resolve('forwarding').openRequests(), connections: gatewayHttp.openConnections() })
     node.resolve('membership').announceLeaving()
-    gatewayHttp.beginClosing()
+    for (const listener of listeners) listener.beginClosing()
     // In a zone with few nodes in rotation, all of them receive new connections, including nodes that are shutting down.
     const endsAt = shutdownStartedAt + currentSettings.graceMs - GRACE_MARGIN_MS
     node.resolve('forwarding').beginShutdown(endsAt)
     await wait(clock, Math.min(BALANCER_REMOVAL_MS, currentSettings.graceMs / 2))
-    gatewayHttp.closeIdle()
-    const isIdle = (): boolean => node.resolve('forwarding').openRequests() === 0 && clock.now() - gatewayHttp.lastUsedAt() > IDLE_PERIOD_MS
+    closeIdle()
+    const isIdle = (): boolean => node.resolve('forwarding').openRequests() === 0 && listeners.every((listener) => clock.now() - listener.lastUsedAt() > IDLE_PERIOD_MS)
     while (clock.now() < endsAt && !isIdle()) {
       await wait(clock, POLL_INTERVAL_MS)
-      gatewayHttp.closeIdle()
+      closeIdle()
     }
     logger.info('gateway stopped', { open: node.resolve('forwarding').openRequests(), ms: Math.round(clock.now() - shutdownStartedAt) })
     await end()
--- a/src/decisions/advanceInstanceHealth/index.ts
+++ b/src/decisions/advanceInstanceHealth/index.ts
@@ -19,8 +19,10 @@
 }
 
 export type InstanceHealthEvent =
-  /** No connection, or no byte within the time that other servers need. */
+  /** No connection could be opened. */
   | { readonly kind: 'unreachable' }
+  /** No byte arrived within the time that other servers need. */
+  | { readonly kind: 'silent' }
   /** The connection ended early, or its bytes were not a valid answer. */
   | { readonly kind: 'broken' }
   /** A connection that was opened only to probe the server succeeded. */
@@ -48,9 +50,13 @@
   return { ...health, consecutiveFailures, suspendedUntil: now + Math.min(MAXIMUM_SUSPENSION_MS, INITIAL_SUSPENSION_MS * 2 ** doublings) }
 }
 
+// Several requests that time out during the same outage count as one failure.
+const suspendUntilReached = (health: InstanceHealthState, now: number): InstanceHealthState =>
+  now < health.suspendedUntil ? health : { ...suspend(health, health.consecutiveFailures + 1, now), needsProbe: true }
+
 const handlers: { readonly [Kind in InstanceHealthEvent['kind']]: (health: InstanceHealthState, event: Extract<InstanceHealthEvent, { kind: Kind }>, now: number) => InstanceHealthState } = {
-  // Several requests that time out during the same outage count as one failure.
-  unreachable: (health, _event, now) => now < health.suspendedUntil ? health : { ...suspend(health, health.consecutiveFailures + 1, now), needsProbe: true },
+  unreachable: (health, _event, now) => suspendUntilReached(health, now),
+  silent: (health, _event, now) => suspendUntilReached(health, now),
   reached: (health, _event, now) => now < health.suspendedUntil ? health : { ...health, needsProbe: false },
   broken: (health, _event, now) => {
     const failing = { ...health, errorShare: updateAverage(health.errorShare, 1) }
--- a/src/emulator/composeGatewaySettings/index.ts
+++ b/src/emulator/composeGatewaySettings/index.ts
@@ -20,6 +20,7 @@
   readinessAddress: ANY_LOOPBACK_PORT,
   metricsAddress: undefined,
   peerAddress: ANY_LOOPBACK_PORT,
+  relayAddress: ANY_LOOPBACK_PORT,
   seedPeers: [],
   fleetKey: 'fleet-of-stand-ins',
   isFirstStart: true,
--- a/src/emulator/createInProcessFleet/index.ts
+++ b/src/emulator/createInProcessFleet/index.ts
@@ -8,6 +8,7 @@
 import { composeGatewaySettings } from '../composeGatewaySettings/index.js'
 import { createManualClock, type ManualClock } from '../createManualClock/index.js'
 import { createMemoryPeerNetwork, type MemoryPeerNetwork, type MemoryPeerTransport } from '../createMemoryPeerNetwork/index.js'
+import { createMemoryRelay } from '../createMemoryRelay/index.js'
 import { success } from '../../kernel/index.js'
 import { createGatewayNode, type GatewayNode } from '../../node/createGatewayNode/index.js'
 import type { GatewayRoute, InstanceClient, Logger, Metrics, PeerAddress } from '../../types/index.js'
@@ -19,6 +20,8 @@
   readonly random: () => number
   /** Creates the client through which a node reaches backend servers; by default nothing answers. */
   readonly createClient?: (node: number) => InstanceClient
+  /** Whether requests of peers pass between two nodes now; they always do by default. */
+  readonly isLinked?: (node: number, other: number) => boolean
   /** Routes on which the nodes forward requests; none by default. */
   readonly gatewayRoutes?: readonly GatewayRoute[]
   /** Number of routes in each configuration, of which the last one changes with each version; 0 by default. */
@@ -38,6 +41,9 @@
   readonly transports: readonly MemoryPeerTransport[]
 }
 
+/** One-way delay of requests between nodes in milliseconds. */
+const RELAY_DELAY_MS = 5
+
 const SILENT_LOGGER: Logger = { error: () => undefined, warn: () => undefined, info: () => undefined, debug: () => undefined }
 const NO_METRICS: Metrics = { count: () => undefined, observe: () => undefined, readGauge: () => undefined }
 const NO_CLIENT: InstanceClient = {
@@ -56,6 +62,11 @@
 
   const addressOf = (index: number): PeerAddress => ({ host: `node-${String(index).padStart(3, '0')}`, port: 1 })
 
+  const findPeer = (index: number, nodeId: string) => {
+    const other = nodes.findIndex((_node, at) => addressOf(at).host === nodeId)
+    return other >= 0 && (options.isLinked?.(index, other) ?? true) ? nodes[other]!.resolve('forwarding') : undefined
+  }
+
   const createNode = (index: number): GatewayNode => {
     const address = addressOf(index)
     const transport = network.createTransport(address)
@@ -74,13 +85,14 @@
       transport,
       ...source.connect(index),
       client: options.createClient?.(index) ?? NO_CLIENT,
+      relayClient: createMemoryRelay({ clock, delayMs: RELAY_DELAY_MS, find: (nodeId) => findPeer(index, nodeId) }),
       promptCacheSource: { list: async () => success([]) },
       logger: SILENT_LOGGER,
       metrics: NO_METRICS
     })
   }
 
-  const nodes = Array.from({ length: options.nodesPerZone * (options.zones ?? 1) }, (_, index) => createNode(index))
+  const nodes: GatewayNode[] = Array.from({ length: options.nodesPerZone * (options.zones ?? 1) }, (_, index) => createNode(index))
 
   return {
     ...source,
--- a/src/node/createGatewayNode/_lib/registerForwarding.ts
+++ b/src/node/createGatewayNode/_lib/registerForwarding.ts
@@ -3,6 +3,7 @@
 import { createForwarding, type ForwardingBounds } from '../../../services/forwarding/index.js'
 import { createInstanceHealth } from '../../../services/instanceHealth/index.js'
 import { createInstanceNotices } from '../../../services/instanceNotices/index.js'
+import { createPeerRelays } from '../../../services/peerRelays/index.js'
 import { createPromptDirectory, type DirectoryRecoverySources } from '../../../services/promptDirectory/index.js'
 import { createReachExchange } from '../../../services/reachExchange/index.js'
 import { createWarmUpLimiter } from '../../../services/warmUpLimiter/index.js'
@@ -88,6 +89,11 @@
       exchange: resolve('heartbeatExchange')
     })
   })
+  kernel.register({
+    name: 'peerRelays',
+    dependsOn: ['membership', 'reachExchange'],
+    create: (resolve) => createPeerRelays({ clock, random, logger, membership: resolve('membership'), reach: resolve('reachExchange'), client: dependencies.relayClient })
+  })
   kernel.register({
     name: 'promptDirectory',
     dependsOn: ['membership', 'instanceRegistry', 'instanceNotices', 'gatewayConfiguration', 'zoneDrains'],
@@ -112,7 +118,7 @@
   })
   kernel.register({
     name: 'forwarding',
-    dependsOn: ['gatewayConfiguration', 'instanceRegistry', 'instanceHealth', 'instanceNotices', 'reachExchange', 'promptDirectory', 'loadView', 'membership', 'zoneDrains', 'warmUp'],
+    dependsOn: ['gatewayConfiguration', 'instanceRegistry', 'instanceHealth', 'instanceNotices', 'reachExchange', 'peerRelays', 'promptDirectory', 'loadView', 'membership', 'zoneDrains', 'warmUp'],
     create: (resolve) => createForwarding({
       clock,
       random,
@@ -124,12 +130,15 @@
       health: resolve('instanceHealth'),
       notices: resolve('instanceNotices'),
       reach: resolve('reachExchange'),
+      relays: resolve('peerRelays'),
       directory: resolve('promptDirectory'),
       loadView: resolve('loadView'),
       membership: resolve('membership'),
       zoneDrains: resolve('zoneDrains'),
       warmUp: resolve('warmUp')
     }, {
+      nodeId: settings.nodeId,
+      ...(settings.millicores === undefined ? {} : { millicores: settings.millicores }),
       availabilityZone: settings.availabilityZone,
       ...(settings.regionByZone === undefined ? {} : { regionByZone: settings.regionByZone }),
       readBounds: () => toBounds(readSettings())
--- a/src/node/createGatewayNode/_lib/registerPeers.ts
+++ b/src/node/createGatewayNode/_lib/registerPeers.ts
@@ -30,6 +30,7 @@
         address: () => settings.peerAddress,
         fanOut: FAN_OUT,
         ...(settings.millicores === undefined ? {} : { millicores: settings.millicores }),
+        ...(settings.relayAddress === undefined ? {} : { relayPort: settings.relayAddress.port }),
         generation: () => kernel.isRunning('gatewayConfiguration') ? kernel.resolve('gatewayConfiguration').version() : 0
       }
     )
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -15,13 +15,14 @@
 import type { InstanceHealth } from '../../services/instanceHealth/index.js'
 import type { InstanceNotices } from '../../services/instanceNotices/index.js'
 import type { KnowledgeExchange } from '../../services/knowledgeExchange/index.js'
+import type { PeerRelays } from '../../services/peerRelays/index.js'
 import type { PromptDirectory } from '../../services/promptDirectory/index.js'
 import type { ReachExchange } from '../../services/reachExchange/index.js'
 import type { VmList } from '../../services/vmList/index.js'
 import type { WarmUpLimiter } from '../../services/warmUpLimiter/index.js'
 import type {
   Clock, ConfigurationSource, PromptCacheSource, Forwarding, GatewayConfigurationHolder, GatewaySettings, InstanceClient, InstanceRegistry, InstanceSource,
-  LoadView, Logger, Membership, Metrics, PeerTransport, RandomSource, StartTimeline, ZoneDrains, ZoneDrainSource
+  LoadView, Logger, Membership, Metrics, PeerTransport, RandomSource, RelayClient, StartTimeline, ZoneDrains, ZoneDrainSource
 } from '../../types/index.js'
 
 export type GatewayNodeDependencies = {
@@ -37,6 +38,7 @@
   /** Omitted when the deployment has no zone drains. */
   readonly zoneDrainSource?: ZoneDrainSource
   readonly client: InstanceClient
+  readonly relayClient: RelayClient
   readonly promptCacheSource: PromptCacheSource
   readonly logger: Logger
   readonly metrics: Metrics
@@ -56,6 +58,7 @@
   readonly instanceHealth: InstanceHealth
   readonly instanceNotices: InstanceNotices
   readonly reachExchange: ReachExchange
+  readonly peerRelays: PeerRelays
   readonly promptDirectory: PromptDirectory
   readonly warmUp: WarmUpLimiter
   readonly forwarding: Forwarding
--- a/src/services/forwarding/_lib/classifyAnswer.ts
+++ b/src/services/forwarding/_lib/classifyAnswer.ts
@@ -10,6 +10,7 @@
 export const classifyAnswer = (request: GatewayRequest, answer: InstanceAnswer): AnswerClass => {
   if (answer.requestId !== undefined && answer.requestId !== request.requestId) return { kind: 'foreign', message: `answer to request ${answer.requestId}` }
   if (answer.isNotRun || answer.isOtherInstance) return { kind: 'notRun' }
+  if (answer.relayRefusal !== undefined) return { kind: 'foreign', message: `a peer could not complete it: ${answer.relayRefusal}` }
   if (answer.requestId === undefined) return { kind: 'foreign', message: `status ${answer.status} without a request id` }
   if (answer.isEncoded) return { kind: 'foreign', message: 'encoded body' }
   if (answer.status < 300 && !answer.isSigned) return { kind: 'foreign', message: 'success without a signature' }
--- a/src/services/forwarding/_lib/createAttemptReporter.ts
+++ b/src/services/forwarding/_lib/createAttemptReporter.ts
@@ -1,5 +1,4 @@
-/** Reports what the attempts of one request show about backend servers: whether each responds, how fast it is, and its load. */
-import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
+/** Reports what the attempts of one request show about their targets: whether each responds, how fast it is, and its load. */
 import type { GatewayRequest, GatewayRoute, InstanceAnswer } from '../../../types/index.js'
 import type { SendAttempt } from './createSendAttempt.js'
 import type { StreamDuration } from './createStreamDurations.js'
@@ -29,13 +28,13 @@
 
 /** Creates the reporter of one request. */
 export const createAttemptReporter = (context: RequestHandlerContext, { request, readRoute, readService }: AttemptReporterOptions): AttemptReporter => {
-  const { clock, health, notices, loadView, tokenPace, firstByteTimes } = context
+  const { clock, tokenPace } = context
 
   let duration: StreamDuration | undefined
 
   const recordBytes = (current: SendAttempt): void => {
     current.lastBytesAt = clock.now()
-    health.recordBytes(current.instance)
+    current.target.recordBytes()
   }
 
   return {
@@ -45,8 +44,7 @@
     },
     reportHead: (current, answer) => {
       recordBytes(current)
-      if (!answer.isOtherInstance) notices.record(current.instance, answer)
-      if (answer.load !== undefined) loadView.applyReport(formatInstanceKey(current.instance), { ...answer.load, leaving: false, ageMs: 0 })
+      current.target.recordHead(answer)
     },
     reportBody: (current) => {
       recordBytes(current)
@@ -54,18 +52,17 @@
     },
     reportSuccess: (current, answer) => {
       if (answer.status < 200 || answer.status >= 300) return
-      const slowness = firstByteTimes.recordAndCompare(readRoute()?.name ?? '', clock.now() - current.startedAt)
-      health.record(current.instance, { kind: 'answered', slowness })
+      current.target.recordSuccess(clock.now() - current.startedAt)
     },
     reportCompleteStream: (current) => {
       if (readRoute()?.retryPolicy !== 'stream' || current.firstBytesAt === undefined) return
       tokenPace.record(readService(), request.tokens.output, clock.now() - current.firstBytesAt)
     },
-    /** A request that can't be moved still reports a server that sends nothing on any exchange of this node. */
+    /** A request that can't be moved still reports a target that sends nothing on any exchange of this node. */
     reportUnresponsive: (current) => {
-      if (current.isUnresponsiveReported || health.readIdleMs(current.instance) < clock.now() - current.lastBytesAt) return
+      if (current.isUnresponsiveReported || current.target.readIdleMs() < clock.now() - current.lastBytesAt) return
       current.isUnresponsiveReported = true
-      health.record(current.instance, { kind: 'unreachable' })
+      current.target.recordFailure('silent')
     },
     reportComplete: () => {
       duration?.end(clock.now())
--- /dev/null
+++ b/src/services/forwarding/_lib/createInstanceTarget.ts
@@ -0,0 +1,38 @@
+/** A backend server as the target of an attempt. */
+import type { AttemptTarget } from './attemptTarget.js'
+import type { RequestHandlerContext } from './requestHandler.js'
+import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
+import type { GatewayAttempt, GatewayRoute } from '../../../types/index.js'
+
+/** Creates the target of one attempt. */
+export const createInstanceTarget = (context: RequestHandlerContext, route: GatewayRoute, attempt: GatewayAttempt): AttemptTarget => {
+  const { loadView, health, notices, registry, warmUp, directory, firstByteTimes, client } = context
+  const { instance, request } = attempt
+  const key = formatInstanceKey(instance)
+  return {
+    kind: 'backendServer',
+    id: instance.id,
+    logFields: { backendServer: instance.id },
+    recordStart: () => {
+      loadView.recordStart(key)
+      health.recordStart(instance)
+      warmUp.recordSend(instance)
+      directory.record(request.promptParts, key)
+    },
+    recordEnd: () => {
+      loadView.recordEnd(key)
+      health.recordEnd(instance)
+    },
+    recordBytes: () => health.recordBytes(instance),
+    recordHead: (answer) => {
+      if (!answer.isOtherInstance) notices.record(instance, answer)
+      if (answer.load !== undefined) loadView.applyReport(key, { ...answer.load, leaving: false, ageMs: 0 })
+    },
+    recordSuccess: (firstByteMs) => health.record(instance, { kind: 'answered', slowness: firstByteTimes.recordAndCompare(route.name, firstByteMs) }),
+    recordFailure: (kind) => health.record(instance, { kind }),
+    recordRefusal: (answer) => { if (answer.isOtherInstance) registry.markGone(instance, 'another backend server has its address') },
+    readIdleMs: () => health.readIdleMs(instance),
+    maySend: () => notices.backoffRemainingMs(instance) === 0,
+    send: (listener) => client.send(attempt, listener)
+  }
+}
--- /dev/null
+++ b/src/services/forwarding/_lib/createPathSelector.ts
@@ -0,0 +1,102 @@
+/** Selects where the next attempt of a request goes, and keeps what its earlier attempts have reached. */
+import { computeAvailableInMs, findIneligibility, selectInstance, type SelectedInstance, type SelectionInput } from './selectInstance.js'
+import type { AttemptTarget } from './attemptTarget.js'
+import type { RequestHandlerContext } from './requestHandler.js'
+import type { InstanceEligibility } from '../../../decisions/checkInstanceEligibility/index.js'
+import { selectSendPath, type DirectPath } from '../../../decisions/selectSendPath/index.js'
+import type { GatewayAccount, GatewayRequest, GatewayRoute, InstanceAnswer, RelayPeer } from '../../../types/index.js'
+
+/** Peers that may fail to take one request: each that refuses costs a round trip, and a caller returns to another node. */
+const MAXIMUM_EXCLUDED_PEERS = 3
+
+export type RoutedRequest = {
+  readonly route: GatewayRoute
+  readonly account: GatewayAccount | undefined
+  readonly service: string
+  readonly bodyBytes: number
+}
+
+export type SelectedPath =
+  | { readonly kind: 'direct', readonly chosen: SelectedInstance }
+  | { readonly kind: 'peer', readonly peer: RelayPeer }
+  | { readonly kind: 'none' }
+
+export type PathSelector = {
+  readonly select: (routed: RoutedRequest) => SelectedPath
+  /** Why no backend server may get the request; `undefined` when all that may were tried. */
+  readonly findIneligibility: (routed: RoutedRequest) => InstanceEligibility | undefined
+  /** Milliseconds until a backend server accepts requests of this node again. */
+  readonly computeAvailableInMs: (routed: RoutedRequest) => number
+  readonly recordAttempt: (target: AttemptTarget) => void
+  /** No connection to the target could be opened, or nothing arrived from it. */
+  readonly recordUnreached: (target: AttemptTarget) => void
+  /** The request was written to a connection to the target. */
+  readonly recordArrival: (target: AttemptTarget) => void
+  /** The target states that it did not run the request; a peer may not have sent it to any backend server. */
+  readonly recordRefusal: (target: AttemptTarget, answer: InstanceAnswer) => void
+  /** The head of an answer names the backend server that it comes from. */
+  readonly recordServer: (instanceId: string) => void
+  /** Whether any backend server may have received the request: a further send is then a retry. */
+  readonly hasArrived: () => boolean
+  /** Ids of backend servers that may have received the request. */
+  readonly listArrived: () => readonly string[]
+}
+
+/** Creates the selector of one request. */
+export const createPathSelector = (context: RequestHandlerContext, request: GatewayRequest): PathSelector => {
+  const { health, relays } = context
+  const isRelayed = request.relay !== undefined
+  const arrived = new Set<string>(request.relay?.tried)
+  const tried = new Set<string>(arrived)
+  const excludedPeers = new Set<string>()
+  let failedConnects = 0
+  let arrivals = 0
+
+  const createInput = ({ route, account, service, bodyBytes }: RoutedRequest): SelectionInput =>
+    ({ request, service, bodyBytes, tried, allowedRegions: [route.allowedRegions ?? [], account?.allowedRegions ?? []] })
+
+  const classifyDirect = (input: SelectionInput, chosen: SelectedInstance | undefined): DirectPath => {
+    if (chosen !== undefined) return chosen.isLastResort ? 'suspended' : 'usable'
+    return failedConnects > 0 && findIneligibility(context, input) === undefined ? 'unreached' : 'none'
+  }
+
+  const selectPeer = (): RelayPeer | undefined => isRelayed || excludedPeers.size >= MAXIMUM_EXCLUDED_PEERS ? undefined : relays.select(excludedPeers)
+
+  const select: PathSelector['select'] = (routed) => {
+    const input = createInput(routed)
+    const chosen = selectInstance(context, input)
+    const peer = selectPeer()
+    const path = selectSendPath({ direct: classifyDirect(input, chosen), hasPeer: peer !== undefined, isRelayed, failedConnects, unheardMs: health.readUnheardMs() })
+    if (path === 'peer' && peer !== undefined) return { kind: 'peer', peer }
+    return path === 'direct' && chosen !== undefined ? { kind: 'direct', chosen } : { kind: 'none' }
+  }
+
+  /** A peer that passed on the failure of a backend server may still reach another one. */
+  const excludePeer = ({ kind, id }: AttemptTarget): void => { if (kind === 'peer') excludedPeers.add(id) }
+
+  return {
+    select,
+    findIneligibility: (routed) => findIneligibility(context, createInput(routed)),
+    computeAvailableInMs: (routed) => computeAvailableInMs(context, createInput(routed)),
+    recordAttempt: ({ kind, id }) => { if (kind === 'backendServer') tried.add(id) },
+    recordUnreached: (target) => {
+      failedConnects += 1
+      excludePeer(target)
+    },
+    recordArrival: ({ kind, id }) => {
+      arrivals += 1
+      if (kind === 'backendServer') arrived.add(id)
+    },
+    recordRefusal: (target, { relayRefusal }) => {
+      if (target.kind === 'backendServer' || relayRefusal === 'instancesRefused') return
+      arrivals -= 1
+      excludePeer(target)
+    },
+    recordServer: (instanceId) => {
+      tried.add(instanceId)
+      arrived.add(instanceId)
+    },
+    hasArrived: () => arrivals > 0,
+    listArrived: () => [...arrived]
+  }
+}
--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -4,22 +4,25 @@
  * A refusal states "not run" only while no backend server may have run the request.
  */
 import { checkKey } from './checkKey.js'
-import { selectInstance, computeAvailableInMs, findIneligibility, type SelectionInput, type SelectedInstance } from './selectInstance.js'
+import type { AttemptTarget } from './attemptTarget.js'
 import { classifyFailure } from './classifyFailure.js'
 import { createAnswerIntake, type AnswerIntake, type AnswerListener } from './createAnswerIntake.js'
 import { createCallerAnswer } from './createCallerAnswer.js'
 import { createFinalAnswer } from './createFinalAnswer.js'
+import { createInstanceTarget } from './createInstanceTarget.js'
+import { createPathSelector, type RoutedRequest } from './createPathSelector.js'
+import { createPeerTarget } from './createPeerTarget.js'
 import { createRequestRecord } from './createRequestRecord.js'
 import { createSendAttempt, type SendAttempt } from './createSendAttempt.js'
 import { createAttemptReporter } from './createAttemptReporter.js'
 import { describeReach } from './describeReach.js'
 import { describeSend } from './describeSend.js'
-import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 import { isFailoverDue } from '../../../decisions/isFailoverDue/index.js'
 import { selectRouteTarget } from '../../../decisions/selectRouteTarget/index.js'
 import type {
-  CallerSink, ExchangeFailure, GatewayAccount, GatewayRefusal, GatewayRequest, GatewayRoute, InstanceAnswer, LogFields
+  CallerSink, ExchangeFailure, GatewayAccount, GatewayRefusal, GatewayRequest, GatewayRoute, InstanceAnswer, LogFields, RelayPeer
 } from '../../../types/index.js'
+import type { SelectedInstance } from './selectInstance.js'
 import type { RequestHandler, RequestHandlerContext } from './requestHandler.js'
 
 /** How long a request with a key waits for the configuration to be confirmed, in milliseconds. */
@@ -31,8 +34,8 @@
 
 /** Creates the handler of one request; it sends nothing before `assign` and `submit`. */
 export const createRequestHandler = (context: RequestHandlerContext, request: GatewayRequest, sink: CallerSink): RequestHandler => {
-  const { clock, random, metrics, registry, health, notices, loadView } = context
-  const tried = new Set<string>()
+  const { clock, random, metrics } = context
+  const paths = createPathSelector(context, request)
   let route: GatewayRoute | undefined
   let account: GatewayAccount | undefined
   let service = ''
@@ -66,8 +69,7 @@
   const endAttempt = (current: SendAttempt): void => {
     if (current.isFinished) return
     current.isFinished = true
-    loadView.recordEnd(formatInstanceKey(current.instance))
-    health.recordEnd(current.instance)
+    current.target.recordEnd()
   }
 
   const finalAnswer = createFinalAnswer({
@@ -75,7 +77,7 @@
     record,
     random,
     readProgress: () => ({ mayHaveRun, sends }),
-    readAvailability: () => ({ availableInMs: computeAvailableInMs(context, createSelectionInput()), remainingMs: deadlineAt() - clock.now() }),
+    readAvailability: () => ({ availableInMs: readAvailableInMs(), remainingMs: deadlineAt() - clock.now() }),
     abortAttempt,
     onDone: () => {
       isDone = true
@@ -87,19 +89,22 @@
 
   const isRetryable = (): boolean => route !== undefined && (route.retryPolicy === 'safe' || (route.retryPolicy === 'stream' && route.isResumable))
 
+  const toRouted = (to: GatewayRoute): RoutedRequest => ({ route: to, account, service, bodyBytes: body?.length ?? 0 })
+
+  const readAvailableInMs = (): number => route === undefined ? 0 : paths.computeAvailableInMs(toRouted(route))
+
+  /** Only the node of the caller retries what a backend server may have received, so that its limits hold across the hop. */
+  const mayRetry = (): boolean => !paths.hasArrived() || (request.relay === undefined && context.retryWindows.canRetry(service))
+
   const canRetry = (): boolean => {
     if (route === undefined || clock.now() >= deadlineAt()) return false
     if (mayHaveRun && (!isRetryable() || sends >= route.maximumAttempts)) return false
-    return refusals < MAXIMUM_REFUSALS && context.retryWindows.canRetry(service) && selectNextInstance() !== undefined
+    return refusals < MAXIMUM_REFUSALS && mayRetry() && paths.select(toRouted(route)).kind !== 'none'
   }
 
-  const createSelectionInput = (): SelectionInput => ({ request, service, bodyBytes: body?.length ?? 0, tried, allowedRegions: [route?.allowedRegions ?? [], account?.allowedRegions ?? []] })
-
-  const selectNextInstance = (): SelectedInstance | undefined => route === undefined ? undefined : selectInstance(context, createSelectionInput())
-
   /** No backend server is eligible: waiting would not help, and the reason sets the Retry-After. */
-  const giveUpWithoutInstance = (): void => {
-    const ineligibility = findIneligibility(context, createSelectionInput())
+  const giveUpWithoutInstance = (to: GatewayRoute): void => {
+    const ineligibility = paths.findIneligibility(toRouted(to))
     if (ineligibility === undefined || ineligibility === 'open') return giveUp('noInstance', 502, describeReach(context))
     giveUp(ineligibility, 502, { zoneDrainRevision: context.zoneDrains.revision(), configurationVersion: context.configuration.version() })
   }
@@ -109,6 +114,10 @@
     send()
   }
 
+  /** A relayed request goes to the service that the caller's node has selected, whose retry budget it counts against. */
+  const selectService = ({ targets }: GatewayRoute): string =>
+    targets.find((target) => target.service === request.relay?.service)?.service ?? selectRouteTarget(targets, random.next()).service
+
   const confirmKey = async (to: GatewayRoute): Promise<void> => {
     isWaitingForKey = true
     await context.configuration.confirm(KEY_CONFIRM_WAIT_MS)
@@ -131,80 +140,100 @@
     if (!context.shutdownGate.passes(route, request, computeMaximumMs(route))) return mayHaveRun ? giveUp('shuttingDown', 502) : refuse(SHUTTING_DOWN)
     const remainingMs = deadlineAt() - clock.now()
     if (remainingMs <= 1) return giveUp('deadlineBeforeSend', 504)
-    const chosen = selectNextInstance()
-    if (chosen === undefined) return giveUpWithoutInstance()
+    const path = paths.select(toRouted(route))
+    if (path.kind === 'none') return giveUpWithoutInstance(route)
     if (attemptsStarted === 0) recordStart()
-    else if (!takeRetry()) return giveUp('instancesRefused', 502)
-    startAttempt(chosen, remainingMs, route, body)
+    else if (paths.hasArrived() && !takeRetry()) return giveUp('instancesRefused', 502)
+    if (path.kind === 'peer') sendToPeer(path.peer, remainingMs, body)
+    else sendToInstance(path.chosen, remainingMs, route, body)
   }
 
   const recordStart = (): void => {
-    context.retryWindows.recordFirstSend(service)
+    // The node of the caller counts the request.
+    if (request.relay === undefined) context.retryWindows.recordFirstSend(service)
     reporter.reportStart()
   }
 
   const takeRetry = (): boolean => {
-    const isGranted = context.retryWindows.takeRetry(service)
+    const isGranted = mayRetry() && context.retryWindows.takeRetry(service)
     record.countRetry(isGranted)
     return isGranted
   }
 
-  const startAttempt = (chosen: SelectedInstance, remainingMs: number, to: GatewayRoute, content: Uint8Array): void => {
+  const sendToInstance = (chosen: SelectedInstance, remainingMs: number, to: GatewayRoute, content: Uint8Array): void => {
     const { instance, copyPromptFrom } = chosen
-    record.recordStep('sent')
-    const current = createSendAttempt(instance, clock.now())
-    const intake = createAnswerIntake(request, caller, listenTo(current))
-    activeAttempt = current
-    tried.add(instance.id)
-    loadView.recordStart(formatInstanceKey(instance))
-    health.recordStart(instance)
-    context.warmUp.recordSend(instance)
-    context.directory.record(request.promptParts, formatInstanceKey(instance))
+    const resumeAfter = caller.relay.lastEventId()
     if (copyPromptFrom !== undefined) metrics.count('gateway_prompt_copies')
-    record.log(attemptsStarted++ === 0 ? 'request sent' : 'request sent again', {
+    record.log(attemptsStarted === 0 ? 'request sent' : 'request sent again', {
       ...describeSend(context, request, chosen),
+      relayedFor: request.relay?.nodeId,
       remainingMs: Math.round(remainingMs),
-      resumeAfter: caller.relay.lastEventId()
+      resumeAfter
+    })
+    startAttempt(createInstanceTarget(context, to, {
+      request, body: content, instance, account: account?.name, remainingMs, priority: account?.priority ?? to.priority, resumeAfter, copyPromptFrom: copyPromptFrom?.address
+    }))
+  }
+
+  const sendToPeer = (peer: RelayPeer, remainingMs: number, content: Uint8Array): void => {
+    const resumeAfter = caller.relay.lastEventId()
+    metrics.count('gateway_relays')
+    record.log('request relayed', { peer: peer.nodeId, zone: peer.availabilityZone, ...describeReach(context), remainingMs: Math.round(remainingMs), resumeAfter })
+    const origin = { nodeId: context.nodeId, service, tried: paths.listArrived() }
+    startAttempt(createPeerTarget(context.relays, { request, body: content, peer, origin, remainingMs, resumeAfter }))
+  }
+
+  const startAttempt = (target: AttemptTarget): void => {
+    record.recordStep('sent')
+    attemptsStarted += 1
+    const current = createSendAttempt(target, clock.now())
+    const intake = createAnswerIntake(request, caller, listenTo(current))
+    activeAttempt = current
+    paths.recordAttempt(target)
+    target.recordStart()
+    current.exchange = target.send({
+      maySend: target.maySend,
+      onSent: () => {
+        record.recordStep('connected')
+        current.isSent = true
+        if (activeAttempt !== current) return
+        mayHaveRun = true
+        sends += 1
+        paths.recordArrival(target)
+      },
+      onHead: (answer) => { if (activeAttempt === current) handleHead(current, answer, intake) },
+      onData: (bytes) => {
+        if (activeAttempt !== current) return
+        reporter.reportBody(current)
+        intake.handleData(bytes, current.exchange)
+      },
+      onEnd: () => { if (activeAttempt === current) intake.handleEnd() },
+      onFailure: (failure) => { if (activeAttempt === current) handleFailure(current, failure) }
     })
-    current.exchange = context.client.send(
-      { request, body: content, instance, account: account?.name, remainingMs, priority: account?.priority ?? to.priority, resumeAfter: caller.relay.lastEventId(), copyPromptFrom: copyPromptFrom?.address },
-      {
-        maySend: () => notices.backoffRemainingMs(instance) === 0,
-        onSent: () => {
-          record.recordStep('connected')
-          current.isSent = true
-          if (activeAttempt === current) mayHaveRun = true
-          if (activeAttempt === current) sends += 1
-        },
-        onHead: (answer) => { if (activeAttempt === current) handleHead(current, answer, intake) },
-        onData: (bytes) => {
-          if (activeAttempt !== current) return
-          reporter.reportBody(current)
-          intake.handleData(bytes, current.exchange)
-        },
-        onEnd: () => { if (activeAttempt === current) intake.handleEnd() },
-        onFailure: (failure) => { if (activeAttempt === current) handleFailure(current, failure) }
-      }
-    )
   }
 
   const handleHead = (current: SendAttempt, answer: InstanceAnswer, intake: AnswerIntake): void => {
     reporter.reportHead(current, answer)
     record.recordStep('head')
     record.recordFirstByteTime(clock.now() - current.startedAt)
-    intake.handleHead(answer)
+    if (answer.servedBy !== undefined) paths.recordServer(answer.servedBy)
+    intake.handleHead(current.target.kind === 'peer' ? answer : { ...answer, servedBy: current.target.id })
   }
 
-  /** The backend server states that it did not run the request, so the send does not count. */
+  /** The target states that the request was not run, so the send does not count. */
   const handleNotRun = (current: SendAttempt, answer: InstanceAnswer): void => {
+    const { target } = current
     abortAttempt()
     sends -= 1
     mayHaveRun = sends > 0
-    refusals += 1
+    paths.recordRefusal(target, answer)
+    target.recordRefusal(answer)
     record.countSend('refused')
-    record.log('backend server refused', { backendServer: current.instance.id, status: answer.status, isOtherInstance: answer.isOtherInstance, backoffMs: answer.backoffMs, isLeaving: answer.isLeaving })
-    if (answer.isOtherInstance) registry.markGone(current.instance, 'another backend server has its address')
-    retryOr(() => giveUp('instancesRefused', 502))
+    record.log(target.kind === 'peer' ? 'peer refused' : 'backend server refused', { ...target.logFields, status: answer.status, reason: answer.relayRefusal, isOtherInstance: answer.isOtherInstance, backoffMs: answer.backoffMs, isLeaving: answer.isLeaving })
+    // A peer that could not send the request to any server says nothing about how full the service is.
+    const hasReachedServer = target.kind === 'backendServer' || answer.relayRefusal === 'instancesRefused'
+    if (hasReachedServer) refusals += 1
+    retryOr(() => giveUp(hasReachedServer ? 'instancesRefused' : 'noInstance', 502, describeReach(context)))
   }
 
   /** The answer of the backend server is complete; `endAnswer` ends the caller's answer. */
@@ -214,7 +243,7 @@
     endAnswer()
     reporter.reportComplete()
     record.countSend('complete')
-    finish('complete', { backendServer: current.instance.id, ...fields })
+    finish('complete', { ...current.target.logFields, ...fields })
   }
 
   const listenTo = (current: SendAttempt): AnswerListener => ({
@@ -232,27 +261,29 @@
   const handleReportedFailure = (current: SendAttempt, answer: InstanceAnswer, answerBody: Uint8Array): void => {
     endAttempt(current)
     activeAttempt = undefined
-    health.record(current.instance, { kind: 'errored' })
+    current.target.recordFailure('errored')
     record.countSend('errored')
-    record.log('backend server failed', { backendServer: current.instance.id, status: answer.status })
+    record.log('backend server failed', { ...current.target.logFields, status: answer.status })
     finalAnswer.keepReportedFailure({ answer, body: answerBody })
     retryOr(finalAnswer.finishWithReportedFailure)
   }
 
   const handleFailure = (current: SendAttempt, failure: ExchangeFailure): void => {
     abortAttempt()
-    const { event, reason } = classifyFailure(failure)
+    const { failure: targetFailure, reason } = classifyFailure(failure)
     record.countSend(failure.kind)
-    if (event !== undefined) health.record(current.instance, event)
-    record.log('exchange failed', { backendServer: current.instance.id, kind: failure.kind, reason: failure.message, lastEventId: caller.relay.lastEventId() })
+    if (failure.kind === 'notSent') paths.recordUnreached(current.target)
+    if (targetFailure !== undefined) current.target.recordFailure(targetFailure)
+    record.log('exchange failed', { ...current.target.logFields, kind: failure.kind, reason: failure.message, lastEventId: caller.relay.lastEventId() })
     retryOr(() => giveUp(reason, 502, describeReach(context)))
   }
 
-  const moveToOtherInstance = (current: SendAttempt, now: number): void => {
-    record.log('backend server silent', { backendServer: current.instance.id, silentMs: Math.round(now - current.lastBytesAt), lastEventId: caller.relay.lastEventId() })
+  const moveToOtherTarget = (current: SendAttempt, now: number): void => {
+    record.log('backend server silent', { ...current.target.logFields, silentMs: Math.round(now - current.lastBytesAt), lastEventId: caller.relay.lastEventId() })
     abortAttempt()
+    paths.recordUnreached(current.target)
     record.countSend('silent')
-    health.record(current.instance, { kind: 'unreachable' })
+    current.target.recordFailure('silent')
     send()
   }
 
@@ -264,13 +295,13 @@
     const isDue = isFailoverDue({
       hasBegun: caller.hasBegun(),
       waitedMs: now - current.lastBytesAt,
-      instanceWaitedMs: health.readIdleMs(current.instance),
+      instanceWaitedMs: current.target.readIdleMs(),
       firstByteTargetMs: route.latencyTargetMs,
       pauseTargetMs: route.eventGapTargetMs,
       usualFirstByteMs: context.firstByteTimes.readAverage(route.name)
     })
     if (!isDue) return
-    if (isRetryable() && canRetry()) return moveToOtherInstance(current, now)
+    if (isRetryable() && canRetry()) return moveToOtherTarget(current, now)
     reporter.reportUnresponsive(current)
   }
 
@@ -279,7 +310,7 @@
       if (isDone) return
       route = to
       account = owner
-      service = selectRouteTarget(to.targets, random.next()).service
+      service = selectService(to)
       if (!context.shutdownGate.passes(to, request, computeMaximumMs(to))) return refuse(SHUTTING_DOWN)
       // The body may have arrived while the request waited for its route.
       send()
--- a/src/services/forwarding/_lib/createSendAttempt.ts
+++ b/src/services/forwarding/_lib/createSendAttempt.ts
@@ -1,8 +1,9 @@
-/** State of one attempt to send a request to one backend server. */
-import type { BackendInstance, Exchange } from '../../../types/index.js'
+/** State of one attempt to send a request to one target. */
+import type { AttemptTarget } from './attemptTarget.js'
+import type { Exchange } from '../../../types/index.js'
 
 export type SendAttempt = {
-  readonly instance: BackendInstance
+  readonly target: AttemptTarget
   readonly startedAt: number
   exchange: Exchange | undefined
   /** Whether the request was written to a connection: from then on it may have run. */
@@ -16,5 +17,5 @@
 }
 
 /** Creates the state of an attempt that starts now; `now` in monotonic milliseconds. */
-export const createSendAttempt = (instance: BackendInstance, now: number): SendAttempt =>
-  ({ instance, startedAt: now, exchange: undefined, isSent: false, firstBytesAt: undefined, lastBytesAt: now, isFinished: false, isUnresponsiveReported: false })
+export const createSendAttempt = (target: AttemptTarget, now: number): SendAttempt =>
+  ({ target, startedAt: now, exchange: undefined, isSent: false, firstBytesAt: undefined, lastBytesAt: now, isFinished: false, isUnresponsiveReported: false })
--- a/src/services/forwarding/_lib/requestHandler.ts
+++ b/src/services/forwarding/_lib/requestHandler.ts
@@ -8,6 +8,7 @@
 import type { ForwardingDependencies } from '../index.js'
 
 export type RequestHandlerContext = ForwardingDependencies & {
+  readonly nodeId: string
   readonly availabilityZone: string
   readonly regionByZone: ReadonlyMap<string, string>
   readonly readLoadFactor: () => number
--- a/src/services/forwarding/_lib/selectInstance.ts
+++ b/src/services/forwarding/_lib/selectInstance.ts
@@ -60,10 +60,10 @@
   Math.min(...dependencies.registry.list(input.service).map((instance) => computeWaitMs(dependencies, input, instance)))
 
 /** Suspended servers are used only when no other is left: a server that probably fails is better than a refusal. */
-const listUsable = (dependencies: SelectionDependencies, input: SelectionInput): readonly BackendInstance[] => {
+const listUsable = (dependencies: SelectionDependencies, input: SelectionInput): { readonly usable: readonly BackendInstance[], readonly isLastResort: boolean } => {
   const eligible = listUntried(dependencies, input).filter((instance) => evaluate(dependencies, input, instance) === 'open')
   const usable = eligible.filter((instance) => !dependencies.health.isSuspended(instance))
-  return usable.length > 0 ? usable : eligible
+  return usable.length > 0 ? { usable, isLastResort: false } : { usable: eligible, isLastResort: true }
 }
 
 /** Load estimate at the time of the selection, in requests in flight. */
@@ -83,6 +83,8 @@
   /** Another server that has a longer cached prefix of the prompt; it may be leaving, as long as it still serves. */
   readonly copyPromptFrom: BackendInstance | undefined
   readonly loadEstimate: LoadEstimate
+  /** Whether it is suspended, and every other server that may get the request as well. */
+  readonly isLastResort: boolean
 }
 
 const createLoadEstimate = (id: string, candidates: readonly InstanceCandidate[], meanLoad: number, weights: PlacementWeights): LoadEstimate => {
@@ -124,7 +126,7 @@
 export const selectInstance = (dependencies: SelectionDependencies, input: SelectionInput): SelectedInstance | undefined => {
   const { request, bodyBytes } = input
   const { directory, loadView, health, random, registry } = dependencies
-  const usable = listUsable(dependencies, input)
+  const { usable, isLastResort } = listUsable(dependencies, input)
   // The last part is unique to the request and can't be cached.
   const shared = request.promptParts.slice(0, -1)
   const cachedTokensByKey = directory.listCachedTokens(shared)
@@ -151,6 +153,7 @@
   const source = placement?.copyFrom
   return {
     instance,
+    isLastResort,
     copyPromptFrom: source === undefined ? undefined : registry.find(source) ?? registry.recentlyRemoved().find(({ id }) => id === source),
     loadEstimate: createLoadEstimate(instance.id, candidates, meanLoad, weights)
   }
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -18,11 +18,12 @@
 import { selectGatewayRoute } from '../../decisions/selectGatewayRoute/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import type {
-  Clock, Forwarding, GatewayConfigurationHolder, GatewayRefusal, GatewayRequest, GatewayRoute, InstanceClient, InstanceRegistry,
+  Clock, Forwarding, CallerSink, GatewayConfigurationHolder, GatewayRefusal, GatewayRequest, GatewayRoute, InstanceClient, InstanceRegistry,
   LoadView, Logger, Membership, Metrics, RandomSource, Timer, ZoneDrains
 } from '../../types/index.js'
 import type { InstanceHealth } from '../instanceHealth/index.js'
 import type { InstanceNotices } from '../instanceNotices/index.js'
+import type { PeerRelays } from '../peerRelays/index.js'
 import type { PromptDirectory } from '../promptDirectory/index.js'
 import type { ReachExchange } from '../reachExchange/index.js'
 import type { WarmUpLimiter } from '../warmUpLimiter/index.js'
@@ -37,6 +38,7 @@
   readonly health: InstanceHealth
   readonly notices: InstanceNotices
   readonly reach: ReachExchange
+  readonly relays: PeerRelays
   readonly directory: PromptDirectory
   readonly loadView: LoadView
   readonly membership: Pick<Membership, 'members'>
@@ -60,6 +62,9 @@
 type PendingRequest = { readonly request: GatewayRequest, readonly admitNow: () => void }
 
 export type ForwardingOptions = {
+  readonly nodeId: string
+  /** CPU available to this node in thousandths of a core; a full core by default. */
+  readonly millicores?: number
   readonly availabilityZone: string
   /** Region of each availability zone; empty by default. */
   readonly regionByZone?: ReadonlyMap<string, string>
@@ -79,6 +84,13 @@
 /** Retry-After of a refusal because state is missing or stale, in milliseconds; the source is read again within that time. */
 const MISSING_STATE_RETRY_AFTER_MS = 500
 
+/** Requests of peers that a node with a full core has open at most. Its own callers' requests go on beside them. */
+const RELAYED_REQUESTS_PER_CORE = 64
+const MINIMUM_RELAYED_REQUESTS = 8
+const MILLICORES_PER_CORE = 1_000
+/** Retry-After of a refusal because of that limit, in milliseconds. */
+const RELAY_LIMIT_RETRY_AFTER_MS = 250
+
 const NO_REGIONS: ReadonlyMap<string, string> = new Map()
 
 /**
@@ -127,6 +139,7 @@
 
   const context: Omit<RequestHandlerContext, 'onDone'> = {
     ...dependencies,
+    nodeId: options.nodeId,
     availabilityZone: options.availabilityZone,
     regionByZone: options.regionByZone ?? NO_REGIONS,
     readLoadFactor: () => options.readBounds().loadFactor,
@@ -181,14 +194,33 @@
     pendingRequests.set(handler, { request, admitNow })
   }
 
+  const maximumRelayed = Math.max(MINIMUM_RELAYED_REQUESTS, Math.round(RELAYED_REQUESTS_PER_CORE * (options.millicores ?? MILLICORES_PER_CORE) / MILLICORES_PER_CORE))
+  let relayedRequests = 0
+
+  const createHandler = (request: GatewayRequest, sink: CallerSink): RequestHandler => {
+    const handler: RequestHandler = createRequestHandler({
+      ...context,
+      onDone: () => {
+        handlers.delete(handler)
+        if (request.relay !== undefined) relayedRequests -= 1
+      }
+    }, request, sink)
+    handlers.add(handler)
+    if (request.relay !== undefined) relayedRequests += 1
+    return handler
+  }
+
   const isStarting = (): boolean => clock.now() - startedAt < STARTUP_MS
 
   return {
     api: {
       begin: (request, sink) => {
-        const handler = createRequestHandler({ ...context, onDone: () => { handlers.delete(handler) } }, request, sink)
-        handlers.add(handler)
+        const handler = createHandler(request, sink)
         timer ??= clock.setTimer(TICK_MS, tick)
+        if (request.relay !== undefined && relayedRequests > maximumRelayed) {
+          handler.reject({ status: 503, reason: 'relayLimit', retryAfterMs: RELAY_LIMIT_RETRY_AFTER_MS })
+          return handler
+        }
         if (hasInitialState() || !isStarting()) admit(handler, request)
         else deferRequest(handler, request)
         return handler
--- a/src/services/forwarding/test.ts
+++ b/src/services/forwarding/test.ts
@@ -77,6 +77,7 @@
     },
     health: { recordStart: () => {}, recordEnd: () => {}, recordBytes: () => {}, record: () => {}, isSuspended: () => false, readIdleMs: () => 0, readUnheardMs: () => 0, compareWith: () => () => 1, retain: () => {} },
     reach: { readOwn: () => ({ reachable: 2, known: 2 }), readPeer: () => 'unknown', countPeers: () => ({ some: 0, none: 0, unknown: 0 }) },
+    relays: { select: () => undefined, send: () => ({ abort: () => {}, pause: () => {}, resume: () => {} }), recordStart: () => {}, recordEnd: () => {}, recordBytes: () => {}, recordFailure: () => {}, readIdleMs: () => 0 },
     notices: { record: () => {}, backoffRemainingMs: () => 0 },
     directory: { record: () => {}, listCachedTokens: () => new Map(), onRecovered: () => {} },
     loadView: { recordStart: () => {}, recordEnd: () => {}, estimateInFlight: () => 0, ownInFlight: () => 0, applyReport: () => {} },
@@ -95,6 +96,7 @@
     }
   }
   const forwarding = createForwarding(dependencies, {
+    nodeId: 'node-1',
     availabilityZone: 'a',
     readBounds: () => ({ loadFactor: 2, retryLimits: { ratio: 0.2, extra: 50, windowMs: 10_000 }, keyFreshnessMs: 4_500, configurationFreshnessMs: 2_000 })
   })
--- a/src/services/instanceHealth/index.ts
+++ b/src/services/instanceHealth/index.ts
@@ -3,6 +3,7 @@
  * health state, and how long it has sent nothing while requests wait there.
  */
 import { advanceInstanceHealth, initialInstanceHealth } from '../../decisions/advanceInstanceHealth/index.js'
+import { judgePartition, type Partition, type UnreachableServer } from '../../decisions/judgePartition/index.js'
 import { formatInstanceKey } from '../../decisions/formatInstanceKey/index.js'
 import type { InstanceHealthEvent, InstanceHealthState } from '../../decisions/advanceInstanceHealth/index.js'
 import type { RunningService } from '../../kernel/index.js'
@@ -24,7 +25,7 @@
   /** Bytes arrived from the server, on any exchange. */
   readonly recordBytes: (instance: BackendInstance) => void
   readonly record: (instance: BackendInstance, event: InstanceHealthEvent) => void
-  /** Whether the server or its availability zone is suspended: it gets no requests while others are left. */
+  /** Whether the server is suspended, by itself or with its zone or all servers: it gets no requests while others are left. */
   readonly isSuspended: (instance: BackendInstance) => boolean
   /** Milliseconds since bytes last arrived from the server, while a request waits there; 0 when none does. */
   readonly readIdleMs: (instance: BackendInstance) => number
@@ -40,8 +41,6 @@
 
 /** Interval, in milliseconds, between checks for servers to probe: those whose suspension time has passed and that were not reached since. */
 const PROBE_TICK_MS = 200
-/** Number of unreachable servers at which the whole availability zone counts as unreachable: a single one may just be down. */
-const MINIMUM_UNREACHABLE_SERVERS = 2
 /** Slowness, and error share above the median, that add no cost: normal answers vary by as much. */
 const TOLERATED_SLOWNESS = 1.6
 const TOLERATED_ERROR_SHARE = 0.12
@@ -53,16 +52,14 @@
   return sorted[sorted.length >> 1] ?? 0
 }
 
-/** Reachability of one availability zone. */
-type ZoneReachability = { reachedAt: number, readonly unreachableAt: Map<string, number> }
-
 /**
  * Creates the health service of one node.
  *
  * When several servers of a zone are unreachable and nothing arrives from the others, the
- * zone counts as partitioned. Then all its servers are suspended at once; otherwise a
- * request would have to time out at each of them. Suspended servers are probed with
- * connections that carry no request.
+ * zone counts as partitioned, and this node itself when that holds for servers of several
+ * zones. Then all the servers concerned are suspended at once; otherwise a request would
+ * have to time out at each of them. Suspended servers are probed with connections that
+ * carry no request.
  *
  * @param dependencies - Clock, logger, a client that probes connections, and which servers may be probed.
  * @returns The service for the kernel, without any observations yet.
@@ -74,10 +71,11 @@
   const { clock, logger, client, mayProbe } = dependencies
   const states = new Map<string, InstanceHealthState>()
   const activities = new Map<string, Activity>()
-  const zones = new Map<string, ZoneReachability>()
+  const unreachable = new Map<string, UnreachableServer>()
   const awaitingProbe = new Map<string, BackendInstance>()
   const probing = new Set<string>()
   let heardAt = clock.now()
+  let loggedZones: ReadonlySet<string> = new Set()
   let timer: Timer | undefined
   let isStopped = false
 
@@ -92,28 +90,29 @@
     return created
   }
 
-  const getZone = (name: string): ZoneReachability => {
-    const known = zones.get(name)
-    if (known !== undefined) return known
-    const created = { reachedAt: -Infinity, unreachableAt: new Map() }
-    zones.set(name, created)
-    return created
+  const recordZoneReached = ({ availabilityZone }: BackendInstance): void => {
+    heardAt = clock.now()
+    for (const [key, server] of unreachable) if (server.availabilityZone === availabilityZone) unreachable.delete(key)
   }
 
-  const recordZoneReached = (instance: BackendInstance): void => {
-    const zone = getZone(instance.availabilityZone)
-    zone.reachedAt = clock.now()
-    heardAt = zone.reachedAt
-    if (zone.unreachableAt.size > 0) zone.unreachableAt.clear()
+  const recordUnreachable = (instance: BackendInstance): void => {
+    const key = formatInstanceKey(instance)
+    if (!unreachable.has(key)) unreachable.set(key, { availabilityZone: instance.availabilityZone, since: clock.now() })
   }
 
-  const recordZoneUnreachable = (instance: BackendInstance): void => {
-    const zone = getZone(instance.availabilityZone)
-    zone.unreachableAt.set(formatInstanceKey(instance), clock.now())
-    if (zone.unreachableAt.size === MINIMUM_UNREACHABLE_SERVERS) logger.warn('availability zone held', { zone: instance.availabilityZone, unheardMs: Math.round(clock.now() - zone.reachedAt) })
+  const readPartition = (): Partition => judgePartition([...unreachable.values()], heardAt, clock.now())
+
+  const isPartitioned = ({ availabilityZone }: BackendInstance): boolean => {
+    if (unreachable.size === 0) return false
+    const { zones, isCutOff } = readPartition()
+    return isCutOff || zones.has(availabilityZone)
   }
 
-  const isZoneSuspended = (name: string): boolean => (zones.get(name)?.unreachableAt.size ?? 0) >= MINIMUM_UNREACHABLE_SERVERS
+  const logPartition = (): void => {
+    const { zones } = readPartition()
+    for (const zone of zones) if (!loggedZones.has(zone)) logger.warn('availability zone held', { zone, unheardMs: Math.round(clock.now() - heardAt) })
+    loggedZones = zones
+  }
 
   const isInstanceSuspended = (instance: BackendInstance): boolean => {
     const state = readState(instance)
@@ -130,7 +129,7 @@
     const before = readState(instance)
     const after = advanceInstanceHealth(before, event, clock.now())
     states.set(formatInstanceKey(instance), after)
-    if (event.kind === 'unreachable') recordZoneUnreachable(instance)
+    if (event.kind === 'unreachable' || event.kind === 'silent') recordUnreachable(instance)
     if (event.kind === 'reached' || event.kind === 'answered') recordZoneReached(instance)
     if (after.needsProbe) scheduleProbe(instance)
     else awaitingProbe.delete(formatInstanceKey(instance))
@@ -149,6 +148,7 @@
 
   const probeDue = (): void => {
     timer = undefined
+    logPartition()
     const now = clock.now()
     for (const [key, instance] of awaitingProbe) {
       if (!probing.has(key) && readState(instance).suspendedUntil <= now && mayProbe(instance)) probe(key, instance)
@@ -173,7 +173,7 @@
       recordZoneReached(instance)
     },
     record,
-    isSuspended: (instance) => isInstanceSuspended(instance) || isZoneSuspended(instance.availabilityZone),
+    isSuspended: (instance) => isInstanceSuspended(instance) || isPartitioned(instance),
     readIdleMs: (instance) => {
       const activity = getActivity(instance)
       return activity.openRequests > 0 ? clock.now() - activity.idleSince : 0
@@ -195,7 +195,7 @@
       for (const key of states.keys()) if (!live.has(key)) states.delete(key)
       for (const [key, activity] of activities) if (!live.has(key) && activity.openRequests === 0) activities.delete(key)
       for (const key of awaitingProbe.keys()) if (!live.has(key)) awaitingProbe.delete(key)
-      for (const { unreachableAt } of zones.values()) for (const key of unreachableAt.keys()) if (!live.has(key)) unreachableAt.delete(key)
+      for (const key of unreachable.keys()) if (!live.has(key)) unreachable.delete(key)
     }
   }
 
--- a/src/services/membership/index.ts
+++ b/src/services/membership/index.ts
@@ -33,6 +33,8 @@
   readonly fanOut?: HeartbeatFanOut
   /** CPU available to this node in thousandths of a core. */
   readonly millicores?: number
+  /** Port on which this node takes requests of peers. */
+  readonly relayPort?: number
   /** How long the record of a dead member is kept, in milliseconds; an hour by default. */
   readonly forgetAfterMs?: number
 }
@@ -94,7 +96,8 @@
     availabilityZone: settings.availabilityZone,
     state: 'live',
     generation: 0,
-    ...(options.millicores === undefined ? {} : { millicores: options.millicores })
+    ...(options.millicores === undefined ? {} : { millicores: options.millicores }),
+    ...(options.relayPort === undefined ? {} : { relayPort: options.relayPort })
   }
 
   const self = (): Member => {
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -115,6 +115,37 @@
   readonly tokens: { readonly prompt: number, readonly output: number }
   /** Monotonic milliseconds of the request's first byte. */
   readonly receivedAt: number
+  /** Set when a peer sent the request because it does not reach the backend servers itself. */
+  readonly relay?: RelayOrigin
+}
+
+/** What a peer states about a request that it relays. */
+export type RelayOrigin = {
+  readonly nodeId: string
+  /** The service that the peer selected among the targets of the route. */
+  readonly service: string
+  /** Ids of backend servers that may have received the request already. */
+  readonly tried: readonly string[]
+}
+
+/** A peer through which requests reach backend servers. */
+export type RelayPeer = {
+  readonly nodeId: string
+  readonly incarnation: number
+  readonly availabilityZone: string
+  /** Where it listens for requests of its peers. */
+  readonly address: PeerAddress
+}
+
+/** One attempt to run a request through a peer. */
+export type RelayAttempt = {
+  readonly request: GatewayRequest
+  readonly body: Uint8Array
+  readonly peer: RelayPeer
+  readonly origin: RelayOrigin
+  readonly remainingMs: number
+  /** Id of the event after which the stream is to be resumed. */
+  readonly resumeAfter: number | undefined
 }
 
 /** One attempt to run a request on one backend server. */
@@ -157,6 +188,10 @@
   readonly contentLength: number | undefined
   readonly isEventStream: boolean
   readonly isEncoded: boolean
+  /** Set when a peer created the answer itself, because it could not have the request run. */
+  readonly relayRefusal?: FinalReason
+  /** Id of the backend server from which a peer has the answer. */
+  readonly servedBy?: string
 }
 
 export type ExchangeFailure =
@@ -194,10 +229,19 @@
   readonly close: () => void
 }
 
+/** Sends requests to peers, which send them to backend servers. */
+export type RelayClient = {
+  readonly send: (attempt: RelayAttempt, listener: ExchangeListener) => Exchange
+  /** Closes idle connections to peers whose name is not in the set. */
+  readonly retain: (live: ReadonlySet<string>) => void
+  readonly close: () => void
+}
+
 export type FinalReason =
   | 'badRequest' | 'headerTooLarge' | 'bodyTooLarge' | 'unknownRoute' | 'unknownKey' | 'noConfiguration' | 'staleKeys'
   | 'noInstance' | 'serviceFull' | 'deadlineBeforeSend' | 'deadline' | 'instanceFailed' | 'answerBroken'
   | 'instancesRefused' | 'shuttingDown' | 'crossedAnswer' | 'zoneDrained' | 'backingOff' | 'warmingUp' | 'regionNotAllowed'
+  | 'relayLimit'
 
 /** A final answer created by the node itself. */
 export type GatewayRefusal = {
@@ -224,6 +268,8 @@
 export type GatewayDialect = {
   readonly decodeRequest: (raw: RawRequest) => Result<GatewayRequest, GatewayRefusal>
   readonly encodeAttempt: (attempt: GatewayAttempt) => readonly string[]
+  /** Encodes the headers of a request as its caller would send it now, so that `decodeRequest` reads the same request on a peer. */
+  readonly encodeRequest: (attempt: Pick<RelayAttempt, 'request' | 'remainingMs' | 'resumeAfter'>) => readonly string[]
   readonly decodeAnswer: (status: number, headers: HeaderList) => InstanceAnswer
 }
 
--- a/src/types/gatewayEvents.ts
+++ b/src/types/gatewayEvents.ts
@@ -21,6 +21,9 @@
 
 export const gatewayEvents = {
   'request sent': { level: 'info', linesPerSecond: REQUEST_LINES_PER_SECOND, meaning: 'a request went to a backend server' },
+  'request relayed': { level: 'info', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'a request went to a peer, because this node does not reach the backend servers' },
+  'peer refused': { level: 'info', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'a peer states that it had a relayed request not run' },
+  'peer avoided': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a peer gets no relayed requests for a while after a failure' },
   'request complete': { level: 'info', linesPerSecond: REQUEST_LINES_PER_SECOND, meaning: 'the caller has received the complete answer' },
   'request ended': { level: 'info', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'the final answer is a refusal or a failure, or the caller disconnected' },
   'request sent again': { level: 'info', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'a request went to another backend server after a failure' },
--- a/src/types/gatewaySettings.ts
+++ b/src/types/gatewaySettings.ts
@@ -9,6 +9,8 @@
   readonly metricsAddress: PeerAddress | undefined
   /** Address on which this node listens for peers, and to which they connect. */
   readonly peerAddress: PeerAddress
+  /** Address on which this node takes requests of peers that do not reach the backend servers; `undefined` to take none. */
+  readonly relayAddress: PeerAddress | undefined
   readonly seedPeers: readonly PeerAddress[]
   readonly fleetKey: string
   /** CPU available to this node in thousandths of a core; omitted when unknown. */
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -19,6 +19,8 @@
   readonly generation: number
   /** CPU available to the node in thousandths of a core; omitted when unknown. */
   readonly millicores?: number
+  /** Port at the host of `address` on which the node takes requests of peers; omitted when it takes none. */
+  readonly relayPort?: number
 }
 
 /** Backend servers in the list of a node that are not leaving, and how many of them are not suspended in its own view. */
--- a/test/platform/_lib/startGatewayFleet.ts
+++ b/test/platform/_lib/startGatewayFleet.ts
@@ -64,10 +64,12 @@
 }
 
 /** Returns the near end of the link to an address; servers without a link are reached directly. */
-const resolveOver = (links: ReadonlyMap<string, ServerLink>, { backends }: PlatformStandIn) => (address: PeerAddress): PeerAddress => {
-  const id = [...backends.values()].find((backend) => backend.address().port === address.port)?.id
-  const link = id === undefined ? undefined : links.get(id)
-  return link === undefined ? address : { host: address.host, port: link.port }
+const resolveOver = (links: ReadonlyMap<string, ServerLink>, { backends }: PlatformStandIn) => {
+  const linksByPort = new Map([...links].map(([id, link]) => [backends.get(id)!.address().port, link]))
+  return (address: PeerAddress): PeerAddress => {
+    const link = linksByPort.get(address.port)
+    return link === undefined ? address : { host: address.host, port: link.port }
+  }
 }
 
 /**
