Keep refusals at servers that bear few of them within a share of each node

What callers would see: servers of a service state that they fall over when they have to refuse more than a number of requests in a second. In an overload each refused request moved on to the next server, and every server fell over.

Cause: the notice was not read, and a node bounds neither what it sends to a full server nor what all nodes send together.

Change: each node keeps to a share of the stated number that follows from all members it ever knew; a send counts as a possible refusal until its answer begins. What no server may get is refused at once, with when to come back.

--- a/src/bench/crowd/_lib/simulateBurst.ts
+++ b/src/bench/crowd/_lib/simulateBurst.ts
@@ -77,6 +77,7 @@
   loadView: node.resolve('loadView'),
   zoneDrains: node.resolve('zoneDrains'),
   warmUp: node.resolve('warmUp'),
+  refusals: node.resolve('refusalLimiter'),
   random: { next: random, nextId: () => '' },
   regionByZone: new Map(),
   availabilityZone: node.resolve('membership').self().availabilityZone,
--- a/src/decisions/checkInstanceEligibility/index.ts
+++ b/src/decisions/checkInstanceEligibility/index.ts
@@ -12,9 +12,11 @@
   readonly isBackingOff: boolean
   /** Whether it is warming up and this node has used up its share of the warm-up rate. */
   readonly isAtWarmUpRate: boolean
+  /** Whether a request could be one refusal more than this node may cause there. */
+  readonly isAtRefusalLimit: boolean
 }
 
-export type InstanceEligibility = 'open' | 'regionNotAllowed' | 'zoneDrained' | 'backingOff' | 'warmingUp'
+export type InstanceEligibility = 'open' | 'regionNotAllowed' | 'zoneDrained' | 'backingOff' | 'warmingUp' | 'serviceFull'
 
 const isRegionAllowed = (region: string | undefined, allowed: readonly string[]): boolean =>
   allowed.length === 0 || (region !== undefined && allowed.includes(region))
@@ -27,11 +29,12 @@
  * @returns `open`, or the reason why the server may not get the request.
  *
  * @example
- * checkInstanceEligibility({ region: 'north', isZoneDrained: true, isBackingOff: false, isAtWarmUpRate: false }, []) // => 'zoneDrained'
+ * checkInstanceEligibility({ region: 'north', isZoneDrained: true, isBackingOff: false, isAtWarmUpRate: false, isAtRefusalLimit: false }, []) // => 'zoneDrained'
  */
-export const checkInstanceEligibility = ({ region, isZoneDrained, isBackingOff, isAtWarmUpRate }: InstanceStatus, allowedRegions: readonly (readonly string[])[]): InstanceEligibility => {
+export const checkInstanceEligibility = ({ region, isZoneDrained, isBackingOff, isAtWarmUpRate, isAtRefusalLimit }: InstanceStatus, allowedRegions: readonly (readonly string[])[]): InstanceEligibility => {
   if (!allowedRegions.every((allowed) => isRegionAllowed(region, allowed))) return 'regionNotAllowed'
   if (isZoneDrained) return 'zoneDrained'
   if (isBackingOff) return 'backingOff'
-  return isAtWarmUpRate ? 'warmingUp' : 'open'
+  if (isAtWarmUpRate) return 'warmingUp'
+  return isAtRefusalLimit ? 'serviceFull' : 'open'
 }
--- a/src/decisions/selectIneligibility/index.ts
+++ b/src/decisions/selectIneligibility/index.ts
@@ -2,7 +2,7 @@
 import type { InstanceEligibility } from '../checkInstanceEligibility/index.js'
 
 /** Ordered by how soon the reason can pass, as Retry-After is derived from the selected reason. */
-const SOONEST_FIRST: readonly InstanceEligibility[] = ['open', 'warmingUp', 'backingOff', 'zoneDrained', 'regionNotAllowed']
+const SOONEST_FIRST: readonly InstanceEligibility[] = ['open', 'serviceFull', 'warmingUp', 'backingOff', 'zoneDrained', 'regionNotAllowed']
 
 /**
  * Selects the reason why no server of a service may get a request.
--- a/src/node/createGatewayNode/_lib/registerForwarding.ts
+++ b/src/node/createGatewayNode/_lib/registerForwarding.ts
@@ -6,6 +6,7 @@
 import { createPeerRelays } from '../../../services/peerRelays/index.js'
 import { createPromptDirectory, type DirectoryRecoverySources } from '../../../services/promptDirectory/index.js'
 import { createReachExchange } from '../../../services/reachExchange/index.js'
+import { createRefusalLimiter } from '../../../services/refusalLimiter/index.js'
 import { createWarmUpLimiter } from '../../../services/warmUpLimiter/index.js'
 import type { BackendInstance, GatewaySettings } from '../../../types/index.js'
 import type { Kernel } from '../../../kernel/index.js'
@@ -58,10 +59,16 @@
 export const registerForwarding = (kernel: Kernel<GatewayServices>, dependencies: GatewayNodeDependencies): void => {
   const readSettings = dependencies.readSettings ?? (() => dependencies.settings)
   const { settings, clock, random, transport, client, logger, metrics } = dependencies
+  const hasPeers = (): boolean => readSettings().seedPeers.length > 0
+  kernel.register({
+    name: 'refusalLimiter',
+    dependsOn: ['instanceRegistry', 'loadView', 'membership'],
+    create: (resolve) => createRefusalLimiter({ clock, logger, registry: resolve('instanceRegistry'), loadView: resolve('loadView'), membership: resolve('membership') }, { hasPeers })
+  })
   kernel.register({
     name: 'instanceNotices',
-    dependsOn: ['instanceRegistry'],
-    create: (resolve) => createInstanceNotices({ clock, logger, metrics, registry: resolve('instanceRegistry') })
+    dependsOn: ['instanceRegistry', 'refusalLimiter'],
+    create: (resolve) => createInstanceNotices({ clock, logger, metrics, registry: resolve('instanceRegistry'), refusals: resolve('refusalLimiter') })
   })
   kernel.register({
     name: 'instanceHealth',
@@ -113,12 +120,12 @@
       zoneDrains: resolve('zoneDrains')
     }, {
       ...(settings.warmUpLimit ?? DEFAULT_WARM_UP_LIMIT),
-      hasPeers: () => readSettings().seedPeers.length > 0
+      hasPeers
     })
   })
   kernel.register({
     name: 'forwarding',
-    dependsOn: ['gatewayConfiguration', 'instanceRegistry', 'instanceHealth', 'instanceNotices', 'reachExchange', 'peerRelays', 'promptDirectory', 'loadView', 'membership', 'zoneDrains', 'warmUp'],
+    dependsOn: ['gatewayConfiguration', 'instanceRegistry', 'instanceHealth', 'instanceNotices', 'reachExchange', 'peerRelays', 'promptDirectory', 'loadView', 'membership', 'zoneDrains', 'warmUp', 'refusalLimiter'],
     create: (resolve) => createForwarding({
       clock,
       random,
@@ -135,7 +142,8 @@
       loadView: resolve('loadView'),
       membership: resolve('membership'),
       zoneDrains: resolve('zoneDrains'),
-      warmUp: resolve('warmUp')
+      warmUp: resolve('warmUp'),
+      refusals: resolve('refusalLimiter')
     }, {
       nodeId: settings.nodeId,
       ...(settings.millicores === undefined ? {} : { millicores: settings.millicores }),
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -18,6 +18,7 @@
 import type { PeerRelays } from '../../services/peerRelays/index.js'
 import type { PromptDirectory } from '../../services/promptDirectory/index.js'
 import type { ReachExchange } from '../../services/reachExchange/index.js'
+import type { RefusalLimiter } from '../../services/refusalLimiter/index.js'
 import type { VmList } from '../../services/vmList/index.js'
 import type { WarmUpLimiter } from '../../services/warmUpLimiter/index.js'
 import type {
@@ -61,6 +62,7 @@
   readonly peerRelays: PeerRelays
   readonly promptDirectory: PromptDirectory
   readonly warmUp: WarmUpLimiter
+  readonly refusalLimiter: RefusalLimiter
   readonly forwarding: Forwarding
 }
 
--- a/src/services/forwarding/_lib/createInstanceTarget.ts
+++ b/src/services/forwarding/_lib/createInstanceTarget.ts
@@ -2,13 +2,25 @@
 import type { AttemptTarget } from './attemptTarget.js'
 import type { RequestHandlerContext } from './requestHandler.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
-import type { GatewayAttempt, GatewayRoute } from '../../../types/index.js'
+import type { SendDecision } from '../../refusalLimiter/index.js'
+import type { GatewayAttempt, GatewayRoute, InstanceAnswer } from '../../../types/index.js'
+
+/** A server that has another's address refuses for that reason, however much room it has. */
+const isRefusedForRoom = ({ isNotRun, isOtherInstance }: InstanceAnswer): boolean => isNotRun && !isOtherInstance
 
 /** Creates the target of one attempt. */
 export const createInstanceTarget = (context: RequestHandlerContext, route: GatewayRoute, attempt: GatewayAttempt): AttemptTarget => {
-  const { loadView, health, notices, registry, warmUp, directory, firstByteTimes, client } = context
+  const { loadView, health, notices, registry, warmUp, refusals, directory, firstByteTimes, client } = context
   const { instance, request } = attempt
   const key = formatInstanceKey(instance)
+  let decideSend: ((decision: SendDecision) => void) | undefined
+
+  /** Records once whether the server has accepted the request. */
+  const decide = (decision: SendDecision): void => {
+    decideSend?.(decision)
+    decideSend = undefined
+  }
+
   return {
     kind: 'backendServer',
     id: instance.id,
@@ -17,14 +29,17 @@
       loadView.recordStart(key)
       health.recordStart(instance)
       warmUp.recordSend(instance)
+      decideSend = refusals.recordSend(instance)
       directory.record(request.promptParts, key)
     },
     recordEnd: () => {
+      decide('unknown')
       loadView.recordEnd(key)
       health.recordEnd(instance)
     },
     recordBytes: () => health.recordBytes(instance),
     recordHead: (answer) => {
+      decide(isRefusedForRoom(answer) ? 'refused' : 'accepted')
       if (!answer.isOtherInstance) notices.record(instance, answer)
       if (answer.load !== undefined) loadView.applyReport(key, { ...answer.load, leaving: false, ageMs: 0 })
     },
--- a/src/services/forwarding/_lib/selectInstance.test.ts
+++ b/src/services/forwarding/_lib/selectInstance.test.ts
@@ -47,6 +47,7 @@
     random: { next: () => 0.5, nextId: () => 'id' },
     zoneDrains: { isDrained: (zone) => zone === 'drained', isKnown: () => true, revision: () => 0, onChange: () => {} },
     warmUp: { remainingMs: () => 0, isLimitReached: ({ id }) => servers[id]?.isWarming === true, recordSend: () => {} },
+    refusals: { recordLimit: () => {}, isLimitReached: () => false, recordSend: () => () => {} },
     availabilityZone: 'a',
     regionByZone: new Map(),
     readLoadFactor: () => 2
--- a/src/services/forwarding/_lib/selectInstance.ts
+++ b/src/services/forwarding/_lib/selectInstance.ts
@@ -8,7 +8,7 @@
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 import type { ForwardingDependencies } from '../index.js'
 
-export type SelectionDependencies = Pick<ForwardingDependencies, 'registry' | 'health' | 'notices' | 'directory' | 'loadView' | 'random' | 'zoneDrains' | 'warmUp'> & {
+export type SelectionDependencies = Pick<ForwardingDependencies, 'registry' | 'health' | 'notices' | 'directory' | 'loadView' | 'random' | 'zoneDrains' | 'warmUp' | 'refusals'> & {
   readonly availabilityZone: string
   /** Region of each availability zone, for requests that are restricted to regions. */
   readonly regionByZone: ReadonlyMap<string, string>
@@ -35,21 +35,25 @@
 const listUntried = ({ registry }: SelectionDependencies, { service, tried }: SelectionInput): readonly BackendInstance[] =>
   registry.list(service).filter(({ id }) => !tried.has(id))
 
-const evaluate = ({ zoneDrains, notices, warmUp, regionByZone }: SelectionDependencies, { allowedRegions }: SelectionInput, instance: BackendInstance): InstanceEligibility => checkInstanceEligibility({
+const evaluate = ({ zoneDrains, notices, warmUp, refusals, regionByZone }: SelectionDependencies, { allowedRegions }: SelectionInput, instance: BackendInstance): InstanceEligibility => checkInstanceEligibility({
   region: regionByZone.get(instance.availabilityZone),
   isZoneDrained: zoneDrains.isDrained(instance.availabilityZone),
   isBackingOff: notices.backoffRemainingMs(instance) > 0,
-  isAtWarmUpRate: warmUp.isLimitReached(instance)
+  isAtWarmUpRate: warmUp.isLimitReached(instance),
+  isAtRefusalLimit: refusals.isLimitReached(instance)
 }, allowedRegions)
 
 /** Why no backend server is eligible for the request; `undefined` where all of them were tried. */
 export const findIneligibility = (dependencies: SelectionDependencies, input: SelectionInput): InstanceEligibility | undefined =>
   selectIneligibility(listUntried(dependencies, input).map((instance) => evaluate(dependencies, input, instance)))
 
+/** A server is eligible again within a second or so. */
+const SOON_ELIGIBLE: ReadonlySet<InstanceEligibility> = new Set(['open', 'warmingUp', 'serviceFull'])
+
 const computeWaitMs = (dependencies: SelectionDependencies, input: SelectionInput, instance: BackendInstance): number => {
   const eligibility = evaluate(dependencies, input, instance)
   if (eligibility === 'backingOff') return dependencies.notices.backoffRemainingMs(instance)
-  return eligibility === 'open' || eligibility === 'warmingUp' ? 0 : Infinity
+  return SOON_ELIGIBLE.has(eligibility) ? 0 : Infinity
 }
 
 /**
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -26,6 +26,7 @@
 import type { PeerRelays } from '../peerRelays/index.js'
 import type { PromptDirectory } from '../promptDirectory/index.js'
 import type { ReachExchange } from '../reachExchange/index.js'
+import type { RefusalLimiter } from '../refusalLimiter/index.js'
 import type { WarmUpLimiter } from '../warmUpLimiter/index.js'
 
 export type ForwardingDependencies = {
@@ -44,6 +45,7 @@
   readonly membership: Pick<Membership, 'members'>
   readonly zoneDrains: Pick<ZoneDrains, 'isDrained' | 'isKnown' | 'onChange' | 'revision'>
   readonly warmUp: WarmUpLimiter
+  readonly refusals: RefusalLimiter
   readonly client: InstanceClient
 }
 
--- a/src/services/instanceNotices/index.ts
+++ b/src/services/instanceNotices/index.ts
@@ -1,9 +1,10 @@
 /**
  * Takes what backend servers state about themselves in their answers to this node: until
- * when each of them accepts no requests from it, which the service keeps, and that it is
- * leaving, which the list of backend servers keeps.
+ * when each of them accepts no requests from it, which the service keeps, that it is
+ * leaving, which the list of backend servers keeps, and how many refusals it bears.
  */
 import type { RunningService } from '../../kernel/index.js'
+import type { RefusalLimiter } from '../refusalLimiter/index.js'
 import type { BackendInstance, Clock, InstanceNotice, InstanceRegistry, Logger, Metrics } from '../../types/index.js'
 
 export type InstanceNotices = {
@@ -18,6 +19,7 @@
   readonly logger: Pick<Logger, 'info'>
   readonly metrics: Pick<Metrics, 'count'>
   readonly registry: Pick<InstanceRegistry, 'markLeaving'>
+  readonly refusals: Pick<RefusalLimiter, 'recordLimit'>
 }
 
 /**
@@ -30,9 +32,9 @@
  * @returns The service for the kernel.
  *
  * @example
- * createInstanceNotices({ clock, logger, metrics, registry }).api.backoffRemainingMs(instance) // => 0
+ * createInstanceNotices({ clock, logger, metrics, registry, refusals }).api.backoffRemainingMs(instance) // => 0
  */
-export const createInstanceNotices = ({ clock, logger, metrics, registry }: InstanceNoticesDependencies): RunningService<InstanceNotices> => {
+export const createInstanceNotices = ({ clock, logger, metrics, registry, refusals }: InstanceNoticesDependencies): RunningService<InstanceNotices> => {
   const backoffEnds = new Map<string, number>()
 
   const backoffRemainingMs: InstanceNotices['backoffRemainingMs'] = ({ id }) => Math.max(0, (backoffEnds.get(id) ?? -Infinity) - clock.now())
@@ -52,7 +54,8 @@
 
   return {
     api: {
-      record: (instance, { backoffMs, isLeaving }) => {
+      record: (instance, { backoffMs, isLeaving, refusalLimit }) => {
+        refusals.recordLimit(instance, refusalLimit)
         if (backoffMs !== undefined) recordBackoff(instance, backoffMs)
         if (isLeaving) registry.markLeaving(instance)
       },
--- a/src/services/instanceNotices/test.ts
+++ b/src/services/instanceNotices/test.ts
@@ -12,7 +12,7 @@
   const clock = createManualClock()
   const lines: string[] = []
   const leaving: string[] = []
-  const { api } = createInstanceNotices({ clock, logger: { info: (message) => { lines.push(message) } }, metrics: { count: () => {} }, registry: { markLeaving: ({ id }) => { leaving.push(id) } } })
+  const { api } = createInstanceNotices({ clock, logger: { info: (message) => { lines.push(message) } }, metrics: { count: () => {} }, refusals: { recordLimit: () => {} }, registry: { markLeaving: ({ id }) => { leaving.push(id) } } })
   return { clock, lines, leaving, api, askForBackoff: (backoffMs: number, server = SERVER): void => api.record(server, { backoffMs, isLeaving: false }) }
 }
 
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -170,6 +170,8 @@
   readonly backoffMs: number | undefined
   /** Whether it is shutting down. */
   readonly isLeaving: boolean
+  /** Refusals for want of room that it bears in one second, from all nodes together; more make it fail. Omitted when it states no limit. */
+  readonly refusalLimit?: number
 }
 
 /** Decoded status and headers of a backend server's answer. */
