Conclude nothing from a second of a server's silence

What callers would see: a sound server is silent for a second, and their streams move to another one after 0.8 s and are read anew there.

--- a/src/decisions/isFailoverDue/index.ts
+++ b/src/decisions/isFailoverDue/index.ts
@@ -19,6 +19,8 @@
 
 /** A lost packet is retransmitted after 200 to 300 ms, so a server that does not respond for less may be healthy. */
 const MINIMUM_WAIT_MS = 400
+/** Silence after which a stream that has begun moves from a server that responds to no request: a sound server may be silent for about a second. */
+const MINIMUM_STREAM_SILENCE_MS = 1_300
 /** Multiple of the usual time to first byte after which a request leaves a server that responds to no request. */
 const USUAL_TIME_MULTIPLE = 3
 /** Multiple of the target time to first byte after which a request moves although its server responds to others. */
@@ -38,8 +40,8 @@
 export const isFailoverDue = (input: FailoverInput): boolean => {
   const { hasBegun, waitedMs, instanceWaitedMs, firstByteTargetMs, pauseTargetMs, usualFirstByteMs } = input
   if (hasBegun) {
-    return waitedMs >= Math.max(STREAM_PAUSE_MULTIPLE * pauseTargetMs, 2 * MINIMUM_WAIT_MS) ||
-      (waitedMs >= 2 * MINIMUM_WAIT_MS && instanceWaitedMs >= 2 * MINIMUM_WAIT_MS)
+    return waitedMs >= Math.max(STREAM_PAUSE_MULTIPLE * pauseTargetMs, MINIMUM_STREAM_SILENCE_MS) ||
+      (waitedMs >= MINIMUM_STREAM_SILENCE_MS && instanceWaitedMs >= MINIMUM_STREAM_SILENCE_MS)
   }
   if (waitedMs >= Math.max(MINIMUM_WAIT_MS, REQUEST_TARGET_MULTIPLE * firstByteTargetMs)) return true
   const serverTimeoutMs = Math.max(MINIMUM_WAIT_MS, USUAL_TIME_MULTIPLE * (usualFirstByteMs ?? firstByteTargetMs))
--- a/src/services/instanceHealth/test.ts
+++ b/src/services/instanceHealth/test.ts
@@ -44,3 +44,30 @@
     expect(api.isSuspended(SERVER)).toBe(false)
   })
 })
+
+describe('servers that are silent for a second', () => {
+  const createServer = (id: string, availabilityZone: string): BackendInstance => ({ ...SERVER, id, availabilityZone })
+  const silent = [createServer('a1', 'a'), createServer('a2', 'a'), createServer('b1', 'b')]
+  const others = [createServer('a3', 'a'), createServer('b2', 'b'), createServer('c1', 'c')]
+
+  /** Servers stay silent, and connections to them fail, until they are reached again. */
+  const startSilence = async (silenceMs: number) => {
+    const { clock, api } = start(() => false)
+    for (const server of silent) api.record(server, { kind: 'silent' })
+    await clock.advanceAndSettle(silenceMs)
+    return api
+  }
+
+  // Guards against taking a second of silence for a partition, which would keep requests from servers that are sound.
+  test('take neither their zones nor all servers out of service', async () => {
+    const api = await startSilence(1_200)
+    expect(others.map(api.isSuspended)).toEqual([false, false, false])
+  })
+
+  test('do so when the silence goes on, until one of them is reached', async () => {
+    const api = await startSilence(1_400)
+    expect(others.map(api.isSuspended)).toEqual([true, true, true])
+    api.recordBytes(silent[2]!)
+    expect(others.map(api.isSuspended)).toEqual([true, false, false])
+  })
+})
