--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -233,7 +233,7 @@
     // A peer that could not send the request to any server says nothing about how full the service is.
     const hasReachedServer = target.kind === 'backendServer' || answer.relayRefusal === 'instancesRefused'
     if (hasReachedServer) refusals += 1
-    retryOr(() => giveUp(hasReachedServer ? 'instancesRefused' : 'noInstance', 502, describeReach(context)))
+    retryOr(() => giveUp(answer.relayRefusal ?? 'instancesRefused', 502, describeReach(context)))
   }
 
   /** The answer of the backend server is complete; `endAnswer` ends the caller's answer. */
--- a/test/_lib/createGate.ts
+++ b/test/_lib/createGate.ts
@@ -47,10 +47,12 @@
   }
 }
 
-const fillQueue = (port: number): Promise<readonly Socket[]> => Promise.all(Array.from({ length: QUEUE_LENGTH }, () => new Promise<Socket>((resolve) => {
-  const socket = connect({ host: '127.0.0.1', port }, () => resolve(socket))
+/** Not awaited: connections of the node under test may take the places first, and then these hang. */
+const fillQueue = (port: number): readonly Socket[] => Array.from({ length: QUEUE_LENGTH }, () => {
+  const socket = connect({ host: '127.0.0.1', port })
   socket.on('error', () => { /* reset when the listener is released */ })
-})))
+  return socket
+})
 
 const startHangingListener = async (port: number): Promise<() => Promise<void>> => {
   const released = new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT)
@@ -60,7 +62,7 @@
     worker.once('message', () => resolve())
     worker.once('error', reject)
   })
-  const fillers = await fillQueue(port)
+  const fillers = fillQueue(port)
   return async () => {
     Atomics.store(new Int32Array(released), 0, 1)
     Atomics.notify(new Int32Array(released), 0)
--- a/test/_lib/createServerLink.ts
+++ b/test/_lib/createServerLink.ts
@@ -21,6 +21,8 @@
   readonly heal: () => Promise<void>
   /** Holds back what is sent on open connections, as a server that is silent for a while does; new connections open. */
   readonly silence: () => void
+  /** Passes on what a silence held back; a cut stays. */
+  readonly endSilence: () => void
   readonly close: () => Promise<void>
 }
 
@@ -29,6 +31,8 @@
   const proxy = await createFaultProxy(serverPort)
   const gate = await createGate(proxy.port)
 
+  let isCut = false
+
   const cuts: Readonly<Record<LinkCut, () => Promise<void>>> = {
     hang: async () => {
       proxy.setFault({ kind: 'blackhole' })
@@ -47,12 +51,17 @@
 
   return {
     port: gate.port,
-    cut: (how) => cuts[how](),
+    cut: (how) => {
+      isCut = true
+      return cuts[how]()
+    },
     heal: async () => {
+      isCut = false
       proxy.setFault({ kind: 'none' })
       await gate.open()
     },
-    silence: () => proxy.setFault({ kind: 'blackhole' }),
+    silence: () => { if (!isCut) proxy.setFault({ kind: 'blackhole' }) },
+    endSilence: () => { if (!isCut) proxy.setFault({ kind: 'none' }) },
     close: async () => {
       await gate.close()
       await proxy.close()
