Bound what nodes ask of peers when a service is down for all of them

A service whose servers are all down looks to each node as if it were cut off itself, and each of its requests went to up to three peers, on every node of a large fleet. A node without any peer tries two suspended servers for a request and no more, so that its caller is refused in time. Where a peer of the own zone is cut off, one that did not tell its reach comes after those of other zones. The partition is judged at most every 20 ms, as requests ask for each server.

--- a/src/decisions/selectRelayPeer/index.ts
+++ b/src/decisions/selectRelayPeer/index.ts
@@ -30,7 +30,8 @@
 
 /**
  * Selects a peer: one that reaches backend servers before one that didn't say, and one of
- * the own zone before others, until those are busy with requests of this node.
+ * the own zone before others, until those are busy with requests of this node. Where a peer of
+ * the own zone is cut off, one of them that didn't say probably is as well.
  *
  * @param candidates - Live peers that take requests of others, without those that failed to take the request.
  * @param availabilityZone - Zone of this node.
@@ -43,9 +44,11 @@
 export const selectRelayPeer = (candidates: readonly RelayCandidate[], availabilityZone: string, random: () => number): RelayCandidate | undefined => {
   const usable = candidates.filter(({ reach, isAvoided }) => reach !== 'none' && !isAvoided)
   const reaching = REACH_ORDER.map((wanted) => usable.filter(({ reach }) => reach === wanted)).find((group) => group.length > 0) ?? []
+  const isZoneAffected = candidates.some((peer) => peer.availabilityZone === availabilityZone && (peer.reach === 'none' || peer.isAvoided))
   const own = drawPeer(reaching.filter((peer) => peer.availabilityZone === availabilityZone), random)
-  if (own !== undefined && own.open < SPREAD_FROM_OPEN) return own
+  const mayBeCutOff = own?.reach === 'unknown' && isZoneAffected
+  if (own !== undefined && own.open < SPREAD_FROM_OPEN && !mayBeCutOff) return own
   const remote = drawPeer(reaching.filter((peer) => peer.availabilityZone !== availabilityZone), random)
   if (own === undefined || remote === undefined) return own ?? remote
-  return remote.open < own.open ? remote : own
+  return mayBeCutOff || remote.open < own.open ? remote : own
 }
--- a/src/decisions/selectRelayPeer/test.ts
+++ b/src/decisions/selectRelayPeer/test.ts
@@ -24,6 +24,10 @@
     expect(select([createCandidate('cut', { reach: 'none' }), createCandidate('avoided', { isAvoided: true })])).toBeUndefined()
   })
 
+  test('prefers a peer of another zone to one that did not say in a zone with a peer that is cut off', () => {
+    expect(select([createCandidate('cut', { reach: 'none' }), createCandidate('near', { reach: 'unknown' }), createCandidate('far', { reach: 'unknown', availabilityZone: 'b' })])).toBe('far')
+  })
+
   // Guards against the last peer of a zone getting the requests of all nodes of it that are cut off.
   test('spreads to other zones once the peers of the own zone are busy', () => {
     const random = createSeededRandom(2).next
--- a/src/decisions/selectSendPath/index.ts
+++ b/src/decisions/selectSendPath/index.ts
@@ -31,6 +31,8 @@
 
 /** A node that receives nothing for so long while connections fail is probably cut off itself; a busy node receives answers many times a second. */
 const UNHEARD_MS = 300
+/** Connections to suspended servers that are tried for one request: each takes its timeout, and its caller could be at another node meanwhile. */
+const MAXIMUM_LAST_CONNECTS = 2
 
 /**
  * Selects the path of the next attempt.
@@ -50,5 +52,6 @@
   const isProbablyCutOff = failedConnects > 0 && unheardMs >= UNHEARD_MS
   if (direct === 'usable' && !(isProbablyCutOff && hasPeer)) return 'direct'
   if (hasPeer) return 'peer'
-  return direct === 'unreached' ? 'none' : 'direct'
+  if (direct === 'usable') return 'direct'
+  return direct === 'unreached' || failedConnects >= MAXIMUM_LAST_CONNECTS ? 'none' : 'direct'
 }
--- a/src/decisions/selectSendPath/test.ts
+++ b/src/decisions/selectSendPath/test.ts
@@ -26,6 +26,12 @@
     expect(select({ direct: 'unreached', hasPeer: false })).toBe('none')
   })
 
+  // Guards against holding a caller at a node that can't serve it until its deadline.
+  test('refuses after two such tries', () => {
+    expect(select({ direct: 'suspended', hasPeer: false, failedConnects: 1 })).toBe('direct')
+    expect(select({ direct: 'suspended', hasPeer: false, failedConnects: 2 })).toBe('none')
+  })
+
   // A drain, a backoff or a region binds every node: a peer must not be a way round it.
   test('takes no peer for a request that no server may get', () => {
     expect(select({ direct: 'none' })).toBe('none')
--- a/src/services/forwarding/_lib/createPathSelector.ts
+++ b/src/services/forwarding/_lib/createPathSelector.ts
@@ -60,12 +60,13 @@
     return failedConnects > 0 && findIneligibility(context, input) === undefined ? 'unreached' : 'none'
   }
 
-  const selectPeer = (): RelayPeer | undefined => isRelayed || excludedPeers.size >= MAXIMUM_EXCLUDED_PEERS ? undefined : relays.select(excludedPeers)
+  const selectPeer = (service: string): RelayPeer | undefined =>
+    isRelayed || excludedPeers.size >= MAXIMUM_EXCLUDED_PEERS ? undefined : relays.select(service, excludedPeers)
 
   const select: PathSelector['select'] = (routed) => {
     const input = createInput(routed)
     const chosen = selectInstance(context, input)
-    const peer = selectPeer()
+    const peer = selectPeer(routed.service)
     const path = selectSendPath({ direct: classifyDirect(input, chosen), hasPeer: peer !== undefined, isRelayed, failedConnects, unheardMs: health.readUnheardMs() })
     if (path === 'peer' && peer !== undefined) return { kind: 'peer', peer }
     return path === 'direct' && chosen !== undefined ? { kind: 'direct', chosen } : { kind: 'none' }
--- a/src/services/forwarding/_lib/createPeerTarget.test.ts
+++ b/src/services/forwarding/_lib/createPeerTarget.test.ts
@@ -24,17 +24,18 @@
     recordStart: () => {},
     recordEnd: () => {},
     recordBytes: () => {},
-    recordFailure: (_peer, failure) => { failures.push(failure) },
+    recordAnswer: () => {},
+    recordFailure: (_peer, _service, failure) => { failures.push(failure) },
     readIdleMs: () => 0
   }, ATTEMPT)
   return { target, failures }
 }
 
 describe('createPeerTarget', () => {
-  test.each<FinalReason>(['noInstance', 'relayLimit', 'shuttingDown', 'noConfiguration'])('reports a refusal for %s, which concerns every request', (relayRefusal) => {
+  test.each<[FinalReason, RelayFailure]>([['noInstance', 'noServer'], ['relayLimit', 'busy'], ['shuttingDown', 'busy'], ['noConfiguration', 'busy']])('reports a refusal for %s as %s', (relayRefusal, failure) => {
     const { target, failures } = start()
     target.recordRefusal({ ...REFUSAL, relayRefusal })
-    expect(failures).toEqual(['refused'])
+    expect(failures).toEqual([failure])
   })
 
   // Guards against a peer that is left alone for all services because one of them is full.
--- a/src/services/forwarding/_lib/createPeerTarget.ts
+++ b/src/services/forwarding/_lib/createPeerTarget.ts
@@ -6,12 +6,15 @@
 /** An answer that breaks off or reports a failure may do so at the backend server, which shows nothing about the peer. */
 const failures: Readonly<Record<AttemptFailure, RelayFailure | undefined>> = { unreachable: 'unreachable', silent: 'silent', broken: undefined, errored: undefined }
 
-/** Refusals that show that the peer can't help with requests of any service now; the others are about one service, route or key. */
-const OWN_REASONS: ReadonlySet<FinalReason> = new Set(['noInstance', 'relayLimit', 'shuttingDown', 'noConfiguration'])
+/** What a refusal shows about the peer. The other reasons hold on every node, or pass within a request or two. */
+const refusals: Partial<Readonly<Record<FinalReason, RelayFailure>>> = { noInstance: 'noServer', relayLimit: 'busy', shuttingDown: 'busy', noConfiguration: 'busy' }
 
 /** Creates the target of one attempt. */
 export const createPeerTarget = (relays: PeerRelays, attempt: RelayAttempt): AttemptTarget => {
-  const { peer } = attempt
+  const { peer, origin } = attempt
+
+  const report = (failure: RelayFailure | undefined): void => { if (failure !== undefined) relays.recordFailure(peer, origin.service, failure) }
+
   return {
     kind: 'peer',
     id: peer.nodeId,
@@ -19,13 +22,11 @@
     recordStart: () => relays.recordStart(peer),
     recordEnd: () => relays.recordEnd(peer),
     recordBytes: () => relays.recordBytes(peer),
-    recordHead: () => { /* load and notices in the answer belong to the backend server, and were recorded by the peer */ },
+    // Load and notices in the answer belong to the backend server, and were recorded by the peer.
+    recordHead: ({ relayRefusal }) => { if (relayRefusal === undefined) relays.recordAnswer(origin.service) },
     recordSuccess: () => { /* its time includes the hop, so that it is not compared with those of backend servers */ },
-    recordFailure: (kind) => {
-      const failure = failures[kind]
-      if (failure !== undefined) relays.recordFailure(peer, failure)
-    },
-    recordRefusal: ({ relayRefusal }) => { if (relayRefusal !== undefined && OWN_REASONS.has(relayRefusal)) relays.recordFailure(peer, 'refused') },
+    recordFailure: (kind) => report(failures[kind]),
+    recordRefusal: ({ relayRefusal }) => report(relayRefusal === undefined ? undefined : refusals[relayRefusal]),
     readIdleMs: () => relays.readIdleMs(peer),
     maySend: () => true,
     send: (listener) => relays.send(attempt, listener)
--- a/src/services/forwarding/test.ts
+++ b/src/services/forwarding/test.ts
@@ -78,7 +78,7 @@
     health: { recordStart: () => {}, recordEnd: () => {}, recordBytes: () => {}, record: () => {}, isSuspended: () => false, readIdleMs: () => 0, readUnheardMs: () => 0, compareWith: () => () => 1, retain: () => {} },
     reach: { readOwn: () => ({ reachable: 2, known: 2 }), readPeer: () => 'unknown', countPeers: () => ({ some: 0, none: 0, unknown: 0 }) },
     refusals: { recordLimit: () => {}, isLimitReached: () => false, recordSend: () => () => {} },
-    relays: { select: () => undefined, send: () => ({ abort: () => {}, pause: () => {}, resume: () => {} }), recordStart: () => {}, recordEnd: () => {}, recordBytes: () => {}, recordFailure: () => {}, readIdleMs: () => 0 },
+    relays: { select: () => undefined, send: () => ({ abort: () => {}, pause: () => {}, resume: () => {} }), recordStart: () => {}, recordEnd: () => {}, recordBytes: () => {}, recordFailure: () => {}, recordAnswer: () => {}, readIdleMs: () => 0 },
     notices: { record: () => {}, backoffRemainingMs: () => 0 },
     directory: { record: () => {}, listCachedTokens: () => new Map(), onRecovered: () => {} },
     loadView: { recordStart: () => {}, recordEnd: () => {}, estimateInFlight: () => 0, ownInFlight: () => 0, applyReport: () => {} },
--- a/src/services/instanceHealth/index.ts
+++ b/src/services/instanceHealth/index.ts
@@ -41,6 +41,8 @@
 
 /** Interval, in milliseconds, between checks for servers to probe: those whose suspension time has passed and that were not reached since. */
 const PROBE_TICK_MS = 200
+/** Longest time in milliseconds for which a judgement of the partition is reused. */
+const JUDGE_INTERVAL_MS = 20
 /** Slowness, and error share above the median, that add no cost: normal answers vary by as much. */
 const TOLERATED_SLOWNESS = 1.6
 const TOLERATED_ERROR_SHARE = 0.12
@@ -75,6 +77,7 @@
   const awaitingProbe = new Map<string, BackendInstance>()
   const probing = new Set<string>()
   let heardAt = clock.now()
+  let judged: { readonly at: number, readonly partition: Partition } | undefined
   let loggedZones: ReadonlySet<string> = new Set()
   let timer: Timer | undefined
   let isStopped = false
@@ -92,15 +95,24 @@
 
   const recordZoneReached = ({ availabilityZone }: BackendInstance): void => {
     heardAt = clock.now()
+    if (unreachable.size === 0) return
+    judged = undefined
     for (const [key, server] of unreachable) if (server.availabilityZone === availabilityZone) unreachable.delete(key)
   }
 
   const recordUnreachable = (instance: BackendInstance): void => {
     const key = formatInstanceKey(instance)
-    if (!unreachable.has(key)) unreachable.set(key, { availabilityZone: instance.availabilityZone, since: clock.now() })
+    if (unreachable.has(key)) return
+    judged = undefined
+    unreachable.set(key, { availabilityZone: instance.availabilityZone, since: clock.now() })
   }
 
-  const readPartition = (): Partition => judgePartition([...unreachable.values()], heardAt, clock.now())
+  /** Judged anew when a server was reached or lost, and otherwise at intervals: requests ask for each of hundreds of servers. */
+  const readPartition = (): Partition => {
+    const now = clock.now()
+    if (judged === undefined || now - judged.at >= JUDGE_INTERVAL_MS) judged = { at: now, partition: judgePartition([...unreachable.values()], heardAt, now) }
+    return judged.partition
+  }
 
   const isPartitioned = ({ availabilityZone }: BackendInstance): boolean => {
     if (unreachable.size === 0) return false
