--- a/src/decisions/judgePartition/index.ts
+++ b/src/decisions/judgePartition/index.ts
@@ -31,7 +31,7 @@
 }
 
 /**
- * Judges the reach of this node.
+ * Concludes which zones are unreachable and whether this node is cut off.
  *
  * @param servers - Servers that do not respond; a server is left out as soon as anything arrives from its zone.
  * @param heardAt - Monotonic milliseconds at which anything last arrived from any server.
--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -9,20 +9,18 @@
 import { createAnswerIntake, type AnswerIntake, type AnswerListener } from './createAnswerIntake.js'
 import { createCallerAnswer } from './createCallerAnswer.js'
 import { createFinalAnswer } from './createFinalAnswer.js'
-import { createInstanceTarget } from './createInstanceTarget.js'
 import { createPathSelector, type RoutedRequest } from './createPathSelector.js'
-import { createPeerTarget } from './createPeerTarget.js'
+import { createRequestDeadline } from './createRequestDeadline.js'
 import { createRequestRecord } from './createRequestRecord.js'
 import { createSendAttempt, type SendAttempt } from './createSendAttempt.js'
 import { createAttemptReporter } from './createAttemptReporter.js'
 import { describeReach } from './describeReach.js'
-import { describeSend } from './describeSend.js'
+import { prepareSend } from './prepareSend.js'
 import { isFailoverDue } from '../../../decisions/isFailoverDue/index.js'
-import { selectRouteTarget } from '../../../decisions/selectRouteTarget/index.js'
 import type {
-  CallerSink, ExchangeFailure, GatewayAccount, GatewayRefusal, GatewayRequest, GatewayRoute, InstanceAnswer, LogFields, RelayPeer
+  CallerSink, ExchangeFailure, GatewayAccount, GatewayRefusal, GatewayRequest, GatewayRoute, InstanceAnswer, LogFields
 } from '../../../types/index.js'
-import type { SelectedInstance } from './selectInstance.js'
+import { selectService } from './selectService.js'
 import type { RequestHandler, RequestHandlerContext } from './requestHandler.js'
 
 /** How long a request with a key waits for the configuration to be confirmed, in milliseconds. */
@@ -34,7 +32,7 @@
 
 /** Creates the handler of one request; it sends nothing before `assign` and `submit`. */
 export const createRequestHandler = (context: RequestHandlerContext, request: GatewayRequest, sink: CallerSink): RequestHandler => {
-  const { clock, random, metrics } = context
+  const { clock, random } = context
   const paths = createPathSelector(context, request)
   let route: GatewayRoute | undefined
   let account: GatewayAccount | undefined
@@ -48,16 +46,10 @@
   let refusals = 0
   let isWaitingForKey = false
   const caller = createCallerAnswer(sink, request.lastEventId)
+  const deadline = createRequestDeadline(clock, request, () => route)
   const record = createRequestRecord(context, request, () => route)
   const reporter = createAttemptReporter(context, { request, readRoute: () => route, readService: () => service })
 
-  const deadlineAt = (): number =>
-    request.receivedAt + Math.min(request.callerTimeoutMs ?? Infinity, route?.timeoutMs ?? Infinity)
-
-  /** The longest time that the request may still take, in milliseconds. A non-streaming request that no server received yet counts with its full time-out. */
-  const computeMaximumMs = (to: GatewayRoute): number =>
-    mayHaveRun || to.retryPolicy === 'stream' ? deadlineAt() - clock.now() : to.timeoutMs
-
   const abortAttempt = (): void => {
     const current = activeAttempt
     if (current === undefined) return
@@ -77,7 +69,7 @@
     record,
     random,
     readProgress: () => ({ mayHaveRun, sends }),
-    readAvailability: () => ({ availableInMs: readAvailableInMs(), remainingMs: deadlineAt() - clock.now() }),
+    readAvailability: () => ({ availableInMs: readAvailableInMs(), remainingMs: deadline.remainingMs() }),
     abortAttempt,
     onDone: () => {
       isDone = true
@@ -97,7 +89,7 @@
   const mayRetry = (): boolean => !paths.hasArrived() || (request.relay === undefined && context.retryWindows.canRetry(service))
 
   const canRetry = (): boolean => {
-    if (route === undefined || clock.now() >= deadlineAt()) return false
+    if (route === undefined || deadline.remainingMs() <= 0) return false
     if (mayHaveRun && (!isRetryable() || sends >= route.maximumAttempts)) return false
     return refusals < MAXIMUM_REFUSALS && mayRetry() && paths.select(toRouted(route)).kind !== 'none'
   }
@@ -114,10 +106,6 @@
     send()
   }
 
-  /** A relayed request goes to the service that the caller's node has selected, whose retry budget it counts against. */
-  const selectService = ({ targets }: GatewayRoute): string =>
-    targets.find((target) => target.service === request.relay?.service)?.service ?? selectRouteTarget(targets, random.next()).service
-
   const confirmKey = async (to: GatewayRoute): Promise<void> => {
     isWaitingForKey = true
     await context.configuration.confirm(KEY_CONFIRM_WAIT_MS)
@@ -137,15 +125,18 @@
     }
     if (keyStatus === 'revoked') return mayHaveRun ? giveUp('unknownKey', 502) : refuse({ status: 401, reason: 'unknownKey' })
     // Checked before every send, retries included: the shutdown may have begun while the request waited.
-    if (!context.shutdownGate.passes(route, request, computeMaximumMs(route))) return mayHaveRun ? giveUp('shuttingDown', 502) : refuse(SHUTTING_DOWN)
-    const remainingMs = deadlineAt() - clock.now()
+    if (!context.shutdownGate.passes(route, request, deadline.computeMaximumMs(route, mayHaveRun))) return mayHaveRun ? giveUp('shuttingDown', 502) : refuse(SHUTTING_DOWN)
+    const remainingMs = deadline.remainingMs()
     if (remainingMs <= 1) return giveUp('deadlineBeforeSend', 504)
     const path = paths.select(toRouted(route))
     if (path.kind === 'none') return giveUpWithoutInstance(route)
     if (attemptsStarted === 0) recordStart()
     else if (paths.hasArrived() && !takeRetry()) return giveUp('instancesRefused', 502)
-    if (path.kind === 'peer') sendToPeer(path.peer, remainingMs, body)
-    else sendToInstance(path.chosen, remainingMs, route, body)
+    const { target, event, fields } = prepareSend(context, path, {
+      request, route, account, service, body, remainingMs, resumeAfter: caller.relay.lastEventId(), arrived: paths.listArrived(), isFirst: attemptsStarted === 0
+    })
+    record.log(event, fields)
+    startAttempt(target)
   }
 
   const recordStart = (): void => {
@@ -160,29 +151,6 @@
     return isGranted
   }
 
-  const sendToInstance = (chosen: SelectedInstance, remainingMs: number, to: GatewayRoute, content: Uint8Array): void => {
-    const { instance, copyPromptFrom } = chosen
-    const resumeAfter = caller.relay.lastEventId()
-    if (copyPromptFrom !== undefined) metrics.count('gateway_prompt_copies')
-    record.log(attemptsStarted === 0 ? 'request sent' : 'request sent again', {
-      ...describeSend(context, request, chosen),
-      relayedFor: request.relay?.nodeId,
-      remainingMs: Math.round(remainingMs),
-      resumeAfter
-    })
-    startAttempt(createInstanceTarget(context, to, {
-      request, body: content, instance, account: account?.name, remainingMs, priority: account?.priority ?? to.priority, resumeAfter, copyPromptFrom: copyPromptFrom?.address
-    }))
-  }
-
-  const sendToPeer = (peer: RelayPeer, remainingMs: number, content: Uint8Array): void => {
-    const resumeAfter = caller.relay.lastEventId()
-    metrics.count('gateway_relays')
-    record.log('request relayed', { peer: peer.nodeId, zone: peer.availabilityZone, ...describeReach(context), remainingMs: Math.round(remainingMs), resumeAfter })
-    const origin = { nodeId: context.nodeId, service, tried: paths.listArrived() }
-    startAttempt(createPeerTarget(context.relays, { request, body: content, peer, origin, remainingMs, resumeAfter }))
-  }
-
   const startAttempt = (target: AttemptTarget): void => {
     record.recordStep('sent')
     attemptsStarted += 1
@@ -289,7 +257,7 @@
 
   const check = (now: number): void => {
     if (isDone) return
-    if (now >= deadlineAt()) return giveUp(mayHaveRun ? 'deadline' : 'deadlineBeforeSend', 504)
+    if (now >= deadline.at()) return giveUp(mayHaveRun ? 'deadline' : 'deadlineBeforeSend', 504)
     const current = activeAttempt
     if (current === undefined || route === undefined || !current.isSent) return
     const isDue = isFailoverDue({
@@ -310,8 +278,8 @@
       if (isDone) return
       route = to
       account = owner
-      service = selectService(to)
-      if (!context.shutdownGate.passes(to, request, computeMaximumMs(to))) return refuse(SHUTTING_DOWN)
+      service = selectService(to, request, random)
+      if (!context.shutdownGate.passes(to, request, deadline.computeMaximumMs(to, mayHaveRun))) return refuse(SHUTTING_DOWN)
       // The body may have arrived while the request waited for its route.
       send()
     },
