--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -40,6 +40,26 @@
   readonly allowedRegions?: readonly string[]
 }
 
+/** Capacity of each model engine of a service, and how engines exchange prompt caches and running requests. */
+export type EngineCapacity = {
+  /** Requests that it runs at once. */
+  readonly slots: number
+  /** Memory for running requests and cached prompt parts, in tokens. */
+  readonly memoryTokens: number
+  /** Size of one token in a transfer between engines, in bytes. */
+  readonly bytesPerToken: number
+  /** Speed of transfers between engines, in megabits per second. */
+  readonly linkMbps: number
+  /** Whether a running request can be moved to another engine. */
+  readonly canMove: boolean
+  /** Whether the memory of a running request can be copied to another engine while it grows. */
+  readonly canBackUp: boolean
+  /** How long an engine keeps such a copy after its last part, in milliseconds. */
+  readonly copyLifetimeMs: number
+  /** Tokens in one event of a stream. */
+  readonly tokensPerEvent: number
+}
+
 export type GatewayService = {
   readonly name: string
   readonly healthPath: string
@@ -47,6 +67,8 @@
   readonly maximumConnections: number
   /** Whether its backend servers are model engines, which cache prompt prefixes. */
   readonly isModelService: boolean
+  /** Its model engines; omitted for other services, and where the configuration does not describe them completely. */
+  readonly engine?: EngineCapacity
   /** Request rate that a backend server can take while it warms up after its start; omitted when it can take full load at once. */
   readonly warmUp?: { readonly durationMs: number, readonly requestsPerSecond: number }
 }
@@ -113,6 +135,8 @@
   readonly promptParts: readonly PromptPart[]
   /** Number of prompt tokens and maximum number of generated tokens. */
   readonly tokens: { readonly prompt: number, readonly output: number }
+  /** The caller's estimate of the number of generated tokens; often far off. Omitted when it gave none. */
+  readonly estimatedOutputTokens?: number
   /** Monotonic milliseconds of the request's first byte. */
   readonly receivedAt: number
   /** Set when a peer sent the request because it does not reach the backend servers itself. */
@@ -162,7 +186,13 @@
   readonly copyPromptFrom: PeerAddress | undefined
 }
 
-export type InstanceLoad = { readonly running: number, readonly waiting: number, readonly slots: number }
+export type InstanceLoad = {
+  readonly running: number
+  readonly waiting: number
+  readonly slots: number
+  /** How long work takes there at this moment, as a multiple of the usual time; omitted when the server does not state it. */
+  readonly slowdown?: number
+}
 
 /** What a backend server states about itself in the head of any answer. */
 export type InstanceNotice = {
--- a/src/types/gatewaySettings.ts
+++ b/src/types/gatewaySettings.ts
@@ -32,6 +32,8 @@
   readonly loadFactor: number
   /** Limit on requests to a backend server that is warming up, in any one second: `excess` times its stated rate plus `slack` requests. Omitted when servers need no warm-up. */
   readonly warmUpLimit?: { readonly excess: number, readonly slack: number }
+  /** Whether callers of the deployment compete for room: requests wait in the node while no backend server has room. Off when omitted. */
+  readonly controlsAdmission?: boolean
   /** Region of each availability zone; empty when requests are not restricted to regions. */
   readonly regionByZone?: ReadonlyMap<string, string>
   readonly logLevel: string
