Weigh model engines by the prompt tokens that they have still to read

Cause: placement counts requests, so that an engine with three long prompts to read looks as empty as one with three short ones. Change: a service keeps unread tokens, memory and stated slowdowns by server; load sums carry the unread tokens; placement weighs them where the configuration describes engines.

--- a/src/adapters/promMetrics/index.ts
+++ b/src/adapters/promMetrics/index.ts
@@ -48,6 +48,8 @@
   configuration_version: { help: 'Version of the configuration in force', labels: [] },
   configuration_confirmed_age_seconds: { help: 'Time since the configuration in force was surely the newest; -1 when unknown', labels: [] },
   instances: { help: 'Backend servers by service and state', labels: ['service', 'state'] },
+  backend_server_unread_tokens: { help: 'Prompt tokens that the engine has still to read, estimated for the whole fleet; the twenty highest', labels: ['backend_server'] },
+  backend_server_reading_ms_per_token: { help: 'Observed time in which engines read a prompt token, by service', labels: ['service'] },
   peers_reach: { help: 'Peers by whether they reach backend servers, as they last reported', labels: ['reach'] },
   members: { help: 'Routers by state, as this one sees them', labels: ['state'] },
   backend_server_in_flight: { help: 'Estimated requests in flight from the whole fleet', labels: ['backend_server'] },
--- a/src/bench/crowd/_lib/simulateBurst.ts
+++ b/src/bench/crowd/_lib/simulateBurst.ts
@@ -78,6 +78,7 @@
   zoneDrains: node.resolve('zoneDrains'),
   warmUp: node.resolve('warmUp'),
   refusals: node.resolve('refusalLimiter'),
+  work: node.resolve('serverWork'),
   random: { next: random, nextId: () => '' },
   regionByZone: new Map(),
   availabilityZone: node.resolve('membership').self().availabilityZone,
--- a/src/decisions/selectPlacement/index.ts
+++ b/src/decisions/selectPlacement/index.ts
@@ -2,10 +2,15 @@
  * Selects the backend server for a request to a model service. A model engine that
  * has the prompt's shared prefix in its cache responds sooner and skips the prefill of
  * that prefix. The cost of a server is the sum of the missing prefix, its load and the
- * traffic between availability zones, all expressed in prompt tokens to prefill.
+ * traffic between availability zones, all expressed in prompt tokens to prefill. Load
+ * pattern: a burst of long and short prompts at engines that have still much to read,
+ * some of them slow for a moment, where the number of requests says little about the wait.
  */
 import { hashText } from '../../hashing/index.js'
 import { groupBy } from '../../kernel/groupBy/index.js'
+import { computeLoadCost, type CandidateWork } from './_lib/computeLoadCost.js'
+
+export type { CandidateWork }
 
 export type InstanceCandidate = {
   readonly id: string
@@ -17,6 +22,10 @@
   readonly availabilityZone: string
   /** Factor by which its recent requests took longer than those of its peers; 1 when it is as fast as they are. */
   readonly slowness: number
+  /** Omitted where the capacity of the engine is not known. */
+  readonly work?: CandidateWork
+  /** How long work takes there, as a multiple of the usual time, where the server stated it a moment ago. */
+  readonly slowdown?: number
 }
 
 /** A server that caches a prefix of the prompt, which can be copied from it whether or not the server may get the request. */
@@ -40,6 +49,8 @@
    * get this request. Defaults to the mean of the candidates.
    */
   readonly meanLoad?: number
+  /** Memory that the request needs besides the shared prefix: the rest of its prompt and its expected output, in tokens. 0 by default. */
+  readonly ownMemoryTokens?: number
 }
 
 export type PlacementWeights = {
@@ -183,7 +194,12 @@
   const eligible = open.length > 0 ? open : [...candidates].sort((left, right) => left.load / left.slots - right.load / right.slots).slice(0, 1)
   const options = eligible.map((candidate): PlacementOption => {
     const prefixSupply = selectPrefixSupply(candidate, input.sharedTokens, bestCopySources, weights)
-    const loadCost = weights.tokensPerFullLoad * (candidate.load + 1) / candidate.slots * candidate.slowness
+    const missingTokens = Math.max(0, input.sharedTokens - candidate.cachedPromptTokens)
+    const loadCost = computeLoadCost(candidate, {
+      tokensPerFullLoad: weights.tokensPerFullLoad,
+      prefixCost: prefixSupply.cost,
+      memoryTokens: missingTokens + (input.ownMemoryTokens ?? 0)
+    })
     const transferCost = candidate.availabilityZone === input.availabilityZone ? 0 : remoteTransferCost
     const homeCredit = candidate.id === home?.id ? weights.homeCreditShare * input.sharedTokens : 0
     const costWithoutLoad = prefixSupply.cost + transferCost - homeCredit
--- a/src/node/createGatewayNode/_lib/registerForwarding.ts
+++ b/src/node/createGatewayNode/_lib/registerForwarding.ts
@@ -125,7 +125,7 @@
   })
   kernel.register({
     name: 'forwarding',
-    dependsOn: ['gatewayConfiguration', 'instanceRegistry', 'instanceHealth', 'instanceNotices', 'reachExchange', 'peerRelays', 'promptDirectory', 'loadView', 'membership', 'zoneDrains', 'warmUp', 'refusalLimiter'],
+    dependsOn: ['gatewayConfiguration', 'instanceRegistry', 'instanceHealth', 'instanceNotices', 'reachExchange', 'peerRelays', 'promptDirectory', 'loadView', 'membership', 'zoneDrains', 'warmUp', 'refusalLimiter', 'serverWork'],
     create: (resolve) => createForwarding({
       clock,
       random,
@@ -143,7 +143,8 @@
       membership: resolve('membership'),
       zoneDrains: resolve('zoneDrains'),
       warmUp: resolve('warmUp'),
-      refusals: resolve('refusalLimiter')
+      refusals: resolve('refusalLimiter'),
+      work: resolve('serverWork')
     }, {
       nodeId: settings.nodeId,
       ...(settings.millicores === undefined ? {} : { millicores: settings.millicores }),
--- a/src/node/createGatewayNode/_lib/registerGauges.ts
+++ b/src/node/createGatewayNode/_lib/registerGauges.ts
@@ -42,12 +42,24 @@
   return Number.isFinite(ageMs) ? ageMs / MILLISECONDS_PER_SECOND : UNKNOWN_AGE_SECONDS
 }
 
+/** More servers than this would make up most of a scrape in a large fleet. */
+const MAXIMUM_UNREAD_SERVERS = 20
+
+const readUnreadTokens = (resolve: Resolve): readonly GaugeReading[] =>
+  resolve('instanceRegistry').all()
+    .map((instance) => ({ value: Math.round(resolve('serverWork').estimate(instance)?.unreadTokens ?? 0), labels: { backend_server: instance.id } }))
+    .filter(({ value }) => value > 0)
+    .sort((left, right) => right.value - left.value)
+    .slice(0, MAXIMUM_UNREAD_SERVERS)
+
 /** Registers the gauges; each is read on every scrape. */
 export const registerGauges = (metrics: Metrics, resolve: Resolve): void => {
   metrics.readGauge('gateway_requests_open', () => [{ value: resolve('forwarding').openRequests() }])
   metrics.readGauge('configuration_version', () => [{ value: resolve('gatewayConfiguration').version() }])
   metrics.readGauge('configuration_confirmed_age_seconds', () => [{ value: readConfirmedAge(resolve) }])
   metrics.readGauge('instances', () => readInstances(resolve))
+  metrics.readGauge('backend_server_unread_tokens', () => readUnreadTokens(resolve))
+  metrics.readGauge('backend_server_reading_ms_per_token', () => [...resolve('serverWork').readingPaces()].map(([service, value]) => ({ value, labels: { service } })))
   metrics.readGauge('peers_reach', () => Object.entries(resolve('reachExchange').countPeers()).map(([reach, value]) => ({ value, labels: { reach } })))
   metrics.readGauge('members', () => countBy(resolve('membership').members().map(({ state }) => [state, { state }])))
 }
--- a/src/services/fleetLoad/_lib/createSnapshotStore.ts
+++ b/src/services/fleetLoad/_lib/createSnapshotStore.ts
@@ -1,21 +1,28 @@
 /**
  * Stores the latest snapshot of each source until it expires.
  */
-import { unpackLoadCounts } from '../../../decisions/packLoadCounts/index.js'
+import { unpackLoadCounts, unpackUnreadTokens } from '../../../decisions/packLoadCounts/index.js'
 import type { LoadSnapshot } from '../../../types/index.js'
 
+/** Requests in flight and unread prompt tokens, by the hash of the backend server's name. */
+export type SnapshotSum = { readonly counts: ReadonlyMap<number, number>, readonly unreadTokens: ReadonlyMap<number, number> }
+
 export type SnapshotStore = {
   /** Stores a snapshot; returns `false` if a snapshot of the same source and node with the same or a higher sequence number is stored. */
   readonly put: (snapshot: LoadSnapshot, now: number) => boolean
-  /** The sum over all sources, by the hash of the backend server's name. */
-  readonly sum: (now: number) => ReadonlyMap<number, number>
+  /** The sum over all sources. */
+  readonly sum: (now: number) => SnapshotSum
   /** Number of sources, including expired ones that the next sum removes. */
   readonly size: () => number
   /** Number of sources that were received since the last sum. */
   readonly countNewSources: () => number
 }
 
-type Entry = { readonly snapshot: LoadSnapshot, readonly counts: ReadonlyMap<number, number>, readonly at: number }
+type Entry = SnapshotSum & { readonly snapshot: LoadSnapshot, readonly at: number }
+
+const addTo = (sums: Map<number, number>, values: ReadonlyMap<number, number>): void => {
+  for (const [server, value] of values) sums.set(server, (sums.get(server) ?? 0) + value)
+}
 
 export const createSnapshotStore = (maximumAgeMs: number): SnapshotStore => {
   const entries = new Map<string, Entry>()
@@ -28,20 +35,22 @@
     put: (snapshot, now) => {
       if (isOutdated(entries.get(snapshot.source), snapshot)) return false
       receivedSources.add(snapshot.source)
-      entries.set(snapshot.source, { snapshot, counts: unpackLoadCounts(snapshot), at: now })
+      entries.set(snapshot.source, { snapshot, counts: unpackLoadCounts(snapshot), unreadTokens: unpackUnreadTokens(snapshot), at: now })
       return true
     },
     sum: (now) => {
       receivedSources.clear()
-      const sums = new Map<number, number>()
-      for (const [source, { counts, at }] of entries) {
-        if (now - at > maximumAgeMs) {
+      const counts = new Map<number, number>()
+      const unreadTokens = new Map<number, number>()
+      for (const [source, entry] of entries) {
+        if (now - entry.at > maximumAgeMs) {
           entries.delete(source)
           continue
         }
-        for (const [server, inFlight] of counts) sums.set(server, (sums.get(server) ?? 0) + inFlight)
+        addTo(counts, entry.counts)
+        addTo(unreadTokens, entry.unreadTokens)
       }
-      return sums
+      return { counts, unreadTokens }
     },
     size: () => entries.size,
     countNewSources: () => receivedSources.size
--- a/src/services/fleetLoad/index.ts
+++ b/src/services/fleetLoad/index.ts
@@ -8,20 +8,25 @@
 import { createServerIndex } from './_lib/createServerIndex.js'
 import type { NamedServer } from './_lib/createServerIndex.js'
 import { createSnapshotStore } from './_lib/createSnapshotStore.js'
-import type { SnapshotStore } from './_lib/createSnapshotStore.js'
+import type { SnapshotStore, SnapshotSum } from './_lib/createSnapshotStore.js'
 import { createZoneRanking } from './_lib/createZoneRanking.js'
 import { selectForwardTargets } from '../../decisions/selectForwardTargets/index.js'
-import { packLoadCounts, unpackLoadCounts } from '../../decisions/packLoadCounts/index.js'
+import { packLoadCounts, unpackLoadCounts, unpackUnreadTokens } from '../../decisions/packLoadCounts/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import type { Clock, LoadSnapshot, Member, Membership, PeerTransport, Timer } from '../../types/index.js'
 
 export type { NamedServer }
 
+/** Prompt tokens that a backend server had still to read for other nodes, and when this was known, in monotonic milliseconds. */
+export type UnreadReading = { readonly tokens: number, readonly at: number }
+
 export type FleetLoad = {
   /** Whether the fleet is large enough to use aggregation instead of digests to all peers. */
   readonly isActive: () => boolean
   /** Requests in flight from other routers; 0 before the first snapshot or after the last one has expired. */
   readonly readOthers: (backendServer: string) => number
+  /** Unread prompt tokens from other routers; `undefined` before the first snapshot or after the last one has expired. */
+  readonly readOthersUnread: (backendServer: string) => UnreadReading | undefined
   readonly onChange: (listener: (backendServer: string) => void) => void
 }
 
@@ -33,6 +38,8 @@
   readonly readServers: () => readonly NamedServer[]
   /** Counts that this node publishes: requests in flight by backend server. */
   readonly readCounts: () => ReadonlyMap<string, number>
+  /** Prompt tokens that the servers have still to read for this node; nothing by default. */
+  readonly readUnreadTokens?: () => ReadonlyMap<string, number>
 }
 
 export type FleetLoadOptions = {
@@ -44,7 +51,7 @@
   readonly fanOut?: number
 }
 
-type OthersLoad = { readonly at: number, readonly inFlight: number }
+type OthersLoad = { readonly at: number, readonly inFlight: number, readonly unreadTokens: number }
 
 const MINIMUM_PERIOD_MS = 250
 const MAXIMUM_PERIOD_MS = 1000
@@ -88,6 +95,7 @@
   const listeners: ((backendServer: string) => void)[] = []
   const timers = new Map<string, Timer>()
   let lastSent: ReadonlyMap<string, number> = new Map()
+  let lastSentUnread: ReadonlyMap<string, number> = new Map()
   let sequence = clock.wallTime()
 
   /** Cached until the membership changes, since placement reads it for each server of each request. */
@@ -118,10 +126,10 @@
   const listReceivedGroups = (scope: 'node' | 'zone'): readonly string[] =>
     [...stores[scope]].filter(([, store]) => store.size() > 0).map(([group]) => group)
 
-  const createSnapshot = (scope: LoadSnapshot['scope'], source: string, group: string, counts: ReadonlyMap<number, number>): LoadSnapshot => {
+  const createSnapshot = (scope: LoadSnapshot['scope'], source: string, group: string, { counts, unreadTokens }: SnapshotSum): LoadSnapshot => {
     sequence += 1
     const { nodeId } = membership.self()
-    return { scope, source, nodeId, group, sequence, ...packLoadCounts(counts) }
+    return { scope, source, nodeId, group, sequence, ...packLoadCounts(counts, unreadTokens) }
   }
 
   const deliver = (receiver: Member | undefined, snapshot: LoadSnapshot): void => {
@@ -132,11 +140,16 @@
 
   const publishNode = (): void => {
     const counts = dependencies.readCounts()
+    const unread = dependencies.readUnreadTokens?.() ?? new Map<string, number>()
     lastSent = new Map(counts)
+    lastSentUnread = unread
     for (const [group, servers] of serverIndex.groups()) {
       const loaded = servers.filter(({ name }) => (counts.get(name) ?? 0) > 0)
-      const byHash = new Map(loaded.map(({ hash, name }) => [hash, counts.get(name) ?? 0]))
-      deliver(zoneRanking.rank(readOwnZone(), group)[0], createSnapshot('node', membership.self().nodeId, group, byHash))
+      const sum = {
+        counts: new Map(loaded.map(({ hash, name }) => [hash, counts.get(name) ?? 0])),
+        unreadTokens: new Map(loaded.map(({ hash, name }) => [hash, unread.get(name) ?? 0]))
+      }
+      deliver(zoneRanking.rank(readOwnZone(), group)[0], createSnapshot('node', membership.self().nodeId, group, sum))
     }
   }
 
@@ -176,10 +189,12 @@
   const applyFleetTotal = (snapshot: LoadSnapshot): void => {
     if (zoneRanking.rank(readOwnZone(), snapshot.group)[0]?.nodeId !== snapshot.nodeId) return
     const counts = unpackLoadCounts(snapshot)
+    const unread = unpackUnreadTokens(snapshot)
     for (const { name, hash } of serverIndex.groups().get(snapshot.group) ?? []) {
       // The total includes the counts that this node sent last; only the rest belongs to others.
       const inFlight = Math.max(0, (counts.get(hash) ?? 0) - (lastSent.get(name) ?? 0))
-      othersByServer.set(name, { at: clock.now(), inFlight })
+      const unreadTokens = Math.max(0, (unread.get(hash) ?? 0) - (lastSentUnread.get(name) ?? 0))
+      othersByServer.set(name, { at: clock.now(), inFlight, unreadTokens })
       for (const listen of listeners) listen(name)
     }
     forward(snapshot)
@@ -208,12 +223,18 @@
     }))
   }
 
+  const readOthers = (backendServer: string): OthersLoad | undefined => {
+    const others = othersByServer.get(backendServer)
+    return others === undefined || clock.now() - others.at > maximumAgeMs ? undefined : others
+  }
+
   return {
     api: {
       isActive,
-      readOthers: (backendServer) => {
-        const others = othersByServer.get(backendServer)
-        return others === undefined || clock.now() - others.at > maximumAgeMs ? 0 : others.inFlight
+      readOthers: (backendServer) => readOthers(backendServer)?.inFlight ?? 0,
+      readOthersUnread: (backendServer) => {
+        const others = readOthers(backendServer)
+        return others === undefined ? undefined : { tokens: others.unreadTokens, at: others.at }
       },
       onChange: (listener) => { listeners.push(listener) }
     },
--- a/src/services/forwarding/_lib/createInstanceTarget.ts
+++ b/src/services/forwarding/_lib/createInstanceTarget.ts
@@ -2,6 +2,8 @@
 import type { AttemptTarget } from './attemptTarget.js'
 import type { RequestHandlerContext } from './requestHandler.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
+import { countSentTokens } from '../../serverWork/index.js'
+import type { SentWork } from '../../serverWork/index.js'
 import type { SendDecision } from '../../refusalLimiter/index.js'
 import type { GatewayAttempt, GatewayRoute, InstanceAnswer } from '../../../types/index.js'
 
@@ -10,10 +12,18 @@
 
 /** Creates the target of one attempt. */
 export const createInstanceTarget = (context: RequestHandlerContext, route: GatewayRoute, attempt: GatewayAttempt): AttemptTarget => {
-  const { loadView, health, notices, registry, warmUp, refusals, directory, firstByteTimes, client } = context
+  const { loadView, health, notices, registry, warmUp, refusals, directory, firstByteTimes, work, client } = context
   const { instance, request } = attempt
   const key = formatInstanceKey(instance)
   let decideSend: ((decision: SendDecision) => void) | undefined
+  let sentWork: SentWork | undefined
+  let head: InstanceAnswer | undefined
+
+  /** Tokens of the prompt that the server has, or gets from the server with the longest prefix. */
+  const countCachedTokens = (): number => {
+    const cachedTokensByKey = directory.listCachedTokens(request.promptParts.slice(0, -1))
+    return attempt.copyPromptFrom === undefined ? cachedTokensByKey.get(key) ?? 0 : Math.max(0, ...cachedTokensByKey.values())
+  }
 
   /** Records once whether the server has accepted the request. */
   const decide = (decision: SendDecision): void => {
@@ -30,17 +40,24 @@
       health.recordStart(instance)
       warmUp.recordSend(instance)
       decideSend = refusals.recordSend(instance)
+      sentWork = work.recordSend(instance, countSentTokens(request, countCachedTokens()))
       directory.record(request.promptParts, key)
     },
     recordEnd: () => {
       decide('unknown')
+      sentWork?.recordEnd()
       loadView.recordEnd(key)
       health.recordEnd(instance)
     },
-    recordBytes: () => health.recordBytes(instance),
+    recordBytes: () => {
+      health.recordBytes(instance)
+      if (head !== undefined) sentWork?.recordFirstBytes(head.isEventStream)
+    },
     recordHead: (answer) => {
+      head = answer
       decide(isRefusedForRoom(answer) ? 'refused' : 'accepted')
       if (!answer.isOtherInstance) notices.record(instance, answer)
+      if (answer.load !== undefined) work.recordLoad(instance, answer.load)
       if (answer.load !== undefined) loadView.applyReport(key, { ...answer.load, leaving: false, ageMs: 0 })
     },
     recordSuccess: (firstByteMs) => health.record(instance, { kind: 'answered', slowness: firstByteTimes.recordAndCompare(route.name, firstByteMs) }),
--- a/src/services/forwarding/_lib/describeSend.ts
+++ b/src/services/forwarding/_lib/describeSend.ts
@@ -14,6 +14,14 @@
   backoffLeftMs: Math.round(notices.backoffRemainingMs(instance))
 })
 
+/** Fields that are `undefined` are left out of the line. */
+const describeWork = ({ work, slowdown }: Pick<LoadEstimate, 'work' | 'slowdown'>): LogFields => ({
+  unreadTokens: work === undefined ? undefined : Math.round(work.unreadTokens),
+  memoryFree: work === undefined ? undefined : Math.round(work.memoryFreeTokens),
+  slowdown: slowdown?.slowdown,
+  slowdownAgeMs: slowdown === undefined ? undefined : Math.round(slowdown.ageMs)
+})
+
 const describeLoadEstimate = ({ load, meanLoad, bound, candidates, underBound }: LoadEstimate): LogFields =>
   ({ load, meanLoad: roundToHundredths(meanLoad), loadBound: roundToHundredths(bound), candidates, underBound })
 
@@ -25,5 +33,6 @@
   // The last part is unique to the request, so the one before it identifies the shared prefix.
   prompt: request.promptParts.at(-2)?.id,
   ...describeLoadEstimate(loadEstimate),
+  ...describeWork(loadEstimate),
   copyPromptFrom: copyPromptFrom?.id
 })
--- a/src/services/forwarding/_lib/selectInstance.test.ts
+++ b/src/services/forwarding/_lib/selectInstance.test.ts
@@ -1,7 +1,8 @@
 import { describe, expect, test } from 'vitest'
 import { computeAvailableInMs, selectInstance } from './selectInstance.js'
 import type { SelectionDependencies, SelectionInput } from './selectInstance.js'
-import type { BackendInstance, GatewayRequest } from '../../../types/index.js'
+import { createServerWork } from '../../serverWork/index.js'
+import type { BackendInstance, EngineCapacity, GatewayConfiguration, GatewayRequest } from '../../../types/index.js'
 
 const SERVICE = 'engines'
 
@@ -22,11 +23,34 @@
   receivedAt: 0
 }
 
-type Server = { readonly zone: string, readonly load: number, readonly isLeaving?: boolean, readonly isSuspended?: boolean, readonly isWarming?: boolean, readonly backoffMs?: number }
+type Server = { readonly zone: string, readonly load: number, readonly isLeaving?: boolean, readonly isSuspended?: boolean, readonly isWarming?: boolean, readonly backoffMs?: number, readonly unreadTokens?: number, readonly slowdown?: number }
+
+const ENGINE: EngineCapacity = { slots: 64, memoryTokens: 200_000, bytesPerToken: 1, linkMbps: 1_000, canMove: false, canBackUp: false, copyLifetimeMs: 0, tokensPerEvent: 1 }
+
+const createConfiguration = (engine?: EngineCapacity): GatewayConfiguration => ({
+  version: 1,
+  routes: [],
+  services: new Map([[SERVICE, { name: SERVICE, healthPath: '/', maximumConnections: 100, isModelService: true, ...(engine === undefined ? {} : { engine }) }]]),
+  limits: { maximumHeaderBytes: 1, maximumBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  needsKeys: false,
+  accountsByKey: new Map()
+})
 
 /** Creates the state in which the server `keeper` caches the request's shared prefix and zone `drained` is drained. */
-const createDependencies = (servers: Readonly<Record<string, Server>>): SelectionDependencies => {
+const createDependencies = (servers: Readonly<Record<string, Server>>, engine?: EngineCapacity): SelectionDependencies => {
   const instances = Object.entries(servers).map(([id, { zone, isLeaving }]) => createInstance(id, zone, isLeaving))
+  const loadView: SelectionDependencies['loadView'] = { recordStart: () => {}, recordEnd: () => {}, estimateInFlight: (key) => servers[key.split('@')[0]!]?.load ?? 0, ownInFlight: () => 0, applyReport: () => {} }
+  const { api: work } = createServerWork({
+    clock: { now: () => 0 },
+    loadView,
+    logger: { warn: () => {} },
+    configuration: { current: () => createConfiguration(engine) },
+    readPeersUnread: (key) => ({ tokens: servers[key.split('@')[0]!]?.unreadTokens ?? 0, at: 0 })
+  })
+  for (const instance of instances) {
+    const { slowdown } = servers[instance.id]!
+    if (slowdown !== undefined) work.recordLoad(instance, { running: 0, waiting: 0, slots: 64, slowdown })
+  }
   return {
     registry: {
       list: () => instances.filter(({ isLeaving }) => !isLeaving),
@@ -43,7 +67,8 @@
     health: { recordStart: () => {}, recordEnd: () => {}, recordBytes: () => {}, record: () => {}, isSuspended: ({ id }) => servers[id]?.isSuspended === true, readIdleMs: () => 0, readUnheardMs: () => 0, compareWith: () => () => 1, retain: () => {} },
     notices: { record: () => {}, backoffRemainingMs: ({ id }) => servers[id]?.backoffMs ?? 0 },
     directory: { record: () => {}, listCachedTokens: () => new Map([['keeper@1', 8_000]]), onRecovered: () => {} },
-    loadView: { recordStart: () => {}, recordEnd: () => {}, estimateInFlight: (key) => servers[key.split('@')[0]!]?.load ?? 0, ownInFlight: () => 0, applyReport: () => {} },
+    loadView,
+    work,
     random: { next: () => 0.5, nextId: () => 'id' },
     zoneDrains: { isDrained: (zone) => zone === 'drained', isKnown: () => true, revision: () => 0, onChange: () => {} },
     warmUp: { remainingMs: () => 0, isLimitReached: ({ id }) => servers[id]?.isWarming === true, recordSend: () => {} },
@@ -118,3 +143,27 @@
   test.each<[string, Readonly<Record<string, Server>>]>([['without servers', {}], ['in a drained zone only', { a: { zone: 'drained', load: 0 } }], ['that are leaving', { a: { zone: 'a', load: 0, isLeaving: true } }]])('knows no end %s', (_what, servers) =>
     expect(computeFor(servers)).toBe(Infinity))
 })
+
+describe('work before a server', () => {
+  const ALIKE: Readonly<Record<string, Server>> = { b: { zone: 'a', load: 4 }, c: { zone: 'a', load: 4 } }
+  const selectUnique = (servers: Readonly<Record<string, Server>>, engine?: EngineCapacity): string | undefined =>
+    selectInstance(createDependencies(servers, engine), { ...createInput(), request: { ...REQUEST, promptParts: [] } })?.instance.id
+
+  test.each(['b', 'c'])('keeps requests from the engine that has much to read (%s)', (busy) =>
+    expect(selectUnique({ ...ALIKE, [busy]: { zone: 'a', load: 3, unreadTokens: 27_000 } }, ENGINE)).not.toBe(busy))
+
+  test.each(['b', 'c'])('keeps requests from the server that states a slowdown, also of a service without engines (%s)', (slow) =>
+    expect(selectUnique({ ...ALIKE, [slow]: { zone: 'a', load: 3, slowdown: 2.5 } })).not.toBe(slow))
+
+  // A deployment that describes no engines must be served as before.
+  test('counts for nothing where no engines are described', () =>
+    expect(selectUnique({ ...ALIKE, b: { zone: 'a', load: 3, unreadTokens: 27_000 } })).toBe('b'))
+
+  test('does not lift the load bound', () =>
+    expect(selectUnique({ b: { zone: 'a', load: 40 }, c: { zone: 'a', load: 4, unreadTokens: 90_000 }, d: { zone: 'a', load: 4, unreadTokens: 90_000 } }, ENGINE)).not.toBe('b'))
+
+  test('counts for a slot and for memory in its room', () => {
+    const { work, registry } = createDependencies({ b: { zone: 'a', load: 63 }, c: { zone: 'a', load: 64 } }, ENGINE)
+    expect([work.hasRoom(registry.find('b')!, 200_000), work.hasRoom(registry.find('b')!, 200_001), work.hasRoom(registry.find('c')!)]).toEqual([true, false, false])
+  })
+})
--- a/src/services/forwarding/_lib/selectInstance.ts
+++ b/src/services/forwarding/_lib/selectInstance.ts
@@ -1,14 +1,16 @@
 /** Selects the backend server for the next attempt of a request: gathers the state of the node and calls `selectPlacement`. */
 import { computeLoadBound, defaultPlacementWeights, selectPlacement } from '../../../decisions/selectPlacement/index.js'
-import type { InstanceCandidate, PlacementWeights, PromptCopySource } from '../../../decisions/selectPlacement/index.js'
+import type { CandidateWork, InstanceCandidate, PlacementWeights, PromptCopySource } from '../../../decisions/selectPlacement/index.js'
 import { checkInstanceEligibility } from '../../../decisions/checkInstanceEligibility/index.js'
 import type { InstanceEligibility } from '../../../decisions/checkInstanceEligibility/index.js'
 import { selectIneligibility } from '../../../decisions/selectIneligibility/index.js'
 import type { BackendInstance, GatewayRequest } from '../../../types/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
+import { countSentTokens } from '../../serverWork/index.js'
+import type { StatedSlowdown } from '../../serverWork/index.js'
 import type { ForwardingDependencies } from '../index.js'
 
-export type SelectionDependencies = Pick<ForwardingDependencies, 'registry' | 'health' | 'notices' | 'directory' | 'loadView' | 'random' | 'zoneDrains' | 'warmUp' | 'refusals'> & {
+export type SelectionDependencies = Pick<ForwardingDependencies, 'registry' | 'health' | 'notices' | 'directory' | 'loadView' | 'random' | 'zoneDrains' | 'warmUp' | 'refusals' | 'work'> & {
   readonly availabilityZone: string
   /** Region of each availability zone, for requests that are restricted to regions. */
   readonly regionByZone: ReadonlyMap<string, string>
@@ -80,6 +82,9 @@
   /** Number of eligible servers, and of those under the bound. */
   readonly candidates: number
   readonly underBound: number
+  /** Prompt tokens that the selected server has still to read and its free memory, where its capacity is known. */
+  readonly work?: CandidateWork
+  readonly slowdown?: StatedSlowdown | undefined
 }
 
 export type SelectedInstance = {
@@ -93,8 +98,10 @@
 
 const createLoadEstimate = (id: string, candidates: readonly InstanceCandidate[], meanLoad: number, weights: PlacementWeights): LoadEstimate => {
   const bound = computeLoadBound(meanLoad, weights)
+  const selected = candidates.find((candidate) => candidate.id === id)
   return {
-    load: candidates.find((candidate) => candidate.id === id)?.load ?? 0,
+    load: selected?.load ?? 0,
+    ...(selected?.work === undefined ? {} : { work: selected.work }),
     meanLoad,
     bound,
     candidates: candidates.length,
@@ -102,6 +109,13 @@
   }
 }
 
+/** What is known of a server's work and pace; nothing for a service that describes no engines, at a server that states no slowdown. */
+const readWork = ({ work }: SelectionDependencies, instance: BackendInstance): Pick<InstanceCandidate, 'work' | 'slowdown'> => {
+  const estimate = work.estimate(instance)
+  const stated = work.readSlowdown(instance)
+  return { ...(estimate === undefined ? {} : { work: estimate }), ...(stated === undefined ? {} : { slowdown: stated.slowdown }) }
+}
+
 /**
  * Mean load over every server of the service, including leaving servers and those that are not eligible: the
  * load bound is defined as a multiple of that mean. The fewer servers are eligible, the less headroom each has.
@@ -141,16 +155,20 @@
     load: loadView.estimateInFlight(formatInstanceKey(instance)),
     cachedPromptTokens: cachedTokensByKey.get(formatInstanceKey(instance)) ?? 0,
     availabilityZone: instance.availabilityZone,
-    slowness: costOf(instance)
+    slowness: costOf(instance),
+    ...readWork(dependencies, instance)
   }))
   const meanLoad = computeMeanLoad(dependencies, input.service)
+  const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0)
+  const sent = countSentTokens(request, sharedTokens)
   const weights = { ...defaultPlacementWeights, boundFactor: LOAD_FACTOR_SHARE * dependencies.readLoadFactor() }
   const placement = selectPlacement({
     affinityKey: shared.at(-1)?.id ?? '',
-    sharedTokens: shared.reduce((sum, part) => sum + part.tokens, 0),
+    sharedTokens,
     expectedBytes: bodyBytes + (request.promptParts.length > 0 ? BYTES_PER_TOKEN * request.tokens.output : PLAIN_ANSWER_BYTES),
     availabilityZone: dependencies.availabilityZone,
-    meanLoad
+    meanLoad,
+    ownMemoryTokens: sent.missingTokens + sent.expectedOutputTokens
   }, candidates, listPrefixCaches(dependencies, input, cachedTokensByKey), random.next, weights)
   const instance = usable.find(({ id }) => id === placement?.id)
   if (instance === undefined) return undefined
@@ -159,6 +177,6 @@
     instance,
     isLastResort,
     copyPromptFrom: source === undefined ? undefined : registry.find(source) ?? registry.recentlyRemoved().find(({ id }) => id === source),
-    loadEstimate: createLoadEstimate(instance.id, candidates, meanLoad, weights)
+    loadEstimate: { ...createLoadEstimate(instance.id, candidates, meanLoad, weights), slowdown: dependencies.work.readSlowdown(instance) }
   }
 }
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -27,6 +27,7 @@
 import type { PromptDirectory } from '../promptDirectory/index.js'
 import type { ReachExchange } from '../reachExchange/index.js'
 import type { RefusalLimiter } from '../refusalLimiter/index.js'
+import type { ServerWork } from '../serverWork/index.js'
 import type { WarmUpLimiter } from '../warmUpLimiter/index.js'
 
 export type ForwardingDependencies = {
@@ -46,6 +47,7 @@
   readonly zoneDrains: Pick<ZoneDrains, 'isDrained' | 'isKnown' | 'onChange' | 'revision'>
   readonly warmUp: WarmUpLimiter
   readonly refusals: RefusalLimiter
+  readonly work: ServerWork
   readonly client: InstanceClient
 }
 
--- a/src/services/forwarding/test.ts
+++ b/src/services/forwarding/test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, test } from 'vitest'
 import { createForwarding } from './index.js'
 import type { ForwardingDependencies } from './index.js'
+import { createServerWork } from '../serverWork/index.js'
 import { createManualClock } from '../../emulator/createManualClock/index.js'
 import type { BackendInstance, CallerSink, ExchangeListener, GatewayConfiguration, GatewayRequest, GatewayRoute, InstanceAnswer, Member } from '../../types/index.js'
 
@@ -51,6 +52,7 @@
   const listeners: (() => void)[] = []
   const exchanges: ExchangeListener[] = []
   let isKnown = false
+  const loadView = { recordStart: () => {}, recordEnd: () => {}, estimateInFlight: () => 0, ownInFlight: () => 0, applyReport: () => {} }
   const dependencies: ForwardingDependencies = {
     clock,
     random: { next: () => 0.5, nextId: () => 'id' },
@@ -81,7 +83,8 @@
     relays: { select: () => undefined, send: () => ({ abort: () => {}, pause: () => {}, resume: () => {} }), recordStart: () => {}, recordEnd: () => {}, recordBytes: () => {}, recordFailure: () => {}, recordAnswer: () => {}, readIdleMs: () => 0 },
     notices: { record: () => {}, backoffRemainingMs: () => 0 },
     directory: { record: () => {}, listCachedTokens: () => new Map(), onRecovered: () => {} },
-    loadView: { recordStart: () => {}, recordEnd: () => {}, estimateInFlight: () => 0, ownInFlight: () => 0, applyReport: () => {} },
+    loadView,
+    work: createServerWork({ clock, loadView, logger: { warn: () => {} }, configuration: { current: () => CONFIGURATION }, readPeersUnread: () => undefined }).api,
     membership: { members: () => [MEMBER] },
     zoneDrains: { isDrained: () => false, isKnown: () => true, revision: () => 0, onChange: () => {} },
     warmUp: { remainingMs: () => 0, isLimitReached: () => false, recordSend: () => {} },
--- a/src/services/loadView/index.ts
+++ b/src/services/loadView/index.ts
@@ -6,11 +6,12 @@
  */
 import { createLoadBroadcast } from './_lib/createLoadBroadcast.js'
 import { createPeerCounts } from './_lib/createPeerCounts.js'
+import { createPeerUnread } from './_lib/createPeerUnread.js'
 import { createRecentMaximum } from './_lib/createRecentMaximum.js'
 import type { RecentMaximum } from './_lib/createRecentMaximum.js'
-import { formatServerHash, packLoadDigest, unpackLoadDigest } from '../../decisions/packLoadDigest/index.js'
+import { formatServerHash, packLoadDigest, unpackLoadDigest, unpackUnreadDigest } from '../../decisions/packLoadDigest/index.js'
 import type { RunningService } from '../../kernel/index.js'
-import type { FleetLoad } from '../fleetLoad/index.js'
+import type { FleetLoad, UnreadReading } from '../fleetLoad/index.js'
 import type { HeartbeatExchange } from '../heartbeatExchange/index.js'
 import type { Clock, Heartbeat, HeartbeatParts, LoadReport, LoadView, Member, Membership, PackedLoadDigest, PeerTransport, RouterSettings } from '../../types/index.js'
 
@@ -27,10 +28,16 @@
   readonly publishesExcess?: (backendServer: string) => boolean
   /** Replaces the digests to all peers when the fleet is large. */
   readonly fleetLoad?: FleetLoad
+  /** Prompt tokens that the servers have still to read for this node, which its digests state; nothing by default. */
+  readonly readUnreadTokens?: () => ReadonlyMap<string, number>
 }
 
 /** `readPublishedCounts` returns the load that this node reports to others, for the exchange in a large fleet. */
-export type RunningLoadView = RunningService<LoadView> & { readonly readPublishedCounts: () => ReadonlyMap<string, number> }
+export type RunningLoadView = RunningService<LoadView> & {
+  readonly readPublishedCounts: () => ReadonlyMap<string, number>
+  /** Prompt tokens that a server has still to read for live peers, by their latest statements. */
+  readonly readPeersUnread: (backendServer: string) => UnreadReading | undefined
+}
 
 export type LoadViewOptions = {
   readonly settings: Pick<RouterSettings, 'nodeId' | 'loadReportIntervalMs' | 'deadAfterMs'>
@@ -109,6 +116,8 @@
     if (backendServer !== undefined) recordKnownCount(backendServer)
   })
 
+  const peerUnread = createPeerUnread()
+
   const readExcess = (backendServer: string): number => {
     const excess = excesses.get(backendServer)
     if (excess === undefined || clock.now() >= excess.until) return 0
@@ -166,7 +175,7 @@
     bytesPerSecond: options.bytesPerSecond ?? DEFAULT_BYTES_PER_SECOND,
     readCounts: readPublished,
     listReceivers: listPeers,
-    send: (receiver, digest) => transport.send(receiver.address, packLoadDigest(digest))
+    send: (receiver, digest) => transport.send(receiver.address, packLoadDigest(digest, dependencies.readUnreadTokens?.()))
   })
 
   // A restarted peer numbers its digests from the beginning again, so they would look
@@ -178,8 +187,13 @@
     return state === undefined || state === 'dead'
   }
 
+  const dropPeer = (source: string): void => {
+    peerCounts.remove(source)
+    peerUnread.remove(source)
+  }
+
   const dropDeadPeers = (): void => {
-    for (const source of peerCounts.sources()) if (isDeadOrUnknown(source) || hasOtherIncarnation(source)) peerCounts.remove(source)
+    for (const source of peerCounts.sources()) if (isDeadOrUnknown(source) || hasOtherIncarnation(source)) dropPeer(source)
     for (const source of lastReceivedAt.keys()) {
       if (!isDeadOrUnknown(source)) continue
       lastReceivedAt.delete(source)
@@ -195,7 +209,7 @@
     for (const [source, at] of lastReceivedAt) {
       if (at >= limit) continue
       lastReceivedAt.delete(source)
-      peerCounts.remove(source)
+      dropPeer(source)
     }
   }
 
@@ -204,7 +218,7 @@
     if (loadSequence !== undefined) {
       lastSequences.set(member.nodeId, loadSequence)
       // A digest of the previous incarnation arrived after the first heartbeat of the new one.
-      if (peerCounts.isAhead(member.nodeId, loadSequence)) peerCounts.remove(member.nodeId)
+      if (peerCounts.isAhead(member.nodeId, loadSequence)) dropPeer(member.nodeId)
     }
     if (loadWanted === true) broadcast.sendFull(member)
     dropUnresponsivePeers()
@@ -216,6 +230,7 @@
     lastReceivedAt.set(packed.source, clock.now())
     incarnations.set(packed.source, source.incarnation)
     peerCounts.apply(unpackLoadDigest(packed))
+    peerUnread.apply(packed.source, unpackUnreadDigest(packed), clock.now())
   }
 
   const createHeartbeatParts = (receiver: Member): HeartbeatParts => {
@@ -233,6 +248,7 @@
 
   return {
     readPublishedCounts: readPublished,
+    readPeersUnread: (backendServer) => isInLargeFleet() ? fleetLoad!.readOthersUnread(backendServer) : peerUnread.read(getHash(backendServer)),
     api: {
       recordStart: (backendServer) => adjustOwnCount(backendServer, 1),
       recordEnd: (backendServer) => adjustOwnCount(backendServer, -1),
--- a/src/types/gatewayEvents.ts
+++ b/src/types/gatewayEvents.ts
@@ -39,6 +39,7 @@
   'backend server added': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server was registered' },
   'backend server backoff begun': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server asked this node to send nothing for a while' },
   'backend server refusal limit changed': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server states how many refusals in a second it bears, or none any more' },
+  'backend server slowdown is malformed': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server states a slowdown that is no positive number; it counts as none, and the line is written once a server' },
   'backend server leaving': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server gets no new work' },
   'backend server removed': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server was removed from the list' },
   'backend server entry is malformed': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'an entry of the list cannot be decoded' },
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -72,6 +72,11 @@
   readonly servers: Uint32Array
   /** In the order of `servers`; one byte per count if all counts fit, else two. */
   readonly inFlight: Uint8Array | Uint16Array
+  /**
+   * Prompt tokens that the servers have still to read, in the order of `servers` and in units of `UNREAD_UNIT_TOKENS`.
+   * Omitted when there are none, and by nodes of older builds.
+   */
+  readonly unread?: Uint8Array | Uint16Array
 }
 
 /** Records whether a backend server is leaving. A mark with a higher epoch replaces it; within one epoch, leaving wins. */
