--- a/src/node/createGatewayNode/_lib/registerLoad.ts
+++ b/src/node/createGatewayNode/_lib/registerLoad.ts
@@ -15,7 +15,7 @@
  * a second and the load bound is twice the mean, so that snapshots at half the rate
  * suffice and halve the messages of a node that has little else to do.
  */
-const LOAD_SNAPSHOT_INTERVAL_MS = 200
+const LOAD_SNAPSHOT_INTERVAL_MS = 100
 
 const nameInstances = (instances: readonly BackendInstance[]): readonly NamedServer[] =>
   instances.map((instance) => ({ name: formatInstanceKey(instance), availabilityZone: instance.availabilityZone }))
