Send load sums more often where engines read prompts

Cause: an engine reads a prompt in a few tenths of a second, so that a sum 0.4 s old says nothing of what it has to read; most late requests of a cold start were sent to engines that the node believed idle. Change: the period of the sums grows with the servers (2.7 ms each, 100 to 400 ms) where a service describes its engines; benches and the in-process fleet describe engines.

--- a/src/bench/crowd/_lib/simulateBurst.ts
+++ b/src/bench/crowd/_lib/simulateBurst.ts
@@ -9,7 +9,8 @@
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 import { selectInstance } from '../../../services/forwarding/_lib/selectInstance.js'
 import type { GatewayNode } from '../../../node/createGatewayNode/index.js'
-import type { BackendInstance, GatewayRequest, PromptPart } from '../../../types/index.js'
+import { countSentTokens } from '../../../services/serverWork/index.js'
+import type { BackendInstance, EngineCapacity, GatewayRequest, PromptPart } from '../../../types/index.js'
 
 export type BurstOptions = {
   readonly seed: number
@@ -47,6 +48,9 @@
 const SHARED_TOKENS = 8_000
 const OWN_TOKENS = 500
 const OUTPUT_TOKENS = 300
+const ENGINE: EngineCapacity = { slots: SLOTS, memoryTokens: 400_000, bytesPerToken: 100_000, linkMbps: 100_000, canMove: false, canBackUp: false, copyLifetimeMs: 0, tokensPerEvent: 5 }
+/** Share of a request's time until its answer begins. */
+const FIRST_BYTE_SHARE = 0.3
 const SETTLE_MS = 6_000
 const STEP_MS = 5
 const WINDOW_MS = 5_000
@@ -135,7 +139,7 @@
  */
 export const simulateBurst = async (options: BurstOptions): Promise<BurstOutcome> => {
   const random = createSeededRandom(options.seed).next
-  const fleet = createInProcessFleet({ nodesPerZone: options.nodesPerZone, zones: options.zones, random })
+  const fleet = createInProcessFleet({ nodesPerZone: options.nodesPerZone, zones: options.zones, random, engine: ENGINE })
   const engines = createEngineTracker(fleet, options.zones)
   for (let index = 0; index < options.engines; index++) engines.add(index)
   await fleet.start()
@@ -157,8 +161,13 @@
     if (!engines.cacheSubject(key, subject)) prefilledTokens += SHARED_TOKENS
     engines.change(key, 1)
     node.resolve('loadView').recordStart(key)
+    const cachedTokens = node.resolve('promptDirectory').listCachedTokens(request.promptParts.slice(0, -1)).get(key) ?? 0
+    const sent = node.resolve('serverWork').recordSend(instance, countSentTokens(request, cachedTokens))
     node.resolve('promptDirectory').record(request.promptParts, key)
-    fleet.clock.setTimer(-options.holdMs * Math.log(1 - random()), () => {
+    const holdMs = -options.holdMs * Math.log(1 - random())
+    fleet.clock.setTimer(FIRST_BYTE_SHARE * holdMs, () => sent.recordFirstBytes(true))
+    fleet.clock.setTimer(holdMs, () => {
+      sent.recordEnd()
       engines.change(key, -1)
       node.resolve('loadView').recordEnd(key)
     })
--- a/src/bench/gatewayControl/index.ts
+++ b/src/bench/gatewayControl/index.ts
@@ -7,6 +7,7 @@
 import { createInProcessFleet, type InProcessFleet } from '../../emulator/createInProcessFleet/index.js'
 import { groupBy } from '../../kernel/groupBy/index.js'
 import { formatInstanceKey } from '../../decisions/formatInstanceKey/index.js'
+import type { EngineCapacity } from '../../types/index.js'
 import type { Bench } from '../types.js'
 import { mean, round } from '../_lib/statistics.js'
 
@@ -16,6 +17,7 @@
 const SIZES: readonly GatewayFleetSize[] = [
   { nodes: 9, servers: 9, zones: 3 },
   { nodes: 30, servers: 30, zones: 3 },
+  { nodes: 27, servers: 98, zones: 3 },
   { nodes: 69, servers: 45, zones: 3 },
   { nodes: 100, servers: 100, zones: 4 },
   { nodes: 304, servers: 500, zones: 8 }
@@ -32,6 +34,10 @@
 /** Requests per second that one node starts, and their duration: an extrapolation from the kiosk network. */
 const REQUESTS_PER_SECOND = 4.4
 const REQUEST_MS = 1_000
+/** Prompt tokens that a server has to read for each request, and the time until its answer begins. */
+const UNREAD_TOKENS = { missingTokens: 3_000, expectedOutputTokens: 200, maximumOutputTokens: 400 }
+const FIRST_BYTE_MS = 200
+const ENGINE: EngineCapacity = { slots: 24, memoryTokens: 200_000, bytesPerToken: 100_000, linkMbps: 100_000, canMove: false, canBackUp: false, copyLifetimeMs: 0, tokensPerEvent: 5 }
 /** Number of shared prompt prefixes; in this benchmark each is always sent to the same server. */
 const SUBJECTS = 300
 
@@ -48,10 +54,16 @@
     const node = fleet.nodes[index]!
     const subject = Math.floor(random() * SUBJECTS)
     const servers = node.resolve('instanceRegistry').all()
-    const key = formatInstanceKey(servers[subject % servers.length]!)
+    const instance = servers[subject % servers.length]!
+    const key = formatInstanceKey(instance)
     node.resolve('loadView').recordStart(key)
+    const sent = node.resolve('serverWork').recordSend(instance, UNREAD_TOKENS)
+    fleet.clock.setTimer(FIRST_BYTE_MS, () => sent.recordFirstBytes(true))
     node.resolve('promptDirectory').record([{ id: 'shop', tokens: 800 }, { id: `subject-${subject}`, tokens: 400 }, { id: `own-${random()}`, tokens: 200 }], key)
-    fleet.clock.setTimer(REQUEST_MS, () => node.resolve('loadView').recordEnd(key))
+    fleet.clock.setTimer(REQUEST_MS, () => {
+      node.resolve('loadView').recordEnd(key)
+      sent.recordEnd()
+    })
     fleet.clock.setTimer(2 * random() * MS_PER_SECOND / REQUESTS_PER_SECOND, () => startOne(index))
   }
   fleet.nodes.forEach((_, index) => startOne(index))
@@ -74,7 +86,7 @@
 
 const measure = async (size: GatewayFleetSize, seed: number): Promise<readonly (string | number)[]> => {
   const random = createRandom(seed)
-  const fleet = createInProcessFleet({ nodesPerZone: size.nodes / size.zones, zones: size.zones, random })
+  const fleet = createInProcessFleet({ nodesPerZone: size.nodes / size.zones, zones: size.zones, random, engine: ENGINE })
   for (let index = 0; index < size.servers; index++) fleet.putInstance(`engine-${index}`, { availabilityZone: `zone-${index % size.zones}` })
   await fleet.start()
   await fleet.clock.advanceAndSettle(WARM_UP_MS / 2)
--- a/src/decisions/packLoadCounts/index.ts
+++ b/src/decisions/packLoadCounts/index.ts
@@ -27,7 +27,7 @@
  */
 export const packLoadCounts = (counts: ReadonlyMap<number, number>, unreadTokens: ReadonlyMap<number, number> = new Map()): PackedLoadCounts => {
   const servers = [...counts.keys()]
-  const units = servers.map((server) => Math.round((unreadTokens.get(server) ?? 0) / UNREAD_UNIT_TOKENS))
+  const units = Array.from(counts, ([server, inFlight]) => inFlight === 0 ? 0 : Math.round((unreadTokens.get(server) ?? 0) / UNREAD_UNIT_TOKENS))
   return {
     servers: Uint32Array.from(servers),
     inFlight: packNumbers([...counts.values()]),
--- a/src/emulator/createInProcessFleet/_lib/createFleetSource.ts
+++ b/src/emulator/createInProcessFleet/_lib/createFleetSource.ts
@@ -5,7 +5,7 @@
  */
 import { failure, success } from '../../../kernel/index.js'
 import type {
-  BackendInstance, Clock, ConfigurationRecords, ConfigurationSource, GatewayConfiguration, GatewayRoute, InstanceSource, Result, SourcedConfiguration, SourceError, ZoneDrainChange, ZoneDrainSource
+  BackendInstance, Clock, ConfigurationRecords, ConfigurationSource, EngineCapacity, GatewayConfiguration, GatewayRoute, InstanceSource, Result, SourcedConfiguration, SourceError, ZoneDrainChange, ZoneDrainSource
 } from '../../../types/index.js'
 
 export type FleetSource = {
@@ -33,10 +33,16 @@
 /** Time after which a call from a node that cannot reach the source fails, in milliseconds. */
 const UNREACHABLE_TIMEOUT_MS = 500
 
-const createConfiguration = (version: number, routes: readonly GatewayRoute[]): GatewayConfiguration => ({
+/** Name of the service of all backend servers. */
+const SERVICE = 'engines'
+
+const createServices = (engine: EngineCapacity | undefined): GatewayConfiguration['services'] =>
+  new Map(engine === undefined ? [] : [[SERVICE, { name: SERVICE, healthPath: '/', maximumConnections: 1, isModelService: true, engine }]])
+
+const createConfiguration = (version: number, routes: readonly GatewayRoute[], engine: EngineCapacity | undefined): GatewayConfiguration => ({
   version,
   routes,
-  services: new Map(),
+  services: createServices(engine),
   limits: { maximumHeaderBytes: 1, maximumBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
   needsKeys: false,
   accountsByKey: new Map()
@@ -47,7 +53,7 @@
 const createRoute = (index: number, version: number): RouteRecord => ({ name: `route-${index}`, host: `${index}.shop.example`, version })
 
 /** Creates configurations whose unchanged records are the same objects from one version to the next, as those of a real source are. */
-const createConfigurationCodec = (routes: number, gatewayRoutes: readonly GatewayRoute[]) => {
+const createConfigurationCodec = (routes: number, gatewayRoutes: readonly GatewayRoute[], engine: EngineCapacity | undefined) => {
   const internedRoutes = new Map<string, RouteRecord>()
 
   const intern = (record: RouteRecord): RouteRecord => {
@@ -61,22 +67,22 @@
     Array.from({ length: routes }, (_, index) => intern(createRoute(index, index === routes - 1 ? version : 0)))
 
   return {
-    read: (version: number): SourcedConfiguration => ({ configuration: createConfiguration(version, gatewayRoutes), records: { rest: [version], routes: listRoutes(version) }, revision: version }),
+    read: (version: number): SourcedConfiguration => ({ configuration: createConfiguration(version, gatewayRoutes, engine), records: { rest: [version], routes: listRoutes(version) }, revision: version }),
     decode: (records: ConfigurationRecords, revision: number): SourcedConfiguration =>
-      ({ configuration: createConfiguration(Number(records['rest']?.[0]), gatewayRoutes), records: { ...records, routes: (records['routes'] as readonly RouteRecord[]).map(intern) }, revision })
+      ({ configuration: createConfiguration(Number(records['rest']?.[0]), gatewayRoutes, engine), records: { ...records, routes: (records['routes'] as readonly RouteRecord[]).map(intern) }, revision })
   }
 }
 
 const createInstance = (id: string, changes: Partial<BackendInstance>): BackendInstance => ({
-  id, service: 'engines', address: { host: id, port: 1 }, availabilityZone: 'zone-0', slots: 8, isLeaving: false, incarnation: 1, warmUpMs: 0, ...changes
+  id, service: SERVICE, address: { host: id, port: 1 }, availabilityZone: 'zone-0', slots: 8, isLeaving: false, incarnation: 1, warmUpMs: 0, ...changes
 })
 
 const wait = (clock: Clock, ms: number): Promise<void> => new Promise((resolve) => { clock.setTimer(ms, resolve) })
 
 type Change<Value> = { readonly revision: number, readonly value: Value }
 
-/** Creates the source; `routes` is the number of route records in each configuration, `gatewayRoutes` are the routes to forward on. */
-export const createFleetSource = (clock: Clock, routes: number, gatewayRoutes: readonly GatewayRoute[] = []): FleetSource => {
+/** Creates the source; `routes` is the number of route records in each configuration, `gatewayRoutes` are the routes to forward on, `engine` describes the backend servers. */
+export const createFleetSource = (clock: Clock, routes: number, gatewayRoutes: readonly GatewayRoute[] = [], engine?: EngineCapacity): FleetSource => {
   const versions: { readonly at: number, readonly version: number }[] = [{ at: -Infinity, version: 1 }]
   const instances = new Map<string, BackendInstance>()
   const instanceChanges: Change<string>[] = []
@@ -118,7 +124,7 @@
   }
 
   const createConfigurationSource = (node: number): ConfigurationSource => {
-    const codec = createConfigurationCodec(routes, gatewayRoutes)
+    const codec = createConfigurationCodec(routes, gatewayRoutes, engine)
     return {
       read: () => call(node, () => codec.read(getNewestVersion(clock.now()))),
       decode: (records, configurationRevision) => success(codec.decode(records, configurationRevision))
--- a/src/emulator/createInProcessFleet/index.ts
+++ b/src/emulator/createInProcessFleet/index.ts
@@ -11,7 +11,7 @@
 import { createMemoryRelay } from '../createMemoryRelay/index.js'
 import { success } from '../../kernel/index.js'
 import { createGatewayNode, type GatewayNode } from '../../node/createGatewayNode/index.js'
-import type { GatewayRoute, InstanceClient, Logger, Metrics, PeerAddress } from '../../types/index.js'
+import type { EngineCapacity, GatewayRoute, InstanceClient, Logger, Metrics, PeerAddress } from '../../types/index.js'
 
 export type InProcessFleetOptions = {
   readonly nodesPerZone: number
@@ -26,6 +26,8 @@
   readonly gatewayRoutes?: readonly GatewayRoute[]
   /** Number of routes in each configuration, of which the last one changes with each version; 0 by default. */
   readonly routes?: number
+  /** Describes the backend servers as model engines; nothing by default. */
+  readonly engine?: EngineCapacity
 }
 
 export type InProcessFleet = Omit<FleetSource, 'connect'> & {
@@ -57,7 +59,7 @@
 export const createInProcessFleet = (options: InProcessFleetOptions): InProcessFleet => {
   const clock = createManualClock()
   const network = createMemoryPeerNetwork({ clock, delayMs: () => 5 })
-  const source = createFleetSource(clock, options.routes ?? 0, options.gatewayRoutes)
+  const source = createFleetSource(clock, options.routes ?? 0, options.gatewayRoutes, options.engine)
   const transports: MemoryPeerTransport[] = []
 
   const addressOf = (index: number): PeerAddress => ({ host: `node-${String(index).padStart(3, '0')}`, port: 1 })
--- a/src/node/createGatewayNode/_lib/registerLoad.ts
+++ b/src/node/createGatewayNode/_lib/registerLoad.ts
@@ -1,4 +1,5 @@
 /** Registers the load estimates of the backend servers, from this node's own requests and those of all peers. */
+import { computeLoadSumPeriod, MAXIMUM_PERIOD_MS } from '../../../decisions/computeLoadSumPeriod/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 import { createFleetLoad, type NamedServer } from '../../../services/fleetLoad/index.js'
 import { createLoadView, type RunningLoadView } from '../../../services/loadView/index.js'
@@ -10,13 +11,6 @@
 import { DEAD_AFTER_MS } from './deadAfterMs.js'
 
 const LOAD_REPORT_INTERVAL_MS = 250
-/**
- * Time between two load snapshots in a large fleet. At 69 nodes a request takes about
- * a second and the load bound is twice the mean, so that snapshots at half the rate
- * suffice and halve the messages of a node that has little else to do.
- */
-const LOAD_SNAPSHOT_INTERVAL_MS = 100
-
 const nameInstances = (instances: readonly BackendInstance[]): readonly NamedServer[] =>
   instances.map((instance) => ({ name: formatInstanceKey(instance), availabilityZone: instance.availabilityZone }))
 
@@ -27,14 +21,17 @@
   const readUnreadTokens = (): ReadonlyMap<string, number> => serverWork?.readUnreadTokens() ?? new Map()
   kernel.register({
     name: 'fleetLoad',
-    dependsOn: ['membership', 'instanceRegistry'],
+    dependsOn: ['membership', 'instanceRegistry', 'gatewayConfiguration'],
     create: (resolve) => {
       const registry = resolve('instanceRegistry')
       let servers = nameInstances(registry.all())
       registry.onChange(() => { servers = nameInstances(registry.all()) })
+      const configuration = resolve('gatewayConfiguration')
+      let hasEngines = false
+      configuration.onChange(() => { hasEngines = [...configuration.current()?.services.values() ?? []].some(({ engine }) => engine !== undefined) })
       return createFleetLoad(
         { clock, transport, membership: resolve('membership'), readServers: () => servers, readCounts: () => loadView?.readPublishedCounts() ?? new Map(), readUnreadTokens },
-        { fullMeshPeers: DEFAULT_FAN_OUT.fullMeshPeers, periodMs: LOAD_SNAPSHOT_INTERVAL_MS }
+        { fullMeshPeers: DEFAULT_FAN_OUT.fullMeshPeers, periodMs: MAXIMUM_PERIOD_MS, readPeriodMs: (count) => computeLoadSumPeriod({ servers: count, hasEngines }) }
       )
     }
   })
--- a/src/services/fleetLoad/index.ts
+++ b/src/services/fleetLoad/index.ts
@@ -47,6 +47,8 @@
   readonly fullMeshPeers: number
   /** Milliseconds between two snapshots; by default the period grows with the number of backend servers. */
   readonly periodMs?: number
+  /** Shorter periods by the number of backend servers, read before each; at most `periodMs`. All nodes should return the same. */
+  readonly readPeriodMs?: (servers: number) => number
   /** Maximum number of nodes to which one router forwards a snapshot. */
   readonly fanOut?: number
 }
@@ -109,7 +111,7 @@
 
   // Equal on all routers that know the same number of servers, so that their stages are synchronised.
   const findPeriodMs = (): number =>
-    options.periodMs ?? Math.min(MAXIMUM_PERIOD_MS, Math.max(MINIMUM_PERIOD_MS, serverIndex.size() * PERIOD_PER_SERVER_MS))
+    options.readPeriodMs?.(serverIndex.size()) ?? options.periodMs ?? Math.min(MAXIMUM_PERIOD_MS, Math.max(MINIMUM_PERIOD_MS, serverIndex.size() * PERIOD_PER_SERVER_MS))
 
   const readOwnZone = (): string => membership.self().availabilityZone
 
--- a/src/services/fleetLoad/test.ts
+++ b/src/services/fleetLoad/test.ts
@@ -24,6 +24,7 @@
   const listeners: (() => void)[] = []
   const nodes = members.map((self) => {
     const counts = new Map<string, number>()
+    const unreadTokens = new Map<string, number>()
     let servers = known
     const transport = network.createTransport(self.address)
     const service = createFleetLoad({
@@ -31,7 +32,8 @@
       transport,
       membership: { self: () => self, liveMembers: () => members.filter((member) => !dead.has(member.nodeId)), onChange: (listener) => { listeners.push(listener) } },
       readServers: () => servers,
-      readCounts: () => counts
+      readCounts: () => counts,
+      readUnreadTokens: () => unreadTokens
     }, { fullMeshPeers, periodMs: PERIOD_MS })
     service.start?.()
     const kill = async (): Promise<void> => {
@@ -40,7 +42,7 @@
       dead.add(self.nodeId)
       for (const listen of listeners) listen()
     }
-    return { self, counts, kill, fleetLoad: service.api, setServers: (next: typeof SERVERS) => { servers = next } }
+    return { self, counts, unreadTokens, kill, fleetLoad: service.api, setServers: (next: typeof SERVERS) => { servers = next } }
   })
   const readAll = (server: string): readonly number[] => nodes.filter(({ self }) => !dead.has(self.nodeId)).map(({ fleetLoad }) => fleetLoad.readOthers(server))
   return { clock, network, nodes, readAll, isDead: (nodeId: string) => dead.has(nodeId) }
@@ -54,6 +56,17 @@
     expect(readAll('engine-1')).toEqual(nodes.map((_, index) => 45 - (index + 1)))
   })
 
+  it('gives every node the unread prompt tokens of all others', async () => {
+    const { clock, nodes } = createFleet(9)
+    for (const { counts, unreadTokens } of nodes) {
+      counts.set('engine-1', 1)
+      unreadTokens.set('engine-1', 2_560)
+    }
+    await clock.advanceAndSettle(SETTLE_MS)
+    expect(nodes.map(({ fleetLoad }) => fleetLoad.readOthersUnread('engine-1')?.tokens)).toEqual(nodes.map(() => 8 * 2_560))
+    expect(nodes[0]!.fleetLoad.readOthersUnread('engine-0')?.tokens).toBe(0)
+  })
+
   it('follows counts that drop to 0', async () => {
     const { clock, nodes, readAll } = createFleet(6)
     for (const { counts } of nodes) counts.set('engine-0', 300)
--- a/src/services/loadView/test.ts
+++ b/src/services/loadView/test.ts
@@ -27,9 +27,10 @@
   const createNode = (nodeId: string) => {
     const exchange = createHeartbeatExchange()
     const transport = network.createTransport(createMember(nodeId).address)
-    const service = createLoadView({ clock, transport, membership, exchange, publishesExcess: () => nodeId === publisher }, { settings: { ...SETTINGS, nodeId } })
+    const unreadTokens = new Map<string, number>()
+    const service = createLoadView({ clock, transport, membership, exchange, publishesExcess: () => nodeId === publisher, readUnreadTokens: () => unreadTokens }, { settings: { ...SETTINGS, nodeId } })
     service.start?.()
-    return { exchange, transport, view: service.api }
+    return { exchange, transport, view: service.api, unreadTokens, readPeersUnread: service.readPeersUnread }
   }
   const nodes = new Map(names.map((nodeId) => [nodeId, createNode(nodeId)]))
   const notify = (): void => { for (const listen of listeners) listen() }
@@ -55,7 +56,7 @@
     await clock.advanceAndSettle(SPREAD_MS)
     isLosing = false
   }
-  return { clock, view: (name: string) => nodes.get(name)!.view, transport: (name: string) => nodes.get(name)!.transport, spread: () => clock.advanceAndSettle(SPREAD_MS), beat, lose, kill, restart }
+  return { clock, node: (name: string) => nodes.get(name)!, view: (name: string) => nodes.get(name)!.view, transport: (name: string) => nodes.get(name)!.transport, spread: () => clock.advanceAndSettle(SPREAD_MS), beat, lose, kill, restart }
 }
 
 const startMany = (view: { readonly recordStart: (name: string) => void }, count: number): void => {
@@ -73,6 +74,28 @@
     expect(view('a').ownInFlight('engine-1')).toBe(2)
   })
 
+  it('sums the unread prompt tokens that live peers state', async () => {
+    const views = createViews(['a', 'b', 'c'])
+    for (const name of ['a', 'b']) {
+      views.node(name).unreadTokens.set('engine-1', 2_560)
+      views.view(name).recordStart('engine-1')
+    }
+    await views.spread()
+    const withBoth = views.node('c').readPeersUnread('engine-1')?.tokens
+    views.kill('b')
+    expect([withBoth, views.node('c').readPeersUnread('engine-1')?.tokens]).toEqual([5_120, 2_560])
+  })
+
+  it('drops the unread prompt tokens of a peer whose requests have ended', async () => {
+    const views = createViews(['a', 'b'])
+    views.node('a').unreadTokens.set('engine-1', 2_560)
+    views.view('a').recordStart('engine-1')
+    await views.spread()
+    views.view('a').recordEnd('engine-1')
+    await views.spread()
+    expect(views.node('b').readPeersUnread('engine-1')).toBeUndefined()
+  })
+
   it('broadcasts a change to peers within 100 ms', async () => {
     const { clock, view, spread } = createViews(['a', 'b'])
     await spread()
