Let requests wait in a gateway while no backend server has room

A gateway sent to the least loaded server when all were full and had no order of its own. With controlsAdmission on, the first send of a request passes a gate that asks the admission service, which now keeps lists by priority beside the classes of router nodes. Off, the gate is open and nothing is asked. Not measured yet.

--- a/src/adapters/promMetrics/index.ts
+++ b/src/adapters/promMetrics/index.ts
@@ -26,6 +26,8 @@
   gateway_repeats: { help: 'Sends beyond the first of a request, by whether the retry budget granted them', labels: ['granted'] },
   gateway_prompt_copies: { help: 'Sends that asked for a copy of the prompt from another backend server', labels: [] },
   gateway_relays: { help: 'Requests sent to a peer because this node does not reach the backend servers', labels: [] },
+  gateway_waits: { help: 'Requests that waited for a backend server with room, by how the wait ended and by priority', labels: ['outcome', 'priority'] },
+  gateway_refusals: { help: 'Requests refused because no backend server had room, by reason and priority', labels: ['reason', 'priority'] },
   gateway_backoffs: { help: 'Answers in which a backend server asked this node to send nothing for a while', labels: [] },
   log_lines_left_out: { help: 'Log lines left out to keep the volume bounded, by event', labels: ['event'] }
 }
@@ -55,6 +57,7 @@
   backend_server_unreachable: { help: '1 while no connection to the backend server can be made', labels: ['backend_server'] },
   backend_server_leaving: { help: '1 while the backend server is leaving', labels: ['backend_server'] },
   queue_length: { help: 'Requests that wait for their share', labels: [] },
+  accounts_over_share: { help: 'Client accounts with waiting requests that use over twice the mean of the others', labels: [] },
   load_skew: { help: 'Highest load over the weighted mean, by service', labels: ['service'] }
 }
 
--- a/src/decisions/computeRetryAfter/index.ts
+++ b/src/decisions/computeRetryAfter/index.ts
@@ -29,6 +29,22 @@
 /** Refusal reasons that end when a backend server accepts requests again. */
 const AVAILABILITY_REASONS: ReadonlySet<FinalReason> = new Set(['noInstance', 'instancesRefused', 'backingOff'])
 
+/** Refusal reasons of a full service: the delay is the expected wait there. */
+const WAIT_REASONS: ReadonlySet<FinalReason> = new Set(['waitTooLong', 'overShare', 'queueFull', 'repeatedEarly', 'lessUrgent'])
+
+/** Jitter of these delays as a share of the wait, so that a long queue's callers return spread over half as long again. */
+const WAIT_JITTER_SHARE = 0.5
+/** Largest share of the time that a caller has left: one that is asked to wait longer would not return. */
+const MAXIMUM_WAIT_SHARE = 1 / 3
+
+const computeQueueDelay = (randomShare: number, availableInMs: number, remainingMs: number): number => {
+  const waitMs = Math.max(MINIMUM_DELAY_MS, availableInMs)
+  const delayMs = waitMs + randomShare * Math.max(MAXIMUM_JITTER_MS, WAIT_JITTER_SHARE * waitMs)
+  const limitMs = MAXIMUM_WAIT_SHARE * Math.max(0, remainingMs)
+  // Callers at the limit are still spread, over its second half.
+  return delayMs <= limitMs ? delayMs : limitMs * (1 + randomShare) / 2
+}
+
 /**
  * Computes the delay after which a rejected caller should retry.
  *
@@ -43,6 +59,7 @@
  * computeRetryAfter(0) // => 250
  */
 export const computeRetryAfter = (randomShare: number, { reason = 'noInstance', availableInMs = 0, remainingMs = Infinity }: RetryAfterOptions = {}): number => {
+  if (WAIT_REASONS.has(reason)) return computeQueueDelay(randomShare, availableInMs, remainingMs)
   const jitterMs = MAXIMUM_JITTER_MS * randomShare
   const usualMs = (LASTING_REASONS.has(reason) ? MINIMUM_LASTING_DELAY_MS : MINIMUM_DELAY_MS) + jitterMs
   const availableMs = availableInMs + jitterMs
--- a/src/decisions/createRefusal/index.ts
+++ b/src/decisions/createRefusal/index.ts
@@ -13,6 +13,8 @@
   noBackendServer: 503,
   overShare: 429,
   queueFull: 503,
+  repeatedEarly: 503,
+  lessUrgent: 503,
   deadline: 504,
   platformUnavailable: 503,
   backendFailed: 502,
--- a/src/node/createRouterNode/_lib/createUsageContributor.ts
+++ b/src/node/_lib/createUsageContributor.ts
@@ -1,5 +1,5 @@
-import type { HeartbeatContributor } from '../../../services/heartbeatExchange/index.js'
-import type { Admission, Clock } from '../../../types/index.js'
+import type { HeartbeatContributor } from '../../services/heartbeatExchange/index.js'
+import type { Admission, Clock } from '../../types/index.js'
 
 /** Usage decays over seconds, so it does not need to be part of every heartbeat. */
 const USAGE_INTERVAL_MS = 2_000
--- a/src/node/createGatewayNode/_lib/registerForwarding.ts
+++ b/src/node/createGatewayNode/_lib/registerForwarding.ts
@@ -22,7 +22,8 @@
   loadFactor: settings.loadFactor,
   retryLimits: { ratio: settings.retryRatio, extra: settings.retryExtra, windowMs: settings.retryWindowMs },
   keyFreshnessMs: settings.keyRevocationMs > 0 ? settings.keyRevocationMs - KEY_REVOCATION_MARGIN_MS : Infinity,
-  configurationFreshnessMs: settings.configurationDelayMs
+  configurationFreshnessMs: settings.configurationDelayMs,
+  controlsAdmission: settings.controlsAdmission === true
 })
 
 /** Whether a node may contact a backend server besides requests: not one that is leaving or in backoff. */
@@ -125,7 +126,7 @@
   })
   kernel.register({
     name: 'forwarding',
-    dependsOn: ['gatewayConfiguration', 'instanceRegistry', 'instanceHealth', 'instanceNotices', 'reachExchange', 'peerRelays', 'promptDirectory', 'loadView', 'membership', 'zoneDrains', 'warmUp', 'refusalLimiter'],
+    dependsOn: ['gatewayConfiguration', 'instanceRegistry', 'instanceHealth', 'instanceNotices', 'reachExchange', 'peerRelays', 'promptDirectory', 'loadView', 'membership', 'zoneDrains', 'warmUp', 'refusalLimiter', 'admission'],
     create: (resolve) => createForwarding({
       clock,
       random,
@@ -143,7 +144,8 @@
       membership: resolve('membership'),
       zoneDrains: resolve('zoneDrains'),
       warmUp: resolve('warmUp'),
-      refusals: resolve('refusalLimiter')
+      refusals: resolve('refusalLimiter'),
+      admission: resolve('admission')
     }, {
       nodeId: settings.nodeId,
       ...(settings.millicores === undefined ? {} : { millicores: settings.millicores }),
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -3,6 +3,7 @@
  * path, assembled in the kernel. All I/O is injected, as for a router node.
  */
 import { recordStartSteps } from './_lib/recordStartSteps.js'
+import { registerAdmission } from './_lib/registerAdmission.js'
 import { registerForwarding } from './_lib/registerForwarding.js'
 import { registerGauges } from './_lib/registerGauges.js'
 import { registerSources } from './_lib/registerSources.js'
@@ -22,7 +23,7 @@
 import type { VmList } from '../../services/vmList/index.js'
 import type { WarmUpLimiter } from '../../services/warmUpLimiter/index.js'
 import type {
-  Clock, ConfigurationSource, PromptCacheSource, Forwarding, GatewayConfigurationHolder, GatewaySettings, InstanceClient, InstanceRegistry, InstanceSource,
+  Clock, ConfigurationSource, PromptCacheSource, Forwarding, GatewayConfigurationHolder, GatewaySettings, ImmediateAdmission, InstanceClient, InstanceRegistry, InstanceSource,
   LoadView, Logger, Membership, Metrics, PeerTransport, RandomSource, RelayClient, StartTimeline, ZoneDrains, ZoneDrainSource
 } from '../../types/index.js'
 
@@ -63,6 +64,7 @@
   readonly promptDirectory: PromptDirectory
   readonly warmUp: WarmUpLimiter
   readonly refusalLimiter: RefusalLimiter
+  readonly admission: ImmediateAdmission
   readonly forwarding: Forwarding
 }
 
@@ -90,6 +92,7 @@
   registerPeers(kernel, dependencies)
   registerSources(kernel, dependencies)
   registerLoad(kernel, dependencies)
+  registerAdmission(kernel, dependencies)
   registerForwarding(kernel, dependencies)
   return {
     start: async () => {
--- a/src/node/createRouterNode/_lib/registerRequests.ts
+++ b/src/node/createRouterNode/_lib/registerRequests.ts
@@ -1,6 +1,6 @@
 /** Registers the request path: admission, claims of idempotency keys, and dispatch. */
 import { countSlotsForNode } from './countSlotsForNode.js'
-import { createUsageContributor } from './createUsageContributor.js'
+import { createUsageContributor } from '../../_lib/createUsageContributor.js'
 import type { Kernel } from '../../../kernel/index.js'
 import { createAdmission, defaultAdmissionOptions } from '../../../services/admission/index.js'
 import { createClaims } from '../../../services/claims/index.js'
--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -6,6 +6,7 @@
 import { checkKey } from './checkKey.js'
 import type { AttemptTarget } from './attemptTarget.js'
 import { classifyFailure } from './classifyFailure.js'
+import { createAdmissionGate, SHUTTING_DOWN } from './createAdmissionGate.js'
 import { createAnswerIntake, type AnswerIntake, type AnswerListener } from './createAnswerIntake.js'
 import { createCallerAnswer } from './createCallerAnswer.js'
 import { createFinalAnswer } from './createFinalAnswer.js'
@@ -15,10 +16,10 @@
 import { createSendAttempt, type SendAttempt } from './createSendAttempt.js'
 import { createAttemptReporter } from './createAttemptReporter.js'
 import { describeReach } from './describeReach.js'
+import { isTargetSilent } from './isTargetSilent.js'
 import { prepareSend } from './prepareSend.js'
-import { isFailoverDue } from '../../../decisions/isFailoverDue/index.js'
 import type {
-  CallerSink, ExchangeFailure, GatewayAccount, GatewayRefusal, GatewayRequest, GatewayRoute, InstanceAnswer, LogFields
+  CallerSink, ExchangeFailure, GatewayAccount, GatewayRequest, GatewayRoute, InstanceAnswer, LogFields
 } from '../../../types/index.js'
 import { selectService } from './selectService.js'
 import type { RequestHandler, RequestHandlerContext } from './requestHandler.js'
@@ -27,8 +28,6 @@
 const KEY_CONFIRM_WAIT_MS = 400
 /** Refusals by backend servers after which the request itself is refused, whatever the retry budget: the service is full. */
 const MAXIMUM_REFUSALS = 3
-/** The delay is short because a new connection reaches another node. */
-const SHUTTING_DOWN: GatewayRefusal = { status: 503, reason: 'shuttingDown', retryAfterMs: 20 }
 
 /** Creates the handler of one request; it sends nothing before `assign` and `submit`. */
 export const createRequestHandler = (context: RequestHandlerContext, request: GatewayRequest, sink: CallerSink): RequestHandler => {
@@ -74,11 +73,17 @@
     onDone: () => {
       isDone = true
       reporter.reportEnd()
+      gate.end(attemptsStarted > 0)
       context.onDone()
     }
   })
   const { finish, refuse, giveUp } = finalAnswer
 
+  // Asked before every send, retries included: the shutdown may have begun while the request waited.
+  const passesShutdown = (to: GatewayRoute): boolean => context.shutdownGate.passes(to, request, deadline.computeMaximumMs(to, mayHaveRun))
+
+  const gate = createAdmissionGate(context, { request, record, send: () => send(), passesShutdown, refuse })
+
   const isRetryable = (): boolean => route !== undefined && (route.retryPolicy === 'safe' || (route.retryPolicy === 'stream' && route.isResumable))
 
   const toRouted = (to: GatewayRoute): RoutedRequest => ({ route: to, account, service, bodyBytes: body?.length ?? 0 })
@@ -124,10 +129,10 @@
       return
     }
     if (keyStatus === 'revoked') return mayHaveRun ? giveUp('unknownKey', 502) : refuse({ status: 401, reason: 'unknownKey' })
-    // Checked before every send, retries included: the shutdown may have begun while the request waited.
-    if (!context.shutdownGate.passes(route, request, deadline.computeMaximumMs(route, mayHaveRun))) return mayHaveRun ? giveUp('shuttingDown', 502) : refuse(SHUTTING_DOWN)
+    if (!passesShutdown(route)) return mayHaveRun ? giveUp('shuttingDown', 502) : refuse(SHUTTING_DOWN)
     const remainingMs = deadline.remainingMs()
     if (remainingMs <= 1) return giveUp('deadlineBeforeSend', 504)
+    if (attemptsStarted === 0 && !gate.passes(toRouted(route), deadline.at())) return
     const path = paths.select(toRouted(route))
     if (path.kind === 'none') return giveUpWithoutInstance(route)
     if (attemptsStarted === 0) recordStart()
@@ -258,17 +263,10 @@
   const check = (now: number): void => {
     if (isDone) return
     if (now >= deadline.at()) return giveUp(mayHaveRun ? 'deadline' : 'deadlineBeforeSend', 504)
+    gate.check()
     const current = activeAttempt
     if (current === undefined || route === undefined || !current.isSent) return
-    const isDue = isFailoverDue({
-      hasBegun: caller.hasBegun(),
-      waitedMs: now - current.lastBytesAt,
-      instanceWaitedMs: current.target.readIdleMs(),
-      firstByteTargetMs: route.latencyTargetMs,
-      pauseTargetMs: route.eventGapTargetMs,
-      usualFirstByteMs: context.firstByteTimes.readAverage(route.name)
-    })
-    if (!isDue) return
+    if (!isTargetSilent(context, route, current, caller.hasBegun(), now)) return
     if (isRetryable() && canRetry()) return moveToOtherTarget(current, now)
     reporter.reportUnresponsive(current)
   }
@@ -279,7 +277,7 @@
       route = to
       account = owner
       service = selectService(to, request, random)
-      if (!context.shutdownGate.passes(to, request, deadline.computeMaximumMs(to, mayHaveRun))) return refuse(SHUTTING_DOWN)
+      if (!passesShutdown(to)) return refuse(SHUTTING_DOWN)
       // The body may have arrived while the request waited for its route.
       send()
     },
--- a/src/services/forwarding/_lib/requestHandler.ts
+++ b/src/services/forwarding/_lib/requestHandler.ts
@@ -1,4 +1,5 @@
 /** Types of the handler of one forwarded request, and of what the forwarding service passes to it. */
+import type { RefusedCallers } from './createRefusedCallers.js'
 import type { RetryWindows } from './createRetryWindows.js'
 import type { ShutdownGate } from './createShutdownGate.js'
 import type { StreamDurations } from './createStreamDurations.js'
@@ -17,6 +18,9 @@
   readonly firstByteTimes: FirstByteTimes
   readonly tokenPace: TokenPace
   readonly streamDurations: StreamDurations
+  readonly refusedCallers: RefusedCallers
+  /** Whether requests wait in this node while no backend server has room. */
+  readonly readControlsAdmission: () => boolean
   readonly shutdownGate: Pick<ShutdownGate, 'passes'>
   readonly onDone: () => void
 }
--- a/src/services/forwarding/_lib/selectInstance.ts
+++ b/src/services/forwarding/_lib/selectInstance.ts
@@ -64,7 +64,7 @@
   Math.min(...dependencies.registry.list(input.service).map((instance) => computeWaitMs(dependencies, input, instance)))
 
 /** Suspended servers are used only when no other is left: a server that probably fails is better than a refusal. */
-const listUsable = (dependencies: SelectionDependencies, input: SelectionInput): { readonly usable: readonly BackendInstance[], readonly isLastResort: boolean } => {
+export const listUsable = (dependencies: SelectionDependencies, input: SelectionInput): { readonly usable: readonly BackendInstance[], readonly isLastResort: boolean } => {
   const eligible = listUntried(dependencies, input).filter((instance) => evaluate(dependencies, input, instance) === 'open')
   const usable = eligible.filter((instance) => !dependencies.health.isSuspended(instance))
   return usable.length > 0 ? { usable, isLastResort: false } : { usable: eligible, isLastResort: true }
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -5,6 +5,7 @@
  */
 import { createRequestHandler } from './_lib/createRequestHandler.js'
 import type { RequestHandler, RequestHandlerContext } from './_lib/requestHandler.js'
+import { createRefusedCallers } from './_lib/createRefusedCallers.js'
 import { createRetryWindows } from './_lib/createRetryWindows.js'
 import { createShutdownGate } from './_lib/createShutdownGate.js'
 import { createStreamDurations } from './_lib/createStreamDurations.js'
@@ -18,7 +19,7 @@
 import { selectGatewayRoute } from '../../decisions/selectGatewayRoute/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import type {
-  Clock, Forwarding, CallerSink, GatewayConfigurationHolder, GatewayRefusal, GatewayRequest, GatewayRoute, InstanceClient, InstanceRegistry,
+  BackendInstance, Clock, Forwarding, CallerSink, GatewayConfigurationHolder, GatewayRefusal, GatewayRequest, GatewayRoute, ImmediateAdmission, InstanceClient, InstanceRegistry,
   LoadView, Logger, Membership, Metrics, RandomSource, Timer, ZoneDrains
 } from '../../types/index.js'
 import type { InstanceHealth } from '../instanceHealth/index.js'
@@ -47,6 +48,10 @@
   readonly warmUp: WarmUpLimiter
   readonly refusals: RefusalLimiter
   readonly client: InstanceClient
+  /** Queues of requests that wait for room; omitted where none ever waits. */
+  readonly admission?: ImmediateAdmission
+  /** Whether a backend server can take the request now; by default while it has a free slot. */
+  readonly hasRoom?: (instance: BackendInstance, request: GatewayRequest) => boolean
 }
 
 /** What operators may change while the node runs. */
@@ -58,6 +63,8 @@
   readonly keyFreshnessMs: number
   /** A configuration confirmed longer ago than this is no proof that a route or key does not exist; in milliseconds. */
   readonly configurationFreshnessMs: number
+  /** Whether requests wait in this node while no backend server has room; off by default. */
+  readonly controlsAdmission?: boolean
 }
 
 /** A request that arrived before the node had its first configuration, server list and zone drains. */
@@ -146,6 +153,8 @@
     regionByZone: options.regionByZone ?? NO_REGIONS,
     readLoadFactor: () => options.readBounds().loadFactor,
     readKeyFreshnessMs: () => options.readBounds().keyFreshnessMs,
+    readControlsAdmission: () => options.readBounds().controlsAdmission === true,
+    refusedCallers: createRefusedCallers(clock),
     retryWindows,
     firstByteTimes,
     tokenPace,
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -274,6 +274,7 @@
   | 'noInstance' | 'serviceFull' | 'deadlineBeforeSend' | 'deadline' | 'instanceFailed' | 'answerBroken'
   | 'instancesRefused' | 'shuttingDown' | 'crossedAnswer' | 'zoneDrained' | 'backingOff' | 'warmingUp' | 'regionNotAllowed'
   | 'relayLimit'
+  | 'waitTooLong' | 'overShare' | 'queueFull' | 'repeatedEarly' | 'lessUrgent'
 
 /** A final answer created by the node itself. */
 export type GatewayRefusal = {
--- a/src/types/gatewayEvents.ts
+++ b/src/types/gatewayEvents.ts
@@ -21,6 +21,8 @@
 
 export const gatewayEvents = {
   'request sent': { level: 'info', linesPerSecond: REQUEST_LINES_PER_SECOND, meaning: 'a request went to a backend server' },
+  'request waits': { level: 'info', linesPerSecond: REQUEST_LINES_PER_SECOND, meaning: 'no backend server has room for a request; the line has the inputs of the decision' },
+  'request admitted': { level: 'info', linesPerSecond: REQUEST_LINES_PER_SECOND, meaning: 'a request that waited is sent now' },
   'request relayed': { level: 'info', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'a request went to a peer, because this node does not reach the backend servers' },
   'peer refused': { level: 'info', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'a peer states that it had a relayed request not run' },
   'peer avoided': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a peer gets no relayed requests for a while after a failure' },
--- a/src/types/request.ts
+++ b/src/types/request.ts
@@ -26,7 +26,7 @@
 export type RefusalReason =
   | 'badRequest' | 'unauthorized' | 'unknownModel' | 'unknownRoute' | 'bodyTooLarge'
   | 'idempotencyKeyMissing' | 'idempotencyKeyReused' | 'noConfiguration' | 'noBackendServer'
-  | 'overShare' | 'queueFull' | 'deadline' | 'platformUnavailable' | 'backendFailed'
+  | 'overShare' | 'queueFull' | 'repeatedEarly' | 'lessUrgent' | 'deadline' | 'platformUnavailable' | 'backendFailed'
   | 'answerIncomplete' | 'claimedElsewhere' | 'cancelled'
 
 /** The final answer when there is no complete one. States whether the request may have run. */
--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -111,16 +111,48 @@
   readonly mergeUsage: (nodeId: string, usage: readonly AccountUsage[]) => void
 }
 
-export type AdmissionDemand = {
+/** The admission of a node that sends in the same turn in which room is found, before the next request is admitted. */
+export type ImmediateAdmission = Pick<Admission, 'usage' | 'mergeUsage'> & {
+  readonly enter: (demand: WaitingDemand, settle: (outcome: Result<AdmissionTicket, AdmissionRefusal>) => void) => WaitingPlace
+}
+
+export type WaitingDemand = {
   readonly clientAccount: string
   readonly service: string
+  /** Name of the queue, for requests that may go to some servers of the service only; the service by default. */
+  readonly queue?: string
   readonly tokens: number
   readonly overnight: boolean
+  /** 0 is the most urgent. Counts only in queues that are ordered by priority. */
+  readonly priority?: number
+  /** Monotonic milliseconds until which the request may wait. */
   readonly deadlineAt: number
-  readonly signal: AbortSignal
+  /** Bytes that the node holds for the request while it waits; 0 by default. */
+  readonly bytes?: number
+  /** Whether its caller was refused before and has not waited for the Retry-After. */
+  readonly isRepeat?: boolean
+  /** Whether a backend server that may get the request has room; by default the slots of the service are counted. */
+  readonly hasRoom?: () => boolean
+}
+
+export type AdmissionDemand = WaitingDemand & { readonly signal: AbortSignal }
+
+/** The inputs of a decision of the queue, for the log. */
+export type QueueState = {
+  readonly queueLength: number
+  readonly expectedWaitMs: number
+  /** Recent work of the account in the whole fleet, in tokens. */
+  readonly accountTokens: number
+}
+
+export type WaitingPlace = {
+  /** State of the queue when the request entered it. */
+  readonly state: QueueState
+  /** Gives up the place of a request that still waits. */
+  readonly leave: () => void
 }
 
-export type AdmissionRefusal = { readonly reason: RefusalReason, readonly retryAfterMs: number }
+export type AdmissionRefusal = { readonly reason: RefusalReason, readonly retryAfterMs: number, readonly state?: QueueState }
 
 /** The properties of a request that placement considers. */
 export type PlacementDemand = {
