--- a/src/decisions/explainRequest/test.ts
+++ b/src/decisions/explainRequest/test.ts
@@ -20,5 +20,9 @@
   test('lists the state changes of its node that concern its server or no particular server', () => {
     expect(explainRequest(records, 'r1').stateChanges.map(({ event, time }) => [event, time])).toEqual([['configuration source lost', 9_000], ['backend server held', 10_200]])
   })
+  test('lists why a request waited and was refused', () => {
+    const waiting = [createRecord('request ended', 40, { requestId: 'r5', reason: 'waitTooLong', expectedWaitMs: 900 }), createRecord('request waits', 10, { requestId: 'r5', queueLength: 7 })]
+    expect(explainRequest(waiting, 'r5').steps.map(({ event }) => event)).toEqual(['request waits', 'request ended'])
+  })
   test('returns nothing for an unknown id', () => expect(explainRequest(records, 'r9')).toEqual({ steps: [], stateChanges: [] }))
 })
--- a/src/services/admission/_lib/createServiceQueue.ts
+++ b/src/services/admission/_lib/createServiceQueue.ts
@@ -5,6 +5,7 @@
  */
 import { failure, success } from '../../../kernel/index.js'
 import { estimateWait } from '../../../decisions/estimateWait/index.js'
+import { estimateWorkAhead } from '../../../decisions/estimateWorkAhead/index.js'
 import { listOverShareAccounts } from '../../../decisions/listOverShareAccounts/index.js'
 import type { QueuedContender } from '../../../decisions/selectOverShareAccount/index.js'
 import { selectNextAccount } from '../../../decisions/selectNextAccount/index.js'
@@ -28,6 +29,8 @@
 const CLASS_OVERNIGHT = '\u0000overnight'
 const CLASS_ALL = '\u0000all'
 
+const sumQueued = (accounts: readonly WaitingAccount[]): number => accounts.reduce((sum, { queuedTokens }) => sum + queuedTokens, 0)
+
 export type Settle = (outcome: Result<AdmissionTicket, AdmissionRefusal>) => void
 
 export type ServiceQueueDependencies = {
@@ -143,27 +146,38 @@
     })
   }
 
-  const toWaitMs = (tokens: number, ownTokens: number): number => {
-    if (options.order === 'classes') return throughput.estimateMs(tokens)
-    const { durationMs, tokens: meanTokens } = throughput.meanRun()
-    return estimateWait({ tokensAhead: tokens + ownTokens, tokensPerMs: throughput.tokensPerMs(), meanTokens, meanDurationMs: durationMs, slots: Math.max(running, countEqualPart()) })
-  }
-
-  /** Estimates the wait of a request before which its account has `ownTokens` of work waiting at the same priority. */
-  const estimateWaitMs = (demand: WaitingDemand, ownTokens: number): number => {
+  const estimateClassWaitMs = (demand: WaitingDemand, ownTokens: number): number => {
     const { urgent, same } = lists.listAhead(demand)
-    const others = same.filter((account) => account.clientAccount !== demand.clientAccount)
+    const waiting = [...urgent, ...same]
+    const others = waiting.filter((account) => account.clientAccount !== demand.clientAccount)
     const weight = findWeight(demand.clientAccount)
     const allWeights = others.reduce((sum, account) => sum + findWeight(account.clientAccount), weight)
-    const tokensAhead = Math.min(
-      ownTokens * allWeights / weight,
-      others.reduce((sum, account) => sum + account.queuedTokens, ownTokens)
-    )
-    return toWaitMs(tokensAhead + urgent.reduce((sum, account) => sum + account.queuedTokens, 0), demand.tokens)
+    return throughput.estimateMs(Math.min(ownTokens * allWeights / weight, sumQueued(waiting)))
+  }
+
+  const estimatePriorityWaitMs = (demand: WaitingDemand, ownTokens: number): number => {
+    const { urgent, same } = lists.listAhead(demand)
+    const { clientAccount, tokens } = demand
+    const own = describe({ clientAccount, waitingSince: clock.now(), queuedTokens: ownTokens })
+    const others = same.filter((account) => account.clientAccount !== clientAccount).map(describe)
+    const { durationMs, tokens: meanTokens } = throughput.meanRun()
+    return estimateWait({
+      tokensAhead: sumQueued(urgent) + estimateWorkAhead({ own, tokens, others }) + tokens,
+      tokensPerMs: throughput.tokensPerMs(),
+      meanTokens,
+      meanDurationMs: durationMs,
+      slots: Math.max(running, countEqualPart())
+    })
   }
 
-  const estimateForNew = (demand: WaitingDemand): number =>
-    estimateWaitMs(demand, lists.listAhead(demand).same.find((account) => account.clientAccount === demand.clientAccount)?.queuedTokens ?? 0)
+  /** Estimates the wait of a request before which its account has `ownTokens` of work waiting in the same list. */
+  const estimateWaitMs = options.order === 'classes' ? estimateClassWaitMs : estimatePriorityWaitMs
+
+  const estimateForNew = (demand: WaitingDemand): number => {
+    const { urgent, same } = lists.listAhead(demand)
+    const own = (options.order === 'classes' ? [...urgent, ...same] : same).find((account) => account.clientAccount === demand.clientAccount)
+    return estimateWaitMs(demand, own?.queuedTokens ?? 0)
+  }
 
   const readState = (demand: WaitingDemand): QueueState =>
     ({ queueLength: lists.length(), expectedWaitMs: estimateForNew(demand), accountTokens: usage.measureFleet(service, demand.clientAccount) })
