--- a/src/decisions/computeRetryAfter/test.ts
+++ b/src/decisions/computeRetryAfter/test.ts
@@ -18,4 +18,11 @@
   test('waits the usual time when no end is known', () => expect(computeRetryAfter(0, { reason: 'noInstance', availableInMs: Infinity })).toBe(250))
   test.each(['staleKeys', 'zoneDrained'] as const)('does not wait for a backend server after %s', (reason) =>
     expect(computeRetryAfter(0, { reason, availableInMs: 9_000 })).toBeLessThan(9_000))
+
+  test('asks to wait as long as the queue does, spread over half as long again', () =>
+    expect([0, 0.5].map((share) => computeRetryAfter(share, { reason: 'waitTooLong', availableInMs: 4_000 }))).toEqual([4_000, 5_000]))
+
+  // Told to come back when most of its time is over, a caller does not return at all.
+  test('asks to wait for a third of the time left at most', () =>
+    expect([0, 0.5].map((share) => computeRetryAfter(share, { reason: 'lessUrgent', availableInMs: 4_000, remainingMs: 3_000 }))).toEqual([500, 750]))
 })
--- a/src/decisions/computeWaitLimit/index.ts
+++ b/src/decisions/computeWaitLimit/index.ts
@@ -10,6 +10,8 @@
   readonly deadlineAt: number
   /** Expected time from the send to the end of the answer, in milliseconds. */
   readonly workMs: number
+  /** Whether its caller came back before its Retry-After. */
+  readonly isRepeat?: boolean
 }
 
 /**
@@ -35,8 +37,10 @@
  * @example
  * computeWaitLimit({ retryPolicy: 'safe', latencyTargetMs: 200, receivedAt: 0, deadlineAt: 1_000, workMs: 100 }) // => 600
  */
-export const computeWaitLimit = ({ retryPolicy, latencyTargetMs, receivedAt, deadlineAt, workMs }: WaitLimitInput): number => {
+export const computeWaitLimit = ({ retryPolicy, latencyTargetMs, receivedAt, deadlineAt, workMs, isRepeat = false }: WaitLimitInput): number => {
   const targetAt = receivedAt + latencyTargetMs
+  // In a queue that makes its requests late, the places go to callers that do as they were told.
+  if (isRepeat) return Math.min(targetAt, deadlineAt - WORK_MULTIPLES[retryPolicy] * workMs)
   const lateLimit = targetAt + MAXIMUM_LATE_SHARE * Math.max(0, deadlineAt - targetAt)
   return Math.min(lateLimit, deadlineAt - WORK_MULTIPLES[retryPolicy] * workMs)
 }
--- a/src/services/forwarding/_lib/describeDemand.ts
+++ b/src/services/forwarding/_lib/describeDemand.ts
@@ -39,6 +39,7 @@
   const allowedRegions = [route.allowedRegions ?? [], account?.allowedRegions ?? []]
   const input: SelectionInput = { request, service, bodyBytes, tried: new Set(request.relay?.tried), allowedRegions }
   const isModelService = context.configuration.current()?.services.get(service)?.isModelService === true
+  const isRepeat = context.refusedCallers.isEarly({ request, route, account })
   const isRestricted = allowedRegions.some((regions) => regions.length > 0)
   return {
     clientAccount: account?.name ?? NO_ACCOUNT,
@@ -53,10 +54,11 @@
       latencyTargetMs: route.latencyTargetMs,
       receivedAt: request.receivedAt,
       deadlineAt,
-      workMs: estimateWorkMs(context, request, routed)
+      workMs: estimateWorkMs(context, request, routed),
+      isRepeat
     }),
     bytes: bodyBytes,
-    isRepeat: context.refusedCallers.isEarly({ request, route, account }),
+    isRepeat,
     hasRoom: () => hasRoom(context, request, input)
   }
 }
