--- a/src/services/forwarding/_lib/createAdmissionGate.ts
+++ b/src/services/forwarding/_lib/createAdmissionGate.ts
@@ -110,6 +110,8 @@
 
   return {
     passes: (routed, deadlineAt) => {
+      // A caller that resumes its stream has waited already, and the work done for it would be lost.
+      if (request.lastEventId !== undefined) return true
       if (ticket !== undefined || admission === undefined || !context.readControlsAdmission()) return true
       if (isWaiting || isEnded) return false
       demand = describeDemand(context, request, routed, deadlineAt)
--- a/src/services/forwarding/waiting.test.ts
+++ b/src/services/forwarding/waiting.test.ts
@@ -59,7 +59,7 @@
   leftAt?: number
 }
 
-type CallOptions = { readonly account?: string, readonly leavesAfterMs?: number | undefined, readonly onRefused?: (call: Call) => void, readonly target?: string }
+type CallOptions = { readonly account?: string, readonly leavesAfterMs?: number | undefined, readonly onRefused?: (call: Call) => void, readonly target?: string, readonly lastEventId?: number }
 
 const startNode = (controlsAdmission: boolean) => {
   const clock = createManualClock()
@@ -142,7 +142,7 @@
     readBounds: () => ({ loadFactor: 2, retryLimits: { ratio: 0.2, extra: 50, windowMs: 10_000 }, keyFreshnessMs: 4_500, configurationFreshnessMs: 2_000, controlsAdmission })
   })
 
-  const call = (route: string, { account = 'b', leavesAfterMs, onRefused, target = String(calls.length) }: CallOptions = {}): Call => {
+  const call = (route: string, { account = 'b', leavesAfterMs, onRefused, target = String(calls.length), lastEventId }: CallOptions = {}): Call => {
     const requestId = `r${calls.length}`
     const made: Call = { route, account, at: clock.now(), finals: 0, sends: 0 }
     calls.push(made)
@@ -167,7 +167,7 @@
       end: () => {},
       fail: end
     }
-    const request: GatewayRequest = { requestId, method: 'GET', host: 'shop.example', target: `/${route}/${target}`, headers: [], credential: `key-${account}`, callerTimeoutMs: undefined, lastEventId: undefined, promptParts: [], tokens: { prompt: 0, output: 0 }, receivedAt: clock.now() }
+    const request: GatewayRequest = { requestId, method: 'GET', host: 'shop.example', target: `/${route}/${target}`, headers: [], credential: `key-${account}`, callerTimeoutMs: undefined, lastEventId, promptParts: [], tokens: { prompt: 0, output: 0 }, receivedAt: clock.now() }
     const forwarded = forwarding.api.begin(request, sink)
     forwarded.submit(new Uint8Array())
     if (leavesAfterMs !== undefined) {
@@ -341,6 +341,12 @@
     expect([made.reason, made.sends]).toEqual(['waitTooLong', 0])
   })
 
+  test('does not wait when it resumes a stream', () => {
+    const node = startNode(true)
+    fill(node)
+    expect(node.call('quick', { lastEventId: 3 }).sends).toBe(1)
+  })
+
   test('does not wait where the settings do not ask for it', () => {
     const node = startNode(false)
     fill(node)
