Let the emulated engine read prompts between tokens and share one memory

Change: options readChunkTokens, memoryTokens and readSlowdown, and requests with an urgency and sizes instead of text. Without them all is as before.

--- a/src/emulator/createModelEngine/_lib/createJob.ts
+++ b/src/emulator/createModelEngine/_lib/createJob.ts
@@ -1,5 +1,5 @@
 /** One request of the emulated engine: the tokens generated so far, its listeners and its grace period. */
-import type { Clock, RequestPriority, Timer } from '../../../types/index.js'
+import type { Clock, PromptPart, RequestPriority, Timer } from '../../../types/index.js'
 import type { ChatMessage, ComposedAnswer } from '../../composeAnswer/index.js'
 import type { JournalRecord } from '../../createJournal/index.js'
 
@@ -11,6 +11,16 @@
   readonly messages: readonly ChatMessage[]
   readonly maximumTokens?: number | undefined
   readonly priority: RequestPriority
+  /** From 0, the most urgent, to 9; by default it follows from `priority`. */
+  readonly urgency?: number
+  /** Sizes that stand for the text of `messages` and of the answer, for benchmarks with long prompts. */
+  readonly sizes?: RequestSizes
+}
+
+export type RequestSizes = {
+  /** Parts of the prompt in order; equal ids stand for equal prefixes. */
+  readonly promptParts: readonly PromptPart[]
+  readonly answerTokens: number
 }
 
 export type JobUsage = { readonly promptTokens: number, readonly cachedTokens: number }
--- a/src/emulator/createModelEngine/_lib/createPrefixCache.ts
+++ b/src/emulator/createModelEngine/_lib/createPrefixCache.ts
@@ -1,13 +1,15 @@
-/** The KV cache of the emulated engine: an LRU cache of chat prefixes, bounded in tokens. */
+/** The KV cache of the emulated engine: an LRU cache of prompt prefixes, bounded in tokens. */
 import { LRUCache } from 'lru-cache'
-import { hashPrefixes, type ChatMessage } from '../../composeAnswer/index.js'
-import { countTokens } from '../../countTokens/index.js'
+import type { PromptPart } from '../../../types/index.js'
 
 export type PrefixCache = {
-  /** Returns the tokens of the longest cached prefix of the chat and marks it as recently used. */
-  readonly matchPrefix: (messages: readonly ChatMessage[]) => number
-  /** Caches every prefix of the chat. */
-  readonly store: (messages: readonly ChatMessage[]) => void
+  /** Returns the tokens of the longest cached prefix of the prompt and marks it as recently used. */
+  readonly matchPrefix: (parts: readonly PromptPart[]) => number
+  readonly has: (id: string) => boolean
+  /** Caches every prefix of the prompt. */
+  readonly store: (parts: readonly PromptPart[]) => void
+  /** Evicts the parts that were used longest ago, except those in use, until at most `tokens` are left. */
+  readonly evictTo: (tokens: number, isInUse: (id: string) => boolean) => void
   /** Tokens in the cache. */
   readonly tokens: () => number
 }
@@ -15,34 +17,34 @@
 /**
  * Creates an empty cache.
  *
- * Each message is one entry, keyed by the hash of the chat up to and including
- * it. The entries of a chat are touched from the last to the first, so that the
- * end of a chat is evicted before its beginning, which other chats may share.
+ * Each part of a prompt is one entry; its id stands for the prompt up to and
+ * including it. The entries of a prompt are touched from the last to the first, so
+ * that its end is evicted before its beginning, which other prompts may share.
  *
  * @param maximumTokens - Size of the cache, in tokens.
  * @returns The cache.
  *
  * @example
- * createPrefixCache(1000).use([{ role: 'user', content: 'hello' }]) // => 0
+ * createPrefixCache(1000).matchPrefix([{ id: 'a', tokens: 10 }]) // => 0
  */
 export const createPrefixCache = (maximumTokens: number): PrefixCache => {
   const entries = new LRUCache<string, number>({ maxSize: Math.max(1, maximumTokens), sizeCalculation: (tokens) => Math.max(1, tokens) })
 
-  const countCached = (hashes: readonly string[]): number => {
-    const firstMissing = hashes.findIndex((hash) => !entries.has(hash))
-    return firstMissing === -1 ? hashes.length : firstMissing
+  const listCached = (parts: readonly PromptPart[]): readonly PromptPart[] => {
+    const firstMissing = parts.findIndex(({ id }) => !entries.has(id))
+    return firstMissing === -1 ? parts : parts.slice(0, firstMissing)
   }
 
   return {
-    matchPrefix: (messages) => {
-      const hashes = hashPrefixes(messages)
-      const cached = hashes.slice(0, countCached(hashes))
-      return cached.reduceRight((sum, hash) => sum + (entries.get(hash) ?? 0), 0)
+    matchPrefix: (parts) => listCached(parts).reduceRight((sum, { id }) => sum + (entries.get(id) ?? 0), 0),
+    has: (id) => entries.has(id),
+    store: (parts) => {
+      for (const { id, tokens } of [...parts].reverse()) entries.set(id, tokens)
     },
-    store: (messages) => {
-      const hashes = hashPrefixes(messages)
-      for (let index = messages.length - 1; index >= 0; index -= 1) {
-        entries.set(hashes[index]!, countTokens(messages[index]!.content))
+    evictTo: (tokens, isInUse) => {
+      for (const id of [...entries.rkeys()]) {
+        if (entries.calculatedSize <= tokens) return
+        if (!isInUse(id)) entries.delete(id)
       }
     },
     tokens: () => entries.calculatedSize
--- a/src/emulator/createModelEngine/test.ts
+++ b/src/emulator/createModelEngine/test.ts
@@ -119,4 +119,40 @@
     first.cancel()
     expect(engine.journal.entries().map(({ requestId, outcome }) => [requestId, outcome])).toEqual([['a', 'cancelled'], ['b', 'running']])
   })
+
+  const buildSizedRequest = (requestId: string, promptTokens: number, answerTokens: number, urgency = 5): EngineRequest =>
+    buildRequest(requestId, { messages: [], urgency, sizes: { promptParts: [{ id: requestId, tokens: promptTokens }], answerTokens } })
+
+  it('delays the tokens of others while it reads a prompt in chunks', () => {
+    const timeToFinish = (changes: Partial<ModelEngineOptions>): number => {
+      const { clock, submit } = startEngine({ decodeIntervalPerRequestMs: 0, ...changes })
+      let finishedAt = 0
+      submit(buildSizedRequest('a', 0, 5)).listen(() => { finishedAt = clock.now() })
+      submit(buildSizedRequest('b', 100, 1))
+      clock.runUntilIdle(1_000)
+      return finishedAt
+    }
+    // Five steps of 10 ms; the chunks add 50 ms to two of them.
+    expect([timeToFinish({}), timeToFinish({ readChunkTokens: 50 }), timeToFinish({ readSlowdown: () => 2 })]).toEqual([50, 150, 100])
+  })
+
+  it('pre-empts the newest of the least urgent when a more urgent prompt does not fit', () => {
+    const { clock, engine, submit } = startEngine({ readChunkTokens: 1_000, memoryTokens: 1_000 })
+    const jobs = [buildSizedRequest('older', 400, 50, 7), buildSizedRequest('newer', 400, 50, 7), buildSizedRequest('urgent', 300, 50, 2)].map(submit)
+    expect([engine.load(), jobs.map((job) => job.usage().promptTokens)]).toEqual([{ running: 2, waiting: 1 }, [400, 400, 300]])
+    const order: string[] = []
+    for (const job of jobs) job.listen(() => { if (job.outcome() === 'complete') order.push(job.request.requestId) })
+    clock.runUntilIdle(60_000)
+    expect([order, jobs.map((job) => job.emitted())]).toEqual([['older', 'urgent', 'newer'], [50, 50, 50]])
+  })
+
+  it('pre-empts a request when answers outgrow the memory, and refuses one that never fits', () => {
+    const { clock, engine, submit } = startEngine({ readChunkTokens: 1_000, memoryTokens: 1_000 })
+    const jobs = [buildSizedRequest('a', 400, 200), buildSizedRequest('b', 400, 200)].map(submit)
+    clock.advance(2_500)
+    expect(engine.load()).toEqual({ running: 1, waiting: 1 })
+    clock.runUntilIdle(60_000)
+    expect(jobs.map((job) => [job.outcome(), job.emitted()])).toEqual([['complete', 200], ['complete', 200]])
+    expect(engine.submit(buildSizedRequest('c', 900, 200))).toEqual({ ok: false, error: { reason: 'overloaded' } })
+  })
 })
