--- a/src/emulator/createInProcessFleet/_lib/createFleetSource.ts
+++ b/src/emulator/createInProcessFleet/_lib/createFleetSource.ts
@@ -5,7 +5,7 @@
  */
 import { failure, success } from '../../../kernel/index.js'
 import type {
-  BackendInstance, Clock, ConfigurationRecords, ConfigurationSource, GatewayConfiguration, GatewayRoute, InstanceSource, Result, SourcedConfiguration, SourceError, ZoneDrainChange, ZoneDrainSource
+  BackendInstance, Clock, ConfigurationRecords, ConfigurationSource, GatewayConfiguration, InstanceSource, Result, SourcedConfiguration, SourceError, ZoneDrainChange, ZoneDrainSource
 } from '../../../types/index.js'
 
 export type FleetSource = {
@@ -33,13 +33,14 @@
 /** Time after which a call from a node that cannot reach the source fails, in milliseconds. */
 const UNREACHABLE_TIMEOUT_MS = 500
 
-const createConfiguration = (version: number, routes: readonly GatewayRoute[]): GatewayConfiguration => ({
-  version,
-  routes,
+const createConfiguration = (version: number, changes: Partial<GatewayConfiguration>): GatewayConfiguration => ({
+  routes: [],
   services: new Map(),
   limits: { maximumHeaderBytes: 1, maximumBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
   needsKeys: false,
-  accountsByKey: new Map()
+  accountsByKey: new Map(),
+  ...changes,
+  version
 })
 
 type RouteRecord = { readonly name: string, readonly host: string, readonly version: number }
@@ -47,7 +48,7 @@
 const createRoute = (index: number, version: number): RouteRecord => ({ name: `route-${index}`, host: `${index}.shop.example`, version })
 
 /** Creates configurations whose unchanged records are the same objects from one version to the next, as those of a real source are. */
-const createConfigurationCodec = (routes: number, gatewayRoutes: readonly GatewayRoute[]) => {
+const createConfigurationCodec = (routes: number, changes: Partial<GatewayConfiguration>) => {
   const internedRoutes = new Map<string, RouteRecord>()
 
   const intern = (record: RouteRecord): RouteRecord => {
@@ -61,9 +62,9 @@
     Array.from({ length: routes }, (_, index) => intern(createRoute(index, index === routes - 1 ? version : 0)))
 
   return {
-    read: (version: number): SourcedConfiguration => ({ configuration: createConfiguration(version, gatewayRoutes), records: { rest: [version], routes: listRoutes(version) }, revision: version }),
+    read: (version: number): SourcedConfiguration => ({ configuration: createConfiguration(version, changes), records: { rest: [version], routes: listRoutes(version) }, revision: version }),
     decode: (records: ConfigurationRecords, revision: number): SourcedConfiguration =>
-      ({ configuration: createConfiguration(Number(records['rest']?.[0]), gatewayRoutes), records: { ...records, routes: (records['routes'] as readonly RouteRecord[]).map(intern) }, revision })
+      ({ configuration: createConfiguration(Number(records['rest']?.[0]), changes), records: { ...records, routes: (records['routes'] as readonly RouteRecord[]).map(intern) }, revision })
   }
 }
 
@@ -75,8 +76,8 @@
 
 type Change<Value> = { readonly revision: number, readonly value: Value }
 
-/** Creates the source; `routes` is the number of route records in each configuration, `gatewayRoutes` are the routes to forward on. */
-export const createFleetSource = (clock: Clock, routes: number, gatewayRoutes: readonly GatewayRoute[] = []): FleetSource => {
+/** Creates the source; `routes` is the number of route records in each configuration, `changes` are the other parts of the configuration. */
+export const createFleetSource = (clock: Clock, routes: number, changes: Partial<GatewayConfiguration> = {}): FleetSource => {
   const versions: { readonly at: number, readonly version: number }[] = [{ at: -Infinity, version: 1 }]
   const instances = new Map<string, BackendInstance>()
   const instanceChanges: Change<string>[] = []
@@ -118,7 +119,7 @@
   }
 
   const createConfigurationSource = (node: number): ConfigurationSource => {
-    const codec = createConfigurationCodec(routes, gatewayRoutes)
+    const codec = createConfigurationCodec(routes, changes)
     return {
       read: () => call(node, () => codec.read(getNewestVersion(clock.now()))),
       decode: (records, configurationRevision) => success(codec.decode(records, configurationRevision))
--- a/src/emulator/createInProcessFleet/index.ts
+++ b/src/emulator/createInProcessFleet/index.ts
@@ -11,7 +11,7 @@
 import { createMemoryRelay } from '../createMemoryRelay/index.js'
 import { success } from '../../kernel/index.js'
 import { createGatewayNode, type GatewayNode } from '../../node/createGatewayNode/index.js'
-import type { GatewayRoute, InstanceClient, Logger, Metrics, PeerAddress } from '../../types/index.js'
+import type { GatewayConfiguration, GatewayRoute, GatewaySettings, InstanceClient, Logger, Metrics, PeerAddress } from '../../types/index.js'
 
 export type InProcessFleetOptions = {
   readonly nodesPerZone: number
@@ -24,6 +24,12 @@
   readonly isLinked?: (node: number, other: number) => boolean
   /** Routes on which the nodes forward requests; none by default. */
   readonly gatewayRoutes?: readonly GatewayRoute[]
+  /** Services, client accounts and other parts of the configuration that differ from an empty one. */
+  readonly gatewayConfiguration?: Partial<GatewayConfiguration>
+  /** Settings of all nodes that differ from those of a small deployment. */
+  readonly settings?: Partial<GatewaySettings>
+  /** Clock that the fleet shares with its backend servers; a new one by default. */
+  readonly clock?: ManualClock
   /** Number of routes in each configuration, of which the last one changes with each version; 0 by default. */
   readonly routes?: number
 }
@@ -55,9 +61,9 @@
 
 /** Creates the fleet; its nodes do not run before `start`. */
 export const createInProcessFleet = (options: InProcessFleetOptions): InProcessFleet => {
-  const clock = createManualClock()
+  const clock = options.clock ?? createManualClock()
   const network = createMemoryPeerNetwork({ clock, delayMs: () => 5 })
-  const source = createFleetSource(clock, options.routes ?? 0, options.gatewayRoutes)
+  const source = createFleetSource(clock, options.routes ?? 0, { ...options.gatewayConfiguration, routes: options.gatewayRoutes ?? [] })
   const transports: MemoryPeerTransport[] = []
 
   const addressOf = (index: number): PeerAddress => ({ host: `node-${String(index).padStart(3, '0')}`, port: 1 })
@@ -77,7 +83,8 @@
         callerAddress: address,
         readinessAddress: address,
         peerAddress: address,
-        seedPeers: [0, 1, 2].filter((seed) => seed !== index).map(addressOf)
+        seedPeers: [0, 1, 2].filter((seed) => seed !== index).map(addressOf),
+        ...options.settings
       }),
       clock,
       random: { next: options.random, nextId: () => String(options.random()) },
