Measure goodput above the capacity of a model service

Cause: no benchmark showed what callers get when more work arrives than the engines do. The first numbers of a seeded source are close to 1 for small seeds, so that the first seconds of each stream of arrivals were empty.

--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -10,6 +10,7 @@
   directory: async () => (await import('./directory/index.js')).runDirectoryBench,
   fairness: async () => (await import('./fairness/index.js')).runFairnessBench,
   fleetLoad: async () => (await import('./fleetLoad/index.js')).runFleetLoadBench,
+  overload: async () => (await import('./overload/index.js')).runOverloadBench,
   gatewayControl: async () => (await import('./gatewayControl/index.js')).runGatewayControlBench,
   placement: async () => (await import('./placement/index.js')).runPlacementBench,
   quantiles: async () => (await import('./quantiles/index.js')).runQuantilesBench,
--- a/src/emulator/createArrivals/index.ts
+++ b/src/emulator/createArrivals/index.ts
@@ -60,6 +60,14 @@
 const ESTIMATE_SPREAD = 0.7
 /** Separates the seeds of the random sources. */
 const SEED_STRIDE = 7_919
+/** Numbers dropped from each random source: the first ones of small seeds are alike and close to 1. */
+const DROPPED_NUMBERS = 16
+
+const createStreamRandom = (seed: number, index: number): RandomSource => {
+  const random = createSeededRandom(seed + SEED_STRIDE * (index + 1))
+  for (let dropped = 0; dropped < DROPPED_NUMBERS; dropped++) random.next()
+  return random
+}
 
 const drawNormal = (random: RandomSource): number => Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next())
 
@@ -134,5 +142,5 @@
  */
 export const createArrivals = (options: ArrivalsOptions): readonly CallerArrival[] =>
   listStreams(options)
-    .flatMap((stream, index) => createStreamArrivals(options, stream, createSeededRandom(options.seed + SEED_STRIDE * (index + 1))))
+    .flatMap((stream, index) => createStreamArrivals(options, stream, createStreamRandom(options.seed, index)))
     .sort((left, right) => left.at - right.at)
