--- a/src/bench/crowd/_lib/simulateBurst.ts
+++ b/src/bench/crowd/_lib/simulateBurst.ts
@@ -6,6 +6,7 @@
  */
 import { createSeededRandom } from '../../../adapters/seededRandom/index.js'
 import { createInProcessFleet, type InProcessFleet } from '../../../emulator/createInProcessFleet/index.js'
+import { describeEngines } from '../../../emulator/describeEngines/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 import { selectInstance } from '../../../services/forwarding/_lib/selectInstance.js'
 import type { GatewayNode } from '../../../node/createGatewayNode/index.js'
@@ -139,7 +140,7 @@
  */
 export const simulateBurst = async (options: BurstOptions): Promise<BurstOutcome> => {
   const random = createSeededRandom(options.seed).next
-  const fleet = createInProcessFleet({ nodesPerZone: options.nodesPerZone, zones: options.zones, random, engine: ENGINE })
+  const fleet = createInProcessFleet({ nodesPerZone: options.nodesPerZone, zones: options.zones, random, gatewayConfiguration: { services: describeEngines(ENGINE) } })
   const engines = createEngineTracker(fleet, options.zones)
   for (let index = 0; index < options.engines; index++) engines.add(index)
   await fleet.start()
--- a/src/bench/gatewayControl/index.ts
+++ b/src/bench/gatewayControl/index.ts
@@ -5,6 +5,7 @@
  */
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { createInProcessFleet, type InProcessFleet } from '../../emulator/createInProcessFleet/index.js'
+import { describeEngines } from '../../emulator/describeEngines/index.js'
 import { groupBy } from '../../kernel/groupBy/index.js'
 import { formatInstanceKey } from '../../decisions/formatInstanceKey/index.js'
 import type { EngineCapacity } from '../../types/index.js'
@@ -86,7 +87,7 @@
 
 const measure = async (size: GatewayFleetSize, seed: number): Promise<readonly (string | number)[]> => {
   const random = createRandom(seed)
-  const fleet = createInProcessFleet({ nodesPerZone: size.nodes / size.zones, zones: size.zones, random, engine: ENGINE })
+  const fleet = createInProcessFleet({ nodesPerZone: size.nodes / size.zones, zones: size.zones, random, gatewayConfiguration: { services: describeEngines(ENGINE) } })
   for (let index = 0; index < size.servers; index++) fleet.putInstance(`engine-${index}`, { availabilityZone: `zone-${index % size.zones}` })
   await fleet.start()
   await fleet.clock.advanceAndSettle(WARM_UP_MS / 2)
