Log what a node knows of a prompt's cached parts at each send

Which shared tokens are read again, and why, could not be told from the log: request sent now states the shared tokens, those believed cached at the server and the longest prefix that could be copied. No decision changes.

--- a/src/services/forwarding/_lib/describeSend.ts
+++ b/src/services/forwarding/_lib/describeSend.ts
@@ -18,12 +18,13 @@
   ({ load, meanLoad: roundToHundredths(meanLoad), loadBound: roundToHundredths(bound), candidates, underBound })
 
 /** Returns the fields of `request sent`; times in milliseconds, loads in requests in flight. */
-export const describeSend = (context: RequestHandlerContext, request: Pick<GatewayRequest, 'promptParts'>, { instance, copyPromptFrom, loadEstimate }: SelectedInstance): LogFields => ({
+export const describeSend = (context: RequestHandlerContext, request: Pick<GatewayRequest, 'promptParts'>, { instance, copyPromptFrom, loadEstimate, promptEstimate }: SelectedInstance): LogFields => ({
   backendServer: instance.id,
   incarnation: instance.incarnation,
   ...describeState(context, instance),
   // The last part is unique to the request, so the one before it identifies the shared prefix.
   prompt: request.promptParts.at(-2)?.id,
+  ...(promptEstimate.sharedTokens > 0 ? promptEstimate : {}),
   ...describeLoadEstimate(loadEstimate),
   copyPromptFrom: copyPromptFrom?.id
 })
--- a/src/services/forwarding/_lib/selectInstance.ts
+++ b/src/services/forwarding/_lib/selectInstance.ts
@@ -82,11 +82,21 @@
   readonly underBound: number
 }
 
+/** Tokens of the prompt's shared parts at the time of the selection. */
+export type PromptEstimate = {
+  readonly sharedTokens: number
+  /** Of these, tokens that the selected server caches. */
+  readonly cachedTokens: number
+  /** Longest prefix, in tokens, that any server caches which can be copied from. */
+  readonly copyableTokens: number
+}
+
 export type SelectedInstance = {
   readonly instance: BackendInstance
   /** Another server that has a longer cached prefix of the prompt; it may be leaving, as long as it still serves. */
   readonly copyPromptFrom: BackendInstance | undefined
   readonly loadEstimate: LoadEstimate
+  readonly promptEstimate: PromptEstimate
   /** Whether it is suspended, and every other server that may get the request as well. */
   readonly isLastResort: boolean
 }
@@ -145,13 +155,15 @@
   }))
   const meanLoad = computeMeanLoad(dependencies, input.service)
   const weights = { ...defaultPlacementWeights, boundFactor: LOAD_FACTOR_SHARE * dependencies.readLoadFactor() }
+  const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0)
+  const copySources = listPrefixCaches(dependencies, input, cachedTokensByKey)
   const placement = selectPlacement({
     affinityKey: shared.at(-1)?.id ?? '',
-    sharedTokens: shared.reduce((sum, part) => sum + part.tokens, 0),
+    sharedTokens,
     expectedBytes: bodyBytes + (request.promptParts.length > 0 ? BYTES_PER_TOKEN * request.tokens.output : PLAIN_ANSWER_BYTES),
     availabilityZone: dependencies.availabilityZone,
     meanLoad
-  }, candidates, listPrefixCaches(dependencies, input, cachedTokensByKey), random.next, weights)
+  }, candidates, copySources, random.next, weights)
   const instance = usable.find(({ id }) => id === placement?.id)
   if (instance === undefined) return undefined
   const source = placement?.copyFrom
@@ -159,6 +171,11 @@
     instance,
     isLastResort,
     copyPromptFrom: source === undefined ? undefined : registry.find(source) ?? registry.recentlyRemoved().find(({ id }) => id === source),
-    loadEstimate: createLoadEstimate(instance.id, candidates, meanLoad, weights)
+    loadEstimate: createLoadEstimate(instance.id, candidates, meanLoad, weights),
+    promptEstimate: {
+      sharedTokens,
+      cachedTokens: cachedTokensByKey.get(formatInstanceKey(instance)) ?? 0,
+      copyableTokens: Math.max(0, ...copySources.map(({ cachedPromptTokens }) => cachedPromptTokens))
+    }
   }
 }
