Wait for an engine that reads a prompt until the target has passed

A request left an engine that had sent nothing for 400 ms. An engine that the configuration describes now gets until the target of the first event.

--- a/src/decisions/isFailoverDue/index.ts
+++ b/src/decisions/isFailoverDue/index.ts
@@ -1,7 +1,8 @@
 /**
  * Decides when a retryable request is moved to another backend server because its
  * own does not respond: soon when that server responds to no request, later when
- * only this request gets no response.
+ * only this request gets no response. Load pattern: many long prompts at once, whose
+ * engines are silent because they read.
  */
 
 export type FailoverInput = {
@@ -11,6 +12,11 @@
   readonly waitedMs: number
   /** Milliseconds since the last bytes of any answer from the server. */
   readonly instanceWaitedMs: number
+  /**
+   * Whether the server is a model engine. While it reads a long prompt, it may answer nobody: a move would have the
+   * prompt read a second time, and suspend a sound server together with every prompt that it caches.
+   */
+  readonly isModelEngine?: boolean
   readonly firstByteTargetMs: number
   readonly pauseTargetMs: number
   /** Usual time to first byte on this route in milliseconds; `undefined` until it is known. */
@@ -38,12 +44,13 @@
  * isFailoverDue({ hasBegun: false, waitedMs: 100, instanceWaitedMs: 100, firstByteTargetMs: 300, pauseTargetMs: 0, usualFirstByteMs: 60 }) // => false
  */
 export const isFailoverDue = (input: FailoverInput): boolean => {
-  const { hasBegun, waitedMs, instanceWaitedMs, firstByteTargetMs, pauseTargetMs, usualFirstByteMs } = input
+  const { hasBegun, waitedMs, instanceWaitedMs, isModelEngine, firstByteTargetMs, pauseTargetMs, usualFirstByteMs } = input
   if (hasBegun) {
     return waitedMs >= Math.max(STREAM_PAUSE_MULTIPLE * pauseTargetMs, MINIMUM_STREAM_SILENCE_MS) ||
       (waitedMs >= MINIMUM_STREAM_SILENCE_MS && instanceWaitedMs >= MINIMUM_STREAM_SILENCE_MS)
   }
   if (waitedMs >= Math.max(MINIMUM_WAIT_MS, REQUEST_TARGET_MULTIPLE * firstByteTargetMs)) return true
-  const serverTimeoutMs = Math.max(MINIMUM_WAIT_MS, USUAL_TIME_MULTIPLE * (usualFirstByteMs ?? firstByteTargetMs))
+  const readingMs = isModelEngine === true ? firstByteTargetMs : 0
+  const serverTimeoutMs = Math.max(MINIMUM_WAIT_MS, readingMs, USUAL_TIME_MULTIPLE * (usualFirstByteMs ?? firstByteTargetMs))
   return waitedMs >= serverTimeoutMs && instanceWaitedMs >= serverTimeoutMs
 }
--- a/src/decisions/isFailoverDue/test.ts
+++ b/src/decisions/isFailoverDue/test.ts
@@ -11,6 +11,11 @@
   test('waits longer when the server responds to other requests', () => expect(isFailoverDue(createInput({ waitedMs: 420, instanceWaitedMs: 5 }))).toBe(false))
   test('moves from such a server well after the target', () => expect(isFailoverDue(createInput({ waitedMs: 1_250, instanceWaitedMs: 5 }))).toBe(true))
   test('waits longer where answers usually take longer', () => expect(isFailoverDue(createInput({ waitedMs: 800, instanceWaitedMs: 800, usualFirstByteMs: 400 }))).toBe(false))
+  // Guards against prompts that are read twice because the engine that reads them answers nobody meanwhile.
+  test('waits for an engine that reads until the target has passed', () => {
+    expect(isFailoverDue(createInput({ isModelEngine: true, waitedMs: 790, instanceWaitedMs: 790 }))).toBe(false)
+    expect(isFailoverDue(createInput({ isModelEngine: true, waitedMs: 810, instanceWaitedMs: 810 }))).toBe(true)
+  })
   test('does not move a stream during a short pause', () => expect(isFailoverDue(createInput({ hasBegun: true, waitedMs: 1_000, instanceWaitedMs: 10 }))).toBe(false))
   test('moves a stream before its caller abandons it', () => expect(isFailoverDue(createInput({ hasBegun: true, waitedMs: 1_600, instanceWaitedMs: 10 }))).toBe(true))
   test('moves a stream sooner from a server that responds to no request', () => expect(isFailoverDue(createInput({ hasBegun: true, waitedMs: 1_350, instanceWaitedMs: 1_350 }))).toBe(true))
--- a/src/services/forwarding/_lib/attemptTarget.ts
+++ b/src/services/forwarding/_lib/attemptTarget.ts
@@ -1,4 +1,5 @@
 /** What a request is sent to: a backend server, or a peer that sends it to one. */
+import type { FailoverInput } from '../../../decisions/isFailoverDue/index.js'
 import type { Exchange, ExchangeListener, InstanceAnswer, LogFields } from '../../../types/index.js'
 
 /** What a failed attempt shows about its target. */
@@ -30,6 +31,8 @@
   readonly recordRefusal: (answer: InstanceAnswer) => void
   /** Milliseconds since bytes last arrived from it, while a request waits there. */
   readonly readIdleMs: () => number
+  /** The same, and whether it is a model engine, which may be silent because it reads prompts. */
+  readonly describeSilence: () => Pick<FailoverInput, 'instanceWaitedMs' | 'isModelEngine'>
   /** Whether it may still get the request now. */
   readonly maySend: () => boolean
   readonly send: (listener: ExchangeListener) => Exchange
--- a/src/services/forwarding/_lib/createInstanceTarget.ts
+++ b/src/services/forwarding/_lib/createInstanceTarget.ts
@@ -10,7 +10,7 @@
 
 /** Creates the target of one attempt. */
 export const createInstanceTarget = (context: RequestHandlerContext, route: GatewayRoute, attempt: GatewayAttempt): AttemptTarget => {
-  const { loadView, health, notices, registry, warmUp, refusals, directory, firstByteTimes, client } = context
+  const { loadView, health, notices, registry, warmUp, refusals, directory, firstByteTimes, configuration, client } = context
   const { instance, request } = attempt
   const key = formatInstanceKey(instance)
   let decideSend: ((decision: SendDecision) => void) | undefined
@@ -47,6 +47,7 @@
     recordFailure: (kind) => health.record(instance, { kind }),
     recordRefusal: (answer) => { if (answer.isOtherInstance) registry.markGone(instance, 'another backend server has its address') },
     readIdleMs: () => health.readIdleMs(instance),
+    describeSilence: () => ({ instanceWaitedMs: health.readIdleMs(instance), isModelEngine: configuration.current()?.services.get(instance.service)?.engine !== undefined }),
     maySend: () => notices.backoffRemainingMs(instance) === 0,
     send: (listener) => client.send(attempt, listener)
   }
--- a/src/services/forwarding/_lib/createPeerTarget.ts
+++ b/src/services/forwarding/_lib/createPeerTarget.ts
@@ -28,6 +28,7 @@
     recordFailure: (kind) => report(failures[kind]),
     recordRefusal: ({ relayRefusal }) => report(relayRefusal === undefined ? undefined : refusals[relayRefusal]),
     readIdleMs: () => relays.readIdleMs(peer),
+    describeSilence: () => ({ instanceWaitedMs: relays.readIdleMs(peer) }),
     maySend: () => true,
     send: (listener) => relays.send(attempt, listener)
   }
--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -263,7 +263,7 @@
     const isDue = isFailoverDue({
       hasBegun: caller.hasBegun(),
       waitedMs: now - current.lastBytesAt,
-      instanceWaitedMs: current.target.readIdleMs(),
+      ...current.target.describeSilence(),
       firstByteTargetMs: route.latencyTargetMs,
       pauseTargetMs: route.eventGapTargetMs,
       usualFirstByteMs: context.firstByteTimes.readAverage(route.name)
