Tell a read in progress from a cached part, and forget reads that never began

Nodes now announce a read in progress, then the cached part; a read expires after three seconds, is forgotten when it is abandoned, and is no source of copies. Services whose engines are not described are recorded as before.

--- a/src/bench/crowd/_lib/simulateBurst.ts
+++ b/src/bench/crowd/_lib/simulateBurst.ts
@@ -70,6 +70,7 @@
 })
 
 const selectServer = (node: GatewayNode, request: GatewayRequest, random: () => number): BackendInstance | undefined => selectInstance({
+  configuration: node.resolve('gatewayConfiguration'),
   registry: node.resolve('instanceRegistry'),
   health: node.resolve('instanceHealth'),
   notices: node.resolve('instanceNotices'),
--- a/src/services/forwarding/_lib/createInstanceTarget.ts
+++ b/src/services/forwarding/_lib/createInstanceTarget.ts
@@ -2,17 +2,23 @@
 import type { AttemptTarget } from './attemptTarget.js'
 import type { RequestHandlerContext } from './requestHandler.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
+import type { PromptRead } from '../../promptDirectory/index.js'
 import type { SendDecision } from '../../refusalLimiter/index.js'
 import type { GatewayAttempt, GatewayRoute, InstanceAnswer } from '../../../types/index.js'
 
 /** A server that has another's address refuses for that reason, however much room it has. */
 const isRefusedForRoom = ({ isNotRun, isOtherInstance }: InstanceAnswer): boolean => isNotRun && !isOtherInstance
 
+/** The head of a stream arrives with its first token, when the prompt has been read. */
+const isSuccess = ({ status, isNotRun }: InstanceAnswer): boolean => !isNotRun && status >= 200 && status < 300
+
 /** Creates the target of one attempt. */
 export const createInstanceTarget = (context: RequestHandlerContext, route: GatewayRoute, attempt: GatewayAttempt): AttemptTarget => {
   const { loadView, health, notices, registry, warmUp, refusals, directory, firstByteTimes, configuration, client } = context
   const { instance, request } = attempt
   const key = formatInstanceKey(instance)
+  const isModelEngine = configuration.current()?.services.get(instance.service)?.engine !== undefined
+  let read: PromptRead | undefined
   let decideSend: ((decision: SendDecision) => void) | undefined
 
   /** Records once whether the server has accepted the request. */
@@ -30,16 +36,19 @@
       health.recordStart(instance)
       warmUp.recordSend(instance)
       decideSend = refusals.recordSend(instance)
-      directory.record(request.promptParts, key)
+      if (isModelEngine) read = directory.beginRead(request.promptParts, key)
+      else directory.record(request.promptParts, key)
     },
     recordEnd: () => {
       decide('unknown')
+      read?.abandon()
       loadView.recordEnd(key)
       health.recordEnd(instance)
     },
     recordBytes: () => health.recordBytes(instance),
     recordHead: (answer) => {
       decide(isRefusedForRoom(answer) ? 'refused' : 'accepted')
+      if (isSuccess(answer)) read?.complete()
       if (!answer.isOtherInstance) notices.record(instance, answer)
       if (answer.load !== undefined) loadView.applyReport(key, { ...answer.load, leaving: false, ageMs: 0 })
     },
@@ -47,7 +56,7 @@
     recordFailure: (kind) => health.record(instance, { kind }),
     recordRefusal: (answer) => { if (answer.isOtherInstance) registry.markGone(instance, 'another backend server has its address') },
     readIdleMs: () => health.readIdleMs(instance),
-    describeSilence: () => ({ instanceWaitedMs: health.readIdleMs(instance), isModelEngine: configuration.current()?.services.get(instance.service)?.engine !== undefined }),
+    describeSilence: () => ({ instanceWaitedMs: health.readIdleMs(instance), isModelEngine }),
     maySend: () => notices.backoffRemainingMs(instance) === 0,
     send: (listener) => client.send(attempt, listener)
   }
--- a/src/services/forwarding/_lib/selectInstance.ts
+++ b/src/services/forwarding/_lib/selectInstance.ts
@@ -9,6 +9,7 @@
 import type { ForwardingDependencies } from '../index.js'
 
 export type SelectionDependencies = Pick<ForwardingDependencies, 'registry' | 'health' | 'notices' | 'directory' | 'loadView' | 'random' | 'zoneDrains' | 'warmUp' | 'refusals'> & {
+  readonly configuration: Pick<ForwardingDependencies['configuration'], 'current'>
   readonly availabilityZone: string
   /** Region of each availability zone, for requests that are restricted to regions. */
   readonly regionByZone: ReadonlyMap<string, string>
@@ -139,7 +140,7 @@
 /** Returns the selected server, or `undefined` when the service has no eligible one that was not tried. */
 export const selectInstance = (dependencies: SelectionDependencies, input: SelectionInput): SelectedInstance | undefined => {
   const { request, bodyBytes } = input
-  const { directory, loadView, health, random, registry } = dependencies
+  const { configuration, directory, loadView, health, random, registry } = dependencies
   const { usable, isLastResort } = listUsable(dependencies, input)
   // The last part is unique to the request and can't be cached.
   const shared = request.promptParts.slice(0, -1)
@@ -156,7 +157,9 @@
   const meanLoad = computeMeanLoad(dependencies, input.service)
   const weights = { ...defaultPlacementWeights, boundFactor: LOAD_FACTOR_SHARE * dependencies.readLoadFactor() }
   const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0)
-  const copySources = listPrefixCaches(dependencies, input, cachedTokensByKey)
+  const isDescribed = configuration.current()?.services.get(input.service)?.engine !== undefined
+  // A server that is still reading a part has nothing to copy yet.
+  const copySources = listPrefixCaches(dependencies, input, isDescribed ? directory.listCopyableTokens(shared) : cachedTokensByKey)
   const placement = selectPlacement({
     affinityKey: shared.at(-1)?.id ?? '',
     sharedTokens,
--- a/src/services/promptDirectory/_lib/createCacheAnnouncer.ts
+++ b/src/services/promptDirectory/_lib/createCacheAnnouncer.ts
@@ -6,12 +6,14 @@
  * within its zone: with 69 nodes a node sends 4 messages in a period instead of 68.
  */
 import { LRUCache } from 'lru-cache'
+import type { LocationState } from './createPartLocations.js'
 import { createLruOptions } from './createLruOptions.js'
 import { selectZoneReaders } from '../../../decisions/selectZoneReaders/index.js'
 import type { Clock, Member, Membership, PeerMessageOf, PeerTransport } from '../../../types/index.js'
 
 export type CacheAnnouncer = {
-  readonly add: (part: string, instanceKey: string) => void
+  /** Queues a location; a part that is announced as being read is announced again once it is cached. */
+  readonly add: (part: string, instanceKey: string, state: LocationState) => void
   /** Records a peer's announcement, so that it isn't repeated, and queues it for this zone if the peer requests that. */
   readonly receive: (message: PeerMessageOf<'promptPlaces'>) => void
   /** Sends the queued announcements. */
@@ -24,7 +26,7 @@
   readonly membership: Pick<Membership, 'liveMembers' | 'self'>
 }
 
-type Locations = Map<string, { readonly part: string, readonly instanceKey: string }>
+type Locations = Map<string, { readonly part: string, readonly instanceKey: string, readonly state: LocationState }>
 
 /** About 15 bytes each: after a start, the cached parts of a zone's engines are announced within one or two periods. */
 const MAXIMUM_LOCATIONS_PER_MESSAGE = 1_024
@@ -37,13 +39,14 @@
 const formatLocation = (part: string, instanceKey: string): string => `${part} ${instanceKey}`
 
 const toMessage = (places: Locations, isForZone: boolean): PeerMessageOf<'promptPlaces'> => {
-  const byServer = new Map<string, string[]>()
-  for (const { part, instanceKey } of places.values()) {
-    const parts = byServer.get(instanceKey)
-    if (parts === undefined) byServer.set(instanceKey, [part])
-    else parts.push(part)
+  const byServer = new Map<string, Record<LocationState, string[]>>()
+  for (const { part, instanceKey, state } of places.values()) {
+    const parts = byServer.get(instanceKey) ?? { cached: [], reading: [] }
+    byServer.set(instanceKey, parts)
+    parts[state].push(part)
   }
-  return { kind: 'promptPlaces', places: [...byServer].map(([server, parts]) => ({ server, parts })), ...(isForZone ? { isForZone } : {}) }
+  const messagePlaces = [...byServer].map(([server, { cached, reading }]) => ({ server, parts: cached, ...(reading.length > 0 ? { reading } : {}) }))
+  return { kind: 'promptPlaces', places: messagePlaces, ...(isForZone ? { isForZone } : {}) }
 }
 
 /** Creates the announcer of one node. Up to `fullMeshPeers` peers, it sends to all of them directly. */
@@ -54,8 +57,10 @@
 
   const isDue = (location: string): boolean => clock.now() - (announcedAt.get(location) ?? -Infinity) > REANNOUNCE_MS
 
-  const enqueue = (places: Locations, part: string, instanceKey: string): void => {
-    if (places.size < MAXIMUM_QUEUED_LOCATIONS) places.set(formatLocation(part, instanceKey), { part, instanceKey })
+  const enqueue = (places: Locations, part: string, instanceKey: string, state: LocationState): void => {
+    const location = formatLocation(part, instanceKey)
+    if (state === 'reading' && places.has(location)) return
+    if (places.size < MAXIMUM_QUEUED_LOCATIONS) places.set(location, { part, instanceKey, state })
   }
 
   /** Removes and returns the oldest queued locations that fit one message. */
@@ -85,23 +90,24 @@
     const forwarders = listForwarders()
     const announced = takeMessage(own)
     send(forwarders, announced, true)
-    if (forwarders.some((forwarder) => forwarder.nodeId === nodeId)) for (const { part, instanceKey } of announced.values()) enqueue(forZone, part, instanceKey)
+    if (forwarders.some((forwarder) => forwarder.nodeId === nodeId)) for (const { part, instanceKey, state } of announced.values()) enqueue(forZone, part, instanceKey, state)
     send(membership.liveMembers().filter((member) => member.availabilityZone === availabilityZone), takeMessage(forZone), false)
   }
 
   return {
-    add: (part, instanceKey) => {
+    add: (part, instanceKey, state) => {
       const location = formatLocation(part, instanceKey)
       if (!isDue(location)) return
-      announcedAt.set(location, clock.now())
-      enqueue(own, part, instanceKey)
+      if (state === 'cached') announcedAt.set(location, clock.now())
+      enqueue(own, part, instanceKey, state)
     },
     receive: ({ places, isForZone }) => {
-      for (const { server, parts } of places) {
+      for (const { server, parts, reading } of places) {
         for (const part of parts) {
           announcedAt.set(formatLocation(part, server), clock.now())
-          if (isForZone === true) enqueue(forZone, part, server)
+          if (isForZone === true) enqueue(forZone, part, server, 'cached')
         }
+        if (isForZone === true) for (const part of reading ?? []) enqueue(forZone, part, server, 'reading')
       }
     },
     flush: () => {
--- a/src/services/promptDirectory/index.ts
+++ b/src/services/promptDirectory/index.ts
@@ -1,24 +1,38 @@
 /**
  * Directory of cached prompt parts: estimates which backend servers have which
- * prompt parts in their prompt cache, from the requests that this node sends and
- * from announcements of peers. The directory is only a hint for placement: a
+ * prompt parts in their prompt cache, and which are reading them now, from the
+ * requests that this node sends and from announcements of peers. The directory is only a hint for placement: a
  * wrong entry costs a prompt computation, never an answer.
  */
-import { LRUCache } from 'lru-cache'
 import type { RunningService } from '../../kernel/index.js'
 import type { Clock, CachedParts, Membership, PeerTransport, PromptPart, Timer } from '../../types/index.js'
 import { createCacheAnnouncer } from './_lib/createCacheAnnouncer.js'
-import { createLruOptions } from './_lib/createLruOptions.js'
+import { createPartLocations } from './_lib/createPartLocations.js'
+import type { LocationState } from './_lib/createPartLocations.js'
 import { createDirectoryRecovery } from './_lib/createDirectoryRecovery.js'
 import type { DirectoryRecoverySources } from './_lib/createDirectoryRecovery.js'
 
 export type { DirectoryRecoverySources } from './_lib/createDirectoryRecovery.js'
 
+export type PromptRead = {
+  /** The server has read all parts. */
+  readonly complete: () => void
+  /** The server does not read the parts after all; without effect once the read is complete. */
+  readonly abandon: () => void
+}
+
 export type PromptDirectory = {
   /** Records that a backend server processes these prompt parts now and so caches them. */
   readonly record: (parts: readonly PromptPart[], instanceKey: string) => void
   /** Estimated tokens of the longest prefix of `parts` that each server caches, by instance key; servers that cache none are left out. */
   readonly listCachedTokens: (parts: readonly PromptPart[]) => ReadonlyMap<string, number>
+  /** The same without parts that a server is still reading: a copy from it would not include them. */
+  readonly listCopyableTokens: (parts: readonly PromptPart[]) => ReadonlyMap<string, number>
+  /**
+   * Records that a backend server begins to read these prompt parts. Until the read is completed, the parts count as
+   * cached there for placement, but not for copies.
+   */
+  readonly beginRead: (parts: readonly PromptPart[], instanceKey: string) => PromptRead
   /** Registers a listener for the end of the first recovery queries after a start. */
   readonly onRecovered: (listener: () => void) => void
 }
@@ -40,12 +54,11 @@
   readonly fullMeshPeers: number
 }
 
-/** A part that is unused for this long counts as evicted: engines evict the least recently used parts first. */
-const LOCATION_LIFETIME_MS = 60_000
 /** About 15 bytes each: a reply stays under 60 kB, which the network link of a small VM transfers in 70 ms. */
 const MAXIMUM_LOCATIONS_PER_REPLY = 4_000
-/** Maximum servers recorded for one part. This exceeds the servers of any service, since a part that starts many prompts is cached on most of them. */
-const MAXIMUM_SERVERS_PER_PART = 1_024
+
+const CACHED: ReadonlySet<LocationState> = new Set(['cached'])
+const CACHED_OR_READING: ReadonlySet<LocationState> = new Set(['cached', 'reading'])
 
 export const defaultPromptDirectoryOptions: PromptDirectoryOptions = { periodMs: 250, maximumParts: 20_000, fullMeshPeers: 12 }
 
@@ -62,34 +75,23 @@
  */
 export const createPromptDirectory = (dependencies: PromptDirectoryDependencies, options: PromptDirectoryOptions = defaultPromptDirectoryOptions): RunningService<PromptDirectory> => {
   const { clock, transport } = dependencies
-  const places = new LRUCache<string, Map<string, number>>(createLruOptions(options.maximumParts))
+  const locations = createPartLocations(clock, options.maximumParts)
   const announcer = createCacheAnnouncer(dependencies, options.fullMeshPeers)
   let timer: Timer | undefined
 
-  const recordLocation = (part: string, instanceKey: string): void => {
-    let servers = places.get(part)
-    if (servers === undefined) {
-      servers = new Map()
-      places.set(part, servers)
+  const recordAll = (places: readonly CachedParts[]): void => {
+    for (const { server, parts, reading } of places) {
+      for (const part of parts) locations.recordCached(part, server)
+      for (const part of reading ?? []) locations.recordReading(part, server)
     }
-    // Deleting first moves the entry to the end, so that the map stays in order of last use.
-    servers.delete(instanceKey)
-    servers.set(instanceKey, clock.now())
-    if (servers.size <= MAXIMUM_SERVERS_PER_PART) return
-    const [oldest] = servers.keys()
-    if (oldest !== undefined) servers.delete(oldest)
-  }
-
-  const recordAll = (locations: readonly CachedParts[]): void => {
-    for (const { server, parts } of locations) for (const part of parts) recordLocation(part, server)
   }
 
   /** The most recently used parts that fit one message; the parts of each server are listed oldest first. */
   const listLocations = (): readonly CachedParts[] => {
     const byServer = new Map<string, string[]>()
     let count = 0
-    for (const [part, holders] of places.entries()) {
-      for (const server of holders.keys()) {
+    for (const [part, servers] of locations.listCached()) {
+      for (const server of servers) {
         if (count++ >= MAXIMUM_LOCATIONS_PER_REPLY) break
         const parts = byServer.get(server)
         if (parts === undefined) byServer.set(server, [part])
@@ -101,35 +103,35 @@
 
   const record = (parts: readonly PromptPart[], instanceKey: string): void => {
     for (const [index, { id }] of parts.entries()) {
-      recordLocation(id, instanceKey)
+      locations.recordCached(id, instanceKey)
       // The last part belongs to this request only, so it is not announced to peers.
-      if (index < parts.length - 1) announcer.add(id, instanceKey)
+      if (index < parts.length - 1) announcer.add(id, instanceKey, 'cached')
     }
   }
 
-  const listCachedTokens = (parts: readonly PromptPart[]): ReadonlyMap<string, number> => {
-    const cachedTokens = new Map<string, number>()
-    const oldest = clock.now() - LOCATION_LIFETIME_MS
-    let prefixTokens = 0
-    for (const { id, tokens } of parts) {
-      let isCached = false
-      for (const [server, at] of places.get(id) ?? []) {
-        if (at < oldest || (cachedTokens.get(server) ?? 0) !== prefixTokens) continue
-        cachedTokens.set(server, prefixTokens + tokens)
-        isCached = true
+  const beginRead = (parts: readonly PromptPart[], instanceKey: string): PromptRead => {
+    const begun = parts.filter(({ id }) => locations.recordReading(id, instanceKey))
+    for (const { id } of begun) if (id !== parts.at(-1)?.id) announcer.add(id, instanceKey, 'reading')
+    let isComplete = false
+    return {
+      complete: () => {
+        if (isComplete) return
+        isComplete = true
+        record(parts, instanceKey)
+      },
+      abandon: () => {
+        if (isComplete) return
+        for (const { id } of begun) locations.abandonRead(id, instanceKey)
       }
-      if (!isCached) break
-      prefixTokens += tokens
     }
-    return cachedTokens
   }
 
   const recovery = dependencies.recovery && createDirectoryRecovery({
     ...dependencies,
     recovery: dependencies.recovery,
-    hasLocations: (instanceKey) => [...places.values()].some((servers) => servers.has(instanceKey)),
+    hasLocations: locations.has,
     recordAll,
-    announce: announcer.add
+    announce: (part, instanceKey) => announcer.add(part, instanceKey, 'cached')
   })
   recovery?.onRecovered(() => announcer.flush())
 
@@ -141,7 +143,9 @@
   return {
     api: {
       record,
-      listCachedTokens,
+      beginRead,
+      listCachedTokens: (parts) => locations.listTokens(parts, CACHED_OR_READING),
+      listCopyableTokens: (parts) => locations.listTokens(parts, CACHED),
       onRecovered: (listener) => recovery?.onRecovered(listener)
     },
     start: () => {
--- a/src/services/promptDirectory/test.ts
+++ b/src/services/promptDirectory/test.ts
@@ -71,3 +71,43 @@
   await clock.advanceAndSettle(ANNOUNCED_MS)
   expect(countMessages()).toBe(4 + 4 * 9)
 })
+
+describe('a read in progress', () => {
+  const readOn = (fleet: ReturnType<typeof createFleet>, index: number) => ({
+    cached: fleet.nodes[index]!.api.listCachedTokens(PARTS).get(SERVER) ?? 0,
+    copyable: fleet.nodes[index]!.api.listCopyableTokens(PARTS).get(SERVER) ?? 0
+  })
+
+  // Guards against copies from a server that is still reading: they bring nothing, and the prompt is read again.
+  test.each([5, 40])('is known to all of %i nodes, and can be copied once it is complete', async (size) => {
+    const fleet = createFleet(size)
+    const read = fleet.nodes[0]!.api.beginRead(PARTS, SERVER)
+    await fleet.clock.advanceAndSettle(ANNOUNCED_MS)
+    expect(fleet.nodes.map((_, index) => readOn(fleet, index)).slice(1)).toEqual(fleet.nodes.slice(1).map(() => ({ cached: 1200, copyable: 0 })))
+    read.complete()
+    await fleet.clock.advanceAndSettle(ANNOUNCED_MS)
+    expect(fleet.nodes.map((_, index) => readOn(fleet, index)).slice(1)).toEqual(fleet.nodes.slice(1).map(() => ({ cached: 1200, copyable: 1200 })))
+  })
+
+  // Guards against requests that wait at a server for a prompt that it never got, because no connection could be opened.
+  test('is forgotten when it is abandoned', () => {
+    const fleet = createFleet(5)
+    fleet.nodes[0]!.api.beginRead(PARTS, SERVER).abandon()
+    expect(readOn(fleet, 0)).toEqual({ cached: 0, copyable: 0 })
+  })
+
+  test('keeps what the server cached before when it is abandoned', () => {
+    const fleet = createFleet(5)
+    fleet.nodes[0]!.api.beginRead(PARTS.slice(0, 1), SERVER).complete()
+    fleet.nodes[0]!.api.beginRead(PARTS, SERVER).abandon()
+    expect(readOn(fleet, 0)).toEqual({ cached: 800, copyable: 800 })
+  })
+
+  // Guards against a node, or a server, that dies during the read.
+  test('expires on peers when nothing more is heard of it', async () => {
+    const fleet = createFleet(5)
+    fleet.nodes[0]!.api.beginRead(PARTS, SERVER)
+    await fleet.clock.advanceAndSettle(4_000)
+    expect(readOn(fleet, 1)).toEqual({ cached: 0, copyable: 0 })
+  })
+})
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -128,8 +128,8 @@
   /** Notifies that the sender has a newer configuration or changed backend servers, so that the receiver can request them. */
   | { readonly kind: 'knowledgeNews', readonly source: string, readonly version: number, readonly position: ChangePosition, readonly zoneDrains?: ZoneDrainSnapshot }
 
-/** Ids of the prompt parts that a backend server (`id@incarnation`) probably has in its prompt cache. */
-export type CachedParts = { readonly server: string, readonly parts: readonly string[] }
+/** Ids of the prompt parts that a backend server (`id@incarnation`) probably has in its prompt cache, and of those that it is reading. */
+export type CachedParts = { readonly server: string, readonly parts: readonly string[], readonly reading?: readonly string[] }
 
 export type PeerReply =
   | { readonly kind: 'none' }
