Give a prompt a home in each zone that asks for it

The bodies of requests crossed zones with each request, since a prompt had one home among all zones. Where the engines are described, a request that would cross zones has the prompt copied to the home of its zone, with the probability of its own cost over that of the copy, while cached prompts take less than half of that server's memory. Metrics tell copies by reason, the source of shared tokens and prompt parts by number of servers.

--- a/src/adapters/promMetrics/index.ts
+++ b/src/adapters/promMetrics/index.ts
@@ -25,6 +25,8 @@
   gateway_sends: { help: 'Sends to backend servers by outcome', labels: ['outcome'] },
   gateway_repeats: { help: 'Sends beyond the first of a request, by whether the retry budget granted them', labels: ['granted'] },
   gateway_prompt_copies: { help: 'Sends that asked for a copy of the prompt from another backend server', labels: [] },
+  gateway_home_copies: { help: 'Copies of prompts by reason: to the home of the prompt in this zone, or to another server because of the load', labels: ['reason'] },
+  gateway_shared_tokens: { help: 'Shared prompt tokens of sends by how the backend server was to get them: cached there, copied, or read', labels: ['source'] },
   gateway_relays: { help: 'Requests sent to a peer because this node does not reach the backend servers', labels: [] },
   gateway_backoffs: { help: 'Answers in which a backend server asked this node to send nothing for a while', labels: [] },
   log_lines_left_out: { help: 'Log lines left out to keep the volume bounded, by event', labels: ['event'] }
@@ -44,6 +46,7 @@
   requests_oldest_open_seconds: { help: 'Age of the oldest open request; past the longest deadline it is a lost one', labels: [] },
   requests_unaccounted: { help: 'Accepted requests that fell out of the sum of outcomes; anything but 0 is an alarm', labels: [] },
   configuration_generation: { help: 'Generation of the configuration in force', labels: [] },
+  gateway_prompt_parts: { help: 'Shared prompt parts that this node knows, by the number of backend servers that cache them', labels: ['servers'] },
   gateway_requests_open: { help: 'Requests of callers without a final answer yet', labels: [] },
   configuration_version: { help: 'Version of the configuration in force', labels: [] },
   configuration_confirmed_age_seconds: { help: 'Time since the configuration in force was surely the newest; -1 when unknown', labels: [] },
--- a/src/node/createGatewayNode/_lib/registerGauges.ts
+++ b/src/node/createGatewayNode/_lib/registerGauges.ts
@@ -45,6 +45,7 @@
 /** Registers the gauges; each is read on every scrape. */
 export const registerGauges = (metrics: Metrics, resolve: Resolve): void => {
   metrics.readGauge('gateway_requests_open', () => [{ value: resolve('forwarding').openRequests() }])
+  metrics.readGauge('gateway_prompt_parts', () => [...resolve('promptDirectory').countPartsByServers()].map(([servers, value]) => ({ value, labels: { servers: String(servers) } })))
   metrics.readGauge('configuration_version', () => [{ value: resolve('gatewayConfiguration').version() }])
   metrics.readGauge('configuration_confirmed_age_seconds', () => [{ value: readConfirmedAge(resolve) }])
   metrics.readGauge('instances', () => readInstances(resolve))
--- a/src/services/forwarding/_lib/selectInstance.ts
+++ b/src/services/forwarding/_lib/selectInstance.ts
@@ -3,6 +3,7 @@
 import type { InstanceCandidate, PlacementWeights, PromptCopySource } from '../../../decisions/selectPlacement/index.js'
 import { checkInstanceEligibility } from '../../../decisions/checkInstanceEligibility/index.js'
 import type { InstanceEligibility } from '../../../decisions/checkInstanceEligibility/index.js'
+import { selectPromptHome } from '../../../decisions/selectPromptHome/index.js'
 import { selectIneligibility } from '../../../decisions/selectIneligibility/index.js'
 import type { BackendInstance, GatewayRequest } from '../../../types/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
@@ -90,6 +91,8 @@
   readonly cachedTokens: number
   /** Longest prefix, in tokens, that any server caches which can be copied from. */
   readonly copyableTokens: number
+  /** Whether the selected server is the home of the prompt for this zone; `undefined` when nothing is shared or the engines are not described. */
+  readonly isHome: boolean | undefined
 }
 
 export type SelectedInstance = {
@@ -157,14 +160,26 @@
   const meanLoad = computeMeanLoad(dependencies, input.service)
   const weights = { ...defaultPlacementWeights, boundFactor: LOAD_FACTOR_SHARE * dependencies.readLoadFactor() }
   const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0)
-  const isDescribed = configuration.current()?.services.get(input.service)?.engine !== undefined
+  const engine = configuration.current()?.services.get(input.service)?.engine
   // A server that is still reading a part has nothing to copy yet.
-  const copySources = listPrefixCaches(dependencies, input, isDescribed ? directory.listCopyableTokens(shared) : cachedTokensByKey)
-  const placement = selectPlacement({
+  const copySources = listPrefixCaches(dependencies, input, engine !== undefined ? directory.listCopyableTokens(shared) : cachedTokensByKey)
+  const copyableTokens = Math.max(0, ...copySources.map(({ cachedPromptTokens }) => cachedPromptTokens))
+  const prompt = {
     affinityKey: shared.at(-1)?.id ?? '',
     sharedTokens,
     expectedBytes: bodyBytes + (request.promptParts.length > 0 ? BYTES_PER_TOKEN * request.tokens.output : PLAIN_ANSWER_BYTES),
-    availabilityZone: dependencies.availabilityZone,
+    availabilityZone: dependencies.availabilityZone
+  }
+  const homeId = engine && selectPromptHome({
+    ...prompt,
+    engine,
+    copyableTokens,
+    readCachedTokens: (id) => candidates.find((candidate) => candidate.id === id)?.cachedPromptTokens ?? 0,
+    estimateUsedTokens: (id) => directory.estimateUsedTokens(formatInstanceKey(usable.find((instance) => instance.id === id)!))
+  }, candidates, random.next)
+  const placement = selectPlacement({
+    ...prompt,
+    homeId,
     meanLoad
   }, candidates, copySources, random.next, weights)
   const instance = usable.find(({ id }) => id === placement?.id)
@@ -178,7 +193,8 @@
     promptEstimate: {
       sharedTokens,
       cachedTokens: cachedTokensByKey.get(formatInstanceKey(instance)) ?? 0,
-      copyableTokens: Math.max(0, ...copySources.map(({ cachedPromptTokens }) => cachedPromptTokens))
+      copyableTokens,
+      isHome: homeId === undefined ? undefined : homeId === instance.id
     }
   }
 }
--- a/src/services/promptDirectory/index.ts
+++ b/src/services/promptDirectory/index.ts
@@ -7,6 +7,7 @@
 import type { RunningService } from '../../kernel/index.js'
 import type { Clock, CachedParts, Membership, PeerTransport, PromptPart, Timer } from '../../types/index.js'
 import { createCacheAnnouncer } from './_lib/createCacheAnnouncer.js'
+import { createServerUsage } from './_lib/createServerUsage.js'
 import { createPartLocations } from './_lib/createPartLocations.js'
 import type { LocationState } from './_lib/createPartLocations.js'
 import { createDirectoryRecovery } from './_lib/createDirectoryRecovery.js'
@@ -28,6 +29,10 @@
   readonly listCachedTokens: (parts: readonly PromptPart[]) => ReadonlyMap<string, number>
   /** The same without parts that a server is still reading: a copy from it would not include them. */
   readonly listCopyableTokens: (parts: readonly PromptPart[]) => ReadonlyMap<string, number>
+  /** Estimated tokens of all cached parts at the server, up to two seconds old. */
+  readonly estimateUsedTokens: (instanceKey: string) => number
+  /** Number of cached parts by the number of servers that cache them. */
+  readonly countPartsByServers: () => ReadonlyMap<number, number>
   /**
    * Records that a backend server begins to read these prompt parts. Until the read is completed, the parts count as
    * cached there for placement, but not for copies.
@@ -76,6 +81,7 @@
 export const createPromptDirectory = (dependencies: PromptDirectoryDependencies, options: PromptDirectoryOptions = defaultPromptDirectoryOptions): RunningService<PromptDirectory> => {
   const { clock, transport } = dependencies
   const locations = createPartLocations(clock, options.maximumParts)
+  const usage = createServerUsage(clock, locations.listCached)
   const announcer = createCacheAnnouncer(dependencies, options.fullMeshPeers)
   let timer: Timer | undefined
 
@@ -102,6 +108,7 @@
   }
 
   const record = (parts: readonly PromptPart[], instanceKey: string): void => {
+    usage.recordSizes(parts)
     for (const [index, { id }] of parts.entries()) {
       locations.recordCached(id, instanceKey)
       // The last part belongs to this request only, so it is not announced to peers.
@@ -126,6 +133,12 @@
     }
   }
 
+  const countPartsByServers = (): ReadonlyMap<number, number> => {
+    const counts = new Map<number, number>()
+    for (const [, servers] of locations.listCached()) counts.set(servers.length, (counts.get(servers.length) ?? 0) + 1)
+    return counts
+  }
+
   const recovery = dependencies.recovery && createDirectoryRecovery({
     ...dependencies,
     recovery: dependencies.recovery,
@@ -144,6 +157,8 @@
     api: {
       record,
       beginRead,
+      estimateUsedTokens: usage.estimate,
+      countPartsByServers,
       listCachedTokens: (parts) => locations.listTokens(parts, CACHED_OR_READING),
       listCopyableTokens: (parts) => locations.listTokens(parts, CACHED),
       onRecovered: (listener) => recovery?.onRecovered(listener)
