--- a/src/services/forwarding/_lib/selectInstance.test.ts
+++ b/src/services/forwarding/_lib/selectInstance.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, test } from 'vitest'
 import { computeAvailableInMs, selectInstance } from './selectInstance.js'
 import type { SelectionDependencies, SelectionInput } from './selectInstance.js'
-import type { BackendInstance, GatewayRequest } from '../../../types/index.js'
+import type { BackendInstance, EngineCapacity, GatewayConfiguration, GatewayRequest } from '../../../types/index.js'
 
 const SERVICE = 'engines'
 
@@ -119,3 +119,30 @@
   test.each<[string, Readonly<Record<string, Server>>]>([['without servers', {}], ['in a drained zone only', { a: { zone: 'drained', load: 0 } }], ['that are leaving', { a: { zone: 'a', load: 0, isLeaving: true } }]])('knows no end %s', (_what, servers) =>
     expect(computeFor(servers)).toBe(Infinity))
 })
+
+describe('the home of a prompt', () => {
+  const ENGINE: EngineCapacity = { slots: 24, memoryTokens: 200_000, bytesPerToken: 100_000, linkMbps: 1_000_000, canMove: true, canBackUp: true, copyLifetimeMs: 5_000, tokensPerEvent: 5 }
+  const SERVERS: Readonly<Record<string, Server>> = { keeper: { zone: 'b', load: 2 }, near: { zone: 'a', load: 2 } }
+
+  const chooseWith = (engine: EngineCapacity | undefined, copyableTokens: number) => {
+    const dependencies = createDependencies(SERVERS)
+    const current = () => ({ services: new Map([[SERVICE, { engine }]]) }) as unknown as GatewayConfiguration
+    return selectInstance({
+      ...dependencies,
+      configuration: { current },
+      directory: { ...dependencies.directory, listCopyableTokens: () => new Map([['keeper@1', copyableTokens]]) },
+      random: { next: () => 0, nextId: () => 'id' }
+    }, createInput())
+  }
+
+  // Load pattern: bodies that cross zones with each request, since the prompt is cached in another zone.
+  test('is in the zone of the node where the engines are described', () =>
+    expect(chooseWith(ENGINE, 8_000)).toMatchObject({ instance: { id: 'near' }, copyPromptFrom: { id: 'keeper' }, promptEstimate: { isHome: true } }))
+
+  // Guards against a copy from a server that is still reading: it brings nothing.
+  test('is not filled from a server that is still reading', () =>
+    expect(chooseWith(ENGINE, 0)).toMatchObject({ instance: { id: 'keeper' }, copyPromptFrom: undefined }))
+
+  test('is ranked among all servers where the engines are not described, as before', () =>
+    expect(chooseWith(undefined, 8_000)).toMatchObject({ instance: { id: 'keeper' }, copyPromptFrom: undefined, promptEstimate: { isHome: undefined } }))
+})
