--- a/src/services/promptDirectory/index.ts
+++ b/src/services/promptDirectory/index.ts
@@ -35,7 +35,7 @@
   readonly estimateUsedTokens: (instanceKey: string) => number
   /** Takes a copy to a home from this node's budget for the service; false when it is used up. */
   readonly takeCopy: (service: string, input: Omit<CopyBudgetInput, 'nodes'>) => boolean
-  /** Number of cached parts by the number of servers that cache them. */
+  /** Number of cached parts by the number of servers that cache them; the last number stands for more. */
   readonly countPartsByServers: () => ReadonlyMap<number, number>
   /**
    * Records that a backend server begins to read these prompt parts. Until the read is completed, the parts count as
@@ -66,6 +66,9 @@
 /** About 15 bytes each: a reply stays under 60 kB, which the network link of a small VM transfers in 70 ms. */
 const MAXIMUM_LOCATIONS_PER_REPLY = 4_000
 
+/** More servers than this are counted as this many: a home in each zone, and some more. */
+const MAXIMUM_SERVERS_COUNTED = 8
+
 const CACHED: ReadonlySet<LocationState> = new Set(['cached'])
 const CACHED_OR_READING: ReadonlySet<LocationState> = new Set(['cached', 'reading'])
 
@@ -140,7 +143,10 @@
 
   const countPartsByServers = (): ReadonlyMap<number, number> => {
     const counts = new Map<number, number>()
-    for (const [, servers] of locations.listCached()) counts.set(servers.length, (counts.get(servers.length) ?? 0) + 1)
+    for (const [, { length }] of locations.listCached()) {
+      const servers = Math.min(length, MAXIMUM_SERVERS_COUNTED)
+      if (servers > 0) counts.set(servers, (counts.get(servers) ?? 0) + 1)
+    }
     return counts
   }
 
