--- a/src/services/forwarding/_lib/selectInstance.test.ts
+++ b/src/services/forwarding/_lib/selectInstance.test.ts
@@ -43,7 +43,7 @@
     health: { recordStart: () => {}, recordEnd: () => {}, recordBytes: () => {}, record: () => {}, isSuspended: ({ id }) => servers[id]?.isSuspended === true, readIdleMs: () => 0, readUnheardMs: () => 0, compareWith: () => () => 1, retain: () => {} },
     notices: { record: () => {}, backoffRemainingMs: ({ id }) => servers[id]?.backoffMs ?? 0 },
     configuration: { current: () => undefined },
-    directory: { record: () => {}, estimateUsedTokens: () => 0, takeCopy: () => true, countPartsByServers: () => new Map(), beginRead: () => ({ complete: () => {}, abandon: () => {} }), listCachedTokens: () => new Map([['keeper@1', 8_000]]), listCopyableTokens: () => new Map([['keeper@1', 8_000]]), onRecovered: () => {} },
+    directory: { record: () => {}, estimateUsedTokens: () => 0, takeCopy: () => true, sinceLastReadMs: () => 0, countPartsByServers: () => new Map(), beginRead: () => ({ complete: () => {}, abandon: () => {} }), listCachedTokens: () => new Map([['keeper@1', 8_000]]), listCopyableTokens: () => new Map([['keeper@1', 8_000]]), onRecovered: () => {} },
     loadView: { recordStart: () => {}, recordEnd: () => {}, estimateInFlight: (key) => servers[key.split('@')[0]!]?.load ?? 0, ownInFlight: () => 0, applyReport: () => {} },
     random: { next: () => 0.5, nextId: () => 'id' },
     zoneDrains: { isDrained: (zone) => zone === 'drained', isKnown: () => true, revision: () => 0, onChange: () => {} },
--- a/src/services/forwarding/test.ts
+++ b/src/services/forwarding/test.ts
@@ -80,7 +80,7 @@
     refusals: { recordLimit: () => {}, isLimitReached: () => false, recordSend: () => () => {} },
     relays: { select: () => undefined, send: () => ({ abort: () => {}, pause: () => {}, resume: () => {} }), recordStart: () => {}, recordEnd: () => {}, recordBytes: () => {}, recordFailure: () => {}, recordAnswer: () => {}, readIdleMs: () => 0 },
     notices: { record: () => {}, backoffRemainingMs: () => 0 },
-    directory: { record: () => {}, estimateUsedTokens: () => 0, takeCopy: () => true, countPartsByServers: () => new Map(), beginRead: () => ({ complete: () => {}, abandon: () => {} }), listCachedTokens: () => new Map(), listCopyableTokens: () => new Map(), onRecovered: () => {} },
+    directory: { record: () => {}, estimateUsedTokens: () => 0, takeCopy: () => true, sinceLastReadMs: () => 0, countPartsByServers: () => new Map(), beginRead: () => ({ complete: () => {}, abandon: () => {} }), listCachedTokens: () => new Map(), listCopyableTokens: () => new Map(), onRecovered: () => {} },
     loadView: { recordStart: () => {}, recordEnd: () => {}, estimateInFlight: () => 0, ownInFlight: () => 0, applyReport: () => {} },
     membership: { members: () => [MEMBER] },
     zoneDrains: { isDrained: () => false, isKnown: () => true, revision: () => 0, onChange: () => {} },
