--- /dev/null
+++ b/src/decisions/selectPromptHome/index.ts
@@ -0,0 +1,108 @@
+/**
+ * Selects the home of a prompt for the requests of one availability zone: the server
+ * to which its requests go, and to which it is copied. A prompt has one home by rank.
+ * Load pattern: a hot prompt that is asked for in every zone, whose long bodies cross
+ * zones with each request. Such a prompt gets a home in each zone that asks for it.
+ *
+ * A prompt is hot for a node that sends requests for it at short intervals; one that is
+ * asked for now and then keeps its one home. Whether a further home pays depends on how
+ * often the zone will still ask, which no node knows. As in the ski rental problem, each
+ * request that would cross zones makes the copy with the probability of its own cost
+ * over the cost of the copy. The zone has then paid about one copy for crossings when the copy
+ * is made, whatever the number of nodes that its requests arrive at, and a prompt with
+ * a low rate is mostly not copied. No counts are exchanged: once one node has made the
+ * copy, its announcement tells the others. A home that is no longer used is evicted by
+ * its server and forgotten by the nodes.
+ */
+import { hashText } from '../../hashing/index.js'
+import type { EngineCapacity } from '../../types/index.js'
+
+/** A server that may get requests for the prompt. */
+export type PromptHomeCandidate = { readonly id: string, readonly availabilityZone: string }
+
+export type PromptHomeInput = {
+  /** Key that is equal for requests with the same shared prefix; empty when nothing is shared. */
+  readonly affinityKey: string
+  readonly sharedTokens: number
+  /** Costs in prompt tokens to prefill, as in `selectPlacement`: of a request that crosses zones, and of a copy of the prompt between zones. */
+  readonly crossingCost: number
+  readonly copyCost: number
+  /** Milliseconds since this node last sent a request for the prompt; infinite when it sent none. */
+  readonly sinceLastSendMs: number
+  /** Zone of the node. */
+  readonly availabilityZone: string
+  readonly engine: Pick<EngineCapacity, 'memoryTokens'>
+  /** Tokens of the prefix that a server caches, complete or not. */
+  readonly readCachedTokens: (id: string) => number
+  /** Longest prefix in tokens that can be copied from any server. */
+  readonly copyableTokens: number
+  /** Estimated tokens of all prompts that a server caches. */
+  readonly estimateUsedTokens: (id: string) => number
+  /** Takes a copy of this many tokens to a home from the node's budget; false when it is used up. */
+  readonly takeCopy: (tokens: number) => boolean
+}
+
+/** A prompt is hot for a node that sends requests for it less than this apart: each node of the zone then sends some in the time of a copy and its announcement. */
+const HOT_INTERVAL_MS = 2_000
+
+/** Share of a server's memory up to which cached prompts make room for further homes; running requests need the rest. */
+const HOME_MEMORY_SHARE = 0.5
+
+/** Id of no server: the prompt stays where it is cached. */
+const NO_HOME = ''
+
+/**
+ * Finds the highest-ranked candidate by rendezvous hashing. Nodes with the same candidates find the same one, and it
+ * changes only when it leaves or a higher-ranked one joins.
+ *
+ * @param affinityKey - Key of the shared prefix.
+ * @param candidates - Servers that may get the request.
+ * @returns The candidate, or `undefined` without candidates or with an empty key.
+ *
+ * @example
+ * findPromptHome('menu', [{ id: 's1' }])?.id // => 's1'
+ */
+export const findPromptHome = <Candidate extends { readonly id: string }>(affinityKey: string, candidates: readonly Candidate[]): Candidate | undefined => {
+  if (affinityKey === '') return undefined
+  const seed = hashText(affinityKey)
+  let best: Candidate | undefined
+  let bestScore = -1
+  for (const candidate of candidates) {
+    const score = hashText(candidate.id, seed)
+    if (score <= bestScore) continue
+    best = candidate
+    bestScore = score
+  }
+  return best
+}
+
+/**
+ * Selects the home of a prompt for the requests of the node's zone.
+ *
+ * @param input - The prompt, and what the node knows of where it is cached.
+ * @param candidates - Servers that may get the request.
+ * @param random - Returns a number in [0, 1) per call.
+ * @returns Id of the home, empty when the prompt stays where it is cached, or `undefined` when nothing is shared.
+ *
+ * @example
+ * selectPromptHome({ ...input, affinityKey: '' }, candidates, Math.random) // => undefined
+ */
+export const selectPromptHome = (input: PromptHomeInput, candidates: readonly PromptHomeCandidate[], random: () => number): string | undefined => {
+  const { affinityKey, availabilityZone, sharedTokens, copyableTokens, engine } = input
+  /** A home that lacks the prompt gets it by a copy, if the prompt can be copied. */
+  const fill = (home: PromptHomeCandidate): string => {
+    const missing = sharedTokens - input.readCachedTokens(home.id)
+    return missing <= 0 || copyableTokens < sharedTokens || input.takeCopy(missing) ? home.id : NO_HOME
+  }
+  const first = findPromptHome(affinityKey, candidates)
+  if (first === undefined) return undefined
+  if (first.availabilityZone === availabilityZone) return fill(first)
+  const ofZone = findPromptHome(affinityKey, candidates.filter((candidate) => candidate.availabilityZone === availabilityZone))
+  if (ofZone === undefined) return fill(first)
+  if (input.readCachedTokens(ofZone.id) >= sharedTokens) return ofZone.id
+  if (copyableTokens < sharedTokens) return first.id
+  if (input.sinceLastSendMs > HOT_INTERVAL_MS) return fill(first)
+  if (random() >= input.crossingCost / input.copyCost) return fill(first)
+  const hasRoom = input.estimateUsedTokens(ofZone.id) + sharedTokens <= HOME_MEMORY_SHARE * engine.memoryTokens
+  return hasRoom ? fill(ofZone) : fill(first)
+}
--- a/src/services/forwarding/_lib/isTargetSilent.ts
+++ b/src/services/forwarding/_lib/isTargetSilent.ts
@@ -8,7 +8,7 @@
 export const isTargetSilent = ({ firstByteTimes }: Pick<RequestHandlerContext, 'firstByteTimes'>, route: GatewayRoute, attempt: SendAttempt, hasBegun: boolean, now: number): boolean => isFailoverDue({
   hasBegun,
   waitedMs: now - attempt.lastBytesAt,
-  instanceWaitedMs: attempt.target.readIdleMs(),
+  ...attempt.target.describeSilence(),
   firstByteTargetMs: route.latencyTargetMs,
   pauseTargetMs: route.eventGapTargetMs,
   usualFirstByteMs: firstByteTimes.readAverage(route.name)
--- a/src/services/forwarding/_lib/selectInstance.ts
+++ b/src/services/forwarding/_lib/selectInstance.ts
@@ -3,6 +3,7 @@
 import type { CandidateWork, InstanceCandidate, PlacementWeights, PromptCopySource } from '../../../decisions/selectPlacement/index.js'
 import { checkInstanceEligibility } from '../../../decisions/checkInstanceEligibility/index.js'
 import type { InstanceEligibility } from '../../../decisions/checkInstanceEligibility/index.js'
+import { selectPromptHome } from '../../../decisions/selectPromptHome/index.js'
 import { selectIneligibility } from '../../../decisions/selectIneligibility/index.js'
 import type { BackendInstance, GatewayRequest } from '../../../types/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
@@ -11,6 +12,7 @@
 import type { ForwardingDependencies } from '../index.js'
 
 export type SelectionDependencies = Pick<ForwardingDependencies, 'registry' | 'health' | 'notices' | 'directory' | 'loadView' | 'random' | 'zoneDrains' | 'warmUp' | 'refusals' | 'work'> & {
+  readonly configuration: Pick<ForwardingDependencies['configuration'], 'current'>
   readonly availabilityZone: string
   /** Region of each availability zone, for requests that are restricted to regions. */
   readonly regionByZone: ReadonlyMap<string, string>
@@ -87,11 +89,23 @@
   readonly slowdown?: StatedSlowdown | undefined
 }
 
+/** Tokens of the prompt's shared parts at the time of the selection. */
+export type PromptEstimate = {
+  readonly sharedTokens: number
+  /** Of these, tokens that the selected server caches. */
+  readonly cachedTokens: number
+  /** Longest prefix, in tokens, that any server caches which can be copied from. */
+  readonly copyableTokens: number
+  /** Whether the selected server is the home of the prompt for this zone; `undefined` when nothing is shared or the engines are not described. */
+  readonly isHome: boolean | undefined
+}
+
 export type SelectedInstance = {
   readonly instance: BackendInstance
   /** Another server that has a longer cached prefix of the prompt; it may be leaving, as long as it still serves. */
   readonly copyPromptFrom: BackendInstance | undefined
   readonly loadEstimate: LoadEstimate
+  readonly promptEstimate: PromptEstimate
   /** Whether it is suspended, and every other server that may get the request as well. */
   readonly isLastResort: boolean
 }
@@ -143,7 +157,7 @@
 /** Returns the selected server, or `undefined` when the service has no eligible one that was not tried. */
 export const selectInstance = (dependencies: SelectionDependencies, input: SelectionInput): SelectedInstance | undefined => {
   const { request, bodyBytes } = input
-  const { directory, loadView, health, random, registry } = dependencies
+  const { configuration, directory, loadView, health, random, registry } = dependencies
   const { usable, isLastResort } = listUsable(dependencies, input)
   // The last part is unique to the request and can't be cached.
   const shared = request.promptParts.slice(0, -1)
@@ -162,14 +176,33 @@
   const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0)
   const sent = countSentTokens(request, sharedTokens)
   const weights = { ...defaultPlacementWeights, boundFactor: LOAD_FACTOR_SHARE * dependencies.readLoadFactor() }
-  const placement = selectPlacement({
+  const engine = configuration.current()?.services.get(input.service)?.engine
+  // A server that is still reading a part has nothing to copy yet.
+  const copySources = listPrefixCaches(dependencies, input, engine !== undefined ? directory.listCopyableTokens(shared) : cachedTokensByKey)
+  const copyableTokens = Math.max(0, ...copySources.map(({ cachedPromptTokens }) => cachedPromptTokens))
+  const prompt = {
     affinityKey: shared.at(-1)?.id ?? '',
     sharedTokens,
     expectedBytes: bodyBytes + (request.promptParts.length > 0 ? BYTES_PER_TOKEN * request.tokens.output : PLAIN_ANSWER_BYTES),
-    availabilityZone: dependencies.availabilityZone,
+    availabilityZone: dependencies.availabilityZone
+  }
+  const homeId = engine && selectPromptHome({
+    ...prompt,
+    engine,
+    crossingCost: weights.tokensPerRemoteKilobyte * prompt.expectedBytes / 1024,
+    copyCost: weights.remoteCopyCostShare * sharedTokens,
+    copyableTokens,
+    sinceLastSendMs: directory.sinceLastReadMs(prompt.affinityKey),
+    readCachedTokens: (id) => candidates.find((candidate) => candidate.id === id)?.cachedPromptTokens ?? 0,
+    estimateUsedTokens: (id) => directory.estimateUsedTokens(formatInstanceKey(usable.find((instance) => instance.id === id)!)),
+    takeCopy: (tokens) => directory.takeCopy(input.service, { tokens, engine, engines: usable.length })
+  }, candidates, random.next)
+  const placement = selectPlacement({
+    ...prompt,
+    homeId,
     meanLoad,
     ownMemoryTokens: sent.missingTokens + sent.expectedOutputTokens
-  }, candidates, listPrefixCaches(dependencies, input, cachedTokensByKey), random.next, weights)
+  }, candidates, copySources, random.next, weights)
   const instance = usable.find(({ id }) => id === placement?.id)
   if (instance === undefined) return undefined
   const source = placement?.copyFrom
@@ -177,6 +210,12 @@
     instance,
     isLastResort,
     copyPromptFrom: source === undefined ? undefined : registry.find(source) ?? registry.recentlyRemoved().find(({ id }) => id === source),
-    loadEstimate: { ...createLoadEstimate(instance.id, candidates, meanLoad, weights), slowdown: dependencies.work.readSlowdown(instance) }
+    loadEstimate: { ...createLoadEstimate(instance.id, candidates, meanLoad, weights), slowdown: dependencies.work.readSlowdown(instance) },
+    promptEstimate: {
+      sharedTokens,
+      cachedTokens: cachedTokensByKey.get(formatInstanceKey(instance)) ?? 0,
+      copyableTokens,
+      isHome: homeId === undefined || homeId === '' ? undefined : homeId === instance.id
+    }
   }
 }
--- a/src/services/forwarding/test.ts
+++ b/src/services/forwarding/test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, test } from 'vitest'
 import { createForwarding } from './index.js'
+import { createFakeDirectory } from '../../../test/_lib/createFakeDirectory.js'
 import type { ForwardingDependencies } from './index.js'
 import { createServerWork } from '../serverWork/index.js'
 import { createManualClock } from '../../emulator/createManualClock/index.js'
@@ -82,7 +83,7 @@
     refusals: { recordLimit: () => {}, isLimitReached: () => false, recordSend: () => () => {} },
     relays: { select: () => undefined, send: () => ({ abort: () => {}, pause: () => {}, resume: () => {} }), recordStart: () => {}, recordEnd: () => {}, recordBytes: () => {}, recordFailure: () => {}, recordAnswer: () => {}, readIdleMs: () => 0 },
     notices: { record: () => {}, backoffRemainingMs: () => 0 },
-    directory: { record: () => {}, listCachedTokens: () => new Map(), onRecovered: () => {} },
+    directory: createFakeDirectory(),
     loadView,
     work: createServerWork({ clock, loadView, logger: { warn: () => {} }, configuration: { current: () => CONFIGURATION }, readPeersUnread: () => undefined }).api,
     membership: { members: () => [MEMBER] },
--- a/src/services/forwarding/waiting.test.ts
+++ b/src/services/forwarding/waiting.test.ts
@@ -8,6 +8,8 @@
 import { createSeededRandom } from '../../adapters/seededRandom/index.js'
 import { createManualClock } from '../../emulator/createManualClock/index.js'
 import { createAdmission, defaultAdmissionOptions } from '../admission/index.js'
+import { createFakeDirectory } from '../../../test/_lib/createFakeDirectory.js'
+import { createServerWork } from '../serverWork/index.js'
 import type { BackendInstance, CallerSink, ExchangeListener, GatewayConfiguration, GatewayRequest, GatewayRoute, InstanceAnswer, Member } from '../../types/index.js'
 
 const SEED = 49
@@ -93,6 +95,8 @@
 
   const { api: admission } = createAdmission({ clock, countSlots: () => 0, countEqualPart: () => instances.length * SLOTS }, { ...defaultAdmissionOptions, order: 'priority', pollIntervalMs: 25 })
 
+  const loadView = { recordStart: (server: string) => count(server, 1), recordEnd: (server: string) => count(server, -1), estimateInFlight: (server: string) => inFlight.get(server) ?? 0, ownInFlight: () => 0, applyReport: () => {} }
+
   const forwarding = createForwarding({
     clock,
     random: { next: createSeededRandom(SEED).next, nextId: () => 'id' },
@@ -106,8 +110,9 @@
     refusals: { recordLimit: () => {}, isLimitReached: () => false, recordSend: () => () => {} },
     relays: { select: () => undefined, send: () => ({ abort: () => {}, pause: () => {}, resume: () => {} }), recordStart: () => {}, recordEnd: () => {}, recordBytes: () => {}, recordFailure: () => {}, recordAnswer: () => {}, readIdleMs: () => 0 },
     notices: { record: () => {}, backoffRemainingMs: () => 0 },
-    directory: { record: () => {}, listCachedTokens: () => new Map(), onRecovered: () => {} },
-    loadView: { recordStart: (server) => count(server, 1), recordEnd: (server) => count(server, -1), estimateInFlight: (server) => inFlight.get(server) ?? 0, ownInFlight: () => 0, applyReport: () => {} },
+    directory: createFakeDirectory(),
+    loadView,
+    work: createServerWork({ clock, loadView, logger: { warn: () => {} }, configuration: { current: () => configuration }, readPeersUnread: () => undefined }).api,
     membership: { members: () => [MEMBER] },
     zoneDrains: { isDrained: () => false, isKnown: () => true, revision: () => 0, onChange: () => {} },
     warmUp: { remainingMs: () => 0, isLimitReached: () => false, recordSend: () => {} },
