Bound what a node holds for callers that read slowly

Answers to callers that read slowly piled up without a bound in all: a whole answer of up to a megabyte stays queued as long as its caller likes, and a stream was paused at 16 KB, which a backend server cuts off after some seconds. A service counts bodies, buffered answers and unread bytes; one decision pauses, resumes and ends. Bodies on their way to backend servers are watched, and one that takes nothing gets no new requests. In force only where admission is controlled and the VM's memory is known.

--- a/src/adapters/exchangeHttp/index.ts
+++ b/src/adapters/exchangeHttp/index.ts
@@ -4,15 +4,22 @@
  * byte of it was written, and how long it was idle before.
  */
 import { connect } from 'node:net'
+import type { Socket } from 'node:net'
 import { Client } from 'undici'
 import type { buildConnector, Dispatcher } from 'undici'
-import type { Clock, Exchange, ExchangeListener, HeaderList, InstanceAnswer, PeerAddress } from '../../types/index.js'
+import { createUploads } from './_lib/createUploads.js'
+import type { SlowUpload, UploadListener } from './_lib/createUploads.js'
+import type { Clock, Exchange, ExchangeListener, HeaderList, InstanceAnswer, PeerAddress, UploadBytes } from '../../types/index.js'
+
+export type { SlowUpload }
 
 export type ExchangeHttpOptions = {
   readonly clock: Clock
   readonly decodeAnswer: (status: number, headers: HeaderList) => InstanceAnswer
   /** Connect timeout in milliseconds. */
   readonly connectTimeoutMs: number
+  /** Told when a receiver does not take the bodies of requests; not observed when omitted. */
+  readonly uploadListener?: UploadListener | undefined
 }
 
 export type OutgoingRequest = {
@@ -28,12 +35,15 @@
 
 export type ExchangeHttp = {
   readonly send: (request: OutgoingRequest, listener: ExchangeListener) => Exchange
+  /** Whether the receiver does not take the bodies that it is sent. */
+  readonly isReadingSlowly: (key: string) => boolean
+  readonly countUploadBytes: () => UploadBytes
   /** Closes idle connections to receivers whose key is not in the set. */
   readonly retain: (live: ReadonlySet<string>) => void
   readonly close: () => void
 }
 
-type Connection = { readonly client: Client, lastUsedAt: number, isBusy: boolean, isClosed: boolean, isReset: boolean }
+type Connection = { readonly client: Client, socket: Socket | undefined, lastUsedAt: number, isBusy: boolean, isClosed: boolean, isReset: boolean }
 
 /** Maximum number of idle connections per receiver, kept open for its next burst of requests. */
 const MAXIMUM_IDLE_CONNECTIONS = 32
@@ -85,7 +95,8 @@
  * const client = createExchangeHttp({ clock, decodeAnswer, connectTimeoutMs: 200 })
  * client.send(request, listener).abort()
  */
-export const createExchangeHttp = ({ clock, decodeAnswer, connectTimeoutMs }: ExchangeHttpOptions): ExchangeHttp => {
+export const createExchangeHttp = ({ clock, decodeAnswer, connectTimeoutMs, uploadListener }: ExchangeHttpOptions): ExchangeHttp => {
+  const uploads = uploadListener === undefined ? undefined : createUploads(clock, uploadListener)
   const pools = new Map<string, Set<Connection>>()
   const connector = createConnector(clock, connectTimeoutMs)
 
@@ -105,6 +116,7 @@
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
       connect: (target, callback) => connector(target, (...result) => {
         const [, socket] = result
+        connection.socket = socket ?? undefined
         // undici takes a reset for the end of an answer without a length, and the event
         // loop reports a reset right after some bytes as an orderly end. A partial answer
         // would pass for a complete one. A socket that was reset has no remote address any
@@ -114,7 +126,7 @@
         callback(...result)
       })
     })
-    const connection: Connection = { client, lastUsedAt: clock.now(), isBusy: false, isClosed: false, isReset: false }
+    const connection: Connection = { client, socket: undefined, lastUsedAt: clock.now(), isBusy: false, isClosed: false, isReset: false }
     client.on('disconnect', () => drop(pool, connection))
     client.on('connectionError', () => drop(pool, connection))
     pool.add(connection)
@@ -158,8 +170,10 @@
     let isFinished = false
     let resume: (() => void) | undefined
     let isPaused = false
+    let endUpload = (): void => { /* nothing was written */ }
 
     const fail = (error: NodeJS.ErrnoException): void => {
+      endUpload()
       if (isFinished) return
       isFinished = true
       drop(pool, connection)
@@ -177,10 +191,12 @@
           return abort(new Error('the receiver may not get the request any more'))
         }
         isSent = true
+        if (uploads !== undefined && connection.socket !== undefined && request.body.length > 0) endUpload = uploads.begin(request.key, connection.socket, request.body.length)
         listener.onSent()
       },
       onHeaders: (status, rawHeaders, resumeReading) => {
         if (status < 200) return true
+        endUpload()
         resume = resumeReading
         if (!isFinished) listener.onHead(decodeAnswer(status, listHeaders(rawHeaders)))
         return !isPaused
@@ -211,6 +227,7 @@
     return {
       abort: () => {
         isFinished = true
+        endUpload()
         drop(pool, connection)
       },
       pause: () => { isPaused = true },
@@ -224,6 +241,8 @@
 
   return {
     send,
+    isReadingSlowly: (key) => uploads?.isReadingSlowly(key) ?? false,
+    countUploadBytes: () => uploads?.countBytes() ?? { unsent: 0, unanswered: 0 },
     retain: (live) => {
       for (const [key, pool] of pools) {
         if (live.has(key)) continue
--- a/src/adapters/gatewayHttp/_lib/createResponseWriter.ts
+++ b/src/adapters/gatewayHttp/_lib/createResponseWriter.ts
@@ -1,10 +1,10 @@
 /** Writes the one final answer of a request to its caller's connection. */
 import type { ServerResponse } from 'node:http'
 import type { RelayHeaders } from '../../relayHttp/index.js'
-import type { CallerSink, FinalReason, GatewayRefusal, HeaderList, InstanceAnswer } from '../../../types/index.js'
+import type { CallerSink, FinalReason, GatewayRefusal, HeaderList, HeldEntry, InstanceAnswer } from '../../../types/index.js'
 
 /** Refusals after which the connection is closed: bytes that follow on it can't be trusted or are not wanted. */
-const CLOSING_REASONS: ReadonlySet<FinalReason> = new Set(['badRequest', 'headerTooLarge', 'bodyTooLarge'])
+const CLOSING_REASONS: ReadonlySet<FinalReason> = new Set(['badRequest', 'headerTooLarge', 'bodyTooLarge', 'memoryFull'])
 /** How long the connection is still read after a request was refused while its body is being sent: closing at once would reset it, and the caller could lose the answer. */
 const LINGERING_CLOSE_MS = 500
 
@@ -19,10 +19,12 @@
   readonly onUntrusted: () => void
   /** Headers for answers to a peer; `undefined` for answers to callers. */
   readonly relayHeaders?: RelayHeaders | undefined
+  /** Counts what the node holds for the request; `undefined` where there is no bound. */
+  readonly held?: HeldEntry | undefined
 }
 
 /** Creates the writer for the answer of one request. */
-export const createResponseWriter = (response: ServerResponse, { isClosing, onUntrusted, relayHeaders }: ResponseWriterOptions): CallerSink => {
+export const createResponseWriter = (response: ServerResponse, { isClosing, onUntrusted, relayHeaders, held }: ResponseWriterOptions): CallerSink => {
   const closing = (): string[] => isClosing() ? ['Connection', 'close'] : []
 
   const relayed = ({ servedBy }: InstanceAnswer): readonly string[] => servedBy === undefined ? [] : relayHeaders?.servedBy(servedBy) ?? []
@@ -52,13 +54,21 @@
     complete: (answer: InstanceAnswer, body) => {
       writeHead(answer.status, [...flatten(answer.headers), ...relayed(answer), 'Content-Length', String(body.length)])
       response.end(body)
+      held?.recordWrite(body.length)
     },
     head: (answer) => {
       const length = answer.contentLength === undefined || answer.isEventStream ? [] : ['Content-Length', String(answer.contentLength)]
       writeHead(answer.status, [...flatten(answer.headers), ...relayed(answer), ...length])
     },
-    data: (bytes) => response.write(bytes),
-    onDrain: (listener) => { response.once('drain', listener) },
+    data: (bytes) => {
+      const isDrained = response.write(bytes)
+      return held === undefined ? isDrained : held.recordWrite(bytes.length)
+    },
+    onDrain: (listener) => {
+      if (held === undefined) response.once('drain', listener)
+      else held.onResume(listener)
+    },
+    ...(held === undefined ? {} : { readAllowance: held.readAllowance, recordBuffered: held.recordBuffered }),
     end: () => { response.end() },
     fail: () => { response.destroy() }
   }
--- a/src/adapters/gatewayHttp/_lib/readBody.ts
+++ b/src/adapters/gatewayHttp/_lib/readBody.ts
@@ -4,6 +4,9 @@
 export type BodyListener = {
   readonly onBody: (body: Uint8Array) => void
   readonly onTooLarge: () => void
+  /** Returns whether there is room for a body of this size, in bytes; the rest of it is not kept otherwise. */
+  readonly hasRoom: (bytes: number) => boolean
+  readonly onNoRoom: () => void
   /** Called when the caller's connection ends before the body is complete. */
   readonly onBroken: () => void
 }
@@ -22,6 +25,7 @@
     if (isFinished) return
     bytes += chunk.length
     if (bytes > maximumBytes) return finish(listener.onTooLarge)
+    if (!listener.hasRoom(bytes)) return finish(listener.onNoRoom)
     chunks.push(chunk)
   })
   message.on('end', () => finish(() => listener.onBody(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks))))
--- a/src/adapters/gatewayHttp/index.ts
+++ b/src/adapters/gatewayHttp/index.ts
@@ -15,7 +15,7 @@
 import { openHandoverListener } from '../handoverListener/index.js'
 import type { RelayHeaders } from '../relayHttp/index.js'
 import type { HandoverListener } from '../handoverListener/index.js'
-import type { Clock, Forwarding, GatewayDialect, GatewayLimits, HeaderList, Logger, PeerAddress, StartTimeline } from '../../types/index.js'
+import type { CallerSink, Clock, Forwarding, GatewayDialect, GatewayLimits, GatewayRefusal, HeaderList, HeldBytes, HeldEntry, Logger, PeerAddress, StartTimeline } from '../../types/index.js'
 
 export type GatewayHttpOptions = {
   readonly host: string
@@ -30,6 +30,8 @@
   readonly timeline?: StartTimeline | undefined
   /** Headers for answers, where the listener serves peers instead of callers. */
   readonly relayHeaders?: RelayHeaders | undefined
+  /** Bounds what the node holds for callers; no bound when omitted. */
+  readonly heldBytes?: Pick<HeldBytes, 'open' | 'hasRoomFor'> | undefined
   /** Returns the limits of the configuration in force; `undefined` before there is one. */
   readonly readLimits: () => GatewayLimits | undefined
 }
@@ -51,6 +53,9 @@
 /** Limit of the parser, above any configured limit; the configured one is checked once the head is read. */
 const MAXIMUM_PARSED_HEADER_BYTES = 128 * 1024
 
+/** Another node may have room; this one has again when some callers have read. */
+const MEMORY_FULL: GatewayRefusal = { status: 503, reason: 'memoryFull', retryAfterMs: 250 }
+
 const listHeaders = (raw: readonly string[]): HeaderList => {
   const headers: [string, string][] = []
   for (let index = 0; index + 1 < raw.length; index += 2) headers.push([raw[index]!, raw[index + 1]!])
@@ -101,23 +106,40 @@
       if (response.writableFinished && response.statusCode < 300) options.timeline?.mark('firstServed')
     })
     if (isClosing) response.setHeader('Connection', 'close')
-    const responseWriter = createResponseWriter(response, { isClosing: () => isClosing, onUntrusted: () => { untrusted.add(socket) }, relayHeaders: options.relayHeaders })
     const headers = listHeaders(message.rawHeaders)
+    const createWriter = (held?: HeldEntry): CallerSink =>
+      createResponseWriter(response, { isClosing: () => isClosing, onUntrusted: () => { untrusted.add(socket) }, relayHeaders: options.relayHeaders, held })
     const problem = checkFraming(message, headers, limits())
     if (problem !== undefined) {
-      responseWriter.refuse(problem)
+      createWriter().refuse(problem)
       return
     }
     const decoded = dialect.decodeRequest({ method: message.method ?? '', target: message.url ?? '', headers, receivedAt })
     if (!decoded.ok) {
-      responseWriter.refuse(decoded.error)
+      createWriter().refuse(decoded.error)
+      return
+    }
+    const held = options.heldBytes?.open({
+      requestId: decoded.value.requestId,
+      readUnreadBytes: () => response.writableLength,
+      maximumUnreadMs: limits().idleTimeoutMs,
+      end: () => { response.destroy() }
+    })
+    if (held !== undefined) response.on('drain', held.recordRead)
+    const run = forwarding.begin(decoded.value, createWriter(held))
+    response.on('close', () => {
+      held?.close()
+      if (!response.writableFinished) run.cancel()
+    })
+    if (options.heldBytes?.hasRoomFor(Number(message.headers['content-length'] ?? 0)) === false) {
+      run.reject(MEMORY_FULL)
       return
     }
-    const run = forwarding.begin(decoded.value, responseWriter)
-    response.on('close', () => { if (!response.writableFinished) run.cancel() })
     readBody(message, limits().maximumBodyBytes, {
       onBody: (body) => pauseDetector.runWhenCaughtUp(() => run.submit(body)),
       onTooLarge: () => run.reject({ status: 413, reason: 'bodyTooLarge' }),
+      hasRoom: (bytes) => held?.recordBody(bytes) ?? true,
+      onNoRoom: () => run.reject(MEMORY_FULL),
       onBroken: run.cancel
     })
   }
--- a/src/adapters/promMetrics/index.ts
+++ b/src/adapters/promMetrics/index.ts
@@ -26,6 +26,8 @@
   gateway_repeats: { help: 'Sends beyond the first of a request, by whether the retry budget granted them', labels: ['granted'] },
   gateway_prompt_copies: { help: 'Sends that asked for a copy of the prompt from another backend server', labels: [] },
   gateway_relays: { help: 'Requests sent to a peer because this node does not reach the backend servers', labels: [] },
+  gateway_answers_paused: { help: 'Answers whose backend server was paused because the caller reads slowly', labels: [] },
+  gateway_answers_ended_unread: { help: 'Connections ended because their callers did not read, by reason', labels: ['reason'] },
   gateway_backoffs: { help: 'Answers in which a backend server asked this node to send nothing for a while', labels: [] },
   log_lines_left_out: { help: 'Log lines left out to keep the volume bounded, by event', labels: ['event'] }
 }
@@ -45,6 +47,7 @@
   requests_unaccounted: { help: 'Accepted requests that fell out of the sum of outcomes; anything but 0 is an alarm', labels: [] },
   configuration_generation: { help: 'Generation of the configuration in force', labels: [] },
   gateway_requests_open: { help: 'Requests of callers without a final answer yet', labels: [] },
+  gateway_held_bytes: { help: 'Bytes held for callers and backend servers, by what they are', labels: ['kind'] },
   configuration_version: { help: 'Version of the configuration in force', labels: [] },
   configuration_confirmed_age_seconds: { help: 'Time since the configuration in force was surely the newest; -1 when unknown', labels: [] },
   instances: { help: 'Backend servers by service and state', labels: ['service', 'state'] },
--- a/src/daemon/startGateway/index.ts
+++ b/src/daemon/startGateway/index.ts
@@ -114,7 +114,7 @@
   // Opened before the node starts, as its heartbeats tell peers the port.
   const relayListener = settings.relayAddress === undefined ? undefined : openHandoverListener(settings.relayAddress)
   const relayAddress = await relayListener?.opened
-  const client = createInstanceHttp({ clock, dialect, ...(options.resolveAddress === undefined ? {} : { resolveAddress: options.resolveAddress }) })
+  const client = createInstanceHttp({ clock, dialect, uploadLogger: settings.controlsAdmission === true ? logger : undefined, ...(options.resolveAddress === undefined ? {} : { resolveAddress: options.resolveAddress }) })
   const node = createGatewayNode({
     settings: { ...settings, peerAddress, relayAddress },
     readSettings: () => currentSettings,
@@ -144,6 +144,7 @@
     logger,
     dialect,
     forwarding: node.resolve('forwarding'),
+    heldBytes: node.resolve('heldBytes'),
     timeline,
     readLimits
   })
@@ -157,6 +158,7 @@
       logger,
       dialect: createRelayDialect(dialect, settings.fleetKey),
       forwarding: node.resolve('forwarding'),
+      heldBytes: node.resolve('heldBytes'),
       relayHeaders,
       readLimits: () => addRelayAllowance(readLimits())
     })
--- a/src/decisions/checkInstanceEligibility/index.ts
+++ b/src/decisions/checkInstanceEligibility/index.ts
@@ -14,6 +14,8 @@
   readonly isAtWarmUpRate: boolean
   /** Whether a request could be one refusal more than this node may cause there. */
   readonly isAtRefusalLimit: boolean
+  /** Whether it does not take the bodies of requests that this node sends; false when omitted. */
+  readonly isReadingSlowly?: boolean
 }
 
 export type InstanceEligibility = 'open' | 'regionNotAllowed' | 'zoneDrained' | 'backingOff' | 'warmingUp' | 'serviceFull'
@@ -31,10 +33,10 @@
  * @example
  * checkInstanceEligibility({ region: 'north', isZoneDrained: true, isBackingOff: false, isAtWarmUpRate: false, isAtRefusalLimit: false }, []) // => 'zoneDrained'
  */
-export const checkInstanceEligibility = ({ region, isZoneDrained, isBackingOff, isAtWarmUpRate, isAtRefusalLimit }: InstanceStatus, allowedRegions: readonly (readonly string[])[]): InstanceEligibility => {
+export const checkInstanceEligibility = ({ region, isZoneDrained, isBackingOff, isAtWarmUpRate, isAtRefusalLimit, isReadingSlowly = false }: InstanceStatus, allowedRegions: readonly (readonly string[])[]): InstanceEligibility => {
   if (!allowedRegions.every((allowed) => isRegionAllowed(region, allowed))) return 'regionNotAllowed'
   if (isZoneDrained) return 'zoneDrained'
   if (isBackingOff) return 'backingOff'
   if (isAtWarmUpRate) return 'warmingUp'
-  return isAtRefusalLimit ? 'serviceFull' : 'open'
+  return isAtRefusalLimit || isReadingSlowly ? 'serviceFull' : 'open'
 }
--- a/src/node/createGatewayNode/_lib/registerGauges.ts
+++ b/src/node/createGatewayNode/_lib/registerGauges.ts
@@ -1,5 +1,5 @@
 /** Gauges of a gateway node's view of the fleet and of its open requests. */
-import type { BackendInstance, GaugeReading, Metrics } from '../../../types/index.js'
+import type { BackendInstance, GaugeReading, InstanceClient, Metrics } from '../../../types/index.js'
 import type { GatewayNode } from '../index.js'
 
 const MILLISECONDS_PER_SECOND = 1_000
@@ -42,8 +42,15 @@
   return Number.isFinite(ageMs) ? ageMs / MILLISECONDS_PER_SECOND : UNKNOWN_AGE_SECONDS
 }
 
+const readHeldBytes = (client: InstanceClient, resolve: Resolve): readonly GaugeReading[] => {
+  const { unsent, unanswered } = client.countUploadBytes?.() ?? { unsent: 0, unanswered: 0 }
+  return Object.entries({ ...resolve('heldBytes').countBytes(), unsentBody: unsent, unansweredBody: unanswered })
+    .map(([kind, value]) => ({ value, labels: { kind } }))
+}
+
 /** Registers the gauges; each is read on every scrape. */
-export const registerGauges = (metrics: Metrics, resolve: Resolve): void => {
+export const registerGauges = (metrics: Metrics, client: InstanceClient, resolve: Resolve): void => {
+  metrics.readGauge('gateway_held_bytes', () => readHeldBytes(client, resolve))
   metrics.readGauge('gateway_requests_open', () => [{ value: resolve('forwarding').openRequests() }])
   metrics.readGauge('configuration_version', () => [{ value: resolve('gatewayConfiguration').version() }])
   metrics.readGauge('configuration_confirmed_age_seconds', () => [{ value: readConfirmedAge(resolve) }])
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -4,6 +4,7 @@
  */
 import { recordStartSteps } from './_lib/recordStartSteps.js'
 import { registerForwarding } from './_lib/registerForwarding.js'
+import { registerHeldBytes } from './_lib/registerHeldBytes.js'
 import { registerGauges } from './_lib/registerGauges.js'
 import { registerSources } from './_lib/registerSources.js'
 import { registerLoad } from './_lib/registerLoad.js'
@@ -22,7 +23,7 @@
 import type { VmList } from '../../services/vmList/index.js'
 import type { WarmUpLimiter } from '../../services/warmUpLimiter/index.js'
 import type {
-  Clock, ConfigurationSource, PromptCacheSource, Forwarding, GatewayConfigurationHolder, GatewaySettings, InstanceClient, InstanceRegistry, InstanceSource,
+  Clock, ConfigurationSource, PromptCacheSource, Forwarding, GatewayConfigurationHolder, GatewaySettings, HeldBytes, InstanceClient, InstanceRegistry, InstanceSource,
   LoadView, Logger, Membership, Metrics, PeerTransport, RandomSource, RelayClient, StartTimeline, ZoneDrains, ZoneDrainSource
 } from '../../types/index.js'
 
@@ -63,6 +64,7 @@
   readonly promptDirectory: PromptDirectory
   readonly warmUp: WarmUpLimiter
   readonly refusalLimiter: RefusalLimiter
+  readonly heldBytes: HeldBytes
   readonly forwarding: Forwarding
 }
 
@@ -90,12 +92,13 @@
   registerPeers(kernel, dependencies)
   registerSources(kernel, dependencies)
   registerLoad(kernel, dependencies)
+  registerHeldBytes(kernel, dependencies)
   registerForwarding(kernel, dependencies)
   return {
     start: async () => {
       await kernel.start()
       if (dependencies.timeline !== undefined) recordStartSteps(dependencies.timeline, kernel.resolve)
-      registerGauges(dependencies.metrics, kernel.resolve)
+      registerGauges(dependencies.metrics, dependencies.client, kernel.resolve)
     },
     stop: kernel.stop,
     resolve: kernel.resolve,
--- a/src/services/forwarding/_lib/createAnswerIntake.ts
+++ b/src/services/forwarding/_lib/createAnswerIntake.ts
@@ -31,7 +31,7 @@
   readonly handleEnd: () => void
 }
 
-/** An answer that is no event stream is buffered up to this size; longer ones are passed on as they arrive. */
+/** An answer that is no event stream is buffered up to this size, or less where the node has little room; longer ones are passed on as they arrive. */
 const MAXIMUM_BUFFERED_BYTES = 1024 * 1024
 
 const isStream = (answer: InstanceAnswer): boolean => answer.isEventStream && answer.status === 200
@@ -57,9 +57,11 @@
   const bufferBytes = (head: InstanceAnswer, bytes: Uint8Array, exchange: Exchange | undefined): void => {
     buffered.push(bytes)
     bufferedBytes += bytes.length
-    if (bufferedBytes <= MAXIMUM_BUFFERED_BYTES) return
+    caller.recordBuffered(bufferedBytes)
+    if (bufferedBytes <= Math.min(MAXIMUM_BUFFERED_BYTES, caller.readAllowance())) return
     const chunks = buffered
     buffered = []
+    caller.recordBuffered(0)
     caller.begin(head)
     for (const chunk of chunks) caller.pass(chunk, exchange)
   }
@@ -85,6 +87,7 @@
       if (isStream(answer)) beginWith(answer)
       if (caller.hasBegun()) return listener.onStreamEnd()
       const body = Buffer.concat(buffered)
+      caller.recordBuffered(0)
       if (answer.status >= 500) return listener.onReportedFailure(answer, body)
       listener.onComplete(answer, body)
     }
--- a/src/services/forwarding/_lib/createCallerAnswer.ts
+++ b/src/services/forwarding/_lib/createCallerAnswer.ts
@@ -13,6 +13,11 @@
   readonly begin: (answer: InstanceAnswer) => void
   /** Passes bytes on; the exchange pauses while the caller reads slower than bytes arrive. */
   readonly pass: (bytes: Uint8Array, exchange: Exchange | undefined) => void
+  /** Whether the exchange is paused for a node's bound on held bytes: the backend server is not silent, it is not read. */
+  readonly isPaused: () => boolean
+  /** Bytes that may be buffered until the answer is complete. */
+  readonly readAllowance: () => number
+  readonly recordBuffered: (bytes: number) => void
   readonly end: () => void
   readonly sendComplete: (answer: InstanceAnswer, body: Uint8Array) => void
   readonly refuse: (refusal: GatewayRefusal) => void
@@ -23,6 +28,7 @@
 /** Creates the answer for a caller that already has the events up to `lastEventId`. */
 export const createCallerAnswer = (sink: CallerSink, lastEventId: number | undefined): CallerAnswer => {
   let hasBegun = false
+  let isPaused = false
   return {
     hasBegun: () => hasBegun,
     relay: createEventRelay(lastEventId),
@@ -32,9 +38,16 @@
     },
     pass: (bytes, exchange) => {
       if (sink.data(bytes)) return
+      isPaused = true
       exchange?.pause()
-      sink.onDrain(() => exchange?.resume())
+      sink.onDrain(() => {
+        isPaused = false
+        exchange?.resume()
+      })
     },
+    isPaused: () => isPaused && sink.readAllowance !== undefined,
+    readAllowance: () => sink.readAllowance?.() ?? Infinity,
+    recordBuffered: (bytes) => sink.recordBuffered?.(bytes),
     end: sink.end,
     sendComplete: sink.complete,
     refuse: sink.refuse,
--- a/src/services/forwarding/_lib/createPeerTarget.ts
+++ b/src/services/forwarding/_lib/createPeerTarget.ts
@@ -7,7 +7,7 @@
 const failures: Readonly<Record<AttemptFailure, RelayFailure | undefined>> = { unreachable: 'unreachable', silent: 'silent', broken: undefined, errored: undefined }
 
 /** What a refusal shows about the peer. The other reasons hold on every node, or pass within a request or two. */
-const refusals: Partial<Readonly<Record<FinalReason, RelayFailure>>> = { noInstance: 'noServer', relayLimit: 'busy', shuttingDown: 'busy', noConfiguration: 'busy' }
+const refusals: Partial<Readonly<Record<FinalReason, RelayFailure>>> = { noInstance: 'noServer', relayLimit: 'busy', memoryFull: 'busy', shuttingDown: 'busy', noConfiguration: 'busy' }
 
 /** Creates the target of one attempt. */
 export const createPeerTarget = (relays: PeerRelays, attempt: RelayAttempt): AttemptTarget => {
--- a/src/services/forwarding/_lib/selectInstance.ts
+++ b/src/services/forwarding/_lib/selectInstance.ts
@@ -4,11 +4,13 @@
 import { checkInstanceEligibility } from '../../../decisions/checkInstanceEligibility/index.js'
 import type { InstanceEligibility } from '../../../decisions/checkInstanceEligibility/index.js'
 import { selectIneligibility } from '../../../decisions/selectIneligibility/index.js'
-import type { BackendInstance, GatewayRequest } from '../../../types/index.js'
+import type { BackendInstance, GatewayRequest, InstanceClient } from '../../../types/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 import type { ForwardingDependencies } from '../index.js'
 
 export type SelectionDependencies = Pick<ForwardingDependencies, 'registry' | 'health' | 'notices' | 'directory' | 'loadView' | 'random' | 'zoneDrains' | 'warmUp' | 'refusals'> & {
+  /** Knows which backend servers don't take the bodies of requests. */
+  readonly client?: Pick<InstanceClient, 'isReadingSlowly'>
   readonly availabilityZone: string
   /** Region of each availability zone, for requests that are restricted to regions. */
   readonly regionByZone: ReadonlyMap<string, string>
@@ -35,12 +37,13 @@
 const listUntried = ({ registry }: SelectionDependencies, { service, tried }: SelectionInput): readonly BackendInstance[] =>
   registry.list(service).filter(({ id }) => !tried.has(id))
 
-const evaluate = ({ zoneDrains, notices, warmUp, refusals, regionByZone }: SelectionDependencies, { allowedRegions }: SelectionInput, instance: BackendInstance): InstanceEligibility => checkInstanceEligibility({
+const evaluate = ({ zoneDrains, notices, warmUp, refusals, client, regionByZone }: SelectionDependencies, { allowedRegions }: SelectionInput, instance: BackendInstance): InstanceEligibility => checkInstanceEligibility({
   region: regionByZone.get(instance.availabilityZone),
   isZoneDrained: zoneDrains.isDrained(instance.availabilityZone),
   isBackingOff: notices.backoffRemainingMs(instance) > 0,
   isAtWarmUpRate: warmUp.isLimitReached(instance),
-  isAtRefusalLimit: refusals.isLimitReached(instance)
+  isAtRefusalLimit: refusals.isLimitReached(instance),
+  isReadingSlowly: client?.isReadingSlowly?.(instance) === true
 }, allowedRegions)
 
 /** Why no backend server is eligible for the request; `undefined` where all of them were tried. */
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -252,8 +252,19 @@
   readonly resume: () => void
 }
 
+/** Bodies of requests on their way to backend servers, in bytes. */
+export type UploadBytes = {
+  /** Written, and not taken by the connection yet. */
+  readonly unsent: number
+  /** Sent to servers that have not begun to answer; they hold these. */
+  readonly unanswered: number
+}
+
 export type InstanceClient = {
   readonly send: (attempt: GatewayAttempt, listener: ExchangeListener) => Exchange
+  /** Whether the backend server does not take the bodies that this node sends it. Omitted where that is not observed. */
+  readonly isReadingSlowly?: (instance: BackendInstance) => boolean
+  readonly countUploadBytes?: () => UploadBytes
   /** Checks whether a connection can be opened, without sending a request. */
   readonly probe: (instance: BackendInstance) => Promise<boolean>
   /** Closes idle connections to backend servers whose `id@incarnation` is not in the set. */
@@ -273,7 +284,7 @@
   | 'badRequest' | 'headerTooLarge' | 'bodyTooLarge' | 'unknownRoute' | 'unknownKey' | 'noConfiguration' | 'staleKeys'
   | 'noInstance' | 'serviceFull' | 'deadlineBeforeSend' | 'deadline' | 'instanceFailed' | 'answerBroken'
   | 'instancesRefused' | 'shuttingDown' | 'crossedAnswer' | 'zoneDrained' | 'backingOff' | 'warmingUp' | 'regionNotAllowed'
-  | 'relayLimit'
+  | 'relayLimit' | 'memoryFull'
 
 /** A final answer created by the node itself. */
 export type GatewayRefusal = {
@@ -291,6 +302,10 @@
   /** Returns false when the caller reads more slowly than the answer arrives (backpressure). */
   readonly data: (bytes: Uint8Array) => boolean
   readonly onDrain: (listener: () => void) => void
+  /** Bytes that the answer may hold in the node; unlimited when omitted. */
+  readonly readAllowance?: () => number
+  /** Sets the size of the part of the answer that waits in the node until it is complete. */
+  readonly recordBuffered?: (bytes: number) => void
   readonly end: () => void
   /** Breaks the connection, so that the caller does not take the answer for complete. */
   readonly fail: () => void
--- a/src/types/gatewaySettings.ts
+++ b/src/types/gatewaySettings.ts
@@ -15,6 +15,8 @@
   readonly fleetKey: string
   /** CPU available to this node in thousandths of a core; omitted when unknown. */
   readonly millicores?: number
+  /** Memory of the VM in megabytes; omitted when unknown. With `controlsAdmission` it bounds what the node holds for callers and backend servers. */
+  readonly memoryMb?: number
   /** Whether the entire deployment starts for the first time, so that all prompt caches are empty. */
   readonly isFirstStart: boolean
   /** Milliseconds from the shutdown signal until the process is killed. */
