--- a/src/decisions/boundHeldBytes/index.ts
+++ b/src/decisions/boundHeldBytes/index.ts
@@ -36,6 +36,8 @@
 const CALLER_SHARE = 0.125
 /** Answers are paused so that they hold this share of the bound together; the rest is for bodies and for what is read after a pause. */
 const PAUSE_SHARE = 0.75
+/** Paused answers are read on up to this share, so that what they add leaves room for bodies of new requests. */
+const READ_ON_SHARE = 0.82
 /** From this share on requests are refused, and connections that read nothing are ended. */
 const NEAR_SHARE = 0.9
 /** An answer may always hold this much: less would pause callers that read at once. */
@@ -94,9 +96,11 @@
     if (connection.unreadBytes > 0 && connection.unreadMs >= connection.maximumUnreadMs) end(connection, 'unread')
   }
   const near = NEAR_SHARE * limits.totalBytes
-  const stuck = left < near ? [] : connections
-    .filter(({ id, unreadBytes, unreadMs }) => !ended.has(id) && unreadBytes > 0 && unreadMs >= READS_NOTHING_OVER_BOUND_MS)
-    .toSorted((one, other) => other.heldBytes * other.unreadMs - one.heldBytes * one.unreadMs)
+  const stuck = left < near
+    ? []
+    : connections
+      .filter(({ id, unreadBytes, unreadMs }) => !ended.has(id) && unreadBytes > 0 && unreadMs >= READS_NOTHING_OVER_BOUND_MS)
+      .toSorted((one, other) => other.heldBytes * other.unreadMs - one.heldBytes * one.unreadMs)
   for (const connection of stuck) {
     if (left < near) break
     if (left >= limits.totalBytes || connection.unreadMs >= READS_NOTHING_MS) end(connection, 'memory')
@@ -104,7 +108,7 @@
 
   const resume: number[] = []
   const allowance = computeAllowance(limits, left)
-  let room = near - left
+  let room = READ_ON_SHARE * limits.totalBytes - left
   const paused = connections
     .filter(({ id, pausedMs }) => pausedMs !== undefined && !ended.has(id))
     .toSorted((one, other) => (other.pausedMs ?? 0) - (one.pausedMs ?? 0))
--- a/src/services/forwarding/_lib/selectInstance.test.ts
+++ b/src/services/forwarding/_lib/selectInstance.test.ts
@@ -22,7 +22,7 @@
   receivedAt: 0
 }
 
-type Server = { readonly zone: string, readonly load: number, readonly isLeaving?: boolean, readonly isSuspended?: boolean, readonly isWarming?: boolean, readonly backoffMs?: number }
+type Server = { readonly zone: string, readonly load: number, readonly isLeaving?: boolean, readonly isSuspended?: boolean, readonly isWarming?: boolean, readonly isReadingSlowly?: boolean, readonly backoffMs?: number }
 
 /** Creates the state in which the server `keeper` caches the request's shared prefix and zone `drained` is drained. */
 const createDependencies = (servers: Readonly<Record<string, Server>>): SelectionDependencies => {
@@ -48,6 +48,7 @@
     zoneDrains: { isDrained: (zone) => zone === 'drained', isKnown: () => true, revision: () => 0, onChange: () => {} },
     warmUp: { remainingMs: () => 0, isLimitReached: ({ id }) => servers[id]?.isWarming === true, recordSend: () => {} },
     refusals: { recordLimit: () => {}, isLimitReached: () => false, recordSend: () => () => {} },
+    client: { isReadingSlowly: ({ id }) => servers[id]?.isReadingSlowly === true },
     availabilityZone: 'a',
     regionByZone: new Map(),
     readLoadFactor: () => 2
@@ -118,3 +119,14 @@
   test.each<[string, Readonly<Record<string, Server>>]>([['without servers', {}], ['in a drained zone only', { a: { zone: 'drained', load: 0 } }], ['that are leaving', { a: { zone: 'a', load: 0, isLeaving: true } }]])('knows no end %s', (_what, servers) =>
     expect(computeFor(servers)).toBe(Infinity))
 })
+
+// Load pattern: a backend server stops reading; each further body would wait in the node until its request has failed.
+describe('a backend server that does not take the bodies of requests', () => {
+  test('gets no new ones, though it caches the prompt', () => {
+    expect(choose({ keeper: { zone: 'a', load: 0, isReadingSlowly: true }, other: { zone: 'a', load: 3 } })?.instance.id).toBe('other')
+  })
+
+  test('gets none either where no other is left, as the request would not be read', () => {
+    expect(choose({ keeper: { zone: 'a', load: 0, isReadingSlowly: true } })).toBe(undefined)
+  })
+})
--- a/src/services/heldBytes/index.ts
+++ b/src/services/heldBytes/index.ts
@@ -18,6 +18,9 @@
 /** How often unread bytes are looked at, in milliseconds: several times within the second after which a paused answer is read on. */
 const CHECK_MS = 250
 
+/** Share of the bound that is free at least when memory counts as free again. */
+const FREE_SHARE = 0.08
+
 type Entry = {
   readonly request: HeldRequest
   readonly bytes: Record<HeldKind, number>
@@ -103,7 +106,8 @@
   }
 
   const reportRoom = (bound: HeldLimits): void => {
-    const isScarceNow = !hasRoomFor(bound, computeTotal(), 0)
+    // Free again only with room for several requests: each small one would write a line otherwise.
+    const isScarceNow = !hasRoomFor(bound, computeTotal(), isScarce ? FREE_SHARE * bound.totalBytes : 0)
     if (isScarceNow === isScarce) return
     isScarce = isScarceNow
     if (isScarce) logger.warn('memory for callers scarce', { ...totals, pausedAnswers, boundBytes: bound.totalBytes })
