Share the room for slow callers so that those that read at once keep theirs

With an eighth of the bound for one connection a few callers that read nothing kept most of it; the fixed 64 KB counted for each paused answer took the rest, and all 50 callers that read at once were refused. A connection may hold a 256th, what a paused answer has in its connection is counted as it is, and connections that read nothing are ended from 0.8 of the bound, before requests are refused.

--- a/src/adapters/exchangeHttp/index.ts
+++ b/src/adapters/exchangeHttp/index.ts
@@ -230,6 +230,7 @@
         endUpload()
         drop(pool, connection)
       },
+      countPausedBytes: () => connection.socket?.readableLength ?? 0,
       pause: () => { isPaused = true },
       resume: () => {
         if (!isPaused) return
--- a/src/adapters/gatewayHttp/_lib/createResponseWriter.ts
+++ b/src/adapters/gatewayHttp/_lib/createResponseWriter.ts
@@ -64,9 +64,9 @@
       const isDrained = response.write(bytes)
       return held === undefined ? isDrained : held.recordWrite(bytes.length)
     },
-    onDrain: (listener) => {
+    onDrain: (listener, readPausedBytes) => {
       if (held === undefined) response.once('drain', listener)
-      else held.onResume(listener)
+      else held.onResume(listener, readPausedBytes)
     },
     ...(held === undefined ? {} : { readAllowance: held.readAllowance, recordBuffered: held.recordBuffered }),
     end: () => { response.end() },
--- a/src/decisions/boundHeldBytes/index.ts
+++ b/src/decisions/boundHeldBytes/index.ts
@@ -32,17 +32,19 @@
 const BYTES_PER_MB = 1_048_576
 /** Share of the VM's memory: beside it there is room for the heap of the program, its code and the buffers of the kernel. */
 const HELD_SHARE = 0.2
-/** One connection may hold this share of the bound; the others keep the rest. */
-const CALLER_SHARE = 0.125
+/** One connection may hold this share of the bound. Callers that read nothing keep what they have when others come, so that a few of them must not hold most of it. */
+const CALLER_SHARE = 1 / 256
 /** Answers are paused so that they hold this share of the bound together; the rest is for bodies and for what is read after a pause. */
-const PAUSE_SHARE = 0.75
+const PAUSE_SHARE = 0.7
 /** Paused answers are read on up to this share, so that what they add leaves room for bodies of new requests. */
-const READ_ON_SHARE = 0.82
-/** From this share on requests are refused, and connections that read nothing are ended. */
-const NEAR_SHARE = 0.9
+const READ_ON_SHARE = 0.75
+/** From this share on connections that read nothing are ended: before requests must be refused for them. */
+const END_SHARE = 0.8
+/** From this share on requests are refused. */
+const REFUSE_SHARE = 0.9
 /** An answer may always hold this much: less would pause callers that read at once. */
 const MINIMUM_ALLOWANCE_BYTES = 16_384
-/** One read from the connection of a backend server, in bytes. A paused answer has as much in its socket. */
+/** Largest read from the connection of a backend server, in bytes. */
 export const READ_BYTES = 65_536
 /** A paused answer is read on after this time, well before a backend server gives it up after some seconds; in milliseconds. */
 const KEEP_READING_MS = 1_000
@@ -71,7 +73,7 @@
 
 /** Returns whether the node has room for a request whose body has `bodyBytes`. */
 export const hasRoomFor = ({ totalBytes: bound }: HeldLimits, totalBytes: number, bodyBytes: number): boolean =>
-  totalBytes + bodyBytes < NEAR_SHARE * bound
+  totalBytes + bodyBytes < REFUSE_SHARE * bound
 
 /**
  * Decides which paused answers go on and which connections are ended.
@@ -95,7 +97,7 @@
   for (const connection of connections) {
     if (connection.unreadBytes > 0 && connection.unreadMs >= connection.maximumUnreadMs) end(connection, 'unread')
   }
-  const near = NEAR_SHARE * limits.totalBytes
+  const near = END_SHARE * limits.totalBytes
   const stuck = left < near
     ? []
     : connections
--- a/src/services/forwarding/_lib/createCallerAnswer.ts
+++ b/src/services/forwarding/_lib/createCallerAnswer.ts
@@ -43,7 +43,7 @@
       sink.onDrain(() => {
         isPaused = false
         exchange?.resume()
-      })
+      }, () => exchange?.countPausedBytes?.() ?? 0)
     },
     isPaused: () => isPaused && sink.readAllowance !== undefined,
     readAllowance: () => sink.readAllowance?.() ?? Infinity,
--- a/src/services/heldBytes/index.ts
+++ b/src/services/heldBytes/index.ts
@@ -1,10 +1,10 @@
 /**
  * Counts the bytes that this node holds for its callers, and bounds them: bodies of requests,
- * answers that are buffered until they are complete, and written bytes that callers have not
- * read. What a connection has read is seen from what it still holds, on each write and on
+ * answers that are buffered until they are complete, written bytes that callers have not
+ * read, and what arrived of answers that are paused. What a connection has read is seen from what it still holds, on each write and on
  * a timer that runs only while a caller has unread bytes.
  */
-import { boundHeldBytes, computeAllowance, hasRoomFor, READ_BYTES } from '../../decisions/boundHeldBytes/index.js'
+import { boundHeldBytes, computeAllowance, hasRoomFor } from '../../decisions/boundHeldBytes/index.js'
 import type { HeldConnection } from '../../decisions/boundHeldBytes/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import type { Clock, HeldBytes, HeldEnd, HeldEntry, HeldKind, HeldLimits, HeldRequest, Logger, Metrics, Timer } from '../../types/index.js'
@@ -27,7 +27,9 @@
   /** Monotonic milliseconds. */
   readAt: number
   pausedAt: number | undefined
+  hasPaused: boolean
   resume: (() => void) | undefined
+  readPausedBytes: () => number
   isClosed: boolean
 }
 
@@ -42,7 +44,7 @@
  * createHeldBytes(dependencies, undefined).api.open(request) // => undefined
  */
 export const createHeldBytes = ({ clock, logger, metrics }: HeldBytesDependencies, limits: HeldLimits | undefined): RunningService<HeldBytes> => {
-  const totals: Record<HeldKind, number> = { requestBody: 0, bufferedAnswer: 0, unreadAnswer: 0 }
+  const totals: Record<HeldKind, number> = { requestBody: 0, bufferedAnswer: 0, unreadAnswer: 0, pausedAnswer: 0 }
   /** Entries with unread bytes or a paused answer, by id. */
   const watched = new Map<number, Entry>()
   let pausedAnswers = 0
@@ -50,8 +52,9 @@
   let timer: Timer | undefined
   let isScarce = false
 
-  /** The socket of a paused answer is read until its own buffer is full. */
-  const computeTotal = (): number => totals.requestBody + totals.bufferedAnswer + totals.unreadAnswer + pausedAnswers * READ_BYTES
+  const sum = ({ requestBody, bufferedAnswer, unreadAnswer, pausedAnswer }: Readonly<Record<HeldKind, number>>): number => requestBody + bufferedAnswer + unreadAnswer + pausedAnswer
+
+  const computeTotal = (): number => sum(totals)
 
   const setBytes = (entry: Entry, kind: HeldKind, bytes: number): void => {
     totals[kind] += bytes - entry.bytes[kind]
@@ -67,12 +70,13 @@
     const unread = entry.request.readUnreadBytes()
     if (unread < entry.bytes.unreadAnswer + writtenBytes || unread === 0) entry.readAt = clock.now()
     setBytes(entry, 'unreadAnswer', unread)
+    setBytes(entry, 'pausedAnswer', entry.pausedAt === undefined ? 0 : entry.readPausedBytes())
   }
 
   const toConnection = ([id, { request, bytes, readAt, pausedAt }]: readonly [number, Entry], now: number): HeldConnection => ({
     id,
     unreadBytes: bytes.unreadAnswer,
-    heldBytes: bytes.requestBody + bytes.bufferedAnswer + bytes.unreadAnswer + (pausedAt === undefined ? 0 : READ_BYTES),
+    heldBytes: sum(bytes),
     unreadMs: now - readAt,
     maximumUnreadMs: request.maximumUnreadMs,
     pausedMs: pausedAt === undefined ? undefined : now - pausedAt
@@ -82,6 +86,7 @@
     const { resume } = entry
     entry.resume = undefined
     setPaused(entry, undefined)
+    setBytes(entry, 'pausedAnswer', 0)
     resume?.()
   }
 
@@ -130,7 +135,7 @@
   const open = (bound: HeldLimits, request: HeldRequest): HeldEntry => {
     lastId += 1
     const id = lastId
-    const entry: Entry = { request, bytes: { requestBody: 0, bufferedAnswer: 0, unreadAnswer: 0 }, readAt: clock.now(), pausedAt: undefined, resume: undefined, isClosed: false }
+    const entry: Entry = { request, bytes: { requestBody: 0, bufferedAnswer: 0, unreadAnswer: 0, pausedAnswer: 0 }, readAt: clock.now(), pausedAt: undefined, hasPaused: false, resume: undefined, readPausedBytes: () => 0, isClosed: false }
     return {
       recordBody: (bytes) => {
         const isRoom = hasRoomFor(bound, computeTotal(), bytes - entry.bytes.requestBody)
@@ -146,11 +151,15 @@
         watch(bound)
         reportRoom(bound)
         if (entry.bytes.unreadAnswer <= computeAllowance(bound, computeTotal())) return true
-        if (entry.pausedAt === undefined) metrics.count('gateway_answers_paused')
+        if (!entry.hasPaused) metrics.count('gateway_answers_paused')
+        entry.hasPaused = true
         setPaused(entry, entry.pausedAt ?? clock.now())
         return false
       },
-      onResume: (listener) => { entry.resume = listener },
+      onResume: (listener, readPausedBytes) => {
+        entry.resume = listener
+        entry.readPausedBytes = readPausedBytes
+      },
       readAllowance: () => computeAllowance(bound, computeTotal()),
       recordRead: () => {
         if (entry.isClosed || !watched.has(id)) return
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -250,6 +250,8 @@
   readonly abort: () => void
   readonly pause: () => void
   readonly resume: () => void
+  /** Bytes of the answer that arrived while it was paused; 0 where that is not known. */
+  readonly countPausedBytes?: () => number
 }
 
 /** Bodies of requests on their way to backend servers, in bytes. */
@@ -301,7 +303,8 @@
   readonly head: (answer: InstanceAnswer) => void
   /** Returns false when the caller reads more slowly than the answer arrives (backpressure). */
   readonly data: (bytes: Uint8Array) => boolean
-  readonly onDrain: (listener: () => void) => void
+  /** `readPausedBytes` tells what the connection of the paused exchange holds meanwhile. */
+  readonly onDrain: (listener: () => void, readPausedBytes: () => number) => void
   /** Bytes that the answer may hold in the node; unlimited when omitted. */
   readonly readAllowance?: () => number
   /** Sets the size of the part of the answer that waits in the node until it is complete. */
--- a/src/types/heldBytes.ts
+++ b/src/types/heldBytes.ts
@@ -10,8 +10,8 @@
 /** Why a connection was ended: the node's bound, or because nothing was read for the connection's idle time. */
 export type HeldEnd = 'memory' | 'unread'
 
-/** What the bytes of one request are: its body, an answer that is not passed on yet, or written bytes that the caller has not read. */
-export type HeldKind = 'requestBody' | 'bufferedAnswer' | 'unreadAnswer'
+/** What the bytes of one request are: its body, an answer that is not passed on yet, written bytes that the caller has not read, or what a paused answer has in the connection to its server. */
+export type HeldKind = 'requestBody' | 'bufferedAnswer' | 'unreadAnswer' | 'pausedAnswer'
 
 /** The connection of one request, as the service sees it. */
 export type HeldRequest = {
@@ -31,8 +31,8 @@
   readonly recordBuffered: (bytes: number) => void
   /** Bytes were written to the caller; returns whether the answer may go on, or is to be paused. */
   readonly recordWrite: (bytes: number) => boolean
-  /** Calls the listener once, when a paused answer may go on. */
-  readonly onResume: (listener: () => void) => void
+  /** Calls the listener once, when a paused answer may go on; until then `readPausedBytes` tells what its own connection holds. */
+  readonly onResume: (listener: () => void, readPausedBytes: () => number) => void
   /** Bytes that the answer may hold now. */
   readonly readAllowance: () => number
   /** The connection has taken bytes. */
