--- a/src/adapters/promMetrics/index.ts
+++ b/src/adapters/promMetrics/index.ts
@@ -30,6 +30,8 @@
   gateway_relays: { help: 'Requests sent to a peer because this node does not reach the backend servers', labels: [] },
   gateway_waits: { help: 'Requests that waited for a backend server with room, by how the wait ended and by priority', labels: ['outcome', 'priority'] },
   gateway_refusals: { help: 'Requests refused because no backend server had room, by reason and priority', labels: ['reason', 'priority'] },
+  gateway_answers_paused: { help: 'Answers whose backend server was paused because the caller reads slowly', labels: [] },
+  gateway_answers_ended_unread: { help: 'Connections ended because their callers did not read, by reason', labels: ['reason'] },
   gateway_backoffs: { help: 'Answers in which a backend server asked this node to send nothing for a while', labels: [] },
   log_lines_left_out: { help: 'Log lines left out to keep the volume bounded, by event', labels: ['event'] }
 }
@@ -50,6 +52,7 @@
   configuration_generation: { help: 'Generation of the configuration in force', labels: [] },
   gateway_prompt_parts: { help: 'Shared prompt parts that this node knows, by the number of backend servers that cache them', labels: ['servers'] },
   gateway_requests_open: { help: 'Requests of callers without a final answer yet', labels: [] },
+  gateway_held_bytes: { help: 'Bytes held for callers and backend servers, by what they are', labels: ['kind'] },
   configuration_version: { help: 'Version of the configuration in force', labels: [] },
   configuration_confirmed_age_seconds: { help: 'Time since the configuration in force was surely the newest; -1 when unknown', labels: [] },
   instances: { help: 'Backend servers by service and state', labels: ['service', 'state'] },
--- a/src/node/createGatewayNode/_lib/registerGauges.ts
+++ b/src/node/createGatewayNode/_lib/registerGauges.ts
@@ -1,5 +1,5 @@
 /** Gauges of a gateway node's view of the fleet and of its open requests. */
-import type { BackendInstance, GaugeReading, Metrics } from '../../../types/index.js'
+import type { BackendInstance, GaugeReading, InstanceClient, Metrics } from '../../../types/index.js'
 import type { GatewayNode } from '../index.js'
 
 const MILLISECONDS_PER_SECOND = 1_000
@@ -52,8 +52,15 @@
     .sort((left, right) => right.value - left.value)
     .slice(0, MAXIMUM_UNREAD_SERVERS)
 
+const readHeldBytes = (client: InstanceClient, resolve: Resolve): readonly GaugeReading[] => {
+  const { unsent, unanswered } = client.countUploadBytes?.() ?? { unsent: 0, unanswered: 0 }
+  return Object.entries({ ...resolve('heldBytes').countBytes(), unsentBody: unsent, unansweredBody: unanswered })
+    .map(([kind, value]) => ({ value, labels: { kind } }))
+}
+
 /** Registers the gauges; each is read on every scrape. */
-export const registerGauges = (metrics: Metrics, resolve: Resolve): void => {
+export const registerGauges = (metrics: Metrics, client: InstanceClient, resolve: Resolve): void => {
+  metrics.readGauge('gateway_held_bytes', () => readHeldBytes(client, resolve))
   metrics.readGauge('gateway_requests_open', () => [{ value: resolve('forwarding').openRequests() }])
   metrics.readGauge('gateway_prompt_parts', () => [...resolve('promptDirectory').countPartsByServers()].map(([servers, value]) => ({ value, labels: { servers: String(servers) } })))
   metrics.readGauge('configuration_version', () => [{ value: resolve('gatewayConfiguration').version() }])
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -5,6 +5,7 @@
 import { recordStartSteps } from './_lib/recordStartSteps.js'
 import { registerAdmission } from './_lib/registerAdmission.js'
 import { registerForwarding } from './_lib/registerForwarding.js'
+import { registerHeldBytes } from './_lib/registerHeldBytes.js'
 import { registerGauges } from './_lib/registerGauges.js'
 import { registerSources } from './_lib/registerSources.js'
 import { registerLoad } from './_lib/registerLoad.js'
@@ -24,7 +25,7 @@
 import type { VmList } from '../../services/vmList/index.js'
 import type { WarmUpLimiter } from '../../services/warmUpLimiter/index.js'
 import type {
-  Clock, ConfigurationSource, PromptCacheSource, Forwarding, GatewayConfigurationHolder, GatewaySettings, ImmediateAdmission, InstanceClient, InstanceRegistry, InstanceSource,
+  Clock, ConfigurationSource, PromptCacheSource, Forwarding, GatewayConfigurationHolder, GatewaySettings, HeldBytes, ImmediateAdmission, InstanceClient, InstanceRegistry, InstanceSource,
   LoadView, Logger, Membership, Metrics, PeerTransport, RandomSource, RelayClient, StartTimeline, ZoneDrains, ZoneDrainSource
 } from '../../types/index.js'
 
@@ -67,6 +68,7 @@
   readonly refusalLimiter: RefusalLimiter
   readonly serverWork: ServerWork
   readonly admission: ImmediateAdmission
+  readonly heldBytes: HeldBytes
   readonly forwarding: Forwarding
 }
 
@@ -95,12 +97,13 @@
   registerSources(kernel, dependencies)
   registerLoad(kernel, dependencies)
   registerAdmission(kernel, dependencies)
+  registerHeldBytes(kernel, dependencies)
   registerForwarding(kernel, dependencies)
   return {
     start: async () => {
       await kernel.start()
       if (dependencies.timeline !== undefined) recordStartSteps(dependencies.timeline, kernel.resolve)
-      registerGauges(dependencies.metrics, kernel.resolve)
+      registerGauges(dependencies.metrics, dependencies.client, kernel.resolve)
     },
     stop: kernel.stop,
     resolve: kernel.resolve,
--- a/src/services/forwarding/_lib/selectInstance.test.ts
+++ b/src/services/forwarding/_lib/selectInstance.test.ts
@@ -24,7 +24,7 @@
   receivedAt: 0
 }
 
-type Server = { readonly zone: string, readonly load: number, readonly isLeaving?: boolean, readonly isSuspended?: boolean, readonly isWarming?: boolean, readonly backoffMs?: number, readonly unreadTokens?: number, readonly slowdown?: number }
+type Server = { readonly zone: string, readonly load: number, readonly isLeaving?: boolean, readonly isSuspended?: boolean, readonly isWarming?: boolean, readonly isReadingSlowly?: boolean, readonly backoffMs?: number, readonly unreadTokens?: number, readonly slowdown?: number }
 
 const ENGINE: EngineCapacity = { slots: 64, memoryTokens: 200_000, bytesPerToken: 1, linkMbps: 1_000, canMove: false, canBackUp: false, copyLifetimeMs: 0, tokensPerEvent: 1 }
 
@@ -75,6 +75,7 @@
     zoneDrains: { isDrained: (zone) => zone === 'drained', isKnown: () => true, revision: () => 0, onChange: () => {} },
     warmUp: { remainingMs: () => 0, isLimitReached: ({ id }) => servers[id]?.isWarming === true, recordSend: () => {} },
     refusals: { recordLimit: () => {}, isLimitReached: () => false, recordSend: () => () => {} },
+    client: { isReadingSlowly: ({ id }) => servers[id]?.isReadingSlowly === true },
     availabilityZone: 'a',
     regionByZone: new Map(),
     readLoadFactor: () => 2
@@ -196,3 +197,14 @@
   test('is ranked among all servers where the engines are not described, as before', () =>
     expect(chooseWith(undefined, 8_000)).toMatchObject({ instance: { id: 'keeper' }, copyPromptFrom: undefined, promptEstimate: { isHome: undefined } }))
 })
+
+// Load pattern: a backend server stops reading; each further body would wait in the node until its request has failed.
+describe('a backend server that does not take the bodies of requests', () => {
+  test('gets no new ones, though it caches the prompt', () => {
+    expect(choose({ keeper: { zone: 'a', load: 0, isReadingSlowly: true }, other: { zone: 'a', load: 3 } })?.instance.id).toBe('other')
+  })
+
+  test('gets none either where no other is left, as the request would not be read', () => {
+    expect(choose({ keeper: { zone: 'a', load: 0, isReadingSlowly: true } })).toBe(undefined)
+  })
+})
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -250,10 +250,23 @@
   readonly abort: () => void
   readonly pause: () => void
   readonly resume: () => void
+  /** Bytes of the answer that arrived while it was paused; 0 where that is not known. */
+  readonly countPausedBytes?: () => number
+}
+
+/** Bodies of requests on their way to backend servers, in bytes. */
+export type UploadBytes = {
+  /** Written, and not taken by the connection yet. */
+  readonly unsent: number
+  /** Sent to servers that have not begun to answer; they hold these. */
+  readonly unanswered: number
 }
 
 export type InstanceClient = {
   readonly send: (attempt: GatewayAttempt, listener: ExchangeListener) => Exchange
+  /** Whether the backend server does not take the bodies that this node sends it. Omitted where that is not observed. */
+  readonly isReadingSlowly?: (instance: BackendInstance) => boolean
+  readonly countUploadBytes?: () => UploadBytes
   /** Checks whether a connection can be opened, without sending a request. */
   readonly probe: (instance: BackendInstance) => Promise<boolean>
   /** Closes idle connections to backend servers whose `id@incarnation` is not in the set. */
@@ -273,7 +286,7 @@
   | 'badRequest' | 'headerTooLarge' | 'bodyTooLarge' | 'unknownRoute' | 'unknownKey' | 'noConfiguration' | 'staleKeys'
   | 'noInstance' | 'serviceFull' | 'deadlineBeforeSend' | 'deadline' | 'instanceFailed' | 'answerBroken'
   | 'instancesRefused' | 'shuttingDown' | 'crossedAnswer' | 'zoneDrained' | 'backingOff' | 'warmingUp' | 'regionNotAllowed'
-  | 'relayLimit'
+  | 'relayLimit' | 'memoryFull'
   | 'waitTooLong' | 'overShare' | 'queueFull' | 'repeatedEarly' | 'lessUrgent'
 
 /** A final answer created by the node itself. */
@@ -291,7 +304,12 @@
   readonly head: (answer: InstanceAnswer) => void
   /** Returns false when the caller reads more slowly than the answer arrives (backpressure). */
   readonly data: (bytes: Uint8Array) => boolean
-  readonly onDrain: (listener: () => void) => void
+  /** `readPausedBytes` tells what the connection of the paused exchange holds meanwhile. */
+  readonly onDrain: (listener: () => void, readPausedBytes: () => number) => void
+  /** Bytes that the answer may hold in the node; unlimited when omitted. */
+  readonly readAllowance?: () => number
+  /** Sets the size of the part of the answer that waits in the node until it is complete. */
+  readonly recordBuffered?: (bytes: number) => void
   readonly end: () => void
   /** Breaks the connection, so that the caller does not take the answer for complete. */
   readonly fail: () => void
