--- a/src/node/createGatewayNode/_lib/registerForwarding.ts
+++ b/src/node/createGatewayNode/_lib/registerForwarding.ts
@@ -146,7 +146,8 @@
       warmUp: resolve('warmUp'),
       refusals: resolve('refusalLimiter'),
       work: resolve('serverWork'),
-      admission: resolve('admission')
+      admission: resolve('admission'),
+      hasRoom: (instance, { tokens }) => resolve('serverWork').hasRoom(instance, tokens.prompt + tokens.output)
     }, {
       nodeId: settings.nodeId,
       ...(settings.millicores === undefined ? {} : { millicores: settings.millicores }),
