--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -260,7 +260,6 @@
     if (now >= deadline.at()) return giveUp(mayHaveRun ? 'deadline' : 'deadlineBeforeSend', 504)
     const current = activeAttempt
     if (current === undefined || route === undefined || !current.isSent) return
-    // The node itself does not read the answer while the caller reads slowly: that is no silence of the backend server.
     if (caller.isPaused()) current.lastBytesAt = now
     const isDue = isFailoverDue({
       hasBegun: caller.hasBegun(),
