--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -266,7 +266,6 @@
     gate.check()
     const current = activeAttempt
     if (current === undefined || route === undefined || !current.isSent) return
-    // The node itself does not read the answer while the caller reads slowly: that is no silence of the backend server.
     if (caller.isPaused()) current.lastBytesAt = now
     if (!isTargetSilent(context, route, current, caller.hasBegun(), now)) return
     if (isRetryable() && canRetry()) return moveToOtherTarget(current, now)
