Refuse waiting requests that are late anyway while others can be on time; room ends where reading takes the time left

Beyond capacity the queue served requests in order of time left, so that nearly all were served just too late.

--- a/src/node/createGatewayNode/_lib/registerForwarding.ts
+++ b/src/node/createGatewayNode/_lib/registerForwarding.ts
@@ -147,7 +147,7 @@
       refusals: resolve('refusalLimiter'),
       work: resolve('serverWork'),
       admission: resolve('admission'),
-      hasRoom: (instance, { tokens }) => resolve('serverWork').hasRoom(instance, tokens.prompt + tokens.output)
+      hasRoom: (instance, { tokens }, targetMs) => resolve('serverWork').hasRoom(instance, { tokens: tokens.prompt + tokens.output, targetMs })
     }, {
       nodeId: settings.nodeId,
       ...(settings.millicores === undefined ? {} : { millicores: settings.millicores }),
--- a/src/services/admission/_lib/createServiceQueue.ts
+++ b/src/services/admission/_lib/createServiceQueue.ts
@@ -8,6 +8,7 @@
 import { estimateWorkAhead } from '../../../decisions/estimateWorkAhead/index.js'
 import { listOverShareAccounts } from '../../../decisions/listOverShareAccounts/index.js'
 import type { QueuedContender } from '../../../decisions/selectOverShareAccount/index.js'
+import { selectOvertaken } from '../../../decisions/selectOvertaken/index.js'
 import { selectNextAccount } from '../../../decisions/selectNextAccount/index.js'
 import type { AdmissionRefusal, AdmissionTicket, Clock, QueueState, RefusalReason, Result, Timer, WaitingDemand, WaitingPlace } from '../../../types/index.js'
 import type { AdmissionOptions } from '../index.js'
@@ -142,7 +143,10 @@
     pollTimer = clock.setTimer(options.pollIntervalMs, () => {
       pollTimer = undefined
       admitWaiting()
-      if (options.order === 'priority') refuseHopeless()
+      if (options.order === 'priority') {
+        refuseOvertaken()
+        refuseHopeless()
+      }
     })
   }
 
@@ -191,6 +195,16 @@
     if (remove(request)) request.settle(refuse(request.demand, reason))
   }
 
+  /** Refuses the requests that are late anyway while others can still be on time. */
+  const refuseOvertaken = (): void => {
+    const waiting = lists.list().flatMap((list) => list.requests()).map((request) => ({
+      request,
+      priority: request.demand.priority ?? 0,
+      onTimeUntil: request.demand.onTimeUntil ?? request.demand.deadlineAt
+    }))
+    for (const { request } of selectOvertaken(waiting, clock.now())) refuseWaiting(request, 'deadline')
+  }
+
   /** Refuses the requests that more urgent arrivals have pushed back beyond their limit, the least urgent first. */
   const refuseHopeless = (): void => {
     for (const list of [...lists.list()].reverse()) {
--- a/src/services/admission/_lib/createWaitingList.ts
+++ b/src/services/admission/_lib/createWaitingList.ts
@@ -26,6 +26,7 @@
   readonly peekNewest: (clientAccount: string) => WaitingRequest | undefined
   /** The last request of the account whose caller came back too early. */
   readonly peekRepeat: (clientAccount: string) => WaitingRequest | undefined
+  readonly requests: () => readonly WaitingRequest[]
   readonly accounts: () => readonly WaitingAccount[]
   readonly find: (clientAccount: string) => WaitingAccount | undefined
   readonly length: () => number
@@ -86,6 +87,7 @@
     peekOldest: (clientAccount) => queues.get(clientAccount)?.requests[0],
     peekNewest: (clientAccount) => queues.get(clientAccount)?.requests.at(-1),
     peekRepeat: (clientAccount) => queues.get(clientAccount)?.requests.findLast(isRepeat),
+    requests: () => [...queues.values()].flatMap(({ requests }) => requests),
     accounts: () => [...queues].map(([clientAccount, queue]) => describe(clientAccount, queue)),
     find: (clientAccount) => {
       const queue = queues.get(clientAccount)
--- a/src/services/forwarding/_lib/describeDemand.ts
+++ b/src/services/forwarding/_lib/describeDemand.ts
@@ -5,7 +5,7 @@
 import { computeWaitLimit } from '../../../decisions/computeWaitLimit/index.js'
 import { estimateWork } from '../../../decisions/estimateWork/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
-import type { BackendInstance, GatewayRequest, WaitingDemand } from '../../../types/index.js'
+import type { BackendInstance, GatewayRequest, GatewayRoute, WaitingDemand } from '../../../types/index.js'
 
 /** Name under which the requests without a client account share; no account has an empty name. */
 const NO_ACCOUNT = ''
@@ -13,6 +13,12 @@
 /** Time per token before a stream was observed, in milliseconds. */
 const DEFAULT_TOKEN_INTERVAL_MS = 10
 
+/** Largest part of the latency target that the answer may need: in a slow service all requests would count as late from the begin. */
+const MAXIMUM_FIRST_BYTE_SHARE = 0.5
+
+const estimateFirstByteMs = ({ firstByteTimes }: RequestHandlerContext, { name, latencyTargetMs }: GatewayRoute): number =>
+  Math.min(firstByteTimes.readAverage(name) ?? 0, MAXIMUM_FIRST_BYTE_SHARE * latencyTargetMs)
+
 const estimateWorkMs = ({ firstByteTimes, tokenPace }: RequestHandlerContext, { tokens, estimatedOutputTokens }: GatewayRequest, { route, service }: RoutedRequest): number => {
   const firstByteMs = firstByteTimes.readAverage(route.name) ?? route.latencyTargetMs
   if (route.retryPolicy !== 'stream') return firstByteMs
@@ -26,11 +32,14 @@
  * Whether a backend server that may get the request has room. Where none may get it, or only suspended ones, waiting
  * does not help: the send decides.
  */
-const hasRoom = (context: RequestHandlerContext, request: GatewayRequest, input: SelectionInput): boolean => {
+const hasRoom = (context: RequestHandlerContext, { latencyTargetMs }: GatewayRoute, input: SelectionInput): boolean => {
   const { usable, isLastResort } = listUsable(context, input)
   if (usable.length === 0 || isLastResort) return true
+  const timeLeftMs = input.request.receivedAt + latencyTargetMs - context.clock.now()
+  // A late request may begin wherever one with all of its time may.
+  const targetMs = timeLeftMs > 0 ? timeLeftMs : latencyTargetMs
   const hasRoomAt = context.hasRoom ?? ((instance: BackendInstance) => hasFreeSlot(context, instance))
-  return usable.some((instance) => hasRoomAt(instance, request))
+  return usable.some((instance) => hasRoomAt(instance, input.request, targetMs))
 }
 
 /** Describes a request; `deadlineAt` is in monotonic milliseconds. */
@@ -57,8 +66,9 @@
       workMs: estimateWorkMs(context, request, routed),
       isRepeat
     }),
+    onTimeUntil: request.receivedAt + route.latencyTargetMs - estimateFirstByteMs(context, route),
     bytes: bodyBytes,
     isRepeat,
-    hasRoom: () => hasRoom(context, request, input)
+    hasRoom: () => hasRoom(context, route, input)
   }
 }
--- a/src/services/forwarding/_lib/selectInstance.test.ts
+++ b/src/services/forwarding/_lib/selectInstance.test.ts
@@ -167,7 +167,7 @@
 
   test('counts for a slot and for memory in its room', () => {
     const { work, registry } = createDependencies({ b: { zone: 'a', load: 63 }, c: { zone: 'a', load: 64 } }, ENGINE)
-    expect([work.hasRoom(registry.find('b')!, 200_000), work.hasRoom(registry.find('b')!, 200_001), work.hasRoom(registry.find('c')!)]).toEqual([true, false, false])
+    expect([work.hasRoom(registry.find('b')!, { tokens: 200_000 }), work.hasRoom(registry.find('b')!, { tokens: 200_001 }), work.hasRoom(registry.find('c')!)]).toEqual([true, false, false])
   })
 })
 
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -52,8 +52,8 @@
   readonly client: InstanceClient
   /** Queues of requests that wait for room; omitted where none ever waits. */
   readonly admission?: ImmediateAdmission
-  /** Whether a backend server can take the request now; by default while it has a free slot. */
-  readonly hasRoom?: (instance: BackendInstance, request: GatewayRequest) => boolean
+  /** Whether a backend server can begin the answer within `targetMs` milliseconds; by default while it has a free slot. */
+  readonly hasRoom?: (instance: BackendInstance, request: GatewayRequest, targetMs: number) => boolean
 }
 
 /** What operators may change while the node runs. */
--- a/src/services/serverWork/index.ts
+++ b/src/services/serverWork/index.ts
@@ -29,12 +29,19 @@
   readonly readSlowdown: (instance: BackendInstance) => StatedSlowdown | undefined
   /** Milliseconds until the server sends the first token of a request with so many missing tokens; `undefined` when unknown. */
   readonly estimateFirstTokenMs: (instance: BackendInstance, missingTokens: number) => number | undefined
-  /** Whether the server has a slot free and, where its memory is known, room for so many tokens more. */
-  readonly hasRoom: (instance: BackendInstance, tokens?: number) => boolean
+  /** Whether the server can begin a request soon; what it has still to read and its memory count where its engines are described. */
+  readonly hasRoom: (instance: BackendInstance, need?: RoomNeed) => boolean
   /** Observed milliseconds per prompt token, by service. */
   readonly readingPaces: () => ReadonlyMap<string, number>
 }
 
+export type RoomNeed = {
+  /** Memory that the request needs, in tokens; 0 by default. */
+  readonly tokens?: number
+  /** Longest time that it may wait for prompts which the server has still to read, in milliseconds; unlimited by default. */
+  readonly targetMs?: number
+}
+
 export type SentTokens = {
   readonly missingTokens: number
   readonly expectedOutputTokens: number
@@ -186,6 +193,9 @@
     logger.warn('backend server slowdown is malformed', { backendServer: instance.id, service: instance.service, slowdown: String(slowdown) })
   }
 
+  const computeReadingMs = (instance: BackendInstance, tokens: number): number | undefined =>
+    estimateFirstTokenMs(tokens, pace.read(instance.service), readSlowdown(instance)?.slowdown ?? 1)
+
   return {
     api: {
       recordSend,
@@ -194,10 +204,13 @@
       readSlowdown,
       estimateFirstTokenMs: (instance, missingTokens) => {
         const work = estimate(instance)
-        return work === undefined ? undefined : estimateFirstTokenMs(work.unreadTokens + missingTokens, pace.read(instance.service), readSlowdown(instance)?.slowdown ?? 1)
+        return work && computeReadingMs(instance, work.unreadTokens + missingTokens)
+      },
+      hasRoom: (instance, { tokens = 0, targetMs = Infinity } = {}) => {
+        if (instance.slots > 0 && loadView.estimateInFlight(formatInstanceKey(instance)) >= instance.slots) return false
+        const work = estimate(instance)
+        return work === undefined || (work.memoryFreeTokens >= tokens && (computeReadingMs(instance, work.unreadTokens) ?? 0) <= targetMs)
       },
-      hasRoom: (instance, tokens = 0) =>
-        loadView.estimateInFlight(formatInstanceKey(instance)) < instance.slots && (estimate(instance)?.memoryFreeTokens ?? Infinity) >= tokens,
       readingPaces: pace.readAll
     },
     readUnreadTokens: () => {
--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -127,6 +127,8 @@
   readonly priority?: number
   /** Monotonic milliseconds until which the request may wait. */
   readonly deadlineAt: number
+  /** Monotonic milliseconds until which a send can still meet the latency target; the end of the wait by default. */
+  readonly onTimeUntil?: number
   /** Bytes that the node holds for the request while it waits; 0 by default. */
   readonly bytes?: number
   /** Whether its caller was refused before and has not waited for the Retry-After. */
