--- a/src/decisions/selectPromptHome/index.ts
+++ b/src/decisions/selectPromptHome/index.ts
@@ -1,14 +1,13 @@
 /**
  * Selects the home of a prompt for the requests of one availability zone: the server
  * to which its requests go, and to which it is copied. A prompt has one home by rank.
- * Load pattern: a hot prompt that is asked for in every zone, whose long bodies cross
- * zones with each request. Such a prompt gets a home in each zone that asks for it.
+ * Load pattern: prompts that are asked for in every zone, whose long bodies cross zones
+ * with each request. Such a prompt gets a home in each zone that asks for it.
  *
- * A prompt is hot for a node that sends requests for it at short intervals; one that is
- * asked for now and then keeps its one home. Whether a further home pays depends on how
- * often the zone will still ask, which no node knows. As in the ski rental problem, each
- * request that would cross zones makes the copy with the probability of its own cost
- * over the cost of the copy. The zone has then paid about one copy for crossings when the copy
+ * Whether a further home pays depends on how often the zone will still ask for the
+ * prompt, which no node knows. As in the ski rental problem, each request that would
+ * cross zones therefore makes the copy with the probability of its own cost over the
+ * cost of the copy. The zone has then paid about one copy for crossings when the copy
  * is made, whatever the number of nodes that its requests arrive at, and a prompt with
  * a low rate is mostly not copied. No counts are exchanged: once one node has made the
  * copy, its announcement tells the others. A home that is no longer used is evicted by
@@ -27,8 +26,6 @@
   /** Costs in prompt tokens to prefill, as in `selectPlacement`: of a request that crosses zones, and of a copy of the prompt between zones. */
   readonly crossingCost: number
   readonly copyCost: number
-  /** Milliseconds since this node last sent a request for the prompt; infinite when it sent none. */
-  readonly sinceLastSendMs: number
   /** Zone of the node. */
   readonly availabilityZone: string
   readonly engine: Pick<EngineCapacity, 'memoryTokens'>
@@ -42,9 +39,6 @@
   readonly takeCopy: (tokens: number) => boolean
 }
 
-/** A prompt is hot for a node that sends requests for it less than this apart: each node of the zone then sends some in the time of a copy and its announcement. */
-const HOT_INTERVAL_MS = 2_000
-
 /** Share of a server's memory up to which cached prompts make room for further homes; running requests need the rest. */
 const HOME_MEMORY_SHARE = 0.5
 
@@ -101,7 +95,6 @@
   if (ofZone === undefined) return fill(first)
   if (input.readCachedTokens(ofZone.id) >= sharedTokens) return ofZone.id
   if (copyableTokens < sharedTokens) return first.id
-  if (input.sinceLastSendMs > HOT_INTERVAL_MS) return fill(first)
   if (random() >= input.crossingCost / input.copyCost) return fill(first)
   const hasRoom = input.estimateUsedTokens(ofZone.id) + sharedTokens <= HOME_MEMORY_SHARE * engine.memoryTokens
   return hasRoom ? fill(ofZone) : fill(first)
--- a/src/services/forwarding/_lib/selectInstance.ts
+++ b/src/services/forwarding/_lib/selectInstance.ts
@@ -195,7 +195,6 @@
     crossingCost: weights.tokensPerRemoteKilobyte * prompt.expectedBytes / 1024,
     copyCost: weights.remoteCopyCostShare * sharedTokens,
     copyableTokens,
-    sinceLastSendMs: directory.sinceLastReadMs(prompt.affinityKey),
     readCachedTokens: (id) => candidates.find((candidate) => candidate.id === id)?.cachedPromptTokens ?? 0,
     estimateUsedTokens: (id) => directory.estimateUsedTokens(formatInstanceKey(usable.find((instance) => instance.id === id)!)),
     takeCopy: (tokens) => directory.takeCopy(input.service, { tokens, engine, engines: usable.length })
--- a/src/services/promptDirectory/index.ts
+++ b/src/services/promptDirectory/index.ts
@@ -4,14 +4,12 @@
  * requests that this node sends and from announcements of peers. The directory is only a hint for placement: a
  * wrong entry costs a prompt computation, never an answer.
  */
-import { LRUCache } from 'lru-cache'
 import type { RunningService } from '../../kernel/index.js'
 import type { Clock, CachedParts, Membership, PeerTransport, PromptPart, Timer } from '../../types/index.js'
 import { createCacheAnnouncer } from './_lib/createCacheAnnouncer.js'
 import { createCopyBudget } from './_lib/createCopyBudget.js'
 import type { CopyBudgetInput } from './_lib/createCopyBudget.js'
 import { createServerUsage } from './_lib/createServerUsage.js'
-import { createLruOptions } from './_lib/createLruOptions.js'
 import { createPartLocations } from './_lib/createPartLocations.js'
 import type { LocationState } from './_lib/createPartLocations.js'
 import { createDirectoryRecovery } from './_lib/createDirectoryRecovery.js'
@@ -35,8 +33,6 @@
   readonly listCopyableTokens: (parts: readonly PromptPart[]) => ReadonlyMap<string, number>
   /** Estimated tokens of all cached parts at the server, up to two seconds old. */
   readonly estimateUsedTokens: (instanceKey: string) => number
-  /** Milliseconds since this node last began a read of the part; infinite when it began none. */
-  readonly sinceLastReadMs: (part: string) => number
   /** Takes a copy to a home from this node's budget for the service; false when it is used up. */
   readonly takeCopy: (service: string, input: Omit<CopyBudgetInput, 'nodes'>) => boolean
   /** Number of cached parts by the number of servers that cache them; the last number stands for more. */
@@ -73,9 +69,6 @@
 /** More servers than this are counted as this many: a home in each zone, and some more. */
 const MAXIMUM_SERVERS_COUNTED = 8
 
-/** Shared parts of which the last read is kept; those that were read longest ago are cold. */
-const MAXIMUM_TIMED_PARTS = 2_000
-
 const CACHED: ReadonlySet<LocationState> = new Set(['cached'])
 const CACHED_OR_READING: ReadonlySet<LocationState> = new Set(['cached', 'reading'])
 
@@ -95,7 +88,6 @@
 export const createPromptDirectory = (dependencies: PromptDirectoryDependencies, options: PromptDirectoryOptions = defaultPromptDirectoryOptions): RunningService<PromptDirectory> => {
   const { clock, transport } = dependencies
   const locations = createPartLocations(clock, options.maximumParts)
-  const sentAt = new LRUCache<string, number>(createLruOptions(MAXIMUM_TIMED_PARTS))
   const copyBudget = createCopyBudget(clock)
   const usage = createServerUsage(clock, locations.listCached)
   const announcer = createCacheAnnouncer(dependencies, options.fullMeshPeers)
@@ -133,7 +125,6 @@
   }
 
   const beginRead = (parts: readonly PromptPart[], instanceKey: string): PromptRead => {
-    for (const { id } of parts.slice(0, -1)) sentAt.set(id, clock.now())
     const begun = parts.filter(({ id }) => locations.recordReading(id, instanceKey))
     for (const { id } of begun) if (id !== parts.at(-1)?.id) announcer.add(id, instanceKey, 'reading')
     let isComplete = false
@@ -178,7 +169,6 @@
       record,
       beginRead,
       estimateUsedTokens: usage.estimate,
-      sinceLastReadMs: (part) => clock.now() - (sentAt.get(part) ?? -Infinity),
       takeCopy: (service, input) => copyBudget.take(service, { ...input, nodes: dependencies.membership.liveMembers().length }),
       countPartsByServers,
       listCachedTokens: (parts) => locations.listTokens(parts, CACHED_OR_READING),
