--- a/src/decisions/selectPromptHome/index.ts
+++ b/src/decisions/selectPromptHome/index.ts
@@ -23,12 +23,11 @@
   /** Key that is equal for requests with the same shared prefix; empty when nothing is shared. */
   readonly affinityKey: string
   readonly sharedTokens: number
-  /** Costs in prompt tokens to prefill, as in `selectPlacement`: of a request that crosses zones, and of a copy of the prompt between zones. */
-  readonly crossingCost: number
-  readonly copyCost: number
+  /** Bytes of a request and its answer. */
+  readonly expectedBytes: number
   /** Zone of the node. */
   readonly availabilityZone: string
-  readonly engine: Pick<EngineCapacity, 'memoryTokens'>
+  readonly engine: Pick<EngineCapacity, 'bytesPerToken' | 'linkMbps' | 'memoryTokens'>
   /** Tokens of the prefix that a server caches, complete or not. */
   readonly readCachedTokens: (id: string) => number
   /** Longest prefix in tokens that can be copied from any server. */
@@ -39,12 +38,23 @@
   readonly takeCopy: (tokens: number) => boolean
 }
 
+/** Round trip between two zones of a region. */
+const ZONE_ROUND_TRIP_MS = 2
+/** Link of a small VM, which the body and the answer of a request pass. */
+const NODE_LINK_MBPS = 25
+/** Data that crosses zones counts twice. */
+const REMOTE_COPY_FACTOR = 2
+const BITS_PER_BYTE = 8
+const BITS_PER_MEGABIT = 1_000_000
+const MS_PER_SECOND = 1_000
 /** Share of a server's memory up to which cached prompts make room for further homes; running requests need the rest. */
 const HOME_MEMORY_SHARE = 0.5
 
 /** Id of no server: the prompt stays where it is cached. */
 const NO_HOME = ''
 
+const computeTransferMs = (bytes: number, linkMbps: number): number => bytes * BITS_PER_BYTE * MS_PER_SECOND / (linkMbps * BITS_PER_MEGABIT)
+
 /**
  * Finds the highest-ranked candidate by rendezvous hashing. Nodes with the same candidates find the same one, and it
  * changes only when it leaves or a higher-ranked one joins.
@@ -70,6 +80,13 @@
   return best
 }
 
+/** Probability with which a request that would cross zones has the prompt copied into its own zone. */
+const computeCopyProbability = ({ sharedTokens, expectedBytes, engine }: PromptHomeInput): number => {
+  const crossingMs = ZONE_ROUND_TRIP_MS + computeTransferMs(expectedBytes, NODE_LINK_MBPS)
+  const copyMs = REMOTE_COPY_FACTOR * computeTransferMs(sharedTokens * engine.bytesPerToken, engine.linkMbps)
+  return crossingMs / copyMs
+}
+
 /**
  * Selects the home of a prompt for the requests of the node's zone.
  *
@@ -95,7 +112,7 @@
   if (ofZone === undefined) return fill(first)
   if (input.readCachedTokens(ofZone.id) >= sharedTokens) return ofZone.id
   if (copyableTokens < sharedTokens) return first.id
-  if (random() >= input.crossingCost / input.copyCost) return fill(first)
+  if (random() >= computeCopyProbability(input)) return fill(first)
   const hasRoom = input.estimateUsedTokens(ofZone.id) + sharedTokens <= HOME_MEMORY_SHARE * engine.memoryTokens
   return hasRoom ? fill(ofZone) : fill(first)
 }
--- a/src/services/forwarding/_lib/selectInstance.ts
+++ b/src/services/forwarding/_lib/selectInstance.ts
@@ -192,8 +192,6 @@
   const homeId = engine && selectPromptHome({
     ...prompt,
     engine,
-    crossingCost: weights.tokensPerRemoteKilobyte * prompt.expectedBytes / 1024,
-    copyCost: weights.remoteCopyCostShare * sharedTokens,
     copyableTokens,
     readCachedTokens: (id) => candidates.find((candidate) => candidate.id === id)?.cachedPromptTokens ?? 0,
     estimateUsedTokens: (id) => directory.estimateUsedTokens(formatInstanceKey(usable.find((instance) => instance.id === id)!)),
