--- a/src/decisions/selectPromptHome/index.ts
+++ b/src/decisions/selectPromptHome/index.ts
@@ -34,8 +34,6 @@
   readonly copyableTokens: number
   /** Estimated tokens of all prompts that a server caches. */
   readonly estimateUsedTokens: (id: string) => number
-  /** Takes a copy of this many tokens to a home from the node's budget; false when it is used up. */
-  readonly takeCopy: (tokens: number) => boolean
 }
 
 /** Round trip between two zones of a region. */
@@ -50,9 +48,6 @@
 /** Share of a server's memory up to which cached prompts make room for further homes; running requests need the rest. */
 const HOME_MEMORY_SHARE = 0.5
 
-/** Id of no server: the prompt stays where it is cached. */
-const NO_HOME = ''
-
 const computeTransferMs = (bytes: number, linkMbps: number): number => bytes * BITS_PER_BYTE * MS_PER_SECOND / (linkMbps * BITS_PER_MEGABIT)
 
 /**
@@ -93,26 +88,20 @@
  * @param input - The prompt, and what the node knows of where it is cached.
  * @param candidates - Servers that may get the request.
  * @param random - Returns a number in [0, 1) per call.
- * @returns Id of the home, empty when the prompt stays where it is cached, or `undefined` when nothing is shared.
+ * @returns Id of the home, or `undefined` when nothing is shared.
  *
  * @example
  * selectPromptHome({ ...input, affinityKey: '' }, candidates, Math.random) // => undefined
  */
 export const selectPromptHome = (input: PromptHomeInput, candidates: readonly PromptHomeCandidate[], random: () => number): string | undefined => {
   const { affinityKey, availabilityZone, sharedTokens, copyableTokens, engine } = input
-  /** A home that lacks the prompt gets it by a copy, if the prompt can be copied. */
-  const fill = (home: PromptHomeCandidate): string => {
-    const missing = sharedTokens - input.readCachedTokens(home.id)
-    return missing <= 0 || copyableTokens < sharedTokens || input.takeCopy(missing) ? home.id : NO_HOME
-  }
   const first = findPromptHome(affinityKey, candidates)
-  if (first === undefined) return undefined
-  if (first.availabilityZone === availabilityZone) return fill(first)
+  if (first === undefined || first.availabilityZone === availabilityZone) return first?.id
   const ofZone = findPromptHome(affinityKey, candidates.filter((candidate) => candidate.availabilityZone === availabilityZone))
-  if (ofZone === undefined) return fill(first)
+  if (ofZone === undefined) return first.id
   if (input.readCachedTokens(ofZone.id) >= sharedTokens) return ofZone.id
   if (copyableTokens < sharedTokens) return first.id
-  if (random() >= computeCopyProbability(input)) return fill(first)
+  if (random() >= computeCopyProbability(input)) return first.id
   const hasRoom = input.estimateUsedTokens(ofZone.id) + sharedTokens <= HOME_MEMORY_SHARE * engine.memoryTokens
-  return hasRoom ? fill(ofZone) : fill(first)
+  return hasRoom ? ofZone.id : first.id
 }
--- a/src/services/forwarding/_lib/selectInstance.ts
+++ b/src/services/forwarding/_lib/selectInstance.ts
@@ -194,8 +194,7 @@
     engine,
     copyableTokens,
     readCachedTokens: (id) => candidates.find((candidate) => candidate.id === id)?.cachedPromptTokens ?? 0,
-    estimateUsedTokens: (id) => directory.estimateUsedTokens(formatInstanceKey(usable.find((instance) => instance.id === id)!)),
-    takeCopy: (tokens) => directory.takeCopy(input.service, { tokens, engine, engines: usable.length })
+    estimateUsedTokens: (id) => directory.estimateUsedTokens(formatInstanceKey(usable.find((instance) => instance.id === id)!))
   }, candidates, random.next)
   const placement = selectPlacement({
     ...prompt,
@@ -215,7 +214,7 @@
       sharedTokens,
       cachedTokens: cachedTokensByKey.get(formatInstanceKey(instance)) ?? 0,
       copyableTokens,
-      isHome: homeId === undefined || homeId === '' ? undefined : homeId === instance.id
+      isHome: homeId === undefined ? undefined : homeId === instance.id
     }
   }
 }
--- a/src/services/promptDirectory/index.ts
+++ b/src/services/promptDirectory/index.ts
@@ -7,8 +7,6 @@
 import type { RunningService } from '../../kernel/index.js'
 import type { Clock, CachedParts, Membership, PeerTransport, PromptPart, Timer } from '../../types/index.js'
 import { createCacheAnnouncer } from './_lib/createCacheAnnouncer.js'
-import { createCopyBudget } from './_lib/createCopyBudget.js'
-import type { CopyBudgetInput } from './_lib/createCopyBudget.js'
 import { createServerUsage } from './_lib/createServerUsage.js'
 import { createPartLocations } from './_lib/createPartLocations.js'
 import type { LocationState } from './_lib/createPartLocations.js'
@@ -33,9 +31,13 @@
   readonly listCopyableTokens: (parts: readonly PromptPart[]) => ReadonlyMap<string, number>
   /** Estimated tokens of all cached parts at the server, up to two seconds old. */
   readonly estimateUsedTokens: (instanceKey: string) => number
+<<<<<<< HEAD
   /** Takes a copy to a home from this node's budget for the service; false when it is used up. */
   readonly takeCopy: (service: string, input: Omit<CopyBudgetInput, 'nodes'>) => boolean
   /** Number of cached parts by the number of servers that cache them; the last number stands for more. */
+=======
+  /** Number of cached parts by the number of servers that cache them. */
+>>>>>>> parent of 52b2d44 (Bound the copies that move prompts home)
   readonly countPartsByServers: () => ReadonlyMap<number, number>
   /**
    * Records that a backend server begins to read these prompt parts. Until the read is completed, the parts count as
@@ -88,7 +90,6 @@
 export const createPromptDirectory = (dependencies: PromptDirectoryDependencies, options: PromptDirectoryOptions = defaultPromptDirectoryOptions): RunningService<PromptDirectory> => {
   const { clock, transport } = dependencies
   const locations = createPartLocations(clock, options.maximumParts)
-  const copyBudget = createCopyBudget(clock)
   const usage = createServerUsage(clock, locations.listCached)
   const announcer = createCacheAnnouncer(dependencies, options.fullMeshPeers)
   let timer: Timer | undefined
@@ -169,7 +170,6 @@
       record,
       beginRead,
       estimateUsedTokens: usage.estimate,
-      takeCopy: (service, input) => copyBudget.take(service, { ...input, nodes: dependencies.membership.liveMembers().length }),
       countPartsByServers,
       listCachedTokens: (parts) => locations.listTokens(parts, CACHED_OR_READING),
       listCopyableTokens: (parts) => locations.listTokens(parts, CACHED),
