--- a/src/decisions/selectPlacement/index.ts
+++ b/src/decisions/selectPlacement/index.ts
@@ -6,11 +6,15 @@
  * pattern: a burst of long and short prompts at engines that have still much to read,
  * some of them slow for a moment, where the number of requests says little about the wait.
  */
+import { hashText } from '../../hashing/index.js'
 import { groupBy } from '../../kernel/groupBy/index.js'
+<<<<<<< HEAD
 import { findPromptHome } from '../selectPromptHome/index.js'
 import { computeLoadCost, type CandidateWork } from './_lib/computeLoadCost.js'
 
 export type { CandidateWork }
+=======
+>>>>>>> parent of a586244 (Give a prompt a home in each zone that asks for it)
 
 export type InstanceCandidate = {
   readonly id: string
@@ -49,10 +53,13 @@
    * get this request. Defaults to the mean of the candidates.
    */
   readonly meanLoad?: number
+<<<<<<< HEAD
   /** Memory that the request needs besides the shared prefix: the rest of its prompt and its expected output, in tokens. 0 by default. */
   readonly ownMemoryTokens?: number
   /** Home of the prompt for the requests of this node; by default the candidate that ranks highest for the key. */
   readonly homeId?: string | undefined
+=======
+>>>>>>> parent of a586244 (Give a prompt a home in each zone that asks for it)
 }
 
 export type PlacementWeights = {
@@ -70,7 +77,7 @@
   /** Minimum tokens per copy: for fewer, the call between the servers takes longer than prefilling them. */
   readonly minimumTokensCopied: number
   /**
-   * Cost reduction for the home of the key, by default the server that ranks highest for it, as a share of the shared
+   * Cost reduction for the key's home, the server that ranks highest for the key, as a share of the shared
    * prefix. As it exceeds the cost of a copy, a prefix is copied to its home as soon as the home is eligible.
    * Nodes without prompt cache state, after a start or a network partition, then find it by rank alone.
    */
@@ -89,6 +96,21 @@
   homeCreditShare: 0.5
 }
 
+/** Finds the highest-ranked candidate by rendezvous hashing. Nodes with the same candidates find the same one, and it changes only when it leaves or a higher-ranked one joins. */
+const findHome = (affinityKey: string, candidates: readonly InstanceCandidate[]): InstanceCandidate | undefined => {
+  if (affinityKey === '') return undefined
+  const seed = hashText(affinityKey)
+  let best: InstanceCandidate | undefined
+  let bestScore = -1
+  for (const candidate of candidates) {
+    const score = hashText(candidate.id, seed)
+    if (score <= bestScore) continue
+    best = candidate
+    bestScore = score
+  }
+  return best
+}
+
 /** Selects the server with the longest cached prefix in each zone. The cost of a copy depends on zone and tokens only, so no other server is cheaper. */
 const selectCopySources = (servers: readonly PromptCopySource[]): readonly PromptCopySource[] => {
   const best = new Map<string, PromptCopySource>()
@@ -174,7 +196,7 @@
 ): PromptPlacement | undefined => {
   if (candidates.length === 0) return undefined
   const bound = computeLoadBound(input.meanLoad ?? computeMeanLoad(candidates), weights)
-  const homeId = input.homeId ?? findPromptHome(input.affinityKey, candidates)?.id
+  const home = findHome(input.affinityKey, candidates)
   const bestCopySources = selectCopySources(copySources)
   const remoteTransferCost = weights.tokensPerRemoteKilobyte * input.expectedBytes / 1024
   const open = candidates.filter(({ load, slots }) => load + 1 <= bound && load < slots)
@@ -188,7 +210,7 @@
       memoryTokens: missingTokens + (input.ownMemoryTokens ?? 0)
     })
     const transferCost = candidate.availabilityZone === input.availabilityZone ? 0 : remoteTransferCost
-    const homeCredit = candidate.id === homeId ? weights.homeCreditShare * input.sharedTokens : 0
+    const homeCredit = candidate.id === home?.id ? weights.homeCreditShare * input.sharedTokens : 0
     const costWithoutLoad = prefixSupply.cost + transferCost - homeCredit
     return { id: candidate.id, copyFrom: prefixSupply.copyFrom, costWithoutLoad, cost: costWithoutLoad + loadCost }
   })
--- a/src/node/createGatewayNode/_lib/registerGauges.ts
+++ b/src/node/createGatewayNode/_lib/registerGauges.ts
@@ -62,7 +62,6 @@
 export const registerGauges = (metrics: Metrics, client: InstanceClient, resolve: Resolve): void => {
   metrics.readGauge('gateway_held_bytes', () => readHeldBytes(client, resolve))
   metrics.readGauge('gateway_requests_open', () => [{ value: resolve('forwarding').openRequests() }])
-  metrics.readGauge('gateway_prompt_parts', () => [...resolve('promptDirectory').countPartsByServers()].map(([servers, value]) => ({ value, labels: { servers: String(servers) } })))
   metrics.readGauge('configuration_version', () => [{ value: resolve('gatewayConfiguration').version() }])
   metrics.readGauge('configuration_confirmed_age_seconds', () => [{ value: readConfirmedAge(resolve) }])
   metrics.readGauge('instances', () => readInstances(resolve))
--- a/src/services/forwarding/_lib/prepareSend.ts
+++ b/src/services/forwarding/_lib/prepareSend.ts
@@ -6,8 +6,7 @@
 import { describeReach } from './describeReach.js'
 import { describeSend } from './describeSend.js'
 import type { RequestHandlerContext } from './requestHandler.js'
-import type { SelectedInstance } from './selectInstance.js'
-import type { GatewayAccount, GatewayRequest, GatewayRoute, LogFields, Metrics } from '../../../types/index.js'
+import type { GatewayAccount, GatewayRequest, GatewayRoute, LogFields } from '../../../types/index.js'
 import type { GatewayEvent } from '../../../types/gatewayEvents.js'
 
 export type SendInput = {
@@ -29,22 +28,11 @@
 
 type OpenPath = Exclude<SelectedPath, { readonly kind: 'none' }>
 
-/** Counts how the server gets the shared tokens of the prompt, and why a copy was made. */
-const countPromptTokens = (metrics: Metrics, { copyPromptFrom, promptEstimate: { sharedTokens, cachedTokens, copyableTokens, isHome } }: SelectedInstance): void => {
-  const copied = copyPromptFrom === undefined ? 0 : Math.max(0, copyableTokens - cachedTokens)
-  if (copyPromptFrom !== undefined) metrics.count('gateway_prompt_copies')
-  if (isHome === undefined) return
-  if (copyPromptFrom !== undefined) metrics.count('gateway_home_copies', { reason: isHome ? 'home' : 'load' })
-  metrics.count('gateway_shared_tokens', { source: 'cached' }, cachedTokens)
-  metrics.count('gateway_shared_tokens', { source: 'copied' }, copied)
-  metrics.count('gateway_shared_tokens', { source: 'read' }, sharedTokens - cachedTokens - copied)
-}
-
 const preparations: { readonly [Kind in OpenPath['kind']]: (context: RequestHandlerContext, path: Extract<OpenPath, { kind: Kind }>, input: SendInput) => PreparedSend } = {
   direct: (context, { chosen }, { request, route, account, body, remainingMs, resumeAfter, isFirst }) => {
     const { instance, copyPromptFrom } = chosen
     const priority = account?.priority ?? route.priority
-    countPromptTokens(context.metrics, chosen)
+    if (copyPromptFrom !== undefined) context.metrics.count('gateway_prompt_copies')
     return {
       target: createInstanceTarget(context, route, { request, body, instance, account: account?.name, remainingMs, priority, resumeAfter, copyPromptFrom: copyPromptFrom?.address }),
       event: isFirst ? 'request sent' : 'request sent again',
--- a/src/services/forwarding/_lib/selectInstance.ts
+++ b/src/services/forwarding/_lib/selectInstance.ts
@@ -3,7 +3,6 @@
 import type { CandidateWork, InstanceCandidate, PlacementWeights, PromptCopySource } from '../../../decisions/selectPlacement/index.js'
 import { checkInstanceEligibility } from '../../../decisions/checkInstanceEligibility/index.js'
 import type { InstanceEligibility } from '../../../decisions/checkInstanceEligibility/index.js'
-import { selectPromptHome } from '../../../decisions/selectPromptHome/index.js'
 import { selectIneligibility } from '../../../decisions/selectIneligibility/index.js'
 import type { BackendInstance, GatewayRequest, InstanceClient } from '../../../types/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
@@ -99,8 +98,6 @@
   readonly cachedTokens: number
   /** Longest prefix, in tokens, that any server caches which can be copied from. */
   readonly copyableTokens: number
-  /** Whether the selected server is the home of the prompt for this zone; `undefined` when nothing is shared or the engines are not described. */
-  readonly isHome: boolean | undefined
 }
 
 export type SelectedInstance = {
@@ -177,16 +174,20 @@
   }))
   const meanLoad = computeMeanLoad(dependencies, input.service)
   const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0)
+<<<<<<< HEAD
   const sent = countSentTokens(request, sharedTokens)
   const weights = { ...defaultPlacementWeights, boundFactor: LOAD_FACTOR_SHARE * dependencies.readLoadFactor() }
   const engine = configuration.current()?.services.get(input.service)?.engine
+=======
+  const isDescribed = configuration.current()?.services.get(input.service)?.engine !== undefined
+>>>>>>> parent of a586244 (Give a prompt a home in each zone that asks for it)
   // A server that is still reading a part has nothing to copy yet.
-  const copySources = listPrefixCaches(dependencies, input, engine !== undefined ? directory.listCopyableTokens(shared) : cachedTokensByKey)
-  const copyableTokens = Math.max(0, ...copySources.map(({ cachedPromptTokens }) => cachedPromptTokens))
-  const prompt = {
+  const copySources = listPrefixCaches(dependencies, input, isDescribed ? directory.listCopyableTokens(shared) : cachedTokensByKey)
+  const placement = selectPlacement({
     affinityKey: shared.at(-1)?.id ?? '',
     sharedTokens,
     expectedBytes: bodyBytes + (request.promptParts.length > 0 ? BYTES_PER_TOKEN * request.tokens.output : PLAIN_ANSWER_BYTES),
+<<<<<<< HEAD
     availabilityZone: dependencies.availabilityZone
   }
   const homeId = engine && selectPromptHome({
@@ -201,6 +202,10 @@
     homeId,
     meanLoad,
     ownMemoryTokens: sent.missingTokens + sent.expectedOutputTokens
+=======
+    availabilityZone: dependencies.availabilityZone,
+    meanLoad
+>>>>>>> parent of a586244 (Give a prompt a home in each zone that asks for it)
   }, candidates, copySources, random.next, weights)
   const instance = usable.find(({ id }) => id === placement?.id)
   if (instance === undefined) return undefined
@@ -213,8 +218,7 @@
     promptEstimate: {
       sharedTokens,
       cachedTokens: cachedTokensByKey.get(formatInstanceKey(instance)) ?? 0,
-      copyableTokens,
-      isHome: homeId === undefined ? undefined : homeId === instance.id
+      copyableTokens: Math.max(0, ...copySources.map(({ cachedPromptTokens }) => cachedPromptTokens))
     }
   }
 }
--- a/src/services/promptDirectory/index.ts
+++ b/src/services/promptDirectory/index.ts
@@ -7,7 +7,6 @@
 import type { RunningService } from '../../kernel/index.js'
 import type { Clock, CachedParts, Membership, PeerTransport, PromptPart, Timer } from '../../types/index.js'
 import { createCacheAnnouncer } from './_lib/createCacheAnnouncer.js'
-import { createServerUsage } from './_lib/createServerUsage.js'
 import { createPartLocations } from './_lib/createPartLocations.js'
 import type { LocationState } from './_lib/createPartLocations.js'
 import { createDirectoryRecovery } from './_lib/createDirectoryRecovery.js'
@@ -29,6 +28,7 @@
   readonly listCachedTokens: (parts: readonly PromptPart[]) => ReadonlyMap<string, number>
   /** The same without parts that a server is still reading: a copy from it would not include them. */
   readonly listCopyableTokens: (parts: readonly PromptPart[]) => ReadonlyMap<string, number>
+<<<<<<< HEAD
   /** Estimated tokens of all cached parts at the server, up to two seconds old. */
   readonly estimateUsedTokens: (instanceKey: string) => number
 <<<<<<< HEAD
@@ -39,6 +39,8 @@
   /** Number of cached parts by the number of servers that cache them. */
 >>>>>>> parent of 52b2d44 (Bound the copies that move prompts home)
   readonly countPartsByServers: () => ReadonlyMap<number, number>
+=======
+>>>>>>> parent of a586244 (Give a prompt a home in each zone that asks for it)
   /**
    * Records that a backend server begins to read these prompt parts. Until the read is completed, the parts count as
    * cached there for placement, but not for copies.
@@ -90,7 +92,6 @@
 export const createPromptDirectory = (dependencies: PromptDirectoryDependencies, options: PromptDirectoryOptions = defaultPromptDirectoryOptions): RunningService<PromptDirectory> => {
   const { clock, transport } = dependencies
   const locations = createPartLocations(clock, options.maximumParts)
-  const usage = createServerUsage(clock, locations.listCached)
   const announcer = createCacheAnnouncer(dependencies, options.fullMeshPeers)
   let timer: Timer | undefined
 
@@ -117,7 +118,6 @@
   }
 
   const record = (parts: readonly PromptPart[], instanceKey: string): void => {
-    usage.recordSizes(parts)
     for (const [index, { id }] of parts.entries()) {
       locations.recordCached(id, instanceKey)
       // The last part belongs to this request only, so it is not announced to peers.
@@ -142,6 +142,7 @@
     }
   }
 
+<<<<<<< HEAD
   const countPartsByServers = (): ReadonlyMap<number, number> => {
     const counts = new Map<number, number>()
     for (const [, { length }] of locations.listCached()) {
@@ -151,6 +152,8 @@
     return counts
   }
 
+=======
+>>>>>>> parent of a586244 (Give a prompt a home in each zone that asks for it)
   const recovery = dependencies.recovery && createDirectoryRecovery({
     ...dependencies,
     recovery: dependencies.recovery,
@@ -169,8 +172,6 @@
     api: {
       record,
       beginRead,
-      estimateUsedTokens: usage.estimate,
-      countPartsByServers,
       listCachedTokens: (parts) => locations.listTokens(parts, CACHED_OR_READING),
       listCopyableTokens: (parts) => locations.listTokens(parts, CACHED),
       onRecovered: (listener) => recovery?.onRecovered(listener)
