--- a/src/decisions/selectPlacement/index.ts
+++ b/src/decisions/selectPlacement/index.ts
@@ -8,13 +8,9 @@
  */
 import { hashText } from '../../hashing/index.js'
 import { groupBy } from '../../kernel/groupBy/index.js'
-<<<<<<< HEAD
-import { findPromptHome } from '../selectPromptHome/index.js'
 import { computeLoadCost, type CandidateWork } from './_lib/computeLoadCost.js'
 
 export type { CandidateWork }
-=======
->>>>>>> parent of a586244 (Give a prompt a home in each zone that asks for it)
 
 export type InstanceCandidate = {
   readonly id: string
@@ -53,13 +49,8 @@
    * get this request. Defaults to the mean of the candidates.
    */
   readonly meanLoad?: number
-<<<<<<< HEAD
   /** Memory that the request needs besides the shared prefix: the rest of its prompt and its expected output, in tokens. 0 by default. */
   readonly ownMemoryTokens?: number
-  /** Home of the prompt for the requests of this node; by default the candidate that ranks highest for the key. */
-  readonly homeId?: string | undefined
-=======
->>>>>>> parent of a586244 (Give a prompt a home in each zone that asks for it)
 }
 
 export type PlacementWeights = {
--- a/src/services/forwarding/_lib/createInstanceTarget.ts
+++ b/src/services/forwarding/_lib/createInstanceTarget.ts
@@ -66,7 +66,7 @@
       decide(isRefusedForRoom(answer) ? 'refused' : 'accepted')
       if (isSuccess(answer)) read?.complete()
       if (!answer.isOtherInstance) notices.record(instance, answer)
-      if (answer.load !== undefined) work.recordLoad(instance, answer.load)
+      if (answer.load !== undefined && !answer.isOtherInstance) work.recordLoad(instance, answer.load)
       if (answer.load !== undefined) loadView.applyReport(key, { ...answer.load, leaving: false, ageMs: 0 })
     },
     recordSuccess: (firstByteMs) => health.record(instance, { kind: 'answered', slowness: firstByteTimes.recordAndCompare(route.name, firstByteMs) }),
--- a/src/services/forwarding/_lib/selectInstance.ts
+++ b/src/services/forwarding/_lib/selectInstance.ts
@@ -174,38 +174,18 @@
   }))
   const meanLoad = computeMeanLoad(dependencies, input.service)
   const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0)
-<<<<<<< HEAD
   const sent = countSentTokens(request, sharedTokens)
   const weights = { ...defaultPlacementWeights, boundFactor: LOAD_FACTOR_SHARE * dependencies.readLoadFactor() }
-  const engine = configuration.current()?.services.get(input.service)?.engine
-=======
   const isDescribed = configuration.current()?.services.get(input.service)?.engine !== undefined
->>>>>>> parent of a586244 (Give a prompt a home in each zone that asks for it)
   // A server that is still reading a part has nothing to copy yet.
   const copySources = listPrefixCaches(dependencies, input, isDescribed ? directory.listCopyableTokens(shared) : cachedTokensByKey)
   const placement = selectPlacement({
     affinityKey: shared.at(-1)?.id ?? '',
     sharedTokens,
     expectedBytes: bodyBytes + (request.promptParts.length > 0 ? BYTES_PER_TOKEN * request.tokens.output : PLAIN_ANSWER_BYTES),
-<<<<<<< HEAD
-    availabilityZone: dependencies.availabilityZone
-  }
-  const homeId = engine && selectPromptHome({
-    ...prompt,
-    engine,
-    copyableTokens,
-    readCachedTokens: (id) => candidates.find((candidate) => candidate.id === id)?.cachedPromptTokens ?? 0,
-    estimateUsedTokens: (id) => directory.estimateUsedTokens(formatInstanceKey(usable.find((instance) => instance.id === id)!))
-  }, candidates, random.next)
-  const placement = selectPlacement({
-    ...prompt,
-    homeId,
+    availabilityZone: dependencies.availabilityZone,
     meanLoad,
     ownMemoryTokens: sent.missingTokens + sent.expectedOutputTokens
-=======
-    availabilityZone: dependencies.availabilityZone,
-    meanLoad
->>>>>>> parent of a586244 (Give a prompt a home in each zone that asks for it)
   }, candidates, copySources, random.next, weights)
   const instance = usable.find(({ id }) => id === placement?.id)
   if (instance === undefined) return undefined
--- a/src/services/promptDirectory/index.ts
+++ b/src/services/promptDirectory/index.ts
@@ -28,19 +28,6 @@
   readonly listCachedTokens: (parts: readonly PromptPart[]) => ReadonlyMap<string, number>
   /** The same without parts that a server is still reading: a copy from it would not include them. */
   readonly listCopyableTokens: (parts: readonly PromptPart[]) => ReadonlyMap<string, number>
-<<<<<<< HEAD
-  /** Estimated tokens of all cached parts at the server, up to two seconds old. */
-  readonly estimateUsedTokens: (instanceKey: string) => number
-<<<<<<< HEAD
-  /** Takes a copy to a home from this node's budget for the service; false when it is used up. */
-  readonly takeCopy: (service: string, input: Omit<CopyBudgetInput, 'nodes'>) => boolean
-  /** Number of cached parts by the number of servers that cache them; the last number stands for more. */
-=======
-  /** Number of cached parts by the number of servers that cache them. */
->>>>>>> parent of 52b2d44 (Bound the copies that move prompts home)
-  readonly countPartsByServers: () => ReadonlyMap<number, number>
-=======
->>>>>>> parent of a586244 (Give a prompt a home in each zone that asks for it)
   /**
    * Records that a backend server begins to read these prompt parts. Until the read is completed, the parts count as
    * cached there for placement, but not for copies.
@@ -70,9 +57,6 @@
 /** About 15 bytes each: a reply stays under 60 kB, which the network link of a small VM transfers in 70 ms. */
 const MAXIMUM_LOCATIONS_PER_REPLY = 4_000
 
-/** More servers than this are counted as this many: a home in each zone, and some more. */
-const MAXIMUM_SERVERS_COUNTED = 8
-
 const CACHED: ReadonlySet<LocationState> = new Set(['cached'])
 const CACHED_OR_READING: ReadonlySet<LocationState> = new Set(['cached', 'reading'])
 
@@ -142,18 +126,6 @@
     }
   }
 
-<<<<<<< HEAD
-  const countPartsByServers = (): ReadonlyMap<number, number> => {
-    const counts = new Map<number, number>()
-    for (const [, { length }] of locations.listCached()) {
-      const servers = Math.min(length, MAXIMUM_SERVERS_COUNTED)
-      if (servers > 0) counts.set(servers, (counts.get(servers) ?? 0) + 1)
-    }
-    return counts
-  }
-
-=======
->>>>>>> parent of a586244 (Give a prompt a home in each zone that asks for it)
   const recovery = dependencies.recovery && createDirectoryRecovery({
     ...dependencies,
     recovery: dependencies.recovery,
