--- a/src/decisions/computeLoadSumPeriod/index.ts
+++ b/src/decisions/computeLoadSumPeriod/index.ts
@@ -12,7 +12,7 @@
 
 /** Enough where requests take about a second and the load bound is twice the mean. */
 export const MAXIMUM_PERIOD_MS = 400
-const MINIMUM_PERIOD_MS = 100
+const MINIMUM_PERIOD_MS = 150
 /** The bytes of a sum grow with the servers; with the period growing as well, a node stays under 6 KB a second. */
 const PERIOD_PER_SERVER_MS = 2.7
 
