--- a/src/services/admission/_lib/createServiceQueue.ts
+++ b/src/services/admission/_lib/createServiceQueue.ts
@@ -99,7 +99,7 @@
     }
   }
 
-  // A node that has nothing running at the service always sends one request, whatever counts of other nodes it believes:
+  // A node that has nothing running at the service always sends one request, whatever its counts of other nodes say:
   // counts that stay wrong would otherwise keep its callers waiting without end.
   const hasRoomFor = ({ hasRoom }: WaitingDemand): boolean => hasRoom === undefined ? running < countSlots() : running === 0 || hasRoom()
 
--- a/src/services/forwarding/waiting.test.ts
+++ b/src/services/forwarding/waiting.test.ts
@@ -171,7 +171,7 @@
     expect(node.problems).toEqual([])
     expect(node.calls.filter(({ finals, leftAt }) => finals !== (leftAt === undefined ? 1 : 0))).toEqual([])
     expect([node.forwarding.openRequests(), node.inFlight()]).toEqual([0, 0])
-    // With a ticket lost, the node would believe that its slots are in use.
+    // With a ticket lost, the node would count its slots as in use.
     node.removeServers(1)
     for (let index = 0; index < SLOTS; index++) expect(node.call('quick').sends).toBe(1)
   }), { seed: SEED, numRuns: 60 })
