Log how old the sums behind a load are, who summed, and what servers state

An engineer on call could not tell a late count from a wrong one: a send told the believed load of the server, not where it came from. Sends now name the sum and the age of its oldest counts, and what of the load is the node's own; answers carry the server's own figures. Gauges give own requests, the last total and its age, and a node that gets no totals says so once.

No decision is changed.

--- a/src/node/createGatewayNode/_lib/registerGauges.ts
+++ b/src/node/createGatewayNode/_lib/registerGauges.ts
@@ -1,4 +1,5 @@
 /** Gauges of a gateway node's view of the fleet and of its open requests. */
+import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 import type { BackendInstance, GaugeReading, InstanceClient, Metrics } from '../../../types/index.js'
 import type { GatewayNode } from '../index.js'
 
@@ -52,6 +53,15 @@
     .sort((left, right) => right.value - left.value)
     .slice(0, MAXIMUM_UNREAD_SERVERS)
 
+const readOwnRequests = (resolve: Resolve): number =>
+  resolve('instanceRegistry').all().reduce((sum, instance) => sum + resolve('loadView').ownInFlight(formatInstanceKey(instance)), 0)
+
+const readLoadSums = (resolve: Resolve): readonly GaugeReading[] =>
+  resolve('fleetLoad').totals().map(({ group, sum, requests }) => ({ value: requests, labels: { group, summed_by: sum.slice(0, sum.lastIndexOf('/')) } }))
+
+const readLoadSumAges = (resolve: Resolve): readonly GaugeReading[] =>
+  resolve('fleetLoad').totals().map(({ group, ageMs }) => ({ value: ageMs / MILLISECONDS_PER_SECOND, labels: { group } }))
+
 const readHeldBytes = (client: InstanceClient, resolve: Resolve): readonly GaugeReading[] => {
   const { unsent, unanswered } = client.countUploadBytes?.() ?? { unsent: 0, unanswered: 0 }
   return Object.entries({ ...resolve('heldBytes').countBytes(), unsentBody: unsent, unansweredBody: unanswered })
@@ -65,6 +75,9 @@
   metrics.readGauge('configuration_version', () => [{ value: resolve('gatewayConfiguration').version() }])
   metrics.readGauge('configuration_confirmed_age_seconds', () => [{ value: readConfirmedAge(resolve) }])
   metrics.readGauge('instances', () => readInstances(resolve))
+  metrics.readGauge('load_own_requests', () => [{ value: readOwnRequests(resolve) }])
+  metrics.readGauge('load_sum_requests', () => readLoadSums(resolve))
+  metrics.readGauge('load_sum_age_seconds', () => readLoadSumAges(resolve))
   metrics.readGauge('backend_server_unread_tokens', () => readUnreadTokens(resolve))
   metrics.readGauge('backend_server_reading_ms_per_token', () => [...resolve('serverWork').readingPaces()].map(([service, value]) => ({ value, labels: { service } })))
   metrics.readGauge('peers_reach', () => Object.entries(resolve('reachExchange').countPeers()).map(([reach, value]) => ({ value, labels: { reach } })))
--- a/src/node/createGatewayNode/_lib/registerLoad.ts
+++ b/src/node/createGatewayNode/_lib/registerLoad.ts
@@ -30,7 +30,7 @@
       let hasEngines = false
       configuration.onChange(() => { hasEngines = [...configuration.current()?.services.values() ?? []].some(({ engine }) => engine !== undefined) })
       return createFleetLoad(
-        { clock, transport, membership: resolve('membership'), readServers: () => servers, readCounts: () => loadView?.readPublishedCounts() ?? new Map(), readUnreadTokens },
+        { clock, transport, membership: resolve('membership'), readServers: () => servers, readCounts: () => loadView?.readPublishedCounts() ?? new Map(), readUnreadTokens, logger },
         { fullMeshPeers: DEFAULT_FAN_OUT.fullMeshPeers, periodMs: MAXIMUM_PERIOD_MS, readPeriodMs: (count) => computeLoadSumPeriod({ servers: count, hasEngines }) }
       )
     }
--- a/src/services/fleetLoad/_lib/createSnapshotStore.ts
+++ b/src/services/fleetLoad/_lib/createSnapshotStore.ts
@@ -5,7 +5,12 @@
 import type { LoadSnapshot } from '../../../types/index.js'
 
 /** Requests in flight and unread prompt tokens, by the hash of the backend server's name. */
-export type SnapshotSum = { readonly counts: ReadonlyMap<number, number>, readonly unreadTokens: ReadonlyMap<number, number> }
+export type SnapshotCounts = { readonly counts: ReadonlyMap<number, number>, readonly unreadTokens: ReadonlyMap<number, number> }
+
+export type SnapshotSum = SnapshotCounts & {
+  /** Milliseconds since the oldest of the counts were read, without the time that they were on the way. */
+  readonly ageMs: number
+}
 
 export type SnapshotStore = {
   /** Stores a snapshot; returns `false` if a snapshot of the same source and node with the same or a higher sequence number is stored. */
@@ -18,7 +23,7 @@
   readonly countNewSources: () => number
 }
 
-type Entry = SnapshotSum & { readonly snapshot: LoadSnapshot, readonly at: number }
+type Entry = SnapshotCounts & { readonly snapshot: LoadSnapshot, readonly at: number }
 
 const addTo = (sums: Map<number, number>, values: ReadonlyMap<number, number>): void => {
   for (const [server, value] of values) sums.set(server, (sums.get(server) ?? 0) + value)
@@ -42,6 +47,7 @@
       receivedSources.clear()
       const counts = new Map<number, number>()
       const unreadTokens = new Map<number, number>()
+      let ageMs = 0
       for (const [source, entry] of entries) {
         if (now - entry.at > maximumAgeMs) {
           entries.delete(source)
@@ -49,8 +55,9 @@
         }
         addTo(counts, entry.counts)
         addTo(unreadTokens, entry.unreadTokens)
+        ageMs = Math.max(ageMs, now - entry.at + (entry.snapshot.ageMs ?? 0))
       }
-      return { counts, unreadTokens }
+      return { counts, unreadTokens, ageMs }
     },
     size: () => entries.size,
     countNewSources: () => receivedSources.size
--- a/src/services/fleetLoad/index.ts
+++ b/src/services/fleetLoad/index.ts
@@ -13,13 +13,21 @@
 import { selectForwardTargets } from '../../decisions/selectForwardTargets/index.js'
 import { packLoadCounts, unpackLoadCounts, unpackUnreadTokens } from '../../decisions/packLoadCounts/index.js'
 import type { RunningService } from '../../kernel/index.js'
-import type { Clock, LoadSnapshot, Member, Membership, PeerTransport, Timer } from '../../types/index.js'
+import type { Clock, LoadSnapshot, LoadSource, Logger, Member, Membership, PeerTransport, Timer } from '../../types/index.js'
 
 export type { NamedServer }
 
 /** Prompt tokens that a backend server had still to read for other nodes, and when this was known, in monotonic milliseconds. */
 export type UnreadReading = { readonly tokens: number, readonly at: number }
 
+/** The fleet's total that a node uses for a group of backend servers. */
+export type LoadTotal = LoadSource & {
+  /** Availability zone of the backend servers; empty when the total covers all zones. */
+  readonly group: string
+  /** Requests in flight from all nodes, this one included. */
+  readonly requests: number
+}
+
 export type FleetLoad = {
   /** Whether the fleet is large enough to use aggregation instead of digests to all peers. */
   readonly isActive: () => boolean
@@ -27,6 +35,10 @@
   readonly readOthers: (backendServer: string) => number
   /** Unread prompt tokens from other routers; `undefined` before the first snapshot or after the last one has expired. */
   readonly readOthersUnread: (backendServer: string) => UnreadReading | undefined
+  /** The total behind `readOthers`; `undefined` before the first one or after the last one has expired. */
+  readonly readSource: (backendServer: string) => LoadSource | undefined
+  /** The totals that have not expired, by group. */
+  readonly totals: () => readonly LoadTotal[]
   readonly onChange: (listener: (backendServer: string) => void) => void
 }
 
@@ -40,6 +52,7 @@
   readonly readCounts: () => ReadonlyMap<string, number>
   /** Prompt tokens that the servers have still to read for this node; nothing by default. */
   readonly readUnreadTokens?: () => ReadonlyMap<string, number>
+  readonly logger?: Pick<Logger, 'warn' | 'info'>
 }
 
 export type FleetLoadOptions = {
@@ -53,7 +66,9 @@
   readonly fanOut?: number
 }
 
-type OthersLoad = { readonly at: number, readonly inFlight: number, readonly unreadTokens: number }
+type ReceivedTotal = { readonly at: number, readonly snapshot: LoadSnapshot, readonly requests: number }
+
+type OthersLoad = { readonly at: number, readonly inFlight: number, readonly unreadTokens: number, readonly total: ReceivedTotal }
 
 const MINIMUM_PERIOD_MS = 250
 const MAXIMUM_PERIOD_MS = 1000
@@ -94,6 +109,8 @@
   /** Groups whose sum of this period was published before the latest start of its stage, by the scope of the inputs. */
   const publishedEarly: Readonly<Record<'node' | 'zone', Set<string>>> = { node: new Set(), zone: new Set() }
   const othersByServer = new Map<string, OthersLoad>()
+  const lastTotals = new Map<string, ReceivedTotal>()
+  const lostGroups = new Set<string>()
   const listeners: ((backendServer: string) => void)[] = []
   const timers = new Map<string, Timer>()
   let lastSent: ReadonlyMap<string, number> = new Map()
@@ -128,10 +145,10 @@
   const listReceivedGroups = (scope: 'node' | 'zone'): readonly string[] =>
     [...stores[scope]].filter(([, store]) => store.size() > 0).map(([group]) => group)
 
-  const createSnapshot = (scope: LoadSnapshot['scope'], source: string, group: string, { counts, unreadTokens }: SnapshotSum): LoadSnapshot => {
+  const createSnapshot = (scope: LoadSnapshot['scope'], source: string, group: string, { counts, unreadTokens, ageMs }: SnapshotSum): LoadSnapshot => {
     sequence += 1
     const { nodeId } = membership.self()
-    return { scope, source, nodeId, group, sequence, ...packLoadCounts(counts, unreadTokens) }
+    return { scope, source, nodeId, group, sequence, ageMs: Math.round(ageMs), ...packLoadCounts(counts, unreadTokens) }
   }
 
   const deliver = (receiver: Member | undefined, snapshot: LoadSnapshot): void => {
@@ -141,13 +158,15 @@
   }
 
   const publishNode = (): void => {
+    reportLostTotals()
     const counts = dependencies.readCounts()
     const unread = dependencies.readUnreadTokens?.() ?? new Map<string, number>()
     lastSent = new Map(counts)
     lastSentUnread = unread
     for (const [group, servers] of serverIndex.groups()) {
       const loaded = servers.filter(({ name }) => (counts.get(name) ?? 0) > 0)
-      const sum = {
+      const sum: SnapshotSum = {
+        ageMs: 0,
         counts: new Map(loaded.map(({ hash, name }) => [hash, counts.get(name) ?? 0])),
         unreadTokens: new Map(loaded.map(({ hash, name }) => [hash, unread.get(name) ?? 0]))
       }
@@ -188,15 +207,39 @@
     for (const receiver of selectForwardTargets(ranked, self, fanOut)) transport.send(receiver.address, { kind: 'loadSnapshot', snapshot })
   }
 
+  const describeTotal = ({ at, snapshot, requests }: ReceivedTotal): LoadTotal => ({
+    group: snapshot.group,
+    sum: `${snapshot.nodeId}/${snapshot.sequence}`,
+    ageMs: Math.round(clock.now() - at + (snapshot.ageMs ?? 0)),
+    requests
+  })
+
+  const recordTotal = (total: ReceivedTotal): void => {
+    const { group } = total.snapshot
+    lastTotals.set(group, total)
+    if (lostGroups.delete(group)) dependencies.logger?.info('load sums back', describeTotal(total))
+  }
+
+  /** Without totals, a node counts no requests of others and takes every backend server for idle. */
+  const reportLostTotals = (): void => {
+    for (const [group, total] of lastTotals) {
+      if (clock.now() - total.at <= maximumAgeMs || lostGroups.has(group)) continue
+      lostGroups.add(group)
+      dependencies.logger?.warn('load sums lost', { ...describeTotal(total), expectedFrom: zoneRanking.rank(readOwnZone(), group)[0]?.nodeId })
+    }
+  }
+
   const applyFleetTotal = (snapshot: LoadSnapshot): void => {
     if (zoneRanking.rank(readOwnZone(), snapshot.group)[0]?.nodeId !== snapshot.nodeId) return
     const counts = unpackLoadCounts(snapshot)
     const unread = unpackUnreadTokens(snapshot)
+    const total = { at: clock.now(), snapshot, requests: [...counts.values()].reduce((sum, count) => sum + count, 0) }
+    recordTotal(total)
     for (const { name, hash } of serverIndex.groups().get(snapshot.group) ?? []) {
       // The total includes the counts that this node sent last; only the rest belongs to others.
       const inFlight = Math.max(0, (counts.get(hash) ?? 0) - (lastSent.get(name) ?? 0))
       const unreadTokens = Math.max(0, (unread.get(hash) ?? 0) - (lastSentUnread.get(name) ?? 0))
-      othersByServer.set(name, { at: clock.now(), inFlight, unreadTokens })
+      othersByServer.set(name, { at: clock.now(), inFlight, unreadTokens, total })
       for (const listen of listeners) listen(name)
     }
     forward(snapshot)
@@ -238,6 +281,13 @@
         const others = readOthers(backendServer)
         return others === undefined ? undefined : { tokens: others.unreadTokens, at: others.at }
       },
+      readSource: (backendServer) => {
+        const others = readOthers(backendServer)
+        if (others === undefined) return undefined
+        const { sum, ageMs } = describeTotal(others.total)
+        return { sum, ageMs }
+      },
+      totals: () => [...lastTotals.values()].filter(({ at }) => clock.now() - at <= maximumAgeMs).map(describeTotal),
       onChange: (listener) => { listeners.push(listener) }
     },
     start: () => {
--- a/src/services/forwarding/_lib/createInstanceTarget.ts
+++ b/src/services/forwarding/_lib/createInstanceTarget.ts
@@ -6,7 +6,7 @@
 import { countSentTokens } from '../../serverWork/index.js'
 import type { SentWork } from '../../serverWork/index.js'
 import type { SendDecision } from '../../refusalLimiter/index.js'
-import type { GatewayAttempt, GatewayRoute, InstanceAnswer } from '../../../types/index.js'
+import type { GatewayAttempt, GatewayRoute, InstanceAnswer, LogFields } from '../../../types/index.js'
 
 /** A server that has another's address refuses for that reason, however much room it has. */
 const isRefusedForRoom = ({ isNotRun, isOtherInstance }: InstanceAnswer): boolean => isNotRun && !isOtherInstance
@@ -14,6 +14,10 @@
 /** The head of a stream arrives with its first token, when the prompt has been read. */
 const isSuccess = ({ status, isNotRun }: InstanceAnswer): boolean => !isNotRun && status >= 200 && status < 300
 
+/** What the server itself states of its load, all nodes included, at the time of its answer. */
+const describeStatedLoad = (head: InstanceAnswer | undefined): LogFields =>
+  head?.load === undefined ? {} : { statedRunning: head.load.running, statedWaiting: head.load.waiting }
+
 /** Creates the target of one attempt. */
 export const createInstanceTarget = (context: RequestHandlerContext, route: GatewayRoute, attempt: GatewayAttempt): AttemptTarget => {
   const { loadView, health, notices, registry, warmUp, refusals, directory, firstByteTimes, configuration, work, client } = context
@@ -40,7 +44,7 @@
   return {
     kind: 'backendServer',
     id: instance.id,
-    logFields: { backendServer: instance.id },
+    get logFields () { return { backendServer: instance.id, ...describeStatedLoad(head) } },
     recordStart: () => {
       loadView.recordStart(key)
       health.recordStart(instance)
--- a/src/services/forwarding/_lib/describeSend.ts
+++ b/src/services/forwarding/_lib/describeSend.ts
@@ -22,11 +22,12 @@
   slowdownAgeMs: slowdown === undefined ? undefined : Math.round(slowdown.ageMs)
 })
 
-const describeLoadEstimate = ({ load, meanLoad, bound, candidates, underBound }: LoadEstimate): LogFields =>
-  ({ load, meanLoad: roundToHundredths(meanLoad), loadBound: roundToHundredths(bound), candidates, underBound })
+const describeLoadEstimate = ({ load, ownLoad, source, meanLoad, bound, candidates, underBound }: LoadEstimate): LogFields =>
+  ({ load, ownLoad, loadSum: source?.sum, loadAgeMs: source?.ageMs, meanLoad: roundToHundredths(meanLoad), loadBound: roundToHundredths(bound), candidates, underBound })
 
 /** Returns the fields of `request sent`; times in milliseconds, loads in requests in flight. */
 export const describeSend = (context: RequestHandlerContext, request: Pick<GatewayRequest, 'promptParts'>, { instance, copyPromptFrom, loadEstimate, promptEstimate }: SelectedInstance): LogFields => ({
+  service: instance.service,
   backendServer: instance.id,
   incarnation: instance.incarnation,
   ...describeState(context, instance),
--- a/src/services/forwarding/_lib/selectInstance.ts
+++ b/src/services/forwarding/_lib/selectInstance.ts
@@ -4,7 +4,7 @@
 import { checkInstanceEligibility } from '../../../decisions/checkInstanceEligibility/index.js'
 import type { InstanceEligibility } from '../../../decisions/checkInstanceEligibility/index.js'
 import { selectIneligibility } from '../../../decisions/selectIneligibility/index.js'
-import type { BackendInstance, GatewayRequest, InstanceClient } from '../../../types/index.js'
+import type { BackendInstance, GatewayRequest, InstanceClient, LoadSource } from '../../../types/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 import { countSentTokens } from '../../serverWork/index.js'
 import type { StatedSlowdown } from '../../serverWork/index.js'
@@ -80,6 +80,10 @@
 export type LoadEstimate = {
   /** Load of the selected server, without this request. */
   readonly load: number
+  /** Of the load, requests of this node, which it knows exactly. */
+  readonly ownLoad: number
+  /** The sum that the rest of the load comes from; `undefined` where no sum is used. */
+  readonly source: LoadSource | undefined
   /** Mean load over all servers of the service. */
   readonly meanLoad: number
   readonly bound: number
@@ -110,11 +114,14 @@
   readonly isLastResort: boolean
 }
 
-const createLoadEstimate = (id: string, candidates: readonly InstanceCandidate[], meanLoad: number, weights: PlacementWeights): LoadEstimate => {
+const createLoadEstimate = ({ loadView }: SelectionDependencies, instance: BackendInstance, candidates: readonly InstanceCandidate[], meanLoad: number, weights: PlacementWeights): LoadEstimate => {
   const bound = computeLoadBound(meanLoad, weights)
-  const selected = candidates.find((candidate) => candidate.id === id)
+  const selected = candidates.find((candidate) => candidate.id === instance.id)
+  const key = formatInstanceKey(instance)
   return {
     load: selected?.load ?? 0,
+    ownLoad: loadView.ownInFlight(key),
+    source: loadView.readSource(key),
     ...(selected?.work === undefined ? {} : { work: selected.work }),
     meanLoad,
     bound,
@@ -194,7 +201,7 @@
     instance,
     isLastResort,
     copyPromptFrom: source === undefined ? undefined : registry.find(source) ?? registry.recentlyRemoved().find(({ id }) => id === source),
-    loadEstimate: { ...createLoadEstimate(instance.id, candidates, meanLoad, weights), slowdown: dependencies.work.readSlowdown(instance) },
+    loadEstimate: { ...createLoadEstimate(dependencies, instance, candidates, meanLoad, weights), slowdown: dependencies.work.readSlowdown(instance) },
     promptEstimate: {
       sharedTokens,
       cachedTokens: cachedTokensByKey.get(formatInstanceKey(instance)) ?? 0,
--- a/src/services/forwarding/test.ts
+++ b/src/services/forwarding/test.ts
@@ -53,7 +53,7 @@
   const listeners: (() => void)[] = []
   const exchanges: ExchangeListener[] = []
   let isKnown = false
-  const loadView = { recordStart: () => {}, recordEnd: () => {}, estimateInFlight: () => 0, ownInFlight: () => 0, applyReport: () => {} }
+  const loadView = { recordStart: () => {}, recordEnd: () => {}, estimateInFlight: () => 0, ownInFlight: () => 0, readSource: () => undefined, applyReport: () => {} }
   const dependencies: ForwardingDependencies = {
     clock,
     random: { next: () => 0.5, nextId: () => 'id' },
--- a/src/services/loadView/index.ts
+++ b/src/services/loadView/index.ts
@@ -254,6 +254,7 @@
       recordEnd: (backendServer) => adjustOwnCount(backendServer, -1),
       estimateInFlight: (backendServer) => readKnownCount(backendServer) + readExcess(backendServer),
       ownInFlight: readOwnCount,
+      readSource: (backendServer) => isInLargeFleet() ? fleetLoad!.readSource(backendServer) : undefined,
       applyReport
     },
     start: () => {
--- a/src/types/gatewayEvents.ts
+++ b/src/types/gatewayEvents.ts
@@ -38,6 +38,8 @@
   'availability zone held': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the backend servers of a zone are suspended until one of them can be reached' },
   'all backend servers out of reach': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'this node has every backend server suspended; the line tells what its peers reach' },
   'backend servers in reach again': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'at least one backend server is no longer suspended' },
+  'load sums lost': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'no total of the requests of all nodes has arrived for a while; this node counts only its own' },
+  'load sums back': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a total of the requests of all nodes has arrived again' },
   'backend server added': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server was registered' },
   'backend server backoff begun': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server asked this node to send nothing for a while' },
   'backend server refusal limit changed': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server states how many refusals in a second it bears, or none any more' },
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -65,6 +65,8 @@
   readonly group: string
   /** Increases with each snapshot of a node. */
   readonly sequence: number
+  /** Milliseconds from the reading of the oldest counts in it to its sending. Omitted by nodes of older builds. */
+  readonly ageMs?: number
 } & PackedLoadCounts
 
 /** Requests in flight by backend server, identified by the hash of its name. */
--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -32,12 +32,22 @@
   readonly ownInFlight: number
 }
 
+/** The sum of the requests of other nodes on which an estimate is based. */
+export type LoadSource = {
+  /** Node that computed the sum, and the number that it gave to it. Equal on all nodes with the same sum. */
+  readonly sum: string
+  /** Milliseconds since the oldest counts in it were read, without the time that they were on the way. */
+  readonly ageMs: number
+}
+
 export type LoadView = {
   readonly recordStart: (backendServer: string) => void
   readonly recordEnd: (backendServer: string) => void
   /** Estimated requests in flight on a backend server, from all routers. */
   readonly estimateInFlight: (backendServer: string) => number
   readonly ownInFlight: (backendServer: string) => number
+  /** The sum behind the estimate; `undefined` in a small fleet, before the first sum and after the last one has expired. */
+  readonly readSource: (backendServer: string) => LoadSource | undefined
   readonly applyReport: (backendServer: string, report: LoadReport) => void
 }
 
--- a/test/_lib/createDispatchHarness.ts
+++ b/test/_lib/createDispatchHarness.ts
@@ -109,6 +109,7 @@
     recordEnd: (name) => { recorded.ended.push(name) },
     estimateInFlight: () => 0,
     ownInFlight: () => 0,
+    readSource: () => undefined,
     applyReport: () => {},
   },
   backendHealth: {
--- a/test/_lib/startLoadedNode.ts
+++ b/test/_lib/startLoadedNode.ts
@@ -91,7 +91,7 @@
 
   const { api: admission } = createAdmission({ clock, countSlots: () => 0, countEqualPart: () => instances.length * SLOTS }, { ...defaultAdmissionOptions, order: 'priority', pollIntervalMs: 25 })
 
-  const loadView = { recordStart: (server: string) => count(server, 1), recordEnd: (server: string) => count(server, -1), estimateInFlight: (server: string) => inFlight.get(server) ?? 0, ownInFlight: () => 0, applyReport: () => {} }
+  const loadView = { recordStart: (server: string) => count(server, 1), recordEnd: (server: string) => count(server, -1), estimateInFlight: (server: string) => inFlight.get(server) ?? 0, ownInFlight: () => 0, readSource: () => undefined, applyReport: () => {} }
 
   const forwarding = createForwarding({
     clock,
