Place requests by what counts of load still say at their age

Three servers of 6 slots take 121 requests a second of 43 ms; nodes place them by counts that are 100 to 400 ms old.

Cause: the placement took the counts for the present load. All nodes hold the same counts, so all of them sent to the server that was idle at the last sum, until the next one named another. A control loop with a delay longer than what it controls swings from end to end. That a zone's bytes tell servers apart kept the draw between two of them from ever taking place.

Change: of the counted requests of others, the share that is still in flight follows from the age of the count and from how long the service's requests last (e^(-age / remaining time)). The others are expected to be replaced by requests that went anywhere. Servers alike to within one request are drawn so that the nodes together fill up the least loaded ones (computeFillShares): for new counts that is the least loaded, for old ones any of them. The node's own requests count in full. It holds for each service by its own times.

--- a/src/decisions/selectPlacement/_lib/computeLoadCost.ts
+++ b/src/decisions/selectPlacement/_lib/computeLoadCost.ts
@@ -25,10 +25,14 @@
   return shortage <= 0 ? 0 : Math.max(shortage, meanRequestTokens)
 }
 
+/** Computes what each request in flight adds to the cost. */
+export const computeRequestCost = ({ slots, slowness, slowdown = 1 }: InstanceCandidate, tokensPerFullLoad: number): number =>
+  tokensPerFullLoad / slots * slowness * slowdown
+
 /** Computes the cost. Without work and slowdown it is that of the requests in flight alone. */
 export const computeLoadCost = (candidate: InstanceCandidate, { tokensPerFullLoad, prefixCost, memoryTokens }: LoadCostInput): number => {
   const { work, slowdown = 1 } = candidate
-  const requestCost = tokensPerFullLoad * (candidate.load + 1) / candidate.slots * candidate.slowness * slowdown
+  const requestCost = computeRequestCost(candidate, tokensPerFullLoad) * (candidate.load + 1)
   if (work === undefined) return requestCost
   return requestCost + slowdown * work.unreadTokens + (slowdown - 1) * prefixCost + computePreemptionCost(work, memoryTokens)
 }
--- a/src/decisions/selectPlacement/index.ts
+++ b/src/decisions/selectPlacement/index.ts
@@ -7,8 +7,8 @@
  * some of them slow for a moment, where the number of requests says little about the wait.
  */
 import { hashText } from '../../hashing/index.js'
-import { groupBy } from '../../kernel/groupBy/index.js'
-import { computeLoadCost, type CandidateWork } from './_lib/computeLoadCost.js'
+import { computeFillShares, type FillOption } from '../computeFillShares/index.js'
+import { computeLoadCost, computeRequestCost, type CandidateWork } from './_lib/computeLoadCost.js'
 
 export type { CandidateWork }
 
@@ -17,6 +17,10 @@
   readonly slots: number
   /** Estimated requests in flight from the whole fleet. */
   readonly load: number
+  /** Of these, requests of this node, whose number is exact; 0 by default. */
+  readonly ownLoad?: number
+  /** Share of the other nodes' counted requests that are still in flight; 1 by default. */
+  readonly countSurvival?: number
   /** Estimated number of tokens of the prompt's shared prefix that are in its prompt cache. */
   readonly cachedPromptTokens: number
   readonly availabilityZone: string
@@ -111,21 +115,30 @@
   return [...best.values()]
 }
 
-type PlacementOption = PromptPlacement & {
+type PlacementOption = PromptPlacement & FillOption & {
   /** Cost in prompt tokens without the cost of the load. */
   readonly costWithoutLoad: number
-  readonly cost: number
+  /** Requests that other nodes have probably begun there since they were counted. */
+  readonly uncountedLoad: number
 }
 
-/**
- * Of options that differ in load only, selects the better of two random ones (power of two choices). All nodes
- * have the same load counts, some of them 0.5 s old: if each took the least loaded server, all would send to it.
- */
+/** Groups options that differ by less than the cost of one request, apart from their load. */
+const groupAlike = (options: readonly PlacementOption[]): readonly (readonly PlacementOption[])[] => {
+  const groups: PlacementOption[][] = []
+  for (const option of [...options].sort((left, right) => left.costWithoutLoad - right.costWithoutLoad)) {
+    const [cheapest] = groups.at(-1) ?? []
+    if (cheapest !== undefined && option.costWithoutLoad - cheapest.costWithoutLoad < cheapest.costPerRequest) groups.at(-1)!.push(option)
+    else groups.push([option])
+  }
+  return groups
+}
+
+/** Draws one of several options that are alike but for their load, so that the nodes together fill up the least loaded ones. */
 const drawOption = (options: readonly PlacementOption[], random: () => number): PlacementOption => {
-  const first = Math.floor(random() * options.length)
-  const second = (first + 1 + Math.floor(random() * (options.length - 1))) % options.length
-  const [one, other] = [options[first]!, options[second]!]
-  return one.cost <= other.cost ? one : other
+  const uncounted = options.reduce((sum, { uncountedLoad }) => sum + uncountedLoad, 0)
+  const shares = computeFillShares(options, uncounted + 1)
+  let rest = random()
+  return options.find((_, index) => (rest -= shares[index]!) < 0) ?? options.at(-1)!
 }
 
 type PrefixSupply = { readonly cost: number, readonly copyFrom: string | undefined }
@@ -144,6 +157,12 @@
   return best
 }
 
+/** Counts of other nodes are never exact: in a burst, many requests begin between the count and the decision. */
+const MAXIMUM_COUNT_SURVIVAL = 0.75
+
+const computeUncountedLoad = ({ load, ownLoad = 0, countSurvival = 1 }: InstanceCandidate): number =>
+  (1 - Math.min(countSurvival, MAXIMUM_COUNT_SURVIVAL)) * Math.max(0, load - ownLoad)
+
 const computeMeanLoad = (candidates: readonly InstanceCandidate[]): number =>
   candidates.reduce((sum, candidate) => sum + candidate.load, 0) / candidates.length
 
@@ -195,7 +214,8 @@
   const options = eligible.map((candidate): PlacementOption => {
     const prefixSupply = selectPrefixSupply(candidate, input.sharedTokens, bestCopySources, weights)
     const missingTokens = Math.max(0, input.sharedTokens - candidate.cachedPromptTokens)
-    const loadCost = computeLoadCost(candidate, {
+    const uncountedLoad = computeUncountedLoad(candidate)
+    const loadCost = computeLoadCost({ ...candidate, load: candidate.load - uncountedLoad }, {
       tokensPerFullLoad: weights.tokensPerFullLoad,
       prefixCost: prefixSupply.cost,
       memoryTokens: missingTokens + (input.ownMemoryTokens ?? 0)
@@ -203,9 +223,16 @@
     const transferCost = candidate.availabilityZone === input.availabilityZone ? 0 : remoteTransferCost
     const homeCredit = candidate.id === home?.id ? weights.homeCreditShare * input.sharedTokens : 0
     const costWithoutLoad = prefixSupply.cost + transferCost - homeCredit
-    return { id: candidate.id, copyFrom: prefixSupply.copyFrom, costWithoutLoad, cost: costWithoutLoad + loadCost }
+    return {
+      id: candidate.id,
+      copyFrom: prefixSupply.copyFrom,
+      costWithoutLoad,
+      cost: costWithoutLoad + loadCost,
+      costPerRequest: computeRequestCost(candidate, weights.tokensPerFullLoad),
+      uncountedLoad
+    }
   })
-  const drawn = [...groupBy(options, ({ costWithoutLoad }) => costWithoutLoad).values()].map((equalOptions) => drawOption(equalOptions, random))
+  const drawn = groupAlike(options).map((alike) => drawOption(alike, random))
   const { id, copyFrom } = drawn.reduce((one, other) => other.cost < one.cost ? other : one)
   return { id, copyFrom }
 }
--- a/src/decisions/selectPlacement/test.ts
+++ b/src/decisions/selectPlacement/test.ts
@@ -137,6 +137,20 @@
     expect(Math.max(...loads.values())).toBeLessThanOrEqual(2 * mean + 3)
   })
 
+  // Many nodes place short requests by the same counts, which are older than the requests that they count.
+  test('spreads requests over servers whose counts say nothing any more', () => {
+    const random = createSeededRandom(7).next
+    const counted = [createCandidate('idle', { load: 0 }), createCandidate('near', { load: 3 }), createCandidate('far', { load: 4, availabilityZone: 'b' })]
+      .map((candidate) => ({ ...candidate, slots: 6, countSurvival: 0.02 }))
+    const chosen = Array.from({ length: 300 }, () => place(createInput({ affinityKey: '', sharedTokens: 0, expectedBytes: 1_200 }), counted, random))
+    for (const { id } of counted) expect(chosen.filter((other) => other === id).length).toBeGreaterThan(80)
+  })
+
+  test('keeps requests from a server that the node itself has just sent requests to', () => {
+    const counted = [createCandidate('own', { load: 3, ownLoad: 3 }), createCandidate('other', { load: 3 })].map((candidate) => ({ ...candidate, slots: 6, countSurvival: 0.02 }))
+    expect(place(createInput({ affinityKey: '', sharedTokens: 0 }), counted, createSeededRandom(3).next)).toBe('other')
+  })
+
   test('selects the less loaded of two otherwise equal servers', () =>
     expect(place(createInput({ affinityKey: '' }), [createCandidate('busy', { load: 6 }), createCandidate('idle', { load: 1 })], createSeededRandom(3).next)).toBe('idle'))
 
--- a/src/emulator/createInProcessFleet/index.ts
+++ b/src/emulator/createInProcessFleet/index.ts
@@ -16,6 +16,8 @@
 export type InProcessFleetOptions = {
   readonly nodesPerZone: number
   readonly zones?: number
+  /** Milliseconds by which a node's wall clock is ahead; 0 by default. */
+  readonly wallOffsetMs?: (node: number) => number
   /** Returns a number in [0, 1). */
   readonly random: () => number
   /** Creates the client through which a node reaches backend servers; by default nothing answers. */
@@ -86,7 +88,7 @@
         seedPeers: [0, 1, 2].filter((seed) => seed !== index).map(addressOf),
         ...options.settings
       }),
-      clock,
+      clock: { ...clock, wallTime: () => clock.wallTime() + (options.wallOffsetMs?.(index) ?? 0) },
       random: { next: options.random, nextId: () => String(options.random()) },
       clocks: { monotonic: clock.now, wall: clock.now, boot: clock.now },
       transport,
--- a/src/services/fleetLoad/index.ts
+++ b/src/services/fleetLoad/index.ts
@@ -21,7 +21,7 @@
 export type UnreadReading = { readonly tokens: number, readonly at: number }
 
 /** The fleet's total that a node uses for a group of backend servers. */
-export type LoadTotal = LoadSource & {
+export type LoadTotal = Required<LoadSource> & {
   /** Availability zone of the backend servers; empty when the total covers all zones. */
   readonly group: string
   /** Requests in flight from all nodes, this one included. */
--- a/src/services/forwarding/_lib/selectInstance.test.ts
+++ b/src/services/forwarding/_lib/selectInstance.test.ts
@@ -40,7 +40,7 @@
 /** Creates the state in which the server `keeper` caches the request's shared prefix and zone `drained` is drained. */
 const createDependencies = (servers: Readonly<Record<string, Server>>, engine?: EngineCapacity): SelectionDependencies => {
   const instances = Object.entries(servers).map(([id, { zone, isLeaving }]) => createInstance(id, zone, isLeaving))
-  const loadView: SelectionDependencies['loadView'] = { recordStart: () => {}, recordEnd: () => {}, estimateInFlight: (key) => servers[key.split('@')[0]!]?.load ?? 0, ownInFlight: () => 0, readSource: () => undefined, applyReport: () => {} }
+  const loadView: SelectionDependencies['loadView'] = { recordStart: () => {}, recordEnd: () => {}, estimateInFlight: (key) => servers[key.split('@')[0]!]?.load ?? 0, ownInFlight: () => 0, readSource: () => ({ ageMs: 0 }), applyReport: () => {} }
   const { api: work } = createServerWork({
     clock: { now: () => 0 },
     loadView,
--- a/src/services/forwarding/_lib/selectInstance.ts
+++ b/src/services/forwarding/_lib/selectInstance.ts
@@ -1,6 +1,7 @@
 /** Selects the backend server for the next attempt of a request: gathers the state of the node and calls `selectPlacement`. */
 import { computeLoadBound, defaultPlacementWeights, selectPlacement } from '../../../decisions/selectPlacement/index.js'
 import type { CandidateWork, InstanceCandidate, PlacementWeights, PromptCopySource } from '../../../decisions/selectPlacement/index.js'
+import { computeCountSurvival } from '../../../decisions/computeCountSurvival/index.js'
 import { checkInstanceEligibility } from '../../../decisions/checkInstanceEligibility/index.js'
 import type { InstanceEligibility } from '../../../decisions/checkInstanceEligibility/index.js'
 import { selectIneligibility } from '../../../decisions/selectIneligibility/index.js'
@@ -30,6 +31,9 @@
   readonly allowedRegions: readonly (readonly string[])[]
 }
 
+/** Assumed for how long requests in flight go on, in milliseconds, until one has ended. */
+const DEFAULT_REMAINING_MS = 300
+
 /** Average size in bytes of a non-streaming answer, and of one token in a stream, headers included. */
 const PLAIN_ANSWER_BYTES = 1_200
 const BYTES_PER_TOKEN = 30
@@ -82,7 +86,7 @@
   readonly load: number
   /** Of the load, requests of this node, which it knows exactly. */
   readonly ownLoad: number
-  /** The sum that the rest of the load comes from; `undefined` where no sum is used. */
+  /** Where the rest of the load comes from; `undefined` where the node knows nothing of others. */
   readonly source: LoadSource | undefined
   /** Mean load over all servers of the service. */
   readonly meanLoad: number
@@ -130,6 +134,16 @@
   }
 }
 
+/** The exact count of this node, and how much the counts of others still say. */
+const readCounts = ({ loadView, work }: SelectionDependencies, instance: BackendInstance): Pick<InstanceCandidate, 'load' | 'ownLoad' | 'countSurvival'> => {
+  const key = formatInstanceKey(instance)
+  return {
+    load: loadView.estimateInFlight(key),
+    ownLoad: loadView.ownInFlight(key),
+    countSurvival: computeCountSurvival({ ageMs: loadView.readSource(key)?.ageMs ?? Infinity, remainingMs: work.readRemainingMs(instance.service) ?? DEFAULT_REMAINING_MS })
+  }
+}
+
 /** What is known of a server's work and pace; nothing for a service that describes no engines, at a server that states no slowdown. */
 const readWork = ({ work }: SelectionDependencies, instance: BackendInstance): Pick<InstanceCandidate, 'work' | 'slowdown'> => {
   const estimate = work.estimate(instance)
@@ -164,7 +178,7 @@
 /** Returns the selected server, or `undefined` when the service has no eligible one that was not tried. */
 export const selectInstance = (dependencies: SelectionDependencies, input: SelectionInput): SelectedInstance | undefined => {
   const { request, bodyBytes } = input
-  const { configuration, directory, loadView, health, random, registry } = dependencies
+  const { configuration, directory, health, random, registry } = dependencies
   const { usable, isLastResort } = listUsable(dependencies, input)
   // The last part is unique to the request and can't be cached.
   const shared = request.promptParts.slice(0, -1)
@@ -173,7 +187,7 @@
   const candidates: readonly InstanceCandidate[] = usable.map((instance) => ({
     id: instance.id,
     slots: instance.slots,
-    load: loadView.estimateInFlight(formatInstanceKey(instance)),
+    ...readCounts(dependencies, instance),
     cachedPromptTokens: cachedTokensByKey.get(formatInstanceKey(instance)) ?? 0,
     availabilityZone: instance.availabilityZone,
     slowness: costOf(instance),
--- a/src/services/loadView/_lib/createLoadBroadcast.ts
+++ b/src/services/loadView/_lib/createLoadBroadcast.ts
@@ -20,6 +20,8 @@
   /** Schedules a broadcast of the counts. */
   readonly scheduleBroadcast: () => void
   readonly sendFull: (receiver: Member) => void
+  /** Milliseconds from a change to the broadcast that states it, at the present rate of changes. */
+  readonly delayMs: () => number
   /** Sequence number of the last broadcast; peers use it to detect missed broadcasts. */
   readonly sequence: () => number
 }
@@ -45,6 +47,8 @@
     availableAt = Math.max(availableAt, clock.now() - MAXIMUM_SAVED_BUDGET_MS) + bytes / bytesPerMs
   }
 
+  const readDelayMs = (): number => Math.max(BATCH_MS, availableAt - clock.now())
+
   const broadcast = (): void => {
     timer = undefined
     const counts = readCounts()
@@ -59,7 +63,7 @@
 
   return {
     scheduleBroadcast: () => {
-      timer ??= clock.setTimer(Math.max(BATCH_MS, availableAt - clock.now()), broadcast)
+      timer ??= clock.setTimer(readDelayMs(), broadcast)
     },
     // Sends the counts of the last broadcast, not the current ones: a count that has changed since then
     // and changes back would be in no later broadcast.
@@ -69,6 +73,7 @@
       spend(DIGEST_BYTES + COUNT_BYTES * digest.counts.length)
       send(receiver, digest)
     },
+    delayMs: readDelayMs,
     sequence: () => sequence
   }
 }
--- a/src/services/loadView/index.ts
+++ b/src/services/loadView/index.ts
@@ -254,7 +254,8 @@
       recordEnd: (backendServer) => adjustOwnCount(backendServer, -1),
       estimateInFlight: (backendServer) => readKnownCount(backendServer) + readExcess(backendServer),
       ownInFlight: readOwnCount,
-      readSource: (backendServer) => isInLargeFleet() ? fleetLoad!.readSource(backendServer) : undefined,
+      // Peers change their counts about as often as this node.
+      readSource: (backendServer) => isInLargeFleet() ? fleetLoad!.readSource(backendServer) : { ageMs: broadcast.delayMs() },
       applyReport
     },
     start: () => {
--- a/src/services/serverWork/index.ts
+++ b/src/services/serverWork/index.ts
@@ -1,6 +1,7 @@
 /**
  * Keeps the work that this node's requests cause at each backend server: prompt tokens that
- * it has still to read, memory of its running requests, and the slowdown that it states.
+ * it has still to read, memory of its running requests, how long they are in flight, and the
+ * slowdown that it states.
  * Only services whose configuration describes their engines have unread tokens and memory.
  */
 import { estimateFirstTokenMs, estimateServerWork, sumUnreadTokens } from '../../decisions/estimateServerWork/index.js'
@@ -8,6 +9,7 @@
 import { formatInstanceKey } from '../../decisions/formatInstanceKey/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import type { BackendInstance, Clock, EngineCapacity, GatewayConfigurationHolder, GatewayRequest, InstanceLoad, LoadView, Logger } from '../../types/index.js'
+import { createHoldTimes } from './_lib/createHoldTimes.js'
 import { createReadingPace } from './_lib/createReadingPace.js'
 
 /** Records the course of one send. Each function may be called more than once and in any order. */
@@ -31,6 +33,8 @@
   readonly estimateFirstTokenMs: (instance: BackendInstance, missingTokens: number) => number | undefined
   /** Whether the server can begin a request soon; what it has still to read and its memory count where its engines are described. */
   readonly hasRoom: (instance: BackendInstance, need?: RoomNeed) => boolean
+  /** Mean milliseconds for which a request in flight at a server of the service goes on; `undefined` before one has ended. */
+  readonly readRemainingMs: (service: string) => number | undefined
   /** Observed milliseconds per prompt token, by service. */
   readonly readingPaces: () => ReadonlyMap<string, number>
 }
@@ -124,6 +128,7 @@
 export const createServerWork = ({ clock, logger, configuration, loadView, readPeersUnread }: ServerWorkDependencies): RunningServerWork => {
   const states = new Map<string, ServerState>()
   const pace = createReadingPace()
+  const holdTimes = createHoldTimes()
   const meanRequests = new Map<string, RequestMemory>()
 
   const findEngine = (service: string): EngineCapacity | undefined => configuration.current()?.services.get(service)?.engine
@@ -160,10 +165,21 @@
     }, clock.now())
   }
 
+  /** Returns a function that records the time from now to its first call. */
+  const startHoldTime = (service: string): () => void => {
+    const startedAt = clock.now()
+    let hasEnded = false
+    return () => {
+      if (!hasEnded) holdTimes.record(service, clock.now() - startedAt)
+      hasEnded = true
+    }
+  }
+
   const recordSend = (instance: BackendInstance, { missingTokens, expectedOutputTokens, maximumOutputTokens }: SentTokens): SentWork => {
-    const before = estimate(instance)
-    if (before === undefined) return { recordFirstBytes: () => {}, recordEnd: () => {} }
     const { service } = instance
+    const endHoldTime = startHoldTime(service)
+    const before = estimate(instance)
+    if (before === undefined) return { recordFirstBytes: () => {}, recordEnd: endHoldTime }
     const state = getState(instance)
     const sent: OpenSend = { tokens: missingTokens, tokensBefore: before.unreadTokens, sentAt: clock.now(), promptTokens: missingTokens, expectedOutputTokens, maximumOutputTokens }
     meanRequests.set(service, averageMemory(meanRequests.get(service), sent))
@@ -175,6 +191,7 @@
         pace.record(service, sent.tokensBefore + sent.tokens, (clock.now() - sent.sentAt) / (readSlowdown(instance)?.slowdown ?? 1))
       },
       recordEnd: () => {
+        endHoldTime()
         state.unread.delete(sent)
         state.open.delete(sent)
       }
@@ -211,6 +228,7 @@
         const work = estimate(instance)
         return work === undefined || (work.memoryFreeTokens >= tokens && (computeReadingMs(instance, work.unreadTokens) ?? 0) <= targetMs)
       },
+      readRemainingMs: holdTimes.readRemaining,
       readingPaces: pace.readAll
     },
     readUnreadTokens: () => {
--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -32,11 +32,11 @@
   readonly ownInFlight: number
 }
 
-/** The sum of the requests of other nodes on which an estimate is based. */
+/** Where the counts of other nodes' requests come from on which an estimate is based. */
 export type LoadSource = {
-  /** Node that computed the sum, and the number that it gave to it. Equal on all nodes with the same sum. */
-  readonly sum: string
-  /** Milliseconds since the oldest counts in it were read, without the time that they were on the way. */
+  /** In a large fleet, the node that computed their sum and the number that it gave to it. Equal on all nodes with the same sum. */
+  readonly sum?: string
+  /** Milliseconds since the oldest of them were read, without the time that they were on the way; estimated in a small fleet. */
   readonly ageMs: number
 }
 
@@ -46,7 +46,7 @@
   /** Estimated requests in flight on a backend server, from all routers. */
   readonly estimateInFlight: (backendServer: string) => number
   readonly ownInFlight: (backendServer: string) => number
-  /** The sum behind the estimate; `undefined` in a small fleet, before the first sum and after the last one has expired. */
+  /** The source of the estimate; in a large fleet `undefined` before the first sum and after the last one has expired. */
   readonly readSource: (backendServer: string) => LoadSource | undefined
   readonly applyReport: (backendServer: string, report: LoadReport) => void
 }
