Pace the sums of load by the arrival of totals, not by wall clocks

Where clocks differ, or nodes know other lists of servers and so have other periods, counts wait in each stage for the next round: 40 ms apart are enough.

Change: a node publishes a fixed rest after the total that all nodes of its zone get within milliseconds, and goes on by its own period without one. A sum goes as soon as all sources of the round have reported, or a part of the period later; counts that missed their round are not taken for those of the next, and the sum of the first zone sets the round of the others. Totals state the period, so that nodes with other lists of servers follow the same pace. The test that counted on a phase of the wall clock now holds every total to a tenth of a period of age at its arrival, which is as strict.

--- a/src/services/fleetLoad/_lib/createServerIndex.ts
+++ b/src/services/fleetLoad/_lib/createServerIndex.ts
@@ -9,6 +9,8 @@
 export type ServerIndex = {
   /** Groups by availability zone; a single group with an empty name when there are few servers. */
   readonly groups: () => ReadonlyMap<string, readonly HashedServer[]>
+  /** Name of the first group; the same on all nodes with the same servers. */
+  readonly firstGroup: () => string
   readonly size: () => number
 }
 
@@ -26,20 +28,30 @@
   let hashes: ReadonlyMap<string, number> = new Map()
   let indexed: readonly NamedServer[] | undefined
   let groups: ReadonlyMap<string, readonly HashedServer[]> = new Map()
+  let firstGroup = SINGLE_GROUP_NAME
 
   const update = (servers: readonly NamedServer[]): void => {
     const hashed = servers.map(({ name, availabilityZone }) => ({ name, availabilityZone, hash: hashes.get(name) ?? hashText(name) }))
     hashes = new Map(hashed.map(({ name, hash }) => [name, hash]))
     groups = groupBy(hashed, (server) => hashed.length <= MAXIMUM_SERVERS_IN_SINGLE_GROUP ? SINGLE_GROUP_NAME : server.availabilityZone)
+    firstGroup = [...groups.keys()].sort()[0] ?? SINGLE_GROUP_NAME
     indexed = servers
   }
 
+  const refresh = (): void => {
+    const servers = readServers()
+    if (servers !== indexed) update(servers)
+  }
+
   return {
     groups: () => {
-      const servers = readServers()
-      if (servers !== indexed) update(servers)
+      refresh()
       return groups
     },
+    firstGroup: () => {
+      refresh()
+      return firstGroup
+    },
     size: () => readServers().length
   }
 }
--- a/src/services/fleetLoad/_lib/createSnapshotStore.ts
+++ b/src/services/fleetLoad/_lib/createSnapshotStore.ts
@@ -10,6 +10,8 @@
 export type SnapshotSum = SnapshotCounts & {
   /** Milliseconds since the oldest of the counts were read, without the time that they were on the way. */
   readonly ageMs: number
+  /** The longest period that the sources state, in milliseconds; `undefined` where none does. */
+  readonly periodMs: number | undefined
 }
 
 export type SnapshotStore = {
@@ -17,10 +19,6 @@
   readonly put: (snapshot: LoadSnapshot, now: number) => boolean
   /** The sum over all sources. */
   readonly sum: (now: number) => SnapshotSum
-  /** Number of sources, including expired ones that the next sum removes. */
-  readonly size: () => number
-  /** Number of sources that were received since the last sum. */
-  readonly countNewSources: () => number
 }
 
 type Entry = SnapshotCounts & { readonly snapshot: LoadSnapshot, readonly at: number }
@@ -31,7 +29,6 @@
 
 export const createSnapshotStore = (maximumAgeMs: number): SnapshotStore => {
   const entries = new Map<string, Entry>()
-  const receivedSources = new Set<string>()
 
   const isOutdated = (entry: Entry | undefined, snapshot: LoadSnapshot): boolean =>
     entry !== undefined && entry.snapshot.nodeId === snapshot.nodeId && entry.snapshot.sequence >= snapshot.sequence
@@ -39,15 +36,14 @@
   return {
     put: (snapshot, now) => {
       if (isOutdated(entries.get(snapshot.source), snapshot)) return false
-      receivedSources.add(snapshot.source)
       entries.set(snapshot.source, { snapshot, counts: unpackLoadCounts(snapshot), unreadTokens: unpackUnreadTokens(snapshot), at: now })
       return true
     },
     sum: (now) => {
-      receivedSources.clear()
       const counts = new Map<number, number>()
       const unreadTokens = new Map<number, number>()
       let ageMs = 0
+      let periodMs: number | undefined
       for (const [source, entry] of entries) {
         if (now - entry.at > maximumAgeMs) {
           entries.delete(source)
@@ -56,10 +52,9 @@
         addTo(counts, entry.counts)
         addTo(unreadTokens, entry.unreadTokens)
         ageMs = Math.max(ageMs, now - entry.at + (entry.snapshot.ageMs ?? 0))
+        if (entry.snapshot.periodMs !== undefined) periodMs = Math.max(periodMs ?? 0, entry.snapshot.periodMs)
       }
-      return { counts, unreadTokens, ageMs }
-    },
-    size: () => entries.size,
-    countNewSources: () => receivedSources.size
+      return { counts, unreadTokens, ageMs, periodMs }
+    }
   }
 }
--- a/src/services/fleetLoad/_lib/createZoneRanking.ts
+++ b/src/services/fleetLoad/_lib/createZoneRanking.ts
@@ -11,6 +11,7 @@
 export type ZoneRanking = {
   /** Routers of a zone, ranked for a group of servers. */
   readonly rank: (routerZone: string, group: string) => readonly Member[]
+  /** Zones with live routers, in the order of their names. */
   readonly zones: () => readonly string[]
 }
 
@@ -29,7 +30,7 @@
   }
 
   return {
-    zones: () => [...readByZone().keys()],
+    zones: () => [...readByZone().keys()].sort(),
     rank: (routerZone, group) => {
       const routers = readByZone().get(routerZone) ?? []
       const key = `${routerZone} ${group}`
--- a/src/services/fleetLoad/index.ts
+++ b/src/services/fleetLoad/index.ts
@@ -5,29 +5,24 @@
  * exchange their sums, and each distributes the fleet's total through a tree
  * within its zone.
  */
+import { createPublicationTimer } from './_lib/createPublicationTimer.js'
 import { createServerIndex } from './_lib/createServerIndex.js'
 import type { NamedServer } from './_lib/createServerIndex.js'
-import { createSnapshotStore } from './_lib/createSnapshotStore.js'
-import type { SnapshotStore, SnapshotSum } from './_lib/createSnapshotStore.js'
+import type { SnapshotSum } from './_lib/createSnapshotStore.js'
+import { createSumStage } from './_lib/createSumStage.js'
+import { createTotals } from './_lib/createTotals.js'
+import type { LoadTotal, ReceivedTotal } from './_lib/createTotals.js'
 import { createZoneRanking } from './_lib/createZoneRanking.js'
 import { selectForwardTargets } from '../../decisions/selectForwardTargets/index.js'
 import { packLoadCounts, unpackLoadCounts, unpackUnreadTokens } from '../../decisions/packLoadCounts/index.js'
 import type { RunningService } from '../../kernel/index.js'
-import type { Clock, LoadSnapshot, LoadSource, Logger, Member, Membership, PeerTransport, Timer } from '../../types/index.js'
+import type { Clock, LoadSnapshot, LoadSource, Logger, Member, Membership, PeerTransport } from '../../types/index.js'
 
-export type { NamedServer }
+export type { LoadTotal, NamedServer }
 
 /** Prompt tokens that a backend server had still to read for other nodes, and when this was known, in monotonic milliseconds. */
 export type UnreadReading = { readonly tokens: number, readonly at: number }
 
-/** The fleet's total that a node uses for a group of backend servers. */
-export type LoadTotal = Required<LoadSource> & {
-  /** Availability zone of the backend servers; empty when the total covers all zones. */
-  readonly group: string
-  /** Requests in flight from all nodes, this one included. */
-  readonly requests: number
-}
-
 export type FleetLoad = {
   /** Whether the fleet is large enough to use aggregation instead of digests to all peers. */
   readonly isActive: () => boolean
@@ -60,28 +55,23 @@
   readonly fullMeshPeers: number
   /** Milliseconds between two snapshots; by default the period grows with the number of backend servers. */
   readonly periodMs?: number
-  /** Shorter periods by the number of backend servers, read before each; at most `periodMs`. All nodes should return the same. */
+  /** Shorter periods by the number of backend servers, read before each; at most `periodMs`. The period of the node that sums sets the pace of all. */
   readonly readPeriodMs?: (servers: number) => number
   /** Maximum number of nodes to which one router forwards a snapshot. */
   readonly fanOut?: number
 }
 
-type ReceivedTotal = { readonly at: number, readonly snapshot: LoadSnapshot, readonly requests: number }
-
 type OthersLoad = { readonly at: number, readonly inFlight: number, readonly unreadTokens: number, readonly total: ReceivedTotal }
 
 const MINIMUM_PERIOD_MS = 250
 const MAXIMUM_PERIOD_MS = 1000
+/** Other nodes may state no shorter period than this. */
+const MINIMUM_STATED_PERIOD_MS = 100
 /** The size of a snapshot grows with the number of servers, and so does the period, so that bytes per second stay constant. */
 const PERIOD_PER_SERVER_MS = 6
 const DEFAULT_FAN_OUT = 2
 /** Periods after which the last snapshot of a source expires. */
 const MAXIMUM_AGE_PERIODS = 4
-/**
- * Latest start of each stage, as a fraction of the period by wall time. A sum is computed as soon as all its
- * inputs have arrived; at this time it no longer waits for a source that is slow or dead.
- */
-const STAGE_STARTS = { node: 0, zone: 0.3, fleet: 0.6 }
 
 /**
  * Creates the load exchange of one node for a large fleet.
@@ -90,6 +80,7 @@
  * router that sums, counts are stale for a few periods and no repair is needed.
  * A router accepts totals only from the router that it ranks highest itself, so
  * that the totals of two routers which both rank themselves highest are not added up.
+ * No clock is compared with another: a total sets the time of the next counts.
  *
  * @param dependencies - Clock, transport, membership, the servers and the counts of this node.
  * @param options - Limits, and the period in milliseconds.
@@ -105,14 +96,8 @@
   const maximumAgeMs = MAXIMUM_AGE_PERIODS * (options.periodMs ?? MAXIMUM_PERIOD_MS)
   const zoneRanking = createZoneRanking(membership)
   const serverIndex = createServerIndex(dependencies.readServers)
-  const stores: Readonly<Record<'node' | 'zone', Map<string, SnapshotStore>>> = { node: new Map(), zone: new Map() }
-  /** Groups whose sum of this period was published before the latest start of its stage, by the scope of the inputs. */
-  const publishedEarly: Readonly<Record<'node' | 'zone', Set<string>>> = { node: new Set(), zone: new Set() }
   const othersByServer = new Map<string, OthersLoad>()
-  const lastTotals = new Map<string, ReceivedTotal>()
-  const lostGroups = new Set<string>()
   const listeners: ((backendServer: string) => void)[] = []
-  const timers = new Map<string, Timer>()
   let lastSent: ReadonlyMap<string, number> = new Map()
   let lastSentUnread: ReadonlyMap<string, number> = new Map()
   let sequence = clock.wallTime()
@@ -126,29 +111,29 @@
     return isLarge
   }
 
-  // Equal on all routers that know the same number of servers, so that their stages are synchronised.
-  const findPeriodMs = (): number =>
+  const findOwnPeriodMs = (): number =>
     options.readPeriodMs?.(serverIndex.size()) ?? options.periodMs ?? Math.min(MAXIMUM_PERIOD_MS, Math.max(MINIMUM_PERIOD_MS, serverIndex.size() * PERIOD_PER_SERVER_MS))
 
+  /** The period of the last total, so that nodes with different lists of servers keep the same pace. */
+  const findPeriodMs = (): number => {
+    const stated = totals.find(serverIndex.firstGroup())?.snapshot.periodMs
+    return stated === undefined ? findOwnPeriodMs() : Math.min(MAXIMUM_PERIOD_MS, Math.max(MINIMUM_STATED_PERIOD_MS, stated))
+  }
+
   const readOwnZone = (): string => membership.self().availabilityZone
 
   const isSelf = (member: Member | undefined): boolean => member?.nodeId === membership.self().nodeId
 
-  const getStore = (scope: 'node' | 'zone', group: string): SnapshotStore => {
-    const known = stores[scope].get(group)
-    if (known !== undefined) return known
-    const store = createSnapshotStore(maximumAgeMs)
-    stores[scope].set(group, store)
-    return store
-  }
+  const readSummingNode = (group: string): Member | undefined => zoneRanking.rank(readOwnZone(), group)[0]
+
+  const isResponsible = (group: string): boolean => isActive() && isSelf(readSummingNode(group))
 
-  const listReceivedGroups = (scope: 'node' | 'zone'): readonly string[] =>
-    [...stores[scope]].filter(([, store]) => store.size() > 0).map(([group]) => group)
+  const totals = createTotals({ clock, logger: dependencies.logger, maximumAgeMs, findSource: (group) => readSummingNode(group)?.nodeId })
 
-  const createSnapshot = (scope: LoadSnapshot['scope'], source: string, group: string, { counts, unreadTokens, ageMs }: SnapshotSum): LoadSnapshot => {
+  const createSnapshot = (scope: LoadSnapshot['scope'], source: string, group: string, { counts, unreadTokens, ageMs, periodMs }: SnapshotSum): LoadSnapshot => {
     sequence += 1
     const { nodeId } = membership.self()
-    return { scope, source, nodeId, group, sequence, ageMs: Math.round(ageMs), ...packLoadCounts(counts, unreadTokens) }
+    return { scope, source, nodeId, group, sequence, ageMs: Math.round(ageMs), ...(periodMs === undefined ? {} : { periodMs }), ...packLoadCounts(counts, unreadTokens) }
   }
 
   const deliver = (receiver: Member | undefined, snapshot: LoadSnapshot): void => {
@@ -158,7 +143,8 @@
   }
 
   const publishNode = (): void => {
-    reportLostTotals()
+    if (!isActive()) return
+    totals.reportLost()
     const counts = dependencies.readCounts()
     const unread = dependencies.readUnreadTokens?.() ?? new Map<string, number>()
     lastSent = new Map(counts)
@@ -167,38 +153,25 @@
       const loaded = servers.filter(({ name }) => (counts.get(name) ?? 0) > 0)
       const sum: SnapshotSum = {
         ageMs: 0,
+        periodMs: undefined,
         counts: new Map(loaded.map(({ hash, name }) => [hash, counts.get(name) ?? 0])),
         unreadTokens: new Map(loaded.map(({ hash, name }) => [hash, unread.get(name) ?? 0]))
       }
-      deliver(zoneRanking.rank(readOwnZone(), group)[0], createSnapshot('node', membership.self().nodeId, group, sum))
+      deliver(readSummingNode(group), createSnapshot('node', membership.self().nodeId, group, sum))
     }
   }
 
-  /** Groups that this router sums, including groups whose servers only other routers know. */
-  const listSummedGroups = (): readonly string[] => {
-    const groups = new Set([...serverIndex.groups().keys(), ...listReceivedGroups('node'), ...listReceivedGroups('zone')])
-    return [...groups].filter((group) => isSelf(zoneRanking.rank(readOwnZone(), group)[0]))
-  }
-
-  const publishZoneSum = (group: string): void => {
-    const snapshot = createSnapshot('zone', readOwnZone(), group, getStore('node', group).sum(clock.now()))
+  const publishZoneSum = (group: string, sum: SnapshotSum): void => {
+    const snapshot = createSnapshot('zone', readOwnZone(), group, { ...sum, periodMs: Math.round(findOwnPeriodMs()) })
     for (const routerZone of zoneRanking.zones()) deliver(zoneRanking.rank(routerZone, group)[0], snapshot)
   }
 
-  const publishFleetSum = (group: string): void => {
-    applySnapshot(createSnapshot('fleet', readOwnZone(), group, getStore('zone', group).sum(clock.now())))
-  }
-
-  /** Publishes the sums that were not published early in this period. */
-  const publishRemaining = (scope: 'node' | 'zone', publish: (group: string) => void): void => {
-    for (const group of listSummedGroups()) if (!publishedEarly[scope].delete(group)) publish(group)
-  }
+  const publishTotal = (group: string, sum: SnapshotSum): void => applySnapshot(createSnapshot('fleet', readOwnZone(), group, sum))
 
-  const publishEarly = (scope: 'node' | 'zone', group: string, sources: number, publish: (group: string) => void): void => {
-    if (getStore(scope, group).countNewSources() < sources || !isActive() || !isSelf(zoneRanking.rank(readOwnZone(), group)[0])) return
-    publishedEarly[scope].add(group)
-    publish(group)
-  }
+  const stageOptions = { clock, maximumAgeMs, readPeriodMs: findPeriodMs, isResponsible }
+  const zoneStage = createSumStage({ ...stageOptions, countSources: (group) => zoneRanking.rank(readOwnZone(), group).length, publish: publishZoneSum })
+  const fleetStage = createSumStage({ ...stageOptions, countSources: () => zoneRanking.zones().length, findPacemaker: () => zoneRanking.zones()[0], publish: publishTotal })
+  const publicationTimer = createPublicationTimer({ clock, readPeriodMs: findPeriodMs, publish: publishNode })
 
   const forward = (snapshot: LoadSnapshot): void => {
     const ranked = zoneRanking.rank(readOwnZone(), snapshot.group)
@@ -207,34 +180,13 @@
     for (const receiver of selectForwardTargets(ranked, self, fanOut)) transport.send(receiver.address, { kind: 'loadSnapshot', snapshot })
   }
 
-  const describeTotal = ({ at, snapshot, requests }: ReceivedTotal): LoadTotal => ({
-    group: snapshot.group,
-    sum: `${snapshot.nodeId}/${snapshot.sequence}`,
-    ageMs: Math.round(clock.now() - at + (snapshot.ageMs ?? 0)),
-    requests
-  })
-
-  const recordTotal = (total: ReceivedTotal): void => {
-    const { group } = total.snapshot
-    lastTotals.set(group, total)
-    if (lostGroups.delete(group)) dependencies.logger?.info('load sums back', describeTotal(total))
-  }
-
-  /** Without totals, a node counts no requests of others and takes every backend server for idle. */
-  const reportLostTotals = (): void => {
-    for (const [group, total] of lastTotals) {
-      if (clock.now() - total.at <= maximumAgeMs || lostGroups.has(group)) continue
-      lostGroups.add(group)
-      dependencies.logger?.warn('load sums lost', { ...describeTotal(total), expectedFrom: zoneRanking.rank(readOwnZone(), group)[0]?.nodeId })
-    }
-  }
-
   const applyFleetTotal = (snapshot: LoadSnapshot): void => {
-    if (zoneRanking.rank(readOwnZone(), snapshot.group)[0]?.nodeId !== snapshot.nodeId) return
+    if (readSummingNode(snapshot.group)?.nodeId !== snapshot.nodeId) return
     const counts = unpackLoadCounts(snapshot)
     const unread = unpackUnreadTokens(snapshot)
-    const total = { at: clock.now(), snapshot, requests: [...counts.values()].reduce((sum, count) => sum + count, 0) }
-    recordTotal(total)
+    const total = totals.record(snapshot)
+    // The totals of one group set the pace; the others arrive at about the same time.
+    if (snapshot.group === serverIndex.firstGroup()) publicationTimer.recordTotal()
     for (const { name, hash } of serverIndex.groups().get(snapshot.group) ?? []) {
       // The total includes the counts that this node sent last; only the rest belongs to others.
       const inFlight = Math.max(0, (counts.get(hash) ?? 0) - (lastSent.get(name) ?? 0))
@@ -246,28 +198,13 @@
   }
 
   const snapshotHandlers: Readonly<Record<LoadSnapshot['scope'], (snapshot: LoadSnapshot) => void>> = {
-    node: (snapshot) => {
-      getStore('node', snapshot.group).put(snapshot, clock.now())
-      publishEarly('node', snapshot.group, zoneRanking.rank(readOwnZone(), snapshot.group).length, publishZoneSum)
-    },
-    zone: (snapshot) => {
-      getStore('zone', snapshot.group).put(snapshot, clock.now())
-      publishEarly('zone', snapshot.group, zoneRanking.zones().length, publishFleetSum)
-    },
+    node: zoneStage.receive,
+    zone: fleetStage.receive,
     fleet: applyFleetTotal
   }
 
   const applySnapshot = (snapshot: LoadSnapshot): void => snapshotHandlers[snapshot.scope](snapshot)
 
-  const schedule = (stage: keyof typeof STAGE_STARTS, publish: () => void): void => {
-    const periodMs = findPeriodMs()
-    const phase = (clock.wallTime() - STAGE_STARTS[stage] * periodMs) % periodMs
-    timers.set(stage, clock.setTimer(periodMs - phase, () => {
-      if (isActive()) publish()
-      schedule(stage, publish)
-    }))
-  }
-
   const readOthers = (backendServer: string): OthersLoad | undefined => {
     const others = othersByServer.get(backendServer)
     return others === undefined || clock.now() - others.at > maximumAgeMs ? undefined : others
@@ -284,10 +221,10 @@
       readSource: (backendServer) => {
         const others = readOthers(backendServer)
         if (others === undefined) return undefined
-        const { sum, ageMs } = describeTotal(others.total)
+        const { sum, ageMs } = totals.describe(others.total)
         return { sum, ageMs }
       },
-      totals: () => [...lastTotals.values()].filter(({ at }) => clock.now() - at <= maximumAgeMs).map(describeTotal),
+      totals: totals.list,
       onChange: (listener) => { listeners.push(listener) }
     },
     start: () => {
@@ -295,10 +232,12 @@
         applySnapshot(snapshot)
         return { kind: 'none' }
       })
-      schedule('node', publishNode)
-      schedule('zone', () => publishRemaining('node', publishZoneSum))
-      schedule('fleet', () => publishRemaining('zone', publishFleetSum))
+      publicationTimer.start()
     },
-    stop: () => { for (const timer of timers.values()) timer.cancel() }
+    stop: () => {
+      publicationTimer.stop()
+      zoneStage.stop()
+      fleetStage.stop()
+    }
   }
 }
--- a/src/services/fleetLoad/test.ts
+++ b/src/services/fleetLoad/test.ts
@@ -16,25 +16,25 @@
 
 const SERVERS = [0, 1, 2].map(createServer)
 
-const createFleet = (size: number, fullMeshPeers = 2, known = SERVERS) => {
+const createFleet = (size: number, fullMeshPeers = 2, known = SERVERS, wallOffsetMs = (_node: number): number => 0, readPeriodMs = (_node: number): number => PERIOD_MS) => {
   const clock = createManualClock()
   const network = createMemoryPeerNetwork({ clock })
   const members = Array.from({ length: size }, (_, index) => createMember(index))
   const dead = new Set<string>()
   const listeners: (() => void)[] = []
-  const nodes = members.map((self) => {
+  const nodes = members.map((self, index) => {
     const counts = new Map<string, number>()
     const unreadTokens = new Map<string, number>()
     let servers = known
     const transport = network.createTransport(self.address)
     const service = createFleetLoad({
-      clock,
+      clock: { ...clock, wallTime: () => clock.wallTime() + wallOffsetMs(index) },
       transport,
       membership: { self: () => self, liveMembers: () => members.filter((member) => !dead.has(member.nodeId)), onChange: (listener) => { listeners.push(listener) } },
       readServers: () => servers,
       readCounts: () => counts,
       readUnreadTokens: () => unreadTokens
-    }, { fullMeshPeers, periodMs: PERIOD_MS })
+    }, { fullMeshPeers, periodMs: PERIOD_MS, readPeriodMs: () => readPeriodMs(index) })
     service.start?.()
     const kill = async (): Promise<void> => {
       await service.stop?.()
@@ -111,12 +111,58 @@
 
   // Sums that wait for the latest start of their stage arrive half a period late, and a burst would go to one server.
   it('publishes sums as soon as all their inputs have arrived', async () => {
-    const { clock, nodes, readAll } = createFleet(9)
+    const { clock, nodes } = createFleet(9)
     await clock.advanceAndSettle(SETTLE_MS)
-    await clock.advanceAndSettle(PERIOD_MS - clock.wallTime() % PERIOD_MS - 1)
+    const last = nodes.map(({ fleetLoad }) => fleetLoad.readSource('engine-0')?.sum)
+    const ages: number[] = []
+    for (let step = 0; step < 2 * PERIOD_MS; step++) {
+      await clock.advanceAndSettle(1)
+      nodes.forEach(({ fleetLoad }, index) => {
+        const { sum, ageMs = Infinity } = fleetLoad.readSource('engine-0') ?? {}
+        if (sum !== last[index]) ages.push(ageMs)
+        last[index] = sum
+      })
+    }
+    expect(ages.length).toBeGreaterThanOrEqual(9)
+    expect(Math.max(...ages)).toBeLessThanOrEqual(PERIOD_MS / 10)
+  })
+
+  // A sum that waits for the wall clock of a node whose clock is ahead or behind is older than the next one should be.
+  it.each([0, 40, 400, 5_000])('counts within a period plus the time to sum when clocks are up to %i ms apart', async (distanceMs) => {
+    const { clock, nodes } = createFleet(24, 2, SERVERS, (node) => Math.round(distanceMs * node / 23))
+    await clock.advanceAndSettle(SETTLE_MS)
+    const ages: number[] = []
+    for (let step = 0; step < 100; step++) {
+      await clock.advanceAndSettle(PERIOD_MS / 25)
+      ages.push(...nodes.map(({ fleetLoad }) => fleetLoad.readSource('engine-0')?.ageMs ?? Infinity))
+    }
+    expect(Math.max(...ages)).toBeLessThanOrEqual(1.3 * PERIOD_MS)
+  })
+
+  // Clocks that are stepped, as by a time service, must not delay or repeat sums.
+  it('goes on when wall clocks jump', async () => {
+    let jumpMs = 0
+    const { clock, nodes, readAll } = createFleet(12, 2, SERVERS, (node) => node % 3 === 0 ? jumpMs : 0)
     for (const { counts } of nodes) counts.set('engine-0', 1)
-    await clock.advanceAndSettle(PERIOD_MS / 10)
-    expect(new Set(readAll('engine-0'))).toEqual(new Set([8]))
+    await clock.advanceAndSettle(SETTLE_MS)
+    for (const jump of [-7_300, 2_150, 0]) {
+      jumpMs = jump
+      await clock.advanceAndSettle(2 * PERIOD_MS)
+      expect(Math.max(...nodes.map(({ fleetLoad }) => fleetLoad.readSource('engine-0')?.ageMs ?? Infinity))).toBeLessThanOrEqual(1.3 * PERIOD_MS)
+      expect(new Set(readAll('engine-0'))).toEqual(new Set([11]))
+    }
+  })
+
+  // Nodes that have another list of servers or no configuration yet have another period.
+  it('keeps nodes with another period in step', async () => {
+    const { clock, nodes } = createFleet(24, 2, SERVERS, () => 0, (node) => node % 4 === 3 ? 0.4 * PERIOD_MS : PERIOD_MS)
+    await clock.advanceAndSettle(SETTLE_MS)
+    const ages: number[] = []
+    for (let step = 0; step < 100; step++) {
+      await clock.advanceAndSettle(PERIOD_MS / 25)
+      ages.push(...nodes.map(({ fleetLoad }) => fleetLoad.readSource('engine-0')?.ageMs ?? Infinity))
+    }
+    expect(Math.max(...ages)).toBeLessThanOrEqual(1.3 * PERIOD_MS)
   })
 
   it('does not wait for a router that is not responding', async () => {
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -67,6 +67,8 @@
   readonly sequence: number
   /** Milliseconds from the reading of the oldest counts in it to its sending. Omitted by nodes of older builds. */
   readonly ageMs?: number
+  /** In a sum: milliseconds from one sum to the next, the longest of those that the summing nodes use. Omitted by nodes of older builds. */
+  readonly periodMs?: number
 } & PackedLoadCounts
 
 /** Requests in flight by backend server, identified by the hash of its name. */
