Accept the load counts of a node that restarted with an earlier clock

What callers saw: nothing known; for up to 1.6 s the requests of a restarted node were not counted and those from before its restart were.

--- a/src/services/fleetLoad/_lib/createSnapshotStore.ts
+++ b/src/services/fleetLoad/_lib/createSnapshotStore.ts
@@ -15,7 +15,7 @@
 }
 
 export type SnapshotStore = {
-  /** Stores a snapshot; returns `false` if a snapshot of the same source and node with the same or a higher sequence number is stored. */
+  /** Stores a snapshot; returns `false` if it is outdated: a later one of the same source and node is stored. */
   readonly put: (snapshot: LoadSnapshot, now: number) => boolean
   /** The sum over all sources. */
   readonly sum: (now: number) => SnapshotSum
@@ -27,11 +27,17 @@
   for (const [server, value] of values) sums.set(server, (sums.get(server) ?? 0) + value)
 }
 
+/** A number that is lower by more than this is that of a node which restarted with an earlier clock. */
+const REORDERED_SNAPSHOTS = 100
+
 export const createSnapshotStore = (maximumAgeMs: number): SnapshotStore => {
   const entries = new Map<string, Entry>()
 
-  const isOutdated = (entry: Entry | undefined, snapshot: LoadSnapshot): boolean =>
-    entry !== undefined && entry.snapshot.nodeId === snapshot.nodeId && entry.snapshot.sequence >= snapshot.sequence
+  const isOutdated = (entry: Entry | undefined, snapshot: LoadSnapshot): boolean => {
+    if (entry === undefined || entry.snapshot.nodeId !== snapshot.nodeId) return false
+    const distance = entry.snapshot.sequence - snapshot.sequence
+    return distance >= 0 && distance < REORDERED_SNAPSHOTS
+  }
 
   return {
     put: (snapshot, now) => {
