Keep the load bound with a margin for what counts leave open

The bound was compared with the last count as if it were the present load; all nodes send to a server in demand while its last count is under the bound, and none while it is over.

Change: decisions/estimateLoad gives the expected load and its standard deviation, from the count, its age and the average of the last counts (sums of the whole fleet, so a server's own pace is in it). A server gets a request while nine in ten loads of that distribution are under the bound.

--- a/src/decisions/selectPlacement/index.ts
+++ b/src/decisions/selectPlacement/index.ts
@@ -7,6 +7,7 @@
  * some of them slow for a moment, where the number of requests says little about the wait.
  */
 import { hashText } from '../../hashing/index.js'
+import { estimateLoad } from '../estimateLoad/index.js'
 import { computeFillShares, type FillOption } from '../computeFillShares/index.js'
 import { computeLoadCost, computeRequestCost, type CandidateWork } from './_lib/computeLoadCost.js'
 
@@ -19,6 +20,8 @@
   readonly load: number
   /** Of these, requests of this node, whose number is exact; 0 by default. */
   readonly ownLoad?: number
+  /** Requests in flight from other nodes, averaged over the last counts; the last count by default. */
+  readonly averageOthersLoad?: number
   /** Share of the other nodes' counted requests that are still in flight; 1 by default. */
   readonly countSurvival?: number
   /** Estimated number of tokens of the prompt's shared prefix that are in its prompt cache. */
@@ -163,6 +166,25 @@
 const computeUncountedLoad = ({ load, ownLoad = 0, countSurvival = 1 }: InstanceCandidate): number =>
   (1 - Math.min(countSurvival, MAXIMUM_COUNT_SURVIVAL)) * Math.max(0, load - ownLoad)
 
+/** Nine in ten loads are at most this many standard deviations above the expected one. */
+const BOUND_DEVIATIONS = 1.28
+
+/**
+ * Whether one more request keeps the server under the load bound, with a margin for what its count leaves open.
+ *
+ * @param candidate - The server.
+ * @param bound - Highest load in requests, the one to be placed included.
+ * @returns Whether the request may be sent there while the bound holds.
+ *
+ * @example
+ * isUnderLoadBound({ id: 's1', slots: 8, load: 4, cachedPromptTokens: 0, availabilityZone: 'a', slowness: 1 }, 5) // => true
+ */
+export const isUnderLoadBound = ({ load, ownLoad = 0, averageOthersLoad, countSurvival = 1 }: InstanceCandidate, bound: number): boolean => {
+  const othersLoad = Math.max(0, load - ownLoad)
+  const { expected, deviation } = estimateLoad({ ownLoad, othersLoad, averageOthersLoad: averageOthersLoad ?? othersLoad, countSurvival })
+  return expected + BOUND_DEVIATIONS * deviation + 1 <= bound
+}
+
 const computeMeanLoad = (candidates: readonly InstanceCandidate[]): number =>
   candidates.reduce((sum, candidate) => sum + candidate.load, 0) / candidates.length
 
@@ -209,7 +231,7 @@
   const home = findHome(input.affinityKey, candidates)
   const bestCopySources = selectCopySources(copySources)
   const remoteTransferCost = weights.tokensPerRemoteKilobyte * input.expectedBytes / 1024
-  const open = candidates.filter(({ load, slots }) => load + 1 <= bound && load < slots)
+  const open = candidates.filter((candidate) => isUnderLoadBound(candidate, bound) && candidate.load < candidate.slots)
   const eligible = open.length > 0 ? open : [...candidates].sort((left, right) => left.load / left.slots - right.load / right.slots).slice(0, 1)
   const options = eligible.map((candidate): PlacementOption => {
     const prefixSupply = selectPrefixSupply(candidate, input.sharedTokens, bestCopySources, weights)
--- a/src/decisions/selectPlacement/test.ts
+++ b/src/decisions/selectPlacement/test.ts
@@ -141,7 +141,7 @@
   test('spreads requests over servers whose counts say nothing any more', () => {
     const random = createSeededRandom(7).next
     const counted = [createCandidate('idle', { load: 0 }), createCandidate('near', { load: 3 }), createCandidate('far', { load: 4, availabilityZone: 'b' })]
-      .map((candidate) => ({ ...candidate, slots: 6, countSurvival: 0.02 }))
+      .map((candidate) => ({ ...candidate, slots: 6, averageOthersLoad: 2.3, countSurvival: 0.02 }))
     const chosen = Array.from({ length: 300 }, () => place(createInput({ affinityKey: '', sharedTokens: 0, expectedBytes: 1_200 }), counted, random))
     for (const { id } of counted) expect(chosen.filter((other) => other === id).length).toBeGreaterThan(80)
   })
@@ -151,6 +151,14 @@
     expect(place(createInput({ affinityKey: '', sharedTokens: 0 }), counted, createSeededRandom(3).next)).toBe('other')
   })
 
+  // A server in demand gets requests of all nodes while its last count is under the bound.
+  test('keeps requests from a server whose load is probably over the bound by now', () => {
+    const kept = createCandidate('kept', { cachedPromptTokens: 8_000, load: 4, averageOthersLoad: 7, countSurvival: 0.3 })
+    const input = createInput({ affinityKey: '', meanLoad: 3 })
+    expect(place(input, [kept, ...createServers(5, { load: 3 })])).not.toBe('kept')
+    expect(place(input, [{ ...kept, countSurvival: 1 }, ...createServers(5, { load: 3 })])).toBe('kept')
+  })
+
   test('selects the less loaded of two otherwise equal servers', () =>
     expect(place(createInput({ affinityKey: '' }), [createCandidate('busy', { load: 6 }), createCandidate('idle', { load: 1 })], createSeededRandom(3).next)).toBe('idle'))
 
--- a/src/services/fleetLoad/_lib/createTotals.ts
+++ b/src/services/fleetLoad/_lib/createTotals.ts
@@ -3,7 +3,7 @@
 import type { Clock, LoadSnapshot, LoadSource, Logger } from '../../../types/index.js'
 
 /** The fleet's total that a node uses for a group of backend servers. */
-export type LoadTotal = Required<LoadSource> & {
+export type LoadTotal = Required<Pick<LoadSource, 'sum' | 'ageMs'>> & {
   /** Availability zone of the backend servers; empty when the total covers all zones. */
   readonly group: string
   /** Requests in flight from all nodes, this one included. */
--- a/src/services/fleetLoad/index.ts
+++ b/src/services/fleetLoad/index.ts
@@ -61,7 +61,13 @@
   readonly fanOut?: number
 }
 
-type OthersLoad = { readonly at: number, readonly inFlight: number, readonly unreadTokens: number, readonly total: ReceivedTotal }
+type OthersLoad = {
+  readonly at: number
+  readonly inFlight: number
+  readonly averageInFlight: number
+  readonly unreadTokens: number
+  readonly total: ReceivedTotal
+}
 
 const MINIMUM_PERIOD_MS = 250
 const MAXIMUM_PERIOD_MS = 1000
@@ -70,6 +76,8 @@
 /** The size of a snapshot grows with the number of servers, and so does the period, so that bytes per second stay constant. */
 const PERIOD_PER_SERVER_MS = 6
 const DEFAULT_FAN_OUT = 2
+/** Time in milliseconds after which a count has about a third of its weight in the average. */
+const AVERAGE_MEMORY_MS = 1_000
 /** Periods after which the last snapshot of a source expires. */
 const MAXIMUM_AGE_PERIODS = 4
 
@@ -180,6 +188,12 @@
     for (const receiver of selectForwardTargets(ranked, self, fanOut)) transport.send(receiver.address, { kind: 'loadSnapshot', snapshot })
   }
 
+  const averageCounts = (last: OthersLoad | undefined, inFlight: number): number => {
+    if (last === undefined) return inFlight
+    const weight = 1 - Math.exp((last.at - clock.now()) / AVERAGE_MEMORY_MS)
+    return last.averageInFlight + weight * (inFlight - last.averageInFlight)
+  }
+
   const applyFleetTotal = (snapshot: LoadSnapshot): void => {
     if (readSummingNode(snapshot.group)?.nodeId !== snapshot.nodeId) return
     const counts = unpackLoadCounts(snapshot)
@@ -191,7 +205,7 @@
       // The total includes the counts that this node sent last; only the rest belongs to others.
       const inFlight = Math.max(0, (counts.get(hash) ?? 0) - (lastSent.get(name) ?? 0))
       const unreadTokens = Math.max(0, (unread.get(hash) ?? 0) - (lastSentUnread.get(name) ?? 0))
-      othersByServer.set(name, { at: clock.now(), inFlight, unreadTokens, total })
+      othersByServer.set(name, { at: clock.now(), inFlight, averageInFlight: averageCounts(readOthers(name), inFlight), unreadTokens, total })
       for (const listen of listeners) listen(name)
     }
     forward(snapshot)
@@ -222,7 +236,7 @@
         const others = readOthers(backendServer)
         if (others === undefined) return undefined
         const { sum, ageMs } = totals.describe(others.total)
-        return { sum, ageMs }
+        return { sum, ageMs, averageInFlight: others.averageInFlight }
       },
       totals: totals.list,
       onChange: (listener) => { listeners.push(listener) }
--- a/src/services/forwarding/_lib/selectInstance.ts
+++ b/src/services/forwarding/_lib/selectInstance.ts
@@ -1,5 +1,5 @@
 /** Selects the backend server for the next attempt of a request: gathers the state of the node and calls `selectPlacement`. */
-import { computeLoadBound, defaultPlacementWeights, selectPlacement } from '../../../decisions/selectPlacement/index.js'
+import { computeLoadBound, defaultPlacementWeights, isUnderLoadBound, selectPlacement } from '../../../decisions/selectPlacement/index.js'
 import type { CandidateWork, InstanceCandidate, PlacementWeights, PromptCopySource } from '../../../decisions/selectPlacement/index.js'
 import { computeCountSurvival } from '../../../decisions/computeCountSurvival/index.js'
 import { checkInstanceEligibility } from '../../../decisions/checkInstanceEligibility/index.js'
@@ -38,7 +38,7 @@
 const PLAIN_ANSWER_BYTES = 1_200
 const BYTES_PER_TOKEN = 30
 
-/** Fraction of the configured load factor that placement uses, as a margin: load counts of other nodes are a quarter of a second old. */
+/** Fraction of the configured load factor that placement uses, as a margin for requests on their way. */
 const LOAD_FACTOR_SHARE = 0.96
 
 const listUntried = ({ registry }: SelectionDependencies, { service, tried }: SelectionInput): readonly BackendInstance[] =>
@@ -130,17 +130,19 @@
     meanLoad,
     bound,
     candidates: candidates.length,
-    underBound: candidates.filter(({ load }) => load + 1 <= bound).length
+    underBound: candidates.filter((candidate) => isUnderLoadBound(candidate, bound)).length
   }
 }
 
 /** The exact count of this node, and how much the counts of others still say. */
-const readCounts = ({ loadView, work }: SelectionDependencies, instance: BackendInstance): Pick<InstanceCandidate, 'load' | 'ownLoad' | 'countSurvival'> => {
+const readCounts = ({ loadView, work }: SelectionDependencies, instance: BackendInstance): Pick<InstanceCandidate, 'load' | 'ownLoad' | 'averageOthersLoad' | 'countSurvival'> => {
   const key = formatInstanceKey(instance)
+  const { ageMs = Infinity, averageInFlight } = loadView.readSource(key) ?? {}
   return {
     load: loadView.estimateInFlight(key),
     ownLoad: loadView.ownInFlight(key),
-    countSurvival: computeCountSurvival({ ageMs: loadView.readSource(key)?.ageMs ?? Infinity, remainingMs: work.readRemainingMs(instance.service) ?? DEFAULT_REMAINING_MS })
+    ...(averageInFlight === undefined ? {} : { averageOthersLoad: averageInFlight }),
+    countSurvival: computeCountSurvival({ ageMs, remainingMs: work.readRemainingMs(instance.service) ?? DEFAULT_REMAINING_MS })
   }
 }
 
--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -38,6 +38,8 @@
   readonly sum?: string
   /** Milliseconds since the oldest of them were read, without the time that they were on the way; estimated in a small fleet. */
   readonly ageMs: number
+  /** Requests in flight from other nodes at the backend server, averaged over the last counts; omitted in a small fleet. */
+  readonly averageInFlight?: number
 }
 
 export type LoadView = {
