Return short prompts to the server that caches them

Cause: servers counted as alike when their costs differed by less than that of a request, the cached prefix included; and one request was always shared out, though nobody else may have sent any. A cached prefix is this prompt's own, the other nodes' requests do not go there for it.

Change: alike are servers with the same cost of the prompt, whatever the bytes between zones below the cost of a request; shared out is what others have probably begun since the count, by the average of the last counts, and nothing where there was none.

--- a/src/decisions/computeFillShares/index.ts
+++ b/src/decisions/computeFillShares/index.ts
@@ -26,18 +26,25 @@
   return level
 }
 
+const shareAmongCheapest = (options: readonly FillOption[]): readonly number[] => {
+  const least = Math.min(...options.map(({ cost }) => cost))
+  const cheapest = options.filter(({ cost }) => cost === least).length
+  return options.map(({ cost }) => cost === least ? 1 / cheapest : 0)
+}
+
 /**
  * Computes the share of the requests that each option should get, so that all options
  * which get any cost the same in the end.
  *
  * @param options - The options.
- * @param requests - Number of requests to share out; above 0.
+ * @param requests - Number of requests to share out; with 0 the cheapest options get equal shares.
  * @returns Shares in the order of the options, with the sum 1.
  *
  * @example
  * computeFillShares([{ cost: 0, costPerRequest: 1 }, { cost: 1, costPerRequest: 1 }], 3) // => [2 / 3, 1 / 3]
  */
 export const computeFillShares = (options: readonly FillOption[], requests: number): readonly number[] => {
+  if (requests <= 0) return shareAmongCheapest(options)
   const level = findFillLevel(options, requests)
   return options.map(({ cost, costPerRequest }) => Math.max(0, level - cost) / costPerRequest / requests)
 }
--- a/src/decisions/computeFillShares/test.ts
+++ b/src/decisions/computeFillShares/test.ts
@@ -15,6 +15,10 @@
     expect(computeFillShares(createOptions([2, 2]), 1)).toEqual([0.5, 0.5])
   })
 
+  it('shares out no requests among the cheapest options', () => {
+    expect(computeFillShares(createOptions([2, 3, 2]), 0)).toEqual([0.5, 0, 0.5])
+  })
+
   it('fills up the cheap options first', () => {
     expect(computeFillShares(createOptions([0, 1, 9]), 3)).toEqual([2 / 3, 1 / 3, 0])
   })
--- a/src/decisions/selectPlacement/index.ts
+++ b/src/decisions/selectPlacement/index.ts
@@ -119,18 +119,21 @@
 }
 
 type PlacementOption = PromptPlacement & FillOption & {
-  /** Cost in prompt tokens without the cost of the load. */
-  readonly costWithoutLoad: number
+  /** Cost in prompt tokens of the missing prefix, less the credit of the home. */
+  readonly promptCost: number
+  /** Cost in prompt tokens of the bytes that cross zones. */
+  readonly transferCost: number
   /** Requests that other nodes have probably begun there since they were counted. */
   readonly uncountedLoad: number
 }
 
-/** Groups options that differ by less than the cost of one request, apart from their load. */
+/** Groups options that differ by less than the cost of one request, apart from their load and their cached prefixes. */
 const groupAlike = (options: readonly PlacementOption[]): readonly (readonly PlacementOption[])[] => {
   const groups: PlacementOption[][] = []
-  for (const option of [...options].sort((left, right) => left.costWithoutLoad - right.costWithoutLoad)) {
+  for (const option of [...options].sort((left, right) => left.promptCost - right.promptCost || left.transferCost - right.transferCost)) {
     const [cheapest] = groups.at(-1) ?? []
-    if (cheapest !== undefined && option.costWithoutLoad - cheapest.costWithoutLoad < cheapest.costPerRequest) groups.at(-1)!.push(option)
+    const isAlike = cheapest?.promptCost === option.promptCost && option.transferCost - cheapest.transferCost < cheapest.costPerRequest
+    if (isAlike) groups.at(-1)!.push(option)
     else groups.push([option])
   }
   return groups
@@ -138,8 +141,7 @@
 
 /** Draws one of several options that are alike but for their load, so that the nodes together fill up the least loaded ones. */
 const drawOption = (options: readonly PlacementOption[], random: () => number): PlacementOption => {
-  const uncounted = options.reduce((sum, { uncountedLoad }) => sum + uncountedLoad, 0)
-  const shares = computeFillShares(options, uncounted + 1)
+  const shares = computeFillShares(options, options.reduce((sum, { uncountedLoad }) => sum + uncountedLoad, 0))
   let rest = random()
   return options.find((_, index) => (rest -= shares[index]!) < 0) ?? options.at(-1)!
 }
@@ -163,8 +165,17 @@
 /** Counts of other nodes are never exact: in a burst, many requests begin between the count and the decision. */
 const MAXIMUM_COUNT_SURVIVAL = 0.75
 
-const computeUncountedLoad = ({ load, ownLoad = 0, countSurvival = 1 }: InstanceCandidate): number =>
-  (1 - Math.min(countSurvival, MAXIMUM_COUNT_SURVIVAL)) * Math.max(0, load - ownLoad)
+const readOthersLoad = ({ load, ownLoad = 0 }: InstanceCandidate): number => Math.max(0, load - ownLoad)
+
+/** What is left of the counted requests, and what has probably begun since. */
+const splitLoad = (candidate: InstanceCandidate): { readonly countedLoad: number, readonly uncountedLoad: number } => {
+  const survival = Math.min(candidate.countSurvival ?? 1, MAXIMUM_COUNT_SURVIVAL)
+  const othersLoad = readOthersLoad(candidate)
+  return {
+    countedLoad: candidate.load - (1 - survival) * othersLoad,
+    uncountedLoad: (1 - survival) * (candidate.averageOthersLoad ?? othersLoad)
+  }
+}
 
 /** Nine in ten loads are at most this many standard deviations above the expected one. */
 const BOUND_DEVIATIONS = 1.28
@@ -179,9 +190,10 @@
  * @example
  * isUnderLoadBound({ id: 's1', slots: 8, load: 4, cachedPromptTokens: 0, availabilityZone: 'a', slowness: 1 }, 5) // => true
  */
-export const isUnderLoadBound = ({ load, ownLoad = 0, averageOthersLoad, countSurvival = 1 }: InstanceCandidate, bound: number): boolean => {
-  const othersLoad = Math.max(0, load - ownLoad)
-  const { expected, deviation } = estimateLoad({ ownLoad, othersLoad, averageOthersLoad: averageOthersLoad ?? othersLoad, countSurvival })
+export const isUnderLoadBound = (candidate: InstanceCandidate, bound: number): boolean => {
+  const othersLoad = readOthersLoad(candidate)
+  const { ownLoad = 0, averageOthersLoad = othersLoad, countSurvival = 1 } = candidate
+  const { expected, deviation } = estimateLoad({ ownLoad, othersLoad, averageOthersLoad, countSurvival })
   return expected + BOUND_DEVIATIONS * deviation + 1 <= bound
 }
 
@@ -236,20 +248,21 @@
   const options = eligible.map((candidate): PlacementOption => {
     const prefixSupply = selectPrefixSupply(candidate, input.sharedTokens, bestCopySources, weights)
     const missingTokens = Math.max(0, input.sharedTokens - candidate.cachedPromptTokens)
-    const uncountedLoad = computeUncountedLoad(candidate)
-    const loadCost = computeLoadCost({ ...candidate, load: candidate.load - uncountedLoad }, {
+    const { countedLoad, uncountedLoad } = splitLoad(candidate)
+    const loadCost = computeLoadCost({ ...candidate, load: countedLoad }, {
       tokensPerFullLoad: weights.tokensPerFullLoad,
       prefixCost: prefixSupply.cost,
       memoryTokens: missingTokens + (input.ownMemoryTokens ?? 0)
     })
     const transferCost = candidate.availabilityZone === input.availabilityZone ? 0 : remoteTransferCost
     const homeCredit = candidate.id === home?.id ? weights.homeCreditShare * input.sharedTokens : 0
-    const costWithoutLoad = prefixSupply.cost + transferCost - homeCredit
+    const promptCost = prefixSupply.cost - homeCredit
     return {
       id: candidate.id,
       copyFrom: prefixSupply.copyFrom,
-      costWithoutLoad,
-      cost: costWithoutLoad + loadCost,
+      promptCost,
+      transferCost,
+      cost: promptCost + transferCost + loadCost,
       costPerRequest: computeRequestCost(candidate, weights.tokensPerFullLoad),
       uncountedLoad
     }
--- a/src/decisions/selectPlacement/test.ts
+++ b/src/decisions/selectPlacement/test.ts
@@ -151,6 +151,13 @@
     expect(place(createInput({ affinityKey: '', sharedTokens: 0 }), counted, createSeededRandom(3).next)).toBe('other')
   })
 
+  // The prefix of a chat with a short opening is worth less than a request in flight, and must still be found again.
+  test.each([0, 3])('returns a short prompt to the server that caches it (%i requests at each)', (load) => {
+    const servers = [createCandidate('other', { slots: 8, load, countSurvival: 0.5 }), createCandidate('kept', { slots: 8, load, countSurvival: 0.5, cachedPromptTokens: 200 })]
+    const chosen = Array.from({ length: 20 }, () => place(createInput({ affinityKey: '', sharedTokens: 200 }), servers, createSeededRandom(3).next))
+    expect(new Set(chosen)).toEqual(new Set(['kept']))
+  })
+
   // A server in demand gets requests of all nodes while its last count is under the bound.
   test('keeps requests from a server whose load is probably over the bound by now', () => {
     const kept = createCandidate('kept', { cachedPromptTokens: 8_000, load: 4, averageOthersLoad: 7, countSurvival: 0.3 })
--- a/src/services/fleetLoad/index.ts
+++ b/src/services/fleetLoad/index.ts
@@ -109,6 +109,7 @@
   let lastSent: ReadonlyMap<string, number> = new Map()
   let lastSentUnread: ReadonlyMap<string, number> = new Map()
   let sequence = clock.wallTime()
+  let isStopped = false
 
   /** Cached until the membership changes, since placement reads it for each server of each request. */
   let isLarge: boolean | undefined
@@ -243,12 +244,14 @@
     },
     start: () => {
       transport.handle('loadSnapshot', ({ snapshot }) => {
-        applySnapshot(snapshot)
+        // A snapshot that arrives after the stop must not start a timer.
+        if (!isStopped) applySnapshot(snapshot)
         return { kind: 'none' }
       })
       publicationTimer.start()
     },
     stop: () => {
+      isStopped = true
       publicationTimer.stop()
       zoneStage.stop()
       fleetStage.stop()
