Place plain calls of routers by what counts still say

Cause: a plain call went to the least loaded of the four servers that rank highest for it, by counts that are 20 to 1,000 ms old.

Change: the placement reads counts by their age, as gateways do, and the chat's key draws one of the four by the shares that fill up the least loaded ones.

--- a/src/decisions/chooseBackendServer/index.ts
+++ b/src/decisions/chooseBackendServer/index.ts
@@ -5,7 +5,9 @@
  * near the mean load, which leaves room on the others for returning chats.
  */
 import type { PlacementDemand } from '../../types/index.js'
+import { computeFillShares } from '../computeFillShares/index.js'
 import { computeLoadBounds, type LoadedCandidate } from '../computeLoadBounds/index.js'
+import { hashText } from '../../hashing/index.js'
 import { rankBackendServers } from '../rankBackendServers/index.js'
 
 /** The part of a placement demand that selects a server within one service. */
@@ -23,6 +25,9 @@
 }
 
 const DEFAULT_NEW_CHAT_CHOICES = 4
+/** Keeps the draw independent of the ranking, which hashes the same key. */
+const DRAW_SEED = 0x5eed
+const HASH_VALUES = 2 ** 32
 const DEFAULT_NEW_CHAT_LOAD_TARGET = 1.1
 
 /**
@@ -30,7 +35,9 @@
  *
  * Only servers under their load target are considered. A chat goes to the
  * server of its placement hint; without one, a new chat goes to the least loaded
- * of its highest-ranked servers, and a returning chat to the highest-ranked. If
+ * of its highest-ranked servers, and a returning chat to the highest-ranked. As far as the
+ * loads have changed since they were counted, the chat's key draws one of these servers, so
+ * that the nodes together fill up the least loaded ones. If
  * only excluded servers are under their target, the least loaded server under the
  * limit is taken, by load per weight.
  *
@@ -54,7 +61,18 @@
   const hinted = underTarget.find(({ name }) => name === demand.hintedBackendServer)
   if (hinted !== undefined) return hinted
   const choices = demand.isNewChat ? options.newChatChoices ?? DEFAULT_NEW_CHAT_CHOICES : 1
-  return selectLeastLoaded(rankBackendServers(demand.chatKey, underTarget).slice(0, choices))
+  return drawLeastLoaded(demand.chatKey, rankBackendServers(demand.chatKey, underTarget).slice(0, choices))
+}
+
+/** Maps a key to a number in [0, 1). */
+const hashToShare = (key: string): number => hashText(key, DRAW_SEED) / HASH_VALUES
+
+const drawLeastLoaded = <Candidate extends LoadedCandidate>(chatKey: string, candidates: readonly Candidate[]): Candidate | undefined => {
+  const uncounted = candidates.reduce((sum, { uncountedLoad = 0 }) => sum + uncountedLoad, 0)
+  if (uncounted === 0) return selectLeastLoaded(candidates)
+  const shares = computeFillShares(candidates.map(({ inFlight, uncountedLoad = 0, weight }) => ({ cost: (inFlight - uncountedLoad) / weight, costPerRequest: 1 / weight })), uncounted)
+  let rest = hashToShare(chatKey)
+  return candidates.find((_, index) => (rest -= shares[index]!) < 0) ?? candidates.at(-1)
 }
 
 const selectLoadTarget = ({ isNewChat }: ChatDemand, { loadTarget, newChatLoadTarget = DEFAULT_NEW_CHAT_LOAD_TARGET }: PlacementOptions): number =>
--- a/src/decisions/computeLoadBounds/index.ts
+++ b/src/decisions/computeLoadBounds/index.ts
@@ -8,8 +8,10 @@
   readonly name: string
   /** Weight by which it should get requests, in slots. Above 0. */
   readonly weight: number
-  /** Requests in flight on it from the whole fleet, as last reported. */
+  /** Requests in flight on it from the whole fleet, as last reported or as expected. */
   readonly inFlight: number
+  /** Of these, requests of other nodes that have probably begun since they were counted; 0 by default. */
+  readonly uncountedLoad?: number
 }
 
 /**
--- a/src/services/serverWork/holdTimes.test.ts
+++ b/src/services/_lib/createHoldTimes.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { createHoldTimes } from './_lib/createHoldTimes.js'
+import { createHoldTimes } from './createHoldTimes.js'
 
 const SERVICE = 'plain'
 
--- a/src/services/dispatch/_lib/runAttempt.ts
+++ b/src/services/dispatch/_lib/runAttempt.ts
@@ -91,7 +91,8 @@
 }
 
 export const runAttempt = async (context: RequestContext, planner: RetryPlanner, backendServer: BackendServer): Promise<AttemptEnd> => {
-  const { loadView, backendHealth, metrics } = context.dependencies
+  const { loadView, backendHealth, metrics, placement, clock } = context.dependencies
+  const startedAt = clock.now()
   planner.startAttempt()
   loadView.recordStart(backendServer.name)
   const watch = watchReachability(context, backendServer)
@@ -105,5 +106,6 @@
   } finally {
     watch.stop()
     loadView.recordEnd(backendServer.name)
+    placement.recordHoldTime(backendServer.service, clock.now() - startedAt)
   }
 }
--- a/src/services/serverWork/index.ts
+++ b/src/services/serverWork/index.ts
@@ -9,7 +9,7 @@
 import { formatInstanceKey } from '../../decisions/formatInstanceKey/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import type { BackendInstance, Clock, EngineCapacity, GatewayConfigurationHolder, GatewayRequest, InstanceLoad, LoadView, Logger } from '../../types/index.js'
-import { createHoldTimes } from './_lib/createHoldTimes.js'
+import { createHoldTimes } from '../_lib/createHoldTimes.js'
 import { createReadingPace } from './_lib/createReadingPace.js'
 
 /** Records the course of one send. Each function may be called more than once and in any order. */
--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -190,6 +190,8 @@
  */
 export type BackendPlacement = {
   readonly choose: (demand: PlacementDemand) => Placement
+  /** A request was in flight at a server of the service for so many milliseconds. */
+  readonly recordHoldTime: (service: string, milliseconds: number) => void
 }
 
 /** Counts accepted requests by outcome: accepted = complete + refused + unknown + open. */
--- a/test/_lib/createDispatchHarness.ts
+++ b/test/_lib/createDispatchHarness.ts
@@ -97,6 +97,7 @@
     complete: async (_key, _claimId, answer) => { recorded.completed.push(answer) }
   },
   placement: {
+    recordHoldTime: () => {},
     choose: ({ hintedBackendServer, excluded }) => {
       recorded.hints.push(hintedBackendServer)
       const left = (configuration?.sheet.backendServers ?? []).filter(({ name }) => !excluded.has(name))
