--- a/src/bench/crowd/_lib/simulateBurst.ts
+++ b/src/bench/crowd/_lib/simulateBurst.ts
@@ -8,7 +8,7 @@
 import { createInProcessFleet, type InProcessFleet } from '../../../emulator/createInProcessFleet/index.js'
 import { describeEngines } from '../../../emulator/describeEngines/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
-import { selectInstance } from '../../../services/forwarding/_lib/selectInstance.js'
+import { selectAtNode } from '../../../emulator/selectAtNode/index.js'
 import type { GatewayNode } from '../../../node/createGatewayNode/index.js'
 import { countSentTokens } from '../../../services/serverWork/index.js'
 import type { BackendInstance, EngineCapacity, GatewayRequest, PromptPart } from '../../../types/index.js'
@@ -74,22 +74,8 @@
   receivedAt: now
 })
 
-const selectServer = (node: GatewayNode, request: GatewayRequest, random: () => number): BackendInstance | undefined => selectInstance({
-  configuration: node.resolve('gatewayConfiguration'),
-  registry: node.resolve('instanceRegistry'),
-  health: node.resolve('instanceHealth'),
-  notices: node.resolve('instanceNotices'),
-  directory: node.resolve('promptDirectory'),
-  loadView: node.resolve('loadView'),
-  zoneDrains: node.resolve('zoneDrains'),
-  warmUp: node.resolve('warmUp'),
-  refusals: node.resolve('refusalLimiter'),
-  work: node.resolve('serverWork'),
-  random: { next: random, nextId: () => '' },
-  regionByZone: new Map(),
-  availabilityZone: node.resolve('membership').self().availabilityZone,
-  readLoadFactor: () => LOAD_FACTOR
-}, { request, service: 'engines', bodyBytes: SHARED_TOKENS, tried: new Set(), allowedRegions: [] })?.instance
+const selectServer = (node: GatewayNode, request: GatewayRequest, random: () => number): BackendInstance | undefined =>
+  selectAtNode(node, { request, service: 'engines', bodyBytes: SHARED_TOKENS, tried: new Set(), allowedRegions: [] }, { random, loadFactor: LOAD_FACTOR })
 
 type Arrival = { readonly at: number, readonly isOver: boolean }
 
--- a/src/decisions/selectPlacement/index.ts
+++ b/src/decisions/selectPlacement/index.ts
@@ -7,8 +7,8 @@
  * some of them slow for a moment, where the number of requests says little about the wait.
  */
 import { hashText } from '../../hashing/index.js'
-import { estimateLoad } from '../estimateLoad/index.js'
 import { computeFillShares, type FillOption } from '../computeFillShares/index.js'
+import { estimateLoad } from '../estimateLoad/index.js'
 import { computeLoadCost, computeRequestCost, type CandidateWork } from './_lib/computeLoadCost.js'
 
 export type { CandidateWork }
@@ -162,7 +162,7 @@
   return best
 }
 
-/** Counts of other nodes are never exact: in a burst, many requests begin between the count and the decision. */
+/** Even new counts don't tell what others send at this moment: in a burst, many requests begin between the count and the decision. */
 const MAXIMUM_COUNT_SURVIVAL = 0.75
 
 const readOthersLoad = ({ load, ownLoad = 0 }: InstanceCandidate): number => Math.max(0, load - ownLoad)
--- a/src/services/_lib/createHoldTimes.test.ts
+++ b/src/services/_lib/createHoldTimes.test.ts
@@ -10,7 +10,7 @@
 }
 
 describe('createHoldTimes', () => {
-  it('knows nothing before a request has ended', () => expect(createHoldTimes().readRemaining(SERVICE)).toBeUndefined())
+  it('assumes a time before a request has ended', () => expect(createHoldTimes().readRemaining(SERVICE)).toBe(300))
 
   it('expects half of a constant time', () => expect(recordAll([40, 40, 40]).readRemaining(SERVICE)).toBe(20))
 
--- a/src/services/_lib/createHoldTimes.ts
+++ b/src/services/_lib/createHoldTimes.ts
@@ -4,16 +4,17 @@
   /** Records that a request was in flight for so many milliseconds. */
   readonly record: (service: string, milliseconds: number) => void
   /**
-   * Mean milliseconds for which a request that is in flight at any one moment still goes on;
-   * `undefined` before the first record. Long requests are in flight for most of the time, so
-   * they count more than short ones.
+   * Mean milliseconds for which a request that is in flight at any one moment still goes on.
+   * Long requests are in flight for most of the time, so they count more than short ones.
    */
-  readonly readRemaining: (service: string) => number | undefined
+  readonly readRemaining: (service: string) => number
 }
 
 type Moments = { readonly mean: number, readonly meanOfSquares: number }
 
 const WEIGHT = 0.05
+/** Assumed before the first record, in milliseconds. */
+const DEFAULT_REMAINING_MS = 300
 
 /** Creates an empty record. */
 export const createHoldTimes = (): HoldTimes => {
@@ -25,7 +26,7 @@
     },
     readRemaining: (service) => {
       const known = moments.get(service)
-      return known === undefined || known.mean <= 0 ? undefined : known.meanOfSquares / known.mean / 2
+      return known === undefined || known.mean <= 0 ? DEFAULT_REMAINING_MS : known.meanOfSquares / known.mean / 2
     }
   }
 }
--- a/src/services/fleetLoad/test.ts
+++ b/src/services/fleetLoad/test.ts
@@ -45,7 +45,16 @@
     return { self, counts, unreadTokens, kill, fleetLoad: service.api, setServers: (next: typeof SERVERS) => { servers = next } }
   })
   const readAll = (server: string): readonly number[] => nodes.filter(({ self }) => !dead.has(self.nodeId)).map(({ fleetLoad }) => fleetLoad.readOthers(server))
-  return { clock, network, nodes, readAll, isDead: (nodeId: string) => dead.has(nodeId) }
+  /** Highest age of a count at any node, over four periods. */
+  const readHighestAge = async (): Promise<number> => {
+    const ages: number[] = []
+    for (let step = 0; step < 100; step++) {
+      await clock.advanceAndSettle(PERIOD_MS / 25)
+      ages.push(...nodes.map(({ fleetLoad }) => fleetLoad.readSource('engine-0')?.ageMs ?? Infinity))
+    }
+    return Math.max(...ages)
+  }
+  return { clock, network, nodes, readAll, readHighestAge, isDead: (nodeId: string) => dead.has(nodeId) }
 }
 
 describe('createFleetLoad', () => {
@@ -129,14 +138,9 @@
 
   // A sum that waits for the wall clock of a node whose clock is ahead or behind is older than the next one should be.
   it.each([0, 40, 400, 5_000])('counts within a period plus the time to sum when clocks are up to %i ms apart', async (distanceMs) => {
-    const { clock, nodes } = createFleet(24, 2, SERVERS, (node) => Math.round(distanceMs * node / 23))
+    const { clock, readHighestAge } = createFleet(24, 2, SERVERS, (node) => Math.round(distanceMs * node / 23))
     await clock.advanceAndSettle(SETTLE_MS)
-    const ages: number[] = []
-    for (let step = 0; step < 100; step++) {
-      await clock.advanceAndSettle(PERIOD_MS / 25)
-      ages.push(...nodes.map(({ fleetLoad }) => fleetLoad.readSource('engine-0')?.ageMs ?? Infinity))
-    }
-    expect(Math.max(...ages)).toBeLessThanOrEqual(1.3 * PERIOD_MS)
+    expect(await readHighestAge()).toBeLessThanOrEqual(1.3 * PERIOD_MS)
   })
 
   // Clocks that are stepped, as by a time service, must not delay or repeat sums.
@@ -155,14 +159,9 @@
 
   // Nodes that have another list of servers or no configuration yet have another period.
   it('keeps nodes with another period in step', async () => {
-    const { clock, nodes } = createFleet(24, 2, SERVERS, () => 0, (node) => node % 4 === 3 ? 0.4 * PERIOD_MS : PERIOD_MS)
+    const { clock, readHighestAge } = createFleet(24, 2, SERVERS, () => 0, (node) => node % 4 === 3 ? 0.4 * PERIOD_MS : PERIOD_MS)
     await clock.advanceAndSettle(SETTLE_MS)
-    const ages: number[] = []
-    for (let step = 0; step < 100; step++) {
-      await clock.advanceAndSettle(PERIOD_MS / 25)
-      ages.push(...nodes.map(({ fleetLoad }) => fleetLoad.readSource('engine-0')?.ageMs ?? Infinity))
-    }
-    expect(Math.max(...ages)).toBeLessThanOrEqual(1.3 * PERIOD_MS)
+    expect(await readHighestAge()).toBeLessThanOrEqual(1.3 * PERIOD_MS)
   })
 
   it('does not wait for a router that is not responding', async () => {
--- a/src/services/forwarding/_lib/selectInstance.ts
+++ b/src/services/forwarding/_lib/selectInstance.ts
@@ -31,9 +31,6 @@
   readonly allowedRegions: readonly (readonly string[])[]
 }
 
-/** Assumed for how long requests in flight go on, in milliseconds, until one has ended. */
-const DEFAULT_REMAINING_MS = 300
-
 /** Average size in bytes of a non-streaming answer, and of one token in a stream, headers included. */
 const PLAIN_ANSWER_BYTES = 1_200
 const BYTES_PER_TOKEN = 30
@@ -142,7 +139,7 @@
     load: loadView.estimateInFlight(key),
     ownLoad: loadView.ownInFlight(key),
     ...(averageInFlight === undefined ? {} : { averageOthersLoad: averageInFlight }),
-    countSurvival: computeCountSurvival({ ageMs, remainingMs: work.readRemainingMs(instance.service) ?? DEFAULT_REMAINING_MS })
+    countSurvival: computeCountSurvival({ ageMs, remainingMs: work.readRemainingMs(instance.service) })
   }
 }
 
--- a/src/services/placement/index.ts
+++ b/src/services/placement/index.ts
@@ -26,9 +26,6 @@
   readonly backendServer: BackendServer
 }
 
-/** Assumed for how long requests in flight go on, in milliseconds, until one has ended. */
-const DEFAULT_REMAINING_MS = 300
-
 const NO_SERVER_RETRY_AFTER_MS = 1_000
 const QUEUE_FULL_RETRY_AFTER_MS = 250
 
@@ -69,7 +66,7 @@
   const ownLoad = loadView.ownInFlight(server.name)
   const othersLoad = Math.max(0, server.inFlight - ownLoad)
   const { ageMs = Infinity, averageInFlight: averageOthersLoad = othersLoad } = loadView.readSource(server.name) ?? {}
-  const countSurvival = computeCountSurvival({ ageMs, remainingMs: holdTimes.readRemaining(server.backendServer.service) ?? DEFAULT_REMAINING_MS })
+  const countSurvival = computeCountSurvival({ ageMs, remainingMs: holdTimes.readRemaining(server.backendServer.service) })
   const { expected } = estimateLoad({ ownLoad, othersLoad, averageOthersLoad, countSurvival })
   return { ...server, inFlight: expected, uncountedLoad: (1 - countSurvival) * averageOthersLoad }
 }
--- a/src/services/serverWork/index.ts
+++ b/src/services/serverWork/index.ts
@@ -33,8 +33,8 @@
   readonly estimateFirstTokenMs: (instance: BackendInstance, missingTokens: number) => number | undefined
   /** Whether the server can begin a request soon; what it has still to read and its memory count where its engines are described. */
   readonly hasRoom: (instance: BackendInstance, need?: RoomNeed) => boolean
-  /** Mean milliseconds for which a request in flight at a server of the service goes on; `undefined` before one has ended. */
-  readonly readRemainingMs: (service: string) => number | undefined
+  /** Mean milliseconds for which a request in flight at a server of the service goes on. */
+  readonly readRemainingMs: (service: string) => number
   /** Observed milliseconds per prompt token, by service. */
   readonly readingPaces: () => ReadonlyMap<string, number>
 }
--- a/test/platform/shortRequests.test.ts
+++ b/test/platform/shortRequests.test.ts
@@ -8,7 +8,7 @@
 import { formatInstanceKey } from '../../src/decisions/formatInstanceKey/index.js'
 import { createInProcessFleet, type InProcessFleet } from '../../src/emulator/createInProcessFleet/index.js'
 import { describeEngines } from '../../src/emulator/describeEngines/index.js'
-import { selectInstance } from '../../src/services/forwarding/_lib/selectInstance.js'
+import { selectAtNode } from '../../src/emulator/selectAtNode/index.js'
 import type { GatewayNode } from '../../src/node/createGatewayNode/index.js'
 import type { BackendInstance, EngineCapacity, GatewayRequest } from '../../src/types/index.js'
 
@@ -64,22 +64,8 @@
   return fleet
 }
 
-const select = (node: GatewayNode, random: () => number): BackendInstance | undefined => selectInstance({
-  configuration: node.resolve('gatewayConfiguration'),
-  registry: node.resolve('instanceRegistry'),
-  health: node.resolve('instanceHealth'),
-  notices: node.resolve('instanceNotices'),
-  directory: node.resolve('promptDirectory'),
-  loadView: node.resolve('loadView'),
-  zoneDrains: node.resolve('zoneDrains'),
-  warmUp: node.resolve('warmUp'),
-  refusals: node.resolve('refusalLimiter'),
-  work: node.resolve('serverWork'),
-  random: { next: random, nextId: () => '' },
-  regionByZone: new Map(),
-  availabilityZone: node.resolve('membership').self().availabilityZone,
-  readLoadFactor: () => 2
-}, { request: REQUEST, service: SERVICE, bodyBytes: 0, tried: new Set(), allowedRegions: [] })?.instance
+const select = (node: GatewayNode, random: () => number): BackendInstance | undefined =>
+  selectAtNode(node, { request: REQUEST, service: SERVICE, bodyBytes: 0, tried: new Set(), allowedRegions: [] }, { random })
 
 /** Servers with a number of slots and a queue; `hold` returns when the request has ended. */
 const createServers = (fleet: InProcessFleet, scenario: Scenario, random: () => number) => {
