--- a/src/services/fleetLoad/test.ts
+++ b/src/services/fleetLoad/test.ts
@@ -1,7 +1,8 @@
 import { describe, expect, it } from 'vitest'
 import { createFleetLoad } from './index.js'
 import { createManualClock } from '../../emulator/createManualClock/index.js'
-import { createMemoryPeerNetwork } from '../../emulator/createMemoryPeerNetwork/index.js'
+import { createMemoryPeerNetwork, type MemoryPeerNetworkOptions } from '../../emulator/createMemoryPeerNetwork/index.js'
+import { createSeededRandom } from '../../adapters/seededRandom/index.js'
 import type { Member } from '../../types/index.js'
 
 const PERIOD_MS = 1000
@@ -16,9 +17,9 @@
 
 const SERVERS = [0, 1, 2].map(createServer)
 
-const createFleet = (size: number, fullMeshPeers = 2, known = SERVERS, wallOffsetMs = (_node: number): number => 0, readPeriodMs = (_node: number): number => PERIOD_MS) => {
+const createFleet = (size: number, fullMeshPeers = 2, known = SERVERS, wallOffsetMs = (_node: number): number => 0, readPeriodMs = (_node: number): number => PERIOD_MS, link: Partial<MemoryPeerNetworkOptions> = {}) => {
   const clock = createManualClock()
-  const network = createMemoryPeerNetwork({ clock })
+  const network = createMemoryPeerNetwork({ clock, ...link })
   const members = Array.from({ length: size }, (_, index) => createMember(index))
   const dead = new Set<string>()
   const listeners: (() => void)[] = []
@@ -143,6 +144,20 @@
     expect(await readHighestAge()).toBeLessThanOrEqual(1.3 * PERIOD_MS)
   })
 
+  // Rounds must not fall apart when messages are late by different times and some are lost.
+  it.each([1, 2, 3])('recovers from lost and late snapshots (seed %i)', async (seed) => {
+    const random = createSeededRandom(seed).next
+    let isDisturbed = true
+    const link = { delayMs: () => isDisturbed ? random() * PERIOD_MS / 4 : 5, isLost: () => isDisturbed && random() < 0.05 }
+    const { clock, nodes, readAll, readHighestAge } = createFleet(24, 2, SERVERS, () => Math.floor(random() * 3 * PERIOD_MS), () => PERIOD_MS, link)
+    for (const { counts } of nodes) counts.set('engine-0', 1)
+    await clock.advanceAndSettle(20 * PERIOD_MS)
+    isDisturbed = false
+    await clock.advanceAndSettle(5 * PERIOD_MS)
+    expect(await readHighestAge()).toBeLessThanOrEqual(1.3 * PERIOD_MS)
+    expect(new Set(readAll('engine-0'))).toEqual(new Set([23]))
+  })
+
   // Clocks that are stepped, as by a time service, must not delay or repeat sums.
   it('goes on when wall clocks jump', async () => {
     let jumpMs = 0
