--- a/src/decisions/summarizeLoads/index.ts
+++ b/src/decisions/summarizeLoads/index.ts
@@ -78,7 +78,9 @@
       believedLoad: toNumber(fields.load) ?? 0,
       ageMs: toNumber(fields.loadAgeMs)
     }
-    sends.set(service, [...sends.get(service) ?? [], send])
+    const sendsOfService = sends.get(service) ?? []
+    sendsOfService.push(send)
+    sends.set(service, sendsOfService)
     loads.set(backendServer, send.load + 1)
     openSends.set(requestId, backendServer)
   }
