--- a/src/decisions/computeCountSurvival/index.ts
+++ b/src/decisions/computeCountSurvival/index.ts
@@ -1,7 +1,7 @@
 /**
  * Computes how much a count of requests in flight still says. Load pattern: requests that
  * last a few hundredths of a second, counted a few tenths ago: none of them is in flight
- * any more, and a server that was idle then is as busy now as any other.
+ * any more, and a server that was idle then is now as busy as the others.
  */
 
 export type CountSurvivalInput = {
--- a/src/services/fleetLoad/test.ts
+++ b/src/services/fleetLoad/test.ts
@@ -121,8 +121,9 @@
 
   // Sums that wait for the latest start of their stage arrive half a period late, and a burst would go to one server.
   it('publishes sums as soon as all their inputs have arrived', async () => {
-    const { clock, nodes } = createFleet(9)
+    const { clock, nodes, readAll } = createFleet(9)
     await clock.advanceAndSettle(SETTLE_MS)
+    for (const { counts } of nodes) counts.set('engine-0', 1)
     const last = nodes.map(({ fleetLoad }) => fleetLoad.readSource('engine-0')?.sum)
     const ages: number[] = []
     for (let step = 0; step < 2 * PERIOD_MS; step++) {
@@ -135,6 +136,7 @@
     }
     expect(ages.length).toBeGreaterThanOrEqual(9)
     expect(Math.max(...ages)).toBeLessThanOrEqual(PERIOD_MS / 10)
+    expect(new Set(readAll('engine-0'))).toEqual(new Set([8]))
   })
 
   // A sum that waits for the wall clock of a node whose clock is ahead or behind is older than the next one should be.
