Log which prompt parts ran at a backend server when it ended

The service serverEnds recognizes an end (a connection broke, nothing arrives, no connection can be opened right after) and logs the shared parts of all requests of the node that broke there. A reset of single connections, a server that is leaving, and one that still sends bytes are no ends; a server is probed once a second at most. No request is handled differently.

--- a/src/adapters/promMetrics/index.ts
+++ b/src/adapters/promMetrics/index.ts
@@ -29,6 +29,7 @@
   gateway_waits: { help: 'Requests that waited for a backend server with room, by how the wait ended and by priority', labels: ['outcome', 'priority'] },
   gateway_refusals: { help: 'Requests refused because no backend server had room, by reason and priority', labels: ['reason', 'priority'] },
   gateway_streams_taken_up: { help: 'Streams that callers took up again, by how the software version at which they began was known', labels: ['source'] },
+  gateway_server_ends: { help: 'Backend servers that ended while requests of this node ran there', labels: ['service'] },
   gateway_answers_paused: { help: 'Answers whose backend server was paused because the caller reads slowly', labels: [] },
   gateway_answers_ended_unread: { help: 'Connections ended because their callers did not read, by reason', labels: ['reason'] },
   gateway_backoffs: { help: 'Answers in which a backend server asked this node to send nothing for a while', labels: [] },
--- a/src/node/createGatewayNode/_lib/registerForwarding.ts
+++ b/src/node/createGatewayNode/_lib/registerForwarding.ts
@@ -8,6 +8,7 @@
 import { createPromptDirectory, type DirectoryRecoverySources } from '../../../services/promptDirectory/index.js'
 import { createReachExchange } from '../../../services/reachExchange/index.js'
 import { createRefusalLimiter } from '../../../services/refusalLimiter/index.js'
+import { createServerEnds } from '../../../services/serverEnds/index.js'
 import { createStreamVersions } from '../../../services/streamVersions/index.js'
 import { createWarmUpLimiter } from '../../../services/warmUpLimiter/index.js'
 import type { BackendInstance, GatewaySettings } from '../../../types/index.js'
@@ -135,6 +136,15 @@
       hasPeers
     })
   })
+  kernel.register({
+    name: 'serverEnds',
+    dependsOn: ['instanceRegistry', 'instanceNotices'],
+    create: (resolve) => {
+      const mayContact = createContactCheck(resolve)
+      const registry = resolve('instanceRegistry')
+      return createServerEnds({ clock, logger, metrics, client, isExpected: (instance) => registry.find(instance.id)?.incarnation === instance.incarnation && mayContact(instance) })
+    }
+  })
   kernel.register({
     name: 'streamVersions',
     dependsOn: ['membership', 'instanceRegistry', 'gatewayConfiguration'],
@@ -142,7 +152,7 @@
   })
   kernel.register({
     name: 'forwarding',
-    dependsOn: ['gatewayConfiguration', 'instanceRegistry', 'instanceHealth', 'instanceNotices', 'reachExchange', 'peerRelays', 'promptDirectory', 'loadView', 'membership', 'zoneDrains', 'warmUp', 'refusalLimiter', 'serverWork', 'streamVersions', 'admission'],
+    dependsOn: ['gatewayConfiguration', 'instanceRegistry', 'instanceHealth', 'instanceNotices', 'reachExchange', 'peerRelays', 'promptDirectory', 'loadView', 'membership', 'zoneDrains', 'warmUp', 'refusalLimiter', 'serverWork', 'streamVersions', 'serverEnds', 'admission'],
     create: (resolve) => createForwarding({
       clock,
       random,
@@ -163,6 +173,7 @@
       refusals: resolve('refusalLimiter'),
       work: resolve('serverWork'),
       streamVersions: resolve('streamVersions'),
+      serverEnds: resolve('serverEnds'),
       admission: resolve('admission'),
       hasRoom: (instance, { tokens }, targetMs) => resolve('serverWork').hasRoom(instance, { tokens: tokens.prompt + tokens.output, targetMs })
     }, {
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -22,6 +22,7 @@
 import type { ReachExchange } from '../../services/reachExchange/index.js'
 import type { RefusalLimiter } from '../../services/refusalLimiter/index.js'
 import type { StreamVersions } from '../../services/streamVersions/index.js'
+import type { ServerEnds } from '../../services/serverEnds/index.js'
 import type { ServerWork } from '../../services/serverWork/index.js'
 import type { VmList } from '../../services/vmList/index.js'
 import type { WarmUpLimiter } from '../../services/warmUpLimiter/index.js'
@@ -69,6 +70,7 @@
   readonly refusalLimiter: RefusalLimiter
   readonly serverWork: ServerWork
   readonly streamVersions: StreamVersions
+  readonly serverEnds: ServerEnds
   readonly admission: ImmediateAdmission
   readonly heldBytes: HeldBytes
   readonly forwarding: Forwarding
--- a/src/services/forwarding/_lib/createInstanceTarget.ts
+++ b/src/services/forwarding/_lib/createInstanceTarget.ts
@@ -1,6 +1,7 @@
 /** A backend server as the target of an attempt. */
 import type { AttemptTarget } from './attemptTarget.js'
 import type { RequestHandlerContext } from './requestHandler.js'
+import { listSharedParts } from '../../../decisions/listSharedParts/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 import { readSoftwareVersion } from '../../../decisions/readSoftwareVersion/index.js'
 import type { PromptRead } from '../../promptDirectory/index.js'
@@ -21,10 +22,11 @@
 
 /** Creates the target of one attempt. */
 export const createInstanceTarget = (context: RequestHandlerContext, route: GatewayRoute, attempt: GatewayAttempt): AttemptTarget => {
-  const { loadView, health, notices, registry, warmUp, refusals, directory, firstByteTimes, configuration, work, streamVersions, client } = context
+  const { loadView, health, notices, registry, warmUp, refusals, directory, firstByteTimes, configuration, work, streamVersions, serverEnds, client } = context
   const { instance, request } = attempt
   const key = formatInstanceKey(instance)
   const softwareVersion = readSoftwareVersion(instance)
+  const sharedParts = listSharedParts(request.promptParts)
   /** Otherwise it goes on after an event that the caller has. */
   const beginsStream = route.retryPolicy === 'stream' && (attempt.resumeAfter ?? 0) === 0
   const isModelEngine = configuration.current()?.services.get(instance.service)?.engine !== undefined
@@ -35,7 +37,7 @@
 
   /** Tokens of the prompt that the server has, or gets from the server with the longest prefix. */
   const countCachedTokens = (): number => {
-    const cachedTokensByKey = directory.listCachedTokens(request.promptParts.slice(0, -1))
+    const cachedTokensByKey = directory.listCachedTokens(sharedParts)
     return attempt.copyPromptFrom === undefined ? cachedTokensByKey.get(key) ?? 0 : Math.max(0, ...cachedTokensByKey.values())
   }
 
@@ -69,6 +71,7 @@
     },
     recordBytes: () => {
       health.recordBytes(instance)
+      serverEnds.recordBytes(instance)
       if (head !== undefined) sentWork?.recordFirstBytes(head.isEventStream)
     },
     recordHead: (answer) => {
@@ -80,7 +83,11 @@
       if (answer.load !== undefined) loadView.applyReport(key, { ...answer.load, leaving: false, ageMs: 0 })
     },
     recordSuccess: (firstByteMs) => health.record(instance, { kind: 'answered', slowness: firstByteTimes.recordAndCompare(route.name, firstByteMs) }),
-    recordFailure: (kind) => health.record(instance, { kind }),
+    recordFailure: (kind) => {
+      health.record(instance, { kind })
+      if (kind === 'broken') serverEnds.recordBreak(instance, sharedParts.map(({ id }) => id))
+      if (kind === 'unreachable') serverEnds.recordUnreachable(instance)
+    },
     recordRefusal: (answer) => { if (answer.isOtherInstance) registry.markGone(instance, 'another backend server has its address') },
     readIdleMs: () => health.readIdleMs(instance),
     describeSilence: () => ({ instanceWaitedMs: health.readIdleMs(instance), isModelEngine }),
--- a/src/services/forwarding/_lib/selectInstance.ts
+++ b/src/services/forwarding/_lib/selectInstance.ts
@@ -4,6 +4,7 @@
 import { computeCountSurvival } from '../../../decisions/computeCountSurvival/index.js'
 import { checkInstanceEligibility } from '../../../decisions/checkInstanceEligibility/index.js'
 import type { InstanceEligibility } from '../../../decisions/checkInstanceEligibility/index.js'
+import { listSharedParts } from '../../../decisions/listSharedParts/index.js'
 import { selectIneligibility } from '../../../decisions/selectIneligibility/index.js'
 import type { BackendInstance, GatewayRequest, InstanceClient, LoadSource } from '../../../types/index.js'
 import { readSoftwareVersion } from '../../../decisions/readSoftwareVersion/index.js'
@@ -190,8 +191,7 @@
   const { request, bodyBytes } = input
   const { configuration, directory, health, random, registry } = dependencies
   const { usable, isLastResort } = listUsable(dependencies, input)
-  // The last part is unique to the request and can't be cached.
-  const shared = request.promptParts.slice(0, -1)
+  const shared = listSharedParts(request.promptParts)
   const cachedTokensByKey = directory.listCachedTokens(shared)
   const costOf = health.compareWith(usable)
   const candidates: readonly InstanceCandidate[] = usable.map((instance) => ({
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -28,6 +28,7 @@
 import type { PromptDirectory } from '../promptDirectory/index.js'
 import type { ReachExchange } from '../reachExchange/index.js'
 import type { RefusalLimiter } from '../refusalLimiter/index.js'
+import type { ServerEnds } from '../serverEnds/index.js'
 import type { ServerWork } from '../serverWork/index.js'
 import type { StreamVersions } from '../streamVersions/index.js'
 import type { WarmUpLimiter } from '../warmUpLimiter/index.js'
@@ -51,6 +52,7 @@
   readonly refusals: RefusalLimiter
   readonly work: ServerWork
   readonly streamVersions: Pick<StreamVersions, 'recordBegin' | 'find'>
+  readonly serverEnds: Pick<ServerEnds, 'recordBreak' | 'recordBytes' | 'recordUnreachable'>
   readonly client: InstanceClient
   /** Queues of requests that wait for room; omitted where none ever waits. */
   readonly admission?: ImmediateAdmission
--- a/src/services/forwarding/test.ts
+++ b/src/services/forwarding/test.ts
@@ -86,6 +86,7 @@
     directory: createFakeDirectory(),
     loadView,
     streamVersions: { recordBegin: () => {}, find: async () => ({ kind: 'known', softwareVersion: '', source: 'onlyVersion' }) },
+    serverEnds: { recordBreak: () => {}, recordBytes: () => {}, recordUnreachable: () => {} },
     work: createServerWork({ clock, loadView, logger: { warn: () => {} }, configuration: { current: () => CONFIGURATION }, readPeersUnread: () => undefined }).api,
     membership: { members: () => [MEMBER] },
     zoneDrains: { isDrained: () => false, isKnown: () => true, revision: () => 0, onChange: () => {} },
--- a/test/_lib/startLoadedNode.ts
+++ b/test/_lib/startLoadedNode.ts
@@ -109,6 +109,7 @@
     directory: createFakeDirectory(),
     loadView,
     streamVersions: { recordBegin: () => {}, find: async () => ({ kind: 'known', softwareVersion: '', source: 'onlyVersion' }) },
+    serverEnds: { recordBreak: () => {}, recordBytes: () => {}, recordUnreachable: () => {} },
     work: createServerWork({ clock, loadView, logger: { warn: () => {} }, configuration: { current: () => configuration }, readPeersUnread: () => undefined }).api,
     membership: { members: () => [MEMBER] },
     zoneDrains: { isDrained: () => false, isKnown: () => true, revision: () => 0, onChange: () => {} },
