Name the selection of holders after what it does

selectStreamHolders picks the nodes that keep a record under a key; records of prompt parts will be kept the same way. Renamed to selectHolders, no change of behaviour; its tests and those of streamVersions pass unchanged.

--- a/src/decisions/selectStreamHolders/index.ts
+++ b/src/decisions/selectHolders/index.ts
@@ -1,13 +1,13 @@
 /**
- * Selects the nodes that keep at which software version a stream began, so that a node
- * which takes the stream up can ask them. They lie in several availability zones, as
- * the node that began the stream may be gone, or cut off with its zone.
+ * Selects the nodes that keep what the fleet knows under a key: at which software version a
+ * stream began, or which backend servers ended under a prompt part. They lie in several
+ * availability zones, as a node may be gone, or cut off with its zone.
  */
 import { rankMembers } from '../rankMembers/index.js'
 import type { Member } from '../../types/index.js'
 
-export type StreamHolderOptions = {
-  /** Number of nodes that keep a stream's record, at least. */
+export type HolderOptions = {
+  /** Number of nodes that keep the record, at least. */
   readonly holders?: number
 }
 
@@ -20,21 +20,21 @@
 }
 
 /**
- * Selects the holders of one stream.
+ * Selects the holders of one record.
  *
- * @param requestId - Id of the request in which the stream began.
+ * @param key - Identifies the record, for example the id of the request in which a stream began.
  * @param members - The nodes to choose from, in any order.
  * @param options - Number of holders; 3 by default.
  * @returns The holders; as many in each zone as are needed for the total.
  *
  * @example
- * selectStreamHolders('r1', members) // => one node in each of three zones
+ * selectHolders('r1', members) // => one node in each of three zones
  */
-export const selectStreamHolders = (requestId: string, members: readonly Member[], { holders = DEFAULT_HOLDERS }: StreamHolderOptions = {}): readonly Member[] => {
+export const selectHolders = (key: string, members: readonly Member[], { holders = DEFAULT_HOLDERS }: HolderOptions = {}): readonly Member[] => {
   const zones = groupByZone(members)
   const perZone = Math.ceil(holders / Math.max(1, zones.size))
-  const candidates = [...zones.values()].map((inZone) => rankMembers(requestId, inZone, perZone))
+  const candidates = [...zones.values()].map((inZone) => rankMembers(key, inZone, perZone))
   // Of more zones than holders, those whose first candidates rank highest.
-  const first = rankMembers(requestId, candidates.map(([member]) => member!), holders)
+  const first = rankMembers(key, candidates.map(([member]) => member!), holders)
   return candidates.filter(([member]) => first.includes(member!)).flat()
 }
--- a/src/services/streamVersions/index.ts
+++ b/src/services/streamVersions/index.ts
@@ -12,7 +12,7 @@
 import { createHistoryLearner } from './_lib/createHistoryLearner.js'
 import { createStreamBegins } from './_lib/createStreamBegins.js'
 import { createVersionSightings } from './_lib/createVersionSightings.js'
-import { selectStreamHolders, type StreamHolderOptions } from '../../decisions/selectStreamHolders/index.js'
+import { selectHolders, type HolderOptions } from '../../decisions/selectHolders/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import type { Clock, GatewayConfiguration, GatewayConfigurationHolder, InstanceRegistry, Logger, Member, Membership, PeerTransport, StreamBegin } from '../../types/index.js'
 
@@ -121,8 +121,8 @@
 
   const isSelf = ({ nodeId }: Member): boolean => nodeId === membership.self().nodeId
 
-  const listHolders = (requestId: string, options?: StreamHolderOptions): readonly Member[] =>
-    selectStreamHolders(requestId, membership.members().filter(({ state }) => state !== 'dead'), options).filter((member) => !isSelf(member))
+  const listHolders = (requestId: string, options?: HolderOptions): readonly Member[] =>
+    selectHolders(requestId, membership.members().filter(({ state }) => state !== 'dead'), options).filter((member) => !isSelf(member))
 
   const announcer = createBeginAnnouncer({ clock, transport, listHolders })
 
