Quarantine prompt parts under which backend servers end

Callers saw servers of one service end one after the other, each under a request with the same prompt part. Cause: nothing on the way of a request connects the end of a server with what ran there, and no node sees enough of the ends to do so alone; the state that could would be gone with its process.

Each node tells the holders of a part (one in each of three zones) which servers ended under its requests. A holder that knows of two ends with causes of their own asks its peers for an answer that was in order since; sound requests share all other parts, and their answers acquit these. What is left is quarantined: told to all nodes and written to the platform's store, which joins nodes that are cut off from each other and outlives all processes. Its requests are refused at once as not run (promptQuarantined); one at a time in the whole fleet is sent as a trial, won by a conditional write, after 1, 4, 30 and 300 s and then hourly. One sound answer, or the removal of the object, ends the quarantine.

--- a/src/daemon/startGateway/index.ts
+++ b/src/daemon/startGateway/index.ts
@@ -17,7 +17,7 @@
 import { createSystemClocks } from '../../adapters/systemClocks/index.js'
 import { createSystemRandom } from '../../adapters/systemRandom/index.js'
 import { createGatewayNode } from '../../node/createGatewayNode/index.js'
-import type { Clock, ConfigurationSource, PromptCacheSource, GatewayDialect, GatewayLimits, GatewaySettings, InstanceSource, Logger, PeerAddress, StartTimeline, ZoneDrainSource } from '../../types/index.js'
+import type { Clock, ConfigurationSource, PromptCacheSource, GatewayDialect, GatewayLimits, GatewaySettings, InstanceSource, Logger, PeerAddress, QuarantineStore, StartTimeline, ZoneDrainSource } from '../../types/index.js'
 
 export type GatewayOptions = {
   readonly settings: GatewaySettings
@@ -31,6 +31,8 @@
   readonly instanceSource: InstanceSource
   /** Omitted where operators never drain zones. */
   readonly zoneDrainSource?: ZoneDrainSource | undefined
+  /** Omitted where the platform stores no quarantined prompt parts. */
+  readonly quarantineStore?: QuarantineStore | undefined
   readonly promptCacheSource: PromptCacheSource
   readonly readinessPath: string
   /** Returns where this node reaches the address of a backend server; that address itself by default. */
@@ -125,6 +127,7 @@
     configurationSource: options.configurationSource,
     instanceSource: options.instanceSource,
     ...(options.zoneDrainSource === undefined ? {} : { zoneDrainSource: options.zoneDrainSource }),
+    ...(options.quarantineStore === undefined ? {} : { quarantineStore: options.quarantineStore }),
     promptCacheSource: options.promptCacheSource,
     client,
     relayClient: createRelayHttp({ clock, dialect, fleetKey: settings.fleetKey }),
--- a/src/decisions/computeRetryAfter/index.ts
+++ b/src/decisions/computeRetryAfter/index.ts
@@ -24,7 +24,7 @@
 const MINIMUM_LASTING_DELAY_MS = 1_500
 
 /** Refusal reasons that last longer than the suspension of a server. */
-const LASTING_REASONS: ReadonlySet<FinalReason> = new Set(['zoneDrained', 'regionNotAllowed', 'versionGone'])
+const LASTING_REASONS: ReadonlySet<FinalReason> = new Set(['zoneDrained', 'regionNotAllowed', 'versionGone', 'promptQuarantined'])
 
 /** Refusal reasons that end when a backend server accepts requests again. */
 const AVAILABILITY_REASONS: ReadonlySet<FinalReason> = new Set(['noInstance', 'instancesRefused', 'backingOff'])
--- a/src/node/createGatewayNode/_lib/registerForwarding.ts
+++ b/src/node/createGatewayNode/_lib/registerForwarding.ts
@@ -6,12 +6,14 @@
 import { createInstanceNotices } from '../../../services/instanceNotices/index.js'
 import { createPeerRelays } from '../../../services/peerRelays/index.js'
 import { createPromptDirectory, type DirectoryRecoverySources } from '../../../services/promptDirectory/index.js'
+import { createPromptQuarantine } from '../../../services/promptQuarantine/index.js'
 import { createReachExchange } from '../../../services/reachExchange/index.js'
 import { createRefusalLimiter } from '../../../services/refusalLimiter/index.js'
 import { createServerEnds } from '../../../services/serverEnds/index.js'
 import { createStreamVersions } from '../../../services/streamVersions/index.js'
 import { createWarmUpLimiter } from '../../../services/warmUpLimiter/index.js'
-import type { BackendInstance, GatewaySettings } from '../../../types/index.js'
+import type { BackendInstance, GatewaySettings, QuarantineStore } from '../../../types/index.js'
+import { failure } from '../../../kernel/index.js'
 import type { Kernel } from '../../../kernel/index.js'
 import type { GatewayNodeDependencies, GatewayServices } from '../index.js'
 
@@ -21,6 +23,9 @@
 /** Without a limit in the settings, a server that is warming up gets its stated rate. */
 const DEFAULT_WARM_UP_LIMIT = { excess: 1, slack: 0 }
 
+const noStore = async () => failure({ kind: 'unavailable', message: 'the platform stores no quarantines' } as const)
+const NO_QUARANTINE_STORE: QuarantineStore = { list: noStore, watch: noStore, create: noStore, update: noStore, remove: noStore }
+
 const toBounds = (settings: GatewaySettings): ForwardingBounds => ({
   loadFactor: settings.loadFactor,
   retryLimits: { ratio: settings.retryRatio, extra: settings.retryExtra, windowMs: settings.retryWindowMs },
@@ -145,6 +150,11 @@
       return createServerEnds({ clock, logger, metrics, client, isExpected: (instance) => registry.find(instance.id)?.incarnation === instance.incarnation && mayContact(instance) })
     }
   })
+  kernel.register({
+    name: 'quarantine',
+    dependsOn: ['membership', 'serverEnds'],
+    create: (resolve) => createPromptQuarantine({ clock, random, logger, metrics, transport, membership: resolve('membership'), serverEnds: resolve('serverEnds'), store: dependencies.quarantineStore ?? NO_QUARANTINE_STORE })
+  })
   kernel.register({
     name: 'streamVersions',
     dependsOn: ['membership', 'instanceRegistry', 'gatewayConfiguration'],
@@ -152,7 +162,7 @@
   })
   kernel.register({
     name: 'forwarding',
-    dependsOn: ['gatewayConfiguration', 'instanceRegistry', 'instanceHealth', 'instanceNotices', 'reachExchange', 'peerRelays', 'promptDirectory', 'loadView', 'membership', 'zoneDrains', 'warmUp', 'refusalLimiter', 'serverWork', 'streamVersions', 'serverEnds', 'admission'],
+    dependsOn: ['gatewayConfiguration', 'instanceRegistry', 'instanceHealth', 'instanceNotices', 'reachExchange', 'peerRelays', 'promptDirectory', 'loadView', 'membership', 'zoneDrains', 'warmUp', 'refusalLimiter', 'serverWork', 'streamVersions', 'serverEnds', 'quarantine', 'admission'],
     create: (resolve) => createForwarding({
       clock,
       random,
@@ -174,6 +184,7 @@
       work: resolve('serverWork'),
       streamVersions: resolve('streamVersions'),
       serverEnds: resolve('serverEnds'),
+      quarantine: resolve('quarantine'),
       admission: resolve('admission'),
       hasRoom: (instance, { tokens }, targetMs) => resolve('serverWork').hasRoom(instance, { tokens: tokens.prompt + tokens.output, targetMs })
     }, {
--- a/src/node/createGatewayNode/_lib/registerGauges.ts
+++ b/src/node/createGatewayNode/_lib/registerGauges.ts
@@ -84,6 +84,7 @@
   metrics.readGauge('gateway_requests_open', () => [{ value: resolve('forwarding').openRequests() }])
   for (const [name, read] of Object.entries(retryGauges)) metrics.readGauge(name as keyof typeof retryGauges, () => readRetryUsage(resolve, read))
   metrics.readGauge('gateway_stream_versions_held', () => [{ value: resolve('streamVersions').countRecords() }])
+  metrics.readGauge('gateway_prompt_parts', () => Object.entries(resolve('quarantine').countParts()).map(([state, value]) => ({ value, labels: { state } })))
   metrics.readGauge('configuration_version', () => [{ value: resolve('gatewayConfiguration').version() }])
   metrics.readGauge('configuration_confirmed_age_seconds', () => [{ value: readConfirmedAge(resolve) }])
   metrics.readGauge('instances', () => readInstances(resolve))
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -19,6 +19,7 @@
 import type { KnowledgeExchange } from '../../services/knowledgeExchange/index.js'
 import type { PeerRelays } from '../../services/peerRelays/index.js'
 import type { PromptDirectory } from '../../services/promptDirectory/index.js'
+import type { PromptQuarantine } from '../../services/promptQuarantine/index.js'
 import type { ReachExchange } from '../../services/reachExchange/index.js'
 import type { RefusalLimiter } from '../../services/refusalLimiter/index.js'
 import type { StreamVersions } from '../../services/streamVersions/index.js'
@@ -28,7 +29,7 @@
 import type { WarmUpLimiter } from '../../services/warmUpLimiter/index.js'
 import type {
   Clock, ConfigurationSource, PromptCacheSource, Forwarding, GatewayConfigurationHolder, GatewaySettings, HeldBytes, ImmediateAdmission, InstanceClient, InstanceRegistry, InstanceSource,
-  LoadView, Logger, Membership, Metrics, PeerTransport, RandomSource, RelayClient, StartTimeline, ZoneDrains, ZoneDrainSource
+  LoadView, Logger, Membership, Metrics, PeerTransport, QuarantineStore, RandomSource, RelayClient, StartTimeline, ZoneDrains, ZoneDrainSource
 } from '../../types/index.js'
 
 export type GatewayNodeDependencies = {
@@ -43,6 +44,8 @@
   readonly instanceSource: InstanceSource
   /** Omitted when the deployment has no zone drains. */
   readonly zoneDrainSource?: ZoneDrainSource
+  /** Keeps quarantined prompt parts beyond the processes of the fleet; omitted where the platform stores none. */
+  readonly quarantineStore?: QuarantineStore
   readonly client: InstanceClient
   readonly relayClient: RelayClient
   readonly promptCacheSource: PromptCacheSource
@@ -71,6 +74,7 @@
   readonly serverWork: ServerWork
   readonly streamVersions: StreamVersions
   readonly serverEnds: ServerEnds
+  readonly quarantine: PromptQuarantine
   readonly admission: ImmediateAdmission
   readonly heldBytes: HeldBytes
   readonly forwarding: Forwarding
--- a/src/services/_lib/createSourceFollower.ts
+++ b/src/services/_lib/createSourceFollower.ts
@@ -27,6 +27,8 @@
   readonly isReader?: () => boolean
   /** Maximum age of a reader's last contact with the source while this node relies on readers, in milliseconds; 0 by default. */
   readonly relianceMs?: number
+  /** Time after a failed read, in milliseconds; 200 by default. */
+  readonly retryMs?: number
 }
 
 export type SourceFollower = {
@@ -39,7 +41,7 @@
   readonly onPeersNeeded: (listener: () => void) => void
 }
 
-const RETRY_MS = 200
+const DEFAULT_RETRY_MS = 200
 /** Entries expire after three missed heartbeats, so that a shorter outage removes none. */
 const MINIMUM_EXPIRY_MS = 3_000
 
@@ -89,7 +91,7 @@
     isReader: !source.isKnown() || options.isReader?.() !== false,
     ageMs: clock.now() - relayedAt,
     relianceMs: options.relianceMs ?? 0,
-    readerRetryMs: RETRY_MS
+    readerRetryMs: options.retryMs ?? DEFAULT_RETRY_MS
   })
 
   /** Entries may have expired in an outage that only the readers noticed, so this node then reports the source as reached again. */
--- a/src/services/forwarding/_lib/attemptTarget.ts
+++ b/src/services/forwarding/_lib/attemptTarget.ts
@@ -28,6 +28,8 @@
   readonly recordHead: (answer: InstanceAnswer) => void
   /** A successful answer has begun, this long after the attempt; in milliseconds. */
   readonly recordSuccess: (firstByteMs: number) => void
+  /** The answer is complete. */
+  readonly recordComplete: () => void
   readonly recordFailure: (failure: AttemptFailure) => void
   /** It stated that it did not run the request. */
   readonly recordRefusal: (answer: InstanceAnswer) => void
--- a/src/services/forwarding/_lib/createInstanceTarget.ts
+++ b/src/services/forwarding/_lib/createInstanceTarget.ts
@@ -20,13 +20,17 @@
 const describeStatedLoad = (head: InstanceAnswer | undefined): LogFields =>
   head?.load === undefined ? {} : { statedRunning: head.load.running, statedWaiting: head.load.waiting }
 
+/** An answer that has been written for this long, in milliseconds, is in order as far as its prompt is concerned. */
+const SOUND_WRITING_MS = 1_000
+
 /** Creates the target of one attempt. */
 export const createInstanceTarget = (context: RequestHandlerContext, route: GatewayRoute, attempt: GatewayAttempt): AttemptTarget => {
-  const { loadView, health, notices, registry, warmUp, refusals, directory, firstByteTimes, configuration, work, streamVersions, serverEnds, client } = context
+  const { clock, loadView, health, notices, registry, warmUp, refusals, directory, firstByteTimes, configuration, work, streamVersions, serverEnds, quarantine, client } = context
   const { instance, request } = attempt
   const key = formatInstanceKey(instance)
   const softwareVersion = readSoftwareVersion(instance)
   const sharedParts = listSharedParts(request.promptParts)
+  const partIds = sharedParts.map(({ id }) => id)
   /** Otherwise it goes on after an event that the caller has. */
   const beginsStream = route.retryPolicy === 'stream' && (attempt.resumeAfter ?? 0) === 0
   const isModelEngine = configuration.current()?.services.get(instance.service)?.engine !== undefined
@@ -34,6 +38,8 @@
   let decideSend: ((decision: SendDecision) => void) | undefined
   let sentWork: SentWork | undefined
   let head: InstanceAnswer | undefined
+  /** Monotonic milliseconds from which the answer counts as in order a while later. */
+  let writesSince: number | undefined
 
   /** Tokens of the prompt that the server has, or gets from the server with the longest prefix. */
   const countCachedTokens = (): number => {
@@ -41,6 +47,16 @@
     return attempt.copyPromptFrom === undefined ? cachedTokensByKey.get(key) ?? 0 : Math.max(0, ...cachedTokensByKey.values())
   }
 
+  /** A server that ends under a prompt does so when it begins to write: one that goes on writing shows that the prompt is sound. */
+  const recordSoundBytes = (): void => {
+    if (partIds.length === 0 || head === undefined || !isSuccess(head)) return
+    const now = clock.now()
+    writesSince ??= now
+    if (now - writesSince < SOUND_WRITING_MS) return
+    writesSince = now
+    quarantine.recordSound(instance.service, partIds)
+  }
+
   /** Records once whether the server has accepted the request. */
   const decide = (decision: SendDecision): void => {
     decideSend?.(decision)
@@ -73,6 +89,7 @@
       health.recordBytes(instance)
       serverEnds.recordBytes(instance)
       if (head !== undefined) sentWork?.recordFirstBytes(head.isEventStream)
+      recordSoundBytes()
     },
     recordHead: (answer) => {
       head = answer
@@ -83,9 +100,10 @@
       if (answer.load !== undefined) loadView.applyReport(key, { ...answer.load, leaving: false, ageMs: 0 })
     },
     recordSuccess: (firstByteMs) => health.record(instance, { kind: 'answered', slowness: firstByteTimes.recordAndCompare(route.name, firstByteMs) }),
+    recordComplete: () => { if (head !== undefined && isSuccess(head)) quarantine.recordSound(instance.service, partIds) },
     recordFailure: (kind) => {
       health.record(instance, { kind })
-      if (kind === 'broken') serverEnds.recordBreak(instance, sharedParts.map(({ id }) => id))
+      if (kind === 'broken') serverEnds.recordBreak(instance, partIds)
       if (kind === 'unreachable') serverEnds.recordUnreachable(instance)
     },
     recordRefusal: (answer) => { if (answer.isOtherInstance) registry.markGone(instance, 'another backend server has its address') },
--- a/src/services/forwarding/_lib/createPeerTarget.ts
+++ b/src/services/forwarding/_lib/createPeerTarget.ts
@@ -25,6 +25,7 @@
     // Load and notices in the answer belong to the backend server, and were recorded by the peer.
     recordHead: ({ relayRefusal }) => { if (relayRefusal === undefined) relays.recordAnswer(origin.service) },
     recordSuccess: () => { /* its time includes the hop, so that it is not compared with those of backend servers */ },
+    recordComplete: () => { /* the peer records what the answer shows about its prompt */ },
     recordFailure: (kind) => report(failures[kind]),
     recordRefusal: ({ relayRefusal }) => report(relayRefusal === undefined ? undefined : refusals[relayRefusal]),
     readIdleMs: () => relays.readIdleMs(peer),
--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -10,6 +10,7 @@
 import { createAnswerIntake, type AnswerIntake, type AnswerListener } from './createAnswerIntake.js'
 import { createCallerAnswer } from './createCallerAnswer.js'
 import { createFinalAnswer } from './createFinalAnswer.js'
+import { createQuarantineGate } from './createQuarantineGate.js'
 import { createPathSelector, type RoutedRequest } from './createPathSelector.js'
 import { createRequestDeadline } from './createRequestDeadline.js'
 import { createRequestRecord } from './createRequestRecord.js'
@@ -85,6 +86,8 @@
 
   const gate = createSendGate(context, { request, record, paths, send: () => send(), passesShutdown, refuse, giveUp })
 
+  const quarantineGate = createQuarantineGate(context, { request, record, paths, send: () => send(), refuse, giveUp })
+
   const isRetryable = (): boolean => route !== undefined && (route.retryPolicy === 'safe' || (route.retryPolicy === 'stream' && route.isResumable))
 
   const toRouted = (to: GatewayRoute): RoutedRequest => ({ route: to, account, service, bodyBytes: body?.length ?? 0 })
@@ -133,6 +136,7 @@
     if (!passesShutdown(route)) return mayHaveRun ? giveUp('shuttingDown', 502) : refuse(SHUTTING_DOWN)
     const remainingMs = deadline.remainingMs()
     if (remainingMs <= 1) return giveUp('deadlineBeforeSend', 504)
+    if (!quarantineGate.passes(service)) return
     if (attemptsStarted === 0 && !gate.passes(toRouted(route), deadline.at())) return
     const path = paths.select(toRouted(route))
     if (path.kind === 'none') return giveUpWithoutInstance(route)
@@ -213,6 +217,7 @@
   /** The answer of the backend server is complete; `endAnswer` ends the caller's answer. */
   const completeWith = (current: SendAttempt, endAnswer: () => void, fields: LogFields = {}): void => {
     endAttempt(current)
+    current.target.recordComplete()
     activeAttempt = undefined
     endAnswer()
     reporter.reportComplete()
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -26,6 +26,7 @@
 import type { InstanceNotices } from '../instanceNotices/index.js'
 import type { PeerRelays } from '../peerRelays/index.js'
 import type { PromptDirectory } from '../promptDirectory/index.js'
+import type { PromptQuarantine } from '../promptQuarantine/index.js'
 import type { ReachExchange } from '../reachExchange/index.js'
 import type { RefusalLimiter } from '../refusalLimiter/index.js'
 import type { ServerEnds } from '../serverEnds/index.js'
@@ -53,6 +54,7 @@
   readonly work: ServerWork
   readonly streamVersions: Pick<StreamVersions, 'recordBegin' | 'find'>
   readonly serverEnds: Pick<ServerEnds, 'recordBreak' | 'recordBytes' | 'recordUnreachable'>
+  readonly quarantine: Pick<PromptQuarantine, 'inspect' | 'claimTrial' | 'recordSound'>
   readonly client: InstanceClient
   /** Queues of requests that wait for room; omitted where none ever waits. */
   readonly admission?: ImmediateAdmission
--- a/src/services/serverEnds/index.ts
+++ b/src/services/serverEnds/index.ts
@@ -4,6 +4,7 @@
  * the server has ended only if no connection to it can be opened right after, and nothing
  * arrives from it meanwhile.
  */
+import { limitSize } from '../_lib/limitSize.js'
 import { formatInstanceKey } from '../../decisions/formatInstanceKey/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import type { BackendInstance, Clock, InstanceClient, Logger, Metrics, Timer } from '../../types/index.js'
@@ -45,12 +46,6 @@
 const MAXIMUM_REMEMBERED = 256
 const MAXIMUM_LOGGED_PARTS = 32
 
-/** Forgets the oldest entry beyond the limit. */
-const limitSize = (entries: Map<string, unknown>): void => {
-  const [oldest] = entries.keys()
-  if (entries.size > MAXIMUM_REMEMBERED && oldest !== undefined) entries.delete(oldest)
-}
-
 /**
  * Creates the service.
  *
@@ -81,7 +76,7 @@
     const { instance, requests, brokenAt } = broken
     const parts = [...broken.parts]
     ended.set(key, instance)
-    limitSize(ended)
+    limitSize(ended, MAXIMUM_REMEMBERED)
     metrics.count('gateway_server_ends', { service: instance.service })
     logger.warn('backend server ended', { backendServer: instance.id, incarnation: instance.incarnation, service: instance.service, requests, parts: parts.slice(0, MAXIMUM_LOGGED_PARTS).join(' '), countOfParts: parts.length, evidence, brokenMsAgo: Math.round(clock.now() - brokenAt) })
     for (const listen of listeners) listen({ instance, parts, endedAt: brokenAt })
@@ -89,7 +84,7 @@
 
   const probe = async (key: string, { instance }: Break): Promise<void> => {
     probedAt.set(key, clock.now())
-    limitSize(probedAt)
+    limitSize(probedAt, MAXIMUM_REMEMBERED)
     if (await client.probe(instance)) forget(key)
     else conclude(key, 'probe')
   }
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -2,6 +2,7 @@
  * Messages between routers, and the transport that carries them. A message is
  * a tagged union; each service registers a handler for the kinds it owns.
  */
+import type { PromptPartKey, QuarantineNotice } from './promptQuarantine.js'
 import type { ChangePosition, ConfigurationUpdate, InstanceUpdate, ZoneDrainSnapshot } from './gatewayState.js'
 import type { Result } from './result.js'
 
@@ -137,6 +138,14 @@
   | { readonly kind: 'streamBeginRequest', readonly service: string, readonly requestId: string }
   /** Sent by a node after its start to learn which software versions served before. */
   | { readonly kind: 'versionHistoryRequest' }
+  /** Tells the holders of prompt parts that a backend server (`id@incarnation`) ended under requests of the sender with them. */
+  | { readonly kind: 'partEnds', readonly source: string, readonly service: string, readonly server: string, readonly parts: readonly string[], readonly ageMs: number }
+  /** Asks when answers to requests with these prompt parts were last in order. */
+  | { readonly kind: 'soundPartsRequest', readonly service: string, readonly parts: readonly string[] }
+  /** Tells which prompt parts are quarantined. */
+  | { readonly kind: 'quarantinedParts', readonly source: string, readonly parts: readonly QuarantineNotice[] }
+  /** Tells that answers to requests with these prompt parts were in order since. */
+  | { readonly kind: 'releasedParts', readonly parts: readonly PromptPartKey[] }
   /** Requests everything newer than the stated versions; `since` is the position up to which the requester has the receiver's changes. */
   | { readonly kind: 'knowledgeRequest', readonly version: number, readonly configurationRevision: number, readonly revision: number, readonly since?: ChangePosition }
   /** Notifies that the sender has a newer configuration or changed backend servers, so that the receiver can request them. */
@@ -164,6 +173,8 @@
   /** The version at which the stream began, or the only one that has served since before any stream that may be taken up; neither when unknown. */
   | { readonly kind: 'streamBegin', readonly softwareVersion?: string, readonly onlyVersion?: string }
   | { readonly kind: 'claimOutcome', readonly outcome?: Uint8Array }
+  /** Milliseconds since the last sound answer, in the order of the parts asked for; infinite without one. */
+  | { readonly kind: 'soundParts', readonly soundAgesMs: readonly number[] }
   /** `isWhole` is set once the node has finished collecting the prompt caches of its zone's model engines, even if some did not respond. */
   | { readonly kind: 'promptPlaces', readonly places: readonly CachedParts[], readonly isWhole: boolean }
   | {
--- /dev/null
+++ b/src/types/promptQuarantine.ts
@@ -0,0 +1,39 @@
+/** Types of what nodes know of prompt parts under which backend servers end, and of where that is stored. */
+import type { SourceError } from './gatewayState.js'
+import type { Result } from './result.js'
+
+export type PromptPartKey = { readonly service: string, readonly part: string }
+
+/** A prompt part whose requests are refused, except for single trials. */
+export type QuarantinedPart = PromptPartKey & {
+  /** Backend servers (`id@incarnation`) that ended under requests with the part. */
+  readonly servers: readonly string[]
+  /** Number of requests that were sent as a trial. */
+  readonly trials: number
+}
+
+/** A quarantined part as one node tells another. */
+export type QuarantineNotice = QuarantinedPart & {
+  /** Milliseconds since the last of the servers ended. */
+  readonly lastEndAgeMs: number
+}
+
+/** A stored object; `part` is omitted when its content is malformed. */
+export type StoredQuarantine = { readonly name: string, readonly revision: number, readonly part?: QuarantinedPart }
+
+export type QuarantineChange = StoredQuarantine & { readonly isRemoved: boolean }
+
+/** Outcome of a conditional write; `conflict` when the object exists already, or has another revision. */
+export type QuarantineWrite = { readonly kind: 'written', readonly revision: number } | { readonly kind: 'conflict' }
+
+/** The platform's store of quarantined parts, which lasts beyond the processes of the fleet. */
+export type QuarantineStore = {
+  readonly list: () => Promise<Result<{ readonly entries: readonly StoredQuarantine[], readonly revision: number }, SourceError>>
+  /** Waits up to `waitMs` for changes after `revision`. */
+  readonly watch: (revision: number, waitMs: number) => Promise<Result<{ readonly changes: readonly QuarantineChange[], readonly revision: number }, SourceError>>
+  readonly create: (name: string, part: QuarantinedPart) => Promise<Result<QuarantineWrite, SourceError>>
+  /** Replaces the object if it still has this revision. */
+  readonly update: (name: string, part: QuarantinedPart, revision: number) => Promise<Result<QuarantineWrite, SourceError>>
+  /** Removes the object; succeeds also when there is none. */
+  readonly remove: (name: string) => Promise<Result<undefined, SourceError>>
+}
--- a/test/platform/_lib/startGatewayFleet.ts
+++ b/test/platform/_lib/startGatewayFleet.ts
@@ -6,6 +6,7 @@
 import { createPromptCacheSource } from '../../../platform/createPromptCacheSource/index.js'
 import { createConfigurationSource } from '../../../platform/createConfigurationSource/index.js'
 import { createInstanceSource } from '../../../platform/createInstanceSource/index.js'
+import { createQuarantineStore } from '../../../platform/createQuarantineStore/index.js'
 import { createZoneDrainSource } from '../../../platform/createZoneDrainSource/index.js'
 import { createStoreClient, type StoreClient } from '../../../platform/createStoreClient/index.js'
 import { createPlatform, type PlatformOptions, type PlatformStandIn } from '../../../platform/standIn/createPlatform/index.js'
@@ -52,6 +53,7 @@
   let isCut = false
   return {
     get: async (path, timeoutMs) => isCut ? { ok: false, error: { kind: 'unavailable', message: 'store connection cut by the test' } } : await client.get(path, timeoutMs),
+    send: async (write, timeoutMs) => isCut ? { ok: false, error: { kind: 'unavailable', message: 'store connection cut by the test' } } : await client.send(write, timeoutMs),
     close: client.close,
     cut: () => { isCut = true }
   }
@@ -95,6 +97,7 @@
       configurationSource: createConfigurationSource(client),
       instanceSource: createInstanceSource(client),
       zoneDrainSource: createZoneDrainSource(client),
+      quarantineStore: createQuarantineStore(client),
       promptCacheSource: createPromptCacheSource(),
       readinessPath: '/readyz',
       resolveAddress: resolveOver(links[index]!, platform)
