Compare arrivals beyond the first with the retries that nodes count

Open was whether arrivals exist that nobody counts. Two drafts of the test read the counts from the log lines and failed: they took a retry through a peer for none, and the line of a retry after an attempt through a peer lacked the budget's fields, though it was counted; it has them now.

--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -143,7 +143,7 @@
     if (attemptsStarted === 0) recordStart()
     else if (paths.hasArrived() && !takeRetry()) return giveUp('instancesRefused', 502)
     const { target, event, fields } = prepareSend(context, path, {
-      request, route, account, service, body, remainingMs, resumeAfter: caller.relay.lastEventId(), arrived: paths.listArrived(), softwareVersion: paths.requiredVersion(), isFirst: attemptsStarted === 0
+      request, route, account, service, body, remainingMs, resumeAfter: caller.relay.lastEventId(), arrived: paths.listArrived(), softwareVersion: paths.requiredVersion(), isFirst: attemptsStarted === 0, isRetry: attemptsStarted > 0 && paths.hasArrived()
     })
     record.log(event, fields)
     startAttempt(target)
--- a/src/services/forwarding/_lib/prepareSend.ts
+++ b/src/services/forwarding/_lib/prepareSend.ts
@@ -24,6 +24,8 @@
   readonly softwareVersion: string | undefined
   /** Whether nothing was sent for the request yet. */
   readonly isFirst: boolean
+  /** Whether the send counts as a retry: a backend server, or a peer, may have received the request. */
+  readonly isRetry: boolean
 }
 
 export type PreparedSend = { readonly target: AttemptTarget, readonly event: GatewayEvent, readonly fields: LogFields }
@@ -61,10 +63,9 @@
 export const prepareSend = (context: RequestHandlerContext, path: OpenPath, input: SendInput): PreparedSend => {
   const prepare = preparations[path.kind] as (context: RequestHandlerContext, path: OpenPath, input: SendInput) => PreparedSend
   const { target, event, fields } = prepare(context, path, input)
-  const isRetry = !input.isFirst && input.arrived.length > 0
   return {
     target,
     event,
-    fields: { ...fields, remainingMs: Math.round(input.remainingMs), resumeAfter: input.resumeAfter, begunRequestId: input.request.begunRequestId, ...(isRetry ? describeRetries(context, input.service) : {}) }
+    fields: { ...fields, remainingMs: Math.round(input.remainingMs), resumeAfter: input.resumeAfter, begunRequestId: input.request.begunRequestId, ...(input.isRetry ? describeRetries(context, input.service) : {}) }
   }
 }
