--- a/src/services/promptQuarantine/index.ts
+++ b/src/services/promptQuarantine/index.ts
@@ -8,6 +8,7 @@
  */
 import { askForSoundParts } from './_lib/askForSoundParts.js'
 import { createEndRecord } from './_lib/createEndRecord.js'
+import { createNoticeBatch } from './_lib/createNoticeBatch.js'
 import { createQuarantineTable, describeQuarantine, type QuarantineEntry } from './_lib/createQuarantineTable.js'
 import { createSoundParts } from './_lib/createSoundParts.js'
 import { createStoredQuarantines } from './_lib/createStoredQuarantines.js'
@@ -19,7 +20,7 @@
 import type { RunningService } from '../../kernel/index.js'
 import type { ServerEnd, ServerEnds } from '../serverEnds/index.js'
 import type {
-  Clock, Logger, Member, Membership, Metrics, PeerMessageOf, PeerTransport, PromptPartKey, QuarantineNotice, QuarantineStore, RandomSource, RequestCounts
+  Clock, Logger, Member, Membership, Metrics, PeerMessageOf, PeerTransport, PromptPartKey, QuarantineStore, RandomSource, RequestCounts
 } from '../../types/index.js'
 
 /** What is known of the parts of one request. */
@@ -104,22 +105,14 @@
 
   const listPeers = (): readonly Member[] => membership.liveMembers().filter((member) => !isSelf(member))
 
-  const toNotice = ({ service, part, servers, endsAtFirst, trials, lastEndAt }: QuarantineEntry): QuarantineNotice =>
-    ({ service, part, servers, endsAtFirst, trials, lastEndAgeMs: clock.now() - lastEndAt })
-
-  const sendNotices = (receivers: readonly Member[], entries: readonly QuarantineEntry[]): void => {
-    if (entries.length === 0) return
-    const message = { kind: 'quarantinedParts', source: membership.self().nodeId, parts: entries.map(toNotice) } as const
-    for (const { address } of receivers) transport.send(address, message)
-  }
-
   const release = (entry: QuarantineEntry, reason: string): void => {
     table.release(entry, reason)
-    const message = { kind: 'releasedParts', parts: [{ service: entry.service, part: entry.part }] } as const
-    for (const { address } of listPeers()) transport.send(address, message)
+    notices.add(entry)
     stored.remove(entry)
   }
 
+  const notices = createNoticeBatch({ clock, transport, table, listPeers, readNodeId: () => membership.self().nodeId })
+
   const stored = createStoredQuarantines({
     clock,
     logger,
@@ -143,7 +136,7 @@
     const ofPart = ends.filter(({ parts }) => parts.has(key.part))
     const lastEndAt = Math.max(...ofPart.map(({ at }) => at))
     const entry = table.adopt({ ...key, servers: ofPart.map(({ server }) => server), endsAtFirst: ofPart.length, trials: 0 }, { lastEndAt, source: 'own' })
-    sendNotices(listPeers(), [entry])
+    notices.add(entry)
     stored.create(entry)
   }
 
@@ -210,7 +203,7 @@
   const addEnd = (entry: QuarantineEntry, server: string, at: number, source: string): void => {
     if (entry.servers.includes(server)) return
     const grown = table.adopt({ ...entry, servers: [server] }, { lastEndAt: at, source })
-    sendNotices(listPeers(), [grown])
+    notices.add(grown)
     stored.addServers(grown)
   }
 
@@ -257,13 +250,12 @@
 
   /** Tells nodes that started, or are back, what is quarantined: the store may be out of reach for them. */
   const tellNewMembers = (): void => {
-    const entries = table.list()
     for (const member of membership.members()) {
       const { nodeId, incarnation, state } = member
       if (state !== 'live') told.delete(nodeId)
       if (state !== 'live' || told.get(nodeId) === incarnation) continue
       told.set(nodeId, incarnation)
-      if (!isSelf(member) && entries.length > 0 && selectHolders(nodeId, listReachable()).some(isSelf)) sendNotices([member], entries)
+      if (!isSelf(member) && table.size() > 0 && selectHolders(nodeId, listReachable()).some(isSelf)) notices.sendAllTo(member)
     }
   }
 
@@ -314,7 +306,7 @@
         for (const key of keys) claimed.delete(key)
         if (!isGranted) return false
         metrics.count('gateway_quarantine', { event: 'trial' })
-        sendNotices(listPeers(), listQuarantined(service, parts))
+        for (const entry of listQuarantined(service, parts)) notices.add(entry)
         return true
       },
       recordSound,
@@ -340,6 +332,9 @@
       })
       stored.start()
     },
-    stop: stored.stop
+    stop: () => {
+      stored.stop()
+      notices.stop()
+    }
   }
 }
--- a/src/services/promptQuarantine/test.ts
+++ b/src/services/promptQuarantine/test.ts
@@ -73,6 +73,25 @@
   })
 })
 
+describe('the exchange', () => {
+  test('sends nothing while no server ends', async () => {
+    const fleet = createQuarantineFleet(NODES)
+    for (let round = 0; round < 10; round++) {
+      for (const { api } of fleet.nodes) api.recordComplete(SERVICE, [PART])
+      await fleet.clock.advanceAndSettle(SETTLED_MS)
+    }
+    expect(fleet.countTraffic()).toEqual({ bytes: 0, messages: 0 })
+  })
+
+  // Each node that had requests at the server tells three holders, however many nodes there are.
+  test('of one end goes to the holders only', async () => {
+    const fleet = createQuarantineFleet(30)
+    for (const node of fleet.nodes.slice(0, 10)) node.reportEnd('engine-0', [PART, 'common'])
+    await fleet.clock.advanceAndSettle(SETTLED_MS)
+    expect(fleet.countTraffic().messages).toBeLessThanOrEqual(3 * 10)
+  })
+})
+
 describe('a quarantine', () => {
   test('lasts beyond the processes of all nodes', async () => {
     const fleet = createQuarantineFleet(NODES)
--- a/test/_lib/createQuarantineFleet.ts
+++ b/test/_lib/createQuarantineFleet.ts
@@ -2,7 +2,7 @@
 import { createPromptQuarantine, type PromptQuarantine } from '../../src/services/promptQuarantine/index.js'
 import type { ServerEnd } from '../../src/services/serverEnds/index.js'
 import { createManualClock, type ManualClock } from '../../src/emulator/createManualClock/index.js'
-import { createMemoryPeerNetwork } from '../../src/emulator/createMemoryPeerNetwork/index.js'
+import { createMemoryPeerNetwork, type MemoryPeerTransport } from '../../src/emulator/createMemoryPeerNetwork/index.js'
 import { failure, success } from '../../src/kernel/index.js'
 import type { BackendInstance, LogFields, Member, QuarantineChange, QuarantinedPart, QuarantineStore, StoredQuarantine } from '../../src/types/index.js'
 
@@ -26,6 +26,8 @@
   readonly restart: (index: number) => void
   readonly cut: (one: number, other: number) => void
   readonly healAll: () => void
+  /** Bytes and messages that all nodes have sent to peers. */
+  readonly countTraffic: () => { readonly bytes: number, readonly messages: number }
 }
 
 export const createInstance = (id: string): BackendInstance =>
@@ -117,12 +119,14 @@
   let members = listMembers()
   const nodes: QuarantineNode[] = []
   const stops: (() => unknown)[] = []
+  const transports: MemoryPeerTransport[] = []
 
   const startNode = (index: number): void => {
     const lines: (LogFields & { readonly message: string })[] = []
     const log = (message: string, fields: LogFields = {}): void => { lines.push({ at: clock.now(), message, ...fields }) }
     const listeners: ((end: ServerEnd) => void)[] = []
     const transport = network.createTransport(members[index]!.address)
+    transports.push(transport)
     const service = createPromptQuarantine({
       clock,
       random: { next: random },
@@ -157,6 +161,10 @@
       for (const [other, listen] of memberListeners) if (other !== index) listen()
     },
     cut: (one, other) => network.cut(members[one]!.address, members[other]!.address),
-    healAll: network.healAll
+    healAll: network.healAll,
+    countTraffic: () => ({
+      bytes: transports.flatMap((transport) => [...transport.bytesSent().values()]).reduce((sum, bytes) => sum + bytes, 0),
+      messages: transports.reduce((sum, transport) => sum + transport.messagesSent(), 0)
+    })
   }
 }
