Read a stored quarantine again that was left from an earlier one

A removal that fails three times leaves the object of a released part; when the part was quarantined again, its creation conflicted, no watch told of the old object, and without its revision no trial was ever possible: all its requests stayed refused. Found by reading; the test (removal while the store is away) fails without the second read. The examination of ends is a module of its own now, and the gate of quarantines one of the gates before a send; no change of behaviour by that.

--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -10,7 +10,6 @@
 import { createAnswerIntake, type AnswerIntake, type AnswerListener } from './createAnswerIntake.js'
 import { createCallerAnswer } from './createCallerAnswer.js'
 import { createFinalAnswer } from './createFinalAnswer.js'
-import { createQuarantineGate } from './createQuarantineGate.js'
 import { createPathSelector, type RoutedRequest } from './createPathSelector.js'
 import { createRequestDeadline } from './createRequestDeadline.js'
 import { createRequestRecord } from './createRequestRecord.js'
@@ -70,7 +69,7 @@
     record,
     random,
     readProgress: () => ({ mayHaveRun, sends }),
-    readAvailability: () => ({ availableInMs: readAvailableInMs(), remainingMs: deadline.remainingMs() }),
+    readAvailability: () => ({ availableInMs: route === undefined ? 0 : paths.computeAvailableInMs(toRouted(route)), remainingMs: deadline.remainingMs() }),
     abortAttempt,
     onDone: () => {
       isDone = true
@@ -86,14 +85,10 @@
 
   const gate = createSendGate(context, { request, record, paths, send: () => send(), passesShutdown, refuse, giveUp })
 
-  const quarantineGate = createQuarantineGate(context, { request, record, paths, send: () => send(), refuse, giveUp })
-
   const isRetryable = (): boolean => route !== undefined && (route.retryPolicy === 'safe' || (route.retryPolicy === 'stream' && route.isResumable))
 
   const toRouted = (to: GatewayRoute): RoutedRequest => ({ route: to, account, service, bodyBytes: body?.length ?? 0 })
 
-  const readAvailableInMs = (): number => route === undefined ? 0 : paths.computeAvailableInMs(toRouted(route))
-
   /** Only the node of the caller retries what a backend server may have received, so that its limits hold across the hop. */
   const mayRetry = (): boolean => !paths.hasArrived() || (request.relay === undefined && context.retryWindows.canRetry(service))
 
@@ -136,7 +131,7 @@
     if (!passesShutdown(route)) return mayHaveRun ? giveUp('shuttingDown', 502) : refuse(SHUTTING_DOWN)
     const remainingMs = deadline.remainingMs()
     if (remainingMs <= 1) return giveUp('deadlineBeforeSend', 504)
-    if (!quarantineGate.passes(service)) return
+    if (!gate.passesQuarantine(service)) return
     if (attemptsStarted === 0 && !gate.passes(toRouted(route), deadline.at())) return
     const path = paths.select(toRouted(route))
     if (path.kind === 'none') return giveUpWithoutInstance(route)
--- a/src/services/promptQuarantine/_lib/createStoredQuarantines.ts
+++ b/src/services/promptQuarantine/_lib/createStoredQuarantines.ts
@@ -6,7 +6,7 @@
 import type { QuarantineEntry, QuarantineTable } from './createQuarantineTable.js'
 import { describeSourceError } from '../../../decisions/describeSourceError/index.js'
 import { success } from '../../../kernel/index.js'
-import type { Clock, Logger, QuarantinedPart, QuarantineStore, Result, SourceError, StoredQuarantine } from '../../../types/index.js'
+import type { Clock, Logger, QuarantinedPart, QuarantineStore, SourceError, StoredQuarantine } from '../../../types/index.js'
 
 export type StoredQuarantines = {
   readonly start: () => void
@@ -96,10 +96,19 @@
 
   const toPart = ({ service, part, servers, endsAtFirst, trials }: QuarantineEntry): QuarantinedPart => ({ service, part, servers, endsAtFirst, trials })
 
+  const readOne = async (name: string): Promise<void> => {
+    const listed = await store.list()
+    const found = listed.ok ? listed.value.entries.find((stored) => stored.name === name) : undefined
+    if (found !== undefined) apply(found)
+  }
+
   const create: StoredQuarantines['create'] = async (entry) => {
     const result = await store.create(entry.name, toPart(entry))
     if (!result.ok) return logFailure('create', entry, result.error)
-    if (result.value.kind === 'written') onStored(toPart(entry), { name: entry.name, revision: result.value.revision })
+    if (result.value.kind === 'written') return onStored(toPart(entry), { name: entry.name, revision: result.value.revision })
+    // Another node created it, and the watch tells; one that was left from an earlier quarantine has no change to tell.
+    await pause(RETRY_MS)
+    if (table.find(entry) !== undefined && table.find(entry)?.revision === undefined) await readOne(entry.name)
   }
 
   /** Replaces the object if it is the one that this node has read; resolves with the new revision, if it was written. */
@@ -111,8 +120,6 @@
     return undefined
   }
 
-  const removeOnce = (name: string): Promise<Result<undefined, SourceError>> => store.remove(name)
-
   return {
     start: follower.start,
     stop: follower.stop,
@@ -129,7 +136,7 @@
     },
     remove: async (entry) => {
       for (let attempt = 0; attempt < MAXIMUM_REMOVALS; attempt++) {
-        const result = await removeOnce(entry.name)
+        const result = await store.remove(entry.name)
         if (result.ok) return
         logFailure('remove', entry, result.error)
         await pause(RETRY_MS)
--- a/src/services/promptQuarantine/index.ts
+++ b/src/services/promptQuarantine/index.ts
@@ -6,7 +6,7 @@
  * servers, on all nodes and in the platform's store: its requests are refused, except for
  * rare trials, one at a time in the whole fleet. The first sound answer ends the quarantine.
  */
-import { askForSoundParts } from './_lib/askForSoundParts.js'
+import { createEndExaminer } from './_lib/createEndExaminer.js'
 import { createEndRecord } from './_lib/createEndRecord.js'
 import { createNoticeBatch } from './_lib/createNoticeBatch.js'
 import { createQuarantineTable, describeQuarantine, type QuarantineEntry } from './_lib/createQuarantineTable.js'
@@ -15,12 +15,12 @@
 import { formatPartKey } from './_lib/formatPartKey.js'
 import { computeTrialDelay } from '../../decisions/computeTrialDelay/index.js'
 import { formatInstanceKey } from '../../decisions/formatInstanceKey/index.js'
-import { MINIMUM_ENDS, selectCulprits, type SuspiciousEnd } from '../../decisions/selectCulprits/index.js'
+import type { SuspiciousEnd } from '../../decisions/selectCulprits/index.js'
 import { selectHolders } from '../../decisions/selectHolders/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import type { ServerEnd, ServerEnds } from '../serverEnds/index.js'
 import type {
-  Clock, Logger, Member, Membership, Metrics, PeerMessageOf, PeerTransport, PromptPartKey, QuarantineStore, RandomSource, RequestCounts
+  Clock, Logger, Member, Membership, Metrics, PeerMessageOf, PeerTransport, PromptPartKey, QuarantineStore, RandomSource
 } from '../../types/index.js'
 
 /** What is known of the parts of one request. */
@@ -59,11 +59,7 @@
   readonly store: QuarantineStore
 }
 
-/** Peers that a holder asks: in a large fleet a part that is in use was answered by some of them. */
-const ASKED_PEERS = 32
 const MAXIMUM_QUARANTINED = 256
-/** A part under which this many servers ended explains their ends, and acquits the other parts that ran there. */
-const CONFIRMED_ENDS = 3
 /** A trial of several parts at once shows less than one of a single part, and waits this much longer for each further one, in milliseconds. */
 const FURTHER_PART_DELAY_MS = 10_000
 /** A sound answer this shortly before a quarantine was read from the store came after its evidence, in milliseconds. */
@@ -88,8 +84,6 @@
   const sound = createSoundParts(clock)
   const endRecord = createEndRecord(clock)
   const table = createQuarantineTable({ clock, logger, metrics })
-  /** Services whose ends are being examined. */
-  const examined = new Map<string, 'once' | 'again'>()
   /** Parts whose trial this node is claiming. */
   const claimed = new Set<string>()
   /** Incarnations of the nodes that have been told what is quarantined. */
@@ -140,64 +134,18 @@
     stored.create(entry)
   }
 
-  const listSuspiciousEnds = (service: string): readonly SuspiciousEnd[] =>
-    endRecord.list(service, (part) => table.find({ service, part }) === undefined ? sound.readAt({ service, part }) : Infinity)
-
-  const listConfirmed = (service: string): readonly QuarantineEntry[] =>
-    table.list().filter((entry) => entry.service === service && entry.servers.length >= CONFIRMED_ENDS)
-
-  const listExplained = (entries: readonly QuarantineEntry[]): ReadonlySet<string> => new Set(entries.flatMap(({ servers }) => servers))
-
-  /** Releases parts that were quarantined for ends which a confirmed part explains. */
-  const releaseExplained = (service: string): void => {
-    const confirmed = listConfirmed(service)
-    if (confirmed.length === 0) return
-    const explained = listExplained(confirmed)
-    for (const entry of table.list()) {
-      if (entry.service === service && entry.servers.length < CONFIRMED_ENDS && entry.servers.every((server) => explained.has(server))) release(entry, 'explained by another part')
-    }
-  }
-
-  const selectSuspects = (service: string, counts: RequestCounts): readonly string[] =>
-    selectCulprits(listSuspiciousEnds(service), { explained: listExplained(listConfirmed(service)), counts })
-
-  const selectAskedPeers = (): readonly Member[] =>
-    listPeers().map((peer) => ({ peer, order: random.next() })).sort((left, right) => left.order - right.order).slice(0, ASKED_PEERS).map(({ peer }) => peer)
-
-  /** Parts that are at several ends, whatever the chance of that. */
-  const listConcerned = (service: string): readonly string[] => {
-    const counts = new Map<string, number>()
-    for (const { parts } of listSuspiciousEnds(service)) for (const part of parts) counts.set(part, (counts.get(part) ?? 0) + 1)
-    return [...counts].filter(([, count]) => count >= MINIMUM_ENDS).map(([part]) => part)
-  }
-
-  /** Asks the peers about parts at several ends, and quarantines those that then are the probable reason. */
-  const examineOnce = async (service: string): Promise<void> => {
-    const parts = listConcerned(service)
-    if (parts.length === 0) return
-    const peers = selectAskedPeers()
-    const { soundAt, counts, replies } = await askForSoundParts(transport, clock, peers, { service, parts })
-    for (const [index, part] of parts.entries()) sound.record({ service, part }, soundAt[index] ?? -Infinity)
-    const own = sound.readCounts(service)
-    const fleetCounts = { complete: own.complete + counts.complete, broken: own.broken + counts.broken }
-    const culprits = selectSuspects(service, fleetCounts)
-    logger.info('prompt parts suspected', { service, concerned: parts.length, askedPeers: peers.length, replies, ...fleetCounts, culprits: culprits.join(' ') })
-    const ends = listSuspiciousEnds(service)
-    for (const part of culprits) quarantine({ service, part }, ends)
-  }
-
-  /** Examines the ends of a service; what comes meanwhile is examined after it. */
-  const examine = async (service: string): Promise<void> => {
-    if (examined.has(service)) {
-      examined.set(service, 'again')
-      return
-    }
-    do {
-      examined.set(service, 'once')
-      await examineOnce(service)
-    } while (examined.get(service) === 'again')
-    examined.delete(service)
-  }
+  const examiner = createEndExaminer({
+    clock,
+    random,
+    logger,
+    transport,
+    listPeers,
+    sound,
+    endRecord,
+    table,
+    onCulprit: (key, ends) => quarantine(key, ends),
+    onExplained: (entry) => release(entry, 'explained by another part')
+  })
 
   /** Adds an end to what is known of a quarantined part. */
   const addEnd = (entry: QuarantineEntry, server: string, at: number, source: string): void => {
@@ -214,8 +162,7 @@
       const entry = table.find({ service, part })
       if (entry !== undefined) addEnd(entry, server, at, source)
     }
-    releaseExplained(service)
-    examine(service)
+    examiner.examine(service)
   }
 
   /** Tells the holders of the service that a server ended. */
--- a/src/services/promptQuarantine/test.ts
+++ b/src/services/promptQuarantine/test.ts
@@ -127,6 +127,19 @@
     expect(fleet.stored().map(({ part }) => part)).toEqual([{ service: SERVICE, part: PART, servers: ['engine-0@1', 'engine-1@1'], endsAtFirst: 2, trials: 0 }])
   })
 
+  // A removal that failed leaves an object, which no watch tells of again.
+  test('of a part whose object was left from an earlier one has a trial', async () => {
+    const fleet = createQuarantineFleet(NODES)
+    await reportEnds(fleet, 2)
+    fleet.setStoreReachable(false)
+    fleet.nodes[2]!.api.recordSound(SERVICE, [PART])
+    await fleet.clock.advanceAndSettle(8_000)
+    fleet.setStoreReachable(true)
+    await reportEnds(fleet, 2, [PART], 2)
+    await fleet.clock.advanceAndSettle(8_000)
+    expect(listVerdicts(fleet)).toEqual(all('trialDue'))
+  })
+
   test('ends on all nodes when the object is removed', async () => {
     const fleet = createQuarantineFleet(NODES)
     await reportEnds(fleet, 2)
