Hold the second read of a stored quarantine with a test that fails without it

The test lets the store refuse the removal only, and fails without the second read (verified on a scratch copy), passes with it.

--- a/src/services/promptQuarantine/test.ts
+++ b/src/services/promptQuarantine/test.ts
@@ -131,12 +131,13 @@
   test('of a part whose object was left from an earlier one has a trial', async () => {
     const fleet = createQuarantineFleet(NODES)
     await reportEnds(fleet, 2)
-    fleet.setStoreReachable(false)
+    fleet.setRemovalsRefused(true)
     fleet.nodes[2]!.api.recordSound(SERVICE, [PART])
-    await fleet.clock.advanceAndSettle(8_000)
-    fleet.setStoreReachable(true)
+    await fleet.clock.advanceAndSettle(SETTLED_MS)
+    expect(listVerdicts(fleet)).toEqual(all('open'))
     await reportEnds(fleet, 2, [PART], 2)
-    await fleet.clock.advanceAndSettle(8_000)
+    // With the ends of the earlier quarantine the trial comes later.
+    await fleet.clock.advanceAndSettle(25_000)
     expect(listVerdicts(fleet)).toEqual(all('trialDue'))
   })
 
--- a/test/_lib/createQuarantineFleet.ts
+++ b/test/_lib/createQuarantineFleet.ts
@@ -22,6 +22,8 @@
   /** Removes an object as an operator does. */
   readonly removeStored: (name: string) => void
   readonly setStoreReachable: (isReachable: boolean) => void
+  /** Whether the store refuses removals, while everything else works. */
+  readonly setRemovalsRefused: (areRefused: boolean) => void
   /** Starts a node again, with nothing of what it knew. */
   readonly restart: (index: number) => void
   readonly cut: (one: number, other: number) => void
@@ -36,7 +38,7 @@
 const ZONES = ['a', 'b', 'c']
 const STORE_DELAY_MS = 5
 
-type MemoryStore = { readonly store: QuarantineStore, readonly list: () => readonly StoredQuarantine[], readonly remove: (name: string) => void, readonly setReachable: (isReachable: boolean) => void }
+type MemoryStore = { readonly store: QuarantineStore, readonly list: () => readonly StoredQuarantine[], readonly remove: (name: string) => void, readonly setReachable: (isReachable: boolean) => void, readonly setRemovalsRefused: (areRefused: boolean) => void }
 
 const createMemoryStore = (clock: ManualClock): MemoryStore => {
   const objects = new Map<string, StoredQuarantine>()
@@ -44,6 +46,7 @@
   const waiting = new Set<() => void>()
   let revision = 0
   let isReachable = true
+  let areRemovalsRefused = false
 
   const pause = (ms: number): Promise<void> => new Promise((resolve) => { clock.setTimer(ms, resolve) })
 
@@ -93,13 +96,17 @@
       },
       create: (name, part) => call(() => objects.has(name) ? { kind: 'conflict' as const } : { kind: 'written' as const, revision: write(name, part) }),
       update: (name, part, expected) => call(() => objects.get(name)?.revision === expected ? { kind: 'written' as const, revision: write(name, part) } : { kind: 'conflict' as const }),
-      remove: (name) => call(() => {
-        remove(name)
-        return undefined
-      })
+      remove: async (name) => {
+        if (areRemovalsRefused) return failure({ kind: 'unavailable', message: 'refused' })
+        return await call(() => {
+          remove(name)
+          return undefined
+        })
+      }
     },
     list: () => [...objects.values()],
     remove,
+    setRemovalsRefused: (next) => { areRemovalsRefused = next },
     setReachable: (next) => {
       isReachable = next
       if (!next) for (const wake of [...waiting]) wake()
@@ -153,6 +160,7 @@
     stored: memory.list,
     removeStored: memory.remove,
     setStoreReachable: memory.setReachable,
+    setRemovalsRefused: memory.setRemovalsRefused,
     restart: (index) => {
       stops[index]!()
       incarnations[index]! += 1
