Release a quarantined part when another one explains too many of its ends

In the model a sound part that most requests have could be quarantined with three ends, two of them under a part that ended more servers, and stayed refused.

--- a/src/services/promptQuarantine/_lib/createEndExaminer.ts
+++ b/src/services/promptQuarantine/_lib/createEndExaminer.ts
@@ -25,7 +25,7 @@
   readonly table: Pick<QuarantineTable, 'find' | 'list'>
   /** The part is probably to blame for these ends. */
   readonly onCulprit: (key: PromptPartKey, ends: readonly SuspiciousEnd[]) => void
-  /** Another part explains all ends for which this one was quarantined. */
+  /** Another part explains the ends for which this one was quarantined. */
   readonly onExplained: (entry: QuarantineEntry) => void
 }
 
@@ -42,17 +42,17 @@
   const listEnds = (service: string): readonly SuspiciousEnd[] =>
     endRecord.list(service, (part) => table.find({ service, part }) === undefined ? sound.readAt({ service, part }) : Infinity)
 
-  /** Servers whose end a part explains that is known to end servers. */
-  const listExplained = (service: string): ReadonlySet<string> => {
-    const confirmed = table.list().filter((entry) => entry.service === service && entry.servers.length >= CONFIRMED_ENDS)
+  /** Servers whose end a part explains that is known to end more of them than `ends`. */
+  const listExplained = (service: string, ends = 0): ReadonlySet<string> => {
+    const confirmed = table.list().filter((entry) => entry.service === service && entry.servers.length >= CONFIRMED_ENDS && entry.servers.length > ends)
     return new Set(confirmed.flatMap(({ servers }) => servers))
   }
 
+  /** Parts at the same servers as one that ended more of them: too few ends are left that speak against them. */
   const reportExplained = (service: string): void => {
-    const explained = listExplained(service)
-    if (explained.size === 0) return
-    for (const entry of table.list()) {
-      if (entry.service === service && entry.servers.length < CONFIRMED_ENDS && entry.servers.every((server) => explained.has(server))) onExplained(entry)
+    for (const entry of table.list().filter((one) => one.service === service)) {
+      const explained = listExplained(service, entry.servers.length)
+      if (explained.size > 0 && entry.servers.filter((server) => !explained.has(server)).length < MINIMUM_ENDS) onExplained(entry)
     }
   }
 
@@ -83,6 +83,7 @@
     const culprits = selectCulprits(ends, { explained: listExplained(service), counts })
     logger.info('prompt parts suspected', { service, concerned: parts.length, askedPeers: peers.length, replies, ...counts, culprits: culprits.join(' ') })
     for (const part of culprits) onCulprit({ service, part }, ends)
+    reportExplained(service)
   }
 
   return {
