Don't take bytes in transit for a sign that a server lives

When a server ends, its connections break one after the other; bytes that were left on the next one cleared what the first break had recorded, and with it the part that may have ended the server. Found by reading the diff; the new test fails without the 15 ms in which bytes don't count. Connections of requests without a prompt are not looked at any more: each break could cost a probe, for nothing.

--- a/src/services/forwarding/_lib/createInstanceTarget.ts
+++ b/src/services/forwarding/_lib/createInstanceTarget.ts
@@ -104,7 +104,7 @@
     recordComplete: () => { if (head !== undefined && isSuccess(head)) quarantine.recordComplete(instance.service, partIds) },
     recordFailure: (kind) => {
       health.record(instance, { kind })
-      if (kind === 'broken') serverEnds.recordBreak(instance, soundAt === undefined ? partIds : [])
+      if (kind === 'broken' && partIds.length > 0) serverEnds.recordBreak(instance, soundAt === undefined ? partIds : [])
       if (kind === 'unreachable') serverEnds.recordUnreachable(instance)
     },
     recordRefusal: (answer) => { if (answer.isOtherInstance) registry.markGone(instance, 'another backend server has its address') },
--- a/src/services/forwarding/_lib/createQuarantineGate.ts
+++ b/src/services/forwarding/_lib/createQuarantineGate.ts
@@ -33,9 +33,8 @@
   let trial: 'none' | 'claiming' | 'granted' | 'lost' = 'none'
 
   const refuseRequest = (verdict: Exclude<QuarantineVerdict, { readonly kind: 'open' }>): void => {
-    if (paths.hasArrived()) return giveUp(REASON, 502, { part: verdict.part })
-    const nextTrialMs = verdict.kind === 'refused' ? verdict.nextTrialMs : undefined
-    refuse({ status: 503, reason: REASON, ...(nextTrialMs === undefined ? {} : { retryAfterMs: nextTrialMs }) }, verdict.kind === 'refused' ? verdict.evidence : { part: verdict.part })
+    if (verdict.kind === 'trialDue' || paths.hasArrived()) return giveUp(REASON, 502, { part: verdict.part })
+    refuse({ status: 503, reason: REASON, retryAfterMs: verdict.nextTrialMs }, verdict.evidence)
   }
 
   const claim = async (service: string, part: string): Promise<void> => {
--- a/src/services/serverEnds/index.ts
+++ b/src/services/serverEnds/index.ts
@@ -20,7 +20,7 @@
 }
 
 export type ServerEnds = {
-  /** The connection of a request broke that had been sent to the server; `parts` are the shared prompt parts that may have ended it. */
+  /** The connection of a request with a prompt broke that had been sent to the server; `parts` are the shared prompt parts that may have ended it. */
   readonly recordBreak: (instance: BackendInstance, parts: readonly string[]) => void
   /** Bytes arrived from the server, on any exchange. */
   readonly recordBytes: (instance: BackendInstance) => void
@@ -42,6 +42,8 @@
 
 /** Within this time the connections of a server that ended break, in milliseconds, on a node with a slow processor too. */
 const SETTLE_MS = 30
+/** Bytes that arrive this soon after a break may have been sent before the server ended, in milliseconds. */
+const IN_TRANSIT_MS = 15
 /** Shortest interval between two probes of a server, in milliseconds: one that resets many answers needs no probe for each. */
 const PROBE_INTERVAL_MS = 1_000
 /** Servers of which this node remembers that they ended, or when they were probed. */
@@ -115,7 +117,10 @@
         scheduleCheck(key, SETTLE_MS)
       },
       recordBytes: (instance) => {
-        if (breaks.size > 0) forget(formatInstanceKey(instance))
+        if (breaks.size === 0) return
+        const key = formatInstanceKey(instance)
+        const brokenAt = breaks.get(key)?.brokenAt ?? Infinity
+        if (clock.now() - brokenAt > IN_TRANSIT_MS) forget(key)
       },
       recordUnreachable: (instance) => {
         if (breaks.size > 0) conclude(formatInstanceKey(instance), 'unreachable')
--- a/src/services/serverEnds/test.ts
+++ b/src/services/serverEnds/test.ts
@@ -55,11 +55,22 @@
   test('reports no server that sends bytes on another exchange, and probes none', async () => {
     const { clock, api, ends, countProbes } = start()
     api.recordBreak(ENGINE, ['a'])
+    await clock.advanceAndSettle(20)
     api.recordBytes(ENGINE)
     await clock.advanceAndSettle(SETTLED_MS)
     expect([ends.length, countProbes()]).toEqual([0, 0])
   })
 
+  // The connections of a server that ended break one after the other, and bytes may be left on the next one.
+  test('reports a server whose last bytes on another exchange are read after the first break', async () => {
+    const { clock, api, ends } = start()
+    api.recordBreak(ENGINE, ['a'])
+    api.recordBytes(ENGINE)
+    api.recordBreak(ENGINE, ['b'])
+    await clock.advanceAndSettle(SETTLED_MS)
+    expect(ends.map(({ parts }) => parts)).toEqual([['a', 'b']])
+  })
+
   test('reports a server that refuses the next request\'s connection at once, without a probe', () => {
     const { api, ends, countProbes } = start()
     api.recordBreak(ENGINE, ['a'])
