Follow the stored quarantines only while there may be any

A node reads the store at its start now and follows it while a part is quarantined, for a minute after it learnt of a server that ended, and while it knows no live peer; peers tell the rest.

--- a/src/services/promptQuarantine/_lib/createStoredQuarantines.ts
+++ b/src/services/promptQuarantine/_lib/createStoredQuarantines.ts
@@ -1,6 +1,8 @@
 /**
- * Follows the quarantined parts in the platform's store, and writes this node's there. The
+ * Reads the quarantined parts in the platform's store, and writes this node's there. The
  * store lasts beyond the processes of the fleet, and joins nodes that don't reach each other.
+ * It is read at the start, and followed only while there may be something to follow: else
+ * its load would grow with the fleet for nothing.
  */
 import { createSourceFollower, type SourceReading } from '../../_lib/createSourceFollower.js'
 import type { QuarantineEntry, QuarantineTable } from './createQuarantineTable.js'
@@ -11,6 +13,8 @@
 export type StoredQuarantines = {
   readonly start: () => void
   readonly stop: () => void
+  /** Follows the store again if that is wanted now. */
+  readonly update: () => void
   /** Creates the object of a part, unless it exists. */
   readonly create: (entry: QuarantineEntry) => Promise<void>
   /** Writes the servers of a part that its object lacks. */
@@ -25,6 +29,8 @@
   readonly logger: Pick<Logger, 'info' | 'warn'>
   readonly store: QuarantineStore
   readonly table: QuarantineTable
+  /** Whether changes in the store may concern this node now. */
+  readonly isWanted: () => boolean
   /** An object was read. */
   readonly onStored: (part: QuarantinedPart, stored: StoredQuarantine) => void
   /** An object is gone. */
@@ -37,9 +43,10 @@
 const MAXIMUM_REMOVALS = 3
 
 /** Creates the follower; it runs from its start to its stop. */
-export const createStoredQuarantines = ({ clock, logger, store, table, onStored, onRemoved }: StoredQuarantinesDependencies): StoredQuarantines => {
+export const createStoredQuarantines = ({ clock, logger, store, table, isWanted, onStored, onRemoved }: StoredQuarantinesDependencies): StoredQuarantines => {
   let revision = 0
   let isKnown = false
+  let resume: (() => void) | undefined
 
   const pause = (ms: number): Promise<void> => new Promise((resolve) => { clock.setTimer(ms, resolve) })
 
@@ -70,7 +77,13 @@
     })
   }
 
+  const waitUntilWanted = (): Promise<void> => new Promise((resolve) => { resume = resolve })
+
   const watch = async (): Promise<SourceReading> => {
+    if (!isWanted()) {
+      await waitUntilWanted()
+      return await readAll()
+    }
     const result = await store.watch(revision, WATCH_WAIT_MS)
     if (!result.ok) return result
     return success(() => {
@@ -123,6 +136,11 @@
   return {
     start: follower.start,
     stop: follower.stop,
+    update: () => {
+      if (resume === undefined || !isWanted()) return
+      resume()
+      resume = undefined
+    },
     create,
     addServers: async (entry) => {
       const written = await update(entry, toPart(entry), 'addServers')
--- a/src/services/promptQuarantine/index.ts
+++ b/src/services/promptQuarantine/index.ts
@@ -60,6 +60,8 @@
 }
 
 const MAXIMUM_QUARANTINED = 256
+/** Time for which a node follows the store after it learnt of a server that ended, in milliseconds: as long as holders keep the end. */
+const EVIDENCE_LIFETIME_MS = 60_000
 /** A trial of several parts at once shows less than one of a single part, and waits this much longer for each further one, in milliseconds. */
 const FURTHER_PART_DELAY_MS = 10_000
 /** A sound answer this shortly before a quarantine was read from the store came after its evidence, in milliseconds. */
@@ -84,6 +86,8 @@
   const sound = createSoundParts(clock)
   const endRecord = createEndRecord(clock)
   const table = createQuarantineTable({ clock, logger, metrics })
+  /** Monotonic milliseconds at which this node last learnt of a server that ended. */
+  let evidenceAt = -Infinity
   /** Parts whose trial this node is claiming. */
   const claimed = new Set<string>()
   /** Incarnations of the nodes that have been told what is quarantined. */
@@ -112,6 +116,7 @@
     logger,
     store,
     table,
+    isWanted: () => table.size() > 0 || listPeers().length === 0 || clock.now() - evidenceAt < EVIDENCE_LIFETIME_MS,
     onStored: (part, { revision }) => {
       const isNew = table.find(part) === undefined
       const entry = table.adopt(part, { lastEndAt: isNew ? clock.now() : -Infinity, source: 'store', revision })
@@ -147,6 +152,11 @@
     onExplained: (entry) => release(entry, 'explained by another part')
   })
 
+  const recordEvidence = (): void => {
+    evidenceAt = clock.now()
+    stored.update()
+  }
+
   /** Adds an end to what is known of a quarantined part. */
   const addEnd = (entry: QuarantineEntry, server: string, at: number, source: string): void => {
     if (entry.servers.includes(server)) return
@@ -157,6 +167,7 @@
 
   /** Takes the end of a server of which this node is a holder; `at` in monotonic milliseconds. */
   const acceptEnd = (service: string, server: string, parts: readonly string[], at: number, source: string): void => {
+    recordEvidence()
     endRecord.record(service, { server, at, parts })
     for (const part of parts) {
       const entry = table.find({ service, part })
@@ -170,6 +181,7 @@
     const { service } = instance
     sound.countRequests(service, { complete: 0, broken: requests })
     if (parts.length === 0) return
+    recordEvidence()
     const server = formatInstanceKey(instance)
     for (const holder of listHolders(service)) {
       if (isSelf(holder)) acceptEnd(service, server, parts, endedAt, 'own')
@@ -185,6 +197,7 @@
       if (known === undefined && sound.readAt(part) > lastEndAt) release(table.adopt(part, { lastEndAt, source }), 'answered since')
       else table.adopt(part, { lastEndAt, source })
     }
+    stored.update()
   }
 
   const handleReleases = (keys: readonly PromptPartKey[]): void => {
@@ -197,6 +210,7 @@
 
   /** Tells nodes that started, or are back, what is quarantined: the store may be out of reach for them. */
   const tellNewMembers = (): void => {
+    stored.update()
     for (const member of membership.members()) {
       const { nodeId, incarnation, state } = member
       if (state !== 'live') told.delete(nodeId)
--- a/src/services/promptQuarantine/test.ts
+++ b/src/services/promptQuarantine/test.ts
@@ -101,13 +101,31 @@
     expect(listVerdicts(fleet)).toEqual(all('trialDue'))
   })
 
-  test('reaches nodes that are cut off from all peers', async () => {
+  test('reaches a node that is cut off from all peers when it sees a server end', async () => {
     const fleet = createQuarantineFleet(NODES)
     for (let peer = 0; peer < NODES - 1; peer++) fleet.cut(NODES - 1, peer)
     await reportEnds(fleet, 2)
+    expect(listVerdicts(fleet)).toEqual([...all('trialDue', NODES - 1), 'open'])
+    fleet.nodes[NODES - 1]!.reportEnd('engine-9', [PART])
+    await fleet.clock.advanceAndSettle(SHORT_MS)
+    expect(listVerdicts(fleet)).toEqual(all('trialDue'))
+  })
+
+  test('reaches a node that saw a server end before, while it is cut off from all peers', async () => {
+    const fleet = createQuarantineFleet(NODES)
+    for (let peer = 0; peer < NODES - 1; peer++) fleet.cut(NODES - 1, peer)
+    fleet.nodes[NODES - 1]!.reportEnd('engine-9', [PART])
+    await reportEnds(fleet, 2)
     expect(listVerdicts(fleet)).toEqual(all('trialDue'))
   })
 
+  // The load of the store must not grow with the fleet.
+  test('costs the store one call for each start while no server ends', async () => {
+    const fleet = createQuarantineFleet(NODES)
+    await fleet.clock.advanceAndSettle(120_000)
+    expect(fleet.countStoreCalls()).toBe(NODES)
+  })
+
   test('reaches all nodes, and one that starts, while the store is out of reach', async () => {
     const fleet = createQuarantineFleet(NODES)
     fleet.setStoreReachable(false)
--- a/test/_lib/createQuarantineFleet.ts
+++ b/test/_lib/createQuarantineFleet.ts
@@ -21,6 +21,7 @@
   readonly stored: () => readonly StoredQuarantine[]
   /** Removes an object as an operator does. */
   readonly removeStored: (name: string) => void
+  readonly countStoreCalls: () => number
   readonly setStoreReachable: (isReachable: boolean) => void
   /** Whether the store refuses removals, while everything else works. */
   readonly setRemovalsRefused: (areRefused: boolean) => void
@@ -38,7 +39,7 @@
 const ZONES = ['a', 'b', 'c']
 const STORE_DELAY_MS = 5
 
-type MemoryStore = { readonly store: QuarantineStore, readonly list: () => readonly StoredQuarantine[], readonly remove: (name: string) => void, readonly setReachable: (isReachable: boolean) => void, readonly setRemovalsRefused: (areRefused: boolean) => void }
+type MemoryStore = { readonly store: QuarantineStore, readonly list: () => readonly StoredQuarantine[], readonly remove: (name: string) => void, readonly countCalls: () => number, readonly setReachable: (isReachable: boolean) => void, readonly setRemovalsRefused: (areRefused: boolean) => void }
 
 const createMemoryStore = (clock: ManualClock): MemoryStore => {
   const objects = new Map<string, StoredQuarantine>()
@@ -47,6 +48,7 @@
   let revision = 0
   let isReachable = true
   let areRemovalsRefused = false
+  let calls = 0
 
   const pause = (ms: number): Promise<void> => new Promise((resolve) => { clock.setTimer(ms, resolve) })
 
@@ -56,6 +58,7 @@
   }
 
   const call = async <Value>(run: () => Value) => {
+    calls += 1
     await pause(STORE_DELAY_MS)
     return isReachable ? success(run()) : failure({ kind: 'unavailable', message: 'out of reach' } as const)
   }
@@ -106,6 +109,7 @@
     },
     list: () => [...objects.values()],
     remove,
+    countCalls: () => calls,
     setRemovalsRefused: (next) => { areRemovalsRefused = next },
     setReachable: (next) => {
       isReachable = next
@@ -159,6 +163,7 @@
     nodes,
     stored: memory.list,
     removeStored: memory.remove,
+    countStoreCalls: memory.countCalls,
     setStoreReachable: memory.setReachable,
     setRemovalsRefused: memory.setRemovalsRefused,
     restart: (index) => {
