--- a/test/platform/crashingPrompts.test.ts
+++ b/test/platform/crashingPrompts.test.ts
@@ -36,9 +36,13 @@
       fleet.endOldest()
     }
     await traffic
-    const after = computeServedShare(await callInTurn(fleet, { ...MIXED, durationMs: 2_000 }))
+    const answers = await callInTurn(fleet, { ...MIXED, durationMs: 2_000 })
+    const after = computeServedShare(answers)
+    const refused = answers.filter(({ body }) => body.includes('promptQuarantined'))
     expect(fleet.countHarmful()).toBeLessThanOrEqual(MAXIMUM_HARMFUL)
     expect(after).toBeGreaterThanOrEqual(MINIMUM_SHARE * before)
+    expect(refused.length).toBeGreaterThan(0)
+    expect(refused.every(({ status, headers, isHarmful }) => status === 503 && Number(headers['retry-after']) > 0 && isHarmful)).toBe(true)
   }, 60_000)
 
   // What a process knows is gone with it.
