--- a/src/services/promptQuarantine/index.ts
+++ b/src/services/promptQuarantine/index.ts
@@ -20,7 +20,7 @@
 import type { RunningService } from '../../kernel/index.js'
 import type { ServerEnd, ServerEnds } from '../serverEnds/index.js'
 import type {
-  Clock, Logger, Member, Membership, Metrics, PeerMessageOf, PeerTransport, PromptPartKey, QuarantineStore, RandomSource
+  Clock, Logger, Member, Membership, Metrics, PeerMessageOf, PeerReply, PeerTransport, PromptPartKey, QuarantineStore, RandomSource
 } from '../../types/index.js'
 
 /** What is known of the parts of one request. */
@@ -70,6 +70,7 @@
 const MINIMUM_TRIAL_WAIT_MS = 1_000
 
 const OPEN: QuarantineVerdict = { kind: 'open' }
+const NO_REPLY: PeerReply = { kind: 'none' }
 
 /**
  * Creates the service.
@@ -189,7 +190,7 @@
     }
   }
 
-  const handleNotices = ({ source, parts }: PeerMessageOf<'quarantinedParts'>): void => {
+  const handleNotices = ({ source, parts }: PeerMessageOf<'quarantinedParts'>): PeerReply => {
     for (const { lastEndAgeMs, ...part } of parts) {
       const lastEndAt = clock.now() - lastEndAgeMs
       const known = table.find(part)
@@ -198,14 +199,16 @@
       else table.adopt(part, { lastEndAt, source })
     }
     stored.update()
+    return NO_REPLY
   }
 
-  const handleReleases = (keys: readonly PromptPartKey[]): void => {
-    for (const key of keys) {
+  const handleReleases = ({ parts }: PeerMessageOf<'releasedParts'>): PeerReply => {
+    for (const key of parts) {
       sound.record(key, clock.now())
       const entry = table.find(key)
       if (entry !== undefined) table.release(entry, 'released by a peer')
     }
+    return NO_REPLY
   }
 
   /** Tells nodes that started, or are back, what is quarantined: the store may be out of reach for them. */
@@ -280,17 +283,11 @@
     start: () => {
       transport.handle('partEnds', ({ source, service, server, parts, ageMs }) => {
         acceptEnd(service, server, parts, clock.now() - ageMs, source)
-        return { kind: 'none' }
+        return NO_REPLY
       })
       transport.handle('soundPartsRequest', ({ service, parts }) => ({ kind: 'soundParts', soundAgesMs: parts.map((part) => clock.now() - sound.readAt({ service, part })), counts: sound.readCounts(service) }))
-      transport.handle('quarantinedParts', (message) => {
-        handleNotices(message)
-        return { kind: 'none' }
-      })
-      transport.handle('releasedParts', ({ parts }) => {
-        handleReleases(parts)
-        return { kind: 'none' }
-      })
+      transport.handle('quarantinedParts', handleNotices)
+      transport.handle('releasedParts', handleReleases)
       stored.start()
     },
     stop: () => {
--- a/src/services/promptQuarantine/test.ts
+++ b/src/services/promptQuarantine/test.ts
@@ -3,7 +3,7 @@
 
 const PART = 'bad'
 const NODES = 6
-/** Longer than the holders take to ask, and the others to hear of it. */
+/** Longer than the holders take to ask, and the others to be told. */
 const SETTLED_MS = 600
 /** Less than the first trial takes to be due. */
 const SHORT_MS = 300
