--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins that the scripts of this folder start, into target/review.
+set -eu
+cd "$(dirname "$0")/.."
+node review/lib/build.mjs
