Review, case 3: after a silent channel, a server that is gone gets orders for too long

Tried: the open channels of two gateways to the store go silent, 0.3 s later the store removes the entry of a server that did not report `draining`; the server serves on for 4 s (drain_ms is 2 s) and exits. Seen: gateways that are in touch again send it orders until it exits, 25 to 33 of them in a run, 0 to 3 of which it breaks off. The script failed in 5 of 5 runs and passed with TROUBLE=0.

--- a/review/lib/plainServer.mjs
+++ b/review/lib/plainServer.mjs
@@ -43,9 +43,11 @@
  */
 export const startPlainServer = async ({ id, workMs, runs, record, disturbance }) => {
   const sockets = new Set()
+  const timers = new Set()
   const waiting = []
   let running = 0
   let answered = 0
+  let isLeaving = false
 
   const readLoad = () => `${running},${waiting.length},${SLOTS}`
 
@@ -59,16 +61,19 @@
     const run = { requestId, server: id, tenant: request.headers.get('x-tenant'), at: performance.now(), answeredAt: undefined }
     runs.push(run)
     record.note(`server ${id} runs ${requestId}, tenant ${run.tenant}`)
-    setTimeout(() => {
+    const timer = setTimeout(() => {
+      timers.delete(timer)
       running -= 1
       answered += 1
       run.answeredAt = performance.now()
       const text = JSON.stringify({ done: requestId, by: id }).padEnd(800)
       record.note(`server ${id} has run ${requestId}${socket.writable ? '' : ', its channel is closed'}`)
-      write(socket, `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${requestId}\r\nX-Server-Stamp: stamp-${id}\r\nX-Server-Load: ${readLoad()}\r\nContent-Type: application/json\r\nContent-Length: ${text.length}\r\n\r\n${text}`)
+      write(socket, `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${requestId}\r\nX-Server-Stamp: stamp-${id}\r\nX-Server-Load: ${readLoad()}\r\n${isLeaving ? 'Connection: close\r\n' : ''}Content-Type: application/json\r\nContent-Length: ${text.length}\r\n\r\n${text}`)
+      if (isLeaving) socket.end()
       disturbance?.onAnswer(channel)
       beginNext()
     }, workMs())
+    timers.add(timer)
     beginNext()
   }
 
@@ -95,13 +100,19 @@
   })
   await new Promise((resolve) => { server.listen(0, '127.0.0.1', resolve) })
 
+  /** Ends it: what it is working on is broken off. */
+  const close = () => new Promise((resolve) => {
+    for (const timer of timers) clearTimeout(timer)
+    server.close(resolve)
+    for (const socket of sockets) socket.destroy()
+  })
+
   return {
     id,
     address: `127.0.0.1:${server.address().port}`,
     countAnswers: () => answered,
-    close: () => new Promise((resolve) => {
-      server.close(resolve)
-      for (const socket of sockets) socket.destroy()
-    })
+    /** From now on its answers say that their channel is closed, and it closes them. */
+    startLeaving: () => { isLeaving = true },
+    close
   }
 }
