--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -2,11 +2,11 @@
  * An entry of kind `servers` from another writer has an address that can't be read. Counts how
  * often gateways end by themselves, and which requests on kept channels they lose by that.
  */
-import { runClient } from '../lib/client.mjs'
-import { startGateways, waitUntilReady } from '../lib/gateways.mjs'
-import { KEY, SERVICE, startPlatform } from '../lib/platform.mjs'
-import { main } from '../lib/main.mjs'
-import { now, pause } from '../lib/record.mjs'
+import { runClient } from '../client.mjs'
+import { startGateways, waitUntilReady } from '../gateways.mjs'
+import { KEY, SERVICE, startPlatform } from '../platform.mjs'
+import { main } from '../main.mjs'
+import { now, pause } from '../record.mjs'
 
 const MACHINES = 2
 const CLIENTS_PER_MACHINE = 10
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -3,12 +3,12 @@
  * Counts the orders that reach it later than `drain_ms` after the store has removed its entry,
  * from gateways that are in touch again, and those that it breaks off when it exits.
  */
-import { runClient } from '../lib/client.mjs'
-import { startGateways, waitUntilReady } from '../lib/gateways.mjs'
-import { main } from '../lib/main.mjs'
-import { KEY, startPlatform } from '../lib/platform.mjs'
-import { startProxy } from '../lib/proxy.mjs'
-import { pause } from '../lib/record.mjs'
+import { runClient } from '../client.mjs'
+import { startGateways, waitUntilReady } from '../gateways.mjs'
+import { main } from '../main.mjs'
+import { KEY, startPlatform } from '../platform.mjs'
+import { startProxy } from '../proxy.mjs'
+import { pause } from '../record.mjs'
 
 const MACHINES = 2
 const CLIENTS_PER_MACHINE = 6
--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of this folder start, into target/review.
 set -eu
 cd "$(dirname "$0")/.."
-node review/lib/build.mjs
+node review/build.mjs
--- a/review/lib/platform.mjs
+++ b/review/platform.mjs
@@ -1,5 +1,5 @@
 /** The operator's side: the store, the desired state of a small installation, and its plain servers. */
-import { createStoreServer } from '../../target/review/createStoreServer.mjs'
+import { createStoreServer } from '../target/review/createStoreServer.mjs'
 import { startPlainServer } from './plainServer.mjs'
 
 export const KEY = 'n2ctnfzs989anu6wsjnb'
