Log which requests are open at a stopping node, and what a closed connection still brought

What callers saw: requests cut around planned stops. The record has no line that tells whether a server was silent, a connection was closed on them, or the process was gone.

The order of a shutdown has moved to a module of its own, unchanged.

No decision of a node changes with this.

--- a/src/adapters/boundedOutput/index.ts
+++ b/src/adapters/boundedOutput/index.ts
@@ -13,10 +13,11 @@
   /** Maximum number of bytes that are queued while a write is in progress. */
   readonly maximumBytes?: number
   /**
-   * Lines of this many milliseconds are written together; 0 by default, for those of one turn of the event loop.
-   * Each write costs about ten system calls of the event loop and a worker thread; a killed process loses queued lines.
+   * Returns for how many milliseconds lines are gathered and then written together; 0 by default, for those of one turn
+   * of the event loop. Each write costs about ten system calls of the event loop and a worker thread; a killed process
+   * loses queued lines.
    */
-  readonly gatherMs?: number
+  readonly readGatherMs?: () => number
   /** Called after a write with the number of lines dropped since the last call. */
   readonly onDropped?: (lines: number) => void
 }
@@ -37,7 +38,7 @@
  * createBoundedOutput().write('{"message":"started"}\n')
  */
 export const createBoundedOutput = (options: BoundedOutputOptions = {}): Writable => {
-  const { descriptor = STANDARD_OUTPUT, maximumBytes = DEFAULT_MAXIMUM_BYTES, gatherMs = 0, onDropped } = options
+  const { descriptor = STANDARD_OUTPUT, maximumBytes = DEFAULT_MAXIMUM_BYTES, readGatherMs = () => 0, onDropped } = options
   let waiting: Buffer[] = []
   let queuedBytes = 0
   let dropped = 0
@@ -81,7 +82,7 @@
       else {
         waiting.push(line)
         queuedBytes += line.length
-        if (!isWriting && waiting.length === 1) setTimeout(flush, gatherMs).unref()
+        if (!isWriting && waiting.length === 1) setTimeout(flush, readGatherMs()).unref()
       }
       callback()
     },
--- a/src/adapters/gatewayHttp/index.ts
+++ b/src/adapters/gatewayHttp/index.ts
@@ -15,7 +15,7 @@
 import { openHandoverListener } from '../handoverListener/index.js'
 import type { RelayHeaders } from '../relayHttp/index.js'
 import type { HandoverListener } from '../handoverListener/index.js'
-import type { CallerSink, Clock, Forwarding, GatewayDialect, GatewayLimits, GatewayRefusal, HeaderList, HeldBytes, HeldEntry, Logger, PeerAddress, StartTimeline } from '../../types/index.js'
+import type { CallerSink, Clock, Forwarding, GatewayDialect, GatewayLimits, GatewayRefusal, HeaderList, HeldBytes, HeldEntry, Logger, Metrics, PeerAddress, StartTimeline } from '../../types/index.js'
 
 export type GatewayHttpOptions = {
   readonly host: string
@@ -25,6 +25,7 @@
   readonly handoverListener?: HandoverListener | undefined
   readonly clock: Clock
   readonly logger: Logger
+  readonly metrics?: Pick<Metrics, 'count'>
   readonly dialect: Pick<GatewayDialect, 'decodeRequest'>
   readonly forwarding: Pick<Forwarding, 'begin'>
   readonly timeline?: StartTimeline | undefined
@@ -81,6 +82,9 @@
    * smuggled in its body, so it is ignored; the connection is read only until the refusal is sent.
    */
   const untrusted = new WeakSet<Socket>()
+  /** Connections that this side closed while no request was open on them, and whether any had been before. */
+  const closedConnections = new WeakMap<Socket, { readonly at: number, readonly wasUsed: boolean }>()
+  const usedConnections = new WeakSet<Socket>()
   const pauseDetector = createPauseDetector(clock)
   let isClosing = false
   let lastUsedAt = clock.now()
@@ -93,12 +97,25 @@
     else openRequests.set(socket, open)
   }
 
+  const recordUnanswered = (message: IncomingMessage, receivedAt: number): void => {
+    const decoded = dialect.decodeRequest({ method: message.method ?? '', target: message.url ?? '', headers: listHeaders(message.rawHeaders), receivedAt })
+    const closed = closedConnections.get(message.socket)
+    options.metrics?.count('gateway_requests_unanswered')
+    logger.warn('request at a closed connection', {
+      requestId: decoded.ok ? decoded.value.requestId : undefined,
+      closedMs: closed === undefined ? undefined : Math.round(receivedAt - closed.at),
+      wasUsed: closed?.wasUsed
+    })
+  }
+
   const handle = (message: IncomingMessage, response: ServerResponse): void => {
     const receivedAt = clock.now()
     const { socket } = message
+    if (untrusted.has(socket)) return
     // This side closed the connection while the request was in transit. It can't be answered any more, so it must not run.
-    if (!socket.writable || untrusted.has(socket)) return
+    if (!socket.writable) return recordUnanswered(message, receivedAt)
     lastUsedAt = receivedAt
+    usedConnections.add(socket)
     adjustOpenRequests(socket, 1)
     options.timeline?.mark('firstRequest')
     response.on('close', () => {
@@ -171,6 +188,11 @@
     socket.end(`HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`)
   })
 
+  const closeConnection = (socket: Socket): void => {
+    if (!closedConnections.has(socket)) closedConnections.set(socket, { at: clock.now(), wasUsed: usedConnections.has(socket) })
+    socket.end()
+  }
+
   const applyLimits = (): void => {
     const { headerTimeoutMs, idleTimeoutMs } = limits()
     server.headersTimeout = headerTimeoutMs
@@ -187,7 +209,7 @@
       return address
     },
     beginClosing: () => { isClosing = true },
-    closeIdle: () => { for (const socket of sockets) if (!openRequests.has(socket)) socket.end() },
+    closeIdle: () => { for (const socket of sockets) if (!openRequests.has(socket)) closeConnection(socket) },
     openConnections: () => sockets.size,
     lastUsedAt: () => lastUsedAt,
     close: () => {
--- /dev/null
+++ b/src/daemon/startGateway/_lib/shutDownGateway.ts
@@ -0,0 +1,73 @@
+/**
+ * The shutdown of a gateway before its process exits: readiness fails at once, and requests
+ * are served until none is open and no more are expected, or the grace period is nearly over.
+ */
+import { describeOpenRequests } from './describeOpenRequests.js'
+import type { GatewayHttp } from '../../../adapters/gatewayHttp/index.js'
+import type { Clock, Forwarding, Logger } from '../../../types/index.js'
+
+export type ShutdownDependencies = {
+  readonly clock: Clock
+  readonly logger: Pick<Logger, 'info'>
+  readonly forwarding: Pick<Forwarding, 'openRequests' | 'listOpen' | 'beginShutdown'>
+  readonly announceLeaving: () => void
+  /** Listeners for callers and peers. */
+  readonly listeners: readonly GatewayHttp[]
+  /** Time in milliseconds after which the platform kills the process. */
+  readonly graceMs: number
+}
+
+/** The load balancer checks readiness once a second and stops sending after two failed checks; connections already under way still arrive. */
+const BALANCER_REMOVAL_MS = 3_200
+/** After this time without a new connection or request, no more are expected. */
+const IDLE_PERIOD_MS = 200
+/** Part of the grace period that is reserved for closing. */
+const GRACE_MARGIN_MS = 500
+const POLL_INTERVAL_MS = 50
+/** Interval at which the open requests are logged. The last of these lines tells what a process that is killed has cut. */
+const REPORT_INTERVAL_MS = 1_000
+
+/** Serves until the gateway may exit; `end` is the caller's part. */
+export const shutDownGateway = async ({ clock, logger, forwarding, announceLeaving, listeners, graceMs }: ShutdownDependencies): Promise<void> => {
+  const startedAt = clock.now()
+  // In a zone with few nodes in rotation, all of them receive new connections, including nodes that are shutting down.
+  const endsAt = startedAt + graceMs - GRACE_MARGIN_MS
+  let reportedAt = startedAt
+
+  const wait = (milliseconds: number): Promise<void> => new Promise((resolve) => { clock.setTimer(milliseconds, resolve) })
+
+  const countConnections = (): number => listeners.reduce((sum, { openConnections }) => sum + openConnections(), 0)
+
+  const reportOpen = (): void => {
+    const now = clock.now()
+    reportedAt = now
+    logger.info('requests open at shutdown', { ...describeOpenRequests(forwarding.listOpen(), now), connections: countConnections(), shutdownMs: Math.round(now - startedAt), untilExitMs: Math.round(endsAt - now) })
+  }
+
+  const waitUntil = async (isOver: () => boolean): Promise<void> => {
+    while (!isOver()) {
+      await wait(POLL_INTERVAL_MS)
+      if (clock.now() - reportedAt >= REPORT_INTERVAL_MS) reportOpen()
+    }
+  }
+
+  const closeIdle = (): void => { for (const listener of listeners) listener.closeIdle() }
+
+  const isIdle = (): boolean => forwarding.openRequests() === 0 && listeners.every((listener) => clock.now() - listener.lastUsedAt() > IDLE_PERIOD_MS)
+
+  logger.info('gateway stopping', { open: forwarding.openRequests(), connections: countConnections(), graceMs })
+  announceLeaving()
+  for (const listener of listeners) listener.beginClosing()
+  forwarding.beginShutdown(endsAt)
+  reportOpen()
+  const removedAt = startedAt + Math.min(BALANCER_REMOVAL_MS, graceMs / 2)
+  await waitUntil(() => clock.now() >= removedAt)
+  closeIdle()
+  await waitUntil(() => {
+    const isOver = clock.now() >= endsAt || isIdle()
+    if (!isOver) closeIdle()
+    return isOver
+  })
+  if (forwarding.openRequests() > 0) reportOpen()
+  logger.info('gateway stopped', { open: forwarding.openRequests(), ms: Math.round(clock.now() - startedAt) })
+}
--- a/src/daemon/startGateway/index.ts
+++ b/src/daemon/startGateway/index.ts
@@ -16,6 +16,7 @@
 import { createSystemClock } from '../../adapters/systemClock/index.js'
 import { createSystemClocks } from '../../adapters/systemClocks/index.js'
 import { createSystemRandom } from '../../adapters/systemRandom/index.js'
+import { shutDownGateway } from './_lib/shutDownGateway.js'
 import { createGatewayNode } from '../../node/createGatewayNode/index.js'
 import type { Clock, ConfigurationSource, PromptCacheSource, GatewayDialect, GatewayLimits, GatewaySettings, InstanceSource, Logger, PeerAddress, QuarantineStore, StartTimeline, ZoneDrainSource } from '../../types/index.js'
 
@@ -60,12 +61,6 @@
 const MAXIMUM_FRAME_BYTES = 8 * 1024 * 1024
 /** Delay of acknowledgements between nodes, well below the three seconds after which a connection counts as stalled. */
 const ACKNOWLEDGE_DELAY_MS = 1_200
-/** The load balancer checks readiness once a second and stops sending after two failed checks; connections already under way still arrive. */
-const BALANCER_REMOVAL_MS = 3_200
-/** After this time without a new connection or request, no more are expected. */
-const IDLE_PERIOD_MS = 200
-/** Part of the grace period that is reserved for closing. */
-const GRACE_MARGIN_MS = 500
 const POLL_INTERVAL_MS = 50
 const MILLISECONDS_PER_SECOND = 1_000
 /** The timeline of a start is logged this long after the listeners are open; by then a first request has usually been served. */
@@ -145,6 +140,7 @@
     handoverListener: options.handoverListener,
     clock,
     logger,
+    metrics,
     dialect,
     forwarding: node.resolve('forwarding'),
     heldBytes: node.resolve('heldBytes'),
@@ -159,6 +155,7 @@
       handoverListener: relayListener,
       clock,
       logger,
+      metrics,
       dialect: createRelayDialect(dialect, settings.fleetKey),
       forwarding: node.resolve('forwarding'),
       heldBytes: node.resolve('heldBytes'),
@@ -200,25 +197,16 @@
     while (!node.canServe()) await wait(clock, POLL_INTERVAL_MS)
   }
 
-  const closeIdle = (): void => { for (const listener of listeners) listener.closeIdle() }
-
   const shutDown = async (): Promise<void> => {
-    const shutdownStartedAt = clock.now()
     isShuttingDown = true
-    logger.info('gateway stopping', { open: node.resolve('forwarding').openRequests(), connections: gatewayHttp.openConnections() })
-    node.resolve('membership').announceLeaving()
-    for (const listener of listeners) listener.beginClosing()
-    // In a zone with few nodes in rotation, all of them receive new connections, including nodes that are shutting down.
-    const endsAt = shutdownStartedAt + currentSettings.graceMs - GRACE_MARGIN_MS
-    node.resolve('forwarding').beginShutdown(endsAt)
-    await wait(clock, Math.min(BALANCER_REMOVAL_MS, currentSettings.graceMs / 2))
-    closeIdle()
-    const isIdle = (): boolean => node.resolve('forwarding').openRequests() === 0 && listeners.every((listener) => clock.now() - listener.lastUsedAt() > IDLE_PERIOD_MS)
-    while (clock.now() < endsAt && !isIdle()) {
-      await wait(clock, POLL_INTERVAL_MS)
-      closeIdle()
-    }
-    logger.info('gateway stopped', { open: node.resolve('forwarding').openRequests(), ms: Math.round(clock.now() - shutdownStartedAt) })
+    await shutDownGateway({
+      clock,
+      logger,
+      forwarding: node.resolve('forwarding'),
+      announceLeaving: node.resolve('membership').announceLeaving,
+      listeners,
+      graceMs: currentSettings.graceMs
+    })
     await end()
   }
 
--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -295,6 +295,7 @@
       abortAttempt()
       finish('callerLeft')
     },
-    check
+    check,
+    describe: () => ({ requestId: request.requestId, route: route?.name, receivedAt: request.receivedAt, target: activeAttempt?.target.id, lastBytesAt: activeAttempt?.lastBytesAt })
   }
 }
--- a/src/services/forwarding/_lib/createRequestRecord.ts
+++ b/src/services/forwarding/_lib/createRequestRecord.ts
@@ -1,5 +1,5 @@
 /** Writes the log lines and metrics of one request: attempts, outcome and durations. */
-import type { ForwardingDependencies } from '../index.js'
+import type { RequestHandlerContext } from './requestHandler.js'
 import type { GatewayRequest, GatewayRoute, LogFields } from '../../../types/index.js'
 import type { GatewayEvent } from '../../../types/gatewayEvents.js'
 
@@ -25,7 +25,7 @@
 
 /** Creates the record of one request; `readRoute` returns its route once that is selected. */
 export const createRequestRecord = (
-  { clock, logger, metrics }: Pick<ForwardingDependencies, 'clock' | 'logger' | 'metrics'>,
+  { clock, logger, metrics, shutdownGate }: Pick<RequestHandlerContext, 'clock' | 'logger' | 'metrics' | 'shutdownGate'>,
   request: Pick<GatewayRequest, 'requestId' | 'receivedAt'>,
   readRoute: () => GatewayRoute | undefined
 ): RequestRecord => {
@@ -49,7 +49,7 @@
       const ms = clock.now() - request.receivedAt
       metrics.count('gateway_requests', { policy: policy(), outcome, reason: String(fields.reason ?? '') })
       metrics.observe('gateway_duration_seconds', ms / MILLISECONDS_PER_SECOND, { policy: policy(), outcome })
-      log(outcome === 'complete' ? 'request complete' : 'request ended', { outcome, ms: Math.round(ms), ...listSteps(), ...fields })
+      log(outcome === 'complete' ? 'request complete' : 'request ended', { outcome, ms: Math.round(ms), ...listSteps(), ...shutdownGate.describe(), ...fields })
     }
   }
 }
--- a/src/services/forwarding/_lib/createShutdownGate.ts
+++ b/src/services/forwarding/_lib/createShutdownGate.ts
@@ -3,7 +3,7 @@
 import type { TokenPace } from './createTokenPace.js'
 import { estimateDuration, DEFAULT_TOKEN_INTERVAL_MS } from '../../../decisions/estimateDuration/index.js'
 import { admitDuringShutdown } from '../../../decisions/admitDuringShutdown/index.js'
-import type { Clock, GatewayRequest, GatewayRoute } from '../../../types/index.js'
+import type { Clock, GatewayRequest, GatewayRoute, LogFields } from '../../../types/index.js'
 
 export type ShutdownGateDependencies = {
   readonly clock: Pick<Clock, 'now'>
@@ -16,6 +16,8 @@
   readonly begin: (endsAt: number) => void
   /** Whether a request may be sent that takes at most `maximumMs` milliseconds; always true before the shutdown begins. */
   readonly passes: (route: GatewayRoute, request: GatewayRequest, maximumMs: number) => boolean
+  /** Milliseconds since the shutdown began and until the node exits, for log lines; empty before. */
+  readonly describe: () => LogFields
 }
 
 /** Creates the gate; it passes everything until `begin`. */
@@ -39,6 +41,11 @@
         lateShare: route.retryPolicy === 'stream' ? streamDurations.shareOver(route.name, remainingMs, now) : undefined,
         estimatedDurationMs: estimateDuration({ route, outputTokens: request.tokens.output, tokenIntervalMs: readTokenIntervalMs(route) })
       })
+    },
+    describe: () => {
+      if (shutdown === undefined) return {}
+      const now = clock.now()
+      return { shutdownMs: Math.round(now - shutdown.beganAt), untilExitMs: Math.round(shutdown.endsAt - now) }
     }
   }
 }
--- a/src/services/forwarding/_lib/requestHandler.ts
+++ b/src/services/forwarding/_lib/requestHandler.ts
@@ -5,7 +5,7 @@
 import type { StreamDurations } from './createStreamDurations.js'
 import type { FirstByteTimes } from './createFirstByteTimes.js'
 import type { TokenPace } from './createTokenPace.js'
-import type { ForwardedRequest, GatewayAccount, GatewayRoute } from '../../../types/index.js'
+import type { ForwardedRequest, GatewayAccount, GatewayRoute, OpenRequest } from '../../../types/index.js'
 import type { ForwardingDependencies } from '../index.js'
 
 export type RequestHandlerContext = ForwardingDependencies & {
@@ -21,7 +21,7 @@
   readonly refusedCallers: RefusedCallers
   /** Whether requests wait in this node while no backend server has room. */
   readonly readControlsAdmission: () => boolean
-  readonly shutdownGate: Pick<ShutdownGate, 'passes'>
+  readonly shutdownGate: Pick<ShutdownGate, 'passes' | 'describe'>
   readonly onDone: () => void
 }
 
@@ -29,4 +29,5 @@
   readonly assign: (route: GatewayRoute, account: GatewayAccount | undefined) => void
   /** Checks the deadline and the time without bytes; called periodically, `now` in monotonic milliseconds. */
   readonly check: (now: number) => void
+  readonly describe: () => OpenRequest
 }
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -253,6 +253,7 @@
         return handler
       },
       openRequests: () => handlers.size,
+      listOpen: () => [...handlers].map((handler) => handler.describe()),
       retryUsage: retryWindows.list,
       beginShutdown: shutdownGate.begin
     },
--- a/src/types/forwarding.ts
+++ b/src/types/forwarding.ts
@@ -24,10 +24,24 @@
   readonly sinceMs: number
 }
 
+/** A request without a final answer, for the log of a node that is shutting down. */
+export type OpenRequest = {
+  readonly requestId: string
+  readonly route: string | undefined
+  /** Monotonic milliseconds at which its first byte arrived. */
+  readonly receivedAt: number
+  /** Backend server or peer at which it runs; `undefined` while none has it. */
+  readonly target: string | undefined
+  /** Monotonic milliseconds at which bytes last arrived from the target. */
+  readonly lastBytesAt: number | undefined
+}
+
 export type Forwarding = {
   /** Accepts a request once its headers have been read; refuses it at once if it cannot be served. */
   readonly begin: (request: GatewayRequest, sink: CallerSink) => ForwardedRequest
   readonly openRequests: () => number
+  /** The open requests, oldest first. */
+  readonly listOpen: () => readonly OpenRequest[]
   /** This node's view of the retry budget, by service. */
   readonly retryUsage: () => readonly RetryUsage[]
   /** Starts the shutdown: requests that would not finish before `endsAt` (monotonic milliseconds) are refused as not run. */
--- a/test/platform/stop.test.ts
+++ b/test/platform/stop.test.ts
@@ -40,6 +40,17 @@
     expect(result).toMatchObject({ status: 200, isComplete: true })
   })
 
+  // Without these lines the logs of a killed process don't tell which of its requests it cut.
+  test('names the requests that are open while it stops', async () => {
+    const fleet = await start({ engines: [{ id: 'engine-1', workMs: 100, events: 25 }], settings: { graceMs: 1_500 } })
+    const call = callGateway(fleet.callerAddress(), { path: '/chat/1', requestId: 'open', body: 'x', headers: promptHeaders() })
+    await pause(150)
+    await Promise.all([call, fleet.gateways[0]!.stop()])
+    const reports = fleet.logs.filter(({ message }) => message === 'requests open at shutdown')
+    expect(reports.length).toBeGreaterThanOrEqual(2)
+    for (const { open, requests } of reports) expect([open, requests]).toEqual([1, expect.stringMatching(/^open age=\d+ at=engine-1 silent=\d+$/)])
+  })
+
   // A long stream accepted late in the grace period would be cut when the process exits.
   test('refuses requests that would outlast the grace period, as not run', async () => {
     const fleet = await start({ settings: { graceMs: 2_500 } })
@@ -49,6 +60,7 @@
     expect(result.status).toBe(503)
     expect(Number(result.headers['retry-after'])).toBeLessThan(1)
     expect([...fleet.backends.values()].flatMap((backend) => backend.records())).toHaveLength(0)
+    expect(fleet.logs.find(({ requestId }) => requestId === 'long')).toMatchObject({ reason: 'shuttingDown', shutdownMs: expect.any(Number), untilExitMs: expect.any(Number) })
     await stopped
   })
 })
