Give a running exchange up only when another one surely takes its place

What callers saw: streams closed midway around a planned stop (LOST), at backend servers that had sent nothing for a while.

Cause: moveToOtherTarget aborted the exchange to a silent server, and only then the send asked the shutdown, the key's proof, the quarantine, the path and the budget. Where one of them refused, the answer was broken off although its server would have gone on. The class: a resource in use is released before its replacement is certain.

Change: createRetryRules.decideMove asks each gate of a send without changing anything and returns the path; only then createSilenceWatch has the exchange given up, and the request is sent on that path. Otherwise the answer is waited for ('exchange kept' with the reason), and asked again at the next check. A silent server is reported to the node's health before the path is selected, as it was before the send.

--- a/src/services/forwarding/_lib/createAttemptReporter.ts
+++ b/src/services/forwarding/_lib/createAttemptReporter.ts
@@ -13,7 +13,10 @@
   readonly reportSuccess: (current: SendAttempt, answer: InstanceAnswer) => void
   /** A stream from a single backend server has ended. */
   readonly reportCompleteStream: (current: SendAttempt) => void
+  /** The target sends nothing for this request; recorded once, and only if it sends nothing on any exchange of this node. */
   readonly reportUnresponsive: (current: SendAttempt) => void
+  /** The request leaves a target that sends nothing. */
+  readonly reportLeft: (current: SendAttempt) => void
   /** The caller has the complete answer. */
   readonly reportComplete: () => void
   /** The request has its final answer, successful or not. */
@@ -37,6 +40,12 @@
     current.target.recordBytes()
   }
 
+  const recordSilence = (current: SendAttempt): void => {
+    if (current.isUnresponsiveReported) return
+    current.isUnresponsiveReported = true
+    current.target.recordFailure('silent')
+  }
+
   return {
     reportStart: () => {
       const route = readRoute()
@@ -58,12 +67,10 @@
       if (readRoute()?.retryPolicy !== 'stream' || current.firstBytesAt === undefined) return
       tokenPace.record(readService(), request.tokens.output, clock.now() - current.firstBytesAt)
     },
-    /** A request that can't be moved still reports a target that sends nothing on any exchange of this node. */
     reportUnresponsive: (current) => {
-      if (current.isUnresponsiveReported || current.target.readIdleMs() < clock.now() - current.lastBytesAt) return
-      current.isUnresponsiveReported = true
-      current.target.recordFailure('silent')
+      if (current.target.readIdleMs() >= clock.now() - current.lastBytesAt) recordSilence(current)
     },
+    reportLeft: recordSilence,
     reportComplete: () => {
       duration?.end(clock.now())
       duration = undefined
--- a/src/services/forwarding/_lib/createPathSelector.ts
+++ b/src/services/forwarding/_lib/createPathSelector.ts
@@ -18,13 +18,15 @@
   readonly bodyBytes: number
 }
 
-export type SelectedPath =
+export type OpenPath =
   | { readonly kind: 'direct', readonly chosen: SelectedInstance }
   | { readonly kind: 'peer', readonly peer: RelayPeer }
-  | { readonly kind: 'none' }
+
+export type SelectedPath = OpenPath | { readonly kind: 'none' }
 
 export type PathSelector = {
-  readonly select: (routed: RoutedRequest) => SelectedPath
+  /** Selects a path; `from` is a target that sends nothing, which the request would leave for it. */
+  readonly select: (routed: RoutedRequest, from?: AttemptTarget) => SelectedPath
   /** Why no backend server may get the request; `undefined` when all that may were tried. */
   readonly findIneligibility: (routed: RoutedRequest) => InstanceEligibility | 'versionGone' | undefined
   /** The software version at which the stream must go on; `undefined` while it may begin anywhere. */
@@ -62,19 +64,20 @@
   const createInput = ({ route, account, service, bodyBytes }: RoutedRequest): SelectionInput =>
     ({ request, service, bodyBytes, tried, allowedRegions: [route.allowedRegions ?? [], account?.allowedRegions ?? []], softwareVersion: streamVersion.required() })
 
-  const classifyDirect = (input: SelectionInput, chosen: SelectedInstance | undefined): DirectPath => {
+  const classifyDirect = (input: SelectionInput, chosen: SelectedInstance | undefined, unreached: number): DirectPath => {
     if (chosen !== undefined) return chosen.isLastResort ? 'suspended' : 'usable'
-    return failedConnects > 0 && findIneligibility(context, input) === undefined ? 'unreached' : 'none'
+    return unreached > 0 && findIneligibility(context, input) === undefined ? 'unreached' : 'none'
   }
 
-  const selectPeer = (service: string): RelayPeer | undefined =>
-    isRelayed || excludedPeers.size >= MAXIMUM_EXCLUDED_PEERS ? undefined : relays.select(service, excludedPeers)
+  const selectPeer = (service: string, excluded: ReadonlySet<string>): RelayPeer | undefined =>
+    isRelayed || excluded.size >= MAXIMUM_EXCLUDED_PEERS ? undefined : relays.select(service, excluded)
 
-  const select: PathSelector['select'] = (routed) => {
+  const select: PathSelector['select'] = (routed, from) => {
     const input = createInput(routed)
+    const unreached = failedConnects + (from === undefined ? 0 : 1)
     const chosen = selectInstance(context, input)
-    const peer = selectPeer(routed.service)
-    const path = selectSendPath({ direct: classifyDirect(input, chosen), hasPeer: peer !== undefined, isRelayed, failedConnects, unheardMs: health.readUnheardMs() })
+    const peer = selectPeer(routed.service, from?.kind === 'peer' ? new Set([...excludedPeers, from.id]) : excludedPeers)
+    const path = selectSendPath({ direct: classifyDirect(input, chosen, unreached), hasPeer: peer !== undefined, isRelayed, failedConnects: unreached, unheardMs: health.readUnheardMs() })
     if (path === 'peer' && peer !== undefined) return { kind: 'peer', peer }
     return path === 'direct' && chosen !== undefined ? { kind: 'direct', chosen } : { kind: 'none' }
   }
--- a/src/services/forwarding/_lib/createQuarantineGate.ts
+++ b/src/services/forwarding/_lib/createQuarantineGate.ts
@@ -13,6 +13,8 @@
 export type QuarantineGate = {
   /** Whether the request may be sent now; otherwise its trial is being claimed, or it was refused. */
   readonly passes: (service: string) => boolean
+  /** Whether a part of the prompt is quarantined, whether or not a trial is due; changes nothing. */
+  readonly isQuarantined: (service: string) => boolean
 }
 
 export type QuarantineGateOptions = {
@@ -57,6 +59,7 @@
       if (verdict.kind === 'trialDue' && trial === 'none' && request.relay === undefined) claim(service, verdict.part)
       else refuseRequest(verdict)
       return false
-    }
+    },
+    isQuarantined: (service) => parts.length > 0 && quarantine.inspect(service, parts).kind !== 'open'
   }
 }
--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -10,14 +10,15 @@
 import { createAnswerIntake, type AnswerIntake, type AnswerListener } from './createAnswerIntake.js'
 import { createCallerAnswer } from './createCallerAnswer.js'
 import { createFinalAnswer } from './createFinalAnswer.js'
-import { createPathSelector, type RoutedRequest } from './createPathSelector.js'
+import { createPathSelector, type OpenPath, type RoutedRequest } from './createPathSelector.js'
 import { createRequestDeadline } from './createRequestDeadline.js'
 import { createRequestRecord } from './createRequestRecord.js'
+import { createRetryRules } from './createRetryRules.js'
 import { createSendGate } from './createSendGate.js'
 import { createSendAttempt, type SendAttempt } from './createSendAttempt.js'
+import { createSilenceWatch } from './createSilenceWatch.js'
 import { createAttemptReporter } from './createAttemptReporter.js'
 import { describeReach } from './describeReach.js'
-import { isTargetSilent } from './isTargetSilent.js'
 import { prepareSend } from './prepareSend.js'
 import type {
   CallerSink, ExchangeFailure, GatewayAccount, GatewayRequest, GatewayRoute, InstanceAnswer, LogFields
@@ -27,8 +28,6 @@
 
 /** How long a request with a key waits for the configuration to be confirmed, in milliseconds. */
 const KEY_CONFIRM_WAIT_MS = 400
-/** Refusals by backend servers after which the request itself is refused, whatever the retry budget: the service is full. */
-const MAXIMUM_REFUSALS = 3
 
 /** Creates the handler of one request; it sends nothing before `assign` and `submit`. */
 export const createRequestHandler = (context: RequestHandlerContext, request: GatewayRequest, sink: CallerSink): RequestHandler => {
@@ -85,18 +84,9 @@
 
   const gate = createSendGate(context, { request, record, paths, send: () => send(), passesShutdown, refuse, giveUp })
 
-  const isRetryable = (): boolean => route !== undefined && (route.retryPolicy === 'safe' || (route.retryPolicy === 'stream' && route.isResumable))
-
   const toRouted = (to: GatewayRoute): RoutedRequest => ({ route: to, account, service, bodyBytes: body?.length ?? 0 })
 
-  /** Only the node of the caller retries what a backend server may have received, so that its limits hold across the hop. */
-  const mayRetry = (): boolean => !paths.hasArrived() || (request.relay === undefined && context.retryWindows.canRetry(service))
-
-  const canRetry = (): boolean => {
-    if (route === undefined || deadline.remainingMs() <= 0) return false
-    if (mayHaveRun && (!isRetryable() || sends >= route.maximumAttempts)) return false
-    return refusals < MAXIMUM_REFUSALS && mayRetry() && paths.select(toRouted(route)).kind !== 'none'
-  }
+  const rules = createRetryRules(context, { request, paths, gate, deadline, passesShutdown, readProgress: () => ({ mayHaveRun, sends, refusals }) })
 
   /** No backend server is eligible: waiting would not help, and the reason sets the Retry-After. */
   const giveUpWithoutInstance = (to: GatewayRoute): void => {
@@ -106,7 +96,7 @@
   }
 
   const retryOr = (otherwise: () => void): void => {
-    if (!canRetry()) return otherwise()
+    if (route === undefined || !rules.canRetry(toRouted(route))) return otherwise()
     send()
   }
 
@@ -129,16 +119,19 @@
     }
     if (keyStatus === 'revoked') return mayHaveRun ? giveUp('unknownKey', 502) : refuse({ status: 401, reason: 'unknownKey' })
     if (!passesShutdown(route)) return mayHaveRun ? giveUp('shuttingDown', 502) : refuse(SHUTTING_DOWN)
-    const remainingMs = deadline.remainingMs()
-    if (remainingMs <= 1) return giveUp('deadlineBeforeSend', 504)
+    if (deadline.remainingMs() <= 1) return giveUp('deadlineBeforeSend', 504)
     if (!gate.passesQuarantine(service)) return
     if (attemptsStarted === 0 && !gate.passes(toRouted(route), deadline.at())) return
     const path = paths.select(toRouted(route))
     if (path.kind === 'none') return giveUpWithoutInstance(route)
     if (attemptsStarted === 0) recordStart()
     else if (paths.hasArrived() && !takeRetry()) return giveUp('instancesRefused', 502)
+    sendOn(route, path, body)
+  }
+
+  const sendOn = (to: GatewayRoute, path: OpenPath, content: Uint8Array): void => {
     const { target, event, fields } = prepareSend(context, path, {
-      request, route, account, service, body, remainingMs, resumeAfter: caller.relay.lastEventId(), arrived: paths.listArrived(), softwareVersion: paths.requiredVersion(), isFirst: attemptsStarted === 0, isRetry: attemptsStarted > 0 && paths.hasArrived()
+      request, route: to, account, service, body: content, remainingMs: deadline.remainingMs(), resumeAfter: caller.relay.lastEventId(), arrived: paths.listArrived(), softwareVersion: paths.requiredVersion(), isFirst: attemptsStarted === 0, isRetry: attemptsStarted > 0 && paths.hasArrived()
     })
     record.log(event, fields)
     startAttempt(target)
@@ -151,7 +144,7 @@
   }
 
   const takeRetry = (): boolean => {
-    const isGranted = mayRetry() && context.retryWindows.takeRetry(service)
+    const isGranted = request.relay === undefined && context.retryWindows.takeRetry(service)
     record.countRetry(isGranted)
     return isGranted
   }
@@ -252,15 +245,18 @@
     retryOr(() => giveUp(reason, 502, describeReach(context)))
   }
 
-  const moveToOtherTarget = (current: SendAttempt, now: number): void => {
-    record.log('backend server silent', { ...current.target.logFields, silentMs: Math.round(now - current.lastBytesAt), lastEventId: caller.relay.lastEventId() })
+  /** The retry is taken first: without it the exchange goes on. */
+  const moveTo = (current: SendAttempt, { route: to }: RoutedRequest, path: OpenPath, fields: LogFields): void => {
+    if (body === undefined || !takeRetry()) return
+    record.log('backend server silent', fields)
     abortAttempt()
     paths.recordUnreached(current.target)
     record.countSend('silent')
-    current.target.recordFailure('silent')
-    send()
+    sendOn(to, path, body)
   }
 
+  const silence = createSilenceWatch(context, { caller, record, reporter, rules, move: moveTo })
+
   const check = (now: number): void => {
     if (isDone) return
     if (now >= deadline.at()) return giveUp(mayHaveRun ? 'deadline' : 'deadlineBeforeSend', 504)
@@ -268,9 +264,7 @@
     const current = activeAttempt
     if (current === undefined || route === undefined || !current.isSent) return
     if (caller.isPaused()) current.lastBytesAt = now
-    if (!isTargetSilent(context, route, current, caller.hasBegun(), now)) return
-    if (isRetryable() && canRetry()) return moveToOtherTarget(current, now)
-    reporter.reportUnresponsive(current)
+    silence.check(current, toRouted(route), now)
   }
 
   return {
--- a/src/services/forwarding/_lib/createSendAttempt.ts
+++ b/src/services/forwarding/_lib/createSendAttempt.ts
@@ -14,8 +14,10 @@
   lastBytesAt: number
   isFinished: boolean
   isUnresponsiveReported: boolean
+  /** Whether it was logged that the request stays although the target sends nothing. */
+  isStayLogged: boolean
 }
 
 /** Creates the state of an attempt that starts now; `now` in monotonic milliseconds. */
 export const createSendAttempt = (target: AttemptTarget, now: number): SendAttempt =>
-  ({ target, startedAt: now, exchange: undefined, isSent: false, firstBytesAt: undefined, lastBytesAt: now, isFinished: false, isUnresponsiveReported: false })
+  ({ target, startedAt: now, exchange: undefined, isSent: false, firstBytesAt: undefined, lastBytesAt: now, isFinished: false, isUnresponsiveReported: false, isStayLogged: false })
--- a/src/services/forwarding/_lib/createSendGate.ts
+++ b/src/services/forwarding/_lib/createSendGate.ts
@@ -10,6 +10,8 @@
 export type SendGate = AdmissionGate & {
   /** Whether the parts of the prompt allow a send now; asked before every send. */
   readonly passesQuarantine: (service: string) => boolean
+  /** Whether a quarantined part keeps the request from a send now; nothing is refused or claimed. */
+  readonly isQuarantined: (service: string) => boolean
 }
 
 /** Creates the gate of one request. */
@@ -20,6 +22,7 @@
   return {
     ...admissionGate,
     passes: (routed, deadlineAt) => versionGate.passes(routed) && admissionGate.passes(routed, deadlineAt),
-    passesQuarantine: quarantineGate.passes
+    passesQuarantine: quarantineGate.passes,
+    isQuarantined: quarantineGate.isQuarantined
   }
 }
--- a/src/services/forwarding/_lib/prepareSend.ts
+++ b/src/services/forwarding/_lib/prepareSend.ts
@@ -1,7 +1,7 @@
 /** Prepares the next send of a request on a selected path: its target, and what the log tells about it. */
 import type { AttemptTarget } from './attemptTarget.js'
 import { createInstanceTarget } from './createInstanceTarget.js'
-import type { SelectedPath } from './createPathSelector.js'
+import type { OpenPath } from './createPathSelector.js'
 import { createPeerTarget } from './createPeerTarget.js'
 import { describeReach } from './describeReach.js'
 import { describeSend } from './describeSend.js'
@@ -30,8 +30,6 @@
 
 export type PreparedSend = { readonly target: AttemptTarget, readonly event: GatewayEvent, readonly fields: LogFields }
 
-type OpenPath = Exclude<SelectedPath, { readonly kind: 'none' }>
-
 const preparations: { readonly [Kind in OpenPath['kind']]: (context: RequestHandlerContext, path: Extract<OpenPath, { kind: Kind }>, input: SendInput) => PreparedSend } = {
   direct: (context, { chosen }, { request, route, account, body, remainingMs, resumeAfter, isFirst }) => {
     const { instance, copyPromptFrom } = chosen
--- a/src/services/forwarding/test.ts
+++ b/src/services/forwarding/test.ts
@@ -4,7 +4,8 @@
 import type { ForwardingDependencies } from './index.js'
 import { createServerWork } from '../serverWork/index.js'
 import { createManualClock } from '../../emulator/createManualClock/index.js'
-import type { BackendInstance, CallerSink, ExchangeListener, GatewayConfiguration, GatewayRequest, GatewayRoute, InstanceAnswer, Member } from '../../types/index.js'
+import type { QuarantineVerdict } from '../promptQuarantine/index.js'
+import type { BackendInstance, CallerSink, ExchangeListener, GatewayAccount, GatewayConfiguration, GatewayRequest, GatewayRoute, InstanceAnswer, Member } from '../../types/index.js'
 
 const TIMEOUT_MS = 5_000
 
@@ -24,17 +25,20 @@
   ...changes
 })
 
+const ACCOUNT: GatewayAccount = { name: 'account-1', priority: 1 }
+
 const CONFIGURATION: GatewayConfiguration = {
   version: 1,
   routes: [
     createRoute('long', { latencyTargetMs: 800, priority: 0 }),
     createRoute('short', { latencyTargetMs: 200, priority: 2 }),
-    createRoute('stream', { retryPolicy: 'stream', isResumable: true, timeoutMs: 12_000 })
+    createRoute('stream', { retryPolicy: 'stream', isResumable: true, timeoutMs: 12_000 }),
+    createRoute('private', { retryPolicy: 'stream', isResumable: true, timeoutMs: 12_000, isPublic: false })
   ],
   services: new Map(),
   limits: { maximumHeaderBytes: 1_000, maximumBodyBytes: 1_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 },
-  needsKeys: false,
-  accountsByKey: new Map()
+  needsKeys: true,
+  accountsByKey: new Map([['key', ACCOUNT]])
 }
 
 const INSTANCE: BackendInstance = { id: 'plain-1', service: 'plain', address: { host: 'plain-1', port: 1 }, availabilityZone: 'a', slots: 8, isLeaving: false, incarnation: 1, warmUpMs: 0 }
@@ -48,6 +52,7 @@
 /** A recently started node, without configuration and server list until `provideInitialState`. */
 const startNode = () => {
   const clock = createManualClock()
+  const state = { confirmedAgeMs: 0, verdict: { kind: 'open' } as QuarantineVerdict, servers: [INSTANCE, OTHER_INSTANCE] as readonly BackendInstance[], aborts: 0 }
   const sent: string[] = []
   const answers: string[] = []
   const listeners: (() => void)[] = []
@@ -62,12 +67,12 @@
     configuration: {
       current: () => isKnown ? CONFIGURATION : undefined,
       version: () => isKnown ? 1 : 0,
-      confirmedAgeMs: () => isKnown ? 0 : Infinity,
+      confirmedAgeMs: () => isKnown ? state.confirmedAgeMs : Infinity,
       confirm: async () => {},
       onChange: (listener) => { listeners.push(() => listener(CONFIGURATION)) }
     },
     registry: {
-      list: () => [INSTANCE, OTHER_INSTANCE],
+      list: () => state.servers,
       find: () => INSTANCE,
       all: () => [INSTANCE],
       recentlyRemoved: () => [],
@@ -87,7 +92,7 @@
     loadView,
     streamVersions: { recordBegin: () => {}, find: async () => ({ kind: 'known', softwareVersion: '', source: 'onlyVersion' }) },
     serverEnds: { recordBreak: () => {}, recordBytes: () => {}, recordUnreachable: () => {} },
-    quarantine: { inspect: () => ({ kind: 'open' }), claimTrial: async () => true, recordSound: () => {}, recordComplete: () => {} },
+    quarantine: { inspect: () => state.verdict, claimTrial: async () => true, recordSound: () => {}, recordComplete: () => {} },
     work: createServerWork({ clock, loadView, logger: { warn: () => {} }, configuration: { current: () => CONFIGURATION }, readPeersUnread: () => undefined }).api,
     membership: { members: () => [MEMBER] },
     zoneDrains: { isDrained: () => false, isKnown: () => true, revision: () => 0, onChange: () => {} },
@@ -96,7 +101,7 @@
       send: ({ request }, exchange) => {
         sent.push(request.requestId)
         exchanges.push(exchange)
-        return { abort: () => {}, pause: () => {}, resume: () => {} }
+        return { abort: () => { state.aborts += 1 }, pause: () => {}, resume: () => {} }
       },
       probe: async () => true,
       retain: () => {},
@@ -110,15 +115,16 @@
     isFirstStart: true,
     readBounds: () => ({ loadFactor: 2, retryLimits: { ratio: 0.2, extra: 50, windowMs: 10_000 }, keyFreshnessMs: 4_500, configurationFreshnessMs: 2_000 })
   })
-  const sink: CallerSink = { refuse: ({ status, reason }) => { answers.push(`${status} ${reason}`) }, complete: () => {}, head: () => {}, data: () => true, onDrain: () => {}, end: () => {}, fail: () => { answers.push('broken off') } }
+  const sink: CallerSink = { refuse: ({ status, reason }) => { answers.push(`${status} ${reason}`) }, complete: () => {}, head: () => {}, data: () => true, onDrain: () => {}, end: () => { answers.push('complete') }, fail: () => { answers.push('broken off') } }
   return {
     clock,
+    state,
     sent,
     answers,
     exchanges,
     beginShutdown: forwarding.api.beginShutdown,
-    call: (requestId: string, path: string, bodyAfterMs = 0): void => {
-      const request: GatewayRequest = { requestId, method: 'GET', host: 'shop.example', target: path, headers: [], credential: undefined, callerTimeoutMs: TIMEOUT_MS, lastEventId: undefined, promptParts: [], tokens: { prompt: 0, output: 1_000 }, receivedAt: clock.now() }
+    call: (requestId: string, path: string, bodyAfterMs = 0, changes: Partial<GatewayRequest> = {}): void => {
+      const request: GatewayRequest = { requestId, method: 'GET', host: 'shop.example', target: path, headers: [], credential: undefined, callerTimeoutMs: TIMEOUT_MS, lastEventId: undefined, promptParts: [], tokens: { prompt: 0, output: 1_000 }, receivedAt: clock.now(), ...changes }
       const run = forwarding.api.begin(request, sink)
       if (bodyAfterMs === 0) run.submit(new Uint8Array())
       else clock.setTimer(bodyAfterMs, () => run.submit(new Uint8Array()))
@@ -198,3 +204,51 @@
     expect([node.sent, node.answers]).toEqual([['r1', 'r1'], []])
   })
 })
+
+describe('a stream whose backend server is silent', () => {
+  type Node = ReturnType<typeof startNode>
+
+  /** Longer than the silence after which a stream is moved, and a tick. */
+  const SILENCE_MS = 1_700
+
+  const formatEvent = (id: number): Uint8Array => Buffer.from(`id: ${id}\ndata: x\n\n`)
+
+  const startStream = (): Node => {
+    const node = startNode()
+    node.provideInitialState()
+    node.call('r1', '/private/1', 0, { credential: 'key', promptParts: [{ id: 'shared', tokens: 10 }, { id: 'own', tokens: 10 }] })
+    const [exchange] = node.exchanges
+    exchange!.onSent()
+    exchange!.onHead(STREAM_HEAD)
+    exchange!.onData(formatEvent(1))
+    return node
+  }
+
+  const obstacles: readonly (readonly [string, (node: Node) => void])[] = [
+    ['the node is shutting down', (node) => node.beginShutdown(node.clock.now() + TIMEOUT_MS - 500)],
+    ['its key can\'t be confirmed', (node) => { node.state.confirmedAgeMs = 10_000 }],
+    ['a part of its prompt is quarantined', (node) => { node.state.verdict = { kind: 'refused', part: 'shared', nextTrialMs: 4_000, evidence: { service: 'plain', part: 'shared', endedServers: '', trials: 0, evidenceOf: 'own' } } }],
+    ['a trial of a part of its prompt is due', (node) => { node.state.verdict = { kind: 'trialDue', part: 'shared' } }],
+    ['no other backend server is left', (node) => { node.state.servers = [] }]
+  ]
+
+  // Guards against an exchange that is given up before it is certain that another one takes its place.
+  test.each(obstacles)('keeps its exchange while %s', async (_what, obstruct) => {
+    const node = startStream()
+    obstruct(node)
+    await node.clock.advanceAndSettle(SILENCE_MS)
+    expect([node.sent, node.state.aborts, node.answers]).toEqual([['r1'], 0, []])
+    node.exchanges[0]!.onData(formatEvent(2))
+    node.exchanges[0]!.onEnd()
+    expect(node.answers).toEqual(['complete'])
+  })
+
+  test('moves as soon as the obstacle has gone', async () => {
+    const node = startStream()
+    node.state.confirmedAgeMs = 10_000
+    await node.clock.advanceAndSettle(SILENCE_MS)
+    node.state.confirmedAgeMs = 0
+    await node.clock.advanceAndSettle(100)
+    expect([node.sent, node.state.aborts, node.answers]).toEqual([['r1', 'r1'], 1, []])
+  })
+})
--- a/src/types/gatewayEvents.ts
+++ b/src/types/gatewayEvents.ts
@@ -37,6 +37,7 @@
   'stream version found': { level: 'info', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'a caller takes up a stream; the line has the software version at which it began, and how the node knows' },
   'software versions changed': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'several software versions serve a service from now on, or only one has for longer than its streams last' },
   'backend server silent': { level: 'info', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'a request was withdrawn from a backend server that does not respond' },
+  'exchange kept': { level: 'info', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'a backend server does not respond, but the request can\'t be sent to another one now; the line has the reason, and the answer is still waited for' },
   'backend server ended': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server ended while requests of this node ran there; the line has their prompt parts' },
   'backend server held': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server is suspended and gets no requests for a while' },
   'backend server back': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server is no longer suspended' },
