Don't send a request again whose caller has a part of an answer that can't be continued

Cause: an answer above the buffer is passed on as it arrives.

Change: a request may be repeated only while nothing of its answer was sent, or events that another server can resume.

--- a/src/services/forwarding/_lib/createCallerAnswer.ts
+++ b/src/services/forwarding/_lib/createCallerAnswer.ts
@@ -9,6 +9,8 @@
 export type CallerAnswer = {
   /** Whether the head was sent to the caller; from then on the answer can only continue or be aborted. */
   readonly hasBegun: () => boolean
+  /** Whether another backend server may still answer: nothing was sent, or events that it can resume. */
+  readonly isContinuable: () => boolean
   readonly relay: EventRelay
   readonly begin: (answer: InstanceAnswer) => void
   /** Passes bytes on; the exchange pauses while the caller reads slower than bytes arrive. */
@@ -28,12 +30,15 @@
 /** Creates the answer for a caller that already has the events up to `lastEventId`. */
 export const createCallerAnswer = (sink: CallerSink, lastEventId: number | undefined): CallerAnswer => {
   let hasBegun = false
+  let isEventStream = false
   let isPaused = false
   return {
     hasBegun: () => hasBegun,
+    isContinuable: () => !hasBegun || isEventStream,
     relay: createEventRelay(lastEventId),
     begin: (answer) => {
       hasBegun = true
+      isEventStream = answer.isEventStream
       sink.head(answer)
     },
     pass: (bytes, exchange) => {
--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -86,7 +86,7 @@
 
   const toRouted = (to: GatewayRoute): RoutedRequest => ({ route: to, account, service, bodyBytes: body?.length ?? 0 })
 
-  const rules = createRetryRules(context, { request, paths, gate, deadline, passesShutdown, readProgress: () => ({ mayHaveRun, sends, refusals }) })
+  const rules = createRetryRules(context, { request, caller, paths, gate, deadline, passesShutdown, readProgress: () => ({ mayHaveRun, sends, refusals }) })
 
   /** No backend server is eligible: waiting would not help, and the reason sets the Retry-After. */
   const giveUpWithoutInstance = (to: GatewayRoute): void => {
--- a/src/services/forwarding/_lib/createRetryRules.ts
+++ b/src/services/forwarding/_lib/createRetryRules.ts
@@ -4,6 +4,7 @@
  */
 import { checkKey } from './checkKey.js'
 import type { AttemptTarget } from './attemptTarget.js'
+import type { CallerAnswer } from './createCallerAnswer.js'
 import type { OpenPath, PathSelector, RoutedRequest } from './createPathSelector.js'
 import type { RequestDeadline } from './createRequestDeadline.js'
 import type { SendGate } from './createSendGate.js'
@@ -36,6 +37,7 @@
 
 export type RetryRulesOptions = {
   readonly request: GatewayRequest
+  readonly caller: Pick<CallerAnswer, 'isContinuable'>
   readonly paths: Pick<PathSelector, 'select' | 'hasArrived'>
   readonly gate: Pick<SendGate, 'isQuarantined'>
   readonly deadline: Pick<RequestDeadline, 'remainingMs'>
@@ -46,10 +48,11 @@
 /** Refusals by backend servers after which the request itself is refused, whatever the retry budget: the service is full. */
 const MAXIMUM_REFUSALS = 3
 
-const isRepeatable = ({ retryPolicy, isResumable }: GatewayRoute): boolean => retryPolicy === 'safe' || (retryPolicy === 'stream' && isResumable)
-
 /** Creates the rules of one request. */
-export const createRetryRules = (context: RequestHandlerContext, { request, paths, gate, deadline, passesShutdown, readProgress }: RetryRulesOptions): RetryRules => {
+export const createRetryRules = (context: RequestHandlerContext, { request, caller, paths, gate, deadline, passesShutdown, readProgress }: RetryRulesOptions): RetryRules => {
+  const isRepeatable = ({ retryPolicy, isResumable }: GatewayRoute): boolean =>
+    (retryPolicy === 'safe' || (retryPolicy === 'stream' && isResumable)) && caller.isContinuable()
+
   /** Only the node of the caller retries what a backend server may have received, so that its limits hold across the hop. */
   const isWithinBudget = (service: string): boolean =>
     !paths.hasArrived() || (request.relay === undefined && context.retryWindows.canRetry(service))
--- a/src/services/forwarding/test.ts
+++ b/src/services/forwarding/test.ts
@@ -252,3 +252,34 @@
     expect([node.sent, node.state.aborts, node.answers]).toEqual([['r1', 'r1'], 1, []])
   })
 })
+
+describe('a large answer that is no stream', () => {
+  const LARGE_BYTES = 1_100_000
+
+  /** An answer of which the caller has a part already, as it is too large to be buffered. */
+  const startLargeAnswer = (): ReturnType<typeof startNode> => {
+    const node = startNode()
+    node.provideInitialState()
+    node.call('r1', '/long/1')
+    node.exchanges[0]!.onSent()
+    node.exchanges[0]!.onHead({ ...STREAM_HEAD, isEventStream: false })
+    node.exchanges[0]!.onData(Buffer.alloc(LARGE_BYTES))
+    return node
+  }
+
+  // Guards against a second answer that can't be joined to the part that the caller has.
+  test('stays with its backend server while that is silent', async () => {
+    const node = startLargeAnswer()
+    await node.clock.advanceAndSettle(2_000)
+    expect([node.sent, node.state.aborts, node.answers]).toEqual([['r1'], 0, []])
+    node.exchanges[0]!.onEnd()
+    expect(node.answers).toEqual(['complete'])
+  })
+
+  // Guards against a second run for an answer that is broken off anyway.
+  test('is broken off without another send when its connection breaks', () => {
+    const node = startLargeAnswer()
+    node.exchanges[0]!.onFailure({ kind: 'broken', message: 'reset' })
+    expect([node.sent, node.answers]).toEqual([['r1'], ['broken off']])
+  })
+})
