Answer the requests that are still open when the grace period of a stop ends

What callers saw: a connection that is closed without an answer at the end of a planned stop, where 502 (or 503, if nothing was sent) could have been said.

Cause: after the grace period the daemon closed its listeners and connections with requests open on them; the log took the closes for callers that had left, if the lines were written at all.

Evidence: test/platform/plannedStops.test.ts, real process, an order at a server that does not answer: status 0 before, 502 now; the log ends with 'request ended ... reason=shuttingDown mayHaveRun=true' and 'gateway stopped open=1'.

Change: forwarding.endOpen gives each open request its final answer by the usual rule (not run: 503; may have run: the reported failure, or 502; begun: broken off), 100 ms before the connections are closed, within the margin that was reserved already.

--- a/src/daemon/startGateway/_lib/shutDownGateway.ts
+++ b/src/daemon/startGateway/_lib/shutDownGateway.ts
@@ -9,7 +9,7 @@
 export type ShutdownDependencies = {
   readonly clock: Clock
   readonly logger: Pick<Logger, 'info'>
-  readonly forwarding: Pick<Forwarding, 'openRequests' | 'listOpen' | 'beginShutdown'>
+  readonly forwarding: Pick<Forwarding, 'openRequests' | 'listOpen' | 'beginShutdown' | 'endOpen'>
   readonly announceLeaving: () => void
   /** Listeners for callers and peers. */
   readonly listeners: readonly GatewayHttp[]
@@ -23,6 +23,8 @@
 const IDLE_PERIOD_MS = 200
 /** Part of the grace period that is reserved for closing. */
 const GRACE_MARGIN_MS = 500
+/** Part of that margin in which the final answers of requests that are still open are written. */
+const LAST_ANSWERS_MS = 100
 const POLL_INTERVAL_MS = 50
 /** Interval at which the open requests are logged. The last of these lines tells what a process that is killed has cut. */
 const REPORT_INTERVAL_MS = 1_000
@@ -68,6 +70,11 @@
     if (!isOver) closeIdle()
     return isOver
   })
-  if (forwarding.openRequests() > 0) reportOpen()
-  logger.info('gateway stopped', { open: forwarding.openRequests(), ms: Math.round(clock.now() - startedAt) })
+  const open = forwarding.openRequests()
+  if (open > 0) {
+    reportOpen()
+    forwarding.endOpen()
+    await wait(LAST_ANSWERS_MS)
+  }
+  logger.info('gateway stopped', { open, ms: Math.round(clock.now() - startedAt) })
 }
--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -290,6 +290,7 @@
       finish('callerLeft')
     },
     check,
+    expire: () => giveUp('shuttingDown', 502),
     describe: () => ({ requestId: request.requestId, route: route?.name, receivedAt: request.receivedAt, target: activeAttempt?.target.id, lastBytesAt: activeAttempt?.lastBytesAt })
   }
 }
--- a/src/services/forwarding/_lib/requestHandler.ts
+++ b/src/services/forwarding/_lib/requestHandler.ts
@@ -29,5 +29,7 @@
   readonly assign: (route: GatewayRoute, account: GatewayAccount | undefined) => void
   /** Checks the deadline and the time without bytes; called periodically, `now` in monotonic milliseconds. */
   readonly check: (now: number) => void
+  /** Gives the request its final answer, because the node exits. */
+  readonly expire: () => void
   readonly describe: () => OpenRequest
 }
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -255,7 +255,8 @@
       openRequests: () => handlers.size,
       listOpen: () => [...handlers].map((handler) => handler.describe()),
       retryUsage: retryWindows.list,
-      beginShutdown: shutdownGate.begin
+      beginShutdown: shutdownGate.begin,
+      endOpen: () => { for (const handler of [...handlers]) handler.expire() }
     },
     stop: () => timer?.cancel()
   }
--- a/src/types/forwarding.ts
+++ b/src/types/forwarding.ts
@@ -46,4 +46,6 @@
   readonly retryUsage: () => readonly RetryUsage[]
   /** Starts the shutdown: requests that would not finish before `endsAt` (monotonic milliseconds) are refused as not run. */
   readonly beginShutdown: (endsAt: number) => void
+  /** Gives every open request its final answer now, because the node exits. */
+  readonly endOpen: () => void
 }
--- a/test/platform/plannedStops.test.ts
+++ b/test/platform/plannedStops.test.ts
@@ -22,13 +22,14 @@
 
 const pause = (ms: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, ms) })
 
-const start = async (): Promise<Setup> => {
+const start = async (graceS = GRACE_S): Promise<Setup> => {
   const platform = await createPlatform({
     engines: ENGINE_IDS.map((id) => ({ id, workMs: EVENT_INTERVAL_MS, events: EVENTS })),
-    routes: [createRoute('chat', { route_type: 'stream', service: ENGINES, resumable: true, gap_target_ms: 300, timeout_ms: TIMEOUT_MS })]
+    routes: [createRoute('chat', { route_type: 'stream', service: ENGINES, resumable: true, gap_target_ms: 300, timeout_ms: TIMEOUT_MS }), createRoute('order', { route_type: 'unsafe', max_attempts: 1, timeout_ms: TIMEOUT_MS })],
+    plain: [{ id: 'plain-1' }]
   })
   open.push(platform)
-  const gateway = await startGatewayProcess({ name: 'node-1', store: platform.store.address(), fields: { 'bounds.grace_s': String(GRACE_S) } })
+  const gateway = await startGatewayProcess({ name: 'node-1', store: platform.store.address(), fields: { 'bounds.grace_s': String(graceS) } })
   open.push(gateway)
   const { host, port } = gateway.readinessAddress
   await waitFor('the gateway to be ready', async () => (await fetch(`http://${host}:${port}/readyz`)).status === 200)
@@ -58,6 +59,19 @@
 }
 
 describe('a gateway that is stopping', () => {
+  // Guards against a connection that is closed without an answer when the grace period ends.
+  test('answers an order that is still running when its grace period ends', async () => {
+    const { platform, gateway } = await start(3)
+    platform.backends.get('plain-1')!.fallSilent(TIMEOUT_MS)
+    const order = callGateway(gateway.callerAddress, { path: '/order/1', requestId: 'running', body: 'x', timeoutMs: TIMEOUT_MS })
+    await waitFor('the order to run', () => platform.backends.get('plain-1')!.records().length > 0)
+    gateway.signal('SIGTERM')
+    expect(await order).toMatchObject({ status: 502, isComplete: true })
+    expect(await gateway.ended).toBe(0)
+    expect(gateway.lines.find(({ message, requestId }) => message === 'request ended' && requestId === 'running')).toMatchObject({ outcome: 'refused', reason: 'shuttingDown', mayHaveRun: true })
+    expect(gateway.lines.at(-1)).toMatchObject({ message: 'gateway stopped', open: 1 })
+  })
+
   // Guards against streams that are withdrawn from a silent server although the stopping node may not send them to another one.
   test.each([['one backend server is', 1], ['all backend servers are', ENGINE_IDS.length]])('completes its streams while %s silent for a while', async (_which, silent) => {
     const setup = await start()
