Failing test: a router gives up a silent server's exchange with nowhere else to go

Two cases, both red on this commit: one backend server only, and two of them with the one allowed attempt running.

--- a/test/requestFaults.test.ts
+++ b/test/requestFaults.test.ts
@@ -238,6 +238,21 @@
     finish()
     expect((await pendingAnswer).headers.get('x-served-by')).toBe('backend-1')
   })
+
+  // Guards against an exchange that is aborted before it is known that another one may take its place.
+  it.each<[string, readonly (readonly RawStep[])[], Partial<HarnessOptions['dispatch']>]>([
+    ['no other one may get the request', [], {}],
+    ['no attempt is left', [[completeAnswer]], { maximumAttempts: 1 }]
+  ])('is waited for where %s', async (_name, others, limits) => {
+    let finish = (): void => {}
+    const held: RawStep = (socket, request) => { finish = () => completeAnswer(socket, request) }
+    const { harness, backends } = await start([[held], ...others], { unreachable: ['backend-1'], dispatch: { reachabilityCheckMs: 5, ...limits } })
+    const pendingAnswer = callRouter(harness.url, 'stock')
+    await expect.poll(() => backends[0]?.requests.length).toBe(1)
+    await new Promise((resolve) => setTimeout(resolve, 60))
+    finish()
+    expect((await pendingAnswer).status).toBe(200)
+  })
 })
 
 describe('a stream that may not be repeated', () => {
