Router: leave a silent server only once another attempt may take its place

Callers saw: 503 noBackendServer or 502 backendFailed for a repeatable request whose server was out of reach for two checks (about 2 s) and answered later. Cause: the reachability watch aborted the exchange, and only the plan after it found that no attempt, budget, time or other server was left. Change: the watch asks the request's planner first (canMoveFrom): attempts, budget and the longest delay by planRetry, and a placement without this server and those tried. While that says no it goes on checking, and the exchange runs to its answer or the deadline.

--- a/src/services/dispatch/_lib/runAttempt.ts
+++ b/src/services/dispatch/_lib/runAttempt.ts
@@ -95,7 +95,7 @@
   const startedAt = clock.now()
   planner.startAttempt()
   loadView.recordStart(backendServer.name)
-  const watch = watchReachability(context, backendServer)
+  const watch = watchReachability(context, planner, backendServer)
   try {
     const end = await exchange(context, planner, backendServer, watch)
     const outcome = readOutcome(context, end)
--- a/src/services/dispatch/_lib/watchReachability.ts
+++ b/src/services/dispatch/_lib/watchReachability.ts
@@ -4,9 +4,10 @@
  * would wait for its deadline on a connection that still looks open. A missing
  * answer is not enough evidence, since a busy model engine is slow to answer
  * too. An attempt is abandoned only when probes fail as well, and only while
- * the request can still run on another server.
+ * the request can still run on another server; otherwise its answer may still come.
  */
 import type { BackendServer, Timer } from '../../../types/index.js'
+import type { RetryPlanner } from './createRetryPlanner.js'
 import { isIdempotent, type RequestContext } from './requestContext.js'
 
 export type ReachabilityWatch = {
@@ -22,7 +23,7 @@
 export const isUnreachable = ({ dependencies }: RequestContext, backendServer: BackendServer): boolean =>
   dependencies.backendHealth.status(backendServer.name).state === 'unreachable'
 
-export const watchReachability = (context: RequestContext, backendServer: BackendServer): ReachabilityWatch => {
+export const watchReachability = (context: RequestContext, planner: Pick<RetryPlanner, 'canMoveFrom'>, backendServer: BackendServer): ReachabilityWatch => {
   const { dependencies, scope, reply, limits, reachabilityProbes } = context
   const unreachable = new AbortController()
   let failedChecks = 0
@@ -32,7 +33,7 @@
     if (reply.hasStarted()) return
     const hasFailed = isUnreachable(context, backendServer) || reachabilityProbes.check(backendServer)
     failedChecks = hasFailed ? failedChecks + 1 : 0
-    if (failedChecks >= FAILED_CHECKS_UNTIL_UNREACHABLE) unreachable.abort(new Error('the backend server became unreachable'))
+    if (failedChecks >= FAILED_CHECKS_UNTIL_UNREACHABLE && planner.canMoveFrom(backendServer.name)) unreachable.abort(new Error('the backend server became unreachable'))
     else timer = dependencies.clock.setTimer(limits.reachabilityCheckMs, check)
   }
 
