Failing test: a silent server's streams are cut where the other one refuses them

Cause: the running exchange is aborted when the move is decided, but only the answer of the new target makes the move certain.

--- a/test/platform/silentTargets.test.ts
+++ b/test/platform/silentTargets.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, expect, test } from 'vitest'
 import { callGateway, promptHeaders, type CallResult } from '../../platform/standIn/callGateway/index.js'
 import { createRoute, ENGINES } from '../../platform/standIn/createPlatform/index.js'
+import type { BackendFault } from '../../platform/standIn/createBackendStandIn/index.js'
 import { callLookup, pause } from './_lib/callFleet.js'
 import { startGatewayFleet, type GatewayFleet } from './_lib/startGatewayFleet.js'
 
@@ -36,6 +37,18 @@
 const countWhole = async (calls: readonly Promise<CallResult>[]): Promise<number> =>
   (await Promise.all(calls)).filter(({ status, isComplete }) => status === 200 && isComplete).length
 
+// Guards against a stream that is given up before its new server has taken it.
+test.each<BackendFault>(['full', 'error', 'reset'])('a silent server\'s streams go on there where the other server does not take them: %s', async (fault) => {
+  const fleet = await start(1)
+  const calls = await beginStreams(fleet)
+  const [silent, other] = ENGINE_IDS
+  fleet.backends.get(other!)!.setFault(fault)
+  fleet.links(0).get(silent!)!.silence()
+  await pause(SILENCE_MS)
+  fleet.links(0).get(silent!)!.endSilence()
+  expect(await countWhole(calls)).toBe(calls.length)
+})
+
 // Guards against a path that counts as another one although it is the silent peer itself.
 test('relayed streams go on over a peer that is silent for a while, where it is the only one', async () => {
   const fleet = await start(2)
