--- a/src/services/forwarding/_lib/createPathSelector.ts
+++ b/src/services/forwarding/_lib/createPathSelector.ts
@@ -25,6 +25,8 @@
 
 export type PathSelector = {
   readonly select: (routed: RoutedRequest) => SelectedPath
+  /** Whether the request would find a path if the target at which it runs were given up as silent. A suspended server is none: it has not responded to this node either. */
+  readonly canLeave: (routed: RoutedRequest, running: Pick<AttemptTarget, 'kind' | 'id'>) => boolean
   /** Why no backend server may get the request; `undefined` when all that may were tried. */
   readonly findIneligibility: (routed: RoutedRequest) => InstanceEligibility | 'versionGone' | undefined
   /** The software version at which the stream must go on; `undefined` while it may begin anywhere. */
@@ -62,19 +64,19 @@
   const createInput = ({ route, account, service, bodyBytes }: RoutedRequest): SelectionInput =>
     ({ request, service, bodyBytes, tried, allowedRegions: [route.allowedRegions ?? [], account?.allowedRegions ?? []], softwareVersion: streamVersion.required() })
 
-  const classifyDirect = (input: SelectionInput, chosen: SelectedInstance | undefined): DirectPath => {
+  const classifyDirect = (input: SelectionInput, chosen: SelectedInstance | undefined, connects: number): DirectPath => {
     if (chosen !== undefined) return chosen.isLastResort ? 'suspended' : 'usable'
-    return failedConnects > 0 && findIneligibility(context, input) === undefined ? 'unreached' : 'none'
+    return connects > 0 && findIneligibility(context, input) === undefined ? 'unreached' : 'none'
   }
 
-  const selectPeer = (service: string): RelayPeer | undefined =>
-    isRelayed || excludedPeers.size >= MAXIMUM_EXCLUDED_PEERS ? undefined : relays.select(service, excludedPeers)
+  const selectPeer = (service: string, excluded: ReadonlySet<string>): RelayPeer | undefined =>
+    isRelayed || excluded.size >= MAXIMUM_EXCLUDED_PEERS ? undefined : relays.select(service, excluded)
 
-  const select: PathSelector['select'] = (routed) => {
+  const selectWith = (routed: RoutedRequest, excluded: ReadonlySet<string>, connects: number): SelectedPath => {
     const input = createInput(routed)
     const chosen = selectInstance(context, input)
-    const peer = selectPeer(routed.service)
-    const path = selectSendPath({ direct: classifyDirect(input, chosen), hasPeer: peer !== undefined, isRelayed, failedConnects, unheardMs: health.readUnheardMs() })
+    const peer = selectPeer(routed.service, excluded)
+    const path = selectSendPath({ direct: classifyDirect(input, chosen, connects), hasPeer: peer !== undefined, isRelayed, failedConnects: connects, unheardMs: health.readUnheardMs() })
     if (path === 'peer' && peer !== undefined) return { kind: 'peer', peer }
     return path === 'direct' && chosen !== undefined ? { kind: 'direct', chosen } : { kind: 'none' }
   }
@@ -83,7 +85,11 @@
   const excludePeer = ({ kind, id }: AttemptTarget): void => { if (kind === 'peer') excludedPeers.add(id) }
 
   return {
-    select,
+    select: (routed) => selectWith(routed, excludedPeers, failedConnects),
+    canLeave: (routed, { kind, id }) => {
+      const path = selectWith(routed, kind === 'peer' ? new Set([...excludedPeers, id]) : excludedPeers, failedConnects + 1)
+      return path.kind === 'peer' || (path.kind === 'direct' && !path.chosen.isLastResort)
+    },
     findIneligibility: (routed) => {
       const input = createInput(routed)
       return isVersionGone(context, input) ? 'versionGone' : findIneligibility(context, input)
