Router: answers end their connections from SIGTERM on

Callers saw: ECONNRESET for a request on a kept connection, when a router that stops closes its listener. Cause: answers said Connection: close only once the listener was closed; until then callers kept their connections, and the close of the idle ones met requests on their way. Change: beginClosing of the listener for callers, called at the start of the stop. Readiness can't come back after it either (a configuration change calls setReady).

--- a/src/adapters/callerHttp/index.ts
+++ b/src/adapters/callerHttp/index.ts
@@ -45,6 +45,8 @@
   readonly address: () => PeerAddress | undefined
   /** Sets what `/readyz` reports to a load balancer. The listener serves requests either way. */
   readonly setReady: (isReady: boolean) => void
+  /** Fails `/readyz` for good; from now on answers carry `Connection: close`, and all requests are still served. */
+  readonly beginClosing: () => void
   /** Stops accepting connections, waits for requests in flight, then closes. */
   readonly close: () => Promise<void>
 }
@@ -184,6 +186,11 @@
     await write(reply, random.nextId(), { kind: 'refused', refusal: createRefusal('not-run', 'queueFull', 'too much is being sent at once', BODY_BUDGET_RETRY_MS) })
   }
 
+  const beginClosing = (): void => {
+    isReady = false
+    isClosing = true
+  }
+
   const server = createServer(settings, refuseMalformed)
   server.addHook('onRequest', reserveBody)
   server.get(LIVE_PATH, async () => 'live\n')
@@ -198,10 +205,10 @@
       return address
     },
     address: () => address,
-    setReady: (ready) => { isReady = ready },
+    setReady: (ready) => { isReady = ready && !isClosing },
+    beginClosing,
     close: async () => {
-      isReady = false
-      isClosing = true
+      beginClosing()
       await server.close()
     }
   }
--- a/src/daemon/startRouter/index.ts
+++ b/src/daemon/startRouter/index.ts
@@ -52,9 +52,9 @@
  * Starts a router.
  *
  * The order of the shutdown lets no caller see an error. First the readiness
- * check fails and peers are notified while requests are still accepted, so that
- * a load balancer has time to stop sending. Then no new requests are accepted
- * and those in flight finish. Then everything else is closed.
+ * check fails, answers end their connections and peers are notified while requests
+ * are still accepted, so that a load balancer has time to stop sending. Then no
+ * new requests are accepted and those in flight finish. Then everything else is closed.
  *
  * @param settings - Validated settings.
  * @param options - The logger.
@@ -107,7 +107,8 @@
   const shutDown = async (): Promise<void> => {
     logger.info('router stopping', { open: dispatch.ledger().open })
     node.beginLeaving()
-    callerHttp.setReady(false)
+    // Callers leave with their next answer: a kept connection that is closed later may have a request on its way.
+    callerHttp.beginClosing()
     await wait(clock, settings.shutdownDelayMs)
     await waitWithTimeout(clock, settings.shutdownGraceMs, Promise.all([callerHttp.close(), dispatch.whenIdle()]))
     logger.info('router stopped', { open: dispatch.ledger().open })
