--- a/src/services/forwarding/_lib/createPathSelector.ts
+++ b/src/services/forwarding/_lib/createPathSelector.ts
@@ -25,7 +25,10 @@
 export type SelectedPath = OpenPath | { readonly kind: 'none' }
 
 export type PathSelector = {
-  /** Selects a path; `from` is a target that sends nothing, which the request would leave for it. */
+  /**
+   * Selects a path. `from` is a target that sends nothing and that the request would leave for it: a peer that is not that
+   * one, or a server that is not suspended, since a suspended one has not responded to this node either.
+   */
   readonly select: (routed: RoutedRequest, from?: AttemptTarget) => SelectedPath
   /** Why no backend server may get the request; `undefined` when all that may were tried. */
   readonly findIneligibility: (routed: RoutedRequest) => InstanceEligibility | 'versionGone' | undefined
@@ -79,7 +82,8 @@
     const peer = selectPeer(routed.service, from?.kind === 'peer' ? new Set([...excludedPeers, from.id]) : excludedPeers)
     const path = selectSendPath({ direct: classifyDirect(input, chosen, unreached), hasPeer: peer !== undefined, isRelayed, failedConnects: unreached, unheardMs: health.readUnheardMs() })
     if (path === 'peer' && peer !== undefined) return { kind: 'peer', peer }
-    return path === 'direct' && chosen !== undefined ? { kind: 'direct', chosen } : { kind: 'none' }
+    if (path !== 'direct' || chosen === undefined) return { kind: 'none' }
+    return from !== undefined && chosen.isLastResort ? { kind: 'none' } : { kind: 'direct', chosen }
   }
 
   /** A peer that passed on the failure of a backend server may still reach another one. */
