Keep the exchange to a silent server until another server has taken the request

What callers saw: a resumable stream whose server was silent for 1.7 s was broken off, although its server went on 0.4 s later: the other server was full, failed, or reset the connection. The same over the hop, where the silent peer was the only one.

Cause: no gate of this node can tell whether the next target takes the request; only its first answer does. The exchange was given up when the move was decided. And the path selector, asked while the silent peer still ran the request, returned that peer.

Change: createRunningAttempts sets the old exchange aside for at most 200 ms. A refusal, a failure or a reset of the new target returns the request to it, bytes from it end the new one ('exchange resumed'); the head of an answer, or the 200 ms, end the old one.

--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -13,6 +13,7 @@
 import { createPathSelector, type OpenPath, type RoutedRequest } from './createPathSelector.js'
 import { createRequestDeadline } from './createRequestDeadline.js'
 import { createRequestRecord } from './createRequestRecord.js'
+import { createRunningAttempts } from './createRunningAttempts.js'
 import { createRetryRules } from './createRetryRules.js'
 import { createSendGate } from './createSendGate.js'
 import { createSendAttempt, type SendAttempt } from './createSendAttempt.js'
@@ -28,6 +29,8 @@
 
 /** How long a request with a key waits for the configuration to be confirmed, in milliseconds. */
 const KEY_CONFIRM_WAIT_MS = 400
+/** Answers from this status on are failures of the backend server. */
+const SERVER_ERROR_STATUS = 500
 
 /** Creates the handler of one request; it sends nothing before `assign` and `submit`. */
 export const createRequestHandler = (context: RequestHandlerContext, request: GatewayRequest, sink: CallerSink): RequestHandler => {
@@ -37,7 +40,6 @@
   let account: GatewayAccount | undefined
   let service = ''
   let body: Uint8Array | undefined
-  let activeAttempt: SendAttempt | undefined
   let isDone = false
   let mayHaveRun = false
   let sends = 0
@@ -47,29 +49,16 @@
   const caller = createCallerAnswer(sink, request.lastEventId)
   const deadline = createRequestDeadline(clock, request, () => route)
   const record = createRequestRecord(context, request, () => route)
+  const attempts = createRunningAttempts(clock, ({ target }) => record.log('exchange resumed', { ...target.logFields, lastEventId: caller.relay.lastEventId() }))
   const reporter = createAttemptReporter(context, { request, readRoute: () => route, readService: () => service })
 
-  const abortAttempt = (): void => {
-    const current = activeAttempt
-    if (current === undefined) return
-    activeAttempt = undefined
-    endAttempt(current)
-    current.exchange?.abort()
-  }
-
-  const endAttempt = (current: SendAttempt): void => {
-    if (current.isFinished) return
-    current.isFinished = true
-    current.target.recordEnd()
-  }
-
   const finalAnswer = createFinalAnswer({
     caller,
     record,
     random,
     readProgress: () => ({ mayHaveRun, sends }),
     readAvailability: () => ({ availableInMs: route === undefined ? 0 : paths.computeAvailableInMs(toRouted(route)), remainingMs: deadline.remainingMs() }),
-    abortAttempt,
+    abortAttempt: attempts.abortAll,
     onDone: () => {
       isDone = true
       reporter.reportEnd()
@@ -95,7 +84,9 @@
     giveUp(ineligibility, 502, { zoneDrainRevision: context.zoneDrains.revision(), configurationVersion: context.configuration.version(), softwareVersion: paths.requiredVersion() })
   }
 
+  /** An attempt has failed: the request returns to the target that it was leaving, or is sent again. */
   const retryOr = (otherwise: () => void): void => {
+    if (attempts.restore()) return
     if (route === undefined || !rules.canRetry(toRouted(route))) return otherwise()
     send()
   }
@@ -154,7 +145,7 @@
     attemptsStarted += 1
     const current = createSendAttempt(target, clock.now())
     const intake = createAnswerIntake(request, caller, listenTo(current))
-    activeAttempt = current
+    attempts.begin(current)
     paths.recordAttempt(target)
     target.recordStart()
     current.exchange = target.send({
@@ -162,19 +153,19 @@
       onSent: () => {
         record.recordStep('connected')
         current.isSent = true
-        if (activeAttempt !== current) return
+        if (attempts.active() !== current) return
         mayHaveRun = true
         sends += 1
         paths.recordArrival(target)
       },
-      onHead: (answer) => { if (activeAttempt === current) handleHead(current, answer, intake) },
+      onHead: (answer) => { if (attempts.claim(current)) handleHead(current, answer, intake) },
       onData: (bytes) => {
-        if (activeAttempt !== current) return
+        if (!attempts.claim(current)) return
         reporter.reportBody(current)
         intake.handleData(bytes, current.exchange)
       },
-      onEnd: () => { if (activeAttempt === current) intake.handleEnd() },
-      onFailure: (failure) => { if (activeAttempt === current) handleFailure(current, failure) }
+      onEnd: () => { if (attempts.claim(current)) intake.handleEnd() },
+      onFailure: (failure) => handleFailure(current, failure)
     })
   }
 
@@ -189,7 +180,7 @@
   /** The target states that the request was not run, so the send does not count. */
   const handleNotRun = (current: SendAttempt, answer: InstanceAnswer): void => {
     const { target } = current
-    abortAttempt()
+    attempts.abortActive()
     sends -= 1
     mayHaveRun = sends > 0
     paths.recordRefusal(target, answer)
@@ -204,9 +195,9 @@
 
   /** The answer of the backend server is complete; `endAnswer` ends the caller's answer. */
   const completeWith = (current: SendAttempt, endAnswer: () => void, fields: LogFields = {}): void => {
-    endAttempt(current)
+    attempts.endActive()
+    attempts.releaseAside()
     current.target.recordComplete()
-    activeAttempt = undefined
     endAnswer()
     reporter.reportComplete()
     record.countSend('complete')
@@ -214,7 +205,10 @@
   }
 
   const listenTo = (current: SendAttempt): AnswerListener => ({
-    onHead: (answer) => reporter.reportSuccess(current, answer),
+    onHead: (answer) => {
+      if (answer.status < SERVER_ERROR_STATUS) attempts.releaseAside()
+      reporter.reportSuccess(current, answer)
+    },
     onNotRun: (answer) => handleNotRun(current, answer),
     onBroken: (message) => handleFailure(current, { kind: 'broken', message }),
     onReportedFailure: (answer, body) => handleReportedFailure(current, answer, body),
@@ -226,8 +220,7 @@
   })
 
   const handleReportedFailure = (current: SendAttempt, answer: InstanceAnswer, answerBody: Uint8Array): void => {
-    endAttempt(current)
-    activeAttempt = undefined
+    attempts.endActive()
     current.target.recordFailure('errored')
     record.countSend('errored')
     record.log('backend server failed', { ...current.target.logFields, status: answer.status })
@@ -236,20 +229,23 @@
   }
 
   const handleFailure = (current: SendAttempt, failure: ExchangeFailure): void => {
-    abortAttempt()
+    const isActive = attempts.active() === current
+    if (isActive) attempts.abortActive()
+    else if (attempts.isAside(current)) attempts.releaseAside()
+    else return
     const { failure: targetFailure, reason } = classifyFailure(failure)
     record.countSend(failure.kind)
     if (failure.kind === 'notSent') paths.recordUnreached(current.target)
     if (targetFailure !== undefined) current.target.recordFailure(targetFailure)
     record.log('exchange failed', { ...current.target.logFields, kind: failure.kind, reason: failure.message, lastEventId: caller.relay.lastEventId() })
-    retryOr(() => giveUp(reason, 502, describeReach(context)))
+    if (isActive) retryOr(() => giveUp(reason, 502, describeReach(context)))
   }
 
   /** The retry is taken first: without it the exchange goes on. */
   const moveTo = (current: SendAttempt, { route: to }: RoutedRequest, path: OpenPath, fields: LogFields): void => {
     if (body === undefined || !takeRetry()) return
     record.log('backend server silent', fields)
-    abortAttempt()
+    attempts.setAside()
     paths.recordUnreached(current.target)
     record.countSend('silent')
     sendOn(to, path, body)
@@ -261,7 +257,8 @@
     if (isDone) return
     if (now >= deadline.at()) return giveUp(mayHaveRun ? 'deadline' : 'deadlineBeforeSend', 504)
     gate.check()
-    const current = activeAttempt
+    attempts.check(now)
+    const current = attempts.active()
     if (current === undefined || route === undefined || !current.isSent) return
     if (caller.isPaused()) current.lastBytesAt = now
     silence.check(current, toRouted(route), now)
@@ -286,11 +283,11 @@
     reject: refuse,
     cancel: () => {
       if (isDone) return
-      abortAttempt()
+      attempts.abortAll()
       finish('callerLeft')
     },
     check,
     expire: () => giveUp('shuttingDown', 502),
-    describe: () => ({ requestId: request.requestId, route: route?.name, receivedAt: request.receivedAt, target: activeAttempt?.target.id, lastBytesAt: activeAttempt?.lastBytesAt })
+    describe: () => ({ requestId: request.requestId, route: route?.name, receivedAt: request.receivedAt, target: attempts.active()?.target.id, lastBytesAt: attempts.active()?.lastBytesAt })
   }
 }
--- a/src/types/gatewayEvents.ts
+++ b/src/types/gatewayEvents.ts
@@ -38,6 +38,7 @@
   'software versions changed': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'several software versions serve a service from now on, or only one has for longer than its streams last' },
   'backend server silent': { level: 'info', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'a request was withdrawn from a backend server that does not respond' },
   'exchange kept': { level: 'info', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'a backend server does not respond, but the request can\'t be sent to another one now; the line has the reason, and the answer is still waited for' },
+  'exchange resumed': { level: 'info', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'a request returned to the backend server or peer that it was leaving, because that one went on or the new one did not take the request' },
   'backend server ended': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server ended while requests of this node ran there; the line has their prompt parts' },
   'backend server held': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server is suspended and gets no requests for a while' },
   'backend server back': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server is no longer suspended' },
