--- a/src/services/instanceRegistry/index.ts
+++ b/src/services/instanceRegistry/index.ts
@@ -6,6 +6,7 @@
 import { isDeepStrictEqual } from 'node:util'
 import { createChangeLog } from './_lib/createChangeLog.js'
 import { createLeavingRuns } from './_lib/createLeavingRuns.js'
+import { createMalformedEntries } from './_lib/createMalformedEntries.js'
 import { createRemovals } from './_lib/createRemovals.js'
 import { createWarmUpDeadlines } from './_lib/createWarmUpDeadlines.js'
 import type { EntryOrigin } from './_lib/createWarmUpDeadlines.js'
@@ -64,7 +65,7 @@
   const removals = createRemovals(clock, options.drainMs ?? 0)
   const warmUpDeadlines = createWarmUpDeadlines(clock)
   const listeners: (() => void)[] = []
-  const malformed = new Set<string>()
+  const malformedEntries = createMalformedEntries(logger)
   const changes = createChangeLog(clock.wallTime())
   let byService = new Map<string, BackendInstance[]>()
   let revision = 0
@@ -100,12 +101,8 @@
   const logLeaving = ({ id, service }: BackendInstance, from: 'list' | 'answer'): void =>
     logger.info('backend server leaving', { backendServer: id, service, from, revision })
 
-  const put = ({ name, instance }: InstanceEntry, origin: EntryOrigin): void => {
-    if (instance === undefined) {
-      if (!malformed.has(name)) logger.warn('backend server entry is malformed', { backendServer: name, revision })
-      malformed.add(name)
-      return
-    }
+  const put = ({ name, instance, problem = '' }: InstanceEntry, origin: EntryOrigin): void => {
+    if (instance === undefined) return malformedEntries.report(name, problem, revision)
     const known = instances.get(name)
     missingSince.delete(name)
     if (instance.incarnation <= (goneIncarnations.get(name) ?? -Infinity)) return
--- a/src/types/gatewayEvents.ts
+++ b/src/types/gatewayEvents.ts
@@ -51,7 +51,7 @@
   'backend server slowdown is malformed': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server states a slowdown that is no positive number; it counts as none, and the line is written once a server' },
   'backend server leaving': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server gets no new work' },
   'backend server removed': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server was removed from the list' },
-  'backend server entry is malformed': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'an entry of the list cannot be decoded' },
+  'backend server entry is malformed': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'an entry of the list cannot be decoded, and names no backend server; the line has the reason' },
   'backend server list lost': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the source of the backend servers can\'t be read' },
   'backend server list reached': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the source of the backend servers can be read again' },
   'backend server history gone': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the source no longer has all changes of the backend servers; the list is read again' },
--- a/src/types/gatewayState.ts
+++ b/src/types/gatewayState.ts
@@ -49,8 +49,8 @@
   readonly decode: (records: ConfigurationRecords, revision: number) => Result<SourcedConfiguration, SourceError>
 }
 
-/** One entry of the list of backend servers; `instance` is omitted when the entry is malformed. */
-export type InstanceEntry = { readonly name: string, readonly instance?: BackendInstance }
+/** One entry of the list of backend servers. `instance` is omitted when the entry is malformed; `problem` then says why. */
+export type InstanceEntry = { readonly name: string, readonly instance?: BackendInstance, readonly problem?: string }
 
 export type InstanceChange = InstanceEntry & { readonly isRemoved: boolean }
 
