Tests for values from outside that end a process or its start, failing

The fixture of the registry's tests has an IPv4 address in place of a name; what its tests ask for is unchanged.

--- a/src/adapters/peerTcp/_lib/createPeerLink.test.ts
+++ b/src/adapters/peerTcp/_lib/createPeerLink.test.ts
@@ -1,9 +1,9 @@
-import { Socket } from 'node:net'
+import { connect, Socket } from 'node:net'
 import { describe, expect, test } from 'vitest'
-import { createPeerLink } from './createPeerLink.js'
+import { createPeerLink, type LinkOptions } from './createPeerLink.js'
 import { createManualClock } from '../../../emulator/createManualClock/index.js'
 
-const createLink = () => {
+const createLink = (changes: Partial<LinkOptions> = {}) => {
   const clock = createManualClock()
   const sockets: Socket[] = []
   const link = createPeerLink({
@@ -27,7 +27,8 @@
       const socket = new Socket()
       sockets.push(socket)
       return socket
-    }
+    },
+    ...changes
   })
   return { clock, link, sockets }
 }
@@ -46,3 +47,16 @@
     link.close()
   })
 })
+
+describe('a link to an address that no socket can be opened to', () => {
+  // The exception of the socket went to the timer that sent a heartbeat, and ended the process.
+  test('counts as a link to a peer that can\'t be reached', async () => {
+    const { clock, link, sockets } = createLink({ openSocket: () => connect({ host: '127.0.0.1', port: 82_233 }) })
+    link.send({ kind: 'rootRequest' })
+    expect(await link.request({ kind: 'rootRequest' }, 5_000)).toMatchObject({ ok: false, error: { kind: 'unreachable' } })
+    await clock.advanceAndSettle(3_000)
+    expect(await link.request({ kind: 'rootRequest' }, 5_000)).toMatchObject({ ok: false, error: { kind: 'unreachable' } })
+    expect(sockets).toEqual([])
+    link.close()
+  })
+})
--- a/src/services/instanceRegistry/test.ts
+++ b/src/services/instanceRegistry/test.ts
@@ -8,7 +8,7 @@
 const SILENT_LOGGER: Logger = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
 
 const createServer = (id: string, changes: Partial<BackendInstance> = {}): BackendInstance =>
-  ({ id, service: 'engines', address: { host: id, port: 1 }, availabilityZone: 'a', slots: 8, isLeaving: false, incarnation: 1, warmUpMs: 0, ...changes })
+  ({ id, service: 'engines', address: { host: '10.0.0.1', port: 1 }, availabilityZone: 'a', slots: 8, isLeaving: false, incarnation: 1, warmUpMs: 0, ...changes })
 
 const createUpdate = (changes: Partial<InstanceUpdate>): InstanceUpdate =>
   ({ isWhole: false, instances: [], removed: [], position: { origin: 1, sequence: 1 }, ...changes })
@@ -92,6 +92,19 @@
   })
 })
 
+describe('an update from a peer of another build', () => {
+  // The build before took any digits for an address, and sends such entries to its peers in a rolling update.
+  test('adds no server whose address can\'t be used', async () => {
+    const { registry } = await startRegistry()
+    const addresses = [{ host: '127.0.0.1', port: 82_233 }, { host: '127.0.0.300', port: 1 }, { host: '10.0.0.1', port: 0 }, {}, undefined].map((address) => address as BackendInstance['address'])
+    const instances = addresses.map((address, index) => createServer(`engine-${index + 3}`, { address }))
+    registry.applyPeerUpdate(createUpdate({ instances: [...instances, createServer('engine-9')] }), 10, 0)
+    expect(listIds(registry)).toEqual(['engine-1', 'engine-2', 'engine-9'])
+    registry.applyPeerUpdate(createUpdate({ isWhole: true, instances: [createServer('engine-1'), ...instances] }), 11, 0)
+    expect(registry.api.all().map(({ id }) => id).filter((id) => instances.some((instance) => instance.id === id))).toEqual([])
+  })
+})
+
 describe('a server that was removed', () => {
   // Half of the servers that leave only remove their entry and still serve for a while.
   test('can be copied from for its drain time', async () => {
