--- a/test/platform/knowledge.test.ts
+++ b/test/platform/knowledge.test.ts
@@ -116,13 +116,16 @@
     ['without a service', { service: undefined }],
     ['with an unknown state', { state: 'sleeping' }],
     ['with a slot count that is text', { slots: '8' }],
-    ['with an invalid address', { address: 'nowhere' }]
+    ['with an invalid address', { address: 'nowhere' }],
+    // Each node ended at its first request for such an entry.
+    ['with a port that does not exist', { address: '127.0.0.1:82233' }],
+    ['with a host that does not exist', { address: '127.0.0.300:8080' }]
   ])('skips an entry %s and keeps the others', async (_name, changes) => {
     const fleet = await start()
     const foreign = await createBackendStandIn({ id: 'plain-foreign' })
     fleet.register(foreign, 'plain', changes)
     fleet.store.put('servers', 'not-even-an-object', 'text')
-    await waitFor('the malformed entry to be noticed', async () => fleet.logs.some(({ message }) => message === 'backend server entry is malformed'))
+    await waitFor('both malformed entries to be noticed', async () => ['plain-foreign', 'not-even-an-object'].every((name) => fleet.logs.some(({ message, backendServer }) => message === 'backend server entry is malformed' && backendServer === name)))
     for (let index = 0; index < 4; index++) expect(await readStatus(fleet, '/lookup/1')).toBe(200)
     expect(foreign.records()).toHaveLength(0)
     await foreign.close()
