Count a read of a source that throws as a failed read

A read of the configuration or of a list that rejected ended the process, since nothing awaits the loop that reads; so did a configuration update of a peer that can't be patched. What throws while a read is applied still ends the process: the state may then be half changed.

--- a/src/services/_lib/createSourceFollower.ts
+++ b/src/services/_lib/createSourceFollower.ts
@@ -3,6 +3,7 @@
  * it by watches. A node that relies on the readers of its zone does not read the
  * source while they report.
  */
+import { containRead } from './containRead.js'
 import { describeSourceError } from '../../decisions/describeSourceError/index.js'
 import { planSourceRead } from '../../decisions/planSourceRead/index.js'
 import type { SourceReadPlan } from '../../decisions/planSourceRead/index.js'
@@ -110,7 +111,7 @@
         if (!pace().isRelyingOnReaders) endReliance()
         continue
       }
-      const reading: SourceReading = isListed ? await source.watch() : await source.readAll()
+      const reading: SourceReading = await containRead(isListed ? source.watch : source.readAll)
       if (isStopped) return
       const isApplied = applyReading(reading)
       if (!isApplied && !isListed) {
--- a/src/services/gatewayConfiguration/index.ts
+++ b/src/services/gatewayConfiguration/index.ts
@@ -5,6 +5,7 @@
  * in force during an outage of the source.
  */
 import { createConfigurationHistory } from './_lib/createConfigurationHistory.js'
+import { containDecoding, containRead } from '../_lib/containRead.js'
 import { describeSourceError } from '../../decisions/describeSourceError/index.js'
 import { planSourceRead } from '../../decisions/planSourceRead/index.js'
 import type { SourceReadPlan } from '../../decisions/planSourceRead/index.js'
@@ -127,7 +128,7 @@
     isReading = true
     timer?.cancel()
     const sentAt = readClocks(clocks)
-    const result = await source.read()
+    const result = await containRead(source.read)
     isReading = false
     if (isStopped) return
     if (result.ok) {
@@ -199,7 +200,7 @@
     applyPeerUpdate: (requestedAt, ageMs, newestVersion, update) => {
       const recordConfirmation = (): void => confirm(requestedAt, ageMs)
       if (update !== undefined && newestVersion > version()) {
-        const decoded = decodeUpdate(update)
+        const decoded = containDecoding(() => decodeUpdate(update))
         if (decoded.ok) adopt(decoded.value, 'peer', recordConfirmation)
         else logger.warn('configuration of a peer is malformed', { version: newestVersion, reason: describeSourceError(decoded.error) })
         return
--- a/src/services/gatewayConfiguration/test.ts
+++ b/src/services/gatewayConfiguration/test.ts
@@ -64,6 +64,8 @@
     ['bytes that are not packed records', { kind: 'whole', revision: 4, bytes: Buffer.from('spoilt') }],
     ['records that the source refuses', { kind: 'whole', revision: 4, bytes: packRecords({ rest: ['spoilt'] }) }],
     ['a change to a configuration that this node does not have', { kind: 'change', revision: 4, base: 2, change: { rest: [{ records: [4] }] } }],
+    // An exception here ended the process.
+    ['a change whose steps are no list', { kind: 'change', revision: 4, base: 3, change: { rest: 7 as unknown as [] } }],
     ['a change that names more records than there are', { kind: 'change', revision: 4, base: 3, change: { rest: [{ from: 0, count: 2 }] } }]
   ])('with a newer configuration as %s confirms nothing', (_name, update) => {
     const { holder, readClocks } = createHolder(async () => failure({ kind: 'unavailable', message: 'away' }))
@@ -82,6 +84,21 @@
   })
 })
 
+describe('a read of the source', () => {
+  // An exception here ended the process, and no further read began.
+  test('that throws counts as failed, and the next one begins', async () => {
+    let reads = 0
+    const { clock, holder } = createHolder(async () => {
+      reads += 1
+      if (reads === 1) throw new TypeError('no object')
+      return success(toSourced(3))
+    })
+    holder.start?.()
+    await clock.advanceAndSettle(2_000)
+    expect([holder.api.version(), holder.isSourceReachable()]).toEqual([3, true])
+  })
+})
+
 describe('an outage of the source', () => {
   // Guards against a read of the source by every request that waits for a confirmation: in an outage the calls grew with the request rate.
   test('causes no more reads when many requests wait for a confirmation', async () => {
