Count a peer whose address no socket can be opened to as out of reach

net.connect throws for a port that doesn't exist. A member's address comes by gossip, and the exception would have come out of the timer that sends a heartbeat and ended the process. Not seen on a deployment. The link now fails as it does when the connection is refused, with its backoff. The test of the link failed before (ERR_SOCKET_BAD_PORT).

--- a/src/adapters/peerTcp/_lib/createPeerLink.ts
+++ b/src/adapters/peerTcp/_lib/createPeerLink.ts
@@ -102,8 +102,19 @@
     request.settle(success(reply))
   }
 
+  /** Node.js throws for an address with no such port, which another build may send in a heartbeat. */
+  const openSocket = (): Socket | undefined => {
+    try {
+      return (options.openSocket ?? connectTcp)(address)
+    } catch (error) {
+      onClose(error instanceof Error ? error.message : 'no socket could be opened')
+      return undefined
+    }
+  }
+
   const dial = (): void => {
-    const socket = (options.openSocket ?? connectTcp)(address)
+    const socket = openSocket()
+    if (socket === undefined) return
     const limit = clock.setTimer(options.connectTimeoutMs, () => socket.destroy())
     socket.once('connect', limit.cancel)
     socket.once('close', limit.cancel)
@@ -124,6 +135,7 @@
     closeIfStalled()
     if (connection === undefined && clock.now() < retryAt) return 'unreachable'
     if (connection === undefined) dial()
+    if (connection === undefined) return 'unreachable'
     if (isReady) {
       unansweredSince ??= clock.now()
       return connection?.send(frame, frame.message.kind) === 'sent' ? 'sent' : 'unreachable'
