Leave out servers of a peer's list whose address can't be used

In a rolling update a gateway of the build before still has an entry with such an address in its list and sends it to gateways of this build, which ended at their first request for it. The registry checks addresses of peers' entries as well, and logs them as malformed. Servers of the in-process fleet have IPv4 addresses now; 212 tests of its users, of forwarding and of the quarantine pass (in that run vitest also reported a timeout of its worker, onTaskUpdate, beside other work; no test failed by it).

--- a/src/emulator/createInProcessFleet/_lib/createFleetSource.ts
+++ b/src/emulator/createInProcessFleet/_lib/createFleetSource.ts
@@ -69,7 +69,7 @@
 }
 
 const createInstance = (id: string, changes: Partial<BackendInstance>): BackendInstance => ({
-  id, service: 'engines', address: { host: id, port: 1 }, availabilityZone: 'zone-0', slots: 8, isLeaving: false, incarnation: 1, warmUpMs: 0, ...changes
+  id, service: 'engines', address: { host: '10.0.0.1', port: 1 }, availabilityZone: 'zone-0', slots: 8, isLeaving: false, incarnation: 1, warmUpMs: 0, ...changes
 })
 
 const wait = (clock: Clock, ms: number): Promise<void> => new Promise((resolve) => { clock.setTimer(ms, resolve) })
--- a/src/services/instanceRegistry/index.ts
+++ b/src/services/instanceRegistry/index.ts
@@ -12,7 +12,7 @@
 import type { EntryOrigin } from './_lib/createWarmUpDeadlines.js'
 import { createSourceFollower } from '../_lib/createSourceFollower.js'
 import type { SourceFollowerOptions, SourceReading } from '../_lib/createSourceFollower.js'
-import { success } from '../../kernel/index.js'
+import { isAddress, success } from '../../kernel/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import type { BackendInstance, ChangePosition, Clock, InstanceEntry, InstanceUpdate, InstanceRegistry, InstanceSource, Logger } from '../../types/index.js'
 
@@ -119,6 +119,10 @@
     else if (isLeaving && !known.isLeaving) logLeaving(next, 'list')
   }
 
+  /** A peer of another build may accept entries that this one does not. */
+  const toEntry = (instance: BackendInstance): InstanceEntry =>
+    isAddress(instance.address) ? { name: instance.id, instance } : { name: instance.id, problem: 'address of a peer\'s entry can\'t be used' }
+
   /** Removes a server whose entry is missing: at once, or after `REAPPEAR_MS` when the source was just reached again. */
   const removeMissing = (name: string): void => {
     if (!instances.has(name)) return
@@ -220,7 +224,7 @@
       if (update.isWhole && atRevision <= revision && isKnown) return
       const entries = update.instances
         .filter((instance) => !removals.isRemovedAsOf(instance, atRevision))
-        .map((instance) => ({ name: instance.id, instance }))
+        .map(toEntry)
       if (update.isWhole) return replaceAll(entries, atRevision, 'peer')
       if (!isKnown) return
       revision = Math.max(revision, atRevision)
