Do without seeds that are no addresses

One seed that can't be read made the whole list invalid: the process ended at its start, and a running one refused its settings.

--- a/src/types/gatewayEvents.ts
+++ b/src/types/gatewayEvents.ts
@@ -91,6 +91,7 @@
   'gateway stopped': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'no request is open any more, or the grace period has ended' },
   'settings reloaded': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the settings file was read again' },
   'settings refused': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the settings file has an invalid field; the previous settings stay in force' },
+  'seeds left out': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'seeds in the settings file are no addresses; the node does without them' },
   'stop failed': { level: 'error', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the shutdown failed' },
   'log lines left out': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'events over their limit of lines per second, or lines dropped because the output pipe was full' }
 } as const satisfies Readonly<Record<string, EventDescription>>
