--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -75,6 +75,30 @@
     expect(await callGateway(node.callerAddress, { path: '/lookup/1' })).toMatchObject({ status: 200 })
   })
 
+  // The platform leaves fields empty that don't concern a deployment; the process ended at each start.
+  test('starts and reloads with empty fields and a seed that is no address', async () => {
+    const platform = await startPlatform()
+    const fields = { 'bounds.evacuate_ms': '', 'bounds.cold_excess': '', 'bounds.cold_slack': '', seeds: '127.0.0.1:82233' }
+    const node = closeAfterTest(await startGatewayProcess({ name: 'node-1', store: platform.store.address(), fields }))
+    await waitUntilReady(node)
+    expect(node.lines.map(({ message }) => message)).toContain('seeds left out')
+    node.rewriteSettings({ 'limits.memory_mb': '', 'bounds.grace_s': '5' })
+    node.signal('SIGHUP')
+    await waitFor('the settings to be reloaded', () => node.lines.some(({ message }) => message === 'settings reloaded'))
+    expect(await callGateway(node.callerAddress, { path: '/lookup/1' })).toMatchObject({ status: 200 })
+  })
+
+  // Each gateway ended at its first request for such an entry, and lost the requests in flight.
+  test('serves on beside an entry whose address does not exist', async () => {
+    const platform = await startPlatform()
+    const node = await startNode(platform, 'node-1')
+    await waitUntilReady(node)
+    const entry = { service: 'plain', address: '127.0.0.1:82233', zone: 'zone-a', slots: 64, state: 'ready', born: 1 }
+    platform.store.put('servers', 'foreign', entry)
+    await waitFor('the entry to be left out', () => node.lines.some(({ message, backendServer }) => message === 'backend server entry is malformed' && backendServer === 'foreign'))
+    for (let request = 0; request < 10; request++) expect(await callGateway(node.callerAddress, { path: '/lookup/1' })).toMatchObject({ status: 200 })
+  })
+
   // A pause or a reload that dropped what servers asked for would send requests to a server that wants none.
   test.each([['a freeze', ['SIGSTOP', 'SIGCONT']], ['a reload', ['SIGHUP']]] as const)('keeps a backoff and a leaving server over %s', async (_what, signals) => {
     const platform = closeAfterTest(await createPlatform({ plain: ['plain-1', 'plain-2', 'plain-3'].map((id) => ({ id })) }))
