--- a/src/services/instanceRegistry/index.ts
+++ b/src/services/instanceRegistry/index.ts
@@ -6,12 +6,13 @@
 import { isDeepStrictEqual } from 'node:util'
 import { createChangeLog } from './_lib/createChangeLog.js'
 import { createLeavingRuns } from './_lib/createLeavingRuns.js'
+import { createMalformedEntries } from './_lib/createMalformedEntries.js'
 import { createRemovals } from './_lib/createRemovals.js'
 import { createWarmUpDeadlines } from './_lib/createWarmUpDeadlines.js'
 import type { EntryOrigin } from './_lib/createWarmUpDeadlines.js'
 import { createSourceFollower } from '../_lib/createSourceFollower.js'
 import type { SourceFollowerOptions, SourceReading } from '../_lib/createSourceFollower.js'
-import { success } from '../../kernel/index.js'
+import { isAddress, success } from '../../kernel/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import type { BackendInstance, ChangePosition, Clock, InstanceEntry, InstanceUpdate, InstanceRegistry, InstanceSource, Logger } from '../../types/index.js'
 
@@ -64,7 +65,7 @@
   const removals = createRemovals(clock, options.drainMs ?? 0)
   const warmUpDeadlines = createWarmUpDeadlines(clock)
   const listeners: (() => void)[] = []
-  const malformed = new Set<string>()
+  const malformedEntries = createMalformedEntries(logger)
   const changes = createChangeLog(clock.wallTime())
   let byService = new Map<string, BackendInstance[]>()
   let revision = 0
@@ -100,12 +101,8 @@
   const logLeaving = ({ id, service }: BackendInstance, from: 'list' | 'answer'): void =>
     logger.info('backend server leaving', { backendServer: id, service, from, revision })
 
-  const put = ({ name, instance }: InstanceEntry, origin: EntryOrigin): void => {
-    if (instance === undefined) {
-      if (!malformed.has(name)) logger.warn('backend server entry is malformed', { backendServer: name, revision })
-      malformed.add(name)
-      return
-    }
+  const put = ({ name, instance, problem = '' }: InstanceEntry, origin: EntryOrigin): void => {
+    if (instance === undefined) return malformedEntries.report(name, problem, revision)
     const known = instances.get(name)
     missingSince.delete(name)
     if (instance.incarnation <= (goneIncarnations.get(name) ?? -Infinity)) return
@@ -122,6 +119,10 @@
     else if (isLeaving && !known.isLeaving) logLeaving(next, 'list')
   }
 
+  /** A peer of another build may accept entries that this one does not. */
+  const toEntry = (instance: BackendInstance): InstanceEntry =>
+    isAddress(instance.address) ? { name: instance.id, instance } : { name: instance.id, problem: 'address of a peer\'s entry can\'t be used' }
+
   /** Removes a server whose entry is missing: at once, or after `REAPPEAR_MS` when the source was just reached again. */
   const removeMissing = (name: string): void => {
     if (!instances.has(name)) return
@@ -223,7 +224,7 @@
       if (update.isWhole && atRevision <= revision && isKnown) return
       const entries = update.instances
         .filter((instance) => !removals.isRemovedAsOf(instance, atRevision))
-        .map((instance) => ({ name: instance.id, instance }))
+        .map(toEntry)
       if (update.isWhole) return replaceAll(entries, atRevision, 'peer')
       if (!isKnown) return
       revision = Math.max(revision, atRevision)
