Believe an answer for the request id that it carries

Now an answer without the request's id is foreign, refusals included, and a head without it changes nothing that the node knows of the server.

The attempt of createInstanceTarget's test had no id at all; it has one now, and two more cases in which the read of the prompt is given up.

--- a/src/services/forwarding/_lib/createInstanceTarget.test.ts
+++ b/src/services/forwarding/_lib/createInstanceTarget.test.ts
@@ -30,7 +30,7 @@
     refusals: { recordSend: () => () => {} }
   } as unknown as RequestHandlerContext
   const instance = { id: 's1', service: 'engines', incarnation: 1 }
-  const target: AttemptTarget = createInstanceTarget(context, { name: 'replies' } as GatewayRoute, { instance, request: { promptParts: PARTS, tokens: { prompt: 8_100, output: 10 } } } as unknown as GatewayAttempt)
+  const target: AttemptTarget = createInstanceTarget(context, { name: 'replies' } as GatewayRoute, { instance, request: { requestId: 'r', promptParts: PARTS, tokens: { prompt: 8_100, output: 10 } } } as unknown as GatewayAttempt)
   target.recordStart()
   return { target, readCached: () => directory.listCachedTokens(PARTS).get('s1@1') ?? 0, readCopyable: () => directory.listCopyableTokens(PARTS).get('s1@1') ?? 0 }
 }
@@ -48,7 +48,9 @@
   test.each<[string, readonly InstanceAnswer[]]>([
     ['no connection was opened', []],
     ['the server refused', [{ ...ANSWER, status: 503, isNotRun: true }]],
-    ['the server failed', [{ ...ANSWER, status: 500 }]]
+    ['the server failed', [{ ...ANSWER, status: 500 }]],
+    ['the answer is that to another request', [{ ...ANSWER, requestId: 'other' }]],
+    ['the answer has no request id', [{ ...ANSWER, requestId: undefined }]]
   ])('is forgotten when %s', (_why, answers) => {
     const { target, readCached } = createAttempt(ENGINE)
     for (const answer of answers) target.recordHead(answer)
--- a/src/services/forwarding/_lib/createInstanceTarget.ts
+++ b/src/services/forwarding/_lib/createInstanceTarget.ts
@@ -1,5 +1,6 @@
 /** A backend server as the target of an attempt. */
 import type { AttemptTarget } from './attemptTarget.js'
+import { isAnswerTo } from './classifyAnswer.js'
 import type { RequestHandlerContext } from './requestHandler.js'
 import { listSharedParts } from '../../../decisions/listSharedParts/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
@@ -93,6 +94,7 @@
       recordSoundBytes()
     },
     recordHead: (answer) => {
+      if (!isAnswerTo(request, answer)) return
       head = answer
       decide(isRefusedForRoom(answer) ? 'refused' : 'accepted')
       if (isSuccess(answer)) read?.complete()
