--- a/test/_lib/createFaultProxy.ts
+++ b/test/_lib/createFaultProxy.ts
@@ -24,6 +24,8 @@
   /** Resets all connections that are open now. */
   readonly resetAll: () => void
   readonly connections: () => number
+  /** How many clients have ended their connection so far, in order or by a reset. */
+  readonly clientEnds: () => number
   /** Changes the target port of new connections, for a target that was restarted or is started after the proxy. */
   readonly setTarget: (port: number) => void
   readonly close: () => Promise<void>
@@ -74,6 +76,12 @@
   let targetPort = firstTargetPort
   let held: (() => void)[] = []
   const sockets = new Set<Socket>()
+  const endedClients = new WeakSet<Socket>()
+  let clientEnds = 0
+  const recordClientEnd = (client: Socket): void => {
+    if (!endedClients.has(client)) clientEnds += 1
+    endedClients.add(client)
+  }
   const hold = (action: () => void): void => { held.push(action) }
   const isHeld = (direction: Direction): boolean => fault.kind === 'blackhole' || (fault.kind === 'holdDirection' && fault.direction === direction)
 
@@ -86,18 +94,23 @@
 
   const forward = (from: Socket, to: Socket, direction: Direction): void => {
     const passed = { bytes: 0 }
+    let isReset = false
+    // The sender of lost packets sends them again, unless it has reset the connection.
+    from.on('error', ({ code }: NodeJS.ErrnoException) => { isReset ||= code === 'ECONNRESET' })
     const forwardChunk = (bytes: Buffer): void => {
+      if (isReset) return
       const handler = faultHandlers[fault.kind] as (chunk: Chunk, fault: LinkFault) => void
       handler({ from, to, bytes, direction, passed, hold, retry: () => { forwardChunk(bytes) } }, fault)
     }
     const runOrHold = (action: () => void): void => { isHeld(direction) ? hold(() => { runOrHold(action) }) : action() }
     from.on('data', forwardChunk)
     from.on('end', () => { runOrHold(() => { to.end() }) })
-    from.on('close', () => { runOrHold(() => { to.destroy() }) })
+    from.on('close', () => { runOrHold(() => { isReset ? to.resetAndDestroy() : to.destroy() }) })
   }
 
   const server = createServer({ allowHalfOpen: true }, (client) => {
     track(client)
+    for (const event of ['end', 'error', 'close']) client.on(event, () => recordClientEnd(client))
     if (fault.kind === 'refuse' || targetPort === 0) {
       client.resetAndDestroy()
       return
@@ -126,6 +139,7 @@
     },
     resetAll,
     connections: () => sockets.size / 2,
+    clientEnds: () => clientEnds,
     setTarget: (port) => { targetPort = port },
     close: async () => {
       held = []
