Reset the connection of an exchange that is given up

It is reset now, so that the sender's kernel drops what the server has not got. A connection that is idle is still closed in order, and one whose request was never written has nothing to drop.

--- a/src/adapters/exchangeHttp/index.ts
+++ b/src/adapters/exchangeHttp/index.ts
@@ -104,6 +104,8 @@
     if (connection.isClosed) return
     connection.isClosed = true
     pool.delete(connection)
+    // The bytes of a request that is given up may be held on their way. After an orderly close they still arrive.
+    if (connection.isBusy) connection.socket?.resetAndDestroy()
     connection.client.destroy().catch(() => { /* its requests have been notified already */ })
   }
 
