Bound the heads, framing, events and whole answers of backend servers

A faulty server may send bytes that are no answer without end. Status lines, interim heads, blank bytes, events and chunk extensions were read until the caller's deadline (504), an incomplete event was held whole, and an answer without end was passed on for as long as its caller read.

- Head and trailers: 16 KiB of names and values each, the default of Node.js (undici's own bound, now stated).
- Everything that is no body (heads, blank bytes, framing of chunks, trailers): 64 KiB beyond 16 bytes and twice the body a piece, the rule of Go's chunked reader; counted by bytes parsed on the socket, as the parser reports none of them.
- One event: 256 KiB.
One answer: 16 MiB, at once where its head states more.

What exceeds a bound is a broken answer like any other: the server's health is told, a safe request goes elsewhere, an order ends 502.

--- a/src/adapters/exchangeHttp/index.ts
+++ b/src/adapters/exchangeHttp/index.ts
@@ -7,6 +7,7 @@
 import type { Socket } from 'node:net'
 import { Client } from 'undici'
 import type { buildConnector, Dispatcher } from 'undici'
+import { createOverheadMeter, type OverheadMeter } from './_lib/createOverheadMeter.js'
 import { createUploads } from './_lib/createUploads.js'
 import type { SlowUpload, UploadListener } from './_lib/createUploads.js'
 import type { Clock, Exchange, ExchangeListener, HeaderList, InstanceAnswer, PeerAddress, UploadBytes } from '../../types/index.js'
@@ -43,7 +44,17 @@
   readonly close: () => void
 }
 
-type Connection = { readonly client: Client, socket: Socket | undefined, lastUsedAt: number, isBusy: boolean, isClosed: boolean, isReset: boolean }
+type Connection = {
+  readonly client: Client
+  readonly overhead: OverheadMeter
+  socket: Socket | undefined
+  lastUsedAt: number
+  isBusy: boolean
+  isClosed: boolean
+  isReset: boolean
+  /** Called before bytes are parsed that have arrived. */
+  onBytes: () => void
+}
 
 /** Maximum number of idle connections per receiver, kept open for its next burst of requests. */
 const MAXIMUM_IDLE_CONNECTIONS = 32
@@ -53,6 +64,10 @@
 /** An idle connection is closed this long before the end of the receiver's stated keep-alive timeout. */
 const IDLE_MARGIN_MS = 1_000
 const READ_BUFFER_BYTES = 64 * 1024
+/** Names and values of one head, or of the trailers; the default of Node.js. */
+const MAXIMUM_HEAD_BYTES = 16 * 1024
+
+const countParsedBytes = (socket: Socket | undefined): number => socket === undefined ? 0 : socket.bytesRead - socket.readableLength
 
 const listHeaders = (raw: readonly Buffer[]): HeaderList => {
   const headers: [string, string][] = []
@@ -114,6 +129,7 @@
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
+      maxHeaderSize: MAXIMUM_HEAD_BYTES,
       keepAliveTimeout: MAXIMUM_IDLE_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
       connect: (target, callback) => connector(target, (...result) => {
@@ -124,11 +140,12 @@
         // would pass for a complete one. A socket that was reset has no remote address any
         // more, one that was closed in order still has. These listeners run before undici's.
         socket?.on('error', () => { connection.isReset = true })
+        socket?.on('readable', () => { if (socket.readableLength > 0) connection.onBytes() })
         socket?.on('end', () => { connection.isReset ||= socket.remoteAddress === undefined })
         callback(...result)
       })
     })
-    const connection: Connection = { client, socket: undefined, lastUsedAt: clock.now(), isBusy: false, isClosed: false, isReset: false }
+    const connection: Connection = { client, overhead: createOverheadMeter(), socket: undefined, lastUsedAt: clock.now(), isBusy: false, isClosed: false, isReset: false, onBytes: () => { /* nothing is expected */ } }
     client.on('disconnect', () => drop(pool, connection))
     client.on('connectionError', () => drop(pool, connection))
     pool.add(connection)
@@ -149,6 +166,7 @@
 
   const release = (pool: Set<Connection>, connection: Connection): void => {
     connection.isBusy = false
+    connection.onBytes = () => { /* undici ends it */ }
     connection.lastUsedAt = clock.now()
     let idle = 0
     for (const other of pool) if (!other.isBusy) idle += 1
@@ -186,6 +204,10 @@
       listener.onFailure(isSent ? { kind: 'broken', message } : { kind: 'notSent', message })
     }
 
+    connection.onBytes = () => {
+      if (isSent && connection.overhead.exceeds(countParsedBytes(connection.socket))) fail(new Error('too many bytes of the answer are no body'))
+    }
+
     const handler: Dispatcher.DispatchHandler = {
       onConnect: (abort) => {
         if (!listener.maySend()) {
@@ -193,6 +215,7 @@
           return abort(new Error('the receiver may not get the request any more'))
         }
         isSent = true
+        connection.overhead.begin(countParsedBytes(connection.socket))
         if (uploads !== undefined && connection.socket !== undefined && request.body.length > 0) endUpload = uploads.begin(request.key, connection.socket, request.body.length)
         listener.onSent()
       },
@@ -204,6 +227,7 @@
         return !isPaused
       },
       onData: (chunk) => {
+        connection.overhead.recordBody(chunk.length)
         if (!isFinished) listener.onData(chunk)
         return !isPaused
       },
--- a/src/services/forwarding/_lib/createAnswerIntake.test.ts
+++ b/src/services/forwarding/_lib/createAnswerIntake.test.ts
@@ -33,7 +33,7 @@
   ...changes
 })
 
-const createIntake = (answer: InstanceAnswer) => {
+const createIntake = (answer: InstanceAnswer, request: GatewayRequest = REQUEST) => {
   const seen: string[] = []
   const sink: CallerSink = {
     refuse: () => { seen.push('refuse') },
@@ -48,7 +48,7 @@
     fail: () => { seen.push('fail') }
   }
   const caller = createCallerAnswer(sink, undefined)
-  const intake = createAnswerIntake(REQUEST, caller, {
+  const intake = createAnswerIntake(request, caller, {
     onHead: () => {},
     onNotRun: () => { seen.push('not run') },
     onBroken: (message) => { seen.push(`broken: ${message}`) },
@@ -98,4 +98,25 @@
     end()
     expect(seen).toEqual(['stated failure'])
   })
+
+  const MEGABYTE = 'x'.repeat(1_048_576)
+
+  // A faulty server sends without end, and the node would hold what it sends.
+  test('gives up an event that has no end', () => {
+    const { seen, take } = createIntake(createAnswer())
+    take('id: 1\ndata: a\n\n')
+    take(MEGABYTE)
+    expect(seen).toEqual(['head', 'id: 1\ndata: a', 'broken: event of more than 262144 bytes'])
+  })
+
+  test('gives up an answer that has no end', () => {
+    const { seen, take } = createIntake(createAnswer({ isEventStream: false }))
+    for (let megabytes = 0; megabytes < 17; megabytes++) take(MEGABYTE)
+    expect(seen.at(-1)).toBe('broken: answer of more than 16777216 bytes')
+    expect(seen.filter((entry) => entry.startsWith('broken'))).toHaveLength(1)
+  })
+
+  test.each([['POST', ['broken: answer of 20000000 bytes']], ['HEAD', []]])('gives up a stated length beyond the bound at once, except where no body follows (%s)', (method, expected) => {
+    expect(createIntake(createAnswer({ isEventStream: false, contentLength: 20_000_000 }), { ...REQUEST, method }).seen).toEqual(expected)
+  })
 })
--- a/src/services/forwarding/_lib/createAnswerIntake.ts
+++ b/src/services/forwarding/_lib/createAnswerIntake.ts
@@ -34,6 +34,11 @@
 /** An answer that is no event stream is buffered up to this size, or less where the node has little room; longer ones are passed on as they arrive. */
 const MAXIMUM_BUFFERED_BYTES = 1024 * 1024
 
+/** A faulty server may send a body without end; a longer answer than this is broken off. */
+const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
+/** An event is held until it is complete. */
+const MAXIMUM_EVENT_BYTES = 256 * 1024
+
 const isStream = (answer: InstanceAnswer): boolean => answer.isEventStream && answer.status === 200
 
 /** Creates the intake of one attempt. After `onNotRun`, `onBroken` or a callback for the end it must not be called again. */
@@ -42,6 +47,7 @@
   let answer: InstanceAnswer | undefined
   let buffered: Uint8Array[] = []
   let bufferedBytes = 0
+  let receivedBytes = 0
 
   const beginWith = (head: InstanceAnswer): void => { if (!caller.hasBegun()) caller.begin(head) }
 
@@ -51,7 +57,9 @@
       beginWith(head)
       caller.pass(relayed.bytes, exchange)
     }
-    if (relayed.gap !== undefined) listener.onBroken(relayed.gap)
+    if (relayed.gap !== undefined) return listener.onBroken(relayed.gap)
+    if (reader.pendingBytes() > MAXIMUM_EVENT_BYTES) return listener.onBroken(`event of more than ${MAXIMUM_EVENT_BYTES} bytes`)
+    caller.recordBuffered(reader.pendingBytes())
   }
 
   const bufferBytes = (head: InstanceAnswer, bytes: Uint8Array, exchange: Exchange | undefined): void => {
@@ -72,11 +80,14 @@
       const answerClass = classifyAnswer(request, head)
       if (answerClass.kind === 'foreign') return listener.onBroken(answerClass.message)
       if (answerClass.kind === 'notRun') return listener.onNotRun(head)
+      if (request.method !== 'HEAD' && (head.contentLength ?? 0) > MAXIMUM_ANSWER_BYTES) return listener.onBroken(`answer of ${head.contentLength} bytes`)
       if (caller.hasBegun() && !isStream(head)) return listener.onBroken(`status ${head.status} instead of the rest of the stream`)
       listener.onHead(head)
     },
     handleData: (bytes, exchange) => {
       if (answer === undefined) return
+      receivedBytes += bytes.length
+      if (receivedBytes > MAXIMUM_ANSWER_BYTES) return listener.onBroken(`answer of more than ${MAXIMUM_ANSWER_BYTES} bytes`)
       if (isStream(answer)) return passEvents(answer, bytes, exchange)
       if (!caller.hasBegun()) return bufferBytes(answer, bytes, exchange)
       caller.pass(bytes, exchange)
