--- a/test/platform/stoppingConnections.test.ts
+++ b/test/platform/stoppingConnections.test.ts
@@ -94,6 +94,23 @@
     expect(outcomes.length).toBeGreaterThan(STOPS * CALLERS)
   })
 
+  // Guards against timers that close kept connections before requests are read that arrived while the process was frozen.
+  test('answers orders on kept connections that arrived while it was frozen', async () => {
+    const platform = await startPlatform()
+    const node = await startNode(platform)
+    const connections = Array.from({ length: CALLERS }, () => openConnection(node.callerAddress))
+    const first = await Promise.all(connections.map(({ sendOrder }) => sendOrder()))
+    expect(first.filter(isUnanswered)).toEqual([])
+    node.signal('SIGTERM')
+    await pause(UNTIL_CLOSES_MS - 200)
+    node.signal('SIGSTOP')
+    const orders = connections.map(({ sendOrder }) => sendOrder())
+    await pause(400)
+    node.signal('SIGCONT')
+    expect((await Promise.all(orders)).filter(isUnanswered)).toEqual([])
+    expect(await node.ended).toBe(0)
+  })
+
   // Guards against a stop that lasts as long as the grace period because of connections on which nothing is sent.
   test('ends before its grace period is over where callers keep connections that they do not use', async () => {
     const node = await startNode(await startPlatform(), { 'bounds.grace_s': '60' })
