Connections are closed as idle only after what has arrived was read

What callers saw: an order on a kept connection without an answer, when the gateway process had been paused or busy while it arrived.

Cause: the event loop runs timers before it reads sockets. The closes of a stop and the idle timeout of node:http ran in a timer and judged by the state from before the pause.

Change: both judge in the check phase of a later turn, after a poll has read what lay in the kernel. The listener handles the event timeout of node:http, and closes the connection only if that turn brought no bytes.

--- a/src/adapters/gatewayHttp/_lib/createConnections.ts
+++ b/src/adapters/gatewayHttp/_lib/createConnections.ts
@@ -1,5 +1,6 @@
 /** Tracks a listener's connections: their open requests, and on which of them a request may be on its way. */
 import type { Socket } from 'node:net'
+import { afterTurn } from '../../afterTurn/index.js'
 import type { Clock } from '../../../types/index.js'
 
 /** When this side closed a connection, and whether it had carried a request before. */
@@ -14,8 +15,10 @@
   readonly isAwaited: (socket: Socket) => boolean
   /** Whether that holds for any connection that this side has not closed. */
   readonly isAnyAwaited: () => boolean
-  /** Closes the connections that are not awaited. */
+  /** Closes the connections that are not awaited, once what has arrived is read. */
   readonly closeIdle: () => void
+  /** Closes a connection whose idle timeout has passed, unless bytes turn out to have arrived on it. */
+  readonly closeExpired: (socket: Socket) => void
   readonly findClosed: (socket: Socket) => ClosedConnection | undefined
   readonly count: () => number
   /** Number of connections since the start. */
@@ -46,20 +49,28 @@
   const closedConnections = new WeakMap<Socket, ClosedConnection>()
   let accepted = 0
 
+  const hasReceived = (socket: Socket, { openRequests, bytesRead }: Connection): boolean => openRequests > 0 || socket.bytesRead !== bytesRead
+
   const isAwaited = (socket: Socket): boolean => {
     const connection = connections.get(socket)
     if (connection === undefined || connection.closed !== undefined) return false
-    if (connection.openRequests > 0 || socket.bytesRead !== connection.bytesRead) return true
+    if (hasReceived(socket, connection)) return true
     return connection.wasUsed
       ? clock.now() - connection.quietSince < MINIMUM_QUIET_MS
       : clock.now() - connection.acceptedAt < MAXIMUM_FIRST_REQUEST_MS
   }
 
-  const close = (socket: Socket, connection: Connection): void => {
-    if (connection.closed !== undefined) return
-    connection.closed = { at: clock.now(), wasUsed: connection.wasUsed }
+  const recordClosed = (socket: Socket, connection: Connection): void => {
+    connection.closed ??= { at: clock.now(), wasUsed: connection.wasUsed }
     closedConnections.set(socket, connection.closed)
-    socket.end()
+  }
+
+  const closeIdle = (): void => {
+    for (const [socket, connection] of connections) {
+      if (connection.closed !== undefined || isAwaited(socket)) continue
+      recordClosed(socket, connection)
+      socket.end()
+    }
   }
 
   return {
@@ -85,7 +96,16 @@
     hasOpenRequest: (socket) => (connections.get(socket)?.openRequests ?? 0) > 0,
     isAwaited,
     isAnyAwaited: () => [...connections.keys()].some(isAwaited),
-    closeIdle: () => { for (const [socket, connection] of connections) if (!isAwaited(socket)) close(socket, connection) },
+    closeIdle: () => afterTurn(closeIdle),
+    closeExpired: (socket) => {
+      const { bytesRead } = socket
+      afterTurn(() => {
+        const connection = connections.get(socket)
+        if (connection === undefined || connection.openRequests > 0 || socket.bytesRead !== bytesRead) return
+        recordClosed(socket, connection)
+        socket.destroy()
+      })
+    },
     findClosed: (socket) => closedConnections.get(socket),
     count: () => connections.size,
     countAccepted: () => accepted,
--- a/src/adapters/gatewayHttp/index.ts
+++ b/src/adapters/gatewayHttp/index.ts
@@ -177,6 +177,9 @@
     applyLimits()
   })
 
+  // With a listener, node:http leaves a kept connection open after its idle timeout.
+  server.on('timeout', connections.closeExpired)
+
   // For bytes that are not an HTTP request: the parser's state is lost, so the connection is closed after the answer.
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     logger.debug('connection with bytes that are no request', { code: error.code, message: error.message })
