--- a/src/types/gatewayEvents.ts
+++ b/src/types/gatewayEvents.ts
@@ -89,6 +89,7 @@
   'gateway stopping': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the shutdown has begun; readiness fails' },
   'requests open at shutdown': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the requests without a final answer at a node that is shutting down: at its start, each second, and when the grace period is over; the oldest are named' },
   'gateway stopped': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'no request is open any more, or the grace period has ended' },
+  'signal repeated': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the process was asked to stop again while it stops; nothing changes' },
   'settings reloaded': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the settings file was read again' },
   'settings refused': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the settings file has an invalid field; the previous settings stay in force' },
   'stop failed': { level: 'error', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the shutdown failed' },
