Test that stray bytes keep the next request from being written

Bytes that have arrived on an idle connection when a request is sent on it were read as its answer, broke it, or, where blank, were skipped: undici writes in the check phase, which may come before sockets are read again.

--- a/src/adapters/exchangeHttp/test.ts
+++ b/src/adapters/exchangeHttp/test.ts
@@ -94,6 +94,53 @@
   })
 })
 
+describe('bytes that belong to no answer', () => {
+  /** A server on bare sockets that answers each request, and writes more when told to. */
+  const startTalker = async () => {
+    const sockets: Socket[] = []
+    const server = createServer((socket) => {
+      sockets.push(socket)
+      socket.on('error', () => { /* the client resets it */ })
+      socket.on('data', () => { socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok') })
+    })
+    closing.push(() => { server.close() }, () => { for (const socket of sockets) socket.destroy() })
+    await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+    return { port: (server.address() as AddressInfo).port, sockets }
+  }
+
+  const STRAY = [
+    ['another answer', 'HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n'],
+    ['a part of one', 'HTTP/1.1 5'],
+    ['blank bytes', '\r\n']
+  ] as const
+
+  test.each(STRAY)('(%s) close an idle connection', async (_, bytes) => {
+    const { port, sockets } = await startTalker()
+    const client = createClient()
+    expect(await exchange(client, createRequest(port))).toBe('answered')
+    const closed = new Promise((resolve) => { sockets[0]!.once('close', resolve) })
+    sockets[0]!.write(bytes)
+    await closed
+    expect(await exchange(client, createRequest(port))).toBe('answered')
+    expect(sockets).toHaveLength(2)
+  })
+
+  // They would be read as the answer to a request that is written right after their arrival.
+  test.each(STRAY)('(%s) keep the next request from being written', async (_, bytes) => {
+    const { port, sockets } = await startTalker()
+    const client = createClient()
+    await exchange(client, createRequest(port))
+    const closed = new Promise((resolve) => { sockets[0]!.once('close', resolve) })
+    const heads: number[] = []
+    sockets[0]!.write(bytes)
+    const failure = await new Promise<ExchangeFailure | 'answered'>((resolve) => {
+      client.send(createRequest(port), { maySend: () => true, onSent: () => {}, onHead: ({ status }) => heads.push(status), onData: () => {}, onEnd: () => resolve('answered'), onFailure: resolve })
+    })
+    await closed
+    expect([heads, failure]).toEqual([[], expect.objectContaining({ kind: 'notSent' })])
+  })
+})
+
 describe('createExchangeHttp', () => {
   // Guards against connects of 200 ms that took up to a second, in which the callers' deadlines passed.
   test('gives a connection up after the connect timeout, with nothing sent', async () => {
