Let stray bytes end an idle connection before a request is written on it

A request on a kept connection waits for one more turn of the event loop, in which sockets are read: bytes or an end that have arrived are seen first, and the request is not sent there (notSent), so that it may go to another server whatever its kind. Any byte on an idle connection, blank ones too, closes it, as do bytes while a request waits to be written.

--- a/src/adapters/exchangeHttp/index.ts
+++ b/src/adapters/exchangeHttp/index.ts
@@ -52,7 +52,7 @@
   isBusy: boolean
   isClosed: boolean
   isReset: boolean
-  /** Called before bytes are parsed that have arrived. */
+  /** Called before bytes are parsed that have arrived; any are stray while no request was written. */
   onBytes: () => void
 }
 
@@ -140,12 +140,13 @@
         // would pass for a complete one. A socket that was reset has no remote address any
         // more, one that was closed in order still has. These listeners run before undici's.
         socket?.on('error', () => { connection.isReset = true })
+        // Before undici's listener as well: stray bytes must not be parsed, not even blank ones, which the parser skips.
         socket?.on('readable', () => { if (socket.readableLength > 0) connection.onBytes() })
         socket?.on('end', () => { connection.isReset ||= socket.remoteAddress === undefined })
         callback(...result)
       })
     })
-    const connection: Connection = { client, overhead: createOverheadMeter(), socket: undefined, lastUsedAt: clock.now(), isBusy: false, isClosed: false, isReset: false, onBytes: () => { /* nothing is expected */ } }
+    const connection: Connection = { client, overhead: createOverheadMeter(), socket: undefined, lastUsedAt: clock.now(), isBusy: false, isClosed: false, isReset: false, onBytes: () => drop(pool, connection) }
     client.on('disconnect', () => drop(pool, connection))
     client.on('connectionError', () => drop(pool, connection))
     pool.add(connection)
@@ -166,7 +167,7 @@
 
   const release = (pool: Set<Connection>, connection: Connection): void => {
     connection.isBusy = false
-    connection.onBytes = () => { /* undici ends it */ }
+    connection.onBytes = () => drop(pool, connection)
     connection.lastUsedAt = clock.now()
     let idle = 0
     for (const other of pool) if (!other.isBusy) idle += 1
@@ -183,7 +184,8 @@
 
   const send = (request: OutgoingRequest, listener: ExchangeListener): Exchange => {
     const pool = getPool(request.key)
-    const connection = selectIdle(pool) ?? open(pool, request.address)
+    const idle = selectIdle(pool)
+    const connection = idle ?? open(pool, request.address)
     connection.isBusy = true
     let isSent = false
     let isWithdrawn = false
@@ -205,7 +207,8 @@
     }
 
     connection.onBytes = () => {
-      if (isSent && connection.overhead.exceeds(countParsedBytes(connection.socket))) fail(new Error('too many bytes of the answer are no body'))
+      if (!isSent) fail(new Error('bytes arrived before the request was written'))
+      else if (connection.overhead.exceeds(countParsedBytes(connection.socket))) fail(new Error('too many bytes of the answer are no body'))
     }
 
     const handler: Dispatcher.DispatchHandler = {
@@ -248,7 +251,10 @@
       // Not used without TLS. Without it undici derives a name from the host of each request, which compiles a regular expression for IPv6 addresses at the first request.
       servername: request.address.host
     }
-    connection.client.dispatch(options, handler)
+    const dispatch = (): void => { if (!isFinished) connection.client.dispatch(options, handler) }
+    // undici waits for the next check phase, which may come before sockets are read again. With one more, bytes and ends that have arrived on an idle connection are seen before the request is written.
+    if (idle === undefined) dispatch()
+    else setImmediate(dispatch)
 
     return {
       abort: () => {
