Tests of signals in the first moments of a process, failing

A caller connects as soon as the process listens, and the process gets its signal then, while it loads its program. What the caller sees: a connection that is closed without an answer; SIGTERM and SIGHUP both end the process.

--- a/test/platform/_lib/openConnection.ts
+++ b/test/platform/_lib/openConnection.ts
@@ -10,16 +10,16 @@
   | { readonly kind: 'unanswered', readonly code: string | undefined, readonly ms: number, readonly receivedBytes: number }
 
 export type CallerConnection = {
+  /** Resolves with whether the connection was accepted. */
+  readonly connected: Promise<boolean>
   /** Sends an order as a whole, and resolves when its answer is complete or the connection has ended. One at a time. */
   readonly sendOrder: () => Promise<RequestOutcome>
-  /** Sends bytes as they are. */
-  readonly write: (text: string) => void
   readonly close: () => void
 }
 
 const HEAD_END = '\r\n\r\n'
 
-export const formatOrder = (): string =>
+const formatOrder = (): string =>
   `POST /order/1 HTTP/1.1\r\nHost: ${HOST}\r\nX-Attempt-Id: ${nextRequestId()}\r\nX-Deadline-Ms: 3000\r\nAuthorization: Bearer ${KEY}\r\nContent-Length: 5\r\n\r\nloafs`
 
 const readStatus = (text: string): number | undefined => {
@@ -50,6 +50,10 @@
     })
   }
   return {
+    connected: new Promise((resolve) => {
+      socket.once('connect', () => resolve(true))
+      socket.once('close', () => resolve(false))
+    }),
     sendOrder: () => new Promise((resolve) => {
       const sentAt = performance.now()
       received = ''
@@ -63,7 +67,6 @@
       if (hasEnded) return report()
       socket.write(formatOrder())
     }),
-    write: (text) => { socket.write(text) },
     close: () => { socket.destroy() }
   }
 }
