Signals in the first moments of a process are held for its program

What callers saw: a connection that a starting process had accepted, closed without an answer, when the process was stopped or reloaded just then.

Cause: the listener is opened before the program is loaded, the handlers of SIGTERM and SIGHUP were registered only once the gateway had started; until then both had their default action, which ends the process.

--- a/scripts/bundle/writeCode.cjs
+++ b/scripts/bundle/writeCode.cjs
@@ -18,4 +18,8 @@
 }
 const main = { exports: {} }
 script.runInThisContext().call(main.exports, main.exports, process.getBuiltinModule, main, path, resolve('target'))
-main.exports.run({ listener: undefined, timeline: { mark: () => {}, fields: () => ({}) } })
+main.exports.run({
+  listener: undefined,
+  timeline: { mark: () => {}, fields: () => ({}) },
+  signals: { handOver: ({ SIGTERM: stop }) => { process.on('SIGTERM', () => stop()) } }
+})
--- a/src/daemon/startGateway/_lib/shutDownGateway.ts
+++ b/src/daemon/startGateway/_lib/shutDownGateway.ts
@@ -16,6 +16,8 @@
   readonly listeners: readonly GatewayHttp[]
   /** Time in milliseconds after which the platform kills the process. */
   readonly graceMs: number
+  /** Monotonic milliseconds at which the grace period began. */
+  readonly requestedAt: number
 }
 
 /** The load balancer checks readiness once a second and stops sending after two failed checks; connections already under way still arrive. */
@@ -33,8 +35,7 @@
 const REPORT_INTERVAL_MS = 1_000
 
 /** Serves until the gateway may exit; `end` is the caller's part. */
-export const shutDownGateway = async ({ clock, logger, forwarding, announceLeaving, listeners, graceMs }: ShutdownDependencies): Promise<void> => {
-  const startedAt = clock.now()
+export const shutDownGateway = async ({ clock, logger, forwarding, announceLeaving, listeners, graceMs, requestedAt: startedAt }: ShutdownDependencies): Promise<void> => {
   // In a zone with few nodes in rotation, all of them receive new connections, including nodes that are shutting down.
   const endsAt = startedAt + graceMs - GRACE_MARGIN_MS
   let reportedAt = startedAt
--- a/src/daemon/startGateway/index.ts
+++ b/src/daemon/startGateway/index.ts
@@ -50,8 +50,11 @@
   readonly applySettings: (settings: GatewaySettings) => void
   /** Closes everything at once, as if the process had crashed. */
   readonly kill: () => Promise<void>
-  /** Fails the readiness check but continues to serve; resolves once nothing is open or the grace period is nearly over. */
-  readonly stop: () => Promise<void>
+  /**
+   * Fails the readiness check but continues to serve; resolves once nothing is open or the grace
+   * period is nearly over, which began at `requestedAt` (monotonic milliseconds), now by default.
+   */
+  readonly stop: (requestedAt?: number) => Promise<void>
 }
 
 /** Delay after which the metrics library is loaded; by then a node on a small VM has answered the callers that waited for its start. */
@@ -197,7 +200,7 @@
     while (!node.canServe()) await wait(clock, POLL_INTERVAL_MS)
   }
 
-  const shutDown = async (): Promise<void> => {
+  const shutDown = async (requestedAt: number): Promise<void> => {
     isShuttingDown = true
     await shutDownGateway({
       clock,
@@ -205,7 +208,8 @@
       forwarding: node.resolve('forwarding'),
       announceLeaving: node.resolve('membership').announceLeaving,
       listeners,
-      graceMs: currentSettings.graceMs
+      graceMs: currentSettings.graceMs,
+      requestedAt
     })
     await end()
   }
@@ -218,8 +222,8 @@
     whenReadyToServe,
     applySettings: (next) => { currentSettings = next },
     kill: end,
-    stop: () => {
-      ongoingShutdown ??= shutDown()
+    stop: (requestedAt = clock.now()) => {
+      ongoingShutdown ??= shutDown(requestedAt)
       return ongoingShutdown
     }
   }
