Failing test: a silent server's streams are cut where the key no longer counts

Cause: the handler aborts the exchange and asks the key after that. A request may not be sent under such a key any more, but the one that runs may end.

--- a/test/platform/silentTargets.test.ts
+++ b/test/platform/silentTargets.test.ts
@@ -4,7 +4,7 @@
 import { createRoute, ENGINES } from '../../platform/standIn/createPlatform/index.js'
 import type { BackendFault } from '../../platform/standIn/createBackendStandIn/index.js'
 import { callLookup, pause } from './_lib/callFleet.js'
-import { startGatewayFleet, type GatewayFleet } from './_lib/startGatewayFleet.js'
+import { startGatewayFleet, type FleetOptions, type GatewayFleet } from './_lib/startGatewayFleet.js'
 
 /** Longer than a stream's server may be silent before the stream is moved. */
 const SILENCE_MS = 1_700
@@ -15,9 +15,10 @@
 
 afterEach(async () => { for (const fleet of fleets.splice(0)) await fleet.close() })
 
-const start = async (nodes: number): Promise<GatewayFleet> => {
+const start = async (nodes: number, settings: FleetOptions['settings'] = {}): Promise<GatewayFleet> => {
   const fleet = await startGatewayFleet({
     nodes,
+    settings,
     hasLinks: true,
     engines: ENGINE_IDS.map((id) => ({ id, workMs: 100, events: 30 })),
     routes: [createRoute('lookup'), createRoute('chat', { route_type: 'stream', service: ENGINES, resumable: true, gap_target_ms: 300, timeout_ms: TIMEOUT_MS })]
@@ -60,3 +61,33 @@
   for (const link of fleet.links(1).values()) link.endSilence()
   expect(await countWhole(calls)).toBe(calls.length)
 })
+
+type Obstacle = { readonly settings?: FleetOptions['settings'], readonly raise: (fleet: GatewayFleet) => Promise<void> }
+
+const obstacles: Readonly<Record<string, Obstacle>> = {
+  'its key was taken away': {
+    raise: async (fleet) => {
+      fleet.applyConfiguration(2, { tenants: [{ name: 'pekarna', api_keys: ['second-key'], priority: 1 }] })
+      while (!fleet.logs.some(({ message, version }) => message === 'configuration in force' && version === 2)) await pause(20)
+    }
+  },
+  'its key can\'t be confirmed': {
+    settings: { keyRevocationMs: 1_500 },
+    raise: async (fleet) => {
+      fleet.store.setFault('reset')
+      while ((await callLookup(fleet)).status !== 503) await pause(50)
+    }
+  }
+}
+
+// Guards against an exchange that is aborted before the conditions of another one are asked.
+test.each(Object.keys(obstacles))('a silent server\'s streams go on there where %s', async (name) => {
+  const { settings = {}, raise } = obstacles[name]!
+  const fleet = await start(1, settings)
+  const calls = await beginStreams(fleet)
+  await raise(fleet)
+  fleet.links(0).get('engine-1')!.silence()
+  await pause(SILENCE_MS)
+  fleet.links(0).get('engine-1')!.endSilence()
+  expect(await countWhole(calls)).toBe(calls.length)
+})
