Tests: wait for arrivals instead of a bounded log line; judge stops by the rule's last sixth

silentTargets waited for six lines 'request sent', of which at most 40 a second are written: after a burst of lookups they were left out, and the test never went on (seen four times, traced by a run that printed each lookup).

stopsSoak cut by time: a request of over 6.7 s was excused wherever it ended.

--- a/test/platform/silentTargets.test.ts
+++ b/test/platform/silentTargets.test.ts
@@ -29,7 +29,8 @@
 
 const beginStreams = async (fleet: GatewayFleet): Promise<readonly Promise<CallResult>[]> => {
   const calls = Array.from({ length: 6 }, (_, index) => callGateway(fleet.callerAddress(), { path: '/chat/1', requestId: `s${index}`, timeoutMs: TIMEOUT_MS, body: 'x', headers: promptHeaders(`s${index}`) }))
-  const isBegun = (): boolean => calls.every((_, index) => fleet.logs.some(({ message, requestId }) => message === 'request sent' && requestId === `s${index}`))
+  const arrived = (): ReadonlySet<string> => new Set([...fleet.backends.values()].flatMap((backend) => backend.records().map(({ requestId }) => requestId)))
+  const isBegun = (): boolean => calls.every((_, index) => arrived().has(`s${index}`))
   while (!isBegun()) await pause(20)
   await pause(600)
   return calls
--- a/test/platform/stopsSoak.test.ts
+++ b/test/platform/stopsSoak.test.ts
@@ -18,17 +18,18 @@
 const DISTURBANCES = 28
 const GRACE_S = 8
 const TIMEOUT_MS = 12_000
-/** A request that takes longer may still run in the last sixth of a grace period, where a stop may cut it. */
-const MAXIMUM_JUDGED_MS = GRACE_S * 1_000 * 5 / 6
+/** A stop may cut a request that still runs in the last sixth of its grace period and was sent at the latest by then; milliseconds from SIGTERM. */
+const LAST_SIXTH_MS = GRACE_S * 1_000 * 5 / 6
+const EXCUSED_SENT_MS = 3_000
 const MAXIMUM_SILENCE_MS = 2_000
 /** Pause of a client that was refused, about the longest Retry-After of a node that stops. */
 const REFUSED_PAUSE_MS = 100
 const PATHS = ['/lookup/1', '/order/1', '/chat/1', '/once/1']
 
 /** One run of a daemon. Its name is the same after a restart. */
-type Node = { readonly name: string, readonly process: GatewayProcess, isGone: boolean }
+type Node = { readonly name: string, readonly process: GatewayProcess, isGone: boolean, stoppedAt: number }
 
-type Call = { readonly requestId: string, readonly path: string, readonly node: Node, readonly result: CallResult }
+type Call = { readonly requestId: string, readonly path: string, readonly node: Node, readonly sentAt: number, readonly result: CallResult }
 
 const closing: (() => Promise<void>)[] = []
 
@@ -57,7 +58,7 @@
   const start = async (name: string): Promise<void> => {
     const seeds = [...nodes.values()].filter(({ isGone }) => !isGone).map((node) => node.process.peerAddress)
     const process = await startGatewayProcess({ name, store, seeds, fields: { 'bounds.grace_s': String(GRACE_S) } })
-    const node: Node = { name, process, isGone: false }
+    const node: Node = { name, process, isGone: false, stoppedAt: Infinity }
     process.ended.then(() => { node.isGone = true }, () => { node.isGone = true })
     closing.push(process.close)
     nodes.set(name, node)
@@ -80,10 +81,11 @@
   const callOnce = async (node: Node, agent?: Agent): Promise<number> => {
     const path = pick(PATHS)
     const requestId = nextRequestId()
+    const sentAt = performance.now()
     const isStream = path === '/chat/1' || path === '/once/1'
     const headers = isStream ? { ...promptHeaders(`s${draw(9)}`, requestId), 'X-Token-Count': `300,${30 + draw(3_000)}` } : {}
     const result = await callGateway(node.process.callerAddress, { path, requestId, timeoutMs: TIMEOUT_MS, body: 'x', headers, ...(agent === undefined ? {} : { agent }) })
-    calls.push({ requestId, path, node, result })
+    calls.push({ requestId, path, node, sentAt, result })
     return result.status
   }
 
@@ -108,6 +110,7 @@
     const node = nodes.find(pick(NODE_NAMES))
     if (node === undefined) return
     const repeats = draw(3)
+    node.stoppedAt = Math.min(node.stoppedAt, performance.now())
     node.process.signal('SIGTERM')
     for (let index = 0; index < repeats; index++) {
       await pause(draw(800))
@@ -142,6 +145,10 @@
   return { calls, exits, runs: backends.flatMap((backend) => backend.records().filter(({ isRun }) => isRun).map(({ requestId }) => requestId)) }
 }
 
+/** Whether the request ran on into the last sixth of its node's grace period. */
+const isExcused = ({ node, sentAt, result }: Call): boolean =>
+  sentAt + result.ms >= node.stoppedAt + LAST_SIXTH_MS && sentAt <= node.stoppedAt + EXCUSED_SENT_MS
+
 const describeCall = ({ requestId, path, node, result }: Call): string => {
   const steps = node.process.lines.filter((line) => line['requestId'] === requestId).map(({ message, reason, backendServer }) => [message, reason, backendServer].filter(Boolean).join(' '))
   return `${requestId} ${path} ${node.name} ${result.status} after ${Math.round(result.ms)} ms: ${steps.join(', ')}`
@@ -152,7 +159,7 @@
   test.each(Array.from({ length: SEEDS }, (_, index) => FIRST_SEED + index))('cut no request that was passed on, and no process ends early (seed %i)', async (seed) => {
     const { calls, exits, runs } = await playSoak(seed)
     const haveRun = new Set(runs)
-    const cut = calls.filter(({ requestId, result }) => !result.isComplete && haveRun.has(requestId) && result.ms < MAXIMUM_JUDGED_MS)
+    const cut = calls.filter((call) => !call.result.isComplete && haveRun.has(call.requestId) && !isExcused(call))
     expect(cut.map(describeCall)).toEqual([])
     expect(exits.filter((code) => code !== 0)).toEqual([])
     expect(exits.length).toBeGreaterThan(0)
