Failing tests: the last words of a silent server end the exchange that has replaced it

A silent server is left for another one and set aside for 200 ms. When it then states that it did not run the request, fails, or sends an answer to another request, the exchange to the other server is aborted for it, and the caller gets 502 although that server would have answered.

--- a/src/services/forwarding/test.ts
+++ b/src/services/forwarding/test.ts
@@ -254,6 +254,27 @@
     node.exchanges[1]!.onHead(STREAM_HEAD)
     expect([node.state.aborts, node.answers]).toEqual([1, []])
   })
+
+  // Guards against a server that is given up for the last words of the one that the request has left.
+  test.each<readonly [string, Partial<InstanceAnswer>]>([
+    ['states that it did not run it', { status: 503, isNotRun: true, isEventStream: false }],
+    ['has failed', { status: 500, isEventStream: false }],
+    ['answers another request', { requestId: 'r2' }]
+  ])('goes on at the other server when the one before %s', async (_what, answer) => {
+    const node = startNode()
+    node.provideInitialState()
+    node.call('r1', '/private/1', 0, { credential: 'key' })
+    node.exchanges[0]!.onSent()
+    await node.clock.advanceAndSettle(500)
+    expect(node.sent).toEqual(['r1', 'r1'])
+    node.exchanges[1]!.onSent()
+    node.exchanges[0]!.onHead({ ...STREAM_HEAD, ...answer })
+    node.exchanges[0]!.onEnd()
+    node.exchanges[1]!.onHead(STREAM_HEAD)
+    node.exchanges[1]!.onData(formatEvent(1))
+    node.exchanges[1]!.onEnd()
+    expect([node.sent, node.answers]).toEqual([['r1', 'r1'], ['complete']])
+  })
 })
 
 describe('a large answer that is no stream', () => {
