Only an answer of its own brings a request back to the server that it has left

What callers saw: 502 instancesRefused, or a failure of the server that was left, while another server worked on the request.

Cause: each event of an exchange that was set aside made it active again and aborted the one that had replaced it, a refusal, a failure and a foreign answer included.

Change: a head is read before the exchange counts as going on. An own answer below 500 settles the request on its server; otherwise only the exchange that was set aside is given up and counted, and nothing is sent again for it.

--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -158,7 +158,7 @@
         sends += 1
         paths.recordArrival(target)
       },
-      onHead: (answer) => { if (attempts.claim(current)) handleHead(current, answer, intake) },
+      onHead: (answer) => { if (attempts.isRunning(current)) handleHead(current, answer, intake) },
       onData: (bytes) => {
         if (!attempts.claim(current)) return
         reporter.reportBody(current)
@@ -180,7 +180,7 @@
   /** The target states that the request was not run, so the send does not count. */
   const handleNotRun = (current: SendAttempt, answer: InstanceAnswer): void => {
     const { target } = current
-    attempts.abortActive()
+    const givenUp = attempts.giveUp(current)
     sends -= 1
     mayHaveRun = sends > 0
     paths.recordRefusal(target, answer)
@@ -190,7 +190,7 @@
     // A peer that could not send the request to any server says nothing about how full the service is.
     const hasReachedServer = target.kind === 'backendServer' || answer.relayRefusal === 'instancesRefused'
     if (hasReachedServer) refusals += 1
-    retryOr(() => giveUp(answer.relayRefusal ?? 'instancesRefused', 502, describeReach(context)))
+    if (givenUp?.wasActive === true) retryOr(() => giveUp(answer.relayRefusal ?? 'instancesRefused', 502, describeReach(context)))
   }
 
   /** The answer of the backend server is complete; `endAnswer` ends the caller's answer. */
@@ -206,7 +206,8 @@
 
   const listenTo = (current: SendAttempt): AnswerListener => ({
     onHead: (answer) => {
-      if (answer.status < SERVER_ERROR_STATUS) attempts.releaseAside()
+      if (answer.status < SERVER_ERROR_STATUS) attempts.settleOn(current)
+      else if (attempts.isAside(current)) return recordReportedFailure(current, answer)
       reporter.reportSuccess(current, answer)
     },
     onNotRun: (answer) => handleNotRun(current, answer),
@@ -221,24 +222,28 @@
 
   const handleReportedFailure = (current: SendAttempt, answer: InstanceAnswer, answerBody: Uint8Array): void => {
     attempts.endActive()
+    recordReportedFailure(current, answer)
+    finalAnswer.keepReportedFailure({ answer, body: answerBody })
+    retryOr(finalAnswer.finishWithReportedFailure)
+  }
+
+  /** A target that the request is leaving is left for good; the other one goes on. */
+  const recordReportedFailure = (current: SendAttempt, answer: InstanceAnswer): void => {
+    attempts.giveUp(current)
     current.target.recordFailure('errored')
     record.countSend('errored')
     record.log('backend server failed', { ...current.target.logFields, status: answer.status })
-    finalAnswer.keepReportedFailure({ answer, body: answerBody })
-    retryOr(finalAnswer.finishWithReportedFailure)
   }
 
   const handleFailure = (current: SendAttempt, failure: ExchangeFailure): void => {
-    const isActive = attempts.active() === current
-    if (isActive) attempts.abortActive()
-    else if (attempts.isAside(current)) attempts.releaseAside()
-    else return
+    const givenUp = attempts.giveUp(current)
+    if (givenUp === undefined) return
     const { failure: targetFailure, reason } = classifyFailure(failure)
     record.countSend(failure.kind)
     if (failure.kind === 'notSent') paths.recordUnreached(current.target)
     if (targetFailure !== undefined) current.target.recordFailure(targetFailure)
     record.log('exchange failed', { ...current.target.logFields, kind: failure.kind, reason: failure.message, lastEventId: caller.relay.lastEventId() })
-    if (isActive) retryOr(() => giveUp(reason, 502, describeReach(context)))
+    if (givenUp.wasActive) retryOr(() => giveUp(reason, 502, describeReach(context)))
   }
 
   /** The retry is taken first: without it the exchange goes on. */
--- a/src/services/forwarding/_lib/createRunningAttempts.ts
+++ b/src/services/forwarding/_lib/createRunningAttempts.ts
@@ -13,6 +13,12 @@
   readonly claim: (attempt: SendAttempt) => boolean
   /** Whether the attempt was set aside. */
   readonly isAside: (attempt: SendAttempt) => boolean
+  /** Whether the attempt is the active one or was set aside. */
+  readonly isRunning: (attempt: SendAttempt) => boolean
+  /** The attempt's target answers the request: the other attempt is given up. */
+  readonly settleOn: (attempt: SendAttempt) => void
+  /** Gives the attempt up; returns whether it was active, and `undefined` when it does not run any more. */
+  readonly giveUp: (attempt: SendAttempt) => { readonly wasActive: boolean } | undefined
   readonly begin: (attempt: SendAttempt) => void
   /** Sets the active attempt aside for the one that begins next. */
   readonly setAside: () => void
@@ -22,7 +28,6 @@
   readonly releaseAside: () => void
   /** The active attempt has ended by itself. */
   readonly endActive: () => void
-  readonly abortActive: () => void
   readonly abortAll: () => void
   /** Gives up an attempt that was set aside for too long. */
   readonly check: (now: number) => void
@@ -83,6 +88,15 @@
   return {
     active: () => active,
     isAside,
+    isRunning: (attempt) => attempt === active || isAside(attempt),
+    settleOn: (attempt) => { if (!isAside(attempt) || !restore()) releaseAside() },
+    giveUp: (attempt) => {
+      const wasActive = attempt === active
+      if (!wasActive && !isAside(attempt)) return undefined
+      if (wasActive) abortActive()
+      else releaseAside()
+      return { wasActive }
+    },
     claim: (attempt) => attempt === active || (isAside(attempt) && restore()),
     begin: (attempt) => { active = attempt },
     setAside: () => {
@@ -96,7 +110,6 @@
       if (active !== undefined) end(active)
       active = undefined
     },
-    abortActive,
     abortAll: () => {
       abortActive()
       releaseAside()
