Failing test: a stream is cut where the other server can't be reached

The exchange to a silent server is given up 200 ms after the move was decided. A connection takes 200 ms to fail as well (and ticks are 50 ms apart): whether the stream has an exchange to return to then is a matter of a few milliseconds.

--- a/src/services/forwarding/test.ts
+++ b/src/services/forwarding/test.ts
@@ -210,6 +210,7 @@
 
   /** Longer than the silence after which a stream is moved, and a tick. */
   const SILENCE_MS = 1_700
+  const TICK_MS = 50
 
   const formatEvent = (id: number): Uint8Array => Buffer.from(`id: ${id}\ndata: x\n\n`)
 
@@ -255,6 +256,22 @@
     expect([node.state.aborts, node.answers]).toEqual([1, []])
   })
 
+  const startMovedStream = async (): Promise<Node> => {
+    const node = startStream()
+    while (node.sent.length < 2) await node.clock.advanceAndSettle(TICK_MS)
+    return node
+  }
+
+  // Guards against an exchange that is given up for a server that can't be reached: a connection takes as long to fail as two may overlap.
+  test('returns to its exchange when no connection to the other server is opened in time', async () => {
+    const node = await startMovedStream()
+    await node.clock.advanceAndSettle(250)
+    node.exchanges[1]!.onFailure({ kind: 'notSent', message: 'ETIMEDOUT' })
+    node.exchanges[0]!.onData(formatEvent(2))
+    node.exchanges[0]!.onEnd()
+    expect(node.answers).toEqual(['complete'])
+  })
+
   // Guards against a server that is given up for the last words of the one that the request has left.
   test.each<readonly [string, Partial<InstanceAnswer>]>([
     ['states that it did not run it', { status: 503, isNotRun: true, isEventStream: false }],
