Two exchanges of a request overlap from the send of the second one on

Cause: the 200 ms in which the new target may refuse began with the decision to move. A target that can't be reached takes up all of them: nothing runs there, and the exchange to return to is gone.

Change: the time runs from the write of the request to the new target. The case 'gives the old attempt up after a while' sends the new attempt first, with the same limits; a new case holds that the old one stays before that.

--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -49,7 +49,7 @@
   const caller = createCallerAnswer(sink, request.lastEventId)
   const deadline = createRequestDeadline(clock, request, () => route)
   const record = createRequestRecord(context, request, () => route)
-  const attempts = createRunningAttempts(clock, ({ target }) => record.log('exchange resumed', { ...target.logFields, lastEventId: caller.relay.lastEventId() }))
+  const attempts = createRunningAttempts(({ target }) => record.log('exchange resumed', { ...target.logFields, lastEventId: caller.relay.lastEventId() }))
   const reporter = createAttemptReporter(context, { request, readRoute: () => route, readService: () => service })
 
   const finalAnswer = createFinalAnswer({
@@ -152,7 +152,7 @@
       maySend: target.maySend,
       onSent: () => {
         record.recordStep('connected')
-        current.isSent = true
+        current.sentAt = clock.now()
         if (attempts.active() !== current) return
         mayHaveRun = true
         sends += 1
@@ -264,7 +264,7 @@
     gate.check()
     attempts.check(now)
     const current = attempts.active()
-    if (current === undefined || route === undefined || !current.isSent) return
+    if (current === undefined || route === undefined || current.sentAt === undefined) return
     if (caller.isPaused()) current.lastBytesAt = now
     silence.check(current, toRouted(route), now)
   }
--- a/src/services/forwarding/_lib/createRunningAttempts.test.ts
+++ b/src/services/forwarding/_lib/createRunningAttempts.test.ts
@@ -11,7 +11,7 @@
     ...createSendAttempt({ id, recordEnd: () => { events.push(`${id} ended`) } } as unknown as AttemptTarget, clock.now()),
     exchange: { abort: () => { events.push(`${id} aborted`) }, pause: () => {}, resume: () => {} }
   })
-  const attempts = createRunningAttempts(clock, ({ target }) => { events.push(`${target.id} resumed`) })
+  const attempts = createRunningAttempts(({ target }) => { events.push(`${target.id} resumed`) })
   const [old, next] = [createAttempt('old'), createAttempt('next')]
   attempts.begin(old)
   attempts.setAside()
@@ -48,13 +48,23 @@
 
   // Guards against two servers that work on one request for long.
   test('gives the old attempt up after a while', () => {
-    const { clock, events, attempts } = start()
+    const { clock, events, attempts, next } = start()
+    next.sentAt = clock.now()
     attempts.check(clock.now() + 199)
     expect(events).toEqual([])
     attempts.check(clock.now() + 200)
     expect(events).toEqual(['old ended', 'old aborted'])
   })
 
+  // Guards against an exchange that is given up for a target to which no connection can be opened.
+  test('keeps the old attempt while the new one is not sent', () => {
+    const { clock, events, attempts, next } = start()
+    attempts.check(clock.now() + 1_000)
+    next.sentAt = clock.now() + 1_000
+    attempts.check(clock.now() + 1_199)
+    expect(events).toEqual([])
+  })
+
   test('aborts both when the request ends', () => {
     const { events, attempts } = start()
     attempts.abortAll()
--- a/src/services/forwarding/_lib/createRunningAttempts.ts
+++ b/src/services/forwarding/_lib/createRunningAttempts.ts
@@ -5,7 +5,6 @@
  * the request returns to it when the new target refuses or the old one goes on.
  */
 import type { SendAttempt } from './createSendAttempt.js'
-import type { Clock } from '../../../types/index.js'
 
 export type RunningAttempts = {
   readonly active: () => SendAttempt | undefined
@@ -29,13 +28,13 @@
   /** The active attempt has ended by itself. */
   readonly endActive: () => void
   readonly abortAll: () => void
-  /** Gives up an attempt that was set aside for too long. */
+  /** Gives the attempt up that was set aside, once the other one was sent long ago. */
   readonly check: (now: number) => void
 }
 
 /**
- * Time in milliseconds after which a new target that has not refused counts as having taken the request. A refusal takes a round
- * trip; two servers may not work on one request for much longer.
+ * Time in milliseconds from its send after which a new target that has not refused counts as having taken the request. A refusal
+ * takes a round trip; two servers may not work on one request for much longer.
  */
 const MAXIMUM_OVERLAP_MS = 200
 
@@ -54,17 +53,16 @@
 /**
  * Creates the attempts of one request; none runs yet.
  *
- * @param clock - Monotonic clock.
  * @param onRestore - Told when the request returns to the attempt that was set aside.
  */
-export const createRunningAttempts = (clock: Pick<Clock, 'now'>, onRestore: (attempt: SendAttempt) => void): RunningAttempts => {
+export const createRunningAttempts = (onRestore: (attempt: SendAttempt) => void): RunningAttempts => {
   let active: SendAttempt | undefined
-  let aside: { readonly attempt: SendAttempt, readonly since: number } | undefined
+  let aside: SendAttempt | undefined
 
   const releaseAside = (): void => {
     const released = aside
     aside = undefined
-    abort(released?.attempt)
+    abort(released)
   }
 
   const abortActive = (): void => {
@@ -74,8 +72,8 @@
   }
 
   const restore = (): boolean => {
-    if (aside === undefined) return false
-    const { attempt } = aside
+    const attempt = aside
+    if (attempt === undefined) return false
     aside = undefined
     abortActive()
     active = attempt
@@ -83,7 +81,7 @@
     return true
   }
 
-  const isAside = (attempt: SendAttempt): boolean => aside?.attempt === attempt
+  const isAside = (attempt: SendAttempt): boolean => aside === attempt
 
   return {
     active: () => active,
@@ -101,7 +99,7 @@
     begin: (attempt) => { active = attempt },
     setAside: () => {
       releaseAside()
-      if (active !== undefined) aside = { attempt: active, since: clock.now() }
+      aside = active
       active = undefined
     },
     restore,
@@ -114,6 +112,6 @@
       abortActive()
       releaseAside()
     },
-    check: (now) => { if (aside !== undefined && now - aside.since >= MAXIMUM_OVERLAP_MS) releaseAside() }
+    check: (now) => { if (active?.sentAt !== undefined && now - active.sentAt >= MAXIMUM_OVERLAP_MS) releaseAside() }
   }
 }
--- a/src/services/forwarding/_lib/createSendAttempt.ts
+++ b/src/services/forwarding/_lib/createSendAttempt.ts
@@ -6,8 +6,8 @@
   readonly target: AttemptTarget
   readonly startedAt: number
   exchange: Exchange | undefined
-  /** Whether the request was written to a connection: from then on it may have run. */
-  isSent: boolean
+  /** Monotonic milliseconds at which the request was written to a connection: from then on it may have run. */
+  sentAt: number | undefined
   /** Monotonic milliseconds at which the first bytes of the answer's body arrived. */
   firstBytesAt: number | undefined
   /** Monotonic milliseconds at which bytes last arrived; the start until then. */
@@ -20,4 +20,4 @@
 
 /** Creates the state of an attempt that starts now; `now` in monotonic milliseconds. */
 export const createSendAttempt = (target: AttemptTarget, now: number): SendAttempt =>
-  ({ target, startedAt: now, exchange: undefined, isSent: false, firstBytesAt: undefined, lastBytesAt: now, isFinished: false, isUnresponsiveReported: false, isStayLogged: false })
+  ({ target, startedAt: now, exchange: undefined, sentAt: undefined, firstBytesAt: undefined, lastBytesAt: now, isFinished: false, isUnresponsiveReported: false, isStayLogged: false })
