Failing test: a stream is resumed at another version than the one that began it

Where a request leaves a server before its first event, and returns to it because the other one refuses, the stream counts as begun at the other one's version.

--- a/src/services/forwarding/test.ts
+++ b/src/services/forwarding/test.ts
@@ -54,6 +54,7 @@
   const clock = createManualClock()
   const state = { confirmedAgeMs: 0, verdict: { kind: 'open' } as QuarantineVerdict, servers: [INSTANCE, OTHER_INSTANCE] as readonly BackendInstance[], aborts: 0 }
   const sent: string[] = []
+  const targets: string[] = []
   const answers: string[] = []
   const listeners: (() => void)[] = []
   const exchanges: ExchangeListener[] = []
@@ -98,8 +99,9 @@
     zoneDrains: { isDrained: () => false, isKnown: () => true, revision: () => 0, onChange: () => {} },
     warmUp: { remainingMs: () => 0, isLimitReached: () => false, recordSend: () => {} },
     client: {
-      send: ({ request }, exchange) => {
+      send: ({ request, instance }, exchange) => {
         sent.push(request.requestId)
+        targets.push(instance.id)
         exchanges.push(exchange)
         return { abort: () => { state.aborts += 1 }, pause: () => {}, resume: () => {} }
       },
@@ -120,6 +122,7 @@
     clock,
     state,
     sent,
+    targets,
     answers,
     exchanges,
     beginShutdown: forwarding.api.beginShutdown,
@@ -292,6 +295,25 @@
     node.exchanges[1]!.onEnd()
     expect([node.sent, node.answers]).toEqual([['r1', 'r1'], ['complete']])
   })
+
+  // Guards against a stream whose parts come from two software versions.
+  test('is resumed at the version of the server to which it returned', async () => {
+    const [first, other, third, fourth] = ['v1', 'v2', 'v2', 'v1'].map((softwareVersion, index) => ({ ...INSTANCE, id: `plain-${index + 1}`, softwareVersion })) as [BackendInstance, BackendInstance, BackendInstance, BackendInstance]
+    const node = startNode()
+    node.state.servers = [first]
+    node.provideInitialState()
+    node.call('r1', '/private/1', 0, { credential: 'key' })
+    node.exchanges[0]!.onSent()
+    node.state.servers = [first, other]
+    await node.clock.advanceAndSettle(500)
+    node.exchanges[1]!.onSent()
+    node.exchanges[1]!.onHead({ ...STREAM_HEAD, status: 503, isNotRun: true, isEventStream: false })
+    node.exchanges[0]!.onHead(STREAM_HEAD)
+    node.exchanges[0]!.onData(formatEvent(1))
+    node.state.servers = [first, other, third, fourth]
+    node.exchanges[0]!.onFailure({ kind: 'broken', message: 'reset' })
+    expect(node.targets).toEqual(['plain-1', 'plain-2', 'plain-4'])
+  })
 })
 
 describe('a large answer that is no stream', () => {
