A stream that returns to a server goes on at that server's version

Cause: until the first event the latest send decides the version of a stream. The exchange that was set aside had been sent before the other one.

Change: the return counts as a send for the choice of servers. Of a peer's answer the version is taken from its head as before: one whose head has arrived, without an event, before it is set aside still counts with the other one's version.

--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -21,9 +21,7 @@
 import { createAttemptReporter } from './createAttemptReporter.js'
 import { describeReach } from './describeReach.js'
 import { prepareSend } from './prepareSend.js'
-import type {
-  CallerSink, ExchangeFailure, GatewayAccount, GatewayRequest, GatewayRoute, InstanceAnswer, LogFields
-} from '../../../types/index.js'
+import type { CallerSink, ExchangeFailure, GatewayAccount, GatewayRequest, GatewayRoute, InstanceAnswer, LogFields } from '../../../types/index.js'
 import { selectService } from './selectService.js'
 import type { RequestHandler, RequestHandlerContext } from './requestHandler.js'
 
@@ -49,7 +47,10 @@
   const caller = createCallerAnswer(sink, request.lastEventId)
   const deadline = createRequestDeadline(clock, request, () => route)
   const record = createRequestRecord(context, request, () => route)
-  const attempts = createRunningAttempts(({ target }) => record.log('exchange resumed', { ...target.logFields, lastEventId: caller.relay.lastEventId() }))
+  const attempts = createRunningAttempts(({ target }) => {
+    paths.recordAttempt(target)
+    record.log('exchange resumed', { ...target.logFields, lastEventId: caller.relay.lastEventId() })
+  })
   const reporter = createAttemptReporter(context, { request, readRoute: () => route, readService: () => service })
 
   const finalAnswer = createFinalAnswer({
