Refuse a malformed reply of a peer before any of it is applied

A reply to a query for configuration, servers and drains was applied field by field without a look at its form. A field missing or of another type, which a peer of another build may send, threw halfway: as nothing awaits the query, the process ended. Now the whole reply is checked first; a malformed one is logged ('reply of a peer is malformed', with the peer and the field) and not applied. Not seen on a deployment.

--- a/src/services/knowledgeExchange/index.ts
+++ b/src/services/knowledgeExchange/index.ts
@@ -7,12 +7,13 @@
  * the reply to a request of this node, because a one-way message may have been
  * delayed.
  */
+import { describeProblem } from './_lib/describeProblem.js'
 import { selectPlatformReaders } from '../../decisions/selectPlatformReaders/index.js'
 import type { PlatformReaders } from '../../decisions/selectPlatformReaders/index.js'
 import { readClocks } from '../../decisions/readClocks/index.js'
 import type { Clocks } from '../../decisions/measureAge/index.js'
 import type { RunningService } from '../../kernel/index.js'
-import type { ChangePosition, Clock, Member, Membership, PeerMessageOf, PeerTransport, RandomSource, Timer, ZoneDrainSnapshot } from '../../types/index.js'
+import type { ChangePosition, Clock, Logger, Member, Membership, PeerMessageOf, PeerTransport, RandomSource, Timer, ZoneDrainSnapshot } from '../../types/index.js'
 import type { RunningGatewayConfiguration } from '../gatewayConfiguration/index.js'
 import type { HeartbeatExchange } from '../heartbeatExchange/index.js'
 import type { RunningInstanceRegistry } from '../instanceRegistry/index.js'
@@ -36,6 +37,7 @@
   /** Omitted when the deployment has no zone drains. */
   readonly zoneDrains?: RunningZoneDrains
   readonly clocks: Clocks
+  readonly logger: Pick<Logger, 'warn'>
 }
 
 export type KnowledgeExchangeOptions = {
@@ -66,7 +68,7 @@
  * exchange.api.queryPeers()
  */
 export const createKnowledgeExchange = (dependencies: KnowledgeExchangeDependencies, options: KnowledgeExchangeOptions): RunningService<KnowledgeExchange> => {
-  const { clock, random, transport, membership, exchange, configuration, registry, zoneDrains, clocks } = dependencies
+  const { clock, random, transport, membership, exchange, configuration, registry, zoneDrains, clocks, logger } = dependencies
   /** Position up to which this node has the changes of each queried peer. */
   const positions = new Map<string, ChangePosition>()
   let lastQueryAt = -Infinity
@@ -96,6 +98,8 @@
       QUERY_TIMEOUT_MS
     )
     if (!result.ok || result.value.kind !== 'knowledge') return
+    const problem = describeProblem(result.value)
+    if (problem !== undefined) return logger.warn('reply of a peer is malformed', { peer: peer.nodeId, reason: problem })
     const { version, ageMs, configuration: update, revision, instances } = result.value
     if (result.value.zoneDrains !== undefined) zoneDrains?.applyPeerUpdate(result.value.zoneDrains, ageMs)
     configuration.applyPeerUpdate(sentAt, ageMs, version, update)
--- a/src/types/gatewayEvents.ts
+++ b/src/types/gatewayEvents.ts
@@ -70,6 +70,7 @@
   'configuration source lost': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the source of the configuration can\'t be read' },
   'configuration source reached': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the source of the configuration can be read again' },
   'configuration of a peer is malformed': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a peer sent a configuration that cannot be decoded' },
+  'reply of a peer is malformed': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a peer answered a query with a message of another form; none of it was applied' },
   'prompt parts suspected': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'several backend servers ended under requests with these prompt parts; this node asks its peers whether answers with them were in order since' },
   'prompt part quarantined': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'requests with a prompt part are refused from now on; the line has the backend servers that ended under it, and who concluded it' },
   'prompt part trial': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a request with a quarantined prompt part is sent, as the only one of the fleet' },
