Run timers with a long delay late instead of at once

A configuration may state any number for a time; one over 24.8 days made its timer run after 1 ms. Such a timer now runs after 24.8 days. Not seen on a deployment.

--- a/src/adapters/systemClock/index.ts
+++ b/src/adapters/systemClock/index.ts
@@ -2,6 +2,8 @@
 
 const MILLISECONDS_PER_SECOND = 1_000
 const NANOSECONDS_PER_MILLISECOND = 1_000_000
+/** Node.js runs a timer with a longer delay at once. */
+const MAXIMUM_DELAY_MS = 2 ** 31 - 1
 
 /** Doesn't use the global `performance`, which loads a dozen internal modules of Node.js during the start. */
 const readMonotonicMs = (): number => {
@@ -27,7 +29,7 @@
   now: readMonotonicMs,
   wallTime: () => Date.now(),
   setTimer: (delayMs, callback) => {
-    const handle = setTimeout(callback, delayMs)
+    const handle = setTimeout(callback, Math.min(delayMs, MAXIMUM_DELAY_MS))
     if (!keepsProcessAlive) handle.unref()
     return { cancel: () => clearTimeout(handle) }
   }
