--- a/src/daemon/startGateway/_lib/shutDownGateway.ts
+++ b/src/daemon/startGateway/_lib/shutDownGateway.ts
@@ -2,6 +2,7 @@
  * The shutdown of a gateway before its process exits: readiness fails at once, and requests
  * are served until none is open and no more are expected, or the grace period is nearly over.
  */
+import { afterTurn } from '../../../adapters/afterTurn/index.js'
 import { describeOpenRequests } from './describeOpenRequests.js'
 import type { GatewayHttp } from '../../../adapters/gatewayHttp/index.js'
 import type { Clock, Forwarding, Logger } from '../../../types/index.js'
@@ -9,7 +10,7 @@
 export type ShutdownDependencies = {
   readonly clock: Clock
   readonly logger: Pick<Logger, 'info'>
-  readonly forwarding: Pick<Forwarding, 'openRequests' | 'listOpen' | 'beginShutdown'>
+  readonly forwarding: Pick<Forwarding, 'openRequests' | 'listOpen' | 'beginShutdown' | 'endOpen'>
   readonly announceLeaving: () => void
   /** Listeners for callers and peers. */
   readonly listeners: readonly GatewayHttp[]
@@ -21,8 +22,14 @@
 const BALANCER_REMOVAL_MS = 3_200
 /** After this time without a new connection or request, no more are expected. */
 const IDLE_PERIOD_MS = 200
+/** Time before the end in which no connections are accepted any more: requests on the last ones are answered in it. */
+const LAST_CONNECTIONS_MS = 250
+/** Time for the same after a process was paused over the end of its grace period. */
+const MINIMUM_LAST_CONNECTIONS_MS = 100
 /** Part of the grace period that is reserved for closing. */
 const GRACE_MARGIN_MS = 500
+/** Part of that margin in which the final answers of requests that are still open are written. */
+const LAST_ANSWERS_MS = 100
 const POLL_INTERVAL_MS = 50
 /** Interval at which the open requests are logged. The last of these lines tells what a process that is killed has cut. */
 const REPORT_INTERVAL_MS = 1_000
@@ -53,7 +60,13 @@
 
   const closeIdle = (): void => { for (const listener of listeners) listener.closeIdle() }
 
-  const isIdle = (): boolean => forwarding.openRequests() === 0 && listeners.every((listener) => clock.now() - listener.lastUsedAt() > IDLE_PERIOD_MS)
+  const isIdle = (): boolean => forwarding.openRequests() === 0 && listeners.every((listener) => !listener.awaitsRequests() && clock.now() - listener.lastUsedAt() > IDLE_PERIOD_MS)
+
+  const waitUntilIdle = (latest: number): Promise<void> => waitUntil(() => {
+    const isOver = clock.now() >= latest || isIdle()
+    if (!isOver) closeIdle()
+    return isOver
+  })
 
   logger.info('gateway stopping', { open: forwarding.openRequests(), connections: countConnections(), graceMs })
   announceLeaving()
@@ -63,11 +76,16 @@
   const removedAt = startedAt + Math.min(BALANCER_REMOVAL_MS, graceMs / 2)
   await waitUntil(() => clock.now() >= removedAt)
   closeIdle()
-  await waitUntil(() => {
-    const isOver = clock.now() >= endsAt || isIdle()
-    if (!isOver) closeIdle()
-    return isOver
-  })
-  if (forwarding.openRequests() > 0) reportOpen()
-  logger.info('gateway stopped', { open: forwarding.openRequests(), ms: Math.round(clock.now() - startedAt) })
+  await waitUntilIdle(endsAt - LAST_CONNECTIONS_MS)
+  await Promise.all(listeners.map(({ stopAccepting }) => stopAccepting()))
+  await waitUntilIdle(Math.max(endsAt, clock.now() + MINIMUM_LAST_CONNECTIONS_MS))
+  // What arrived last is answered before the connections are closed.
+  await new Promise<void>(afterTurn)
+  const open = forwarding.openRequests()
+  if (open > 0) {
+    reportOpen()
+    forwarding.endOpen()
+    await wait(LAST_ANSWERS_MS)
+  }
+  logger.info('gateway stopped', { open, ms: Math.round(clock.now() - startedAt), untilExitMs: Math.round(endsAt - clock.now()) })
 }
--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -10,14 +10,16 @@
 import { createAnswerIntake, type AnswerIntake, type AnswerListener } from './createAnswerIntake.js'
 import { createCallerAnswer } from './createCallerAnswer.js'
 import { createFinalAnswer } from './createFinalAnswer.js'
-import { createPathSelector, type RoutedRequest } from './createPathSelector.js'
+import { createPathSelector, type OpenPath, type RoutedRequest } from './createPathSelector.js'
 import { createRequestDeadline } from './createRequestDeadline.js'
 import { createRequestRecord } from './createRequestRecord.js'
+import { createRunningAttempts } from './createRunningAttempts.js'
+import { createRetryRules } from './createRetryRules.js'
 import { createSendGate } from './createSendGate.js'
 import { createSendAttempt, type SendAttempt } from './createSendAttempt.js'
+import { createSilenceWatch } from './createSilenceWatch.js'
 import { createAttemptReporter } from './createAttemptReporter.js'
 import { describeReach } from './describeReach.js'
-import { isTargetSilent } from './isTargetSilent.js'
 import { prepareSend } from './prepareSend.js'
 import type {
   CallerSink, ExchangeFailure, GatewayAccount, GatewayRequest, GatewayRoute, InstanceAnswer, LogFields
@@ -27,8 +29,8 @@
 
 /** How long a request with a key waits for the configuration to be confirmed, in milliseconds. */
 const KEY_CONFIRM_WAIT_MS = 400
-/** Refusals by backend servers after which the request itself is refused, whatever the retry budget: the service is full. */
-const MAXIMUM_REFUSALS = 3
+/** Answers from this status on are failures of the backend server. */
+const SERVER_ERROR_STATUS = 500
 
 /** Creates the handler of one request; it sends nothing before `assign` and `submit`. */
 export const createRequestHandler = (context: RequestHandlerContext, request: GatewayRequest, sink: CallerSink): RequestHandler => {
@@ -38,7 +40,6 @@
   let account: GatewayAccount | undefined
   let service = ''
   let body: Uint8Array | undefined
-  let activeAttempt: SendAttempt | undefined
   let isDone = false
   let mayHaveRun = false
   let sends = 0
@@ -48,29 +49,16 @@
   const caller = createCallerAnswer(sink, request.lastEventId)
   const deadline = createRequestDeadline(clock, request, () => route)
   const record = createRequestRecord(context, request, () => route)
+  const attempts = createRunningAttempts(clock, ({ target }) => record.log('exchange resumed', { ...target.logFields, lastEventId: caller.relay.lastEventId() }))
   const reporter = createAttemptReporter(context, { request, readRoute: () => route, readService: () => service })
 
-  const abortAttempt = (): void => {
-    const current = activeAttempt
-    if (current === undefined) return
-    activeAttempt = undefined
-    endAttempt(current)
-    current.exchange?.abort()
-  }
-
-  const endAttempt = (current: SendAttempt): void => {
-    if (current.isFinished) return
-    current.isFinished = true
-    current.target.recordEnd()
-  }
-
   const finalAnswer = createFinalAnswer({
     caller,
     record,
     random,
     readProgress: () => ({ mayHaveRun, sends }),
     readAvailability: () => ({ availableInMs: route === undefined ? 0 : paths.computeAvailableInMs(toRouted(route)), remainingMs: deadline.remainingMs() }),
-    abortAttempt,
+    abortAttempt: attempts.abortAll,
     onDone: () => {
       isDone = true
       reporter.reportEnd()
@@ -85,18 +73,9 @@
 
   const gate = createSendGate(context, { request, record, paths, send: () => send(), passesShutdown, refuse, giveUp })
 
-  const isRetryable = (): boolean => route !== undefined && (route.retryPolicy === 'safe' || (route.retryPolicy === 'stream' && route.isResumable))
-
   const toRouted = (to: GatewayRoute): RoutedRequest => ({ route: to, account, service, bodyBytes: body?.length ?? 0 })
 
-  /** Only the node of the caller retries what a backend server may have received, so that its limits hold across the hop. */
-  const mayRetry = (): boolean => !paths.hasArrived() || (request.relay === undefined && context.retryWindows.canRetry(service))
-
-  const canRetry = (): boolean => {
-    if (route === undefined || deadline.remainingMs() <= 0) return false
-    if (mayHaveRun && (!isRetryable() || sends >= route.maximumAttempts)) return false
-    return refusals < MAXIMUM_REFUSALS && mayRetry() && paths.select(toRouted(route)).kind !== 'none'
-  }
+  const rules = createRetryRules(context, { request, caller, paths, gate, deadline, passesShutdown, readProgress: () => ({ mayHaveRun, sends, refusals }) })
 
   /** No backend server is eligible: waiting would not help, and the reason sets the Retry-After. */
   const giveUpWithoutInstance = (to: GatewayRoute): void => {
@@ -105,8 +84,10 @@
     giveUp(ineligibility, 502, { zoneDrainRevision: context.zoneDrains.revision(), configurationVersion: context.configuration.version(), softwareVersion: paths.requiredVersion() })
   }
 
+  /** An attempt has failed: the request returns to the target that it was leaving, or is sent again. */
   const retryOr = (otherwise: () => void): void => {
-    if (!canRetry()) return otherwise()
+    if (attempts.restore()) return
+    if (route === undefined || !rules.canRetry(toRouted(route))) return otherwise()
     send()
   }
 
@@ -129,16 +110,19 @@
     }
     if (keyStatus === 'revoked') return mayHaveRun ? giveUp('unknownKey', 502) : refuse({ status: 401, reason: 'unknownKey' })
     if (!passesShutdown(route)) return mayHaveRun ? giveUp('shuttingDown', 502) : refuse(SHUTTING_DOWN)
-    const remainingMs = deadline.remainingMs()
-    if (remainingMs <= 1) return giveUp('deadlineBeforeSend', 504)
+    if (deadline.remainingMs() <= 1) return giveUp('deadlineBeforeSend', 504)
     if (!gate.passesQuarantine(service)) return
     if (attemptsStarted === 0 && !gate.passes(toRouted(route), deadline.at())) return
     const path = paths.select(toRouted(route))
     if (path.kind === 'none') return giveUpWithoutInstance(route)
     if (attemptsStarted === 0) recordStart()
     else if (paths.hasArrived() && !takeRetry()) return giveUp('instancesRefused', 502)
+    sendOn(route, path, body)
+  }
+
+  const sendOn = (to: GatewayRoute, path: OpenPath, content: Uint8Array): void => {
     const { target, event, fields } = prepareSend(context, path, {
-      request, route, account, service, body, remainingMs, resumeAfter: caller.relay.lastEventId(), arrived: paths.listArrived(), softwareVersion: paths.requiredVersion(), isFirst: attemptsStarted === 0, isRetry: attemptsStarted > 0 && paths.hasArrived()
+      request, route: to, account, service, body: content, remainingMs: deadline.remainingMs(), resumeAfter: caller.relay.lastEventId(), arrived: paths.listArrived(), softwareVersion: paths.requiredVersion(), isFirst: attemptsStarted === 0, isRetry: attemptsStarted > 0 && paths.hasArrived()
     })
     record.log(event, fields)
     startAttempt(target)
@@ -151,7 +135,7 @@
   }
 
   const takeRetry = (): boolean => {
-    const isGranted = mayRetry() && context.retryWindows.takeRetry(service)
+    const isGranted = request.relay === undefined && context.retryWindows.takeRetry(service)
     record.countRetry(isGranted)
     return isGranted
   }
@@ -161,7 +145,7 @@
     attemptsStarted += 1
     const current = createSendAttempt(target, clock.now())
     const intake = createAnswerIntake(request, caller, listenTo(current))
-    activeAttempt = current
+    attempts.begin(current)
     paths.recordAttempt(target)
     target.recordStart()
     current.exchange = target.send({
@@ -169,19 +153,19 @@
       onSent: () => {
         record.recordStep('connected')
         current.isSent = true
-        if (activeAttempt !== current) return
+        if (attempts.active() !== current) return
         mayHaveRun = true
         sends += 1
         paths.recordArrival(target)
       },
-      onHead: (answer) => { if (activeAttempt === current) handleHead(current, answer, intake) },
+      onHead: (answer) => { if (attempts.claim(current)) handleHead(current, answer, intake) },
       onData: (bytes) => {
-        if (activeAttempt !== current) return
+        if (!attempts.claim(current)) return
         reporter.reportBody(current)
         intake.handleData(bytes, current.exchange)
       },
-      onEnd: () => { if (activeAttempt === current) intake.handleEnd() },
-      onFailure: (failure) => { if (activeAttempt === current) handleFailure(current, failure) }
+      onEnd: () => { if (attempts.claim(current)) intake.handleEnd() },
+      onFailure: (failure) => handleFailure(current, failure)
     })
   }
 
@@ -196,7 +180,7 @@
   /** The target states that the request was not run, so the send does not count. */
   const handleNotRun = (current: SendAttempt, answer: InstanceAnswer): void => {
     const { target } = current
-    abortAttempt()
+    attempts.abortActive()
     sends -= 1
     mayHaveRun = sends > 0
     paths.recordRefusal(target, answer)
@@ -211,9 +195,9 @@
 
   /** The answer of the backend server is complete; `endAnswer` ends the caller's answer. */
   const completeWith = (current: SendAttempt, endAnswer: () => void, fields: LogFields = {}): void => {
-    endAttempt(current)
+    attempts.endActive()
+    attempts.releaseAside()
     current.target.recordComplete()
-    activeAttempt = undefined
     endAnswer()
     reporter.reportComplete()
     record.countSend('complete')
@@ -221,7 +205,10 @@
   }
 
   const listenTo = (current: SendAttempt): AnswerListener => ({
-    onHead: (answer) => reporter.reportSuccess(current, answer),
+    onHead: (answer) => {
+      if (answer.status < SERVER_ERROR_STATUS) attempts.releaseAside()
+      reporter.reportSuccess(current, answer)
+    },
     onNotRun: (answer) => handleNotRun(current, answer),
     onBroken: (message) => handleFailure(current, { kind: 'broken', message }),
     onReportedFailure: (answer, body) => handleReportedFailure(current, answer, body),
@@ -233,8 +220,7 @@
   })
 
   const handleReportedFailure = (current: SendAttempt, answer: InstanceAnswer, answerBody: Uint8Array): void => {
-    endAttempt(current)
-    activeAttempt = undefined
+    attempts.endActive()
     current.target.recordFailure('errored')
     record.countSend('errored')
     record.log('backend server failed', { ...current.target.logFields, status: answer.status })
@@ -243,34 +229,39 @@
   }
 
   const handleFailure = (current: SendAttempt, failure: ExchangeFailure): void => {
-    abortAttempt()
+    const isActive = attempts.active() === current
+    if (isActive) attempts.abortActive()
+    else if (attempts.isAside(current)) attempts.releaseAside()
+    else return
     const { failure: targetFailure, reason } = classifyFailure(failure)
     record.countSend(failure.kind)
     if (failure.kind === 'notSent') paths.recordUnreached(current.target)
     if (targetFailure !== undefined) current.target.recordFailure(targetFailure)
     record.log('exchange failed', { ...current.target.logFields, kind: failure.kind, reason: failure.message, lastEventId: caller.relay.lastEventId() })
-    retryOr(() => giveUp(reason, 502, describeReach(context)))
+    if (isActive) retryOr(() => giveUp(reason, 502, describeReach(context)))
   }
 
-  const moveToOtherTarget = (current: SendAttempt, now: number): void => {
-    record.log('backend server silent', { ...current.target.logFields, silentMs: Math.round(now - current.lastBytesAt), lastEventId: caller.relay.lastEventId() })
-    abortAttempt()
+  /** The retry is taken first: without it the exchange goes on. */
+  const moveTo = (current: SendAttempt, { route: to }: RoutedRequest, path: OpenPath, fields: LogFields): void => {
+    if (body === undefined || !takeRetry()) return
+    record.log('backend server silent', fields)
+    attempts.setAside()
     paths.recordUnreached(current.target)
     record.countSend('silent')
-    current.target.recordFailure('silent')
-    send()
+    sendOn(to, path, body)
   }
 
+  const silence = createSilenceWatch(context, { caller, record, reporter, rules, move: moveTo })
+
   const check = (now: number): void => {
     if (isDone) return
     if (now >= deadline.at()) return giveUp(mayHaveRun ? 'deadline' : 'deadlineBeforeSend', 504)
     gate.check()
-    const current = activeAttempt
+    attempts.check(now)
+    const current = attempts.active()
     if (current === undefined || route === undefined || !current.isSent) return
     if (caller.isPaused()) current.lastBytesAt = now
-    if (!isTargetSilent(context, route, current, caller.hasBegun(), now)) return
-    if (isRetryable() && canRetry()) return moveToOtherTarget(current, now)
-    reporter.reportUnresponsive(current)
+    silence.check(current, toRouted(route), now)
   }
 
   return {
@@ -292,10 +283,11 @@
     reject: refuse,
     cancel: () => {
       if (isDone) return
-      abortAttempt()
+      attempts.abortAll()
       finish('callerLeft')
     },
     check,
-    describe: () => ({ requestId: request.requestId, route: route?.name, receivedAt: request.receivedAt, target: activeAttempt?.target.id, lastBytesAt: activeAttempt?.lastBytesAt })
+    expire: () => giveUp('shuttingDown', 502),
+    describe: () => ({ requestId: request.requestId, route: route?.name, receivedAt: request.receivedAt, target: attempts.active()?.target.id, lastBytesAt: attempts.active()?.lastBytesAt })
   }
 }
--- a/src/types/gatewayEvents.ts
+++ b/src/types/gatewayEvents.ts
@@ -37,6 +37,8 @@
   'stream version found': { level: 'info', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'a caller takes up a stream; the line has the software version at which it began, and how the node knows' },
   'software versions changed': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'several software versions serve a service from now on, or only one has for longer than its streams last' },
   'backend server silent': { level: 'info', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'a request was withdrawn from a backend server that does not respond' },
+  'exchange kept': { level: 'info', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'a backend server does not respond, but the request can\'t be sent to another one now; the line has the reason, and the answer is still waited for' },
+  'exchange resumed': { level: 'info', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'a request returned to the backend server or peer that it was leaving, because that one went on or the new one did not take the request' },
   'backend server ended': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server ended while requests of this node ran there; the line has their prompt parts' },
   'backend server held': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server is suspended and gets no requests for a while' },
   'backend server back': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server is no longer suspended' },
@@ -51,7 +53,7 @@
   'backend server slowdown is malformed': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server states a slowdown that is no positive number; it counts as none, and the line is written once a server' },
   'backend server leaving': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server gets no new work' },
   'backend server removed': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server was removed from the list' },
-  'backend server entry is malformed': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'an entry of the list cannot be decoded' },
+  'backend server entry is malformed': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'an entry of the list cannot be decoded, and names no backend server; the line has the reason' },
   'backend server list lost': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the source of the backend servers can\'t be read' },
   'backend server list reached': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the source of the backend servers can be read again' },
   'backend server history gone': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the source no longer has all changes of the backend servers; the list is read again' },
@@ -91,6 +93,7 @@
   'gateway stopped': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'no request is open any more, or the grace period has ended' },
   'settings reloaded': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the settings file was read again' },
   'settings refused': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the settings file has an invalid field; the previous settings stay in force' },
+  'seeds left out': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'seeds in the settings file are no addresses; the node does without them' },
   'stop failed': { level: 'error', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the shutdown failed' },
   'log lines left out': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'events over their limit of lines per second, or lines dropped because the output pipe was full' }
 } as const satisfies Readonly<Record<string, EventDescription>>
