Bound the wait of a closing listener by time

The wait for an empty queue ends after 50 ms now. Also: the fixture of shutDownGateway's test has endOpen.

--- a/src/adapters/gatewayHttp/index.ts
+++ b/src/adapters/gatewayHttp/index.ts
@@ -60,8 +60,8 @@
 /** Limit of the parser, above any configured limit; the configured one is checked once the head is read. */
 const MAXIMUM_PARSED_HEADER_BYTES = 128 * 1024
 
-/** Turns of the event loop for which a closing listener waits for one that finds its queue empty. */
-const MAXIMUM_ACCEPT_TURNS = 200
+/** Time for which a closing listener waits for a turn of the event loop that finds its queue empty, in milliseconds. */
+const MAXIMUM_ACCEPT_WAIT_MS = 50
 /** Duration of a turn in which hardly a caller has connected since the queue was read, in milliseconds. */
 const MAXIMUM_EMPTY_TURN_MS = 0.1
 
@@ -190,7 +190,8 @@
 
   /** The kernel resets the connections that wait in a listener's queue when it is closed. The queue is empty only right after a turn that accepted none and took no time. */
   const waitForEmptyQueue = async (): Promise<void> => {
-    for (let turn = 0; turn < MAXIMUM_ACCEPT_TURNS; turn++) {
+    const endsAt = clock.now() + MAXIMUM_ACCEPT_WAIT_MS
+    while (clock.now() < endsAt) {
       const accepted = connections.countAccepted()
       const begunAt = clock.now()
       await new Promise<void>((resolve) => { setImmediate(resolve) })
--- a/src/daemon/startGateway/_lib/shutDownGateway.test.ts
+++ b/src/daemon/startGateway/_lib/shutDownGateway.test.ts
@@ -48,7 +48,7 @@
   const stopped = shutDownGateway({
     clock,
     logger,
-    forwarding: { openRequests: () => 0, listOpen: () => [], beginShutdown: ignore },
+    forwarding: { openRequests: () => 0, listOpen: () => [], beginShutdown: ignore, endOpen: ignore },
     announceLeaving: ignore,
     listeners: [gateway],
     graceMs: GRACE_MS,
