--- /dev/null
+++ b/test/_lib/startForwardingNode.ts
@@ -0,0 +1,139 @@
+/** Runs the forwarding service alone, over fakes of everything around it, with a manual clock. */
+import { createFakeDirectory } from './createFakeDirectory.js'
+import { createManualClock } from '../../src/emulator/createManualClock/index.js'
+import { createForwarding, type ForwardingDependencies } from '../../src/services/forwarding/index.js'
+import type { QuarantineVerdict } from '../../src/services/promptQuarantine/index.js'
+import { createServerWork } from '../../src/services/serverWork/index.js'
+import type { BackendInstance, CallerSink, ExchangeListener, GatewayAccount, GatewayConfiguration, GatewayRequest, GatewayRoute, InstanceAnswer, Member } from '../../src/types/index.js'
+
+export const TIMEOUT_MS = 5_000
+
+const createRoute = (name: string, changes: Partial<GatewayRoute>): GatewayRoute => ({
+  name,
+  host: 'shop.example',
+  pathPrefix: `/${name}/`,
+  targets: [{ service: 'plain', weight: 1 }],
+  retryPolicy: 'safe',
+  isResumable: false,
+  timeoutMs: TIMEOUT_MS,
+  latencyTargetMs: 300,
+  eventGapTargetMs: 300,
+  maximumAttempts: 2,
+  priority: 1,
+  isPublic: true,
+  ...changes
+})
+
+const ACCOUNT: GatewayAccount = { name: 'account-1', priority: 1 }
+
+const CONFIGURATION: GatewayConfiguration = {
+  version: 1,
+  routes: [
+    createRoute('long', { latencyTargetMs: 800, priority: 0 }),
+    createRoute('short', { latencyTargetMs: 200, priority: 2 }),
+    createRoute('stream', { retryPolicy: 'stream', isResumable: true, timeoutMs: 12_000 }),
+    createRoute('private', { retryPolicy: 'stream', isResumable: true, timeoutMs: 12_000, isPublic: false })
+  ],
+  services: new Map(),
+  limits: { maximumHeaderBytes: 1_000, maximumBodyBytes: 1_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 },
+  needsKeys: true,
+  accountsByKey: new Map([['key', ACCOUNT]])
+}
+
+export const INSTANCE: BackendInstance = { id: 'plain-1', service: 'plain', address: { host: 'plain-1', port: 1 }, availabilityZone: 'a', slots: 8, isLeaving: false, incarnation: 1, warmUpMs: 0 }
+
+export const OTHER_INSTANCE: BackendInstance = { ...INSTANCE, id: 'plain-2', address: { host: 'plain-2', port: 1 } }
+
+export const STREAM_HEAD: InstanceAnswer = { backoffMs: undefined, isLeaving: false, status: 200, headers: [], requestId: 'r1', isSigned: true, isNotRun: false, isOtherInstance: false, load: undefined, contentLength: undefined, isEventStream: true, isEncoded: false }
+
+const MEMBER: Member = { nodeId: 'node-1', incarnation: 1, address: { host: 'node-1', port: 1 }, availabilityZone: 'a', state: 'live', generation: 1 }
+
+/** A recently started node, without configuration and server list until `provideInitialState`. */
+export const startForwardingNode = () => {
+  const clock = createManualClock()
+  const state = { confirmedAgeMs: 0, verdict: { kind: 'open' } as QuarantineVerdict, servers: [INSTANCE, OTHER_INSTANCE] as readonly BackendInstance[], aborts: 0 }
+  const sent: string[] = []
+  const targets: string[] = []
+  const answers: string[] = []
+  const listeners: (() => void)[] = []
+  const exchanges: ExchangeListener[] = []
+  let isKnown = false
+  const loadView = { recordStart: () => {}, recordEnd: () => {}, estimateInFlight: () => 0, ownInFlight: () => 0, readSource: () => undefined, applyReport: () => {} }
+  const dependencies: ForwardingDependencies = {
+    clock,
+    random: { next: () => 0.5, nextId: () => 'id' },
+    logger: { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} },
+    metrics: { count: () => {}, observe: () => {}, readGauge: () => {} },
+    configuration: {
+      current: () => isKnown ? CONFIGURATION : undefined,
+      version: () => isKnown ? 1 : 0,
+      confirmedAgeMs: () => isKnown ? state.confirmedAgeMs : Infinity,
+      confirm: async () => {},
+      onChange: (listener) => { listeners.push(() => listener(CONFIGURATION)) }
+    },
+    registry: {
+      list: () => state.servers,
+      find: () => INSTANCE,
+      all: () => [INSTANCE],
+      recentlyRemoved: () => [],
+      revision: () => 1,
+      isKnown: () => isKnown,
+      warmUpLeftMs: () => 0,
+      markLeaving: () => {},
+      markGone: () => {},
+      onChange: () => {}
+    },
+    health: { recordStart: () => {}, recordEnd: () => {}, recordBytes: () => {}, record: () => {}, isSuspended: () => false, readIdleMs: () => 0, readUnheardMs: () => 0, compareWith: () => () => 1, retain: () => {} },
+    reach: { readOwn: () => ({ reachable: 2, known: 2 }), readPeer: () => 'unknown', countPeers: () => ({ some: 0, none: 0, unknown: 0 }) },
+    refusals: { recordLimit: () => {}, isLimitReached: () => false, recordSend: () => () => {} },
+    relays: { select: () => undefined, send: () => ({ abort: () => {}, pause: () => {}, resume: () => {} }), recordStart: () => {}, recordEnd: () => {}, recordBytes: () => {}, recordFailure: () => {}, recordAnswer: () => {}, readIdleMs: () => 0 },
+    notices: { record: () => {}, backoffRemainingMs: () => 0 },
+    directory: createFakeDirectory(),
+    loadView,
+    streamVersions: { recordBegin: () => {}, find: async () => ({ kind: 'known', softwareVersion: '', source: 'onlyVersion' }) },
+    serverEnds: { recordBreak: () => {}, recordBytes: () => {}, recordUnreachable: () => {} },
+    quarantine: { inspect: () => state.verdict, claimTrial: async () => true, recordSound: () => {}, recordComplete: () => {} },
+    work: createServerWork({ clock, loadView, logger: { warn: () => {} }, configuration: { current: () => CONFIGURATION }, readPeersUnread: () => undefined }).api,
+    membership: { members: () => [MEMBER] },
+    zoneDrains: { isDrained: () => false, isKnown: () => true, revision: () => 0, onChange: () => {} },
+    warmUp: { remainingMs: () => 0, isLimitReached: () => false, recordSend: () => {} },
+    client: {
+      send: ({ request, instance }, exchange) => {
+        sent.push(request.requestId)
+        targets.push(instance.id)
+        exchanges.push(exchange)
+        return { abort: () => { state.aborts += 1 }, pause: () => {}, resume: () => {} }
+      },
+      probe: async () => true,
+      retain: () => {},
+      close: () => {}
+    }
+  }
+  const forwarding = createForwarding(dependencies, {
+    nodeId: 'node-1',
+    availabilityZone: 'a',
+    countNodes: () => 1,
+    isFirstStart: true,
+    readBounds: () => ({ loadFactor: 2, retryLimits: { ratio: 0.2, extra: 50, windowMs: 10_000 }, keyFreshnessMs: 4_500, configurationFreshnessMs: 2_000 })
+  })
+  const sink: CallerSink = { refuse: ({ status, reason }) => { answers.push(`${status} ${reason}`) }, complete: () => {}, head: () => {}, data: () => true, onDrain: () => {}, end: () => { answers.push('complete') }, fail: () => { answers.push('broken off') } }
+  return {
+    clock,
+    state,
+    sent,
+    targets,
+    answers,
+    exchanges,
+    beginShutdown: forwarding.api.beginShutdown,
+    call: (requestId: string, path: string, bodyAfterMs = 0, changes: Partial<GatewayRequest> = {}): void => {
+      const request: GatewayRequest = { requestId, method: 'GET', host: 'shop.example', target: path, headers: [], credential: undefined, callerTimeoutMs: TIMEOUT_MS, lastEventId: undefined, promptParts: [], tokens: { prompt: 0, output: 1_000 }, receivedAt: clock.now(), ...changes }
+      const run = forwarding.api.begin(request, sink)
+      if (bodyAfterMs === 0) run.submit(new Uint8Array())
+      else clock.setTimer(bodyAfterMs, () => run.submit(new Uint8Array()))
+    },
+    provideInitialState: (): void => {
+      isKnown = true
+      for (const listener of listeners) listener()
+    }
+  }
+}
