Believe a notice in the answer to another request; wait longer for an empty queue

An answer that has any request's id tells what the server wants; one without an id still tells nothing. And 8 of 452 orders on new connections had no answer at a frozen, stopping process: a busy event loop had no turn with an empty queue within 50 ms, and the listener was closed with callers in it. The bound is 250 ms now, as long as the listener may be closed before the end.

--- a/src/adapters/gatewayHttp/index.ts
+++ b/src/adapters/gatewayHttp/index.ts
@@ -61,7 +61,7 @@
 const MAXIMUM_PARSED_HEADER_BYTES = 128 * 1024
 
 /** Time for which a closing listener waits for a turn of the event loop that finds its queue empty, in milliseconds. */
-const MAXIMUM_ACCEPT_WAIT_MS = 50
+const MAXIMUM_ACCEPT_WAIT_MS = 250
 /** Duration of a turn in which hardly a caller has connected since the queue was read, in milliseconds. */
 const MAXIMUM_EMPTY_TURN_MS = 0.1
 
--- a/src/services/forwarding/_lib/createInstanceTarget.ts
+++ b/src/services/forwarding/_lib/createInstanceTarget.ts
@@ -94,11 +94,12 @@
       recordSoundBytes()
     },
     recordHead: (answer) => {
+      // An answer to another request of this server still tells what the server wants; one without an id may be anyone's.
+      if (answer.requestId !== undefined && !answer.isOtherInstance) notices.record(instance, answer)
       if (!isAnswerTo(request, answer)) return
       head = answer
       decide(isRefusedForRoom(answer) ? 'refused' : 'accepted')
       if (isSuccess(answer)) read?.complete()
-      if (!answer.isOtherInstance) notices.record(instance, answer)
       if (answer.load !== undefined && !answer.isOtherInstance) work.recordLoad(instance, answer.load)
       if (answer.load !== undefined) loadView.applyReport(key, { ...answer.load, leaving: false, ageMs: 0 })
     },
