--- a/src/adapters/exchangeHttp/_lib/createOverheadMeter.ts
+++ b/src/adapters/exchangeHttp/_lib/createOverheadMeter.ts
@@ -15,7 +15,7 @@
 
 /** Four heads of the largest size: interim heads and trailers count as well. */
 const MAXIMUM_OVERHEAD_BYTES = 65_536
-/** Framing that a piece of the body may have beside it, as in the chunked reader of Go: small chunks have more framing than body. */
+/** Framing that a piece of the body may have beside it: small chunks have more framing than body. */
 const PIECE_ALLOWANCE_BYTES = 16
 const BODY_MULTIPLE = 2
 
