--- a/src/index.ts
+++ b/src/index.ts
@@ -3,6 +3,7 @@
  * built from, with injected clock, random source, network and platform.
  * examples/library runs several nodes in one process.
  */
+export * from './adapters/afterTurn/index.js'
 export * from './adapters/backendHttp/index.js'
 export * from './adapters/boundedLogger/index.js'
 export * from './adapters/boundedOutput/index.js'
