Log whether the store was away, and which backend servers are kept for it

Hypotheses: (1) the silence is found too late; (2) one failed watch is taken for an outage, and the missing server is kept for its return; (3) peers send the removed server again. The logs of before can't tell them apart: they have neither the time without any answer nor what is kept.

New lines, bounded like other changes of state: 'source outage ended' with the time in which no call to the store was answered, to this node or to the peers that read for it, if entries can expire in it (two intervals of the platform's heartbeat_ms); and 'backend server kept' with the server and the time. Decisions are unchanged.

--- a/src/node/createGatewayNode/_lib/registerSources.ts
+++ b/src/node/createGatewayNode/_lib/registerSources.ts
@@ -3,6 +3,7 @@
 import { createInstanceRegistry, type RunningInstanceRegistry } from '../../../services/instanceRegistry/index.js'
 import { createKnowledgeExchange } from '../../../services/knowledgeExchange/index.js'
 import { createZoneDrains, type RunningZoneDrains } from '../../../services/zoneDrains/index.js'
+import { createSourceContact } from '../../../services/_lib/createSourceContact.js'
 import type { Kernel } from '../../../kernel/index.js'
 import type { ZoneDrains } from '../../../types/index.js'
 import type { GatewayNodeDependencies, GatewayServices } from '../index.js'
@@ -23,6 +24,9 @@
  */
 const MAXIMUM_RELIANCE_MS = 1_500
 
+/** Entries expire after three missed heartbeats, the first of which may be due up to one interval before an outage: two intervals without an answer can expire them. */
+const EXPIRY_INTERVALS = 2
+
 /** Used in deployments without zone drains. */
 const NO_ZONE_DRAINS: ZoneDrains = { isDrained: () => false, endedAgoMs: () => Infinity, revision: () => 0, isKnown: () => true, onChange: () => { /* nothing changes */ } }
 
@@ -34,11 +38,12 @@
   let zoneDrains: RunningZoneDrains | undefined
   // Until it knows peers, a node must act as the reader of its zone.
   const isReader = (): boolean => !kernel.isRunning('knowledgeExchange') || kernel.resolve('knowledgeExchange').isReader()
+  const contact = createSourceContact({ clock, logger }, { minimumOutageMs: EXPIRY_INTERVALS * dependencies.settings.serverHeartbeatMs })
   kernel.register({
     name: 'gatewayConfiguration',
     dependsOn: [],
     create: () => {
-      configuration = createGatewayConfiguration({ clock, source: configurationSource, logger, clocks }, { readIntervalMs: CONFIGURATION_READ_INTERVAL_MS, isReader, relianceMs: MAXIMUM_RELIANCE_MS })
+      configuration = createGatewayConfiguration({ clock, source: configurationSource, logger, clocks }, { readIntervalMs: CONFIGURATION_READ_INTERVAL_MS, isReader, relianceMs: MAXIMUM_RELIANCE_MS, contact })
       return configuration
     }
   })
@@ -46,7 +51,7 @@
     name: 'instanceRegistry',
     dependsOn: [],
     create: () => {
-      registry = createInstanceRegistry({ clock, source: instanceSource, logger }, { watchWaitMs: WATCH_TIMEOUT_MS, isReader, relianceMs: MAXIMUM_RELIANCE_MS, drainMs: dependencies.settings.serverDrainMs })
+      registry = createInstanceRegistry({ clock, source: instanceSource, logger }, { watchWaitMs: WATCH_TIMEOUT_MS, isReader, relianceMs: MAXIMUM_RELIANCE_MS, contact, drainMs: dependencies.settings.serverDrainMs })
       return registry
     }
   })
@@ -56,7 +61,7 @@
     create: () => {
       if (zoneDrainSource === undefined) return { api: NO_ZONE_DRAINS }
       const isZone = (name: string): boolean => settings.regionByZone?.has(name) ?? true
-      zoneDrains = createZoneDrains({ clock, source: zoneDrainSource, logger }, { watchWaitMs: WATCH_TIMEOUT_MS, isReader, relianceMs: MAXIMUM_RELIANCE_MS, isZone })
+      zoneDrains = createZoneDrains({ clock, source: zoneDrainSource, logger }, { watchWaitMs: WATCH_TIMEOUT_MS, isReader, relianceMs: MAXIMUM_RELIANCE_MS, contact, isZone })
       return zoneDrains
     }
   })
--- a/src/services/_lib/createSourceFollower.ts
+++ b/src/services/_lib/createSourceFollower.ts
@@ -4,6 +4,7 @@
  * source while they report.
  */
 import { containRead } from './containRead.js'
+import type { SourceContact } from './createSourceContact.js'
 import { describeSourceError } from '../../decisions/describeSourceError/index.js'
 import { planSourceRead } from '../../decisions/planSourceRead/index.js'
 import type { SourceReadPlan } from '../../decisions/planSourceRead/index.js'
@@ -30,6 +31,8 @@
   readonly relianceMs?: number
   /** Time after a failed read, in milliseconds; 200 by default. */
   readonly retryMs?: number
+  /** This node's contact with the source, which other readings record as well; each reading of the follower is added. */
+  readonly contact?: SourceContact
 }
 
 export type SourceFollower = {
@@ -80,6 +83,7 @@
       else recordLost(reading.error)
       return false
     }
+    options.contact?.record()
     recordReached()
     reading.value()
     return true
@@ -128,7 +132,10 @@
       isStopped = true
       timer?.cancel()
     },
-    recordRelay: (ageMs) => { relayedAt = Math.max(relayedAt, clock.now() - ageMs) },
+    recordRelay: (ageMs) => {
+      relayedAt = Math.max(relayedAt, clock.now() - ageMs)
+      options.contact?.record(ageMs)
+    },
     isReachable: () => isReachable === true,
     onPeersNeeded: (listener) => { peersNeededListeners.push(listener) }
   }
--- a/src/services/gatewayConfiguration/index.ts
+++ b/src/services/gatewayConfiguration/index.ts
@@ -6,6 +6,7 @@
  */
 import { createConfigurationHistory } from './_lib/createConfigurationHistory.js'
 import { containDecoding, containRead } from '../_lib/containRead.js'
+import type { SourceContact } from '../_lib/createSourceContact.js'
 import { describeSourceError } from '../../decisions/describeSourceError/index.js'
 import { planSourceRead } from '../../decisions/planSourceRead/index.js'
 import type { SourceReadPlan } from '../../decisions/planSourceRead/index.js'
@@ -34,6 +35,8 @@
   readonly isReader?: () => boolean
   /** A node that relies on readers reads the source itself once its last confirmation is older than this, in milliseconds. */
   readonly relianceMs?: number
+  /** This node's contact with the source, to which its reads and those of its peers are added. */
+  readonly contact?: SourceContact
 }
 
 export type RunningGatewayConfiguration = RunningService<GatewayConfigurationHolder> & {
@@ -132,6 +135,7 @@
     isReading = false
     if (isStopped) return
     if (result.ok) {
+      options.contact?.record()
       adopt(result.value, 'source', () => confirm(sentAt, 0))
       recordReachability(true, '')
     } else {
@@ -198,6 +202,7 @@
       onChange: (listener) => { listeners.push(listener) }
     },
     applyPeerUpdate: (requestedAt, ageMs, newestVersion, update) => {
+      options.contact?.record(ageMs + measureAge(requestedAt, clocks))
       const recordConfirmation = (): void => confirm(requestedAt, ageMs)
       if (update !== undefined && newestVersion > version()) {
         const decoded = containDecoding(() => decodeUpdate(update))
--- a/src/services/instanceRegistry/index.ts
+++ b/src/services/instanceRegistry/index.ts
@@ -129,7 +129,9 @@
     if (instances.get(name)?.isLeaving === true || clock.now() - returnedAt > REAPPEAR_MS) return remove(name, 'entry removed')
     if (missingSince.has(name)) return
     missingSince.set(name, clock.now())
-    clock.setTimer(Math.max(0, returnedAt + REAPPEAR_MS - clock.now()), () => {
+    const keptMs = Math.max(0, returnedAt + REAPPEAR_MS - clock.now())
+    logger.info('backend server kept', { backendServer: name, forMs: Math.round(keptMs), revision })
+    clock.setTimer(keptMs, () => {
       if (!missingSince.has(name)) return
       remove(name, 'entry missing after an outage of the source')
       publish()
