Keep a missing backend server only after an outage in which its entry can expire

Cause: the registry took every failed read for an outage of the store, and kept what was missing for the two seconds that the platform gives to entries that expired while the store was unavailable. One silent or reset connection is no such time.

Change: an outage is a time in which no call to the store was answered, neither to this node (configuration, list, watches) nor to the peers that read for it, of at least two of the servers' heartbeat intervals: entries expire after three missed ones, the first of which may be due up to an interval before the outage.

Tests: two of the four new ones fail on the code of before (the server is listed after 500 ms of failed watches, and while other calls were answered); the other two keep the opposite direction.

--- a/src/services/_lib/createSourceFollower.ts
+++ b/src/services/_lib/createSourceFollower.ts
@@ -46,8 +46,6 @@
 }
 
 const DEFAULT_RETRY_MS = 200
-/** Entries expire after three missed heartbeats, so that a shorter outage removes none. */
-const MINIMUM_EXPIRY_MS = 3_000
 
 /**
  * Creates the follower of one list.
@@ -99,11 +97,6 @@
     readerRetryMs: options.retryMs ?? DEFAULT_RETRY_MS
   })
 
-  /** Entries may have expired in an outage that only the readers noticed, so this node then reports the source as reached again. */
-  const endReliance = (): void => {
-    if (clock.now() - relayedAt > MINIMUM_EXPIRY_MS) isReachable = undefined
-  }
-
   const follow = async (): Promise<void> => {
     let isListed = false
     for (;;) {
@@ -112,7 +105,6 @@
       if (isRelyingOnReaders) {
         isListed = false
         await wait(recheckAfterMs)
-        if (!pace().isRelyingOnReaders) endReliance()
         continue
       }
       const reading: SourceReading = await containRead(isListed ? source.watch : source.readAll)
--- a/src/services/instanceRegistry/index.ts
+++ b/src/services/instanceRegistry/index.ts
@@ -10,6 +10,7 @@
 import { createRemovals } from './_lib/createRemovals.js'
 import { createWarmUpDeadlines } from './_lib/createWarmUpDeadlines.js'
 import type { EntryOrigin } from './_lib/createWarmUpDeadlines.js'
+import type { SourceContact } from '../_lib/createSourceContact.js'
 import { createSourceFollower } from '../_lib/createSourceFollower.js'
 import type { SourceFollowerOptions, SourceReading } from '../_lib/createSourceFollower.js'
 import { isAddress, success } from '../../kernel/index.js'
@@ -23,6 +24,8 @@
 }
 
 export type InstanceRegistryOptions = SourceFollowerOptions & {
+  /** Tells an outage of the source, in which entries expire, from a connection that failed. */
+  readonly contact: SourceContact
   /** How long one watch waits, in milliseconds; a dead connection is detected only after that time. */
   readonly watchWaitMs: number
   /** How long a backend server still serves after its entry was removed, in milliseconds; 0 by default. */
@@ -52,7 +55,7 @@
  * @returns The service; it watches from its start to its stop.
  *
  * @example
- * const registry = createInstanceRegistry({ clock, source, logger }, { watchWaitMs: 2500 })
+ * const registry = createInstanceRegistry({ clock, source, logger }, { watchWaitMs: 2500, contact })
  * registry.api.list('engines') // => []
  */
 export const createInstanceRegistry = (dependencies: InstanceRegistryDependencies, options: InstanceRegistryOptions): RunningInstanceRegistry => {
@@ -70,7 +73,6 @@
   let byService = new Map<string, BackendInstance[]>()
   let revision = 0
   let isKnown = false
-  let returnedAt = -Infinity
 
   const publish = (): void => {
     byService = new Map()
@@ -123,13 +125,13 @@
   const toEntry = (instance: BackendInstance): InstanceEntry =>
     isAddress(instance.address) ? { name: instance.id, instance } : { name: instance.id, problem: 'address of a peer\'s entry can\'t be used' }
 
-  /** Removes a server whose entry is missing: at once, or after `REAPPEAR_MS` when the source was just reached again. */
+  /** Removes a server whose entry is missing: at once, or after `REAPPEAR_MS` when an outage of the source has just ended. */
   const removeMissing = (name: string): void => {
     if (!instances.has(name)) return
-    if (instances.get(name)?.isLeaving === true || clock.now() - returnedAt > REAPPEAR_MS) return remove(name, 'entry removed')
+    const keptMs = REAPPEAR_MS - options.contact.outageEndedAgoMs()
+    if (instances.get(name)?.isLeaving === true || keptMs <= 0) return remove(name, 'entry removed')
     if (missingSince.has(name)) return
     missingSince.set(name, clock.now())
-    const keptMs = Math.max(0, returnedAt + REAPPEAR_MS - clock.now())
     logger.info('backend server kept', { backendServer: name, forMs: Math.round(keptMs), revision })
     clock.setTimer(keptMs, () => {
       if (!missingSince.has(name)) return
@@ -181,10 +183,7 @@
     readAll,
     watch,
     isKnown: () => isKnown,
-    onReached: () => {
-      if (isKnown) returnedAt = clock.now()
-      logger.info('backend server list reached', { revision })
-    },
+    onReached: () => logger.info('backend server list reached', { revision }),
     onLost: (reason) => logger.warn('backend server list lost', { reason, known: instances.size, revision }),
     onHistoryGone: () => logger.info('backend server history gone', { revision })
   }, options)
--- a/src/services/instanceRegistry/test.ts
+++ b/src/services/instanceRegistry/test.ts
@@ -1,12 +1,15 @@
 import { describe, expect, test } from 'vitest'
 import { createInstanceRegistry } from './index.js'
 import type { RunningInstanceRegistry } from './index.js'
+import { createSourceContact, type SourceContact } from '../_lib/createSourceContact.js'
 import { createManualClock } from '../../emulator/createManualClock/index.js'
 import { failure, success } from '../../kernel/index.js'
 import type { BackendInstance, InstanceUpdate, InstanceSource, Logger } from '../../types/index.js'
 
 const SILENT_LOGGER: Logger = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
 
+const MINIMUM_OUTAGE_MS = 2_400
+
 const createServer = (id: string, changes: Partial<BackendInstance> = {}): BackendInstance =>
   ({ id, service: 'engines', address: { host: '10.0.0.1', port: 1 }, availabilityZone: 'a', slots: 8, isLeaving: false, incarnation: 1, warmUpMs: 0, ...changes })
 
@@ -44,10 +47,11 @@
   const clock = createManualClock()
   const remote = createSource(clock)
   remote.put([createServer('engine-1'), createServer('engine-2')])
-  const registry = createInstanceRegistry({ clock, source: remote.source, logger: SILENT_LOGGER }, { watchWaitMs: 100, drainMs: 2_000 })
+  const contact = createSourceContact({ clock, logger: SILENT_LOGGER }, { minimumOutageMs: MINIMUM_OUTAGE_MS })
+  const registry = createInstanceRegistry({ clock, source: remote.source, logger: SILENT_LOGGER }, { watchWaitMs: 100, drainMs: 2_000, contact })
   await registry.start?.()
   await clock.advanceAndSettle(50)
-  return { clock, remote, registry }
+  return { clock, remote, registry, contact }
 }
 
 const listIds = ({ api }: RunningInstanceRegistry): readonly string[] => api.list('engines').map(({ id }) => id)
@@ -81,7 +85,8 @@
     const position = registry.position()
     remote.setUnavailable(true)
     await clock.advanceAndSettle(500)
-    registry.applyPeerUpdate(createUpdate({ instances: [createServer('engine-2', { slots: 9 })] }), 2, 0)
+    registry.applyPeerUpdate(createUpdate({ instances: [createServer('engine-2', { slots: 9 })] }), 2, 500)
+    await clock.advanceAndSettle(MINIMUM_OUTAGE_MS)
     remote.put([createServer('engine-1')])
     remote.setUnavailable(false)
     await clock.advanceAndSettle(500)
@@ -92,6 +97,39 @@
   })
 })
 
+describe('a server whose entry is missing once the list is read again', () => {
+  const readAfter = async (unavailableMs: number, record: (contact: SourceContact) => void = () => {}): Promise<readonly string[]> => {
+    const { clock, remote, registry, contact } = await startRegistry()
+    remote.setUnavailable(true)
+    await clock.advanceAndSettle(unavailableMs / 2)
+    record(contact)
+    await clock.advanceAndSettle(unavailableMs / 2)
+    remote.put([createServer('engine-1')])
+    remote.setUnavailable(false)
+    await clock.advanceAndSettle(500)
+    return listIds(registry)
+  }
+
+  // One failed watch kept a removed server for two more seconds, past the time for which it serves.
+  test('is removed at once after a watch that failed', async () => {
+    expect(await readAfter(500)).toEqual(['engine-1'])
+  })
+
+  // A silent connection looks like an outage to the watch on it, while other reads and peers reach the source.
+  test('is removed at once if the source answered another call meanwhile', async () => {
+    expect(await readAfter(4_000, (contact) => contact.record())).toEqual(['engine-1'])
+  })
+
+  test('is kept after an outage in which its entry can have expired', async () => {
+    expect(await readAfter(2_600)).toEqual(['engine-1', 'engine-2'])
+  })
+
+  // What a peer read before the outage proves nothing about the time since.
+  test('is kept if a peer\'s last read was before the outage', async () => {
+    expect(await readAfter(4_000, (contact) => contact.record(2_000))).toEqual(['engine-1', 'engine-2'])
+  })
+})
+
 describe('an update from a peer of another build', () => {
   // The build before took any digits for an address, and sends such entries to its peers in a rolling update.
   test('adds no server whose address can\'t be used', async () => {
--- a/src/services/knowledgeExchange/test.ts
+++ b/src/services/knowledgeExchange/test.ts
@@ -3,6 +3,7 @@
 import { createKnowledgeExchange } from './index.js'
 import { createSeededRandom } from '../../adapters/seededRandom/index.js'
 import { createManualClock } from '../../emulator/createManualClock/index.js'
+import { createSourceContact } from '../_lib/createSourceContact.js'
 import { failure, success } from '../../kernel/index.js'
 import { createGatewayConfiguration } from '../gatewayConfiguration/index.js'
 import { createHeartbeatExchange } from '../heartbeatExchange/index.js'
@@ -37,7 +38,7 @@
   const write = (message: string): void => { messages.push(message) }
   const logger: Logger = { error: write, warn: write, info: write, debug: write }
   const clocks = { monotonic: clock.now, wall: clock.now, boot: clock.now }
-  const registry = createInstanceRegistry({ clock, source: { list: unavailable, watch: unavailable }, logger }, { watchWaitMs: 100 })
+  const registry = createInstanceRegistry({ clock, source: { list: unavailable, watch: unavailable }, logger }, { watchWaitMs: 100, contact: createSourceContact({ clock, logger }, { minimumOutageMs: 2_400 }) })
   const exchange = createKnowledgeExchange({
     clock,
     random: createSeededRandom(67),
@@ -46,7 +47,7 @@
     exchange: createHeartbeatExchange(),
     configuration: createGatewayConfiguration({ clock, source: { read: unavailable, decode: () => failure({ kind: 'malformed', message: 'none' }) }, logger, clocks }, { readIntervalMs: 800 }),
     registry,
-    zoneDrains: createZoneDrains({ clock, source: { list: unavailable, watch: unavailable }, logger }, { watchWaitMs: 100 }),
+    zoneDrains: createZoneDrains({ clock, source: { list: unavailable, watch: unavailable }, logger }, { watchWaitMs: 100, contact: createSourceContact({ clock, logger }, { minimumOutageMs: 2_400 }) }),
     clocks,
     logger
   }, { queryIntervalMs: 500 })
--- a/test/platform/knowledge.test.ts
+++ b/test/platform/knowledge.test.ts
@@ -75,6 +75,9 @@
   })
 })
 
+/** Longer than the shortest outage in which an entry can expire. */
+const OUTAGE_MS = 2_600
+
 describe('the list of backend servers', () => {
   test('includes a server that registers later', async () => {
     const fleet = await start({ plain: [] })
@@ -135,7 +138,7 @@
   test('is kept through an outage of the store and for a grace period after it', async () => {
     const fleet = await start()
     fleet.store.setFault('reset')
-    await new Promise((resolve) => { setTimeout(resolve, 600) })
+    await new Promise((resolve) => { setTimeout(resolve, OUTAGE_MS) })
     expect(await readStatus(fleet, '/open/1')).toBe(200)
     for (const id of fleet.backends.keys()) fleet.store.remove('servers', id)
     fleet.store.setFault('none')
