--- a/test/_lib/createFaultProxy.ts
+++ b/test/_lib/createFaultProxy.ts
@@ -24,6 +24,8 @@
   /** Resets all connections that are open now. */
   readonly resetAll: () => void
   readonly connections: () => number
+  /** Makes open connections silent for good, without a reset, while new ones work: all, or those whose last request begins with `request`. Returns their number. */
+  readonly silenceOpen: (request?: string) => number
   /** How many clients have ended their connection so far, in order or by a reset. */
   readonly clientEnds: () => number
   /** Changes the target port of new connections, for a target that was restarted or is started after the proxy. */
@@ -33,8 +35,13 @@
 
 type Direction = 'toClient' | 'toServer'
 
+/** The connections of one client and to its target; what arrives on a silent one is lost, and its end is not passed on. */
+type Link = { lastRequest: string, isSilent: boolean }
+
 type Chunk = { readonly from: Socket, readonly to: Socket, readonly bytes: Buffer, readonly direction: Direction, readonly passed: { bytes: number }, readonly hold: (action: () => void) => void, readonly retry: () => void }
 
+const MAXIMUM_REQUEST_START_BYTES = 200
+
 const resetPair = (from: Socket, to: Socket): void => {
   from.resetAndDestroy()
   to.resetAndDestroy()
@@ -76,6 +83,7 @@
   let targetPort = firstTargetPort
   let held: (() => void)[] = []
   const sockets = new Set<Socket>()
+  const links = new Set<Link>()
   const endedClients = new WeakSet<Socket>()
   let clientEnds = 0
   const recordClientEnd = (client: Socket): void => {
@@ -92,20 +100,24 @@
     socket.on('close', () => sockets.delete(socket))
   }
 
-  const forward = (from: Socket, to: Socket, direction: Direction): void => {
+  const forward = (link: Link, from: Socket, to: Socket, direction: Direction): void => {
     const passed = { bytes: 0 }
     let isReset = false
     // The sender of lost packets sends them again, unless it has reset the connection.
     from.on('error', ({ code }: NodeJS.ErrnoException) => { isReset ||= code === 'ECONNRESET' })
     const forwardChunk = (bytes: Buffer): void => {
-      if (isReset) return
+      if (isReset || link.isSilent) return
+      if (direction === 'toServer') link.lastRequest = bytes.subarray(0, MAXIMUM_REQUEST_START_BYTES).toString('latin1')
       const handler = faultHandlers[fault.kind] as (chunk: Chunk, fault: LinkFault) => void
       handler({ from, to, bytes, direction, passed, hold, retry: () => { forwardChunk(bytes) } }, fault)
     }
     const runOrHold = (action: () => void): void => { isHeld(direction) ? hold(() => { runOrHold(action) }) : action() }
     from.on('data', forwardChunk)
-    from.on('end', () => { runOrHold(() => { to.end() }) })
-    from.on('close', () => { runOrHold(() => { isReset ? to.resetAndDestroy() : to.destroy() }) })
+    from.on('end', () => { if (!link.isSilent) runOrHold(() => { to.end() }) })
+    from.on('close', () => {
+      links.delete(link)
+      runOrHold(() => { isReset ? to.resetAndDestroy() : to.destroy() })
+    })
   }
 
   const server = createServer({ allowHalfOpen: true }, (client) => {
@@ -118,8 +130,10 @@
     const upstream = connect({ host: '127.0.0.1', port: targetPort, allowHalfOpen: true })
     track(upstream)
     upstream.on('error', () => client.resetAndDestroy())
-    forward(client, upstream, 'toServer')
-    forward(upstream, client, 'toClient')
+    const link: Link = { lastRequest: '', isSilent: false }
+    links.add(link)
+    forward(link, client, upstream, 'toServer')
+    forward(link, upstream, client, 'toClient')
   })
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
   const { port } = server.address() as AddressInfo
@@ -139,6 +153,11 @@
     },
     resetAll,
     connections: () => sockets.size / 2,
+    silenceOpen: (request = '') => {
+      const chosen = [...links].filter(({ lastRequest }) => lastRequest.startsWith(request))
+      for (const link of chosen) link.isSilent = true
+      return chosen.length
+    },
     clientEnds: () => clientEnds,
     setTarget: (port) => { targetPort = port },
     close: async () => {
