Follow the store again within the time to reconnect after a silent watch

A watch that began just before its connection went silent failed after 3.2 s; the platform binds nodes 3 s after such a silence, and the list is read only then, and told to the other nodes.

Cause: the length of a watch did not follow from that bound.

Change: a watch waits the deployment's contact_ms less 1.5 s (its time-out, a read that fails and one that succeeds, and the relay to the zone), 2.5 s at most: 1.5 s at 3 s, as before at 4 s and more. Cost, worked out: at a contact_ms of 3 s a zone's reader makes 0.27 calls a second more for each list that it watches.

Tests: watches of all nodes go silent at 26 moments, and a server's entry is removed or a zone drained 50 ms later; after 3 s no node may have missed it.

--- a/src/emulator/composeGatewaySettings/index.ts
+++ b/src/emulator/composeGatewaySettings/index.ts
@@ -27,6 +27,7 @@
   graceMs: 4_000,
   keyRevocationMs: 5_000,
   configurationDelayMs: 2_000,
+  reconnectMs: 3_000,
   serverHeartbeatMs: 1_200,
   serverDrainMs: 2_000,
   retryRatio: 0.2,
--- a/src/emulator/createInProcessFleet/_lib/createFleetSource.ts
+++ b/src/emulator/createInProcessFleet/_lib/createFleetSource.ts
@@ -22,6 +22,8 @@
   readonly endDrain: (zone: string) => void
   /** The version that was the newest at a time of the clock. */
   readonly getNewestVersion: (at: number) => number
+  /** Makes the connections of a node's waiting watches silent: these watches fail by their time-out, new calls work. */
+  readonly silenceWatches: (node: number) => void
   readonly setReachable: (node: number, isReachable: boolean) => void
   readonly countCalls: () => number
 }
@@ -30,6 +32,8 @@
 const WATCH_POLL_INTERVAL_MS = 10
 /** Duration of a call, in milliseconds. */
 const SOURCE_DELAY_MS = 4
+/** Added to the wait of a watch to get its time-out, in milliseconds. */
+const WATCH_MARGIN_MS = 500
 /** Time after which a call from a node that cannot reach the source fails, in milliseconds. */
 const UNREACHABLE_TIMEOUT_MS = 500
 
@@ -84,6 +88,8 @@
   const drained = new Set<string>()
   const drainChanges: Change<ZoneDrainChange>[] = []
   const unreachableNodes = new Set<number>()
+  /** How often the waiting watches of a node have gone silent. */
+  const silences = new Map<number, number>()
   let revision = 1
   let calls = 0
 
@@ -114,7 +120,13 @@
     const endsAt = clock.now() + waitMs
     calls += 1
     const listNew = (): readonly Value[] => changes.filter((change) => change.revision > since).map(({ value }) => value)
-    while (clock.now() < endsAt && !unreachableNodes.has(node) && listNew().length === 0) await wait(clock, WATCH_POLL_INTERVAL_MS)
+    const silencesBefore = silences.get(node)
+    const isSilent = (): boolean => silences.get(node) !== silencesBefore
+    while (clock.now() < endsAt && !unreachableNodes.has(node) && (isSilent() || listNew().length === 0)) await wait(clock, WATCH_POLL_INTERVAL_MS)
+    if (isSilent()) {
+      await wait(clock, WATCH_MARGIN_MS)
+      return failure({ kind: 'unavailable', message: 'no reply' })
+    }
     return unreachableNodes.has(node) ? failAsUnreachable() : success(listNew())
   }
 
@@ -171,6 +183,7 @@
       recordChange(drainChanges, { zone, isEnded: true })
     },
     getNewestVersion,
+    silenceWatches: (node) => { silences.set(node, (silences.get(node) ?? 0) + 1) },
     setReachable: (node, isReachable) => {
       if (isReachable) unreachableNodes.delete(node)
       else unreachableNodes.add(node)
--- a/src/node/createGatewayNode/_lib/registerSources.ts
+++ b/src/node/createGatewayNode/_lib/registerSources.ts
@@ -1,4 +1,5 @@
 /** Registers the state read from sources: configuration, backend servers and zone drains, read by a few nodes and forwarded to the others. */
+import { computeWatchWait } from '../../../decisions/computeWatchWait/index.js'
 import { createGatewayConfiguration, type RunningGatewayConfiguration } from '../../../services/gatewayConfiguration/index.js'
 import { createInstanceRegistry, type RunningInstanceRegistry } from '../../../services/instanceRegistry/index.js'
 import { createKnowledgeExchange } from '../../../services/knowledgeExchange/index.js'
@@ -13,8 +14,6 @@
  * a new one must be in force, less the time of a slow read.
  */
 const CONFIGURATION_READ_INTERVAL_MS = 800
-/** Time-out of a watch. A connection that stopped responding is detected within it, well before the time bound of a leaving server. */
-const WATCH_TIMEOUT_MS = 2_500
 /** Time between two queries of a node to its two readers in turn; each is queried every 1.1 s. */
 const READER_QUERY_INTERVAL_MS = 550
 /**
@@ -38,6 +37,7 @@
   let zoneDrains: RunningZoneDrains | undefined
   // Until it knows peers, a node must act as the reader of its zone.
   const isReader = (): boolean => !kernel.isRunning('knowledgeExchange') || kernel.resolve('knowledgeExchange').isReader()
+  const watchWaitMs = computeWatchWait(dependencies.settings.reconnectMs)
   const contact = createSourceContact({ clock, logger }, { minimumOutageMs: EXPIRY_INTERVALS * dependencies.settings.serverHeartbeatMs })
   kernel.register({
     name: 'gatewayConfiguration',
@@ -51,7 +51,7 @@
     name: 'instanceRegistry',
     dependsOn: [],
     create: () => {
-      registry = createInstanceRegistry({ clock, source: instanceSource, logger }, { watchWaitMs: WATCH_TIMEOUT_MS, isReader, relianceMs: MAXIMUM_RELIANCE_MS, contact, drainMs: dependencies.settings.serverDrainMs })
+      registry = createInstanceRegistry({ clock, source: instanceSource, logger }, { watchWaitMs, isReader, relianceMs: MAXIMUM_RELIANCE_MS, contact, drainMs: dependencies.settings.serverDrainMs })
       return registry
     }
   })
@@ -61,7 +61,7 @@
     create: () => {
       if (zoneDrainSource === undefined) return { api: NO_ZONE_DRAINS }
       const isZone = (name: string): boolean => settings.regionByZone?.has(name) ?? true
-      zoneDrains = createZoneDrains({ clock, source: zoneDrainSource, logger }, { watchWaitMs: WATCH_TIMEOUT_MS, isReader, relianceMs: MAXIMUM_RELIANCE_MS, contact, isZone })
+      zoneDrains = createZoneDrains({ clock, source: zoneDrainSource, logger }, { watchWaitMs, isReader, relianceMs: MAXIMUM_RELIANCE_MS, contact, isZone })
       return zoneDrains
     }
   })
--- a/src/types/gatewaySettings.ts
+++ b/src/types/gatewaySettings.ts
@@ -25,6 +25,8 @@
   readonly keyRevocationMs: number
   /** Time within which a new configuration must be in force. */
   readonly configurationDelayMs: number
+  /** Time after its open connections have failed within which a node must follow changes of the store again. */
+  readonly reconnectMs: number
   /** Interval at which backend servers renew their entries in the list. */
   readonly serverHeartbeatMs: number
   /** Time for which a backend server continues to serve after its removal from the list. */
--- a/test/platform/readers.test.ts
+++ b/test/platform/readers.test.ts
@@ -120,6 +120,35 @@
   })
 })
 
+describe('watches of the source that go silent while new calls work', () => {
+  /** Time after which the deployment requires nodes to act on changes again. */
+  const RECONNECT_MS = 3_000
+
+  const play = async (silenceAfterMs: number, act: (fleet: InProcessFleet) => void): Promise<InProcessFleet> => {
+    const fleet = await start({ nodesPerZone: 4, settings: { reconnectMs: RECONNECT_MS } })
+    await fleet.clock.advanceAndSettle(silenceAfterMs)
+    for (let node = 0; node < fleet.nodes.length; node++) fleet.silenceWatches(node)
+    await fleet.clock.advanceAndSettle(50)
+    act(fleet)
+    await fleet.clock.advanceAndSettle(RECONNECT_MS - 50)
+    return fleet
+  }
+
+  const moments = Array.from({ length: 26 }, (_, index) => [index * 100])
+
+  // A removed server got requests until the time-out of the watch, and for two seconds after it.
+  test.each(moments)('hide no removed server for longer than the time to reconnect (after %i ms)', async (silenceAfterMs) => {
+    const fleet = await play(silenceAfterMs, (played) => played.removeInstance('engine-2'))
+    expect(new Set(readServers(fleet))).toEqual(new Set(['engine-1@1']))
+  })
+
+  // A drained zone got requests until the time-out of the watch.
+  test.each(moments)('hide no drain of a zone for longer (after %i ms)', async (silenceAfterMs) => {
+    const fleet = await play(silenceAfterMs, (played) => played.beginDrain('zone-0'))
+    expect(fleet.nodes.map((node) => node.resolve('zoneDrains').isDrained('zone-0'))).toEqual(Array(4).fill(true))
+  })
+})
+
 describe('a drain of a zone', () => {
   const listNodesWithoutDrain = (fleet: InProcessFleet): readonly number[] =>
     fleet.nodes.flatMap((node, index) => node.resolve('zoneDrains').isDrained('zone-0') ? [] : [index])
