--- a/test/platform/_lib/startStoreFleet.ts
+++ b/test/platform/_lib/startStoreFleet.ts
@@ -5,8 +5,8 @@
 import { startGatewayProcess, type GatewayProcess } from '../../../platform/standIn/startGatewayProcess/index.js'
 import { createFaultProxy, type FaultProxy } from '../../_lib/createFaultProxy.js'
 
-/** One run of a daemon, and when it was ready; its name is the same after a restart. */
-export type StoreFleetNode = { readonly name: string, readonly process: GatewayProcess, readonly startedAt: number, isGone: boolean }
+/** One run of a daemon, when it was ready and when it was asked to stop; its name is the same after a restart. */
+export type StoreFleetNode = { readonly name: string, readonly process: GatewayProcess, readonly startedAt: number, stoppedAt: number, isGone: boolean }
 
 export type Order = { readonly requestId: string, readonly node: StoreFleetNode, readonly sentAt: number, readonly status: number }
 
@@ -66,7 +66,7 @@
     start: async (name) => {
       const seeds = [...nodes.values()].filter(({ isGone }) => !isGone).map((node) => node.process.peerAddress)
       const process = await startGatewayProcess({ name, store: { host: '127.0.0.1', port: proxy.port }, seeds })
-      const node: StoreFleetNode = { name, process, startedAt: performance.now(), isGone: false }
+      const node: StoreFleetNode = { name, process, startedAt: performance.now(), stoppedAt: Infinity, isGone: false }
       process.ended.then(() => { node.isGone = true }, () => { node.isGone = true })
       processes.push(process)
       nodes.set(name, node)
