Contain an error in the handling of one request

Cause: nothing stood between the steps of a request (route, send, parts of the answer, the common timer) and the process.

Change: each step runs contained. What throws ends that request: 503 while nothing was sent, 502 after it, reason internalError, without reading other services, or the caller's stream is broken off; the other requests of the same timer go on. A client that throws in a send counts as a failure to reach that server, and the request goes to another one.

Tests throw on purpose in the choice of a server, in a send, a head, bytes, the timer and the final answer itself: six of six fail with the handler of before (the error leaves the node), and pass now.

--- /dev/null
+++ b/src/services/forwarding/_lib/createErrorContainment.ts
@@ -0,0 +1,41 @@
+/**
+ * Keeps an error in one step of a request from ending the process: it ends that request. The state of
+ * a request is its own, and its attempts give back what they took, so that other requests can go on.
+ */
+import type { Logger, Metrics } from '../../../types/index.js'
+
+export type ErrorContainmentDependencies = { readonly logger: Pick<Logger, 'error'>, readonly metrics: Pick<Metrics, 'count'> }
+
+export type ErrorContainment = {
+  /** Runs a step; if it throws, the request ends. */
+  readonly run: (step: () => void) => void
+  /** Reports an error that was caught; returns its description. */
+  readonly report: (error: unknown) => string
+}
+
+const describe = (error: unknown): string => error instanceof Error ? `${error.name}: ${error.message}` : String(error)
+
+/** Creates the containment of one request; `end` gives it its final answer, and `abandon` forgets it if that fails too. */
+export const createErrorContainment = ({ logger, metrics }: ErrorContainmentDependencies, { requestId, end, abandon }: { readonly requestId: string, readonly end: () => void, readonly abandon: () => void }): ErrorContainment => {
+  let isEnding = false
+
+  const report = (error: unknown): string => {
+    const reason = describe(error)
+    metrics.count('contained_errors', { part: 'request' })
+    logger.error('request step failed', { requestId, reason })
+    return reason
+  }
+
+  const run = (step: () => void): void => {
+    try {
+      step()
+    } catch (error) {
+      report(error)
+      if (isEnding) return abandon()
+      isEnding = true
+      run(end)
+    }
+  }
+
+  return { run, report }
+}
--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -9,6 +9,7 @@
 import { SHUTTING_DOWN } from './createAdmissionGate.js'
 import { createAnswerIntake, type AnswerIntake, type AnswerListener } from './createAnswerIntake.js'
 import { createCallerAnswer } from './createCallerAnswer.js'
+import { createErrorContainment } from './createErrorContainment.js'
 import { createFinalAnswer } from './createFinalAnswer.js'
 import { createPathSelector, type OpenPath, type RoutedRequest } from './createPathSelector.js'
 import { createRequestDeadline } from './createRequestDeadline.js'
@@ -19,9 +20,10 @@
 import { createSendAttempt, type SendAttempt } from './createSendAttempt.js'
 import { createSilenceWatch } from './createSilenceWatch.js'
 import { createAttemptReporter } from './createAttemptReporter.js'
+import { computeRetryAfter } from '../../../decisions/computeRetryAfter/index.js'
 import { describeReach } from './describeReach.js'
 import { prepareSend } from './prepareSend.js'
-import type { CallerSink, ExchangeFailure, GatewayAccount, GatewayRequest, GatewayRoute, InstanceAnswer, LogFields } from '../../../types/index.js'
+import type { CallerSink, ExchangeFailure, ExchangeListener, GatewayAccount, GatewayRequest, GatewayRoute, InstanceAnswer, LogFields } from '../../../types/index.js'
 import { selectService } from './selectService.js'
 import type { RequestHandler, RequestHandlerContext } from './requestHandler.js'
 
@@ -68,6 +70,17 @@
     }
   })
   const { finish, refuse, giveUp } = finalAnswer
+  const containment = createErrorContainment(context, {
+    requestId: request.requestId,
+    // Reads nothing of other services: what threw may be in the way there as well.
+    end: () => refuse(mayHaveRun ? { status: 502, reason: 'internalError' } : { status: 503, reason: 'internalError', retryAfterMs: computeRetryAfter(random.next()) }),
+    abandon: () => {
+      if (isDone) return
+      isDone = true
+      context.onDone()
+    }
+  })
+  const contain = <Values extends readonly unknown[]>(step: (...values: Values) => void) => (...values: Values): void => containment.run(() => step(...values))
 
   // Asked before every send, retries included: the shutdown may have begun while the request waited.
   const passesShutdown = (to: GatewayRoute): boolean => context.shutdownGate.passes(to, request, deadline.computeMaximumMs(to, mayHaveRun))
@@ -97,11 +110,13 @@
     await context.configuration.confirm(KEY_CONFIRM_WAIT_MS)
     isWaitingForKey = false
     if (isDone) return
-    if (checkKey(context, request, to, account) === 'unconfirmed') return giveUp('staleKeys', 504)
-    send()
+    contain(() => {
+      if (checkKey(context, request, to, account) === 'unconfirmed') return giveUp('staleKeys', 504)
+      send()
+    })()
   }
 
-  const send = (): void => {
+  const send = contain((): void => {
     if (isDone || route === undefined || body === undefined || isWaitingForKey) return
     // Checked before every send: the request may have waited since the last check.
     const keyStatus = checkKey(context, request, route, account)
@@ -119,7 +134,7 @@
     if (attemptsStarted === 0) recordStart()
     else if (paths.hasArrived() && !takeRetry()) return giveUp('instancesRefused', 502)
     sendOn(route, path, body)
-  }
+  })
 
   const sendOn = (to: GatewayRoute, path: OpenPath, content: Uint8Array): void => {
     const { target, event, fields } = prepareSend(context, path, {
@@ -149,27 +164,38 @@
     attempts.begin(current)
     paths.recordAttempt(target)
     target.recordStart()
-    current.exchange = target.send({
+    sendTo(target, current, {
       maySend: target.maySend,
-      onSent: () => {
-        record.recordStep('connected')
+      onSent: contain(() => {
         current.sentAt = clock.now()
+        if (attempts.active() === current) {
+          mayHaveRun = true
+          sends += 1
+        }
+        record.recordStep('connected')
         if (attempts.active() !== current) return
-        mayHaveRun = true
-        sends += 1
         paths.recordArrival(target)
-      },
-      onHead: (answer) => { if (attempts.isRunning(current)) handleHead(current, answer, intake) },
-      onData: (bytes) => {
+      }),
+      onHead: contain((answer: InstanceAnswer) => { if (attempts.isRunning(current)) handleHead(current, answer, intake) }),
+      onData: contain((bytes: Uint8Array) => {
         if (!attempts.claim(current)) return
         reporter.reportBody(current)
         intake.handleData(bytes, current.exchange)
-      },
-      onEnd: () => { if (attempts.claim(current)) intake.handleEnd() },
-      onFailure: (failure) => handleFailure(current, failure)
+      }),
+      onEnd: contain(() => { if (attempts.claim(current)) intake.handleEnd() }),
+      onFailure: contain((failure: ExchangeFailure) => handleFailure(current, failure))
     })
   }
 
+  /** A target for which the client throws is left like one that can't be reached. */
+  const sendTo = (target: AttemptTarget, current: SendAttempt, listener: ExchangeListener): void => {
+    try {
+      current.exchange = target.send(listener)
+    } catch (error) {
+      handleFailure(current, { kind: current.sentAt === undefined ? 'notSent' : 'broken', message: containment.report(error) })
+    }
+  }
+
   const handleHead = (current: SendAttempt, answer: InstanceAnswer, intake: AnswerIntake): void => {
     reporter.reportHead(current, answer)
     record.recordStep('head')
@@ -271,7 +297,7 @@
   }
 
   return {
-    assign: (to, owner) => {
+    assign: contain((to: GatewayRoute, owner: GatewayAccount | undefined) => {
       if (isDone) return
       route = to
       account = owner
@@ -279,21 +305,21 @@
       if (!passesShutdown(to)) return refuse(SHUTTING_DOWN)
       // The body may have arrived while the request waited for its route.
       send()
-    },
-    submit: (content) => {
+    }),
+    submit: contain((content: Uint8Array) => {
       if (isDone) return
       record.recordStep('body')
       body = content
       send()
-    },
-    reject: refuse,
-    cancel: () => {
+    }),
+    reject: contain(refuse),
+    cancel: contain(() => {
       if (isDone) return
       attempts.abortAll()
       finish('callerLeft')
-    },
-    check,
-    expire: () => giveUp('shuttingDown', 502),
+    }),
+    check: contain(check),
+    expire: contain(() => giveUp('shuttingDown', 502)),
     describe: () => ({ requestId: request.requestId, route: route?.name, receivedAt: request.receivedAt, target: attempts.active()?.target.id, lastBytesAt: attempts.active()?.lastBytesAt })
   }
 }
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -238,7 +238,7 @@
   | 'badRequest' | 'headerTooLarge' | 'bodyTooLarge' | 'unknownRoute' | 'unknownKey' | 'noConfiguration' | 'staleKeys'
   | 'noInstance' | 'serviceFull' | 'deadlineBeforeSend' | 'deadline' | 'instanceFailed' | 'answerBroken'
   | 'instancesRefused' | 'shuttingDown' | 'crossedAnswer' | 'zoneDrained' | 'backingOff' | 'warmingUp' | 'regionNotAllowed'
-  | 'relayLimit' | 'memoryFull' | 'versionGone' | 'versionUnknown' | 'promptQuarantined'
+  | 'relayLimit' | 'memoryFull' | 'versionGone' | 'versionUnknown' | 'promptQuarantined' | 'internalError'
   | 'waitTooLong' | 'overShare' | 'queueFull' | 'repeatedEarly' | 'lessUrgent'
 
 /** A final answer created by the node itself. */
--- a/src/types/gatewayEvents.ts
+++ b/src/types/gatewayEvents.ts
@@ -26,6 +26,7 @@
   'request relayed': { level: 'info', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'a request went to a peer, because this node does not reach the backend servers' },
   'peer refused': { level: 'info', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'a peer states that it had a relayed request not run' },
   'peer avoided': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a peer gets no relayed requests for a while after a failure' },
+  'request step failed': { level: 'error', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'an unexpected error in the handling of one request, which ends or is sent elsewhere; the others go on' },
   'request complete': { level: 'info', linesPerSecond: REQUEST_LINES_PER_SECOND, meaning: 'the caller has received the complete answer' },
   'request ended': { level: 'info', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'the final answer is a refusal or a failure, or the caller disconnected' },
   'request sent again': { level: 'info', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'a request went to another backend server after a failure' },
--- a/test/_lib/startForwardingNode.ts
+++ b/test/_lib/startForwardingNode.ts
@@ -48,22 +48,28 @@
 
 const MEMBER: Member = { nodeId: 'node-1', incarnation: 1, address: { host: 'node-1', port: 1 }, availabilityZone: 'a', state: 'live', generation: 1 }
 
+/** What throws while a request is handled, in place of a value that a consumer can't bear. */
+export type ThrowingPart = 'choice' | 'send' | 'head' | 'bytes' | 'timer' | 'answer'
+
 /** A recently started node, without configuration and server list until `provideInitialState`. */
 export const startForwardingNode = () => {
   const clock = createManualClock()
-  const state = { confirmedAgeMs: 0, verdict: { kind: 'open' } as QuarantineVerdict, servers: [INSTANCE, OTHER_INSTANCE] as readonly BackendInstance[], aborts: 0 }
+  const state = { confirmedAgeMs: 0, verdict: { kind: 'open' } as QuarantineVerdict, servers: [INSTANCE, OTHER_INSTANCE] as readonly BackendInstance[], aborts: 0, throwsAt: undefined as ThrowingPart | undefined, contained: 0 }
+  const throwAt = (part: ThrowingPart): void => { if (state.throwsAt === part) throw new TypeError(`thrown in ${part}`) }
   const sent: string[] = []
   const targets: string[] = []
   const answers: string[] = []
   const listeners: (() => void)[] = []
   const exchanges: ExchangeListener[] = []
   let isKnown = false
+  /** The backend server that gets the first request; sends to it throw where sends do. */
+  let firstTarget: string | undefined
   const loadView = { recordStart: () => {}, recordEnd: () => {}, estimateInFlight: () => 0, ownInFlight: () => 0, readSource: () => undefined, applyReport: () => {} }
   const dependencies: ForwardingDependencies = {
     clock,
     random: { next: () => 0.5, nextId: () => 'id' },
     logger: { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} },
-    metrics: { count: () => {}, observe: () => {}, readGauge: () => {} },
+    metrics: { count: (name) => { if (name === 'contained_errors') state.contained += 1 }, observe: () => {}, readGauge: () => {} },
     configuration: {
       current: () => isKnown ? CONFIGURATION : undefined,
       version: () => isKnown ? 1 : 0,
@@ -72,7 +78,10 @@
       onChange: (listener) => { listeners.push(() => listener(CONFIGURATION)) }
     },
     registry: {
-      list: () => state.servers,
+      list: () => {
+        throwAt('choice')
+        return state.servers
+      },
       find: () => INSTANCE,
       all: () => [INSTANCE],
       recentlyRemoved: () => [],
@@ -83,11 +92,11 @@
       markGone: () => {},
       onChange: () => {}
     },
-    health: { recordStart: () => {}, recordEnd: () => {}, recordBytes: () => {}, record: () => {}, isSuspended: () => false, readIdleMs: () => 0, readUnheardMs: () => 0, compareWith: () => () => 1, retain: () => {} },
+    health: { recordStart: () => {}, recordEnd: () => {}, recordBytes: () => throwAt('bytes'), record: () => {}, isSuspended: () => false, readIdleMs: () => { throwAt('timer'); return 0 }, readUnheardMs: () => 0, compareWith: () => () => 1, retain: () => {} },
     reach: { readOwn: () => ({ reachable: 2, known: 2 }), readPeer: () => 'unknown', countPeers: () => ({ some: 0, none: 0, unknown: 0 }) },
     refusals: { recordLimit: () => {}, isLimitReached: () => false, recordSend: () => () => {} },
     relays: { select: () => undefined, send: () => ({ abort: () => {}, pause: () => {}, resume: () => {} }), recordStart: () => {}, recordEnd: () => {}, recordBytes: () => {}, recordFailure: () => {}, recordAnswer: () => {}, readIdleMs: () => 0 },
-    notices: { record: () => {}, backoffRemainingMs: () => 0 },
+    notices: { record: () => throwAt('head'), backoffRemainingMs: () => 0 },
     directory: createFakeDirectory(),
     loadView,
     streamVersions: { recordBegin: () => {}, find: async () => ({ kind: 'known', softwareVersion: '', source: 'onlyVersion' }) },
@@ -99,6 +108,8 @@
     warmUp: { remainingMs: () => 0, isLimitReached: () => false, recordSend: () => {} },
     client: {
       send: ({ request, instance }, exchange) => {
+        firstTarget ??= instance.id
+        if (instance.id === firstTarget) throwAt('send')
         sent.push(request.requestId)
         targets.push(instance.id)
         exchanges.push(exchange)
@@ -116,9 +127,14 @@
     isFirstStart: true,
     readBounds: () => ({ loadFactor: 2, retryLimits: { ratio: 0.2, extra: 50, windowMs: 10_000 }, keyFreshnessMs: 4_500, configurationFreshnessMs: 2_000 })
   })
-  const sink: CallerSink = { refuse: ({ status, reason }) => { answers.push(`${status} ${reason}`) }, complete: () => {}, head: () => {}, data: () => true, onDrain: () => {}, end: () => { answers.push('complete') }, fail: () => { answers.push('broken off') } }
+  const refuse: CallerSink['refuse'] = ({ status, reason }) => {
+    throwAt('answer')
+    answers.push(`${status} ${reason}`)
+  }
+  const sink: CallerSink = { refuse, complete: () => {}, head: () => {}, data: () => true, onDrain: () => {}, end: () => { answers.push('complete') }, fail: () => { answers.push('broken off') } }
   return {
     clock,
+    countOpen: forwarding.api.openRequests,
     state,
     sent,
     targets,
