Count errors that reads of the store and messages of peers contain

Cause: what throws in a read, or in the handler of a peer's message, ends neither the process nor anything else; a read's error was only in the reason of the lost source, logged once, and a handler's error was told to its sender alone. An operator could not see that a node chokes on what another build or program wrote.

Change: contained_errors counts both (parts 'read' and 'peerMessage', beside 'request'), and 'message of a peer failed' names the kind of message and the error, bounded.

--- a/src/adapters/peerTcp/index.ts
+++ b/src/adapters/peerTcp/index.ts
@@ -26,6 +26,8 @@
   readonly random: RandomSource
   readonly logger?: Logger
   readonly metrics?: Metrics
+  /** Called when the handler of a message throws. */
+  readonly onHandlerError?: () => void
   readonly handshakeTimeoutMs?: number
   /** Connect timeout in milliseconds; 300 by default. */
   readonly connectTimeoutMs?: number
@@ -109,6 +111,11 @@
     }
   }
 
+  const onThrown = (kind: string, reason: string): void => {
+    options.logger?.error('message of a peer failed', { kind, reason })
+    options.onHandlerError?.()
+  }
+
   const accept = (socket: Socket): void => {
     const acknowledgement = createAcknowledgement(() => { connection.send({}, 'acknowledgement') })
     const connection: Connection = createConnection({
@@ -119,7 +126,7 @@
       onReady: () => {},
       onFrame: (frame) => {
         acknowledgement.request()
-        dispatchFrame(handlers, frame, (reply, kind) => { connection.send(reply, kind) })
+        dispatchFrame(handlers, frame, { respond: (reply, kind) => { connection.send(reply, kind) }, onThrown })
       },
       onClose: (reason) => {
         acknowledgement.cancel()
--- a/src/adapters/peerTcp/test.ts
+++ b/src/adapters/peerTcp/test.ts
@@ -5,6 +5,7 @@
 import { createPeerTcp } from './index.js'
 import { prependLength } from './_lib/createFrameReader.js'
 import { createSystemClock } from '../systemClock/index.js'
+import type { Logger } from '../../types/index.js'
 import { createSystemRandom } from '../systemRandom/index.js'
 
 const clock = createSystemClock()
@@ -16,7 +17,7 @@
 const opened: { readonly close: () => Promise<void> }[] = []
 const sockets: Socket[] = []
 
-const openTransport = async (options: { readonly fleetKey?: string, readonly port?: number, readonly handshakeTimeoutMs?: number, readonly stallTimeoutMs?: number, readonly acknowledgeDelayMs?: number } = {}) => {
+const openTransport = async (options: { readonly fleetKey?: string, readonly port?: number, readonly handshakeTimeoutMs?: number, readonly stallTimeoutMs?: number, readonly acknowledgeDelayMs?: number, readonly onHandlerError?: () => void, readonly logger?: Logger } = {}) => {
   const transport = createPeerTcp({ host: '127.0.0.1', port: 0, fleetKey: 'the right key', maximumFrameBytes: MAXIMUM_FRAME_BYTES, initialBackoffMs: 1, maximumBackoffMs: 1, clock, random, ...options })
   transport.handle('directoryLookup', ({ chatKey }) => ({ kind: 'directoryEntry', backendServer: chatKey }))
   await transport.listen()
@@ -50,6 +51,19 @@
     expect(result).toMatchObject({ ok: false, error: { kind: 'unreachable' } })
   })
 
+  // A handler that chokes on the message of another build told its sender, and nobody else.
+  it('reports a handler that throws, and answers further messages', async () => {
+    const reasons: unknown[] = []
+    const logger: Logger = { error: (message, fields) => { reasons.push([message, fields?.kind, fields?.reason]) }, warn: () => {}, info: () => {}, debug: () => {} }
+    let errors = 0
+    const listener = await openTransport({ logger, onHandlerError: () => { errors += 1 } })
+    listener.handle('rootRequest', () => { throw new TypeError('no list') })
+    const peer = await openTransport()
+    expect((await peer.request(listener.address(), { kind: 'rootRequest' }, TIMEOUT_MS)).ok).toBe(false)
+    expect((await peer.request(listener.address(), lookup, TIMEOUT_MS)).ok).toBe(true)
+    expect([reasons, errors]).toEqual([[['message of a peer failed', 'rootRequest', 'no list']], 1])
+  })
+
   // Guards against a reflection attack, in which a peer without the key sends the router's own frames back.
   it('rejects a reflected proof', async () => {
     const listener = await openTransport()
--- a/src/daemon/startGateway/index.ts
+++ b/src/daemon/startGateway/index.ts
@@ -108,7 +108,8 @@
     acknowledgeDelayMs: ACKNOWLEDGE_DELAY_MS,
     clock,
     random,
-    logger
+    logger,
+    onHandlerError: () => metrics.count('contained_errors', { part: 'peerMessage' })
   })
   const peerAddress = await transport.listen()
   // Opened before the node starts, as its heartbeats tell peers the port.
--- a/src/node/createGatewayNode/_lib/registerSources.ts
+++ b/src/node/createGatewayNode/_lib/registerSources.ts
@@ -37,13 +37,14 @@
   let zoneDrains: RunningZoneDrains | undefined
   // Until it knows peers, a node must act as the reader of its zone.
   const isReader = (): boolean => !kernel.isRunning('knowledgeExchange') || kernel.resolve('knowledgeExchange').isReader()
+  const onThrown = (): void => dependencies.metrics.count('contained_errors', { part: 'read' })
   const watchWaitMs = computeWatchWait(dependencies.settings.reconnectMs)
   const contact = createSourceContact({ clock, logger }, { minimumOutageMs: EXPIRY_INTERVALS * dependencies.settings.serverHeartbeatMs })
   kernel.register({
     name: 'gatewayConfiguration',
     dependsOn: [],
     create: () => {
-      configuration = createGatewayConfiguration({ clock, source: configurationSource, logger, clocks }, { readIntervalMs: CONFIGURATION_READ_INTERVAL_MS, isReader, relianceMs: MAXIMUM_RELIANCE_MS, contact })
+      configuration = createGatewayConfiguration({ clock, source: configurationSource, logger, clocks }, { readIntervalMs: CONFIGURATION_READ_INTERVAL_MS, isReader, relianceMs: MAXIMUM_RELIANCE_MS, contact, onThrown })
       return configuration
     }
   })
@@ -51,7 +52,7 @@
     name: 'instanceRegistry',
     dependsOn: [],
     create: () => {
-      registry = createInstanceRegistry({ clock, source: instanceSource, logger }, { watchWaitMs, isReader, relianceMs: MAXIMUM_RELIANCE_MS, contact, drainMs: dependencies.settings.serverDrainMs })
+      registry = createInstanceRegistry({ clock, source: instanceSource, logger }, { watchWaitMs, isReader, relianceMs: MAXIMUM_RELIANCE_MS, contact, onThrown, drainMs: dependencies.settings.serverDrainMs })
       return registry
     }
   })
@@ -61,7 +62,7 @@
     create: () => {
       if (zoneDrainSource === undefined) return { api: NO_ZONE_DRAINS }
       const isZone = (name: string): boolean => settings.regionByZone?.has(name) ?? true
-      zoneDrains = createZoneDrains({ clock, source: zoneDrainSource, logger }, { watchWaitMs, isReader, relianceMs: MAXIMUM_RELIANCE_MS, contact, isZone })
+      zoneDrains = createZoneDrains({ clock, source: zoneDrainSource, logger }, { watchWaitMs, isReader, relianceMs: MAXIMUM_RELIANCE_MS, contact, onThrown, isZone })
       return zoneDrains
     }
   })
--- a/src/services/_lib/createSourceFollower.test.ts
+++ b/src/services/_lib/createSourceFollower.test.ts
@@ -15,10 +15,10 @@
       return success(() => { events.push('applied') })
     }
     const watch = (): Promise<SourceReading> => new Promise(() => {})
-    const follower = createSourceFollower(clock, { readAll, watch, isKnown: () => false, onReached: () => events.push('reached'), onLost: (reason) => events.push(reason), onHistoryGone: () => {} }, {})
+    const follower = createSourceFollower(clock, { readAll, watch, isKnown: () => false, onReached: () => events.push('reached'), onLost: (reason) => events.push(reason), onHistoryGone: () => {} }, { onThrown: () => events.push('thrown') })
     follower.start()
     await clock.advanceAndSettle(1_000)
     follower.stop()
-    expect(events).toEqual(['TypeError: no object', 'reached', 'applied'])
+    expect(events).toEqual(['thrown', 'TypeError: no object', 'reached', 'applied'])
   })
 })
--- a/src/services/_lib/createSourceFollower.ts
+++ b/src/services/_lib/createSourceFollower.ts
@@ -33,6 +33,8 @@
   readonly retryMs?: number
   /** This node's contact with the source, which other readings record as well; each reading of the follower is added. */
   readonly contact?: SourceContact
+  /** Called for each read that throws; it counts as failed. */
+  readonly onThrown?: () => void
 }
 
 export type SourceFollower = {
@@ -107,7 +109,7 @@
         await wait(recheckAfterMs)
         continue
       }
-      const reading: SourceReading = await containRead(isListed ? source.watch : source.readAll)
+      const reading: SourceReading = await containRead(isListed ? source.watch : source.readAll, options.onThrown)
       if (isStopped) return
       const isApplied = applyReading(reading)
       if (!isApplied && !isListed) {
--- a/src/services/gatewayConfiguration/index.ts
+++ b/src/services/gatewayConfiguration/index.ts
@@ -37,6 +37,8 @@
   readonly relianceMs?: number
   /** This node's contact with the source, to which its reads and those of its peers are added. */
   readonly contact?: SourceContact
+  /** Called for each read, and each decoding of a peer's update, that throws; it counts as failed. */
+  readonly onThrown?: () => void
 }
 
 export type RunningGatewayConfiguration = RunningService<GatewayConfigurationHolder> & {
@@ -131,7 +133,7 @@
     isReading = true
     timer?.cancel()
     const sentAt = readClocks(clocks)
-    const result = await containRead(source.read)
+    const result = await containRead(source.read, options.onThrown)
     isReading = false
     if (isStopped) return
     if (result.ok) {
@@ -205,7 +207,7 @@
       options.contact?.record(ageMs + measureAge(requestedAt, clocks))
       const recordConfirmation = (): void => confirm(requestedAt, ageMs)
       if (update !== undefined && newestVersion > version()) {
-        const decoded = containDecoding(() => decodeUpdate(update))
+        const decoded = containDecoding(() => decodeUpdate(update), options.onThrown)
         if (decoded.ok) adopt(decoded.value, 'peer', recordConfirmation)
         else logger.warn('configuration of a peer is malformed', { version: newestVersion, reason: describeSourceError(decoded.error) })
         return
--- a/src/types/gatewayEvents.ts
+++ b/src/types/gatewayEvents.ts
@@ -76,6 +76,7 @@
   'configuration source reached': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the source of the configuration can be read again' },
   'configuration of a peer is malformed': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a peer sent a configuration that cannot be decoded' },
   'reply of a peer is malformed': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a peer answered a query with a message of another form; none of it was applied' },
+  'message of a peer failed': { level: 'error', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'an unexpected error in the handling of a message of a peer, which has no effect; the line has its kind' },
   'prompt parts suspected': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'several backend servers ended under requests with these prompt parts; this node asks its peers whether answers with them were in order since' },
   'prompt part quarantined': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'requests with a prompt part are refused from now on; the line has the backend servers that ended under it, and who concluded it' },
   'prompt part trial': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a request with a quarantined prompt part is sent, as the only one of the fleet' },
