Tell relying nodes how long a reader has failed to read a list

Callers: orders and sessions at servers that had left, or in a drained zone, from the nodes of a zone whose reader could still read the configuration but not the list (seen in the emulated fleet, not on a deployment).

Change: a reply also states for how long the list of servers, or the zone drains, could not be read; relying nodes take the longer age, and read for themselves past 1.5 s as for a lost reader. The fields are optional, so that builds before go on as they do.

Test: two readers of six nodes that can't read the lists; after 2.5 s a server is removed and the zone drained. Before, none of the other four knew it 2.5 s later; now all do.

--- a/src/emulator/createInProcessFleet/_lib/createFleetSource.ts
+++ b/src/emulator/createInProcessFleet/_lib/createFleetSource.ts
@@ -24,6 +24,8 @@
   readonly getNewestVersion: (at: number) => number
   /** Makes the connections of a node's waiting watches silent: these watches fail by their time-out, new calls work. */
   readonly silenceWatches: (node: number) => void
+  /** Makes the lists of backend servers and zone drains unreadable for a node; it still reads the configuration. */
+  readonly setListsReadable: (node: number, areReadable: boolean) => void
   readonly setReachable: (node: number, isReachable: boolean) => void
   readonly countCalls: () => number
 }
@@ -88,6 +90,7 @@
   const drained = new Set<string>()
   const drainChanges: Change<ZoneDrainChange>[] = []
   const unreachableNodes = new Set<number>()
+  const nodesWithoutLists = new Set<number>()
   /** How often the waiting watches of a node have gone silent. */
   const silences = new Map<number, number>()
   let revision = 1
@@ -115,6 +118,9 @@
     return success(value)
   }
 
+  const callList = async <Value>(node: number, read: () => Value): Promise<Result<Value, SourceError>> =>
+    nodesWithoutLists.has(node) ? failAsUnreachable() : call(node, read)
+
   /** Waits until a change after revision `since`, or for `waitMs`. */
   const watch = async <Value>(node: number, changes: readonly Change<Value>[], since: number, waitMs: number): Promise<Result<readonly Value[], SourceError>> => {
     const endsAt = clock.now() + waitMs
@@ -123,6 +129,7 @@
     const silencesBefore = silences.get(node)
     const isSilent = (): boolean => silences.get(node) !== silencesBefore
     while (clock.now() < endsAt && !unreachableNodes.has(node) && (isSilent() || listNew().length === 0)) await wait(clock, WATCH_POLL_INTERVAL_MS)
+    if (nodesWithoutLists.has(node)) return failAsUnreachable()
     if (isSilent()) {
       await wait(clock, WATCH_MARGIN_MS)
       return failure({ kind: 'unavailable', message: 'no reply' })
@@ -144,7 +151,7 @@
   }
 
   const createInstanceSource = (node: number): InstanceSource => ({
-    list: () => call(node, () => ({ entries: [...instances.values()].map((instance) => ({ name: instance.id, instance })), revision })),
+    list: () => callList(node, () => ({ entries: [...instances.values()].map((instance) => ({ name: instance.id, instance })), revision })),
     watch: async (since, waitMs) => {
       const changed = await watch(node, instanceChanges, since, waitMs)
       return changed.ok ? success({ changes: [...new Set(changed.value)].map(describeInstance), revision }) : changed
@@ -152,7 +159,7 @@
   })
 
   const createZoneDrainSource = (node: number): ZoneDrainSource => ({
-    list: () => call(node, () => ({ zones: [...drained], revision })),
+    list: () => callList(node, () => ({ zones: [...drained], revision })),
     watch: async (since, waitMs) => {
       const changed = await watch(node, drainChanges, since, waitMs)
       return changed.ok ? success({ changes: changed.value, revision }) : changed
@@ -183,6 +190,10 @@
       recordChange(drainChanges, { zone, isEnded: true })
     },
     getNewestVersion,
+    setListsReadable: (node, areReadable) => {
+      if (areReadable) nodesWithoutLists.delete(node)
+      else nodesWithoutLists.add(node)
+    },
     silenceWatches: (node) => { silences.set(node, (silences.get(node) ?? 0) + 1) },
     setReachable: (node, isReachable) => {
       if (isReachable) unreachableNodes.delete(node)
--- a/src/services/_lib/createSourceFollower.ts
+++ b/src/services/_lib/createSourceFollower.ts
@@ -43,6 +43,8 @@
   /** Reports that a peer sent the list, and that the peer reached the source `ageMs` ago. */
   readonly recordRelay: (ageMs: number) => void
   readonly isReachable: () => boolean
+  /** Milliseconds for which the list could not be read; 0 while it can. */
+  readonly lostMs: () => number
   /** Registers a listener that is called when the source cannot be read. */
   readonly onPeersNeeded: (listener: () => void) => void
 }
@@ -62,6 +64,7 @@
   let relayedAt = -Infinity
   /** Undefined before the first response, so that a source that was never reached is reported as well. */
   let isReachable: boolean | undefined
+  let lostAt = 0
   let isStopped = false
   let timer: Timer | undefined
 
@@ -74,6 +77,7 @@
   const recordLost = (error: SourceError): void => {
     if (isReachable === false) return
     isReachable = false
+    lostAt = clock.now()
     source.onLost(describeSourceError(error))
   }
 
@@ -131,6 +135,7 @@
       options.contact?.record(ageMs)
     },
     isReachable: () => isReachable === true,
+    lostMs: () => isReachable === false ? clock.now() - lostAt : 0,
     onPeersNeeded: (listener) => { peersNeededListeners.push(listener) }
   }
 }
--- a/src/services/instanceRegistry/index.ts
+++ b/src/services/instanceRegistry/index.ts
@@ -39,6 +39,8 @@
   readonly createPeerUpdate: (position: ChangePosition | undefined, revision: number) => InstanceUpdate
   readonly position: () => ChangePosition
   readonly isSourceReachable: () => boolean
+  /** Milliseconds for which this node could not read the source; 0 while it can. */
+  readonly sourceLostMs: () => number
   /** Registers a listener that is called when the source cannot be read. */
   readonly onPeersNeeded: (listener: () => void) => void
 }
@@ -244,6 +246,7 @@
     },
     position: changes.position,
     isSourceReachable: follower.isReachable,
+    sourceLostMs: follower.lostMs,
     onPeersNeeded: follower.onPeersNeeded,
     start: follower.start,
     stop: follower.stop
--- a/src/services/knowledgeExchange/_lib/describeProblem.ts
+++ b/src/services/knowledgeExchange/_lib/describeProblem.ts
@@ -6,6 +6,7 @@
 type Fields = Readonly<Record<string, unknown>>
 
 const isNumber = (value: unknown): boolean => typeof value === 'number' && !Number.isNaN(value)
+const isOptionalNumber = (value: unknown): boolean => value === undefined || isNumber(value)
 const isText = (value: unknown): boolean => typeof value === 'string'
 const isObject = (value: unknown): value is Fields => typeof value === 'object' && value !== null
 const isListOf = (isItem: (item: unknown) => boolean) => (value: unknown): boolean => Array.isArray(value) && value.every(isItem)
@@ -26,6 +27,8 @@
   revision: isNumber,
   instances: isUpdate,
   zoneDrains: isDrains,
+  instancesLostMs: isOptionalNumber,
+  zoneDrainsLostMs: isOptionalNumber,
   configuration: (value) => value === undefined || isObject(value)
 }
 
--- a/src/services/knowledgeExchange/index.ts
+++ b/src/services/knowledgeExchange/index.ts
@@ -100,11 +100,11 @@
     if (!result.ok || result.value.kind !== 'knowledge') return
     const problem = describeProblem(result.value)
     if (problem !== undefined) return logger.warn('reply of a peer is malformed', { peer: peer.nodeId, reason: problem })
-    const { version, ageMs, configuration: update, revision, instances } = result.value
-    if (result.value.zoneDrains !== undefined) zoneDrains?.applyPeerUpdate(result.value.zoneDrains, ageMs)
+    const { version, ageMs, configuration: update, revision, instances, instancesLostMs = 0, zoneDrainsLostMs = 0 } = result.value
+    if (result.value.zoneDrains !== undefined) zoneDrains?.applyPeerUpdate(result.value.zoneDrains, Math.max(ageMs, zoneDrainsLostMs))
     configuration.applyPeerUpdate(sentAt, ageMs, version, update)
     if (isReader() && registry.isSourceReachable()) return
-    registry.applyPeerUpdate(instances, revision, ageMs)
+    registry.applyPeerUpdate(instances, revision, Math.max(ageMs, instancesLostMs))
     positions.set(peer.nodeId, instances.position)
   }
 
@@ -134,6 +134,13 @@
     return snapshot === undefined ? {} : { zoneDrains: snapshot }
   }
 
+  /** A reader can confirm the configuration while it fails to read a list: the nodes that rely on it must not take the list for as recent. */
+  const describeLoss = (): { readonly instancesLostMs?: number, readonly zoneDrainsLostMs?: number } => {
+    const instancesLostMs = registry.sourceLostMs()
+    const zoneDrainsLostMs = zoneDrains?.sourceLostMs() ?? 0
+    return { ...(instancesLostMs === 0 ? {} : { instancesLostMs }), ...(zoneDrainsLostMs === 0 ? {} : { zoneDrainsLostMs }) }
+  }
+
   const announceToZone = (): void => {
     isAnnouncementScheduled = false
     const { nodeId, availabilityZone } = membership.self()
@@ -188,6 +195,7 @@
           revision: registry.api.revision(),
           instances: registry.createPeerUpdate(since, revision),
           ...collectDrains(),
+          ...describeLoss(),
           ...(update === undefined ? {} : { configuration: update })
         }
       })
--- a/src/services/zoneDrains/index.ts
+++ b/src/services/zoneDrains/index.ts
@@ -27,6 +27,8 @@
   readonly applyPeerUpdate: (update: ZoneDrainSnapshot, ageMs?: number) => void
   /** Returns the drains to send to peers; `undefined` before the first reading. */
   readonly createPeerUpdate: () => ZoneDrainSnapshot | undefined
+  /** Milliseconds for which this node could not read the source; 0 while it can. */
+  readonly sourceLostMs: () => number
   /** Registers a listener that is called when the source cannot be read. */
   readonly onPeersNeeded: (listener: () => void) => void
 }
@@ -121,6 +123,7 @@
       if (!isKnown || update.revision > revision) replaceAll(update, 'peer')
     },
     createPeerUpdate: () => isKnown ? { revision, zones: [...drained] } : undefined,
+    sourceLostMs: follower.lostMs,
     onPeersNeeded: follower.onPeersNeeded,
     start: follower.start,
     stop: follower.stop
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -189,6 +189,9 @@
     readonly instances: InstanceUpdate
     /** Omitted when the node has not read the zone drains, or the deployment has no zone drains. */
     readonly zoneDrains?: ZoneDrainSnapshot
+    /** Milliseconds for which the node has failed to read the list of backend servers, or the zone drains; omitted while it can. */
+    readonly instancesLostMs?: number
+    readonly zoneDrainsLostMs?: number
   }
 
 export type PeerError =
--- a/test/platform/readers.test.ts
+++ b/test/platform/readers.test.ts
@@ -74,6 +74,18 @@
     expect(readServers(fleet).slice(2)).toEqual(Array(4).fill('engine-1@1'))
   })
 
+  // Readers that confirmed the configuration but could not read the lists vouched for these as well.
+  test('reads for itself when the readers can read the configuration alone', async () => {
+    const fleet = await start({ nodesPerZone: 6 })
+    for (const reader of [0, 1]) fleet.setListsReadable(reader, false)
+    await fleet.clock.advanceAndSettle(2_500)
+    fleet.removeInstance('engine-2')
+    fleet.beginDrain('zone-0')
+    await fleet.clock.advanceAndSettle(2_500)
+    expect(readServers(fleet).slice(2)).toEqual(Array(4).fill('engine-1@1'))
+    expect(fleet.nodes.map((node) => node.resolve('zoneDrains').isDrained('zone-0')).slice(2)).toEqual(Array(4).fill(true))
+  })
+
   // Readers that fail at the same time, as when a rack is lost, would leave their zone without updates.
   test('reads for itself when both readers stop responding', async () => {
     const fleet = await start({ nodesPerZone: 6 })
