Contain errors in calls of one backend server that nobody awaits

Change: the node wraps these calls once. One that throws or rejects counts as failed, is logged with the server and counted (contained_errors, parts 'probe' and 'promptCache'). Test: calls that throw and that reject; without the wrapper both leave the call.

--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -2,6 +2,7 @@
  * A gateway node: the services that forward complete HTTP requests by host and
  * path, assembled in the kernel. All I/O is injected, as for a router node.
  */
+import { containServerCalls } from './_lib/containServerCalls.js'
 import { recordStartSteps } from './_lib/recordStartSteps.js'
 import { registerAdmission } from './_lib/registerAdmission.js'
 import { registerForwarding } from './_lib/registerForwarding.js'
@@ -91,7 +92,7 @@
 /**
  * Creates a gateway node.
  *
- * @param dependencies - Settings, clocks, sources, peers, the client to backend servers and the log.
+ * @param uncontained - Settings, clocks, sources, peers, the client to backend servers and the log.
  * @returns The node, not yet started.
  *
  * @example
@@ -99,7 +100,8 @@
  * await node.start()
  * node.resolve('forwarding').begin(request, sink)
  */
-export const createGatewayNode = (dependencies: GatewayNodeDependencies): GatewayNode => {
+export const createGatewayNode = (uncontained: GatewayNodeDependencies): GatewayNode => {
+  const dependencies = containServerCalls(uncontained)
   const kernel = createKernel<GatewayServices>()
   registerPeers(kernel, dependencies)
   registerSources(kernel, dependencies)
--- a/src/types/gatewayEvents.ts
+++ b/src/types/gatewayEvents.ts
@@ -41,6 +41,7 @@
   'exchange kept': { level: 'info', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'a backend server does not respond, but the request can\'t be sent to another one now; the line has the reason, and the answer is still waited for' },
   'exchange resumed': { level: 'info', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'a request returned to the backend server or peer that it was leaving, because that one went on or the new one did not take the request' },
   'backend server ended': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server ended while requests of this node ran there; the line has their prompt parts' },
+  'call of a backend server failed': { level: 'error', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'an unexpected error in a probe, or in a read of the cached prompts, of one backend server; the call counts as failed' },
   'backend server held': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server is suspended and gets no requests for a while' },
   'backend server back': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server is no longer suspended' },
   'availability zone held': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the backend servers of a zone are suspended until one of them can be reached' },
