Repeat the first failed read of a node that lost its readers at once

Callers (worked out from the code, shown by a unit test, not by a run with processes): a node that relies on its zone's reader reads the store itself 1.5 s after the reader's last reply. Where its own idle connection to the store is silent as well, that read fails after 0.7 s, and the next one was 2 s later: 4.2 s in all, past the 3 s after which the platform binds it.

Change: the pause of 2 s, which keeps a struggling store from reads of all nodes, begins with the second failed read; the first one is repeated as by a reader. Cost: one more call a node and outage.

Test: reads at 1.5 and 4.2 s before; at 1.5, 2.4 and 5.1 s now.

--- a/src/decisions/planSourceRead/index.ts
+++ b/src/decisions/planSourceRead/index.ts
@@ -11,6 +11,8 @@
   readonly ageMs: number
   /** Age in milliseconds up to which a node relies on the readers. */
   readonly relianceMs: number
+  /** How many reads have failed in a row before this one. */
+  readonly failedReads: number
   /** Delay before a reader retries a failed read, in milliseconds. */
   readonly readerRetryMs: number
 }
@@ -26,7 +28,10 @@
 
 /** Minimum time between two checks by a node that relies on readers: each check wakes the processor. */
 const MINIMUM_RECHECK_INTERVAL_MS = 100
-/** Readers notice first that a source has recovered and notify the others; retries by all nodes would add load to a struggling source. */
+/**
+ * Readers notice first that a source has recovered and notify the others; retries by all nodes would add load to a struggling source.
+ * The first read may have failed because its connection had gone silent, so that it is repeated at once.
+ */
 const NON_READER_RETRY_MS = 2_000
 
 /**
@@ -36,10 +41,10 @@
  * @returns Whether the node may rely on the readers, and how long it waits.
  *
  * @example
- * planSourceRead({ isReader: false, ageMs: 400, relianceMs: 1500, readerRetryMs: 250 }).recheckAfterMs // => 1100
+ * planSourceRead({ isReader: false, ageMs: 400, relianceMs: 1500, failedReads: 0, readerRetryMs: 250 }).recheckAfterMs // => 1100
  */
-export const planSourceRead = ({ isReader, ageMs, relianceMs, readerRetryMs }: SourceReadInput): SourceReadPlan => ({
+export const planSourceRead = ({ isReader, ageMs, relianceMs, failedReads, readerRetryMs }: SourceReadInput): SourceReadPlan => ({
   isRelyingOnReaders: !isReader && ageMs < relianceMs,
   recheckAfterMs: Math.max(MINIMUM_RECHECK_INTERVAL_MS, relianceMs - ageMs),
-  retryAfterMs: isReader ? readerRetryMs : NON_READER_RETRY_MS
+  retryAfterMs: isReader || failedReads === 0 ? readerRetryMs : NON_READER_RETRY_MS
 })
--- a/src/decisions/planSourceRead/test.ts
+++ b/src/decisions/planSourceRead/test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, test } from 'vitest'
 import { planSourceRead } from './index.js'
 
-const INPUT = { isReader: false, ageMs: 400, relianceMs: 1_500, readerRetryMs: 250 }
+const INPUT = { isReader: false, ageMs: 400, relianceMs: 1_500, failedReads: 1, readerRetryMs: 250 }
 
 describe('planSourceRead', () => {
   test('lets a node rely on its readers while their data is up to date', () => {
@@ -21,4 +21,6 @@
     expect(planSourceRead({ ...INPUT, isReader: true }).retryAfterMs).toBe(250)
     expect(planSourceRead(INPUT).retryAfterMs).toBe(2_000)
   })
+
+  test('lets every node repeat the first read that fails soon', () => expect(planSourceRead({ ...INPUT, failedReads: 0 }).retryAfterMs).toBe(250))
 })
--- a/src/services/_lib/createSourceFollower.test.ts
+++ b/src/services/_lib/createSourceFollower.test.ts
@@ -1,9 +1,30 @@
 import { describe, expect, test } from 'vitest'
 import { createSourceFollower, type SourceReading } from './createSourceFollower.js'
 import { createManualClock } from '../../emulator/createManualClock/index.js'
-import { success } from '../../kernel/index.js'
+import { failure, success } from '../../kernel/index.js'
+
+/** A read without a reply ends by its time-out. */
+const READ_TIMEOUT_MS = 700
 
 describe('createSourceFollower', () => {
+  // Connections to the source and to the readers can go silent together: a second wait of two seconds passed the time to reconnect.
+  test('repeats the first failed read of a node that lost its readers, and then less often', async () => {
+    const clock = createManualClock()
+    const reads: number[] = []
+    const readAll = async (): Promise<SourceReading> => {
+      reads.push(clock.now() - startedAt)
+      await new Promise<void>((resolve) => { clock.setTimer(READ_TIMEOUT_MS, resolve) })
+      return failure({ kind: 'unavailable', message: 'no reply' })
+    }
+    const follower = createSourceFollower(clock, { readAll, watch: readAll, isKnown: () => true, onReached: () => {}, onLost: () => {}, onHistoryGone: () => {} }, { isReader: () => false, relianceMs: 1_500 })
+    const startedAt = clock.now()
+    follower.recordRelay(0)
+    follower.start()
+    await clock.advanceAndSettle(6_000)
+    follower.stop()
+    expect(reads).toEqual([1_500, 2_400, 5_100])
+  })
+
   // A rejected read ended the process.
   test('counts a read that throws as a failed one, and goes on', async () => {
     const clock = createManualClock()
--- a/src/services/_lib/createSourceFollower.ts
+++ b/src/services/_lib/createSourceFollower.ts
@@ -65,6 +65,8 @@
   /** Undefined before the first response, so that a source that was never reached is reported as well. */
   let isReachable: boolean | undefined
   let lostAt = 0
+  /** Reads of the whole list that failed in a row. */
+  let failedReads = 0
   let isStopped = false
   let timer: Timer | undefined
 
@@ -100,6 +102,7 @@
     isReader: !source.isKnown() || options.isReader?.() !== false,
     ageMs: clock.now() - relayedAt,
     relianceMs: options.relianceMs ?? 0,
+    failedReads,
     readerRetryMs: options.retryMs ?? DEFAULT_RETRY_MS
   })
 
@@ -110,6 +113,7 @@
       const { isRelyingOnReaders, recheckAfterMs, retryAfterMs } = pace()
       if (isRelyingOnReaders) {
         isListed = false
+        failedReads = 0
         await wait(recheckAfterMs)
         continue
       }
@@ -120,6 +124,7 @@
         for (const listener of peersNeededListeners) listener()
         await wait(retryAfterMs)
       }
+      if (!isListed) failedReads = isApplied ? 0 : failedReads + 1
       isListed = isApplied
     }
   }
--- a/src/services/gatewayConfiguration/index.ts
+++ b/src/services/gatewayConfiguration/index.ts
@@ -89,6 +89,8 @@
   let isReachable: boolean | undefined
   let highestPeerVersion = 0
   let failedAt = -Infinity
+  /** Reads in a row that failed, or had an older version than a peer. */
+  let failedReads = 0
 
   const version = (): number => sourced?.configuration.version ?? 0
 
@@ -147,12 +149,14 @@
     }
     const isBehind = highestPeerVersion > version()
     schedule(result.ok && !isBehind ? options.readIntervalMs : pace().retryAfterMs)
+    failedReads = result.ok && !isBehind ? 0 : failedReads + 1
   }
 
   const pace = (): SourceReadPlan => planSourceRead({
     isReader: options.isReader?.() !== false,
     ageMs: confirmedAgeMs(),
     relianceMs: options.relianceMs ?? 0,
+    failedReads,
     readerRetryMs: RETRY_MS
   })
 
