Split the start of an exchange from the handler of a request

No change of behaviour: the events of an exchange are contained where it starts, the final answer after an error stands beside the others.

--- a/src/services/forwarding/_lib/createErrorContainment.ts
+++ b/src/services/forwarding/_lib/createErrorContainment.ts
@@ -7,8 +7,8 @@
 export type ErrorContainmentDependencies = { readonly logger: Pick<Logger, 'error'>, readonly metrics: Pick<Metrics, 'count'> }
 
 export type ErrorContainment = {
-  /** Runs a step; if it throws, the request ends. */
-  readonly run: (step: () => void) => void
+  /** Returns a step that doesn't throw; if the given one does, the request ends. */
+  readonly guard: <Values extends readonly unknown[]>(step: (...values: Values) => void) => (...values: Values) => void
   /** Reports an error that was caught; returns its description. */
   readonly report: (error: unknown) => string
 }
@@ -37,5 +37,5 @@
     }
   }
 
-  return { run, report }
+  return { guard: (step) => (...values) => run(() => step(...values)), report }
 }
--- a/src/services/forwarding/_lib/createFinalAnswer.ts
+++ b/src/services/forwarding/_lib/createFinalAnswer.ts
@@ -29,6 +29,8 @@
   readonly refuse: (refusal: GatewayRefusal, evidence?: LogFields) => void
   /** Refuses with "not run" while that is certain; otherwise passes on the reported failure, or refuses with the given status. */
   readonly giveUp: (reason: FinalReason, statusIfUnknown: 502 | 504, evidence?: LogFields) => void
+  /** Ends the request after an unexpected error. Reads nothing of other services: what threw may be in the way there as well. */
+  readonly failInternally: () => void
   /** Keeps the last failure that a backend server reported, as the final answer if no retry succeeds. */
   readonly keepReportedFailure: (failure: ReportedFailure) => void
   /** Passes the reported failure on to the caller. */
@@ -72,5 +74,9 @@
     refuse({ status: statusIfUnknown, reason }, evidence)
   }
 
-  return { finish, refuse, giveUp, keepReportedFailure: (failure) => { reportedFailure = failure }, finishWithReportedFailure }
+  const failInternally = (): void => refuse(readProgress().mayHaveRun
+    ? { status: 502, reason: 'internalError' }
+    : { status: 503, reason: 'internalError', retryAfterMs: computeRetryAfter(random.next()) })
+
+  return { finish, refuse, giveUp, failInternally, keepReportedFailure: (failure) => { reportedFailure = failure }, finishWithReportedFailure }
 }
--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -20,10 +20,10 @@
 import { createSendAttempt, type SendAttempt } from './createSendAttempt.js'
 import { createSilenceWatch } from './createSilenceWatch.js'
 import { createAttemptReporter } from './createAttemptReporter.js'
-import { computeRetryAfter } from '../../../decisions/computeRetryAfter/index.js'
 import { describeReach } from './describeReach.js'
 import { prepareSend } from './prepareSend.js'
-import type { CallerSink, ExchangeFailure, ExchangeListener, GatewayAccount, GatewayRequest, GatewayRoute, InstanceAnswer, LogFields } from '../../../types/index.js'
+import { startExchange } from './startExchange.js'
+import type { CallerSink, ExchangeFailure, GatewayAccount, GatewayRequest, GatewayRoute, InstanceAnswer, LogFields } from '../../../types/index.js'
 import { selectService } from './selectService.js'
 import type { RequestHandler, RequestHandlerContext } from './requestHandler.js'
 
@@ -72,15 +72,14 @@
   const { finish, refuse, giveUp } = finalAnswer
   const containment = createErrorContainment(context, {
     requestId: request.requestId,
-    // Reads nothing of other services: what threw may be in the way there as well.
-    end: () => refuse(mayHaveRun ? { status: 502, reason: 'internalError' } : { status: 503, reason: 'internalError', retryAfterMs: computeRetryAfter(random.next()) }),
+    end: finalAnswer.failInternally,
     abandon: () => {
       if (isDone) return
       isDone = true
       context.onDone()
     }
   })
-  const contain = <Values extends readonly unknown[]>(step: (...values: Values) => void) => (...values: Values): void => containment.run(() => step(...values))
+  const { guard } = containment
 
   // Asked before every send, retries included: the shutdown may have begun while the request waited.
   const passesShutdown = (to: GatewayRoute): boolean => context.shutdownGate.passes(to, request, deadline.computeMaximumMs(to, mayHaveRun))
@@ -110,13 +109,13 @@
     await context.configuration.confirm(KEY_CONFIRM_WAIT_MS)
     isWaitingForKey = false
     if (isDone) return
-    contain(() => {
+    guard(() => {
       if (checkKey(context, request, to, account) === 'unconfirmed') return giveUp('staleKeys', 504)
       send()
     })()
   }
 
-  const send = contain((): void => {
+  const send = guard((): void => {
     if (isDone || route === undefined || body === undefined || isWaitingForKey) return
     // Checked before every send: the request may have waited since the last check.
     const keyStatus = checkKey(context, request, route, account)
@@ -164,36 +163,25 @@
     attempts.begin(current)
     paths.recordAttempt(target)
     target.recordStart()
-    sendTo(target, current, {
+    startExchange(current, {
       maySend: target.maySend,
-      onSent: contain(() => {
+      onSent: () => {
         current.sentAt = clock.now()
-        if (attempts.active() === current) {
-          mayHaveRun = true
-          sends += 1
-        }
+        if (attempts.active() !== current) return record.recordStep('connected')
+        mayHaveRun = true
+        sends += 1
         record.recordStep('connected')
-        if (attempts.active() !== current) return
         paths.recordArrival(target)
-      }),
-      onHead: contain((answer: InstanceAnswer) => { if (attempts.isRunning(current)) handleHead(current, answer, intake) }),
-      onData: contain((bytes: Uint8Array) => {
+      },
+      onHead: (answer) => { if (attempts.isRunning(current)) handleHead(current, answer, intake) },
+      onData: (bytes) => {
         if (!attempts.claim(current)) return
         reporter.reportBody(current)
         intake.handleData(bytes, current.exchange)
-      }),
-      onEnd: contain(() => { if (attempts.claim(current)) intake.handleEnd() }),
-      onFailure: contain((failure: ExchangeFailure) => handleFailure(current, failure))
-    })
-  }
-
-  /** A target for which the client throws is left like one that can't be reached. */
-  const sendTo = (target: AttemptTarget, current: SendAttempt, listener: ExchangeListener): void => {
-    try {
-      current.exchange = target.send(listener)
-    } catch (error) {
-      handleFailure(current, { kind: current.sentAt === undefined ? 'notSent' : 'broken', message: containment.report(error) })
-    }
+      },
+      onEnd: () => { if (attempts.claim(current)) intake.handleEnd() },
+      onFailure: (failure) => handleFailure(current, failure)
+    }, containment)
   }
 
   const handleHead = (current: SendAttempt, answer: InstanceAnswer, intake: AnswerIntake): void => {
@@ -297,7 +285,7 @@
   }
 
   return {
-    assign: contain((to: GatewayRoute, owner: GatewayAccount | undefined) => {
+    assign: guard((to: GatewayRoute, owner: GatewayAccount | undefined) => {
       if (isDone) return
       route = to
       account = owner
@@ -306,20 +294,20 @@
       // The body may have arrived while the request waited for its route.
       send()
     }),
-    submit: contain((content: Uint8Array) => {
+    submit: guard((content: Uint8Array) => {
       if (isDone) return
       record.recordStep('body')
       body = content
       send()
     }),
-    reject: contain(refuse),
-    cancel: contain(() => {
+    reject: guard(refuse),
+    cancel: guard(() => {
       if (isDone) return
       attempts.abortAll()
       finish('callerLeft')
     }),
-    check: contain(check),
-    expire: contain(() => giveUp('shuttingDown', 502)),
+    check: guard(check),
+    expire: guard(() => giveUp('shuttingDown', 502)),
     describe: () => ({ requestId: request.requestId, route: route?.name, receivedAt: request.receivedAt, target: attempts.active()?.target.id, lastBytesAt: attempts.active()?.lastBytesAt })
   }
 }
