Follow the store while servers are awaited after an outage

Cause: at the end of an outage a node that relies on readers read the list itself, before the servers whose entries had expired were back, and kept them for two seconds. Then it relied on its reader again. The reader had kept them as well, and an entry that is back unchanged is no change to relay: after two seconds the node dropped them (edge-venkov-a-2 and a-3; the reader a-1 had all but two).

Change: a node whose list waits for entries follows the store itself until they are back or removed, for two seconds at most.

Test: entries of three servers expire in outages of 26 lengths, and the servers register again one after the other; now no node loses one in any of them.

--- a/src/services/_lib/createSourceFollower.ts
+++ b/src/services/_lib/createSourceFollower.ts
@@ -19,6 +19,8 @@
   readonly watch: () => Promise<SourceReading>
   /** Whether the list has been read or received at least once. */
   readonly isKnown: () => boolean
+  /** Whether the list waits for entries to come back: relays tell only what changes at the readers, so that this node follows the source itself. */
+  readonly isWaiting?: () => boolean
   readonly onReached: () => void
   readonly onLost: (reason: string) => void
   readonly onHistoryGone: () => void
@@ -97,9 +99,9 @@
 
   const wait = (ms: number): Promise<void> => new Promise((resolve) => { timer = clock.setTimer(ms, resolve) })
 
-  /** A node without a list does not rely on readers. */
+  /** A node without a list, or whose list waits for entries, does not rely on readers. */
   const pace = (): SourceReadPlan => planSourceRead({
-    isReader: !source.isKnown() || options.isReader?.() !== false,
+    isReader: !source.isKnown() || source.isWaiting?.() === true || options.isReader?.() !== false,
     ageMs: clock.now() - relayedAt,
     relianceMs: options.relianceMs ?? 0,
     failedReads,
--- a/src/services/instanceRegistry/index.ts
+++ b/src/services/instanceRegistry/index.ts
@@ -185,6 +185,7 @@
     readAll,
     watch,
     isKnown: () => isKnown,
+    isWaiting: () => missingSince.size > 0,
     onReached: () => logger.info('backend server list reached', { revision }),
     onLost: (reason) => logger.warn('backend server list lost', { reason, known: instances.size, revision }),
     onHistoryGone: () => logger.info('backend server history gone', { revision })
--- a/test/platform/readers.test.ts
+++ b/test/platform/readers.test.ts
@@ -132,6 +132,36 @@
   })
 })
 
+describe('an outage in which entries expire', () => {
+  const STEP_MS = 100
+  /** Steps after the outage at which servers register again, one after the other, as they do when their heartbeats are due. */
+  const RETURNS: Readonly<Record<number, string>> = { 5: 'engine-2', 9: 'engine-3', 13: 'engine-4' }
+  const STEPS = 40
+
+  const playOutage = async (outageMs: number): Promise<readonly string[]> => {
+    const fleet = await start({ nodesPerZone: 6 })
+    for (const id of Object.values(RETURNS)) fleet.putInstance(id)
+    await fleet.clock.advanceAndSettle(500)
+    for (let node = 0; node < 6; node++) fleet.setReachable(node, false)
+    await fleet.clock.advanceAndSettle(outageMs)
+    for (const id of Object.values(RETURNS)) fleet.removeInstance(id)
+    for (let node = 0; node < 6; node++) fleet.setReachable(node, true)
+    const seen = new Set<string>()
+    for (let step = 0; step < STEPS; step++) {
+      const back = RETURNS[step]
+      if (back !== undefined) fleet.putInstance(back)
+      await fleet.clock.advanceAndSettle(STEP_MS)
+      for (const servers of readServers(fleet)) seen.add(servers)
+    }
+    return [...seen]
+  }
+
+  // No relay tells of an entry that is back unchanged: nodes that had read the list once without it dropped servers that served.
+  test.each(Array.from({ length: 26 }, (_, index) => [4_000 + index * 100]))('costs no node the servers that register again (%i ms)', async (outageMs) => {
+    expect(await playOutage(outageMs)).toEqual(['engine-1@1,engine-2@1,engine-3@1,engine-4@1'])
+  })
+})
+
 describe('watches of the source that go silent while new calls work', () => {
   /** Time after which the deployment requires nodes to act on changes again. */
   const RECONNECT_MS = 3_000
