Take no removal from a peer that knows no later state of the store

Cause: nodes that lose the store ask random peers, and a removal at a peer was applied whatever revision of the store it came from: two nodes that had dropped servers by mistake at revision 110 made the readers, which had read these servers at revision 110, drop them too.

Change: a removal by a peer counts only for a later revision than this node has read itself; a removal in the store always raises it. A server that this node awaits after an outage, too, is removed as before.

Test: a removal at the revision read is ignored, and at the next one applied; fails before.

--- a/src/services/instanceRegistry/index.ts
+++ b/src/services/instanceRegistry/index.ts
@@ -74,6 +74,8 @@
   const changes = createChangeLog(clock.wallTime())
   let byService = new Map<string, BackendInstance[]>()
   let revision = 0
+  /** Revision as of which this node has read the source itself. */
+  let readRevision = -1
   let isKnown = false
 
   const publish = (): void => {
@@ -164,7 +166,10 @@
       after = result.value.continueAfter
       if (after === undefined) break
     }
-    return success(() => replaceAll(entries, listedAt ?? 0, 'list'))
+    return success(() => {
+      readRevision = listedAt ?? 0
+      replaceAll(entries, readRevision, 'list')
+    })
   }
 
   const watch = async (): Promise<SourceReading> => {
@@ -173,6 +178,7 @@
     const { changes: entries, revision: atRevision } = result.value
     return success(() => {
       revision = Math.max(revision, atRevision)
+      readRevision = atRevision
       for (const entry of entries) {
         if (entry.isRemoved) removeMissing(entry.name)
         else put(entry, 'change')
@@ -233,7 +239,9 @@
       if (!isKnown) return
       revision = Math.max(revision, atRevision)
       if (entries.length + update.removed.length === 0) return
-      for (const name of update.removed) remove(name, 'removed at a peer')
+      // A peer that knows no later state than this node has read can't know of a removal, unless both wait for the entry.
+      const removed = update.removed.filter((name) => atRevision > readRevision || missingSince.has(name))
+      for (const name of removed) remove(name, 'removed at a peer')
       for (const entry of entries) put(entry, 'peer')
       publish()
     },
--- a/src/services/instanceRegistry/test.ts
+++ b/src/services/instanceRegistry/test.ts
@@ -72,6 +72,15 @@
     expect(listIds(registry)).toEqual(['engine-1', 'engine-2'])
   })
 
+  // In an outage nodes ask each other: one that had dropped servers by mistake made all others drop them.
+  test('removes no server that this node has read from the source at that revision or later', async () => {
+    const { registry } = await startRegistry()
+    registry.applyPeerUpdate(createUpdate({ removed: ['engine-2'] }), registry.api.revision(), 0)
+    expect(listIds(registry)).toEqual(['engine-1', 'engine-2'])
+    registry.applyPeerUpdate(createUpdate({ removed: ['engine-2'] }), registry.api.revision() + 1, 0)
+    expect(listIds(registry)).toEqual(['engine-1'])
+  })
+
   test('with a newer incarnation adds it again, however old the revision', async () => {
     const { registry } = await startRegistry()
     registry.applyPeerUpdate(createUpdate({ removed: ['engine-2'] }), 10, 0)
