--- a/src/kernel/index.ts
+++ b/src/kernel/index.ts
@@ -2,6 +2,7 @@
 export * from './computeSha256/index.js'
 export * from './createDeferredCalls/index.js'
 export * from './createKernel/index.js'
+export * from './describeError/index.js'
 export * from './failure/index.js'
 export * from './formatIsoTime/index.js'
 export * from './isAddress/index.js'
--- a/src/node/createGatewayNode/_lib/containServerCalls.ts
+++ b/src/node/createGatewayNode/_lib/containServerCalls.ts
@@ -1,11 +1,9 @@
 /** Keeps an error in a call to one backend server, which no request waits for, from ending the process: the call counts as failed. */
-import { failure } from '../../../kernel/index.js'
+import { describeError, failure } from '../../../kernel/index.js'
 import type { BackendInstance, InstanceClient, Logger, Metrics, PromptCacheSource } from '../../../types/index.js'
 
 export type ServerCalls = { readonly client: InstanceClient, readonly promptCacheSource: PromptCacheSource }
 
-const describe = (error: unknown): string => error instanceof Error ? `${error.name}: ${error.message}` : String(error)
-
 /** Returns the same calls, of which probes and reads of cached prompts never reject. */
 export const containServerCalls = <Calls extends ServerCalls & { readonly logger: Pick<Logger, 'error'>, readonly metrics: Pick<Metrics, 'count'> }>(calls: Calls): Calls => {
   const { client, promptCacheSource, logger, metrics } = calls
@@ -14,7 +12,7 @@
     try {
       return await run()
     } catch (error) {
-      const reason = describe(error)
+      const reason = describeError(error)
       metrics.count('contained_errors', { part: call })
       logger.error('call of a backend server failed', { backendServer: id, call, reason })
       return toFailed(reason)
--- a/src/node/createGatewayNode/index.ts
+++ b/src/node/createGatewayNode/index.ts
@@ -92,7 +92,7 @@
 /**
  * Creates a gateway node.
  *
- * @param uncontained - Settings, clocks, sources, peers, the client to backend servers and the log.
+ * @param dependencies - Settings, clocks, sources, peers, the client to backend servers and the log.
  * @returns The node, not yet started.
  *
  * @example
@@ -100,20 +100,20 @@
  * await node.start()
  * node.resolve('forwarding').begin(request, sink)
  */
-export const createGatewayNode = (uncontained: GatewayNodeDependencies): GatewayNode => {
-  const dependencies = containServerCalls(uncontained)
+export const createGatewayNode = (dependencies: GatewayNodeDependencies): GatewayNode => {
+  const contained = containServerCalls(dependencies)
   const kernel = createKernel<GatewayServices>()
-  registerPeers(kernel, dependencies)
-  registerSources(kernel, dependencies)
-  registerLoad(kernel, dependencies)
-  registerAdmission(kernel, dependencies)
-  registerHeldBytes(kernel, dependencies)
-  registerForwarding(kernel, dependencies)
+  registerPeers(kernel, contained)
+  registerSources(kernel, contained)
+  registerLoad(kernel, contained)
+  registerAdmission(kernel, contained)
+  registerHeldBytes(kernel, contained)
+  registerForwarding(kernel, contained)
   return {
     start: async () => {
       await kernel.start()
       if (dependencies.timeline !== undefined) recordStartSteps(dependencies.timeline, kernel.resolve)
-      registerGauges(dependencies.metrics, dependencies.client, kernel.resolve)
+      registerGauges(contained.metrics, contained.client, kernel.resolve)
     },
     stop: kernel.stop,
     resolve: kernel.resolve,
--- a/src/services/_lib/createSourceContact.test.ts
+++ b/src/services/_lib/createSourceContact.test.ts
@@ -40,9 +40,11 @@
   })
 
   test('ignores a peer that has never reached the source', () => {
-    const { clock, contact } = start()
+    const { clock, contact, outages } = start()
     clock.advance(6_000)
     contact.record(Infinity)
-    expect(contact.silentMs()).toBe(6_000)
+    expect([contact.outageEndedAgoMs(), outages]).toEqual([Infinity, []])
+    contact.record()
+    expect([contact.outageEndedAgoMs(), outages]).toEqual([0, [6_000]])
   })
 })
--- a/src/services/_lib/createSourceContact.ts
+++ b/src/services/_lib/createSourceContact.ts
@@ -15,8 +15,6 @@
   readonly record: (ageMs?: number) => void
   /** Milliseconds since the end of the last outage; `Infinity` if there was none. */
   readonly outageEndedAgoMs: () => number
-  /** Milliseconds since the last answer; `Infinity` before the first. */
-  readonly silentMs: () => number
 }
 
 /**
@@ -43,7 +41,6 @@
       outageEndedAt = at
       logger.info('source outage ended', { outageMs: Math.round(silentMs) })
     },
-    outageEndedAgoMs: () => clock.now() - outageEndedAt,
-    silentMs: () => clock.now() - answeredAt
+    outageEndedAgoMs: () => clock.now() - outageEndedAt
   }
 }
--- a/src/services/forwarding/_lib/createErrorContainment.ts
+++ b/src/services/forwarding/_lib/createErrorContainment.ts
@@ -2,6 +2,7 @@
  * Keeps an error in one step of a request from ending the process: it ends that request. The state of
  * a request is its own, and its attempts give back what they took, so that other requests can go on.
  */
+import { describeError } from '../../../kernel/index.js'
 import type { Logger, Metrics } from '../../../types/index.js'
 
 export type ErrorContainmentDependencies = { readonly logger: Pick<Logger, 'error'>, readonly metrics: Pick<Metrics, 'count'> }
@@ -13,14 +14,12 @@
   readonly report: (error: unknown) => string
 }
 
-const describe = (error: unknown): string => error instanceof Error ? `${error.name}: ${error.message}` : String(error)
-
 /** Creates the containment of one request; `end` gives it its final answer, and `abandon` forgets it if that fails too. */
 export const createErrorContainment = ({ logger, metrics }: ErrorContainmentDependencies, { requestId, end, abandon }: { readonly requestId: string, readonly end: () => void, readonly abandon: () => void }): ErrorContainment => {
   let isEnding = false
 
   const report = (error: unknown): string => {
-    const reason = describe(error)
+    const reason = describeError(error)
     metrics.count('contained_errors', { part: 'request' })
     logger.error('request step failed', { requestId, reason })
     return reason
