Log how many calls failed on new connections before the source answered

The line `source outage ended` gave only the time without an answer, which an outage of the store, connections that went silent, a node that asked nothing and a process that was paused all produce. No decision changes. A reply that arrived in a pause of the process is read before its call counts as failed.

--- a/src/services/_lib/createSourceFollower.ts
+++ b/src/services/_lib/createSourceFollower.ts
@@ -85,8 +85,9 @@
     source.onLost(describeSourceError(error))
   }
 
-  const applyReading = (reading: SourceReading): boolean => {
+  const applyReading = (reading: SourceReading, sentAt: number): boolean => {
     if (!reading.ok) {
+      options.contact?.recordFailure(reading.error, sentAt)
       if (reading.error.kind === 'historyGone') source.onHistoryGone()
       else recordLost(reading.error)
       return false
@@ -119,9 +120,10 @@
         await wait(recheckAfterMs)
         continue
       }
+      const sentAt = clock.now()
       const reading: SourceReading = await containRead(isListed ? source.watch : source.readAll, options.onThrown)
       if (isStopped) return
-      const isApplied = applyReading(reading)
+      const isApplied = applyReading(reading, sentAt)
       if (!isApplied && !isListed) {
         for (const listener of peersNeededListeners) listener()
         await wait(retryAfterMs)
--- a/src/services/gatewayConfiguration/index.ts
+++ b/src/services/gatewayConfiguration/index.ts
@@ -143,6 +143,7 @@
       adopt(result.value, 'source', () => confirm(sentAt, 0))
       recordReachability(true, '')
     } else {
+      options.contact?.recordFailure(result.error, sentAt.monotonic)
       failedAt = clock.now()
       recordReachability(false, describeSourceError(result.error))
       requestFromPeers()
--- a/src/types/gatewayState.ts
+++ b/src/types/gatewayState.ts
@@ -7,8 +7,11 @@
 import type { Result } from './result.js'
 
 export type SourceError =
-  /** The source refused, timed out, or could not be reached. */
-  | { readonly kind: 'unavailable', readonly message: string }
+  /**
+   * The source refused, timed out, or could not be reached. With `isConnectionSuspect`, the call was made on a connection that
+   * may be at fault itself, and says nothing about the source: another connection may work.
+   */
+  | { readonly kind: 'unavailable', readonly message: string, readonly isConnectionSuspect?: boolean }
   /** The source no longer has the changes since the given revision; the list must be read again. */
   | { readonly kind: 'historyGone' }
   /** What was read is not a valid object of its kind. */
