Take only failed calls on new connections as evidence of an outage of the store

Cause: any time without an answer of two heartbeats of the servers counted as an outage, in which entries expire, and a server without an entry was then kept for two more seconds. Silent connections, a node that asked nothing, and a process that did not run all leave such a time. Whether the case fails is decided by how that time compares with two heartbeats: by the setting, by the moment, and by the pace of the process.

Change: an outage is proved by a call on a new connection that was sent after another such call had failed (decisions/provesOutage), with no answer to this node or its readers from before the first to the end, and for two heartbeats in all. One failed connection, several that fail at one moment, replies that the store can't give what was asked for, and waiting watches prove nothing. A node that starts in an outage knows of it by the same evidence.

The first two tests of createSourceContact asked for an outage by time alone, which is the fault; in their place the same outage with failed calls, and that no time without a call is one. Six more of its tests are new.

--- a/src/emulator/createInProcessFleet/_lib/createFleetSource.ts
+++ b/src/emulator/createInProcessFleet/_lib/createFleetSource.ts
@@ -132,7 +132,7 @@
     if (nodesWithoutLists.has(node)) return failAsUnreachable()
     if (isSilent()) {
       await wait(clock, WATCH_MARGIN_MS)
-      return failure({ kind: 'unavailable', message: 'no reply' })
+      return failure({ kind: 'unavailable', message: 'no reply', isConnectionSuspect: true })
     }
     return unreachableNodes.has(node) ? failAsUnreachable() : success(listNew())
   }
--- a/src/services/_lib/createSourceContact.test.ts
+++ b/src/services/_lib/createSourceContact.test.ts
@@ -1,13 +1,30 @@
 import { describe, expect, test } from 'vitest'
 import { createSourceContact } from './createSourceContact.js'
 import { createManualClock } from '../../emulator/createManualClock/index.js'
+import type { SourceError } from '../../types/index.js'
 
-const start = () => {
+const AWAY: SourceError = { kind: 'unavailable', message: 'no reply' }
+const CALL_MS = 700
+
+const create = () => {
   const clock = createManualClock()
   const outages: unknown[] = []
   const contact = createSourceContact({ clock, logger: { info: (_message, fields) => { outages.push(fields?.outageMs) } } }, { minimumOutageMs: 2_400 })
-  contact.record()
-  return { clock, contact, outages }
+  /** Lets calls fail one after the other for `ms` milliseconds. */
+  const fail = (ms: number, error: SourceError = AWAY): void => {
+    for (let passed = 0; passed < ms; passed += CALL_MS) {
+      const sentAt = clock.now()
+      clock.advance(Math.min(CALL_MS, ms - passed))
+      contact.recordFailure(error, sentAt)
+    }
+  }
+  return { clock, contact, outages, fail }
+}
+
+const start = () => {
+  const setup = create()
+  setup.contact.record()
+  return setup
 }
 
 describe('createSourceContact', () => {
@@ -21,8 +38,8 @@
   })
 
   test('counts from the first answer after an outage', () => {
-    const { clock, contact, outages } = start()
-    clock.advance(6_000)
+    const { clock, contact, outages, fail } = start()
+    fail(6_000)
     contact.record()
     clock.advance(100)
     contact.record()
@@ -30,21 +47,70 @@
     expect([contact.outageEndedAgoMs(), outages]).toEqual([500, [6_000]])
   })
 
-  test('takes a peer\'s answer for its age, and no later answer for an outage', () => {
+  // Nodes that asked nothing for two heartbeats of servers, or were paused, kept servers that had left.
+  test('takes no time without a call for an outage', () => {
     const { clock, contact, outages } = start()
     clock.advance(6_000)
+    contact.record()
+    expect([contact.outageEndedAgoMs(), outages]).toEqual([Infinity, []])
+  })
+
+  // Connections that went silent one after the other kept servers that had left.
+  test('takes no failures for an outage for which connections may be at fault', () => {
+    const { contact, outages, fail } = start()
+    fail(6_000, { ...AWAY, isConnectionSuspect: true })
+    contact.record()
+    expect([contact.outageEndedAgoMs(), outages]).toEqual([Infinity, []])
+  })
+
+  test('takes no single failure on a new connection for an outage', () => {
+    const { clock, contact, outages, fail } = start()
+    clock.advance(2_000)
+    fail(CALL_MS)
+    contact.record()
+    expect([contact.outageEndedAgoMs(), outages]).toEqual([Infinity, []])
+  })
+
+  test('takes a reply that the source can\'t give what was asked for as an answer', () => {
+    const { contact, outages, fail } = start()
+    fail(1_400)
+    contact.recordFailure({ kind: 'historyGone' }, 0)
+    fail(1_400)
+    contact.record()
+    expect([contact.outageEndedAgoMs(), outages]).toEqual([Infinity, []])
+  })
+
+  test('takes a peer\'s answer for its age, and no later answer for an outage', () => {
+    const { contact, outages, fail } = start()
+    fail(6_000)
     contact.record(4_000)
     contact.record(1_700)
     contact.record()
     expect([contact.outageEndedAgoMs(), outages]).toEqual([Infinity, []])
   })
 
+  test('remembers the failures since a peer\'s answer', () => {
+    const { contact, outages, fail } = start()
+    fail(6_000)
+    contact.record(5_000)
+    contact.record()
+    expect([contact.outageEndedAgoMs(), outages]).toEqual([0, [5_000]])
+  })
+
   test('ignores a peer that has never reached the source', () => {
-    const { clock, contact, outages } = start()
-    clock.advance(6_000)
+    const { contact, outages, fail } = start()
+    fail(6_000)
     contact.record(Infinity)
     expect([contact.outageEndedAgoMs(), outages]).toEqual([Infinity, []])
     contact.record()
     expect([contact.outageEndedAgoMs(), outages]).toEqual([0, [6_000]])
   })
+
+  // A node that started in an outage dropped servers that were to register again.
+  test('knows of an outage in which the node started', () => {
+    const { contact, outages, fail } = create()
+    fail(2 * CALL_MS)
+    contact.record()
+    expect([contact.outageEndedAgoMs(), outages]).toEqual([0, [2 * CALL_MS]])
+  })
 })
--- a/src/services/_lib/createSourceContact.ts
+++ b/src/services/_lib/createSourceContact.ts
@@ -1,8 +1,11 @@
 /**
- * Tells an outage of a source from the failure of one call or connection: in an
- * outage no call to the source is answered, neither of this node nor of the peers
- * that read for it, for so long that entries of the source can expire.
+ * Tells an outage of a source from what is no evidence of one: a silent connection,
+ * a time in which this node made no call or did not run. In an outage, calls on new
+ * connections fail one after the other, and no call is answered, neither of this
+ * node nor of the peers that read for it, for so long that entries of the source
+ * can expire.
  */
+import { provesOutage, type FailedCall } from '../../decisions/provesOutage/index.js'
 import type { Clock, Logger, SourceError } from '../../types/index.js'
 
 export type SourceContactOptions = {
@@ -19,6 +22,9 @@
   readonly outageEndedAgoMs: () => number
 }
 
+/** Bounds the failed calls that are kept; the latest ones prove an outage as well as the first. */
+const MAXIMUM_FAILED_CALLS = 32
+
 /**
  * Creates the record of one node's contact with a source.
  *
@@ -30,28 +36,30 @@
  * createSourceContact({ clock, logger }, { minimumOutageMs: 2400 }).outageEndedAgoMs() // => Infinity
  */
 export const createSourceContact = ({ clock, logger }: { readonly clock: Pick<Clock, 'now'>, readonly logger: Pick<Logger, 'info'> }, { minimumOutageMs }: SourceContactOptions): SourceContact => {
+  const startedAt = clock.now()
   let answeredAt = -Infinity
   let outageEndedAt = -Infinity
-  /** Failed calls since the last answer for which no connection can be at fault. */
-  let failures = 0
+  /** Calls since the last answer that failed on new connections. */
+  let failedCalls: readonly FailedCall[] = []
 
   const record: SourceContact['record'] = (ageMs = 0) => {
     const at = clock.now() - ageMs
     if (at <= answeredAt) return
     const silentMs = at - answeredAt
-    const failedCalls = failures
+    const failedBefore = failedCalls.filter(({ failedAt }) => failedAt <= at)
     answeredAt = at
-    failures = 0
-    if (silentMs < minimumOutageMs || silentMs === Infinity) return
+    failedCalls = failedCalls.filter(({ sentAt }) => sentAt > at)
+    if (silentMs < minimumOutageMs || !provesOutage(failedBefore)) return
     outageEndedAt = at
-    logger.info('source outage ended', { outageMs: Math.round(silentMs), failedCalls })
+    logger.info('source outage ended', { outageMs: Math.round(Math.min(silentMs, at - startedAt)), failedCalls: failedBefore.length })
   }
 
   return {
     record,
-    recordFailure: (error) => {
+    recordFailure: (error, sentAt) => {
       if (error.kind !== 'unavailable') return record()
-      if (error.isConnectionSuspect !== true) failures += 1
+      if (error.isConnectionSuspect === true) return
+      failedCalls = [...failedCalls, { sentAt, failedAt: clock.now() }].slice(-MAXIMUM_FAILED_CALLS)
     },
     outageEndedAgoMs: () => clock.now() - outageEndedAt
   }
--- a/test/platform/_lib/startStoreFleet.ts
+++ b/test/platform/_lib/startStoreFleet.ts
@@ -25,7 +25,7 @@
 const PAUSE_MS = 40
 const pause = (ms: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, ms) })
 
-export const startStoreFleet = async (servers: readonly string[]): Promise<StoreFleet> => {
+export const startStoreFleet = async (servers: readonly string[], fields: Readonly<Record<string, string>> = {}): Promise<StoreFleet> => {
   const platform = await createPlatform({
     engines: [],
     plain: servers.map((id) => ({ id, workMs: 50 })),
@@ -65,7 +65,7 @@
     find,
     start: async (name) => {
       const seeds = [...nodes.values()].filter(({ isGone }) => !isGone).map((node) => node.process.peerAddress)
-      const process = await startGatewayProcess({ name, store: { host: '127.0.0.1', port: proxy.port }, seeds })
+      const process = await startGatewayProcess({ name, store: { host: '127.0.0.1', port: proxy.port }, seeds, fields })
       const node: StoreFleetNode = { name, process, startedAt: performance.now(), stoppedAt: Infinity, isGone: false }
       process.ended.then(() => { node.isGone = true }, () => { node.isGone = true })
       processes.push(process)
