Count the age of a list that can't be read from its last reading

A reader told the nodes that rely on it for how long it had failed to read a list, counted from the first failure, which is known up to 2 s after the source has stopped answering. They took that time for the age of the list, and the source for one that had answered then. The age now counts from the last reading, so that it errs on the long side.

--- a/src/services/_lib/createSourceFollower.test.ts
+++ b/src/services/_lib/createSourceFollower.test.ts
@@ -25,6 +25,25 @@
     expect(reads).toEqual([1_500, 2_400, 5_100])
   })
 
+  // The age of a list counted from the first failure: a node that relied on it took the source for reachable at that time.
+  test('counts the time without a reading from the last one', async () => {
+    const clock = createManualClock()
+    let isUnavailable = false
+    const wait = (ms: number): Promise<void> => new Promise((resolve) => { clock.setTimer(ms, resolve) })
+    const read = async (): Promise<SourceReading> => {
+      await wait(READ_TIMEOUT_MS)
+      return isUnavailable ? failure({ kind: 'unavailable', message: 'no reply' }) : success(() => {})
+    }
+    const follower = createSourceFollower(clock, { readAll: read, watch: read, isKnown: () => true, onReached: () => {}, onLost: () => {}, onHistoryGone: () => {} }, {})
+    follower.start()
+    await clock.advanceAndSettle(READ_TIMEOUT_MS)
+    expect(follower.lostMs()).toBe(0)
+    isUnavailable = true
+    await clock.advanceAndSettle(READ_TIMEOUT_MS)
+    follower.stop()
+    expect(follower.lostMs()).toBe(READ_TIMEOUT_MS)
+  })
+
   // A rejected read ended the process.
   test('counts a read that throws as a failed one, and goes on', async () => {
     const clock = createManualClock()
--- a/src/services/_lib/createSourceFollower.ts
+++ b/src/services/_lib/createSourceFollower.ts
@@ -45,7 +45,7 @@
   /** Reports that a peer sent the list, and that the peer reached the source `ageMs` ago. */
   readonly recordRelay: (ageMs: number) => void
   readonly isReachable: () => boolean
-  /** Milliseconds for which the list could not be read; 0 while it can. */
+  /** Milliseconds since the list was last read, while it can't be; 0 while it can. */
   readonly lostMs: () => number
   /** Registers a listener that is called when the source cannot be read. */
   readonly onPeersNeeded: (listener: () => void) => void
@@ -66,7 +66,7 @@
   let relayedAt = -Infinity
   /** Undefined before the first response, so that a source that was never reached is reported as well. */
   let isReachable: boolean | undefined
-  let lostAt = 0
+  let readAt = -Infinity
   /** Reads of the whole list that failed in a row. */
   let failedReads = 0
   let isStopped = false
@@ -81,7 +81,6 @@
   const recordLost = (error: SourceError): void => {
     if (isReachable === false) return
     isReachable = false
-    lostAt = clock.now()
     source.onLost(describeSourceError(error))
   }
 
@@ -92,6 +91,7 @@
       else recordLost(reading.error)
       return false
     }
+    readAt = clock.now()
     options.contact?.record()
     recordReached()
     reading.value()
@@ -144,7 +144,7 @@
       options.contact?.record(ageMs)
     },
     isReachable: () => isReachable === true,
-    lostMs: () => isReachable === false ? clock.now() - lostAt : 0,
+    lostMs: () => isReachable === false ? clock.now() - readAt : 0,
     onPeersNeeded: (listener) => { peersNeededListeners.push(listener) }
   }
 }
--- a/src/services/zoneDrains/index.ts
+++ b/src/services/zoneDrains/index.ts
@@ -27,7 +27,7 @@
   readonly applyPeerUpdate: (update: ZoneDrainSnapshot, ageMs?: number) => void
   /** Returns the drains to send to peers; `undefined` before the first reading. */
   readonly createPeerUpdate: () => ZoneDrainSnapshot | undefined
-  /** Milliseconds for which this node could not read the source; 0 while it can. */
+  /** Milliseconds since this node last read the source, while it can't; 0 while it can. */
   readonly sourceLostMs: () => number
   /** Registers a listener that is called when the source cannot be read. */
   readonly onPeersNeeded: (listener: () => void) => void
--- a/src/types/peer.ts
+++ b/src/types/peer.ts
@@ -189,9 +189,11 @@
     readonly instances: InstanceUpdate
     /** Omitted when the node has not read the zone drains, or the deployment has no zone drains. */
     readonly zoneDrains?: ZoneDrainSnapshot
-    /** Milliseconds for which the node has failed to read the list of backend servers, or the zone drains; omitted while it can. */
+    /** Milliseconds since the node last read the list of backend servers, or the zone drains, while it fails to; omitted while it can. */
     readonly instancesLostMs?: number
     readonly zoneDrainsLostMs?: number
+    /** Milliseconds for which the source has answered the node, or the readers it relies on, without a gap in which entries can expire; omitted while it does not. */
+    readonly sourceAnsweredForMs?: number
   }
 
 export type PeerError =
