Repeat a read at once whose connection may be at fault

After a read on a connection that had gone silent, a node waited a quarter of a second before it read again on a new one, as if the source were struggling, and for so long relied on what it had. The first failed read that says nothing of the source is now repeated without a pause; the next failure waits as before, so that no outage gets more calls than one a node.

--- a/src/decisions/planSourceRead/index.ts
+++ b/src/decisions/planSourceRead/index.ts
@@ -13,6 +13,8 @@
   readonly relianceMs: number
   /** How many reads have failed in a row before this one. */
   readonly failedReads: number
+  /** Whether the last failure may be the connection's alone; false by default. */
+  readonly isConnectionSuspect?: boolean
   /** Delay before a reader retries a failed read, in milliseconds. */
   readonly readerRetryMs: number
 }
@@ -30,21 +32,29 @@
 const MINIMUM_RECHECK_INTERVAL_MS = 100
 /**
  * Readers notice first that a source has recovered and notify the others; retries by all nodes would add load to a struggling source.
- * The first read may have failed because its connection had gone silent, so that it is repeated at once.
+ * The first read may have failed because its connection had gone silent, so that it is repeated soon.
  */
 const NON_READER_RETRY_MS = 2_000
 
+const planRetryMs = ({ isReader, failedReads, isConnectionSuspect = false, readerRetryMs }: SourceReadInput): number => {
+  if (failedReads === 0 && isConnectionSuspect) return 0
+  return isReader || failedReads === 0 ? readerRetryMs : NON_READER_RETRY_MS
+}
+
 /**
  * Plans the next read of the source by one node.
  *
  * @param input - The node's role and the age of its data.
  * @returns Whether the node may rely on the readers, and how long it waits.
  *
+ * A first read whose connection may be at fault is repeated at once: until a call on a new connection has failed or been
+ * answered, the node knows nothing of the source.
+ *
  * @example
  * planSourceRead({ isReader: false, ageMs: 400, relianceMs: 1500, failedReads: 0, readerRetryMs: 250 }).recheckAfterMs // => 1100
  */
-export const planSourceRead = ({ isReader, ageMs, relianceMs, failedReads, readerRetryMs }: SourceReadInput): SourceReadPlan => ({
-  isRelyingOnReaders: !isReader && ageMs < relianceMs,
-  recheckAfterMs: Math.max(MINIMUM_RECHECK_INTERVAL_MS, relianceMs - ageMs),
-  retryAfterMs: isReader || failedReads === 0 ? readerRetryMs : NON_READER_RETRY_MS
+export const planSourceRead = (input: SourceReadInput): SourceReadPlan => ({
+  isRelyingOnReaders: !input.isReader && input.ageMs < input.relianceMs,
+  recheckAfterMs: Math.max(MINIMUM_RECHECK_INTERVAL_MS, input.relianceMs - input.ageMs),
+  retryAfterMs: planRetryMs(input)
 })
--- a/src/decisions/planSourceRead/test.ts
+++ b/src/decisions/planSourceRead/test.ts
@@ -22,5 +22,12 @@
     expect(planSourceRead(INPUT).retryAfterMs).toBe(2_000)
   })
 
+  // A read on a connection that had gone silent was followed by a pause, as if the source were struggling.
+  test('lets a node repeat the first failed read at once if its connection may be at fault, and no further one', () => {
+    expect(planSourceRead({ ...INPUT, failedReads: 0, isConnectionSuspect: true }).retryAfterMs).toBe(0)
+    expect(planSourceRead({ ...INPUT, isReader: true, isConnectionSuspect: true }).retryAfterMs).toBe(250)
+    expect(planSourceRead({ ...INPUT, isConnectionSuspect: true }).retryAfterMs).toBe(2_000)
+  })
+
   test('lets every node repeat the first read that fails soon', () => expect(planSourceRead({ ...INPUT, failedReads: 0 }).retryAfterMs).toBe(250))
 })
--- a/src/services/_lib/createSourceContact.ts
+++ b/src/services/_lib/createSourceContact.ts
@@ -5,6 +5,7 @@
  * node nor of the peers that read for it, for so long that entries of the source
  * can expire. A peer that was answered all the while refutes it.
  */
+import { isConnectionSuspect } from '../../decisions/isConnectionSuspect/index.js'
 import { provesOutage, type FailedCall } from '../../decisions/provesOutage/index.js'
 import type { Clock, Logger, SourceError } from '../../types/index.js'
 
@@ -71,7 +72,7 @@
     record,
     recordFailure: (error, sentAt) => {
       if (error.kind !== 'unavailable') return record()
-      if (error.isConnectionSuspect === true) return
+      if (isConnectionSuspect(error)) return
       failedCalls = [...failedCalls, { sentAt, failedAt: clock.now() }].slice(-MAXIMUM_FAILED_CALLS)
     },
     outageEndedAgoMs: () => clock.now() - outageEndedAt,
--- a/src/services/_lib/createSourceFollower.ts
+++ b/src/services/_lib/createSourceFollower.ts
@@ -6,6 +6,7 @@
 import { containRead } from './containRead.js'
 import type { SourceContact } from './createSourceContact.js'
 import { describeSourceError } from '../../decisions/describeSourceError/index.js'
+import { isConnectionSuspect } from '../../decisions/isConnectionSuspect/index.js'
 import { planSourceRead } from '../../decisions/planSourceRead/index.js'
 import type { SourceReadPlan } from '../../decisions/planSourceRead/index.js'
 import type { Clock, Result, SourceError, Timer } from '../../types/index.js'
@@ -101,11 +102,12 @@
   const wait = (ms: number): Promise<void> => new Promise((resolve) => { timer = clock.setTimer(ms, resolve) })
 
   /** A node without a list, or whose list waits for entries, does not rely on readers. */
-  const pace = (): SourceReadPlan => planSourceRead({
+  const pace = (error?: SourceError): SourceReadPlan => planSourceRead({
     isReader: !source.isKnown() || source.isWaiting?.() === true || options.isReader?.() !== false,
     ageMs: clock.now() - relayedAt,
     relianceMs: options.relianceMs ?? 0,
     failedReads,
+    isConnectionSuspect: isConnectionSuspect(error),
     readerRetryMs: options.retryMs ?? DEFAULT_RETRY_MS
   })
 
@@ -113,7 +115,7 @@
     let isListed = false
     for (;;) {
       if (isStopped) return
-      const { isRelyingOnReaders, recheckAfterMs, retryAfterMs } = pace()
+      const { isRelyingOnReaders, recheckAfterMs } = pace()
       if (isRelyingOnReaders) {
         isListed = false
         failedReads = 0
@@ -126,7 +128,7 @@
       const isApplied = applyReading(reading, sentAt)
       if (!isApplied && !isListed) {
         for (const listener of peersNeededListeners) listener()
-        await wait(retryAfterMs)
+        await wait(pace(reading.ok ? undefined : reading.error).retryAfterMs)
       }
       if (!isListed) failedReads = isApplied ? 0 : failedReads + 1
       isListed = isApplied
--- a/src/services/gatewayConfiguration/index.ts
+++ b/src/services/gatewayConfiguration/index.ts
@@ -8,6 +8,7 @@
 import { containDecoding, containRead } from '../_lib/containRead.js'
 import type { SourceContact } from '../_lib/createSourceContact.js'
 import { describeSourceError } from '../../decisions/describeSourceError/index.js'
+import { isConnectionSuspect } from '../../decisions/isConnectionSuspect/index.js'
 import { planSourceRead } from '../../decisions/planSourceRead/index.js'
 import type { SourceReadPlan } from '../../decisions/planSourceRead/index.js'
 import { unpackRecords } from './_lib/packRecords.js'
@@ -149,15 +150,16 @@
       requestFromPeers()
     }
     const isBehind = highestPeerVersion > version()
-    schedule(result.ok && !isBehind ? options.readIntervalMs : pace().retryAfterMs)
+    schedule(result.ok && !isBehind ? options.readIntervalMs : pace(result.ok ? undefined : result.error).retryAfterMs)
     failedReads = result.ok && !isBehind ? 0 : failedReads + 1
   }
 
-  const pace = (): SourceReadPlan => planSourceRead({
+  const pace = (error?: SourceError): SourceReadPlan => planSourceRead({
     isReader: options.isReader?.() !== false,
     ageMs: confirmedAgeMs(),
     relianceMs: options.relianceMs ?? 0,
     failedReads,
+    isConnectionSuspect: isConnectionSuspect(error),
     readerRetryMs: RETRY_MS
   })
 
