Replace a silent connection to a peer before it counts as lost

A connection between two nodes that went silent, while new ones worked, cost its direction every message for three seconds and the time to the next message after that, as long as the platform gives a node to act again. Like for the store, the silence of one connection was taken for the peer's.

Each frame is acknowledged within a known time. Once that is over, a second connection is opened beside the first, which is replaced when the handshake of the second is done and the first still owes its acknowledgement; open requests on it fail then. A peer that is slow, or where no second connection opens, keeps the first, which counts as lost after three seconds as before.

--- a/src/adapters/peerTcp/_lib/createPeerLink.test.ts
+++ b/src/adapters/peerTcp/_lib/createPeerLink.test.ts
@@ -18,6 +18,7 @@
     connectTimeoutMs: 300,
     idleTimeoutMs: 60_000,
     stallTimeoutMs: 3_000,
+    suspectTimeoutMs: 1_100,
     initialBackoffMs: 100,
     maximumBackoffMs: 2_000,
     countBytes: () => {},
--- a/src/adapters/peerTcp/_lib/createPeerLink.ts
+++ b/src/adapters/peerTcp/_lib/createPeerLink.ts
@@ -2,7 +2,8 @@
  * The outgoing link to one peer. It connects when there is something to send,
  * queues a bounded number of messages meanwhile, backs off after a failure, and
  * closes when idle. Losing the connection fails its open requests and drops its
- * queue.
+ * queue. A connection may go silent without being lost: while its frames are not
+ * acknowledged, a second one is opened, and takes over once it works.
  */
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
@@ -23,6 +24,8 @@
   readonly idleTimeoutMs: number
   /** Time without any received frame after which a connection with unacknowledged frames counts as lost. */
   readonly stallTimeoutMs: number
+  /** Time without any received frame, in milliseconds, after which a second connection is opened beside one with unacknowledged frames. */
+  readonly suspectTimeoutMs: number
   readonly initialBackoffMs: number
   readonly maximumBackoffMs: number
   /** Called when the link has closed because it was idle. */
@@ -48,6 +51,8 @@
   const { address, clock, random } = options
   const pending = new Map<number, PendingRequest>()
   let connection: Connection | undefined
+  /** A connection that is being opened beside one that may be silent. */
+  let successor: Connection | undefined
   let isReady = false
   let queue: OutgoingFrame[] = []
   let nextId = 1
@@ -64,6 +69,7 @@
   const onClose = (reason: string): void => {
     if (!isReady) failures += 1
     connection = undefined
+    successor?.close()
     isReady = false
     unansweredSince = undefined
     queue = []
@@ -112,13 +118,44 @@
     }
   }
 
-  const dial = (): void => {
+  /** Opens a connection, whose events count for the part that it has then: it may have become the successor, or have been replaced. */
+  const open = (): Connection | undefined => {
     const socket = openSocket()
-    if (socket === undefined) return
+    if (socket === undefined) return undefined
     const limit = clock.setTimer(options.connectTimeoutMs, () => socket.destroy())
     socket.once('connect', limit.cancel)
     socket.once('close', limit.cancel)
-    connection = createConnection({ ...options, socket, role: 'dialer', onReady, onFrame, onClose })
+    const opened: Connection = createConnection({
+      ...options,
+      socket,
+      role: 'dialer',
+      onReady: () => opened === successor ? takeOver(opened) : onReady(),
+      onFrame: (frame) => { if (opened === connection) onFrame(frame) },
+      onClose: (reason) => {
+        if (opened === successor) successor = undefined
+        else if (opened === connection) onClose(reason)
+      }
+    })
+    return opened
+  }
+
+  const dial = (): void => { connection = open() }
+
+  const isSuspect = (): boolean => unansweredSince !== undefined && clock.now() - unansweredSince >= options.suspectTimeoutMs
+
+  const takeOver = (opened: Connection): void => {
+    successor = undefined
+    // The connection was slow, not silent.
+    if (!isSuspect()) return opened.close()
+    const silent = connection
+    connection = opened
+    unansweredSince = undefined
+    silent?.close()
+    failPending({ kind: 'unreachable', message: 'the connection went silent and was replaced' })
+  }
+
+  const replaceIfSuspect = (): void => {
+    if (successor === undefined && isReady && isSuspect()) successor = open()
   }
 
   // When the network drops packets, TCP keeps the connection for many minutes and
@@ -133,6 +170,7 @@
   const transmit = (frame: OutgoingFrame): 'sent' | 'unreachable' => {
     lastUsedAt = clock.now()
     closeIfStalled()
+    replaceIfSuspect()
     if (connection === undefined && clock.now() < retryAt) return 'unreachable'
     if (connection === undefined) dial()
     if (connection === undefined) return 'unreachable'
--- a/src/adapters/peerTcp/index.ts
+++ b/src/adapters/peerTcp/index.ts
@@ -66,6 +66,9 @@
   maximumBackoffMs: 2000
 }
 
+/** Time for a frame and its acknowledgement on the way, beyond the delay of the acknowledgement. */
+const ACKNOWLEDGE_MARGIN_MS = 600
+
 /** Maximum number of entries that an array or map of a frame may declare. */
 const MAXIMUM_ENTRIES = 1_000_000
 
@@ -144,7 +147,7 @@
     const name = `${address.host}:${address.port}`
     const known = links.get(name)
     if (known !== undefined) return known
-    const link = createPeerLink({ ...settings, address, countBytes, onIdle: () => { links.delete(name) } })
+    const link = createPeerLink({ ...settings, suspectTimeoutMs: settings.acknowledgeDelayMs + ACKNOWLEDGE_MARGIN_MS, address, countBytes, onIdle: () => { links.delete(name) } })
     links.set(name, link)
     return link
   }
--- a/src/adapters/peerTcp/test.ts
+++ b/src/adapters/peerTcp/test.ts
@@ -2,10 +2,10 @@
 import type { AddressInfo, Socket } from 'node:net'
 import { Encoder } from 'cbor-x'
 import { afterEach, describe, expect, it } from 'vitest'
-import { createPeerTcp } from './index.js'
+import { createPeerTcp, type PeerTcp } from './index.js'
 import { prependLength } from './_lib/createFrameReader.js'
 import { createSystemClock } from '../systemClock/index.js'
-import type { Logger } from '../../types/index.js'
+import type { Logger, PeerAddress } from '../../types/index.js'
 import { createSystemRandom } from '../systemRandom/index.js'
 
 const clock = createSystemClock()
@@ -124,16 +124,15 @@
     expect(result.ok).toBe(true)
   })
 
-  // Guards against losing a peer for minutes after the network has dropped packets.
-  it('closes a connection that drops all data, and opens a new one', async () => {
-    const listener = await openTransport({ acknowledgeDelayMs: 1 })
-    let isDropping = false
+  /** Opens a path to the listener, on which connections that send while `isDropping` are silent from then on. */
+  const openPath = async (listener: PeerTcp) => {
+    const path = { isDropping: false, connections: 0 }
     const link = createServer((near) => {
+      path.connections += 1
       const far = openSocket(listener.address().port)
-      const shouldDrop = (): boolean => isDropping
       let hasDropped = false
       const pass = (to: Socket) => (chunk: Buffer): void => {
-        hasDropped ||= shouldDrop()
+        hasDropped ||= path.isDropping
         if (!hasDropped) to.write(chunk)
       }
       near.on('data', pass(far)).on('error', () => {})
@@ -142,15 +141,52 @@
     })
     await new Promise<void>((resolve) => { link.listen(0, '127.0.0.1', resolve) })
     opened.push({ close: () => new Promise((resolve) => { link.close(() => resolve()) }) })
-    const address = { host: '127.0.0.1', port: (link.address() as AddressInfo).port }
+    return { path, address: { host: '127.0.0.1', port: (link.address() as AddressInfo).port }, refuse: () => { link.close() } }
+  }
+
+  const isServedSoon = async (peer: PeerTcp, address: PeerAddress): Promise<boolean> => {
+    for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt++) if ((await peer.request(address, lookup, 100)).ok) return true
+    return false
+  }
+
+  // Guards against losing a peer for minutes after the network has dropped packets.
+  it('closes a connection that drops all data, and opens a new one', async () => {
+    const { path, address } = await openPath(await openTransport({ acknowledgeDelayMs: 1 }))
     const peer = await openTransport({ stallTimeoutMs: 30 })
     await peer.request(address, lookup, TIMEOUT_MS)
-    isDropping = true
+    path.isDropping = true
+    await peer.request(address, lookup, 100)
+    path.isDropping = false
+    expect(await isServedSoon(peer, address)).toBe(true)
+  })
+
+  // Guards against a peer that is out of reach for seconds because one connection went silent, while new ones work.
+  it('replaces a connection that went silent before it counts as lost', async () => {
+    const { path, address } = await openPath(await openTransport({ acknowledgeDelayMs: 1 }))
+    const peer = await openTransport({ stallTimeoutMs: 60_000, acknowledgeDelayMs: 1 })
+    await peer.request(address, lookup, TIMEOUT_MS)
+    path.isDropping = true
     await peer.request(address, lookup, 100)
-    isDropping = false
-    let isServed = false
-    for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS && !isServed; attempt++) isServed = (await peer.request(address, lookup, 100)).ok
-    expect(isServed).toBe(true)
+    path.isDropping = false
+    expect(await isServedSoon(peer, address)).toBe(true)
+    expect(path.connections).toBe(2)
+  })
+
+  // Guards against giving up a connection that works for one that does not.
+  it('keeps a connection whose peer is slow where no second one opens', async () => {
+    const listener = await openTransport({ acknowledgeDelayMs: 60_000 })
+    listener.handle('rootRequest', async () => {
+      await new Promise((resolve) => { setTimeout(resolve, 1_200) })
+      return { kind: 'root' }
+    })
+    const { path, address, refuse } = await openPath(listener)
+    const peer = await openTransport({ stallTimeoutMs: 60_000, acknowledgeDelayMs: 1 })
+    await peer.request(address, lookup, TIMEOUT_MS)
+    refuse()
+    const slow = peer.request(address, { kind: 'rootRequest' }, TIMEOUT_MS)
+    await new Promise((resolve) => { setTimeout(resolve, 700) })
+    peer.send(address, lookup)
+    expect([(await slow).ok, (await peer.request(address, lookup, TIMEOUT_MS)).ok, path.connections]).toEqual([true, true, 1])
   })
 
   it('fails open requests when the connection is lost', async () => {
