--- a/src/decisions/planSourceRead/index.ts
+++ b/src/decisions/planSourceRead/index.ts
@@ -32,7 +32,7 @@
 const MINIMUM_RECHECK_INTERVAL_MS = 100
 /**
  * Readers notice first that a source has recovered and notify the others; retries by all nodes would add load to a struggling source.
- * The first read may have failed because its connection had gone silent, so that it is repeated soon.
+ * The first read is repeated soon, as a single failure may not be the source's.
  */
 const NON_READER_RETRY_MS = 2_000
 
