List and remove servers at once; only streams that may be resumed wait for the register

What callers saw: where the store answered reads but refused writes or did not answer them, or did not answer the list of stream-versions, no gateway got ready. A server whose entry was gone stayed in the list until another server's new version was registered, and got late orders; one that started again with another version left the list until then.

Cause: reading the list, removing, adding and registering were one step. `readAll` awaited the registration of every version, and a node without a list read again when it failed.

Change: servers are listed and removed as their entries say. One whose version this node has not seen registered is marked `isUnregistered`, also to peers. Each version is registered for itself, ever more rarely while that fails. A stream that may be resumed begins at registered versions only; where there is none it waits until 1.5 s after that began, then it is refused as not run (`versionUnregistered`). A read of the register of the last 2 s will do for the first attempt. The first configuration of a process is in force at once, streams wait for its targets (300 ms at most) instead; a configuration in force is entered beside its later confirmations. A write or removal that throws counts as failed.

Tests replaced: three of instanceRegistry asked that an unregistered server be unlisted or the list unknown, which is the fault; they now ask that no stream may begin there, and that it is listed. One of routeRegister waits for the entering, which is no longer part of the read.

Not served: streams that may be resumed at a fleet's first start while writes are refused.

--- a/src/services/forwarding/_lib/createPathSelector.ts
+++ b/src/services/forwarding/_lib/createPathSelector.ts
@@ -1,10 +1,11 @@
 /** Selects where the next attempt of a request goes, and keeps what its earlier attempts have reached. */
 import { createStreamVersion } from './createStreamVersion.js'
-import { computeAvailableInMs, findIneligibility, isVersionGone, selectInstance, type SelectedInstance, type SelectionInput } from './selectInstance.js'
+import { computeAvailableInMs, findIneligibility, findVersionProblem, selectInstance, type SelectedInstance, type SelectionInput } from './selectInstance.js'
 import type { AttemptTarget } from './attemptTarget.js'
 import type { RequestHandlerContext } from './requestHandler.js'
 import type { InstanceEligibility } from '../../../decisions/checkInstanceEligibility/index.js'
 import { readSoftwareVersion, UNCERTAIN_VERSION } from '../../../decisions/readSoftwareVersion/index.js'
+import { isStreamToResume } from '../../../decisions/isStreamToResume/index.js'
 import { selectSendPath, type DirectPath } from '../../../decisions/selectSendPath/index.js'
 import type { GatewayAccount, GatewayRequest, GatewayRoute, InstanceAnswer, RelayPeer } from '../../../types/index.js'
 
@@ -31,7 +32,7 @@
    */
   readonly select: (routed: RoutedRequest, from?: AttemptTarget) => SelectedPath
   /** Why no backend server may get the request; `undefined` when all that may were tried. */
-  readonly findIneligibility: (routed: RoutedRequest) => InstanceEligibility | 'versionGone' | undefined
+  readonly findIneligibility: (routed: RoutedRequest) => InstanceEligibility | 'versionGone' | 'versionUnregistered' | undefined
   /** The software version at which the stream must go on; `undefined` while it may begin anywhere. */
   readonly requiredVersion: () => string | undefined
   /** The stream began at this version, in another request. */
@@ -69,7 +70,7 @@
   let arrivals = 0
 
   const createInput = ({ route, account, service, bodyBytes }: RoutedRequest): SelectionInput =>
-    ({ request, service, bodyBytes, tried, allowedRegions: [route.allowedRegions ?? [], account?.allowedRegions ?? []], softwareVersion: streamVersion.required() })
+    ({ request, service, bodyBytes, tried, allowedRegions: [route.allowedRegions ?? [], account?.allowedRegions ?? []], softwareVersion: streamVersion.required(), mustBeRegistered: isStreamToResume(route) })
 
   const classifyDirect = (input: SelectionInput, chosen: SelectedInstance | undefined, unreached: number): DirectPath => {
     if (chosen !== undefined) return chosen.isLastResort ? 'suspended' : 'usable'
@@ -102,7 +103,7 @@
     select,
     findIneligibility: (routed) => {
       const input = createInput(routed)
-      return isVersionGone(context, input) ? 'versionGone' : findIneligibility(context, input)
+      return findVersionProblem(context, input) ?? findIneligibility(context, input)
     },
     requiredVersion: streamVersion.required,
     requireVersion: streamVersion.require,
--- a/src/services/forwarding/_lib/describeDemand.ts
+++ b/src/services/forwarding/_lib/describeDemand.ts
@@ -2,6 +2,7 @@
 import type { RoutedRequest } from './createPathSelector.js'
 import type { RequestHandlerContext } from './requestHandler.js'
 import { listUsable, type SelectionInput } from './selectInstance.js'
+import { isStreamToResume } from '../../../decisions/isStreamToResume/index.js'
 import { computeWaitLimit } from '../../../decisions/computeWaitLimit/index.js'
 import { estimateWork } from '../../../decisions/estimateWork/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
@@ -46,7 +47,7 @@
 export const describeDemand = (context: RequestHandlerContext, request: GatewayRequest, routed: RoutedRequest, deadlineAt: number): WaitingDemand => {
   const { route, account, service, bodyBytes } = routed
   const allowedRegions = [route.allowedRegions ?? [], account?.allowedRegions ?? []]
-  const input: SelectionInput = { request, service, bodyBytes, tried: new Set(request.relay?.tried), allowedRegions }
+  const input: SelectionInput = { request, service, bodyBytes, tried: new Set(request.relay?.tried), allowedRegions, mustBeRegistered: isStreamToResume(route) && (request.lastEventId ?? 0) === 0 }
   const isModelService = context.configuration.current()?.services.get(service)?.isModelService === true
   const isRepeat = context.refusedCallers.isEarly({ request, route, account })
   const isRestricted = allowedRegions.some((regions) => regions.length > 0)
--- a/src/services/forwarding/_lib/selectInstance.ts
+++ b/src/services/forwarding/_lib/selectInstance.ts
@@ -33,6 +33,8 @@
   readonly allowedRegions: readonly (readonly string[])[]
   /** Software version at which the stream must go on; omitted while it may begin anywhere. */
   readonly softwareVersion?: string | undefined
+  /** Whether a stream that may be resumed begins: not at a server whose software version is not registered. */
+  readonly mustBeRegistered?: boolean
 }
 
 /** Average size in bytes of a non-streaming answer, and of one token in a stream, headers included. */
@@ -43,15 +45,21 @@
 const LOAD_FACTOR_SHARE = 0.96
 
 /** Servers of the service that may get the request by their software version. */
-const listOfVersion = ({ registry }: SelectionDependencies, { service, softwareVersion }: SelectionInput): readonly BackendInstance[] =>
-  softwareVersion === undefined ? registry.list(service) : registry.list(service).filter((instance) => readSoftwareVersion(instance) === softwareVersion)
+const listOfVersion = ({ registry }: SelectionDependencies, { service, softwareVersion, mustBeRegistered }: SelectionInput): readonly BackendInstance[] => {
+  const instances = registry.list(service)
+  if (softwareVersion !== undefined) return instances.filter((instance) => readSoftwareVersion(instance) === softwareVersion)
+  return mustBeRegistered === true ? instances.filter(({ isUnregistered }) => isUnregistered !== true) : instances
+}
 
 const listUntried = (dependencies: SelectionDependencies, input: SelectionInput): readonly BackendInstance[] =>
   listOfVersion(dependencies, input).filter(({ id }) => !input.tried.has(id))
 
-/** Whether the stream must go on at a software version that no server of the service has. */
-export const isVersionGone = (dependencies: SelectionDependencies, input: SelectionInput): boolean =>
-  input.softwareVersion !== undefined && listOfVersion(dependencies, input).length === 0
+/** Why no server of the service may get the stream, by its software version: it must go on at one that none has, or begin at one that is registered. */
+export const findVersionProblem = (dependencies: SelectionDependencies, input: SelectionInput): 'versionGone' | 'versionUnregistered' | undefined => {
+  if (listOfVersion(dependencies, input).length > 0) return undefined
+  if (input.softwareVersion !== undefined) return 'versionGone'
+  return dependencies.registry.list(input.service).length > 0 ? 'versionUnregistered' : undefined
+}
 
 const evaluate = ({ zoneDrains, notices, warmUp, refusals, client, regionByZone }: SelectionDependencies, { allowedRegions }: SelectionInput, instance: BackendInstance): InstanceEligibility => checkInstanceEligibility({
   region: regionByZone.get(instance.availabilityZone),
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -52,7 +52,7 @@
   readonly warmUp: WarmUpLimiter
   readonly refusals: RefusalLimiter
   readonly work: ServerWork
-  readonly streamVersions: Pick<StreamVersions, 'recordBegin' | 'find'>
+  readonly streamVersions: Pick<StreamVersions, 'recordBegin' | 'find' | 'waitToBegin'>
   readonly serverEnds: Pick<ServerEnds, 'recordBreak' | 'recordBytes' | 'recordUnreachable'>
   readonly quarantine: Pick<PromptQuarantine, 'inspect' | 'claimTrial' | 'recordSound' | 'recordComplete'>
   readonly client: InstanceClient
--- a/src/services/instanceRegistry/_lib/describeUnusable.ts
+++ b/src/services/instanceRegistry/_lib/describeUnusable.ts
@@ -21,7 +21,8 @@
   isLeaving: () => true,
   incarnation: ({ incarnation }) => Number.isSafeInteger(incarnation) && incarnation >= 0,
   warmUpMs: ({ warmUpMs }) => warmUpMs >= 0 && warmUpMs <= MAXIMUM_WARM_UP_MS,
-  softwareVersion: ({ softwareVersion }) => softwareVersion === undefined || isText(softwareVersion)
+  softwareVersion: ({ softwareVersion }) => softwareVersion === undefined || isText(softwareVersion),
+  isUnregistered: () => true
 }
 
 /** Returns the field of the entry that can't be used; `undefined` when all can. */
--- a/src/services/instanceRegistry/_lib/registryTypes.ts
+++ b/src/services/instanceRegistry/_lib/registryTypes.ts
@@ -17,7 +17,7 @@
   readonly watchWaitMs: number
   /** How long a backend server still serves after its entry was removed, in milliseconds; 0 by default. */
   readonly drainMs?: number
-  /** Registers software versions before servers of them are listed; resolves with whether all are registered. Omitted where nothing is registered. */
+  /** Registers software versions before streams that may be resumed begin at servers of them; resolves with whether all are registered. Omitted where nothing is registered. */
   readonly enterVersions?: ((versions: readonly ServiceVersion[]) => Promise<boolean>) | undefined
 }
 
--- a/src/services/instanceRegistry/index.ts
+++ b/src/services/instanceRegistry/index.ts
@@ -5,10 +5,10 @@
  */
 import { isDeepStrictEqual } from 'node:util'
 import { createChangeLog } from './_lib/createChangeLog.js'
-import { createEntryHold } from './_lib/createEntryHold.js'
 import { createLatestRuns } from './_lib/createLatestRuns.js'
 import { createLeavingRuns } from './_lib/createLeavingRuns.js'
 import { createMalformedEntries } from './_lib/createMalformedEntries.js'
+import { createRegistrations, markUnregistered } from './_lib/createRegistrations.js'
 import { createRemovals } from './_lib/createRemovals.js'
 import { describeUnusable } from './_lib/describeUnusable.js'
 import { createWarmUpDeadlines } from './_lib/createWarmUpDeadlines.js'
@@ -66,6 +66,7 @@
       if (known === undefined) byService.set(instance.service, [instance])
       else known.push(instance)
     }
+    registrations.retainListed()
     for (const listener of listeners) listener()
   }
 
@@ -87,9 +88,24 @@
   const logLeaving = ({ id, service }: BackendInstance, from: 'list' | 'answer'): void =>
     logger.info('backend server leaving', { backendServer: id, service, from, revision })
 
-  /** What a peer tells it has registered itself, or was told. */
-  const mustRegister = (known: BackendInstance | undefined, next: BackendInstance, origin: EntryOrigin): boolean =>
-    origin !== 'peer' && (known?.service !== next.service || readSoftwareVersion(known) !== readSoftwareVersion(next))
+  const registrations = createRegistrations({
+    clock,
+    enterVersions: options.enterVersions,
+    listInstances: () => instances.values(),
+    onRegistered: (registered) => {
+      for (const instance of registered.filter(({ isUnregistered }) => isUnregistered === true)) {
+        instances.set(instance.id, markUnregistered(instance, false))
+        changes.record(instance.id)
+      }
+      publish()
+    }
+  })
+
+  /** Whether streams that may be resumed must not begin at the server yet; a peer says so of what it lists. */
+  const isYetUnregistered = (known: BackendInstance | undefined, next: BackendInstance, origin: EntryOrigin): boolean => {
+    const wasRegistered = known !== undefined && known.isUnregistered !== true && known.service === next.service && readSoftwareVersion(known) === readSoftwareVersion(next)
+    return !wasRegistered && !registrations.isRegistered(next) && (origin !== 'peer' || next.isUnregistered === true)
+  }
 
   /** Takes back what was known of runs that another writer has stated, once an earlier run has written its entry again. */
   const forgetLaterRuns = (name: string): void => {
@@ -108,18 +124,15 @@
     const known = instances.get(name)
     if (instance.incarnation <= (goneIncarnations.get(name) ?? -Infinity)) return
     if (known !== undefined && instance.incarnation < known.incarnation) return
-    if (mustRegister(known, instance, origin) && hold.holds({ name, instance, atRevision })) {
-      if (known !== undefined) remove(name, 'replaced by a server of another software version')
-      return
-    }
     // A server stays leaving until it restarts: a stale copy of its entry may still show it as ready.
     if (instance.isLeaving) leavingRuns.record(instance)
     const isLeaving = leavingRuns.has(instance)
-    const next = { ...instance, isLeaving }
+    const next = markUnregistered({ ...instance, isLeaving }, isYetUnregistered(known, instance, origin))
     if (known !== undefined && known.incarnation !== next.incarnation) warmUpDeadlines.forget(known)
     const isWarmUpLater = warmUpDeadlines.record(next, origin)
     if (isWarmUpLater || !isSameEntry(known, next)) changes.record(name)
     instances.set(name, next)
+    if (origin !== 'peer') registrations.enter(next)
     if (known === undefined) logger.info('backend server added', { backendServer: name, service: instance.service, incarnation: instance.incarnation, revision })
     else if (isLeaving && !known.isLeaving) logLeaving(next, 'list')
   }
@@ -132,7 +145,6 @@
 
   /** Removes a server whose entry is missing: at once, or after `REAPPEAR_MS` when an outage of the source has just ended. */
   const removeMissing = (name: string): void => {
-    hold.forget(name)
     if (!instances.has(name)) return
     const keptMs = REAPPEAR_MS - options.contact.outageEndedAgoMs()
     if (instances.get(name)?.isLeaving === true || keptMs <= 0) return remove(name, 'entry removed')
@@ -147,34 +159,18 @@
     })
   }
 
-  const hold = createEntryHold({
-    clock,
-    enterVersions: options.enterVersions,
-    listInstances: () => instances.values(),
-    release: (entries) => {
-      for (const entry of entries) put(entry, 'change', entry.atRevision)
-      publish()
-    }
-  })
-
   const replaceAll = (entries: readonly InstanceEntry[], atRevision: number, origin: EntryOrigin): void => {
     revision = atRevision
     isKnown = true
     const listed = new Set(entries.map(({ name }) => name))
-    hold.retain(listed)
     for (const name of [...instances.keys()]) if (!listed.has(name)) removeMissing(name)
     for (const entry of entries) put(entry, origin, atRevision)
     publish()
   }
 
-  /** A node without a list has nothing to lose by another read. */
-  const enterList = async (entries: readonly InstanceEntry[], listedAt: number): Promise<SourceReading> => {
-    const isEntered = await hold.enter(entries)
-    if (!isEntered && !isKnown) return failure({ kind: 'unavailable', message: 'software versions of backend servers could not be registered' })
-    return success(() => {
-      readRevision = listedAt
-      hold.applyEntered(isEntered ? entries : [], () => replaceAll(entries, listedAt, 'list'))
-    })
+  const applyList = (entries: readonly InstanceEntry[], listedAt: number): void => {
+    readRevision = listedAt
+    replaceAll(entries, listedAt, 'list')
   }
 
   const readAll = async (): Promise<SourceReading> => {
@@ -188,7 +184,7 @@
       // The watch starts from the first page's revision, so changes between two pages are not lost.
       const revisionOfFirst = listedAt ??= result.value.revision
       after = result.value.continueAfter
-      if (after === undefined) return await enterList(entries, revisionOfFirst)
+      if (after === undefined) return success(() => applyList(entries, revisionOfFirst))
     }
     // Servers on further pages would count as removed.
     return failure({ kind: 'malformed', message: `list with more than ${MAXIMUM_PAGES} pages` })
@@ -291,6 +287,9 @@
     sourceLostMs: follower.lostMs,
     onPeersNeeded: follower.onPeersNeeded,
     start: follower.start,
-    stop: follower.stop
+    stop: () => {
+      follower.stop()
+      registrations.stop()
+    }
   }
 }
--- a/src/services/routeRegister/test.ts
+++ b/src/services/routeRegister/test.ts
@@ -44,7 +44,11 @@
     await clock.advanceAndSettle(400)
     expect((await reading).ok).toBe(true)
   }
-  return { register: register.api, read, readAgain: () => wrapped.read() }
+  const begin = async (routes: readonly GatewayRoute[]): Promise<string> => {
+    configuration = { version: (configuration?.version ?? 0) + 1, routes } as unknown as GatewayConfiguration
+    return (await wrapped.read()).ok ? 'read' : 'failed'
+  }
+  return { register: register.api, begin, read, readAgain: () => wrapped.read() }
 }
 
 describe('createRouteRegister', () => {
@@ -90,9 +94,24 @@
     expect(await register.readServices(ROUTE_KEY)).toBeUndefined()
     state.isAway = false
     await readAgain()
+    await clock.advanceAndSettle(0)
     expect(list()).toEqual(['a'])
   })
 
+  // A node that has just started would be ready only after several round trips; only streams that may be resumed need the register.
+  test('returns the first configuration of a process at once, and says until when streams wait; later ones wait themselves', async () => {
+    const clock = createManualClock()
+    const { store } = createStore()
+    const { register, begin } = startNode(clock, { ...store, read: () => new Promise(() => {}) })
+    expect(await begin([createRoute('a')])).toBe('read')
+    expect(register.entering()).toBeDefined()
+    const later = begin([createRoute('b')])
+    await clock.advanceAndSettle(299)
+    expect(await Promise.race([later, 'waits'])).toBe('waits')
+    await clock.advanceAndSettle(2)
+    expect([await later, register.entering()]).toEqual(['read', undefined])
+  })
+
   // A node whose configuration may be late must not end what a newer one has begun.
   test('ends no target at a node that is not a reader', async () => {
     const clock = createManualClock()
--- a/src/services/streamVersions/index.ts
+++ b/src/services/streamVersions/index.ts
@@ -9,6 +9,7 @@
 import { askHolders, type HolderQuestion, type HolderReply } from './_lib/askHolders.js'
 import { createBeginAnnouncer } from './_lib/createBeginAnnouncer.js'
 import { createBeginJournal } from './_lib/createBeginJournal.js'
+import { createBeginWaits } from './_lib/createBeginWaits.js'
 import { createSightings } from './_lib/createSightings.js'
 import { createStreamBegins } from './_lib/createStreamBegins.js'
 import { createStreamHorizons } from './_lib/createStreamHorizons.js'
@@ -39,6 +40,8 @@
    * `requestId` is that of the request that brought its first event, if the caller states it.
    */
   readonly find: (route: StreamRoute, requestId: string | undefined) => Promise<BegunVersion>
+  /** Resolves once streams of the service that may be resumed can begin, or after a moment; `undefined` when there is nothing to wait for. */
+  readonly waitToBegin: (service: string) => Promise<unknown> | undefined
   readonly countRecords: () => number
 }
 
@@ -51,7 +54,7 @@
   readonly registry: Pick<InstanceRegistry, 'all' | 'isKnown' | 'onChange'>
   readonly configuration: Pick<GatewayConfigurationHolder, 'current' | 'onChange'>
   readonly register: VersionRegister
-  readonly routes: Pick<RouteRegister, 'readServices' | 'lastRead'>
+  readonly routes: Pick<RouteRegister, 'readServices' | 'lastRead' | 'entering'>
   /** Omitted where the platform keeps no records of streams. */
   readonly beginStore?: StreamBeginStore | undefined
 }
@@ -97,6 +100,7 @@
   const own = createStreamBegins(clock, bounds)
   const told = createStreamBegins(clock, bounds)
   const mixedServices = new Set<string>()
+  const beginWaits = createBeginWaits({ clock, listInstances: registry.all })
   const startedAt = clock.now()
   let firstReadTimer: Timer | undefined
 
@@ -142,6 +146,7 @@
     const current = configuration.current()
     if (current !== undefined) routeSightings.update(listStreamTargets(current).map(({ route, service }) => ({ scope: route, value: service })))
     if (!registry.isKnown()) return
+    beginWaits.update()
     versionSightings.update(registry.all().map((instance) => ({ scope: instance.service, value: readSoftwareVersion(instance) })))
     for (const service of new Set(registry.all().map((instance) => instance.service))) updateMixed(service)
     ends.update()
@@ -250,6 +255,10 @@
         tell(service, [begin])
       },
       find,
+      waitToBegin: (service) => {
+        const [entering, waiting] = [routes.entering(), beginWaits.wait(service)]
+        return entering === undefined && waiting === undefined ? undefined : Promise.all([entering, waiting])
+      },
       countRecords: () => own.size() + told.size()
     },
     start: () => {
--- a/src/services/streamVersions/test.ts
+++ b/src/services/streamVersions/test.ts
@@ -38,7 +38,7 @@
       clock,
       random: { next: () => self / members.length },
       register,
-      routes: { readServices: async () => stores[self]!.isAway ? undefined : routeServices, lastRead: () => [] },
+      routes: { readServices: async () => stores[self]!.isAway ? undefined : routeServices, lastRead: () => [], entering: () => undefined },
       logger: { info: () => {}, warn: () => {} },
       transport: transports[self]!,
       membership: { members: () => members, self: () => members[self]! },
--- a/src/services/versionRegister/index.ts
+++ b/src/services/versionRegister/index.ts
@@ -1,12 +1,13 @@
 /**
  * Keeps on the platform at which software versions of a service streams may have begun
- * that can still be taken up. An entry is written before this node uses a server of the
- * version, and removed long after its last server has left. So a read of the register
+ * that can still be taken up. An entry is written before such a stream begins at a server of
+ * the version, and removed long after its last server has left. So a read of the register
  * proves which versions there are, also to a process that knows nothing of the past, and
  * at a node whose list of backend servers is late.
  */
 import { containRead } from '../_lib/containRead.js'
 import { createFreshRead } from '../_lib/createFreshRead.js'
+import { createRecentRead } from '../_lib/createRecentRead.js'
 import { describeSourceError } from '../../decisions/describeSourceError/index.js'
 import { computeSha256, failure, success } from '../../kernel/index.js'
 import type { RunningService } from '../../kernel/index.js'
@@ -15,7 +16,7 @@
 export type VersionEntry = RegisteredVersion & Pick<StoredVersion, 'name' | 'revision'>
 
 export type VersionRegister = {
-  /** Enters the versions before they are used; resolves with whether all of them are in the register. */
+  /** Enters the versions before streams that may be resumed begin at them; resolves with whether all of them are in the register. */
   readonly enter: (versions: readonly ServiceVersion[]) => Promise<boolean>
   /** Reads the register; the read begins after the call. */
   readonly read: () => Promise<Result<readonly VersionEntry[], SourceError>>
@@ -30,7 +31,7 @@
 export type VersionRegisterDependencies = {
   readonly clock: Pick<Clock, 'now'>
   readonly logger: Pick<Logger, 'info' | 'warn'>
-  /** Omitted where the platform keeps none: then nothing is proved, and no server waits for it. */
+  /** Omitted where the platform keeps none: then nothing is proved, and no stream waits for it. */
   readonly store?: VersionStore | undefined
 }
 
@@ -69,27 +70,29 @@
     logger.warn('software versions not registered', { call, service: version?.service, softwareVersion: version?.softwareVersion, reason: describeSourceError(error) })
   }
 
-  const readStored = createFreshRead(async (): Promise<Result<readonly StoredVersion[], SourceError>> => {
+  const { startRead: readStored, recent } = createRecentRead(clock, createFreshRead(async (): Promise<Result<readonly StoredVersion[], SourceError>> => {
     if (store === undefined) return failure({ kind: 'unavailable', message: 'the platform keeps no register of software versions' })
     const listed = await containRead(store.list)
     if (!listed.ok) logFailure('list', listed.error)
     else entries = toEntries(listed.value)
     return listed
-  })
+  }))
 
   const read = async (): Promise<Result<readonly VersionEntry[], SourceError>> => {
     const stored = await readStored()
     return stored.ok ? success(toEntries(stored.value)) : stored
   }
 
-  const settle = (call: string, version: ServiceVersion, written: Result<ConditionalWrite, SourceError>): number | undefined => {
+  const settle = async (call: string, version: ServiceVersion, write: () => Promise<Result<ConditionalWrite, SourceError>>): Promise<number | undefined> => {
+    recent.forget()
+    const written = await containRead(write)
     if (!written.ok) logFailure(call, written.error, version)
     return written.ok && written.value.kind === 'written' ? written.value.revision : undefined
   }
 
   const setEnding: VersionRegister['setEnding'] = async ({ name, revision, service, softwareVersion }, isEnding) => {
     if (store === undefined) return undefined
-    const written = settle('update', { service, softwareVersion }, await store.update(name, { service, softwareVersion, isEnding }, revision))
+    const written = await settle('update', { service, softwareVersion }, () => store.update(name, { service, softwareVersion, isEnding }, revision))
     if (written === undefined) return undefined
     logger.info('software version registered', { service, softwareVersion, isEnding })
     entries = entries?.map((entry) => entry.name === name ? { ...entry, isEnding, revision: written } : entry)
@@ -101,8 +104,7 @@
     if (store === undefined) return false
     const version = { service, softwareVersion, isEnding: false }
     const name = formatName(version)
-    const written = inItsPlace === undefined ? await store.create(name, version) : await store.update(name, version, inItsPlace.revision)
-    const isWritten = settle('create', version, written) !== undefined
+    const isWritten = await settle('create', version, () => inItsPlace === undefined ? store.create(name, version) : store.update(name, version, inItsPlace.revision)) !== undefined
     if (isWritten) logger.info('software version registered', version)
     return isWritten
   }
@@ -117,7 +119,8 @@
   const enter: VersionRegister['enter'] = async (versions) => {
     if (store === undefined || versions.length === 0) return true
     for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt++) {
-      const stored = await readStored()
+      // Versions that a read of the last moments has are safe; the first write finds out what it lacks.
+      const stored = attempt === 0 ? await recent.read() : await readStored()
       if (!stored.ok) return false
       const entered = await Promise.all(versions.map((version) => enterOne(version, stored.value)))
       if (entered.every(Boolean)) return true
@@ -132,8 +135,9 @@
       lastRead: () => entries,
       setEnding,
       remove: async (entry) => {
-        const removed = await store?.remove(entry.name, entry.revision)
-        if (removed === undefined) return
+        if (store === undefined) return
+        recent.forget()
+        const removed = await containRead(() => store.remove(entry.name, entry.revision))
         if (!removed.ok) logFailure('remove', removed.error, entry)
         else logger.info('software version no longer registered', { service: entry.service, softwareVersion: entry.softwareVersion, outcome: removed.value })
       }
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -113,6 +113,8 @@
   readonly warmUpMs: number
   /** Version of its software; versions have no order. Omitted when the entry states none. */
   readonly softwareVersion?: string
+  /** Whether its version is not registered yet, as far as the node knows: streams that may be resumed must not begin there. */
+  readonly isUnregistered?: boolean
 }
 
 export type PromptPart = { readonly id: string, readonly tokens: number }
@@ -238,7 +240,7 @@
   | 'badRequest' | 'headerTooLarge' | 'bodyTooLarge' | 'unknownRoute' | 'unknownKey' | 'noConfiguration' | 'staleKeys'
   | 'noInstance' | 'serviceFull' | 'deadlineBeforeSend' | 'deadline' | 'instanceFailed' | 'answerBroken'
   | 'instancesRefused' | 'shuttingDown' | 'crossedAnswer' | 'zoneDrained' | 'backingOff' | 'warmingUp' | 'regionNotAllowed'
-  | 'relayLimit' | 'memoryFull' | 'versionGone' | 'versionUnknown' | 'promptQuarantined' | 'internalError'
+  | 'relayLimit' | 'memoryFull' | 'versionGone' | 'versionUnknown' | 'versionUnregistered' | 'promptQuarantined' | 'internalError'
   | 'waitTooLong' | 'overShare' | 'queueFull' | 'repeatedEarly' | 'lessUrgent'
 
 /** A final answer created by the node itself. */
