Gather bodies in small pieces without an object for each piece

What callers saw: a gateway ended by itself, and with it all requests on it, when a backend server sent a chunked answer in chunks of one byte, or a caller such a body.

Cause: each piece was kept as an object of its own, some hundred bytes for one byte. Two or three bodies below one megabyte filled the heap of 160 MB; every bound counts bytes, so that none was near. An incomplete event was copied as a whole for each piece, and small parts of an answer that is passed on were queued as one write each, which is the same multiple in the queue of the caller's connection.

Parts of an answer that arrive in one turn are written together.

--- a/src/adapters/gatewayHttp/_lib/createResponseWriter.ts
+++ b/src/adapters/gatewayHttp/_lib/createResponseWriter.ts
@@ -1,5 +1,6 @@
 /** Writes the one final answer of a request to its caller's connection. */
 import type { ServerResponse } from 'node:http'
+import { createGatheredBytes } from '../../../kernel/index.js'
 import type { RelayHeaders } from '../../relayHttp/index.js'
 import type { CallerSink, FinalReason, GatewayRefusal, HeaderList, HeldEntry, InstanceAnswer } from '../../../types/index.js'
 
@@ -8,6 +9,9 @@
 /** How long the connection is still read after a request was refused while its body is being sent: closing at once would reset it, and the caller could lose the answer. */
 const LINGERING_CLOSE_MS = 500
 
+/** Smaller parts of an answer that arrive in one turn of the event loop are written together: the queue of the connection takes some hundred bytes for each write. */
+const MINIMUM_WRITE_BYTES = 4_096
+
 const flatten = (headers: HeaderList): string[] => headers.flatMap(([name, value]) => [name, value])
 
 const formatRetryAfter = (milliseconds: number): string => (Math.ceil(milliseconds) / 1000).toFixed(3)
@@ -27,6 +31,20 @@
 export const createResponseWriter = (response: ServerResponse, { isClosing, onUntrusted, relayHeaders, held }: ResponseWriterOptions): CallerSink => {
   const closing = (): string[] => isClosing() ? ['Connection', 'close'] : []
 
+  const gathered = createGatheredBytes()
+  /** Whether the caller has to read before more is written. */
+  let isFull = false
+
+  /** Returns whether more may be written now. */
+  const writeGathered = (): boolean => {
+    const bytes = gathered.take()
+    const isDrained = response.write(bytes)
+    isFull = !(held === undefined ? isDrained : held.recordWrite(bytes.length))
+    return !isFull
+  }
+
+  const writeRest = (): void => { if (gathered.length() > 0) writeGathered() }
+
   const relayed = (answer: InstanceAnswer): readonly string[] => relayHeaders?.servedBy(answer) ?? []
 
   const writeHead = (status: number, headers: readonly string[]): void => {
@@ -61,15 +79,19 @@
       writeHead(answer.status, [...flatten(answer.headers), ...relayed(answer), ...length])
     },
     data: (bytes) => {
-      const isDrained = response.write(bytes)
-      return held === undefined ? isDrained : held.recordWrite(bytes.length)
+      if (gathered.length() === 0) queueMicrotask(writeRest)
+      gathered.push(bytes)
+      return isFull || gathered.length() >= MINIMUM_WRITE_BYTES ? writeGathered() : true
     },
     onDrain: (listener, readPausedBytes) => {
       if (held === undefined) response.once('drain', listener)
       else held.onResume(listener, readPausedBytes)
     },
     ...(held === undefined ? {} : { readAllowance: held.readAllowance, recordBuffered: held.recordBuffered }),
-    end: () => { response.end() },
+    end: () => {
+      writeRest()
+      response.end()
+    },
     fail: () => { response.destroy() }
   }
 }
--- a/src/adapters/gatewayHttp/_lib/readBody.ts
+++ b/src/adapters/gatewayHttp/_lib/readBody.ts
@@ -1,5 +1,6 @@
 /** Reads the complete body of a request, so that a retry can send it to another backend server. */
 import type { IncomingMessage } from 'node:http'
+import { createGatheredBytes } from '../../../kernel/index.js'
 
 export type BodyListener = {
   readonly onBody: (body: Uint8Array) => void
@@ -13,8 +14,7 @@
 
 /** Calls exactly one of the listener's functions. */
 export const readBody = (message: IncomingMessage, maximumBytes: number, listener: BodyListener): void => {
-  const chunks: Buffer[] = []
-  let bytes = 0
+  const gathered = createGatheredBytes()
   let isFinished = false
   const finish = (notify: () => void): void => {
     if (isFinished) return
@@ -23,12 +23,12 @@
   }
   message.on('data', (chunk: Buffer) => {
     if (isFinished) return
-    bytes += chunk.length
+    const bytes = gathered.length() + chunk.length
     if (bytes > maximumBytes) return finish(listener.onTooLarge)
     if (!listener.hasRoom(bytes)) return finish(listener.onNoRoom)
-    chunks.push(chunk)
+    gathered.push(chunk)
   })
-  message.on('end', () => finish(() => listener.onBody(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks))))
+  message.on('end', () => finish(() => listener.onBody(gathered.take())))
   message.on('error', () => finish(listener.onBroken))
   message.on('close', () => finish(listener.onBroken))
 }
--- a/src/adapters/peerTcp/_lib/createFrameReader.ts
+++ b/src/adapters/peerTcp/_lib/createFrameReader.ts
@@ -2,6 +2,7 @@
  * Splits a TCP byte stream into frames: a 4-byte big-endian length, then that
  * many bytes. Chunks are joined once per frame, not once per chunk.
  */
+import { createGatheredBytes } from '../../../kernel/index.js'
 
 const LENGTH_BYTES = 4
 
@@ -14,19 +15,16 @@
 /** Calls `onFrame` with each complete frame, in order, each in a buffer of its own. */
 export const createFrameReader = (initialMaximum: number, onFrame: (frame: Buffer) => void): FrameReader => {
   let maximum = initialMaximum
-  let chunks: Uint8Array[] = []
-  let held = 0
+  const gathered = createGatheredBytes()
   let needed = LENGTH_BYTES
   let isReadingLength = true
 
-  const hasNeeded = (): boolean => held >= needed
+  const hasNeeded = (): boolean => gathered.length() >= needed
 
   const takeNeeded = (): Buffer => {
-    const joined = chunks.length === 1 ? Buffer.from(chunks[0]!) : Buffer.concat(chunks, held)
-    const rest = joined.subarray(needed)
-    chunks = rest.length === 0 ? [] : [rest]
-    held = rest.length
-    return joined.subarray(0, needed)
+    const joined = gathered.take()
+    gathered.push(joined.subarray(needed))
+    return Buffer.from(joined.subarray(0, needed))
   }
 
   const readLength = (): boolean => {
@@ -46,8 +44,7 @@
   return {
     setMaximum: (bytes) => { maximum = bytes },
     push: (chunk) => {
-      chunks.push(chunk)
-      held += chunk.length
+      gathered.push(chunk)
       while (hasNeeded()) {
         const isValid = isReadingLength ? readLength() : readBody()
         if (!isValid) return false
--- a/src/kernel/index.ts
+++ b/src/kernel/index.ts
@@ -1,6 +1,7 @@
 /** The kernel, and small helpers used by every layer. */
 export * from './computeSha256/index.js'
 export * from './createDeferredCalls/index.js'
+export * from './createGatheredBytes/index.js'
 export * from './createKernel/index.js'
 export * from './describeError/index.js'
 export * from './failure/index.js'
--- a/src/services/forwarding/_lib/createAnswerIntake.ts
+++ b/src/services/forwarding/_lib/createAnswerIntake.ts
@@ -8,6 +8,7 @@
 import type { CallerAnswer } from './createCallerAnswer.js'
 import { createEventReader } from './createEventReader.js'
 import { classifyAnswer } from './classifyAnswer.js'
+import { createGatheredBytes } from '../../../kernel/index.js'
 import type { Exchange, GatewayRequest, InstanceAnswer } from '../../../types/index.js'
 
 export type AnswerListener = {
@@ -45,8 +46,7 @@
 export const createAnswerIntake = (request: GatewayRequest, caller: CallerAnswer, listener: AnswerListener): AnswerIntake => {
   const reader = createEventReader()
   let answer: InstanceAnswer | undefined
-  let buffered: Uint8Array[] = []
-  let bufferedBytes = 0
+  const buffered = createGatheredBytes()
   let receivedBytes = 0
 
   const beginWith = (head: InstanceAnswer): void => { if (!caller.hasBegun()) caller.begin(head) }
@@ -64,14 +64,11 @@
 
   const bufferBytes = (head: InstanceAnswer, bytes: Uint8Array, exchange: Exchange | undefined): void => {
     buffered.push(bytes)
-    bufferedBytes += bytes.length
-    caller.recordBuffered(bufferedBytes)
-    if (bufferedBytes <= Math.min(MAXIMUM_BUFFERED_BYTES, caller.readAllowance())) return
-    const chunks = buffered
-    buffered = []
+    caller.recordBuffered(buffered.length())
+    if (buffered.length() <= Math.min(MAXIMUM_BUFFERED_BYTES, caller.readAllowance())) return
     caller.recordBuffered(0)
     caller.begin(head)
-    for (const chunk of chunks) caller.pass(chunk, exchange)
+    caller.pass(buffered.take(), exchange)
   }
 
   return {
@@ -97,7 +94,7 @@
       if (reader.pendingBytes() > 0) return listener.onBroken('end in the middle of an event')
       if (isStream(answer)) beginWith(answer)
       if (caller.hasBegun()) return listener.onStreamEnd()
-      const body = Buffer.concat(buffered)
+      const body = buffered.take()
       caller.recordBuffered(0)
       if (answer.status >= 500) return listener.onReportedFailure(answer, body)
       listener.onComplete(answer, body)
