Keep back pressure out of the parser of answers

Callers: every request of a gateway process ended, and the process with exit code 1, when an answer without length was paused for a slow caller and its connection ended, was reset, or was given up meanwhile.

Cause: back pressure paused undici's parser. Its listeners of 'end', 'error' and 'close' finish the parser, which asserts that it isn't paused; nothing catches what an event of a socket throws.

Evidence: test/platform/pausedAnswers.test.ts (real process, raw server, a caller that reads nothing) failed in both cases on the code before: the process ended with "Error: assertion failed" in Parser.finish. Of the eight tests of src/adapters/exchangeHttp/pauses.test.ts five failed, with eight unhandled errors.

Change: the parser is never paused. A paused answer closes a gate before its socket's read, so that bytes and the end after them wait in the socket, as bounded as before; pieces that were read at once with the one that paused the answer are kept and counted. A complete answer gives its connection back even while its listener is paused.

Measured after: both files pass, as do unframedAnswers and spoiltAnswers.

--- a/src/adapters/exchangeHttp/index.ts
+++ b/src/adapters/exchangeHttp/index.ts
@@ -7,7 +7,9 @@
 import type { Socket } from 'node:net'
 import { Client } from 'undici'
 import type { buildConnector, Dispatcher } from 'undici'
+import { createAnswerFlow } from './_lib/createAnswerFlow.js'
 import { createOverheadMeter, type OverheadMeter } from './_lib/createOverheadMeter.js'
+import { createReadGate, type ReadGate } from './_lib/createReadGate.js'
 import { createUploads } from './_lib/createUploads.js'
 import type { SlowUpload, UploadListener } from './_lib/createUploads.js'
 import type { Clock, Exchange, ExchangeListener, HeaderList, InstanceAnswer, PeerAddress, UploadBytes } from '../../types/index.js'
@@ -47,6 +49,8 @@
 type Connection = {
   readonly client: Client
   readonly overhead: OverheadMeter
+  /** Set once the connection is open. */
+  gate: ReadGate | undefined
   socket: Socket | undefined
   lastUsedAt: number
   isBusy: boolean
@@ -135,6 +139,7 @@
       connect: (target, callback) => connector(target, (...result) => {
         const [, socket] = result
         connection.socket = socket ?? undefined
+        connection.gate = socket === null ? undefined : createReadGate(socket)
         // undici takes a reset for the end of an answer without a length, and the event
         // loop reports a reset right after some bytes as an orderly end. A partial answer
         // would pass for a complete one. A socket that was reset has no remote address any
@@ -146,7 +151,7 @@
         callback(...result)
       })
     })
-    const connection: Connection = { client, overhead: createOverheadMeter(), socket: undefined, lastUsedAt: clock.now(), isBusy: false, isClosed: false, isReset: false, onBytes: () => drop(pool, connection) }
+    const connection: Connection = { client, overhead: createOverheadMeter(), gate: undefined, socket: undefined, lastUsedAt: clock.now(), isBusy: false, isClosed: false, isReset: false, onBytes: () => drop(pool, connection) }
     client.on('disconnect', () => drop(pool, connection))
     client.on('connectionError', () => drop(pool, connection))
     pool.add(connection)
@@ -190,14 +195,16 @@
     let isSent = false
     let isWithdrawn = false
     let isFinished = false
-    let resume: (() => void) | undefined
-    let isPaused = false
     let endUpload = (): void => { /* nothing was written */ }
+    /** Once the answer is complete, the connection belongs to the next request. */
+    let ownsConnection = true
+    const flow = createAnswerFlow(listener, () => ownsConnection ? connection.gate : undefined)
 
     const fail = (error: NodeJS.ErrnoException): void => {
       endUpload()
       if (isFinished) return
       isFinished = true
+      flow.stop()
       drop(pool, connection)
       const message = `${error.code ?? error.name}: ${error.message}`
       if (isWithdrawn) return listener.onFailure({ kind: 'withdrawn', message })
@@ -222,24 +229,26 @@
         if (uploads !== undefined && connection.socket !== undefined && request.body.length > 0) endUpload = uploads.begin(request.key, connection.socket, request.body.length)
         listener.onSent()
       },
-      onHeaders: (status, rawHeaders, resumeReading) => {
+      // The parser is never paused: one that is paused when its connection ends throws.
+      onHeaders: (status, rawHeaders) => {
         if (status < 200) return true
         endUpload()
-        resume = resumeReading
         if (!isFinished) listener.onHead(decodeAnswer(status, listHeaders(rawHeaders)))
-        return !isPaused
+        return true
       },
       onData: (chunk) => {
         connection.overhead.recordBody(chunk.length)
-        if (!isFinished) listener.onData(chunk)
-        return !isPaused
+        if (!isFinished) flow.push(chunk)
+        return true
       },
       onComplete: () => {
         if (isFinished) return
         if (connection.isReset) return fail(new Error('the connection was reset in the middle of the answer'))
         isFinished = true
+        connection.gate?.open()
+        ownsConnection = false
         release(pool, connection)
-        listener.onEnd()
+        flow.end()
       },
       onError: fail
     }
@@ -259,16 +268,13 @@
     return {
       abort: () => {
         isFinished = true
+        flow.stop()
         endUpload()
-        drop(pool, connection)
+        if (ownsConnection || !connection.isBusy) drop(pool, connection)
       },
-      countPausedBytes: () => connection.socket?.readableLength ?? 0,
-      pause: () => { isPaused = true },
-      resume: () => {
-        if (!isPaused) return
-        isPaused = false
-        resume?.()
-      }
+      countPausedBytes: () => flow.countBytes() + (ownsConnection ? connection.socket?.readableLength ?? 0 : 0),
+      pause: flow.pause,
+      resume: flow.resume
     }
   }
 
