Begin the grace period of a paused process when its pause began

What callers saw: requests taken late in a stop, among them streams that may not be repeated, were cut without a final answer when the platform killed the process. A process that does not run when SIGTERM comes sees it late, and took its grace period to begin then: it accepted what would end in time by that clock, and its own end came after the kill.

Evidence: lateInStop, SIGSTOP for 0.8 s, SIGTERM in it, SIGKILL at the end of the grace period.

`gateway stopping` tells the difference in `shutdownMs`.

--- a/src/daemon/startGateway/_lib/shutDownGateway.ts
+++ b/src/daemon/startGateway/_lib/shutDownGateway.ts
@@ -69,10 +69,10 @@
     return isOver
   })
 
-  logger.info('gateway stopping', { open: forwarding.openRequests(), connections: countConnections(), graceMs })
+  logger.info('gateway stopping', { open: forwarding.openRequests(), connections: countConnections(), graceMs, shutdownMs: Math.round(clock.now() - startedAt) })
   announceLeaving()
   for (const listener of listeners) listener.beginClosing()
-  forwarding.beginShutdown(endsAt)
+  forwarding.beginShutdown(endsAt, startedAt)
   reportOpen()
   const removedAt = startedAt + Math.min(BALANCER_REMOVAL_MS, graceMs / 2)
   await waitUntil(() => clock.now() >= removedAt)
--- a/src/services/forwarding/_lib/createShutdownGate.ts
+++ b/src/services/forwarding/_lib/createShutdownGate.ts
@@ -12,8 +12,8 @@
 }
 
 export type ShutdownGate = {
-  /** Begins the shutdown: from now on only requests pass that are expected to end before `endsAt`, in monotonic milliseconds. */
-  readonly begin: (endsAt: number) => void
+  /** Begins the shutdown: from now on only requests pass that are expected to end before `endsAt`, in monotonic milliseconds. `beganAt` is earlier than now where its signal was seen late. */
+  readonly begin: (endsAt: number, beganAt?: number) => void
   /** Whether a request may be sent that takes at most `maximumMs` milliseconds; always true before the shutdown begins. */
   readonly passes: (route: GatewayRoute, request: GatewayRequest, maximumMs: number) => boolean
   /** Milliseconds since the shutdown began and until the node exits, for log lines; empty before. */
@@ -29,7 +29,7 @@
     Math.max(...route.targets.map(({ service }) => tokenPace.read(service) ?? DEFAULT_TOKEN_INTERVAL_MS))
 
   return {
-    begin: (endsAt) => { shutdown = { beganAt: clock.now(), endsAt } },
+    begin: (endsAt, beganAt = clock.now()) => { shutdown = { beganAt, endsAt } },
     passes: (route, request, maximumMs) => {
       if (shutdown === undefined) return true
       const now = clock.now()
--- a/src/types/forwarding.ts
+++ b/src/types/forwarding.ts
@@ -45,7 +45,7 @@
   /** This node's view of the retry budget, by service. */
   readonly retryUsage: () => readonly RetryUsage[]
   /** Starts the shutdown: requests that would not finish before `endsAt` (monotonic milliseconds) are refused as not run. */
-  readonly beginShutdown: (endsAt: number) => void
+  readonly beginShutdown: (endsAt: number, beganAt?: number) => void
   /** Gives every open request its final answer now, because the node exits. */
   readonly endOpen: () => void
 }
