Wait for a port that is held instead of ending the process

Callers saw a gateway that was gone for as long as another process held one of its ports: it ended with code 1 and a bare EADDRINUSE, 0.4 s apart, again and again. A port for peers or metrics that no caller needs did the same.

Cause: each listener had its own listen(), rejected at the first error, and no listener for later errors of the server (a failed accept ended the process).

Change: openListener opens every listener of the gateway and of peerTcp, tells once that it waits, tries ten times a second, and logs later errors. Only the callers' listener is needed to be ready.

--- a/src/adapters/gatewayHttp/index.ts
+++ b/src/adapters/gatewayHttp/index.ts
@@ -15,6 +15,7 @@
 import { readBody } from './_lib/readBody.js'
 import { afterTurn } from '../afterTurn/index.js'
 import { openHandoverListener } from '../handoverListener/index.js'
+import { logServerErrors } from '../openListener/index.js'
 import type { RelayHeaders } from '../relayHttp/index.js'
 import type { HandoverListener } from '../handoverListener/index.js'
 import type { CallerSink, Clock, Forwarding, GatewayDialect, GatewayLimits, GatewayRefusal, HeaderList, HeldBytes, HeldEntry, Logger, Metrics, PeerAddress, StartTimeline } from '../../types/index.js'
@@ -40,7 +41,9 @@
 }
 
 export type GatewayHttp = {
+  /** Resolves after the first try with the address it listens on, or will listen on once its port can be had. */
   readonly listen: () => Promise<PeerAddress>
+  readonly isListening: () => boolean
   /** From now on answers carry `Connection: close`; all requests are still served. */
   readonly beginClosing: () => void
   /** Closes connections on which no request is open or may be on its way. */
@@ -95,6 +98,7 @@
   const pauseDetector = createPauseDetector(clock)
   let listener: HandoverListener | undefined
   let isClosing = false
+  let isClosed = false
   let lastUsedAt = clock.now()
 
   const limits = (): GatewayLimits => options.readLimits() ?? INITIAL_LIMITS
@@ -171,6 +175,8 @@
     connectionsCheckingInterval: 1_000
   }, handle)
 
+  logServerErrors(server, 'callers', logger)
+
   server.on('connection', (socket) => {
     lastUsedAt = clock.now()
     connections.accept(socket)
@@ -209,11 +215,12 @@
   return {
     listen: async () => {
       applyLimits()
-      listener = options.handoverListener ?? openHandoverListener(options)
-      const address = await listener.opened
-      listener.handOver(server)
-      return address
+      const opening = options.handoverListener ?? openHandoverListener(options, { part: options.relayHeaders === undefined ? 'callers' : 'relayedRequests', logger })
+      listener = opening
+      opening.opened.then(() => { if (!isClosed) opening.handOver(server) }, () => {})
+      return await opening.tried
     },
+    isListening: () => server.listening,
     beginClosing: () => { isClosing = true },
     closeIdle: connections.closeIdle,
     awaitsRequests: connections.isAnyAwaited,
@@ -225,7 +232,9 @@
     openConnections: connections.count,
     lastUsedAt: () => lastUsedAt,
     close: () => {
+      isClosed = true
       pauseDetector.stop()
+      listener?.stopAccepting()
       server.close()
       connections.destroyAll()
     }
--- a/src/adapters/handoverListener/index.ts
+++ b/src/adapters/handoverListener/index.ts
@@ -4,46 +4,49 @@
  * connections meanwhile, and a refused caller retries late or not at all.
  */
 import { createServer } from 'node:net'
-import type { AddressInfo, Server, Socket } from 'node:net'
+import type { Server, Socket } from 'node:net'
+import { openListener } from '../openListener/index.js'
+import type { Listener, OpenListenerOptions } from '../openListener/index.js'
 import type { PeerAddress } from '../../types/index.js'
 
-export type HandoverListener = {
-  /** Resolves with the address it listens on; rejects when the listener can't be opened. */
-  readonly opened: Promise<PeerAddress>
+export type HandoverListener = Pick<Listener, 'tried' | 'opened' | 'isOpen'> & {
+  /** The address that was asked for. */
+  readonly address: PeerAddress
   /** Passes the listener and the connections accepted so far to `server`, which serves them. */
   readonly handOver: (server: Server) => void
-  /** Closes the listener; connections that were accepted stay open. */
+  /** Closes the listener, or ends its tries; connections that were accepted stay open. */
   readonly stopAccepting: () => void
+  /** The same, and closes the connections that were accepted and not handed over. */
+  readonly discard: () => void
 }
 
 /** Length of the kernel's queue of connections while the program is loaded: all callers of a zone may connect at once. */
 export const LISTENER_BACKLOG = 1_024
 
 /**
- * Opens a listener; nothing is read from its connections until it is handed over.
+ * Opens a listener, as soon as its port can be had; nothing is read from its connections until it is handed over.
  *
  * @param address - Where to listen.
+ * @param options - What for, and the logger.
  * @returns The listener.
  *
  * @example
- * const listener = openHandoverListener({ host: '127.0.0.1', port: 8080 })
+ * const listener = openHandoverListener({ host: '127.0.0.1', port: 8080 }, { part: 'callers' })
  * listener.handOver(createServer(handle))
  */
-export const openHandoverListener = ({ host, port }: PeerAddress): HandoverListener => {
+export const openHandoverListener = (address: PeerAddress, options: Pick<OpenListenerOptions, 'part' | 'logger' | 'retryMs'>): HandoverListener => {
   const held = new Set<Socket>()
   const holdSocket = (socket: Socket): void => {
     held.add(socket)
     socket.on('error', () => held.delete(socket))
   }
   const server = createServer({ pauseOnConnect: true }, holdSocket)
-  const opened = new Promise<PeerAddress>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen({ host, port, backlog: LISTENER_BACKLOG }, () => resolve({ host, port: (server.address() as AddressInfo).port }))
-  })
-  // The error is reported to the code that takes the listener over. Until that awaits `opened`, an unhandled rejection would end the process.
-  opened.catch(() => {})
+  const listener = openListener({ ...options, server, address, backlog: LISTENER_BACKLOG })
   return {
-    opened,
+    address,
+    tried: listener.tried,
+    opened: listener.opened,
+    isOpen: listener.isOpen,
     handOver: (receiver) => {
       server.off('connection', holdSocket)
       receiver.listen(server, LISTENER_BACKLOG)
@@ -53,6 +56,11 @@
       }
       held.clear()
     },
-    stopAccepting: () => { server.close() }
+    stopAccepting: listener.close,
+    discard: () => {
+      listener.close()
+      for (const socket of held) socket.destroy()
+      held.clear()
+    }
   }
 }
--- a/src/adapters/peerTcp/index.ts
+++ b/src/adapters/peerTcp/index.ts
@@ -12,6 +12,8 @@
 import type { PeerLink } from './_lib/createPeerLink.js'
 import { dispatchFrame } from './_lib/dispatchFrame.js'
 import type { PeerHandler, PeerHandlers } from './_lib/dispatchFrame.js'
+import { openListener } from '../openListener/index.js'
+import type { Listener } from '../openListener/index.js'
 import type { Clock, Logger, Metrics, PeerAddress, PeerTransport, RandomSource, Timer } from '../../types/index.js'
 
 export type PeerTcpOptions = {
@@ -95,6 +97,7 @@
   const accepted = new Set<Connection>()
   const sentBytes = new Map<string, number>()
   let isClosed = false
+  let listener: Listener | undefined
 
   const countBytes = (kind: string, bytes: number): void => {
     sentBytes.set(kind, (sentBytes.get(kind) ?? 0) + bytes)
@@ -158,10 +161,11 @@
   }
 
   return {
-    listen: () => new Promise((resolve, reject) => {
-      server.once('error', reject)
-      server.listen(options.port, options.host, () => resolve(address()))
-    }),
+    listen: async () => {
+      listener = openListener({ server, address: options, part: 'peers', logger: options.logger })
+      await listener.tried
+      return address()
+    },
     address,
     bytesSent: () => sentBytes,
     send: (to, message) => { if (!isClosed) getOrCreateLink(to).send(message) },
@@ -172,7 +176,8 @@
     handle: (kind, handler) => { handlers.set(kind, handler as PeerHandler) },
     close: async () => {
       isClosed = true
-      const closing = server.listening ? new Promise<void>((resolve) => { server.close(() => resolve()) }) : Promise.resolve()
+      const closing = server.listening ? new Promise<void>((resolve) => { server.once('close', resolve) }) : Promise.resolve()
+      listener?.close()
       for (const link of links.values()) link.close()
       for (const connection of [...accepted]) connection.close()
       await closing
--- a/src/adapters/probeHttp/index.ts
+++ b/src/adapters/probeHttp/index.ts
@@ -1,22 +1,30 @@
 /** Small HTTP listeners besides the callers' one: readiness for the platform's load balancer, metrics for the operators. */
 import { createServer } from 'node:http'
+import { openListener } from '../openListener/index.js'
+import type { Listener, OpenListenerOptions } from '../openListener/index.js'
 import type { PeerAddress } from '../../types/index.js'
 
 export type ProbeAnswer = { readonly status: number, readonly body: string, readonly contentType?: string }
 
-export type ProbeHttp = { readonly listen: () => Promise<PeerAddress>, readonly close: () => void }
+export type ProbeHttp = {
+  /** Resolves after the first try with the address it listens on, or will listen on once its port can be had. */
+  readonly listen: () => Promise<PeerAddress>
+  readonly close: () => void
+}
 
 /**
  * Creates a listener that answers GET requests by their path.
  *
  * @param address - Where to listen; port 0 lets the operating system choose.
  * @param handlers - The function that composes the answer, for each path.
+ * @param options - What the listener is for, and the logger.
  * @returns The listener, not yet open.
  *
  * @example
- * createProbeHttp({ host: '127.0.0.1', port: 0 }, { '/ready': () => ({ status: 200, body: 'ready' }) })
+ * createProbeHttp({ host: '127.0.0.1', port: 0 }, { '/ready': () => ({ status: 200, body: 'ready' }) }, { part: 'readiness' })
  */
-export const createProbeHttp = (address: PeerAddress, handlers: Readonly<Record<string, () => ProbeAnswer | Promise<ProbeAnswer>>>): ProbeHttp => {
+export const createProbeHttp = (address: PeerAddress, handlers: Readonly<Record<string, () => ProbeAnswer | Promise<ProbeAnswer>>>, options: Pick<OpenListenerOptions, 'part' | 'logger'>): ProbeHttp => {
+  let listener: Listener | undefined
   const server = createServer((request, response) => {
     const handler = handlers[request.url ?? '']
     Promise.resolve(handler === undefined ? { status: 404, body: 'not found' } : handler()).then(({ status, body, contentType }) => {
@@ -25,15 +33,12 @@
     }, () => response.destroy())
   })
   return {
-    listen: () => new Promise((resolve, reject) => {
-      server.once('error', reject)
-      server.listen(address.port, address.host, () => {
-        const bound = server.address()
-        resolve({ host: address.host, port: typeof bound === 'object' && bound !== null ? bound.port : address.port })
-      })
-    }),
+    listen: () => {
+      listener = openListener({ ...options, server, address })
+      return listener.tried
+    },
     close: () => {
-      server.close()
+      listener?.close()
       server.closeAllConnections()
     }
   }
--- a/src/daemon/startGateway/index.ts
+++ b/src/daemon/startGateway/index.ts
@@ -6,7 +6,7 @@
 import { createBoundedLogger } from '../../adapters/boundedLogger/index.js'
 import { createDeferredMetrics } from '../../adapters/deferredMetrics/index.js'
 import { createGatewayHttp, type GatewayHttp } from '../../adapters/gatewayHttp/index.js'
-import { openHandoverListener, type HandoverListener } from '../../adapters/handoverListener/index.js'
+import type { HandoverListener } from '../../adapters/handoverListener/index.js'
 import { createInstanceHttp } from '../../adapters/instanceHttp/index.js'
 import { createPeerTcp } from '../../adapters/peerTcp/index.js'
 import { createProbeHttp } from '../../adapters/probeHttp/index.js'
@@ -16,6 +16,7 @@
 import { createSystemClock } from '../../adapters/systemClock/index.js'
 import { createSystemClocks } from '../../adapters/systemClocks/index.js'
 import { createSystemRandom } from '../../adapters/systemRandom/index.js'
+import { openRelayListener } from './_lib/openRelayListener.js'
 import { shutDownGateway } from './_lib/shutDownGateway.js'
 import { createGatewayNode } from '../../node/createGatewayNode/index.js'
 import type { Clock, ConfigurationSource, PromptCacheSource, GatewayDialect, GatewayLimits, GatewaySettings, InstanceSource, Logger, PeerAddress, QuarantineStore, RouteTargetStore, StartTimeline, StreamBeginStore, VersionStore, ZoneDrainSource } from '../../types/index.js'
@@ -119,7 +120,7 @@
   })
   const peerAddress = await transport.listen()
   // Opened before the node starts, as its heartbeats tell peers the port.
-  const relayListener = settings.relayAddress === undefined ? undefined : openHandoverListener(settings.relayAddress)
+  const relayListener = settings.relayAddress === undefined ? undefined : await openRelayListener(settings.relayAddress, settings.lastRelayPort, logger)
   const relayAddress = await relayListener?.opened
   const client = createInstanceHttp({ clock, dialect, uploadLogger: settings.controlsAdmission === true ? logger : undefined, ...(options.resolveAddress === undefined ? {} : { resolveAddress: options.resolveAddress }) })
   const node = createGatewayNode({
@@ -177,7 +178,7 @@
     })
   const listeners: readonly GatewayHttp[] = relayHttp === undefined ? [gatewayHttp] : [gatewayHttp, relayHttp]
   const answerReadiness = (): ProbeAnswer => {
-    if (isShuttingDown || !node.canServe()) return { status: 503, body: 'not ready' }
+    if (isShuttingDown || !gatewayHttp.isListening() || !node.canServe()) return { status: 503, body: 'not ready' }
     timeline.mark('ready')
     return { status: 200, body: 'ready' }
   }
@@ -185,10 +186,10 @@
     const opened = await metrics.open()
     return { status: 200, body: await opened.render(), contentType: opened.contentType }
   }
-  const readiness = createProbeHttp(settings.readinessAddress, { [options.readinessPath]: answerReadiness })
+  const readiness = createProbeHttp(settings.readinessAddress, { [options.readinessPath]: answerReadiness }, { part: 'readiness', logger })
   const metricsHttp = settings.metricsAddress === undefined
     ? undefined
-    : createProbeHttp(settings.metricsAddress, { [METRICS_PATH]: answerScrape })
+    : createProbeHttp(settings.metricsAddress, { [METRICS_PATH]: answerScrape }, { part: 'metrics', logger })
   const callerAddress = await gatewayHttp.listen()
   await relayHttp?.listen()
   timeline.mark('listening')
@@ -207,7 +208,7 @@
   }
 
   const whenReadyToServe = async (): Promise<void> => {
-    while (!node.canServe()) await wait(clock, POLL_INTERVAL_MS)
+    while (!gatewayHttp.isListening() || !node.canServe()) await wait(clock, POLL_INTERVAL_MS)
   }
 
   const shutDown = async (requestedAt: number): Promise<void> => {
--- a/src/types/gatewaySettings.ts
+++ b/src/types/gatewaySettings.ts
@@ -11,6 +11,8 @@
   readonly peerAddress: PeerAddress
   /** Address on which this node takes requests of peers that do not reach the backend servers; `undefined` to take none. */
   readonly relayAddress: PeerAddress | undefined
+  /** Last port that may be used instead when the port of `relayAddress` is held by another process; that port alone when omitted. */
+  readonly lastRelayPort?: number
   readonly seedPeers: readonly PeerAddress[]
   readonly fleetKey: string
   /** CPU available to this node in thousandths of a core; omitted when unknown. */
