--- a/src/daemon/startGateway/index.ts
+++ b/src/daemon/startGateway/index.ts
@@ -16,6 +16,7 @@
 import { createSystemClock } from '../../adapters/systemClock/index.js'
 import { createSystemClocks } from '../../adapters/systemClocks/index.js'
 import { createSystemRandom } from '../../adapters/systemRandom/index.js'
+import { createExceptionHandler, type UnexpectedException } from './_lib/createExceptionHandler.js'
 import { openRelayListener } from './_lib/openRelayListener.js'
 import { shutDownGateway } from './_lib/shutDownGateway.js'
 import { createGatewayNode } from '../../node/createGatewayNode/index.js'
@@ -43,6 +44,8 @@
   readonly streamBeginStore?: StreamBeginStore | undefined
   readonly promptCacheSource: PromptCacheSource
   readonly readinessPath: string
+  /** Called when an exception that nothing caught makes a stop in order advisable. */
+  readonly onStopDue?: () => void
   /** Returns where this node reaches the address of a backend server; that address itself by default. */
   readonly resolveAddress?: (address: PeerAddress) => PeerAddress
 }
@@ -55,6 +58,9 @@
   readonly whenReadyToServe: () => Promise<void>
   /** Applies the settings that may change at run time: seeds, grace period, and the bounds on load, retries, and the age of keys and configuration. Addresses stay. */
   readonly applySettings: (settings: GatewaySettings) => void
+  /** Takes an exception that nothing has caught. */
+  readonly handleException: (exception: UnexpectedException) => void
+  readonly openRequests: () => number
   /** Closes everything at once, as if the process had crashed. */
   readonly kill: () => Promise<void>
   /**
@@ -225,6 +231,17 @@
     await end()
   }
 
+  const { openRequests } = node.resolve('forwarding')
+  const handleException = createExceptionHandler({
+    clock,
+    random,
+    logger,
+    metrics,
+    readOpen: openRequests,
+    readConfirmedAgeMs: configuration.confirmedAgeMs,
+    onStopDue: () => { if (!isShuttingDown) options.onStopDue?.() }
+  })
+
   let ongoingShutdown: Promise<void> | undefined
   return {
     callerAddress,
@@ -232,6 +249,8 @@
     peerAddress,
     whenReadyToServe,
     applySettings: (next) => { currentSettings = next },
+    handleException,
+    openRequests,
     kill: end,
     stop: (requestedAt = clock.now()) => {
       ongoingShutdown ??= shutDown(requestedAt)
