--- a/src/services/versionRegister/test.ts
+++ b/src/services/versionRegister/test.ts
@@ -77,6 +77,23 @@
     expect(await register.read()).toMatchObject({ value: [{ ...V1, isEnding: false }] })
   })
 
+  // The whole fleet starts at once: what one node has written serves all, at one more read each.
+  test('enters a version for 360 nodes that write it at the same moment', async () => {
+    const store = createMemoryVersionStore()
+    const entered = await Promise.all(Array.from({ length: 360 }, () => createRegister(store).enter([V1])))
+    expect([entered.every(Boolean), store.countCalls().reads <= 720, listVersions(store)]).toEqual([true, true, [{ ...V1, isEnding: false }]])
+  })
+
+  // What throws in one call would end the process, or leave the version unregistered for good.
+  test.each(['create', 'list', 'remove'] as const)('a call that throws (%s) counts as failed', async (call) => {
+    const store = createMemoryVersionStore()
+    await createRegister(store).enter([V2])
+    const fail = async (): Promise<never> => { throw new Error('odd reply') }
+    const { enter, remove } = createRegister({ ...store, [call]: fail })
+    expect(await enter([V1])).toBe(call === 'remove')
+    await remove({ ...V2, isEnding: false, name: store.entries()[0]!.name, revision: 0 })
+  })
+
   test('without a store holds nothing back and proves nothing', async () => {
     const { api } = createVersionRegister({ clock: createManualClock(), logger: SILENT_LOGGER })
     expect(await api.enter([V1])).toBe(true)
