--- a/test/platform/heldMemory.test.ts
+++ b/test/platform/heldMemory.test.ts
@@ -87,6 +87,22 @@
   expect(node.readPeakMemory()).toBeLessThan(MEMORY_MB * BYTES_PER_MEGABYTE)
 }
 
+describe('probers that send without end and read nothing', () => {
+  // Every scrape in a piece of bytes was answered at once, twenty kilobytes each, until the heap was full.
+  test('take no more memory than the VM has', async () => {
+    const node = await start(() => { /* not called */ })
+    const scrapes = 'GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n'.repeat(500)
+    for (let index = 0; index < 30; index++) {
+      for (const address of [node.readinessAddress, node.metricsAddress]) sendUnread(address, () => scrapes.repeat(20))
+      sendUnread(node.metricsAddress, () => 'x'.repeat(BYTES_PER_MEGABYTE))
+    }
+    await expectSound(node)
+    const { host, port } = node.readinessAddress
+    expect((await fetch(`http://${host}:${port}/readyz`)).status).toBe(200)
+    expect((await fetch(`http://${host}:${node.metricsAddress.port}/metrics`)).status).toBe(200)
+  })
+})
+
 describe('callers that need more memory than the VM has', () => {
   // Bodies were bounded one by one: four hundred of a megabyte passed the memory of the VM while their server was silent.
   test('with large bodies for a silent server are refused in part', async () => {
