Log what fills the memory before a process ends for it

An end for the heap leaves a trace on standard error without time or node, and the platform's kill leaves nothing, so that operators couldn't tell them from an exception. From 80 % of the heap's limit or of limits.memory_mb on, the line `memory nearly full` gives both, the held bytes by kind, and the open requests and connections, every five seconds while it lasts. Looked at once a second; growth within a second may leave no line.

Test by the built daemon (the memory of its VM below what it takes idle): no such line before, there after the change.

--- a/src/daemon/startGateway/index.ts
+++ b/src/daemon/startGateway/index.ts
@@ -3,6 +3,7 @@
  * platform are passed in: the sources of configuration and backend servers, and
  * the dialect, which decodes and encodes the wire formats.
  */
+import { getHeapStatistics } from 'node:v8'
 import { createBoundedLogger } from '../../adapters/boundedLogger/index.js'
 import { createDeferredMetrics } from '../../adapters/deferredMetrics/index.js'
 import { createGatewayHttp, type GatewayHttp } from '../../adapters/gatewayHttp/index.js'
@@ -18,6 +19,7 @@
 import { createSystemRandom } from '../../adapters/systemRandom/index.js'
 import { shutDownGateway } from './_lib/shutDownGateway.js'
 import { createGatewayNode } from '../../node/createGatewayNode/index.js'
+import { startMemoryWatch } from '../../services/memoryWatch/index.js'
 import type { Clock, ConfigurationSource, PromptCacheSource, GatewayDialect, GatewayLimits, GatewaySettings, InstanceSource, Logger, PeerAddress, QuarantineStore, RouteTargetStore, StartTimeline, StreamBeginStore, VersionStore, ZoneDrainSource } from '../../types/index.js'
 
 export type GatewayOptions = {
@@ -72,6 +74,7 @@
 const ACKNOWLEDGE_DELAY_MS = 1_200
 const POLL_INTERVAL_MS = 50
 const MILLISECONDS_PER_SECOND = 1_000
+const BYTES_PER_MEGABYTE = 1_048_576
 /** The timeline of a start is logged this long after the listeners are open; by then a first request has usually been served. */
 const TIMELINE_DELAY_MS = 5_000
 
@@ -195,9 +198,25 @@
   const readinessAddress = await readiness.listen()
   const metricsAddress = await metricsHttp?.listen()
   logger.info('gateway started', { zone: settings.availabilityZone, callerPort: callerAddress.port, readinessPort: readinessAddress.port, peerPort: peerAddress.port, metricsPort: metricsAddress?.port, isFirstStart: settings.isFirstStart, startMs: Math.round(process.uptime() * MILLISECONDS_PER_SECOND) })
+  const memoryWatch = startMemoryWatch({
+    clock,
+    logger,
+    readUse: () => {
+      const { used_heap_size: heapBytes, heap_size_limit: heapLimitBytes } = getHeapStatistics()
+      return { heapBytes, heapLimitBytes, residentBytes: process.memoryUsage.rss(), residentLimitBytes: settings.memoryMb === undefined ? undefined : settings.memoryMb * BYTES_PER_MEGABYTE }
+    },
+    describeContents: () => ({
+      ...node.resolve('heldBytes').countBytes(),
+      unsentBody: client.countUploadBytes?.().unsent ?? 0,
+      openRequests: node.resolve('forwarding').openRequests(),
+      openConnections: listeners.reduce((sum, listener) => sum + listener.openConnections(), 0),
+      bufferBytes: process.memoryUsage().arrayBuffers
+    })
+  })
   clock.setTimer(TIMELINE_DELAY_MS, () => logger.info('start timeline', timeline.fields()))
 
   const end = async (): Promise<void> => {
+    memoryWatch.stop()
     for (const listener of listeners) listener.close()
     readiness.close()
     metricsHttp?.close()
--- a/src/types/gatewayEvents.ts
+++ b/src/types/gatewayEvents.ts
@@ -64,6 +64,7 @@
   'backend server history gone': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the source no longer has all changes of the backend servers; the list is read again' },
   'answer ended unread': { level: 'warn', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'a connection was ended because its caller read nothing for too long, or the memory for callers was used up' },
   'connection with too many requests closed': { level: 'warn', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'a caller sent too many requests on a connection without reading their answers; those that did not run will not' },
+  'memory nearly full': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the heap or the process nears the limit above which it ends without a line; `memory` says which, the other fields what fills it' },
   'memory for callers scarce': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the bound on bytes held for callers is near; requests are refused' },
   'memory for callers free again': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'requests are no longer refused for the bound on held bytes' },
   'backend server reads slowly': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'a backend server does not take the bodies of requests; it gets no new ones meanwhile' },
--- a/test/platform/heldMemory.test.ts
+++ b/test/platform/heldMemory.test.ts
@@ -13,6 +13,8 @@
 /** Of the VM; the process may hold no more. */
 const MEMORY_MB = 350
 const BYTES_PER_MEGABYTE = 1_048_576
+/** Less than a process takes that does nothing. */
+const SCARCE_MEMORY_MB = 40
 const TIMEOUT_MS = 20_000
 const BODY_BYTES = 900_000
 const BODY = 'x'.repeat(BODY_BYTES)
@@ -50,14 +52,14 @@
   return { id: 'large', address: () => ({ host: '127.0.0.1', port: (server.address() as AddressInfo).port }) }
 }
 
-const start = async (answer: Answer): Promise<GatewayProcess> => {
+const start = async (answer: Answer, memoryMb = MEMORY_MB): Promise<GatewayProcess> => {
   const routes = [createRoute('lookup', { timeout_ms: TIMEOUT_MS }), createRoute('order', { service: OTHER, route_type: 'unsafe', max_attempts: 1, timeout_ms: TIMEOUT_MS })]
   const platform = await createPlatform({ plain: [], engines: [], routes, limits: { max_body_bytes: BYTES_PER_MEGABYTE } })
   const sound = await createBackendStandIn({ id: 'sound' })
   open.push(platform, sound)
   platform.register(await startServer(answer), PLAIN, { slots: 1_000 })
   platform.register(sound, OTHER)
-  const node = await startGatewayProcess({ name: 'node-1', store: platform.store.address(), fields: { 'limits.memory_mb': String(MEMORY_MB) } })
+  const node = await startGatewayProcess({ name: 'node-1', store: platform.store.address(), fields: { 'limits.memory_mb': String(memoryMb) } })
   open.push(node)
   const { host, port } = node.readinessAddress
   await waitFor('the node to be ready', async () => (await fetch(`http://${host}:${port}/readyz`)).status === 200)
@@ -103,6 +105,15 @@
   })
 })
 
+describe('a process that nears the memory of its VM', () => {
+  // The platform's kill leaves no line: why the process ended could not be told.
+  test('says what fills it', async () => {
+    const node = await start(() => { /* not called */ }, SCARCE_MEMORY_MB)
+    const line = await waitFor('the line', () => node.lines.find(({ message }) => message === 'memory nearly full'))
+    expect(line).toMatchObject({ memory: 'resident', residentLimitBytes: SCARCE_MEMORY_MB * BYTES_PER_MEGABYTE, openRequests: 0, requestBody: 0 })
+  })
+})
+
 describe('callers that need more memory than the VM has', () => {
   // Bodies were bounded one by one: four hundred of a megabyte passed the memory of the VM while their server was silent.
   test('with large bodies for a silent server are refused in part', async () => {
