Let begun answers go on to the latest end of a stop after a pause

What callers saw: since a signal that is seen after a pause is taken to have come at its beginning, a signal that really came at its end lost that much of its grace period: with a pause of 1.5 s and 4 s, streams were cut 2 s after SIGTERM.

Change: at the earliest end only requests whose answer has not begun get their final answer; what has begun runs on to the end that holds if the signal came when it was seen. Where it came earlier, the kill cuts these streams as before, and nothing else: all others have their answer.

--- a/src/daemon/startGateway/_lib/shutDownGateway.ts
+++ b/src/daemon/startGateway/_lib/shutDownGateway.ts
@@ -43,6 +43,8 @@
   // In a zone with few nodes in rotation, all of them receive new connections, including nodes that are shutting down.
   const marginMs = Math.min(GRACE_MARGIN_MS, graceMs * MAXIMUM_MARGIN_SHARE)
   const endsAt = startedAt + graceMs - marginMs
+  // After a pause the signal may have come at its end as well. An answer that has begun is cut sooner for nothing then.
+  const latestEndsAt = clock.now() + graceMs - marginMs
   let reportedAt = startedAt
 
   const wait = (milliseconds: number): Promise<void> => new Promise((resolve) => { clock.setTimer(milliseconds, resolve) })
@@ -88,6 +90,8 @@
   const open = forwarding.openRequests()
   if (open > 0) {
     reportOpen()
+    forwarding.endOpen({ keepsBegun: true })
+    await waitUntilIdle(latestEndsAt)
     forwarding.endOpen()
     await wait(marginMs * LAST_ANSWERS_SHARE)
   }
--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -318,7 +318,7 @@
       finish('callerLeft')
     }),
     check: guard(check),
-    expire: guard(() => giveUp('shuttingDown', 502)),
+    expire: guard((keepsBegun: boolean) => { if (!keepsBegun || !caller.hasBegun()) giveUp('shuttingDown', 502) }),
     describe: () => ({ requestId: request.requestId, route: route?.name, receivedAt: request.receivedAt, target: attempts.active()?.target.id, lastBytesAt: attempts.active()?.lastBytesAt })
   }
 }
--- a/src/services/forwarding/_lib/requestHandler.ts
+++ b/src/services/forwarding/_lib/requestHandler.ts
@@ -30,6 +30,6 @@
   /** Checks the deadline and the time without bytes; called periodically, `now` in monotonic milliseconds. */
   readonly check: (now: number) => void
   /** Gives the request its final answer, because the node exits. */
-  readonly expire: () => void
+  readonly expire: (keepsBegun: boolean) => void
   readonly describe: () => OpenRequest
 }
--- a/src/services/forwarding/index.ts
+++ b/src/services/forwarding/index.ts
@@ -256,7 +256,7 @@
       listOpen: () => [...handlers].map((handler) => handler.describe()),
       retryUsage: retryWindows.list,
       beginShutdown: shutdownGate.begin,
-      endOpen: () => { for (const handler of [...handlers]) handler.expire() }
+      endOpen: ({ keepsBegun } = { keepsBegun: false }) => { for (const handler of [...handlers]) handler.expire(keepsBegun) }
     },
     stop: () => timer?.cancel()
   }
--- a/src/types/forwarding.ts
+++ b/src/types/forwarding.ts
@@ -46,6 +46,6 @@
   readonly retryUsage: () => readonly RetryUsage[]
   /** Starts the shutdown: requests that would not finish before `endsAt` (monotonic milliseconds) are refused as not run. */
   readonly beginShutdown: (endsAt: number, beganAt?: number) => void
-  /** Gives every open request its final answer now, because the node exits. */
-  readonly endOpen: () => void
+  /** Gives every open request its final answer now, because the node exits. Answers that have begun go on where `keepsBegun` is set. */
+  readonly endOpen: (options?: { readonly keepsBegun: boolean }) => void
 }
