Go by the caller's limit when a stopping node takes a request

What callers saw: a request that is no stream was refused with shuttingDown by its route's timeout, although its caller's own, shorter limit would have ended it before the node did.

The new test of forwarding failed for the limit of 400 ms before.

Change: the bound of a request that no server has is the shorter of its route's timeout and its caller's limit, both still counted in full.

--- a/src/services/forwarding/_lib/createRequestDeadline.ts
+++ b/src/services/forwarding/_lib/createRequestDeadline.ts
@@ -5,7 +5,7 @@
   /** Monotonic milliseconds of the deadline; infinite until the route is known and the caller set no timeout. */
   readonly at: () => number
   readonly remainingMs: () => number
-  /** The longest time that the request may still take, in milliseconds. A non-streaming request that no server received yet counts with its full timeout. */
+  /** The longest time that the request may still take, in milliseconds. A non-streaming request that no server received yet counts with its full timeout, the shorter of the two. */
   readonly computeMaximumMs: (route: GatewayRoute, mayHaveRun: boolean) => number
 }
 
@@ -16,6 +16,6 @@
   return {
     at,
     remainingMs,
-    computeMaximumMs: (route, mayHaveRun) => mayHaveRun || route.retryPolicy === 'stream' ? remainingMs() : route.timeoutMs
+    computeMaximumMs: (route, mayHaveRun) => mayHaveRun || route.retryPolicy === 'stream' ? remainingMs() : Math.min(request.callerTimeoutMs ?? Infinity, route.timeoutMs)
   }
 }
--- a/src/services/forwarding/test.ts
+++ b/src/services/forwarding/test.ts
@@ -43,6 +43,16 @@
     expect([node.sent, node.answers]).toEqual([sent, answers])
   })
 
+  // Otherwise callers are sent elsewhere although their own limit ends the request before the node exits.
+  test.each([[400, ['r1'], []], [600, [], ['503 shuttingDown']]])('goes by the caller\'s limit of %i ms where that is shorter than the route\'s', async (callerTimeoutMs, sent, answers) => {
+    const node = startForwardingNode()
+    node.provideInitialState()
+    node.beginShutdown(node.clock.now() + 500)
+    node.call('r1', '/short/1', 0, { callerTimeoutMs })
+    await node.clock.advanceAndSettle(1)
+    expect([node.sent, node.answers]).toEqual([sent, answers])
+  })
+
   /** Breaks off a stream after its first event, `remainingMs` before the node exits. */
   const breakStream = async (remainingMs: number) => {
     const node = startForwardingNode()
--- a/test/platform/lateInStop.test.ts
+++ b/test/platform/lateInStop.test.ts
@@ -240,6 +240,8 @@
     refused: count(({ result }) => result.status === 503),
     failed: count(({ result }) => result.status === 502 || result.status === 504),
     cut: played.calls.filter(({ requestId, result }) => !result.isComplete && played.runs.has(requestId)).length,
+    /** Refused although their own limit would have ended them half a second before the kill. */
+    refusedInTime: count(({ path, sentAt, timeoutMs, result }) => result.body.includes('shuttingDown') && /lookup|order/.test(path) && sentAt + timeoutMs < played.stoppedAt + played.setup.graceMs - 500),
     lost: played.calls.filter((call) => isLost(call, played)).length
   }
 }
