Keep a late log line from ending a process that writes its last one

A line that a timer wrote between the end of the output and the exit was an 'error' event of the output's stream without a listener: an uncaught exception in place of the exit of an ordered stop. Found by reading; the new test of boundedOutput failed before (one ERR_STREAM_WRITE_AFTER_END) and passes now. The errors of the listener for peers are no longer logged as the callers'. Tests beside: a listener whose address the machine does not have, a start while the wall clock jumps by an hour (passed before).

--- a/src/adapters/boundedOutput/index.ts
+++ b/src/adapters/boundedOutput/index.ts
@@ -75,7 +75,7 @@
     })
   }
 
-  return new Writable({
+  const output = new Writable({
     decodeStrings: true,
     write: (line: Buffer, _encoding, callback) => {
       if (queuedBytes + line.length > maximumBytes) dropped += 1
@@ -91,4 +91,7 @@
       flush()
     }
   })
+  // A line after the end is left out. Nothing could log it, and without a listener the error would end the process.
+  output.on('error', () => {})
+  return output
 }
--- a/src/adapters/boundedOutput/test.ts
+++ b/src/adapters/boundedOutput/test.ts
@@ -60,4 +60,17 @@
     const text = buffer.subarray(0, readSync(descriptor, buffer)).toString()
     expect(text).toBe(Array.from({ length: 100 }, (_, index) => `${index}\n`).join(''))
   })
+
+  // Guards against a line that a timer writes while the process ends, and that ends it as an exception.
+  test('leaves out lines after its end', async () => {
+    const output = createBoundedOutput({ descriptor: createPipe() })
+    const errors: unknown[] = []
+    const record = (error: unknown): void => { errors.push(error) }
+    process.on('uncaughtException', record)
+    output.end('one\n')
+    output.write('two\n')
+    await new Promise((resolve) => { setTimeout(resolve, 10) })
+    process.off('uncaughtException', record)
+    expect(errors).toEqual([])
+  })
 })
--- a/src/adapters/gatewayHttp/index.ts
+++ b/src/adapters/gatewayHttp/index.ts
@@ -89,6 +89,7 @@
  */
 export const createGatewayHttp = (options: GatewayHttpOptions): GatewayHttp => {
   const { clock, logger, dialect, forwarding } = options
+  const part = options.relayHeaders === undefined ? 'callers' : 'relayedRequests'
   const connections = createConnections(clock)
   /**
    * Connections with a request whose end is uncertain. What the parser takes for a next request may be
@@ -175,7 +176,7 @@
     connectionsCheckingInterval: 1_000
   }, handle)
 
-  logServerErrors(server, 'callers', logger)
+  logServerErrors(server, part, logger)
 
   server.on('connection', (socket) => {
     lastUsedAt = clock.now()
@@ -215,7 +216,7 @@
   return {
     listen: async () => {
       applyLimits()
-      const opening = options.handoverListener ?? openHandoverListener(options, { part: options.relayHeaders === undefined ? 'callers' : 'relayedRequests', logger })
+      const opening = options.handoverListener ?? openHandoverListener(options, { part, logger })
       listener = opening
       opening.opened.then(() => { if (!isClosed) opening.handOver(server) }, () => {})
       return await opening.tried
--- a/src/types/gatewayEvents.ts
+++ b/src/types/gatewayEvents.ts
@@ -93,7 +93,7 @@
   'refuted a rumour about this node': { level: 'warn', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'peers reported a wrong state of this node' },
   'connection with bytes that are no request': { level: 'info', linesPerSecond: REQUEST_LINES_PER_SECOND, meaning: 'a caller\'s connection was closed' },
   'request at a closed connection': { level: 'warn', linesPerSecond: FAILURE_LINES_PER_SECOND, meaning: 'a request arrived after this node had closed its connection, so that it has no answer; it did not run' },
-  'gateway started': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the listeners are open' },
+  'gateway started': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the listeners are open, or wait for their ports' },
   'start timeline': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'elapsed and processor time from the process start to each start step' },
   'gateway stopping': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the shutdown has begun; readiness fails' },
   'requests open at shutdown': { level: 'info', linesPerSecond: STATE_CHANGE_LINES_PER_SECOND, meaning: 'the requests without a final answer at a node that is shutting down: at its start, each second, and when the grace period is over; the oldest are named' },
--- a/test/platform/portsInUse.test.ts
+++ b/test/platform/portsInUse.test.ts
@@ -83,9 +83,9 @@
   expect((await callGateway(node.callerAddress, { path: '/lookup/1' })).status).toBe(200)
 })
 
-test('ends in order on SIGTERM while it waits for its port', async () => {
-  const held = await holdPort()
-  const node = await startNode({ 'listen.front': `127.0.0.1:${held.port}`, 'bounds.grace_s': '1' })
+// 192.0.2.0/24 is reserved for documentation, so no machine has its addresses.
+test.each([['port', async () => `127.0.0.1:${(await holdPort()).port}`], ['address', async () => '192.0.2.1:0']])('ends in order on SIGTERM while it waits for its %s', async (_, findAddress) => {
+  const node = await startNode({ 'listen.front': await findAddress(), 'bounds.grace_s': '1' })
   await waitForLine(node, 'listener waits for its port')
   node.signal('SIGTERM')
   expect(await node.ended).toBe(0)
--- a/test/platform/processEnds.test.ts
+++ b/test/platform/processEnds.test.ts
@@ -74,6 +74,10 @@
     expect(findLines(node, 'gateway stopped')).toHaveLength(1)
   })
 
+  test.each([3_600_000, -3_600_000])('gets ready while the wall clock jumps by %i ms', async (jumpMs) => {
+    await startNode(composeProgram(`const { now } = Date; setTimeout(() => { Date.now = () => now() + ${jumpMs} }, 20)`))
+  })
+
   // Guards against a start that fails without a structured line.
   test('names the part that is missing when its program can not be loaded', async () => {
     const folder = createFolder()
