End one exchange or connection for an error in an event of it

Callers: an exception in an event of a socket or of a library ended the process, and with it every request, in each adapter: exchanges with servers and peers, the listener for callers, connections of peers, calls of the store and the probes.

Cause: what a listener throws in an event goes to Node.js as an uncaught exception; the containment of a request guards its own steps only.

Change: adapters/containedEvents replaces the emit of a socket, server, request or response; the error ends that exchange or connection, with the line "event failed" (adapter, remote, request, event, reason) and the count contained_errors_total{part}. An accept that failed no longer touches a connection that doesn't exist yet.

Evidence: errors injected into each adapter. Not contained: undici's own timers and setImmediate calls.

--- a/src/adapters/exchangeHttp/_lib/createAnswerFlow.ts
+++ b/src/adapters/exchangeHttp/_lib/createAnswerFlow.ts
@@ -16,8 +16,14 @@
   readonly countBytes: () => number
 }
 
-/** Creates the flow of one answer through an open gate; `readGate` returns none once the connection carries the next answer. */
-export const createAnswerFlow = (listener: Pick<ExchangeListener, 'onData' | 'onEnd'>, readGate: () => ReadGate | undefined): AnswerFlow => {
+/**
+ * Creates the flow of one answer through an open gate.
+ *
+ * @param listener - Gets the body and its end.
+ * @param readGate - Returns no gate once the connection carries the next answer.
+ * @param onThrown - Told what the listener throws in a later delivery.
+ */
+export const createAnswerFlow = (listener: Pick<ExchangeListener, 'onData' | 'onEnd'>, readGate: () => ReadGate | undefined, onThrown: (error: unknown) => void): AnswerFlow => {
   const kept: Uint8Array[] = []
   let isPaused = false
   /** Whether the delivery of what was kept is due. */
@@ -37,6 +43,14 @@
     listener.onEnd()
   }
 
+  const deliverContained = (): void => {
+    try {
+      deliver()
+    } catch (error) {
+      onThrown(error)
+    }
+  }
+
   const isWaiting = (): boolean => isPaused || isDue
 
   return {
@@ -63,7 +77,7 @@
       if (isDue) return
       isDue = true
       // The caller may stand in an event of a parser, and parsers must not be entered twice.
-      process.nextTick(deliver)
+      process.nextTick(deliverContained)
     },
     countBytes: () => kept.reduce((bytes, { length }) => bytes + length, 0)
   }
--- a/src/adapters/exchangeHttp/index.ts
+++ b/src/adapters/exchangeHttp/index.ts
@@ -3,12 +3,14 @@
  * without pipelining, so that it is known which connection carries a request, whether a
  * byte of it was written, and how long it was idle before.
  */
-import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import { Client } from 'undici'
-import type { buildConnector, Dispatcher } from 'undici'
+import type { Dispatcher } from 'undici'
+import type { ContainedErrorReporter } from '../containedEvents/index.js'
 import { createAnswerFlow } from './_lib/createAnswerFlow.js'
+import { createConnector } from './_lib/createConnector.js'
 import { createOverheadMeter, type OverheadMeter } from './_lib/createOverheadMeter.js'
+import { listHeaders } from './_lib/listHeaders.js'
 import { createReadGate, type ReadGate } from './_lib/createReadGate.js'
 import { createUploads } from './_lib/createUploads.js'
 import type { SlowUpload, UploadListener } from './_lib/createUploads.js'
@@ -23,6 +25,8 @@
   readonly connectTimeoutMs: number
   /** Told when a receiver does not take the bodies of requests; not observed when omitted. */
   readonly uploadListener?: UploadListener | undefined
+  /** Told of what is thrown in an event of a connection; it ends that exchange. */
+  readonly reportError?: ContainedErrorReporter | undefined
 }
 
 export type OutgoingRequest = {
@@ -48,6 +52,7 @@
 
 type Connection = {
   readonly client: Client
+  readonly remote: string
   readonly overhead: OverheadMeter
   /** Set once the connection is open. */
   gate: ReadGate | undefined
@@ -58,6 +63,8 @@
   isReset: boolean
   /** Called before bytes are parsed that have arrived; any are stray while no request was written. */
   onBytes: () => void
+  /** Called when a listener threw in an event of the socket: the state of the parser is unknown. */
+  onThrown: (error: Error) => void
 }
 
 /** Maximum number of idle connections per receiver, kept open for its next burst of requests. */
@@ -67,42 +74,12 @@
 const MAXIMUM_IDLE_MS = 60_000
 /** An idle connection is closed this long before the end of the receiver's stated keep-alive timeout. */
 const IDLE_MARGIN_MS = 1_000
-const READ_BUFFER_BYTES = 64 * 1024
 /** Names and values of one head, or of the trailers; the default of Node.js. */
 const MAXIMUM_HEAD_BYTES = 16 * 1024
 
 const countParsedBytes = (socket: Socket | undefined): number => socket === undefined ? 0 : socket.bytesRead - socket.readableLength
 
-const listHeaders = (raw: readonly Buffer[]): HeaderList => {
-  const headers: [string, string][] = []
-  for (let index = 0; index + 1 < raw.length; index += 2) headers.push([raw[index]!.toString('latin1'), raw[index + 1]!.toString('latin1')])
-  return headers
-}
-
-/**
- * Creates a connector with a connect timeout. undici's own timeouts run on a timer that is
- * up to a second late. The sockets get no TCP keep-alive and no `TCP_USER_TIMEOUT`: both would
- * end a connection that a network only holds up.
- */
-const createConnector = (clock: Clock, timeoutMs: number): buildConnector.connector => ({ hostname, port }, callback) => {
-  const options = { host: hostname, port: Number(port), noDelay: true, highWaterMark: READ_BUFFER_BYTES }
-  const socket = connect(options)
-  const expire = (): void => {
-    if (socket.connecting) socket.destroy(Object.assign(new Error(`no connection to ${hostname}:${port} within ${timeoutMs} ms`), { code: 'ETIMEDOUT' }))
-  }
-  // After a pause of this process timers run before sockets are read, so that one more turn of the event loop shows whether the connection is open.
-  const limit = clock.setTimer(timeoutMs, () => { setImmediate(expire) })
-  const fail = (error: Error): void => {
-    limit.cancel()
-    callback(error, null)
-  }
-  socket.once('error', fail)
-  socket.once('connect', () => {
-    limit.cancel()
-    socket.off('error', fail)
-    callback(null, socket)
-  })
-}
+const toError = (thrown: unknown): Error => thrown instanceof Error ? thrown : new Error(String(thrown))
 
 /**
  * Creates the client.
@@ -114,7 +91,7 @@
  * const client = createExchangeHttp({ clock, decodeAnswer, connectTimeoutMs: 200 })
  * client.send(request, listener).abort()
  */
-export const createExchangeHttp = ({ clock, decodeAnswer, connectTimeoutMs, uploadListener }: ExchangeHttpOptions): ExchangeHttp => {
+export const createExchangeHttp = ({ clock, decodeAnswer, connectTimeoutMs, uploadListener, reportError }: ExchangeHttpOptions): ExchangeHttp => {
   const uploads = uploadListener === undefined ? undefined : createUploads(clock, uploadListener)
   const pools = new Map<string, Set<Connection>>()
   const connector = createConnector(clock, connectTimeoutMs)
@@ -128,6 +105,16 @@
     connection.client.destroy().catch(() => { /* its requests have been notified already */ })
   }
 
+  const contain = (connection: Connection, event: string, error: unknown): void => {
+    const subject = { adapter: 'exchangeHttp', remote: connection.remote }
+    reportError?.(subject, event, error)
+    try {
+      connection.onThrown(toError(error))
+    } catch (thrown) {
+      reportError?.(subject, 'failure', thrown)
+    }
+  }
+
   const open = (pool: Set<Connection>, { host, port }: PeerAddress): Connection => {
     const client = new Client(`http://${host}:${port}`, {
       pipelining: 1,
@@ -137,9 +124,8 @@
       keepAliveTimeout: MAXIMUM_IDLE_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
       connect: (target, callback) => connector(target, (...result) => {
-        const [, socket] = result
-        connection.socket = socket ?? undefined
-        connection.gate = socket === null ? undefined : createReadGate(socket)
+        const socket = connection.socket = result[1] ?? undefined
+        connection.gate = socket === undefined ? undefined : createReadGate(socket)
         // undici takes a reset for the end of an answer without a length, and the event
         // loop reports a reset right after some bytes as an orderly end. A partial answer
         // would pass for a complete one. A socket that was reset has no remote address any
@@ -149,9 +135,9 @@
         socket?.on('readable', () => { if (socket.readableLength > 0) connection.onBytes() })
         socket?.on('end', () => { connection.isReset ||= socket.remoteAddress === undefined })
         callback(...result)
-      })
+      }, (error, event) => contain(connection, event, error))
     })
-    const connection: Connection = { client, overhead: createOverheadMeter(), gate: undefined, socket: undefined, lastUsedAt: clock.now(), isBusy: false, isClosed: false, isReset: false, onBytes: () => drop(pool, connection) }
+    const connection: Connection = { client, remote: `${host}:${port}`, overhead: createOverheadMeter(), gate: undefined, socket: undefined, lastUsedAt: clock.now(), isBusy: false, isClosed: false, isReset: false, onBytes: () => drop(pool, connection), onThrown: () => drop(pool, connection) }
     client.on('disconnect', () => drop(pool, connection))
     client.on('connectionError', () => drop(pool, connection))
     pool.add(connection)
@@ -173,6 +159,7 @@
   const release = (pool: Set<Connection>, connection: Connection): void => {
     connection.isBusy = false
     connection.onBytes = () => drop(pool, connection)
+    connection.onThrown = () => drop(pool, connection)
     connection.lastUsedAt = clock.now()
     let idle = 0
     for (const other of pool) if (!other.isBusy) idle += 1
@@ -198,7 +185,7 @@
     let endUpload = (): void => { /* nothing was written */ }
     /** Once the answer is complete, the connection belongs to the next request. */
     let ownsConnection = true
-    const flow = createAnswerFlow(listener, () => ownsConnection ? connection.gate : undefined)
+    const flow = createAnswerFlow(listener, () => ownsConnection ? connection.gate : undefined, (error) => onDeliveryThrown(error))
 
     const fail = (error: NodeJS.ErrnoException): void => {
       endUpload()
@@ -213,6 +200,17 @@
       listener.onFailure(isSent ? { kind: 'broken', message } : { kind: 'notSent', message })
     }
 
+    /** A complete answer has given its connection back, which may carry another request. */
+    const onDeliveryThrown = (error: unknown): void => {
+      if (ownsConnection) return contain(connection, 'delivery', error)
+      reportError?.({ adapter: 'exchangeHttp', remote: connection.remote }, 'delivery', error)
+      listener.onFailure({ kind: 'broken', message: toError(error).message })
+    }
+
+    connection.onThrown = (error) => {
+      drop(pool, connection)
+      fail(error)
+    }
     connection.onBytes = () => {
       if (!isSent) fail(new Error('bytes arrived before the request was written'))
       else if (connection.overhead.exceeds(countParsedBytes(connection.socket))) fail(new Error('too many bytes of the answer are no body'))
@@ -260,7 +258,13 @@
       // Not used without TLS. Without it undici derives a name from the host of each request, which compiles a regular expression for IPv6 addresses at the first request.
       servername: request.address.host
     }
-    const dispatch = (): void => { if (!isFinished) connection.client.dispatch(options, handler) }
+    const dispatch = (): void => {
+      try {
+        if (!isFinished) connection.client.dispatch(options, handler)
+      } catch (error) {
+        contain(connection, 'dispatch', error)
+      }
+    }
     // undici waits for the next check phase, which may come before sockets are read again. With one more, bytes and ends that have arrived on an idle connection are seen before the request is written.
     if (idle === undefined) dispatch()
     else setImmediate(dispatch)
--- a/src/adapters/gatewayHttp/index.ts
+++ b/src/adapters/gatewayHttp/index.ts
@@ -7,12 +7,13 @@
  */
 import { createServer } from 'node:http'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
+import { Socket } from 'node:net'
 import { checkFraming } from './_lib/checkFraming.js'
 import { createConnections } from './_lib/createConnections.js'
 import { createPauseDetector } from './_lib/createPauseDetector.js'
 import { createResponseWriter } from './_lib/createResponseWriter.js'
 import { readBody } from './_lib/readBody.js'
+import { containEvents, createContainedErrorReporter } from '../containedEvents/index.js'
 import { afterTurn } from '../afterTurn/index.js'
 import { openHandoverListener } from '../handoverListener/index.js'
 import type { RelayHeaders } from '../relayHttp/index.js'
@@ -97,6 +98,14 @@
   let isClosing = false
   let lastUsedAt = clock.now()
 
+  const reportError = createContainedErrorReporter(options)
+
+  /** Ends the exchange of a request in whose events a listener threw; what it holds is given back when the answer closes. */
+  const endExchange = (message: IncomingMessage, response: ServerResponse, event: string, error: unknown): void => {
+    reportError({ adapter: 'gatewayHttp', remote: message.socket.remoteAddress, request: `${message.method} ${message.url}` }, event, error)
+    response.destroy()
+  }
+
   const limits = (): GatewayLimits => options.readLimits() ?? INITIAL_LIMITS
 
   const recordUnanswered = (message: IncomingMessage, receivedAt: number): void => {
@@ -111,6 +120,16 @@
   }
 
   const handle = (message: IncomingMessage, response: ServerResponse): void => {
+    containEvents(message, (error, event) => endExchange(message, response, event, error))
+    containEvents(response, (error, event) => endExchange(message, response, event, error))
+    try {
+      handleContained(message, response)
+    } catch (error) {
+      endExchange(message, response, 'request', error)
+    }
+  }
+
+  const handleContained = (message: IncomingMessage, response: ServerResponse): void => {
     const receivedAt = clock.now()
     const { socket } = message
     if (untrusted.has(socket)) return
@@ -154,7 +173,13 @@
       return
     }
     readBody(message, limits().maximumBodyBytes, {
-      onBody: (body) => pauseDetector.runWhenCaughtUp(() => run.submit(body)),
+      onBody: (body) => pauseDetector.runWhenCaughtUp(() => {
+        try {
+          run.submit(body)
+        } catch (error) {
+          endExchange(message, response, 'submit', error)
+        }
+      }),
       onTooLarge: () => run.reject({ status: 413, reason: 'bodyTooLarge' }),
       hasRoom: (bytes) => held?.recordBody(bytes) ?? true,
       onNoRoom: () => run.reject(MEMORY_FULL),
@@ -171,7 +196,16 @@
     connectionsCheckingInterval: 1_000
   }, handle)
 
+  containEvents(server, (error, event, [first]) => {
+    reportError({ adapter: 'gatewayHttp' }, event, error)
+    if (first instanceof Socket) first.destroy()
+  })
+
   server.on('connection', (socket) => {
+    containEvents(socket, (error, event) => {
+      reportError({ adapter: 'gatewayHttp', remote: socket.remoteAddress }, event, error)
+      socket.destroy()
+    })
     lastUsedAt = clock.now()
     connections.accept(socket)
     applyLimits()
--- a/src/adapters/instanceHttp/index.ts
+++ b/src/adapters/instanceHttp/index.ts
@@ -1,5 +1,6 @@
 /** Sends requests to backend servers over HTTP/1.1, and probes whether a connection to one can be opened. */
 import { connect } from 'node:net'
+import type { ContainedErrorReporter } from '../containedEvents/index.js'
 import { createExchangeHttp, type SlowUpload } from '../exchangeHttp/index.js'
 import { formatInstanceKey } from '../../decisions/formatInstanceKey/index.js'
 import type { BackendInstance, Clock, GatewayDialect, InstanceClient, Logger, PeerAddress } from '../../types/index.js'
@@ -10,6 +11,7 @@
   readonly connectTimeoutMs?: number
   /** Log for backend servers that don't take the bodies of requests; not observed when omitted. */
   readonly uploadLogger?: Pick<Logger, 'info' | 'warn'> | undefined
+  readonly reportError?: ContainedErrorReporter | undefined
   /** Returns where this node reaches the address of a backend server; that address itself by default. */
   readonly resolveAddress?: (address: PeerAddress) => PeerAddress
 }
@@ -32,14 +34,14 @@
  * client.send(attempt, listener).abort()
  */
 export const createInstanceHttp = (options: InstanceHttpOptions): InstanceClient => {
-  const { clock, dialect, uploadLogger, connectTimeoutMs = CONNECT_TIMEOUT_MS, resolveAddress = (address) => address } = options
+  const { clock, dialect, uploadLogger, reportError, connectTimeoutMs = CONNECT_TIMEOUT_MS, resolveAddress = (address) => address } = options
   const uploadListener = uploadLogger === undefined
     ? undefined
     : {
         onSlow: ({ key, unsentBytes, unansweredBytes, stalledMs }: SlowUpload) => uploadLogger.warn('backend server reads slowly', { backendServer: key, unsentBytes, unansweredBytes, stalledMs: Math.round(stalledMs) }),
         onReading: (key: string) => uploadLogger.info('backend server reads again', { backendServer: key })
       }
-  const exchanges = createExchangeHttp({ clock, decodeAnswer: dialect.decodeAnswer, connectTimeoutMs, uploadListener })
+  const exchanges = createExchangeHttp({ clock, decodeAnswer: dialect.decodeAnswer, connectTimeoutMs, uploadListener, reportError })
 
   const probe = (instance: BackendInstance): Promise<boolean> => new Promise((resolve) => {
     const socket = connect(resolveAddress(instance.address))
--- a/src/adapters/peerTcp/_lib/createConnection.ts
+++ b/src/adapters/peerTcp/_lib/createConnection.ts
@@ -7,6 +7,7 @@
 import { Encoder } from 'cbor-x'
 import { createFrameReader, prependLength } from './createFrameReader.js'
 import { createNonce, isNonce, isValidProof, createProof } from './handshake.js'
+import { containEvents, type ContainedErrorReporter } from '../../containedEvents/index.js'
 import type { Role } from './handshake.js'
 import type { Clock } from '../../../types/index.js'
 
@@ -28,6 +29,7 @@
   readonly maximumQueueBytes: number
   readonly handshakeTimeoutMs: number
   readonly countBytes: (kind: string, bytes: number) => void
+  readonly reportError?: ContainedErrorReporter | undefined
   readonly onReady: () => void
   readonly onFrame: (frame: unknown) => void
   /** Called once, with the reason; also when the handshake fails. */
@@ -105,6 +107,10 @@
   // Without the timeout, a peer that connects and sends nothing would occupy a connection forever.
   const handshakeTimer = clock.setTimer(options.handshakeTimeoutMs, () => close('the handshake timed out'))
 
+  containEvents(socket, (error, event) => {
+    options.reportError?.({ adapter: 'peerTcp', remote: socket.remoteAddress }, event, error)
+    close('a listener threw')
+  })
   socket.setNoDelay(true)
   socket.on('data', (chunk) => { if (!reader.push(chunk)) close('an incoming frame exceeds the maximum frame size') })
   socket.on('error', (error) => close(error.message))
--- a/src/adapters/peerTcp/_lib/createPeerLink.ts
+++ b/src/adapters/peerTcp/_lib/createPeerLink.ts
@@ -12,7 +12,7 @@
 import { failure, success } from '../../../kernel/index.js'
 import type { Clock, PeerAddress, PeerError, PeerMessage, PeerReply, RandomSource, Result, Timer } from '../../../types/index.js'
 
-export type LinkOptions = Pick<ConnectionOptions, 'fleetKey' | 'maximumFrameBytes' | 'maximumQueueBytes' | 'handshakeTimeoutMs' | 'countBytes'> & {
+export type LinkOptions = Pick<ConnectionOptions, 'fleetKey' | 'maximumFrameBytes' | 'maximumQueueBytes' | 'handshakeTimeoutMs' | 'countBytes' | 'reportError'> & {
   readonly address: PeerAddress
   readonly clock: Clock
   readonly random: RandomSource
--- a/src/adapters/peerTcp/index.ts
+++ b/src/adapters/peerTcp/index.ts
@@ -6,6 +6,7 @@
 import { createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
 import { setSizeLimits } from 'cbor-x'
+import { containEvents, type ContainedErrorReporter } from '../containedEvents/index.js'
 import { createConnection } from './_lib/createConnection.js'
 import type { Connection } from './_lib/createConnection.js'
 import { createPeerLink } from './_lib/createPeerLink.js'
@@ -28,6 +29,8 @@
   readonly metrics?: Metrics
   /** Called when the handler of a message throws. */
   readonly onHandlerError?: () => void
+  /** Told of what is thrown in an event of a connection; it ends that connection. */
+  readonly reportError?: ContainedErrorReporter | undefined
   readonly handshakeTimeoutMs?: number
   /** Connect timeout in milliseconds; 300 by default. */
   readonly connectTimeoutMs?: number
@@ -92,7 +95,7 @@
   setSizeLimits({ maxArraySize: MAXIMUM_ENTRIES, maxMapSize: MAXIMUM_ENTRIES, maxObjectSize: MAXIMUM_ENTRIES })
   const handlers: PeerHandlers = new Map()
   const links = new Map<string, PeerLink>()
-  const accepted = new Set<Connection>()
+  const accepted = new Map<Socket, Connection>()
   const sentBytes = new Map<string, number>()
   let isClosed = false
 
@@ -120,8 +123,8 @@
   }
 
   const accept = (socket: Socket): void => {
-    const acknowledgement = createAcknowledgement(() => { connection.send({}, 'acknowledgement') })
-    const connection: Connection = createConnection({
+    const acknowledgement = createAcknowledgement(() => { accepted.get(socket)?.send({}, 'acknowledgement') })
+    accepted.set(socket, createConnection({
       ...settings,
       socket,
       role: 'listener',
@@ -129,18 +132,21 @@
       onReady: () => {},
       onFrame: (frame) => {
         acknowledgement.request()
-        dispatchFrame(handlers, frame, { respond: (reply, kind) => { connection.send(reply, kind) }, onThrown })
+        dispatchFrame(handlers, frame, { respond: (reply, kind) => { accepted.get(socket)?.send(reply, kind) }, onThrown })
       },
       onClose: (reason) => {
         acknowledgement.cancel()
-        accepted.delete(connection)
+        accepted.delete(socket)
         options.logger?.debug('peer connection closed', { remote: socket.remoteAddress, reason })
       }
-    })
-    accepted.add(connection)
+    }))
   }
 
   const server = createServer(accept)
+  containEvents(server, (error, event, [socket]) => {
+    options.reportError?.({ adapter: 'peerTcp' }, event, error)
+    if (event === 'connection') (socket as Socket).destroy()
+  })
   server.maxConnections = settings.maximumConnections
 
   const getOrCreateLink = (address: PeerAddress): PeerLink => {
@@ -174,7 +180,7 @@
       isClosed = true
       const closing = server.listening ? new Promise<void>((resolve) => { server.close(() => resolve()) }) : Promise.resolve()
       for (const link of links.values()) link.close()
-      for (const connection of [...accepted]) connection.close()
+      for (const connection of [...accepted.values()]) connection.close()
       await closing
     }
   }
--- a/src/adapters/platformHttp/index.ts
+++ b/src/adapters/platformHttp/index.ts
@@ -4,6 +4,7 @@
  */
 import { Pool } from 'undici'
 import type { z } from 'zod'
+import { createContainedConnector } from '../containedEvents/index.js'
 import { failure, success } from '../../kernel/index.js'
 import type { ObjectVersion, Platform, PlatformError, Result } from '../../types/index.js'
 import { objectListSchema, vmListSchema, watchEventsSchema } from './_lib/schemas.js'
@@ -47,7 +48,7 @@
  * await platform.readObject('configuration/root')
  */
 export const createPlatformHttp = ({ url, timeoutMs, maximumConnections = DEFAULT_MAXIMUM_CONNECTIONS }: PlatformHttpOptions): Platform => {
-  const pool = new Pool(url, { connections: maximumConnections, pipelining: 1, connect: { timeout: timeoutMs } })
+  const pool = new Pool(url, { connections: maximumConnections, pipelining: 1, connect: createContainedConnector({ timeout: timeoutMs }) })
 
   const read = async (path: string, extraTimeMs = 0): Promise<Result<Reply, PlatformError>> => {
     const reply = await sendOnce(pool, { method: 'GET', path, timeoutMs: timeoutMs + extraTimeMs })
--- a/src/adapters/promMetrics/index.ts
+++ b/src/adapters/promMetrics/index.ts
@@ -35,7 +35,7 @@
   gateway_answers_ended_unread: { help: 'Connections ended because their callers did not read, by reason', labels: ['reason'] },
   gateway_backoffs: { help: 'Answers in which a backend server asked this node to send nothing for a while', labels: [] },
   gateway_requests_unanswered: { help: 'Requests that arrived on connections which this node had closed', labels: [] },
-  contained_errors: { help: 'Unexpected errors that ended one request, one call, one read of a source or one message of a peer instead of the process, by part', labels: ['part'] },
+  contained_errors: { help: 'Unexpected errors that ended one request, one call, one read of a source, one message of a peer or one connection instead of the process, by part', labels: ['part'] },
   log_lines_left_out: { help: 'Log lines left out to keep the volume bounded, by event', labels: ['event'] }
 }
 
--- a/src/adapters/relayHttp/index.ts
+++ b/src/adapters/relayHttp/index.ts
@@ -4,6 +4,7 @@
  * caller's own format, with headers that prove the fleet key and tell what was tried before.
  */
 import { createHmac, timingSafeEqual } from 'node:crypto'
+import type { ContainedErrorReporter } from '../containedEvents/index.js'
 import { createExchangeHttp } from '../exchangeHttp/index.js'
 import { failure, success } from '../../kernel/index.js'
 import type { Clock, FinalReason, GatewayDialect, GatewayRefusal, HeaderList, InstanceAnswer, RelayClient, RelayOrigin } from '../../types/index.js'
@@ -117,6 +118,7 @@
   readonly clock: Clock
   readonly dialect: Pick<GatewayDialect, 'encodeRequest' | 'decodeAnswer'>
   readonly fleetKey: string
+  readonly reportError?: ContainedErrorReporter | undefined
 }
 
 /**
@@ -128,9 +130,9 @@
  * @example
  * createRelayHttp({ clock, dialect, fleetKey }).send(attempt, listener).abort()
  */
-export const createRelayHttp = ({ clock, dialect, fleetKey }: RelayHttpOptions): RelayClient => {
+export const createRelayHttp = ({ clock, dialect, fleetKey, reportError }: RelayHttpOptions): RelayClient => {
   const proof = createProof(fleetKey)
-  const exchanges = createExchangeHttp({ clock, connectTimeoutMs: CONNECT_TIMEOUT_MS, decodeAnswer: (status, headers) => decodeRelayedAnswer(dialect, status, headers) })
+  const exchanges = createExchangeHttp({ clock, reportError, connectTimeoutMs: CONNECT_TIMEOUT_MS, decodeAnswer: (status, headers) => decodeRelayedAnswer(dialect, status, headers) })
   return {
     send: (attempt, listener) => {
       const { request, peer, origin, body } = attempt
--- a/src/daemon/startGateway/index.ts
+++ b/src/daemon/startGateway/index.ts
@@ -4,6 +4,7 @@
  * the dialect, which decodes and encodes the wire formats.
  */
 import { createBoundedLogger } from '../../adapters/boundedLogger/index.js'
+import { createContainedErrorReporter } from '../../adapters/containedEvents/index.js'
 import { createDeferredMetrics } from '../../adapters/deferredMetrics/index.js'
 import { createGatewayHttp, type GatewayHttp } from '../../adapters/gatewayHttp/index.js'
 import { openHandoverListener, type HandoverListener } from '../../adapters/handoverListener/index.js'
@@ -106,7 +107,9 @@
     onFailure: (error) => options.logger.error('metrics failed to load', { reason: String(error) })
   })
   const logger = createBoundedLogger({ clock, logger: options.logger, metrics })
+  const reportError = createContainedErrorReporter({ logger, metrics })
   const transport = createPeerTcp({
+    reportError,
     host: settings.peerAddress.host,
     port: settings.peerAddress.port,
     fleetKey: settings.fleetKey,
@@ -121,7 +124,7 @@
   // Opened before the node starts, as its heartbeats tell peers the port.
   const relayListener = settings.relayAddress === undefined ? undefined : openHandoverListener(settings.relayAddress)
   const relayAddress = await relayListener?.opened
-  const client = createInstanceHttp({ clock, dialect, uploadLogger: settings.controlsAdmission === true ? logger : undefined, ...(options.resolveAddress === undefined ? {} : { resolveAddress: options.resolveAddress }) })
+  const client = createInstanceHttp({ clock, dialect, reportError, uploadLogger: settings.controlsAdmission === true ? logger : undefined, ...(options.resolveAddress === undefined ? {} : { resolveAddress: options.resolveAddress }) })
   const node = createGatewayNode({
     settings: { ...settings, peerAddress, relayAddress },
     readSettings: () => currentSettings,
@@ -138,7 +141,7 @@
     ...(options.streamBeginStore === undefined ? {} : { streamBeginStore: options.streamBeginStore }),
     promptCacheSource: options.promptCacheSource,
     client,
-    relayClient: createRelayHttp({ clock, dialect, fleetKey: settings.fleetKey }),
+    relayClient: createRelayHttp({ clock, dialect, fleetKey: settings.fleetKey, reportError }),
     logger,
     metrics,
     timeline
@@ -185,10 +188,10 @@
     const opened = await metrics.open()
     return { status: 200, body: await opened.render(), contentType: opened.contentType }
   }
-  const readiness = createProbeHttp(settings.readinessAddress, { [options.readinessPath]: answerReadiness })
+  const readiness = createProbeHttp(settings.readinessAddress, { [options.readinessPath]: answerReadiness }, reportError)
   const metricsHttp = settings.metricsAddress === undefined
     ? undefined
-    : createProbeHttp(settings.metricsAddress, { [METRICS_PATH]: answerScrape })
+    : createProbeHttp(settings.metricsAddress, { [METRICS_PATH]: answerScrape }, reportError)
   const callerAddress = await gatewayHttp.listen()
   await relayHttp?.listen()
   timeline.mark('listening')
