--- a/src/adapters/gatewayHttp/index.ts
+++ b/src/adapters/gatewayHttp/index.ts
@@ -7,13 +7,14 @@
  */
 import { createServer } from 'node:http'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
+import { Socket } from 'node:net'
 import { checkFraming } from './_lib/checkFraming.js'
 import { createConnections } from './_lib/createConnections.js'
 import { createPauseDetector } from './_lib/createPauseDetector.js'
 import { createPipelines } from './_lib/createPipelines.js'
 import { createResponseWriter } from './_lib/createResponseWriter.js'
 import { readBody } from './_lib/readBody.js'
+import { containEvents, createContainedErrorReporter } from '../containedEvents/index.js'
 import { afterTurn } from '../afterTurn/index.js'
 import { openHandoverListener } from '../handoverListener/index.js'
 import { logServerErrors } from '../openListener/index.js'
@@ -104,6 +105,14 @@
   let isClosed = false
   let lastUsedAt = clock.now()
 
+  const reportError = createContainedErrorReporter(options)
+
+  /** Ends the exchange of a request in whose events a listener threw; what it holds is given back when the answer closes. */
+  const endExchange = (message: IncomingMessage, response: ServerResponse, event: string, error: unknown): void => {
+    reportError({ adapter: 'gatewayHttp', remote: message.socket.remoteAddress, request: `${message.method} ${message.url}` }, event, error)
+    response.destroy()
+  }
+
   const limits = (): GatewayLimits => options.readLimits() ?? INITIAL_LIMITS
 
   const recordUnanswered = (message: IncomingMessage, receivedAt: number): void => {
@@ -118,6 +127,21 @@
   }
 
   const handle = (message: IncomingMessage, response: ServerResponse): void => {
+    containEvents(message, (error, event) => endExchange(message, response, event, error))
+    containEvents(response, (error, event) => endExchange(message, response, event, error))
+    contain(message, response, 'request', () => accept(message, response))
+  }
+
+  /** What throws ends the exchange. */
+  const contain = (message: IncomingMessage, response: ServerResponse, step: string, run: () => void): void => {
+    try {
+      run()
+    } catch (error) {
+      endExchange(message, response, step, error)
+    }
+  }
+
+  const accept = (message: IncomingMessage, response: ServerResponse): void => {
     const receivedAt = clock.now()
     const { socket } = message
     if (untrusted.has(socket)) return
@@ -125,7 +149,7 @@
     if (!socket.writable) return recordUnanswered(message, receivedAt)
     lastUsedAt = receivedAt
     connections.beginRequest(socket)
-    if (pipelines.add(socket, response, (onEnd) => begin(message, response, receivedAt, onEnd))) return
+    if (pipelines.add(socket, response, (onEnd) => contain(message, response, 'request', () => begin(message, response, receivedAt, onEnd)))) return
     untrusted.add(socket)
     logger.warn('connection with too many requests closed', { remote: socket.remoteAddress })
     socket.destroy()
@@ -170,7 +194,7 @@
       return
     }
     readBody(message, limits().maximumBodyBytes, {
-      onBody: (body) => pauseDetector.runWhenCaughtUp(() => run.submit(body)),
+      onBody: (body) => pauseDetector.runWhenCaughtUp(() => contain(message, response, 'submit', () => run.submit(body))),
       onTooLarge: () => run.reject({ status: 413, reason: 'bodyTooLarge' }),
       hasRoom: (bytes) => held?.recordBody(bytes) ?? true,
       onNoRoom: () => run.reject(MEMORY_FULL),
@@ -188,8 +212,16 @@
   }, handle)
 
   logServerErrors(server, part, logger)
+  containEvents(server, (error, event, [first]) => {
+    reportError({ adapter: 'gatewayHttp' }, event, error)
+    if (first instanceof Socket) first.destroy()
+  })
 
   server.on('connection', (socket) => {
+    containEvents(socket, (error, event) => {
+      reportError({ adapter: 'gatewayHttp', remote: socket.remoteAddress }, event, error)
+      socket.destroy()
+    })
     lastUsedAt = clock.now()
     connections.accept(socket)
     applyLimits()
