Hold the end of a paused answer back with the bytes before it

What callers would have seen: an answer with 200 and its last chunk that lacked its last bytes, where a caller reads slowly and the last bytes and the end of a chunked answer were read at once.

Cause: what is read when an answer is read on may pause it again; the end that came with it was passed on all the same, before the bytes kept.

Change: the end waits with the bytes.

--- a/src/adapters/exchangeHttp/_lib/createAnswerFlow.ts
+++ b/src/adapters/exchangeHttp/_lib/createAnswerFlow.ts
@@ -3,6 +3,7 @@
  * piece with those that paused it are kept until it is resumed, and the end after them.
  */
 import type { ReadGate } from './createReadGate.js'
+import { createGatheredBytes } from '../../../kernel/index.js'
 import type { ExchangeListener } from '../../../types/index.js'
 
 export type AnswerFlow = {
@@ -24,21 +25,20 @@
  * @param onThrown - Told what the listener throws in a later delivery.
  */
 export const createAnswerFlow = (listener: Pick<ExchangeListener, 'onData' | 'onEnd'>, readGate: () => ReadGate | undefined, onThrown: (error: unknown) => void): AnswerFlow => {
-  const kept: Uint8Array[] = []
+  const kept = createGatheredBytes()
   let isPaused = false
   /** Whether the delivery of what was kept is due. */
   let isDue = false
   let hasEnded = false
 
-  /** Returns the next bytes that were kept, unless the listener has paused again. */
-  const take = (): Uint8Array | undefined => isPaused ? undefined : kept.shift()
+  const canDeliver = (): boolean => !isPaused && kept.length() > 0
 
   const deliver = (): void => {
     isDue = false
-    for (let bytes = take(); bytes !== undefined; bytes = take()) listener.onData(bytes)
+    while (canDeliver()) listener.onData(kept.take())
     if (isPaused) return
-    readGate()?.readOn()
-    if (!hasEnded) return
+    // What is read now may pause the answer again, and then holds its end back with the bytes before it.
+    if (!hasEnded) return readGate()?.readOn()
     hasEnded = false
     listener.onEnd()
   }
@@ -63,7 +63,7 @@
       else listener.onEnd()
     },
     stop: () => {
-      kept.length = 0
+      kept.take()
       hasEnded = false
       isPaused = true
     },
@@ -79,6 +79,6 @@
       // The caller may stand in an event of a parser, and parsers must not be entered twice.
       process.nextTick(deliverContained)
     },
-    countBytes: () => kept.reduce((bytes, { length }) => bytes + length, 0)
+    countBytes: kept.length
   }
 }
