A list follows its source on after a reading could not be applied

What callers saw: after one exception in a listener of the server list, servers that left stayed in the node's list, and new ones never came, for the life of the process; the source counted as reachable and lostMs as 0.

Cause: createSourceFollower applied a reading outside of its containment. The exception ended the loop.

Evidence: on the code before, "reads the whole list again, at intervals" and "follows the source on after a listener threw" fail (the removed server is still listed; unhandled rejection from applyReading).

Change: each step of the loop is contained.

--- a/src/services/_lib/createSourceFollower.test.ts
+++ b/src/services/_lib/createSourceFollower.test.ts
@@ -61,4 +61,28 @@
     follower.stop()
     expect(events).toEqual(['thrown', 'TypeError: no object', 'reached', 'applied'])
   })
+
+  // One exception in a listener ended the watch for the life of the process, while the source counted as reachable.
+  test('reads the whole list again, at intervals, after what was read could not be applied', async () => {
+    const clock = createManualClock()
+    const thrown: unknown[] = []
+    let whole = 0
+    let watches = 0
+    const wait = (ms: number): Promise<void> => new Promise((resolve) => { clock.setTimer(ms, resolve) })
+    const fail = (): void => { throw new Error('unexpected') }
+    const readAll = async (): Promise<SourceReading> => { whole += 1; return success(whole === 2 || whole === 3 ? fail : () => {}) }
+    const watch = async (): Promise<SourceReading> => {
+      watches += 1
+      await wait(100)
+      return success(watches === 1 ? fail : () => {})
+    }
+    const follower = createSourceFollower(clock, { readAll, watch, isKnown: () => true, onReached: () => {}, onLost: () => {}, onHistoryGone: () => {} }, { onThrown: (error) => thrown.push(error) })
+    follower.start()
+    await clock.advanceAndSettle(150)
+    expect({ whole, isReachable: follower.isReachable() }).toEqual({ whole: 1, isReachable: false })
+    await clock.advanceAndSettle(5_000)
+    follower.stop()
+    expect({ whole, thrown: thrown.length, isReachable: follower.isReachable() }).toEqual({ whole: 4, thrown: 3, isReachable: true })
+    expect(watches).toBeGreaterThan(10)
+  })
 })
--- a/src/services/_lib/createSourceFollower.ts
+++ b/src/services/_lib/createSourceFollower.ts
@@ -9,6 +9,7 @@
 import { isConnectionSuspect } from '../../decisions/isConnectionSuspect/index.js'
 import { planSourceRead } from '../../decisions/planSourceRead/index.js'
 import type { SourceReadPlan } from '../../decisions/planSourceRead/index.js'
+import { describeError } from '../../kernel/index.js'
 import type { Clock, Result, SourceError, Timer } from '../../types/index.js'
 
 /** Result of one read of the source; calling its value applies what was read. */
@@ -36,8 +37,8 @@
   readonly retryMs?: number
   /** This node's contact with the source, which other readings record as well; each reading of the follower is added. */
   readonly contact?: SourceContact
-  /** Called for each read that throws; it counts as failed. */
-  readonly onThrown?: () => void
+  /** Called for each read that throws, and with the error where what was read could not be applied; both count as failed. */
+  readonly onThrown?: (error?: unknown) => void
 }
 
 export type SourceFollower = {
@@ -70,6 +71,8 @@
   let readAt = -Infinity
   /** Reads of the whole list that failed in a row. */
   let failedReads = 0
+  /** Whether the whole list was read and applied, so that a watch may follow. */
+  let isListed = false
   let isStopped = false
   let timer: Timer | undefined
 
@@ -111,27 +114,42 @@
     readerRetryMs: options.retryMs ?? DEFAULT_RETRY_MS
   })
 
+  const step = async (): Promise<void> => {
+    const { isRelyingOnReaders, recheckAfterMs } = pace()
+    if (isRelyingOnReaders) {
+      isListed = false
+      failedReads = 0
+      return wait(recheckAfterMs)
+    }
+    const sentAt = clock.now()
+    const reading: SourceReading = await containRead(isListed ? source.watch : source.readAll, () => options.onThrown?.())
+    if (isStopped) return
+    const isApplied = applyReading(reading, sentAt)
+    if (!isApplied && !isListed) {
+      for (const listener of peersNeededListeners) listener()
+      await wait(pace(reading.ok ? undefined : reading.error).retryAfterMs)
+    }
+    if (!isListed) failedReads = isApplied ? 0 : failedReads + 1
+    isListed = isApplied
+  }
+
+  /** What was read may be applied in part: the next read is one of the whole list. */
+  const recordThrown = (error: unknown): Promise<void> => {
+    options.onThrown?.(error)
+    isListed = false
+    failedReads += 1
+    recordLost({ kind: 'malformed', message: describeError(error) })
+    return wait(options.retryMs ?? DEFAULT_RETRY_MS)
+  }
+
   const follow = async (): Promise<void> => {
-    let isListed = false
     for (;;) {
       if (isStopped) return
-      const { isRelyingOnReaders, recheckAfterMs } = pace()
-      if (isRelyingOnReaders) {
-        isListed = false
-        failedReads = 0
-        await wait(recheckAfterMs)
-        continue
-      }
-      const sentAt = clock.now()
-      const reading: SourceReading = await containRead(isListed ? source.watch : source.readAll, options.onThrown)
-      if (isStopped) return
-      const isApplied = applyReading(reading, sentAt)
-      if (!isApplied && !isListed) {
-        for (const listener of peersNeededListeners) listener()
-        await wait(pace(reading.ok ? undefined : reading.error).retryAfterMs)
+      try {
+        await step()
+      } catch (error) {
+        await recordThrown(error)
       }
-      if (!isListed) failedReads = isApplied ? 0 : failedReads + 1
-      isListed = isApplied
     }
   }
 
--- a/src/services/instanceRegistry/test.ts
+++ b/src/services/instanceRegistry/test.ts
@@ -405,3 +405,20 @@
     expect([registry.api.isKnown(), listIds(registry), listUnregistered(registry)]).toEqual([true, ['engine-1', 'engine-2'], ['engine-1', 'engine-2']])
   })
 })
+
+// One exception in a listener ended the watch: servers that left later stayed in the list for the life of the process.
+test('follows the source on after a listener threw', async () => {
+  const { clock, remote, registry } = await startRegistry()
+  let isFaulty = true
+  registry.api.onChange(() => {
+    if (!isFaulty) return
+    isFaulty = false
+    throw new Error('unexpected')
+  })
+  remote.put([createServer('engine-1'), createServer('engine-2'), createServer('engine-3')])
+  remote.change([createServer('engine-3')])
+  await clock.advanceAndSettle(500)
+  remote.remove('engine-1')
+  await clock.advanceAndSettle(1_000)
+  expect([isFaulty, listIds(registry)]).toEqual([false, ['engine-2', 'engine-3']])
+})
