Heartbeats go on after a step of a round threw

What callers saw: nothing at once; after one exception in a listener of the members, the node sent no heartbeat any more, and its peers took it for dead until it was restarted.

Cause: membership set the timer of the next round at the end of a round.

Evidence: "sends heartbeats on after a listener threw" fails on the code before (the exception leaves the timer).

Change: each step of a round is contained (services/_lib/containStep), logged as `step failed` and counted (contained_errors, part membership); the others run, and the timer is set.

--- a/src/node/createGatewayNode/_lib/registerPeers.ts
+++ b/src/node/createGatewayNode/_lib/registerPeers.ts
@@ -1,6 +1,7 @@
 /** Registers membership: heartbeats between the gateway nodes, bootstrapped from the seed peers of the settings. */
 import type { HeartbeatFanOut } from '../../../decisions/selectHeartbeatTargets/index.js'
 import { createHeartbeatExchange } from '../../../services/heartbeatExchange/index.js'
+import { createThrownReport } from './createThrownReport.js'
 import { createMembership, DEFAULT_FAN_OUT } from '../../../services/membership/index.js'
 import type { VmList } from '../../../services/vmList/index.js'
 import type { Kernel } from '../../../kernel/index.js'
@@ -29,6 +30,7 @@
         settings: { nodeId: settings.nodeId, availabilityZone: settings.availabilityZone, get seedPeers () { return readSettings().seedPeers }, heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS, suspectAfterMs: SUSPECT_AFTER_MS, deadAfterMs: DEAD_AFTER_MS },
         address: () => settings.peerAddress,
         fanOut: FAN_OUT,
+        onThrown: createThrownReport(dependencies, 'membership'),
         ...(settings.millicores === undefined ? {} : { millicores: settings.millicores }),
         ...(settings.relayAddress === undefined ? {} : { relayPort: settings.relayAddress.port }),
         generation: () => kernel.isRunning('gatewayConfiguration') ? kernel.resolve('gatewayConfiguration').version() : 0
--- a/src/node/createGatewayNode/_lib/registerSources.ts
+++ b/src/node/createGatewayNode/_lib/registerSources.ts
@@ -1,4 +1,5 @@
 /** Registers the state read from sources: configuration, backend servers and zone drains, read by a few nodes and forwarded to the others. */
+import { createThrownReport } from './createThrownReport.js'
 import { computeWatchWait } from '../../../decisions/computeWatchWait/index.js'
 import { createGatewayConfiguration, type RunningGatewayConfiguration } from '../../../services/gatewayConfiguration/index.js'
 import { createInstanceRegistry, type RunningInstanceRegistry } from '../../../services/instanceRegistry/index.js'
@@ -7,7 +8,6 @@
 import { createVersionRegister } from '../../../services/versionRegister/index.js'
 import { createZoneDrains, type RunningZoneDrains } from '../../../services/zoneDrains/index.js'
 import { createSourceContact } from '../../../services/_lib/createSourceContact.js'
-import { describeError } from '../../../kernel/index.js'
 import type { Kernel } from '../../../kernel/index.js'
 import type { ZoneDrains } from '../../../types/index.js'
 import type { GatewayNodeDependencies, GatewayServices } from '../index.js'
@@ -40,10 +40,7 @@
   let zoneDrains: RunningZoneDrains | undefined
   // Until it knows peers, a node must act as the reader of its zone.
   const isReader = (): boolean => !kernel.isRunning('knowledgeExchange') || kernel.resolve('knowledgeExchange').isReader()
-  const onThrown = (error?: unknown): void => {
-    dependencies.metrics.count('contained_errors', { part: 'read' })
-    if (error !== undefined) logger.error('step failed', { part: 'read', reason: describeError(error) })
-  }
+  const onThrown = createThrownReport(dependencies, 'read')
   const watchWaitMs = computeWatchWait(dependencies.settings.reconnectMs)
   const contact = createSourceContact({ clock, logger, readSuspendedMs: () => clocks.boot() - clocks.monotonic() }, { minimumOutageMs: EXPIRY_INTERVALS * dependencies.settings.serverHeartbeatMs })
   kernel.register({
--- a/src/services/membership/index.ts
+++ b/src/services/membership/index.ts
@@ -10,6 +10,9 @@
 import { refuteSuspicion } from '../../decisions/refuteSuspicion/index.js'
 import { selectHeartbeatTargets } from '../../decisions/selectHeartbeatTargets/index.js'
 import type { HeartbeatFanOut } from '../../decisions/selectHeartbeatTargets/index.js'
+import { containStep } from '../_lib/containStep.js'
+import type { ThrownReport } from '../_lib/containStep.js'
+import { describeError } from '../../kernel/index.js'
 import type { RunningService } from '../../kernel/index.js'
 import type { HeartbeatExchange } from '../heartbeatExchange/index.js'
 import type { VmList } from '../vmList/index.js'
@@ -37,6 +40,8 @@
   readonly relayPort?: number
   /** How long the record of a dead member is kept, in milliseconds; an hour by default. */
   readonly forgetAfterMs?: number
+  /** Called with what a step of a heartbeat round throws; it is logged by default. */
+  readonly onThrown?: ThrownReport
 }
 
 export const DEFAULT_FAN_OUT: HeartbeatFanOut = { fullMeshPeers: 12, zoneWatchers: 2, remoteWatchers: 1, randomZonePeers: 1, randomRemotePeers: 1 }
@@ -78,6 +83,7 @@
 export const createMembership = (dependencies: MembershipDependencies, options: MembershipOptions): RunningService<Membership> => {
   const { clock, random, transport, exchange, vmList, logger } = dependencies
   const { settings } = options
+  const onThrown = options.onThrown ?? ((error) => logger?.error('step failed', { part: 'membership', reason: describeError(error) }))
   const fanOut = options.fanOut ?? DEFAULT_FAN_OUT
   const peers = new Map<string, Member>()
   const changedAt = new Map<string, number>()
@@ -243,12 +249,8 @@
     // process them. Evaluating them now would declare the whole fleet dead.
     if (now - lastTickAt > PAUSE_TICKS * settings.heartbeatIntervalMs) failureDetector.reset(now)
     lastTickAt = now
-    suspectUnresponsive(now)
-    declareDead(now)
-    sendHeartbeats()
-    requestHeartbeats(now)
-    requestMembers(now)
-    contactUnknownAddresses()
+    // Without heartbeats, peers take this node for dead: no step may keep the others from running.
+    for (const step of [suspectUnresponsive, declareDead, sendHeartbeats, requestHeartbeats, requestMembers, contactUnknownAddresses]) containStep(() => step(now), onThrown)
     const isSearching = listReachablePeers().length === 0 && now < startedAt + PEER_SEARCH_LIMIT_MS
     timer = clock.setTimer(isSearching ? PEER_SEARCH_INTERVAL_MS : settings.heartbeatIntervalMs, tick)
   }
--- a/src/services/membership/test.ts
+++ b/src/services/membership/test.ts
@@ -184,3 +184,14 @@
     expect(liveNames(first)).toEqual(['node-1', 'node-2'])
   })
 })
+
+// One exception in a listener ended the heartbeats: peers took the node for dead until it was restarted.
+it('sends heartbeats on after a listener threw', async () => {
+  const { clock, startNode } = createFleet(['a', 'b', 'c'])
+  const [first, second, third] = ['a', 'b', 'c'].map((name) => startNode(name))
+  await clock.advanceAndSettle(SETTLE_MS)
+  first!.membership.onChange(() => { throw new Error('unexpected') })
+  await third!.stop()
+  await clock.advanceAndSettle(SETTLE_MS)
+  expect(second!.membership.members().map(({ nodeId, state }) => [nodeId, state]).sort()).toEqual([['a', 'live'], ['b', 'live'], ['c', 'dead']])
+})
