The configuration is read on after a listener threw

What callers saw: after one exception while a new configuration came into force, the node read none any more; it was never confirmed again, and requests with keys were refused.

Cause: gatewayConfiguration.read set the timer of the next read after adopting the configuration, and one listener's exception kept the others from hearing of it.

Evidence: "reads the source on after a listener threw" fails on the code before (other listener told [] instead of [3, 4]; unhandled rejection).

--- a/src/services/gatewayConfiguration/index.ts
+++ b/src/services/gatewayConfiguration/index.ts
@@ -5,6 +5,8 @@
  * in force during an outage of the source.
  */
 import { createConfigurationHistory } from './_lib/createConfigurationHistory.js'
+import { containStep } from '../_lib/containStep.js'
+import type { ThrownReport } from '../_lib/containStep.js'
 import { containDecoding, containRead } from '../_lib/containRead.js'
 import type { SourceContact } from '../_lib/createSourceContact.js'
 import { describeSourceError } from '../../decisions/describeSourceError/index.js'
@@ -39,7 +41,7 @@
   /** This node's contact with the source, to which its reads and those of its peers are added. */
   readonly contact?: SourceContact
   /** Called for each read, and each decoding of a peer's update, that throws; it counts as failed. */
-  readonly onThrown?: () => void
+  readonly onThrown?: ThrownReport
 }
 
 export type RunningGatewayConfiguration = RunningService<GatewayConfigurationHolder> & {
@@ -113,7 +115,7 @@
     }
     // Another source may already have supplied a newer version than this one.
     if (next.configuration.version === version()) recordConfirmation()
-    if (isNewer) for (const listener of listeners) listener(next.configuration)
+    if (isNewer) for (const listener of listeners) containStep(() => listener(next.configuration), options.onThrown)
   }
 
   const confirm = (at: ClockReading, ageMs: number): void => {
@@ -136,22 +138,28 @@
     isReading = true
     timer?.cancel()
     const sentAt = readClocks(clocks)
-    const result = await containRead(source.read, options.onThrown)
+    const result = await containRead(source.read, () => options.onThrown?.())
     isReading = false
     if (isStopped) return
+    let isApplied = false
+    containStep(() => { isApplied = applyResult(result, sentAt) }, options.onThrown)
+    const isCurrent = isApplied && highestPeerVersion <= version()
+    schedule(isCurrent ? options.readIntervalMs : pace(result.ok ? undefined : result.error).retryAfterMs)
+    failedReads = isCurrent ? 0 : failedReads + 1
+  }
+
+  const applyResult = (result: Result<SourcedConfiguration, SourceError>, sentAt: ClockReading): boolean => {
     if (result.ok) {
       options.contact?.record()
       adopt(result.value, 'source', () => confirm(sentAt, 0))
       recordReachability(true, '')
-    } else {
-      options.contact?.recordFailure(result.error, sentAt.monotonic)
-      failedAt = clock.now()
-      recordReachability(false, describeSourceError(result.error))
-      requestFromPeers()
+      return true
     }
-    const isBehind = highestPeerVersion > version()
-    schedule(result.ok && !isBehind ? options.readIntervalMs : pace(result.ok ? undefined : result.error).retryAfterMs)
-    failedReads = result.ok && !isBehind ? 0 : failedReads + 1
+    options.contact?.recordFailure(result.error, sentAt.monotonic)
+    failedAt = clock.now()
+    recordReachability(false, describeSourceError(result.error))
+    requestFromPeers()
+    return false
   }
 
   const pace = (error?: SourceError): SourceReadPlan => planSourceRead({
@@ -214,7 +222,7 @@
       options.contact?.record(ageMs + measureAge(requestedAt, clocks))
       const recordConfirmation = (): void => confirm(requestedAt, ageMs)
       if (update !== undefined && newestVersion > version()) {
-        const decoded = containDecoding(() => decodeUpdate(update), options.onThrown)
+        const decoded = containDecoding(() => decodeUpdate(update), () => options.onThrown?.())
         if (decoded.ok) adopt(decoded.value, 'peer', recordConfirmation)
         else logger.warn('configuration of a peer is malformed', { version: newestVersion, reason: describeSourceError(decoded.error) })
         return
--- a/src/services/gatewayConfiguration/test.ts
+++ b/src/services/gatewayConfiguration/test.ts
@@ -120,3 +120,18 @@
     expect(await countReads(40)).toBe(await countReads(1))
   })
 })
+
+// One exception in a listener ended the reads: the configuration was never confirmed again, and requests with keys were refused.
+test('reads the source on after a listener threw, and tells the other listeners', async () => {
+  let version = 3
+  const { clock, holder } = createHolder(async () => success(toSourced(version)))
+  const told: number[] = []
+  holder.api.onChange(() => { throw new Error('unexpected') })
+  holder.api.onChange((configuration) => told.push(configuration.version))
+  holder.start?.()
+  await clock.advanceAndSettle(10)
+  version = 4
+  await clock.advanceAndSettle(2_000)
+  expect(told).toEqual([3, 4])
+  expect(holder.api.confirmedAgeMs()).toBeLessThanOrEqual(800)
+})
