A registration of a version that threw is tried again

What callers saw: no stream that may be resumed began at servers of the version, until the process was restarted.

Cause: an exception of the registration, or of the listeners told of it, left the version marked as being entered, without a retry.

Evidence: "registers a version again after its registration threw" fails on the code before (1 call, both servers unregistered).

Change: both are contained and tried again at the intervals of a failed registration; a version that is registered is only reported again.

Result: the tests of instanceRegistry pass.

--- a/src/services/instanceRegistry/_lib/createRegistrations.ts
+++ b/src/services/instanceRegistry/_lib/createRegistrations.ts
@@ -2,6 +2,8 @@
  * Registers the software versions of listed backend servers, each for itself. Only streams
  * that may be resumed wait for it; additions and removals don't.
  */
+import { containStep } from '../../_lib/containStep.js'
+import type { ThrownReport } from '../../_lib/containStep.js'
 import { readSoftwareVersion } from '../../../decisions/readSoftwareVersion/index.js'
 import type { BackendInstance, Clock, ServiceVersion, Timer } from '../../../types/index.js'
 
@@ -21,6 +23,8 @@
   readonly listInstances: () => Iterable<BackendInstance>
   /** The version of these listed servers is registered. */
   readonly onRegistered: (instances: readonly BackendInstance[]) => void
+  /** Called with what a registration or its report throws; it is tried again. */
+  readonly onThrown?: ThrownReport | undefined
 }
 
 /** Time after a registration that failed, in milliseconds; doubled after each further one up to the maximum: a store that refuses gets few calls. */
@@ -36,7 +40,7 @@
   isMarked ? { ...instance, isUnregistered: isUnregistered ?? true } : instance
 
 /** Creates the registrations of one list. */
-export const createRegistrations = ({ clock, enterVersions, listInstances, onRegistered }: RegistrationsDependencies): Registrations => {
+export const createRegistrations = ({ clock, enterVersions, listInstances, onRegistered, onThrown }: RegistrationsDependencies): Registrations => {
   /** Versions that this process has registered: a peer's list proves no registration. */
   const registered = new Set<string>()
   const entering = new Set<string>()
@@ -44,18 +48,34 @@
 
   const listOf = (key: string): readonly BackendInstance[] => [...listInstances()].filter((instance) => formatKey(instance) === key)
 
+  const tryRegister = async (version: ServiceVersion, register: NonNullable<typeof enterVersions>): Promise<boolean> => {
+    try {
+      return await register([version])
+    } catch (error) {
+      onThrown?.(error)
+      return false
+    }
+  }
+
+  const reportRegistered = (key: string, instances: readonly BackendInstance[]): boolean => {
+    let isReported = false
+    registered.add(key)
+    containStep(() => {
+      onRegistered(instances)
+      isReported = true
+    }, onThrown)
+    return isReported
+  }
+
   const attempt = async (key: string, version: ServiceVersion, register: NonNullable<typeof enterVersions>, retryMs: number): Promise<void> => {
     timers.delete(key)
-    const isEntered = await register([version])
+    const isEntered = registered.has(key) || await tryRegister(version, register)
     const instances = listOf(key)
-    if (!isEntered && instances.length > 0) {
+    if (instances.length > 0 && !(isEntered && reportRegistered(key, instances))) {
       timers.set(key, clock.setTimer(retryMs, () => { attempt(key, version, register, Math.min(2 * retryMs, MAXIMUM_RETRY_MS)) }))
       return
     }
     entering.delete(key)
-    if (instances.length === 0) return
-    registered.add(key)
-    onRegistered(instances)
   }
 
   return {
--- a/src/services/instanceRegistry/index.ts
+++ b/src/services/instanceRegistry/index.ts
@@ -91,6 +91,7 @@
   const registrations = createRegistrations({
     clock,
     enterVersions: options.enterVersions,
+    onThrown: options.onThrown,
     listInstances: () => instances.values(),
     onRegistered: (registered) => {
       for (const instance of registered.filter(({ isUnregistered }) => isUnregistered === true)) {
--- a/src/services/instanceRegistry/test.ts
+++ b/src/services/instanceRegistry/test.ts
@@ -422,3 +422,17 @@
   await clock.advanceAndSettle(1_000)
   expect([isFaulty, listIds(registry)]).toEqual([false, ['engine-2', 'engine-3']])
 })
+
+// A registration that threw was never tried again: no stream that may be resumed began at the server.
+test('registers a version again after its registration threw', async () => {
+  let calls = 0
+  const { clock, registry } = await startRegistry({
+    enterVersions: async () => {
+      calls += 1
+      if (calls === 1) throw new Error('unexpected')
+      return true
+    }
+  })
+  await clock.advanceAndSettle(1_000)
+  expect([calls, registry.api.all().map(({ isUnregistered }) => isUnregistered === true)]).toEqual([2, [false, false]])
+})
