A shared read that rejected does not reject the later ones

Cause: the next read of createFreshRead waited for the running one to be fulfilled; after a rejection `next` stayed rejected for as long as reads overlapped.

Evidence: "begins the next read after one that rejected" fails on the code before.

Change: the next read begins however the running one ended.

Result: the tests of services/_lib pass.

--- a/src/services/_lib/createFreshRead.test.ts
+++ b/src/services/_lib/createFreshRead.test.ts
@@ -31,3 +31,16 @@
   await source.finish()
   expect(await fourth).toBe(3)
 })
+
+// After one read that rejected, all that asked during it and later got its error for ever.
+test('begins the next read after one that rejected', async () => {
+  let reads = 0
+  const readFresh = createFreshRead(async () => {
+    reads += 1
+    await new Promise((resolve) => { setImmediate(resolve) })
+    if (reads === 1) throw new Error('unexpected')
+    return reads
+  })
+  expect(await Promise.allSettled([readFresh(), readFresh()])).toEqual([{ status: 'rejected', reason: new Error('unexpected') }, { status: 'fulfilled', value: 2 }])
+  expect(await readFresh()).toBe(3)
+})
--- a/src/services/_lib/createFreshRead.ts
+++ b/src/services/_lib/createFreshRead.ts
@@ -4,7 +4,7 @@
  * that asked during it.
  */
 
-/** Creates the function that reads; `read` must not reject. */
+/** Creates the function that reads; a read that rejects does so for those it serves, and the next one begins. */
 export const createFreshRead = <Value>(read: () => Promise<Value>): () => Promise<Value> => {
   let running: Promise<Value> | undefined
   let next: Promise<Value> | undefined
@@ -15,12 +15,14 @@
     return reading
   }
 
+  const startNext = (): Promise<Value> => {
+    next = undefined
+    return start()
+  }
+
   return () => {
     if (running === undefined) return start()
-    next ??= running.then(() => {
-      next = undefined
-      return start()
-    })
+    next ??= running.then(startNext, startNext)
     return next
   }
 }
