An exception during the start of the node no longer ends the process

What callers saw: peers, and from the opening of the listener callers, were served while an exception that nothing caught still ended the process at once, with their requests.

Cause: the handler was handed over after all of startGateway.

Change: startGateway gives its handler (onExceptionHandler) once the node exists, before it starts. A start that fails still ends the process.

Not run: a start of real processes with an exception in that window.

--- a/src/daemon/startGateway/index.ts
+++ b/src/daemon/startGateway/index.ts
@@ -48,6 +48,8 @@
   readonly readinessPath: string
   /** Called when an exception that nothing caught makes a stop in order advisable. */
   readonly onStopDue?: () => void
+  /** Gets what takes the exceptions that nothing has caught, once there is a node that can go on. */
+  readonly onExceptionHandler?: (handle: (exception: UnexpectedException) => void) => void
   /** Returns where this node reaches the address of a backend server; that address itself by default. */
   readonly resolveAddress?: (address: PeerAddress) => PeerAddress
 }
@@ -60,8 +62,6 @@
   readonly whenReadyToServe: () => Promise<void>
   /** Applies the settings that may change at run time: seeds, grace period, and the bounds on load, retries, and the age of keys and configuration. Addresses stay. */
   readonly applySettings: (settings: GatewaySettings) => void
-  /** Takes an exception that nothing has caught. */
-  readonly handleException: (exception: UnexpectedException) => void
   readonly openRequests: () => number
   /** Closes everything at once, as if the process had crashed. */
   readonly kill: () => Promise<void>
@@ -153,9 +153,21 @@
     metrics,
     timeline
   })
+  let isShuttingDown = false
+  let isStarted = false
+  // Peers are served during the start, callers before its end.
+  options.onExceptionHandler?.(createExceptionHandler({
+    clock,
+    random,
+    logger,
+    metrics,
+    readOpen: () => isStarted ? node.resolve('forwarding').openRequests() : 0,
+    readConfirmedAgeMs: () => isStarted ? node.resolve('gatewayConfiguration').confirmedAgeMs() : Infinity,
+    onStopDue: () => { if (!isShuttingDown) options.onStopDue?.() }
+  }))
   await node.start()
+  isStarted = true
   const configuration = node.resolve('gatewayConfiguration')
-  let isShuttingDown = false
   const readLimits = (): GatewayLimits | undefined => configuration.current()?.limits
   const gatewayHttp = createGatewayHttp({
     host: settings.callerAddress.host,
@@ -251,16 +263,6 @@
   }
 
   const { openRequests } = node.resolve('forwarding')
-  const handleException = createExceptionHandler({
-    clock,
-    random,
-    logger,
-    metrics,
-    readOpen: openRequests,
-    readConfirmedAgeMs: configuration.confirmedAgeMs,
-    onStopDue: () => { if (!isShuttingDown) options.onStopDue?.() }
-  })
-
   let ongoingShutdown: Promise<void> | undefined
   return {
     callerAddress,
@@ -268,7 +270,6 @@
     peerAddress,
     whenReadyToServe,
     applySettings: (next) => { currentSettings = next },
-    handleException,
     openRequests,
     kill: end,
     stop: (requestedAt = clock.now()) => {
