Ended versions are looked at again after a look threw

What callers saw: nothing; ended software versions stayed in the register.

Cause: createVersionEnds scheduled the next look only at the end of one.

Change: a look that throws is logged (`step failed`), counted (contained_errors, part streamVersions) and followed by the next one 0.5 to 2.5 s later.

--- a/src/node/createGatewayNode/_lib/registerForwarding.ts
+++ b/src/node/createGatewayNode/_lib/registerForwarding.ts
@@ -1,4 +1,5 @@
 /** Registers the request path: health of the backend servers, cached prefix locations, warm-up limits and forwarding. */
+import { createThrownReport } from './createThrownReport.js'
 import { countFleetNodes } from '../../../decisions/countFleetNodes/index.js'
 import { formatInstanceKey } from '../../../decisions/formatInstanceKey/index.js'
 import { createForwarding, type ForwardingBounds } from '../../../services/forwarding/index.js'
@@ -158,7 +159,7 @@
   kernel.register({
     name: 'streamVersions',
     dependsOn: ['membership', 'instanceRegistry', 'gatewayConfiguration', 'versionRegister', 'routeRegister'],
-    create: (resolve) => createStreamVersions({ clock, random, logger, transport, membership: resolve('membership'), registry: resolve('instanceRegistry'), configuration: resolve('gatewayConfiguration'), register: resolve('versionRegister'), routes: resolve('routeRegister'), beginStore: dependencies.streamBeginStore })
+    create: (resolve) => createStreamVersions({ clock, random, logger, transport, membership: resolve('membership'), registry: resolve('instanceRegistry'), configuration: resolve('gatewayConfiguration'), register: resolve('versionRegister'), routes: resolve('routeRegister'), beginStore: dependencies.streamBeginStore, onThrown: createThrownReport(dependencies, 'streamVersions') })
   })
   kernel.register({
     name: 'forwarding',
--- a/src/services/streamVersions/_lib/createVersionEnds.ts
+++ b/src/services/streamVersions/_lib/createVersionEnds.ts
@@ -4,6 +4,7 @@
  * be taken up: whoever uses the version again writes its entry, so that the removal
  * fails. The time is this process's own: after a loss of all processes it begins anew.
  */
+import type { ThrownReport } from '../../_lib/containStep.js'
 import type { Clock, RandomSource, ServiceVersion, Timer } from '../../../types/index.js'
 import type { VersionEntry, VersionRegister } from '../../versionRegister/index.js'
 
@@ -23,6 +24,8 @@
   readonly isReader: () => boolean
   /** For how long streams of a service may be taken up, in milliseconds. */
   readonly readHorizonMs: (service: string) => number
+  /** Called with what a look throws; the next one follows soon. */
+  readonly onThrown?: ThrownReport | undefined
 }
 
 /** Nodes whose list is late begin streams at a version for this much longer, in milliseconds. */
@@ -32,7 +35,7 @@
 const SPREAD_MS = 2_000
 
 /** Creates the watcher; it makes no calls while every registered version serves. */
-export const createVersionEnds = ({ clock, random, register, isPresent, isReader, readHorizonMs }: VersionEndsDependencies): VersionEnds => {
+export const createVersionEnds = ({ clock, random, register, isPresent, isReader, readHorizonMs, onThrown }: VersionEndsDependencies): VersionEnds => {
   /** Monotonic milliseconds since which entries are known as they are, by name and revision. */
   const endingSince = new Map<string, number>()
   /** Monotonic milliseconds since which no server of an entry's version is in the list, by name. */
@@ -73,8 +76,13 @@
 
   const look = async (): Promise<void> => {
     scheduled = undefined
-    const entries = isReader() ? await register.read() : undefined
-    if (entries?.ok === true) for (const entry of entries.value) await settle(entry)
+    try {
+      const entries = isReader() ? await register.read() : undefined
+      if (entries?.ok === true) for (const entry of entries.value) await settle(entry)
+    } catch (error) {
+      onThrown?.(error)
+      return schedule(0)
+    }
     const remaining = (register.lastRead() ?? []).flatMap((entry) => computeLeftMs(entry) ?? [])
     if (remaining.length > 0) schedule(Math.max(0, Math.min(...remaining)))
   }
--- a/src/services/streamVersions/index.ts
+++ b/src/services/streamVersions/index.ts
@@ -13,6 +13,7 @@
 import { createSightings } from './_lib/createSightings.js'
 import { createStreamBegins } from './_lib/createStreamBegins.js'
 import { createStreamHorizons } from './_lib/createStreamHorizons.js'
+import type { ThrownReport } from '../_lib/containStep.js'
 import { createVersionEnds } from './_lib/createVersionEnds.js'
 import { findFirst } from './_lib/findFirst.js'
 import { readSoftwareVersion } from '../../decisions/readSoftwareVersion/index.js'
@@ -57,6 +58,8 @@
   readonly routes: Pick<RouteRegister, 'readServices' | 'lastRead' | 'entering'>
   /** Omitted where the platform keeps no records of streams. */
   readonly beginStore?: StreamBeginStore | undefined
+  /** Called with what a step throws that is tried again. */
+  readonly onThrown?: ThrownReport
 }
 
 type KnownVersion = Extract<BegunVersion, { readonly kind: 'known' }>
@@ -118,7 +121,7 @@
 
   const isReader = (): boolean => selectPlatformReaders(membership.self().availabilityZone, membership.members()).own.some(isSelf)
 
-  const ends = createVersionEnds({ clock, random, register, isPresent: ({ service, softwareVersion }) => versionSightings.isPresent({ scope: service, value: softwareVersion }), isReader, readHorizonMs })
+  const ends = createVersionEnds({ clock, random, register, isPresent: ({ service, softwareVersion }) => versionSightings.isPresent({ scope: service, value: softwareVersion }), isReader, readHorizonMs, onThrown: dependencies.onThrown })
 
   const tell = (service: string, begins: readonly StreamBegin[]): void => {
     if (begins.length === 0) return
