--- a/src/node/createGatewayNode/_lib/registerSources.ts
+++ b/src/node/createGatewayNode/_lib/registerSources.ts
@@ -1,4 +1,5 @@
 /** Registers the state read from sources: configuration, backend servers and zone drains, read by a few nodes and forwarded to the others. */
+import { createThrownReport } from './createThrownReport.js'
 import { computeWatchWait } from '../../../decisions/computeWatchWait/index.js'
 import { createGatewayConfiguration, type RunningGatewayConfiguration } from '../../../services/gatewayConfiguration/index.js'
 import { createInstanceRegistry, type RunningInstanceRegistry } from '../../../services/instanceRegistry/index.js'
@@ -39,7 +40,7 @@
   let zoneDrains: RunningZoneDrains | undefined
   // Until it knows peers, a node must act as the reader of its zone.
   const isReader = (): boolean => !kernel.isRunning('knowledgeExchange') || kernel.resolve('knowledgeExchange').isReader()
-  const onThrown = (): void => dependencies.metrics.count('contained_errors', { part: 'read' })
+  const onThrown = createThrownReport(dependencies, 'read')
   const watchWaitMs = computeWatchWait(dependencies.settings.reconnectMs)
   const contact = createSourceContact({ clock, logger, readSuspendedMs: () => clocks.boot() - clocks.monotonic() }, { minimumOutageMs: EXPIRY_INTERVALS * dependencies.settings.serverHeartbeatMs })
   kernel.register({
