Register at a relying node what its reader left unregistered

Cause: clearing the mark changes no revision of the store, so another peer that is asked for the first time, at an equal revision, sends nothing.

Change: a node that is told an unregistered server registers its version itself if it is still marked after 2 s, with retries up to 12.8 s apart. Sending all entries at an equal revision was left: by reading, a restarted reader, which has no record of removals, would add a server that the store no longer has and not be told of its removal.

Evidence: the new test failed before (1 of 56) and passes now (88 tests of the folder). readers (129) and startWithoutRegister (11) pass. streamsAfterOutages was stopped after 100 s without a result.

--- a/src/services/instanceRegistry/_lib/createRegistrations.ts
+++ b/src/services/instanceRegistry/_lib/createRegistrations.ts
@@ -9,6 +9,8 @@
   readonly isRegistered: (instance: BackendInstance) => boolean
   /** Registers the version of a server that is being listed, unless that is done or under way. */
   readonly enter: (instance: BackendInstance) => void
+  /** Registers it if it is still marked after a while: the reader that listed it usually does, and tells; but it may be gone. */
+  readonly enterIfStillMarked: (instance: BackendInstance) => void
   /** The list has changed: what no listed server has must be registered again before its next use. */
   readonly retainListed: () => void
   readonly stop: () => void
@@ -26,6 +28,10 @@
 /** Time after a registration that failed, in milliseconds; doubled after each further one up to the maximum: a store that refuses gets few calls. */
 const FIRST_RETRY_MS = 200
 const MAXIMUM_RETRY_MS = 1_600
+/** Time that the reader has to register what it lists and to tell, in milliseconds. */
+const READER_MS = 2_000
+/** Far more nodes rely on readers than read: while the store refuses, each calls it at most this often, in milliseconds. */
+const MAXIMUM_RELYING_RETRY_MS = 12_800
 
 const toVersion = (instance: BackendInstance): ServiceVersion => ({ service: instance.service, softwareVersion: readSoftwareVersion(instance) })
 
@@ -41,15 +47,16 @@
   const registered = new Set<string>()
   const entering = new Set<string>()
   const timers = new Map<string, Timer>()
+  const waiting = new Map<string, Timer>()
 
   const listOf = (key: string): readonly BackendInstance[] => [...listInstances()].filter((instance) => formatKey(instance) === key)
 
-  const attempt = async (key: string, version: ServiceVersion, register: NonNullable<typeof enterVersions>, retryMs: number): Promise<void> => {
+  const attempt = async (key: string, version: ServiceVersion, register: NonNullable<typeof enterVersions>, retryMs: number, maximumRetryMs: number): Promise<void> => {
     timers.delete(key)
     const isEntered = await register([version])
     const instances = listOf(key)
     if (!isEntered && instances.length > 0) {
-      timers.set(key, clock.setTimer(retryMs, () => { attempt(key, version, register, Math.min(2 * retryMs, MAXIMUM_RETRY_MS)) }))
+      timers.set(key, clock.setTimer(retryMs, () => { attempt(key, version, register, Math.min(2 * retryMs, maximumRetryMs), maximumRetryMs) }))
       return
     }
     entering.delete(key)
@@ -58,19 +65,30 @@
     onRegistered(instances)
   }
 
+  const enter = (instance: BackendInstance, maximumRetryMs: number): void => {
+    const key = formatKey(instance)
+    if (enterVersions === undefined || registered.has(key) || entering.has(key)) return
+    entering.add(key)
+    attempt(key, toVersion(instance), enterVersions, FIRST_RETRY_MS, maximumRetryMs)
+  }
+
   return {
     isRegistered: (instance) => enterVersions === undefined || registered.has(formatKey(instance)),
-    enter: (instance) => {
+    enter: (instance) => enter(instance, MAXIMUM_RETRY_MS),
+    enterIfStillMarked: (instance) => {
       const key = formatKey(instance)
-      if (enterVersions === undefined || registered.has(key) || entering.has(key)) return
-      entering.add(key)
-      attempt(key, toVersion(instance), enterVersions, FIRST_RETRY_MS)
+      if (waiting.has(key)) return
+      waiting.set(key, clock.setTimer(READER_MS, () => {
+        waiting.delete(key)
+        const marked = listOf(key).find(({ isUnregistered }) => isUnregistered === true)
+        if (marked !== undefined) enter(marked, MAXIMUM_RELYING_RETRY_MS)
+      }))
     },
     retainListed: () => {
       if (registered.size === 0) return
       const listed = new Set([...listInstances()].map(formatKey))
       for (const key of registered) if (!listed.has(key)) registered.delete(key)
     },
-    stop: () => { for (const timer of timers.values()) timer.cancel() }
+    stop: () => { for (const timer of [...timers.values(), ...waiting.values()]) timer.cancel() }
   }
 }
--- a/src/services/instanceRegistry/index.ts
+++ b/src/services/instanceRegistry/index.ts
@@ -133,6 +133,7 @@
     if (isWarmUpLater || !isSameEntry(known, next)) changes.record(name)
     instances.set(name, next)
     if (origin !== 'peer') registrations.enter(next)
+    else if (next.isUnregistered === true) registrations.enterIfStillMarked(next)
     if (known === undefined) logger.info('backend server added', { backendServer: name, service: instance.service, incarnation: instance.incarnation, revision })
     else if (isLeaving && !known.isLeaving) logLeaving(next, 'list')
   }
--- a/src/services/instanceRegistry/test.ts
+++ b/src/services/instanceRegistry/test.ts
@@ -365,6 +365,18 @@
     expect(listUnregistered(peer)).toEqual([])
   })
 
+  // The mark stayed: clearing it changes no revision, so a peer that is asked for the first time has nothing to tell.
+  test('is registered by a node that relies on a reader which is gone, once the reader had time to tell', async () => {
+    const { registry: reader } = await startWithChange([createServer('new-1', { softwareVersion: 'v2' })])
+    const { entering, enterVersions } = createEntering()
+    const { registry, clock } = await startRegistry({ enterVersions })
+    registry.applyPeerUpdate(reader.createPeerUpdate(undefined, 0), reader.api.revision(), 0)
+    await clock.advanceAndSettle(1_900)
+    expect([listUnregistered(registry), entering.asked]).toEqual([['new-1'], ['']])
+    await clock.advanceAndSettle(200)
+    expect([listUnregistered(registry), entering.asked]).toEqual([[], ['', 'v2']])
+  })
+
   // A store that refuses for hours would get five reads and writes a second from each reader.
   test('is asked for ever more rarely while that fails', async () => {
     const { clock, entering } = await startWithChange([createServer('new-1', { softwareVersion: 'v2' })])
