--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -2,8 +2,7 @@
  * Runs every test and decides whether the run passes. It passes when all tests pass
  * except those listed in KNOWN-RED.txt, which are printed, and nothing has thrown
  * outside of a test: such an error ends a process in production. A listed test that
- * passes fails the run, so that its line is removed from the file, unless it is listed
- * as one that fails sometimes.
+ * passes fails the run, so that its line is removed from the file.
  */
 import { readFileSync, rmSync, existsSync, mkdtempSync } from 'node:fs'
 import { tmpdir } from 'node:os'
@@ -37,16 +36,14 @@
 
 const knownRed = readKnownRed()
 const isKnownRed = (test) => knownRed.some((line) => line.includes(test.fullName))
-const failsSometimes = (test) => knownRed.some((line) => line.includes(`fails sometimes: ${test.fullName}`))
 const tests = report.testResults.flatMap((file) => file.assertionResults)
 const failed = tests.filter((test) => test.status === 'failed')
 const passed = tests.filter((test) => test.status === 'passed')
 const unexpected = failed.filter((test) => !isKnownRed(test))
-const passingKnownRed = passed.filter((test) => isKnownRed(test) && !failsSometimes(test))
+const passingKnownRed = passed.filter(isKnownRed)
 const brokenFiles = report.testResults.filter((file) => file.status === 'failed' && file.assertionResults.every((test) => test.status !== 'failed'))
 
 for (const test of failed.filter(isKnownRed)) console.log(`known red: ${test.fullName}`)
-for (const test of passed.filter(failsSometimes)) console.log(`known to fail sometimes, passed: ${test.fullName}`)
 for (const test of unexpected) console.log(`failed: ${test.fullName}`)
 for (const test of passingKnownRed) console.log(`listed as known red, but passes: ${test.fullName}`)
 for (const file of brokenFiles) console.log(`did not run: ${file.name}: ${file.message}`)
