review: a stream goes on at a server with newer software (case 6)

A server that crashed is back under its id and address with newer software; until its first heartbeat it is taken for the run before, and streams of another server that crashes then go on there.

--- a/review/standIns-2/backend.mjs
+++ b/review/standIns-2/backend.mjs
@@ -9,7 +9,7 @@
 /** The whole body of the answer to an attempt. */
 export const composeBody = (attemptId, bodyHash) => JSON.stringify({ attemptId, bodyHash }).padEnd(800)
 
-export const composeEvent = (attemptId, id) => `id: ${id}\ndata: piece ${id} of ${attemptId}\n\n`
+export const composeEvent = (attemptId, id, mark = '') => `id: ${id}\ndata: piece ${id} of ${attemptId}${mark}\n\n`
 
 const readBytes = (request) => new Promise((resolve) => {
   const chunks = []
@@ -23,9 +23,10 @@
  * Starts a server and registers it in the store.
  *
  * @param options - `id`, `service`, `zone`, `slots`, `workMs`, `events`, `gapMs`; `onRun(run)` is told of each run;
- * `spoil(run, request, response)` may answer instead of the server, and returns true if it does.
+ * `spoil(run, request, response)` may answer instead of the server, and returns true if it does. `version` is that of its
+ * software, `mark` a text in each event, `port` a fixed one, `firstBeatMs` the time until its first heartbeat.
  */
-export const createBackend = async ({ id, service, zone, store, host = '127.0.0.1', slots = 6, queue = 24, workMs = 60, events = 10, gapMs = 20, onRun = () => {}, spoil = () => false, register = true, advertised }) => {
+export const createBackend = async ({ id, service, zone, store, host = '127.0.0.1', slots = 6, queue = 24, workMs = 60, events = 10, gapMs = 20, onRun = () => {}, spoil = () => false, register = true, advertised, version = 'v1', mark, port = 0, firstBeatMs = 0 }) => {
   const sockets = new Set()
   const waiting = []
   const born = Date.now()
@@ -50,7 +51,7 @@
     const step = () => {
       if (response.destroyed) return
       if (next > events) return response.end()
-      response.write(composeEvent(run.attemptId, next))
+      response.write(composeEvent(run.attemptId, next, mark))
       next += 1
       setTimeout(step, gapMs)
     }
@@ -110,18 +111,23 @@
     socket.on('error', () => {})
     socket.on('close', () => sockets.delete(socket))
   })
-  await new Promise((resolve) => { server.listen(0, host, resolve) })
+  await new Promise((resolve) => { server.listen(port, host, resolve) })
   const own = `${host}:${server.address().port}`
 
   const beat = () => {
     sequence += 1
-    store.put('servers', id, { service, address: advertised?.(own) ?? own, zone, version: 'v1', slots, state, cold_left_ms: 0, seq_no: sequence, born })
+    store.put('servers', id, { service, address: advertised?.(own) ?? own, zone, version, slots, state, cold_left_ms: 0, seq_no: sequence, born })
   }
-  if (register) {
+  const startBeats = () => {
     beat()
     timer = setInterval(beat, HEARTBEAT_MS)
   }
 
+  if (register) {
+    if (firstBeatMs === 0) startBeats()
+    else timer = setTimeout(startBeats, firstBeatMs)
+  }
+
   return {
     id,
     address: own,
