Count final answers that promise that a request did not run

The lines that end a request said whether it may have run only where the node itself refused; nothing counted promises by what proves them. Lines now have mayHaveRun and the status of streamed answers, and the metric gateway_not_run_answers counts the statuses 408, 421, 429 and 503 that leave the node by whether the request may have run.

No logic changes.

--- a/src/adapters/promMetrics/index.ts
+++ b/src/adapters/promMetrics/index.ts
@@ -27,6 +27,7 @@
   gateway_prompt_copies: { help: 'Sends that asked for a copy of the prompt from another backend server', labels: [] },
   gateway_relays: { help: 'Requests sent to a peer because this node does not reach the backend servers', labels: [] },
   gateway_waits: { help: 'Requests that waited for a backend server with room, by how the wait ended and by priority', labels: ['outcome', 'priority'] },
+  gateway_not_run_answers: { help: 'Final answers that promise that the request did not run, by status and by whether it may have run', labels: ['status', 'mayHaveRun'] },
   gateway_refusals: { help: 'Requests refused because no backend server had room, by reason and priority', labels: ['reason', 'priority'] },
   gateway_streams_taken_up: { help: 'Streams that callers took up again, by how the software version at which they began was known', labels: ['source'] },
   gateway_server_ends: { help: 'Backend servers that ended while requests of this node ran there', labels: ['service'] },
--- a/src/services/forwarding/_lib/createAnswerIntake.ts
+++ b/src/services/forwarding/_lib/createAnswerIntake.ts
@@ -23,7 +23,7 @@
   /** The answer is complete and nothing of it was passed on yet. */
   readonly onComplete: (answer: InstanceAnswer, body: Uint8Array) => void
   /** The last bytes of the answer were passed on. */
-  readonly onStreamEnd: () => void
+  readonly onStreamEnd: (answer: InstanceAnswer) => void
 }
 
 export type AnswerIntake = {
@@ -93,7 +93,7 @@
       if (answer === undefined) return listener.onBroken('end without an answer')
       if (reader.pendingBytes() > 0) return listener.onBroken('end in the middle of an event')
       if (isStream(answer)) beginWith(answer)
-      if (caller.hasBegun()) return listener.onStreamEnd()
+      if (caller.hasBegun()) return listener.onStreamEnd(answer)
       const body = buffered.take()
       caller.recordBuffered(0)
       if (answer.status >= 500) return listener.onReportedFailure(answer, body)
--- a/src/services/forwarding/_lib/createFinalAnswer.ts
+++ b/src/services/forwarding/_lib/createFinalAnswer.ts
@@ -3,7 +3,7 @@
  * A refusal states "not run" only while no backend server may have run the request.
  */
 import type { CallerAnswer } from './createCallerAnswer.js'
-import type { RequestOutcome, RequestRecord } from './createRequestRecord.js'
+import type { FinalFields, RequestOutcome, RequestRecord } from './createRequestRecord.js'
 import { computeRetryAfter } from '../../../decisions/computeRetryAfter/index.js'
 import type { RetryAfterOptions } from '../../../decisions/computeRetryAfter/index.js'
 import type { FinalReason, GatewayRefusal, InstanceAnswer, LogFields, RandomSource } from '../../../types/index.js'
@@ -25,7 +25,7 @@
 
 export type FinalAnswer = {
   /** Records the outcome; the caller has its answer or has disconnected. */
-  readonly finish: (outcome: RequestOutcome, fields?: LogFields) => void
+  readonly finish: (outcome: RequestOutcome, fields?: FinalFields) => void
   readonly refuse: (refusal: GatewayRefusal, evidence?: LogFields) => void
   /** Refuses with "not run" while that is certain; otherwise passes on the reported failure, or refuses with the given status. */
   readonly giveUp: (reason: FinalReason, statusIfUnknown: 502 | 504, evidence?: LogFields) => void
@@ -45,20 +45,19 @@
   const finish: FinalAnswer['finish'] = (outcome, fields = {}) => {
     isDone = true
     onDone()
-    record.finish(outcome, { sends: readProgress().sends, ...fields })
+    record.finish(outcome, { ...readProgress(), ...fields })
   }
 
   const refuse: FinalAnswer['refuse'] = (refusal, evidence = {}) => {
     if (isDone) return
     abortAttempt()
-    const { mayHaveRun } = readProgress()
     if (caller.hasBegun()) {
       caller.abort()
-      return finish('brokenOff', { reason: refusal.reason, mayHaveRun, lastEventId: caller.relay.lastEventId(), ...evidence })
+      return finish('brokenOff', { reason: refusal.reason, lastEventId: caller.relay.lastEventId(), ...evidence })
     }
     caller.refuse(refusal)
     const retryAfterMs = refusal.retryAfterMs === undefined ? undefined : Math.round(refusal.retryAfterMs)
-    finish('refused', { status: refusal.status, reason: refusal.reason, retryAfterMs, mayHaveRun, ...evidence })
+    finish('refused', { status: refusal.status, reason: refusal.reason, retryAfterMs, ...evidence })
   }
 
   const finishWithReportedFailure = (): void => {
--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -230,14 +230,14 @@
   }
 
   /** The answer of the backend server is complete; `endAnswer` ends the caller's answer. */
-  const completeWith = (current: SendAttempt, endAnswer: () => void, fields: LogFields = {}): void => {
+  const completeWith = (current: SendAttempt, status: number, endAnswer: () => void): void => {
     attempts.endActive()
     attempts.releaseAside()
     current.target.recordComplete()
     endAnswer()
     reporter.reportComplete()
     record.countSend('complete')
-    finish('complete', { ...current.target.logFields, ...fields })
+    finish('complete', { ...current.target.logFields, status })
   }
 
   const listenTo = (current: SendAttempt): AnswerListener => ({
@@ -250,10 +250,10 @@
     onNotRun: (answer) => handleNotRun(current, answer),
     onBroken: (message) => handleFailure(current, { kind: 'broken', message }),
     onReportedFailure: (answer, body) => handleReportedFailure(current, answer, body),
-    onComplete: (answer, body) => completeWith(current, () => caller.sendComplete(answer, body), { status: answer.status }),
-    onStreamEnd: () => {
+    onComplete: (answer, body) => completeWith(current, answer.status, () => caller.sendComplete(answer, body)),
+    onStreamEnd: ({ status }) => {
       if (sends === 1) reporter.reportCompleteStream(current)
-      completeWith(current, caller.end)
+      completeWith(current, status, caller.end)
     }
   })
 
--- a/src/services/forwarding/_lib/createRequestRecord.ts
+++ b/src/services/forwarding/_lib/createRequestRecord.ts
@@ -1,4 +1,5 @@
 /** Writes the log lines and metrics of one request: attempts, outcome and durations. */
+import { promisesNotRun } from '../../../decisions/selectFinalStatus/index.js'
 import type { RequestHandlerContext } from './requestHandler.js'
 import type { GatewayRequest, GatewayRoute, LogFields } from '../../../types/index.js'
 import type { GatewayEvent } from '../../../types/gatewayEvents.js'
@@ -10,6 +11,9 @@
 /** Steps of a request up to the head of its answer, in this order. */
 export type RequestStep = 'body' | 'sent' | 'connected' | 'head'
 
+/** `status` is that of the final answer; it and `mayHaveRun` are not set for a caller without one. */
+export type FinalFields = LogFields & { readonly status?: number | undefined, readonly mayHaveRun?: boolean }
+
 export type RequestRecord = {
   /** Records that a step was reached; only the first time counts. */
   readonly recordStep: (step: RequestStep) => void
@@ -20,7 +24,7 @@
   readonly countRetry: (isGranted: boolean) => void
   /** Records the time from the send to the answer's head, in milliseconds. */
   readonly recordFirstByteTime: (milliseconds: number) => void
-  readonly finish: (outcome: RequestOutcome, fields: LogFields) => void
+  readonly finish: (outcome: RequestOutcome, fields: FinalFields) => void
 }
 
 const MILLISECONDS_PER_SECOND = 1_000
@@ -54,6 +58,7 @@
     finish: (outcome, fields) => {
       const ms = clock.now() - request.receivedAt
       metrics.count('gateway_requests', { policy: policy(), outcome, reason: String(fields.reason ?? '') })
+      if (fields.status !== undefined && promisesNotRun(fields.status)) metrics.count('gateway_not_run_answers', { status: String(fields.status), mayHaveRun: String(fields.mayHaveRun) })
       metrics.observe('gateway_duration_seconds', ms / MILLISECONDS_PER_SECOND, { policy: policy(), outcome })
       log(outcome === 'complete' ? 'request complete' : 'request ended', { outcome, ms: Math.round(ms), ...(unreadMs > 0 ? { unreadMs } : {}), ...listSteps(), ...shutdownGate.describe(), ...fields })
     }
--- a/src/types/metrics.ts
+++ b/src/types/metrics.ts
@@ -7,7 +7,7 @@
   | 'requests_accepted' | 'requests_finished' | 'attempts' | 'retries'
   | 'prompt_tokens' | 'completion_tokens' | 'platform_calls' | 'peer_sent_bytes'
   | 'claims' | 'directory_lookups' | 'load_probes'
-  | 'gateway_requests' | 'gateway_sends' | 'gateway_repeats' | 'gateway_prompt_copies' | 'gateway_backoffs' | 'gateway_requests_unanswered' | 'gateway_callers_left' | 'gateway_relays' | 'gateway_answers_paused' | 'gateway_answers_ended_unread' | 'gateway_waits' | 'gateway_refusals' | 'gateway_streams_taken_up' | 'gateway_server_ends' | 'gateway_quarantine' | 'contained_errors' | 'log_lines_left_out'
+  | 'gateway_requests' | 'gateway_sends' | 'gateway_repeats' | 'gateway_prompt_copies' | 'gateway_backoffs' | 'gateway_requests_unanswered' | 'gateway_callers_left' | 'gateway_relays' | 'gateway_answers_paused' | 'gateway_answers_ended_unread' | 'gateway_waits' | 'gateway_refusals' | 'gateway_not_run_answers' | 'gateway_streams_taken_up' | 'gateway_server_ends' | 'gateway_quarantine' | 'contained_errors' | 'log_lines_left_out'
 
 export type HistogramName = 'first_token_seconds' | 'between_tokens_seconds' | 'queue_wait_seconds' | 'request_duration_seconds'
   | 'gateway_first_byte_seconds' | 'gateway_duration_seconds' | 'gateway_read_delay_seconds'
