Refuse with 502 where a backend server's 503 proves nothing

Cause: a server's failure is kept as the final answer, and left the node with the server's status whatever that promises. The node asked what is proved only for its own refusals.

Change: selectFinalStatus decides from proof whether a status that promises 'not run' may leave. createFinalAnswer asks it for every refusal and for the failure that a server reported; such a failure ends as 502 unprovenRefusal of the node itself, without the server's signature. Retries are as before.

--- a/src/services/forwarding/_lib/createFinalAnswer.ts
+++ b/src/services/forwarding/_lib/createFinalAnswer.ts
@@ -1,11 +1,12 @@
 /**
  * Ends a request: gives the caller exactly one final answer and records the outcome.
- * A refusal states "not run" only while no backend server may have run the request.
+ * An answer states "not run" only while no backend server may have run the request, whoever made it.
  */
 import type { CallerAnswer } from './createCallerAnswer.js'
 import type { FinalFields, RequestOutcome, RequestRecord } from './createRequestRecord.js'
 import { computeRetryAfter } from '../../../decisions/computeRetryAfter/index.js'
 import type { RetryAfterOptions } from '../../../decisions/computeRetryAfter/index.js'
+import { promisesNotRun, selectFinalStatus } from '../../../decisions/selectFinalStatus/index.js'
 import type { FinalReason, GatewayRefusal, InstanceAnswer, LogFields, RandomSource } from '../../../types/index.js'
 
 /** A failure that a backend server reported in a complete answer of its own. */
@@ -33,10 +34,13 @@
   readonly failInternally: () => void
   /** Keeps the last failure that a backend server reported, as the final answer if no retry succeeds. */
   readonly keepReportedFailure: (failure: ReportedFailure) => void
-  /** Passes the reported failure on to the caller. */
+  /** Passes the reported failure on to the caller, unless its status promises what the server did not prove. */
   readonly finishWithReportedFailure: () => void
 }
 
+/** Status of a refusal of this node, where it may promise that the request did not run. */
+const NOT_RUN_STATUS = 503
+
 /** Creates the final answer of one request. */
 export const createFinalAnswer = ({ caller, record, random, readProgress, readAvailability, abortAttempt, onDone }: FinalAnswerDependencies): FinalAnswer => {
   let isDone = false
@@ -48,6 +52,12 @@
     record.finish(outcome, { ...readProgress(), ...fields })
   }
 
+  /** A caller that can't be told that its request did not run is not told when to come back either. */
+  const withProof = (refusal: GatewayRefusal): GatewayRefusal => {
+    const status = selectFinalStatus(refusal.status, readProgress().mayHaveRun)
+    return status === refusal.status ? refusal : { status, reason: refusal.reason }
+  }
+
   const refuse: FinalAnswer['refuse'] = (refusal, evidence = {}) => {
     if (isDone) return
     abortAttempt()
@@ -55,27 +65,30 @@
       caller.abort()
       return finish('brokenOff', { reason: refusal.reason, lastEventId: caller.relay.lastEventId(), ...evidence })
     }
-    caller.refuse(refusal)
-    const retryAfterMs = refusal.retryAfterMs === undefined ? undefined : Math.round(refusal.retryAfterMs)
-    finish('refused', { status: refusal.status, reason: refusal.reason, retryAfterMs, ...evidence })
+    const proven = withProof(refusal)
+    caller.refuse(proven)
+    const retryAfterMs = proven.retryAfterMs === undefined ? undefined : Math.round(proven.retryAfterMs)
+    finish('refused', { status: proven.status, reason: proven.reason, retryAfterMs, ...evidence })
   }
 
   const finishWithReportedFailure = (): void => {
     if (reportedFailure === undefined) return
+    const { answer, body } = reportedFailure
+    if (promisesNotRun(answer.status)) return refuse({ status: answer.status, reason: 'unprovenRefusal' }, { serverStatus: answer.status })
     abortAttempt()
-    caller.sendComplete(reportedFailure.answer, reportedFailure.body)
-    finish('failedAtBackend', { status: reportedFailure.answer.status })
+    caller.sendComplete(answer, body)
+    finish('failedAtBackend', { status: answer.status })
   }
 
   const giveUp: FinalAnswer['giveUp'] = (reason, statusIfUnknown, evidence = {}) => {
-    if (caller.hasBegun() || !readProgress().mayHaveRun) return refuse({ status: 503, reason, retryAfterMs: computeRetryAfter(random.next(), { reason, ...readAvailability() }) }, evidence)
-    if (reportedFailure !== undefined) return finishWithReportedFailure()
-    refuse({ status: statusIfUnknown, reason }, evidence)
+    const { mayHaveRun } = readProgress()
+    if (!caller.hasBegun() && mayHaveRun && reportedFailure !== undefined) return finishWithReportedFailure()
+    const status = selectFinalStatus(NOT_RUN_STATUS, mayHaveRun, { statusIfUnknown })
+    const retry = promisesNotRun(status) ? { retryAfterMs: computeRetryAfter(random.next(), { reason, ...readAvailability() }) } : {}
+    refuse({ status, reason, ...retry }, evidence)
   }
 
-  const failInternally = (): void => refuse(readProgress().mayHaveRun
-    ? { status: 502, reason: 'internalError' }
-    : { status: 503, reason: 'internalError', retryAfterMs: computeRetryAfter(random.next()) })
+  const failInternally = (): void => refuse({ status: NOT_RUN_STATUS, reason: 'internalError', retryAfterMs: computeRetryAfter(random.next()) })
 
   return { finish, refuse, giveUp, failInternally, keepReportedFailure: (failure) => { reportedFailure = failure }, finishWithReportedFailure }
 }
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -242,7 +242,7 @@
   | 'badRequest' | 'headerTooLarge' | 'bodyTooLarge' | 'unknownRoute' | 'unknownKey' | 'noConfiguration' | 'staleKeys'
   | 'noInstance' | 'serviceFull' | 'deadlineBeforeSend' | 'deadline' | 'instanceFailed' | 'answerBroken'
   | 'instancesRefused' | 'shuttingDown' | 'crossedAnswer' | 'zoneDrained' | 'backingOff' | 'warmingUp' | 'regionNotAllowed'
-  | 'relayLimit' | 'memoryFull' | 'versionGone' | 'versionUnknown' | 'versionUnregistered' | 'promptQuarantined' | 'internalError'
+  | 'relayLimit' | 'memoryFull' | 'versionGone' | 'versionUnknown' | 'versionUnregistered' | 'promptQuarantined' | 'internalError' | 'unprovenRefusal'
   | 'waitTooLong' | 'overShare' | 'queueFull' | 'repeatedEarly' | 'lessUrgent'
 
 /** A final answer created by the node itself. */
--- a/test/_lib/startForwardingNode.ts
+++ b/test/_lib/startForwardingNode.ts
@@ -31,6 +31,8 @@
   routes: [
     createRoute('long', { latencyTargetMs: 800, priority: 0 }),
     createRoute('short', { latencyTargetMs: 200, priority: 2 }),
+    createRoute('order', { retryPolicy: 'unsafe' }),
+    createRoute('once', { retryPolicy: 'stream', timeoutMs: 12_000 }),
     createRoute('stream', { retryPolicy: 'stream', isResumable: true, timeoutMs: 12_000 }),
     createRoute('thrice', { retryPolicy: 'stream', isResumable: true, timeoutMs: 12_000, maximumAttempts: 3 }),
     createRoute('private', { retryPolicy: 'stream', isResumable: true, timeoutMs: 12_000, isPublic: false })
@@ -55,13 +57,15 @@
 /** A recently started node, without configuration and server list until `provideInitialState`. */
 export const startForwardingNode = () => {
   const clock = createManualClock()
-  const state = { confirmedAgeMs: 0, verdict: { kind: 'open' } as QuarantineVerdict, servers: [INSTANCE, OTHER_INSTANCE] as readonly BackendInstance[], aborts: 0, throwsAt: undefined as ThrowingPart | undefined, contained: 0, peer: undefined as RelayPeer | undefined, isSuspended: false, hasCallerLeft: false }
+  const state = { confirmedAgeMs: 0, verdict: { kind: 'open' } as QuarantineVerdict, servers: [INSTANCE, OTHER_INSTANCE] as readonly BackendInstance[], aborts: 0, throwsAt: undefined as ThrowingPart | undefined, contained: 0, peer: undefined as RelayPeer | undefined, isSuspended: false, hasCallerLeft: false, readAllowance: Infinity }
   const throwAt = (part: ThrowingPart): void => { if (state.throwsAt === part) throw new TypeError(`thrown in ${part}`) }
   const sent: string[] = []
   const targets: string[] = []
   /** Ids and software versions of the streams that were recorded. */
   const begins: string[] = []
   const answers: string[] = []
+  /** Statuses of the answers that were passed on as they arrived. */
+  const heads: number[] = []
   const listeners: (() => void)[] = []
   const exchanges: ExchangeListener[] = []
   let isKnown = false
@@ -147,7 +151,7 @@
     throwAt('answer')
     answers.push(`${status} ${reason}`)
   }
-  const sink: CallerSink = { hasLeft: () => state.hasCallerLeft, refuse, complete: () => {}, head: () => {}, data: () => true, onDrain: () => {}, end: () => { answers.push('complete') }, fail: () => { answers.push('broken off') } }
+  const sink: CallerSink = { hasLeft: () => state.hasCallerLeft, refuse, complete: ({ status }) => { answers.push(`${status} of the server`) }, head: ({ status }) => { heads.push(status) }, data: () => true, onDrain: () => {}, readAllowance: () => state.readAllowance, end: () => { answers.push('complete') }, fail: () => { answers.push('broken off') } }
   return {
     clock,
     countOpen: forwarding.api.openRequests,
@@ -156,7 +160,9 @@
     targets,
     begins,
     answers,
+    heads,
     exchanges,
+    endOpen: forwarding.api.endOpen,
     beginShutdown: forwarding.api.beginShutdown,
     call: (requestId: string, path: string, bodyAfterMs = 0, changes: Partial<GatewayRequest> = {}): void => {
       const request: GatewayRequest = { requestId, method: 'GET', host: 'shop.example', target: path, headers: [], credential: undefined, callerTimeoutMs: TIMEOUT_MS, lastEventId: undefined, promptParts: [], tokens: { prompt: 0, output: 1_000 }, receivedAt: clock.now(), ...changes }
