Treat 408 and 429 of a backend server as failures unless proved

The server was not avoided either.

Cause: only statuses from 500 on counted as failures; anything below was a complete answer, passed on as it came, and not retried.

Change: reportsFailure says which own answers of a server are failures; the intake and the choice between two running attempts ask it.

--- a/src/services/forwarding/_lib/classifyAnswer.ts
+++ b/src/services/forwarding/_lib/classifyAnswer.ts
@@ -1,4 +1,5 @@
 /** Decides from an answer's head whether it belongs to the request, and whether the request was run. */
+import { promisesNotRun } from '../../../decisions/selectFinalStatus/index.js'
 import type { GatewayRequest, InstanceAnswer } from '../../../types/index.js'
 
 export type AnswerClass =
@@ -23,3 +24,11 @@
   if (answer.status < 300 && !answer.isSigned) return { kind: 'foreign', message: 'success without a signature' }
   return { kind: 'own' }
 }
+
+const SERVER_ERROR_STATUS = 500
+
+/**
+ * Whether a server's own answer reports a failure. One that promises 'not run' without proof does
+ * too: the server may have run the request, and what it answered can't be passed on.
+ */
+export const reportsFailure = ({ status }: Pick<InstanceAnswer, 'status'>): boolean => status >= SERVER_ERROR_STATUS || promisesNotRun(status)
--- a/src/services/forwarding/_lib/createAnswerIntake.ts
+++ b/src/services/forwarding/_lib/createAnswerIntake.ts
@@ -7,7 +7,7 @@
  */
 import type { CallerAnswer } from './createCallerAnswer.js'
 import { createEventReader } from './createEventReader.js'
-import { classifyAnswer } from './classifyAnswer.js'
+import { classifyAnswer, reportsFailure } from './classifyAnswer.js'
 import { createGatheredBytes } from '../../../kernel/index.js'
 import type { Exchange, GatewayRequest, InstanceAnswer } from '../../../types/index.js'
 
@@ -96,7 +96,7 @@
       if (caller.hasBegun()) return listener.onStreamEnd(answer)
       const body = buffered.take()
       caller.recordBuffered(0)
-      if (answer.status >= 500) return listener.onReportedFailure(answer, body)
+      if (reportsFailure(answer)) return listener.onReportedFailure(answer, body)
       listener.onComplete(answer, body)
     }
   }
--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -5,6 +5,7 @@
  */
 import { checkKey } from './checkKey.js'
 import type { AttemptTarget } from './attemptTarget.js'
+import { reportsFailure } from './classifyAnswer.js'
 import { classifyFailure } from './classifyFailure.js'
 import { SHUTTING_DOWN } from './createAdmissionGate.js'
 import { createAnswerIntake, type AnswerIntake, type AnswerListener } from './createAnswerIntake.js'
@@ -30,8 +31,6 @@
 
 /** How long a request with a key waits for the configuration to be confirmed, in milliseconds. */
 const KEY_CONFIRM_WAIT_MS = 400
-/** Answers from this status on are failures of the backend server. */
-const SERVER_ERROR_STATUS = 500
 
 /** Creates the handler of one request; it sends nothing before `assign` and `submit`. */
 export const createRequestHandler = (context: RequestHandlerContext, request: GatewayRequest, sink: CallerSink): RequestHandler => {
@@ -242,7 +241,7 @@
 
   const listenTo = (current: SendAttempt): AnswerListener => ({
     onHead: (answer) => {
-      if (answer.status < SERVER_ERROR_STATUS) attempts.settleOn(current)
+      if (!reportsFailure(answer)) attempts.settleOn(current)
       else if (attempts.isAside(current)) return recordReportedFailure(current, answer)
       recordAnswering(current)
       reporter.reportSuccess(current, answer)
--- a/src/services/forwarding/notRunPromises.test.ts
+++ b/src/services/forwarding/notRunPromises.test.ts
@@ -5,7 +5,7 @@
 
 type Node = ReturnType<typeof startForwardingNode>
 
-const UNPROVEN_STATUSES = [503]
+const UNPROVEN_STATUSES = [408, 429, 503]
 const STREAM_TIMEOUT_MS = 12_000
 
 const begin = (path: string, changes: Partial<Node['state']> = {}): Node => {
