Pass on no byte of an unproved promise that is too long to be held

What callers saw: an answer of 408, 429 or 503 that proves nothing and is longer than the node may hold (1 MB, less where memory is scarce) left as it arrived, status first.

Cause: such answers are passed on before their end, when nobody has asked yet whether their status may leave.

Change: the intake keeps and passes on nothing of such an answer; its end is a reported failure like any other.

--- a/src/services/forwarding/_lib/createAnswerIntake.ts
+++ b/src/services/forwarding/_lib/createAnswerIntake.ts
@@ -8,6 +8,7 @@
 import type { CallerAnswer } from './createCallerAnswer.js'
 import { createEventReader } from './createEventReader.js'
 import { classifyAnswer, reportsFailure } from './classifyAnswer.js'
+import { promisesNotRun } from '../../../decisions/selectFinalStatus/index.js'
 import { createGatheredBytes } from '../../../kernel/index.js'
 import type { Exchange, GatewayRequest, InstanceAnswer } from '../../../types/index.js'
 
@@ -63,6 +64,8 @@
   }
 
   const bufferBytes = (head: InstanceAnswer, bytes: Uint8Array, exchange: Exchange | undefined): void => {
+    // No byte of an answer that promises 'not run' without proof is ever passed on.
+    if (promisesNotRun(head.status)) return
     buffered.push(bytes)
     caller.recordBuffered(buffered.length())
     if (buffered.length() <= Math.min(MAXIMUM_BUFFERED_BYTES, caller.readAllowance())) return
--- a/src/services/forwarding/notRunPromises.test.ts
+++ b/src/services/forwarding/notRunPromises.test.ts
@@ -108,6 +108,13 @@
     expect([node.countOpen(), readStatuses(node)]).toEqual([0, [expect.toSatisfy((sent: number) => sent === 502 || sent === 504)]])
   })
 
+  // Guards against the head of an answer that is too long to be held, which is passed on before its end.
+  test('promises nothing in an answer that is too long to be held', () => {
+    const node = begin('/order/1', { readAllowance: 3 })
+    answer(node.exchanges[0]!, status)
+    expect([node.countOpen(), readStatuses(node)]).toEqual([0, [502]])
+  })
+
   // Guards against a retry that is not made because the answer is no longer passed on.
   test.each(['/short/1', '/stream/1'])('is retried where that is allowed (%s)', (path) => {
     const node = begin(path)
