Take only a peer's own refusal as proof across the hop

What callers saw: at a node that reaches servers through a peer, 408, 429 and 503 of a server that had run the request (REFUSED).

Cause: the head of a peer's answer was read like that of a backend server, so that its 421 or X-Not-Executed counted as proof; the node of the peer has acted on those already. A refusal of the peer did not name the server.

Change: decodeRelayedAnswer takes 'not run' from the refusal header only, and the id of the server also from refusals.

--- a/src/adapters/relayHttp/index.ts
+++ b/src/adapters/relayHttp/index.ts
@@ -6,6 +6,7 @@
 import { createHmac, timingSafeEqual } from 'node:crypto'
 import type { ContainedErrorReporter } from '../containedEvents/index.js'
 import { createExchangeHttp } from '../exchangeHttp/index.js'
+import { promisesNotRun } from '../../decisions/selectFinalStatus/index.js'
 import { failure, success } from '../../kernel/index.js'
 import type { Clock, FinalReason, GatewayDialect, GatewayRefusal, HeaderList, InstanceAnswer, RelayClient, RelayOrigin } from '../../types/index.js'
 
@@ -25,8 +26,11 @@
 
 const OWN_HEADERS: ReadonlySet<string> = new Set(Object.values(HEADER))
 
-/** Statuses with which a gateway refuses only requests that were not run. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([400, 401, 404, 408, 413, 421, 429, 431, 503])
+/** Statuses with which a gateway refuses a request for what it is: it was not run. */
+const REQUEST_ERROR_STATUSES: ReadonlySet<number> = new Set([400, 401, 404, 413, 431])
+
+/** Whether a refusal of a gateway with this status proves that the request was not run. */
+const provesNotRun = (status: number): boolean => promisesNotRun(status) || REQUEST_ERROR_STATUSES.has(status)
 
 /** A peer that does not accept a connection within this time in milliseconds is not waited for: another one may. */
 const CONNECT_TIMEOUT_MS = 200
@@ -59,12 +63,19 @@
   readonly servedBy: (answer: Pick<InstanceAnswer, 'servedBy' | 'servedByVersion'>) => readonly string[]
 }
 
+const encodeServer: RelayHeaders['servedBy'] = ({ servedBy, servedByVersion }) => [
+  ...(servedBy === undefined ? [] : [HEADER.servedBy, encodeURIComponent(servedBy)]),
+  ...encodeVersion(servedByVersion)
+]
+
+const decodeServer = (headers: HeaderList): Pick<InstanceAnswer, 'servedBy' | 'servedByVersion'> => {
+  const servedBy = find(headers, HEADER.servedBy)
+  return servedBy === undefined ? {} : { servedBy: decodeURIComponent(servedBy), servedByVersion: decodeVersion(headers) }
+}
+
 export const relayHeaders: RelayHeaders = {
-  refusal: ({ reason }) => [HEADER.refusal, reason],
-  servedBy: ({ servedBy, servedByVersion }) => [
-    ...(servedBy === undefined ? [] : [HEADER.servedBy, encodeURIComponent(servedBy)]),
-    ...encodeVersion(servedByVersion)
-  ]
+  refusal: (refusal) => [HEADER.refusal, refusal.reason, ...encodeServer(refusal)],
+  servedBy: encodeServer
 }
 
 /**
@@ -106,12 +117,12 @@
   }
 }
 
+/** Only a refusal of the peer itself proves that nothing ran: the words of backend servers were for the peer, which has acted on them. */
 const decodeRelayedAnswer = (dialect: Pick<GatewayDialect, 'decodeAnswer'>, status: number, headers: HeaderList): InstanceAnswer => {
   const answer = dialect.decodeAnswer(status, headers.filter(([name]) => !isOwn(name)))
   const refusal = find(headers, HEADER.refusal)
-  const servedBy = find(headers, HEADER.servedBy)
-  if (refusal !== undefined) return { ...answer, relayRefusal: refusal as FinalReason, isNotRun: NOT_RUN_STATUSES.has(status) }
-  return servedBy === undefined ? answer : { ...answer, servedBy: decodeURIComponent(servedBy), servedByVersion: decodeVersion(headers) }
+  const decoded = { ...answer, ...decodeServer(headers), isOtherInstance: false }
+  return refusal === undefined ? { ...decoded, isNotRun: false } : { ...decoded, relayRefusal: refusal as FinalReason, isNotRun: provesNotRun(status) }
 }
 
 export type RelayHttpOptions = {
--- a/src/emulator/createMemoryRelay/index.ts
+++ b/src/emulator/createMemoryRelay/index.ts
@@ -14,8 +14,9 @@
 
 const UNKNOWN_STATUSES: ReadonlySet<number> = new Set([502, 504])
 
-const composeRefusal = ({ status, reason }: GatewayRefusal): InstanceAnswer => ({
+const composeRefusal = ({ status, reason, servedBy, servedByVersion }: GatewayRefusal): InstanceAnswer => ({
   status,
+  ...(servedBy === undefined ? {} : { servedBy, servedByVersion }),
   headers: [],
   requestId: undefined,
   isSigned: false,
--- a/src/services/forwarding/_lib/createFinalAnswer.ts
+++ b/src/services/forwarding/_lib/createFinalAnswer.ts
@@ -41,6 +41,9 @@
 /** Status of a refusal of this node, where it may promise that the request did not run. */
 const NOT_RUN_STATUS = 503
 
+const describeServer = ({ servedBy, servedByVersion }: InstanceAnswer): Pick<GatewayRefusal, 'servedBy' | 'servedByVersion'> =>
+  servedBy === undefined ? {} : { servedBy, servedByVersion }
+
 /** Creates the final answer of one request. */
 export const createFinalAnswer = ({ caller, record, random, readProgress, readAvailability, abortAttempt, onDone }: FinalAnswerDependencies): FinalAnswer => {
   let isDone = false
@@ -55,7 +58,9 @@
   /** A caller that can't be told that its request did not run is not told when to come back either. */
   const withProof = (refusal: GatewayRefusal): GatewayRefusal => {
     const status = selectFinalStatus(refusal.status, readProgress().mayHaveRun)
-    return status === refusal.status ? refusal : { status, reason: refusal.reason }
+    if (status === refusal.status) return refusal
+    const { retryAfterMs: _, ...rest } = refusal
+    return { ...rest, status }
   }
 
   const refuse: FinalAnswer['refuse'] = (refusal, evidence = {}) => {
@@ -74,7 +79,7 @@
   const finishWithReportedFailure = (): void => {
     if (reportedFailure === undefined) return
     const { answer, body } = reportedFailure
-    if (promisesNotRun(answer.status)) return refuse({ status: answer.status, reason: 'unprovenRefusal' }, { serverStatus: answer.status })
+    if (promisesNotRun(answer.status)) return refuse({ ...describeServer(answer), status: answer.status, reason: 'unprovenRefusal' }, { serverStatus: answer.status })
     abortAttempt()
     caller.sendComplete(answer, body)
     finish('failedAtBackend', { status: answer.status })
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -251,6 +251,9 @@
   readonly reason: FinalReason
   /** When to retry, in milliseconds. */
   readonly retryAfterMs?: number
+  /** Id and software version of the backend server whose answer it replaces; told to peers only. */
+  readonly servedBy?: string
+  readonly servedByVersion?: string | undefined
 }
 
 /** Writes the final answer to the caller. Nothing may be written after `end`, `fail` or `refuse`. */
--- a/test/platform/relayHop.test.ts
+++ b/test/platform/relayHop.test.ts
@@ -96,6 +96,18 @@
     expect(head).toMatchObject({ relayRefusal: 'noInstance', isNotRun })
   })
 
+  // Guards against a server's word that is taken for the peer's: only a peer's own refusal proves that nothing ran.
+  test.each([[421, []], [503, ['X-Not-Executed', '1']]] as const)('with status %i and no refusal of the peer proves nothing', async (status, headers) => {
+    const { head } = await relay(answerWith(status, ['X-Attempt-Id', 'r1', ...headers]))
+    expect(head).toMatchObject({ status, isNotRun: false, isOtherInstance: false })
+  })
+
+  // Guards against a retry through a peer that goes to the server whose answer the peer refused to pass on.
+  test('that replaces the answer of a backend server names that server', async () => {
+    const { head } = await relay(answerWith(502, relayHeaders.refusal({ status: 502, reason: 'unprovenRefusal', servedBy: 'i,1', servedByVersion: 'v1' })))
+    expect(head).toMatchObject({ relayRefusal: 'unprovenRefusal', isNotRun: false, servedBy: 'i,1', servedByVersion: 'v1' })
+  })
+
   test('with a failure status of the backend server is that server\'s answer', async () => {
     const { head } = await relay(answerWith(503, ['X-Attempt-Id', 'r1', 'X-Server-Stamp', 's', ...relayHeaders.servedBy({ servedBy: 'i-1' })]))
     expect(head).toMatchObject({ status: 503, isNotRun: false })
--- a/test/platform/relayedRequests.test.ts
+++ b/test/platform/relayedRequests.test.ts
@@ -72,6 +72,27 @@
     expect(findRecords(fleet, 'r1')).toHaveLength(1)
   })
 
+  // Guards against the promise of a server without proof that crosses the hop, in the peer's answer or in the node's own.
+  test.each(['unproven408', 'unproven429', 'unproven503'] as const)('is not called not run where its server ran it and answers %s', async (fault) => {
+    const fleet = await start()
+    for (const backend of fleet.backends.values()) backend.setFault(fault)
+    const order = await callGateway(fleet.callerAddress(), { path: '/order/1', requestId: 'r1', body: 'x' })
+    const once = await callGateway(fleet.callerAddress(), { path: '/once/1', requestId: 'r2', body: 'x', headers: promptHeaders() })
+    expect([order, once].map(({ status, headers }) => [status, headers['x-server-stamp']])).toEqual([[502, undefined], [502, undefined]])
+    expect([findRecords(fleet, 'r1').length, findRecords(fleet, 'r2').length]).toEqual([1, 1])
+    expect(findLines(fleet, 'request relayed', { requestId: 'r1' })).toHaveLength(1)
+  })
+
+  // Guards against a retry across the hop that goes to the server that has just failed.
+  test('is repeated at another server where that is allowed and the first answers 503 without proof', async () => {
+    const fleet = await start()
+    const failing = fleet.backends.get('plain-2')!
+    failing.setFault('unproven503')
+    const results = await Promise.all(Array.from({ length: 6 }, (_, index) => callGateway(fleet.callerAddress(), { path: '/lookup/1', requestId: `r${index}` })))
+    expect(results.map(({ status }) => status)).toEqual(Array.from({ length: 6 }, () => 200))
+    expect(failing.records().length).toBeGreaterThan(0)
+  })
+
   test('is sent through another peer when the first one dies, where it may be repeated', async () => {
     const fleet = await start({ nodes: 3, plain: ['plain-1', 'plain-2'].map((id) => ({ id, workMs: 400 })) })
     const call = callGateway(fleet.callerAddress(), { path: '/lookup/1', requestId: 'r1' })
