--- a/test/platform/requests.test.ts
+++ b/test/platform/requests.test.ts
@@ -111,6 +111,17 @@
     expect(findRecords(fleet, 'r1')).toHaveLength(1)
   })
 
+  // Guards against an order that its caller sends again on a promise that its server did not prove.
+  test.each(['unproven408', 'unproven429', 'unproven503'] as const)('that states "not run" without proof leaves the outcome unknown (%s)', async (fault) => {
+    const fleet = await start()
+    for (const backend of fleet.backends.values()) backend.setFault(fault)
+    const order = await callGateway(fleet.callerAddress(), { path: '/order/1', requestId: 'r1', body: 'x' })
+    const stream = await callGateway(fleet.callerAddress(), { path: '/once/1', requestId: 'r2', body: 'x', headers: promptHeaders() })
+    const lookup = await callGateway(fleet.callerAddress(), { path: '/lookup/1', requestId: 'r3' })
+    expect([order, stream, lookup].map(({ status, headers }) => [status, headers['x-server-stamp'], headers['retry-after']])).toEqual(Array.from({ length: 3 }, () => [502, undefined, undefined]))
+    expect(['r1', 'r2', 'r3'].map((id) => findRecords(fleet, id).length)).toEqual([1, 1, 2])
+  })
+
   // An order whose answer is lost would be retried, or refused as not run although it ran.
   test('that loses the answer of an unsafe request leaves its outcome unknown', async () => {
     const fleet = await start()
