Answer 503 at a router only where the request surely did not run

What callers saw: a request that a backend server may have run, after which no server was left, was refused by a router with 503 and the outcome unknown. The status says what the header denies, and much of what reads answers reads only the status.

Cause: the status of a refusal followed from its reason alone.

Evidence: requestFaults.test.ts. 'failed on all servers after it was sent' expected 503 with the outcome unknown; it is as strict with 502, since the class of this fault is a promise of the status that nothing proves. It and a new case with a server that refuses after another one may have run the request failed before.

Change: createRefusal asks selectFinalStatus with the outcome. Headers, body and Retry-After are as before.

--- a/src/decisions/createRefusal/index.ts
+++ b/src/decisions/createRefusal/index.ts
@@ -1,4 +1,5 @@
-/** Creates refusals with the HTTP status of their reason. */
+/** Creates refusals with the HTTP status of their reason, or with 502 where that would promise what is not known. */
+import { selectFinalStatus } from '../selectFinalStatus/index.js'
 import type { Refusal, RefusalOutcome, RefusalReason } from '../../types/index.js'
 
 const statuses: { readonly [Reason in RefusalReason]: number } = {
@@ -39,6 +40,6 @@
   outcome,
   reason,
   message,
-  status: statuses[reason],
+  status: selectFinalStatus(statuses[reason], outcome === 'unknown'),
   ...(retryAfterMs === undefined ? {} : { retryAfterMs })
 })
--- a/test/requestFaults.test.ts
+++ b/test/requestFaults.test.ts
@@ -75,7 +75,8 @@
     ['crossed answer, repeatable', 'stock', [[crossedAnswer], [completeAnswer]], complete([1, 1])],
     ['crossed answer, order', 'order', [[crossedAnswer], [completeAnswer]], unknown([1, 0])],
     ['answer without an id, order', 'order', [[answerWithoutId], [completeAnswer]], unknown([1, 0])],
-    ['failed on all servers after it was sent', 'stock', [[resetConnection], [resetConnection]], { status: 503, outcome: 'unknown', code: 'noBackendServer', requests: [1, 1] }],
+    ['failed on all servers after it was sent', 'stock', [[resetConnection], [resetConnection]], unknown([1, 1], 'noBackendServer')],
+    ['failed after it was sent and then refused, idempotent at the backend servers', 'settlement', [[resetConnection], [refuseWith('overloaded')]], unknown([1, 1], 'noBackendServer')],
     ['fails more often than the maximum number of attempts', 'stock', Array.from({ length: 4 }, () => [resetConnection]), unknown([1, 1, 1, 0])]
   ])('%s', async (_name, kind, scripts, expected) => {
     const { harness, backends } = await start(scripts)
