Pass a server's unproved promise on as unknown at routers

What callers saw: an order whose backend server answered 408, 421, 429 or 503 without x-not-run got that status from a router; below 500 nothing said that the outcome is unknown, and client libraries repeat on 408 and 429.

Cause: only statuses from 500 on were marked, and the status stayed.

Change: where a route may not be repeated, these leave with 502, the server's body, x-request-outcome: unknown and x-should-retry: false, and are stored so. A failure in the form of an event stream is passed on like any other answer. Routes that may be repeated: as before (503 goes elsewhere, others pass).

--- a/src/services/dispatch/_lib/describeExchange.ts
+++ b/src/services/dispatch/_lib/describeExchange.ts
@@ -1,9 +1,10 @@
 /** Builds the requests to a backend server and the headers of an answer to a caller. */
 import { CHAT_COOKIE, selectReturnedHeaders } from '../../../decisions/selectReturnedHeaders/index.js'
 import { selectForwardedHeaders } from '../../../decisions/selectForwardedHeaders/index.js'
+import { selectFinalStatus } from '../../../decisions/selectFinalStatus/index.js'
 import { signChatHint } from '../../../decisions/signChatHint/index.js'
 import type { BackendAnswer, BackendRequest, BackendServer, Headers } from '../../../types/index.js'
-import type { RequestContext } from './requestContext.js'
+import { isIdempotent, type RequestContext } from './requestContext.js'
 
 const CHAT_COOKIE_ATTRIBUTES = 'Path=/; Max-Age=86400; HttpOnly; SameSite=Lax'
 const NO_BODY = new Uint8Array()
@@ -57,6 +58,13 @@
   timeoutMs
 })
 
+/**
+ * Status with which the answer of a backend server leaves the router. A server proves by its own header that it
+ * did not run a request; without that, a caller must not repeat one that may run only once.
+ */
+export const selectAnswerStatus = (context: RequestContext, { status }: Pick<BackendAnswer, 'status'>): number =>
+  isIdempotent(context) ? status : selectFinalStatus(status, true)
+
 const describeHint = ({ routed, hintAuthenticator }: RequestContext, backendServer: BackendServer, cookies: string | undefined): Headers => {
   if (routed.serviceKind !== 'model') return {}
   const hint = signChatHint({
--- a/src/services/dispatch/_lib/relayBody.ts
+++ b/src/services/dispatch/_lib/relayBody.ts
@@ -5,7 +5,7 @@
  */
 import type { BackendAnswer, BackendServer, Headers } from '../../../types/index.js'
 import { createFailedAttempt, type AttemptEnd } from './attemptEnd.js'
-import { describeAnswerHeaders } from './describeExchange.js'
+import { describeAnswerHeaders, selectAnswerStatus } from './describeExchange.js'
 import { readTokenUsage } from './readTokenUsage.js'
 import { isIdempotent, type RequestContext } from './requestContext.js'
 
@@ -35,14 +35,14 @@
   }
 }
 
-const deliverComplete = (context: RequestContext, answer: BackendAnswer, headers: Headers, body: Buffer): AttemptEnd => {
+const deliverComplete = (context: RequestContext, answer: BackendAnswer, status: number, headers: Headers, body: Buffer): AttemptEnd => {
   if (isBrokenJson(context, answer, body)) return failTruncated('the answer is not whole JSON')
-  context.reply.sendComplete(answer.status, headers, body)
+  context.reply.sendComplete(status, headers, body)
   const usage = context.routed.serviceKind === 'model' ? readTokenUsage(body.toString('utf8')) : undefined
   return {
     kind: 'delivered',
-    stored: { status: answer.status, headers, body },
-    outcome: answer.status >= FIRST_SERVER_ERROR ? 'failed' : 'complete',
+    stored: { status, headers, body },
+    outcome: status >= FIRST_SERVER_ERROR ? 'failed' : 'complete',
     ...(usage === undefined ? {} : { usage })
   }
 }
@@ -51,7 +51,8 @@
 
 export const relayBody = async (context: RequestContext, backendServer: BackendServer, answer: BackendAnswer): Promise<AttemptEnd> => {
   const { reply, scope, limits } = context
-  const headers = { ...describeAnswerHeaders(context, backendServer, answer), ...describeUnknownOutcome(context, answer.status) }
+  const status = selectAnswerStatus(context, answer)
+  const headers = { ...describeAnswerHeaders(context, backendServer, answer), ...describeUnknownOutcome(context, status) }
   const bufferBytes = isEventStream(answer.headers) ? 0 : limits.answerBufferBytes
   const chunks: Uint8Array[] = []
   let size = 0
@@ -64,12 +65,12 @@
       chunks.push(part.bytes)
       continue
     }
-    if (!reply.hasStarted()) reply.startStream(answer.status, headers)
+    if (!reply.hasStarted()) reply.startStream(status, headers)
     const isCallerReading = await reply.sendData(Buffer.concat([...chunks.splice(0), part.bytes]), scope.signal)
     if (!isCallerReading) return { kind: 'callerLeft', attempt: createFailedAttempt('written', 'answerStarted', 'cancelled') }
   }
 
-  if (!reply.hasStarted()) return deliverComplete(context, answer, headers, Buffer.concat(chunks))
+  if (!reply.hasStarted()) return deliverComplete(context, answer, status, headers, Buffer.concat(chunks))
   reply.endStream()
   return { kind: 'delivered', outcome: 'complete' }
 }
--- a/src/services/dispatch/_lib/runAttempt.ts
+++ b/src/services/dispatch/_lib/runAttempt.ts
@@ -13,6 +13,7 @@
 import { watchReachability, type ReachabilityWatch } from './watchReachability.js'
 
 const REFUSED_STATUS = 503
+const FIRST_FAILURE_STATUS = 300
 const LEAVING_REASON = 'leaving'
 /** Statuses of a server or proxy that is unavailable; another backend server may still answer. */
 const UNAVAILABLE_STATUSES: ReadonlySet<number> = new Set([502, 503, 504])
@@ -44,8 +45,9 @@
   return { kind: 'failed', attempt: createFailedAttempt('written', 'refusedByBackend'), message: `${backendServer.name} refused: ${reason}`, outcome: 'refused' }
 }
 
+/** A failure in the form of a stream has no events to resume. */
 const isModelStream = (context: RequestContext, answer: BackendAnswer): boolean =>
-  context.routed.serviceKind === 'model' && (answer.headers['content-type'] ?? '').startsWith('text/event-stream')
+  context.routed.serviceKind === 'model' && answer.status < FIRST_FAILURE_STATUS && (answer.headers['content-type'] ?? '').startsWith('text/event-stream')
 
 const exchange = async (context: RequestContext, planner: RetryPlanner, backendServer: BackendServer, watch: ReachabilityWatch): Promise<AttemptEnd> => {
   const sent = await context.dependencies.backendClient.send(describeBackendRequest(context, backendServer), watch.signal)
--- a/test/_lib/callRouter.ts
+++ b/test/_lib/callRouter.ts
@@ -1,7 +1,7 @@
 /** Sends requests of each kind to a router and collects what a caller sees of the answer. */
 import { CALLER_KEY, MODEL } from './createDispatchHarness.js'
 
-export type RequestKind = 'chatStream' | 'chatWhole' | 'stock' | 'order' | 'settlement'
+export type RequestKind = 'chatStream' | 'chatWhole' | 'agentStream' | 'stock' | 'order' | 'settlement'
 
 export type ReceivedAnswer = {
   readonly status: number
@@ -11,12 +11,13 @@
   readonly isBroken: boolean
 }
 
-const composeChatBody = (stream: boolean): string =>
-  JSON.stringify({ model: MODEL, stream, messages: [{ role: 'system', content: 's' }, { role: 'user', content: 'u' }] })
+const composeChatBody = (stream: boolean, model = MODEL): string =>
+  JSON.stringify({ model, stream, messages: [{ role: 'system', content: 's' }, { role: 'user', content: 'u' }] })
 
 const requests: { readonly [Kind in RequestKind]: { readonly path: string, readonly body: string, readonly headers: Readonly<Record<string, string>> } } = {
   chatStream: { path: '/v1/chat/completions', body: composeChatBody(true), headers: { 'content-type': 'application/json' } },
   chatWhole: { path: '/v1/chat/completions', body: composeChatBody(false), headers: { 'content-type': 'application/json' } },
+  agentStream: { path: '/v1/chat/completions', body: composeChatBody(true, 'agent'), headers: { 'content-type': 'application/json', 'idempotency-key': 'agent-1' } },
   stock: { path: '/stock/penne?size=2', body: 'q', headers: {} },
   order: { path: '/stock/orders', body: 'o', headers: { 'idempotency-key': 'order-1' } },
   settlement: { path: '/settlements', body: 's', headers: { 'idempotency-key': 'settlement-1' } }
--- a/test/requestFaults.test.ts
+++ b/test/requestFaults.test.ts
@@ -98,6 +98,23 @@
     expect(headers.get('x-request-outcome')).toBe('unknown')
   })
 
+  // Guards against an order that its caller sends again on a promise that its server did not prove.
+  it.each([[408, 8_388_608], [421, 8_388_608], [429, 8_388_608], [503, 8_388_608], [503, 3]])('passes a status %i without "x-not-run" on as an unknown outcome of an order (answers held up to %i bytes)', async (status, answerBufferBytes) => {
+    const { harness, backends } = await start([[answerCompletely('{"failed":true}', {}, status)], [completeAnswer]], { dispatch: { answerBufferBytes } })
+    const { status: passed, text, headers } = await callRouter(harness.url, 'order')
+    expect([passed, text, headers.get('x-request-outcome'), headers.get('x-should-retry')]).toEqual([502, '{"failed":true}', 'unknown', 'false'])
+    expect(backends.map(({ requests }) => requests.length)).toEqual([1, 0])
+    expect(harness.recorded).toMatchObject({ released: [], completed: answerBufferBytes > 3 ? [{ status: 502 }] : [] })
+  })
+
+  // Guards against the same in the head of a stream.
+  it('passes a stream with status 503 and without "x-not-run" on as an unknown outcome, where its route may not be repeated', async () => {
+    const { harness, backends } = await start([[answerCompletely(e1 + END_EVENT, { 'content-type': 'text/event-stream' }, 503)], [completeAnswer]])
+    const { status, headers } = await callRouter(harness.url, 'agentStream')
+    expect([status, headers.get('x-request-outcome'), headers.get('x-should-retry')]).toEqual([502, 'unknown', 'false'])
+    expect(backends.map(({ requests }) => requests.filter(({ method }) => method === 'POST').length)).toEqual([1, 0])
+  })
+
   it('releases the claim when every server refused the connection', async () => {
     const { harness } = await start([], { origins: [await findClosedOrigin(), await findClosedOrigin()] })
     const answer = await callRouter(harness.url, 'order')
