Answer no bytes behind a request that a router is serving

What callers saw: 408 or 400 in place of the answer of an order that runs, when a second request behind it on the connection is not completed in time or can't be parsed. A 408 promises that the order did not run.

Cause: Fastify's own handler writes its answer to the connection whatever is being served there. Gateways end such a connection without an answer.

Change: the listener tracks which connections owe an answer to a request that has arrived completely, and ends those; others get 400, 408 or 431 as before.

--- a/src/adapters/callerHttp/index.ts
+++ b/src/adapters/callerHttp/index.ts
@@ -8,7 +8,9 @@
 import { createRefusal } from '../../decisions/createRefusal/index.js'
 import type { CallerAnswer, Clock, Dispatch, Logger, PeerAddress, RandomSource } from '../../types/index.js'
 import { createBodyBudget } from './_lib/createBodyBudget.js'
+import { createServedConnections, type ServedConnections } from './_lib/createServedConnections.js'
 import { readCallerRequest } from './_lib/readCallerRequest.js'
+import { refuseBytes } from './_lib/refuseBytes.js'
 import { writeAnswer } from './_lib/writeAnswer.js'
 
 export type CallerHttpDependencies = {
@@ -96,8 +98,9 @@
 
 type MalformedHandler = (error: { readonly code?: string, readonly message: string }, request: FastifyRequest, reply: FastifyReply) => Promise<void>
 
-const createServer = (options: CallerHttpOptions & typeof DEFAULTS, refuseMalformed: MalformedHandler): FastifyInstance => {
+const createServer = (options: CallerHttpOptions & typeof DEFAULTS, refuseMalformed: MalformedHandler, served: ServedConnections): FastifyInstance => {
   const server = fastify({
+    clientErrorHandler: (error, socket) => refuseBytes(socket, error, served.isServing(socket)),
     frameworkErrors: async (error, request, reply) => { await refuseMalformed(error, request as FastifyRequest, reply as FastifyReply) },
     bodyLimit: options.maximumBodyBytes,
     requestTimeout: options.requestTimeoutMs,
@@ -115,6 +118,7 @@
     return503OnClosing: false,
     logger: false
   })
+  server.server.prependListener('request', served.begin)
   server.server.maxConnections = options.maximumConnections
   server.removeAllContentTypeParsers()
   server.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body))
@@ -140,6 +144,7 @@
 export const createCallerHttp = (dependencies: CallerHttpDependencies, options: CallerHttpOptions): CallerHttp => {
   const settings = { ...DEFAULTS, ...options }
   const { dispatch, clock, random, logger } = dependencies
+  const served = createServedConnections()
   const budget = createBodyBudget(settings.maximumBufferedBytes)
   let isReady = false
   let isClosing = false
@@ -196,7 +201,7 @@
     isClosing = true
   }
 
-  const server = createServer(settings, refuseMalformed)
+  const server = createServer(settings, refuseMalformed, served)
   server.addHook('onRequest', reserveBody)
   server.get(LIVE_PATH, async () => 'live\n')
   server.get(READY_PATH, async (_request, reply) => await reply.code(isReady ? 200 : 503).send(isReady ? 'ready\n' : 'not ready\n'))
--- a/src/adapters/callerHttp/test.ts
+++ b/src/adapters/callerHttp/test.ts
@@ -217,3 +217,23 @@
     expect([handled.length, aborts]).toEqual([1, [true]])
   })
 })
+
+describe('bytes that are no request, behind a request that is being served', () => {
+  // Guards against an order that is answered 408 or 400 while it runs: its caller takes the next answer on the connection for its own.
+  it.each([
+    ['a head that is not completed in time', 'GET /b HTTP/1.1\r\nHost: h\r\n'],
+    ['bytes that can\'t be parsed', 'nonsense\r\n\r\n']
+  ])('end the connection without an answer: %s', async (_name, bytes) => {
+    let finish = (): void => {}
+    const { port, handled } = await startListener(() => new Promise((resolve) => { finish = () => resolve(OK) }), { headerTimeoutMs: 100 })
+    const received = await exchangeRaw(port, `POST /order HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx${bytes}`)
+    finish()
+    expect([received, handled.length]).toEqual(['', 1])
+  })
+
+  it('are answered where nothing is being served', async () => {
+    const { port } = await startListener(() => OK, { headerTimeoutMs: 100 })
+    expect(await exchangeRaw(port, 'GET /b HTTP/1.1\r\nHost: h\r\n')).toMatch(/^HTTP\/1.1 408 /)
+    expect(await exchangeRaw(port, 'nonsense\r\n\r\n')).toMatch(/^HTTP\/1.1 400 /)
+  })
+})
