Check promises of 'not run' on drawn series of events of a request

Guards against a send whose outcome is forgotten: 1,500 seeded series of writes, proven refusals, failures, breaks, waits, outages of servers and peers and stops, on five kinds of routes. A final answer promises 'not run' only if each send is proved not to have run, and promises it wherever that is so.

--- a/src/services/forwarding/notRunPromises.test.ts
+++ b/src/services/forwarding/notRunPromises.test.ts
@@ -1,5 +1,7 @@
 /** Tests that a caller is told that its request did not run only where that is proved, on each path to a final answer. */
+import fc from 'fast-check'
 import { describe, expect, test } from 'vitest'
+import { promisesNotRun } from '../../decisions/selectFinalStatus/index.js'
 import { STREAM_HEAD, TIMEOUT_MS, startForwardingNode } from '../../../test/_lib/startForwardingNode.js'
 import type { ExchangeListener, InstanceAnswer } from '../../types/index.js'
 
@@ -146,3 +148,84 @@
     expect([node.countOpen(), readStatuses(node)]).toEqual([0, [503]])
   })
 })
+
+const PEER = { nodeId: 'node-2', incarnation: 1, availabilityZone: 'a', address: { host: 'node-2', port: 1 } }
+
+/** What the receiver of one send has done with the request, as the node can know it. */
+type Send = { isSent: boolean, isProvenNotRun: boolean, hasEnded: boolean }
+
+type Play = { readonly node: Node, readonly exchange: ExchangeListener, readonly send: Send, readonly isPeer: boolean, readonly status: number, readonly ms: number }
+
+const refuseWith = ({ exchange, send }: Play, head: Partial<InstanceAnswer>): void => {
+  if (!send.isSent) return
+  send.isProvenNotRun = true
+  send.hasEnded = true
+  exchange.onHead(composeHead(503, head))
+}
+
+/** Events of a request, as the clients of servers and peers, the clock and the platform bring them. */
+const events: Readonly<Record<string, (play: Play) => Promise<void> | void>> = {
+  write: ({ exchange, send }) => {
+    if (send.isSent) return
+    send.isSent = true
+    exchange.onSent()
+  },
+  refuse: (play) => refuseWith(play, play.isPeer ? { isNotRun: true, requestId: undefined, relayRefusal: 'instancesRefused' } : { isNotRun: true }),
+  refuseWithoutServer: (play) => { if (play.isPeer) refuseWith(play, { isNotRun: true, requestId: undefined, relayRefusal: 'noInstance' }) },
+  answer: ({ exchange, send, status }) => {
+    if (!send.isSent) return
+    send.hasEnded = true
+    answer(exchange, status)
+  },
+  breakOff: ({ exchange, send }) => {
+    send.hasEnded = true
+    exchange.onFailure({ kind: send.isSent ? 'broken' : 'notSent', message: 'ECONNRESET' })
+  },
+  wait: ({ node, ms }) => node.clock.advanceAndSettle(ms),
+  loseServers: ({ node }) => { node.state.isSuspended = !node.state.isSuspended },
+  losePeer: ({ node }) => { node.state.peer = node.state.peer === undefined ? PEER : undefined },
+  stop: ({ node }) => node.beginShutdown(node.clock.now() + 1_000),
+  endOpen: ({ node }) => node.endOpen()
+}
+
+const steps = fc.array(fc.record({
+  name: fc.constantFrom('write', 'write', ...Object.keys(events)),
+  which: fc.nat(3),
+  status: fc.constantFrom(404, 408, 429, 500, 503),
+  ms: fc.constantFrom(60, 400, 1_700)
+}), { maxLength: 14 })
+
+/** Plays the events on one request, to its end; returns its sends. */
+const playEvents = async (node: Node, drawn: readonly { readonly name: string, readonly which: number, readonly status: number, readonly ms: number }[]): Promise<readonly Send[]> => {
+  const sends = new Map<ExchangeListener, Send>()
+  const findSend = (exchange: ExchangeListener): Send => {
+    const send = sends.get(exchange) ?? { isSent: false, isProvenNotRun: false, hasEnded: false }
+    sends.set(exchange, send)
+    return send
+  }
+  for (const { name, which, status, ms } of drawn) {
+    const running = node.exchanges.filter((exchange) => !node.aborted.has(exchange) && !findSend(exchange).hasEnded)
+    const exchange = running[which % Math.max(1, running.length)]
+    if (exchange === undefined) break
+    await events[name]!({ node, exchange, send: findSend(exchange), isPeer: node.targets[node.exchanges.indexOf(exchange)] === PEER.nodeId, status, ms })
+  }
+  await node.clock.advanceAndSettle(STREAM_TIMEOUT_MS + 100)
+  return [...sends.values()]
+}
+
+describe('a request through any events', () => {
+  // Guards against a send whose outcome is forgotten, on any order of sends, refusals, failures, waits, outages and stops.
+  test('is called not run only if each of its sends is proved not to have run it', async () => {
+    await fc.assert(fc.asyncProperty(fc.constantFrom('/order/1', '/once/1', '/short/1', '/stream/1', '/thrice/1'), steps, async (path, drawn) => {
+      const node = startForwardingNode()
+      node.provideInitialState()
+      node.call('r1', path, 0, { callerTimeoutMs: STREAM_TIMEOUT_MS })
+      const sends = await playEvents(node, drawn)
+      const mayHaveRun = sends.some(({ isSent, isProvenNotRun }) => isSent && !isProvenNotRun)
+      expect(node.countOpen()).toBe(0)
+      expect(mayHaveRun && readStatuses(node).some(promisesNotRun)).toBe(false)
+      // The other direction: a caller that may come back is told so.
+      expect(!mayHaveRun && readStatuses(node).some((status) => status === 502 || status === 504)).toBe(false)
+    }), { seed: 88, numRuns: 1_500 })
+  }, 60_000)
+})
--- a/test/_lib/startForwardingNode.ts
+++ b/test/_lib/startForwardingNode.ts
@@ -68,6 +68,12 @@
   const heads: number[] = []
   const listeners: (() => void)[] = []
   const exchanges: ExchangeListener[] = []
+  /** Exchanges that the node has given up; a client tells nothing of them any more. */
+  const aborted = new Set<ExchangeListener>()
+  const recordAbort = (exchange: ExchangeListener): void => {
+    state.aborts += 1
+    aborted.add(exchange)
+  }
   let isKnown = false
   /** The backend server that gets the first request; sends to it throw where sends do. */
   let firstTarget: string | undefined
@@ -107,7 +113,7 @@
       send: ({ peer }, exchange) => {
         targets.push(peer.nodeId)
         exchanges.push(exchange)
-        return { abort: () => { state.aborts += 1 }, pause: () => {}, resume: () => {} }
+        return { abort: () => recordAbort(exchange), pause: () => {}, resume: () => {} }
       },
       recordStart: () => {},
       recordEnd: () => {},
@@ -133,7 +139,7 @@
         sent.push(request.requestId)
         targets.push(instance.id)
         exchanges.push(exchange)
-        return { abort: () => { state.aborts += 1 }, pause: () => {}, resume: () => {} }
+        return { abort: () => recordAbort(exchange), pause: () => {}, resume: () => {} }
       },
       probe: async () => true,
       retain: () => {},
@@ -162,6 +168,7 @@
     answers,
     heads,
     exchanges,
+    aborted,
     endOpen: forwarding.api.endOpen,
     beginShutdown: forwarding.api.beginShutdown,
     call: (requestId: string, path: string, bodyAfterMs = 0, changes: Partial<GatewayRequest> = {}): void => {
