Take an answer without a length for broken if its server has not taken the request

A server that answers 200 without a length while a long request is still being written, sends a part and closes without reading: its end arrives first, the reset follows the bytes that it did not take. Between the two the part passed for the whole answer.

Cause: only a reset that had arrived by the time of the end counted.

Evidence: exchangeHttp/earlyAnswers.test.ts.

Change: an end that arrives while bytes of the request are unwritten counts as a reset. Answers with a length or in chunks are whole before that end, as before.

--- a/src/adapters/exchangeHttp/index.ts
+++ b/src/adapters/exchangeHttp/index.ts
@@ -134,7 +134,8 @@
         socket?.on('error', () => { connection.isReset = true })
         // Before undici's listener as well: stray bytes must not be parsed, not even blank ones, which the parser skips.
         socket?.on('readable', () => { if (socket.readableLength > 0) connection.onBytes() })
-        socket?.on('end', () => { connection.isReset ||= socket.remoteAddress === undefined })
+        // A server that ends the connection without having taken the request resets it next.
+        socket?.on('end', () => { connection.isReset ||= socket.remoteAddress === undefined || socket.writableLength > 0 })
         if (socket === undefined) return callback(...result)
         awaitShortTurn(clock, connection, () => {
           if (socket.destroyed || socket.readableEnded) callback(new Error('the connection ended before the request was written'), null)
