Pass on no answer whose status is none of HTTP

Below 100 nothing passed: undici's parser throws, and the exchange ends as broken.

Cause: only undici asks for a status from 100 on; nothing asked for one up to 599.

Evidence: 000, 001, 099, 600 and 999 at exchangeHttp, with POST and HEAD, and four at the routers' client: 600 and 999 passed in both before, the others did not.

Change: classifyStatus says what follows a status; an invalid one breaks the exchange, so that the caller gets 502 or another server's answer.

--- a/src/adapters/backendHttp/_lib/createExchange.ts
+++ b/src/adapters/backendHttp/_lib/createExchange.ts
@@ -5,12 +5,12 @@
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import { errors, type Dispatcher } from 'undici'
+import { classifyStatus } from '../../classifyStatus/index.js'
 import { failure } from '../../../kernel/failure/index.js'
 import { success } from '../../../kernel/success/index.js'
 import type { BackendAnswer, BackendError, Headers, Result } from '../../../types/index.js'
 import { createBodyQueue, type LastPart } from './createBodyQueue.js'
 
-const FIRST_FINAL_STATUS = 200
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
 
 export type Exchange = {
@@ -95,8 +95,17 @@
     isWritten = true
   }
 
+  /** The request was written, and what came for it is no answer. */
+  const failAnswer = (message: string): void => {
+    settle(failure({ kind: 'noAnswer', message }))
+    finish({ kind: 'cut', message })
+    controller?.abort(new Error(message))
+  }
+
   const onResponseStart = (_: Dispatcher.DispatchController, status: number, rawHeaders: IncomingHttpHeaders): void => {
-    if (status < FIRST_FINAL_STATUS) return
+    const statusClass = classifyStatus(status)
+    if (statusClass === 'informational') return
+    if (statusClass === 'invalid') return failAnswer(`status ${status} is none of HTTP`)
     const headers = joinHeaders(rawHeaders)
     isEndVerifiable = hasVerifiableEnd(method, status, headers)
     settle(success({
--- a/src/adapters/backendHttp/test.ts
+++ b/src/adapters/backendHttp/test.ts
@@ -124,6 +124,14 @@
   const answerThenWait: RawStep = (socket) => { socket.write('HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc') }
 })
 
+describe('an answer whose status is none of HTTP', () => {
+  // Guards against a status that no caller can read, passed on as an answer.
+  it.each(['000', '099', '600', '999'])('counts as no answer (%s)', async (status) => {
+    const backend = await startBackend(writeRaw(`HTTP/1.1 ${status} Trouble\r\ncontent-length: 2\r\n\r\nok`))
+    expect(await startClient().send(createRequest(backend.url), never)).toMatchObject({ ok: false, error: { kind: 'noAnswer' } })
+  })
+})
+
 describe('readLoad', () => {
   // Guards against sending requests to a frozen server: a load probe that ends as cancelled doesn't count as a failure.
   it('reports a server that does not answer in time', async () => {
--- a/src/adapters/exchangeHttp/earlyAnswers.test.ts
+++ b/src/adapters/exchangeHttp/earlyAnswers.test.ts
@@ -1,4 +1,4 @@
-/** Tests answers that a server in trouble begins while the body of the request is still on its way. */
+/** Tests answers that a server in trouble begins while the body of the request is still on its way, and answers without a valid status. */
 import { createServer, type AddressInfo, type Socket } from 'node:net'
 import { afterEach, describe, expect, test } from 'vitest'
 import { createExchangeHttp } from './index.js'
@@ -31,7 +31,7 @@
   },
   'after small parts': async (socket, { head, part }) => {
     socket.write(head)
-    for (const _ of [1, 2, 3]) {
+    for (let written = 0; written < 3; written++) {
       await pause(2)
       socket.write(part)
     }
@@ -110,3 +110,12 @@
     }, LONG_UPLOAD)).toBe('complete')
   })
 })
+
+describe('an answer whose status is none of the protocol', () => {
+  // Guards against a status that no caller can read, passed on as an answer.
+  test.each(['000', '001', '099', '600', '999'])('is broken (%s)', async (status) => {
+    const answer = `HTTP/1.1 ${status} Trouble\r\nContent-Length: 2\r\n\r\nok`
+    const outcomes = await Promise.all(['POST', 'HEAD'].map((method) => exchangeWith((socket) => { socket.on('data', () => { socket.write(answer) }) }, method === 'POST' ? SHORT_UPLOAD : new Uint8Array(), method)))
+    expect(outcomes.map((outcome) => outcome.split(' ')[0])).toEqual(['broken', 'broken'])
+  })
+})
--- a/src/adapters/exchangeHttp/index.ts
+++ b/src/adapters/exchangeHttp/index.ts
@@ -6,6 +6,7 @@
 import type { Socket } from 'node:net'
 import { Client } from 'undici'
 import type { Dispatcher } from 'undici'
+import { classifyStatus } from '../classifyStatus/index.js'
 import type { ContainedErrorReporter } from '../containedEvents/index.js'
 import { awaitShortTurn, type ReadState } from './_lib/awaitShortTurn.js'
 import { createAnswerFlow } from './_lib/createAnswerFlow.js'
@@ -235,8 +236,10 @@
       },
       // The parser is never paused: one that is paused when its connection ends throws.
       onHeaders: (status, rawHeaders) => {
-        if (status < 200) return true
+        const statusClass = classifyStatus(status)
+        if (statusClass === 'informational') return true
         endUpload()
+        if (statusClass === 'invalid') fail(new Error(`status ${status} is none of HTTP`))
         if (!isFinished) listener.onHead(decodeAnswer(status, listHeaders(rawHeaders)))
         return true
       },
