Take no part of a platform's reply for the whole

An object that came without a length, on a connection that was reset, was read as far as it came.

Cause: undici takes a reset for the end of a reply without a length, and the client of the platform asked for no more. The client of backend servers did.

Evidence: platformHttp/test.ts, reset and closed, 2 of 2 failed before; four statuses that are none of HTTP held before.

Change: hasVerifiableEnd, moved out of the client of backend servers, is asked by both: a reply has a length or comes in chunks.

--- a/src/adapters/backendHttp/_lib/createExchange.ts
+++ b/src/adapters/backendHttp/_lib/createExchange.ts
@@ -6,13 +6,12 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import { errors, type Dispatcher } from 'undici'
 import { classifyStatus } from '../../classifyStatus/index.js'
+import { hasVerifiableEnd } from '../../hasVerifiableEnd/index.js'
 import { failure } from '../../../kernel/failure/index.js'
 import { success } from '../../../kernel/success/index.js'
 import type { BackendAnswer, BackendError, Headers, Result } from '../../../types/index.js'
 import { createBodyQueue, type LastPart } from './createBodyQueue.js'
 
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
-
 export type Exchange = {
   readonly handler: Dispatcher.DispatchHandler
   readonly answer: Promise<Result<BackendAnswer, BackendError>>
@@ -29,17 +28,6 @@
   return joined
 }
 
-/**
- * Returns whether a truncated body differs from a complete one. A body that is
- * ended only by the close of its connection looks the same when the server
- * has crashed, so this takes a declared length or chunks.
- */
-const hasVerifiableEnd = (method: string, status: number, headers: Headers): boolean =>
-  method === 'HEAD' ||
-  BODILESS_STATUSES.has(status) ||
-  headers['content-length'] !== undefined ||
-  (headers['transfer-encoding'] ?? '').toLowerCase().includes('chunked')
-
 /**
  * Creates the handler of one request.
  *
--- a/src/adapters/platformHttp/_lib/sendOnce.ts
+++ b/src/adapters/platformHttp/_lib/sendOnce.ts
@@ -3,6 +3,7 @@
  * have reached the other side.
  */
 import type { Dispatcher, Pool } from 'undici'
+import { hasVerifiableEnd } from '../../hasVerifiableEnd/index.js'
 import { failure, success } from '../../../kernel/index.js'
 import type { Result } from '../../../types/index.js'
 
@@ -86,7 +87,10 @@
         size += chunk.byteLength
         if (size > MAXIMUM_REPLY_BYTES) failAndAbort('the reply is too large')
       },
-      onResponseEnd: () => finish(success({ status, headers, body: Buffer.concat(chunks) })),
+      onResponseEnd: () => {
+        if (hasVerifiableEnd(exchange.method, status, headers)) finish(success({ status, headers, body: Buffer.concat(chunks) }))
+        else fail('only the close of the connection ended the reply')
+      },
       onResponseError: (_controller, error) => fail(error.message)
     })
   })
--- a/src/adapters/platformHttp/test.ts
+++ b/src/adapters/platformHttp/test.ts
@@ -241,3 +241,24 @@
     expect((await fetch(`${server.url}/objects/a`, { method: 'PUT', body: 'x' })).status).toBe(400)
   })
 })
+
+describe('a reply that can\'t be told from a part of itself', () => {
+  const HEAD = 'HTTP/1.1 200 OK\r\netag: "1"\r\n'
+
+  // Guards against an object of which a part is read as the whole: undici takes a reset for the end of a reply without a length.
+  it.each([['reset', (socket: Socket) => { socket.resetAndDestroy() }], ['closed', (socket: Socket) => { socket.end() }]])('is no reply, %s without a length', async (_name, end) => {
+    const url = await startRawServer((socket) => { socket.write(`${HEAD}\r\npart`, () => setTimeout(() => end(socket), 5)) })
+    const platform = createPlatformHttp({ url, timeoutMs: 20_000 })
+    closers.push(platform.close)
+    expect(errorKind(await platform.readObject('configuration/root'))).toBe('unavailable')
+    expect(errorKind(await platform.createObject('configuration/root', bytes('a')))).toBe('outcomeUnknown')
+  })
+
+  it.each(['000', '099', '600', '999'])('is no reply with status %s', async (status) => {
+    const url = await startRawServer((socket) => { socket.write(`HTTP/1.1 ${status} Trouble\r\ncontent-length: 2\r\netag: "1"\r\n\r\nok`) })
+    const platform = createPlatformHttp({ url, timeoutMs: 20_000 })
+    closers.push(platform.close)
+    expect(errorKind(await platform.readObject('configuration/root'))).toBe('unavailable')
+    expect(errorKind(await platform.createObject('configuration/root', bytes('a')))).toBe('outcomeUnknown')
+  })
+})
