Replay no stored promise of a backend server at a router

What callers saw: an order that ran and whose backend server answered 408, 421, 429 or 503 without x-not-run, stored by a router of the release before, is replayed with that status.

Cause: a stored answer leaves without the question that a fresh one is asked.

Evidence: requestFaults.test.ts, 'replays a stored status 429', failed before.

Change: replays ask selectAnswerStatus and are marked as unknown like fresh ones.

--- a/src/adapters/callerHttp/_lib/refuseBytes.ts
+++ b/src/adapters/callerHttp/_lib/refuseBytes.ts
@@ -13,6 +13,7 @@
  */
 export const refuseBytes = (socket: Duplex, { code = '' }: NodeJS.ErrnoException, isServing: boolean): void => {
   const status = STATUSES[code] ?? BAD_REQUEST_STATUS
-  if (isServing || !socket.writable) socket.destroy()
-  else socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`, () => { socket.destroy() })
+  if (!isServing && socket.writable) socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`)
+  // At once: the rest of a request that was answered 408 must not be read and run any more.
+  socket.destroy()
 }
--- a/src/services/dispatch/_lib/describeExchange.ts
+++ b/src/services/dispatch/_lib/describeExchange.ts
@@ -7,6 +7,7 @@
 import { isIdempotent, type RequestContext } from './requestContext.js'
 
 const CHAT_COOKIE_ATTRIBUTES = 'Path=/; Max-Age=86400; HttpOnly; SameSite=Lax'
+const FIRST_SERVER_ERROR_STATUS = 500
 const NO_BODY = new Uint8Array()
 
 const describeOwnHeaders = ({ routed, scope }: RequestContext): Headers => ({
@@ -65,6 +66,10 @@
 export const selectAnswerStatus = (context: RequestContext, { status }: Pick<BackendAnswer, 'status'>): number =>
   isIdempotent(context) ? status : selectFinalStatus(status, true)
 
+/** Marks a backend server's error answer: the request may have run, so client libraries must not retry it. */
+export const describeUnknownOutcome = (context: RequestContext, status: number): Headers =>
+  status >= FIRST_SERVER_ERROR_STATUS && !isIdempotent(context) ? { 'x-request-outcome': 'unknown', 'x-should-retry': 'false' } : {}
+
 const describeHint = ({ routed, hintAuthenticator }: RequestContext, backendServer: BackendServer, cookies: string | undefined): Headers => {
   if (routed.serviceKind !== 'model') return {}
   const hint = signChatHint({
--- a/src/services/dispatch/_lib/relayBody.ts
+++ b/src/services/dispatch/_lib/relayBody.ts
@@ -5,19 +5,15 @@
  */
 import type { BackendAnswer, BackendServer, Headers } from '../../../types/index.js'
 import { createFailedAttempt, type AttemptEnd } from './attemptEnd.js'
-import { describeAnswerHeaders, selectAnswerStatus } from './describeExchange.js'
+import { describeAnswerHeaders, describeUnknownOutcome, selectAnswerStatus } from './describeExchange.js'
 import { readTokenUsage } from './readTokenUsage.js'
-import { isIdempotent, type RequestContext } from './requestContext.js'
+import type { RequestContext } from './requestContext.js'
 
 const FIRST_SERVER_ERROR = 500
 
 const failTruncated = (message: string): AttemptEnd =>
   ({ kind: 'failed', attempt: createFailedAttempt('written', 'answerStarted', 'cut'), message, outcome: 'failed' })
 
-/** Marks a backend server's error answer: the request may have run, so client libraries must not retry it. */
-const describeUnknownOutcome = (context: RequestContext, status: number): Headers =>
-  status >= FIRST_SERVER_ERROR && !isIdempotent(context) ? { 'x-request-outcome': 'unknown', 'x-should-retry': 'false' } : {}
-
 /**
  * Detects an answer that its server truncated but terminated properly, so that
  * length and chunks are consistent: its JSON does not parse. An empty body with
--- a/src/services/dispatch/_lib/runClaimed.ts
+++ b/src/services/dispatch/_lib/runClaimed.ts
@@ -6,6 +6,7 @@
 import { createRefusal } from '../../../decisions/createRefusal/index.js'
 import type { ClaimKey, ClaimOutcome } from '../../../types/index.js'
 import { hashHex } from './createHintAuthenticator.js'
+import { describeUnknownOutcome, selectAnswerStatus } from './describeExchange.js'
 import type { RequestContext } from './requestContext.js'
 import { runAttempts, type RequestResult } from './runAttempts.js'
 
@@ -64,7 +65,8 @@
 const handlers: Handlers = {
   granted: (context, key, { claimId }) => runGranted(context, key, claimId),
   answered: async (context, _key, { answer }) => {
-    context.reply.sendComplete(answer.status, { ...answer.headers, 'x-idempotent-replay': 'true' }, answer.body)
+    const status = selectAnswerStatus(context, answer)
+    context.reply.sendComplete(status, { ...answer.headers, ...describeUnknownOutcome(context, status), 'x-idempotent-replay': 'true' }, answer.body)
     return { kind: 'complete' }
   },
   claimedElsewhere: async ({ limits }) => ({
--- a/test/requestFaults.test.ts
+++ b/test/requestFaults.test.ts
@@ -107,6 +107,13 @@
     expect(harness.recorded).toMatchObject({ released: [], completed: answerBufferBytes > 3 ? [{ status: 502 }] : [] })
   })
 
+  // Guards against the same in an answer that a router of an earlier release stored.
+  it('replays a stored status 429 as an unknown outcome', async () => {
+    const { harness } = await start([[completeAnswer]], { claimOutcome: { kind: 'answered', answer: { status: 429, headers: {}, body: Buffer.from('slow down') } } })
+    const { status, text, headers } = await callRouter(harness.url, 'order')
+    expect([status, text, headers.get('x-request-outcome'), headers.get('x-should-retry'), headers.get('x-idempotent-replay')]).toEqual([502, 'slow down', 'unknown', 'false', 'true'])
+  })
+
   // Guards against the same in the head of a stream.
   it('passes a stream with status 503 and without "x-not-run" on as an unknown outcome, where its route may not be repeated', async () => {
     const { harness, backends } = await start([[answerCompletely(e1 + END_EVENT, { 'content-type': 'text/event-stream' }, 503)], [completeAnswer]])
