Keep nothing of a body whose request has its final answer

Cause: a request that is answered before its body is in (401, 404, 503 at its deadline or in a shutdown) closed its entry in the count of held bytes, while readBody went on gathering the body for nobody.

Evidence: gatewayHttp/test.ts, 'keeps nothing of the rest', failed before.

Change: readBody can drop what it has gathered, and does at the end of the request; the rest is read and not kept, so that the connection stays in order. Nothing is kept either after a body that is too large or has no room.

--- a/src/adapters/gatewayHttp/_lib/readBody.ts
+++ b/src/adapters/gatewayHttp/_lib/readBody.ts
@@ -12,14 +12,21 @@
   readonly onBroken: () => void
 }
 
-/** Calls exactly one of the listener's functions. */
-export const readBody = (message: IncomingMessage, maximumBytes: number, listener: BodyListener): void => {
-  const gathered = createGatheredBytes()
+/** A body that is being read. */
+export type BodyReading = {
+  /** Drops what was read. The rest is still read, since the next request on the connection lies behind it, and none of it is kept. */
+  readonly drop: () => void
+}
+
+/** Calls one of the listener's functions, and none after the body was dropped. */
+export const readBody = (message: IncomingMessage, maximumBytes: number, listener: BodyListener): BodyReading => {
+  let gathered = createGatheredBytes()
   let isFinished = false
   const finish = (notify: () => void): void => {
     if (isFinished) return
     isFinished = true
     notify()
+    gathered = createGatheredBytes()
   }
   message.on('data', (chunk: Buffer) => {
     if (isFinished) return
@@ -31,4 +38,5 @@
   message.on('end', () => finish(() => listener.onBody(gathered.take())))
   message.on('error', () => finish(listener.onBroken))
   message.on('close', () => finish(listener.onBroken))
+  return { drop: () => finish(() => { /* nobody waits for it any more */ }) }
 }
--- a/src/adapters/gatewayHttp/index.ts
+++ b/src/adapters/gatewayHttp/index.ts
@@ -200,13 +200,14 @@
       run.reject(MEMORY_FULL)
       return
     }
-    readBody(message, limits().maximumBodyBytes, {
-      onBody: (body) => contain(message, response, 'submit', () => run.submit(body)),
+    const body = readBody(message, limits().maximumBodyBytes, {
+      onBody: (bytes) => contain(message, response, 'submit', () => run.submit(bytes)),
       onTooLarge: () => run.reject({ status: 413, reason: 'bodyTooLarge' }),
       hasRoom: (bytes) => held?.recordBody(bytes) ?? true,
       onNoRoom: () => run.reject(MEMORY_FULL),
       onBroken: run.cancel
     })
+    onEnd(body.drop)
   }
 
   const server = createServer({
--- a/src/adapters/gatewayHttp/test.ts
+++ b/src/adapters/gatewayHttp/test.ts
@@ -3,7 +3,7 @@
 import { createSystemClock } from '../systemClock/index.js'
 import { success } from '../../kernel/index.js'
 import { createGatewayHttp, type GatewayHttp } from './index.js'
-import type { CallerSink, GatewayRequest, PeerAddress } from '../../types/index.js'
+import type { CallerSink, GatewayRequest, HeldBytes, PeerAddress } from '../../types/index.js'
 
 const REQUEST = 'GET /lookup/1 HTTP/1.1\r\nHost: shop.example\r\n\r\n'
 const IDLE_TIMEOUT_MS = 1_000
@@ -19,7 +19,9 @@
   cancel: () => {}
 })
 
-const open = async (): Promise<{ readonly gateway: GatewayHttp, readonly address: PeerAddress }> => {
+type OpenOptions = { readonly begin?: typeof answer, readonly heldBytes?: Pick<HeldBytes, 'open' | 'hasRoomFor'> }
+
+const open = async ({ begin = answer, heldBytes }: OpenOptions = {}): Promise<{ readonly gateway: GatewayHttp, readonly address: PeerAddress }> => {
   const write = (): void => {}
   const gateway = createGatewayHttp({
     host: '127.0.0.1',
@@ -27,7 +29,8 @@
     clock: createSystemClock(),
     logger: { error: write, warn: write, info: write, debug: write },
     dialect: { decodeRequest: ({ method, target, receivedAt }) => success({ requestId: 'r1', method, host: '', target, headers: [], credential: undefined, callerTimeoutMs: undefined, lastEventId: undefined, promptParts: [], tokens: { prompt: 0, output: 0 }, receivedAt }) },
-    forwarding: { begin: answer },
+    forwarding: { begin },
+    heldBytes,
     readLimits: () => ({ maximumHeaderBytes: 16_384, maximumBodyBytes: 1_024, headerTimeoutMs: 3_000, idleTimeoutMs: IDLE_TIMEOUT_MS })
   })
   closing.push(gateway.close)
@@ -103,3 +106,28 @@
     expect(await status).toBe(SERVED)
   })
 })
+
+describe('a request that has its final answer before its body is in', () => {
+  /** Refuses each request as soon as its head is in. */
+  const refuse = (_request: GatewayRequest, sink: CallerSink) => {
+    sink.refuse({ status: 401, reason: 'unknownKey' })
+    return { submit: () => {}, reject: () => {}, cancel: () => {} }
+  }
+
+  // Guards against bodies that are gathered for nobody and that the bound of the memory does not count.
+  test('keeps nothing of the rest', async () => {
+    const gathered: number[] = []
+    const entry = { recordBody: (bytes: number) => { gathered.push(bytes); return true }, recordBuffered: () => {}, recordWrite: () => true, recordRead: () => {}, onResume: () => {}, readAllowance: () => Infinity, close: () => {} }
+    const { address } = await open({ begin: refuse, heldBytes: { open: () => entry, hasRoomFor: () => true } })
+    const socket = openConnection(address)
+    socket.write('POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\nx')
+    expect(await readStatus(socket)).toBe('HTTP/1.1 401 Unauthorized')
+    const before = gathered.length
+    socket.write('x'.repeat(500))
+    await new Promise<void>((resolve) => { setTimeout(resolve, 20) })
+    // The rest is read all the same, and the next request on the connection is answered.
+    socket.write('x'.repeat(499) + REQUEST)
+    expect(await readStatus(socket)).toBe('HTTP/1.1 401 Unauthorized')
+    expect(gathered.slice(before)).toEqual([])
+  })
+})
