Run a request for the account that holds its key when it is sent

Cause: the account was found when the head came; before a send only its key was looked up again.

Change: each send takes the account that holds the key in the configuration in force, with its priority and regions.

--- a/src/services/forwarding/_lib/checkKey.ts
+++ b/src/services/forwarding/_lib/checkKey.ts
@@ -1,4 +1,4 @@
-/** Checks whether the key of a request is still valid when the request is sent: it may have been revoked since the request arrived. */
+/** Checks whether the key of a request is still valid when the request is sent, and who holds it: it may have been revoked or given to another account since the request arrived. */
 import { findAccount } from './findAccount.js'
 import type { GatewayAccount, GatewayConfigurationHolder, GatewayRequest, GatewayRoute } from '../../../types/index.js'
 
@@ -27,3 +27,11 @@
   const current = configuration.current()
   return current === undefined || findAccount(current, route, request.credential) === 'unknown' ? 'revoked' : 'valid'
 }
+
+/** Returns the client account that holds the key of a request now; the given one where the configuration names none, and none for a request without an account. */
+export const findHolder = ({ configuration }: Pick<KeyCheckDependencies, 'configuration'>, { credential }: Pick<GatewayRequest, 'credential'>, route: GatewayRoute, account: GatewayAccount | undefined): GatewayAccount | undefined => {
+  const current = configuration.current()
+  if (account === undefined || current === undefined) return account
+  const holder = findAccount(current, route, credential)
+  return holder === 'unknown' ? account : holder
+}
--- a/src/services/forwarding/_lib/createRequestHandler.ts
+++ b/src/services/forwarding/_lib/createRequestHandler.ts
@@ -3,7 +3,7 @@
  * answer, retries where that is safe, and gives the caller exactly one final answer.
  * A refusal states "not run" only while no backend server may have run the request.
  */
-import { checkKey } from './checkKey.js'
+import { checkKey, findHolder } from './checkKey.js'
 import type { AttemptTarget } from './attemptTarget.js'
 import { reportsFailure } from './classifyAnswer.js'
 import { classifyFailure } from './classifyFailure.js'
@@ -134,6 +134,7 @@
       return
     }
     if (keyStatus === 'revoked') return mayHaveRun ? giveUp('unknownKey', 502) : refuse({ status: 401, reason: 'unknownKey' })
+    account = findHolder(context, request, route, account)
     if (!passesShutdown(route)) return mayHaveRun ? giveUp('shuttingDown', 502) : refuse(SHUTTING_DOWN)
     if (deadline.remainingMs() <= 1) return giveUp('deadlineBeforeSend', 504)
     if (!gate.passesQuarantine(service)) return
--- a/src/services/forwarding/test.ts
+++ b/src/services/forwarding/test.ts
@@ -79,3 +79,31 @@
     expect([node.sent, node.answers]).toEqual([['r1', 'r1'], []])
   })
 })
+
+describe('a key that is given to another client account', () => {
+  const OTHER_ACCOUNT = { name: 'account-2', priority: 1 }
+  const moveKey = (node: ReturnType<typeof startForwardingNode>): void => { node.state.accountsByKey = new Map([['key', OTHER_ACCOUNT]]) }
+
+  const startWithKey = (bodyAfterMs = 0) => {
+    const node = startForwardingNode()
+    node.provideInitialState()
+    node.call('r1', '/private/1', bodyAfterMs, { credential: 'key' })
+    return node
+  }
+
+  // Guards against a request that runs for the account that held its key before, since its body took long to arrive.
+  test('while the body of a request arrives has the request run for that account', async () => {
+    const node = startWithKey(100)
+    moveKey(node)
+    await node.clock.advanceAndSettle(101)
+    expect(node.accounts).toEqual(['account-2'])
+  })
+
+  test('before a retry has the retry run for that account', async () => {
+    const node = startWithKey()
+    node.exchanges[0]!.onSent()
+    moveKey(node)
+    node.exchanges[0]!.onFailure({ kind: 'broken', message: 'ECONNRESET' })
+    expect(node.accounts).toEqual(['account-1', 'account-2'])
+  })
+})
--- a/test/_lib/startForwardingNode.ts
+++ b/test/_lib/startForwardingNode.ts
@@ -57,10 +57,12 @@
 /** A recently started node, without configuration and server list until `provideInitialState`. */
 export const startForwardingNode = () => {
   const clock = createManualClock()
-  const state = { confirmedAgeMs: 0, verdict: { kind: 'open' } as QuarantineVerdict, servers: [INSTANCE, OTHER_INSTANCE] as readonly BackendInstance[], aborts: 0, throwsAt: undefined as ThrowingPart | undefined, contained: 0, peer: undefined as RelayPeer | undefined, isSuspended: false, hasCallerLeft: false, readAllowance: Infinity }
+  const state = { confirmedAgeMs: 0, verdict: { kind: 'open' } as QuarantineVerdict, servers: [INSTANCE, OTHER_INSTANCE] as readonly BackendInstance[], aborts: 0, throwsAt: undefined as ThrowingPart | undefined, contained: 0, peer: undefined as RelayPeer | undefined, isSuspended: false, hasCallerLeft: false, readAllowance: Infinity, accountsByKey: CONFIGURATION.accountsByKey }
   const throwAt = (part: ThrowingPart): void => { if (state.throwsAt === part) throw new TypeError(`thrown in ${part}`) }
   const sent: string[] = []
   const targets: string[] = []
+  /** Client accounts of the sends to backend servers. */
+  const accounts: (string | undefined)[] = []
   /** Ids and software versions of the streams that were recorded. */
   const begins: string[] = []
   const answers: string[] = []
@@ -84,7 +86,7 @@
     logger: { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} },
     metrics: { count: (name) => { if (name === 'contained_errors') state.contained += 1 }, observe: () => {}, readGauge: () => {} },
     configuration: {
-      current: () => isKnown ? CONFIGURATION : undefined,
+      current: () => isKnown ? { ...CONFIGURATION, accountsByKey: state.accountsByKey } : undefined,
       version: () => isKnown ? 1 : 0,
       confirmedAgeMs: () => isKnown ? state.confirmedAgeMs : Infinity,
       confirm: async () => {},
@@ -133,10 +135,11 @@
     zoneDrains: { isDrained: () => false, isKnown: () => true, revision: () => 0, onChange: () => {} },
     warmUp: { remainingMs: () => 0, isLimitReached: () => false, recordSend: () => {} },
     client: {
-      send: ({ request, instance }, exchange) => {
+      send: ({ request, instance, account }, exchange) => {
         firstTarget ??= instance.id
         if (instance.id === firstTarget) throwAt('send')
         sent.push(request.requestId)
+        accounts.push(account)
         targets.push(instance.id)
         exchanges.push(exchange)
         return { abort: () => recordAbort(exchange), pause: () => {}, resume: () => {} }
@@ -164,6 +167,7 @@
     state,
     sent,
     targets,
+    accounts,
     begins,
     answers,
     heads,
